--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+PACKAGES := $(wildcard packages/*/pyproject.toml)
+
+.PHONY: demo test lint format model faults bench capacity
+.NOTPARALLEL:
+
+$(STAMP): requirements.txt $(PACKAGES)
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check -r requirements.txt setuptools wheel
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps \
+		$(foreach package,$(PACKAGES),-e $(dir $(package)))
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(PYTHON) -m bergamotsaddle_standins.demo
+
+test: lint
+	$(PYTHON) -m nose2 -c unittest.cfg
+
+lint: $(STAMP)
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+
+format: $(STAMP)
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+model: $(STAMP)
+	$(PYTHON) -m model
+
+faults: $(STAMP)
+	$(PYTHON) -m bergamotsaddle_standins.faults $(ARGS)
+
+bench: $(STAMP)
+	$(PYTHON) -m bergamotsaddle_standins.bench $(ARGS)
+
+capacity: $(STAMP)
+	$(PYTHON) -m bergamotsaddle_standins.capacity $(ARGS)
--- /dev/null
+++ b/packages/contracts/bergamotsaddle_contracts/__init__.py
@@ -0,0 +1,1 @@
+"""Declarations, messages and error kinds that daemon, command line and tests share."""
--- /dev/null
+++ b/packages/contracts/bergamotsaddle_contracts/errors.py
@@ -0,0 +1,163 @@
+"""The closed list of error kinds and the exceptions that carry them."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class Ran(StrEnum):
+    """Whether any part of a request reached a target."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(StrEnum):
+    """Every way in which a request can end without its answer."""
+
+    BAD_REQUEST = "bad_request"
+    UNAUTHENTICATED = "unauthenticated"
+    NOT_FOUND = "not_found"
+    TOO_LARGE = "too_large"
+    TOO_SLOW = "too_slow"
+    TICKET_REQUIRED = "ticket_required"
+    TICKET_INVALID = "ticket_invalid"
+    TICKET_REUSED = "ticket_reused"
+    TICKET_EXPIRED = "ticket_expired"
+    NOT_RUN = "not_run"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    OVERLOADED = "overloaded"
+    DEADLINE_INFEASIBLE = "deadline_infeasible"
+    DEADLINE_PASSED = "deadline_passed"
+    NO_TARGET = "no_target"
+    TARGET_FAILED = "target_failed"
+    STOPPING = "stopping"
+    INTERNAL = "internal"
+
+
+class Answer(NamedTuple):
+    """What a caller is told for one error kind.
+
+    Attributes:
+        status: HTTP status.
+        ran: What holds unless the raiser knows better.
+        retry_after: Seconds after which asking again makes sense, or None for never.
+    """
+
+    status: int
+    ran: Ran
+    retry_after: float | None
+
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: Answer(400, Ran.NO, None),
+    ErrorKind.UNAUTHENTICATED: Answer(401, Ran.NO, None),
+    ErrorKind.NOT_FOUND: Answer(404, Ran.NO, None),
+    ErrorKind.TOO_LARGE: Answer(413, Ran.NO, None),
+    ErrorKind.TOO_SLOW: Answer(408, Ran.NO, None),
+    ErrorKind.TICKET_REQUIRED: Answer(428, Ran.NO, None),
+    ErrorKind.TICKET_INVALID: Answer(400, Ran.NO, None),
+    ErrorKind.TICKET_REUSED: Answer(422, Ran.UNKNOWN, None),
+    ErrorKind.TICKET_EXPIRED: Answer(410, Ran.NO, 0.0),
+    ErrorKind.NOT_RUN: Answer(503, Ran.NO, 0.5),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(502, Ran.UNKNOWN, 5.0),
+    ErrorKind.OVERLOADED: Answer(429, Ran.NO, 1.0),
+    ErrorKind.DEADLINE_INFEASIBLE: Answer(503, Ran.NO, 1.0),
+    ErrorKind.DEADLINE_PASSED: Answer(504, Ran.YES, 1.0),
+    ErrorKind.NO_TARGET: Answer(503, Ran.NO, 1.0),
+    ErrorKind.TARGET_FAILED: Answer(502, Ran.YES, 1.0),
+    ErrorKind.STOPPING: Answer(503, Ran.NO, 0.1),
+    ErrorKind.INTERNAL: Answer(500, Ran.UNKNOWN, 1.0),
+}
+
+
+class BergamotsaddleError(Exception):
+    """Base of every error that this system raises."""
+
+
+class RequestError(BergamotsaddleError):
+    """A request that ends without its answer.
+
+    Args:
+        kind: The error kind, which decides the HTTP status.
+        detail: One sentence for the caller.
+        ran: Overrides what the table says about the kind.
+        retry_after: Overrides the table's seconds.
+    """
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        detail: str,
+        *,
+        ran: Ran | None = None,
+        retry_after: float | None = None,
+    ) -> None:
+        super().__init__(detail)
+        answer = ANSWERS[kind]
+        self.kind = kind
+        self.detail = detail
+        self.status = answer.status
+        self.ran = answer.ran if ran is None else ran
+        self.retry_after = answer.retry_after if retry_after is None else retry_after
+
+
+class TargetError(BergamotsaddleError):
+    """A call to a target that gave no usable answer.
+
+    Args:
+        detail: What went wrong.
+        sent: Whether a byte of the call may have reached the target.
+    """
+
+    def __init__(self, detail: str, *, sent: bool) -> None:
+        super().__init__(detail)
+        self.sent = sent
+
+
+class PlaceLostError(BergamotsaddleError):
+    """A place at a target that stopped being good before the call was sent."""
+
+
+class PeerUnreachableError(BergamotsaddleError):
+    """A call to another instance that got no answer."""
+
+
+class PlatformUnreachableError(BergamotsaddleError):
+    """A read of the platform that got no usable answer."""
+
+
+class Fault(NamedTuple):
+    """One thing wrong in an operator's file.
+
+    Attributes:
+        file: Name of the file as given.
+        section: Section of the file, or an empty string.
+        key: Key of the section, or an empty string.
+        value: The value found.
+        reason: What is wrong with it and what is expected.
+    """
+
+    file: str
+    section: str
+    key: str
+    value: str
+    reason: str
+
+    def __str__(self) -> str:
+        place = f"{self.file}: [{self.section}]"
+        if self.key:
+            place += f" {self.key} = {self.value}"
+        return f"{place}: {self.reason}"
+
+
+class InvalidFileError(BergamotsaddleError):
+    """A declaration or settings file with at least one fault.
+
+    Args:
+        faults: Every fault found, in the order of the file.
+    """
+
+    def __init__(self, faults: list[Fault]) -> None:
+        super().__init__("; ".join(str(fault) for fault in faults))
+        self.faults = faults
--- /dev/null
+++ b/packages/contracts/bergamotsaddle_contracts/ini.py
@@ -0,0 +1,190 @@
+"""Reads INI files and collects every fault of a file before giving up."""
+
+import configparser
+import ipaddress
+import re
+from collections.abc import Callable, Collection
+from typing import NamedTuple, TypeVar
+
+from bergamotsaddle_contracts.errors import Fault, InvalidFileError
+
+Value = TypeVar("Value")
+
+_UNIT_SECONDS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0}
+_DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s|m|h)")
+_MAX_PORT = 65535
+
+
+class Address(NamedTuple):
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+def parse_duration(text: str) -> float:
+    """Turn ``250ms``, ``4s``, ``2m`` or ``1h`` into seconds.
+
+    Raises:
+        ValueError: If the text has no number or no unit.
+    """
+    match = _DURATION.fullmatch(text.strip())
+    if match is None:
+        raise ValueError("expected a duration such as 250ms, 4s, 2m or 1h")
+    return float(match.group(1)) * _UNIT_SECONDS[match.group(2)]
+
+
+def parse_address(text: str) -> Address:
+    """Turn ``127.0.0.1:8080`` into an address; names are not looked up.
+
+    Raises:
+        ValueError: If the host is no IP number or the port is out of range.
+    """
+    host, separator, port = text.strip().rpartition(":")
+    if not separator:
+        raise ValueError("expected an IP number and a port such as 10.0.0.7:8080")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        raise ValueError("expected an IP number, names are not looked up") from None
+    if not port.isdigit() or int(port) > _MAX_PORT:
+        raise ValueError(f"expected a port from 0 to {_MAX_PORT}")
+    return Address(host, int(port))
+
+
+def parse_yes_no(text: str) -> bool:
+    """Turn ``yes`` or ``no`` into a truth value.
+
+    Raises:
+        ValueError: If the text is neither.
+    """
+    words = {"yes": True, "no": False}
+    if text.strip() not in words:
+        raise ValueError("expected yes or no")
+    return words[text.strip()]
+
+
+def parse_words(text: str) -> tuple[str, ...]:
+    """Split a comma-separated list, leaving out empty entries."""
+    return tuple(word.strip() for word in text.split(",") if word.strip())
+
+
+def parse_count(text: str) -> int:
+    """Turn digits into a number of at least 1.
+
+    Raises:
+        ValueError: If the text is no whole number of at least 1.
+    """
+    if not text.strip().isdigit() or int(text) < 1:
+        raise ValueError("expected a whole number of at least 1")
+    return int(text)
+
+
+def parse_counts(text: str) -> tuple[int, ...]:
+    """Split a comma-separated list of whole numbers of at least 1."""
+    return tuple(parse_count(word) for word in parse_words(text))
+
+
+def one_of(words: Collection[str]) -> Callable[[str], str]:
+    """Make a parser that takes only the given words."""
+
+    def parse(text: str) -> str:
+        if text.strip() not in words:
+            raise ValueError(f"expected one of {', '.join(sorted(words))}")
+        return text.strip()
+
+    return parse
+
+
+class IniFile:
+    """An INI text whose faults are collected while it is read.
+
+    Args:
+        text: The whole text.
+        name: Name of the file for messages.
+    """
+
+    def __init__(self, text: str, *, name: str) -> None:
+        self.name = name
+        self.faults: list[Fault] = []
+        self._parser = self._parse(text)
+        self._read: dict[str, set[str]] = {}
+
+    @property
+    def sections(self) -> list[str]:
+        """Names of the sections in the order of the file."""
+        return self._parser.sections()
+
+    def fault(self, section: str, key: str, value: str, reason: str) -> None:
+        """Note one fault."""
+        self.faults.append(Fault(self.name, section, key, value, reason))
+
+    def get(
+        self,
+        section: str,
+        key: str,
+        parse: Callable[[str], Value],
+        default: Value | None = None,
+    ) -> Value | None:
+        """Read one value; a missing or malformed one is noted as a fault.
+
+        Args:
+            section: Section of the key.
+            key: The key.
+            parse: Turns the text into a value or raises ValueError with the reason.
+            default: Used where the key is absent; None makes the key mandatory.
+
+        Returns:
+            The value, or the default where the value is absent or malformed.
+        """
+        self._read.setdefault(section, set()).add(key)
+        if not self._parser.has_option(section, key):
+            if default is None:
+                self.fault(section, key, "", "missing")
+            return default
+        text = self._parser.get(section, key)
+        try:
+            return parse(text)
+        except ValueError as error:
+            self.fault(section, key, text, str(error))
+            return default
+
+    def close(self) -> None:
+        """Note keys that nobody read, then raise if there is any fault.
+
+        Raises:
+            InvalidFileError: With every fault found.
+        """
+        for section, keys in self._read.items():
+            if not self._parser.has_section(section):
+                continue
+            for key in self._parser.options(section):
+                if key not in keys:
+                    value = self._parser.get(section, key)
+                    self.fault(section, key, value, "unknown key")
+        if self.faults:
+            raise InvalidFileError(self.faults)
+
+    def _parse(self, text: str) -> configparser.ConfigParser:
+        strict = configparser.ConfigParser(interpolation=None)
+        try:
+            strict.read_string(text)
+            return strict
+        except configparser.ParsingError as error:
+            for line, content in error.errors:
+                self.fault("", f"line {line}", content, "not an INI line")
+            return configparser.ConfigParser(interpolation=None)
+        except configparser.DuplicateSectionError as error:
+            self.fault(error.section, "", "", f"line {error.lineno}: section twice")
+        except configparser.DuplicateOptionError as error:
+            reason = f"line {error.lineno}: key twice"
+            self.fault(error.section, error.option, "", reason)
+        except configparser.MissingSectionHeaderError as error:
+            self.fault("", f"line {error.lineno}", error.line, "no section before it")
+            return configparser.ConfigParser(interpolation=None)
+        lenient = configparser.ConfigParser(interpolation=None, strict=False)
+        lenient.read_string(text)
+        return lenient
--- /dev/null
+++ b/packages/contracts/bergamotsaddle_contracts/instances.py
@@ -0,0 +1,86 @@
+"""The platform's list of live and leaving instances."""
+
+from typing import NamedTuple
+
+import msgspec
+
+ENTRY_ROLE = "entry"
+TARGET_ROLE = "target"
+LIVE = "live"
+LEAVING = "leaving"
+
+
+class Instance(NamedTuple):
+    """One line of the list.
+
+    Attributes:
+        id: Name of the instance; a target's id for a target.
+        zone: Its availability zone.
+        role: ``entry`` or ``target``.
+        state: ``live`` or ``leaving``.
+        peer_address: ``IP:port`` towards other entry instances; empty for targets.
+    """
+
+    id: str
+    zone: str
+    role: str
+    state: str
+    peer_address: str
+
+
+class InstanceList(NamedTuple):
+    """The whole list at one version, as the platform published it.
+
+    Attributes:
+        version: Grows with every change.
+        by_id: The instances by id.
+    """
+
+    version: int
+    by_id: dict[str, Instance]
+
+    def entries(self) -> list[Instance]:
+        """All entry instances, ordered by id."""
+        return sorted(i for i in self.by_id.values() if i.role == ENTRY_ROLE)
+
+    def is_leaving(self, instance_id: str) -> bool:
+        """Tell whether the list says that an instance is leaving."""
+        instance = self.by_id.get(instance_id)
+        return instance is not None and instance.state == LEAVING
+
+
+EMPTY_LIST = InstanceList(0, {})
+
+
+class _PublishedList(msgspec.Struct):
+    version: int
+    instances: list[dict[str, str]]
+
+
+def parse_instances(payload: bytes) -> InstanceList:
+    """Read the JSON that the platform publishes.
+
+    Raises:
+        ValueError: If the payload is no such list.
+    """
+    try:
+        published = msgspec.json.decode(payload, type=_PublishedList)
+        rows = [msgspec.convert(row, _Row) for row in published.instances]
+    except msgspec.MsgspecError as error:
+        raise ValueError(f"instance list: {error}") from error
+    instances = [Instance(r.id, r.zone, r.role, r.state, r.peer_address) for r in rows]
+    return InstanceList(published.version, {i.id: i for i in instances})
+
+
+class _Row(msgspec.Struct):
+    id: str
+    zone: str
+    role: str
+    state: str = LIVE
+    peer_address: str = ""
+
+
+def encode_instances(instances: InstanceList) -> bytes:
+    """Write a list as the platform publishes it."""
+    rows = [instance._asdict() for instance in instances.by_id.values()]
+    return msgspec.json.encode({"version": instances.version, "instances": rows})
--- /dev/null
+++ b/packages/contracts/bergamotsaddle_contracts/ticket.py
@@ -0,0 +1,78 @@
+"""Tickets: one permission to run one unrepeatable request once."""
+
+import base64
+import binascii
+import hashlib
+import hmac
+import secrets
+from typing import NamedTuple
+
+import msgspec
+
+from bergamotsaddle_contracts.errors import ErrorKind, RequestError
+
+_MAC_BYTES = 16
+_NONCE_BYTES = 9
+NO_WITNESS = ""
+
+
+class Ticket(NamedTuple):
+    """What a ticket says; the issuer's process alone may run its request.
+
+    Attributes:
+        issuer: Id of the issuing instance.
+        incarnation: Random name of the issuing process.
+        nonce: Random name of this ticket.
+        team: Team that asked for it.
+        kind: Kind of target it is for.
+        issued_at: Seconds on the issuer's clock when it was issued.
+        witness: Id of the instance that remembers the start, or an empty string.
+        witness_incarnation: Random name of the witness's process.
+        witness_mark: Seconds on the witness's clock, not after the issue.
+    """
+
+    issuer: str
+    incarnation: str
+    nonce: str
+    team: str
+    kind: str
+    issued_at: float
+    witness: str
+    witness_incarnation: str
+    witness_mark: float
+
+
+def make_nonce() -> str:
+    """Make a random name for a ticket or a process."""
+    return secrets.token_urlsafe(_NONCE_BYTES)
+
+
+def seal_ticket(ticket: Ticket, key: bytes) -> str:
+    """Write a ticket as text that only holders of the key can make."""
+    body = msgspec.msgpack.encode(ticket)
+    return base64.urlsafe_b64encode(body + _mac(body, key)).decode().rstrip("=")
+
+
+def open_ticket(text: str, key: bytes) -> Ticket:
+    """Read a ticket's text and check who made it.
+
+    Raises:
+        RequestError: If the text is malformed or made with another key.
+    """
+    try:
+        raw = base64.urlsafe_b64decode(text + "=" * (-len(text) % 4))
+    except (binascii.Error, ValueError):
+        raw = b""
+    body, mac = raw[:-_MAC_BYTES], raw[-_MAC_BYTES:]
+    if not body or not hmac.compare_digest(mac, _mac(body, key)):
+        raise RequestError(ErrorKind.TICKET_INVALID, "not a ticket of this system")
+    try:
+        return msgspec.msgpack.decode(body, type=Ticket)
+    except msgspec.MsgspecError:
+        raise RequestError(
+            ErrorKind.TICKET_INVALID, "ticket of another version"
+        ) from None
+
+
+def _mac(body: bytes, key: bytes) -> bytes:
+    return hashlib.blake2b(body, digest_size=_MAC_BYTES, key=key).digest()
--- /dev/null
+++ b/packages/daemon/bergamotsaddle_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon of an entry instance."""
--- /dev/null
+++ b/packages/daemon/bergamotsaddle_daemon/__main__.py
@@ -0,0 +1,5 @@
+"""Lets ``python -m bergamotsaddle_daemon`` run the daemon."""
+
+from bergamotsaddle_daemon.app import main
+
+main()
--- /dev/null
+++ b/packages/daemon/bergamotsaddle_daemon/callers.py
@@ -0,0 +1,379 @@
+"""The HTTP interface of callers."""
+
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+
+import msgspec
+import structlog
+
+from bergamotsaddle_contracts.declaration import Team, digest_key
+from bergamotsaddle_contracts.errors import ErrorKind, RequestError
+from bergamotsaddle_contracts.ini import parse_duration
+from bergamotsaddle_contracts.messages import Outcome, ServiceRequest
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_daemon.costs import Costs
+from bergamotsaddle_daemon.http import (
+    Environ,
+    StartResponse,
+    json_response,
+    read_body,
+    start,
+)
+from bergamotsaddle_daemon.pipelines import PipelineRun, parse_pipeline_body
+from bergamotsaddle_daemon.pools import Pools
+from bergamotsaddle_daemon.request import Request
+from bergamotsaddle_daemon.services import ServiceDesk, is_finished, outcome_error
+from bergamotsaddle_daemon.settings import Settings
+from bergamotsaddle_daemon.stages import StageCaller
+from bergamotsaddle_daemon.streams import StreamRelay
+from bergamotsaddle_daemon.tickets import TicketDesk
+from bergamotsaddle_daemon.views import Views
+
+TICKET_HEADER = "HTTP_X_TICKET"
+DEADLINE_HEADER = "HTTP_X_DEADLINE"
+_SERVICE_SECONDS = 4.0
+_MAX_SECONDS = 600.0
+_BEARER = "Bearer "
+_WHOLE = "whole"
+
+
+class ErrorBody(msgspec.Struct):
+    """What a caller is told instead of an answer.
+
+    Attributes:
+        request: Id of the request.
+        kind: The error kind.
+        ran: Whether any part of it reached a target: no, yes or unknown.
+        detail: One sentence.
+        retry_after: Seconds after which to ask again; null for never.
+    """
+
+    request: str
+    kind: str
+    ran: str
+    detail: str
+    retry_after: float | None
+
+
+class CallerApp:
+    """The WSGI application of callers.
+
+    Args:
+        settings: The daemon's settings.
+        views: The declaration in force.
+        pools: Checks admission.
+        stages: Calls stages.
+        relay: Runs generate stages.
+        services: Calls plain services.
+        tickets: Runs unrepeatable requests.
+        costs: Counts requests.
+        logger: Gets a line for each request.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        views: Views,
+        pools: Pools,
+        stages: StageCaller,
+        relay: StreamRelay,
+        services: ServiceDesk,
+        tickets: TicketDesk,
+        costs: Costs,
+        logger: structlog.typing.FilteringBoundLogger,
+    ) -> None:
+        self._settings = settings
+        self._views = views
+        self._pools = pools
+        self._stages = stages
+        self._relay = relay
+        self._services = services
+        self._tickets = tickets
+        self._costs = costs
+        self._logger = logger
+        self._teams_version: tuple[int, str] | None = None
+        self._team_by_digest: dict[str, Team] = {}
+        self.active = 0
+        self.stopping = False
+        self.refusing = False
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable:
+        """Serve one HTTP request."""
+        self.active += 1
+        ended = _Once(self._end)
+        try:
+            answer = self._serve(environ, start_response)
+        except RequestError as error:
+            ended()
+            return self._refuse(start_response, "", error)
+        except BaseException:
+            ended()
+            raise
+        return _Body(answer, ended)
+
+    def _end(self) -> None:
+        self.active -= 1
+
+    def _serve(self, environ: Environ, start_response: StartResponse) -> Iterable:
+        path = environ["PATH_INFO"].strip("/").split("/")
+        if path == ["ready"]:
+            return self._ready(start_response)
+        if self.refusing:
+            raise RequestError(ErrorKind.STOPPING, "this instance is stopping")
+        if self.active > self._settings.limits.connections:
+            raise RequestError(ErrorKind.OVERLOADED, "too many requests at once here")
+        if not self._views.declaration.revision:
+            raise RequestError(ErrorKind.NO_TARGET, "no declaration is known yet")
+        team = self._authenticate(environ)
+        match (environ["REQUEST_METHOD"], path):
+            case ("POST", ["v1", "pipelines", name]):
+                return self._pipeline(environ, start_response, team, name)
+            case ("POST", ["v1", "services", kind, *rest]):
+                return self._service(environ, start_response, team, kind, rest)
+            case ("POST", ["v1", "tickets", kind]):
+                return self._issue(start_response, team, kind)
+            case ("GET", ["v1", "tickets", kind, ticket]):
+                return self._look(start_response, team, kind, ticket)
+        raise RequestError(ErrorKind.NOT_FOUND, "no such path or method")
+
+    def _ready(self, start_response: StartResponse) -> Iterable:
+        is_ready = self._views.declaration.revision > 0 and not self.stopping
+        return json_response(
+            start_response, 200 if is_ready else 503, {"ready": is_ready}, close=True
+        )
+
+    def _authenticate(self, environ: Environ) -> Team:
+        declaration = self._views.declaration
+        if self._teams_version != declaration.version:
+            self._team_by_digest = {
+                digest: team
+                for team in declaration.teams.values()
+                for digest in team.key_digests
+            }
+            self._teams_version = declaration.version
+        header = environ.get("HTTP_AUTHORIZATION", "")
+        key = header.removeprefix(_BEARER) if header.startswith(_BEARER) else ""
+        team = self._team_by_digest.get(digest_key(key)) if key else None
+        if team is None:
+            detail = "expected 'Authorization: Bearer KEY' with a declared team's key"
+            raise RequestError(ErrorKind.UNAUTHENTICATED, detail)
+        return team
+
+    def _pipeline(
+        self, environ: Environ, start_response: StartResponse, team: Team, name: str
+    ) -> Iterable:
+        pipeline = self._views.declaration.pipelines.get(name)
+        if pipeline is None:
+            raise RequestError(ErrorKind.NOT_FOUND, f"no pipeline {name} is declared")
+        seconds = _read_seconds(environ, pipeline.deadline)
+        request = Request(team, name, seconds, pipeline.priority)
+        body = parse_pipeline_body(read_body(environ, self._settings))
+        run = PipelineRun(
+            request, pipeline, body, stages=self._stages, relay=self._relay
+        )
+        try:
+            run.check_admission(self._pools)
+            events = run.run()
+            if body.stream:
+                return self._stream(start_response, request, run, events)
+            for _ in events:
+                continue
+        except RequestError as error:
+            self._note_end(request, error.kind)
+            return self._refuse(start_response, request.id, error)
+        self._note_end(request, _WHOLE)
+        return self._whole(start_response, request, run)
+
+    def _whole(
+        self, start_response: StartResponse, request: Request, run: PipelineRun
+    ) -> Iterable:
+        answer = {
+            "request": request.id,
+            "output": run.output,
+            "tokens": len(run.tokens),
+        }
+        return json_response(start_response, 200, answer, close=self.stopping)
+
+    def _stream(
+        self,
+        start_response: StartResponse,
+        request: Request,
+        run: PipelineRun,
+        events: Iterator[bytes],
+    ) -> Iterable:
+        # Until the first token there is still a status to be chosen, so errors up
+        # to there are answered like any other refusal.
+        first = next(events, b"")
+        headers = [
+            ("Content-Type", "text/event-stream"),
+            ("X-Request-Id", request.id),
+            ("Cache-Control", "no-store"),
+        ]
+        start(start_response, 200, headers, close=self.stopping)
+        return self._events(request, run, first, events)
+
+    def _events(
+        self, request: Request, run: PipelineRun, first: bytes, events: Iterator[bytes]
+    ) -> Iterator[bytes]:
+        outcome: str = "caller_left"
+        try:
+            if first:
+                yield first
+            yield from events
+            outcome = _WHOLE
+            end = {"request": request.id, "tokens": len(run.tokens)}
+            if not run.tokens:
+                end["output"] = run.output
+            yield b"event: end\ndata: " + msgspec.json.encode(end) + b"\n\n"
+        except RequestError as error:
+            # The status has been sent; the event tells the caller that what it has
+            # is only a part, which the bare end of the body would not.
+            outcome = error.kind
+            body = msgspec.json.encode(_error_body(request.id, error))
+            yield b"event: error\ndata: " + body + b"\n\n"
+        finally:
+            events.close()
+            self._note_end(request, outcome)
+
+    def _service(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+        team: Team,
+        kind: str,
+        rest: list[str],
+    ) -> Iterable:
+        self._services.check_kind(kind)
+        seconds = _read_seconds(environ, _SERVICE_SECONDS)
+        request = Request(team, kind, seconds, team.priority)
+        body = read_body(environ, self._settings)
+        path = "/".join(rest)
+        try:
+            if self._views.declaration.is_repeatable(kind):
+                reply = self._services.call_repeatable(request, path, body)
+                outcome = Outcome("finished", 200, reply)
+            else:
+                outcome = self._run_ticket(environ, request, path, body)
+        except RequestError as error:
+            self._note_end(request, error.kind)
+            return self._refuse(start_response, request.id, error)
+        self._note_end(request, _WHOLE)
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(outcome.body))),
+            ("X-Request-Id", request.id),
+        ]
+        start(start_response, outcome.status, headers, close=self.stopping)
+        return [outcome.body]
+
+    def _run_ticket(
+        self, environ: Environ, request: Request, path: str, body: bytes
+    ) -> Outcome:
+        text = environ.get(TICKET_HEADER, "")
+        if not text:
+            detail = f"get a ticket by POST /v1/tickets/{request.name} first"
+            raise RequestError(ErrorKind.TICKET_REQUIRED, detail)
+        ticket = self._tickets.open(text, request.team.name, request.name)
+        message = ServiceRequest(
+            request.id, request.team.name, request.name, path, body, request.remaining
+        )
+        outcome = self._tickets.run(ticket, message)
+        if not is_finished(outcome):
+            raise outcome_error(outcome)
+        return outcome
+
+    def _issue(self, start_response: StartResponse, team: Team, kind: str) -> Iterable:
+        self._services.check_kind(kind)
+        if self._views.declaration.is_repeatable(kind):
+            detail = f"calls to {kind} may be repeated and need no ticket"
+            raise RequestError(ErrorKind.BAD_REQUEST, detail)
+        text, ticket = self._tickets.issue(team.name, kind)
+        answer = {
+            "ticket": text,
+            "start_within": self._settings.timing.ticket_lifetime,
+            "has_witness": bool(ticket.witness),
+        }
+        return json_response(start_response, 200, answer, close=self.stopping)
+
+    def _look(
+        self, start_response: StartResponse, team: Team, kind: str, text: str
+    ) -> Iterable:
+        ticket = self._tickets.open(text, team.name, kind)
+        outcome = self._tickets.look(ticket)
+        answer = {"state": outcome.state, "detail": outcome.detail}
+        if is_finished(outcome):
+            answer["status"] = str(outcome.status)
+            answer["body"] = outcome.body.decode(errors="replace")
+        return json_response(start_response, 200, answer, close=self.stopping)
+
+    def _refuse(
+        self, start_response: StartResponse, request_id: str, error: RequestError
+    ) -> Iterable:
+        extra = []
+        if error.retry_after is not None:
+            extra.append(("Retry-After", str(max(1, round(error.retry_after)))))
+        body = _error_body(request_id, error)
+        close = self.stopping or error.kind in (ErrorKind.TOO_LARGE, ErrorKind.TOO_SLOW)
+        return json_response(
+            start_response, error.status, body, headers=extra, close=close
+        )
+
+    def _note_end(self, request: Request, outcome: str) -> None:
+        seconds = now() - request.began_at
+        self._costs.count_request(request.team.name, request.name, outcome, seconds)
+        self._logger.info(
+            "request",
+            request=request.id,
+            team=request.team.name,
+            name=request.name,
+            outcome=str(outcome),
+            ran=str(request.ran),
+            seconds=round(seconds, 4),
+        )
+
+
+class _Once:
+    """Calls a function the first time only."""
+
+    def __init__(self, function: Callable[[], None]) -> None:
+        self._function: Callable[[], None] | None = function
+
+    def __call__(self) -> None:
+        function, self._function = self._function, None
+        if function is not None:
+            function()
+
+
+class _Body:
+    """A response body that tells when the server is done with it."""
+
+    def __init__(self, body: Iterable[bytes], ended: Callable[[], None]) -> None:
+        self._body = body
+        self._ended = ended
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(self._body)
+
+    def close(self) -> None:
+        """End the request; the server calls this whatever happened."""
+        close: Any = getattr(self._body, "close", None)
+        try:
+            if close is not None:
+                close()
+        finally:
+            self._ended()
+
+
+def _read_seconds(environ: Environ, default: float) -> float:
+    text = environ.get(DEADLINE_HEADER, "")
+    if not text:
+        return default
+    try:
+        seconds = parse_duration(text)
+    except ValueError as error:
+        raise RequestError(ErrorKind.BAD_REQUEST, f"X-Deadline: {error}") from error
+    return min(seconds, _MAX_SECONDS)
+
+
+def _error_body(request_id: str, error: RequestError) -> ErrorBody:
+    return ErrorBody(request_id, error.kind, error.ran, error.detail, error.retry_after)
--- /dev/null
+++ b/packages/daemon/bergamotsaddle_daemon/datagrams.py
@@ -0,0 +1,40 @@
+"""Heartbeats as UDP datagrams."""
+
+import socket
+
+from bergamotsaddle_contracts.ini import Address, parse_address
+from bergamotsaddle_contracts.messages import Heartbeat, open_sealed, seal
+from bergamotsaddle_daemon.peers import Peers
+
+_MAX_DATAGRAM_BYTES = 65_535
+
+
+class UdpSocket:
+    """Sends and receives heartbeats.
+
+    Args:
+        address: Where to listen.
+        key: Shared by all instances.
+    """
+
+    def __init__(self, address: Address, key: bytes) -> None:
+        self._key = key
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind(address)
+
+    def send(self, heartbeat: Heartbeat, address: str) -> None:
+        """Send one datagram; it may get lost."""
+        try:
+            self._socket.sendto(seal(heartbeat, self._key), parse_address(address))
+        except OSError:
+            # The network refuses at once what it would otherwise lose.
+            return
+
+    def receive_for_ever(self, peers: Peers) -> None:
+        """Hand over every datagram that an instance of this deployment made."""
+        while True:
+            try:
+                datagram = self._socket.recv(_MAX_DATAGRAM_BYTES)
+                peers.hear(open_sealed(datagram, Heartbeat, self._key))
+            except (ValueError, OSError):
+                continue
--- /dev/null
+++ b/packages/daemon/bergamotsaddle_daemon/http.py
@@ -0,0 +1,74 @@
+"""What both HTTP interfaces of the daemon need of WSGI."""
+
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+from typing import Any
+
+import eventlet
+import msgspec
+
+from bergamotsaddle_contracts.errors import ErrorKind, RequestError
+from bergamotsaddle_daemon.settings import Settings
+
+Environ = dict[str, Any]
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+Headers = list[tuple[str, str]]
+
+
+def start(
+    start_response: StartResponse, status: int, headers: Headers, *, close: bool
+) -> None:
+    """Send status and headers; ``close`` asks the client for a new connection."""
+    try:
+        phrase = HTTPStatus(status).phrase
+    except ValueError:
+        phrase = "Unknown"
+    if close:
+        headers = [*headers, ("Connection", "close")]
+    start_response(f"{status} {phrase}", headers)
+
+
+def json_response(
+    start_response: StartResponse,
+    status: int,
+    answer: Any,
+    *,
+    headers: Headers | None = None,
+    close: bool = False,
+) -> Iterable[bytes]:
+    """Answer with JSON."""
+    body = msgspec.json.encode(answer)
+    content = [
+        ("Content-Type", "application/json"),
+        ("Content-Length", str(len(body))),
+        *(headers or []),
+    ]
+    start(start_response, status, content, close=close)
+    return [body]
+
+
+def read_body(environ: Environ, settings: Settings) -> bytes:
+    """Read a request's body.
+
+    Raises:
+        RequestError: If it is too large or its sender too slow.
+    """
+    bound = settings.limits.body_bytes
+    length = environ.get("CONTENT_LENGTH") or "0"
+    if not length.isdigit():
+        raise RequestError(ErrorKind.BAD_REQUEST, "Content-Length is no number")
+    if int(length) > bound:
+        raise RequestError(ErrorKind.TOO_LARGE, f"body above {bound} bytes")
+    try:
+        with eventlet.Timeout(settings.timing.header):
+            body = environ["wsgi.input"].read(bound + 1)
+    except eventlet.Timeout as error:
+        detail = f"body took longer than {settings.timing.header} s"
+        raise RequestError(ErrorKind.TOO_SLOW, detail) from error
+    except (ValueError, OSError) as error:
+        raise RequestError(ErrorKind.BAD_REQUEST, f"body: {error}") from error
+    if len(body) > bound:
+        raise RequestError(ErrorKind.TOO_LARGE, f"body above {bound} bytes")
+    if len(body) < int(length):
+        raise RequestError(ErrorKind.BAD_REQUEST, "body ended early")
+    return body
--- /dev/null
+++ b/packages/daemon/bergamotsaddle_daemon/hub_bridge.py
@@ -0,0 +1,69 @@
+"""Carries work from native threads, which gRPC runs on, to the hub's thread."""
+
+import os
+import threading
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import eventlet
+from eventlet import hubs
+
+_READ_BYTES = 4096
+
+
+class HubBridge:
+    """Runs functions on the hub that native threads hand over.
+
+    The hub's objects may only be touched from its own thread; a green thread woken
+    from another one would run there and corrupt both. So native threads append to
+    a queue and write to a pipe, and a green thread reads the pipe.
+    """
+
+    def __init__(self) -> None:
+        self._queue: deque[Callable[[], None]] = deque()
+        self._read_end, self._write_end = os.pipe()
+        os.set_blocking(self._read_end, False)
+        os.set_blocking(self._write_end, False)
+        eventlet.spawn_n(self._run)
+
+    def post(self, work: Callable[[], None]) -> None:
+        """Have a function called on the hub's thread; any thread may call this."""
+        self._queue.append(work)
+        try:
+            os.write(self._write_end, b"\0")
+        except BlockingIOError:
+            # The pipe is full of wake-ups already; one of them is enough.
+            return
+
+    def call(self, work: Callable[[], Any], timeout: float) -> Any:
+        """Run a function in a green thread and wait for it in a native one.
+
+        Raises:
+            TimeoutError: If there is no result in time.
+            Exception: What the function raised.
+        """
+        done = threading.Event()
+        results: list[Any] = []
+        errors: list[Exception] = []
+
+        def run() -> None:
+            try:
+                results.append(work())
+            except Exception as error:
+                errors.append(error)
+            done.set()
+
+        self.post(lambda: eventlet.spawn_n(run))
+        if not done.wait(timeout):
+            raise TimeoutError("the hub did not answer in time")
+        if errors:
+            raise errors[0]
+        return results[0]
+
+    def _run(self) -> None:
+        while True:
+            hubs.trampoline(self._read_end, read=True)
+            os.read(self._read_end, _READ_BYTES)
+            while self._queue:
+                self._queue.popleft()()
--- /dev/null
+++ b/packages/daemon/bergamotsaddle_daemon/peers.py
@@ -0,0 +1,263 @@
+"""The other entry instances: who they are, who is alive, and how to call them."""
+
+import hashlib
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import eventlet
+from eventlet.event import Event
+
+from bergamotsaddle_contracts.errors import PeerUnreachableError
+from bergamotsaddle_contracts.instances import Instance, parse_instances
+from bergamotsaddle_contracts.messages import (
+    DeclarationQuery,
+    Heartbeat,
+    InstancesQuery,
+    TargetReport,
+)
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_daemon.decisions import DecisionLog
+from bergamotsaddle_daemon.links import Link
+from bergamotsaddle_daemon.settings import Settings
+from bergamotsaddle_daemon.targets import Targets
+from bergamotsaddle_daemon.views import Views
+
+_FETCH_LIMIT = 2.0
+
+LinkFactory = Callable[[str], Link]
+
+
+class HeartbeatSocket(Protocol):
+    """Sends heartbeats."""
+
+    def send(self, heartbeat: Heartbeat, address: str) -> None:
+        """Send one datagram; it may get lost."""
+
+
+class Peer:
+    """Another entry instance.
+
+    Args:
+        instance: Its line in the platform's list.
+        link: How to call it.
+    """
+
+    def __init__(self, instance: Instance, link: Link) -> None:
+        self.instance = instance
+        self.link = link
+        self.heard_at = float("-inf")
+        self.incarnation = ""
+        self.clock = 0.0
+        self.revision = 0
+        self.list_version = 0
+        self.stopping = False
+
+    def hear(self, heartbeat: Heartbeat) -> None:
+        """Take a heartbeat into account."""
+        self.heard_at = now()
+        self.incarnation = heartbeat.incarnation
+        self.clock = heartbeat.clock
+        self.revision = heartbeat.revision
+        self.list_version = heartbeat.list_version
+        self.stopping = heartbeat.stopping
+
+
+class Peers:
+    """All other entry instances.
+
+    Args:
+        settings: The daemon's settings.
+        incarnation: Random name of this process.
+        views: Kept up to date from what peers know.
+        targets: Get the reports that peers send.
+        decisions: The decision log.
+        link_factory: Makes a link to an address.
+        socket: Sends heartbeats.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        incarnation: str,
+        views: Views,
+        targets: Targets,
+        decisions: DecisionLog,
+        *,
+        link_factory: LinkFactory,
+        socket: HeartbeatSocket,
+    ) -> None:
+        self._settings = settings
+        self._incarnation = incarnation
+        self._views = views
+        self._targets = targets
+        self._decisions = decisions
+        self._link_factory = link_factory
+        self._socket = socket
+        self._changed = Event()
+        self._fetching = False
+        self.by_id: dict[str, Peer] = {}
+        self.neighbours: dict[str, Peer] = {}
+        self.stopping = False
+        self.own_reports: Callable[[], tuple[TargetReport, ...]] = tuple
+        views.watch(self.refresh)
+
+    def refresh(self) -> None:
+        """Follow the instance list, then tell the neighbours of the change."""
+        entries = {
+            entry.id: entry
+            for entry in self._views.instances.entries()
+            if entry.id != self._settings.daemon.id and entry.peer_address
+        }
+        for peer_id in list(self.by_id):
+            peer = self.by_id[peer_id]
+            if entries.get(peer_id) != peer.instance:
+                del self.by_id[peer_id]
+                peer.link.close()
+        for entry in entries.values():
+            if entry.id not in self.by_id:
+                link = self._link_factory(entry.peer_address)
+                self.by_id[entry.id] = Peer(entry, link)
+        self._choose_neighbours()
+        self.tell_neighbours()
+
+    def tell_neighbours(self) -> None:
+        """Send heartbeats at once, as after a change."""
+        changed, self._changed = self._changed, Event()
+        changed.send()
+
+    def is_alive(self, peer_id: str) -> bool:
+        """Tell whether a peer was heard lately."""
+        peer = self.by_id.get(peer_id)
+        if peer is None:
+            return False
+        return now() - peer.heard_at <= self._settings.timing.peer_silence
+
+    def call(self, peer_id: str, message: Any, timeout: float) -> Any:
+        """Call a peer.
+
+        Raises:
+            PeerUnreachableError: If it is not in the list or gives no answer.
+        """
+        peer = self.by_id.get(peer_id)
+        if peer is None:
+            raise PeerUnreachableError(f"{peer_id} is not in the instance list")
+        return peer.link.call(message, timeout)
+
+    def pick_witness(self, nonce: str) -> Peer | None:
+        """Choose a live peer to remember a ticket, in another zone if possible."""
+        alive = [
+            peer
+            for peer in self.by_id.values()
+            if self.is_alive(peer.instance.id) and not peer.stopping
+        ]
+        own = self._settings.daemon.zone
+        away = [peer for peer in alive if peer.instance.zone != own]
+        choices = away or alive
+        if not choices:
+            return None
+        return max(choices, key=lambda peer: _weigh(peer.instance.id, nonce))
+
+    def hear(self, heartbeat: Heartbeat) -> None:
+        """Take a peer's heartbeat into account and fetch what it has newer."""
+        peer = self.by_id.get(heartbeat.sender)
+        if peer is None:
+            return
+        peer.hear(heartbeat)
+        if heartbeat.echo_incarnation == self._incarnation:
+            self._hear_echo(heartbeat)
+        if self._is_behind(heartbeat) and not self._fetching:
+            self._fetching = True
+            eventlet.spawn_n(self._fetch, peer)
+
+    def _hear_echo(self, heartbeat: Heartbeat) -> None:
+        # Datagrams wait in the socket while this process is paused, so when one is
+        # read says nothing of its age. It was sent after the peer heard the clock
+        # that it echoes, and that bounds its age whatever happened in between.
+        self._views.confirm(heartbeat.echo)
+        for report in heartbeat.reports:
+            target = self._targets.by_id.get(report.target_id)
+            if target is not None:
+                target.take_report(report, sent_at=heartbeat.echo)
+
+    def _is_behind(self, heartbeat: Heartbeat) -> bool:
+        theirs = (heartbeat.revision, heartbeat.digest)
+        if theirs > self._views.declaration.version:
+            return True
+        return heartbeat.list_version > self._views.instances.version
+
+    def _fetch(self, peer: Peer) -> None:
+        name = peer.instance.id
+        try:
+            own = self._views.declaration.revision
+            text = peer.link.call(DeclarationQuery(own), _FETCH_LIMIT).text
+            if text:
+                self._views.offer_declaration(text, source=f"peer {name}")
+            version = self._views.instances.version
+            payload = peer.link.call(InstancesQuery(version), _FETCH_LIMIT).payload
+            if payload:
+                offered = parse_instances(payload)
+                self._views.offer_instances(offered, source=f"peer {name}")
+        except (PeerUnreachableError, ValueError) as error:
+            self._decisions.record("", "fetch", "", f"from peer {name}: {error}")
+        finally:
+            self._fetching = False
+
+    def _choose_neighbours(self) -> None:
+        """Keep heartbeats to a bounded number of peers, symmetric between both ends.
+
+        Everybody with everybody costs a daemon traffic that grows with the fleet.
+        On a ring sorted by zone and id each instance beats with those next to it on
+        both sides and with as many spread around the ring.
+        """
+        ring = sorted([*self.by_id, self._settings.daemon.id], key=self._ring_key)
+        bound = self._settings.limits.neighbours
+        if len(ring) - 1 <= bound:
+            chosen = [peer_id for peer_id in ring if peer_id in self.by_id]
+        else:
+            place = ring.index(self._settings.daemon.id)
+            steps = _ring_steps(len(ring), bound)
+            chosen = [ring[(place + step) % len(ring)] for step in steps]
+        fresh = {peer_id: self.by_id[peer_id] for peer_id in chosen}
+        added = [p for i, p in fresh.items() if self.neighbours.get(i) is not p]
+        self.neighbours = fresh
+        for peer in added:
+            eventlet.spawn_n(self._beat, peer)
+
+    def _ring_key(self, peer_id: str) -> tuple[str, str]:
+        peer = self.by_id.get(peer_id)
+        zone = peer.instance.zone if peer else self._settings.daemon.zone
+        return (zone, peer_id)
+
+    def _beat(self, peer: Peer) -> None:
+        peer_id = peer.instance.id
+        while self.neighbours.get(peer_id) is peer:
+            self._socket.send(self._heartbeat(peer), peer.instance.peer_address)
+            self._changed.wait(timeout=self._settings.timing.heartbeat)
+
+    def _heartbeat(self, peer: Peer) -> Heartbeat:
+        declaration = self._views.declaration
+        return Heartbeat(
+            sender=self._settings.daemon.id,
+            incarnation=self._incarnation,
+            clock=now(),
+            echo=peer.clock,
+            echo_incarnation=peer.incarnation,
+            revision=declaration.revision,
+            digest=declaration.digest,
+            list_version=self._views.instances.version,
+            stopping=self.stopping,
+            reports=self.own_reports(),
+        )
+
+
+def _ring_steps(size: int, bound: int) -> list[int]:
+    """Steps around a ring, each with its opposite: next ones and spread ones."""
+    half = max(1, bound // 2)
+    near = list(range(1, half // 2 + 1)) or [1]
+    spread = [size * part // (2 * half) for part in range(1, half - len(near) + 1)]
+    steps = set(near) | {step for step in spread if step > 0}
+    return sorted(steps | {size - step for step in steps})
+
+
+def _weigh(peer_id: str, nonce: str) -> bytes:
+    return hashlib.blake2b(f"{peer_id} {nonce}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/packages/daemon/bergamotsaddle_daemon/permits.py
@@ -0,0 +1,322 @@
+"""Permits: places at cold targets, given out by one home instance a target.
+
+The steps are those of ``model/permits.py``, named in the comments.
+"""
+
+import hashlib
+import itertools
+from typing import NamedTuple
+
+import eventlet
+
+from bergamotsaddle_contracts.errors import PeerUnreachableError
+from bergamotsaddle_contracts.instances import LIVE
+from bergamotsaddle_contracts.messages import (
+    PermitAnswer,
+    PermitHandover,
+    PermitQuery,
+    PermitReturn,
+)
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_daemon.peers import Peers
+from bergamotsaddle_daemon.settings import Settings
+from bergamotsaddle_daemon.targets import Target, Targets
+from bergamotsaddle_daemon.views import Views
+
+_CLOCK_DRIFT = 1.01
+
+
+class Permit(NamedTuple):
+    """A place for one call at a cold target.
+
+    Attributes:
+        target_id: The target.
+        number: The home's number for it.
+        home: Id of the home instance.
+        expires_at: End of its lifetime on this instance's clock.
+    """
+
+    target_id: str
+    number: int
+    home: str
+    expires_at: float
+
+
+class Homes:
+    """Which entry instance is home to which target.
+
+    A home is in the target's own zone, so that cutting zones apart never leaves a
+    target with two of them.
+
+    Args:
+        settings: The daemon's settings.
+        views: The instance list and the declared targets.
+    """
+
+    def __init__(self, settings: Settings, views: Views) -> None:
+        self._own_id = settings.daemon.id
+        self._views = views
+        self.by_target: dict[str, str] = {}
+        self.since: dict[str, float] = {}
+        views.watch(self.refresh)
+
+    def refresh(self) -> None:
+        """Follow the instance list and the declared targets."""
+        entries_by_zone = self._entries_by_zone()
+        homes: dict[str, str] = {}
+        for target in self._views.declaration.targets.values():
+            entries = entries_by_zone.get(target.zone)
+            if entries:
+                homes[target.id] = max(entries, key=lambda e: _weigh(e, target.id))
+        own = {target for target, home in homes.items() if home == self._own_id}
+        self.since = {target: self.since.get(target, now()) for target in own}
+        self.by_target = homes
+
+    def next_home(self, target_id: str) -> str | None:
+        """Id of the home once this instance is gone; None if there is none."""
+        target = self._views.declaration.targets[target_id]
+        entries = self._entries_by_zone().get(target.zone, [])
+        others = [entry for entry in entries if entry != self._own_id]
+        return max(others, key=lambda e: _weigh(e, target_id), default=None)
+
+    def _entries_by_zone(self) -> dict[str, list[str]]:
+        by_zone: dict[str, list[str]] = {}
+        for entry in self._views.instances.entries():
+            if entry.state == LIVE:
+                by_zone.setdefault(entry.zone, []).append(entry.id)
+        return by_zone
+
+    def is_own(self, target_id: str) -> bool:
+        """Tell whether this instance is the target's home."""
+        return target_id in self.since
+
+
+def _weigh(entry: str, target_id: str) -> bytes:
+    return hashlib.blake2b(f"{entry} {target_id}".encode(), digest_size=8).digest()
+
+
+class _Ledger:
+    """What a home has given out for one target."""
+
+    def __init__(self) -> None:
+        self.expiry_by_number: dict[int, float] = {}
+        self.unproven: list[float] = []
+        self.cold_since = now()
+        self.drained = False
+
+    def expire(self) -> None:
+        for number, expiry in list(self.expiry_by_number.items()):
+            if now() >= expiry:
+                del self.expiry_by_number[number]
+                self.unproven.append(expiry)
+
+    def outstanding(self) -> int:
+        return len(self.expiry_by_number) + len(self.unproven)
+
+
+class Home:
+    """Gives out permits for the targets that this instance is home to.
+
+    Args:
+        settings: The daemon's settings.
+        views: How old the instance list is.
+        homes: Which targets this instance is home to.
+        targets: The targets and their reports.
+    """
+
+    def __init__(
+        self, settings: Settings, views: Views, homes: Homes, targets: Targets
+    ) -> None:
+        self._timing = settings.timing
+        self._views = views
+        self._homes = homes
+        self._targets = targets
+        self._ledger_by_target: dict[str, _Ledger] = {}
+        self._handed_at_by_target: dict[str, float] = {}
+        self._numbers = itertools.count(1)
+        self._stopping = False
+
+    @property
+    def takeover_wait(self) -> float:
+        """Seconds before a new home grants.
+
+        Until then an earlier home may go on granting by an older list, and what it
+        granted may be in use; both would add up at the target. After the list's
+        lag plus the limit on a view's age the earlier home has stopped, and one
+        permit's lifetime later nothing it granted is left. Model: ``take_over``.
+        """
+        timing = self._timing
+        wait = timing.list_lag + timing.view_limit + timing.permit_lifetime
+        return wait * _CLOCK_DRIFT
+
+    def ask(self, query: PermitQuery) -> PermitAnswer:
+        """Grant a permit or say why not. Model: ``grant``."""
+        target = self._targets.by_id.get(query.target_id)
+        refusal = self._refuse(query.target_id, target)
+        if refusal:
+            return PermitAnswer(0, refusal)
+        ledger = self._ledger(query.target_id)
+        self._settle(ledger, target)
+        if not ledger.drained:
+            return PermitAnswer(0, "still busy from before it turned cold")
+        if ledger.outstanding() >= target.declared.cold_limit:
+            return PermitAnswer(0, "all places are taken")
+        number = next(self._numbers)
+        lifetime = min(query.lifetime, self._timing.permit_lifetime)
+        ledger.expiry_by_number[number] = now() + lifetime * _CLOCK_DRIFT
+        return PermitAnswer(number, f"granted for {lifetime:.2f} s")
+
+    def give_back(self, message: PermitReturn) -> None:
+        """Take a permit back after the target answered. Model: ``finish``."""
+        ledger = self._ledger_by_target.get(message.target_id)
+        if ledger is not None:
+            ledger.expiry_by_number.pop(message.permit, None)
+
+    def take_handover(self, message: PermitHandover) -> None:
+        """Take over what a stopping home has given out. Model: ``hand_over``."""
+        ledger = _Ledger()
+        ledger.drained = True
+        for remaining in message.permits:
+            expiry = now() + remaining * _CLOCK_DRIFT
+            ledger.expiry_by_number[next(self._numbers)] = expiry
+        self._ledger_by_target[message.target_id] = ledger
+        self._handed_at_by_target[message.target_id] = now()
+
+    def hand_over(self) -> list[PermitHandover]:
+        """Stop granting and list what is still out, for the next home."""
+        self._stopping = True
+        messages = []
+        for target_id in self._homes.since:
+            ledger = self._ledger(target_id)
+            ledger.expire()
+            granting = not self._refuse_takeover(target_id)
+            if granting and ledger.drained and not ledger.unproven:
+                left = [expiry - now() for expiry in ledger.expiry_by_number.values()]
+                messages.append(PermitHandover(target_id, tuple(left)))
+        return messages
+
+    def _refuse(self, target_id: str, target: Target | None) -> str:
+        if target is None or not self._homes.is_own(target_id):
+            return "not this target's home"
+        if self._stopping:
+            return "home is stopping"
+        if self._views.list_age() > self._timing.view_limit:
+            return "home's instance list is stale"
+        return self._refuse_takeover(target_id)
+
+    def _refuse_takeover(self, target_id: str) -> str:
+        since = self._homes.since[target_id]
+        waited = now() - since
+        if waited >= self.takeover_wait or self._was_handed(target_id, since):
+            return ""
+        return f"new home waits {self.takeover_wait - waited:.1f} s"
+
+    def _was_handed(self, target_id: str, since: float) -> bool:
+        # A handover speaks only for the change of home that it belongs to. Another
+        # home in between would itself have waited longer than this window.
+        handed_at = self._handed_at_by_target.get(target_id)
+        window = self._timing.list_lag + self._timing.view_limit
+        return handed_at is not None and abs(since - handed_at) <= window
+
+    def _ledger(self, target_id: str) -> _Ledger:
+        return self._ledger_by_target.setdefault(target_id, _Ledger())
+
+    def _settle(self, ledger: _Ledger, target: Target) -> None:
+        """Use the target's report to prove that earlier work has ended.
+
+        A call whose holder died or sleeps may still run at the target when its
+        permit ends, and calls from before the target turned cold have no permit.
+        Granting their places again would overload it. They count until a report
+        measured later shows no more work than the permits account for.
+        Model: ``prove``.
+        """
+        ledger.expire()
+        report = target.report
+        if report is None:
+            return
+        if not report.cold:
+            ledger.drained = False
+            ledger.cold_since = now()
+            return
+        measured_at = now() - report.age
+        proven = report.in_flight <= len(ledger.expiry_by_number)
+        if proven:
+            ledger.unproven = [at for at in ledger.unproven if at >= measured_at]
+        # Until every other instance's last warm report has run out they may still
+        # send calls without a permit.
+        settled_at = ledger.cold_since + self._timing.report_limit
+        if proven and measured_at >= settled_at:
+            ledger.drained = True
+
+    def watch_warmth(self) -> None:
+        """Note when a target is warm, so that its next cold start is drained anew."""
+        for target_id in self._homes.since:
+            target = self._targets.by_id.get(target_id)
+            if target is not None:
+                ledger = self._ledger(target_id)
+                self._settle(ledger, target)
+
+
+class PermitOffice:
+    """Asks homes for permits and gives them back.
+
+    Args:
+        settings: The daemon's settings.
+        homes: Which instance is home to a target.
+        home: This instance's own part.
+        peers: How to reach the others.
+    """
+
+    def __init__(
+        self, settings: Settings, homes: Homes, home: Home, peers: Peers
+    ) -> None:
+        self._settings = settings
+        self._homes = homes
+        self._home = home
+        self._peers = peers
+
+    def ask(self, target: Target, seconds: float) -> tuple[Permit | None, str]:
+        """Ask for one call's place.
+
+        Args:
+            target: The cold target.
+            seconds: How long the call may take.
+
+        Returns:
+            The permit, or None, and the reason.
+        """
+        home = self._homes.by_target.get(target.id)
+        if home is None:
+            return None, "no home in the target's zone"
+        lifetime = min(seconds, self._settings.timing.permit_lifetime)
+        query = PermitQuery(target.id, self._settings.daemon.id, lifetime)
+        # The lifetime counts from before the question was sent, so an answer that
+        # arrives late, or is read after a pause, is worth less, never more.
+        expires_at = now() + lifetime
+        try:
+            answer = self._ask_home(home, query)
+        except PeerUnreachableError as error:
+            return None, f"home {home}: {error}"
+        if not answer.permit:
+            return None, f"home {home}: {answer.reason}"
+        return Permit(target.id, answer.permit, home, expires_at), answer.reason
+
+    def give_back(self, permit: Permit) -> None:
+        """Give a permit back without waiting for the home."""
+        message = PermitReturn(permit.target_id, permit.number)
+        if permit.home == self._settings.daemon.id:
+            self._home.give_back(message)
+        else:
+            eventlet.spawn_n(self._send_return, permit.home, message)
+
+    def _ask_home(self, home: str, query: PermitQuery) -> PermitAnswer:
+        if home == self._settings.daemon.id:
+            return self._home.ask(query)
+        return self._peers.call(home, query, self._settings.timing.peer_call)
+
+    def _send_return(self, home: str, message: PermitReturn) -> None:
+        try:
+            self._peers.call(home, message, self._settings.timing.peer_call)
+        except PeerUnreachableError:
+            # The permit runs out by itself and the target's report proves its end.
+            return
--- /dev/null
+++ b/packages/daemon/bergamotsaddle_daemon/pipelines.py
@@ -0,0 +1,150 @@
+"""Serves a request through the stages of its pipeline."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from bergamotsaddle_contracts.declaration import Pipeline
+from bergamotsaddle_contracts.errors import ErrorKind, RequestError
+from bergamotsaddle_daemon.pools import Pools
+from bergamotsaddle_daemon.request import Request
+from bergamotsaddle_daemon.stages import Stage, StageCaller
+from bergamotsaddle_daemon.streams import Generation, StreamRelay, TokenStream
+
+_STAGE_PATH = "/v1/stages/"
+_COMPLETIONS_PATH = "/v1/completions"
+_GENERATE = "generate"
+_PREFIX_CHARACTERS = 64
+_MAX_TOKENS = 4096
+
+
+class PipelineBody(msgspec.Struct):
+    """What a caller posts to a pipeline.
+
+    Attributes:
+        input: The question or task.
+        stream: Whether tokens are wanted as they arrive.
+        max_tokens: Bound on the generated tokens.
+    """
+
+    input: str
+    stream: bool = False
+    max_tokens: int = 64
+
+
+class StageBody(msgspec.Struct):
+    """What a target of a stage is asked: the input and the stage before's output."""
+
+    input: str
+    previous: Any
+
+
+class StageOutput(msgspec.Struct):
+    """What a target of a stage answers."""
+
+    output: Any
+
+
+def parse_pipeline_body(body: bytes) -> PipelineBody:
+    """Read what a caller posted.
+
+    Raises:
+        RequestError: If it is malformed.
+    """
+    try:
+        parsed = msgspec.json.decode(body, type=PipelineBody)
+    except msgspec.MsgspecError as error:
+        raise RequestError(ErrorKind.BAD_REQUEST, f"body: {error}") from error
+    if not 1 <= parsed.max_tokens <= _MAX_TOKENS:
+        detail = f"body: max_tokens must be from 1 to {_MAX_TOKENS}"
+        raise RequestError(ErrorKind.BAD_REQUEST, detail)
+    return parsed
+
+
+class PipelineRun:
+    """One request on its way through its pipeline.
+
+    Args:
+        request: The request.
+        pipeline: The pipeline as declared when the request came.
+        body: What the caller posted.
+        stages: Calls stages.
+        relay: Runs the generate stage.
+    """
+
+    def __init__(
+        self,
+        request: Request,
+        pipeline: Pipeline,
+        body: PipelineBody,
+        *,
+        stages: StageCaller,
+        relay: StreamRelay,
+    ) -> None:
+        self.request = request
+        self._pipeline = pipeline
+        self._body = body
+        self._stages = stages
+        self._relay = relay
+        self.tokens: list[str] = []
+        self.output: Any = None
+
+    def check_admission(self, pools: Pools) -> None:
+        """Refuse a request that is not expected to make its deadline.
+
+        Raises:
+            RequestError: With the time after which to ask again.
+        """
+        for index in range(len(self._pipeline.stages)):
+            stage = self._stage(index)
+            need = self._stages.need(self.request, stage, frozenset())
+            pools.check_admission(need)
+
+    def run(self) -> Iterator[bytes]:
+        """Call stage after stage; yields only the events of a generate stage.
+
+        Raises:
+            RequestError: If the answer can't be completed.
+        """
+        previous: Any = None
+        for index, kind in enumerate(self._pipeline.stages):
+            stage = self._stage(index)
+            if kind == _GENERATE:
+                yield from self._generate(stage, previous)
+                previous = "".join(self.tokens)
+                continue
+            body = msgspec.json.encode(StageBody(self._body.input, previous))
+            reply = self._stages.call(self.request, stage._replace(body=body))
+            previous = _parse_output(kind, reply, self.request)
+        self.output = previous
+
+    def _generate(self, stage: Stage, previous: Any) -> Iterator[bytes]:
+        prompt = self._prompt(previous)
+        generation = Generation(stage.model, prompt, self._body.max_tokens)
+        stream = TokenStream(self.request, generation)
+        self.tokens = stream.tokens
+        prefix = prompt[:_PREFIX_CHARACTERS]
+        yield from self._relay.run(stream, stage._replace(prefix=prefix))
+
+    def _prompt(self, previous: Any) -> str:
+        if previous is None:
+            return self._body.input
+        context = msgspec.json.encode(previous).decode()
+        return f"{self._body.input}\n{context}"
+
+    def _stage(self, index: int) -> Stage:
+        kind = self._pipeline.stages[index]
+        later = self._pipeline.stages[index + 1 :]
+        if kind == _GENERATE:
+            model = self._pipeline.model
+            return Stage(kind, model, _COMPLETIONS_PATH, b"", later=later)
+        return Stage(kind, "", _STAGE_PATH + kind, b"", later=later)
+
+
+def _parse_output(kind: str, reply: bytes, request: Request) -> Any:
+    try:
+        return msgspec.json.decode(reply, type=StageOutput).output
+    except msgspec.MsgspecError as error:
+        detail = f"{kind}: answer is malformed: {error}"
+        raise RequestError(ErrorKind.TARGET_FAILED, detail, ran=request.ran) from error
--- /dev/null
+++ b/packages/daemon/bergamotsaddle_daemon/platform.py
@@ -0,0 +1,153 @@
+"""Reads and watches what the platform publishes."""
+
+from typing import NamedTuple, Protocol
+
+import eventlet
+import urllib3
+
+from bergamotsaddle_contracts.errors import PlatformUnreachableError
+from bergamotsaddle_contracts.ini import Address
+from bergamotsaddle_contracts.instances import parse_instances
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_daemon.settings import Settings
+from bergamotsaddle_daemon.views import Views
+
+_CONFIG_PATH = "/v1/values/declaration"
+_INSTANCES_PATH = "/v1/instances"
+_ANSWER_MARGIN = 1.0
+_BACKOFF = 0.5
+_NOT_MODIFIED = 304
+_OK = 200
+
+
+class Value(NamedTuple):
+    """A published value and the tag that names this version of it."""
+
+    tag: str
+    payload: bytes
+
+
+class PlatformReader(Protocol):
+    """Reads one published value."""
+
+    def read(self, tag: str, wait: float) -> Value | None:
+        """Read the value once it differs from a tag.
+
+        Args:
+            tag: The version already known, or an empty string.
+            wait: Seconds that the service may wait for a change.
+
+        Returns:
+            The value, or None if it is still the known one.
+
+        Raises:
+            PlatformUnreachableError: If the service gave no usable answer.
+        """
+
+
+class HttpReader:
+    """Reads one value over HTTP by long polling.
+
+    Args:
+        address: Address of the service.
+        path: Path of the value.
+    """
+
+    def __init__(self, address: Address, path: str) -> None:
+        self._path = path
+        self._pool = urllib3.HTTPConnectionPool(
+            address.host, address.port, maxsize=1, retries=False
+        )
+
+    def read(self, tag: str, wait: float) -> Value | None:
+        """Read the value once it differs from a tag."""
+        fields = {"after": tag, "wait": f"{wait:.3f}"}
+        # A watch whose connection was dropped in between would wait for ever and
+        # this instance would miss all changes; past the service's own wait the
+        # connection is given up and a new one opened.
+        timeout = urllib3.Timeout(connect=_ANSWER_MARGIN, read=wait + _ANSWER_MARGIN)
+        try:
+            answer = self._pool.request(
+                "GET", self._path, fields=fields, timeout=timeout
+            )
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise PlatformUnreachableError(str(error)) from error
+        if answer.status == _NOT_MODIFIED:
+            return None
+        if answer.status != _OK:
+            raise PlatformUnreachableError(f"status {answer.status}")
+        return Value(answer.headers.get("ETag", ""), answer.data)
+
+
+def make_config_reader(settings: Settings) -> HttpReader:
+    """Make the reader of the declaration."""
+    return HttpReader(settings.platform.config_address, _CONFIG_PATH)
+
+
+def make_instances_reader(settings: Settings) -> HttpReader:
+    """Make the reader of the instance list."""
+    return HttpReader(settings.platform.instances_address, _INSTANCES_PATH)
+
+
+class PlatformWatch:
+    """Keeps the views up to date with the platform, one green thread a value.
+
+    Args:
+        settings: The daemon's settings.
+        views: What to keep up to date.
+        config: Reads the declaration.
+        instances: Reads the instance list.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        views: Views,
+        *,
+        config: PlatformReader,
+        instances: PlatformReader,
+    ) -> None:
+        self._timing = settings.timing
+        self._views = views
+        self._config = config
+        self._instances = instances
+        self.config_error = ""
+        self.instances_error = ""
+
+    def watch_declaration(self) -> None:
+        """Follow the declaration for ever."""
+        tag = ""
+        while True:
+            asked_at = now()
+            try:
+                value = self._config.read(tag, self._timing.watch_wait)
+            except PlatformUnreachableError as error:
+                self.config_error = str(error)
+                eventlet.sleep(_BACKOFF)
+                continue
+            self.config_error = ""
+            if value is not None:
+                tag = value.tag
+                text = value.payload.decode(errors="replace")
+                self._views.offer_declaration(text, source="service")
+            self._views.confirm(asked_at)
+            eventlet.sleep(self._timing.watch_pause)
+
+    def watch_instances(self) -> None:
+        """Follow the instance list for ever."""
+        tag = ""
+        while True:
+            asked_at = now()
+            try:
+                value = self._instances.read(tag, self._timing.watch_wait)
+                if value is not None:
+                    offered = parse_instances(value.payload)
+                    tag = value.tag
+                    self._views.offer_instances(offered, source="platform")
+            except (PlatformUnreachableError, ValueError) as error:
+                self.instances_error = str(error)
+                eventlet.sleep(_BACKOFF)
+                continue
+            self.instances_error = ""
+            self._views.list_read_at = asked_at
+            eventlet.sleep(self._timing.watch_pause)
--- /dev/null
+++ b/packages/daemon/bergamotsaddle_daemon/pools.py
@@ -0,0 +1,364 @@
+"""Gives each call a place at a target, or a refusal at once."""
+
+from typing import NamedTuple
+
+import eventlet
+
+from bergamotsaddle_contracts.declaration import Team
+from bergamotsaddle_contracts.errors import ErrorKind, PlaceLostError, Ran, RequestError
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_daemon.decisions import DecisionLog
+from bergamotsaddle_daemon.fair_queue import FairQueue, Waiter
+from bergamotsaddle_daemon.permits import Permit, PermitOffice
+from bergamotsaddle_daemon.registry import ADMISSION_POLICIES
+from bergamotsaddle_daemon.routing import ROUTING_POLICIES, Choice, RoutingRequest
+from bergamotsaddle_daemon.settings import Settings
+from bergamotsaddle_daemon.targets import Target, Targets
+from bergamotsaddle_daemon.views import Views
+
+_COLD_RETRY = 0.1
+_DISPATCH_PAUSE = 0.05
+_FRESH_WAIT = 0.5
+_LATENCY_WEIGHT = 0.05
+_MIN_RETRY_AFTER = 0.1
+
+
+class Need(NamedTuple):
+    """What a call needs.
+
+    Attributes:
+        request: Id of the request.
+        team: Team of the caller.
+        kind: Kind of target.
+        model: Model the target must serve, or an empty string.
+        prefix: Start of the prompt, for cache affinity.
+        deadline: When the request must be answered, on the hub's clock.
+        ahead: Expected seconds of this call and all later ones.
+        ran: What holds of the request so far.
+        exclude: Targets that already failed this call.
+    """
+
+    request: str
+    team: Team
+    kind: str
+    model: str
+    prefix: str
+    deadline: float
+    ahead: float
+    ran: Ran
+    exclude: frozenset[str] = frozenset()
+
+    @property
+    def slack(self) -> float:
+        """Seconds the call can wait and still make the deadline."""
+        return self.deadline - self.ahead - now()
+
+
+class Slot:
+    """A place at a target for one call; end it exactly once.
+
+    Args:
+        pools: Where it came from.
+        target: The target.
+        permit: Permit of a cold target, else None.
+    """
+
+    def __init__(self, pools: "Pools", target: Target, permit: Permit | None) -> None:
+        self._pools = pools
+        self._began_at = now()
+        self.target = target
+        self.permit = permit
+        target.begin()
+
+    def check_before_send(self) -> None:
+        """Make sure that the target may still get the call.
+
+        The process may have been paused after the choice. The target may have
+        turned cold or its zone may have been taken out meanwhile; the call would
+        then overload it or arrive after the zone was emptied. This runs right
+        before the first byte is sent.
+
+        Raises:
+            PlaceLostError: If the place is no longer good.
+        """
+        if self.permit is not None and now() >= self.permit.expires_at:
+            raise PlaceLostError("the permit ran out before the call")
+        if self.permit is None and self.target.is_cold():
+            raise PlaceLostError("the target turned cold")
+        if not self._pools.allows(self.target):
+            raise PlaceLostError("the target gets no new work any more")
+
+    def waited(self) -> float:
+        """Seconds since the call began."""
+        return now() - self._began_at
+
+    def limit_time(self, seconds: float) -> float:
+        """Shorten a time limit so that the call ends before its permit does."""
+        if self.permit is None:
+            return seconds
+        return min(seconds, self.permit.expires_at - now())
+
+    def finish(self) -> None:
+        """The target answered."""
+        self.target.finish(self.waited())
+        self._pools.release(self, self.waited())
+
+    def fail(self) -> None:
+        """The target failed."""
+        self.target.suspect_slow(self.waited())
+        self.target.fail()
+        self._pools.release(self, None)
+
+    def abandon(self) -> None:
+        """The call was given up without the target's fault."""
+        self.target.abandon()
+        self._pools.release(self, None)
+
+
+@ADMISSION_POLICIES.register("none")
+class AdmitAll:
+    """Every request waits until its deadline; the baseline."""
+
+    def check(self, need: Need, wait: float) -> None:
+        """Admit."""
+
+    def give_up_at(self, need: Need) -> float:
+        """When a waiting call is refused."""
+        return need.deadline
+
+
+@ADMISSION_POLICIES.register("feasible")
+class AdmitFeasible:
+    """Only requests that can be expected to make their deadline."""
+
+    def check(self, need: Need, wait: float) -> None:
+        """Refuse a call that would wait too long.
+
+        Raises:
+            RequestError: With the seconds until the wait is expected to be short.
+        """
+        if wait <= need.slack:
+            return
+        raise RequestError(
+            ErrorKind.DEADLINE_INFEASIBLE,
+            f"{need.kind} is expected to take {wait + need.ahead:.2f} s,"
+            f" {need.deadline - now():.2f} s are left",
+            ran=need.ran,
+            retry_after=max(_MIN_RETRY_AFTER, wait - max(0.0, need.slack)),
+        )
+
+    def give_up_at(self, need: Need) -> float:
+        """When a waiting call is refused."""
+        return need.deadline - need.ahead
+
+
+class _Pool:
+    """The calls waiting for one kind and model, and how long calls take there."""
+
+    def __init__(self) -> None:
+        self.queue = FairQueue()
+        self.latency = 0.0
+
+    def learn(self, latency: float) -> None:
+        if self.latency == 0.0:
+            self.latency = latency
+        self.latency += _LATENCY_WEIGHT * (latency - self.latency)
+
+
+class Pools:
+    """All waiting calls and the choice of a target for each.
+
+    Args:
+        settings: The daemon's settings.
+        views: Whether the views are fresh.
+        targets: The targets to choose from.
+        permits: Grants places at cold targets.
+        decisions: Gets a line for each choice.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        views: Views,
+        targets: Targets,
+        permits: PermitOffice,
+        decisions: DecisionLog,
+    ) -> None:
+        self._settings = settings
+        self._views = views
+        self._targets = targets
+        self._permits = permits
+        self._decisions = decisions
+        self._policy = ROUTING_POLICIES.by_name[settings.policies.routing]()
+        self._admission = ADMISSION_POLICIES.by_name[settings.policies.admission]()
+        self._pool_by_need: dict[tuple[str, str], _Pool] = {}
+
+    def waiting(self) -> int:
+        """Number of calls that wait."""
+        return sum(len(pool.queue) for pool in self._pool_by_need.values())
+
+    def check_admission(self, need: Need) -> None:
+        """Refuse a request that would wait too long at one of its stages.
+
+        Raises:
+            RequestError: If it is not expected to make its deadline.
+        """
+        self._admission.check(need, self._expected_wait(need))
+
+    def acquire(self, need: Need) -> Slot:
+        """Wait for a place at a target.
+
+        Raises:
+            RequestError: If no target may get the call or its wait would be too long.
+        """
+        self._views.wait_fresh(min(_FRESH_WAIT, max(0.0, need.slack)))
+        pool = self._pool(need)
+        if not len(pool.queue):
+            slot = self._try_warm(need) or self._try_cold(need)
+            if slot is not None:
+                return slot
+        self._check_queue(need, pool)
+        return self._wait(need, pool)
+
+    def allows(self, target: Target) -> bool:
+        """Tell whether a target may get new work from this instance now.
+
+        Cut off from everything that could tell of a zone being taken out, this
+        instance serves what it knows best, its own zone, and leaves the others
+        alone; else a zone's operators would see work arrive long after.
+        """
+        if not self._targets.gets_new_work(target):
+            return False
+        own = target.declared.zone == self._settings.daemon.zone
+        return own or not self._views.is_stale()
+
+    def release(self, slot: Slot, latency: float | None) -> None:
+        """Take a place back and hand it to who waits for it."""
+        if slot.permit is not None:
+            self._permits.give_back(slot.permit)
+        declared = slot.target.declared
+        for (kind, model), pool in self._pool_by_need.items():
+            if kind != declared.kind or (model and model not in declared.models):
+                continue
+            if latency is not None:
+                pool.learn(latency)
+            self._dispatch(pool)
+
+    def dispatch_for_ever(self) -> None:
+        """Serve waiting calls also when room appears without a call ending."""
+        while True:
+            eventlet.sleep(_DISPATCH_PAUSE)
+            for pool in list(self._pool_by_need.values()):
+                self._dispatch(pool)
+
+    def _pool(self, need: Need) -> _Pool:
+        return self._pool_by_need.setdefault((need.kind, need.model), _Pool())
+
+    def _candidates(self, need: Need) -> list[Target]:
+        return [
+            target
+            for target in self._targets.by_kind.get(need.kind, ())
+            if target.id not in need.exclude
+            and (not need.model or need.model in target.declared.models)
+            and self.allows(target)
+        ]
+
+    def _usable(self, need: Need) -> list[Target]:
+        allowed = self._candidates(need)
+        if not allowed:
+            detail = f"no {need.kind} target is in service"
+            raise RequestError(ErrorKind.NO_TARGET, detail, ran=need.ran)
+        usable = [target for target in allowed if not target.is_resting()]
+        if not usable:
+            detail = f"every {need.kind} target has just failed"
+            raise RequestError(ErrorKind.NO_TARGET, detail, ran=need.ran)
+        return usable
+
+    def _has_room(self, target: Target) -> bool:
+        room = target.limit.value * self._targets.ramp(target.declared.zone)
+        return target.in_flight < max(1.0, room)
+
+    def _try_warm(self, need: Need) -> Slot | None:
+        usable = self._usable(need)
+        free = [t for t in usable if not t.is_cold() and self._has_room(t)]
+        if not free:
+            return None
+        request = RoutingRequest(self._settings.daemon.zone, need.prefix)
+        choice: Choice = self._policy(free, request)
+        self._decisions.record(
+            need.request, "route", choice.target.id, choice.reason, len(free)
+        )
+        return Slot(self, choice.target, None)
+
+    def _try_cold(self, need: Need) -> Slot | None:
+        cold = [
+            target
+            for target in self._usable(need)
+            if target.is_cold() and now() >= target.permit_refused_until
+        ]
+        cold.sort(key=lambda t: (t.declared.zone != self._settings.daemon.zone, t.id))
+        for target in cold:
+            permit, reason = self._permits.ask(target, need.deadline - now())
+            self._decisions.record(
+                need.request, "permit", target.id if permit else "", reason, len(cold)
+            )
+            if permit is not None:
+                return Slot(self, target, permit)
+            target.permit_refused_until = now() + _COLD_RETRY
+        return None
+
+    def _expected_wait(self, need: Need) -> float:
+        pool = self._pool(need)
+        before = pool.queue.before(need.team)
+        if not before:
+            return 0.0
+        usable = [t for t in self._candidates(need) if not t.is_cold()]
+        room = sum(min(t.limit.value, t.declared.limit) for t in usable)
+        return (before + 1) * pool.latency / max(1.0, room)
+
+    def _check_queue(self, need: Need, pool: _Pool) -> None:
+        wait = self._expected_wait(need)
+        self._admission.check(need, wait)
+        if len(pool.queue) >= self._settings.limits.queue:
+            detail = f"{len(pool.queue)} calls already wait for {need.kind}"
+            raise RequestError(
+                ErrorKind.OVERLOADED, detail, ran=need.ran, retry_after=max(0.1, wait)
+            )
+
+    def _wait(self, need: Need, pool: _Pool) -> Slot:
+        waiter = Waiter(need)
+        pool.queue.push(need.team, waiter)
+        give_up_at = self._admission.give_up_at(need)
+        try:
+            while waiter.result is None and now() < give_up_at:
+                step = min(_COLD_RETRY, give_up_at - now())
+                waiter.decided.wait(timeout=step)
+                if waiter.result is None:
+                    slot = self._try_cold(need)
+                    if slot is not None and waiter.result is None:
+                        return slot
+                    if slot is not None:
+                        slot.abandon()
+        finally:
+            pool.queue.drop(waiter)
+        if waiter.result is None:
+            detail = f"no place at a {need.kind} target in time"
+            raise RequestError(ErrorKind.DEADLINE_INFEASIBLE, detail, ran=need.ran)
+        if isinstance(waiter.result, RequestError):
+            raise waiter.result
+        return waiter.result
+
+    def _dispatch(self, pool: _Pool) -> None:
+        while (entry := pool.queue.pop()) is not None:
+            try:
+                slot = self._try_warm(entry.waiter.need)
+            except RequestError as error:
+                entry.waiter.gone = True
+                entry.waiter.decide(error)
+                continue
+            if slot is None:
+                pool.queue.push_back(entry)
+                return
+            pool.queue.serve(entry)
+            entry.waiter.gone = True
+            entry.waiter.decide(slot)
--- /dev/null
+++ b/packages/daemon/bergamotsaddle_daemon/reports.py
@@ -0,0 +1,97 @@
+"""Polls the load of the targets that this instance is home to."""
+
+from collections.abc import Callable
+
+import eventlet
+import msgspec
+import urllib3
+
+from bergamotsaddle_contracts.ini import Address
+from bergamotsaddle_contracts.messages import TargetReport
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_daemon.permits import Home, Homes
+from bergamotsaddle_daemon.settings import Settings
+from bergamotsaddle_daemon.targets import Target, Targets
+
+_LOAD_PATH = "/v1/load"
+_POLL_LIMIT = 0.5
+
+
+class _Load(msgspec.Struct):
+    """What a target publishes of its load; ``age`` is the lag in seconds."""
+
+    target: str
+    cold: bool
+    in_flight: int
+    age: float = 0.0
+
+
+ReadLoad = Callable[[Address], bytes]
+
+
+def make_http_load_reader() -> ReadLoad:
+    """Make a reader that asks a target over HTTP."""
+    pool = urllib3.PoolManager(num_pools=256, maxsize=1, retries=False)
+
+    def read(address: Address) -> bytes:
+        url = f"http://{address}{_LOAD_PATH}"
+        return pool.request("GET", url, timeout=_POLL_LIMIT).data
+
+    return read
+
+
+class ReportPoll:
+    """Keeps the reports of home targets fresh; peers hear of them by heartbeat.
+
+    Args:
+        settings: The daemon's settings.
+        homes: Which targets are this instance's.
+        home: Learns when a target is warm.
+        targets: Get the reports.
+        read_load: Asks one target.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        homes: Homes,
+        home: Home,
+        targets: Targets,
+        read_load: ReadLoad,
+    ) -> None:
+        self._settings = settings
+        self._homes = homes
+        self._home = home
+        self._targets = targets
+        self._read_load = read_load
+
+    def reports(self) -> tuple[TargetReport, ...]:
+        """Fresh reports of the home targets, for heartbeats."""
+        own = (self._targets.by_id.get(target_id) for target_id in self._homes.since)
+        return tuple(t.report for t in own if t is not None and t.report is not None)
+
+    def run(self) -> None:
+        """Poll for ever, all home targets at once."""
+        while True:
+            for target_id in list(self._homes.since):
+                target = self._targets.by_id.get(target_id)
+                if target is not None:
+                    eventlet.spawn_n(self.poll, target)
+            eventlet.sleep(self._settings.timing.report_poll)
+            self._home.watch_warmth()
+
+    def poll(self, target: Target) -> None:
+        """Ask one target for its load."""
+        asked_at = now()
+        try:
+            with eventlet.Timeout(_POLL_LIMIT):
+                payload = self._read_load(target.declared.address)
+            load = msgspec.json.decode(payload, type=_Load)
+        except (urllib3.exceptions.HTTPError, OSError, eventlet.Timeout):
+            return
+        except msgspec.MsgspecError:
+            return
+        if load.target != target.id:
+            return
+        report = TargetReport(target.id, load.cold, load.in_flight, load.age)
+        target.take_report(report, sent_at=asked_at)
--- /dev/null
+++ b/packages/daemon/bergamotsaddle_daemon/services.py
@@ -0,0 +1,171 @@
+"""Serves requests to plain services, repeatable or not."""
+
+from collections.abc import Callable
+
+from bergamotsaddle_contracts.declaration import Declaration
+from bergamotsaddle_contracts.errors import (
+    ErrorKind,
+    PlaceLostError,
+    RequestError,
+    TargetError,
+)
+from bergamotsaddle_contracts.messages import (
+    FINISHED,
+    NOT_RUN,
+    REUSED,
+    UNKNOWN,
+    Outcome,
+    ServiceRequest,
+)
+from bergamotsaddle_daemon.calls import Connections
+from bergamotsaddle_daemon.costs import FIRST, Costs
+from bergamotsaddle_daemon.decisions import DecisionLog
+from bergamotsaddle_daemon.pools import Slot
+from bergamotsaddle_daemon.request import Request
+from bergamotsaddle_daemon.stages import Stage, StageCaller
+from bergamotsaddle_daemon.views import Views
+
+SERVICE_PATH = "/v1/services/"
+_IDEMPOTENCY_HEADER = "Idempotency-Key"
+_KIND_BY_STATE = {
+    NOT_RUN: ErrorKind.NOT_RUN,
+    UNKNOWN: ErrorKind.OUTCOME_UNKNOWN,
+    REUSED: ErrorKind.TICKET_REUSED,
+}
+
+
+class ServiceDesk:
+    """Calls plain services.
+
+    Args:
+        views: The declared targets.
+        stages: Calls repeatable services and gives places.
+        connections: Connections to targets.
+        costs: Counts calls.
+        decisions: The decision log.
+    """
+
+    def __init__(
+        self,
+        views: Views,
+        stages: StageCaller,
+        connections: Connections,
+        costs: Costs,
+        decisions: DecisionLog,
+    ) -> None:
+        self._views = views
+        self._stages = stages
+        self._connections = connections
+        self._costs = costs
+        self._decisions = decisions
+
+    @property
+    def declaration(self) -> Declaration:
+        """The declaration in force."""
+        return self._views.declaration
+
+    def check_kind(self, kind: str) -> None:
+        """Make sure that a service of this kind is declared.
+
+        Raises:
+            RequestError: If it isn't, or if it is a stage of pipelines only.
+        """
+        targets = self.declaration.targets.values()
+        if not any(target.kind == kind for target in targets):
+            raise RequestError(ErrorKind.NOT_FOUND, f"no service {kind} is declared")
+
+    def call_repeatable(self, request: Request, path: str, body: bytes) -> bytes:
+        """Call a service whose calls may be repeated.
+
+        Raises:
+            RequestError: If there is no answer.
+        """
+        stage = Stage(request.name, "", f"{SERVICE_PATH}{request.name}/{path}", body)
+        return self._stages.call(request, stage)
+
+    def send_once(
+        self, message: ServiceRequest, key: str, check_may_start: Callable[[], None]
+    ) -> Outcome:
+        """Send a request that must not be repeated, at most once.
+
+        Another target is tried only while no byte has left, or if the target's
+        answer is one by which it promises that nothing ran.
+
+        Args:
+            message: The request.
+            key: Passed on as idempotency key.
+            check_may_start: Called right before the first byte; raises to stop.
+
+        Returns:
+            How it ended; ``not_run`` only if it provably did not run.
+
+        Raises:
+            RequestError: If it did not run because no target could get it.
+        """
+        request = self._request(message)
+        path = f"{SERVICE_PATH}{message.kind}/{message.path}"
+        stage = Stage(message.kind, "", path, message.body)
+        failed: frozenset[str] = frozenset()
+        while True:
+            slot = self._stages.acquire(request, stage, failed)
+            try:
+                return self._send(request, stage, slot, key, check_may_start)
+            except PlaceLostError:
+                slot.abandon()
+            except RequestError:
+                slot.abandon()
+                raise
+            except TargetError as error:
+                slot.fail()
+                if error.sent:
+                    return Outcome(UNKNOWN, detail=f"{slot.target.id}: {error}")
+                if slot.target.id in failed:
+                    detail = f"no {message.kind} target can be reached: {error}"
+                    return Outcome(NOT_RUN, detail=detail)
+                failed |= {slot.target.id}
+                reason = f"{slot.target.id}: {error}"
+                self._decisions.record(request.id, "not sent", "", reason)
+
+    def _send(
+        self,
+        request: Request,
+        stage: Stage,
+        slot: Slot,
+        key: str,
+        check_may_start: Callable[[], None],
+    ) -> Outcome:
+        declared = slot.target.declared
+
+        def guard() -> None:
+            check_may_start()
+            slot.check_before_send()
+            self._costs.count_call(self._stages.cost_key(request, stage), FIRST)
+
+        call = self._stages.make_call(request, stage, slot, request.remaining)
+        if declared.idempotency_key:
+            call.headers[_IDEMPOTENCY_HEADER] = key
+        reply = self._connections.post_once(declared.address, call, guard)
+        if reply.status in declared.not_run_statuses:
+            raise TargetError(f"status {reply.status} promises not run", sent=False)
+        slot.finish()
+        return Outcome(FINISHED, status=reply.status, body=reply.body)
+
+    def _request(self, message: ServiceRequest) -> Request:
+        team = self.declaration.teams.get(message.team)
+        if team is None:
+            detail = f"team {message.team} is not declared"
+            raise RequestError(ErrorKind.NOT_RUN, detail)
+        request = Request(team, message.kind, message.remaining, team.priority)
+        request.id = message.id
+        return request
+
+
+def outcome_error(outcome: Outcome) -> RequestError:
+    """Turn an outcome that is no answer into the error for the caller."""
+    kind = _KIND_BY_STATE.get(outcome.state, ErrorKind.OUTCOME_UNKNOWN)
+    return RequestError(kind, outcome.detail)
+
+
+def is_finished(outcome: Outcome) -> bool:
+    """Tell whether an outcome holds the target's answer."""
+    return outcome.state == FINISHED
--- /dev/null
+++ b/packages/daemon/bergamotsaddle_daemon/settings.py
@@ -0,0 +1,194 @@
+"""The settings of one daemon, read from an INI file and checked at start."""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple, get_type_hints
+
+from bergamotsaddle_contracts.ini import (
+    Address,
+    IniFile,
+    parse_address,
+    parse_count,
+    parse_duration,
+)
+from bergamotsaddle_daemon.registry import (
+    ADMISSION_POLICIES,
+    LIMIT_POLICIES,
+    ROUTING_POLICIES,
+)
+
+_ANY_PORT = Address("127.0.0.1", 0)
+_MIN_KEY_CHARACTERS = 16
+
+
+def parse_peer_key(text: str) -> bytes:
+    """Read the key that all instances of a deployment share.
+
+    Raises:
+        ValueError: If the key is shorter than 16 characters.
+    """
+    if len(text) < _MIN_KEY_CHARACTERS:
+        raise ValueError(f"expected at least {_MIN_KEY_CHARACTERS} characters")
+    return text.encode()
+
+
+class DaemonSettings(NamedTuple):
+    """Who this instance is and where it listens (``[daemon]``).
+
+    Attributes:
+        id: Name of this instance, as in the platform's list.
+        zone: Its availability zone.
+        peer_key: Shared by all instances; signs datagrams and tickets.
+        caller_address: Where callers connect; port 0 lets the kernel pick.
+        operator_address: Where operators and probes connect.
+        peer_address: Where other instances connect, TCP and UDP alike.
+    """
+
+    id: str
+    zone: str
+    peer_key: bytes
+    caller_address: Address = _ANY_PORT
+    operator_address: Address = _ANY_PORT
+    peer_address: Address = _ANY_PORT
+
+
+class PlatformSettings(NamedTuple):
+    """Where the platform publishes (``[platform]``)."""
+
+    config_address: Address
+    instances_address: Address
+
+
+class TimingSettings(NamedTuple):
+    """Intervals and time limits in seconds (``[timing]``).
+
+    Attributes:
+        heartbeat: Between two heartbeats to one neighbour.
+        peer_silence: After which a silent peer counts as unreachable.
+        watch_wait: How long the platform may hold a watch.
+        watch_pause: Between two reads of the platform at least.
+        view_limit: Age at which a view counts as stale.
+        list_lag: How far the platform's list may lag behind.
+        permit_lifetime: Longest time a permit for a cold target is good for.
+        ticket_lifetime: From a ticket's issue to the last start of its request.
+        ticket_memory: How long starts and outcomes of tickets are remembered.
+        peer_call: Time limit of a short call to a peer.
+        report_poll: Between two polls of a target's load.
+        report_limit: Age at which a target's report counts for nothing.
+        token_silence: Longest gap between two tokens before a stream is resumed.
+        connect: Time limit for connecting to a target.
+        return_ramp: Over which a returning zone's share of work grows to full.
+        stop_notice: Between the ready probe going down and the listener closing.
+        stop_limit: Longest wait for running requests at a planned stop.
+        header: Time limit for a caller to send its request.
+    """
+
+    heartbeat: float = 0.5
+    peer_silence: float = 2.0
+    watch_wait: float = 2.0
+    watch_pause: float = 0.2
+    view_limit: float = 6.0
+    list_lag: float = 5.0
+    permit_lifetime: float = 5.0
+    ticket_lifetime: float = 30.0
+    ticket_memory: float = 600.0
+    peer_call: float = 0.5
+    report_poll: float = 0.25
+    report_limit: float = 3.0
+    token_silence: float = 1.0
+    connect: float = 0.5
+    return_ramp: float = 5.0
+    stop_notice: float = 1.0
+    stop_limit: float = 60.0
+    header: float = 10.0
+
+
+class LimitSettings(NamedTuple):
+    """Bounds on what this instance holds (``[limits]``).
+
+    Attributes:
+        body_bytes: Largest request body.
+        connections: Connections of callers at once.
+        queue: Requests waiting for one kind of target.
+        tickets: Tickets whose starts and outcomes are remembered.
+        decisions: Requests whose decisions ``explain`` can show.
+        neighbours: Peers that get heartbeats.
+        retry_percent: Retries per hundred calls of a team to a kind of target.
+        hedge_percent: Hedges per hundred calls of a team to a kind of target.
+        peer_workers: Calls of peers served at once.
+    """
+
+    body_bytes: int = 1_000_000
+    connections: int = 1024
+    queue: int = 512
+    tickets: int = 20_000
+    decisions: int = 2_000
+    neighbours: int = 8
+    retry_percent: int = 10
+    hedge_percent: int = 4
+    peer_workers: int = 16
+
+
+class PolicySettings(NamedTuple):
+    """Which variant decides (``[policies]``).
+
+    Attributes:
+        routing: Chooses a target among candidates.
+        limit: How many calls this instance has at one target at once.
+        admission: Whether requests that can't make their deadline are refused.
+    """
+
+    routing: str = "least_of_few"
+    limit: str = "adaptive"
+    admission: str = "feasible"
+
+
+class Settings(NamedTuple):
+    """All settings of one daemon."""
+
+    daemon: DaemonSettings
+    platform: PlatformSettings
+    timing: TimingSettings
+    limits: LimitSettings
+    policies: PolicySettings
+
+
+_PARSER_BY_TYPE: dict[type, Callable[[str], Any]] = {
+    str: str,
+    bytes: parse_peer_key,
+    int: parse_count,
+    float: parse_duration,
+    Address: parse_address,
+}
+_PARSER_BY_POLICY = {
+    "routing": ROUTING_POLICIES.parse,
+    "limit": LIMIT_POLICIES.parse,
+    "admission": ADMISSION_POLICIES.parse,
+}
+
+
+def parse_settings(text: str, *, name: str = "settings") -> Settings:
+    """Read and check a daemon's settings.
+
+    Raises:
+        InvalidFileError: With every fault of the file.
+    """
+    ini = IniFile(text, name=name)
+    sections = {
+        section: _read_section(ini, section, kind)
+        for section, kind in get_type_hints(Settings).items()
+    }
+    for section in ini.sections:
+        if section not in sections:
+            ini.fault(section, "", "", "unknown section")
+    ini.close()
+    return Settings(**sections)
+
+
+def _read_section(ini: IniFile, section: str, kind: Any) -> Any:
+    values = {}
+    for field, field_type in get_type_hints(kind).items():
+        parse = _PARSER_BY_TYPE[field_type]
+        if section == "policies":
+            parse = _PARSER_BY_POLICY[field]
+        values[field] = ini.get(section, field, parse, kind._field_defaults.get(field))
+    return kind(**values)
--- /dev/null
+++ b/packages/daemon/bergamotsaddle_daemon/tickets.py
@@ -0,0 +1,420 @@
+"""Runs requests that must not be repeated, each under a ticket.
+
+The steps are those of ``model/tickets.py``, named in the comments.
+"""
+
+import hashlib
+from collections import OrderedDict
+from collections.abc import Callable
+
+import eventlet
+from eventlet.event import Event
+
+from bergamotsaddle_contracts.errors import (
+    ErrorKind,
+    PeerUnreachableError,
+    RequestError,
+)
+from bergamotsaddle_contracts.messages import (
+    ELSEWHERE,
+    NOT_RUN,
+    REUSED,
+    UNKNOWN,
+    Done,
+    Outcome,
+    OutcomeQuery,
+    OutcomeRecord,
+    RunTicket,
+    ServiceRequest,
+    StartAnswer,
+    StartRecord,
+    TicketHandover,
+)
+from bergamotsaddle_contracts.ticket import (
+    NO_WITNESS,
+    Ticket,
+    make_nonce,
+    open_ticket,
+    seal_ticket,
+)
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_daemon.decisions import DecisionLog
+from bergamotsaddle_daemon.peers import Peers
+from bergamotsaddle_daemon.settings import Settings
+
+_RECORD_TRIES = 5
+_RECORD_PAUSE = 0.2
+_MAX_INHERITED = 1_000
+
+MayStart = Callable[[], None]
+Send = Callable[[ServiceRequest, str, MayStart], Outcome]
+
+
+class Witness:
+    """Remembers for other instances which tickets were started and how they ended.
+
+    Args:
+        settings: The daemon's settings.
+        incarnation: Random name of this process.
+    """
+
+    def __init__(self, settings: Settings, incarnation: str) -> None:
+        self._memory = settings.timing.ticket_memory
+        self._bound = settings.limits.tickets
+        self._incarnation = incarnation
+        self._records: OrderedDict[str, tuple[float, Outcome]] = OrderedDict()
+        self._inherited: OrderedDict[str, bool] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def record_start(self, message: StartRecord) -> StartAnswer:
+        """Remember a start, unless the ticket was given up. Model: ``record``."""
+        ticket = message.ticket
+        self._forget_old()
+        known = self._records.get(ticket.nonce)
+        if known is not None:
+            return StartAnswer(known[1].state == UNKNOWN)
+        if not self._remembers(ticket) or len(self._records) >= self._bound:
+            return StartAnswer(False)
+        if ticket.incarnation in self._inherited:
+            return StartAnswer(False)
+        self._put(ticket, Outcome(UNKNOWN, detail="started, no outcome is known"))
+        return StartAnswer(True)
+
+    def record_outcome(self, message: OutcomeRecord) -> Done:
+        """Remember how a started request ended. Model: ``report``."""
+        known = self._records.get(message.ticket.nonce)
+        if known is not None and known[1].state == UNKNOWN:
+            self._records[message.ticket.nonce] = (known[0], message.outcome)
+        return Done()
+
+    def take_handover(self, message: TicketHandover) -> Done:
+        """Take over the unstarted tickets of an issuer that stops."""
+        self._inherited[message.incarnation] = True
+        if len(self._inherited) > _MAX_INHERITED:
+            self._inherited.popitem(last=False)
+        return Done()
+
+    def has_inherited(self, ticket: Ticket) -> bool:
+        """Tell whether this process may run an unstarted ticket. Model: ``inherit``."""
+        if ticket.incarnation not in self._inherited:
+            return False
+        return ticket.nonce not in self._records and self._remembers(ticket)
+
+    def look(self, ticket: Ticket) -> Outcome:
+        """Tell what is remembered of a ticket without changing it."""
+        known = self._records.get(ticket.nonce)
+        if known is not None:
+            return known[1]
+        return Outcome(UNKNOWN, detail="the witness has no record of it")
+
+    def give_up(self, ticket: Ticket) -> Outcome:
+        """Tell what became of a ticket; one that wasn't started never will be.
+
+        Without the seal the issuer, slow or paused, could still start the request
+        after its caller was told that it did not run. Model: ``seal``.
+        """
+        self._forget_old()
+        known = self._records.get(ticket.nonce)
+        if known is not None:
+            return known[1]
+        if not self._remembers(ticket) or len(self._records) >= self._bound:
+            return Outcome(UNKNOWN, detail="the witness does not remember that far")
+        sealed = Outcome(NOT_RUN, detail="not started and given up; take a new ticket")
+        self._put(ticket, sealed)
+        return sealed
+
+    def _remembers(self, ticket: Ticket) -> bool:
+        """Tell whether a start of this ticket could not have been forgotten.
+
+        Records last for the memory's length, and none of this ticket can be older
+        than the mark in it, which is this process's own clock. So until the mark
+        plus that length, no record means no start.
+        """
+        if ticket.witness_incarnation != self._incarnation:
+            return False
+        return now() < ticket.witness_mark + self._memory
+
+    def _put(self, ticket: Ticket, outcome: Outcome) -> None:
+        self._records[ticket.nonce] = (now(), outcome)
+
+    def _forget_old(self) -> None:
+        while self._records:
+            nonce, (recorded_at, _) = next(iter(self._records.items()))
+            if now() < recorded_at + self._memory:
+                return
+            del self._records[nonce]
+
+
+class _Run:
+    """One ticket's request at the instance that runs it."""
+
+    def __init__(self, digest: bytes) -> None:
+        self.began_at = now()
+        self.digest = digest
+        self.outcome: Outcome | None = None
+        self._ended = Event()
+
+    def end(self, outcome: Outcome) -> None:
+        self.outcome = outcome
+        self._ended.send()
+
+    def wait(self, seconds: float) -> Outcome:
+        if self.outcome is None:
+            self._ended.wait(timeout=max(0.0, seconds))
+        if self.outcome is None:
+            return Outcome(UNKNOWN, detail="still running; ask again with this ticket")
+        return self.outcome
+
+
+class TicketDesk:
+    """Issues tickets and runs, forwards or settles their requests.
+
+    Args:
+        settings: The daemon's settings.
+        incarnation: Random name of this process.
+        peers: The other instances.
+        witness: This instance's memory for others.
+        decisions: The decision log.
+        send: Sends a request to a target at most once; calls its last argument
+            right before the first byte.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        incarnation: str,
+        peers: Peers,
+        witness: Witness,
+        decisions: DecisionLog,
+        send: Send,
+    ) -> None:
+        self._settings = settings
+        self._timing = settings.timing
+        self._own_id = settings.daemon.id
+        self._incarnation = incarnation
+        self._peers = peers
+        self._witness = witness
+        self._decisions = decisions
+        self._send = send
+        self._run_by_nonce: OrderedDict[str, _Run] = OrderedDict()
+        self._unsettled = 0
+        self._closed = False
+
+    def issue(self, team: str, kind: str) -> tuple[str, Ticket]:
+        """Make a ticket; nothing is kept for it until it is used."""
+        nonce = make_nonce()
+        witness = self._peers.pick_witness(nonce)
+        ticket = Ticket(
+            issuer=self._own_id,
+            incarnation=self._incarnation,
+            nonce=nonce,
+            team=team,
+            kind=kind,
+            issued_at=now(),
+            witness=witness.instance.id if witness else NO_WITNESS,
+            witness_incarnation=witness.incarnation if witness else "",
+            witness_mark=witness.clock if witness else 0.0,
+        )
+        return seal_ticket(ticket, self._settings.daemon.peer_key), ticket
+
+    def open(self, text: str, team: str, kind: str) -> Ticket:
+        """Read a caller's ticket.
+
+        Raises:
+            RequestError: If it isn't one, or is for another team or kind.
+        """
+        ticket = open_ticket(text, self._settings.daemon.peer_key)
+        if (ticket.team, ticket.kind) != (team, kind):
+            detail = "the ticket is for another team or service"
+            raise RequestError(ErrorKind.TICKET_INVALID, detail)
+        return ticket
+
+    def run(self, ticket: Ticket, request: ServiceRequest) -> Outcome:
+        """Have a ticket's request run, wherever it may run, or tell its outcome."""
+        if self._may_run(ticket):
+            return self._run_here(ticket, request)
+        outcome = self._forward(ticket.issuer, ticket, request)
+        if outcome.state != ELSEWHERE:
+            return outcome
+        return self._settle(ticket, request)
+
+    def look(self, ticket: Ticket) -> Outcome:
+        """Tell what became of a ticket without starting or giving it up."""
+        query = OutcomeQuery(ticket)
+        outcome = self.look_here(query)
+        for instance in (ticket.issuer, ticket.witness):
+            if outcome.state == ELSEWHERE and instance not in ("", self._own_id):
+                outcome = self._ask(instance, query, self._timing.peer_call)
+        if outcome.state == ELSEWHERE:
+            return Outcome(UNKNOWN, detail="neither issuer nor witness can be reached")
+        return outcome
+
+    def look_here(self, message: OutcomeQuery) -> Outcome:
+        """Answer a peer's look."""
+        ticket = message.ticket
+        run = self._run_by_nonce.get(ticket.nonce)
+        if run is not None:
+            return run.wait(0.0)
+        if ticket.witness_incarnation == self._incarnation:
+            return self._witness.look(ticket)
+        if ticket.incarnation == self._incarnation:
+            return Outcome(NOT_RUN, detail="not used yet")
+        return Outcome(ELSEWHERE)
+
+    def serve(self, message: RunTicket) -> Outcome:
+        """Answer a peer that forwards a request."""
+        ticket = message.ticket
+        if self._may_run(ticket):
+            return self._run_here(ticket, message.request)
+        if ticket.witness == self._own_id:
+            return self._witness.give_up(ticket)
+        return Outcome(ELSEWHERE)
+
+    def running(self) -> int:
+        """Number of requests whose outcome is not yet known here and at the witness."""
+        return self._unsettled
+
+    def hand_over(self) -> None:
+        """Start nothing any more and leave unstarted tickets to their witnesses."""
+        self._closed = True
+        message = TicketHandover(self._incarnation)
+        for peer_id in list(self._peers.by_id):
+            if self._peers.is_alive(peer_id):
+                self._ask(peer_id, message, self._timing.peer_call)
+
+    def _may_run(self, ticket: Ticket) -> bool:
+        if self._closed:
+            return False
+        if ticket.incarnation == self._incarnation:
+            return True
+        if ticket.nonce in self._run_by_nonce:
+            return True
+        return self._witness.has_inherited(ticket)
+
+    def _run_here(self, ticket: Ticket, request: ServiceRequest) -> Outcome:
+        self._forget_old()
+        digest = hashlib.blake2b(request.path.encode() + b"\0" + request.body).digest()
+        run = self._run_by_nonce.get(ticket.nonce)
+        if run is None:
+            refusal = self._refuse_new(ticket)
+            if refusal is not None:
+                return refusal
+            run = self._run_by_nonce[ticket.nonce] = _Run(digest)
+            self._unsettled += 1
+            eventlet.spawn_n(self._execute, ticket, request, run)
+        if run.digest != digest:
+            return Outcome(REUSED, detail="the ticket was used with another request")
+        return run.wait(request.remaining)
+
+    def _refuse_new(self, ticket: Ticket) -> Outcome | None:
+        if ticket.incarnation != self._incarnation:
+            return None
+        age = now() - ticket.issued_at
+        if age >= self._timing.ticket_memory:
+            return Outcome(UNKNOWN, detail="the ticket is too old to be remembered")
+        if age >= self._timing.ticket_lifetime:
+            return Outcome(NOT_RUN, detail="the ticket has expired; take a new one")
+        if len(self._run_by_nonce) >= self._settings.limits.tickets:
+            return Outcome(NOT_RUN, detail="too many tickets are in use here")
+        return None
+
+    def _execute(self, ticket: Ticket, request: ServiceRequest, run: _Run) -> None:
+        start_by = self._start_by(ticket, request)
+        outcome = self._record_start(ticket)
+        if outcome is None:
+
+            def check_may_start() -> None:
+                # The process may have been paused since the record. By now the
+                # caller may have been told the outcome elsewhere and may have
+                # asked anew; a late start would then be a second one.
+                if now() >= start_by:
+                    detail = "its time to start ran out"
+                    raise RequestError(ErrorKind.NOT_RUN, detail)
+
+            try:
+                outcome = self._send(request, ticket.nonce, check_may_start)
+            except RequestError as error:
+                outcome = Outcome(NOT_RUN, detail=error.detail)
+            except Exception as error:
+                outcome = Outcome(UNKNOWN, detail=repr(error))
+        run.end(outcome)
+        self._decisions.record(request.id, "ticket", outcome.state, outcome.detail)
+        self._report(ticket, outcome)
+        self._unsettled -= 1
+
+    def _start_by(self, ticket: Ticket, request: ServiceRequest) -> float:
+        deadline = now() + request.remaining
+        if ticket.incarnation != self._incarnation:
+            return deadline
+        return min(deadline, ticket.issued_at + self._timing.ticket_lifetime)
+
+    def _record_start(self, ticket: Ticket) -> Outcome | None:
+        """Have the witness remember the start before the first byte leaves.
+
+        Were this instance killed after sending, nobody could tell whether the
+        request ran; the caller would hear "not run" and book twice. So without
+        the witness's word nothing is sent. Model: ``ask_witness``.
+        """
+        if ticket.witness == NO_WITNESS or ticket.incarnation != self._incarnation:
+            return None
+        message = StartRecord(ticket)
+        try:
+            limit = self._timing.peer_call
+            recorded = self._peers.call(ticket.witness, message, limit).recorded
+        except PeerUnreachableError as error:
+            detail = f"its witness {ticket.witness} can't be reached: {error}"
+            return Outcome(NOT_RUN, detail=f"{detail}; take a new ticket")
+        if not recorded:
+            detail = "it was given up before; take a new ticket"
+            return Outcome(NOT_RUN, detail=detail)
+        return None
+
+    def _report(self, ticket: Ticket, outcome: Outcome) -> None:
+        if ticket.witness == NO_WITNESS or ticket.incarnation != self._incarnation:
+            return
+        message = OutcomeRecord(ticket, outcome)
+        for _ in range(_RECORD_TRIES):
+            answer = self._ask(ticket.witness, message, self._timing.peer_call)
+            if answer != Outcome(ELSEWHERE):
+                return
+            eventlet.sleep(_RECORD_PAUSE)
+
+    def _forward(
+        self, instance: str, ticket: Ticket, request: ServiceRequest
+    ) -> Outcome:
+        if instance == self._own_id or not self._peers.is_alive(instance):
+            return Outcome(ELSEWHERE)
+        limit = request.remaining - 2 * self._timing.peer_call
+        if limit <= 0:
+            return Outcome(ELSEWHERE)
+        forwarded = RunTicket(ticket, request._replace(remaining=limit))
+        self._decisions.record(request.id, "forward", instance, "holds the ticket", 1)
+        return self._ask(instance, forwarded, limit)
+
+    def _settle(self, ticket: Ticket, request: ServiceRequest) -> Outcome:
+        """Ask the witness, since the issuer can't tell."""
+        if ticket.witness == self._own_id:
+            return self._witness.give_up(ticket)
+        if ticket.witness == NO_WITNESS:
+            return Outcome(UNKNOWN, detail="its issuer is gone and it has no witness")
+        limit = max(self._timing.peer_call, request.remaining)
+        message = RunTicket(ticket, request._replace(remaining=limit))
+        outcome = self._ask(ticket.witness, message, limit)
+        if outcome.state == ELSEWHERE:
+            return Outcome(UNKNOWN, detail="issuer and witness can't be reached")
+        return outcome
+
+    def _ask(self, instance: str, message: object, limit: float) -> Outcome:
+        try:
+            return self._peers.call(instance, message, limit)
+        except PeerUnreachableError:
+            return Outcome(ELSEWHERE)
+
+    def _forget_old(self) -> None:
+        while self._run_by_nonce:
+            nonce, run = next(iter(self._run_by_nonce.items()))
+            if run.outcome is None or now() < run.began_at + self._timing.ticket_memory:
+                return
+            del self._run_by_nonce[nonce]
--- /dev/null
+++ b/packages/standins/bergamotsaddle_standins/_green.py
@@ -0,0 +1,11 @@
+"""Makes the standard library green; to be imported before anything else."""
+
+import warnings
+
+# eventlet warns at import that it is in bugfix mode upstream, which docs/DESIGN.md
+# deals with; on every start of a command the warning would hide real messages.
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
+
+import eventlet  # noqa: E402
+
+eventlet.monkey_patch()
--- /dev/null
+++ b/packages/standins/bergamotsaddle_standins/fleet.py
@@ -0,0 +1,330 @@
+"""A whole deployment on loopback: platform, targets and daemons as processes."""
+
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import eventlet
+import msgspec
+import urllib3
+from eventlet import hubs
+
+from bergamotsaddle_contracts.declaration import digest_key
+from bergamotsaddle_standins.targets import TargetSpec
+
+START_LIMIT = 30.0
+STOP_LIMIT = 30.0
+_PEER_KEY = "only-for-loopback-demonstrations"
+_STEP = 0.05
+ZONES = ("mid-a", "mid-b", "mid-c")
+TEAMS = {"barge-crews": 3, "farm-managers": 3, "skippers": 1}
+PIPELINE = "feeding-plan"
+MODEL = "plan-7b"
+
+_http = urllib3.PoolManager(maxsize=4, retries=False)
+
+
+class FleetSpec(NamedTuple):
+    """What a deployment is like.
+
+    Attributes:
+        zones: Names of its availability zones.
+        daemons: Daemons in each zone.
+        targets: Targets of each zone; ``{zone}`` in an id is filled in.
+        list_lag: Lag of the instance list in seconds.
+        timing: Settings that differ from the defaults, as in the INI file.
+        policies: Policies that differ from the defaults.
+        deadline: Deadline of the pipeline.
+    """
+
+    zones: tuple[str, ...] = ZONES
+    daemons: int = 1
+    targets: tuple[TargetSpec, ...] = (
+        TargetSpec("encode-{zone}", "encode"),
+        TargetSpec("retrieve-{zone}", "retrieve"),
+        TargetSpec("rerank-{zone}", "rerank"),
+        TargetSpec("engine-{zone}", "generate", slots=16),
+        TargetSpec("orders-{zone}", "orders"),
+        TargetSpec("stock-{zone}", "stock"),
+    )
+    list_lag: float = 0.2
+    timing: dict[str, str] = {}
+    policies: dict[str, str] = {}
+    deadline: str = "4s"
+
+
+class Process:
+    """One process and where it listens.
+
+    Args:
+        arguments: Arguments of the Python interpreter.
+    """
+
+    def __init__(self, arguments: list[str]) -> None:
+        self._popen = subprocess.Popen(
+            [sys.executable, *arguments], stdout=subprocess.PIPE
+        )
+        self.lines: list[dict[str, Any]] = []
+        self.ports: dict[str, Any] = {}
+        self.keep_lines = False
+        eventlet.spawn_n(self._read)
+
+    def _read(self) -> None:
+        for line in self._popen.stdout:
+            try:
+                parsed = msgspec.json.decode(line)
+            except msgspec.DecodeError:
+                continue
+            if parsed.get("event") == "listening":
+                self.ports = parsed
+            elif self.keep_lines:
+                self.lines.append(parsed)
+
+    def wait_listening(self) -> None:
+        """Wait until the process says where it listens."""
+        wait_for(lambda: self.ports, "a process to listen")
+
+    def signal(self, number: int) -> None:
+        """Send a signal."""
+        self._popen.send_signal(number)
+
+    def stop(self) -> int:
+        """Ask the process to stop; returns its exit status."""
+        if self._popen.poll() is None:
+            self._popen.terminate()
+        return self._popen.wait(timeout=STOP_LIMIT)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        if self._popen.poll() is None:
+            self._popen.send_signal(signal.SIGCONT)
+            self._popen.kill()
+        self._popen.wait(timeout=STOP_LIMIT)
+
+
+class Fleet:
+    """A running deployment; a context manager that ends what it started.
+
+    Args:
+        spec: What it is like.
+    """
+
+    def __init__(self, spec: FleetSpec) -> None:
+        self.spec = spec
+        self.revision = 0
+        self.list_version = 0
+        self.zone_states = dict.fromkeys(spec.zones, "in")
+        self.leaving: set[str] = set()
+        self.keys = {team: f"key-of-{team}" for team in TEAMS}
+        self.target_specs: dict[str, tuple[TargetSpec, str]] = {}
+        self.target_ports: dict[str, int] = {}
+        self.daemons: dict[str, Process] = {}
+        self._zone_of_daemon: dict[str, str] = {}
+        self._directory = tempfile.TemporaryDirectory()
+        self._others: list[Process] = []
+
+    def __enter__(self) -> "Fleet":
+        try:
+            self._start()
+        except BaseException:
+            self.__exit__()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for process in [*self.daemons.values(), *self._others]:
+            process.kill()
+        self._directory.cleanup()
+
+    def _start(self) -> None:
+        platform = self._spawn_standin({"list_lag": self.spec.list_lag})
+        by_zone = {zone: self._zone_targets(zone) for zone in self.spec.zones}
+        processes = {
+            zone: self._spawn_standin({"targets": specs})
+            for zone, specs in by_zone.items()
+        }
+        platform.wait_listening()
+        self.platform = platform.ports
+        for zone, process in processes.items():
+            process.wait_listening()
+            for spec in by_zone[zone]:
+                self.target_specs[spec.id] = (spec, zone)
+                self.target_ports[spec.id] = process.ports[spec.id]
+        for zone in self.spec.zones:
+            for number in range(1, self.spec.daemons + 1):
+                self.start_daemon(f"entry-{zone}-{number}", zone)
+        for daemon in self.daemons.values():
+            daemon.wait_listening()
+        self.publish_declaration()
+        self.publish_instances()
+        self.wait_ready()
+
+    def start_daemon(self, name: str, zone: str) -> Process:
+        """Start one daemon, in place of an earlier one of the same name."""
+        path = Path(self._directory.name) / f"{name}.ini"
+        path.write_text(self._settings(name, zone))
+        process = Process(["-W", "ignore", "-m", "bergamotsaddle_daemon", str(path)])
+        self.daemons[name] = process
+        self._zone_of_daemon[name] = zone
+        return process
+
+    def wait_ready(self) -> None:
+        """Wait until every daemon is ready and sees every target of its own as warm."""
+        wait_for(self._all_ready, "every daemon to be ready")
+
+    def callers(self, name: str) -> str:
+        """Address of a daemon's interface for callers."""
+        return self.daemons[name].ports["callers"]
+
+    def operators(self, name: str) -> str:
+        """Address of a daemon's interface for operators."""
+        return self.daemons[name].ports["operators"]
+
+    def declaration(self) -> str:
+        """The declaration's text at the current revision."""
+        parts = ["[declaration]", "name = loopback", f"revision = {self.revision}"]
+        for zone, state in self.zone_states.items():
+            parts += [f"[zone {zone}]", f"state = {state}"]
+        for team, share in TEAMS.items():
+            digest = digest_key(self.keys[team])
+            parts += [f"[team {team}]", f"share = {share}", f"key_digests = {digest}"]
+        for target_id, (spec, zone) in self.target_specs.items():
+            parts += self._declare_target(target_id, spec, zone)
+        kinds = {spec.kind for spec, _ in self.target_specs.values()}
+        order = ("encode", "retrieve", "rerank", "generate")
+        stages = ", ".join(stage for stage in order if stage in kinds)
+        if stages:
+            parts += [f"[pipeline {PIPELINE}]", f"stages = {stages}"]
+            parts += [f"deadline = {self.spec.deadline}"]
+            parts += [f"model = {MODEL}"] if "generate" in kinds else []
+        return "\n".join(parts) + "\n"
+
+    def publish_declaration(self, revision: int | None = None) -> None:
+        """Publish the declaration as the platform's operators would."""
+        self.revision = revision or self.revision + 1
+        self.control("config", publish=self.declaration())
+
+    def publish_instances(self) -> None:
+        """Publish the instance list."""
+        self.list_version += 1
+        rows = [
+            {
+                "id": name,
+                "zone": self._zone_of_daemon[name],
+                "role": "entry",
+                "state": "leaving" if name in self.leaving else "live",
+                "peer_address": process.ports["peers"],
+            }
+            for name, process in self.daemons.items()
+            if process.ports
+        ]
+        rows += [
+            {
+                "id": target_id,
+                "zone": zone,
+                "role": "target",
+                "state": "leaving" if target_id in self.leaving else "live",
+            }
+            for target_id, (_, zone) in self.target_specs.items()
+        ]
+        payload = {"version": self.list_version, "instances": rows}
+        self.control("instances", publish=msgspec.json.encode(payload).decode())
+
+    def control(self, service: str, **changes: Any) -> dict[str, Any]:
+        """Change something at a platform stand-in; returns its counts."""
+        return post(self.platform[service], "/control", changes)
+
+    def control_target(self, target_id: str, **changes: Any) -> None:
+        """Have something go wrong at a target, or end it."""
+        post(self.target_ports[target_id], "/control", changes)
+
+    def ledger(self, target_id: str) -> dict[str, Any]:
+        """What a target really did."""
+        return get(f"127.0.0.1:{self.target_ports[target_id]}", "/ledger")
+
+    def status(self, name: str) -> dict[str, Any]:
+        """Status page of a daemon."""
+        return get(self.operators(name), "/status")
+
+    def _all_ready(self) -> bool:
+        for name in self.daemons:
+            status = self.status(name)
+            if not status["ready"] or status["revision"] != self.revision:
+                return False
+            if any(row["state"] == "cold" for row in self._targets(name)):
+                return False
+        return True
+
+    def _targets(self, name: str) -> list[dict[str, Any]]:
+        return get(self.operators(name), "/targets")
+
+    def _zone_targets(self, zone: str) -> list[TargetSpec]:
+        return [
+            spec._replace(id=spec.id.format(zone=zone)) for spec in self.spec.targets
+        ]
+
+    def _spawn_standin(self, work: dict[str, Any]) -> Process:
+        text = msgspec.json.encode(work).decode()
+        process = Process(
+            ["-W", "ignore", "-m", "bergamotsaddle_standins.process", text]
+        )
+        self._others.append(process)
+        return process
+
+    def _settings(self, name: str, zone: str) -> str:
+        lines = ["[daemon]", f"id = {name}", f"zone = {zone}"]
+        lines += [f"peer_key = {_PEER_KEY}", "[platform]"]
+        lines += [f"config_address = 127.0.0.1:{self.platform['config']}"]
+        lines += [f"instances_address = 127.0.0.1:{self.platform['instances']}"]
+        lines += ["[timing]", *(f"{k} = {v}" for k, v in self.spec.timing.items())]
+        lines += ["[policies]", *(f"{k} = {v}" for k, v in self.spec.policies.items())]
+        return "\n".join(lines) + "\n"
+
+    def _declare_target(self, target_id: str, spec: TargetSpec, zone: str) -> list[str]:
+        lines = [f"[target {target_id}]", f"zone = {zone}", f"kind = {spec.kind}"]
+        lines += [f"address = 127.0.0.1:{self.target_ports[target_id]}"]
+        lines += [f"limit = {spec.slots}", f"cold_limit = {spec.cold_limit}"]
+        if spec.kind == "generate":
+            lines += [f"models = {MODEL}", "resumes = yes"]
+        if spec.kind == "orders":
+            lines += ["repeatable = no"]
+        return lines
+
+
+def wait_for(condition: Any, what: str, limit: float = START_LIMIT) -> float:
+    """Wait until a condition holds; returns the seconds it took.
+
+    Raises:
+        TimeoutError: If it does not hold in time.
+    """
+    began = _now()
+    while _now() - began < limit:
+        try:
+            if condition():
+                return _now() - began
+        except (urllib3.exceptions.HTTPError, OSError):
+            pass
+        eventlet.sleep(_STEP)
+    raise TimeoutError(f"waited {limit} s for {what}")
+
+
+def post(port: int, path: str, body: Any) -> Any:
+    """Post JSON to a stand-in on loopback."""
+    url = f"http://127.0.0.1:{port}{path}"
+    reply = _http.request("POST", url, body=msgspec.json.encode(body), timeout=5.0)
+    if reply.status != 200:
+        raise OSError(f"{path}: status {reply.status}")
+    return msgspec.json.decode(reply.data)
+
+
+def get(address: str, path: str) -> Any:
+    """Get JSON from an address."""
+    reply = _http.request("GET", f"http://{address}{path}", timeout=5.0)
+    return msgspec.json.decode(reply.data)
+
+
+def _now() -> float:
+    return hubs.get_hub().clock()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,8 @@
+"""Tests of all packages; time stands still unless a test advances it."""
+
+import bergamotsaddle_daemon._green  # noqa: F401
+
+# isort: split
+from tests._paused import use_paused_clock
+
+use_paused_clock()
