Report every fault of a file that is not INI throughout

Cause: a line without a section raised the base class's handler first and had no 'errors'. Ruled out: giving up at the first such line, since operators get every fault in one run. Change: such lines are noted, blanked, and the rest is parsed.

--- a/packages/contracts/bergamotsaddle_contracts/ini.py
+++ b/packages/contracts/bergamotsaddle_contracts/ini.py
@@ -169,22 +169,30 @@
             raise InvalidFileError(self.faults)
 
     def _parse(self, text: str) -> configparser.ConfigParser:
+        """Parse the text; what is no INI at all is noted and left out."""
         strict = configparser.ConfigParser(interpolation=None)
         try:
             strict.read_string(text)
             return strict
+        except configparser.MissingSectionHeaderError as error:
+            self.fault("", f"line {error.lineno}", error.line, "no section before it")
+            return self._parse(_blank_lines(text, [error.lineno]))
         except configparser.ParsingError as error:
             for line, content in error.errors:
                 self.fault("", f"line {line}", content, "not an INI line")
-            return configparser.ConfigParser(interpolation=None)
+            return self._parse(_blank_lines(text, [line for line, _ in error.errors]))
         except configparser.DuplicateSectionError as error:
             self.fault(error.section, "", "", f"line {error.lineno}: section twice")
         except configparser.DuplicateOptionError as error:
             reason = f"line {error.lineno}: key twice"
             self.fault(error.section, error.option, "", reason)
-        except configparser.MissingSectionHeaderError as error:
-            self.fault("", f"line {error.lineno}", error.line, "no section before it")
-            return configparser.ConfigParser(interpolation=None)
         lenient = configparser.ConfigParser(interpolation=None, strict=False)
         lenient.read_string(text)
         return lenient
+
+
+def _blank_lines(text: str, numbers: list[int]) -> str:
+    lines = text.splitlines()
+    for number in numbers:
+        lines[number - 1] = ""
+    return "\n".join(lines)
--- a/tests/test_declaration.py
+++ b/tests/test_declaration.py
@@ -57,6 +57,7 @@
         self.assertEqual(declaration.digest, digest_text(VALID))
 
     @params(
+        ("[zone a]", "gibberish\n[zone a]", ("", "line 5")),
         ("revision = 3", "revision = x", ("declaration", "revision")),
         ("state = out", "state = off", ("zone b", "state")),
         ("127.0.0.1:9000", "host:9000", ("target e1", "address")),
