Specify the core protocol, search it, and prove tickets under failure

Cause: at most once and a true 'not run' rested on code nobody had searched. Found by the checker, each now a named mistake of the specification and mended in code: a graceful stop handed over a ticket whose issuer had said 'not run' (5 steps); a witness sealed a ticket it had forgotten (9 steps); a home subtracted permits from a report as if each had been used already (14 steps). Found by tests: a forwarded request asked the witness with its whole time again instead of what was left. Ruled out: the check of the start time as what carries at-most-once; the witness's record does, the check only makes late starts rare ('start_too_late' changes no verdict). Change: handovers name used tickets; inherited runs are recorded; what a home can't prove counts as taken; a starting instance serves only after hearing its neighbours.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 demo: $(STAMP)
 	$(PYTHON) -m bergamotsaddle_standins.demo
 
-test: lint
+test: lint model
 	$(PYTHON) -m nose2 -c unittest.cfg
 
 lint: $(STAMP)
--- /dev/null
+++ b/model/__init__.py
@@ -0,0 +1,1 @@
+"""A small specification of the core protocol, searched by a model checker."""
--- /dev/null
+++ b/model/__main__.py
@@ -0,0 +1,79 @@
+"""Searches every specification and every mistake: ``python -m model``."""
+
+import sys
+
+from minicheck import Protocol, check_safety
+
+from model import configuration, permits, tickets
+from model.specification import Specification
+
+MAX_STATES = 3_000_000
+SPECIFICATIONS = (
+    tickets.SPECIFICATION,
+    permits.TAKEOVER_SPECIFICATION,
+    permits.SHARED_SPECIFICATION,
+    configuration.SPECIFICATION,
+)
+
+
+def main() -> int:
+    """Print a table; returns 1 if a verdict is not the expected one."""
+    results = [_check(specification) for specification in SPECIFICATIONS]
+    return 0 if all(results) else 1
+
+
+def _check(specification: Specification) -> bool:
+    found = check_safety(specification.protocol(), max_states=MAX_STATES)
+    states = found["reachable_states"]
+    _say(f"{specification.name}: {specification.bounds}; {states} states")
+    passed = True
+    for name in specification.invariants:
+        holds = found["properties"][name]["holds"]
+        passed = passed and holds is True
+        _say(f"  {'holds' if holds else 'DOES NOT HOLD'}: {name}")
+        if holds is False:
+            _show_trace(found["properties"][name]["counterexample"])
+    for mistake, invariant in specification.mistakes.items():
+        passed = _check_mistake(specification, mistake, invariant) and passed
+    return passed
+
+
+def _check_mistake(specification: Specification, mistake: str, invariant: str) -> bool:
+    protocol = _stop_at_first(specification.protocol(mistake), invariant)
+    found = check_safety(protocol, max_states=MAX_STATES)
+    result = found["properties"][invariant]
+    if result["holds"] is not False:
+        _say(f"  NOT FOUND: {mistake!r} should break {invariant!r}")
+        return False
+    steps = len(result["counterexample"]) - 1
+    _say(f"  {mistake!r} breaks {invariant!r} in {steps} steps")
+    return True
+
+
+def _stop_at_first(protocol: Protocol, invariant: str) -> Protocol:
+    """Make a search end at the first counterexample, which is a shortest one."""
+    holds, steps = protocol.invariants[invariant], protocol.transitions
+    broken: list[bool] = []
+
+    def check(state: dict) -> bool:
+        if holds(state):
+            return True
+        broken.append(True)
+        return False
+
+    protocol.invariants = {invariant: check}
+    protocol.transitions = lambda state: [] if broken else steps(state)
+    return protocol
+
+
+def _show_trace(trace: list[dict]) -> None:
+    for step in trace:
+        _say(f"    {step['label']}: {step['state']}")
+
+
+def _say(line: str) -> None:
+    sys.stdout.write(line + "\n")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/contracts/bergamotsaddle_contracts/errors.py
+++ b/packages/contracts/bergamotsaddle_contracts/errors.py
@@ -31,7 +31,7 @@
     DEADLINE_PASSED = "deadline_passed"
     NO_TARGET = "no_target"
     TARGET_FAILED = "target_failed"
-    STOPPING = "stopping"
+    NOT_READY = "not_ready"
     INTERNAL = "internal"
 
 
@@ -66,7 +66,7 @@
     ErrorKind.DEADLINE_PASSED: Answer(504, Ran.YES, 1.0),
     ErrorKind.NO_TARGET: Answer(503, Ran.NO, 1.0),
     ErrorKind.TARGET_FAILED: Answer(502, Ran.YES, 1.0),
-    ErrorKind.STOPPING: Answer(503, Ran.NO, 0.1),
+    ErrorKind.NOT_READY: Answer(503, Ran.NO, 0.1),
     ErrorKind.INTERNAL: Answer(500, Ran.UNKNOWN, 1.0),
 }
 
--- a/packages/contracts/bergamotsaddle_contracts/messages.py
+++ b/packages/contracts/bergamotsaddle_contracts/messages.py
@@ -140,9 +140,16 @@
 
 
 class TicketHandover(NamedTuple):
-    """Tells the witness that the issuer will start no ticket any more."""
+    """Tells the witness that the issuer will start no ticket any more.
+
+    Attributes:
+        incarnation: The issuer's process.
+        used: Tickets that were refused or may have been started; the others are
+            the witness's to run.
+    """
 
     incarnation: str
+    used: tuple[Ticket, ...]
 
 
 class PermitQuery(NamedTuple):
--- a/packages/daemon/bergamotsaddle_daemon/callers.py
+++ b/packages/daemon/bergamotsaddle_daemon/callers.py
@@ -95,7 +95,7 @@
         self._team_by_digest: dict[str, Team] = {}
         self.active = 0
         self.stopping = False
-        self.refusing = False
+        self.is_ready: Callable[[], bool] = lambda: False
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable:
         """Serve one HTTP request."""
@@ -118,12 +118,10 @@
         path = environ["PATH_INFO"].strip("/").split("/")
         if path == ["ready"]:
             return self._ready(start_response)
-        if self.refusing:
-            raise RequestError(ErrorKind.STOPPING, "this instance is stopping")
+        if not self.stopping and not self.is_ready():
+            raise RequestError(ErrorKind.NOT_READY, "this instance is still starting")
         if self.active > self._settings.limits.connections:
             raise RequestError(ErrorKind.OVERLOADED, "too many requests at once here")
-        if not self._views.declaration.revision:
-            raise RequestError(ErrorKind.NO_TARGET, "no declaration is known yet")
         team = self._authenticate(environ)
         match (environ["REQUEST_METHOD"], path):
             case ("POST", ["v1", "pipelines", name]):
@@ -137,7 +135,7 @@
         raise RequestError(ErrorKind.NOT_FOUND, "no such path or method")
 
     def _ready(self, start_response: StartResponse) -> Iterable:
-        is_ready = self._views.declaration.revision > 0 and not self.stopping
+        is_ready = self.is_ready()
         return json_response(
             start_response, 200 if is_ready else 503, {"ready": is_ready}, close=True
         )
--- a/packages/daemon/bergamotsaddle_daemon/daemon.py
+++ b/packages/daemon/bergamotsaddle_daemon/daemon.py
@@ -58,6 +58,7 @@
         link_factory: Makes links to peers.
         heartbeats: Sends heartbeats.
         read_load: Asks a target for its load.
+        connections: Calls targets.
     """
 
     config: PlatformReader
@@ -65,6 +66,7 @@
     link_factory: LinkFactory
     heartbeats: HeartbeatSocket
     read_load: ReadLoad
+    connections: Connections
 
 
 class Daemon:
@@ -100,7 +102,7 @@
             settings, self.views, self.targets, self.permits, self.decisions
         )
         self.costs = Costs(self.metrics)
-        self._build_callers()
+        self._build_callers(world.connections)
         self.platform = PlatformWatch(
             settings, self.views, config=world.config, instances=world.instances
         )
@@ -109,11 +111,12 @@
         )
         self.peers.own_reports = self.reports.reports
         self.operators = OperatorApp(self)
+        self._was_ready = False
+        self.callers.is_ready = self.is_ready
 
-    def _build_callers(self) -> None:
+    def _build_callers(self, connections: Connections) -> None:
         settings = self.settings
         times = StageCosts()
-        connections = Connections()
         stages = StageCaller(
             settings, self.pools, connections, times, self.costs, self.decisions
         )
@@ -161,7 +164,8 @@
         """Tell whether the balancer should send callers here."""
         if self.peers.stopping or not self.views.declaration.revision:
             return False
-        return self.views.instances.version > 0
+        self._was_ready = self._was_ready or self.peers.is_caught_up()
+        return self._was_ready
 
     def spawn(self) -> None:
         """Start the green threads that run for ever."""
--- a/packages/daemon/bergamotsaddle_daemon/peers.py
+++ b/packages/daemon/bergamotsaddle_daemon/peers.py
@@ -95,6 +95,7 @@
         self._socket = socket
         self._changed = Event()
         self._fetching = False
+        self._started_at = now()
         self.by_id: dict[str, Peer] = {}
         self.neighbours: dict[str, Peer] = {}
         self.stopping = False
@@ -132,6 +133,21 @@
             return False
         return now() - peer.heard_at <= self._settings.timing.peer_silence
 
+    def is_caught_up(self) -> bool:
+        """Tell whether this instance has asked its peers what is in force.
+
+        A replaced instance may start while the service shows an old declaration.
+        Serving by it would undo what operators see in force everywhere else. So
+        it waits for its neighbours, though not for ones that are silent. Model:
+        ``ready``.
+        """
+        if self._fetching or not self._views.instances.version:
+            return False
+        if now() - self._started_at > self._settings.timing.peer_silence:
+            return True
+        heard = (peer.incarnation for peer in self.neighbours.values())
+        return all(heard)
+
     def call(self, peer_id: str, message: Any, timeout: float) -> Any:
         """Call a peer.
 
--- a/packages/daemon/bergamotsaddle_daemon/permits.py
+++ b/packages/daemon/bergamotsaddle_daemon/permits.py
@@ -5,6 +5,7 @@
 
 import hashlib
 import itertools
+import math
 from typing import NamedTuple
 
 import eventlet
@@ -96,22 +97,41 @@
 
 
 class _Ledger:
-    """What a home has given out for one target."""
+    """What a home has given out for one target.
 
-    def __init__(self) -> None:
+    Args:
+        since: When this instance became home.
+        proven_from: Before this time no report proves anything.
+    """
+
+    def __init__(self, since: float, proven_from: float) -> None:
+        self.since = since
         self.expiry_by_number: dict[int, float] = {}
-        self.unproven: list[float] = []
-        self.cold_since = now()
-        self.drained = False
+        self.unproven = math.inf
+        self.proven_from = proven_from
 
     def expire(self) -> None:
+        """Turn permits that ran out into calls that may still be running."""
         for number, expiry in list(self.expiry_by_number.items()):
-            if now() >= expiry:
-                del self.expiry_by_number[number]
-                self.unproven.append(expiry)
+            if now() < expiry:
+                continue
+            del self.expiry_by_number[number]
+            self.unproven += 1
+            self.proven_from = max(self.proven_from, expiry)
+
+    def forget_cold_start(self, proven_from: float) -> None:
+        """Count every call as possibly running, as while the target is warm."""
+        self.unproven = math.inf
+        self.proven_from = proven_from
 
-    def outstanding(self) -> int:
-        return len(self.expiry_by_number) + len(self.unproven)
+    def prove(self, in_flight: int, measured_at: float) -> None:
+        """Bound the calls without a permit by what the target measured."""
+        if measured_at >= self.proven_from:
+            self.unproven = min(self.unproven, in_flight)
+
+    def places_taken(self) -> float:
+        """Calls that run or may run."""
+        return len(self.expiry_by_number) + self.unproven
 
 
 class Home:
@@ -157,10 +177,9 @@
             return PermitAnswer(0, refusal)
         ledger = self._ledger(query.target_id)
         self._settle(ledger, target)
-        if not ledger.drained:
-            return PermitAnswer(0, "still busy from before it turned cold")
-        if ledger.outstanding() >= target.declared.cold_limit:
-            return PermitAnswer(0, "all places are taken")
+        taken = ledger.places_taken()
+        if taken >= target.declared.cold_limit:
+            return PermitAnswer(0, f"{taken} of {target.declared.cold_limit} are taken")
         number = next(self._numbers)
         lifetime = min(query.lifetime, self._timing.permit_lifetime)
         ledger.expiry_by_number[number] = now() + lifetime * _CLOCK_DRIFT
@@ -174,8 +193,9 @@
 
     def take_handover(self, message: PermitHandover) -> None:
         """Take over what a stopping home has given out. Model: ``hand_over``."""
-        ledger = _Ledger()
-        ledger.drained = True
+        since = self._homes.since.get(message.target_id, now())
+        ledger = _Ledger(since, now())
+        ledger.unproven = 0
         for remaining in message.permits:
             expiry = now() + remaining * _CLOCK_DRIFT
             ledger.expiry_by_number[next(self._numbers)] = expiry
@@ -190,7 +210,7 @@
             ledger = self._ledger(target_id)
             ledger.expire()
             granting = not self._refuse_takeover(target_id)
-            if granting and ledger.drained and not ledger.unproven:
+            if granting and not ledger.unproven:
                 left = [expiry - now() for expiry in ledger.expiry_by_number.values()]
                 messages.append(PermitHandover(target_id, tuple(left)))
         return messages
@@ -219,34 +239,47 @@
         return handed_at is not None and abs(since - handed_at) <= window
 
     def _ledger(self, target_id: str) -> _Ledger:
-        return self._ledger_by_target.setdefault(target_id, _Ledger())
+        since = self._homes.since[target_id]
+        ledger = self._ledger_by_target.get(target_id)
+        if ledger is None:
+            ledger = _Ledger(since, self._proven_from(since))
+            self._ledger_by_target[target_id] = ledger
+        if ledger.since != since:
+            self._renew(target_id, ledger, since)
+        return ledger
+
+    def _renew(self, target_id: str, ledger: _Ledger, since: float) -> None:
+        """Begin anew after another instance was home, unless it handed over."""
+        ledger.since = since
+        if not self._was_handed(target_id, since):
+            ledger.forget_cold_start(self._proven_from(since))
+
+    def _proven_from(self, since: float) -> float:
+        """When a report can first prove that only permitted calls run.
+
+        Until then instances that saw the target warm may send without a permit,
+        and calls permitted by an earlier home may still start.
+        """
+        last_warm = now() + self._timing.report_limit
+        return max(last_warm, since + self.takeover_wait)
 
     def _settle(self, ledger: _Ledger, target: Target) -> None:
-        """Use the target's report to prove that earlier work has ended.
+        """Use the target's report to prove that earlier calls have ended.
 
         A call whose holder died or sleeps may still run at the target when its
         permit ends, and calls from before the target turned cold have no permit.
         Granting their places again would overload it. They count until a report
-        measured later shows no more work than the permits account for.
-        Model: ``prove``.
+        measured later bounds them. The report counts permitted calls too, but a
+        permit may not have been used yet, so none is subtracted. Model: ``prove``.
         """
         ledger.expire()
         report = target.report
         if report is None:
             return
         if not report.cold:
-            ledger.drained = False
-            ledger.cold_since = now()
+            ledger.forget_cold_start(self._proven_from(ledger.since))
             return
-        measured_at = now() - report.age
-        proven = report.in_flight <= len(ledger.expiry_by_number)
-        if proven:
-            ledger.unproven = [at for at in ledger.unproven if at >= measured_at]
-        # Until every other instance's last warm report has run out they may still
-        # send calls without a permit.
-        settled_at = ledger.cold_since + self._timing.report_limit
-        if proven and measured_at >= settled_at:
-            ledger.drained = True
+        ledger.prove(report.in_flight, now() - report.age)
 
     def watch_warmth(self) -> None:
         """Note when a target is warm, so that its next cold start is drained anew."""
--- a/packages/daemon/bergamotsaddle_daemon/pools.py
+++ b/packages/daemon/bergamotsaddle_daemon/pools.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 import eventlet
+from eventlet.event import Event
 
 from bergamotsaddle_contracts.declaration import Team
 from bergamotsaddle_contracts.errors import ErrorKind, PlaceLostError, Ran, RequestError
@@ -192,6 +193,7 @@
         self._policy = ROUTING_POLICIES.by_name[settings.policies.routing]()
         self._admission = ADMISSION_POLICIES.by_name[settings.policies.admission]()
         self._pool_by_need: dict[tuple[str, str], _Pool] = {}
+        self._has_waiting = Event()
 
     def waiting(self) -> int:
         """Number of calls that wait."""
@@ -247,6 +249,8 @@
     def dispatch_for_ever(self) -> None:
         """Serve waiting calls also when room appears without a call ending."""
         while True:
+            if not self.waiting():
+                self._has_waiting.wait()
             eventlet.sleep(_DISPATCH_PAUSE)
             for pool in list(self._pool_by_need.values()):
                 self._dispatch(pool)
@@ -328,6 +332,8 @@
     def _wait(self, need: Need, pool: _Pool) -> Slot:
         waiter = Waiter(need)
         pool.queue.push(need.team, waiter)
+        has_waiting, self._has_waiting = self._has_waiting, Event()
+        has_waiting.send()
         give_up_at = self._admission.give_up_at(need)
         try:
             while waiter.result is None and now() < give_up_at:
--- a/packages/daemon/bergamotsaddle_daemon/server.py
+++ b/packages/daemon/bergamotsaddle_daemon/server.py
@@ -7,6 +7,7 @@
 from eventlet.event import Event
 
 from bergamotsaddle_contracts.ini import Address
+from bergamotsaddle_daemon.calls import Connections
 from bergamotsaddle_daemon.daemon import Daemon, World
 from bergamotsaddle_daemon.datagrams import UdpSocket
 from bergamotsaddle_daemon.decisions import make_logger
@@ -38,6 +39,7 @@
             link_factory=lambda address: GrpcLink(address, key, bridge),
             heartbeats=self._datagrams,
             read_load=make_http_load_reader(),
+            connections=Connections(),
         )
         self._logger = make_logger(settings)
         self.daemon = Daemon(settings, world, self._logger)
--- a/packages/daemon/bergamotsaddle_daemon/tickets.py
+++ b/packages/daemon/bergamotsaddle_daemon/tickets.py
@@ -17,6 +17,7 @@
 )
 from bergamotsaddle_contracts.messages import (
     ELSEWHERE,
+    FINISHED,
     NOT_RUN,
     REUSED,
     UNKNOWN,
@@ -46,6 +47,9 @@
 _RECORD_PAUSE = 0.2
 _MAX_INHERITED = 1_000
 
+_STARTED = Outcome(UNKNOWN, detail="started, no outcome is known")
+_SEALED = Outcome(NOT_RUN, detail="not started and given up; take a new ticket")
+
 MayStart = Callable[[], None]
 Send = Callable[[ServiceRequest, str, MayStart], Outcome]
 
@@ -72,14 +76,14 @@
         """Remember a start, unless the ticket was given up. Model: ``record``."""
         ticket = message.ticket
         self._forget_old()
+        if ticket.incarnation in self._inherited:
+            return StartAnswer(False)
         known = self._records.get(ticket.nonce)
         if known is not None:
             return StartAnswer(known[1].state == UNKNOWN)
         if not self._remembers(ticket) or len(self._records) >= self._bound:
             return StartAnswer(False)
-        if ticket.incarnation in self._inherited:
-            return StartAnswer(False)
-        self._put(ticket, Outcome(UNKNOWN, detail="started, no outcome is known"))
+        self._put(ticket, _STARTED)
         return StartAnswer(True)
 
     def record_outcome(self, message: OutcomeRecord) -> Done:
@@ -90,7 +94,14 @@
         return Done()
 
     def take_handover(self, message: TicketHandover) -> Done:
-        """Take over the unstarted tickets of an issuer that stops."""
+        """Take over the unused tickets of an issuer that stops. Model: ``inherit``.
+
+        A used one may have been refused before its start was recorded here. Its
+        caller was told "not run", so it must not run here either.
+        """
+        for ticket in message.used:
+            if ticket.nonce not in self._records and self._remembers(ticket):
+                self._put(ticket, _SEALED)
         self._inherited[message.incarnation] = True
         if len(self._inherited) > _MAX_INHERITED:
             self._inherited.popitem(last=False)
@@ -102,6 +113,10 @@
             return False
         return ticket.nonce not in self._records and self._remembers(ticket)
 
+    def begin_inherited(self, ticket: Ticket) -> None:
+        """Remember that an inherited ticket is being run here."""
+        self._put(ticket, _STARTED)
+
     def look(self, ticket: Ticket) -> Outcome:
         """Tell what is remembered of a ticket without changing it."""
         known = self._records.get(ticket.nonce)
@@ -121,9 +136,8 @@
             return known[1]
         if not self._remembers(ticket) or len(self._records) >= self._bound:
             return Outcome(UNKNOWN, detail="the witness does not remember that far")
-        sealed = Outcome(NOT_RUN, detail="not started and given up; take a new ticket")
-        self._put(ticket, sealed)
-        return sealed
+        self._put(ticket, _SEALED)
+        return _SEALED
 
     def _remembers(self, ticket: Ticket) -> bool:
         """Tell whether a start of this ticket could not have been forgotten.
@@ -150,8 +164,9 @@
 class _Run:
     """One ticket's request at the instance that runs it."""
 
-    def __init__(self, digest: bytes) -> None:
+    def __init__(self, ticket: Ticket, digest: bytes) -> None:
         self.began_at = now()
+        self.ticket = ticket
         self.digest = digest
         self.outcome: Outcome | None = None
         self._ended = Event()
@@ -233,12 +248,14 @@
 
     def run(self, ticket: Ticket, request: ServiceRequest) -> Outcome:
         """Have a ticket's request run, wherever it may run, or tell its outcome."""
+        deadline = now() + request.remaining
         if self._may_run(ticket):
             return self._run_here(ticket, request)
         outcome = self._forward(ticket.issuer, ticket, request)
         if outcome.state != ELSEWHERE:
             return outcome
-        return self._settle(ticket, request)
+        left = request._replace(remaining=deadline - now())
+        return self._settle(ticket, left)
 
     def look(self, ticket: Ticket) -> Outcome:
         """Tell what became of a ticket without starting or giving it up."""
@@ -279,11 +296,19 @@
     def hand_over(self) -> None:
         """Start nothing any more and leave unstarted tickets to their witnesses."""
         self._closed = True
-        message = TicketHandover(self._incarnation)
         for peer_id in list(self._peers.by_id):
             if self._peers.is_alive(peer_id):
+                message = TicketHandover(self._incarnation, self._used_with(peer_id))
                 self._ask(peer_id, message, self._timing.peer_call)
 
+    def _used_with(self, witness: str) -> tuple[Ticket, ...]:
+        return tuple(
+            run.ticket
+            for run in self._run_by_nonce.values()
+            if run.ticket.witness == witness
+            and (run.outcome is None or run.outcome.state != FINISHED)
+        )
+
     def _may_run(self, ticket: Ticket) -> bool:
         if self._closed:
             return False
@@ -301,7 +326,7 @@
             refusal = self._refuse_new(ticket)
             if refusal is not None:
                 return refusal
-            run = self._run_by_nonce[ticket.nonce] = _Run(digest)
+            run = self._run_by_nonce[ticket.nonce] = _Run(ticket, digest)
             self._unsettled += 1
             eventlet.spawn_n(self._execute, ticket, request, run)
         if run.digest != digest:
@@ -322,6 +347,8 @@
 
     def _execute(self, ticket: Ticket, request: ServiceRequest, run: _Run) -> None:
         start_by = self._start_by(ticket, request)
+        if ticket.incarnation != self._incarnation:
+            self._witness.begin_inherited(ticket)
         outcome = self._record_start(ticket)
         if outcome is None:
 
@@ -372,9 +399,12 @@
         return None
 
     def _report(self, ticket: Ticket, outcome: Outcome) -> None:
-        if ticket.witness == NO_WITNESS or ticket.incarnation != self._incarnation:
-            return
         message = OutcomeRecord(ticket, outcome)
+        if ticket.incarnation != self._incarnation:
+            self._witness.record_outcome(message)
+            return
+        if ticket.witness == NO_WITNESS:
+            return
         for _ in range(_RECORD_TRIES):
             answer = self._ask(ticket.witness, message, self._timing.peer_call)
             if answer != Outcome(ELSEWHERE):
--- a/tests/_paused.py
+++ b/tests/_paused.py
@@ -7,7 +7,8 @@
 from eventlet.hubs import epolls
 
 _STEPS = 10_000
-_SETTLE_ROUNDS = 20
+_SETTLE_ROUNDS = 100
+_ROUNDS_AT_ONCE = 2
 _START = 1_000.0
 
 
@@ -30,8 +31,13 @@
 
 def settle() -> None:
     """Let every green thread run until it waits."""
+    hub = hubs.get_hub()
     for _ in range(_SETTLE_ROUNDS):
-        eventlet.sleep(0)
+        for _ in range(_ROUNDS_AT_ONCE):
+            eventlet.sleep(0)
+        due = hub.timers and hub.timers[0][0] <= hub.time
+        if not due and not hub.next_timers:
+            return
 
 
 def advance(seconds: float) -> None:
