Prove cold limits, declarations, zones and leaving targets under failure

Cause: permits, views and heartbeats were written but no failure had been brought about. Found: heartbeats that waited in a socket during a pause made old views look fresh, and a peer that had itself just woken up vouched for them; an instance behind its peer counted as confirmed before it had fetched; targets declared before the list arrived started with the whole limit in every instance (limit 16 instead of 5.3, zone return sent 4 calls where 2 were due). Ruled out: a rule that an instance with stale views leaves other zones alone; turning it off changed no outcome, because without reports their targets count as cold and their homes can't be asked. It was taken out. Change: heartbeats echo the receiver's clock and tell when the sender last asked the platform; what a home can't prove counts as running; ledgers begin anew after another home.

--- a/packages/contracts/bergamotsaddle_contracts/messages.py
+++ b/packages/contracts/bergamotsaddle_contracts/messages.py
@@ -37,6 +37,8 @@
         clock: Seconds on the sender's clock.
         echo: The latest clock heard from the receiver, on the receiver's clock.
         echo_incarnation: The receiver's process that the echo came from.
+        asked_age: Seconds since the sender last asked the platform and had its answer
+            or found that there was none.
         revision: Revision of the declaration in force at the sender.
         digest: Digest of that declaration.
         list_version: Version of the sender's instance list.
@@ -49,6 +51,7 @@
     clock: float
     echo: float
     echo_incarnation: str
+    asked_age: float
     revision: int
     digest: str
     list_version: int
--- a/packages/daemon/bergamotsaddle_daemon/daemon.py
+++ b/packages/daemon/bergamotsaddle_daemon/daemon.py
@@ -5,6 +5,7 @@
 
 import eventlet
 import prometheus_client as prometheus
+from eventlet.greenthread import GreenThread
 
 from bergamotsaddle_contracts.errors import PeerUnreachableError
 from bergamotsaddle_contracts.instances import encode_instances
@@ -112,6 +113,7 @@
         self.peers.own_reports = self.reports.reports
         self.operators = OperatorApp(self)
         self._was_ready = False
+        self.threads: list[GreenThread] = []
         self.callers.is_ready = self.is_ready
 
     def _build_callers(self, connections: Connections) -> None:
@@ -175,7 +177,7 @@
             self.reports.run,
             self.pools.dispatch_for_ever,
         ):
-            eventlet.spawn_n(self._keep_running, work)
+            self.threads.append(eventlet.spawn(self._keep_running, work))
 
     def _keep_running(self, work: Callable[[], None]) -> None:
         # An error nobody thought of would end the green thread, and this instance
--- a/packages/daemon/bergamotsaddle_daemon/limits.py
+++ b/packages/daemon/bergamotsaddle_daemon/limits.py
@@ -24,6 +24,9 @@
     def fail(self) -> None:
         """Learn from a call that failed."""
 
+    def share(self, start: float) -> None:
+        """Follow a change of this instance's even share of the declared limit."""
+
 
 @LIMIT_POLICIES.register("unlimited")
 class Unlimited:
@@ -38,6 +41,9 @@
     def fail(self) -> None:
         """Do nothing."""
 
+    def share(self, start: float) -> None:
+        """Do nothing."""
+
 
 @LIMIT_POLICIES.register("declared")
 class Declared(Unlimited):
@@ -46,6 +52,10 @@
     def __init__(self, start: float, ceiling: float) -> None:
         self.value = start
 
+    def share(self, start: float) -> None:
+        """Take the new share."""
+        self.value = start
+
 
 @LIMIT_POLICIES.register("adaptive")
 class Adaptive:
@@ -76,6 +86,11 @@
         """Learn from a call that failed."""
         self._shrink()
 
+    def share(self, start: float) -> None:
+        """Take the new share, unless something better has been learnt."""
+        if self._base == 0.0:
+            self.value = start
+
     def _shrink(self) -> None:
         # Every call of one slow moment would shrink the limit again and bring it
         # to one at once; shrinking once per pause lets the effect show first.
--- a/packages/daemon/bergamotsaddle_daemon/peers.py
+++ b/packages/daemon/bergamotsaddle_daemon/peers.py
@@ -188,8 +188,11 @@
     def _hear_echo(self, heartbeat: Heartbeat) -> None:
         # Datagrams wait in the socket while this process is paused, so when one is
         # read says nothing of its age. It was sent after the peer heard the clock
-        # that it echoes, and that bounds its age whatever happened in between.
-        self._views.confirm(heartbeat.echo)
+        # that it echoes, and that bounds its age whatever happened in between. The
+        # peer may itself just have woken up, so it vouches only up to the time when
+        # it last asked the platform, with or without success.
+        if not self._is_behind(heartbeat):
+            self._views.confirm(heartbeat.echo - heartbeat.asked_age)
         for report in heartbeat.reports:
             target = self._targets.by_id.get(report.target_id)
             if target is not None:
@@ -258,6 +261,7 @@
             clock=now(),
             echo=peer.clock,
             echo_incarnation=peer.incarnation,
+            asked_age=now() - self._views.asked_at,
             revision=declaration.revision,
             digest=declaration.digest,
             list_version=self._views.instances.version,
--- a/packages/daemon/bergamotsaddle_daemon/permits.py
+++ b/packages/daemon/bergamotsaddle_daemon/permits.py
@@ -158,7 +158,7 @@
 
     @property
     def takeover_wait(self) -> float:
-        """Seconds before a new home grants.
+        """Seconds before a report can prove anything to a new home.
 
         Until then an earlier home may go on granting by an older list, and what it
         granted may be in use; both would add up at the target. After the list's
@@ -178,6 +178,8 @@
         ledger = self._ledger(query.target_id)
         self._settle(ledger, target)
         taken = ledger.places_taken()
+        if math.isinf(taken):
+            return PermitAnswer(0, "earlier calls are not proven to have ended")
         if taken >= target.declared.cold_limit:
             return PermitAnswer(0, f"{taken} of {target.declared.cold_limit} are taken")
         number = next(self._numbers)
@@ -209,8 +211,7 @@
         for target_id in self._homes.since:
             ledger = self._ledger(target_id)
             ledger.expire()
-            granting = not self._refuse_takeover(target_id)
-            if granting and not ledger.unproven:
+            if not ledger.unproven:
                 left = [expiry - now() for expiry in ledger.expiry_by_number.values()]
                 messages.append(PermitHandover(target_id, tuple(left)))
         return messages
@@ -222,14 +223,7 @@
             return "home is stopping"
         if self._views.list_age() > self._timing.view_limit:
             return "home's instance list is stale"
-        return self._refuse_takeover(target_id)
-
-    def _refuse_takeover(self, target_id: str) -> str:
-        since = self._homes.since[target_id]
-        waited = now() - since
-        if waited >= self.takeover_wait or self._was_handed(target_id, since):
-            return ""
-        return f"new home waits {self.takeover_wait - waited:.1f} s"
+        return ""
 
     def _was_handed(self, target_id: str, since: float) -> bool:
         # A handover speaks only for the change of home that it belongs to. Another
--- a/packages/daemon/bergamotsaddle_daemon/platform.py
+++ b/packages/daemon/bergamotsaddle_daemon/platform.py
@@ -123,6 +123,7 @@
                 value = self._config.read(tag, self._timing.watch_wait)
             except PlatformUnreachableError as error:
                 self.config_error = str(error)
+                self._views.asked_at = asked_at
                 eventlet.sleep(_BACKOFF)
                 continue
             self.config_error = ""
@@ -130,6 +131,7 @@
                 tag = value.tag
                 text = value.payload.decode(errors="replace")
                 self._views.offer_declaration(text, source="service")
+            self._views.asked_at = asked_at
             self._views.confirm(asked_at)
             eventlet.sleep(self._timing.watch_pause)
 
--- a/packages/daemon/bergamotsaddle_daemon/pools.py
+++ b/packages/daemon/bergamotsaddle_daemon/pools.py
@@ -86,7 +86,7 @@
             raise PlaceLostError("the permit ran out before the call")
         if self.permit is None and self.target.is_cold():
             raise PlaceLostError("the target turned cold")
-        if not self._pools.allows(self.target):
+        if not self._pools.targets.gets_new_work(self.target):
             raise PlaceLostError("the target gets no new work any more")
 
     def waited(self) -> float:
@@ -187,7 +187,7 @@
     ) -> None:
         self._settings = settings
         self._views = views
-        self._targets = targets
+        self.targets = targets
         self._permits = permits
         self._decisions = decisions
         self._policy = ROUTING_POLICIES.by_name[settings.policies.routing]()
@@ -222,18 +222,6 @@
         self._check_queue(need, pool)
         return self._wait(need, pool)
 
-    def allows(self, target: Target) -> bool:
-        """Tell whether a target may get new work from this instance now.
-
-        Cut off from everything that could tell of a zone being taken out, this
-        instance serves what it knows best, its own zone, and leaves the others
-        alone; else a zone's operators would see work arrive long after.
-        """
-        if not self._targets.gets_new_work(target):
-            return False
-        own = target.declared.zone == self._settings.daemon.zone
-        return own or not self._views.is_stale()
-
     def release(self, slot: Slot, latency: float | None) -> None:
         """Take a place back and hand it to who waits for it."""
         if slot.permit is not None:
@@ -261,10 +249,10 @@
     def _candidates(self, need: Need) -> list[Target]:
         return [
             target
-            for target in self._targets.by_kind.get(need.kind, ())
+            for target in self.targets.by_kind.get(need.kind, ())
             if target.id not in need.exclude
             and (not need.model or need.model in target.declared.models)
-            and self.allows(target)
+            and self.targets.gets_new_work(target)
         ]
 
     def _usable(self, need: Need) -> list[Target]:
@@ -279,7 +267,7 @@
         return usable
 
     def _has_room(self, target: Target) -> bool:
-        room = target.limit.value * self._targets.ramp(target.declared.zone)
+        room = target.limit.value * self.targets.ramp(target.declared.zone)
         return target.in_flight < max(1.0, room)
 
     def _try_warm(self, need: Need) -> Slot | None:
--- a/packages/daemon/bergamotsaddle_daemon/targets.py
+++ b/packages/daemon/bergamotsaddle_daemon/targets.py
@@ -3,7 +3,7 @@
 from bergamotsaddle_contracts.declaration import DeclaredTarget
 from bergamotsaddle_contracts.messages import TargetReport
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_daemon.limits import LIMIT_POLICIES
+from bergamotsaddle_daemon.limits import LIMIT_POLICIES, Limit
 from bergamotsaddle_daemon.settings import Settings
 from bergamotsaddle_daemon.views import Views
 
@@ -40,10 +40,15 @@
         self._report: TargetReport | None = None
         self._measured_at = float("-inf")
         self._suspected_at = float("-inf")
-        start = max(1.0, declared.limit / max(1, instances))
-        self.limit = LIMIT_POLICIES.by_name[settings.policies.limit](
-            start, declared.limit
-        )
+        policy = LIMIT_POLICIES.by_name[settings.policies.limit]
+        self.limit: Limit = policy(self._even_share(instances), declared.limit)
+
+    def share_among(self, instances: int) -> None:
+        """Follow a change of the number of entry instances."""
+        self.limit.share(self._even_share(instances))
+
+    def _even_share(self, instances: int) -> float:
+        return max(1.0, self.declared.limit / max(1, instances))
 
     @property
     def id(self) -> str:
@@ -166,6 +171,9 @@
             target = self.by_id.get(declared.id)
             if target is None or target.declared != declared:
                 target = Target(declared, self._settings, entries)
+            # The list often arrives after the declaration; without this every
+            # instance would start with the whole limit as its own.
+            target.share_among(entries)
             kept[declared.id] = target
         self.by_id = kept
         self.by_kind = {}
--- a/packages/daemon/bergamotsaddle_daemon/views.py
+++ b/packages/daemon/bergamotsaddle_daemon/views.py
@@ -34,6 +34,7 @@
         self.service_revision = 0
         self.list_read_at = _NEVER
         self.confirmed_at = _NEVER
+        self.asked_at = _NEVER
         self._watchers: list[Callable[[], None]] = []
         self._confirmed = Event()
 
--- a/tests/_fakes.py
+++ b/tests/_fakes.py
@@ -185,11 +185,39 @@
         finally:
             target.in_flight -= 1
 
+    def open_stream(self, address: Address, call: Call, guard: Guard) -> "FakeStream":
+        """Post and return the stream that the target's ``handle`` makes."""
+        target = self._target_by_address[address]
+        guard()
+        target.calls.append(call)
+        return FakeStream(target.handle(call))
+
     def post_once(self, address: Address, call: Call, guard: Guard) -> Reply:
         """Post and return the answer."""
         return self.post(address, call, guard)
 
 
+class FakeStream:
+    """A token stream given as a list of chunks; an exception in it is raised."""
+
+    def __init__(self, chunks: list[bytes | Exception]) -> None:
+        self._chunks = list(chunks)
+        self.closed = False
+
+    def read_some(self, silence: float) -> bytes:
+        """Read the next chunk; none are left at the end."""
+        if not self._chunks:
+            return b""
+        chunk = self._chunks.pop(0)
+        if isinstance(chunk, Exception):
+            raise chunk
+        return chunk
+
+    def close(self) -> None:
+        """Close the stream."""
+        self.closed = True
+
+
 class World3:
     """Some daemons in three zones over one fake network.
 
@@ -224,6 +252,7 @@
                 port = 1000 + 100 * number + index
                 self.by_address[Address("10.0.0.1", port)] = target
         self.daemons: dict[str, Daemon] = {}
+        self._started: list[Daemon] = []
         self.instances: dict[str, Instance] = {}
         self.list_version = 0
         for zone in ZONES:
@@ -252,6 +281,7 @@
         )
         daemon = Daemon(settings, world, _SILENT)
         self.daemons[name] = daemon
+        self._started.append(daemon)
         self.network.daemon_by_address[address] = daemon
         return daemon
 
@@ -261,6 +291,15 @@
             daemon.spawn()
         advance(seconds)
 
+    def close(self) -> None:
+        """End every daemon that was ever started."""
+        self.network.daemon_by_address.clear()
+        for daemon in self._started:
+            daemon.peers.neighbours = {}
+            for thread in daemon.threads:
+                thread.kill()
+        settle()
+
     def kill(self, name: str) -> None:
         """End a daemon without a word."""
         del self.network.daemon_by_address[self.instances[name].peer_address]
@@ -295,6 +334,11 @@
         self.list.payload = encode_instances(InstanceList(self.list_version, by_id))
         return self.list.payload
 
+    def set_cold(self, *target_ids: str) -> None:
+        """Have targets turn cold without a word; none named means all."""
+        for target_id in target_ids or self.targets:
+            self.targets[target_id].cold = True
+
     def revisions(self) -> list[int]:
         """Revision in force at each daemon."""
         return [d.views.declaration.revision for d in self.daemons.values()]
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -29,6 +29,7 @@
 
     def setUp(self):
         self.world = World3()
+        self.addCleanup(self.world.close)
         self.world.start()
         self.issuer = self.world.daemons["a1"]
         _, self.ticket = self.issuer.tickets.issue("crews", "orders")
@@ -173,6 +174,7 @@
 
     def test_promised_refusal_is_not_run(self):
         world = World3(target_lines="not_run_statuses = 503")
+        self.addCleanup(world.close)
         world.start()
         for target in world.targets.values():
             target.handle = lambda call: Reply(503, b"{}")
--- /dev/null
+++ b/tests/test_views.py
@@ -0,0 +1,223 @@
+"""Declarations and lists: in force everywhere within seconds, and never back."""
+
+import unittest
+
+from nose2.tools import params
+
+from bergamotsaddle_contracts.declaration import digest_text
+from bergamotsaddle_contracts.messages import Heartbeat
+from tests._fakes import World3, run_green
+from tests._paused import advance, freeze
+
+
+class ConfigurationTest(unittest.TestCase):
+    """Three daemons, one in each zone."""
+
+    def setUp(self):
+        self.world = World3(("stock",))
+        self.addCleanup(self.world.close)
+        self.world.start()
+
+    def test_in_force_within_seconds(self):
+        self.world.publish(2)
+        advance(1.0)
+        self.assertEqual(self.world.revisions(), [2, 2, 2])
+
+    def test_spreads_where_the_service_is_out_of_reach(self):
+        # Two of three instances can't reach the service; operators see the change
+        # in force there too, through the third one.
+        self.world.config.down_readers = {"b1", "c1"}
+        self.world.publish(2)
+        advance(1.5)
+        self.assertEqual(self.world.revisions(), [2, 2, 2])
+
+    def test_spreads_where_the_service_is_stale(self):
+        old = self.world.config.payload
+        self.world.config.payload_by_reader = {"b1": old, "c1": old}
+        self.world.publish(2)
+        advance(1.5)
+        self.assertEqual(self.world.revisions(), [2, 2, 2])
+
+    def test_service_goes_back(self):
+        # The service is restored from an old copy. What operators took out of
+        # service must not come back.
+        old = self.world.config.payload
+        self.world.publish(2)
+        advance(1.0)
+        self.world.config.payload = old
+        advance(5.0)
+        self.assertEqual(self.world.revisions(), [2, 2, 2])
+        views = self.world.daemons["a1"].views
+        self.assertEqual(views.service_revision, 1)
+
+    @params(False, True)
+    def test_two_operators_at_one_revision(self, swapped):
+        # Two operators publish different files as revision 2 and each instance
+        # reads another one first. All must end with the same one and say so.
+        one = self.world.declaration(2, "\n").encode()
+        two = self.world.declaration(2, "\n\n").encode()
+        if swapped:
+            one, two = two, one
+        self.world.config.payload_by_reader = {"a1": one, "b1": two, "c1": one}
+        advance(3.0)
+        digests = {d.views.declaration.digest for d in self.world.daemons.values()}
+        expected = max(digest_text(text.decode()) for text in (one, two))
+        self.assertEqual(digests, {expected})
+        self.assertTrue(any(d.views.race for d in self.world.daemons.values()))
+
+    def test_bad_declaration_is_refused_whole(self):
+        self.world.config.payload = self.world.declaration(
+            2, "[team new]\nshare = 0\nkey_digests = x"
+        ).encode()
+        advance(2.0)
+        self.assertEqual(self.world.revisions(), [1, 1, 1])
+        refused = self.world.daemons["a1"].views.refused
+        self.assertEqual([fault.key for fault in refused], ["share", "key_digests"])
+        self.world.publish(3)
+        advance(1.0)
+        self.assertEqual(self.world.revisions(), [3, 3, 3])
+        self.assertEqual(self.world.daemons["a1"].views.refused, [])
+
+    def test_cut_off_and_returning(self):
+        # An instance is cut off from everybody while a change is made. On its
+        # return it must take the change over and not spread its own old state.
+        self.world.network.separate(["c1"], ["a1", "b1"])
+        self.world.config.down_readers = {"c1"}
+        self.world.publish(2)
+        advance(5.0)
+        self.assertEqual(self.world.revisions(), [2, 2, 1])
+        self.world.network.heal()
+        advance(1.5)
+        self.assertEqual(self.world.revisions(), [2, 2, 2])
+
+    def test_replaced_instance_starts_on_a_stale_service(self):
+        # An instance is replaced while the service shows an old declaration. Until
+        # it has heard its peers it must not serve, or callers meet the old state.
+        old = self.world.config.payload
+        self.world.publish(2)
+        advance(1.0)
+        self.world.config.payload = old
+        self.world.kill("c1")
+        fresh = self.world.add_daemon("c1", "c")
+        self.world.publish_list()
+        seen: list[tuple[bool, int]] = []
+        fresh.spawn()
+        for _ in range(60):
+            advance(0.05)
+            seen.append((fresh.is_ready(), fresh.views.declaration.revision))
+        self.assertIn((True, 2), seen)
+        self.assertNotIn((True, 1), seen)
+
+    def test_start_with_silent_peers(self):
+        # A whole zone starts cut off from the others; it serves what it can.
+        self.world.network.separate(["c1"], ["a1", "b1"])
+        self.world.kill("c1")
+        fresh = self.world.add_daemon("c1", "c")
+        self.world.publish_list()
+        fresh.spawn()
+        advance(1.0)
+        self.assertFalse(fresh.is_ready())
+        advance(2.0)
+        self.assertTrue(fresh.is_ready())
+
+    def test_old_list_is_not_taken(self):
+        old = self.world.list.payload
+        self.world.publish_list()
+        advance(1.0)
+        self.world.list.payload = old
+        advance(1.0)
+        versions = [d.views.instances.version for d in self.world.daemons.values()]
+        self.assertEqual(versions, [2, 2, 2])
+
+    def test_malformed_list_changes_nothing(self):
+        self.world.list.payload = b'{"version": "x"}'
+        advance(1.0)
+        daemon = self.world.daemons["a1"]
+        self.assertEqual(daemon.views.instances.version, 1)
+        self.assertIn("version", daemon.platform.instances_error)
+
+
+class FreshnessTest(unittest.TestCase):
+    """How an instance tells that its views are old."""
+
+    def setUp(self):
+        self.world = World3(("stock",))
+        self.addCleanup(self.world.close)
+        self.world.start()
+        self.daemon = self.world.daemons["a1"]
+
+    def test_fresh_while_a_peer_is_heard(self):
+        self.world.config.down = True
+        advance(20.0)
+        self.assertFalse(self.daemon.views.is_stale())
+
+    def test_stale_when_cut_off(self):
+        self.world.config.down = True
+        self.world.network.separate(["a1"], ["b1", "c1"])
+        advance(8.0)
+        self.assertTrue(self.daemon.views.is_stale())
+
+    def test_datagrams_from_before_a_pause_prove_nothing(self):
+        # Heartbeats wait in the socket while the process is paused. Read after the
+        # pause they look new, and would make an old view look confirmed.
+        self.world.config.down = True
+        self.world.network.separate(["a1"], ["b1", "c1"])
+        peer = self.daemon.peers.by_id["b1"]
+        waiting = Heartbeat(
+            "b1",
+            peer.incarnation,
+            peer.clock + 0.1,
+            self.daemon.peers._heartbeat(peer).clock,
+            self.daemon.incarnation,
+            0.0,
+            1,
+            self.daemon.views.declaration.digest,
+            1,
+            False,
+            (),
+        )
+        freeze(30.0)
+        self.daemon.peers.hear(waiting)
+        self.assertTrue(self.daemon.views.is_stale())
+
+    def test_peer_that_has_just_woken_up_vouches_for_nothing(self):
+        # Both instances were paused, as on one machine. The peer's heartbeat is new
+        # but what it knows is as old as the pause.
+        self.world.config.down = True
+        self.world.network.separate(["a1"], ["c1"])
+        peer = self.daemon.peers.by_id["b1"]
+        freeze(30.0)
+        fresh = self.daemon.peers._heartbeat(peer)
+        self.daemon.peers.hear(
+            fresh._replace(
+                sender="b1",
+                echo=fresh.clock,
+                echo_incarnation=self.daemon.incarnation,
+                asked_age=30.5,
+            )
+        )
+        self.assertTrue(self.daemon.views.is_stale())
+
+    def test_echo_of_an_earlier_process_proves_nothing(self):
+        # Peers echo the clock of this instance's earlier process, which may have
+        # been far ahead on another machine.
+        self.world.config.down = True
+        self.world.network.separate(["a1"], ["b1", "c1"])
+        advance(10.0)
+        self.daemon.peers.hear(
+            Heartbeat("b1", "x", 1.0, 9e9, "earlier", 0.0, 1, "", 1, False, ())
+        )
+        self.assertTrue(self.daemon.views.is_stale())
+
+    def test_heartbeat_of_a_stranger_is_ignored(self):
+        self.daemon.peers.hear(
+            Heartbeat("zz", "x", 1.0, 0.0, "", 0.0, 99, "f" * 32, 99, False, ())
+        )
+        advance(1.0)
+        self.assertEqual(self.daemon.views.declaration.revision, 1)
+
+    def test_waits_for_a_fresh_view_after_a_pause(self):
+        freeze(30.0)
+        result = run_green(lambda: self.daemon.views.wait_fresh(2.0))
+        advance(1.0)
+        self.assertTrue(result.value)
