Prove whole answers, final refusals and the planned stop

Cause: streams, connections and the callers' interface had no failing tests behind them. Found: urllib3 sets a socket's limit anew when sending, so the 0.5 s for connecting cut off every answer that took longer; test_silent_connection_ends_with_the_time_limit failed on it. Ruled out: a limit per socket operation, since the time left of a request is what counts. Change: no socket limit once connected, the hub's limit holds for the whole exchange. Conclusion: late, crossed, cut, repeated and silent answers end with their own request.

--- a/packages/daemon/bergamotsaddle_daemon/calls.py
+++ b/packages/daemon/bergamotsaddle_daemon/calls.py
@@ -214,7 +214,9 @@
         guard()
         try:
             with eventlet.Timeout(remaining):
-                connection.sock.settimeout(None)
+                # Sending sets the socket's limit anew from this; the limit for
+                # connecting would cut off every answer that takes longer.
+                connection.timeout = None
                 connection.request(
                     "POST",
                     call.path,
--- a/tests/_fakes.py
+++ b/tests/_fakes.py
@@ -17,6 +17,7 @@
 from bergamotsaddle_contracts.instances import Instance, InstanceList, encode_instances
 from bergamotsaddle_contracts.messages import ANSWER_BY_QUERY, decode, encode
 from bergamotsaddle_daemon.calls import Call, Connections, Guard, Reply
+from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_daemon.daemon import Daemon, World
 from bergamotsaddle_daemon.platform import Value
 from bergamotsaddle_daemon.settings import parse_settings
@@ -180,8 +181,11 @@
         target.in_flight += 1
         target.most_in_flight = max(target.most_in_flight, target.in_flight)
         try:
-            eventlet.sleep(target.seconds)
+            with eventlet.Timeout(call.deadline - now()):
+                eventlet.sleep(target.seconds)
             return target.handle(call)
+        except eventlet.Timeout as error:
+            raise TargetError("no answer in time", sent=True) from error
         finally:
             target.in_flight -= 1
 
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,224 @@
+"""The callers' interface: authentication, limits, refusals and final answers."""
+
+import io
+import unittest
+
+import eventlet
+from nose2.tools import params
+
+from bergamotsaddle_contracts.errors import ANSWERS, ErrorKind
+from bergamotsaddle_daemon.calls import Reply
+from tests._fakes import World3, run_green
+from tests._http import ask
+from tests._paused import advance
+
+PIPELINE = "[pipeline plan]\nstages = encode, rerank\ndeadline = 2s\n"
+OUTPUT = Reply(200, b'{"output": ["x"]}')
+
+
+class CallerCase(unittest.TestCase):
+    """Three daemons over stage targets and services."""
+
+    def setUp(self):
+        self.world = World3(("encode", "rerank", "orders", "stock"))
+        self.addCleanup(self.world.close)
+        self.world.publish(1, PIPELINE)
+        self.world.start()
+        self.daemon = self.world.daemons["a1"]
+        for target in self.world.targets.values():
+            target.handle = lambda call: OUTPUT
+
+    def ask(self, path, body=None, *, seconds: float = 5.0, **more):
+        result = run_green(lambda: ask(self.daemon, path, body, **more))
+        advance(seconds)
+        if result.error:
+            raise result.error
+        return result.value
+
+
+class AnswerTest(CallerCase):
+    """What callers are answered."""
+
+    def test_whole_pipeline(self):
+        answer = self.ask("/v1/pipelines/plan", {"input": "pens"})
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.json["output"], ["x"])
+
+    def test_booking_needs_a_ticket(self):
+        answer = self.ask("/v1/services/orders/book", {"tonnes": 8})
+        self.assertEqual((answer.status, answer.json["ran"]), (428, "no"))
+        ticket = self.ask("/v1/tickets/orders").json["ticket"]
+        answer = self.ask("/v1/services/orders/book", {"tonnes": 8}, ticket=ticket)
+        self.assertEqual(answer.status, 200)
+        look = self.ask(f"/v1/tickets/orders/{ticket}", method="GET")
+        self.assertEqual(look.json["state"], "finished")
+
+    @params(
+        ("/v1/pipelines/nope", {"input": "x"}, 404),
+        ("/v1/services/nope/x", {}, 404),
+        ("/v1/tickets/stock", {}, 400),
+        ("/v2", {}, 404),
+        ("/v1/pipelines/plan", {}, 400),
+        ("/v1/pipelines/plan", {"input": "x", "max_tokens": 0}, 400),
+    )
+    def test_refusals_before_anything_ran(self, path, body, status):
+        answer = self.ask(path, body)
+        self.assertEqual((answer.status, answer.json["ran"]), (status, "no"))
+        self.assertTrue(answer.json["detail"])
+
+    @params("", "wrong key", "crew key ")
+    def test_wrong_key_gets_in_nowhere(self, key):
+        for path in (
+            "/v1/pipelines/plan",
+            "/v1/services/stock/x",
+            "/v1/tickets/orders",
+        ):
+            self.assertEqual(self.ask(path, {"input": "x"}, key=key).status, 401)
+        self.assertEqual(self.world.calls("stock"), [])
+
+    def test_deadline_is_read_and_checked(self):
+        answer = self.ask("/v1/pipelines/plan", {"input": "x"}, deadline="soon")
+        self.assertEqual(answer.status, 400)
+
+    def test_not_ready_before_a_declaration(self):
+        fresh = self.world.add_daemon("b1", "b")
+        result = run_green(lambda: ask(fresh, "/v1/services/stock/x"))
+        self.assertEqual((result.value.status, result.value.json["ran"]), (503, "no"))
+
+    def test_every_kind_has_an_answer(self):
+        self.assertEqual(set(ANSWERS), set(ErrorKind))
+
+
+class LimitTest(CallerCase):
+    """Bounds on what callers send."""
+
+    def test_body_too_large(self):
+        answer = self.ask("/v1/services/stock/x", raw=b"x" * 1_000_001)
+        self.assertEqual((answer.status, answer.json["ran"]), (413, "no"))
+
+    def test_body_shorter_than_said(self):
+        environ = {
+            "REQUEST_METHOD": "POST",
+            "PATH_INFO": "/v1/services/stock/x",
+            "CONTENT_LENGTH": "50",
+            "wsgi.input": io.BytesIO(b"{}"),
+            "HTTP_AUTHORIZATION": "Bearer crew key",
+        }
+        began = []
+        self.daemon.callers(environ, lambda *args: began.extend(args))
+        self.assertTrue(began[0].startswith("400"))
+
+    def test_slow_sender(self):
+        # A phone on a bad line sends half of its request and no more.
+        class Slow:
+            def read(self, size):
+                eventlet.sleep(60.0)
+
+        environ = {
+            "REQUEST_METHOD": "POST",
+            "PATH_INFO": "/v1/services/stock/x",
+            "CONTENT_LENGTH": "50",
+            "wsgi.input": Slow(),
+            "HTTP_AUTHORIZATION": "Bearer crew key",
+        }
+        began = []
+        run_green(lambda: self.daemon.callers(environ, lambda *a: began.extend(a)))
+        advance(11.0)
+        self.assertTrue(began[0].startswith("408"))
+        self.assertEqual(self.daemon.callers.active, 0)
+
+    def test_too_many_at_once(self):
+        self.daemon.callers.active = 5_000
+        answer = self.ask("/v1/services/stock/x")
+        self.assertEqual((answer.status, answer.json["kind"]), (429, "overloaded"))
+        self.assertIn("Retry-After", answer.headers)
+
+
+class FinalAnswerTest(CallerCase):
+    """Requests that are given up."""
+
+    def test_refused_at_once_when_every_target_has_failed(self):
+        # All encoders fail. A caller must not wait for its deadline to hear it.
+        for target in self.world.targets.values():
+            target.handle = lambda call: Reply(500, b"")
+        for _ in range(10):
+            self.ask("/v1/pipelines/plan", {"input": "x"}, seconds=0.0)
+        result = run_green(
+            lambda: ask(self.daemon, "/v1/pipelines/plan", {"input": "x"})
+        )
+        self.assertTrue(result.done)
+        self.assertIn(result.value.status, (502, 503))
+        self.assertIn("Retry-After", result.value.headers)
+
+    def test_ran_yes_once_a_stage_was_sent(self):
+        # Encoding ran, reranking failed; "not run" would be false.
+        for target in self.world.targets.values():
+            if target.kind == "rerank":
+                target.handle = lambda call: Reply(500, b"")
+        for _ in range(12):
+            answer = self.ask("/v1/pipelines/plan", {"input": "x"}, seconds=0.1)
+            self.assertNotEqual((answer.status, answer.json.get("ran")), (200, "no"))
+            if answer.status != 200:
+                self.assertEqual(answer.json["ran"], "yes")
+
+    def test_infeasible_deadline_is_refused_before_anything_runs(self):
+        for target in self.world.targets.values():
+            target.seconds = 0.4
+        for _ in range(10):
+            self.ask("/v1/pipelines/plan", {"input": "x"}, seconds=1.0)
+        before = len(self.world.calls("encode"))
+        answer = self.ask(
+            "/v1/pipelines/plan", {"input": "x"}, seconds=0.0, deadline="300ms"
+        )
+        self.assertEqual(answer.json["kind"], "deadline_infeasible")
+        self.assertEqual(answer.json["ran"], "no")
+        self.assertEqual(len(self.world.calls("encode")), before)
+
+    def test_passed_deadline_is_answered_then(self):
+        # Every target hangs; the answer comes at the deadline, not at a time limit
+        # of some connection.
+        for target in self.world.targets.values():
+            target.seconds = 60.0
+        result = run_green(
+            lambda: ask(self.daemon, "/v1/pipelines/plan", {"input": "x"})
+        )
+        advance(2.2)
+        self.assertTrue(result.done)
+        self.assertEqual(result.value.json["ran"], "yes")
+
+
+class StopTest(CallerCase):
+    """A planned stop."""
+
+    def stop(self):
+        self.closed = []
+        return run_green(lambda: self.daemon.stop(lambda: self.closed.append(True)))
+
+    def test_ready_probe_goes_down_before_the_listener_closes(self):
+        # The balancer still sends callers until it has noticed.
+        self.stop()
+        self.assertEqual(self.ask("/ready", method="GET", seconds=0.0).status, 503)
+        self.assertEqual(self.closed, [])
+        answer = self.ask("/v1/services/stock/x", seconds=0.1)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.headers["Connection"], "close")
+        advance(1.0)
+        self.assertEqual(self.closed, [True])
+
+    def test_running_request_is_finished(self):
+        for target in self.world.targets.values():
+            target.seconds = 1.8
+        running = run_green(lambda: ask(self.daemon, "/v1/services/stock/x"))
+        stopped = self.stop()
+        advance(1.5)
+        self.assertFalse(stopped.done)
+        advance(1.0)
+        self.assertEqual(running.value.status, 200)
+        self.assertTrue(stopped.done)
+
+    def test_others_see_it_stopping(self):
+        self.stop()
+        advance(0.1)
+        self.assertTrue(self.world.daemons["b1"].peers.by_id["a1"].stopping)
+        _, ticket = self.world.daemons["b1"].tickets.issue("crews", "orders")
+        self.assertNotEqual(ticket.witness, "a1")
--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,163 @@
+"""Calls to targets over real sockets: each answer goes to its own request."""
+
+import unittest
+
+import eventlet
+from nose2.tools import params
+
+from bergamotsaddle_contracts.errors import TargetError
+from bergamotsaddle_contracts.ini import Address
+from bergamotsaddle_daemon.calls import Call, Connections, no_guard
+from bergamotsaddle_daemon.clock import now
+from tests._fakes import run_green
+from tests._paused import advance, settle
+
+BODY = b'{"output": 1}'
+
+
+def answer(
+    call: Call, *, request: str | None = None, stage: str | None = None
+) -> bytes:
+    """The bytes of an answer that names a request and a stage."""
+    lines = [
+        "HTTP/1.1 200 OK",
+        f"X-Request-Id: {request or call.request}",
+        f"X-Stage: {stage or call.stage}",
+        f"Content-Length: {len(BODY)}",
+    ]
+    return "\r\n".join([*lines, "", ""]).encode() + BODY
+
+
+class CallTest(unittest.TestCase):
+    """One target that does what the test says with each connection."""
+
+    def setUp(self):
+        self.listener = eventlet.listen(("127.0.0.1", 0))
+        self.address = Address(*self.listener.getsockname())
+        self.connections = Connections()
+        self.accepted = []
+        self.thread = eventlet.spawn(self.accept)
+        self.addCleanup(self.listener.close)
+        self.addCleanup(self.thread.kill)
+
+    def accept(self):
+        while True:
+            self.accepted.append(self.listener.accept()[0])
+
+    def call(self, request: str = "r1", stage: str = "encode.1", seconds: float = 2.0):
+        return Call(request, stage, "/v1/x", b"{}", now() + seconds, 0.5, 5, {})
+
+    def post(self, call: Call, method: str = "post"):
+        """Post in the background until the target has read the request."""
+        post = getattr(self.connections, method)
+        result = run_green(lambda: post(self.address, call, no_guard))
+        settle()
+        return result
+
+    def test_answer_of_its_own(self):
+        call = self.call()
+        result = self.post(call)
+        self.accepted[0].recv(4096)
+        self.accepted[0].sendall(answer(call))
+        settle()
+        self.assertEqual(result.value.body, BODY)
+
+    def test_connection_is_kept_after_a_whole_answer(self):
+        for number in (1, 2):
+            call = self.call(stage=f"encode.{number}")
+            result = self.post(call)
+            self.accepted[0].recv(4096)
+            self.accepted[0].sendall(answer(call))
+            settle()
+            self.assertEqual(result.value.body, BODY)
+        self.assertEqual(len(self.accepted), 1)
+
+    @params(("other", None), (None, "encode.9"), (None, "rerank.1"))
+    def test_crossed_answer_is_discarded(self, request, stage):
+        # Something between daemon and target mixes answers up. Nobody may get what
+        # was meant for somebody else.
+        call = self.call()
+        result = self.post(call)
+        self.accepted[0].recv(4096)
+        self.accepted[0].sendall(answer(call, request=request, stage=stage))
+        settle()
+        self.assertIsInstance(result.error, TargetError)
+        self.assertEqual(self.connections.answers_discarded, 1)
+
+    def test_late_answer_meets_no_later_request(self):
+        # The target answers after the time limit, just when the next request goes
+        # out. On a connection used again that request would get this answer.
+        first = self.call(seconds=1.0)
+        result = self.post(first)
+        advance(1.5)
+        self.assertIsInstance(result.error, TargetError)
+        self.assertTrue(result.error.sent)
+        second = self.call(request="r2", stage="encode.2")
+        result = self.post(second)
+        with self.assertRaises(OSError):
+            self.accepted[0].sendall(answer(first))
+            settle()
+            self.accepted[0].sendall(answer(first))
+        self.assertEqual(len(self.accepted), 2)
+        self.accepted[1].recv(4096)
+        self.accepted[1].sendall(answer(second))
+        settle()
+        self.assertEqual(result.value.body, BODY)
+
+    def test_silent_connection_ends_with_the_time_limit(self):
+        # Something in between has forgotten the connection; no byte and no error
+        # ever comes.
+        result = self.post(self.call(seconds=1.0))
+        advance(0.9)
+        self.assertFalse(result.done)
+        advance(0.2)
+        self.assertIsInstance(result.error, TargetError)
+
+    def test_closed_idle_connection_is_not_used(self):
+        call = self.call()
+        self.post(call)
+        self.accepted[0].recv(4096)
+        self.accepted[0].sendall(answer(call))
+        settle()
+        self.accepted[0].close()
+        settle()
+        call = self.call(stage="encode.2")
+        result = self.post(call)
+        self.accepted[1].recv(4096)
+        self.accepted[1].sendall(answer(call))
+        settle()
+        self.assertEqual(result.value.body, BODY)
+
+    def test_unrepeatable_call_uses_no_kept_connection(self):
+        call = self.call()
+        self.post(call)
+        self.accepted[0].recv(4096)
+        self.accepted[0].sendall(answer(call))
+        settle()
+        self.post(self.call(stage="orders.2"), "post_once")
+        self.assertEqual(len(self.accepted), 2)
+
+    def test_refused_connection_sent_nothing(self):
+        self.thread.kill()
+        self.listener.close()
+        result = self.post(self.call())
+        advance(1.0)
+        self.assertFalse(result.error.sent)
+
+    def test_broken_after_sending_may_have_run(self):
+        result = self.post(self.call(), "post_once")
+        self.accepted[0].recv(4096)
+        self.accepted[0].close()
+        settle()
+        self.assertTrue(result.error.sent)
+
+    def test_guard_stops_before_the_first_byte(self):
+        def stop():
+            raise TargetError("stop", sent=False)
+
+        result = run_green(
+            lambda: self.connections.post(self.address, self.call(), stop)
+        )
+        settle()
+        self.assertFalse(result.error.sent)
+        self.assertEqual(self.accepted[0].recv(4096), b"")
