--- /dev/null
+++ b/packages/cli/bergamotsaddle_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/packages/cli/bergamotsaddle_cli/app.py
@@ -0,0 +1,48 @@
+"""The command ``bergamotsaddle``."""
+
+from cleo.application import Application
+
+from bergamotsaddle_cli.files import CheckCommand, DiffCommand, DigestCommand
+from bergamotsaddle_cli.sending import SendCommand
+from bergamotsaddle_cli.state import (
+    ConfigCommand,
+    CostsCommand,
+    ExplainCommand,
+    StatusCommand,
+    TargetsCommand,
+    TeamsCommand,
+    ZonesCommand,
+)
+from bergamotsaddle_cli.waiting import WaitCommand
+
+COMMANDS = (
+    CheckCommand,
+    ConfigCommand,
+    CostsCommand,
+    DiffCommand,
+    DigestCommand,
+    ExplainCommand,
+    SendCommand,
+    StatusCommand,
+    TargetsCommand,
+    TeamsCommand,
+    WaitCommand,
+    ZonesCommand,
+)
+
+
+def make_application() -> Application:
+    """Make the application with every command."""
+    application = Application("bergamotsaddle", "0.1.0")
+    for command in COMMANDS:
+        application.add(command())
+    return application
+
+
+def main() -> None:
+    """Run the command line."""
+    make_application().run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/cli/bergamotsaddle_cli/sending.py
@@ -0,0 +1,57 @@
+"""The command that sends one request as a caller would."""
+
+import os
+
+import urllib3
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+
+from bergamotsaddle_contracts.ini import parse_address
+
+EXIT_REFUSED = 1
+EXIT_INVALID = 2
+EXIT_UNREACHABLE = 3
+KEY_VARIABLE = "BERGAMOTSADDLE_KEY"
+_LIMIT = 60.0
+
+
+class SendCommand(Command):
+    """Sends one request."""
+
+    name = "send"
+    description = f"Sends one request as a caller; the team's key is in {KEY_VARIABLE}."
+    arguments = [
+        argument("path", "Such as /v1/pipelines/feeding-plan."),
+        argument("body", "JSON body.", optional=True, default="{}"),
+    ]
+    options = [
+        option("to", None, "Callers' address (IP:port) of a daemon.", flag=False),
+        option("ticket", None, "Ticket of an unrepeatable request.", flag=False),
+        option("deadline", None, "Such as 2s.", flag=False),
+    ]
+
+    def handle(self) -> int:
+        """Send; returns 0 for an answer, 1 for a refusal, 3 without either."""
+        try:
+            address = parse_address(self.option("to") or "")
+        except ValueError as error:
+            self.line_error(f"--to: {error}")
+            return EXIT_INVALID
+        key = os.environ.get(KEY_VARIABLE, "")
+        headers = {"Authorization": f"Bearer {key}"}
+        if self.option("ticket"):
+            headers["X-Ticket"] = self.option("ticket")
+        if self.option("deadline"):
+            headers["X-Deadline"] = self.option("deadline")
+        url = f"http://{address}{self.argument('path')}"
+        body = self.argument("body").encode()
+        http = urllib3.PoolManager(retries=False)
+        try:
+            reply = http.request(
+                "POST", url, body=body, headers=headers, timeout=_LIMIT
+            )
+        except urllib3.exceptions.HTTPError as error:
+            self.line_error(str(error))
+            return EXIT_UNREACHABLE
+        self.line(reply.data.decode(errors="replace"))
+        return 0 if reply.status < 400 else EXIT_REFUSED
--- a/packages/daemon/bergamotsaddle_daemon/app.py
+++ b/packages/daemon/bergamotsaddle_daemon/app.py
@@ -8,54 +8,75 @@
 
 from cleo.application import Application
 from cleo.commands.command import Command
-from cleo.helpers import argument, option
+from cleo.helpers import argument
 from cleo.io.inputs.argv_input import ArgvInput
 
 from bergamotsaddle_contracts.errors import InvalidFileError
 from bergamotsaddle_daemon.server import Server
-from bergamotsaddle_daemon.settings import parse_settings
+from bergamotsaddle_daemon.settings import Settings, parse_settings
 
 _EXIT_INVALID = 2
 
 
-class RunCommand(Command):
-    """Runs the daemon in the foreground."""
+class _SettingsCommand(Command):
+    """A command that reads a settings file."""
 
-    name = "run"
-    description = "Runs the daemon of an entry instance in the foreground."
     arguments = [argument("settings", "INI file with the daemon's settings.")]
-    options = [option("check", None, "Only check the settings.", flag=True)]
 
     def handle(self) -> int:
-        """Run until told to stop.
-
-        Returns:
-            0 after a graceful stop, 2 if the settings are invalid.
-        """
+        """Read the settings; returns 2 if they are invalid."""
         path = Path(self.argument("settings"))
         try:
             settings = parse_settings(path.read_text(), name=str(path))
-        except OSError as error:
-            self.line_error(f"{path}: {error.strerror}")
+        except (OSError, UnicodeDecodeError) as error:
+            self.line_error(f"{path}: {error}")
             return _EXIT_INVALID
         except InvalidFileError as error:
             for fault in error.faults:
                 self.line_error(str(fault))
             return _EXIT_INVALID
-        if self.option("check"):
-            self.line(f"{path}: valid")
-            return 0
+        return self.go_on(settings)
+
+    def go_on(self, settings: Settings) -> int:
+        """Do the command's own part with valid settings."""
+        raise NotImplementedError
+
+
+class RunCommand(_SettingsCommand):
+    """Runs the daemon."""
+
+    name = "run"
+    description = "Runs the daemon of an entry instance in the foreground."
+
+    def go_on(self, settings: Settings) -> int:
+        """Run until told to stop; returns 0 after a graceful stop."""
         Server(settings).run()
         return 0
 
 
+class CheckCommand(_SettingsCommand):
+    """Checks the settings."""
+
+    name = "check"
+    description = "Checks the settings and reports every fault at once."
+
+    def go_on(self, settings: Settings) -> int:
+        """Say that all is well."""
+        self.line(f"{self.argument('settings')}: valid, {settings.daemon.id}")
+        return 0
+
+
 def main() -> None:
-    """Run the command."""
+    """Run a command; without a name it is ``run``, with ``--check`` it is ``check``."""
     application = Application("bergamotsaddled", "0.1.0")
     application.add(RunCommand())
+    application.add(CheckCommand())
     arguments = sys.argv[1:]
-    if arguments and not arguments[0].startswith("-"):
-        arguments = ["run", *arguments]
+    if "--check" in arguments:
+        arguments.remove("--check")
+        arguments.insert(0, "check")
+    elif arguments and not application.has(arguments[0]) and arguments[0][0] != "-":
+        arguments.insert(0, "run")
     application.run(ArgvInput(["bergamotsaddled", *arguments]))
 
 
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,181 @@
+"""The operators' commands: what they print and their exit statuses."""
+
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+import msgspec
+from cleo.testers.application_tester import ApplicationTester
+from nose2.tools import params
+
+from bergamotsaddle_cli.app import make_application
+from bergamotsaddle_cli.pages import Page, Pages, UnreachableError
+from bergamotsaddle_contracts.errors import InvalidFileError
+from bergamotsaddle_daemon.calls import Reply
+from bergamotsaddle_daemon.settings import parse_settings
+from tests._fakes import World3, run_green
+from tests._http import ask
+from tests._paused import advance
+from tests.test_declaration import VALID
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+
+
+def run(line: str) -> tuple[int, str, str]:
+    """Run a command line; returns exit status, output and errors."""
+    application = make_application()
+    application.auto_exits(False)
+    tester = ApplicationTester(application)
+    status = tester.execute(line)
+    return status, tester.io.fetch_output(), tester.io.fetch_error()
+
+
+class FilesTest(unittest.TestCase):
+    """Commands on files."""
+
+    def setUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.directory = Path(directory.name)
+
+    def write(self, name: str, text: str) -> str:
+        path = self.directory / name
+        path.write_text(text)
+        return str(path)
+
+    @params("trentwater", "pourwise")
+    def test_examples_are_valid(self, name):
+        status, output, _ = run(f"check {EXAMPLES / name / 'declaration.ini'}")
+        self.assertEqual(status, 0, output)
+        text = (EXAMPLES / name / "daemon.ini").read_text()
+        self.assertTrue(parse_settings(text).daemon.id)
+
+    def test_check_reports_every_fault(self):
+        text = VALID.replace("state = out", "state = off").replace("1500ms", "x")
+        path = self.write("bad.ini", text)
+        status, _, errors = run(f"check {path}")
+        self.assertEqual(status, 2)
+        self.assertIn(f"{path}: [zone b] state = off: expected one of in, out", errors)
+        self.assertIn(f"{path}: [pipeline plan] deadline = x", errors)
+        _, output, _ = run(f"check {path} --json")
+        self.assertEqual(len(msgspec.json.decode(output)["faults"]), 2)
+
+    def test_check_of_a_missing_file(self):
+        status, _, errors = run("check /nowhere/at/all.ini")
+        self.assertEqual(status, 2)
+        self.assertIn("/nowhere/at/all.ini", errors)
+
+    @params(
+        ("revision = 3", "revision = 4", 1, "revision"),
+        ("state = out", "state = in", 2, "never come into force"),
+        ("name = small", "name = small", 0, ""),
+    )
+    def test_diff(self, old, new, status, says):
+        one = self.write("one.ini", VALID)
+        changed = VALID.replace(old, new)
+        if status == 1:
+            changed = changed.replace("state = out", "state = in")
+            says = "state: out -> in"
+        two = self.write("two.ini", changed)
+        if status == 2:
+            two = self.write("two.ini", changed.replace("revision = 3", "revision = 2"))
+        found = run(f"diff {one} {two}")
+        self.assertEqual(found[0], status)
+        self.assertIn(says, found[1] + found[2])
+
+
+class SettingsTest(unittest.TestCase):
+    """A daemon's settings."""
+
+    TEXT = (EXAMPLES / "trentwater" / "daemon.ini").read_text()
+
+    @params(
+        ("zone = mid-a", "zon = mid-a", ("daemon", "zone")),
+        (
+            "peer_key = replace-this-by-a-secret-of-yours",
+            "peer_key = x",
+            ("daemon", "peer_key"),
+        ),
+        ("[platform]", "[timing]\nheartbeat = 5\n[platform]", ("timing", "heartbeat")),
+        (
+            "[platform]",
+            "[policies]\nrouting = best\n[platform]",
+            ("policies", "routing"),
+        ),
+        ("[platform]", "[limits]\nqueue = 0\n[platform]", ("limits", "queue")),
+        ("[platform]", "[other]\n[platform]", ("other", "")),
+        ("10.20.255.1:80", "config.example:80", ("platform", "config_address")),
+    )
+    def test_faults(self, old, new, place):
+        with self.assertRaises(InvalidFileError) as caught:
+            parse_settings(self.TEXT.replace(old, new), name="daemon.ini")
+        places = [(fault.section, fault.key) for fault in caught.exception.faults]
+        self.assertIn(place, places)
+
+    @params(("routing", "round_robin"), ("limit", "declared"), ("admission", "none"))
+    def test_policies(self, name, value):
+        text = f"{self.TEXT}[policies]\n{name} = {value}\n"
+        self.assertEqual(getattr(parse_settings(text).policies, name), value)
+
+
+class StateTest(unittest.TestCase):
+    """Commands that ask daemons, whose pages are read in process."""
+
+    def setUp(self):
+        self.world = World3(("encode", "stock"))
+        self.addCleanup(self.world.close)
+        self.world.publish(1, "[pipeline plan]\nstages = encode\n")
+        self.world.start()
+        reader = mock.patch.object(Pages, "read", self.read)
+        reader.start()
+        self.addCleanup(reader.stop)
+
+    def read(self, address: str, path: str) -> Page:
+        name = {"127.0.0.1:1": "a1", "127.0.0.1:2": "b1"}.get(address)
+        if name is None:
+            raise UnreachableError(f"{address}: refused")
+        began = []
+        environ = {"PATH_INFO": f"/{path}"}
+        app = self.world.daemons[name].operators
+        body = b"".join(app(environ, lambda *args: began.extend(args)))
+        if began[0].startswith("404"):
+            return Page(address, None)
+        return Page(address, msgspec.json.decode(body))
+
+    @params("status", "zones", "targets", "teams", "costs")
+    def test_tables(self, page):
+        status, output, _ = run(f"{page} --at 127.0.0.1:1 --at 127.0.0.1:2")
+        self.assertEqual(status, 0)
+        self.assertTrue(output.strip())
+        status, output, _ = run(f"{page} --at 127.0.0.1:1 --json")
+        self.assertIn("127.0.0.1:1", msgspec.json.decode(output))
+
+    @params(("status", 2), ("status --at nowhere", 2), ("status --at 127.0.0.1:9", 3))
+    def test_addresses(self, line, expected):
+        self.assertEqual(run(line)[0], expected)
+
+    def test_status_tells_what_is_wrong(self):
+        bad = self.world.declaration(2, "[team x]\nkey_digests = y")
+        self.world.config.payload = bad.encode()
+        advance(2.0)
+        _, output, _ = run("status --at 127.0.0.1:1")
+        self.assertIn("refused declaration: service: [team x] key_digests = y", output)
+
+    def test_explain(self):
+        daemon = self.world.daemons["a1"]
+        for target in self.world.targets.values():
+            target.handle = lambda call: Reply(200, b'{"output": 1}')
+        asked = run_green(lambda: ask(daemon, "/v1/pipelines/plan", {"input": "x"}))
+        request = asked.value.json["request"]
+        status, output, _ = run(f"explain {request} --at 127.0.0.1:1")
+        self.assertEqual(status, 0)
+        self.assertIn("least loaded of", output)
+        self.assertEqual(run("explain nothing --at 127.0.0.1:1")[0], 1)
+
+    def test_wait(self):
+        self.assertEqual(run("wait 1 --at 127.0.0.1:1 --at 127.0.0.1:2")[0], 0)
+        status, output, errors = run("wait 7 --limit 0s --at 127.0.0.1:1")
+        self.assertEqual(status, 1)
+        self.assertIn("a1 (has 1)", output)
+        self.assertEqual(run("wait x --at 127.0.0.1:1")[0], 2)
