Keep goodput at capacity under overload

Requests were admitted up to the last moment their deadline allowed and then failed late. Change: a timeout counts against a target only if it answered nothing since the call began; limits follow the time to the first byte; waiting may use 0.6 of the slack; the time ahead is taken carefully (mean and twice the spread).

--- a/packages/contracts/bergamotsaddle_contracts/errors.py
+++ b/packages/contracts/bergamotsaddle_contracts/errors.py
@@ -108,11 +108,13 @@
     Args:
         detail: What went wrong.
         sent: Whether a byte of the call may have reached the target.
+        timed_out: Whether it ran out of time, rather than being told of an error.
     """
 
-    def __init__(self, detail: str, *, sent: bool) -> None:
+    def __init__(self, detail: str, *, sent: bool, timed_out: bool = False) -> None:
         super().__init__(detail)
         self.sent = sent
+        self.timed_out = timed_out
 
 
 class PlaceLostError(BergamotsaddleError):
--- a/packages/daemon/bergamotsaddle_daemon/calls.py
+++ b/packages/daemon/bergamotsaddle_daemon/calls.py
@@ -83,7 +83,9 @@
             with eventlet.Timeout(silence):
                 return self._response.read1()
         except _FAILURES as error:
-            raise TargetError(f"stream: {error!r}", sent=True) from error
+            timed_out = isinstance(error, eventlet.Timeout)
+            detail = f"stream: {error!r}"
+            raise TargetError(detail, sent=True, timed_out=timed_out) from error
 
     def close(self) -> None:
         """Close the connection, which cancels the work at the target."""
@@ -226,7 +228,9 @@
                 )
                 return connection.getresponse()
         except _FAILURES as error:
-            raise TargetError(f"exchange: {error!r}", sent=True) from error
+            timed_out = isinstance(error, eventlet.Timeout)
+            detail = f"exchange: {error!r}"
+            raise TargetError(detail, sent=True, timed_out=timed_out) from error
 
     def _check(self, response: BaseHTTPResponse, call: Call) -> None:
         """Refuse an answer that names another request, stage or attempt.
--- a/packages/daemon/bergamotsaddle_daemon/deadlines.py
+++ b/packages/daemon/bergamotsaddle_daemon/deadlines.py
@@ -50,8 +50,8 @@
         return self.by_stage.get((pipeline, stage), _UNKNOWN)
 
     def total(self, pipeline: str, stages: tuple[str, ...]) -> float:
-        """Mean seconds of several stages, one after the other."""
-        return sum(self.of(pipeline, stage).mean for stage in stages)
+        """Seconds that several stages, one after the other, mostly stay under."""
+        return sum(self.of(pipeline, stage).careful for stage in stages)
 
     def attempt_limit(self, pipeline: str, stage: str, budget: float) -> float:
         """Seconds to give one attempt, so that another one fits into the budget.
--- a/packages/daemon/bergamotsaddle_daemon/pools.py
+++ b/packages/daemon/bergamotsaddle_daemon/pools.py
@@ -6,7 +6,13 @@
 from eventlet.event import Event
 
 from bergamotsaddle_contracts.declaration import Team
-from bergamotsaddle_contracts.errors import ErrorKind, PlaceLostError, Ran, RequestError
+from bergamotsaddle_contracts.errors import (
+    ErrorKind,
+    PlaceLostError,
+    Ran,
+    RequestError,
+    TargetError,
+)
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_daemon.decisions import DecisionLog
 from bergamotsaddle_daemon.fair_queue import FairQueue, Waiter
@@ -22,6 +28,9 @@
 _FRESH_WAIT = 0.5
 _LATENCY_WEIGHT = 0.05
 _MIN_RETRY_AFTER = 0.1
+# Waiting for as long as the deadline just allows would make every request that is
+# served under overload a close call; the rest of the slack absorbs what varies.
+_WAIT_SHARE = 0.6
 
 
 class Need(NamedTuple):
@@ -67,6 +76,7 @@
     def __init__(self, pools: "Pools", target: Target, permit: Permit | None) -> None:
         self._pools = pools
         self._began_at = now()
+        self._heard = False
         self.target = target
         self.permit = permit
         target.begin()
@@ -99,15 +109,21 @@
             return seconds
         return min(seconds, self.permit.expires_at - now())
 
+    def hear(self) -> None:
+        """The target began to answer."""
+        if not self._heard:
+            self._heard = True
+            self.target.hear(self.waited())
+
     def finish(self) -> None:
         """The target answered."""
-        self.target.finish(self.waited())
+        self.hear()
+        self.target.finish()
         self._pools.release(self, self.waited())
 
-    def fail(self) -> None:
+    def fail(self, error: TargetError) -> None:
         """The target failed."""
-        self.target.suspect_slow(self.waited())
-        self.target.fail()
+        self.target.fail(self._began_at, timed_out=error.timed_out)
         self._pools.release(self, None)
 
     def abandon(self) -> None:
@@ -138,19 +154,21 @@
         Raises:
             RequestError: With the seconds until the wait is expected to be short.
         """
-        if wait <= need.slack:
+        if wait <= _WAIT_SHARE * need.slack:
             return
         raise RequestError(
             ErrorKind.DEADLINE_INFEASIBLE,
             f"{need.kind} is expected to take {wait + need.ahead:.2f} s,"
             f" {need.deadline - now():.2f} s are left",
             ran=need.ran,
-            retry_after=max(_MIN_RETRY_AFTER, wait - max(0.0, need.slack)),
+            retry_after=max(
+                _MIN_RETRY_AFTER, wait - max(0.0, _WAIT_SHARE * need.slack)
+            ),
         )
 
     def give_up_at(self, need: Need) -> float:
         """When a waiting call is refused."""
-        return need.deadline - need.ahead
+        return now() + _WAIT_SHARE * need.slack
 
 
 class _Pool:
--- a/packages/daemon/bergamotsaddle_daemon/services.py
+++ b/packages/daemon/bergamotsaddle_daemon/services.py
@@ -116,7 +116,7 @@
                 slot.abandon()
                 raise
             except TargetError as error:
-                slot.fail()
+                slot.fail(error)
                 if error.sent:
                     return Outcome(UNKNOWN, detail=f"{slot.target.id}: {error}")
                 if slot.target.id in failed:
--- a/packages/daemon/bergamotsaddle_daemon/stages.py
+++ b/packages/daemon/bergamotsaddle_daemon/stages.py
@@ -256,8 +256,8 @@
             reply = self._connections.post(address, call, guard)
             if reply.status != _OK:
                 raise TargetError(f"status {reply.status}", sent=True)
-        except TargetError:
-            slot.fail()
+        except TargetError as error:
+            slot.fail(error)
             self._connections.forget(address)
             raise
         except BaseException:
--- a/packages/daemon/bergamotsaddle_daemon/streams.py
+++ b/packages/daemon/bergamotsaddle_daemon/streams.py
@@ -201,9 +201,9 @@
             call = self._stages.make_call(request, fresh, slot, request.remaining)
             address = slot.target.declared.address
             engine = self._connections.open_stream(address, call, guard)
-            yield from self._events(stream, engine, call.deadline)
-        except TargetError:
-            slot.fail()
+            yield from self._events(stream, slot, engine, call.deadline)
+        except TargetError as error:
+            slot.fail(error)
             raise
         except BaseException:
             # Also when the caller has left: closing cancels the engine's work.
@@ -219,7 +219,7 @@
             self._costs.count_tokens(key, len(stream.tokens) - before)
 
     def _events(
-        self, stream: TokenStream, engine: CallStream, deadline: float
+        self, stream: TokenStream, slot: Slot, engine: CallStream, deadline: float
     ) -> Iterator[bytes]:
         rest = b""
         while not stream.is_done:
@@ -235,6 +235,7 @@
                 if stream.take(event.removeprefix(_DATA))
             ]
             if fresh:
+                slot.hear()
                 yield b"".join(fresh)
 
     def _check_resumable(
--- a/packages/daemon/bergamotsaddle_daemon/targets.py
+++ b/packages/daemon/bergamotsaddle_daemon/targets.py
@@ -33,6 +33,7 @@
         self.calls = 0
         self.failures = 0
         self.latency = 0.0
+        self.answered_at = float("-inf")
         self.permit_refused_until = 0.0
         self._failed_in_row = 0
         self._rests_until = 0.0
@@ -82,7 +83,7 @@
         """Tell whether the target must be treated as in cold start.
 
         A warm target turns cold without a word and collapses under full load. So
-        only a fresh report makes it warm, and a call that takes far longer than
+        only a fresh report makes it warm, and silence far longer than
         usual makes it cold again until a report measured later says otherwise.
         """
         report = self.report
@@ -112,34 +113,52 @@
         self.calls += 1
         self._probing = self._failed_in_row >= _FAILURES_TO_OPEN
 
-    def finish(self, latency: float) -> None:
-        """Count a call that was answered, latency in seconds."""
-        self._end()
+    def hear(self, latency: float) -> None:
+        """Note that it began to answer a call, latency in seconds since the sending.
+
+        The time to the first byte shows waiting at the target; what follows it
+        depends on how much was asked.
+        """
+        self.answered_at = now()
         self._failed_in_row = 0
-        self.limit.finish(latency, self.in_flight + 1)
+        self.limit.finish(latency, self.in_flight)
         if self.latency == 0.0:
             self.latency = latency
         self.latency += _LATENCY_WEIGHT * (latency - self.latency)
 
-    def fail(self) -> None:
-        """Count a call that failed."""
+    def finish(self) -> None:
+        """Count a call that was answered."""
         self._end()
+
+    def fail(self, began_at: float, *, timed_out: bool) -> None:
+        """Count a call that failed.
+
+        Under overload many calls run out of time at a target that works as fast as
+        it can. Setting it aside would take away capacity just when it is short, so
+        a timeout counts only if nothing was answered since the call began.
+
+        Args:
+            began_at: When the call began.
+            timed_out: Whether it failed by running out of time.
+        """
+        self._end()
+        self.limit.fail()
+        if timed_out and self.answered_at > began_at:
+            return
         self.failures += 1
         self._failed_in_row += 1
-        self.limit.fail()
         over = max(0, self._failed_in_row - _FAILURES_TO_OPEN)
         rest = min(_LONGEST_REST, _FIRST_REST * 2.0 ** min(over, 8))
         self._rests_until = now() + rest
+        if timed_out and now() - began_at > max(
+            _MIN_SUSPECT, _SUSPECT_FACTOR * self.latency
+        ):
+            self._suspected_at = now()
 
     def abandon(self) -> None:
         """Count a call that was given up without blame, as when a caller left."""
         self._end()
 
-    def suspect_slow(self, waited: float) -> None:
-        """Treat the target as cold if a call has waited far longer than usual."""
-        if waited > max(_MIN_SUSPECT, _SUSPECT_FACTOR * self.latency):
-            self._suspected_at = now()
-
     def _end(self) -> None:
         self.in_flight -= 1
         self._probing = False
--- a/packages/standins/bergamotsaddle_standins/demo.py
+++ b/packages/standins/bergamotsaddle_standins/demo.py
@@ -6,8 +6,6 @@
 import sys
 from typing import Any
 
-import eventlet
-
 from bergamotsaddle_standins.client import Caller, Reply
 from bergamotsaddle_standins.fleet import PIPELINE, Fleet, FleetSpec
 
@@ -70,7 +68,7 @@
 
 def show_decisions(fleet: Fleet, request: str) -> None:
     """Print the decisions logged for one request."""
-    for line in fleet.daemons["entry-mid-a-1"].lines:
+    for line in fleet.daemons["entry-mid-a-1"].lines():
         if line.get("request") == request:
             keys = ("choice", "reason", "candidates", "outcome", "ran")
             shown = {key: line[key] for key in keys if key in line}
@@ -80,13 +78,10 @@
 def main() -> None:
     """Run the demonstration."""
     with Fleet(FleetSpec(timing=_TIMING)) as fleet:
-        for daemon in fleet.daemons.values():
-            daemon.keep_lines = True
         say("ready", f"{len(fleet.daemons)} daemons, {len(fleet.target_ports)} targets")
         plan = show_plan(fleet)
         show_stock(fleet)
         show_booking(fleet)
-        eventlet.sleep(0.2)
         show_decisions(fleet, plan.body["request"])
         codes = [daemon.stop() for daemon in fleet.daemons.values()]
         say("stopped, exit statuses", codes)
--- a/packages/standins/bergamotsaddle_standins/fleet.py
+++ b/packages/standins/bergamotsaddle_standins/fleet.py
@@ -59,33 +59,44 @@
 class Process:
     """One process and where it listens.
 
+    Its output goes to a file: reading a pipe line by line beside the load would cost
+    the caller's side more than the load does, and a full pipe would stall the process.
+
     Args:
         arguments: Arguments of the Python interpreter.
+        output: File for its standard output.
     """
 
-    def __init__(self, arguments: list[str]) -> None:
-        self._popen = subprocess.Popen(
-            [sys.executable, *arguments], stdout=subprocess.PIPE
-        )
-        self.lines: list[dict[str, Any]] = []
+    def __init__(self, arguments: list[str], output: Path) -> None:
+        self._output = output
+        with output.open("wb") as file:
+            self._popen = subprocess.Popen([sys.executable, *arguments], stdout=file)
         self.ports: dict[str, Any] = {}
-        self.keep_lines = False
-        eventlet.spawn_n(self._read)
 
-    def _read(self) -> None:
-        for line in self._popen.stdout:
+    @property
+    def pid(self) -> int:
+        """The process's id."""
+        return self._popen.pid
+
+    def lines(self) -> list[dict[str, Any]]:
+        """Every whole line of its output that is a JSON object."""
+        parsed = []
+        for line in self._output.read_bytes().splitlines():
             try:
-                parsed = msgspec.json.decode(line)
-            except msgspec.DecodeError:
+                parsed.append(msgspec.json.decode(line, type=dict))
+            except msgspec.MsgspecError:
                 continue
-            if parsed.get("event") == "listening":
-                self.ports = parsed
-            elif self.keep_lines:
-                self.lines.append(parsed)
+        return parsed
 
     def wait_listening(self) -> None:
         """Wait until the process says where it listens."""
-        wait_for(lambda: self.ports, "a process to listen")
+        wait_for(self._is_listening, "a process to listen")
+
+    def _is_listening(self) -> bool:
+        events = [line for line in self.lines() if line.get("event") == "listening"]
+        if events:
+            self.ports = events[-1]
+        return bool(events)
 
     def signal(self, number: int) -> None:
         """Send a signal."""
@@ -125,6 +136,7 @@
         self._zone_of_daemon: dict[str, str] = {}
         self._directory = tempfile.TemporaryDirectory()
         self._others: list[Process] = []
+        self._spawned = 0
 
     def __enter__(self) -> "Fleet":
         try:
@@ -166,7 +178,7 @@
         """Start one daemon, in place of an earlier one of the same name."""
         path = Path(self._directory.name) / f"{name}.ini"
         path.write_text(self._settings(name, zone))
-        process = Process(["-W", "ignore", "-m", "bergamotsaddle_daemon", str(path)])
+        process = self._spawn(["bergamotsaddle_daemon", str(path)])
         self.daemons[name] = process
         self._zone_of_daemon[name] = zone
         return process
@@ -268,12 +280,15 @@
 
     def _spawn_standin(self, work: dict[str, Any]) -> Process:
         text = msgspec.json.encode(work).decode()
-        process = Process(
-            ["-W", "ignore", "-m", "bergamotsaddle_standins.process", text]
-        )
+        process = self._spawn(["bergamotsaddle_standins.process", text])
         self._others.append(process)
         return process
 
+    def _spawn(self, module_and_argument: list[str]) -> Process:
+        self._spawned += 1
+        output = Path(self._directory.name) / f"output-{self._spawned}"
+        return Process(["-W", "ignore", "-m", *module_and_argument], output)
+
     def _settings(self, name: str, zone: str) -> str:
         lines = ["[daemon]", f"id = {name}", f"zone = {zone}"]
         lines += [f"peer_key = {_PEER_KEY}", "[platform]"]
--- a/tests/_fakes.py
+++ b/tests/_fakes.py
@@ -185,7 +185,7 @@
                 eventlet.sleep(target.seconds)
             return target.handle(call)
         except eventlet.Timeout as error:
-            raise TargetError("no answer in time", sent=True) from error
+            raise TargetError("no answer in time", sent=True, timed_out=True) from error
         finally:
             target.in_flight -= 1
 
