--- /dev/null
+++ b/tests/test_policies.py
@@ -0,0 +1,308 @@
+"""The decisions: routing, limits, queues, budgets and neighbours."""
+
+import random
+import unittest
+
+from nose2.tools import params
+
+from bergamotsaddle_contracts.declaration import DeclaredTarget, Team
+from bergamotsaddle_contracts.ini import Address
+from bergamotsaddle_contracts.messages import TargetReport
+from bergamotsaddle_daemon.calls import Reply
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_daemon.costs import FIRST, HEDGE, RETRY
+from bergamotsaddle_daemon.deadlines import StageCosts
+from bergamotsaddle_daemon.fair_queue import FairQueue, Waiter
+from bergamotsaddle_daemon.limits import Adaptive
+from bergamotsaddle_daemon.peers import _ring_steps
+from bergamotsaddle_daemon.retries import RetryBudget
+from bergamotsaddle_daemon.routing import LeastOfFew, RoundRobin, RoutingRequest
+from bergamotsaddle_daemon.settings import parse_settings
+from bergamotsaddle_daemon.targets import Target
+from tests._fakes import World3, run_green
+from tests._http import ask
+from tests._paused import advance
+
+SETTINGS = parse_settings(
+    "[daemon]\nid = a1\nzone = a\npeer_key = 0123456789abcdef\n"
+    "[platform]\nconfig_address = 10.0.0.1:1\ninstances_address = 10.0.0.1:2\n"
+)
+
+
+def make_target(name: str, zone: str = "a", in_flight: int = 0) -> Target:
+    """A warm target with some calls."""
+    address = Address("10.0.0.1", 1)
+    declared = DeclaredTarget(
+        name, address, zone, "generate", (), 10, 1, True, False, False, True, ()
+    )
+    target = Target(declared, SETTINGS, 1)
+    target.take_report(TargetReport(name, False, 0, 0.0), sent_at=now())
+    target.in_flight = in_flight
+    return target
+
+
+class RoutingTest(unittest.TestCase):
+    """Which target is chosen."""
+
+    def choose(self, targets, *, prefix="", times=1, policy=None):
+        policy = policy or LeastOfFew()
+        request = RoutingRequest("a", prefix)
+        return [policy(targets, request).target.id for _ in range(times)]
+
+    def test_own_zone_first(self):
+        targets = [make_target("x", "b"), make_target("y", "a", in_flight=5)]
+        self.assertEqual(set(self.choose(targets, times=20)), {"y"})
+
+    def test_other_zone_once_the_own_is_full(self):
+        targets = [make_target("x", "b"), make_target("y", "a", in_flight=9)]
+        self.assertEqual(set(self.choose(targets, times=20)), {"x"})
+
+    def test_least_loaded(self):
+        targets = [make_target("x", in_flight=4), make_target("y", in_flight=1)]
+        self.assertEqual(set(self.choose(targets, times=20)), {"y"})
+
+    def test_reported_load_counts(self):
+        busy = make_target("x")
+        busy.take_report(TargetReport("x", False, 8, 0.0), sent_at=now() + 0.1)
+        self.assertEqual(set(self.choose([busy, make_target("y")], times=20)), {"y"})
+
+    @params((2, "x"), (4, "y"))
+    def test_prefix_is_kept_until_the_load_differs_much(self, in_flight, expected):
+        targets = [make_target("x"), make_target("y", in_flight=1)]
+        policy = LeastOfFew()
+        self.choose(targets, prefix="p", policy=policy)
+        targets[0].in_flight, targets[1].in_flight = in_flight, 0
+        found = self.choose(targets, prefix="p", policy=policy)
+        self.assertEqual(found, [expected])
+
+    def test_round_robin(self):
+        targets = [make_target(name) for name in "xyz"]
+        chosen = self.choose(targets, times=6, policy=RoundRobin())
+        self.assertEqual(sorted(chosen), list("xxyyzz"))
+
+
+class LimitTest(unittest.TestCase):
+    """How limits follow latency."""
+
+    def test_grows_while_fast_and_full(self):
+        limit = Adaptive(2.0, 16.0)
+        for _ in range(100):
+            limit.finish(0.1, in_flight=16)
+        self.assertGreater(limit.value, 10.0)
+
+    def test_stays_when_not_used(self):
+        limit = Adaptive(4.0, 16.0)
+        for _ in range(100):
+            limit.finish(0.1, in_flight=1)
+        self.assertEqual(limit.value, 4.0)
+
+    def test_shrinks_when_slow_but_not_at_once_to_nothing(self):
+        limit = Adaptive(8.0, 16.0)
+        limit.finish(0.1, in_flight=8)
+        for _ in range(10):
+            limit.finish(1.0, in_flight=8)
+        self.assertGreater(limit.value, 6.0)
+        for _ in range(40):
+            advance(0.3)
+            limit.finish(1.0, in_flight=1)
+        self.assertGreaterEqual(limit.value, 1.0)
+        self.assertLess(limit.value, 8.0)
+
+
+class TargetTest(unittest.TestCase):
+    """What sets a target aside."""
+
+    @params((False, 3, True), (True, 3, False), (False, 2, False))
+    def test_resting_after_failures(self, answered_meanwhile, failures, is_resting):
+        # Under overload calls run out of time at an engine that answers others all
+        # the while; only one that answers nothing is set aside.
+        target = make_target("x")
+        began = now()
+        advance(1.0)
+        for _ in range(failures):
+            target.begin()
+            if answered_meanwhile:
+                target.answered_at = now()
+            target.fail(began, timed_out=True)
+        self.assertEqual(target.is_resting(), is_resting)
+
+    def test_one_probe_at_a_time(self):
+        target = make_target("x")
+        for _ in range(3):
+            target.begin()
+            target.fail(now(), timed_out=False)
+        self.assertTrue(target.is_resting())
+        advance(1.0)
+        self.assertFalse(target.is_resting())
+        target.begin()
+        self.assertTrue(target.is_resting())
+        target.hear(0.1)
+        target.finish()
+        self.assertFalse(target.is_resting())
+
+    def test_long_silence_makes_it_cold_until_a_later_report(self):
+        target = make_target("x")
+        target.begin()
+        began = now()
+        advance(2.0)
+        target.take_report(TargetReport("x", False, 0, 0.5), sent_at=now())
+        target.fail(began, timed_out=True)
+        self.assertTrue(target.is_cold())
+        advance(0.5)
+        target.take_report(TargetReport("x", False, 0, 0.0), sent_at=now())
+        self.assertFalse(target.is_cold())
+
+
+class QueueTest(unittest.TestCase):
+    """Who is served next."""
+
+    def serve(self, queue: FairQueue, count: int) -> list[str]:
+        served = []
+        for _ in range(count):
+            entry = queue.pop()
+            queue.serve(entry)
+            served.append(entry.waiter.need)
+        return served
+
+    def test_flood_of_one_team_is_passed_by_others(self):
+        queue = FairQueue()
+        for _ in range(50):
+            queue.push(Team("flood", 1, 5, ()), Waiter("flood"))
+        queue.push(Team("small", 1, 5, ()), Waiter("small"))
+        self.assertIn("small", self.serve(queue, 2))
+
+    def test_shares(self):
+        queue = FairQueue()
+        for _ in range(40):
+            queue.push(Team("big", 3, 5, ()), Waiter("big"))
+            queue.push(Team("small", 1, 5, ()), Waiter("small"))
+        served = self.serve(queue, 20)
+        self.assertEqual(served.count("big"), 15)
+
+    def test_idle_team_saves_nothing_up(self):
+        queue = FairQueue()
+        for _ in range(20):
+            queue.push(Team("busy", 1, 5, ()), Waiter("busy"))
+        self.serve(queue, 10)
+        for _ in range(20):
+            queue.push(Team("late", 1, 5, ()), Waiter("late"))
+        self.assertLessEqual(self.serve(queue, 10).count("late"), 6)
+
+    def test_who_gave_up_is_not_served(self):
+        queue = FairQueue()
+        gone = Waiter("gone")
+        queue.push(Team("t", 1, 5, ()), gone)
+        queue.drop(gone)
+        self.assertIsNone(queue.pop())
+
+
+class BudgetTest(unittest.TestCase):
+    """Extra calls stay a small part."""
+
+    def test_failing_kind_gets_few_retries(self):
+        budget = RetryBudget(10)
+        taken = 0
+        for _ in range(1_000):
+            budget.count_call("crews", "encode")
+            taken += budget.take("crews", "encode")
+        self.assertLessEqual(taken, 111)
+        self.assertGreaterEqual(taken, 90)
+
+    def test_teams_have_their_own(self):
+        budget = RetryBudget(10)
+        while budget.take("flood", "encode"):
+            continue
+        self.assertTrue(budget.take("small", "encode"))
+
+
+class NeighbourTest(unittest.TestCase):
+    """Who gets heartbeats."""
+
+    @params((10, 8), (39, 8), (350, 8), (350, 4))
+    def test_bounded_symmetric_and_connected(self, size, bound):
+        steps = _ring_steps(size, bound)
+        self.assertLessEqual(len(steps), bound + 1)
+        self.assertEqual({size - step for step in steps}, set(steps))
+        reached, edge, hops = {0}, {0}, 0
+        while len(reached) < size:
+            edge = {(n + s) % size for n in edge for s in steps} - reached
+            reached |= edge
+            hops += 1
+        self.assertLess(hops, size // 2)
+
+
+class AttemptTest(unittest.TestCase):
+    """Retries and hedges through a daemon."""
+
+    PIPELINE = "[pipeline plan]\nstages = encode\ndeadline = 4s\n"
+
+    def setUp(self):
+        random.seed(1)
+        self.world = World3(("encode",))
+        self.addCleanup(self.world.close)
+        self.world.publish(1, self.PIPELINE)
+        self.world.start()
+        self.daemon = self.world.daemons["a1"]
+        for target in self.world.targets.values():
+            target.seconds = 0.05
+            target.handle = lambda call: Reply(200, b'{"output": 1}')
+
+    def plan(self):
+        body = {"input": "x"}
+        return run_green(lambda: ask(self.daemon, "/v1/pipelines/plan", body))
+
+    def learn(self):
+        for _ in range(5):
+            self.plan()
+            advance(0.2)
+
+    def extra(self) -> dict[str, int]:
+        calls = self.daemon.costs._calls
+        key = ("crews", "plan", "encode")
+        kinds = (FIRST, RETRY, HEDGE)
+        return {kind: int(calls.labels(*key, kind)._value.get()) for kind in kinds}
+
+    def test_slow_target_is_hedged(self):
+        # One encoder hangs. A second call elsewhere answers long before the time
+        # limit of the first.
+        self.learn()
+        self.world.targets["encode-a"].seconds = 60.0
+        result = self.plan()
+        advance(0.5)
+        self.assertEqual(result.value.status, 200)
+        self.assertEqual(self.extra()[HEDGE], 1)
+
+    def test_hedges_are_few_when_everything_is_slow(self):
+        # All encoders slow down; doubling their work would keep them slow.
+        self.learn()
+        for target in self.world.targets.values():
+            target.seconds = 0.6
+        results = [self.plan() for _ in range(60)]
+        advance(8.0)
+        self.assertTrue(all(result.done for result in results))
+        self.assertLessEqual(self.extra()[HEDGE], 10 + 0.04 * 65)
+
+    def test_failed_call_is_retried_elsewhere(self):
+        self.learn()
+        self.world.targets["encode-a"].refuses_connections = True
+        result = self.plan()
+        advance(0.5)
+        self.assertEqual(result.value.status, 200)
+
+    def test_attempt_limit_leaves_time_for_another(self):
+        times = StageCosts()
+        self.assertEqual(times.attempt_limit("p", "encode", 2.0), 1.0)
+        for _ in range(50):
+            times.learn("p", "encode", 0.1)
+        self.assertAlmostEqual(times.attempt_limit("p", "encode", 2.0), 0.5, delta=0.05)
+        self.assertEqual(times.attempt_limit("p", "encode", 0.2), 0.2)
+
+    def test_waiting_calls_are_served(self):
+        for target in self.world.targets.values():
+            target.seconds = 0.5
+        results = [self.plan() for _ in range(60)]
+        self.assertGreater(self.daemon.pools.waiting(), 0)
+        advance(5.0)
+        ends = [result.value.status for result in results]
+        self.assertGreater(ends.count(200), 45)
+        self.assertEqual(self.daemon.pools.waiting(), 0)
