Use the targets of some homes in a large fleet, set slow targets aside, measure capacity

A ten times slower engine kept one call of each daemon and lost it. Found too: an engine's comment events counted as malformed and set the engine aside. Change: an instance follows some homes (own zone, others, and enough for each kind and model) and homes answer their followers; a target three times slower than its like is set aside and probed; before the first token a stream begins anew elsewhere.

--- a/packages/daemon/bergamotsaddle_daemon/daemon.py
+++ b/packages/daemon/bergamotsaddle_daemon/daemon.py
@@ -31,10 +31,11 @@
 from bergamotsaddle_daemon.costs import Costs
 from bergamotsaddle_daemon.deadlines import StageCosts
 from bergamotsaddle_daemon.decisions import DecisionLog
+from bergamotsaddle_daemon.homes import Homes
 from bergamotsaddle_daemon.links import Handler
 from bergamotsaddle_daemon.operators import OperatorApp
 from bergamotsaddle_daemon.peers import HeartbeatSocket, LinkFactory, Peers
-from bergamotsaddle_daemon.permits import Home, Homes, PermitOffice
+from bergamotsaddle_daemon.permits import Home, PermitOffice
 from bergamotsaddle_daemon.platform import PlatformReader, PlatformWatch
 from bergamotsaddle_daemon.pools import Pools
 from bergamotsaddle_daemon.reports import ReadLoad, ReportPoll
@@ -87,16 +88,17 @@
         self.decisions = DecisionLog(settings, logger)
         self.views = Views(settings, self.decisions)
         self.targets = Targets(settings, self.views)
+        self.homes = Homes(settings, self.views)
         self.peers = Peers(
             settings,
             self.incarnation,
             self.views,
+            self.homes,
             self.targets,
             self.decisions,
             link_factory=world.link_factory,
             socket=world.heartbeats,
         )
-        self.homes = Homes(settings, self.views)
         self.home = Home(settings, self.views, self.homes, self.targets)
         self.permits = PermitOffice(settings, self.homes, self.home, self.peers)
         self.pools = Pools(
--- /dev/null
+++ b/packages/daemon/bergamotsaddle_daemon/homes.py
@@ -0,0 +1,108 @@
+"""Which entry instance is home to which target."""
+
+import hashlib
+from collections import Counter
+
+from bergamotsaddle_contracts.declaration import DeclaredTarget
+from bergamotsaddle_contracts.instances import LIVE
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_daemon.settings import Settings
+from bergamotsaddle_daemon.views import Views
+
+_TARGETS_PER_NEED = 2
+
+
+class Homes:
+    """Which entry instance is home to which target.
+
+    A home is in the target's own zone, so that cutting zones apart never leaves a
+    target with two of them.
+
+    Args:
+        settings: The daemon's settings.
+        views: The instance list and the declared targets.
+    """
+
+    def __init__(self, settings: Settings, views: Views) -> None:
+        self._settings = settings
+        self._own_id = settings.daemon.id
+        self._views = views
+        self.by_target: dict[str, str] = {}
+        self.since: dict[str, float] = {}
+        self.followed: frozenset[str] = frozenset()
+        views.watch(self.refresh)
+
+    def refresh(self) -> None:
+        """Follow the instance list and the declared targets."""
+        entries_by_zone = self._entries_by_zone()
+        homes: dict[str, str] = {}
+        for target in self._views.declaration.targets.values():
+            entries = entries_by_zone.get(target.zone)
+            if entries:
+                homes[target.id] = max(entries, key=lambda e: _weigh(e, target.id))
+        own = {target for target, home in homes.items() if home == self._own_id}
+        self.since = {target: self.since.get(target, now()) for target in own}
+        self.by_target = homes
+        self.followed = self._choose_followed()
+
+    def next_home(self, target_id: str) -> str | None:
+        """Id of the home once this instance is gone; None if there is none."""
+        target = self._views.declaration.targets[target_id]
+        entries = self._entries_by_zone().get(target.zone, [])
+        others = [entry for entry in entries if entry != self._own_id]
+        return max(others, key=lambda e: _weigh(e, target_id), default=None)
+
+    def _choose_followed(self) -> frozenset[str]:
+        """Choose the homes whose reports this instance gets.
+
+        Reports of every target at every instance cost traffic that grows with the
+        fleet, so in a large one an instance uses only the targets of some homes: a
+        few of its own zone, a few of others, and more until each kind and model has
+        more than one target.
+        """
+        own_zone = self._settings.daemon.zone
+        entries = [e for e in self._views.instances.entries() if e.id != self._own_id]
+        if len(entries) <= self._settings.limits.neighbours:
+            return frozenset([self._own_id, *(entry.id for entry in entries)])
+        entries.sort(key=lambda entry: _weigh(self._own_id, entry.id))
+        near = [entry.id for entry in entries if entry.zone == own_zone]
+        far = [entry.id for entry in entries if entry.zone != own_zone]
+        half = self._settings.limits.followed_homes // 2
+        chosen = [self._own_id, *near[:half], *far[:half]]
+        targets_by_home = self._targets_by_home()
+        count_by_need: Counter[tuple[str, str]] = Counter()
+        for home in chosen:
+            count_by_need.update(_needs(targets_by_home.get(home, [])))
+        for home in near[half:] + far[half:]:
+            needs = _needs(targets_by_home.get(home, []))
+            if any(count_by_need[need] < _TARGETS_PER_NEED for need in needs):
+                chosen.append(home)
+                count_by_need.update(needs)
+        return frozenset(chosen)
+
+    def _targets_by_home(self) -> dict[str, list[DeclaredTarget]]:
+        by_home: dict[str, list[DeclaredTarget]] = {}
+        for target_id, home in self.by_target.items():
+            declared = self._views.declaration.targets[target_id]
+            by_home.setdefault(home, []).append(declared)
+        return by_home
+
+    def _entries_by_zone(self) -> dict[str, list[str]]:
+        by_zone: dict[str, list[str]] = {}
+        for entry in self._views.instances.entries():
+            if entry.state == LIVE:
+                by_zone.setdefault(entry.zone, []).append(entry.id)
+        return by_zone
+
+    def is_own(self, target_id: str) -> bool:
+        """Tell whether this instance is the target's home."""
+        return target_id in self.since
+
+
+def _weigh(entry: str, target_id: str) -> bytes:
+    return hashlib.blake2b(f"{entry} {target_id}".encode(), digest_size=8).digest()
+
+
+def _needs(targets: list[DeclaredTarget]) -> list[tuple[str, str]]:
+    """Each kind and model that some targets serve, once a target."""
+    return [(t.kind, model) for t in targets for model in t.models or ("",)]
--- a/packages/daemon/bergamotsaddle_daemon/operators.py
+++ b/packages/daemon/bergamotsaddle_daemon/operators.py
@@ -158,6 +158,8 @@
 def _state(daemon: "Daemon", target: Any) -> str:
     if not daemon.targets.gets_new_work(target):
         return "out"
+    if not daemon.permits.can_use(target):
+        return "unused"
     if target.is_resting():
         return "resting"
     return "cold" if target.is_cold() else "warm"
--- a/packages/daemon/bergamotsaddle_daemon/peers.py
+++ b/packages/daemon/bergamotsaddle_daemon/peers.py
@@ -17,6 +17,7 @@
 )
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_daemon.decisions import DecisionLog
+from bergamotsaddle_daemon.homes import Homes
 from bergamotsaddle_daemon.links import Link
 from bergamotsaddle_daemon.settings import Settings
 from bergamotsaddle_daemon.targets import Targets
@@ -69,6 +70,7 @@
         settings: The daemon's settings.
         incarnation: Random name of this process.
         views: Kept up to date from what peers know.
+        homes: Whose reports to ask for.
         targets: Get the reports that peers send.
         decisions: The decision log.
         link_factory: Makes a link to an address.
@@ -80,6 +82,7 @@
         settings: Settings,
         incarnation: str,
         views: Views,
+        homes: Homes,
         targets: Targets,
         decisions: DecisionLog,
         *,
@@ -89,6 +92,7 @@
         self._settings = settings
         self._incarnation = incarnation
         self._views = views
+        self._homes = homes
         self._targets = targets
         self._decisions = decisions
         self._link_factory = link_factory
@@ -98,6 +102,7 @@
         self._started_at = now()
         self.by_id: dict[str, Peer] = {}
         self.neighbours: dict[str, Peer] = {}
+        self.followers: dict[str, Peer] = {}
         self.stopping = False
         self.own_reports: Callable[[], tuple[TargetReport, ...]] = tuple
         views.watch(self.refresh)
@@ -179,12 +184,34 @@
         if peer is None:
             return
         peer.hear(heartbeat)
+        self._note_follower(peer)
         if heartbeat.echo_incarnation == self._incarnation:
             self._hear_echo(heartbeat)
         if self._is_behind(heartbeat) and not self._fetching:
             self._fetching = True
             eventlet.spawn_n(self._fetch, peer)
 
+    def _note_follower(self, peer: Peer) -> None:
+        """Answer an instance that beats from beyond the neighbours.
+
+        It does so because this instance is home to targets that it uses; without an
+        answer it would get no reports and would take those targets for cold.
+        """
+        peer_id = peer.instance.id
+        if peer_id in self.neighbours or peer_id in self.followers:
+            return
+        if len(self.followers) >= self._settings.limits.followers:
+            return
+        self.followers[peer_id] = peer
+        eventlet.spawn_n(self._beat_follower, peer)
+
+    def _beat_follower(self, peer: Peer) -> None:
+        peer_id = peer.instance.id
+        while self.is_alive(peer_id) and peer_id not in self.neighbours:
+            self._socket.send(self._heartbeat(peer), peer.instance.peer_address)
+            self._changed.wait(timeout=self._settings.timing.heartbeat)
+        del self.followers[peer_id]
+
     def _hear_echo(self, heartbeat: Heartbeat) -> None:
         # Datagrams wait in the socket while this process is paused, so when one is
         # read says nothing of its age. It was sent after the peer heard the clock
@@ -236,7 +263,8 @@
             place = ring.index(self._settings.daemon.id)
             steps = _ring_steps(len(ring), bound)
             chosen = [ring[(place + step) % len(ring)] for step in steps]
-        fresh = {peer_id: self.by_id[peer_id] for peer_id in chosen}
+        followed = [home for home in self._homes.followed if home in self.by_id]
+        fresh = {peer_id: self.by_id[peer_id] for peer_id in [*chosen, *followed]}
         added = [p for i, p in fresh.items() if self.neighbours.get(i) is not p]
         self.neighbours = fresh
         for peer in added:
--- a/packages/daemon/bergamotsaddle_daemon/permits.py
+++ b/packages/daemon/bergamotsaddle_daemon/permits.py
@@ -3,7 +3,6 @@
 The steps are those of ``model/permits.py``, named in the comments.
 """
 
-import hashlib
 import itertools
 import math
 from typing import NamedTuple
@@ -11,7 +10,6 @@
 import eventlet
 
 from bergamotsaddle_contracts.errors import PeerUnreachableError
-from bergamotsaddle_contracts.instances import LIVE
 from bergamotsaddle_contracts.messages import (
     PermitAnswer,
     PermitHandover,
@@ -19,6 +17,7 @@
     PermitReturn,
 )
 from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_daemon.homes import Homes
 from bergamotsaddle_daemon.peers import Peers
 from bergamotsaddle_daemon.settings import Settings
 from bergamotsaddle_daemon.targets import Target, Targets
@@ -43,59 +42,6 @@
     expires_at: float
 
 
-class Homes:
-    """Which entry instance is home to which target.
-
-    A home is in the target's own zone, so that cutting zones apart never leaves a
-    target with two of them.
-
-    Args:
-        settings: The daemon's settings.
-        views: The instance list and the declared targets.
-    """
-
-    def __init__(self, settings: Settings, views: Views) -> None:
-        self._own_id = settings.daemon.id
-        self._views = views
-        self.by_target: dict[str, str] = {}
-        self.since: dict[str, float] = {}
-        views.watch(self.refresh)
-
-    def refresh(self) -> None:
-        """Follow the instance list and the declared targets."""
-        entries_by_zone = self._entries_by_zone()
-        homes: dict[str, str] = {}
-        for target in self._views.declaration.targets.values():
-            entries = entries_by_zone.get(target.zone)
-            if entries:
-                homes[target.id] = max(entries, key=lambda e: _weigh(e, target.id))
-        own = {target for target, home in homes.items() if home == self._own_id}
-        self.since = {target: self.since.get(target, now()) for target in own}
-        self.by_target = homes
-
-    def next_home(self, target_id: str) -> str | None:
-        """Id of the home once this instance is gone; None if there is none."""
-        target = self._views.declaration.targets[target_id]
-        entries = self._entries_by_zone().get(target.zone, [])
-        others = [entry for entry in entries if entry != self._own_id]
-        return max(others, key=lambda e: _weigh(e, target_id), default=None)
-
-    def _entries_by_zone(self) -> dict[str, list[str]]:
-        by_zone: dict[str, list[str]] = {}
-        for entry in self._views.instances.entries():
-            if entry.state == LIVE:
-                by_zone.setdefault(entry.zone, []).append(entry.id)
-        return by_zone
-
-    def is_own(self, target_id: str) -> bool:
-        """Tell whether this instance is the target's home."""
-        return target_id in self.since
-
-
-def _weigh(entry: str, target_id: str) -> bytes:
-    return hashlib.blake2b(f"{entry} {target_id}".encode(), digest_size=8).digest()
-
-
 class _Ledger:
     """What a home has given out for one target.
 
@@ -328,6 +274,11 @@
             return None, f"home {home}: {answer.reason}"
         return Permit(target.id, answer.permit, home, expires_at), answer.reason
 
+    def can_use(self, target: Target) -> bool:
+        """Tell whether this instance hears of a target's load at all."""
+        home = self._homes.by_target.get(target.id)
+        return home is None or home in self._homes.followed
+
     def give_back(self, permit: Permit) -> None:
         """Give a permit back without waiting for the home."""
         message = PermitReturn(permit.target_id, permit.number)
--- a/packages/daemon/bergamotsaddle_daemon/pools.py
+++ b/packages/daemon/bergamotsaddle_daemon/pools.py
@@ -1,5 +1,6 @@
 """Gives each call a place at a target, or a refusal at once."""
 
+import math
 from typing import NamedTuple
 
 import eventlet
@@ -27,6 +28,8 @@
 _DISPATCH_PAUSE = 0.05
 _FRESH_WAIT = 0.5
 _LATENCY_WEIGHT = 0.05
+_FIRST_BYTE_FACTOR = 4.0
+_MIN_FIRST_BYTE = 0.25
 _MIN_RETRY_AFTER = 0.1
 # Waiting for as long as the deadline just allows would make every request that is
 # served under overload a close call; the rest of the slack absorbs what varies.
@@ -69,12 +72,16 @@
 
     Args:
         pools: Where it came from.
+        pool: The calls of the same kind and model.
         target: The target.
         permit: Permit of a cold target, else None.
     """
 
-    def __init__(self, pools: "Pools", target: Target, permit: Permit | None) -> None:
+    def __init__(
+        self, pools: "Pools", pool: "_Pool", target: Target, permit: Permit | None
+    ) -> None:
         self._pools = pools
+        self._pool = pool
         self._began_at = now()
         self._heard = False
         self.target = target
@@ -103,6 +110,12 @@
         """Seconds since the call began."""
         return now() - self._began_at
 
+    def first_byte_limit(self) -> float:
+        """Seconds to wait for the first byte before trying elsewhere."""
+        if self._pool.first_byte == 0.0:
+            return math.inf
+        return max(_MIN_FIRST_BYTE, _FIRST_BYTE_FACTOR * self._pool.first_byte)
+
     def limit_time(self, seconds: float) -> float:
         """Shorten a time limit so that the call ends before its permit does."""
         if self.permit is None:
@@ -110,10 +123,13 @@
         return min(seconds, self.permit.expires_at - now())
 
     def hear(self) -> None:
-        """The target began to answer."""
-        if not self._heard:
-            self._heard = True
-            self.target.hear(self.waited())
+        """The target sent some of its answer."""
+        self.target.answered_at = now()
+        if self._heard:
+            return
+        self._heard = True
+        self.target.hear(self.waited(), self._pool.first_byte)
+        self._pool.learn_first_byte(self.waited())
 
     def finish(self) -> None:
         """The target answered."""
@@ -123,7 +139,8 @@
 
     def fail(self, error: TargetError) -> None:
         """The target failed."""
-        self.target.fail(self._began_at, timed_out=error.timed_out)
+        usual = self._pool.first_byte
+        self.target.fail(self._began_at, usual, timed_out=error.timed_out)
         self._pools.release(self, None)
 
     def abandon(self) -> None:
@@ -177,12 +194,20 @@
     def __init__(self) -> None:
         self.queue = FairQueue()
         self.latency = 0.0
+        self.first_byte = 0.0
 
     def learn(self, latency: float) -> None:
         if self.latency == 0.0:
             self.latency = latency
         self.latency += _LATENCY_WEIGHT * (latency - self.latency)
 
+    def learn_first_byte(self, latency: float) -> None:
+        if self.first_byte == 0.0:
+            self.first_byte = latency
+        # One target's slowness must not make the others' look usual.
+        bounded = min(latency, 2.0 * self.first_byte)
+        self.first_byte += _LATENCY_WEIGHT * (bounded - self.first_byte)
+
 
 class Pools:
     """All waiting calls and the choice of a target for each.
@@ -270,6 +295,7 @@
             for target in self.targets.by_kind.get(need.kind, ())
             if target.id not in need.exclude
             and (not need.model or need.model in target.declared.models)
+            and self._permits.can_use(target)
             and self.targets.gets_new_work(target)
         ]
 
@@ -282,7 +308,8 @@
         if not usable:
             detail = f"every {need.kind} target has just failed"
             raise RequestError(ErrorKind.NO_TARGET, detail, ran=need.ran)
-        return usable
+        # If all of them are slow none stands out, and slow ones beat none.
+        return [target for target in usable if not target.is_slow()] or usable
 
     def _has_room(self, target: Target) -> bool:
         room = target.limit.value * self.targets.ramp(target.declared.zone)
@@ -298,7 +325,7 @@
         self._decisions.record(
             need.request, "route", choice.target.id, choice.reason, len(free)
         )
-        return Slot(self, choice.target, None)
+        return Slot(self, self._pool(need), choice.target, None)
 
     def _try_cold(self, need: Need) -> Slot | None:
         cold = [
@@ -313,7 +340,7 @@
                 need.request, "permit", target.id if permit else "", reason, len(cold)
             )
             if permit is not None:
-                return Slot(self, target, permit)
+                return Slot(self, self._pool(need), target, permit)
             target.permit_refused_until = now() + _COLD_RETRY
         return None
 
--- a/packages/daemon/bergamotsaddle_daemon/reports.py
+++ b/packages/daemon/bergamotsaddle_daemon/reports.py
@@ -9,7 +9,8 @@
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_contracts.messages import TargetReport
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_daemon.permits import Home, Homes
+from bergamotsaddle_daemon.homes import Homes
+from bergamotsaddle_daemon.permits import Home
 from bergamotsaddle_daemon.settings import Settings
 from bergamotsaddle_daemon.targets import Target, Targets
 
--- a/packages/daemon/bergamotsaddle_daemon/settings.py
+++ b/packages/daemon/bergamotsaddle_daemon/settings.py
@@ -111,7 +111,9 @@
         queue: Requests waiting for one kind of target.
         tickets: Tickets whose starts and outcomes are remembered.
         decisions: Requests whose decisions ``explain`` can show.
-        neighbours: Peers that get heartbeats.
+        neighbours: Peers that get heartbeats; a fleet of no more is a full mesh.
+        followed_homes: In a larger fleet, homes whose targets are used.
+        followers: Instances beyond the neighbours that get this one's reports.
         retry_percent: Retries per hundred calls of a team to a kind of target.
         hedge_percent: Hedges per hundred calls of a team to a kind of target.
         peer_workers: Calls of peers served at once.
@@ -123,6 +125,8 @@
     tickets: int = 20_000
     decisions: int = 2_000
     neighbours: int = 8
+    followed_homes: int = 6
+    followers: int = 64
     retry_percent: int = 10
     hedge_percent: int = 4
     peer_workers: int = 16
--- a/packages/daemon/bergamotsaddle_daemon/streams.py
+++ b/packages/daemon/bergamotsaddle_daemon/streams.py
@@ -22,6 +22,7 @@
 
 _EVENT_END = b"\n\n"
 _DATA = b"data: "
+_COMMENT = b":"
 _MAX_EVENT_BYTES = 65_536
 
 
@@ -222,8 +223,11 @@
         self, stream: TokenStream, slot: Slot, engine: CallStream, deadline: float
     ) -> Iterator[bytes]:
         rest = b""
+        # Before its first token a stream can begin anew elsewhere at no cost to the
+        # caller, so a slow engine is given up sooner then.
+        silence = min(self._silence, slot.first_byte_limit())
         while not stream.is_done:
-            data = engine.read_some(min(self._silence, deadline - now()))
+            data = engine.read_some(min(silence, deadline - now()))
             if not data:
                 raise TargetError("stream ended early", sent=True)
             *events, rest = (rest + data).split(_EVENT_END)
@@ -232,10 +236,12 @@
             fresh = [
                 event + _EVENT_END
                 for event in events
-                if stream.take(event.removeprefix(_DATA))
+                if not event.startswith(_COMMENT)
+                and stream.take(event.removeprefix(_DATA))
             ]
             if fresh:
                 slot.hear()
+                silence = self._silence
                 yield b"".join(fresh)
 
     def _check_resumable(
--- a/packages/daemon/bergamotsaddle_daemon/targets.py
+++ b/packages/daemon/bergamotsaddle_daemon/targets.py
@@ -12,6 +12,8 @@
 _LONGEST_REST = 8.0
 _LATENCY_WEIGHT = 0.1
 _SUSPECT_FACTOR = 6.0
+_SLOW_FACTOR = 3.0
+_MIN_SLOW = 0.1
 _MIN_SUSPECT = 1.0
 
 
@@ -38,6 +40,8 @@
         self._failed_in_row = 0
         self._rests_until = 0.0
         self._probing = False
+        self._slow_in_row = 0
+        self._slow_until = 0.0
         self._report: TargetReport | None = None
         self._measured_at = float("-inf")
         self._suspected_at = float("-inf")
@@ -107,19 +111,31 @@
             return False
         return now() < self._rests_until or self._probing
 
+    def is_slow(self) -> bool:
+        """Tell whether it is set aside for being far slower than its like."""
+        if not self._slow_in_row:
+            return False
+        return now() < self._slow_until or self._probing
+
     def begin(self) -> None:
         """Count a call that is about to be sent."""
         self.in_flight += 1
         self.calls += 1
-        self._probing = self._failed_in_row >= _FAILURES_TO_OPEN
+        is_failing = self._failed_in_row >= _FAILURES_TO_OPEN
+        self._probing = is_failing or self._slow_in_row > 0
 
-    def hear(self, latency: float) -> None:
-        """Note that it began to answer a call, latency in seconds since the sending.
+    def hear(self, latency: float, usual: float) -> None:
+        """Note that it began to answer a call.
 
         The time to the first byte shows waiting at the target; what follows it
         depends on how much was asked.
+
+        Args:
+            latency: Seconds since the sending.
+            usual: Seconds that targets of this kind usually take.
         """
-        self.answered_at = now()
+        if not self._note_if_slow(latency, usual):
+            self._slow_in_row = 0
         self._failed_in_row = 0
         self.limit.finish(latency, self.in_flight)
         if self.latency == 0.0:
@@ -130,7 +146,7 @@
         """Count a call that was answered."""
         self._end()
 
-    def fail(self, began_at: float, *, timed_out: bool) -> None:
+    def fail(self, began_at: float, usual: float, *, timed_out: bool) -> None:
         """Count a call that failed.
 
         Under overload many calls run out of time at a target that works as fast as
@@ -139,10 +155,13 @@
 
         Args:
             began_at: When the call began.
+            usual: Seconds that targets of this kind usually take to answer.
             timed_out: Whether it failed by running out of time.
         """
         self._end()
         self.limit.fail()
+        if timed_out:
+            self._note_if_slow(now() - began_at, usual)
         if timed_out and self.answered_at > began_at:
             return
         self.failures += 1
@@ -159,6 +178,15 @@
         """Count a call that was given up without blame, as when a caller left."""
         self._end()
 
+    def _note_if_slow(self, latency: float, usual: float) -> bool:
+        """Set it aside for a while if it is far slower than its like."""
+        if latency < max(_MIN_SLOW, _SLOW_FACTOR * usual) or usual == 0.0:
+            return False
+        self._slow_in_row += 1
+        rest = min(_LONGEST_REST, _FIRST_REST * 2.0 ** min(self._slow_in_row, 8))
+        self._slow_until = now() + rest
+        return True
+
     def _end(self) -> None:
         self.in_flight -= 1
         self._probing = False
--- a/packages/standins/bergamotsaddle_standins/targets.py
+++ b/packages/standins/bergamotsaddle_standins/targets.py
@@ -198,7 +198,7 @@
         start_response("200 OK", headers)
         try:
             with self._slots:
-                yield b": begins\n\n" if self.spec.seconds == 0 else b""
+                yield b": begins\n\n"
                 eventlet.sleep(self._time(self.spec.seconds))
                 yield from self._tokens(body)
         finally:
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -123,30 +123,44 @@
             target.begin()
             if answered_meanwhile:
                 target.answered_at = now()
-            target.fail(began, timed_out=True)
+            target.fail(began, 0.0, timed_out=True)
         self.assertEqual(target.is_resting(), is_resting)
 
     def test_one_probe_at_a_time(self):
         target = make_target("x")
         for _ in range(3):
             target.begin()
-            target.fail(now(), timed_out=False)
+            target.fail(now(), 0.0, timed_out=False)
         self.assertTrue(target.is_resting())
         advance(1.0)
         self.assertFalse(target.is_resting())
         target.begin()
         self.assertTrue(target.is_resting())
-        target.hear(0.1)
+        target.hear(0.1, 0.1)
         target.finish()
         self.assertFalse(target.is_resting())
 
+    def test_far_slower_than_its_like_is_set_aside(self):
+        target = make_target("x")
+        target.begin()
+        target.hear(0.9, usual=0.1)
+        target.finish()
+        self.assertTrue(target.is_slow())
+        advance(1.1)
+        self.assertFalse(target.is_slow())
+        target.begin()
+        self.assertTrue(target.is_slow())
+        target.hear(0.12, usual=0.1)
+        target.finish()
+        self.assertFalse(target.is_slow())
+
     def test_long_silence_makes_it_cold_until_a_later_report(self):
         target = make_target("x")
         target.begin()
         began = now()
         advance(2.0)
         target.take_report(TargetReport("x", False, 0, 0.5), sent_at=now())
-        target.fail(began, timed_out=True)
+        target.fail(began, 0.0, timed_out=True)
         self.assertTrue(target.is_cold())
         advance(0.5)
         target.take_report(TargetReport("x", False, 0, 0.0), sent_at=now())
@@ -231,6 +245,43 @@
         self.assertLess(hops, size // 2)
 
 
+class LargeFleetTest(unittest.TestCase):
+    """Instances that can't all beat with each other."""
+
+    def setUp(self):
+        self.world = World3(("encode", "stock"), daemons_per_zone=8)
+        self.addCleanup(self.world.close)
+        self.world.start(5.0)
+
+    def test_heartbeats_are_bounded(self):
+        for daemon in self.world.daemons.values():
+            count = len(daemon.peers.neighbours) + len(daemon.peers.followers)
+            self.assertLess(count, 23)
+
+    def test_every_instance_knows_targets_of_each_kind_as_warm(self):
+        # Reports go only where they are asked for. An instance that got none would
+        # take every target for cold and serve almost nothing.
+        for daemon in self.world.daemons.values():
+            usable = [
+                target
+                for target in daemon.targets.by_id.values()
+                if daemon.permits.can_use(target)
+            ]
+            for kind in ("encode", "stock"):
+                warm = [
+                    t for t in usable if t.declared.kind == kind and not t.is_cold()
+                ]
+                self.assertGreaterEqual(len(warm), 2)
+
+    def test_change_reaches_all(self):
+        # Only one instance can read the service.
+        names = set(self.world.daemons)
+        self.world.config.down_readers = names - {"a1"}
+        self.world.publish(2)
+        advance(3.0)
+        self.assertEqual(set(self.world.revisions()), {2})
+
+
 class AttemptTest(unittest.TestCase):
     """Retries and hedges through a daemon."""
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -106,6 +106,12 @@
         self.engines(chop)
         self.assertEqual(text_of(self.plan().body), "t0 t1 t2 t3 t4 t5 ")
 
+    def test_comments_are_no_tokens(self):
+        # Engines send comments to keep a connection open while they are busy.
+        self.engines(lambda call: [b": busy\n\n", *tokens(call, 6)])
+        self.assertEqual(text_of(self.plan().body), "t0 t1 t2 t3 t4 t5 ")
+        self.assertEqual(len(self.world.calls("generate")), 1)
+
     def test_not_streamed(self):
         self.engines(lambda call: tokens(call, 6))
         answer = self.plan(stream=False)
