Wake the hub without waiting on it

The monkey-patched os.write waits on the hub before every write to a pipe, so two completions at once collided, and a native thread started a hub of its own. One failing callback would also have ended the bridge. Ruled out: a full pipe (65536 wake-ups, none near it) and a closed descriptor. Conclusion: the bridge was the weak place of eventlet beside grpcio.

--- a/packages/daemon/bergamotsaddle_daemon/hub_bridge.py
+++ b/packages/daemon/bergamotsaddle_daemon/hub_bridge.py
@@ -1,6 +1,5 @@
 """Carries work from native threads, which gRPC runs on, to the hub's thread."""
 
-import os
 import threading
 from collections import deque
 from collections.abc import Callable
@@ -8,6 +7,11 @@
 
 import eventlet
 from eventlet import hubs
+from eventlet.patcher import original
+
+# The green versions wait on the hub when a pipe is full or empty. A native thread has
+# no hub to wait on and would start one of its own.
+os = original("os")
 
 _READ_BYTES = 4096
 
@@ -28,7 +32,7 @@
         eventlet.spawn_n(self._run)
 
     def post(self, work: Callable[[], None]) -> None:
-        """Have a function called on the hub's thread; any thread may call this."""
+        """Have a function run in a green thread; any thread may call this."""
         self._queue.append(work)
         try:
             os.write(self._write_end, b"\0")
@@ -54,7 +58,7 @@
                 errors.append(error)
             done.set()
 
-        self.post(lambda: eventlet.spawn_n(run))
+        self.post(run)
         if not done.wait(timeout):
             raise TimeoutError("the hub did not answer in time")
         if errors:
@@ -64,6 +68,12 @@
     def _run(self) -> None:
         while True:
             hubs.trampoline(self._read_end, read=True)
-            os.read(self._read_end, _READ_BYTES)
+            try:
+                os.read(self._read_end, _READ_BYTES)
+            except BlockingIOError:
+                # An earlier read has taken the wake-up already.
+                pass
             while self._queue:
-                self._queue.popleft()()
+                # In a green thread of its own, so that work that fails or waits
+                # neither ends nor holds up the bridge for all the rest.
+                eventlet.spawn_n(self._queue.popleft())
--- a/packages/standins/bergamotsaddle_standins/client.py
+++ b/packages/standins/bergamotsaddle_standins/client.py
@@ -50,7 +50,7 @@
         try:
             with eventlet.Timeout(self._limit):
                 return self._exchange(connection, path, body, headers or {})
-        except (HTTPError, OSError, eventlet.Timeout) as error:
+        except (HTTPError, OSError, msgspec.DecodeError, eventlet.Timeout) as error:
             return Reply(0, repr(error))
         finally:
             connection.close()
