--- a/packages/daemon/bergamotsaddle_daemon/hub_bridge.py
+++ b/packages/daemon/bergamotsaddle_daemon/hub_bridge.py
@@ -1,5 +1,6 @@
 """Carries work from native threads, which gRPC runs on, to the hub's thread."""
 
+import contextlib
 import threading
 from collections import deque
 from collections.abc import Callable
@@ -68,11 +69,9 @@
     def _run(self) -> None:
         while True:
             hubs.trampoline(self._read_end, read=True)
-            try:
+            # An earlier read may have taken the wake-up already.
+            with contextlib.suppress(BlockingIOError):
                 os.read(self._read_end, _READ_BYTES)
-            except BlockingIOError:
-                # An earlier read has taken the wake-up already.
-                pass
             while self._queue:
                 # In a green thread of its own, so that work that fails or waits
                 # neither ends nor holds up the bridge for all the rest.
