Order waiting calls by virtual start time

Cause: sorted by finish time, a call of a team with nothing waiting still stood behind as many of the flood's as its share is small; those waits made it infeasible. Change: sort by start time, as start-time fair queueing does; such a call is next.

--- a/packages/daemon/bergamotsaddle_daemon/fair_queue.py
+++ b/packages/daemon/bergamotsaddle_daemon/fair_queue.py
@@ -10,9 +10,9 @@
 
 
 class Entry(NamedTuple):
-    """A place in the queue; entries sort by virtual finish time, then priority."""
+    """A place in the queue; entries sort by virtual start time, then priority."""
 
-    finish: float
+    start: float
     priority: int
     number: int
     waiter: "Waiter"
@@ -36,8 +36,9 @@
 class FairQueue:
     """Start-time fair queueing over teams.
 
-    A team that floods the queue gets ever later virtual finish times, so the
-    requests of other teams pass it and notice little.
+    A team that floods the queue gets ever later virtual start times, so the requests
+    of other teams pass it and notice little: one that comes from a team with nothing
+    waiting is next.
     """
 
     def __init__(self) -> None:
@@ -49,15 +50,14 @@
     def __len__(self) -> int:
         return len(self._heap)
 
-    def finish_of(self, team: Team) -> float:
-        """Virtual finish time that the team's next request would get."""
-        start = max(self._virtual, self._finish_by_team.get(team.name, 0.0))
-        return start + 1.0 / team.share
+    def start_of(self, team: Team) -> float:
+        """Virtual start time that the team's next request would get."""
+        return max(self._virtual, self._finish_by_team.get(team.name, 0.0))
 
     def before(self, team: Team) -> int:
         """How many waiting requests the team's next one would have to wait for."""
-        finish = self.finish_of(team)
-        return sum(entry.finish <= finish for entry in self._heap)
+        start = self.start_of(team)
+        return sum(entry.start < start for entry in self._heap)
 
     def has_waiting(self, team: Team) -> bool:
         """Tell whether a request of the team waits already."""
@@ -65,9 +65,9 @@
 
     def push(self, team: Team, waiter: Waiter) -> None:
         """Add a waiting request."""
-        finish = self.finish_of(team)
-        self._finish_by_team[team.name] = finish
-        entry = Entry(finish, team.priority, next(self._numbers), waiter)
+        start = self.start_of(team)
+        self._finish_by_team[team.name] = start + 1.0 / team.share
+        entry = Entry(start, team.priority, next(self._numbers), waiter)
         heapq.heappush(self._heap, entry)
 
     def push_back(self, entry: Entry) -> None:
@@ -85,7 +85,7 @@
 
     def serve(self, entry: Entry) -> None:
         """Advance virtual time to an entry that was served."""
-        self._virtual = max(self._virtual, entry.finish)
+        self._virtual = max(self._virtual, entry.start)
 
     def drop(self, waiter: Waiter) -> None:
         """Take out a request that gave up."""
