Send reports only where they are used, and measure bookings

Cause: at 350 daemons a heartbeat with the reports of 14 targets to every neighbour takes most of 4 KB/s (403 bytes against 105 without). Change: heartbeats say whether the sender uses the receiver's targets; only then do reports go along. 'make faults' has a run of 50 streams through two daemons against the ledgers.

--- a/packages/contracts/bergamotsaddle_contracts/messages.py
+++ b/packages/contracts/bergamotsaddle_contracts/messages.py
@@ -43,7 +43,9 @@
         digest: Digest of that declaration.
         list_version: Version of the sender's instance list.
         stopping: Whether the sender has begun a planned stop.
-        reports: Reports of the targets that the sender polls.
+        follows: Whether the sender uses targets that the receiver is home to.
+        reports: Reports of the targets that the sender is home to, if the receiver
+            uses them.
     """
 
     sender: str
@@ -56,6 +58,7 @@
     digest: str
     list_version: int
     stopping: bool
+    follows: bool
     reports: tuple[TargetReport, ...]
 
 
--- a/packages/daemon/bergamotsaddle_daemon/peers.py
+++ b/packages/daemon/bergamotsaddle_daemon/peers.py
@@ -52,6 +52,7 @@
         self.revision = 0
         self.list_version = 0
         self.stopping = False
+        self.follows = False
 
     def hear(self, heartbeat: Heartbeat) -> None:
         """Take a heartbeat into account."""
@@ -61,6 +62,7 @@
         self.revision = heartbeat.revision
         self.list_version = heartbeat.list_version
         self.stopping = heartbeat.stopping
+        self.follows = heartbeat.follows
 
 
 class Peers:
@@ -294,7 +296,8 @@
             digest=declaration.digest,
             list_version=self._views.instances.version,
             stopping=self.stopping,
-            reports=self.own_reports(),
+            follows=peer.instance.id in self._homes.followed,
+            reports=self.own_reports() if peer.follows else (),
         )
 
 
--- a/packages/standins/bergamotsaddle_standins/capacity.py
+++ b/packages/standins/bergamotsaddle_standins/capacity.py
@@ -45,6 +45,7 @@
 _STREAM_TOKENS = 400
 _CALLS = 1500
 _CALLERS = 4
+_BOOKINGS = 300
 
 
 def make_text(targets: int, teams: int, pipelines: int) -> str:
@@ -139,7 +140,18 @@
             TargetReport(f"engine-{n}", False, 9, 0.2) for n in range(count)
         )
         beat = Heartbeat(
-            "e100", "x" * 12, 1e5, 1e5, "y" * 12, 0.1, 99, "f" * 32, 9, False, reports
+            "e100",
+            "x" * 12,
+            1e5,
+            1e5,
+            "y" * 12,
+            0.1,
+            99,
+            "f" * 32,
+            9,
+            False,
+            True,
+            reports,
         )
         datagram = seal(beat, _KEY)
         send = time_of(lambda beat=beat: [seal(beat, _KEY) for _ in range(1000)])
@@ -153,7 +165,7 @@
 
 def show_idle() -> None:
     """Idle cost of a daemon by number of daemons, targets and platform calls."""
-    say("idle daemon", "daemons", "targets", "core %", "RSS MB", "calls/s", "UDP B/s")
+    say("idle daemon", "daemons", "targets", "core %", "RSS MB", "calls/s")
     target = TargetSpec("stock-{zone}", "stock")
     for daemons, targets in ((1, 1), (3, 1), (8, 1), (3, 8)):
         specs = tuple(target._replace(id=f"s{n}-{{zone}}") for n in range(targets))
@@ -169,8 +181,6 @@
             calls = (_platform_calls(fleet) - before) / _IDLE_SECONDS / len(pids)
             memory = max(resident_bytes(pid) for pid in pids) / 1e6
         core = 100 * used / _IDLE_SECONDS / len(pids)
-        peers = min(8, len(pids) - 1)
-        sent = peers * 2 * (230 + 28 * targets * 3 / len(pids))
         say(
             "",
             len(pids),
@@ -178,7 +188,6 @@
             f"{core:.2f}",
             f"{memory:.0f}",
             f"{calls:.2f}",
-            f"{sent:.0f}",
         )
 
 
@@ -212,6 +221,30 @@
         say("open stream", _STREAMS, "KB each", f"{grown:.0f}")
 
 
+def show_bookings() -> None:
+    """Processor time of a ticketed request, issuer and witness together."""
+    say("booking", "count", "ms each")
+    orders = TargetSpec("orders-{zone}", "orders", 64, 0.0)
+    with Fleet(FleetSpec(zones=("one", "two"), targets=(orders,))) as fleet:
+        pids = [process.pid for process in fleet.daemons.values()]
+        address = fleet.callers("entry-one-1")
+        caller = Caller(address, fleet.keys["skippers"], limit=10.0)
+        _book(caller, 20)
+        before = sum(processor_seconds(pid) for pid in pids)
+        _book(caller, _BOOKINGS)
+        spent = sum(processor_seconds(pid) for pid in pids) - before
+    say("", _BOOKINGS, f"{spent / _BOOKINGS * 1000:.2f}")
+
+
+def _book(caller: Caller, count: int) -> None:
+    for _ in range(count):
+        ticket = caller.ask("/v1/tickets/orders").body["ticket"]
+        headers = {"X-Ticket": ticket}
+        reply = caller.ask("/v1/services/orders/book", {}, headers=headers)
+        if reply.status != 200:
+            raise SystemExit(f"not booked: {reply.status} {reply.body}")
+
+
 def _spend(
     fleet: Fleet, pid: int, caller: Caller, body: dict, calls: int, callers: int
 ) -> float:
@@ -266,6 +299,7 @@
         "heartbeats": show_heartbeats,
         "idle": show_idle,
         "serving": show_serving,
+        "bookings": show_bookings,
     }
     for name in sys.argv[1:] or list(parts):
         parts[name]()
--- a/packages/standins/bergamotsaddle_standins/faults.py
+++ b/packages/standins/bergamotsaddle_standins/faults.py
@@ -10,13 +10,15 @@
 import random
 import signal
 import sys
+from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
 
 import eventlet
 from eventlet import hubs
 
-from bergamotsaddle_standins.fleet import Fleet, FleetSpec, get, wait_for
+from bergamotsaddle_standins.client import Caller
+from bergamotsaddle_standins.fleet import PIPELINE, Fleet, FleetSpec, get, wait_for
 from bergamotsaddle_standins.traffic import Traffic, audit
 
 _BUDGET = 180.0
@@ -24,6 +26,7 @@
 _EFFECT_LIMIT = 3.0
 _COLD_LIMIT = 2
 _QUIET = 1.0
+_STREAMS = 50
 _TIMING = {"stop_notice": "500ms"}
 _SHORT_COLD = {**_TIMING, "list_lag": "1s", "view_limit": "3s", "permit_lifetime": "2s"}
 _TARGETS = tuple(
@@ -64,6 +67,37 @@
     return add
 
 
+@fault("fifty streams", FleetSpec(timing=_TIMING, zones=("mid-a", "mid-b")))
+def fifty_streams(fleet: Fleet, traffic: Traffic, chance: random.Random) -> Effect:
+    """Fifty streams at once through two daemons, each byte as the engines sent it."""
+    callers = [
+        Caller(fleet.callers(name), fleet.keys["farm-managers"])
+        for name in fleet.daemons
+    ]
+    body = {"stream": True, "max_tokens": 100}
+    threads = [
+        eventlet.spawn(
+            callers[number % len(callers)].ask,
+            f"/v1/pipelines/{PIPELINE}",
+            {**body, "input": f"stream {number}"},
+            headers={"X-Deadline": "30s"},
+        )
+        for number in range(_STREAMS)
+    ]
+    replies = [thread.wait() for thread in threads]
+    sent: Counter[str] = Counter()
+    for target in fleet.target_ports:
+        sent.update(fleet.ledger(target)["tokens_by_request"])
+    differing = [
+        reply
+        for reply in replies
+        if not reply.whole or len(reply.text) != sent[reply.body["request"]]
+    ]
+    if differing:
+        raise AssertionError(f"{len(differing)} of {_STREAMS} streams differ")
+    return Effect(strict=True)
+
+
 @fault("kill and replace", FleetSpec(timing=_TIMING, targets=_TARGETS))
 def kill_and_replace(fleet: Fleet, traffic: Traffic, chance: random.Random) -> Effect:
     """A daemon is killed under load, twice, and replaced."""
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -174,6 +174,7 @@
             self.daemon.views.declaration.digest,
             1,
             False,
+            True,
             (),
         )
         freeze(30.0)
@@ -205,13 +206,13 @@
         self.world.network.separate(["a1"], ["b1", "c1"])
         advance(10.0)
         self.daemon.peers.hear(
-            Heartbeat("b1", "x", 1.0, 9e9, "earlier", 0.0, 1, "", 1, False, ())
+            Heartbeat("b1", "x", 1.0, 9e9, "earlier", 0.0, 1, "", 1, False, True, ())
         )
         self.assertTrue(self.daemon.views.is_stale())
 
     def test_heartbeat_of_a_stranger_is_ignored(self):
         self.daemon.peers.hear(
-            Heartbeat("zz", "x", 1.0, 0.0, "", 0.0, 99, "f" * 32, 99, False, ())
+            Heartbeat("zz", "x", 1.0, 0.0, "", 0.0, 99, "f" * 32, 99, False, True, ())
         )
         advance(1.0)
         self.assertEqual(self.daemon.views.declaration.revision, 1)
