--- a/packages/standins/bergamotsaddle_standins/faults.py
+++ b/packages/standins/bergamotsaddle_standins/faults.py
@@ -21,7 +21,7 @@
 from bergamotsaddle_standins.fleet import PIPELINE, Fleet, FleetSpec, get, wait_for
 from bergamotsaddle_standins.traffic import Traffic, audit
 
-_BUDGET = 180.0
+_BUDGET = 170.0
 _WARM_UP = 1.0
 _EFFECT_LIMIT = 3.0
 _COLD_LIMIT = 2
@@ -249,6 +249,44 @@
     return Effect()
 
 
+@fault("cut off", FleetSpec(timing=_TIMING, targets=_TARGETS, relayed=True))
+def cut_off(fleet: Fleet, traffic: Traffic, chance: random.Random) -> Effect:
+    """A daemon is cut off from its peers while a zone is taken out, and mended."""
+    name = chance.choice(list(fleet.daemons))
+    fleet.cut_off(name, cut=True)
+    eventlet.sleep(3.0)
+    zone = chance.choice(fleet.spec.zones)
+    fleet.zone_states[zone] = "out"
+    fleet.publish_declaration()
+    inside = [t for t, (_, where) in fleet.target_specs.items() if where == zone]
+    seconds = _until_quiet(fleet, inside)
+    fleet.cut_off(name, cut=False)
+    wait_for(lambda: _all_hear(fleet), "everybody to hear everybody")
+    eventlet.sleep(1.0)
+    return Effect(seconds=seconds)
+
+
+@fault("one way cut", FleetSpec(timing=_TIMING, targets=_TARGETS, relayed=True))
+def one_way_cut(fleet: Fleet, traffic: Traffic, chance: random.Random) -> Effect:
+    """A daemon is heard by its peers and hears nothing of them."""
+    name = chance.choice(list(fleet.daemons))
+    fleet.control_relay(name, cut=True)
+    eventlet.sleep(4.0)
+    fleet.control_relay(name, cut=False)
+    wait_for(lambda: _all_hear(fleet), "everybody to hear everybody")
+    return Effect()
+
+
+@fault("silent connections", FleetSpec(timing=_TIMING, targets=_TARGETS, relayed=True))
+def silent_connections(fleet: Fleet, traffic: Traffic, chance: random.Random) -> Effect:
+    """Connections between daemons go silent for good while new ones work."""
+    for _ in range(3):
+        for name in fleet.daemons:
+            fleet.control_relay(name, silence=True)
+        eventlet.sleep(1.5)
+    return Effect()
+
+
 def run(name: str, seed: int) -> bool:
     """Bring one fault about; returns whether everything held."""
     function, spec = FAULTS[name]
@@ -297,6 +335,11 @@
     return all(fleet.status(d)["revision"] == revision for d in fleet.daemons)
 
 
+def _all_hear(fleet: Fleet) -> bool:
+    peers = [peer for name in fleet.daemons for peer in fleet.status(name)["peers"]]
+    return all(peer["alive"] for peer in peers)
+
+
 def _say(name: str, row: list[str], remark: str) -> None:
     cells = "".join(f"{cell:>10}" for cell in row)
     sys.stdout.write(f"{name:<20}{cells}  {remark}\n")
--- a/packages/standins/bergamotsaddle_standins/fleet.py
+++ b/packages/standins/bergamotsaddle_standins/fleet.py
@@ -38,6 +38,7 @@
         timing: Settings that differ from the defaults, as in the INI file.
         policies: Policies that differ from the defaults.
         deadline: Deadline of the pipeline.
+        relayed: Whether a relay that can be cut stands before each daemon's peers.
     """
 
     zones: tuple[str, ...] = ZONES
@@ -54,6 +55,7 @@
     timing: dict[str, str] = {}
     policies: dict[str, str] = {}
     deadline: str = "4s"
+    relayed: bool = False
 
 
 class Process:
@@ -136,6 +138,7 @@
         self._zone_of_daemon: dict[str, str] = {}
         self._directory = tempfile.TemporaryDirectory()
         self._others: list[Process] = []
+        self._relay_ports: dict[str, int] = {}
         self._spawned = 0
 
     def __enter__(self) -> "Fleet":
@@ -170,10 +173,41 @@
                 self.start_daemon(f"entry-{zone}-{number}", zone)
         for daemon in self.daemons.values():
             daemon.wait_listening()
+        if self.spec.relayed:
+            self._start_relays()
         self.publish_declaration()
         self.publish_instances()
         self.wait_ready()
 
+    def _start_relays(self) -> None:
+        specs = [
+            {"name": name, "address": daemon.ports["peers"]}
+            for name, daemon in self.daemons.items()
+        ]
+        process = self._spawn_standin({"relays": specs})
+        process.wait_listening()
+        self._relay_ports = process.ports
+
+    def control_relay(self, name: str, **changes: Any) -> None:
+        """Cut, mend or silence what comes to a daemon from its peers."""
+        post(self._relay_ports["control"], "/", {"name": name, **changes})
+
+    def cut_off(self, name: str, *, cut: bool) -> None:
+        """Cut a daemon off from its peers, or mend it.
+
+        Calls that it makes to peers by itself are not told apart and still pass.
+        """
+        port = int(self.daemons[name].ports["peers"].rpartition(":")[2])
+        self.control_relay(name, cut=cut)
+        for other in self.daemons:
+            if other != name:
+                self.control_relay(other, drop=[port] if cut else [])
+
+    def _peer_address(self, name: str) -> str:
+        if name in self._relay_ports:
+            return f"127.0.0.1:{self._relay_ports[name]}"
+        return self.daemons[name].ports["peers"]
+
     def start_daemon(self, name: str, zone: str) -> Process:
         """Start one daemon, in place of an earlier one of the same name."""
         path = Path(self._directory.name) / f"{name}.ini"
@@ -228,7 +262,7 @@
                 "zone": self._zone_of_daemon[name],
                 "role": "entry",
                 "state": "leaving" if name in self.leaving else "live",
-                "peer_address": process.ports["peers"],
+                "peer_address": self._peer_address(name),
             }
             for name, process in self.daemons.items()
             if process.ports
