--- a/packages/contracts/bergamotsaddle_contracts/declaration.py
+++ b/packages/contracts/bergamotsaddle_contracts/declaration.py
@@ -251,14 +251,15 @@
             value = "yes" if target.repeatable else "no"
             reason = f"differs from the other targets of kind {target.kind}"
             ini.fault(section, "repeatable", value, reason)
+    models = {m for t in targets.values() for m in t.models if t.kind == "generate"}
     for pipeline in pipelines.values():
-        _check_stages(ini, pipeline, targets, repeatable_by_kind)
+        _check_stages(ini, pipeline, models, repeatable_by_kind)
 
 
 def _check_stages(
     ini: IniFile,
     pipeline: Pipeline,
-    targets: dict[str, DeclaredTarget],
+    models: set[str],
     repeatable_by_kind: dict[str, bool],
 ) -> None:
     section = f"pipeline {pipeline.name}"
@@ -268,7 +269,6 @@
         elif not repeatable_by_kind[stage]:
             reason = "a stage must be repeatable; call such a service by itself"
             ini.fault(section, "stages", stage, reason)
-    models = {m for t in targets.values() for m in t.models if t.kind == "generate"}
     if pipeline.model and pipeline.model not in models:
         reason = "no generate target serves this model"
         ini.fault(section, "model", pipeline.model, reason)
--- a/packages/contracts/bergamotsaddle_contracts/ini.py
+++ b/packages/contracts/bergamotsaddle_contracts/ini.py
@@ -110,13 +110,15 @@
     def __init__(self, text: str, *, name: str) -> None:
         self.name = name
         self.faults: list[Fault] = []
-        self._parser = self._parse(text)
+        parser = self._parse(text)
+        # Asking the parser for one value at a time takes longer than parsing.
+        self._sections = {name: dict(parser.items(name)) for name in parser.sections()}
         self._read: dict[str, set[str]] = {}
 
     @property
     def sections(self) -> list[str]:
         """Names of the sections in the order of the file."""
-        return self._parser.sections()
+        return list(self._sections)
 
     def fault(self, section: str, key: str, value: str, reason: str) -> None:
         """Note one fault."""
@@ -141,11 +143,11 @@
             The value, or the default where the value is absent or malformed.
         """
         self._read.setdefault(section, set()).add(key)
-        if not self._parser.has_option(section, key):
+        text = self._sections.get(section, {}).get(key)
+        if text is None:
             if default is None:
                 self.fault(section, key, "", "missing")
             return default
-        text = self._parser.get(section, key)
         try:
             return parse(text)
         except ValueError as error:
@@ -159,11 +161,8 @@
             InvalidFileError: With every fault found.
         """
         for section, keys in self._read.items():
-            if not self._parser.has_section(section):
-                continue
-            for key in self._parser.options(section):
+            for key, value in self._sections.get(section, {}).items():
                 if key not in keys:
-                    value = self._parser.get(section, key)
                     self.fault(section, key, value, "unknown key")
         if self.faults:
             raise InvalidFileError(self.faults)
