Place models by orders with fencing numbers

Cause: engines hold fewer models than are in use, and nothing decided which sits where. Ways weighed: a plan for each zone, counting any copy before dropping one. With one engine a zone two homes dropped a model at once and it was gone; counting only planned copies could stop with every engine full. Found: a target with nothing loaded passed for one that has everything. Conclusion: holds for declared copies; copies that follow demand are not built.

--- a/packages/contracts/bergamotsaddle_contracts/declaration.py
+++ b/packages/contracts/bergamotsaddle_contracts/declaration.py
@@ -22,6 +22,7 @@
 DEFAULT_COLD_LIMIT = 1
 DEFAULT_PRIORITY = 5
 DEFAULT_SHARE = 1
+DEFAULT_COPIES = 1
 DIGEST_BYTES = 16
 KEY_DIGEST_BYTES = 32
 
@@ -57,7 +58,8 @@
         address: Where it listens.
         zone: Its availability zone.
         kind: The stage or service it serves.
-        models: Models it serves; empty for services.
+        models: Models it may hold; empty for services.
+        holds: How many of them it holds at once.
         limit: Calls it bears at once when warm.
         cold_limit: Calls it bears at once in cold start.
         repeatable: Whether a call may be sent again after a failure.
@@ -72,6 +74,7 @@
     zone: str
     kind: str
     models: tuple[str, ...]
+    holds: int
     limit: int
     cold_limit: int
     repeatable: bool
@@ -81,6 +84,13 @@
     not_run_statuses: tuple[int, ...]
 
 
+class Model(NamedTuple):
+    """A model; ``copies`` targets of each zone should hold it, where they can."""
+
+    name: str
+    copies: int
+
+
 class Pipeline(NamedTuple):
     """A pipeline.
 
@@ -110,6 +120,7 @@
         zones: Availability zones by name.
         teams: Teams by name.
         targets: Targets by id.
+        models: Models whose copies are declared, by name.
         pipelines: Pipelines by name.
     """
 
@@ -120,6 +131,7 @@
     zones: dict[str, Zone]
     teams: dict[str, Team]
     targets: dict[str, DeclaredTarget]
+    models: dict[str, Model]
     pipelines: dict[str, Pipeline]
 
     @property
@@ -156,6 +168,7 @@
     zones: dict[str, Zone] = {}
     teams: dict[str, Team] = {}
     targets: dict[str, DeclaredTarget] = {}
+    models: dict[str, Model] = {}
     pipelines: dict[str, Pipeline] = {}
     title = ini.get("declaration", "name", str, "") or ""
     revision = ini.get("declaration", "revision", parse_count) or 0
@@ -164,22 +177,32 @@
         if section == "declaration":
             continue
         if not label:
-            ini.fault(section, "", "", "expected [zone|team|target|pipeline NAME]")
+            ini.fault(
+                section, "", "", "expected [zone|team|target|model|pipeline NAME]"
+            )
         elif kind == "zone":
             zones[label] = _read_zone(ini, section, label)
         elif kind == "team":
             teams[label] = _read_team(ini, section, label)
         elif kind == "target":
             targets[label] = _read_target(ini, section, label)
+        elif kind == "model":
+            copies = ini.get(section, "copies", parse_count, DEFAULT_COPIES)
+            models[label] = Model(label, copies or DEFAULT_COPIES)
         elif kind == "pipeline":
             pipelines[label] = _read_pipeline(ini, section, label)
         else:
-            ini.fault(section, "", "", "expected [zone|team|target|pipeline NAME]")
+            ini.fault(
+                section, "", "", "expected [zone|team|target|model|pipeline NAME]"
+            )
     _check_references(ini, zones, targets, pipelines)
+    _check_models(ini, targets, models)
     _check_keys(ini, teams)
     ini.close()
     digest = digest_text(text)
-    return Declaration(title, revision, digest, text, zones, teams, targets, pipelines)
+    return Declaration(
+        title, revision, digest, text, zones, teams, targets, models, pipelines
+    )
 
 
 def _read_zone(ini: IniFile, section: str, label: str) -> Zone:
@@ -206,12 +229,14 @@
 
 
 def _read_target(ini: IniFile, section: str, label: str) -> DeclaredTarget:
+    models = ini.get(section, "models", parse_words, ()) or ()
     return DeclaredTarget(
         id=label,
         address=ini.get(section, "address", parse_address) or Address("0.0.0.0", 0),
         zone=ini.get(section, "zone", str) or "",
         kind=ini.get(section, "kind", str) or "",
-        models=ini.get(section, "models", parse_words, ()) or (),
+        models=models,
+        holds=ini.get(section, "holds", parse_count, max(1, len(models))) or 1,
         limit=ini.get(section, "limit", parse_count, DEFAULT_LIMIT) or 1,
         cold_limit=ini.get(section, "cold_limit", parse_count, DEFAULT_COLD_LIMIT) or 1,
         repeatable=bool(ini.get(section, "repeatable", parse_yes_no, True)),
@@ -256,6 +281,16 @@
         _check_stages(ini, pipeline, models, repeatable_by_kind)
 
 
+def _check_models(
+    ini: IniFile, targets: dict[str, DeclaredTarget], models: dict[str, Model]
+) -> None:
+    held = {model for target in targets.values() for model in target.models}
+    for model in models.values():
+        if model.name not in held:
+            reason = "no target may hold this model"
+            ini.fault(f"model {model.name}", "", "", reason)
+
+
 def _check_stages(
     ini: IniFile,
     pipeline: Pipeline,
--- a/packages/contracts/bergamotsaddle_contracts/diff.py
+++ b/packages/contracts/bergamotsaddle_contracts/diff.py
@@ -4,14 +4,14 @@
 
 from bergamotsaddle_contracts.declaration import Declaration
 
-_PARTS = ("zones", "teams", "targets", "pipelines")
+_PARTS = ("zones", "teams", "targets", "models", "pipelines")
 
 
 class Change(NamedTuple):
     """One difference between two declarations.
 
     Attributes:
-        part: ``zone``, ``team``, ``target`` or ``pipeline``.
+        part: ``zone``, ``team``, ``target``, ``model`` or ``pipeline``.
         name: Name of the changed thing.
         what: ``added``, ``removed``, or ``KEY: OLD -> NEW``.
     """
--- a/packages/contracts/bergamotsaddle_contracts/messages.py
+++ b/packages/contracts/bergamotsaddle_contracts/messages.py
@@ -20,12 +20,14 @@
         cold: Whether it is in cold start.
         in_flight: Calls it was working on.
         age: Seconds since it measured, at the time of sending.
+        models: Models it has loaded; None if it holds all that it may.
     """
 
     target_id: str
     cold: bool
     in_flight: int
     age: float
+    models: tuple[str, ...] | None = None
 
 
 class Heartbeat(NamedTuple):
--- a/packages/daemon/bergamotsaddle_daemon/daemon.py
+++ b/packages/daemon/bergamotsaddle_daemon/daemon.py
@@ -36,6 +36,7 @@
 from bergamotsaddle_daemon.operators import OperatorApp
 from bergamotsaddle_daemon.peers import HeartbeatSocket, LinkFactory, Peers
 from bergamotsaddle_daemon.permits import Home, PermitOffice
+from bergamotsaddle_daemon.placement import Placement
 from bergamotsaddle_daemon.platform import PlatformReader, PlatformWatch
 from bergamotsaddle_daemon.pools import Pools
 from bergamotsaddle_daemon.reports import ReadLoad, ReportPoll
@@ -112,6 +113,15 @@
         self.reports = ReportPoll(
             settings, self.homes, self.home, self.targets, world.read_load
         )
+        self.placement = Placement(
+            settings,
+            self.views,
+            self.homes,
+            self.home,
+            self.targets,
+            self.decisions,
+            world.connections,
+        )
         self.peers.own_reports = self.reports.reports
         self.operators = OperatorApp(self)
         self._was_ready = False
@@ -177,6 +187,7 @@
             self.platform.watch_declaration,
             self.platform.watch_instances,
             self.reports.run,
+            self.placement.run,
             self.pools.dispatch_for_ever,
         ):
             self.threads.append(eventlet.spawn(self._keep_running, work))
--- a/packages/daemon/bergamotsaddle_daemon/permits.py
+++ b/packages/daemon/bergamotsaddle_daemon/permits.py
@@ -133,6 +133,19 @@
         ledger.expiry_by_number[number] = now() + lifetime * _CLOCK_DRIFT
         return PermitAnswer(number, f"granted for {lifetime:.2f} s")
 
+    def may_order(self, target_id: str) -> bool:
+        """Tell whether this instance may give a target orders.
+
+        An engine that checks no fencing number obeys whoever orders last. Two homes
+        at once would load and unload against each other; the same wait as for
+        permits keeps them apart.
+        """
+        if self._refuse(target_id, self._targets.by_id.get(target_id)):
+            return False
+        since = self._homes.since[target_id]
+        waited = now() - since >= self.takeover_wait
+        return waited or self._was_handed(target_id, since)
+
     def give_back(self, message: PermitReturn) -> None:
         """Take a permit back after the target answered. Model: ``finish``."""
         ledger = self._ledger_by_target.get(message.target_id)
--- a/packages/daemon/bergamotsaddle_daemon/pools.py
+++ b/packages/daemon/bergamotsaddle_daemon/pools.py
@@ -303,7 +303,7 @@
             target
             for target in self.targets.by_kind.get(need.kind, ())
             if target.id not in need.exclude
-            and (not need.model or need.model in target.declared.models)
+            and target.serves(need.model)
             and self._permits.can_use(target)
             and self.targets.gets_new_work(target)
         ]
--- a/packages/daemon/bergamotsaddle_daemon/reports.py
+++ b/packages/daemon/bergamotsaddle_daemon/reports.py
@@ -19,12 +19,21 @@
 
 
 class _Load(msgspec.Struct):
-    """What a target publishes of its load; ``age`` is the lag in seconds."""
+    """What a target publishes of its load.
+
+    Attributes:
+        target: Its id.
+        cold: Whether it is in cold start.
+        in_flight: Calls it works on.
+        age: The lag in seconds.
+        models: Models it has loaded; left out by targets that hold all they may.
+    """
 
     target: str
     cold: bool
     in_flight: int
     age: float = 0.0
+    models: tuple[str, ...] | None = None
 
 
 ReadLoad = Callable[[Address], bytes]
@@ -94,5 +103,7 @@
             return
         if load.target != target.id:
             return
-        report = TargetReport(target.id, load.cold, load.in_flight, load.age)
+        report = TargetReport(
+            target.id, load.cold, load.in_flight, load.age, load.models
+        )
         target.take_report(report, sent_at=asked_at)
--- a/packages/daemon/bergamotsaddle_daemon/settings.py
+++ b/packages/daemon/bergamotsaddle_daemon/settings.py
@@ -76,6 +76,8 @@
         report_limit: Age at which a target's report counts for nothing.
         token_silence: Longest gap between two tokens before a stream is resumed.
         connect: Time limit for connecting to a target.
+        placement: Between two looks at which models sit where.
+        load_model: Longest time that loading a model may take.
         return_ramp: Over which a returning zone's share of work grows to full.
         stop_notice: Between the ready probe going down and the listener closing.
         stop_limit: Longest wait for running requests at a planned stop.
@@ -96,6 +98,8 @@
     report_limit: float = 3.0
     token_silence: float = 1.0
     connect: float = 0.5
+    placement: float = 1.0
+    load_model: float = 120.0
     return_ramp: float = 5.0
     stop_notice: float = 1.0
     stop_limit: float = 60.0
--- a/packages/daemon/bergamotsaddle_daemon/targets.py
+++ b/packages/daemon/bergamotsaddle_daemon/targets.py
@@ -95,6 +95,15 @@
             return True
         return self._suspected_at >= self._measured_at
 
+    def serves(self, model: str) -> bool:
+        """Tell whether it has a model loaded; an empty name asks for none."""
+        if not model:
+            return True
+        report = self.report
+        if report is None or report.models is None:
+            return model in self.declared.models
+        return model in report.models
+
     def load(self) -> float:
         """Share of the limit in use, by own calls and the latest report."""
         report = self.report
--- a/packages/daemon/bergamotsaddle_daemon/views.py
+++ b/packages/daemon/bergamotsaddle_daemon/views.py
@@ -11,7 +11,7 @@
 from bergamotsaddle_daemon.decisions import DecisionLog
 from bergamotsaddle_daemon.settings import Settings
 
-EMPTY_DECLARATION = Declaration("", 0, "", "", {}, {}, {}, {})
+EMPTY_DECLARATION = Declaration("", 0, "", "", {}, {}, {}, {}, {})
 _NEVER = float("-inf")
 
 
--- a/packages/standins/bergamotsaddle_standins/faults.py
+++ b/packages/standins/bergamotsaddle_standins/faults.py
@@ -18,7 +18,15 @@
 from eventlet import hubs
 
 from bergamotsaddle_standins.client import Caller
-from bergamotsaddle_standins.fleet import PIPELINE, Fleet, FleetSpec, get, wait_for
+from bergamotsaddle_standins.fleet import (
+    MODEL,
+    PIPELINE,
+    Fleet,
+    FleetSpec,
+    get,
+    post,
+    wait_for,
+)
 from bergamotsaddle_standins.traffic import Traffic, audit
 
 _BUDGET = 170.0
@@ -33,6 +41,10 @@
     spec._replace(cold_limit=_COLD_LIMIT)
     for spec in FleetSpec._field_defaults["targets"]
 )
+_TWO_MODELS = tuple(
+    spec._replace(models=(MODEL, "chat-7b")) if spec.kind == "generate" else spec
+    for spec in _TARGETS
+)
 _LONG_STREAMS = tuple(
     spec._replace(token_seconds=0.15) if spec.kind == "generate" else spec
     for spec in _TARGETS
@@ -287,6 +299,26 @@
     return Effect()
 
 
+@fault("placement", FleetSpec(timing=_SHORT_COLD, targets=_TWO_MODELS))
+def placement(fleet: Fleet, traffic: Traffic, chance: random.Random) -> Effect:
+    """Every engine starts with one model and another is wanted too."""
+    engines = [t for t in fleet.target_ports if t.startswith("engine")]
+
+    def holds_both() -> bool:
+        held = [fleet.loaded(engine) for engine in engines]
+        return {model for models in held for model in models} == {MODEL, "chat-7b"}
+
+    seconds = wait_for(holds_both, "both models to be loaded")
+    eventlet.sleep(1.0)
+    moved = [e for e in engines if "chat-7b" in fleet.loaded(e)]
+    order = {"action": "unload", "model": MODEL, "fencing": 1}
+    try:
+        post(fleet.target_ports[moved[0]], "/v1/orders", order)
+    except OSError:
+        return Effect(seconds=seconds, strict=True)
+    raise AssertionError("an engine obeyed an old fencing number")
+
+
 def run(name: str, seed: int) -> bool:
     """Bring one fault about; returns whether everything held."""
     function, spec = FAULTS[name]
--- a/packages/standins/bergamotsaddle_standins/fleet.py
+++ b/packages/standins/bergamotsaddle_standins/fleet.py
@@ -291,6 +291,10 @@
         """What a target really did."""
         return get(f"127.0.0.1:{self.target_ports[target_id]}", "/ledger")
 
+    def loaded(self, target_id: str) -> list[str]:
+        """Models that a target holds."""
+        return get(f"127.0.0.1:{self.target_ports[target_id]}", "/v1/load")["models"]
+
     def status(self, name: str) -> dict[str, Any]:
         """Status page of a daemon."""
         return get(self.operators(name), "/status")
@@ -337,7 +341,9 @@
         lines += [f"address = 127.0.0.1:{self.target_ports[target_id]}"]
         lines += [f"limit = {spec.slots}", f"cold_limit = {spec.cold_limit}"]
         if spec.kind == "generate":
-            lines += [f"models = {MODEL}", "resumes = yes"]
+            models = ", ".join(spec.models or (MODEL,))
+            lines += [f"models = {models}", f"holds = {spec.holds}", "resumes = yes"]
+            lines += ["fencing = yes"]
         if spec.kind == "orders":
             lines += ["repeatable = no"]
         return lines
--- a/packages/standins/bergamotsaddle_standins/targets.py
+++ b/packages/standins/bergamotsaddle_standins/targets.py
@@ -15,6 +15,7 @@
 
 _KEPT_SECONDS = 60.0
 _COLD_SLOWDOWN = 4.0
+_LOAD_SECONDS = 0.5
 _VOCABULARY = ("feed", "pen", "tide", "pellet", "barge", "dawn", "net", "salmon")
 
 
@@ -28,6 +29,8 @@
         seconds: Time of one call, or of the first token of an engine.
         token_seconds: Time between two tokens.
         cold_limit: Calls it bears in cold start.
+        models: Models it may hold; empty for none or one that is always there.
+        holds: How many of them it holds at once; the first ones at the start.
     """
 
     id: str
@@ -36,6 +39,8 @@
     seconds: float = 0.02
     token_seconds: float = 0.01
     cold_limit: int = 1
+    models: tuple[str, ...] = ()
+    holds: int = 1
 
 
 def make_token(prompt: str, index: int) -> str:
@@ -103,6 +108,8 @@
         self.faults = Faults()
         self.ledger = Ledger()
         self.in_flight = 0
+        self.loaded = list(spec.models[: spec.holds])
+        self.fencing = 0
         self._slots = Semaphore(spec.slots)
 
     def __call__(self, environ: Environ, start_response: Callable) -> Iterable[bytes]:
@@ -119,6 +126,8 @@
             return answer(start_response, self.ledger)
         if path == "/v1/load":
             return answer(start_response, self._load())
+        if path == "/v1/orders":
+            return self._obey(environ, start_response)
         return self._work(environ, start_response, path)
 
     def _load(self) -> dict[str, Any]:
@@ -127,8 +136,26 @@
             "cold": self.faults.cold,
             "in_flight": self.in_flight,
             "age": 0.0,
+            "models": self.loaded if self.spec.models else None,
         }
 
+    def _obey(self, environ: Environ, start_response: Callable) -> list[bytes]:
+        """Load or unload a model, unless the order is older than one obeyed."""
+        order = read_json(environ)
+        names = self._names(environ)
+        if order["fencing"] < self.fencing:
+            return answer(start_response, {}, status="409 Conflict", headers=names)
+        self.fencing = order["fencing"]
+        eventlet.spawn_n(self._carry_out, order["action"], order["model"])
+        return answer(start_response, {}, headers=names)
+
+    def _carry_out(self, action: str, model: str) -> None:
+        if action == "load":
+            eventlet.sleep(_LOAD_SECONDS)
+            self.loaded.append(model)
+        elif model in self.loaded:
+            self.loaded.remove(model)
+
     def _work(
         self, environ: Environ, start_response: Callable, path: str
     ) -> Iterable[bytes]:
--- a/tests/_fakes.py
+++ b/tests/_fakes.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import eventlet
+import msgspec
 import structlog
 from eventlet.event import Event
 
@@ -154,12 +155,17 @@
         self.refuses_connections = False
         self.handle: Callable[[Call], Reply] = lambda call: Reply(200, b"{}")
         self.load_silent = False
+        self.models: list[str] | None = None
 
     def load(self) -> bytes:
         """What it publishes of its load."""
-        cold = "true" if self.cold else "false"
-        text = f'{{"target":"{self.id}","cold":{cold},"in_flight":{self.in_flight}}}'
-        return text.encode()
+        load = {
+            "target": self.id,
+            "cold": self.cold,
+            "in_flight": self.in_flight,
+            "models": self.models,
+        }
+        return msgspec.json.encode(load)
 
 
 class FakeConnections(Connections):
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -33,7 +33,7 @@
     """A warm target with some calls."""
     address = Address("10.0.0.1", 1)
     declared = DeclaredTarget(
-        name, address, zone, "generate", (), 10, 1, True, False, False, True, ()
+        name, address, zone, "generate", (), 1, 10, 1, True, False, False, True, ()
     )
     target = Target(declared, SETTINGS, 1)
     target.take_report(TargetReport(name, False, 0, 0.0), sent_at=now())
