Weigh homes only where a zone's entry instances changed

Cause: each change weighed every target against every entry instance of its zone: 167-296 ms of a daemon's core at 350 entries and 4700 targets, every 16 s at the coming rate.

--- a/packages/daemon/bergamotsaddle_daemon/homes.py
+++ b/packages/daemon/bergamotsaddle_daemon/homes.py
@@ -27,6 +27,7 @@
         self._settings = settings
         self._own_id = settings.daemon.id
         self._views = views
+        self._known_entries_by_zone: dict[str, list[str]] = {}
         self.by_target: dict[str, str] = {}
         self.since: dict[str, float] = {}
         self.followed: frozenset[str] = frozenset()
@@ -35,10 +36,21 @@
     def refresh(self) -> None:
         """Follow the instance list and the declared targets."""
         entries_by_zone = self._entries_by_zone()
+        changed = {
+            zone
+            for zone, entries in entries_by_zone.items()
+            if entries != self._known_entries_by_zone.get(zone)
+        }
+        self._known_entries_by_zone = entries_by_zone
         homes: dict[str, str] = {}
         for target in self._views.declaration.targets.values():
-            entries = entries_by_zone.get(target.zone)
-            if entries:
+            entries = entries_by_zone.get(target.zone, [])
+            known = self.by_target.get(target.id)
+            # Most changes leave a zone's entry instances as they are; weighing all
+            # its targets anew each time would take a third of a second at size.
+            if known in entries and target.zone not in changed:
+                homes[target.id] = known
+            elif entries:
                 homes[target.id] = max(entries, key=lambda e: _weigh(e, target.id))
         own = {target for target, home in homes.items() if home == self._own_id}
         self.since = {target: self.since.get(target, now()) for target in own}
--- a/packages/standins/bergamotsaddle_standins/capacity.py
+++ b/packages/standins/bergamotsaddle_standins/capacity.py
@@ -19,16 +19,21 @@
 import structlog
 
 from bergamotsaddle_contracts.declaration import parse_declaration
+from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_contracts.instances import Instance, InstanceList, encode_instances
 from bergamotsaddle_contracts.messages import Heartbeat, TargetReport, open_sealed, seal
 from bergamotsaddle_daemon.decisions import DecisionLog
 from bergamotsaddle_daemon.homes import Homes
+from bergamotsaddle_daemon.platform import HttpReader
+from bergamotsaddle_daemon.reports import make_http_load_reader
 from bergamotsaddle_daemon.settings import parse_settings
 from bergamotsaddle_daemon.targets import Targets
 from bergamotsaddle_daemon.views import Views
+from bergamotsaddle_standins._web import serve
 from bergamotsaddle_standins.client import Caller
 from bergamotsaddle_standins.fleet import PIPELINE, Fleet, FleetSpec
-from bergamotsaddle_standins.targets import TargetSpec
+from bergamotsaddle_standins.platform import PlatformService
+from bergamotsaddle_standins.targets import TargetApp, TargetSpec
 
 ZONES = 9
 _KEY = b"0123456789abcdef"
@@ -122,9 +127,11 @@
         views.declaration = parse_declaration(make_text(targets, 5, 5))
         known = Targets(_SETTINGS, views)
         homes = Homes(_SETTINGS, views)
+        homes.refresh()
         _, kept = memory_of(known.refresh)
         figures = (
             time_of(known.refresh) * 1000,
+            time_of(lambda views=views: Homes(_SETTINGS, views).refresh()) * 1000,
             time_of(homes.refresh) * 1000,
             kept / 1024,
             len(encode_instances(views.instances)) / 1024,
@@ -163,6 +170,57 @@
         say("", count, len(datagram), f"{send * 1000:.1f}", f"{take * 1000:.1f}")
 
 
+def show_requests() -> None:
+    """Bytes of a poll of a target's load and of a watch of the platform."""
+    say("request", "sent B", "answer B")
+    app = TargetApp(TargetSpec("engine-1000", "generate", models=("m1", "m2"), holds=2))
+    port = serve(app)
+    with _Recorder(port) as recorder:
+        make_http_load_reader()(recorder.address)
+        say("poll", recorder.sent, recorder.answered)
+    service = PlatformService()
+    service.value.publish(b"x")
+    tag = service.value.visible()[0]
+    with _Recorder(serve(service)) as recorder:
+        HttpReader(recorder.address, "/v1/values/declaration").read(tag, 0.1)
+        say("watch", recorder.sent, recorder.answered)
+
+
+class _Recorder:
+    """Passes one connection on and counts its bytes.
+
+    Args:
+        port: Where to pass it on to.
+    """
+
+    def __init__(self, port: int) -> None:
+        self._to = ("127.0.0.1", port)
+        self._listener = eventlet.listen(("127.0.0.1", 0))
+        self.address = Address(*self._listener.getsockname())
+        self.sent = 0
+        self.answered = 0
+
+    def __enter__(self) -> "_Recorder":
+        self._thread = eventlet.spawn(self._pass_on)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._thread.kill()
+
+    def _pass_on(self) -> None:
+        client, _ = self._listener.accept()
+        server = eventlet.connect(self._to)
+        eventlet.spawn_n(self._answer, server, client)
+        while data := client.recv(65_536):
+            self.sent += len(data)
+            server.sendall(data)
+
+    def _answer(self, server: Any, client: Any) -> None:
+        while data := server.recv(65_536):
+            self.answered += len(data)
+            client.sendall(data)
+
+
 def show_idle() -> None:
     """Idle cost of a daemon by number of daemons, targets and platform calls."""
     say("idle daemon", "daemons", "targets", "core %", "RSS MB", "calls/s")
@@ -297,6 +355,7 @@
         "declarations": show_declarations,
         "change": show_change,
         "heartbeats": show_heartbeats,
+        "requests": show_requests,
         "idle": show_idle,
         "serving": show_serving,
         "bookings": show_bookings,
