--- a/packages/daemon/bergamotsaddle_daemon/callers.py
+++ b/packages/daemon/bergamotsaddle_daemon/callers.py
@@ -1,7 +1,6 @@
 """The HTTP interface of callers."""
 
 from collections.abc import Callable, Iterable, Iterator
-from typing import Any
 
 import msgspec
 import structlog
@@ -10,6 +9,7 @@
 from bergamotsaddle_contracts.errors import ErrorKind, RequestError
 from bergamotsaddle_contracts.ini import parse_duration
 from bergamotsaddle_contracts.messages import Outcome, ServiceRequest
+from bergamotsaddle_daemon._response_body import Once, ResponseBody
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_daemon.costs import Costs
 from bergamotsaddle_daemon.http import (
@@ -100,7 +100,7 @@
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable:
         """Serve one HTTP request."""
         self.active += 1
-        ended = _Once(self._end)
+        ended = Once(self._end)
         try:
             answer = self._serve(environ, start_response)
         except RequestError as error:
@@ -109,7 +109,7 @@
         except BaseException:
             ended()
             raise
-        return _Body(answer, ended)
+        return ResponseBody(answer, ended)
 
     def _end(self) -> None:
         self.active -= 1
@@ -330,38 +330,6 @@
         )
 
 
-class _Once:
-    """Calls a function the first time only."""
-
-    def __init__(self, function: Callable[[], None]) -> None:
-        self._function: Callable[[], None] | None = function
-
-    def __call__(self) -> None:
-        function, self._function = self._function, None
-        if function is not None:
-            function()
-
-
-class _Body:
-    """A response body that tells when the server is done with it."""
-
-    def __init__(self, body: Iterable[bytes], ended: Callable[[], None]) -> None:
-        self._body = body
-        self._ended = ended
-
-    def __iter__(self) -> Iterator[bytes]:
-        return iter(self._body)
-
-    def close(self) -> None:
-        """End the request; the server calls this whatever happened."""
-        close: Any = getattr(self._body, "close", None)
-        try:
-            if close is not None:
-                close()
-        finally:
-            self._ended()
-
-
 def _read_seconds(environ: Environ, default: float) -> float:
     text = environ.get(DEADLINE_HEADER, "")
     if not text:
--- a/packages/daemon/bergamotsaddle_daemon/daemon.py
+++ b/packages/daemon/bergamotsaddle_daemon/daemon.py
@@ -45,8 +45,9 @@
 from bergamotsaddle_daemon.stages import StageCaller
 from bergamotsaddle_daemon.streams import StreamRelay
 from bergamotsaddle_daemon.targets import Targets
-from bergamotsaddle_daemon.tickets import TicketDesk, Witness
+from bergamotsaddle_daemon.tickets import TicketDesk
 from bergamotsaddle_daemon.views import Views
+from bergamotsaddle_daemon.witness import Witness
 
 _STOP_STEP = 0.05
 _RESTART_PAUSE = 1.0
--- a/packages/daemon/bergamotsaddle_daemon/stages.py
+++ b/packages/daemon/bergamotsaddle_daemon/stages.py
@@ -11,12 +11,13 @@
     RequestError,
     TargetError,
 )
+from bergamotsaddle_daemon.admission import Need
 from bergamotsaddle_daemon.calls import Call, Connections
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_daemon.costs import FIRST, HEDGE, RETRY, CostKey, Costs
 from bergamotsaddle_daemon.deadlines import StageCosts
 from bergamotsaddle_daemon.decisions import DecisionLog
-from bergamotsaddle_daemon.pools import Need, Pools, Slot
+from bergamotsaddle_daemon.pools import Pools, Slot
 from bergamotsaddle_daemon.request import Request
 from bergamotsaddle_daemon.retries import RetryBudget
 from bergamotsaddle_daemon.settings import Settings
