Keep places, budgets and the race message from leaking

Cause, found by reading: a waiting call killed right after it was handed a place kept the place for ever; streams used the retry budget and never refilled it; a race stayed in 'status' after the next revision. Each has a test that failed first (the kill's test with the mend turned off).

--- a/packages/daemon/bergamotsaddle_daemon/pools.py
+++ b/packages/daemon/bergamotsaddle_daemon/pools.py
@@ -304,6 +304,12 @@
                         return slot
                     if slot is not None:
                         slot.abandon()
+        except BaseException:
+            # Killed, as when a hedge has won, just after a place was handed over.
+            # Nobody else knows of that place; the target would lose it for good.
+            if isinstance(waiter.result, Slot):
+                waiter.result.abandon()
+            raise
         finally:
             pool.queue.drop(waiter)
         if waiter.result is None:
--- a/packages/daemon/bergamotsaddle_daemon/stages.py
+++ b/packages/daemon/bergamotsaddle_daemon/stages.py
@@ -93,8 +93,7 @@
         Raises:
             RequestError: If there is no answer.
         """
-        self._retries.count_call(request.team.name, stage.kind)
-        self._hedges.count_call(request.team.name, stage.kind)
+        self.count_plain(request, stage)
         what = FIRST
         failed: frozenset[str] = frozenset()
         while True:
@@ -104,6 +103,11 @@
             failed |= {attempt.target_id}
             what = self.decide_retry(request, stage, attempt.error)
 
+    def count_plain(self, request: Request, stage: Stage) -> None:
+        """Count the plain call of a stage, which refills the budgets."""
+        self._retries.count_call(request.team.name, stage.kind)
+        self._hedges.count_call(request.team.name, stage.kind)
+
     def need(self, request: Request, stage: Stage, exclude: frozenset[str]) -> Need:
         """Say what a call of a stage needs of a target."""
         kinds = (stage.kind, *stage.later)
--- a/packages/daemon/bergamotsaddle_daemon/streams.py
+++ b/packages/daemon/bergamotsaddle_daemon/streams.py
@@ -171,6 +171,7 @@
             RequestError: If the stream can't be completed; what was yielded before
                 is then only a part of the answer.
         """
+        self._stages.count_plain(stream.request, stage)
         what = FIRST
         failed: frozenset[str] = frozenset()
         while not stream.is_done:
--- a/packages/daemon/bergamotsaddle_daemon/views.py
+++ b/packages/daemon/bergamotsaddle_daemon/views.py
@@ -73,6 +73,8 @@
             self._decisions.record("", "declaration", "", reason)
             return False
         self.declaration = offered
+        if offered.revision > current.revision:
+            self.race = ""
         self.refused = []
         self.taken_at = now()
         choice = f"{offered.revision} {offered.digest[:8]}"
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+import eventlet
 from nose2.tools import params
 
 from bergamotsaddle_contracts.declaration import DeclaredTarget, Team
@@ -15,9 +16,13 @@
 from bergamotsaddle_daemon.fair_queue import FairQueue, Waiter
 from bergamotsaddle_daemon.limits import Adaptive
 from bergamotsaddle_daemon.peers import _ring_steps
+from bergamotsaddle_daemon.pools import Slot
+from bergamotsaddle_daemon.request import Request
 from bergamotsaddle_daemon.retries import RetryBudget
 from bergamotsaddle_daemon.routing import LeastOfFew, RoundRobin, RoutingRequest
 from bergamotsaddle_daemon.settings import parse_settings
+from bergamotsaddle_daemon.stages import Stage
+from bergamotsaddle_daemon.streams import Generation, TokenStream
 from bergamotsaddle_daemon.targets import Target
 from tests._fakes import World3, run_green
 from tests._http import ask
@@ -357,3 +362,40 @@
         ends = [result.value.status for result in results]
         self.assertGreater(ends.count(200), 45)
         self.assertEqual(self.daemon.pools.waiting(), 0)
+
+    def test_killed_waiter_leaks_no_place(self):
+        # A hedge wins while the slow first attempt still waits, and in the same
+        # moment a place is handed to that one. Were it kept by nobody, the target
+        # would have one place less for ever, and slowly none.
+        pools = self.daemon.pools
+        self.learn()
+        for target in self.world.targets.values():
+            target.seconds = 0.5
+        for _ in range(25):
+            self.plan()
+        request = Request(self.daemon.views.declaration.teams["crews"], "plan", 4, 5)
+        stage = Stage("encode", "", "/v1/stages/encode", b"{}")
+        stages = self.daemon.callers._stages
+        wanted = stages.need(request, stage, frozenset())
+        waiting = eventlet.spawn(pools.acquire, wanted)
+        advance(0.01)
+        pool = pools._pool(wanted)
+        waiter = next(e.waiter for e in pool.queue._heap if e.waiter.need is wanted)
+        target = self.daemon.targets.by_id["encode-a"]
+        before = target.in_flight
+        waiter.decide(Slot(pools, pool, target, None))
+        waiting.kill()
+        self.assertEqual(target.in_flight, before)
+
+    def test_streams_refill_the_retry_budget(self):
+        # Only plain calls refill the budget. Streams that did not count would use it
+        # up once and never again be tried elsewhere.
+        budget = self.daemon.callers._stages._retries
+        while budget.take("crews", "generate"):
+            continue
+        request = Request(self.daemon.views.declaration.teams["crews"], "plan", 4, 5)
+        stream = TokenStream(request, Generation("m", "p", 1))
+        stage = Stage("generate", "m", "/v1/completions", b"")
+        for _ in range(20):
+            run_green(lambda: list(self.daemon.callers._relay.run(stream, stage)))
+        self.assertTrue(budget.take("crews", "generate"))
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -64,6 +64,10 @@
         expected = max(digest_text(text.decode()) for text in (one, two))
         self.assertEqual(digests, {expected})
         self.assertTrue(any(d.views.race for d in self.world.daemons.values()))
+        self.world.config.payload_by_reader = {}
+        self.world.publish(3)
+        advance(2.0)
+        self.assertFalse(any(d.views.race for d in self.world.daemons.values()))
 
     def test_bad_declaration_is_refused_whole(self):
         self.world.config.payload = self.world.declaration(
