Say 'not run' and 'ready' only when they are final

Cause, found by reading: a look at a forgotten ticket said 'not used yet'; a full table answered 'not run', which is final for the caller, though the ticket could still run; an instance counted as caught up while a heartbeat had told it of a newer declaration that it had not fetched. Change: 'unused' and 'busy' are outcomes of their own (busy: 429, ask again with the same ticket); readiness waits for what peers are known to have.

--- a/packages/contracts/bergamotsaddle_contracts/messages.py
+++ b/packages/contracts/bergamotsaddle_contracts/messages.py
@@ -88,9 +88,9 @@
     """How a ticketed request ended.
 
     Attributes:
-        state: ``finished``, ``not_run``, ``unknown``, ``reused`` if the ticket was
-            used with another request, or ``elsewhere`` if the asked instance
-            can't tell.
+        state: ``finished``, ``not_run`` for good, ``unknown``, ``reused`` if the
+            ticket was used with another request, ``unused`` or ``busy`` if it may
+            still be used, or ``elsewhere`` if the asked instance can't tell.
         status: HTTP status of the target's answer when finished.
         body: The target's answer when finished.
         detail: One sentence for the caller otherwise.
@@ -106,6 +106,8 @@
 NOT_RUN = "not_run"
 UNKNOWN = "unknown"
 REUSED = "reused"
+UNUSED = "unused"
+BUSY = "busy"
 ELSEWHERE = "elsewhere"
 
 
--- a/packages/daemon/bergamotsaddle_daemon/peers.py
+++ b/packages/daemon/bergamotsaddle_daemon/peers.py
@@ -148,12 +148,18 @@
         it waits for its neighbours, though not for ones that are silent. Model:
         ``ready``.
         """
+        waited = now() - self._started_at
+        silence = self._settings.timing.peer_silence
         if self._fetching or not self._views.instances.version:
             return False
-        if now() - self._started_at > self._settings.timing.peer_silence:
-            return True
+        if self._knows_of_newer() and waited <= 2 * silence:
+            return False
         heard = (peer.incarnation for peer in self.neighbours.values())
-        return all(heard)
+        return waited > silence or all(heard)
+
+    def _knows_of_newer(self) -> bool:
+        own = self._views.declaration.revision
+        return any(peer.revision > own for peer in self.by_id.values())
 
     def call(self, peer_id: str, message: Any, timeout: float) -> Any:
         """Call a peer.
--- a/packages/daemon/bergamotsaddle_daemon/services.py
+++ b/packages/daemon/bergamotsaddle_daemon/services.py
@@ -10,6 +10,7 @@
     TargetError,
 )
 from bergamotsaddle_contracts.messages import (
+    BUSY,
     FINISHED,
     NOT_RUN,
     REUSED,
@@ -31,6 +32,7 @@
     NOT_RUN: ErrorKind.NOT_RUN,
     UNKNOWN: ErrorKind.OUTCOME_UNKNOWN,
     REUSED: ErrorKind.TICKET_REUSED,
+    BUSY: ErrorKind.OVERLOADED,
 }
 
 
--- a/packages/daemon/bergamotsaddle_daemon/tickets.py
+++ b/packages/daemon/bergamotsaddle_daemon/tickets.py
@@ -16,11 +16,13 @@
     RequestError,
 )
 from bergamotsaddle_contracts.messages import (
+    BUSY,
     ELSEWHERE,
     FINISHED,
     NOT_RUN,
     REUSED,
     UNKNOWN,
+    UNUSED,
     Outcome,
     OutcomeQuery,
     OutcomeRecord,
@@ -164,9 +166,9 @@
             return run.wait(0.0)
         if ticket.witness_incarnation == self._incarnation:
             return self._witness.look(ticket)
-        if ticket.incarnation == self._incarnation:
-            return Outcome(NOT_RUN, detail="not used yet")
-        return Outcome(ELSEWHERE)
+        if ticket.incarnation != self._incarnation:
+            return Outcome(ELSEWHERE)
+        return self._refuse_new(ticket) or Outcome(UNUSED, detail="not used yet")
 
     def serve(self, message: RunTicket) -> Outcome:
         """Answer a peer that forwards a request."""
@@ -230,7 +232,9 @@
         if age >= self._timing.ticket_lifetime:
             return Outcome(NOT_RUN, detail="the ticket has expired; take a new one")
         if len(self._run_by_nonce) >= self._settings.limits.tickets:
-            return Outcome(NOT_RUN, detail="too many tickets are in use here")
+            # Not "not run": that is final, and this ticket may still be used.
+            detail = "too many tickets are in use here; ask again with this one"
+            return Outcome(BUSY, detail=detail)
         return None
 
     def _execute(self, ticket: Ticket, request: ServiceRequest, run: _Run) -> None:
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -112,6 +112,18 @@
         self.assertIn((True, 2), seen)
         self.assertNotIn((True, 1), seen)
 
+    def test_not_ready_while_a_peer_is_known_to_have_a_newer_one(self):
+        # A heartbeat tells of a newer declaration while the one of another peer is
+        # being fetched. Being done with that one is not being up to date.
+        self.world.kill("c1")
+        fresh = self.world.add_daemon("c1", "c")
+        self.world.publish_list()
+        fresh.spawn()
+        advance(1.0)
+        self.assertTrue(fresh.peers.is_caught_up())
+        fresh.peers.by_id["b1"].revision = 9
+        self.assertFalse(fresh.peers.is_caught_up())
+
     def test_start_with_silent_peers(self):
         # A whole zone starts cut off from the others; it serves what it can.
         self.world.network.separate(["c1"], ["a1", "b1"])
