Keep the place of a given-up call at a cold target

Cause, found by reading: a call that ran out of time gave its permit back at once, as if closing the connection stopped the target. A stage worker goes on working, so a third call could join two. The specification has it ('finish_unheard'); the code did not follow. Change: a permit is returned only for a call that was answered or never sent; others count until they run out and a report proves their end. Conclusion: the code follows the specification here now.

--- a/packages/daemon/bergamotsaddle_daemon/pools.py
+++ b/packages/daemon/bergamotsaddle_daemon/pools.py
@@ -46,6 +46,7 @@
         self._pool = pool
         self._began_at = now()
         self._heard = False
+        self._is_sent = False
         self.target = target
         self.permit = permit
         target.begin()
@@ -67,6 +68,7 @@
             raise PlaceLostError("the target turned cold")
         if not self._pools.targets.gets_new_work(self.target):
             raise PlaceLostError("the target gets no new work any more")
+        self._is_sent = True
 
     def waited(self) -> float:
         """Seconds since the call began."""
@@ -84,6 +86,15 @@
             return seconds
         return min(seconds, self.permit.expires_at - now())
 
+    def may_still_run(self) -> bool:
+        """Tell whether the target may go on working on the call.
+
+        Closing the connection doesn't stop every target. The permit of a call that
+        was given up is therefore not returned: its home counts it until it has run
+        out and a report proves its end.
+        """
+        return self._is_sent
+
     def hear(self) -> None:
         """The target sent some of its answer."""
         self.target.answered_at = now()
@@ -97,6 +108,7 @@
         """The target answered."""
         self.hear()
         self.target.finish()
+        self._is_sent = False
         self._pools.release(self, self.waited())
 
     def fail(self, error: TargetError) -> None:
@@ -191,7 +203,7 @@
 
     def release(self, slot: Slot, latency: float | None) -> None:
         """Take a place back and hand it to who waits for it."""
-        if slot.permit is not None:
+        if slot.permit is not None and not slot.may_still_run():
             self._permits.give_back(slot.permit)
         declared = slot.target.declared
         for (kind, model), pool in self._pool_by_need.items():
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -81,6 +81,34 @@
         advance(1.0)
         self.assertTrue(self.ask().permit)
 
+    def test_timed_out_call_keeps_its_place(self):
+        # A call at a cold target runs out of time. The daemon closes the connection,
+        # which a plain stage worker doesn't notice; it goes on working. Giving the
+        # place to the next call at once would run three where two are borne.
+        for target in self.world.targets.values():
+            target.seconds = 60.0
+        run_green(lambda: call_stock(self.world.daemons["a1"], 1.0))
+        advance(0.7)
+        out = sum(
+            len(ledger.expiry_by_number)
+            for daemon in self.world.daemons.values()
+            for ledger in daemon.home._ledger_by_target.values()
+        )
+        self.assertEqual(len(self.world.calls("stock")), 2)
+        self.assertEqual(out, 2)
+
+    def test_unsent_call_gives_its_place_back(self):
+        for target in self.world.targets.values():
+            target.refuses_connections = True
+        run_green(lambda: call_stock(self.world.daemons["a1"], 1.0))
+        advance(1.5)
+        out = sum(
+            len(ledger.expiry_by_number)
+            for daemon in self.world.daemons.values()
+            for ledger in daemon.home._ledger_by_target.values()
+        )
+        self.assertEqual(out, 0)
+
     def test_unused_permit_is_not_taken_for_the_running_call(self):
         # One call outlived its permit, another permit is granted and not yet used.
         # The target reports one call; it is the old one. The model checker found it.
