--- a/packages/daemon/bergamotsaddle_daemon/callers.py
+++ b/packages/daemon/bergamotsaddle_daemon/callers.py
@@ -22,11 +22,11 @@
 from bergamotsaddle_daemon.pipelines import PipelineRun, parse_pipeline_body
 from bergamotsaddle_daemon.pools import Pools
 from bergamotsaddle_daemon.request import Request
-from bergamotsaddle_daemon.services import ServiceDesk, is_finished, outcome_error
+from bergamotsaddle_daemon.services import ServiceCaller, is_finished, outcome_error
 from bergamotsaddle_daemon.settings import Settings
 from bergamotsaddle_daemon.stages import StageCaller
 from bergamotsaddle_daemon.streams import StreamRelay
-from bergamotsaddle_daemon.tickets import TicketDesk
+from bergamotsaddle_daemon.tickets import TicketRunner
 from bergamotsaddle_daemon.views import Views
 
 TICKET_HEADER = "HTTP_X_TICKET"
@@ -77,8 +77,8 @@
         pools: Pools,
         stages: StageCaller,
         relay: StreamRelay,
-        services: ServiceDesk,
-        tickets: TicketDesk,
+        services: ServiceCaller,
+        tickets: TicketRunner,
         costs: Costs,
         logger: structlog.typing.FilteringBoundLogger,
     ) -> None:
--- a/packages/daemon/bergamotsaddle_daemon/daemon.py
+++ b/packages/daemon/bergamotsaddle_daemon/daemon.py
@@ -35,17 +35,17 @@
 from bergamotsaddle_daemon.links import Handler
 from bergamotsaddle_daemon.operators import OperatorApp
 from bergamotsaddle_daemon.peers import HeartbeatSocket, LinkFactory, Peers
-from bergamotsaddle_daemon.permits import Home, PermitOffice
+from bergamotsaddle_daemon.permits import Home, PermitClient
 from bergamotsaddle_daemon.placement import Placement
 from bergamotsaddle_daemon.platform import PlatformReader, PlatformWatch
 from bergamotsaddle_daemon.pools import Pools
 from bergamotsaddle_daemon.reports import ReadLoad, ReportPoll
-from bergamotsaddle_daemon.services import ServiceDesk
+from bergamotsaddle_daemon.services import ServiceCaller
 from bergamotsaddle_daemon.settings import Settings
 from bergamotsaddle_daemon.stages import StageCaller
 from bergamotsaddle_daemon.streams import StreamRelay
 from bergamotsaddle_daemon.targets import Targets
-from bergamotsaddle_daemon.tickets import TicketDesk
+from bergamotsaddle_daemon.tickets import TicketRunner
 from bergamotsaddle_daemon.views import Views
 from bergamotsaddle_daemon.witness import Witness
 
@@ -53,7 +53,7 @@
 _RESTART_PAUSE = 1.0
 
 
-class World(NamedTuple):
+class Interfaces(NamedTuple):
     """What a daemon meets outside itself; tests put small fakes here.
 
     Attributes:
@@ -78,11 +78,11 @@
 
     Args:
         settings: Its settings.
-        world: What it meets outside itself.
+        interfaces: What it meets outside itself.
         logger: Where log lines go.
     """
 
-    def __init__(self, settings: Settings, world: World, logger: Any) -> None:
+    def __init__(self, settings: Settings, interfaces: Interfaces, logger: Any) -> None:
         self.settings = settings
         self.logger = logger
         self.incarnation = make_nonce()
@@ -98,21 +98,24 @@
             self.homes,
             self.targets,
             self.decisions,
-            link_factory=world.link_factory,
-            socket=world.heartbeats,
+            link_factory=interfaces.link_factory,
+            socket=interfaces.heartbeats,
         )
         self.home = Home(settings, self.views, self.homes, self.targets)
-        self.permits = PermitOffice(settings, self.homes, self.home, self.peers)
+        self.permits = PermitClient(settings, self.homes, self.home, self.peers)
         self.pools = Pools(
             settings, self.views, self.targets, self.permits, self.decisions
         )
         self.costs = Costs(self.metrics)
-        self._build_callers(world.connections)
+        self._build_callers(interfaces.connections)
         self.platform = PlatformWatch(
-            settings, self.views, config=world.config, instances=world.instances
+            settings,
+            self.views,
+            config=interfaces.config,
+            instances=interfaces.instances,
         )
         self.reports = ReportPoll(
-            settings, self.homes, self.home, self.targets, world.read_load
+            settings, self.homes, self.home, self.targets, interfaces.read_load
         )
         self.placement = Placement(
             settings,
@@ -121,7 +124,7 @@
             self.home,
             self.targets,
             self.decisions,
-            world.connections,
+            interfaces.connections,
         )
         self.peers.own_reports = self.reports.reports
         self.operators = OperatorApp(self)
@@ -136,11 +139,11 @@
             settings, self.pools, connections, times, self.costs, self.decisions
         )
         relay = StreamRelay(settings, stages, connections, times, self.costs)
-        services = ServiceDesk(
+        services = ServiceCaller(
             self.views, stages, connections, self.costs, self.decisions
         )
         self.witness = Witness(settings, self.incarnation)
-        self.tickets = TicketDesk(
+        self.tickets = TicketRunner(
             settings,
             self.incarnation,
             self.peers,
--- a/packages/daemon/bergamotsaddle_daemon/peers.py
+++ b/packages/daemon/bergamotsaddle_daemon/peers.py
@@ -211,9 +211,9 @@
         if len(self.followers) >= self._settings.limits.followers:
             return
         self.followers[peer_id] = peer
-        eventlet.spawn_n(self._beat_follower, peer)
+        eventlet.spawn_n(self._send_to_follower, peer)
 
-    def _beat_follower(self, peer: Peer) -> None:
+    def _send_to_follower(self, peer: Peer) -> None:
         peer_id = peer.instance.id
         while self.is_alive(peer_id) and peer_id not in self.neighbours:
             self._socket.send(self._heartbeat(peer), peer.instance.peer_address)
@@ -276,14 +276,14 @@
         added = [p for i, p in fresh.items() if self.neighbours.get(i) is not p]
         self.neighbours = fresh
         for peer in added:
-            eventlet.spawn_n(self._beat, peer)
+            eventlet.spawn_n(self._send_heartbeats, peer)
 
     def _ring_key(self, peer_id: str) -> tuple[str, str]:
         peer = self.by_id.get(peer_id)
         zone = peer.instance.zone if peer else self._settings.daemon.zone
         return (zone, peer_id)
 
-    def _beat(self, peer: Peer) -> None:
+    def _send_heartbeats(self, peer: Peer) -> None:
         peer_id = peer.instance.id
         while self.neighbours.get(peer_id) is peer:
             self._socket.send(self._heartbeat(peer), peer.instance.peer_address)
--- a/packages/daemon/bergamotsaddle_daemon/permits.py
+++ b/packages/daemon/bergamotsaddle_daemon/permits.py
@@ -42,7 +42,7 @@
     expires_at: float
 
 
-class _Ledger:
+class _Grants:
     """What a home has given out for one target.
 
     Args:
@@ -97,7 +97,7 @@
         self._views = views
         self._homes = homes
         self._targets = targets
-        self._ledger_by_target: dict[str, _Ledger] = {}
+        self._grants_by_target: dict[str, _Grants] = {}
         self._handed_at_by_target: dict[str, float] = {}
         self._numbers = itertools.count(1)
         self._stopping = False
@@ -121,16 +121,16 @@
         refusal = self._refuse(query.target_id, target)
         if refusal:
             return PermitAnswer(0, refusal)
-        ledger = self._ledger(query.target_id)
-        self._settle(ledger, target)
-        taken = ledger.places_taken()
+        grants = self._grants(query.target_id)
+        self._settle(grants, target)
+        taken = grants.places_taken()
         if math.isinf(taken):
             return PermitAnswer(0, "earlier calls are not proven to have ended")
         if taken >= target.declared.cold_limit:
             return PermitAnswer(0, f"{taken} of {target.declared.cold_limit} are taken")
         number = next(self._numbers)
         lifetime = min(query.lifetime, self._timing.permit_lifetime)
-        ledger.expiry_by_number[number] = now() + lifetime * _CLOCK_DRIFT
+        grants.expiry_by_number[number] = now() + lifetime * _CLOCK_DRIFT
         return PermitAnswer(number, f"granted for {lifetime:.2f} s")
 
     def may_order(self, target_id: str) -> bool:
@@ -148,19 +148,19 @@
 
     def give_back(self, message: PermitReturn) -> None:
         """Take a permit back after the target answered. Model: ``finish``."""
-        ledger = self._ledger_by_target.get(message.target_id)
-        if ledger is not None:
-            ledger.expiry_by_number.pop(message.permit, None)
+        grants = self._grants_by_target.get(message.target_id)
+        if grants is not None:
+            grants.expiry_by_number.pop(message.permit, None)
 
     def take_handover(self, message: PermitHandover) -> None:
         """Take over what a stopping home has given out. Model: ``hand_over``."""
         since = self._homes.since.get(message.target_id, now())
-        ledger = _Ledger(since, now())
-        ledger.unproven = 0
+        grants = _Grants(since, now())
+        grants.unproven = 0
         for remaining in message.permits:
             expiry = now() + remaining * _CLOCK_DRIFT
-            ledger.expiry_by_number[next(self._numbers)] = expiry
-        self._ledger_by_target[message.target_id] = ledger
+            grants.expiry_by_number[next(self._numbers)] = expiry
+        self._grants_by_target[message.target_id] = grants
         self._handed_at_by_target[message.target_id] = now()
 
     def hand_over(self) -> list[PermitHandover]:
@@ -168,10 +168,10 @@
         self._stopping = True
         messages = []
         for target_id in self._homes.since:
-            ledger = self._ledger(target_id)
-            ledger.expire()
-            if not ledger.unproven:
-                left = [expiry - now() for expiry in ledger.expiry_by_number.values()]
+            grants = self._grants(target_id)
+            grants.expire()
+            if not grants.unproven:
+                left = [expiry - now() for expiry in grants.expiry_by_number.values()]
                 messages.append(PermitHandover(target_id, tuple(left)))
         return messages
 
@@ -191,21 +191,21 @@
         window = self._timing.list_lag + self._timing.view_limit
         return handed_at is not None and abs(since - handed_at) <= window
 
-    def _ledger(self, target_id: str) -> _Ledger:
+    def _grants(self, target_id: str) -> _Grants:
         since = self._homes.since[target_id]
-        ledger = self._ledger_by_target.get(target_id)
-        if ledger is None:
-            ledger = _Ledger(since, self._proven_from(since))
-            self._ledger_by_target[target_id] = ledger
-        if ledger.since != since:
-            self._renew(target_id, ledger, since)
-        return ledger
-
-    def _renew(self, target_id: str, ledger: _Ledger, since: float) -> None:
+        grants = self._grants_by_target.get(target_id)
+        if grants is None:
+            grants = _Grants(since, self._proven_from(since))
+            self._grants_by_target[target_id] = grants
+        if grants.since != since:
+            self._renew(target_id, grants, since)
+        return grants
+
+    def _renew(self, target_id: str, grants: _Grants, since: float) -> None:
         """Begin anew after another instance was home, unless it handed over."""
-        ledger.since = since
+        grants.since = since
         if not self._was_handed(target_id, since):
-            ledger.forget_cold_start(self._proven_from(since))
+            grants.forget_cold_start(self._proven_from(since))
 
     def _proven_from(self, since: float) -> float:
         """When a report can first prove that only permitted calls run.
@@ -216,7 +216,7 @@
         last_warm = now() + self._timing.report_limit
         return max(last_warm, since + self.takeover_wait)
 
-    def _settle(self, ledger: _Ledger, target: Target) -> None:
+    def _settle(self, grants: _Grants, target: Target) -> None:
         """Use the target's report to prove that earlier calls have ended.
 
         A call whose holder died or sleeps may still run at the target when its
@@ -225,25 +225,25 @@
         measured later bounds them. The report counts permitted calls too, but a
         permit may not have been used yet, so none is subtracted. Model: ``prove``.
         """
-        ledger.expire()
+        grants.expire()
         report = target.report
         if report is None:
             return
         if not report.cold:
-            ledger.forget_cold_start(self._proven_from(ledger.since))
+            grants.forget_cold_start(self._proven_from(grants.since))
             return
-        ledger.prove(report.in_flight, now() - report.age)
+        grants.prove(report.in_flight, now() - report.age)
 
     def watch_warmth(self) -> None:
         """Note when a target is warm, so that its next cold start is drained anew."""
         for target_id in self._homes.since:
             target = self._targets.by_id.get(target_id)
             if target is not None:
-                ledger = self._ledger(target_id)
-                self._settle(ledger, target)
+                grants = self._grants(target_id)
+                self._settle(grants, target)
 
 
-class PermitOffice:
+class PermitClient:
     """Asks homes for permits and gives them back.
 
     Args:
--- a/packages/daemon/bergamotsaddle_daemon/pools.py
+++ b/packages/daemon/bergamotsaddle_daemon/pools.py
@@ -15,7 +15,7 @@
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_daemon.decisions import DecisionLog
 from bergamotsaddle_daemon.fair_queue import FairQueue, Waiter
-from bergamotsaddle_daemon.permits import Permit, PermitOffice
+from bergamotsaddle_daemon.permits import Permit, PermitClient
 from bergamotsaddle_daemon.routing import ROUTING_POLICIES, Choice, RoutingRequest
 from bergamotsaddle_daemon.settings import Settings
 from bergamotsaddle_daemon.targets import Target, Targets
@@ -160,7 +160,7 @@
         settings: Settings,
         views: Views,
         targets: Targets,
-        permits: PermitOffice,
+        permits: PermitClient,
         decisions: DecisionLog,
     ) -> None:
         self._settings = settings
--- a/packages/daemon/bergamotsaddle_daemon/server.py
+++ b/packages/daemon/bergamotsaddle_daemon/server.py
@@ -8,7 +8,7 @@
 
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_daemon.calls import Connections
-from bergamotsaddle_daemon.daemon import Daemon, World
+from bergamotsaddle_daemon.daemon import Daemon, Interfaces
 from bergamotsaddle_daemon.datagrams import UdpSocket
 from bergamotsaddle_daemon.decisions import make_logger
 from bergamotsaddle_daemon.hub_bridge import HubBridge
@@ -33,7 +33,7 @@
         bridge = HubBridge()
         self._peer_server = PeerServer(settings, bridge)
         self._datagrams = UdpSocket(self._peer_server.address, key)
-        world = World(
+        interfaces = Interfaces(
             config=make_config_reader(settings),
             instances=make_instances_reader(settings),
             link_factory=lambda address: GrpcLink(address, key, bridge),
@@ -42,7 +42,7 @@
             connections=Connections(),
         )
         self._logger = make_logger(settings)
-        self.daemon = Daemon(settings, world, self._logger)
+        self.daemon = Daemon(settings, interfaces, self._logger)
         self._callers = eventlet.listen(
             settings.daemon.caller_address, backlog=_BACKLOG
         )
--- a/packages/daemon/bergamotsaddle_daemon/services.py
+++ b/packages/daemon/bergamotsaddle_daemon/services.py
@@ -36,7 +36,7 @@
 }
 
 
-class ServiceDesk:
+class ServiceCaller:
     """Calls plain services.
 
     Args:
--- a/packages/daemon/bergamotsaddle_daemon/tickets.py
+++ b/packages/daemon/bergamotsaddle_daemon/tickets.py
@@ -73,7 +73,7 @@
         return self.outcome
 
 
-class TicketDesk:
+class TicketRunner:
     """Issues tickets and runs, forwards or settles their requests.
 
     Args:
--- a/tests/_fakes.py
+++ b/tests/_fakes.py
@@ -20,7 +20,7 @@
 from bergamotsaddle_contracts.messages import ANSWER_BY_QUERY, decode, encode
 from bergamotsaddle_daemon.calls import Call, Connections, Guard, Reply
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_daemon.daemon import Daemon, World
+from bergamotsaddle_daemon.daemon import Daemon, Interfaces
 from bergamotsaddle_daemon.platform import Value
 from bergamotsaddle_daemon.settings import parse_settings
 from tests._paused import advance, settle
@@ -229,7 +229,7 @@
         self.closed = True
 
 
-class World3:
+class FakeFleet:
     """Some daemons in three zones over one fake network.
 
     Args:
@@ -282,7 +282,7 @@
             "[platform]\nconfig_address = 10.0.0.2:80\n"
             f"instances_address = 10.0.0.2:81\n[timing]\n{self.timing}\n"
         )
-        world = World(
+        interfaces = Interfaces(
             config=self.config.reader(name),
             instances=self.list.reader(name),
             link_factory=lambda to: FakeLink(self.network, name, to),
@@ -290,7 +290,7 @@
             read_load=self._read_load,
             connections=FakeConnections(self.by_address),
         )
-        daemon = Daemon(settings, world, _SILENT)
+        daemon = Daemon(settings, interfaces, _SILENT)
         self.daemons[name] = daemon
         self._started.append(daemon)
         self.network.daemon_by_address[address] = daemon
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -8,7 +8,7 @@
 
 from bergamotsaddle_contracts.errors import ANSWERS, ErrorKind
 from bergamotsaddle_daemon.calls import Reply
-from tests._fakes import World3, run_green
+from tests._fakes import FakeFleet, run_green
 from tests._http import ask
 from tests._paused import advance
 
@@ -20,7 +20,7 @@
     """Three daemons over stage targets and services."""
 
     def setUp(self):
-        self.world = World3(("encode", "rerank", "orders", "stock"))
+        self.world = FakeFleet(("encode", "rerank", "orders", "stock"))
         self.addCleanup(self.world.close)
         self.world.publish(1, PIPELINE)
         self.world.start()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -14,7 +14,7 @@
 from bergamotsaddle_contracts.errors import InvalidFileError
 from bergamotsaddle_daemon.calls import Reply
 from bergamotsaddle_daemon.settings import parse_settings
-from tests._fakes import World3, run_green
+from tests._fakes import FakeFleet, run_green
 from tests._http import ask
 from tests._paused import advance
 from tests.test_declaration import VALID
@@ -123,7 +123,7 @@
     """Commands that ask daemons, whose pages are read in process."""
 
     def setUp(self):
-        self.world = World3(("encode", "stock"))
+        self.world = FakeFleet(("encode", "stock"))
         self.addCleanup(self.world.close)
         self.world.publish(1, "[pipeline plan]\nstages = encode\n")
         self.world.start()
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -5,7 +5,7 @@
 from bergamotsaddle_contracts.messages import PermitAnswer, PermitQuery
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_daemon.request import Request
-from tests._fakes import World3, run_green
+from tests._fakes import FakeFleet, run_green
 from tests._paused import advance, advance_until, freeze
 
 TAKEOVER = 16.2
@@ -16,7 +16,7 @@
     """Six daemons and one target a zone, all cold."""
 
     def setUp(self):
-        self.world = World3(
+        self.world = FakeFleet(
             ("stock",), daemons_per_zone=2, target_lines="cold_limit = 2"
         )
         self.addCleanup(self.world.close)
@@ -90,9 +90,9 @@
         run_green(lambda: call_stock(self.world.daemons["a1"], 1.0))
         advance(0.7)
         out = sum(
-            len(ledger.expiry_by_number)
+            len(grants.expiry_by_number)
             for daemon in self.world.daemons.values()
-            for ledger in daemon.home._ledger_by_target.values()
+            for grants in daemon.home._grants_by_target.values()
         )
         self.assertEqual(len(self.world.calls("stock")), 2)
         self.assertEqual(out, 2)
@@ -103,9 +103,9 @@
         run_green(lambda: call_stock(self.world.daemons["a1"], 1.0))
         advance(1.5)
         out = sum(
-            len(ledger.expiry_by_number)
+            len(grants.expiry_by_number)
             for daemon in self.world.daemons.values()
-            for ledger in daemon.home._ledger_by_target.values()
+            for grants in daemon.home._grants_by_target.values()
         )
         self.assertEqual(out, 0)
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -13,7 +13,7 @@
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_daemon.calls import Reply
 from bergamotsaddle_daemon.placement import LOAD, plan_models
-from tests._fakes import World3
+from tests._fakes import FakeFleet
 from tests._paused import advance, freeze
 
 MODELS = ("chat", "plan", "review")
@@ -85,7 +85,7 @@
 
     def setUp(self):
         lines = "models = chat, plan\nholds = 1"
-        self.world = World3(("generate",), daemons_per_zone=2, target_lines=lines)
+        self.world = FakeFleet(("generate",), daemons_per_zone=2, target_lines=lines)
         self.addCleanup(self.world.close)
         self.engines = list(self.world.targets.values())
         for engine in self.engines:
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -24,7 +24,7 @@
 from bergamotsaddle_daemon.stages import Stage
 from bergamotsaddle_daemon.streams import Generation, TokenStream
 from bergamotsaddle_daemon.targets import Target
-from tests._fakes import World3, run_green
+from tests._fakes import FakeFleet, run_green
 from tests._http import ask
 from tests._paused import advance
 
@@ -254,7 +254,7 @@
     """Instances that can't all beat with each other."""
 
     def setUp(self):
-        self.world = World3(("encode", "stock"), daemons_per_zone=8)
+        self.world = FakeFleet(("encode", "stock"), daemons_per_zone=8)
         self.addCleanup(self.world.close)
         self.world.start(5.0)
 
@@ -294,7 +294,7 @@
 
     def setUp(self):
         random.seed(1)
-        self.world = World3(("encode",))
+        self.world = FakeFleet(("encode",))
         self.addCleanup(self.world.close)
         self.world.publish(1, self.PIPELINE)
         self.world.start()
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -9,7 +9,7 @@
 from bergamotsaddle_contracts.errors import TargetError
 from bergamotsaddle_daemon.request import Request
 from bergamotsaddle_daemon.streams import Generation, TokenStream
-from tests._fakes import World3, run_green
+from tests._fakes import FakeFleet, run_green
 from tests._http import ask
 from tests._paused import advance
 
@@ -72,7 +72,7 @@
     """Streams through a daemon, over engines in three zones."""
 
     def setUp(self):
-        self.world = World3(("generate",), target_lines=LINES)
+        self.world = FakeFleet(("generate",), target_lines=LINES)
         self.addCleanup(self.world.close)
         self.world.publish(1, PIPELINE)
         self.world.start()
@@ -161,7 +161,7 @@
         self.assertNotIn(b"event: end", body)
 
     def test_cut_where_streams_can_not_be_resumed(self):
-        world = World3(("generate",), target_lines="models = m")
+        world = FakeFleet(("generate",), target_lines="models = m")
         self.addCleanup(world.close)
         world.publish(1, PIPELINE)
         world.start()
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -15,7 +15,7 @@
     StartRecord,
 )
 from bergamotsaddle_daemon.calls import Reply
-from tests._fakes import World3, run_green
+from tests._fakes import FakeFleet, run_green
 from tests._paused import advance, freeze
 
 
@@ -29,7 +29,7 @@
     """One ticket issued by a1, with b1 and c1 as its witness and another instance."""
 
     def setUp(self):
-        self.world = World3()
+        self.world = FakeFleet()
         self.addCleanup(self.world.close)
         self.world.start()
         self.issuer = self.world.daemons["a1"]
@@ -174,7 +174,7 @@
         self.assertEqual(self.runs(), 0)
 
     def test_promised_refusal_is_not_run(self):
-        world = World3(target_lines="not_run_statuses = 503")
+        world = FakeFleet(target_lines="not_run_statuses = 503")
         self.addCleanup(world.close)
         world.start()
         for target in world.targets.values():
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -6,7 +6,7 @@
 
 from bergamotsaddle_contracts.declaration import digest_text
 from bergamotsaddle_contracts.messages import Heartbeat
-from tests._fakes import World3, run_green
+from tests._fakes import FakeFleet, run_green
 from tests._paused import advance, freeze
 
 
@@ -14,7 +14,7 @@
     """Three daemons, one in each zone."""
 
     def setUp(self):
-        self.world = World3(("stock",))
+        self.world = FakeFleet(("stock",))
         self.addCleanup(self.world.close)
         self.world.start()
 
@@ -157,7 +157,7 @@
     """How an instance tells that its views are old."""
 
     def setUp(self):
-        self.world = World3(("stock",))
+        self.world = FakeFleet(("stock",))
         self.addCleanup(self.world.close)
         self.world.start()
         self.daemon = self.world.daemons["a1"]
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -4,7 +4,7 @@
 
 from bergamotsaddle_contracts.messages import InstancesQuery
 from bergamotsaddle_daemon.request import Request
-from tests._fakes import World3, run_green
+from tests._fakes import FakeFleet, run_green
 from tests._paused import advance, freeze
 
 
@@ -20,7 +20,7 @@
     """Three daemons and one target a zone."""
 
     def setUp(self):
-        self.world = World3(("stock",))
+        self.world = FakeFleet(("stock",))
         self.addCleanup(self.world.close)
         self.world.start()
         self.daemon = self.world.daemons["a1"]
@@ -130,7 +130,7 @@
     """A target that leaves."""
 
     def setUp(self):
-        self.world = World3(("stock",))
+        self.world = FakeFleet(("stock",))
         self.addCleanup(self.world.close)
         self.world.start()
         self.target = self.world.targets["stock-a"]
