Send reports that fit one packet, drop unused names

Cause: a home of more than 40 targets sent datagrams above a packet's size, which the network splits and loses whole. Change: 40 reports a beat in turn; unused constants are gone; 'status' tells of discarded answers; fresh reports are asked for without a copy.

--- a/packages/contracts/bergamotsaddle_contracts/declaration.py
+++ b/packages/contracts/bergamotsaddle_contracts/declaration.py
@@ -6,7 +6,6 @@
 from bergamotsaddle_contracts.ini import Address
 
 ZONE_STATES = ("in", "out")
-STAGE_KINDS = ("encode", "retrieve", "rerank", "generate")
 DEFAULT_DEADLINE = 4.0
 DEFAULT_LIMIT = 16
 DEFAULT_COLD_LIMIT = 1
--- a/packages/contracts/bergamotsaddle_contracts/instances.py
+++ b/packages/contracts/bergamotsaddle_contracts/instances.py
@@ -5,7 +5,6 @@
 import msgspec
 
 ENTRY_ROLE = "entry"
-TARGET_ROLE = "target"
 LIVE = "live"
 LEAVING = "leaving"
 
--- a/packages/contracts/bergamotsaddle_contracts/messages.py
+++ b/packages/contracts/bergamotsaddle_contracts/messages.py
@@ -9,7 +9,6 @@
 from bergamotsaddle_contracts.ticket import Ticket
 
 _MAC_BYTES = 8
-MAX_DATAGRAM_BYTES = 1400
 
 
 class TargetReport(NamedTuple):
--- a/packages/daemon/bergamotsaddle_daemon/calls.py
+++ b/packages/daemon/bergamotsaddle_daemon/calls.py
@@ -248,7 +248,3 @@
         if named != (call.request, call.stage):
             self.answers_discarded += 1
             raise TargetError(f"answer names {named}", sent=True)
-
-
-def no_guard() -> None:
-    """Let every call pass."""
--- a/packages/daemon/bergamotsaddle_daemon/daemon.py
+++ b/packages/daemon/bergamotsaddle_daemon/daemon.py
@@ -107,6 +107,7 @@
             settings, self.views, self.targets, self.permits, self.decisions
         )
         self.costs = Costs(self.metrics)
+        self.connections = interfaces.connections
         self._build_callers(interfaces.connections)
         self.platform = PlatformWatch(
             settings,
--- a/packages/daemon/bergamotsaddle_daemon/operators.py
+++ b/packages/daemon/bergamotsaddle_daemon/operators.py
@@ -40,6 +40,7 @@
         "list_error": daemon.platform.instances_error,
         "requests": daemon.callers.active,
         "waiting": daemon.pools.waiting(),
+        "answers_discarded": daemon.connections.answers_discarded,
         "tickets_running": daemon.tickets.running(),
         "peers": [
             {
--- a/packages/daemon/bergamotsaddle_daemon/reports.py
+++ b/packages/daemon/bergamotsaddle_daemon/reports.py
@@ -16,6 +16,7 @@
 
 _LOAD_PATH = "/v1/load"
 _POLL_LIMIT = 0.5
+_REPORTS_AT_ONCE = 40
 
 
 class _Load(msgspec.Struct):
@@ -76,9 +77,18 @@
         self._read_load = read_load
 
     def reports(self) -> tuple[TargetReport, ...]:
-        """Fresh reports of the home targets, for heartbeats."""
-        own = (self._targets.by_id.get(target_id) for target_id in self._homes.since)
-        return tuple(t.report for t in own if t is not None and t.report is not None)
+        """Fresh reports of the home targets, for heartbeats.
+
+        Some at a time if there are many: a datagram that the network has to split
+        is lost as soon as one piece is, and the targets would then seem cold.
+        """
+        own = (self._targets.by_id.get(i) for i in sorted(self._homes.since))
+        fresh = [t.report for t in own if t is not None and t.report is not None]
+        if len(fresh) <= _REPORTS_AT_ONCE:
+            return tuple(fresh)
+        beat = int(now() / self._settings.timing.heartbeat)
+        start = beat * _REPORTS_AT_ONCE % len(fresh)
+        return tuple((fresh + fresh)[start : start + _REPORTS_AT_ONCE])
 
     def run(self) -> None:
         """Poll for ever, all home targets at once."""
--- a/packages/daemon/bergamotsaddle_daemon/targets.py
+++ b/packages/daemon/bergamotsaddle_daemon/targets.py
@@ -76,21 +76,25 @@
     @property
     def report(self) -> TargetReport | None:
         """The latest report, with its age as of now; None once it is too old."""
-        if self._report is None:
+        report = self._fresh_report()
+        if report is None:
             return None
-        age = now() - self._measured_at
-        if age > self._settings.timing.report_limit:
+        return report._replace(age=now() - self._measured_at)
+
+    def _fresh_report(self) -> TargetReport | None:
+        """The latest report as it came, which is cheaper to ask for often."""
+        if now() - self._measured_at > self._settings.timing.report_limit:
             return None
-        return self._report._replace(age=age)
+        return self._report
 
     def is_cold(self) -> bool:
         """Tell whether the target must be treated as in cold start.
 
         A warm target turns cold without a word and collapses under full load. So
-        only a fresh report makes it warm, and silence far longer than
-        usual makes it cold again until a report measured later says otherwise.
+        only a fresh report makes it warm, and silence far longer than usual makes it
+        cold again until a report measured later says otherwise.
         """
-        report = self.report
+        report = self._fresh_report()
         if report is None or report.cold:
             return True
         return self._suspected_at >= self._measured_at
@@ -99,21 +103,17 @@
         """Tell whether it has a model loaded; an empty name asks for none."""
         if not model:
             return True
-        report = self.report
+        report = self._fresh_report()
         if report is None or report.models is None:
             return model in self.declared.models
         return model in report.models
 
     def load(self) -> float:
         """Share of the limit in use, by own calls and the latest report."""
-        report = self.report
+        report = self._fresh_report()
         reported = report.in_flight if report else 0
         return max(self.in_flight, reported) / self.declared.limit
 
-    def has_room(self) -> bool:
-        """Tell whether this instance may send it one more call."""
-        return self.in_flight < self.limit.value
-
     def is_resting(self) -> bool:
         """Tell whether it is set aside after failures; one probe at a time passes."""
         if self._failed_in_row < _FAILURES_TO_OPEN:
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -7,7 +7,7 @@
 
 from bergamotsaddle_contracts.errors import TargetError
 from bergamotsaddle_contracts.ini import Address
-from bergamotsaddle_daemon.calls import Call, Connections, no_guard
+from bergamotsaddle_daemon.calls import Call, Connections
 from bergamotsaddle_daemon.clock import now
 from tests._fakes import run_green
 from tests._paused import advance, settle
@@ -28,6 +28,10 @@
     return "\r\n".join([*lines, "", ""]).encode() + BODY
 
 
+def no_guard() -> None:
+    """Let every call pass."""
+
+
 class CallTest(unittest.TestCase):
     """One target that does what the test says with each connection."""
 
