Keep what is known of a target when its declaration changes

Cause, found by reading: any change of a target's section made a new object, which forgot the calls that run and the report, so a warm target seemed cold until the next report. Change: only another address makes a new one; limits follow the declaration.

--- a/packages/daemon/bergamotsaddle_daemon/targets.py
+++ b/packages/daemon/bergamotsaddle_daemon/targets.py
@@ -31,6 +31,7 @@
     ) -> None:
         self._settings = settings
         self.declared = declared
+        self.limit = self._make_limit(instances)
         self.in_flight = 0
         self.calls = 0
         self.failures = 0
@@ -45,13 +46,20 @@
         self._report: TargetReport | None = None
         self._measured_at = float("-inf")
         self._suspected_at = float("-inf")
-        policy = LIMIT_POLICIES.by_name[settings.policies.limit]
-        self.limit: Limit = policy(self._even_share(instances), declared.limit)
+
+    def redeclare(self, declared: DeclaredTarget, instances: int) -> None:
+        """Follow a change of its declaration; what is known of it stays."""
+        self.declared = declared
+        self.limit = self._make_limit(instances)
 
     def share_among(self, instances: int) -> None:
         """Follow a change of the number of entry instances."""
         self.limit.share(self._even_share(instances))
 
+    def _make_limit(self, instances: int) -> Limit:
+        policy = LIMIT_POLICIES.by_name[self._settings.policies.limit]
+        return policy(self._even_share(instances), self.declared.limit)
+
     def _even_share(self, instances: int) -> float:
         return max(1.0, self.declared.limit / max(1, instances))
 
@@ -225,8 +233,12 @@
         kept: dict[str, Target] = {}
         for declared in declaration.targets.values():
             target = self.by_id.get(declared.id)
-            if target is None or target.declared != declared:
+            if target is None or target.declared.address != declared.address:
                 target = Target(declared, self._settings, entries)
+            elif target.declared != declared:
+                # A new object would forget its running calls and its report, and
+                # take a warm target for cold until the next one.
+                target.redeclare(declared, entries)
             # The list often arrives after the declaration; without this every
             # instance would start with the whole limit as its own.
             target.share_among(entries)
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -126,6 +126,31 @@
         self.assertLess(len(self.target.calls), 4)
 
 
+class RedeclareTest(unittest.TestCase):
+    """A target whose declaration changes while it works."""
+
+    def test_changed_limit_keeps_what_is_known(self):
+        # Operators raise a limit at dawn. The target must neither seem cold for a
+        # moment nor lose count of what runs there.
+        world = FakeFleet(("stock",), target_lines="limit = 8")
+        self.addCleanup(world.close)
+        world.start()
+        daemon = world.daemons["a1"]
+        world.targets["stock-a"].seconds = 3.0
+        running = call(daemon)
+        world.target_lines = "limit = 30"
+        world.publish(2)
+        advance(0.3)
+        target = daemon.targets.by_id["stock-a"]
+        self.assertEqual(target.declared.limit, 30)
+        self.assertEqual(target.limit.value, 10.0)
+        self.assertEqual(target.in_flight, 1)
+        self.assertFalse(target.is_cold())
+        advance(3.0)
+        self.assertEqual(running.value, b"{}")
+        self.assertEqual(target.in_flight, 0)
+
+
 class LeavingTest(unittest.TestCase):
     """A target that leaves."""
 
