Wait for fresh views once, not in every call, when cut off

Cause, found by reading: an instance cut off from the platform and all peers waited half a second in each stage of each request, two of four seconds of a pipeline, although nothing could come. Change: after a wait in vain it goes on with what it knows for 'view_limit'; after a pause it waits again.

--- a/packages/daemon/bergamotsaddle_daemon/views.py
+++ b/packages/daemon/bergamotsaddle_daemon/views.py
@@ -35,6 +35,7 @@
         self.list_read_at = _NEVER
         self.confirmed_at = _NEVER
         self.asked_at = _NEVER
+        self._waited_in_vain_at = _NEVER
         self._watchers: list[Callable[[], None]] = []
         self._confirmed = Event()
 
@@ -111,10 +112,19 @@
         return now() - self.confirmed_at > self._settings.timing.view_limit
 
     def wait_fresh(self, limit: float) -> bool:
-        """Wait until the views are confirmed, or for a limit in seconds."""
+        """Wait until the views are confirmed, or for a limit in seconds.
+
+        An instance that is cut off from everybody would otherwise wait in each call
+        of each request, for nothing; so after one wait in vain it goes on with what
+        it knows for a while.
+        """
         if not self.is_stale():
             return True
+        if now() - self._waited_in_vain_at < self._settings.timing.view_limit:
+            return False
         self._confirmed.wait(timeout=limit)
+        if self.is_stale():
+            self._waited_in_vain_at = now()
         return not self.is_stale()
 
     def list_age(self) -> float:
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -238,3 +238,25 @@
         result = run_green(lambda: self.daemon.views.wait_fresh(2.0))
         advance(1.0)
         self.assertTrue(result.value)
+
+    def test_cut_off_instance_waits_once_and_not_in_every_call(self):
+        # A zone's only instance is cut off from everybody. Waiting half a second in
+        # each stage would use up its callers' deadlines for nothing.
+        self.world.config.down = True
+        self.world.network.separate(["a1"], ["b1", "c1"])
+        advance(8.0)
+        first = run_green(lambda: self.daemon.views.wait_fresh(0.5))
+        self.assertFalse(first.done)
+        advance(0.6)
+        second = run_green(lambda: self.daemon.views.wait_fresh(0.5))
+        self.assertTrue(second.done)
+
+    def test_waits_again_after_a_pause(self):
+        self.world.config.down = True
+        self.world.network.separate(["a1"], ["b1", "c1"])
+        advance(8.0)
+        run_green(lambda: self.daemon.views.wait_fresh(0.5))
+        advance(0.6)
+        freeze(30.0)
+        again = run_green(lambda: self.daemon.views.wait_fresh(0.5))
+        self.assertFalse(again.done)
