Let one function do what stood three to five times

Rendezvous weights (homes, peers, placement), a tuple with one value replaced (three specifications) and the hub's time (five stand-ins, which take the daemon's clock) are one function each; the check of a full queue calls the admission check that it repeated; a literal outcome is its constant.

--- a/model/configuration.py
+++ b/model/configuration.py
@@ -8,7 +8,7 @@
 from itertools import permutations
 from typing import NamedTuple
 
-from model.specification import Specification, Steps
+from model.specification import Specification, Steps, put
 
 NONE = (0, 0)
 PUBLISHED = ((1, 0), (2, 0), (2, 1))
@@ -66,7 +66,7 @@
         moved = moved or fetched != state
         if not state.ready[asker]:
             heard = state.asked[asker] | {peer}
-            fetched = fetched._replace(asked=_put(state.asked, asker, heard))
+            fetched = fetched._replace(asked=put(state.asked, asker, heard))
         yield f"hear {asker} {peer}", fetched
     if not moved and not state.cut and len(set(state.versions)) > 1:
         yield "nothing_left_to_hear", state._replace(diverged=True)
@@ -81,7 +81,7 @@
         newer = offered[0] > current[0]
     if not newer:
         return state
-    versions = _put(state.versions, instance, offered)
+    versions = put(state.versions, instance, offered)
     return state._replace(versions=versions, went_back=offered < current)
 
 
@@ -96,8 +96,8 @@
 
 
 def _make_ready(state: State, instance: int) -> State:
-    asked = _put(state.asked, instance, frozenset())
-    return state._replace(ready=_put(state.ready, instance, True), asked=asked)
+    asked = put(state.asked, instance, frozenset())
+    return state._replace(ready=put(state.ready, instance, True), asked=asked)
 
 
 def _replace_instance(state: State, instance: int) -> State:
@@ -111,10 +111,10 @@
         for floor, ready in zip(state.floors, state.ready, strict=True)
     )
     return state._replace(
-        versions=_put(state.versions, instance, NONE),
-        ready=_put(state.ready, instance, False),
-        floors=_put(kept, instance, max(serving, default=NONE)),
-        asked=_put(state.asked, instance, frozenset()),
+        versions=put(state.versions, instance, NONE),
+        ready=put(state.ready, instance, False),
+        floors=put(kept, instance, max(serving, default=NONE)),
+        asked=put(state.asked, instance, frozenset()),
     )
 
 
@@ -122,10 +122,6 @@
     return not (state.cut and INSTANCES[-1] in (one, other))
 
 
-def _put(values: tuple, index: int, value: object) -> tuple:
-    return (*values[:index], value, *values[index + 1 :])
-
-
 def _start_is_current(state: dict) -> bool:
     rows = zip(state["versions"], state["ready"], state["floors"], strict=True)
     return all(version >= floor for version, ready, floor in rows if ready)
--- a/model/permits.py
+++ b/model/permits.py
@@ -8,7 +8,7 @@
 
 from typing import NamedTuple
 
-from model.specification import Specification, Steps
+from model.specification import Specification, Steps, put
 
 LIFETIME = 1
 LIST_LAG = 1
@@ -67,8 +67,8 @@
     if phase == "idle":
         for home in HOMES[: 1 + state.has_successor]:
             asked = _with_phase(state, holder, "asked")
-            ages = _put(state.ages, holder, 0)
-            homes = _put(state.homes, holder, home)
+            ages = put(state.ages, holder, 0)
+            homes = put(state.homes, holder, home)
             yield f"ask {holder} {home}", asked._replace(ages=ages, homes=homes)
     if phase == "asked":
         yield f"answer_lost {holder}", _with_phase(state, holder, "idle")
@@ -120,7 +120,7 @@
     waits = home == 1 and state.waited < _takeover(mistake)
     if waits and mistake != "proves while waiting":
         return
-    yield f"measure {home}", state._replace(reports=_put(state.reports, home, running))
+    yield f"measure {home}", state._replace(reports=put(state.reports, home, running))
     known = state.reports[home]
     if known == UNKNOWN:
         return
@@ -128,7 +128,7 @@
     if mistake == "counts permits as started":
         active = sum(permit != FREE for permit in state.permits[home])
         left = 0 if known <= active else state.unproven[home]
-    yield f"prove {home}", state._replace(unproven=_put(state.unproven, home, left))
+    yield f"prove {home}", state._replace(unproven=put(state.unproven, home, left))
 
 
 def _tick(state: State, mistake: str) -> State:
@@ -139,13 +139,13 @@
             if left == FREE:
                 continue
             if left > 0:
-                permits = _put(permits, home, _put(permits[home], holder, left - 1))
+                permits = put(permits, home, put(permits[home], holder, left - 1))
                 continue
-            permits = _put(permits, home, _put(permits[home], holder, FREE))
+            permits = put(permits, home, put(permits[home], holder, FREE))
             if mistake != "expiry proves the end":
                 more = min(UNKNOWN, unproven[home] + 1)
-                unproven = _put(unproven, home, more)
-                reports = _put(reports, home, UNKNOWN)
+                unproven = put(unproven, home, more)
+                reports = put(reports, home, UNKNOWN)
     return state._replace(
         permits=permits,
         unproven=unproven,
@@ -162,16 +162,12 @@
 
 
 def _with_phase(state: State, holder: int, phase: str) -> State:
-    return state._replace(phases=_put(state.phases, holder, phase))
+    return state._replace(phases=put(state.phases, holder, phase))
 
 
 def _with_permit(state: State, home: int, holder: int, left: int) -> State:
-    row = _put(state.permits[home], holder, left)
-    return state._replace(permits=_put(state.permits, home, row))
-
-
-def _put(values: tuple, index: int, value: object) -> tuple:
-    return (*values[:index], value, *values[index + 1 :])
+    row = put(state.permits[home], holder, left)
+    return state._replace(permits=put(state.permits, home, row))
 
 
 def _initial(holders: int, limit: int, *, has_successor: bool) -> State:
--- a/model/placement.py
+++ b/model/placement.py
@@ -7,7 +7,7 @@
 from itertools import permutations
 from typing import NamedTuple
 
-from model.specification import Specification, Steps
+from model.specification import Specification, Steps, put
 
 TARGETS = (0, 1, 2)
 
@@ -30,12 +30,12 @@
     """All next states."""
     for target in TARGETS:
         if target == state.keeper:
-            yield "load", state._replace(held=_put(state.held, target, True))
+            yield "load", state._replace(held=put(state.held, target, True))
         elif state.held[target] and _may_drop(state, target, mistake):
-            yield f"drop {target}", state._replace(held=_put(state.held, target, False))
+            yield f"drop {target}", state._replace(held=put(state.held, target, False))
     for home, target in permutations(TARGETS, 2):
-        view = _put(state.views[home], target, state.held[target])
-        views = _put(state.views, home, view)
+        view = put(state.views[home], target, state.held[target])
+        views = put(state.views, home, view)
         yield f"report {target} to {home}", state._replace(views=views)
 
 
@@ -46,10 +46,6 @@
     return any(other == state.keeper or other < target for other in others)
 
 
-def _put(values: tuple, index: int, value: object) -> tuple:
-    return (*values[:index], value, *values[index + 1 :])
-
-
 def _make(keeper: int) -> Specification:
     held = tuple(target != keeper for target in TARGETS)
     return Specification(
--- a/model/specification.py
+++ b/model/specification.py
@@ -38,3 +38,8 @@
             transitions=lambda state: list(self.steps(state, mistake)),
             invariants=self.invariants,
         )
+
+
+def put(values: tuple, index: int, value: object) -> tuple:
+    """A copy of a tuple with one value replaced."""
+    return (*values[:index], value, *values[index + 1 :])
--- a/packages/daemon/bergamotsaddle_daemon/callers.py
+++ b/packages/daemon/bergamotsaddle_daemon/callers.py
@@ -8,7 +8,7 @@
 from bergamotsaddle_contracts.declaration import Team, digest_key
 from bergamotsaddle_contracts.errors import ErrorKind, RequestError
 from bergamotsaddle_contracts.ini import parse_duration
-from bergamotsaddle_contracts.messages import Outcome, ServiceRequest
+from bergamotsaddle_contracts.messages import FINISHED, Outcome, ServiceRequest
 from bergamotsaddle_daemon._response_body import Once, ResponseBody
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_daemon.costs import Costs
@@ -249,7 +249,7 @@
         try:
             if self._views.declaration.is_repeatable(kind):
                 reply = self._services.call_repeatable(request, path, body)
-                outcome = Outcome("finished", 200, reply)
+                outcome = Outcome(FINISHED, 200, reply)
             else:
                 outcome = self._run_ticket(environ, request, path, body)
         except RequestError as error:
--- a/packages/daemon/bergamotsaddle_daemon/homes.py
+++ b/packages/daemon/bergamotsaddle_daemon/homes.py
@@ -1,10 +1,10 @@
 """Which entry instance is home to which target."""
 
-import hashlib
 from collections import Counter
 
 from bergamotsaddle_contracts.declaration import DeclaredTarget
 from bergamotsaddle_contracts.instances import LIVE
+from bergamotsaddle_daemon._rendezvous import weigh
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_daemon.settings import Settings
 from bergamotsaddle_daemon.views import Views
@@ -51,7 +51,7 @@
             if known in entries and target.zone not in changed:
                 homes[target.id] = known
             elif entries:
-                homes[target.id] = max(entries, key=lambda e: _weigh(e, target.id))
+                homes[target.id] = max(entries, key=lambda e: weigh(e, target.id))
         own = {target for target, home in homes.items() if home == self._own_id}
         self.since = {target: self.since.get(target, now()) for target in own}
         self.by_target = homes
@@ -62,7 +62,7 @@
         target = self._views.declaration.targets[target_id]
         entries = self._entries_by_zone().get(target.zone, [])
         others = [entry for entry in entries if entry != self._own_id]
-        return max(others, key=lambda e: _weigh(e, target_id), default=None)
+        return max(others, key=lambda e: weigh(e, target_id), default=None)
 
     def _choose_followed(self) -> frozenset[str]:
         """Choose the homes whose reports this instance gets.
@@ -76,7 +76,7 @@
         entries = [e for e in self._views.instances.entries() if e.id != self._own_id]
         if len(entries) <= self._settings.limits.neighbours:
             return frozenset([self._own_id, *(entry.id for entry in entries)])
-        entries.sort(key=lambda entry: _weigh(self._own_id, entry.id))
+        entries.sort(key=lambda entry: weigh(self._own_id, entry.id))
         near = [entry.id for entry in entries if entry.zone == own_zone]
         far = [entry.id for entry in entries if entry.zone != own_zone]
         half = self._settings.limits.followed_homes // 2
@@ -111,10 +111,6 @@
         return target_id in self.since
 
 
-def _weigh(entry: str, target_id: str) -> bytes:
-    return hashlib.blake2b(f"{entry} {target_id}".encode(), digest_size=8).digest()
-
-
 def _needs(targets: list[DeclaredTarget]) -> list[tuple[str, str]]:
     """Each kind and model that some targets serve, once a target."""
     return [(t.kind, model) for t in targets for model in t.models or ("",)]
--- a/packages/daemon/bergamotsaddle_daemon/peers.py
+++ b/packages/daemon/bergamotsaddle_daemon/peers.py
@@ -1,6 +1,5 @@
 """The other entry instances: who they are, who is alive, and how to call them."""
 
-import hashlib
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -15,6 +14,7 @@
     InstancesQuery,
     TargetReport,
 )
+from bergamotsaddle_daemon._rendezvous import weigh
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_daemon.decisions import DecisionLog
 from bergamotsaddle_daemon.homes import Homes
@@ -184,7 +184,7 @@
         choices = away or alive
         if not choices:
             return None
-        return max(choices, key=lambda peer: _weigh(peer.instance.id, nonce))
+        return max(choices, key=lambda peer: weigh(peer.instance.id, nonce))
 
     def hear(self, heartbeat: Heartbeat) -> None:
         """Take a peer's heartbeat into account and fetch what it has newer."""
@@ -315,7 +315,3 @@
     half = max(1, bound // 2)
     steps = {max(1, round(size ** (power / half))) for power in range(half)}
     return sorted(steps | {size - step for step in steps})
-
-
-def _weigh(peer_id: str, nonce: str) -> bytes:
-    return hashlib.blake2b(f"{peer_id} {nonce}".encode(), digest_size=8).digest()
--- a/packages/daemon/bergamotsaddle_daemon/placement.py
+++ b/packages/daemon/bergamotsaddle_daemon/placement.py
@@ -1,6 +1,5 @@
 """Which models sit on which engines, brought about by orders of the engines' homes."""
 
-import hashlib
 from collections import Counter
 from typing import NamedTuple
 
@@ -13,6 +12,7 @@
     DeclaredTarget,
 )
 from bergamotsaddle_contracts.errors import PlaceLostError, TargetError
+from bergamotsaddle_daemon._rendezvous import weigh
 from bergamotsaddle_daemon.calls import Call, Connections
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_daemon.decisions import DecisionLog
@@ -108,11 +108,7 @@
 
 def _ranked(targets: list[DeclaredTarget], model: str) -> list[DeclaredTarget]:
     able = [target for target in targets if model in target.models]
-    return sorted(able, key=lambda t: _weigh(t.id, model), reverse=True)
-
-
-def _weigh(target_id: str, model: str) -> bytes:
-    return hashlib.blake2b(f"{target_id} {model}".encode(), digest_size=8).digest()
+    return sorted(able, key=lambda t: weigh(t.id, model), reverse=True)
 
 
 class Placement:
--- a/packages/daemon/bergamotsaddle_daemon/pools.py
+++ b/packages/daemon/bergamotsaddle_daemon/pools.py
@@ -177,14 +177,19 @@
         """Number of calls that wait."""
         return sum(len(pool.queue) for pool in self._pool_by_need.values())
 
-    def check_admission(self, need: Need) -> None:
+    def check_admission(self, need: Need) -> float:
         """Refuse a request that would wait too long at one of its stages.
 
+        Returns:
+            Seconds that it is expected to wait.
+
         Raises:
             RequestError: If it is not expected to make its deadline.
         """
+        wait = self._expected_wait(need)
         is_first = not self._pool(need).queue.has_waiting(need.team)
-        self._admission.check(need, self._expected_wait(need), is_first=is_first)
+        self._admission.check(need, wait, is_first=is_first)
+        return wait
 
     def acquire(self, need: Need) -> Slot:
         """Wait for a place at a target.
@@ -290,9 +295,7 @@
         return (before + 1) * pool.latency / max(1.0, room)
 
     def _check_queue(self, need: Need, pool: _Pool) -> None:
-        wait = self._expected_wait(need)
-        is_first = not pool.queue.has_waiting(need.team)
-        self._admission.check(need, wait, is_first=is_first)
+        wait = self.check_admission(need)
         if len(pool.queue) >= self._settings.limits.queue:
             detail = f"{len(pool.queue)} calls already wait for {need.kind}"
             raise RequestError(
--- a/packages/standins/bergamotsaddle_standins/faults.py
+++ b/packages/standins/bergamotsaddle_standins/faults.py
@@ -15,8 +15,8 @@
 from typing import NamedTuple
 
 import eventlet
-from eventlet import hubs
 
+from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_standins.client import Caller
 from bergamotsaddle_standins.fleet import (
     MODEL,
@@ -140,9 +140,9 @@
     """A daemon is asked to stop while long streams and bookings run."""
     name = chance.choice(list(fleet.daemons))
     fleet.leaving.add(name)
-    began = _now()
+    began = now()
     code = fleet.daemons[name].stop()
-    seconds = _now() - began
+    seconds = now() - began
     if code != 0:
         raise AssertionError(f"{name} exited with {code}")
     del fleet.daemons[name]
@@ -231,10 +231,10 @@
 def stale_service(fleet: Fleet, traffic: Traffic, chance: random.Random) -> Effect:
     """A change is made; then the service is stale and a daemon is replaced."""
     old = fleet.declaration()
-    began = _now()
+    began = now()
     fleet.publish_declaration()
     wait_for(lambda: _all_have(fleet, fleet.revision), "the change in force")
-    seconds = _now() - began
+    seconds = now() - began
     fleet.control("config", publish=old)
     name = chance.choice(list(fleet.daemons))
     zone = name.removeprefix("entry-").rpartition("-")[0]
@@ -346,14 +346,14 @@
 
 def _until_quiet(fleet: Fleet, targets: list[str]) -> float:
     """Seconds until the last call arrived at some targets."""
-    began = _now()
+    began = now()
     last = began
     calls = _calls(fleet, targets)
-    while _now() - last < _QUIET:
+    while now() - last < _QUIET:
         eventlet.sleep(0.05)
         now_calls = _calls(fleet, targets)
         if now_calls != calls:
-            calls, last = now_calls, _now()
+            calls, last = now_calls, now()
         if last - began > _EFFECT_LIMIT:
             raise AssertionError(f"new work after {_EFFECT_LIMIT} s")
     return last - began
@@ -378,10 +378,6 @@
     sys.stdout.flush()
 
 
-def _now() -> float:
-    return hubs.get_hub().clock()
-
-
 def main() -> int:
     """Run every fault, or those named; ``--seed N`` sets the seed."""
     arguments = sys.argv[1:]
@@ -393,10 +389,10 @@
     names = arguments or list(FAULTS)
     headers = ["requests", "whole", "refused", "cut", "doubled", "lost", "false n.r."]
     _say(f"seed {seed}", [*headers, "most cold", "seconds"], "")
-    began = _now()
+    began = now()
     results = []
     for name in names:
-        if _now() - began > _BUDGET:
+        if now() - began > _BUDGET:
             _say(name, ["not run"], "")
             results.append(False)
             continue
--- a/packages/standins/bergamotsaddle_standins/fleet.py
+++ b/packages/standins/bergamotsaddle_standins/fleet.py
@@ -10,9 +10,9 @@
 import eventlet
 import msgspec
 import urllib3
-from eventlet import hubs
 
 from bergamotsaddle_contracts.declaration import digest_key
+from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_standins.targets import TargetSpec
 
 START_LIMIT = 30.0
@@ -355,11 +355,11 @@
     Raises:
         TimeoutError: If it does not hold in time.
     """
-    began = _now()
-    while _now() - began < limit:
+    began = now()
+    while now() - began < limit:
         try:
             if condition():
-                return _now() - began
+                return now() - began
         except (urllib3.exceptions.HTTPError, OSError):
             pass
         eventlet.sleep(_STEP)
@@ -379,7 +379,3 @@
     """Get JSON from an address."""
     reply = _http.request("GET", f"http://{address}{path}", timeout=5.0)
     return msgspec.json.decode(reply.data)
-
-
-def _now() -> float:
-    return hubs.get_hub().clock()
--- a/packages/standins/bergamotsaddle_standins/load.py
+++ b/packages/standins/bergamotsaddle_standins/load.py
@@ -4,9 +4,9 @@
 from typing import NamedTuple
 
 import eventlet
-from eventlet import hubs
 from hdrh.histogram import HdrHistogram
 
+from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_standins.client import Caller, Reply
 from bergamotsaddle_standins.fleet import PIPELINE, Fleet, get
 
@@ -93,19 +93,19 @@
         ]
         for thread in threads:
             thread.wait()
-        until = _now() + _DRAIN
-        while self._open and _now() < until:
+        until = now() + _DRAIN
+        while self._open and now() < until:
             eventlet.sleep(0.02)
         return {team: self._result(counts) for team, counts in self._by_team.items()}
 
     def _arrive(self, team: str, rate: float) -> None:
-        end = _now() + self._spec.seconds
-        at = _now()
+        end = now() + self._spec.seconds
+        at = now()
         while True:
             at += self._random.expovariate(rate)
             if at >= end:
                 return
-            eventlet.sleep(max(0.0, at - _now()))
+            eventlet.sleep(max(0.0, at - now()))
             self._open += 1
             eventlet.spawn_n(self._ask, team)
 
@@ -122,10 +122,10 @@
             "stream": True,
             "max_tokens": spec.tokens,
         }
-        began = _now()
+        began = now()
         headers = {"X-Deadline": f"{int(spec.deadline * 1000)}ms"}
         reply = caller.ask(f"/v1/pipelines/{PIPELINE}", body, headers=headers)
-        self._note(counts, reply, _now() - began)
+        self._note(counts, reply, now() - began)
         self._open -= 1
 
     def _note(self, counts: _Team, reply: Reply, seconds: float) -> None:
@@ -161,7 +161,3 @@
             first += row["calls"]
             extra += row["extra_calls"]
     return (first + extra) / max(1, first)
-
-
-def _now() -> float:
-    return hubs.get_hub().clock()
--- a/packages/standins/bergamotsaddle_standins/platform.py
+++ b/packages/standins/bergamotsaddle_standins/platform.py
@@ -5,8 +5,8 @@
 from urllib.parse import parse_qs
 
 import eventlet
-from eventlet import hubs
 
+from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_standins._web import Environ, announce, answer, read_json, serve
 
 MAX_VALUE_BYTES = 1_000_000
@@ -30,11 +30,11 @@
     def publish(self, payload: bytes) -> None:
         """Put a new value in place of the old one."""
         tag = hashlib.blake2b(payload, digest_size=8).hexdigest()
-        self._history.append((_now(), tag, payload))
+        self._history.append((now(), tag, payload))
 
     def visible(self) -> tuple[str, bytes]:
         """Tag and value that readers see now; both empty before the first."""
-        seen_until = _now() - self.lag
+        seen_until = now() - self.lag
         if self.stale_since is not None:
             seen_until = min(seen_until, self.stale_since)
         seen = [entry for entry in self._history if entry[0] <= seen_until]
@@ -77,7 +77,7 @@
     def _watch(self, environ: Environ, start_response: Callable) -> Iterable[bytes]:
         query = parse_qs(environ["QUERY_STRING"])
         known = query.get("after", [""])[0]
-        until = _now() + float(query.get("wait", ["0"])[0])
+        until = now() + float(query.get("wait", ["0"])[0])
         while True:
             tag, payload = self.value.visible()
             if tag != known and payload:
@@ -86,7 +86,7 @@
                     [("ETag", tag), ("Content-Length", str(len(payload)))],
                 )
                 return [payload]
-            if _now() >= until or self.down:
+            if now() >= until or self.down:
                 start_response("304 Not Modified", [("Content-Length", "0")])
                 return []
             eventlet.sleep(_POLL)
@@ -101,21 +101,17 @@
         if "down" in wanted:
             self.down = wanted["down"]
         if "stale" in wanted:
-            self.value.stale_since = _now() if wanted["stale"] else None
+            self.value.stale_since = now() if wanted["stale"] else None
         return answer(start_response, {"calls": self.calls, "refused": self.refused})
 
     def _within_rate(self) -> bool:
-        if _now() - self._window >= 1.0:
-            self._window = _now()
+        if now() - self._window >= 1.0:
+            self._window = now()
             self._calls_in_window = 0
         self._calls_in_window += 1
         return self._calls_in_window <= READS_PER_SECOND
 
 
-def _now() -> float:
-    return hubs.get_hub().clock()
-
-
 def main(list_lag: float) -> None:
     """Run both services in this process until it is ended."""
     config = PlatformService()
--- a/packages/standins/bergamotsaddle_standins/traffic.py
+++ b/packages/standins/bergamotsaddle_standins/traffic.py
@@ -5,9 +5,9 @@
 
 import eventlet
 import urllib3
-from eventlet import hubs
 from eventlet.greenthread import GreenThread
 
+from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_standins.client import Caller, Reply
 from bergamotsaddle_standins.fleet import PIPELINE, Fleet, get
 from bergamotsaddle_standins.targets import make_token
@@ -152,7 +152,7 @@
         else:
             outcome = "failed"
         request, ran = body.get("request", ""), body.get("ran", "")
-        self.records.append(Record(kind, outcome, request, ran, _now()))
+        self.records.append(Record(kind, outcome, request, ran, now()))
 
     def _book(self) -> None:
         """Book one load, with a new ticket after each true "not run"."""
@@ -171,7 +171,7 @@
                 break
         else:
             outcome = "refused"
-        self.records.append(Record("booking", outcome, "", "", _now()))
+        self.records.append(Record("booking", outcome, "", "", now()))
 
     def _run(self, ticket: str, mark: str) -> str:
         """Ask with one ticket, through different daemons, until told for good."""
@@ -235,7 +235,3 @@
         lost=sum(b.told == "booked" and b.mark not in marks for b in traffic.bookings),
         false_not_run=false,
     )
-
-
-def _now() -> float:
-    return hubs.get_hub().clock()
