--- a/packages/contracts/bergamotsaddle_contracts/errors.py
+++ b/packages/contracts/bergamotsaddle_contracts/errors.py
@@ -19,6 +19,7 @@
     UNAUTHENTICATED = "unauthenticated"
     NOT_FOUND = "not_found"
     TOO_LARGE = "too_large"
+    HEAD_TOO_LARGE = "head_too_large"
     TOO_SLOW = "too_slow"
     TICKET_REQUIRED = "ticket_required"
     TICKET_INVALID = "ticket_invalid"
@@ -54,6 +55,7 @@
     ErrorKind.UNAUTHENTICATED: Answer(401, Ran.NO, None),
     ErrorKind.NOT_FOUND: Answer(404, Ran.NO, None),
     ErrorKind.TOO_LARGE: Answer(413, Ran.NO, None),
+    ErrorKind.HEAD_TOO_LARGE: Answer(431, Ran.NO, None),
     ErrorKind.TOO_SLOW: Answer(408, Ran.NO, None),
     ErrorKind.TICKET_REQUIRED: Answer(428, Ran.NO, None),
     ErrorKind.TICKET_INVALID: Answer(400, Ran.NO, None),
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/__init__.py
@@ -0,0 +1,1 @@
+"""Serves callers of a platform that can only be read."""
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/attempt.py
@@ -0,0 +1,181 @@
+"""One request sent to one target."""
+
+from typing import NamedTuple
+
+from bergamotsaddle_contracts.errors import BergamotsaddleError
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.client import (
+    Connection,
+    ConnectionLostError,
+    ConnectionPool,
+    IncomingHead,
+    Outgoing,
+)
+from bergamotsaddle_serving.context import Context
+from bergamotsaddle_serving.health import TargetState
+from bergamotsaddle_serving.messages import AnswerHead, Dialect, Dispatch
+
+_MISDIRECTED = 421
+_SUCCESS = range(200, 300)
+# Statuses that promise callers that nothing has run; a target's own may not.
+PROMISES = frozenset((408, 421, 429, 503))
+
+
+class NotRunError(BergamotsaddleError):
+    """The target did not run the request, by its own word or since nothing left.
+
+    Args:
+        reason: One word for logs.
+        status: The target's status, 0 if it got nothing.
+    """
+
+    def __init__(self, reason: str, status: int = 0) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.status = status
+
+
+class UnknownRunError(BergamotsaddleError):
+    """The target may have run the request, and no whole answer came.
+
+    Args:
+        reason: One word for logs.
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+class Reply(NamedTuple):
+    """The head of a target's answer to this very request."""
+
+    head: IncomingHead
+    answer: AnswerHead
+
+    @property
+    def is_success(self) -> bool:
+        """Whether its status is a success."""
+        return self.head.status in _SUCCESS
+
+
+class Attempt:
+    """One request at one target, from sending to the end of the answer.
+
+    Use it as a context manager: leaving it closes a connection that was not read to its
+    end, upon which the target drops the request.
+
+    Args:
+        context: The request.
+        state: The target.
+        pool: Connections.
+        dialect: Makes its headers.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        state: TargetState,
+        pool: ConnectionPool,
+        dialect: Dialect,
+    ) -> None:
+        self._context = context
+        self._state = state
+        self._pool = pool
+        self._dialect = dialect
+        self._connection: Connection | None = None
+        self._keep: float | None = None
+        self.began_at = now()
+
+    def __enter__(self) -> "Attempt":
+        self._state.in_flight += 1
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._state.in_flight -= 1
+        if self._connection is not None:
+            self._connection.close()
+
+    def send(self, dispatch: Dispatch, *, limit: float) -> Reply:
+        """Send the request and wait for the head of the answer.
+
+        Raises:
+            NotRunError: If the target did not run it.
+            UnknownRunError: If it may have.
+        """
+        context = self._context
+        body = context.body
+        headers = self._dialect.forward(context.head, dispatch, len(body))
+        outgoing = Outgoing(context.head.method, context.head.path, headers, body)
+        try:
+            connection = self._pool.take(dispatch.target.address, limit=limit)
+        except ConnectionLostError as error:
+            self._state.fail(is_certain=True)
+            raise NotRunError(error.reason) from error
+        self._connection = connection
+        try:
+            connection.send(outgoing, limit=limit)
+            head = connection.read_head(limit=limit)
+        except ConnectionLostError as error:
+            self._state.fail(is_certain=False)
+            raise UnknownRunError(error.reason) from error
+        return self._check(head)
+
+    def read_body(self, *, limit: float, most: int) -> bytes:
+        """Read the whole body.
+
+        Raises:
+            UnknownRunError: If it is not whole.
+        """
+        try:
+            body = self._connection.read_body(limit=limit, most=most)
+        except ConnectionLostError as error:
+            self._state.fail(is_certain=False)
+            raise UnknownRunError(error.reason) from error
+        self._give_back()
+        return body
+
+    def read_some(self, *, limit: float) -> bytes | None:
+        """Read the next part of the body, None at its proper end.
+
+        Raises:
+            UnknownRunError: If the body broke off or nothing came in time.
+        """
+        try:
+            data = self._connection.read_some(limit=limit)
+        except ConnectionLostError as error:
+            self._state.fail(is_certain=False)
+            raise UnknownRunError(error.reason) from error
+        self._state.heard_at = now()
+        if data is None:
+            self._give_back()
+        return data
+
+    def _check(self, head: IncomingHead) -> Reply:
+        answer = self._dialect.read_answer(head.headers)
+        self._keep = answer.keep_seconds
+        self._state.note_load(answer.load)
+        if answer.not_run or head.status == _MISDIRECTED:
+            self._drain()
+            raise NotRunError("refused", head.status)
+        if answer.request_id and answer.request_id != self._context.head.id:
+            # A late answer to an earlier request: this one's may still come, but
+            # which bytes are whose can't be told any more on this connection.
+            self._state.fail(is_certain=False)
+            raise UnknownRunError("crossed")
+        if answer.is_encoded or (head.status in _SUCCESS and not answer.is_sealed):
+            self._state.fail(is_certain=False)
+            raise UnknownRunError("unsigned")
+        return Reply(head, answer)
+
+    def _drain(self) -> None:
+        try:
+            self._connection.read_body(limit=0.1, most=65_536)
+        except ConnectionLostError:
+            # The refusal's body is of no use; only the connection is lost with it.
+            return
+        self._give_back()
+
+    def _give_back(self) -> None:
+        connection, self._connection = self._connection, None
+        self._pool.give(connection, self._keep)
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/caller.py
@@ -0,0 +1,276 @@
+"""A caller's connection: strict parsing, limits, and notice when the caller leaves."""
+
+import re
+import socket
+import struct
+from collections.abc import Callable
+from typing import NamedTuple
+
+import eventlet
+import h11
+from eventlet.greenthread import GreenThread
+
+from bergamotsaddle_contracts.errors import (
+    BergamotsaddleError,
+    ErrorKind,
+    RequestError,
+)
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.catalog import CallerLimits
+from bergamotsaddle_serving.messages import RawHeaders
+
+_CHUNK = 65_536
+_HEAD_END = b"\r\n\r\n"
+_BARE_LINE_END = re.compile(rb"(?<!\r)\n|\r(?!\n)")
+_FOLDED = re.compile(rb"\r\n[ \t]")
+# A body takes far less on any link that a deadline of seconds allows for.
+_BODY_LIMIT_S = 10.0
+# A caller that doesn't read its answer for this long is gone.
+_WRITE_LIMIT_S = 10.0
+# Requests that a caller sends ahead are kept up to this many bytes.
+_MAX_AHEAD = 262_144
+# Linger on, for no time: a close sends a reset instead of a proper end.
+_RESET = struct.pack("ii", 1, 0)
+
+
+class CallerLeftError(BergamotsaddleError):
+    """The caller closed its connection before it had its answer."""
+
+
+class RawRequest(NamedTuple):
+    """A whole request as received.
+
+    Attributes:
+        method: HTTP method.
+        path: Path and query, unchanged.
+        headers: Headers, names in lower case.
+        body: Whole body.
+        began_at: When its first byte was read, on the hub's clock.
+    """
+
+    method: bytes
+    path: bytes
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    began_at: float
+
+
+class CallerConnection:
+    """One connection of a caller.
+
+    Args:
+        sock: The accepted socket.
+        limits: Gives the limits in force.
+        is_stopping: Tells whether this instance is about to stop.
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        limits: Callable[[], CallerLimits],
+        is_stopping: Callable[[], bool],
+    ) -> None:
+        self._socket = sock
+        self._limits = limits
+        self._is_stopping = is_stopping
+        self._ahead = b""
+        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=_MAX_AHEAD)
+        self.is_idle = True
+        self.must_close = False
+        self.has_started = False
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def read(self) -> RawRequest | None:
+        """Read the next request; None if the caller sends no more.
+
+        Raises:
+            RequestError: If the request is improper, too large or too slow.
+            CallerLeftError: If the caller left in the middle of it.
+        """
+        self.is_idle = True
+        self.has_started = False
+        if not self._ahead and not self._wait_first_byte():
+            return None
+        self.is_idle = False
+        began_at = now()
+        try:
+            request = self._read_request(began_at)
+        except h11.RemoteProtocolError as error:
+            raise RequestError(ErrorKind.BAD_REQUEST, "malformed request") from error
+        self._ahead = bytes(self._h11.trailing_data[0])
+        return request
+
+    def serve(self, work: Callable[[], None]) -> None:
+        """Do the work for a request, but stop it when the caller leaves.
+
+        Raises:
+            CallerLeftError: If the caller left before the work was done.
+        """
+        watcher = eventlet.spawn(self._watch, eventlet.getcurrent())
+        try:
+            work()
+        finally:
+            watcher.kill()
+
+    def answer(self, status: int, headers: RawHeaders, body: bytes) -> None:
+        """Send a whole answer."""
+        length = [(b"content-length", b"%d" % len(body))]
+        self.start(status, [*headers, *length])
+        self._write(self._h11.send(h11.Data(data=body)) if body else b"")
+        self.finish()
+
+    def start(self, status: int, headers: RawHeaders) -> None:
+        """Send the head of an answer whose body follows."""
+        if self._is_stopping() or self.must_close:
+            self.must_close = True
+            headers = [*headers, (b"connection", b"close")]
+        self.has_started = True
+        self._write(self._h11.send(h11.Response(status_code=status, headers=headers)))
+
+    def send(self, data: bytes) -> None:
+        """Send a part of the body."""
+        self._write(self._h11.send(h11.Data(data=data)))
+
+    def finish(self) -> None:
+        """End the answer properly."""
+        self._write(self._h11.send(h11.EndOfMessage()))
+
+    def prepare_next(self) -> bool:
+        """Make ready for another request; False if the connection is to be closed."""
+        if self.must_close or self._h11.our_state is not h11.DONE:
+            return False
+        if self._h11.their_state is not h11.DONE:
+            return False
+        # A new parser, since the old one keeps bytes that were read ahead, which
+        # are fed again with the next request.
+        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=_MAX_AHEAD)
+        return True
+
+    def close(self) -> None:
+        """Close the connection, so that what was written still arrives."""
+        try:
+            self._socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            # The caller has closed it already.
+            pass
+        self._socket.close()
+
+    def reset(self) -> None:
+        """Break the connection off, so that an unfinished answer never looks whole."""
+        self.must_close = True
+        try:
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        except OSError:
+            # The connection is gone already.
+            pass
+        self._socket.close()
+
+    def _wait_first_byte(self) -> bool:
+        try:
+            with eventlet.Timeout(self._limits().idle_seconds):
+                self._ahead = self._socket.recv(_CHUNK)
+        except (eventlet.Timeout, OSError):
+            # An idle caller that stays silent or resets has lost nothing.
+            return False
+        return bool(self._ahead)
+
+    def _read_request(self, began_at: float) -> RawRequest:
+        limits = self._limits()
+        try:
+            with eventlet.Timeout(limits.head_seconds):
+                head, rest = self._read_head(limits)
+        except eventlet.Timeout as error:
+            raise RequestError(ErrorKind.TOO_SLOW, "the head took too long") from error
+        self._h11.receive_data(head)
+        event = self._h11.next_event()
+        if not isinstance(event, h11.Request):
+            raise RequestError(ErrorKind.BAD_REQUEST, "expected a request")
+        _check_lengths(event, limits)
+        self._send_continue()
+        if rest:
+            self._h11.receive_data(rest)
+        try:
+            with eventlet.Timeout(_BODY_LIMIT_S):
+                body = self._read_body(limits)
+        except eventlet.Timeout as error:
+            raise RequestError(ErrorKind.TOO_SLOW, "the body took too long") from error
+        headers = list(event.headers)
+        return RawRequest(event.method, event.target, headers, body, began_at)
+
+    def _read_head(self, limits: CallerLimits) -> tuple[bytes, bytes]:
+        data = self._ahead.lstrip(b"\r\n") if self._ahead[:1] in b"\r\n" else self._ahead
+        while _HEAD_END not in data:
+            if len(data) > limits.head_bytes:
+                raise RequestError(ErrorKind.HEAD_TOO_LARGE, "the head is too large")
+            # A head whose lines end in a bare LF has no proper end to wait for.
+            if b"\n\n" in data:
+                raise RequestError(ErrorKind.BAD_REQUEST, "malformed head")
+            data += self._receive()
+        head, _, rest = data.partition(_HEAD_END)
+        if len(head) > limits.head_bytes:
+            raise RequestError(ErrorKind.HEAD_TOO_LARGE, "the head is too large")
+        if _BARE_LINE_END.search(head) or _FOLDED.search(head):
+            # Parsers disagree on such lines; a request could hide in what one of
+            # them takes for a header.
+            raise RequestError(ErrorKind.BAD_REQUEST, "malformed head")
+        return head + _HEAD_END, rest
+
+    def _send_continue(self) -> None:
+        if self._h11.they_are_waiting_for_100_continue:
+            event = h11.InformationalResponse(status_code=100, headers=[])
+            self._write(self._h11.send(event))
+
+    def _read_body(self, limits: CallerLimits) -> bytes:
+        parts = []
+        size = 0
+        while True:
+            event = self._h11.next_event()
+            if event is h11.NEED_DATA:
+                self._h11.receive_data(self._receive())
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+                size += len(event.data)
+                if size > limits.body_bytes:
+                    raise RequestError(ErrorKind.TOO_LARGE, "the body is too large")
+            else:
+                return b"".join(parts)
+
+    def _receive(self) -> bytes:
+        try:
+            data = self._socket.recv(_CHUNK)
+        except OSError as error:
+            raise CallerLeftError("reset") from error
+        if not data:
+            raise CallerLeftError("closed")
+        return data
+
+    def _watch(self, worker: GreenThread) -> None:
+        while len(self._ahead) < _MAX_AHEAD:
+            try:
+                data = self._socket.recv(_CHUNK)
+            except OSError:
+                data = b""
+            if not data:
+                eventlet.kill(worker, CallerLeftError("closed"))
+                return
+            self._ahead += data
+
+    def _write(self, data: bytes) -> None:
+        if not data:
+            return
+        try:
+            with eventlet.Timeout(_WRITE_LIMIT_S):
+                self._socket.sendall(data)
+        except (eventlet.Timeout, OSError) as error:
+            raise CallerLeftError("unread") from error
+
+
+def _check_lengths(request: h11.Request, limits: CallerLimits) -> None:
+    names = [name for name, _ in request.headers]
+    lengths = [v for name, v in request.headers if name == b"content-length"]
+    if len(lengths) > 1 or (lengths and b"transfer-encoding" in names):
+        # Two statements of the length: the next one to parse it may take the other,
+        # and see a second request inside the body.
+        raise RequestError(ErrorKind.BAD_REQUEST, "two lengths")
+    if lengths and int(lengths[0]) > limits.body_bytes:
+        raise RequestError(ErrorKind.TOO_LARGE, "the body is too large")
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -0,0 +1,300 @@
+"""Connections to targets and to the store: strict, kept and checked before use."""
+
+import socket
+from collections.abc import Iterator, Sequence
+from typing import NamedTuple
+
+import eventlet
+import h11
+from eventlet import patcher
+
+from bergamotsaddle_contracts.errors import BergamotsaddleError
+from bergamotsaddle_contracts.ini import Address
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.messages import RawHeaders
+
+_original_select = patcher.original("select")
+
+_CHUNK = 65_536
+_MAX_ANSWER_HEAD = 65_536
+# A connection between zones takes two trips of a few ms; a target that has not taken
+# one after this is dead, cut off or out of places.
+CONNECT_LIMIT_S = 0.4
+# An instance without power acknowledges nothing. The kernel then ends the connection
+# after this time instead of after many minutes.
+_UNACKNOWLEDGED_LIMIT_MS = 1_500
+_PROBE_IDLE_S = 2
+_PROBE_INTERVAL_S = 1
+_PROBES = 2
+# How long an idle connection is kept if the target doesn't say.
+_DEFAULT_KEEP_S = 4.0
+# A connection that the target is about to close is not used any more: a request that
+# meets the close would have an unknown outcome.
+_KEEP_MARGIN_S = 0.8
+# Bodies above this are sent beside reading the answer, since a target may answer
+# before it has read them all.
+_SEND_AHEAD = 16_384
+
+
+class ConnectionLostError(BergamotsaddleError):
+    """A connection that ended, fell silent or spoke no HTTP.
+
+    Args:
+        reason: One word for logs.
+        is_unsent: Whether no byte of the request has left.
+    """
+
+    def __init__(self, reason: str, *, is_unsent: bool = False) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.is_unsent = is_unsent
+
+
+class Outgoing(NamedTuple):
+    """A request about to be sent: method, path, headers and body."""
+
+    method: bytes
+    path: bytes
+    headers: RawHeaders
+    body: bytes = b""
+
+
+class IncomingHead(NamedTuple):
+    """Status and headers of an answer, header names in lower case."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+
+
+class Connection:
+    """One connection, for one request after the other.
+
+    Args:
+        address: Where to connect.
+
+    Raises:
+        ConnectionLostError: If it can't be made in time.
+    """
+
+    def __init__(self, address: Address, *, limit: float = CONNECT_LIMIT_S) -> None:
+        self.address = address
+        self.idle_since = now()
+        self.keep_seconds = _DEFAULT_KEEP_S
+        self.is_reused = False
+        self._h11 = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_MAX_ANSWER_HEAD
+        )
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._sender: eventlet.greenthread.GreenThread | None = None
+        try:
+            self._socket.settimeout(max(0.001, limit))
+            self._set_options()
+            self._socket.connect(tuple(address))
+        except OSError as error:
+            self._socket.close()
+            raise ConnectionLostError("connect", is_unsent=True) from error
+
+    def _set_options(self) -> None:
+        sock = self._socket
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_LIMIT_MS
+        )
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_IDLE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_INTERVAL_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBES)
+
+    def is_usable(self) -> bool:
+        """Tell whether an idle connection may carry another request.
+
+        Bytes that wait on an idle connection are a close, or a late second answer
+        that would be taken for the next one.
+        """
+        if now() - self.idle_since > self.keep_seconds - _KEEP_MARGIN_S:
+            return False
+        ready, _, _ = _original_select.select([self._socket.fileno()], [], [], 0)
+        return not ready
+
+    def send(self, request: Outgoing, *, limit: float) -> None:
+        """Send a request.
+
+        Raises:
+            ConnectionLostError: If that failed.
+        """
+        head = self._h11.send(
+            h11.Request(
+                method=request.method, target=request.path, headers=request.headers
+            )
+        )
+        data = head
+        if request.body:
+            data += self._h11.send(h11.Data(data=request.body))
+        data += self._h11.send(h11.EndOfMessage())
+        self._socket.settimeout(max(0.001, limit))
+        if len(data) > _SEND_AHEAD:
+            self._sender = eventlet.spawn(self._send_beside, data)
+            return
+        try:
+            self._socket.sendall(data)
+        except OSError as error:
+            raise ConnectionLostError("send") from error
+
+    def _send_beside(self, data: bytes) -> bool:
+        try:
+            self._socket.sendall(data)
+        except OSError:
+            # The reader of the answer meets the same end and tells of it.
+            return False
+        return True
+
+    def read_head(self, *, limit: float) -> IncomingHead:
+        """Wait for the head of the answer.
+
+        Raises:
+            ConnectionLostError: If there is none in time.
+        """
+        event = self._next(limit)
+        while isinstance(event, h11.InformationalResponse):
+            event = self._next(limit)
+        if not isinstance(event, h11.Response):
+            raise ConnectionLostError("no_head")
+        return IncomingHead(event.status_code, list(event.headers))
+
+    def read_body(self, *, limit: float, most: int) -> bytes:
+        """Read the whole body of the answer.
+
+        Args:
+            limit: Seconds for all of it.
+            most: Bytes that it may have.
+
+        Raises:
+            ConnectionLostError: If it is not whole.
+        """
+        ends_at = now() + limit
+        parts = []
+        size = 0
+        while (data := self.read_some(limit=ends_at - now())) is not None:
+            parts.append(data)
+            size += len(data)
+            if size > most:
+                raise ConnectionLostError("too_long")
+        return b"".join(parts)
+
+    def read_some(self, *, limit: float) -> bytes | None:
+        """Read the next part of the body; None at its proper end.
+
+        Raises:
+            ConnectionLostError: If the body broke off or nothing came in time.
+        """
+        event = self._next(limit)
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise ConnectionLostError("cut")
+
+    def can_be_kept(self) -> bool:
+        """Make ready for another request; False if the connection can't take one."""
+        sender = self._sender
+        if sender is not None and not (sender.dead and sender.wait()):
+            return False
+        if self._h11.trailing_data[0] or self._h11.their_state is not h11.DONE:
+            return False
+        if self._h11.our_state is not h11.DONE:
+            return False
+        self._h11.start_next_cycle()
+        self._sender = None
+        self.idle_since = now()
+        self.is_reused = True
+        return True
+
+    def close(self) -> None:
+        """Close it; a target drops the request that it still has from it."""
+        if self._sender is not None and not self._sender.dead:
+            self._sender.kill()
+        self._socket.close()
+
+    def _next(self, limit: float) -> object:
+        ends_at = now() + limit
+        while True:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as error:
+                raise ConnectionLostError("no_http") from error
+            if event is not h11.NEED_DATA:
+                return event
+            self._h11.receive_data(self._receive(ends_at - now()))
+
+    def _receive(self, limit: float) -> bytes:
+        if limit <= 0:
+            raise ConnectionLostError("silent")
+        self._socket.settimeout(limit)
+        try:
+            return self._socket.recv(_CHUNK)
+        except TimeoutError as error:
+            raise ConnectionLostError("silent") from error
+        except OSError as error:
+            raise ConnectionLostError("reset") from error
+
+
+class ConnectionPool:
+    """Idle connections by address, so that few new ones are made."""
+
+    def __init__(self) -> None:
+        self._idle_by_address: dict[Address, list[Connection]] = {}
+        self.opened = 0
+
+    def take(self, address: Address, *, limit: float = CONNECT_LIMIT_S) -> Connection:
+        """Take an idle connection that is still good, or make one.
+
+        Raises:
+            ConnectionLostError: If none can be made in time.
+        """
+        idle = self._idle_by_address.get(address)
+        while idle:
+            connection = idle.pop()
+            if connection.is_usable():
+                return connection
+            connection.close()
+        self.opened += 1
+        return Connection(address, limit=min(limit, CONNECT_LIMIT_S))
+
+    def give(self, connection: Connection, keep_seconds: float | None) -> None:
+        """Take back a connection whose answer has been read to its end."""
+        if keep_seconds is not None:
+            connection.keep_seconds = keep_seconds
+        if not connection.can_be_kept():
+            connection.close()
+            return
+        self._idle_by_address.setdefault(connection.address, []).append(connection)
+
+    def prune(self) -> None:
+        """Close idle connections that are past their time."""
+        for address, idle in list(self._idle_by_address.items()):
+            for connection in [c for c in idle if not c.is_usable()]:
+                idle.remove(connection)
+                connection.close()
+            if not idle:
+                del self._idle_by_address[address]
+
+
+def end_to_end(headers: Sequence[tuple[bytes, bytes]]) -> Iterator[tuple[bytes, bytes]]:
+    """Yield the headers of an answer that concern more than one connection."""
+    for name, value in headers:
+        if name not in _ONE_CONNECTION:
+            yield name, value
+
+
+_ONE_CONNECTION = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+    )
+)
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/context.py
@@ -0,0 +1,50 @@
+"""One caller's request while it is served."""
+
+from typing import NamedTuple
+
+from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.catalog import Route, Service, Team
+from bergamotsaddle_serving.messages import RequestHead
+
+
+class Context(NamedTuple):
+    """What is known of a request before any work for it.
+
+    Attributes:
+        head: Its decoded head.
+        body: Its whole body.
+        route: Its route.
+        service: The service that is to run it.
+        team: Its team, None on public routes.
+        began_at: When it came, on the hub's clock.
+        ends_at: When its caller or its route gives it up.
+        version: Version of the configuration that it is served by.
+    """
+
+    head: RequestHead
+    body: bytes
+    route: Route
+    service: Service
+    team: Team | None
+    began_at: float
+    ends_at: float
+    version: int
+
+    @property
+    def urgency(self) -> int:
+        """Its priority, 0 first: the team's where it has one, else the route's."""
+        if self.team is not None and self.team.priority is not None:
+            return self.team.priority
+        return self.route.priority
+
+    @property
+    def remaining(self) -> float:
+        """Seconds that are left."""
+        return self.ends_at - now()
+
+    def refuse(
+        self, kind: ErrorKind, detail: str, *, retry_after: float | None = None
+    ) -> RequestError:
+        """Make the error for a request that has not run and never will."""
+        return RequestError(kind, detail, ran=Ran.NO, retry_after=retry_after)
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/follower.py
@@ -0,0 +1,143 @@
+"""Follows the platform's store: one list, then a watch from there on."""
+
+import random
+from typing import Any
+
+import eventlet
+
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.client import Connection, ConnectionLostError, Outgoing
+from bergamotsaddle_serving.messages import Dialect, HttpCall, Page
+from bergamotsaddle_serving.settings import ServingSettings
+from bergamotsaddle_serving.view import View
+
+# How long the store may hold a watch. A connection that has fallen silent is noticed
+# after it, so it stays well under the seconds in which a change must be in force.
+WATCH_WAIT_S = 2.5
+# An answer takes milliseconds; after this the connection counts as silent.
+_ANSWER_LIMIT_S = 0.8
+# Between two watches at least: changes that come together are read together.
+_BATCH_PAUSE_S = 0.1
+_FIRST_BACKOFF_S = 0.1
+_LONGEST_BACKOFF_S = 1.0
+_BACKOFF_FACTOR = 1.6
+_MAX_PAGE_BYTES = 16_000_000
+_OK = 200
+_GONE = 410
+_TOO_MANY = 429
+
+
+class _StoreError(Exception):
+    """The store did not do as asked."""
+
+
+class StoreFollower:
+    """Keeps the view at the store's state.
+
+    Args:
+        settings: Where the store is.
+        dialect: Makes and reads its calls.
+        view: Takes what was read.
+        logger: Gets a line when the store is lost and regained.
+    """
+
+    def __init__(
+        self, settings: ServingSettings, dialect: Dialect, view: View, logger: Any
+    ) -> None:
+        self._settings = settings
+        self._dialect = dialect
+        self._view = view
+        self._logger = logger
+        self._connection: Connection | None = None
+        self._must_list = True
+        self.is_lost = False
+        self.calls = 0
+
+    def run(self) -> None:
+        """Follow the store for ever."""
+        backoff = _FIRST_BACKOFF_S
+        while True:
+            try:
+                self._step()
+                backoff = _FIRST_BACKOFF_S
+            except (ConnectionLostError, _StoreError, ValueError) as error:
+                self._lose(str(error))
+                eventlet.sleep(backoff * random.uniform(0.5, 1.0))
+                backoff = min(_LONGEST_BACKOFF_S, backoff * _BACKOFF_FACTOR)
+
+    def _step(self) -> None:
+        if self._must_list:
+            self._list()
+            return
+        asked_at = now()
+        call = self._dialect.watch_entries(self._view.revision, WATCH_WAIT_S)
+        status, body = self._call(call, WATCH_WAIT_S + _ANSWER_LIMIT_S)
+        if status == _GONE:
+            self._logger.info("store_history_gone", revision=self._view.revision)
+            self._must_list = True
+            return
+        page = self._read(status, body)
+        self._regain(asked_at)
+        if self._view.apply(page.entries, page.revision, source="store"):
+            eventlet.sleep(_BATCH_PAUSE_S)
+
+    def _list(self) -> None:
+        asked_at = now()
+        first = self._page("")
+        entries = list(first.entries)
+        page = first
+        while page.has_more and page.entries:
+            page = self._page(page.entries[-1].key)
+            entries += page.entries
+        self._regain(asked_at)
+        # Pages are no snapshot: what changed since the first one is read again by the
+        # watch from there on.
+        self._view.replace(entries, first.revision, source="store")
+        self._must_list = False
+
+    def _page(self, after: str) -> Page:
+        status, body = self._call(self._dialect.list_entries(after), _ANSWER_LIMIT_S)
+        return self._read(status, body)
+
+    def _read(self, status: int, body: bytes) -> Page:
+        if status != _OK:
+            raise _StoreError(f"status {status}")
+        return self._dialect.read_page(body)
+
+    def _call(self, call: HttpCall, limit: float) -> tuple[int, bytes]:
+        connection = self._connection
+        self._connection = None
+        if connection is None or not connection.is_usable():
+            if connection is not None:
+                connection.close()
+            connection = Connection(self._settings.store.address)
+        self.calls += 1
+        try:
+            request = Outgoing(call.method, call.path, call.headers, call.body)
+            connection.send(request, limit=limit)
+            head = connection.read_head(limit=limit)
+            body = connection.read_body(limit=limit, most=_MAX_PAGE_BYTES)
+        except BaseException:
+            connection.close()
+            raise
+        if head.status in (_OK, _GONE) and connection.can_be_kept():
+            self._connection = connection
+        else:
+            connection.close()
+        return head.status, body
+
+    def _lose(self, reason: str) -> None:
+        if self.is_lost:
+            return
+        self.is_lost = True
+        self._logger.warning(
+            "store_lost", reason=reason, revision=self._view.revision
+        )
+
+    def _regain(self, asked_at: float) -> None:
+        self._view.confirmed_at = asked_at
+        if not self.is_lost:
+            return
+        self.is_lost = False
+        self._view.store_back_at = now()
+        self._logger.info("store_regained", revision=self._view.revision)
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -0,0 +1,265 @@
+"""Serves callers' requests: what each is, whether it may run, and how it ended."""
+
+import random
+from typing import Any
+
+import eventlet
+import msgspec
+
+from bergamotsaddle_contracts.errors import (
+    BergamotsaddleError,
+    ErrorKind,
+    Ran,
+    RequestError,
+)
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.budget import RetryBudget
+from bergamotsaddle_serving.caller import (
+    CallerConnection,
+    CallerLeftError,
+    RawRequest,
+)
+from bergamotsaddle_serving.catalog import (
+    CallerLimits,
+    Configuration,
+    Kind,
+    Route,
+    Service,
+    Team,
+)
+from bergamotsaddle_serving.context import Context
+from bergamotsaddle_serving.messages import Dialect, RequestHead
+from bergamotsaddle_serving.metrics import Metrics
+from bergamotsaddle_serving.plain import PlainServer
+from bergamotsaddle_serving.streams import StreamServer
+from bergamotsaddle_serving.view import View
+
+_CLOSING = frozenset(
+    (
+        ErrorKind.BAD_REQUEST,
+        ErrorKind.TOO_LARGE,
+        ErrorKind.HEAD_TOO_LARGE,
+        ErrorKind.TOO_SLOW,
+    )
+)
+_LONGEST_RETRY_PART = 1 / 3
+_WHOLE = "whole"
+_LEFT = "caller_left"
+
+
+class _OutOfTimeError(BergamotsaddleError):
+    """The request's time is up."""
+
+
+class Refusal(msgspec.Struct):
+    """What a caller is told instead of an answer."""
+
+    kind: str
+    ran: str
+    detail: str
+
+
+class Handler:
+    """Serves one request after the other of each caller's connection.
+
+    Args:
+        view: What is in force.
+        plain: Serves plain services.
+        streams: Serves engines.
+        budget: Counts requests.
+        dialect: Decodes heads.
+        metrics: Counts outcomes.
+        logger: Gets a line for each request.
+    """
+
+    def __init__(
+        self,
+        view: View,
+        plain: PlainServer,
+        streams: StreamServer,
+        budget: RetryBudget,
+        dialect: Dialect,
+        metrics: Metrics,
+        logger: Any,
+    ) -> None:
+        self._view = view
+        self._plain = plain
+        self._streams = streams
+        self._budget = budget
+        self._dialect = dialect
+        self._metrics = metrics
+        self._logger = logger
+        self.connections: set[CallerConnection] = set()
+        self.active = 0
+        self.stopping = False
+
+    def limits(self) -> CallerLimits:
+        """The limits on callers in force."""
+        configuration = self._view.configuration
+        return configuration.limits if configuration else CallerLimits()
+
+    def run(self, caller: CallerConnection) -> None:
+        """Serve a connection until it ends."""
+        self.connections.add(caller)
+        try:
+            while self._next(caller):
+                continue
+        except CallerLeftError:
+            # It left in the middle of sending a request, which has not run.
+            caller.must_close = True
+        finally:
+            self.connections.discard(caller)
+            caller.close()
+
+    def _next(self, caller: CallerConnection) -> bool:
+        try:
+            raw = caller.read()
+        except RequestError as error:
+            self._refuse(caller, "", error)
+            return False
+        if raw is None:
+            return False
+        self.active += 1
+        try:
+            self._serve(caller, raw)
+        finally:
+            self.active -= 1
+        return caller.prepare_next()
+
+    def _serve(self, caller: CallerConnection, raw: RawRequest) -> None:
+        began_at = raw.began_at
+        request_id = ""
+        outcome: str = _WHOLE
+        context = None
+        try:
+            head = self._dialect.read_head(raw.method, raw.path, raw.headers)
+            request_id = head.id
+            context = self._context(head, raw)
+            self._budget.count_request(context.service.name)
+            self._run(caller, context)
+        except RequestError as error:
+            outcome = error.kind
+            self._fail(caller, request_id, error, context)
+        except CallerLeftError:
+            outcome = _LEFT
+            caller.reset()
+        except Exception:
+            # An error nobody thought of must not leave the caller without an end.
+            outcome = ErrorKind.INTERNAL
+            self._logger.exception("request_error", request=request_id)
+            detail = "internal error"
+            self._fail(
+                caller, request_id, RequestError(ErrorKind.INTERNAL, detail), context
+            )
+        self._note(request_id, context, outcome, now() - began_at)
+
+    def _run(self, caller: CallerConnection, context: Context) -> None:
+        def work() -> None:
+            with eventlet.Timeout(max(0.001, context.remaining), _OutOfTimeError("")):
+                self._work(caller, context)
+
+        try:
+            caller.serve(work)
+        except _OutOfTimeError as error:
+            raise RequestError(
+                ErrorKind.DEADLINE_PASSED, "out of time", ran=Ran.UNKNOWN
+            ) from error
+
+    def _work(self, caller: CallerConnection, context: Context) -> None:
+        if context.route.kind is Kind.STREAM:
+            self._streams.serve(context, caller)
+            return
+        answer = self._plain.serve(context)
+        caller.answer(answer.status, answer.headers, answer.body)
+
+    def _context(self, head: RequestHead, raw: RawRequest) -> Context:
+        configuration = self._view.configuration
+        if configuration is None or not self._view.is_complete():
+            raise RequestError(ErrorKind.NOT_READY, "no configuration is known yet")
+        path = head.path.partition(b"?")[0].decode("latin-1")
+        route = configuration.find_route(head.host, path)
+        if route is None:
+            raise RequestError(ErrorKind.NOT_FOUND, "no route leads there")
+        team = self._authenticate(configuration, route, head)
+        service = self._pick_service(configuration, route)
+        return Context(
+            head=head,
+            body=raw.body,
+            route=route,
+            service=service,
+            team=team,
+            began_at=raw.began_at,
+            ends_at=raw.began_at + min(head.deadline, route.timeout),
+            version=configuration.version,
+        )
+
+    def _authenticate(
+        self, configuration: Configuration, route: Route, head: RequestHead
+    ) -> Team | None:
+        team = configuration.team_by_key.get(head.key) if head.key else None
+        if route.is_public or not configuration.has_teams:
+            return team
+        if team is None:
+            raise RequestError(ErrorKind.UNAUTHENTICATED, "expected a team's key")
+        return team
+
+    def _pick_service(self, configuration: Configuration, route: Route) -> Service:
+        shares = route.shares
+        name = shares[0].service
+        if len(shares) > 1:
+            weights = [share.weight for share in shares]
+            name = random.choices(shares, weights)[0].service
+        service = configuration.services_by_name.get(name)
+        if service is None:
+            raise RequestError(ErrorKind.NO_TARGET, f"service {name} isn't declared")
+        return service
+
+    def _fail(
+        self,
+        caller: CallerConnection,
+        request_id: str,
+        error: RequestError,
+        context: Context | None,
+    ) -> None:
+        if caller.has_started:
+            # Its head says success; only a break tells the caller that it isn't whole.
+            caller.reset()
+            return
+        if error.retry_after is not None and context is not None:
+            most = max(0.0, context.remaining * _LONGEST_RETRY_PART)
+            error.retry_after = min(error.retry_after, most)
+        self._refuse(caller, request_id, error)
+
+    def _refuse(
+        self, caller: CallerConnection, request_id: str, error: RequestError
+    ) -> None:
+        headers = [(b"content-type", b"application/json")]
+        if request_id:
+            headers.append((b"x-request-id", request_id.encode("latin-1")))
+        if error.retry_after is not None and error.ran is Ran.NO:
+            headers.append((b"retry-after", b"%.3f" % error.retry_after))
+        if error.kind in _CLOSING:
+            caller.must_close = True
+        body = msgspec.json.encode(Refusal(error.kind, error.ran, error.detail))
+        try:
+            caller.answer(error.status, headers, body)
+        except CallerLeftError:
+            # There is nobody to tell any more; the request's own line says the rest.
+            caller.reset()
+
+    def _note(
+        self, request_id: str, context: Context | None, outcome: str, seconds: float
+    ) -> None:
+        route = context.route.name if context else ""
+        self._metrics.count_request(route, outcome, seconds)
+        write = self._logger.info if outcome == _WHOLE else self._logger.warning
+        write(
+            "request",
+            request=request_id,
+            route=route,
+            team=context.team.name if context and context.team else "",
+            outcome=str(outcome),
+            seconds=round(seconds, 4),
+            left=round(context.remaining, 3) if context else 0.0,
+            version=context.version if context else 0,
+        )
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/peer_messages.py
@@ -0,0 +1,137 @@
+"""Datagrams between the instances, as MessagePack arrays."""
+
+import msgspec
+
+
+class Message(msgspec.Struct, tag=True, array_like=True, frozen=True):
+    """Base of all datagrams."""
+
+
+class Contact(msgspec.Struct, array_like=True, frozen=True):
+    """Where an instance is reached."""
+
+    id: str
+    zone: str
+    host: str
+
+
+class Hello(Message):
+    """A heartbeat.
+
+    Attributes:
+        sender: Who sends it.
+        life: Random name of its process's life.
+        is_stopping: Whether it takes no more work for others.
+        revision: Up to which its view knows the store.
+        waits: Expected seconds that a new piece waits, by stage service it owns a
+            queue for, for each urgency from 0 on.
+        running: Requests that it has at each engine.
+        contacts: Other instances that it has heard lately.
+    """
+
+    sender: Contact
+    life: str
+    is_stopping: bool
+    revision: int
+    waits: dict[str, list[float]]
+    running: dict[str, int]
+    contacts: list[Contact]
+
+
+class Submit(Message):
+    """Pieces of one stage of a request, for the owner of a stage queue.
+
+    Sent again and again while the sender waits: it is the sender's sign of life, and
+    has a lost result sent once more.
+
+    Attributes:
+        request: Id of the request.
+        stage: Number of the stage.
+        service: Stage service that does it.
+        numbers: Numbers of the pieces that are missing.
+        key: The request's piece key, for a stage without predecessors.
+        inputs: Handles of the results that it needs, else.
+        urgency: 0 first.
+        has_begun: Whether earlier stages of the request have run.
+        result_bytes: Approximate size of a result.
+        objective: Seconds until the result should be there for the request to be on
+            time.
+        remaining: Seconds after which the result is of no use.
+        sent: Times that it was sent before.
+    """
+
+    request: str
+    stage: int
+    service: str
+    numbers: list[int]
+    key: str
+    inputs: list[str]
+    urgency: int
+    has_begun: bool
+    result_bytes: int
+    objective: float
+    remaining: float
+    sent: int = 0
+
+
+class Accepted(Message):
+    """The owner's answer to a submission: the pieces are in its queue.
+
+    Attributes:
+        request: Id of the request.
+        stage: Number of the stage.
+        wait: Expected seconds until the results are there.
+    """
+
+    request: str
+    stage: int
+    wait: float
+
+
+class Done(msgspec.Struct, array_like=True, frozen=True):
+    """How one piece ended: a handle to its result, or why there is none."""
+
+    number: int
+    handle: str
+    reason: str = ""
+
+
+class Results(Message):
+    """Results of pieces."""
+
+    request: str
+    stage: int
+    done: list[Done]
+
+
+class Cancel(Message):
+    """The request has ended: its pieces are not needed any more."""
+
+    request: str
+
+
+class Release(Message):
+    """Results that nobody needs any more."""
+
+    service: str
+    handles: list[str]
+
+
+Datagram = Hello | Submit | Accepted | Results | Cancel | Release
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Datagram)
+
+
+def encode(message: Message) -> bytes:
+    """Turn a message into a datagram."""
+    return _encoder.encode(message)
+
+
+def decode(datagram: bytes) -> Datagram:
+    """Turn a datagram into a message.
+
+    Raises:
+        msgspec.DecodeError: If it is none.
+    """
+    return _decoder.decode(datagram)
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/peers.py
@@ -0,0 +1,242 @@
+"""The other instances: who lives, what they say, and datagrams to them."""
+
+import random
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import eventlet
+import msgspec
+
+from bergamotsaddle_contracts.ini import parse_address
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.peer_messages import (
+    Contact,
+    Datagram,
+    Hello,
+    Message,
+    decode,
+    encode,
+)
+from bergamotsaddle_serving.settings import ServingSettings
+
+HELLO_INTERVAL_S = 0.2
+# Heartbeats sent at each interval at most; a larger fleet is gone through in turn.
+HELLOS_AT_ONCE = 10
+# Heartbeats may get lost or be late; after this many missing ones in a row the peer
+# counts as gone.
+_MISSED_HELLOS = 4
+# Silent peers are still told of this instance, so that both sides of a healed cut find
+# each other again without a seed; one every this many intervals.
+_SILENT_EVERY = 5
+_FORGET_S = 600.0
+_CONTACTS_TOLD = 8
+_MAX_DATAGRAM = 65_535
+# What one owner has not acknowledged is taken elsewhere; it is asked again after this.
+_SUSPECT_S = 1.0
+
+Handler = Callable[[Any, tuple[str, int]], None]
+
+
+class Peer:
+    """Another instance as last heard.
+
+    Args:
+        contact: Where it is reached.
+    """
+
+    def __init__(self, contact: Contact) -> None:
+        self.contact = contact
+        self.life = ""
+        self.is_stopping = False
+        self.revision = 0
+        self.waits: dict[str, list[float]] = {}
+        self.running: dict[str, int] = {}
+        self.heard_at = float("-inf")
+        self.known_at = now()
+        self.suspect_until = float("-inf")
+
+
+class Peers:
+    """All other instances that are known.
+
+    Args:
+        settings: Who this instance is and its seeds.
+        life: Random name of this process's life.
+        logger: Gets a line when a peer is lost or found.
+    """
+
+    def __init__(self, settings: ServingSettings, life: str, logger: Any) -> None:
+        instance = settings.instance
+        self.own = Contact(instance.id, instance.zone, instance.host)
+        self.life = life
+        self.is_stopping = False
+        self.by_id: dict[str, Peer] = {}
+        self.own_waits: Callable[[], dict[str, list[float]]] = dict
+        self.own_running: Callable[[], dict[str, int]] = dict
+        self.own_revision: Callable[[], int] = lambda: 0
+        self._handlers: dict[type, Handler] = {Hello: self._hear}
+        self._logger = logger
+        self._port = settings.listen.peer_port
+        self._seeds = [parse_address(seed).host for seed in settings.peers.seeds]
+        self._turn = 0
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind((instance.host, self._port))
+
+    def on(self, kind: type, handler: Handler) -> None:
+        """Have a function called for each datagram of a kind."""
+        self._handlers[kind] = handler
+
+    def alive(self) -> list[Peer]:
+        """Peers that were heard lately."""
+        limit = self._silence_limit()
+        moment = now()
+        return [p for p in self.by_id.values() if moment - p.heard_at < limit]
+
+    def id_of(self, host: str) -> str | None:
+        """Id of the instance at an IP number."""
+        for peer in self.by_id.values():
+            if peer.contact.host == host:
+                return peer.contact.id
+        return None
+
+    def is_alive(self, peer_id: str) -> bool:
+        """Tell whether a peer was heard lately and acknowledges what it gets."""
+        peer = self.by_id.get(peer_id)
+        if peer is None:
+            return False
+        moment = now()
+        return moment - peer.heard_at < self._silence_limit() and (
+            moment >= peer.suspect_until
+        )
+
+    def owners(self, zone: str) -> list[str]:
+        """Instances that can own a queue of a zone: its own ones, else all.
+
+        The zone's own instances can reach its targets whatever is cut off.
+        """
+        candidates = [
+            peer.contact
+            for peer in self.alive()
+            if not peer.is_stopping and now() >= peer.suspect_until
+        ]
+        if not self.is_stopping:
+            candidates.append(self.own)
+        in_zone = [c.id for c in candidates if c.zone == zone]
+        return in_zone or [c.id for c in candidates]
+
+    def suspect(self, peer_id: str) -> None:
+        """Note that a peer did not acknowledge what it was sent."""
+        peer = self.by_id.get(peer_id)
+        if peer is not None:
+            peer.suspect_until = now() + _SUSPECT_S
+
+    def size(self) -> int:
+        """Instances known of late, this one among them, dead ones too."""
+        return len(self.by_id) + 1
+
+    def send(self, peer_id: str, message: Message) -> None:
+        """Send a datagram to a peer; it may get lost."""
+        peer = self.by_id.get(peer_id)
+        if peer is not None:
+            self.send_to((peer.contact.host, self._port), message)
+
+    def send_to(self, address: tuple[str, int], message: Message) -> None:
+        """Send a datagram to an address; it may get lost."""
+        try:
+            self._socket.sendto(encode(message), address)
+        except OSError as error:
+            # Sending fails at once where the network would lose the datagram; every
+            # sender copes with a lost one by sending again.
+            self._logger.info("datagram_unsent", to=address[0], reason=str(error))
+
+    def run(self) -> None:
+        """Send heartbeats for ever."""
+        while True:
+            self.greet()
+            eventlet.sleep(HELLO_INTERVAL_S)
+
+    def greet(self) -> None:
+        """Send one round of heartbeats."""
+        self._turn += 1
+        self._forget_silent()
+        hello = self._hello()
+        for host in self._round():
+            self.send_to((host, self._port), hello)
+
+    def receive(self) -> None:
+        """Handle datagrams for ever."""
+        while True:
+            try:
+                data, address = self._socket.recvfrom(_MAX_DATAGRAM)
+                self._dispatch(decode(data), address)
+            except msgspec.DecodeError as error:
+                self._logger.warning("datagram_malformed", reason=str(error))
+            except OSError as error:
+                self._logger.info("datagram_error", reason=str(error))
+
+    def _dispatch(self, message: Datagram, address: tuple[str, int]) -> None:
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(message, address)
+
+    def _hello(self) -> Hello:
+        alive = self.alive()
+        told = random.sample(alive, min(_CONTACTS_TOLD, len(alive)))
+        return Hello(
+            sender=self.own,
+            life=self.life,
+            is_stopping=self.is_stopping,
+            revision=self.own_revision(),
+            waits=self.own_waits(),
+            running=self.own_running(),
+            contacts=[peer.contact for peer in told],
+        )
+
+    def _round(self) -> list[str]:
+        alive = {peer.contact.host for peer in self.alive()}
+        hosts = sorted(alive)
+        known = {peer.contact.host for peer in self.by_id.values()}
+        if self._turn % _SILENT_EVERY == 1 or len(alive) < 1:
+            silent = (known | set(self._seeds)) - alive - {self.own.host}
+            chosen = sorted(silent)
+            random.shuffle(chosen)
+            extra = chosen[:HELLOS_AT_ONCE]
+        else:
+            extra = []
+        if len(hosts) <= HELLOS_AT_ONCE:
+            return hosts + extra
+        begin = self._turn * HELLOS_AT_ONCE % len(hosts)
+        return (hosts + hosts)[begin : begin + HELLOS_AT_ONCE] + extra
+
+    def _silence_limit(self) -> float:
+        rounds = 1 + len(self.by_id) // HELLOS_AT_ONCE
+        return HELLO_INTERVAL_S * rounds * _MISSED_HELLOS
+
+    def _hear(self, hello: Hello, _: tuple[str, int]) -> None:
+        if hello.sender.id == self.own.id:
+            return
+        peer = self.by_id.get(hello.sender.id)
+        if peer is None or peer.contact != hello.sender:
+            peer = self.by_id[hello.sender.id] = Peer(hello.sender)
+        was_alive = now() - peer.heard_at < self._silence_limit()
+        if not was_alive or peer.life != hello.life:
+            self._logger.info("peer_found", peer=hello.sender.id, life=hello.life)
+            # Tell it at once, so that two starting instances need not wait a round.
+            self.send_to((hello.sender.host, self._port), self._hello())
+        peer.life = hello.life
+        peer.is_stopping = hello.is_stopping
+        peer.revision = hello.revision
+        peer.waits = hello.waits
+        peer.running = hello.running
+        peer.heard_at = now()
+        for contact in hello.contacts:
+            if contact.id != self.own.id and contact.id not in self.by_id:
+                self.by_id[contact.id] = Peer(contact)
+
+    def _forget_silent(self) -> None:
+        moment = now()
+        for peer_id, peer in list(self.by_id.items()):
+            if moment - max(peer.heard_at, peer.known_at) > _FORGET_S:
+                del self.by_id[peer_id]
+                self._logger.info("peer_forgotten", peer=peer_id)
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/plain.py
@@ -0,0 +1,148 @@
+"""Serves requests for plain services: whole answers, repeated only where allowed."""
+
+from typing import Any
+
+from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.attempt import (
+    PROMISES,
+    Attempt,
+    NotRunError,
+    UnknownRunError,
+)
+from bergamotsaddle_serving.budget import RetryBudget
+from bergamotsaddle_serving.client import ConnectionPool, end_to_end
+from bergamotsaddle_serving.context import Context
+from bergamotsaddle_serving.messages import Dialect, Dispatch, RawHeaders
+from bergamotsaddle_serving.selector import Candidate, Selector
+
+_MAX_ANSWER_BYTES = 64_000_000
+_SERVER_ERROR = 500
+# A target that takes this many times the usual time has lost the request, or is slow
+# enough for another one to answer earlier.
+_SLOW_FACTOR = 5.0
+_LEAST_LIMIT_S = 0.3
+# Targets tried for a request that none of them ran.
+_MAX_REFUSALS = 3
+
+
+class WholeAnswer:
+    """A target's whole answer, ready to be passed on."""
+
+    def __init__(self, status: int, headers: RawHeaders, body: bytes) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+class PlainServer:
+    """Serves requests that have one whole answer.
+
+    Args:
+        selector: Finds targets.
+        pool: Connections to them.
+        budget: Limits repeats.
+        dialect: Makes headers.
+        logger: Gets a line for each attempt that didn't answer.
+    """
+
+    def __init__(
+        self,
+        selector: Selector,
+        pool: ConnectionPool,
+        budget: RetryBudget,
+        dialect: Dialect,
+        logger: Any,
+    ) -> None:
+        self._selector = selector
+        self._pool = pool
+        self._budget = budget
+        self._dialect = dialect
+        self._logger = logger
+
+    def serve(self, context: Context) -> WholeAnswer:
+        """Get the answer to a request.
+
+        Raises:
+            RequestError: If there is none; it says whether the request has run.
+        """
+        tried: set[str] = set()
+        failure: WholeAnswer | None = None
+        ran = 0
+        refusals = 0
+        while True:
+            candidate = self._next(context, tried, ran)
+            if candidate is None:
+                return self._give_up(context, failure, ran)
+            tried.add(candidate.target.id)
+            can_repeat = context.route.may_repeat and ran + 1 < context.route.attempts
+            try:
+                answer = self._try(context, candidate, can_repeat=can_repeat)
+            except NotRunError as error:
+                self._note(context, candidate, error.reason, "no")
+                refusals += 1
+                if refusals >= _MAX_REFUSALS:
+                    return self._give_up(context, failure, ran)
+                continue
+            except UnknownRunError as error:
+                self._note(context, candidate, error.reason, "unknown")
+                ran += 1
+                if not can_repeat:
+                    return self._give_up(context, failure, ran)
+                continue
+            ran += 1
+            if answer.status < _SERVER_ERROR or not can_repeat:
+                return answer
+            failure = answer
+
+    def _next(self, context: Context, tried: set[str], ran: int) -> Candidate | None:
+        if context.remaining <= 0:
+            return None
+        service = context.service
+        candidate = self._selector.pick(service.name, tried)
+        if candidate is None or not self._selector.may_send(candidate):
+            return None
+        if tried and not self._budget.take(service.name):
+            return None
+        return candidate
+
+    def _try(
+        self, context: Context, candidate: Candidate, *, can_repeat: bool
+    ) -> WholeAnswer:
+        state = candidate.state
+        limit = context.remaining
+        if can_repeat and self._budget.left(context.service.name) >= 1:
+            limit = min(limit, max(_LEAST_LIMIT_S, _SLOW_FACTOR * state.latency))
+        self._selector.note_sent(candidate, context.service)
+        with Attempt(context, state, self._pool, self._dialect) as attempt:
+            dispatch = Dispatch(candidate.target, context.remaining, context.team)
+            reply = attempt.send(dispatch, limit=limit)
+            body = attempt.read_body(limit=limit, most=_MAX_ANSWER_BYTES)
+            if reply.head.status in PROMISES:
+                raise UnknownRunError(f"status {reply.head.status}")
+            state.succeed(now() - attempt.began_at)
+        headers = list(end_to_end(reply.head.headers))
+        return WholeAnswer(reply.head.status, headers, body)
+
+    def _give_up(
+        self, context: Context, failure: WholeAnswer | None, ran: int
+    ) -> WholeAnswer:
+        if failure is not None:
+            return failure
+        if not ran:
+            raise context.refuse(ErrorKind.NO_TARGET, "no target took the request")
+        raise RequestError(
+            ErrorKind.TARGET_FAILED, "the target broke off", ran=Ran.UNKNOWN
+        )
+
+    def _note(
+        self, context: Context, candidate: Candidate, reason: str, ran: str
+    ) -> None:
+        self._logger.warning(
+            "attempt_failed",
+            request=context.head.id,
+            target=candidate.target.id,
+            reason=reason,
+            ran=ran,
+            in_flight=candidate.state.in_flight,
+        )
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/selector.py
@@ -0,0 +1,93 @@
+"""The targets of a service that may get a request now."""
+
+from typing import NamedTuple
+
+from bergamotsaddle_serving.budget import ColdPace
+from bergamotsaddle_serving.catalog import Service, Target
+from bergamotsaddle_serving.health import Health, TargetState
+from bergamotsaddle_serving.peers import Peers
+from bergamotsaddle_serving.view import View
+
+# What a trip to another zone and back adds, as a part of a request's time there.
+_OTHER_ZONE_S = 0.004
+
+
+class Candidate(NamedTuple):
+    """A target that may be chosen.
+
+    Attributes:
+        target: The target.
+        state: What this instance has seen of it.
+        is_cold: Whether it is cold.
+        others: Requests that other instances have there, as far as known.
+    """
+
+    target: Target
+    state: TargetState
+    is_cold: bool
+    others: int
+
+
+class Selector:
+    """Finds the targets that may get a request.
+
+    Args:
+        view: Targets in force.
+        health: What was seen of them.
+        peers: What other instances have at them.
+        cold: Spaces requests to cold ones.
+    """
+
+    def __init__(self, view: View, health: Health, peers: Peers, cold: ColdPace):
+        self._view = view
+        self._health = health
+        self._peers = peers
+        self._cold = cold
+
+    def candidates(self, service: str, exclude: set[str]) -> list[Candidate]:
+        """Targets that may get a request; those that failed lately only if no other."""
+        found = [
+            Candidate(
+                known.target,
+                self._health.of(known.target),
+                self._view.is_cold(known),
+                self._others(known.target.id),
+            )
+            for known in self._view.usable(service)
+            if known.target.id not in exclude
+        ]
+        found = [
+            c for c in found if not c.is_cold or self._cold.may_send(c.target.id)
+        ]
+        return [c for c in found if not c.state.is_resting()] or found
+
+    def pick(self, service: str, exclude: set[str]) -> Candidate | None:
+        """Pick the target of a plain service that should answer first.
+
+        Answers bursts at services with a handful of places: expected time is the
+        usual time multiplied by the places that are taken, of all instances as far as
+        they told, so that slow targets get less and no place stays free beside a queue.
+        """
+        found = self.candidates(service, exclude)
+        return min(found, key=self._expected, default=None)
+
+    def may_send(self, candidate: Candidate) -> bool:
+        """Tell whether a chosen target may still get the request."""
+        return self._view.may_get_work(candidate.target)
+
+    def note_sent(self, candidate: Candidate, service: Service) -> None:
+        """Note that a request is about to be sent to a target."""
+        if candidate.is_cold and service.cold_rate > 0:
+            self._cold.note_sent(candidate.target.id, service.cold_rate)
+
+    def _others(self, target_id: str) -> int:
+        return sum(p.running.get(target_id, 0) for p in self._peers.alive())
+
+    def _expected(self, candidate: Candidate) -> float:
+        state = candidate.state
+        taken = state.in_flight + candidate.others + state.waiting()
+        slots = max(1, candidate.target.slots)
+        queueing = max(0.0, taken + 1 - slots) / slots
+        crowding = taken / slots
+        trip = 0.0 if candidate.target.zone == self._peers.own.zone else _OTHER_ZONE_S
+        return state.latency * (1.0 + queueing + 0.3 * crowding) + trip
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -0,0 +1,237 @@
+"""The process of a serving daemon: its parts, sockets, signals and its end."""
+
+import secrets
+import signal
+import socket
+from pathlib import Path
+from typing import Any
+
+import eventlet
+from eventlet.event import Event
+
+from bergamotsaddle_contracts.errors import InvalidFileError
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.budget import ColdPace, RetryBudget
+from bergamotsaddle_serving.caller import CallerConnection
+from bergamotsaddle_serving.client import ConnectionPool
+from bergamotsaddle_serving.follower import StoreFollower
+from bergamotsaddle_serving.handler import Handler
+from bergamotsaddle_serving.health import Health
+from bergamotsaddle_serving.log import BoundedOutput, make_logger
+from bergamotsaddle_serving.messages import Dialect
+from bergamotsaddle_serving.metrics import Metrics
+from bergamotsaddle_serving.peers import Peers
+from bergamotsaddle_serving.plain import PlainServer
+from bergamotsaddle_serving.probe import serve_page
+from bergamotsaddle_serving.selector import Selector
+from bergamotsaddle_serving.settings import parse_settings
+from bergamotsaddle_serving.stage_owner import StageOwner
+from bergamotsaddle_serving.stage_run import StageExchange
+from bergamotsaddle_serving.stage_waits import StageWaits
+from bergamotsaddle_serving.streams import StreamServer
+from bergamotsaddle_serving.view import View
+from bergamotsaddle_serving.view_exchange import ViewExchange
+
+_STDOUT = 1
+_BACKLOG = 512
+_OK = 200
+_UNAVAILABLE = 503
+# The balancer asks once a second and takes an instance out after two misses; callers
+# that it still sends here until then must find the listener open.
+_NOTICE_S = 2.6
+_STOP_STEP_S = 0.02
+# The process ends this long before it would be killed.
+_STOP_MARGIN_S = 0.6
+_TICK_S = 0.5
+_RESTART_PAUSE_S = 0.5
+
+
+class ServingServer:
+    """One serving daemon.
+
+    Args:
+        path: Path of its settings.
+        dialect: The platform's names, formats and calls.
+
+    Raises:
+        InvalidFileError: If the settings are invalid.
+    """
+
+    def __init__(self, path: str, dialect: Dialect) -> None:
+        self._path = path
+        self.settings = parse_settings(Path(path).read_text(), name=path)
+        self._output = BoundedOutput(_STDOUT)
+        self.logger = make_logger(self.settings.instance.id, self._output)
+        self._dialect = dialect
+        self._asked_to_stop = Event()
+        self._asked_to_reload = False
+        self._stopping = False
+        self._build()
+
+    def _build(self) -> None:
+        settings = self.settings
+        logger = self.logger
+        dialect = self._dialect
+        self.view = View(dialect, logger)
+        self.peers = Peers(settings, secrets.token_hex(4), logger)
+        self.pool = ConnectionPool()
+        self.health = Health()
+        self.metrics = Metrics()
+        self.follower = StoreFollower(settings, dialect, self.view, logger)
+        self.exchange = ViewExchange(settings, self.view, self.peers, logger)
+        self.owner = StageOwner(self.view, self.peers, self.pool, dialect, logger)
+        budget = RetryBudget(settings.bounds, self.peers.size)
+        cold = ColdPace(self.peers.size)
+        selector = Selector(self.view, self.health, self.peers, cold)
+        stages = StageExchange(self.peers, self.owner)
+        waits = StageWaits(self.view, self.peers, self.owner)
+        plain = PlainServer(selector, self.pool, budget, dialect, logger)
+        streams = StreamServer(
+            selector, waits, stages, self.pool, budget, dialect, logger
+        )
+        self.handler = Handler(
+            self.view, plain, streams, budget, dialect, self.metrics, logger
+        )
+        self.peers.own_waits = self.owner.waits
+        self.peers.own_running = self.health.running
+        self.peers.own_revision = lambda: self.view.revision
+        self.view.watch(self.owner.open_queues)
+        self.view.watch(self._forget_targets)
+        self._add_gauges()
+
+    def run(self) -> None:
+        """Serve until told to stop, then stop gracefully."""
+        signal.signal(signal.SIGTERM, self._note_term)
+        signal.signal(signal.SIGINT, self._note_term)
+        signal.signal(signal.SIGHUP, self._note_hup)
+        signal.signal(signal.SIGPIPE, signal.SIG_IGN)
+        listen = self.settings.listen
+        host = self.settings.instance.host
+        callers = eventlet.listen(tuple(listen.callers), backlog=_BACKLOG)
+        ready = eventlet.listen(tuple(listen.ready))
+        metrics = eventlet.listen((host, listen.metrics_port))
+        for work in (
+            self.peers.receive,
+            self.peers.run,
+            self.follower.run,
+            self.exchange.run,
+            self._tick,
+        ):
+            eventlet.spawn_n(self._keep_running, work)
+        eventlet.spawn_n(serve_page, ready, self._ready_page)
+        eventlet.spawn_n(serve_page, metrics, lambda: (_OK, self.metrics.page()))
+        eventlet.spawn_n(self._accept, callers)
+        self.logger.info("started", life=self.peers.life, callers=str(listen.callers))
+        self._asked_to_stop.wait()
+        self._stop(callers)
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send callers here."""
+        return self.view.is_complete() and not self._stopping
+
+    def _ready_page(self) -> tuple[int, bytes]:
+        return (_OK if self.is_ready() else _UNAVAILABLE), b""
+
+    def _accept(self, listener: socket.socket) -> None:
+        while True:
+            try:
+                sock, _ = listener.accept()
+            except OSError as error:
+                if self._stopping:
+                    return
+                # Out of descriptors, most likely; callers wait in the backlog.
+                self.logger.warning("accept_failed", reason=str(error))
+                eventlet.sleep(_STOP_STEP_S)
+                continue
+            caller = CallerConnection(
+                sock, self.handler.limits, lambda: self._stopping
+            )
+            eventlet.spawn_n(self.handler.run, caller)
+
+    def _stop(self, listener: socket.socket) -> None:
+        began_at = now()
+        self._stopping = True
+        self.peers.is_stopping = True
+        self.peers.greet()
+        self.logger.info("stopping", active=self.handler.active)
+        eventlet.sleep(_NOTICE_S)
+        listener.close()
+        limit = began_at + self.settings.bounds.grace - _STOP_MARGIN_S
+        while now() < limit and self._is_busy():
+            self._close_idle()
+            eventlet.sleep(_STOP_STEP_S)
+        self._close_idle()
+        self.logger.info("stopped", active=self.handler.active)
+
+    def _is_busy(self) -> bool:
+        return self.handler.active > 0 or self.owner.is_busy()
+
+    def _close_idle(self) -> None:
+        for caller in list(self.handler.connections):
+            if caller.is_idle:
+                caller.must_close = True
+                caller.close()
+
+    def _tick(self) -> None:
+        while True:
+            eventlet.sleep(_TICK_S)
+            self.pool.prune()
+            self.view.drop_lapsed()
+            if self._asked_to_reload:
+                self._asked_to_reload = False
+                self._reload()
+
+    def _reload(self) -> None:
+        try:
+            settings = parse_settings(Path(self._path).read_text(), name=self._path)
+        except (OSError, InvalidFileError) as error:
+            self.logger.warning("reload_failed", reason=str(error))
+            return
+        # Addresses stay as they are while the process lives; what else there is
+        # takes effect at the next start.
+        self.logger.info("reloaded", is_changed=settings != self.settings)
+
+    def _forget_targets(self) -> None:
+        lives = {
+            known.target.life
+            for group in self.view.targets_by_service.values()
+            for known in group
+        }
+        self.health.keep_only(lives)
+
+    def _keep_running(self, work: Any) -> None:
+        # An error nobody thought of would end the green thread, and this instance
+        # would serve on without hearing of any change; the log line tells of it.
+        while True:
+            try:
+                work()
+            except Exception:
+                self.logger.exception("restarting", work=work.__qualname__)
+            eventlet.sleep(_RESTART_PAUSE_S)
+
+    def _note_term(self, *_: object) -> None:
+        # A signal handler runs between any two lines of some green thread, so it
+        # only leaves a note that the hub picks up.
+        eventlet.spawn_n(self._ask_to_stop)
+
+    def _ask_to_stop(self) -> None:
+        if not self._asked_to_stop.ready():
+            self._asked_to_stop.send()
+
+    def _note_hup(self, *_: object) -> None:
+        self._asked_to_reload = True
+
+    def _add_gauges(self) -> None:
+        gauge = self.metrics.gauge
+        gauge("requests_active", "Requests here.", lambda: self.handler.active)
+        gauge("peers_alive", "Peers heard lately.", lambda: len(self.peers.alive()))
+        gauge(
+            "view_age_seconds",
+            "Time since the store confirmed the view.",
+            lambda: now() - self.view.confirmed_at,
+        )
+        gauge("store_calls", "Calls to the store.", lambda: self.follower.calls)
+        gauge("stage_calls", "Calls to stage targets.", lambda: self.owner.calls)
+        gauge("stage_pieces", "Pieces in these calls.", lambda: self.owner.pieces)
+        gauge("connections_opened", "New connections.", lambda: self.pool.opened)
+        gauge("log_dropped", "Dropped log lines.", lambda: self._output.dropped)
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/stage_owner.py
@@ -0,0 +1,490 @@
+"""Owns queues of stage services: takes pieces from all instances and calls targets."""
+
+from collections import OrderedDict
+from typing import Any
+
+import eventlet
+from eventlet.event import Event
+from eventlet.greenthread import GreenThread
+
+from bergamotsaddle_contracts.ini import Address
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.catalog import Batching, Target
+from bergamotsaddle_serving.client import (
+    ConnectionLostError,
+    ConnectionPool,
+    Outgoing,
+)
+from bergamotsaddle_serving.messages import Dialect, HttpCall, Piece, PieceResult
+from bergamotsaddle_serving.owners import rank_owners
+from bergamotsaddle_serving.peer_messages import (
+    Accepted,
+    Cancel,
+    Done,
+    Release,
+    Results,
+    Submit,
+)
+from bergamotsaddle_serving.peers import Peers
+from bergamotsaddle_serving.stage_queue import (
+    PieceKey,
+    QueuedPiece,
+    ResultRoom,
+    StageQueue,
+)
+from bergamotsaddle_serving.view import View
+
+_OK = 200
+_MISDIRECTED = 421
+_MAX_RESULT_BODY = 1_000_000
+# A call that takes this many times its expected time, and a little, counts as lost: a
+# target without power never answers, while slow ones keep within it.
+_LOST_FACTOR = 2.0
+_LOST_EXTRA_S = 0.4
+_MAX_PACE = 6.0
+_PACE_WEIGHT = 0.3
+# A target that failed gets nothing for a time that doubles up to the longest.
+_FIRST_REST_S = 0.3
+_LONGEST_REST_S = 3.0
+_FULL_PAUSE_S = 0.05
+_IDLE_CHECK_S = 0.25
+_MAX_TRIES = 2
+# Results are told again if their first datagram got lost.
+_KEPT_RESULTS = 5_000
+_RELEASE_LIMIT_S = 0.5
+NO_TARGET = "no_target"
+FAILED = "failed"
+LATE = "late"
+
+
+class _Worker:
+    """What this owner knows of one target."""
+
+    def __init__(self, target: Target, batching: Batching) -> None:
+        self.target = target
+        self.room = ResultRoom(batching.room_bytes, batching.keep_seconds)
+        self.pace = 1.0
+        self.free_at = 0.0
+        self.failures = 0
+        self.rest_until = 0.0
+        self.to_release: list[str] = []
+        self.has_release = Event()
+        self.threads: list[GreenThread] = []
+
+    def rest(self) -> None:
+        """Give it nothing for a while after a failure."""
+        pause = min(_LONGEST_REST_S, _FIRST_REST_S * 2.0**self.failures)
+        self.failures += 1
+        self.rest_until = now() + pause
+
+    def learn(self, seconds: float, expected: float) -> None:
+        """Take the time of an answered call into account."""
+        self.failures = 0
+        ratio = min(_MAX_PACE, seconds / expected)
+        self.pace += _PACE_WEIGHT * (ratio - self.pace)
+
+
+class _ServiceQueue:
+    """One stage service's queue and workers."""
+
+    def __init__(self, service: str, batching: Batching) -> None:
+        self.service = service
+        self.queue = StageQueue(batching)
+        self.worker_by_life: dict[tuple[str, int], _Worker] = {}
+        self.sender_by_request: dict[str, str] = {}
+        self.running: set[PieceKey] = set()
+        self.done_by_key: OrderedDict[PieceKey, Done] = OrderedDict()
+        self.cancelled: OrderedDict[str, None] = OrderedDict()
+        self.news = Event()
+
+    def wake(self) -> None:
+        """Wake all workers."""
+        news, self.news = self.news, Event()
+        news.send()
+
+    def fit_workers(self) -> list[_Worker]:
+        """Workers whose targets are not resting after a failure."""
+        moment = now()
+        return [w for w in self.worker_by_life.values() if w.rest_until <= moment]
+
+
+class StageOwner:
+    """The queues that this instance owns.
+
+    Args:
+        view: Targets and services.
+        peers: Where results go.
+        pool: Connections to targets.
+        dialect: Makes the calls.
+        logger: Gets a line for each call.
+    """
+
+    def __init__(
+        self,
+        view: View,
+        peers: Peers,
+        pool: ConnectionPool,
+        dialect: Dialect,
+        logger: Any,
+    ) -> None:
+        self._view = view
+        self._peers = peers
+        self._pool = pool
+        self._dialect = dialect
+        self._logger = logger
+        self._queue_by_service: dict[str, _ServiceQueue] = {}
+        self.deliver_here: Any = None
+        self.calls = 0
+        self.pieces = 0
+        view.watch(self._retire)
+
+    def submit(self, message: Submit, sender: str) -> Accepted | Results:
+        """Take pieces into the queue.
+
+        Args:
+            message: The pieces.
+            sender: Instance that gets the results.
+
+        Returns:
+            What to tell the sender at once.
+        """
+        queue = self._queue(message.service)
+        if queue is None or not self._has_targets(queue):
+            done = [Done(n, "", NO_TARGET) for n in message.numbers]
+            return Results(message.request, message.stage, done)
+        queue.sender_by_request[message.request] = sender
+        known = [self._take(queue, message, number) for number in message.numbers]
+        queue.wake()
+        done = [result for result in known if result is not None]
+        if done:
+            return Results(message.request, message.stage, done)
+        wait = self._waits(queue)[min(message.urgency, 3)]
+        return Accepted(message.request, message.stage, wait)
+
+    def cancel(self, message: Cancel) -> None:
+        """Drop what waits for a request, and mark what runs as not needed."""
+        for queue in self._queue_by_service.values():
+            if queue.sender_by_request.pop(message.request, None) is None:
+                continue
+            queue.queue.cancel(message.request)
+            queue.cancelled[message.request] = None
+            while len(queue.cancelled) > _KEPT_RESULTS:
+                queue.cancelled.popitem(last=False)
+
+    def release(self, message: Release) -> None:
+        """Give up results at the targets that hold them."""
+        for handle in message.handles:
+            self._release(self._dialect.maker(handle), handle, message.service)
+
+    def waits(self) -> dict[str, list[float]]:
+        """Expected seconds until a new piece is done, by service and urgency."""
+        waits = {}
+        own = self._peers.own
+        for service, queue in self._queue_by_service.items():
+            if rank_owners(self._peers, service, own.zone)[:1] != [own.id]:
+                continue
+            self._hire(queue)
+            if queue.fit_workers():
+                waits[service] = [round(w, 3) for w in self._waits(queue)]
+        return waits
+
+    def is_busy(self) -> bool:
+        """Tell whether pieces wait or run here."""
+        return any(len(q.queue) or q.running for q in self._queue_by_service.values())
+
+    def open_queues(self) -> None:
+        """Open a queue for each stage service, so that its waits are known."""
+        configuration = self._view.configuration
+        if configuration is None:
+            return
+        for service in configuration.services_by_name.values():
+            if service.batching is not None:
+                self._queue(service.name)
+
+    def _queue(self, service: str) -> _ServiceQueue | None:
+        configuration = self._view.configuration
+        declared = configuration and configuration.services_by_name.get(service)
+        if not declared or declared.batching is None:
+            return None
+        queue = self._queue_by_service.get(service)
+        if queue is None:
+            queue = _ServiceQueue(service, declared.batching)
+            self._queue_by_service[service] = queue
+        queue.queue.batching = declared.batching
+        return queue
+
+    def _has_targets(self, queue: _ServiceQueue) -> bool:
+        self._hire(queue)
+        return bool(queue.fit_workers())
+
+    def _hire(self, queue: _ServiceQueue) -> None:
+        for target in self._own_targets(queue.service):
+            if target.life in queue.worker_by_life:
+                continue
+            worker = _Worker(target, queue.queue.batching)
+            queue.worker_by_life[target.life] = worker
+            for _ in range(queue.queue.batching.slots):
+                worker.threads.append(eventlet.spawn(self._work, queue, worker))
+            worker.threads.append(eventlet.spawn(self._give_up, queue, worker))
+
+    def _own_targets(self, service: str) -> list[Target]:
+        own_zone = self._peers.own.zone
+        inhabited = {p.contact.zone for p in self._peers.alive() if not p.is_stopping}
+        return [
+            known.target
+            for known in self._view.usable(service)
+            if known.target.zone == own_zone or known.target.zone not in inhabited
+        ]
+
+    def _retire(self) -> None:
+        for queue in self._queue_by_service.values():
+            usable = {k.target.life for k in self._view.usable(queue.service)}
+            for life in [life for life in queue.worker_by_life if life not in usable]:
+                # What it holds stays known until it is gone, so that results can
+                # still be given up; its threads end by themselves.
+                del queue.worker_by_life[life]
+            queue.wake()
+
+    def _take(
+        self, queue: _ServiceQueue, message: Submit, number: int
+    ) -> Done | None:
+        key = PieceKey(message.request, message.stage, number)
+        if key in queue.done_by_key:
+            return queue.done_by_key[key]
+        if key in queue.running or key in queue.queue.piece_by_key:
+            return None
+        moment = now()
+        queue.queue.add(
+            QueuedPiece(
+                key,
+                message.urgency,
+                message.has_begun,
+                moment + message.objective,
+                moment + message.remaining,
+                message.result_bytes,
+                message.key,
+                tuple(message.inputs),
+            )
+        )
+        return None
+
+    def _waits(self, queue: _ServiceQueue) -> list[float]:
+        workers = queue.fit_workers()
+        moment = now()
+        if not workers:
+            return [_LONGEST_REST_S] * 4
+        until_free = max(0.0, min(w.free_at for w in workers) - moment)
+        pace = min(w.pace for w in workers)
+        return queue.queue.waits(len(workers), until_free, pace)
+
+    def _work(self, queue: _ServiceQueue, worker: _Worker) -> None:
+        while queue.worker_by_life.get(worker.target.life) is worker:
+            moment = now()
+            if worker.rest_until > moment:
+                self._turn_away(queue)
+                eventlet.sleep(min(_IDLE_CHECK_S, worker.rest_until - moment))
+                continue
+            for piece in queue.queue.take_expired(moment, worker.pace):
+                self._finish(queue, piece, PieceResult("", LATE))
+            batch = queue.queue.take_batch(moment, worker.room.left(moment), worker.pace)
+            if not batch:
+                self._await_news(queue)
+                continue
+            self._call(queue, worker, batch)
+
+    def _await_news(self, queue: _ServiceQueue) -> None:
+        with eventlet.Timeout(_IDLE_CHECK_S, False):
+            queue.news.wait()
+
+    def _turn_away(self, queue: _ServiceQueue) -> None:
+        # With all targets resting, the pieces have better chances in another zone,
+        # and their senders choose that.
+        if queue.fit_workers():
+            return
+        for piece in list(queue.queue.piece_by_key.values()):
+            del queue.queue.piece_by_key[piece.key]
+            self._finish(queue, piece, PieceResult("", NO_TARGET))
+
+    def _call(
+        self, queue: _ServiceQueue, worker: _Worker, batch: list[QueuedPiece]
+    ) -> None:
+        size = sum(piece.result_bytes for piece in batch)
+        expected = queue.queue.batching.seconds(len(batch))
+        began_at = now()
+        worker.free_at = began_at + expected * worker.pace
+        worker.room.reserve(size)
+        queue.running.update(piece.key for piece in batch)
+        self.calls += 1
+        self.pieces += len(batch)
+        limit = expected * max(1.0, worker.pace) * _LOST_FACTOR + _LOST_EXTRA_S
+        try:
+            results = self._send(worker, batch, limit)
+        except (ConnectionLostError, ValueError) as error:
+            self._fail(queue, worker, batch, str(error))
+            return
+        finally:
+            worker.room.end_reservation(size)
+            queue.running.difference_update(piece.key for piece in batch)
+            worker.free_at = now()
+        if results is None:
+            self._put_back(queue, batch, "full")
+            eventlet.sleep(_FULL_PAUSE_S)
+            return
+        worker.learn(now() - began_at, expected)
+        self._logger.info(
+            "stage_call",
+            service=queue.service,
+            target=worker.target.id,
+            pieces=len(batch),
+            waiting=len(queue.queue),
+            seconds=round(now() - began_at, 3),
+            requests=sorted({piece.key.request for piece in batch}),
+        )
+        self._take_results(queue, worker, batch, results)
+
+    def _send(
+        self, worker: _Worker, batch: list[QueuedPiece], limit: float
+    ) -> list[PieceResult] | None:
+        moment = now()
+        if not self._view.may_get_work(worker.target):
+            raise ConnectionLostError("left", is_unsent=True)
+        pieces = [
+            Piece(*p.key, p.input_key, p.inputs, p.expires_at - moment) for p in batch
+        ]
+        call = self._dialect.run_pieces(pieces, worker.target)
+        status, body = self._exchange(worker.target.address, call, limit)
+        if status == _MISDIRECTED:
+            raise ConnectionLostError("misdirected", is_unsent=True)
+        if status != _OK:
+            return None
+        results = self._dialect.read_results(body)
+        if len(results) != len(batch):
+            raise ValueError("expected a result for each piece")
+        return results
+
+    def _exchange(
+        self, address: Address, call: HttpCall, limit: float
+    ) -> tuple[int, bytes]:
+        connection = self._pool.take(address)
+        try:
+            connection.send(
+                Outgoing(call.method, call.path, call.headers, call.body), limit=limit
+            )
+            head = connection.read_head(limit=limit)
+            body = connection.read_body(limit=limit, most=_MAX_RESULT_BODY)
+        except BaseException:
+            connection.close()
+            raise
+        keep = self._dialect.read_answer(head.headers).keep_seconds
+        self._pool.give(connection, keep)
+        return head.status, body
+
+    def _fail(
+        self,
+        queue: _ServiceQueue,
+        worker: _Worker,
+        batch: list[QueuedPiece],
+        reason: str,
+    ) -> None:
+        worker.rest()
+        self._logger.warning(
+            "stage_call_failed",
+            service=queue.service,
+            target=worker.target.id,
+            reason=reason,
+            requests=sorted({piece.key.request for piece in batch}),
+        )
+        self._put_back(queue, batch, FAILED)
+
+    def _put_back(
+        self, queue: _ServiceQueue, batch: list[QueuedPiece], reason: str
+    ) -> None:
+        for piece in batch:
+            if piece.key.request in queue.cancelled:
+                continue
+            if piece.tries >= _MAX_TRIES:
+                self._finish(queue, piece, PieceResult("", FAILED))
+                continue
+            tries = piece.tries + (reason == FAILED)
+            queue.queue.add(piece._replace(tries=tries))
+        queue.wake()
+
+    def _take_results(
+        self,
+        queue: _ServiceQueue,
+        worker: _Worker,
+        batch: list[QueuedPiece],
+        results: list[PieceResult],
+    ) -> None:
+        moment = now()
+        done_by_stage: dict[tuple[str, int], list[Done]] = {}
+        for piece, result in zip(batch, results, strict=True):
+            if result.handle:
+                worker.room.hold(result.handle, piece.result_bytes, moment)
+            if piece.key.request in queue.cancelled:
+                if result.handle:
+                    self._release(worker.target.address, result.handle, queue.service)
+                continue
+            if result.reason == "room":
+                queue.queue.add(piece)
+                continue
+            stage = (piece.key.request, piece.key.stage)
+            done_by_stage.setdefault(stage, []).append(
+                self._note(queue, piece.key, result)
+            )
+        for (request, stage), done in done_by_stage.items():
+            self._tell(queue, Results(request, stage, done))
+
+    def _finish(
+        self, queue: _ServiceQueue, piece: QueuedPiece, result: PieceResult
+    ) -> None:
+        done = self._note(queue, piece.key, result)
+        self._tell(queue, Results(piece.key.request, piece.key.stage, [done]))
+
+    def _note(self, queue: _ServiceQueue, key: PieceKey, result: PieceResult) -> Done:
+        done = Done(key.number, result.handle, result.reason)
+        if result.handle:
+            queue.done_by_key[key] = done
+            while len(queue.done_by_key) > _KEPT_RESULTS:
+                queue.done_by_key.popitem(last=False)
+        return done
+
+    def _tell(self, queue: _ServiceQueue, results: Results) -> None:
+        sender = queue.sender_by_request.get(results.request)
+        if sender is None:
+            return
+        if sender == self._peers.own.id:
+            self.deliver_here(results)
+        else:
+            self._peers.send(sender, results)
+
+    def _release(self, address: Address, handle: str, service: str) -> None:
+        queue = self._queue_by_service.get(service)
+        workers = queue.worker_by_life.values() if queue else ()
+        for worker in workers:
+            if worker.target.address == address:
+                worker.to_release.append(handle)
+                if not worker.has_release.ready():
+                    worker.has_release.send()
+                return
+
+    def _give_up(self, queue: _ServiceQueue, worker: _Worker) -> None:
+        while queue.worker_by_life.get(worker.target.life) is worker:
+            if not worker.to_release:
+                with eventlet.Timeout(_IDLE_CHECK_S * 4, False):
+                    worker.has_release.wait()
+                worker.has_release = Event()
+                continue
+            handles, worker.to_release = worker.to_release, []
+            call = self._dialect.release_results(handles, worker.target)
+            try:
+                self._exchange(worker.target.address, call, _RELEASE_LIMIT_S)
+            except ConnectionLostError as error:
+                # They end by themselves after their time; the room stays counted.
+                self._logger.warning(
+                    "release_failed", target=worker.target.id, reason=str(error)
+                )
+                continue
+            for handle in handles:
+                worker.room.release(handle)
+            queue.wake()
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/stage_plan.py
@@ -0,0 +1,118 @@
+"""When the stages of a request should run. No input or output here."""
+
+from collections.abc import Callable
+
+from bergamotsaddle_serving.catalog import Route
+
+# A stage that would be done before others is begun so much earlier than needed.
+_HEAD_START_S = 0.08
+
+
+class StagePlan:
+    """The stages that a request needs and the times that each should take.
+
+    Args:
+        route: The request's route.
+        pieces: Number of pieces of each stage; absent ones count as none.
+        zone: The zone in which its stages are to run.
+        expect: Expected seconds of a stage of a service in a zone.
+        began_at: When the request came.
+        finish_seconds: Expected seconds from the last stage to the first event.
+    """
+
+    def __init__(
+        self,
+        route: Route,
+        pieces: tuple[int, ...],
+        zone: str,
+        expect: Callable[[str, str], float],
+        *,
+        began_at: float,
+        finish_seconds: float,
+    ) -> None:
+        self._route = route
+        self.zone = zone
+        self._began_at = began_at
+        self._last_end = began_at
+        self._finish_seconds = finish_seconds
+        count = len(route.stages)
+        self.pieces = (*pieces[:count], *[0] * (count - len(pieces)))
+        self.needed = [n for n in range(count) if self.pieces[n] > 0]
+        self.seconds = {n: expect(route.stages[n].service, zone) for n in self.needed}
+        followed = {n for stage in route.stages for n in stage.after}
+        self.sinks = [n for n in self.needed if n not in followed]
+        self._avoided: set[tuple[str, str]] = set()
+
+    def predecessors(self, stage: int) -> list[int]:
+        """Stages whose results it needs."""
+        return [n for n in self._route.stages[stage].after if n in self.seconds]
+
+    def followers(self, stage: int) -> list[int]:
+        """Stages that need its results."""
+        return [n for n in self.needed if stage in self._route.stages[n].after]
+
+    def path_seconds(self, stage: int) -> float:
+        """Expected seconds from the begin of a stage to the end of the last one."""
+        later = [self.path_seconds(n) for n in self.followers(stage)]
+        return self.seconds[stage] + max(later, default=0.0)
+
+    def after_seconds(self, stage: int) -> float:
+        """Least expected seconds from the end of a stage to the first event."""
+        return self.path_seconds(stage) - self.seconds[stage]
+
+    def total_seconds(self) -> float:
+        """Expected seconds of all stages together."""
+        return max((self.path_seconds(n) for n in self.needed), default=0.0)
+
+    def objective_at(self, stage: int) -> float:
+        """When the stage should be done for the request to be on time."""
+        due = self._began_at + self._route.objective - self._finish_seconds
+        return due - self.after_seconds(stage)
+
+    def should_wait(self, stage: int, done: set[int], elapsed: float) -> bool:
+        """Tell whether a stage should be begun later.
+
+        A target has room for a few large results only. One that is made at once, while
+        a chain of other stages still has a second to go, keeps that room from requests
+        that could use it; so a stage that is not on the longest path is put off until
+        it would end together with it.
+
+        Args:
+            stage: A stage that could begin.
+            done: Stages that have ended.
+            elapsed: Seconds since the last stage ended, or since the begin.
+        """
+        rest = self._longest_rest(stage, done) - elapsed
+        return rest > self.path_seconds(stage) + _HEAD_START_S
+
+    def _longest_rest(self, stage: int, done: set[int]) -> float:
+        rests = [
+            self.path_seconds(n)
+            for n in self.needed
+            if n != stage
+            and n not in done
+            and all(before in done for before in self.predecessors(n))
+        ]
+        return max(rests, default=0.0)
+
+    def slack(self, moment: float) -> float:
+        """Seconds that the request can lose and still be on time."""
+        due = self._began_at + self._route.objective - self._finish_seconds
+        rest = max((self.path_seconds(n) for n in self.sinks), default=0.0)
+        return due - moment - rest
+
+    def elapsed(self, moment: float) -> float:
+        """Seconds since the last stage ended, or since the begin."""
+        return moment - self._last_end
+
+    def note_done(self, moment: float) -> None:
+        """Note the end of a stage."""
+        self._last_end = moment
+
+    def avoid(self, service: str, zone: str) -> None:
+        """Note that a zone has no target of a service that works."""
+        self._avoided.add((service, zone))
+
+    def is_avoided(self, service: str, zone: str) -> bool:
+        """Tell whether a zone was found without a target of a service."""
+        return (service, zone) in self._avoided
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/stage_queue.py
@@ -0,0 +1,189 @@
+"""Decides which pieces of stages a target works on next. No input or output here."""
+
+import math
+from typing import NamedTuple
+
+from bergamotsaddle_serving.catalog import Batching
+
+# Urgencies that are told apart in what owners say of their queues.
+URGENCIES = 4
+
+
+class PieceKey(NamedTuple):
+    """What tells a piece from all others."""
+
+    request: str
+    stage: int
+    number: int
+
+
+class QueuedPiece(NamedTuple):
+    """A piece that waits.
+
+    Attributes:
+        key: Which one.
+        urgency: 0 first.
+        has_begun: Whether earlier stages of its request have run.
+        objective_at: When its result should be there.
+        expires_at: When its result is of no use any more.
+        result_bytes: Room that the result takes.
+        input_key: What to work on, for stages without predecessors.
+        inputs: Handles of the results to work on, else.
+        tries: Calls that failed with it.
+    """
+
+    key: PieceKey
+    urgency: int
+    has_begun: bool
+    objective_at: float
+    expires_at: float
+    result_bytes: int
+    input_key: str
+    inputs: tuple[str, ...]
+    tries: int = 0
+
+
+def rank(piece: QueuedPiece, moment: float, expected: float) -> tuple:
+    """Order of pieces; the least one is next.
+
+    Answers a burst in which pieces come in faster than they are done for some seconds.
+    Urgent kinds first. Among equals those that can still be on time come before those
+    that can't, or one late request would make the next one late in turn; then those
+    whose earlier stages have run, since their work would be thrown away; then the one
+    that is due first.
+    """
+    is_late = piece.objective_at < moment + expected
+    return (
+        piece.urgency,
+        is_late,
+        not piece.has_begun,
+        piece.objective_at,
+        piece.key,
+    )
+
+
+class StageQueue:
+    """The pieces that wait for one stage service at one owner.
+
+    A call costs as much as many pieces, and a target makes one call at a time, so
+    pieces of all requests share calls: while one runs the next one fills up.
+
+    Args:
+        batching: How the service's targets work.
+    """
+
+    def __init__(self, batching: Batching) -> None:
+        self.batching = batching
+        self.piece_by_key: dict[PieceKey, QueuedPiece] = {}
+
+    def __len__(self) -> int:
+        return len(self.piece_by_key)
+
+    def add(self, piece: QueuedPiece) -> None:
+        """Add a piece."""
+        self.piece_by_key[piece.key] = piece
+
+    def cancel(self, request: str) -> None:
+        """Drop the pieces of a request that has ended."""
+        for key in [k for k in self.piece_by_key if k.request == request]:
+            del self.piece_by_key[key]
+
+    def take_expired(self, moment: float, pace: float = 1.0) -> list[QueuedPiece]:
+        """Take out pieces that can't be done in time any more."""
+        least = self.batching.seconds(1) * pace
+        expired = [
+            piece
+            for piece in self.piece_by_key.values()
+            if piece.expires_at < moment + least
+        ]
+        for piece in expired:
+            del self.piece_by_key[piece.key]
+        return expired
+
+    def take_batch(
+        self, moment: float, room_bytes: float, pace: float = 1.0
+    ) -> list[QueuedPiece]:
+        """Take the pieces of the next call.
+
+        A piece whose result has no room is passed over, and smaller ones behind it go
+        ahead: a call with a piece that has no room would be spent on nothing.
+
+        Args:
+            moment: Now, on the hub's clock.
+            room_bytes: Room for results that the target has left.
+            pace: Actual time of calls against the declared one.
+        """
+        expected = self.batching.seconds(1) * pace
+        pieces = sorted(
+            self.piece_by_key.values(), key=lambda p: rank(p, moment, expected)
+        )
+        batch: list[QueuedPiece] = []
+        for piece in pieces:
+            if piece.result_bytes > room_bytes:
+                continue
+            room_bytes -= piece.result_bytes
+            batch.append(piece)
+            if len(batch) == self.batching.size:
+                break
+        for piece in batch:
+            del self.piece_by_key[piece.key]
+        return batch
+
+    def waits(self, targets: int, until_free: float, pace: float) -> list[float]:
+        """Expected seconds until a new piece is done, by urgency.
+
+        Args:
+            targets: Number of targets that work on this queue.
+            until_free: Seconds until the first of them is free.
+            pace: Actual time of calls against the declared one.
+        """
+        ahead = [0] * URGENCIES
+        for piece in self.piece_by_key.values():
+            for urgency in range(min(piece.urgency, URGENCIES - 1), URGENCIES):
+                ahead[urgency] += 1
+        return [until_free + self._turns(n, targets) * pace for n in ahead]
+
+    def _turns(self, ahead: int, targets: int) -> float:
+        size = self.batching.size
+        full = math.floor(ahead / (size * targets))
+        last = min(size, math.ceil((ahead + 1) / targets - full * size) + 1)
+        return full * self.batching.seconds(size) + self.batching.seconds(last)
+
+
+class ResultRoom:
+    """The results that a target holds, as far as this owner made it produce them.
+
+    Args:
+        room_bytes: Memory for results.
+        keep_seconds: How long a result is kept if nobody gives it up.
+    """
+
+    def __init__(self, room_bytes: float, keep_seconds: float) -> None:
+        self._room_bytes = room_bytes
+        self._keep_seconds = keep_seconds
+        self._held_by_handle: dict[str, tuple[float, int]] = {}
+        self._reserved = 0
+
+    def left(self, moment: float) -> float:
+        """Bytes that are free."""
+        for handle, (ends_at, _) in list(self._held_by_handle.items()):
+            if ends_at <= moment:
+                del self._held_by_handle[handle]
+        held = sum(size for _, size in self._held_by_handle.values())
+        return self._room_bytes - held - self._reserved
+
+    def reserve(self, size: int) -> None:
+        """Set room aside for the results of a call."""
+        self._reserved += size
+
+    def end_reservation(self, size: int) -> None:
+        """Give that room back when the call has ended."""
+        self._reserved -= size
+
+    def hold(self, handle: str, size: int, moment: float) -> None:
+        """Note a result."""
+        self._held_by_handle[handle] = (moment + self._keep_seconds, size)
+
+    def release(self, handle: str) -> None:
+        """Note that a result was given up."""
+        self._held_by_handle.pop(handle, None)
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/stage_run.py
@@ -0,0 +1,362 @@
+"""Has the stages of one request done by the owners of their queues."""
+
+import random
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import eventlet
+from eventlet.queue import Empty, LightQueue
+
+from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.catalog import Route
+from bergamotsaddle_serving.messages import RequestHead
+from bergamotsaddle_serving.owners import rank_owners
+from bergamotsaddle_serving.peer_messages import (
+    Accepted,
+    Cancel,
+    Message,
+    Release,
+    Results,
+    Submit,
+)
+from bergamotsaddle_serving.peers import Peers
+from bergamotsaddle_serving.stage_owner import LATE, NO_TARGET, StageOwner
+from bergamotsaddle_serving.stage_plan import StagePlan
+
+# An owner acknowledges within a few ms; after this it is asked again, and after two
+# more of these the next owner is.
+_ACK_LIMIT_S = 0.08
+_MAX_UNACKNOWLEDGED = 2
+# A submission is repeated this often while it waits: a lost result comes again, and an
+# owner that has died is noticed.
+_REFRESH_S = 0.4
+# Calls for one stage of a request that end without a result.
+_MAX_FAILURES = 4
+_FAILURE_PAUSE_S = 0.03
+
+
+class StageEnd(NamedTuple):
+    """What the stages of a request came to.
+
+    Attributes:
+        handles: Handles of the results that the request itself needs.
+        seconds: How long they took.
+    """
+
+    handles: tuple[str, ...]
+    seconds: float
+
+
+class _Open:
+    """A stage of the request that is being done."""
+
+    def __init__(self, number: int, owner: str, zone: str, missing: set[int]) -> None:
+        self.number = number
+        self.owner = owner
+        self.zone = zone
+        self.missing = missing
+        self.unacknowledged = 0
+        self.sent = 0
+        self.next_at = 0.0
+
+
+class StageExchange:
+    """Carries messages between the requests of this instance and the owners.
+
+    Args:
+        peers: The other instances.
+        owner: The queues of this instance itself.
+    """
+
+    def __init__(self, peers: Peers, owner: StageOwner) -> None:
+        self.peers = peers
+        self._owner = owner
+        self._inbox_by_request: dict[str, LightQueue] = {}
+        owner.deliver_here = self.deliver
+        peers.on(Submit, self._serve)
+        peers.on(Accepted, lambda message, _: self.deliver(message))
+        peers.on(Results, lambda message, _: self.deliver(message))
+        peers.on(Cancel, lambda message, _: owner.cancel(message))
+        peers.on(Release, lambda message, _: owner.release(message))
+
+    def open(self, request: str) -> LightQueue:
+        """Open the inbox of a request."""
+        return self._inbox_by_request.setdefault(request, LightQueue())
+
+    def close(self, request: str) -> None:
+        """Close it."""
+        self._inbox_by_request.pop(request, None)
+
+    def deliver(self, message: Accepted | Results) -> None:
+        """Hand a message to the request that waits for it.
+
+        Results for a request that has ended are given up by its cancellation, which
+        the owner gets after them.
+        """
+        inbox = self._inbox_by_request.get(message.request)
+        if inbox is not None:
+            inbox.put(message)
+
+    def send(self, owner: str, message: Message) -> None:
+        """Send a message to an owner, which may be this instance itself."""
+        if owner != self.peers.own.id:
+            self.peers.send(owner, message)
+        elif isinstance(message, Submit):
+            self.deliver(self._owner.submit(message, owner))
+        elif isinstance(message, Cancel):
+            self._owner.cancel(message)
+        elif isinstance(message, Release):
+            self._owner.release(message)
+
+    def _serve(self, message: Submit, address: tuple[str, int]) -> None:
+        sender = self.peers.id_of(address[0])
+        if sender is None:
+            return
+        self.peers.send_to(address, self._owner.submit(message, sender))
+
+
+class StageRun:
+    """The stages of one request.
+
+    Args:
+        head: The request.
+        route: Its route.
+        plan: Where its stages are to run, and how long each takes.
+        exchange: Carries messages to the owners.
+        logger: Gets a line for each failure.
+    """
+
+    def __init__(
+        self,
+        head: RequestHead,
+        route: Route,
+        plan: StagePlan,
+        exchange: StageExchange,
+        logger: Any,
+        *,
+        urgency: int,
+        deadline_at: float,
+        choose_zone: Callable[[str, str], str],
+    ) -> None:
+        self._head = head
+        self._route = route
+        self._plan = plan
+        self._exchange = exchange
+        self._logger = logger
+        self._urgency = urgency
+        self._deadline_at = deadline_at
+        self._choose_zone = choose_zone
+        self._inbox = exchange.open(head.id)
+        self._open_by_stage: dict[int, _Open] = {}
+        self._results_by_stage: dict[int, dict[int, str]] = {}
+        self._owner_by_handle: dict[str, tuple[str, str]] = {}
+        self._owners: set[str] = set()
+        self._failures = 0
+
+    def run(self) -> StageEnd:
+        """Have all stages done.
+
+        Raises:
+            RequestError: If they can't be done in time; the request has not run.
+        """
+        began_at = now()
+        while not self._is_done():
+            self._submit_ready()
+            self._receive()
+        self._release_inner()
+        handles = [
+            self._results_by_stage[stage][number]
+            for stage in self._plan.sinks
+            for number in sorted(self._results_by_stage.get(stage, ()))
+        ]
+        return StageEnd(tuple(handles), now() - began_at)
+
+    def release(self) -> None:
+        """Give up all results that are left, and whatever still waits."""
+        self._exchange.close(self._head.id)
+        if self._open_by_stage:
+            for owner in self._owners:
+                self._exchange.send(owner, Cancel(self._head.id))
+            self._open_by_stage.clear()
+        self._release_handles(list(self._owner_by_handle))
+
+    def _is_done(self) -> bool:
+        return all(
+            len(self._results_by_stage.get(stage, ())) >= self._plan.pieces[stage]
+            for stage in self._plan.needed
+        )
+
+    def _stage_is_done(self, stage: int) -> bool:
+        done = len(self._results_by_stage.get(stage, ()))
+        return done >= self._plan.pieces[stage]
+
+    def _submit_ready(self) -> None:
+        moment = now()
+        elapsed = self._plan.elapsed(moment)
+        for stage in self._plan.needed:
+            if stage in self._open_by_stage or self._stage_is_done(stage):
+                continue
+            after = self._plan.predecessors(stage)
+            if not all(self._stage_is_done(number) for number in after):
+                continue
+            done = {s for s in self._plan.needed if self._stage_is_done(s)}
+            if self._plan.should_wait(stage, done, elapsed):
+                continue
+            self._open(stage)
+        for opened in list(self._open_by_stage.values()):
+            if opened.next_at <= moment:
+                self._send(opened)
+
+    def _open(self, stage: int) -> None:
+        service = self._route.stages[stage].service
+        zone = self._choose_zone(service, self._plan.zone)
+        owners = rank_owners(self._exchange.peers, service, zone)
+        if not owners:
+            raise self._refuse(ErrorKind.NO_TARGET, "no instance owns the queue")
+        held = self._results_by_stage.get(stage, {})
+        missing = {n for n in range(self._plan.pieces[stage]) if n not in held}
+        self._open_by_stage[stage] = _Open(stage, owners[0], zone, missing)
+
+    def _send(self, opened: _Open) -> None:
+        moment = now()
+        remaining = self._deadline_at - moment - self._plan.after_seconds(opened.number)
+        if remaining <= 0:
+            raise self._refuse(ErrorKind.DEADLINE_INFEASIBLE, "the stages are too late")
+        if opened.unacknowledged > _MAX_UNACKNOWLEDGED:
+            self._leave(opened)
+            return
+        stage = self._route.stages[opened.number]
+        inputs = [
+            self._results_by_stage[number][piece]
+            for number in self._plan.predecessors(opened.number)
+            for piece in sorted(self._results_by_stage[number])
+        ]
+        message = Submit(
+            request=self._head.id,
+            stage=opened.number,
+            service=stage.service,
+            numbers=sorted(opened.missing),
+            key="" if inputs else self._head.piece_key,
+            inputs=inputs,
+            urgency=self._urgency,
+            has_begun=bool(self._results_by_stage),
+            result_bytes=stage.result_bytes,
+            objective=self._plan.objective_at(opened.number) - moment,
+            remaining=remaining,
+            sent=opened.sent,
+        )
+        opened.unacknowledged += 1
+        opened.sent += 1
+        opened.next_at = moment + _ACK_LIMIT_S
+        self._owners.add(opened.owner)
+        self._exchange.send(opened.owner, message)
+
+    def _leave(self, opened: _Open) -> None:
+        # The owner has died, is cut off or stands still; its successor makes the
+        # pieces again if they were made at all.
+        self._logger.warning(
+            "owner_silent",
+            request=self._head.id,
+            owner=opened.owner,
+            stage=opened.number,
+        )
+        self._exchange.peers.suspect(opened.owner)
+        del self._open_by_stage[opened.number]
+
+    def _receive(self) -> None:
+        wait = self._next_event() - now()
+        try:
+            message = self._inbox.get(timeout=max(0.0, wait))
+        except Empty:
+            return
+        opened = self._open_by_stage.get(message.stage)
+        if opened is None:
+            if isinstance(message, Results):
+                self._give_up_extra(message)
+            return
+        opened.unacknowledged = 0
+        opened.next_at = now() + _REFRESH_S
+        if isinstance(message, Results):
+            self._take(opened, message)
+
+    def _next_event(self) -> float:
+        times = [opened.next_at for opened in self._open_by_stage.values()]
+        if len(self._open_by_stage) < len(self._plan.needed):
+            times.append(now() + _ACK_LIMIT_S)
+        return min([*times, self._deadline_at])
+
+    def _take(self, opened: _Open, results: Results) -> None:
+        held = self._results_by_stage.setdefault(opened.number, {})
+        service = self._route.stages[opened.number].service
+        for done in results.done:
+            if done.number not in opened.missing:
+                continue
+            if not done.handle:
+                self._fail(opened, done.reason)
+                return
+            opened.missing.discard(done.number)
+            held[done.number] = done.handle
+            self._owner_by_handle[done.handle] = (opened.owner, service)
+        if not opened.missing:
+            del self._open_by_stage[opened.number]
+            self._plan.note_done(now())
+            self._release_inner()
+
+    def _give_up_extra(self, results: Results) -> None:
+        held = self._results_by_stage.get(results.stage, {})
+        service = self._route.stages[results.stage].service
+        for done in results.done:
+            if done.handle and done.handle not in held.values():
+                # Made a second time, after its first owner had fallen silent.
+                for owner in self._owners:
+                    self._exchange.send(owner, Release(service, [done.handle]))
+
+    def _fail(self, opened: _Open, reason: str) -> None:
+        if reason == LATE:
+            raise self._refuse(ErrorKind.DEADLINE_INFEASIBLE, "a stage was too late")
+        self._failures += 1
+        if self._failures > _MAX_FAILURES:
+            raise self._refuse(ErrorKind.NO_TARGET, f"a stage failed: {reason}")
+        self._logger.info(
+            "stage_again",
+            request=self._head.id,
+            stage=opened.number,
+            owner=opened.owner,
+            reason=reason,
+        )
+        del self._open_by_stage[opened.number]
+        if reason == "gone":
+            self._forget_inputs(opened.number)
+        if reason == NO_TARGET:
+            self._plan.avoid(self._route.stages[opened.number].service, opened.zone)
+        eventlet.sleep(_FAILURE_PAUSE_S * self._failures)
+
+    def _forget_inputs(self, stage: int) -> None:
+        # A result went with its maker; without it the stage fails again and again.
+        for number in self._plan.predecessors(stage):
+            handles = self._results_by_stage.pop(number, {}).values()
+            self._release_handles(list(handles))
+
+    def _release_inner(self) -> None:
+        """Give up results whose followers are all done."""
+        for stage in self._plan.needed:
+            followers = self._plan.followers(stage)
+            if followers and all(self._stage_is_done(s) for s in followers):
+                handles = self._results_by_stage.get(stage, {}).values()
+                self._release_handles(list(handles))
+
+    def _release_handles(self, handles: list[str]) -> None:
+        by_owner: dict[tuple[str, str], list[str]] = {}
+        for handle in handles:
+            place = self._owner_by_handle.pop(handle, None)
+            if place is not None:
+                by_owner.setdefault(place, []).append(handle)
+        for (owner, service), group in by_owner.items():
+            self._exchange.send(owner, Release(service, group))
+
+    def _refuse(self, kind: ErrorKind, detail: str) -> RequestError:
+        left = max(0.0, self._deadline_at - now())
+        return RequestError(
+            kind, detail, ran=Ran.NO, retry_after=left * random.uniform(0.1, 0.3)
+        )
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -0,0 +1,397 @@
+"""Serves requests for engines: stages first, then a stream of events."""
+
+import random
+from collections import OrderedDict
+from typing import Any
+
+from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.attempt import (
+    PROMISES,
+    Attempt,
+    NotRunError,
+    Reply,
+    UnknownRunError,
+)
+from bergamotsaddle_serving.budget import RetryBudget
+from bergamotsaddle_serving.caller import CallerConnection
+from bergamotsaddle_serving.client import ConnectionPool, end_to_end
+from bergamotsaddle_serving.context import Context
+from bergamotsaddle_serving.engine_choice import (
+    EngineChoice,
+    EngineView,
+    choose_engine,
+    prefix_key,
+    unshared_tokens,
+)
+from bergamotsaddle_serving.events import EventSplitter
+from bergamotsaddle_serving.messages import Dialect, Dispatch
+from bergamotsaddle_serving.selector import Candidate, Selector
+from bergamotsaddle_serving.stage_plan import StagePlan
+from bergamotsaddle_serving.stage_run import StageExchange, StageRun
+from bergamotsaddle_serving.stage_waits import StageWaits
+
+_MAX_ANSWER_BYTES = 1_000_000
+# How long an engine is taken to know shared parts that it read for this instance.
+_KNOWN_S = 20.0
+_MAX_KNOWN = 20_000
+# An engine that sends nothing for this long in the middle of a stream, or several
+# times the longest pause that is on time, has lost it; callers give up at 2 s.
+_SILENT_S = 1.0
+_SILENT_GAPS = 3.0
+# The same before the first event, as a multiple of the expected time.
+_FIRST_FACTOR = 4.0
+_MAX_REFUSALS = 3
+# The part of the time that is left which a prediction may use.
+_ADMIT_PART = 0.9
+_CONFLICT = 409
+_LEAST_RETRY_S = 0.1
+
+
+class StreamServer:
+    """Serves requests that engines answer with streams.
+
+    Args:
+        selector: Finds engines.
+        waits: Expected times of stages.
+        exchange: Carries pieces to the owners of stage queues.
+        pool: Connections to engines.
+        budget: Limits repeats.
+        dialect: Makes headers.
+        logger: Gets a line for each decision.
+    """
+
+    def __init__(
+        self,
+        selector: Selector,
+        waits: StageWaits,
+        exchange: StageExchange,
+        pool: ConnectionPool,
+        budget: RetryBudget,
+        dialect: Dialect,
+        logger: Any,
+    ) -> None:
+        self.selector = selector
+        self.waits = waits
+        self.exchange = exchange
+        self.pool = pool
+        self.budget = budget
+        self.dialect = dialect
+        self.logger = logger
+        self._known_until: OrderedDict[tuple[str, str], float] = OrderedDict()
+
+    def serve(self, context: Context, caller: CallerConnection) -> None:
+        """Serve a request to its end.
+
+        Raises:
+            RequestError: If nothing of the answer has been sent yet.
+        """
+        run = _StreamRun(self, context, caller)
+        try:
+            run.run()
+        finally:
+            run.release()
+
+    def choose(self, context: Context, exclude: set[str]) -> EngineChoice | None:
+        """Choose an engine for a request; None if there is none."""
+        found = self.selector.candidates(context.service.name, exclude)
+        head = context.head
+        key = prefix_key(head.prompt)
+        views = [self._view(candidate, key) for candidate in found]
+        return choose_engine(
+            views,
+            head.prompt,
+            head.prompt_tokens,
+            objective=context.route.objective,
+            stage_seconds=lambda zone: self.stage_seconds(context, zone),
+        )
+
+    def stage_seconds(self, context: Context, zone: str) -> float:
+        """Expected seconds of all stages of a request, done in a zone."""
+        return self.plan(context, zone, 0.0).total_seconds()
+
+    def plan(self, context: Context, zone: str, finish: float) -> StagePlan:
+        """Plan the stages of a request."""
+        return StagePlan(
+            context.route,
+            context.head.pieces,
+            zone,
+            lambda service, z: self.waits.best(service, z, context.urgency),
+            began_at=context.began_at,
+            finish_seconds=finish,
+        )
+
+    def candidate(self, context: Context, engine: EngineView) -> Candidate | None:
+        """The candidate with an engine's id."""
+        for found in self.selector.candidates(context.service.name, set()):
+            if found.target.id == engine.id:
+                return found
+        return None
+
+    def note_known(self, target_id: str, context: Context) -> None:
+        """Note that an engine has read the shared parts of a prompt."""
+        key = (target_id, prefix_key(context.head.prompt))
+        self._known_until[key] = now() + _KNOWN_S
+        self._known_until.move_to_end(key)
+        while len(self._known_until) > _MAX_KNOWN:
+            self._known_until.popitem(last=False)
+
+    def _view(self, candidate: Candidate, key: str) -> EngineView:
+        target = candidate.target
+        state = candidate.state
+        return EngineView(
+            target.id,
+            target.zone,
+            max(1, target.slots),
+            state.in_flight + candidate.others,
+            state.prompt_tokens_ahead,
+            self._known_until.get((target.id, key), 0.0) > now(),
+        )
+
+
+class _StreamRun:
+    """One request on its way."""
+
+    def __init__(
+        self, server: StreamServer, context: Context, caller: CallerConnection
+    ) -> None:
+        self._server = server
+        self._context = context
+        self._caller = caller
+        self._stages: StageRun | None = None
+        self._inputs: tuple[str, ...] | None = None
+        self._last_id = context.head.last_event_id
+        self._exclude: set[str] = set()
+        self._has_started = False
+        self._has_run = 0
+        self._refusals = 0
+
+    def run(self) -> None:
+        """Serve the request."""
+        choice = self._choose()
+        self._admit(choice)
+        while True:
+            if self._inputs is None:
+                self._run_stages(choice)
+            if self._try(choice):
+                return
+            choice = self._choose()
+
+    def release(self) -> None:
+        """Give up whatever the request still holds."""
+        if self._stages is not None:
+            self._stages.release()
+            self._stages = None
+
+    def _choose(self) -> EngineChoice:
+        choice = self._server.choose(self._context, self._exclude)
+        if choice is None:
+            raise self._end("no engine can take the request")
+        return choice
+
+    def _admit(self, choice: EngineChoice) -> None:
+        """Refuse a request that would not be done in time, before any stage runs.
+
+        Answers bursts beyond what the stages can do. Work for a request that ends
+        without an answer is taken from others; once its stages have begun it is
+        therefore finished.
+        """
+        context = self._context
+        left = context.remaining
+        self._server.logger.info(
+            "admit",
+            request=context.head.id,
+            engine=choice.engine.id,
+            reason=choice.reason,
+            expected=round(choice.seconds, 3),
+            left=round(left, 3),
+            version=context.version,
+        )
+        if choice.seconds <= _ADMIT_PART * left:
+            return
+        excess = choice.seconds - _ADMIT_PART * left
+        raise context.refuse(
+            ErrorKind.DEADLINE_INFEASIBLE,
+            f"expected to take {choice.seconds:.2f} s",
+            retry_after=min(left / 3, max(_LEAST_RETRY_S, excess) * random.uniform(1, 2)),
+        )
+
+    def _run_stages(self, choice: EngineChoice) -> None:
+        context = self._context
+        plan = self._server.plan(context, choice.engine.zone, choice.finish_seconds)
+        if not plan.needed:
+            self._inputs = ()
+            return
+        self.release()
+        self._stages = StageRun(
+            context.head,
+            context.route,
+            plan,
+            self._server.exchange,
+            self._server.logger,
+            urgency=context.urgency,
+            deadline_at=context.ends_at,
+            choose_zone=lambda service, zone: self._server.waits.choose_zone(
+                service, zone, context.urgency, plan
+            ),
+        )
+        self._inputs = self._stages.run().handles
+
+    def _try(self, choice: EngineChoice) -> bool:
+        """Send the request to an engine; False if another one is to be tried."""
+        context = self._context
+        candidate = self._server.candidate(context, choice.engine)
+        if candidate is None or not self._server.selector.may_send(candidate):
+            self._exclude.add(choice.engine.id)
+            return False
+        if self._exclude and not self._server.budget.take(context.service.name):
+            raise self._end("no repeats are left")
+        self._server.selector.note_sent(candidate, context.service)
+        try:
+            self._send(candidate, choice)
+        except NotRunError as error:
+            self._note(candidate, error.reason, "no")
+            self._handle_refusal(candidate, error)
+            return False
+        except UnknownRunError as error:
+            self._note(candidate, error.reason, "unknown")
+            self._exclude.add(candidate.target.id)
+            self._has_run += 1
+            self._check_resumable()
+            return False
+        return True
+
+    def _send(self, candidate: Candidate, choice: EngineChoice) -> None:
+        context = self._context
+        state = candidate.state
+        tokens = self._tokens_to_read(choice)
+        state.prompt_tokens_ahead += tokens
+        is_reading = True
+        server = self._server
+        try:
+            with Attempt(context, state, server.pool, server.dialect) as attempt:
+                dispatch = Dispatch(
+                    candidate.target,
+                    context.remaining,
+                    context.team,
+                    context.urgency,
+                    self._inputs or (),
+                    self._last_id,
+                )
+                limit = self._first_limit(choice)
+                reply = attempt.send(dispatch, limit=limit)
+                if not reply.is_success:
+                    self._pass_failure(attempt, reply)
+                    return
+                splitter = EventSplitter()
+                data = attempt.read_some(limit=limit)
+                state.prompt_tokens_ahead -= tokens
+                is_reading = False
+                state.succeed(now() - attempt.began_at)
+                server.note_known(candidate.target.id, context)
+                self._release_inputs()
+                self._relay(attempt, reply, splitter, data)
+        finally:
+            if is_reading:
+                state.prompt_tokens_ahead -= tokens
+
+    def _tokens_to_read(self, choice: EngineChoice) -> int:
+        head = self._context.head
+        if choice.reason == "free":
+            return head.prompt_tokens
+        return unshared_tokens(head.prompt, head.prompt_tokens)
+
+    def _relay(
+        self,
+        attempt: Attempt,
+        reply: Reply,
+        splitter: EventSplitter,
+        data: bytes | None,
+    ) -> None:
+        while data is not None:
+            for event in splitter.feed(data):
+                self._start(reply)
+                self._caller.send(event.data)
+                if event.id is not None:
+                    self._last_id = event.id
+            data = attempt.read_some(limit=self._silence_limit())
+        self._start(reply)
+        if splitter.rest:
+            self._caller.send(splitter.rest)
+        self._caller.finish()
+
+    def _start(self, reply: Reply) -> None:
+        if self._has_started:
+            return
+        self._has_started = True
+        self._caller.start(reply.head.status, list(end_to_end(reply.head.headers)))
+
+    def _release_inputs(self) -> None:
+        # The engine has fetched them all before it read the prompt. If the stream
+        # breaks off later they are made again, which is rare; the room is scarce.
+        self.release()
+        if self._inputs:
+            self._inputs = None
+
+    def _pass_failure(self, attempt: Attempt, reply: Reply) -> None:
+        status = reply.head.status
+        body = attempt.read_body(limit=self._silence_limit(), most=_MAX_ANSWER_BYTES)
+        if status in PROMISES or self._has_started:
+            raise UnknownRunError(f"status {status}")
+        if status >= 500 and self._may_run_again():
+            raise UnknownRunError(f"status {status}")
+        self._caller.answer(status, list(end_to_end(reply.head.headers)), body)
+
+    def _handle_refusal(self, candidate: Candidate, error: NotRunError) -> None:
+        if error.status == _CONFLICT:
+            # A result went with its maker before the engine had fetched it.
+            self.release()
+            self._inputs = None
+        else:
+            self._exclude.add(candidate.target.id)
+        self._refusals += 1
+        if self._refusals > _MAX_REFUSALS:
+            raise self._end("no engine took the request")
+
+    def _may_run_again(self) -> bool:
+        context = self._context
+        return (
+            context.route.may_repeat
+            and self._has_run + 1 < context.route.attempts
+            and context.remaining > 0
+        )
+
+    def _check_resumable(self) -> None:
+        context = self._context
+        if context.route.may_repeat and self._has_run < context.route.attempts:
+            return
+        raise self._end("the engine broke off")
+
+    def _end(self, detail: str) -> RequestError:
+        if self._has_run:
+            return RequestError(ErrorKind.TARGET_FAILED, detail, ran=Ran.UNKNOWN)
+        return self._context.refuse(ErrorKind.NO_TARGET, detail)
+
+    def _first_limit(self, choice: EngineChoice) -> float:
+        context = self._context
+        if not self._may_run_again():
+            return context.remaining
+        limit = max(_SILENT_S, _FIRST_FACTOR * choice.finish_seconds)
+        return min(context.remaining, limit)
+
+    def _silence_limit(self) -> float:
+        context = self._context
+        if not self._may_run_again():
+            return context.remaining
+        gap = max(_SILENT_S, _SILENT_GAPS * context.route.event_gap)
+        return min(context.remaining, gap)
+
+    def _note(self, candidate: Candidate, reason: str, ran: str) -> None:
+        self._server.logger.warning(
+            "attempt_failed",
+            request=self._context.head.id,
+            target=candidate.target.id,
+            reason=reason,
+            ran=ran,
+            last_event=self._last_id,
+        )
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/view.py
@@ -0,0 +1,209 @@
+"""What this instance knows of what operators and targets have published."""
+
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple
+
+from bergamotsaddle_contracts.ini import Address
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.catalog import Configuration, Target
+from bergamotsaddle_serving.messages import Dialect, Entry, Evacuation
+
+# An entry may lapse while the store can't be written to, though its target lives. It
+# is back within two seconds of the store's return; one that is missing longer is gone.
+LAPSE_GRACE_S = 2.0
+# Deletions are remembered so that a peer that missed them learns of them.
+_MAX_TOMBSTONES = 10_000
+# A zone's targets may have turned cold while they got nothing.
+_ZONE_BACK_COLD_S = 3.0
+
+
+class KnownTarget(NamedTuple):
+    """A target, and until when it is cold on the hub's clock."""
+
+    target: Target
+    cold_until: float
+
+
+class View:
+    """The configuration, the targets and the evacuated zones in force.
+
+    The newest revision of each entry wins, whichever source it came from; a lower one
+    never replaces it, so nothing goes back within one life of this process.
+
+    Args:
+        dialect: Decodes entries.
+        logger: Gets a line for each change.
+    """
+
+    def __init__(self, dialect: Dialect, logger: Any) -> None:
+        self._dialect = dialect
+        self._logger = logger
+        self._entry_by_key: dict[str, Entry] = {}
+        self._lapsing_by_key: dict[str, float] = {}
+        self._known_by_id: dict[str, KnownTarget] = {}
+        self._watchers: list[Callable[[], None]] = []
+        self.configuration: Configuration | None = None
+        self.evacuated: set[str] = set()
+        self._back_cold_by_zone: dict[str, float] = {}
+        self.targets_by_service: dict[str, list[KnownTarget]] = {}
+        self.target_by_address: dict[Address, Target] = {}
+        self.revision = 0
+        self.has_listed = False
+        self.confirmed_at = float("-inf")
+        self.store_back_at = float("-inf")
+
+    def is_complete(self) -> bool:
+        """Tell whether this instance knows enough to serve."""
+        return self.configuration is not None and self.has_listed
+
+    def watch(self, callback: Callable[[], None]) -> None:
+        """Have a function called after each change."""
+        self._watchers.append(callback)
+
+    def apply(self, entries: Iterable[Entry], revision: int, *, source: str) -> bool:
+        """Take entries in; each replaces an older one of its key.
+
+        Args:
+            entries: Items and deletions.
+            revision: Up to which the source knows everything.
+            source: Where they came from, for logs.
+
+        Returns:
+            Whether anything changed.
+        """
+        changed = [entry for entry in entries if self._is_news(entry)]
+        for entry in changed:
+            self._take(entry, source)
+        self.revision = max(self.revision, revision)
+        if changed:
+            self._rebuild()
+        return bool(changed)
+
+    def replace(self, entries: list[Entry], revision: int, *, source: str) -> None:
+        """Take a whole list in: what it lacks has been deleted since."""
+        listed = {entry.key for entry in entries}
+        missing = [
+            Entry(key, revision, None)
+            for key, entry in self._entry_by_key.items()
+            if entry.value is not None
+            and key not in listed
+            and entry.revision <= revision
+        ]
+        self.apply([*entries, *missing], revision, source=source)
+        self.has_listed = True
+
+    def entries_since(self, revision: int) -> list[Entry]:
+        """Entries that changed after a revision, deletions among them."""
+        return [e for e in self._entry_by_key.values() if e.revision > revision]
+
+    def usable(self, service: str) -> list[KnownTarget]:
+        """Targets of a service that may get new work."""
+        return [
+            known
+            for known in self.targets_by_service.get(service, ())
+            if not known.target.is_draining and known.target.zone not in self.evacuated
+        ]
+
+    def may_get_work(self, target: Target) -> bool:
+        """Tell whether a chosen target may still get new work, just before sending."""
+        known = self._known_by_id.get(target.id)
+        if known is None or known.target.life != target.life:
+            return False
+        return (
+            known.target.address == target.address
+            and not known.target.is_draining
+            and target.zone not in self.evacuated
+        )
+
+    def is_cold(self, known: KnownTarget) -> bool:
+        """Tell whether a target bears only few requests."""
+        moment = now()
+        back_cold = self._back_cold_by_zone.get(known.target.zone, 0.0)
+        return moment < known.cold_until or moment < back_cold
+
+    def drop_lapsed(self) -> None:
+        """Forget targets whose entries lapsed and did not come back in time."""
+        due = now() - self.store_back_at > LAPSE_GRACE_S
+        if not due or not self._lapsing_by_key:
+            return
+        for key in list(self._lapsing_by_key):
+            del self._lapsing_by_key[key]
+            self._forget(key)
+        self._rebuild()
+
+    def _is_news(self, entry: Entry) -> bool:
+        known = self._entry_by_key.get(entry.key)
+        return known is None or entry.revision > known.revision
+
+    def _take(self, entry: Entry, source: str) -> None:
+        self._entry_by_key[entry.key] = entry
+        self._lapsing_by_key.pop(entry.key, None)
+        try:
+            decoded = self._dialect.decode(entry)
+        except ValueError as error:
+            # Others write there too; such an entry names no target to use.
+            self._logger.warning(
+                "entry_malformed", key=entry.key, reason=str(error), source=source
+            )
+            self._forget(entry.key)
+            return
+        self._logger.info(
+            "entry",
+            key=entry.key,
+            revision=entry.revision,
+            is_deleted=entry.value is None,
+            source=source,
+        )
+        if isinstance(decoded, Evacuation):
+            self._take_evacuation(decoded, entry)
+        elif isinstance(decoded, Configuration):
+            self._take_configuration(decoded, source)
+        elif isinstance(decoded, Target):
+            cold_until = now() + decoded.cold_seconds
+            self._known_by_id[decoded.id] = KnownTarget(decoded, cold_until)
+        elif entry.value is None:
+            self._take_deletion(entry.key)
+
+    def _take_evacuation(self, evacuation: Evacuation, entry: Entry) -> None:
+        if entry.value is not None:
+            self.evacuated.add(evacuation.zone)
+            return
+        self.evacuated.discard(evacuation.zone)
+        self._back_cold_by_zone[evacuation.zone] = now() + _ZONE_BACK_COLD_S
+
+    def _take_configuration(self, decoded: Configuration, source: str) -> None:
+        known = self.configuration
+        if known is not None and decoded.version <= known.version:
+            return
+        self.configuration = decoded
+        self._logger.info("configuration", version=decoded.version, source=source)
+
+    def _take_deletion(self, key: str) -> None:
+        if now() - self.store_back_at <= LAPSE_GRACE_S:
+            # Around the store's outage an entry may lapse though its target lives;
+            # giving up all of them at once would leave callers without any.
+            self._lapsing_by_key[key] = now()
+            return
+        self._forget(key)
+
+    def _forget(self, key: str) -> None:
+        target_id = self._dialect.target_id(key)
+        if target_id is not None:
+            self._known_by_id.pop(target_id, None)
+
+    def _rebuild(self) -> None:
+        self.targets_by_service = {}
+        self.target_by_address = {}
+        for known in self._known_by_id.values():
+            by_service = self.targets_by_service
+            by_service.setdefault(known.target.service, []).append(known)
+            self.target_by_address[known.target.address] = known.target
+        self._trim_tombstones()
+        for callback in self._watchers:
+            callback()
+
+    def _trim_tombstones(self) -> None:
+        dead = [e for e in self._entry_by_key.values() if e.value is None]
+        dead.sort(key=lambda e: e.revision)
+        for entry in dead[:-_MAX_TOMBSTONES]:
+            del self._entry_by_key[entry.key]
