--- a/packages/serving/bergamotsaddle_serving/catalog.py
+++ b/packages/serving/bergamotsaddle_serving/catalog.py
@@ -6,6 +6,13 @@
 from bergamotsaddle_contracts.ini import Address
 
 
+# Callers give up a stream that shows nothing for the longest of this, so many times its
+# objective, and so many times its longest pause; as the platform tells.
+_PATIENCE_S = 2.0
+_PATIENCE_OBJECTIVES = 4.0
+_PATIENCE_GAPS = 8.0
+
+
 class Kind(StrEnum):
     """What may be repeated of a route's requests."""
 
@@ -68,6 +75,15 @@
     is_resumable: bool = False
     event_gap: float = 0.4
 
+    @property
+    def patience(self) -> float:
+        """Seconds without an event after which a caller gives up a stream."""
+        return max(
+            _PATIENCE_S,
+            _PATIENCE_OBJECTIVES * self.objective,
+            _PATIENCE_GAPS * self.event_gap,
+        )
+
     @property
     def may_repeat(self) -> bool:
         """Whether a request may run a second time."""
--- a/packages/serving/bergamotsaddle_serving/context.py
+++ b/packages/serving/bergamotsaddle_serving/context.py
@@ -38,6 +38,11 @@
             return self.team.priority
         return self.route.priority
 
+    @property
+    def first_by(self) -> float:
+        """When the caller gives up unless it has the first event, on the hub's clock."""
+        return min(self.ends_at, self.began_at + self.route.patience)
+
     @property
     def remaining(self) -> float:
         """Seconds that are left."""
--- a/packages/serving/bergamotsaddle_serving/peer_messages.py
+++ b/packages/serving/bergamotsaddle_serving/peer_messages.py
@@ -80,11 +80,13 @@
     Attributes:
         request: Id of the request.
         stage: Number of the stage.
+        number: Number of the first piece that was asked for.
         wait: Expected seconds until the results are there.
     """
 
     request: str
     stage: int
+    number: int
     wait: float
 
 
--- a/packages/serving/bergamotsaddle_serving/stage_owner.py
+++ b/packages/serving/bergamotsaddle_serving/stage_owner.py
@@ -54,6 +54,7 @@
 _RELEASE_LIMIT_S = 0.5
 NO_TARGET = "no_target"
 FAILED = "failed"
+NO_ROOM = "room"
 LATE = "late"
 
 
@@ -159,7 +160,7 @@
         if done:
             return Results(message.request, message.stage, done)
         wait = self._waits(queue)[min(message.urgency, 3)]
-        return Accepted(message.request, message.stage, wait)
+        return Accepted(message.request, message.stage, message.numbers[0], wait)
 
     def cancel(self, message: Cancel) -> None:
         """Drop what waits for a request, and mark what runs as not needed."""
@@ -338,6 +339,8 @@
             pieces=len(batch),
             waiting=len(queue.queue),
             seconds=round(now() - began_at, 3),
+            unmade=[result.reason for result in results if result.reason],
+            room=int(worker.room.left(now())),
             requests=sorted({piece.key.request for piece in batch}),
         )
         self._take_results(queue, worker, batch, results)
@@ -425,7 +428,8 @@
                 if result.handle:
                     self._release(worker.target.address, result.handle, queue.service)
                 continue
-            if result.reason == "room":
+            if result.reason == NO_ROOM:
+                worker.room.note_full(piece.result_bytes, moment)
                 queue.queue.add(piece)
                 continue
             stage = (piece.key.request, piece.key.stage)
--- a/packages/serving/bergamotsaddle_serving/stage_queue.py
+++ b/packages/serving/bergamotsaddle_serving/stage_queue.py
@@ -5,6 +5,12 @@
 
 from bergamotsaddle_serving.catalog import Batching
 
+# After a target said that it has no room, results of that size wait for this long, or
+# until one is given up. Declared sizes are approximate, so the room counted here can be
+# a result too large; asking again at once would meet the same answer every 2 ms.
+FULL_PAUSE_S = 0.12
+# Weight of the newest call in the mean number of pieces that a call carries under load.
+_FILL_WEIGHT = 0.2
 # Urgencies that are told apart in what owners say of their queues.
 URGENCIES = 4
 
@@ -43,17 +49,19 @@
     tries: int = 0
 
 
-def rank(piece: QueuedPiece, moment: float, expected: float) -> tuple:
+def rank(piece: QueuedPiece, moment: float, expected: float, is_open: bool) -> tuple:
     """Order of pieces; the least one is next.
 
     Answers a burst in which pieces come in faster than they are done for some seconds.
-    Urgent kinds first. Among equals those that can still be on time come before those
-    that can't, or one late request would make the next one late in turn; then those
-    whose earlier stages have run, since their work would be thrown away; then the one
-    that is due first.
+    First the rest of a stage that has results already: they hold room until the last
+    piece is there. Then urgent kinds. Among equals those that can still be on time
+    come before those that can't, or one late request would make the next one late in
+    turn; then those whose earlier stages have run, since their work would be thrown
+    away; then the one that is due first.
     """
     is_late = piece.objective_at < moment + expected
     return (
+        not is_open,
         piece.urgency,
         is_late,
         not piece.has_begun,
@@ -75,6 +83,8 @@
     def __init__(self, batching: Batching) -> None:
         self.batching = batching
         self.piece_by_key: dict[PieceKey, QueuedPiece] = {}
+        self.open_sets: set[tuple[str, int]] = set()
+        self.fill = float(batching.size)
 
     def __len__(self) -> int:
         return len(self.piece_by_key)
@@ -105,8 +115,11 @@
     ) -> list[QueuedPiece]:
         """Take the pieces of the next call.
 
-        A piece whose result has no room is passed over, and smaller ones behind it go
-        ahead: a call with a piece that has no room would be spent on nothing.
+        A stage is begun only if all its pieces fit into the room that is left. Were
+        single pieces taken as they fit, several requests would each hold a part of
+        their results and wait for room that only the others could give up; calls then
+        carry one piece each and nobody is done. A stage without room is passed over,
+        and smaller ones behind it go ahead.
 
         Args:
             moment: Now, on the hub's clock.
@@ -114,21 +127,44 @@
             pace: Actual time of calls against the declared one.
         """
         expected = self.batching.seconds(1) * pace
+        bytes_by_set = self._bytes_by_set()
         pieces = sorted(
-            self.piece_by_key.values(), key=lambda p: rank(p, moment, expected)
+            self.piece_by_key.values(),
+            key=lambda p: rank(p, moment, expected, p.key[:2] in self.open_sets),
         )
         batch: list[QueuedPiece] = []
+        begun: set[tuple[str, int]] = set()
         for piece in pieces:
-            if piece.result_bytes > room_bytes:
-                continue
-            room_bytes -= piece.result_bytes
+            name = piece.key[:2]
+            if name not in begun:
+                if bytes_by_set[name] > room_bytes:
+                    continue
+                room_bytes -= bytes_by_set[name]
+                begun.add(name)
             batch.append(piece)
             if len(batch) == self.batching.size:
                 break
         for piece in batch:
             del self.piece_by_key[piece.key]
+            self.open_sets.add(piece.key[:2])
+        if len(self.piece_by_key) >= self.batching.size and batch:
+            self.fill += _FILL_WEIGHT * (len(batch) - self.fill)
+        elif batch:
+            self.fill += _FILL_WEIGHT * (self.batching.size - self.fill)
+        self._close_sets()
         return batch
 
+    def _bytes_by_set(self) -> dict[tuple[str, int], int]:
+        sizes: dict[tuple[str, int], int] = {}
+        for piece in self.piece_by_key.values():
+            name = piece.key[:2]
+            sizes[name] = sizes.get(name, 0) + piece.result_bytes
+        return sizes
+
+    def _close_sets(self) -> None:
+        waiting = {key[:2] for key in self.piece_by_key}
+        self.open_sets &= waiting
+
     def waits(self, targets: int, until_free: float, pace: float) -> list[float]:
         """Expected seconds until a new piece is done, by urgency.
 
@@ -144,10 +180,11 @@
         return [until_free + self._turns(n, targets) * pace for n in ahead]
 
     def _turns(self, ahead: int, targets: int) -> float:
-        size = self.batching.size
+        size = max(1.0, self.fill)
         full = math.floor(ahead / (size * targets))
         last = min(size, math.ceil((ahead + 1) / targets - full * size) + 1)
-        return full * self.batching.seconds(size) + self.batching.seconds(last)
+        seconds = self.batching.seconds
+        return full * seconds(size) + seconds(last)
 
 
 class ResultRoom:
@@ -163,9 +200,22 @@
         self._keep_seconds = keep_seconds
         self._held_by_handle: dict[str, tuple[float, int]] = {}
         self._reserved = 0
+        self._full_until = 0.0
+        self._refused_size = 0
 
     def left(self, moment: float) -> float:
-        """Bytes that are free."""
+        """Bytes that are free, as far as it is known."""
+        left = self._uncounted(moment)
+        if moment < self._full_until:
+            return min(left, self._refused_size - 1)
+        return left
+
+    def note_full(self, size: int, moment: float) -> None:
+        """Note that the target had no room for a result of a size."""
+        self._full_until = moment + FULL_PAUSE_S
+        self._refused_size = size
+
+    def _uncounted(self, moment: float) -> float:
         for handle, (ends_at, _) in list(self._held_by_handle.items()):
             if ends_at <= moment:
                 del self._held_by_handle[handle]
@@ -187,3 +237,4 @@
     def release(self, handle: str) -> None:
         """Note that a result was given up."""
         self._held_by_handle.pop(handle, None)
+        self._full_until = 0.0
--- a/packages/serving/bergamotsaddle_serving/stage_run.py
+++ b/packages/serving/bergamotsaddle_serving/stage_run.py
@@ -15,6 +15,7 @@
 from bergamotsaddle_serving.peer_messages import (
     Accepted,
     Cancel,
+    Done,
     Message,
     Release,
     Results,
@@ -137,7 +138,7 @@
         *,
         urgency: int,
         deadline_at: float,
-        choose_zone: Callable[[str, str], str],
+        spread: Callable[[str, int, int], list[tuple[str, int]]],
     ) -> None:
         self._head = head
         self._route = route
@@ -146,9 +147,9 @@
         self._logger = logger
         self._urgency = urgency
         self._deadline_at = deadline_at
-        self._choose_zone = choose_zone
+        self._spread = spread
         self._inbox = exchange.open(head.id)
-        self._open_by_stage: dict[int, _Open] = {}
+        self._open: list[_Open] = []
         self._results_by_stage: dict[int, dict[int, str]] = {}
         self._owner_by_handle: dict[str, tuple[str, str]] = {}
         self._owners: set[str] = set()
@@ -175,10 +176,10 @@
     def release(self) -> None:
         """Give up all results that are left, and whatever still waits."""
         self._exchange.close(self._head.id)
-        if self._open_by_stage:
+        if self._open:
             for owner in self._owners:
                 self._exchange.send(owner, Cancel(self._head.id))
-            self._open_by_stage.clear()
+            self._open.clear()
         self._release_handles(list(self._owner_by_handle))
 
     def _is_done(self) -> bool:
@@ -195,7 +196,7 @@
         moment = now()
         elapsed = self._plan.elapsed(moment)
         for stage in self._plan.needed:
-            if stage in self._open_by_stage or self._stage_is_done(stage):
+            if self._stage_is_done(stage) or not self._unassigned(stage):
                 continue
             after = self._plan.predecessors(stage)
             if not all(self._stage_is_done(number) for number in after):
@@ -203,20 +204,26 @@
             done = {s for s in self._plan.needed if self._stage_is_done(s)}
             if self._plan.should_wait(stage, done, elapsed):
                 continue
-            self._open(stage)
-        for opened in list(self._open_by_stage.values()):
+            self._assign(stage)
+        for opened in list(self._open):
             if opened.next_at <= moment:
                 self._send(opened)
 
-    def _open(self, stage: int) -> None:
-        service = self._route.stages[stage].service
-        zone = self._choose_zone(service, self._plan.zone)
-        owners = rank_owners(self._exchange.peers, service, zone)
-        if not owners:
-            raise self._refuse(ErrorKind.NO_TARGET, "no instance owns the queue")
+    def _unassigned(self, stage: int) -> list[int]:
         held = self._results_by_stage.get(stage, {})
-        missing = {n for n in range(self._plan.pieces[stage]) if n not in held}
-        self._open_by_stage[stage] = _Open(stage, owners[0], zone, missing)
+        taken = {n for o in self._open if o.number == stage for n in o.missing}
+        numbers = range(self._plan.pieces[stage])
+        return [n for n in numbers if n not in held and n not in taken]
+
+    def _assign(self, stage: int) -> None:
+        service = self._route.stages[stage].service
+        numbers = self._unassigned(stage)
+        for zone, count in self._spread(service, stage, len(numbers)):
+            owners = rank_owners(self._exchange.peers, service, zone)
+            if not owners:
+                raise self._refuse(ErrorKind.NO_TARGET, "no instance owns the queue")
+            part, numbers = set(numbers[:count]), numbers[count:]
+            self._open.append(_Open(stage, owners[0], zone, part))
 
     def _send(self, opened: _Open) -> None:
         moment = now()
@@ -262,7 +269,7 @@
             stage=opened.number,
         )
         self._exchange.peers.suspect(opened.owner)
-        del self._open_by_stage[opened.number]
+        self._open.remove(opened)
 
     def _receive(self) -> None:
         wait = self._next_event() - now()
@@ -270,47 +277,60 @@
             message = self._inbox.get(timeout=max(0.0, wait))
         except Empty:
             return
-        opened = self._open_by_stage.get(message.stage)
-        if opened is None:
-            if isinstance(message, Results):
-                self._give_up_extra(message)
+        if isinstance(message, Accepted):
+            self._take_acknowledgement(message)
             return
+        for done in message.done:
+            self._take(message.stage, done)
+
+    def _take_acknowledgement(self, message: Accepted) -> None:
+        for opened in self._open:
+            if opened.number == message.stage and message.number in opened.missing:
+                self._note_heard(opened)
+
+    def _note_heard(self, opened: _Open) -> None:
         opened.unacknowledged = 0
         opened.next_at = now() + _REFRESH_S
-        if isinstance(message, Results):
-            self._take(opened, message)
 
     def _next_event(self) -> float:
-        times = [opened.next_at for opened in self._open_by_stage.values()]
-        if len(self._open_by_stage) < len(self._plan.needed):
+        times = [opened.next_at for opened in self._open]
+        if len(self._open) < len(self._plan.needed):
             times.append(now() + _ACK_LIMIT_S)
         return min([*times, self._deadline_at])
 
-    def _take(self, opened: _Open, results: Results) -> None:
-        held = self._results_by_stage.setdefault(opened.number, {})
-        service = self._route.stages[opened.number].service
-        for done in results.done:
-            if done.number not in opened.missing:
-                continue
-            if not done.handle:
-                self._fail(opened, done.reason)
-                return
-            opened.missing.discard(done.number)
-            held[done.number] = done.handle
-            self._owner_by_handle[done.handle] = (opened.owner, service)
+    def _take(self, stage: int, done: Done) -> None:
+        opened = self._find(stage, done.number)
+        if opened is None:
+            self._give_up_extra(stage, done)
+            return
+        self._note_heard(opened)
+        if not done.handle:
+            self._fail(opened, done.reason)
+            return
+        service = self._route.stages[stage].service
+        opened.missing.discard(done.number)
+        self._results_by_stage.setdefault(stage, {})[done.number] = done.handle
+        self._owner_by_handle[done.handle] = (opened.owner, service)
         if not opened.missing:
-            del self._open_by_stage[opened.number]
+            self._open.remove(opened)
+        if self._stage_is_done(stage):
             self._plan.note_done(now())
             self._release_inner()
 
-    def _give_up_extra(self, results: Results) -> None:
-        held = self._results_by_stage.get(results.stage, {})
-        service = self._route.stages[results.stage].service
-        for done in results.done:
-            if done.handle and done.handle not in held.values():
-                # Made a second time, after its first owner had fallen silent.
-                for owner in self._owners:
-                    self._exchange.send(owner, Release(service, [done.handle]))
+    def _find(self, stage: int, number: int) -> _Open | None:
+        for opened in self._open:
+            if opened.number == stage and number in opened.missing:
+                return opened
+        return None
+
+    def _give_up_extra(self, stage: int, done: Done) -> None:
+        held = self._results_by_stage.get(stage, {})
+        if not done.handle or done.handle in held.values():
+            return
+        # Made a second time, after its first owner had fallen silent.
+        release = Release(self._route.stages[stage].service, [done.handle])
+        for owner in self._owners:
+            self._exchange.send(owner, release)
 
     def _fail(self, opened: _Open, reason: str) -> None:
         if reason == LATE:
@@ -325,7 +345,7 @@
             owner=opened.owner,
             reason=reason,
         )
-        del self._open_by_stage[opened.number]
+        self._open.remove(opened)
         if reason == "gone":
             self._forget_inputs(opened.number)
         if reason == NO_TARGET:
--- a/packages/serving/bergamotsaddle_serving/stage_waits.py
+++ b/packages/serving/bergamotsaddle_serving/stage_waits.py
@@ -1,6 +1,9 @@
 """Expected times of stages in each zone, and the zone for each of them."""
 
+import math
+
 from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.catalog import Stage
 from bergamotsaddle_serving.owners import rank_owners
 from bergamotsaddle_serving.peers import Peers
 from bergamotsaddle_serving.stage_owner import StageOwner
@@ -13,6 +16,8 @@
 # Another zone must be this much faster for results to cross between zones.
 _CROSS_GAIN_S = 0.05
 _NO_TARGETS_S = 60.0
+# The part of a zone's room that one request may take.
+_ROOM_PART = 0.7
 
 
 class StageWaits:
@@ -61,6 +66,33 @@
             return zone
         return best
 
+    def spread(
+        self, service: str, stage: Stage, count: int, urgency: int, plan: StagePlan
+    ) -> list[tuple[str, int]]:
+        """Choose the zones of a stage's pieces.
+
+        A target has room for a handful of large results. A stage with more pieces than
+        a zone holds at once would wait there for room that it takes up itself, so it
+        is spread over as many zones as it needs.
+
+        Returns:
+            Zones with the number of pieces for each.
+        """
+        zone = self.choose_zone(service, plan.zone, urgency, plan)
+        times = self._times(service, urgency)
+        room = self._room(service, zone, stage)
+        others = sorted((z for z in times if z != zone), key=times.__getitem__)
+        parts = min(1 + len(others), math.ceil(count / room))
+        zones = [zone, *others][:parts]
+        share, extra = divmod(count, len(zones))
+        return [(z, share + (n < extra)) for n, z in enumerate(zones)]
+
+    def _room(self, service: str, zone: str, stage: Stage) -> int:
+        declared = self._view.configuration.services_by_name[service].batching
+        targets = sum(k.target.zone == zone for k in self._view.usable(service))
+        room = _ROOM_PART * declared.room_bytes * max(1, targets)
+        return max(1, int(room / max(1, stage.result_bytes)))
+
     def _times(self, service: str, urgency: int) -> dict[str, float]:
         zones = {known.target.zone for known in self._view.usable(service)}
         times = {}
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -4,6 +4,9 @@
 from collections import OrderedDict
 from typing import Any
 
+import eventlet
+from eventlet.greenthread import GreenThread
+
 from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.attempt import (
@@ -42,6 +45,10 @@
 # The same before the first event, as a multiple of the expected time.
 _FIRST_FACTOR = 4.0
 _MAX_REFUSALS = 3
+# From sending a request until its engine has fetched the inputs, besides the transfer:
+# two trips between zones and the engine's own work, several times over.
+FETCH_S = 0.03
+_FETCH_BYTES_PER_S = 400e6
 # The part of the time that is left which a prediction may use.
 _ADMIT_PART = 0.9
 _CONFLICT = 409
@@ -160,6 +167,7 @@
         self._caller = caller
         self._stages: StageRun | None = None
         self._inputs: tuple[str, ...] | None = None
+        self._fetching: GreenThread | None = None
         self._last_id = context.head.last_event_id
         self._exclude: set[str] = set()
         self._has_started = False
@@ -179,6 +187,9 @@
 
     def release(self) -> None:
         """Give up whatever the request still holds."""
+        if self._fetching is not None:
+            self._fetching.cancel()
+            self._fetching = None
         if self._stages is not None:
             self._stages.release()
             self._stages = None
@@ -197,7 +208,7 @@
         therefore finished.
         """
         context = self._context
-        left = context.remaining
+        left = context.first_by - now()
         self._server.logger.info(
             "admit",
             request=context.head.id,
@@ -218,7 +229,9 @@
 
     def _run_stages(self, choice: EngineChoice) -> None:
         context = self._context
-        plan = self._server.plan(context, choice.engine.zone, choice.finish_seconds)
+        plan = self._server.plan(
+            context, choice.engine.zone, choice.finish_seconds
+        )
         if not plan.needed:
             self._inputs = ()
             return
@@ -230,12 +243,20 @@
             self._server.exchange,
             self._server.logger,
             urgency=context.urgency,
-            deadline_at=context.ends_at,
-            choose_zone=lambda service, zone: self._server.waits.choose_zone(
-                service, zone, context.urgency, plan
+            deadline_at=context.first_by,
+            spread=lambda service, stage, count: self._server.waits.spread(
+                service, context.route.stages[stage], count, context.urgency, plan
             ),
         )
-        self._inputs = self._stages.run().handles
+        end = self._stages.run()
+        self._inputs = end.handles
+        self._server.logger.info(
+            "stages_done",
+            request=context.head.id,
+            zone=choice.engine.zone,
+            seconds=round(end.seconds, 3),
+            expected=round(plan.total_seconds(), 3),
+        )
 
     def _try(self, choice: EngineChoice) -> bool:
         """Send the request to an engine; False if another one is to be tried."""
@@ -279,6 +300,7 @@
                     self._last_id,
                 )
                 limit = self._first_limit(choice)
+                self._release_when_fetched()
                 reply = attempt.send(dispatch, limit=limit)
                 if not reply.is_success:
                     self._pass_failure(attempt, reply)
@@ -287,7 +309,17 @@
                 data = attempt.read_some(limit=limit)
                 state.prompt_tokens_ahead -= tokens
                 is_reading = False
-                state.succeed(now() - attempt.began_at)
+                seconds = now() - attempt.began_at
+                state.succeed(seconds)
+                server.logger.info(
+                    "first_event",
+                    request=context.head.id,
+                    target=candidate.target.id,
+                    seconds=round(seconds, 3),
+                    expected=round(choice.finish_seconds, 3),
+                    tokens=tokens,
+                    since=round(now() - context.began_at, 3),
+                )
                 server.note_known(candidate.target.id, context)
                 self._release_inputs()
                 self._relay(attempt, reply, splitter, data)
@@ -326,12 +358,25 @@
         self._has_started = True
         self._caller.start(reply.head.status, list(end_to_end(reply.head.headers)))
 
+    def _release_when_fetched(self) -> None:
+        """Give up the inputs once the engine has surely fetched them.
+
+        An engine fetches them as soon as it gets the request, but its first event
+        comes only after the prompt was read, up to half a second later; stage targets
+        with room for a handful of results would stand still meanwhile.
+        """
+        if not self._inputs:
+            return
+        sizes = self._context.route.stages
+        most = max(stage.result_bytes for stage in sizes) * len(self._inputs)
+        delay = FETCH_S + most / _FETCH_BYTES_PER_S
+        self._fetching = eventlet.spawn_after(delay, self._release_inputs)
+
     def _release_inputs(self) -> None:
-        # The engine has fetched them all before it read the prompt. If the stream
-        # breaks off later they are made again, which is rare; the room is scarce.
-        self.release()
+        # If the stream breaks off later they are made again, which is rare.
         if self._inputs:
             self._inputs = None
+        self.release()
 
     def _pass_failure(self, attempt: Attempt, reply: Reply) -> None:
         status = reply.head.status
