--- a/packages/serving/bergamotsaddle_serving/attempt.py
+++ b/packages/serving/bergamotsaddle_serving/attempt.py
@@ -96,9 +96,18 @@
         if self._connection is not None:
             self._connection.close()
 
-    def send(self, dispatch: Dispatch, *, limit: float) -> Reply:
+    def send(
+        self, dispatch: Dispatch, *, limit: float, most: float | None = None
+    ) -> Reply:
         """Send the request and wait for the head of the answer.
 
+        Args:
+            dispatch: What the target is told.
+            limit: Seconds after which a silent target counts as lost.
+            most: Seconds to wait for one that goes on answering other requests; a
+                busy engine reads other prompts first, and leaving it then would only
+                have the work done twice. The same as the limit if left out.
+
         Raises:
             NotRunError: If the target did not run it.
             UnknownRunError: If it may have.
@@ -115,12 +124,25 @@
         self._connection = connection
         try:
             connection.send(outgoing, limit=limit)
-            head = connection.read_head(limit=limit)
+            head = self._await_head(connection, limit, most or limit)
         except ConnectionLostError as error:
             self._state.fail(is_certain=False)
             raise UnknownRunError(error.reason) from error
         return self._check(head)
 
+    def _await_head(
+        self, connection: Connection, limit: float, most: float
+    ) -> IncomingHead:
+        ends_at = now() + most
+        while True:
+            asked_at = now()
+            try:
+                return connection.read_head(limit=min(limit, ends_at - asked_at))
+            except ConnectionLostError as error:
+                is_busy = self._state.heard_at > asked_at
+                if error.reason != "silent" or not is_busy or now() >= ends_at:
+                    raise
+
     def read_body(self, *, limit: float, most: int) -> bytes:
         """Read the whole body.
 
--- a/packages/serving/bergamotsaddle_serving/peer_messages.py
+++ b/packages/serving/bergamotsaddle_serving/peer_messages.py
@@ -57,7 +57,8 @@
         objective: Seconds until the result should be there for the request to be on
             time.
         remaining: Seconds after which the result is of no use.
-        sent: Times that it was sent before.
+        round: Counts how often the sender had to begin the stage anew. Pieces of
+            another round are other pieces: their inputs are gone or given up.
     """
 
     request: str
@@ -71,7 +72,7 @@
     result_bytes: int
     objective: float
     remaining: float
-    sent: int = 0
+    round: int
 
 
 class Accepted(Message):
@@ -81,12 +82,14 @@
         request: Id of the request.
         stage: Number of the stage.
         number: Number of the first piece that was asked for.
+        round: That of the submission.
         wait: Expected seconds until the results are there.
     """
 
     request: str
     stage: int
     number: int
+    round: int
     wait: float
 
 
@@ -99,10 +102,11 @@
 
 
 class Results(Message):
-    """Results of pieces."""
+    """Results of pieces of one round."""
 
     request: str
     stage: int
+    round: int
     done: list[Done]
 
 
--- a/packages/serving/bergamotsaddle_serving/stage_owner.py
+++ b/packages/serving/bergamotsaddle_serving/stage_owner.py
@@ -152,15 +152,17 @@
         queue = self._queue(message.service)
         if queue is None or not self._has_targets(queue):
             done = [Done(n, "", NO_TARGET) for n in message.numbers]
-            return Results(message.request, message.stage, done)
+            return Results(message.request, message.stage, message.round, done)
         queue.sender_by_request[message.request] = sender
         known = [self._take(queue, message, number) for number in message.numbers]
         queue.wake()
         done = [result for result in known if result is not None]
         if done:
-            return Results(message.request, message.stage, done)
+            return Results(message.request, message.stage, message.round, done)
         wait = self._waits(queue)[min(message.urgency, 3)]
-        return Accepted(message.request, message.stage, message.numbers[0], wait)
+        return Accepted(
+            message.request, message.stage, message.numbers[0], message.round, wait
+        )
 
     def cancel(self, message: Cancel) -> None:
         """Drop what waits for a request, and mark what runs as not needed."""
@@ -249,7 +251,7 @@
     def _take(
         self, queue: _ServiceQueue, message: Submit, number: int
     ) -> Done | None:
-        key = PieceKey(message.request, message.stage, number)
+        key = PieceKey(message.request, message.stage, number, message.round)
         if key in queue.done_by_key:
             return queue.done_by_key[key]
         if key in queue.running or key in queue.queue.piece_by_key:
@@ -352,7 +354,7 @@
         if not self._view.may_get_work(worker.target):
             raise ConnectionLostError("left", is_unsent=True)
         pieces = [
-            Piece(*p.key, p.input_key, p.inputs, p.expires_at - moment) for p in batch
+            Piece(*p.key[:3], p.input_key, p.inputs, p.expires_at - moment) for p in batch
         ]
         call = self._dialect.run_pieces(pieces, worker.target)
         status, body = self._exchange(worker.target.address, call, limit)
@@ -420,7 +422,7 @@
         results: list[PieceResult],
     ) -> None:
         moment = now()
-        done_by_stage: dict[tuple[str, int], list[Done]] = {}
+        done_by_stage: dict[tuple[str, int, int], list[Done]] = {}
         for piece, result in zip(batch, results, strict=True):
             if result.handle:
                 worker.room.hold(result.handle, piece.result_bytes, moment)
@@ -432,18 +434,19 @@
                 worker.room.note_full(piece.result_bytes, moment)
                 queue.queue.add(piece)
                 continue
-            stage = (piece.key.request, piece.key.stage)
+            stage = (piece.key.request, piece.key.stage, piece.key.round)
             done_by_stage.setdefault(stage, []).append(
                 self._note(queue, piece.key, result)
             )
-        for (request, stage), done in done_by_stage.items():
-            self._tell(queue, Results(request, stage, done))
+        for (request, stage, turn), done in done_by_stage.items():
+            self._tell(queue, Results(request, stage, turn, done))
 
     def _finish(
         self, queue: _ServiceQueue, piece: QueuedPiece, result: PieceResult
     ) -> None:
         done = self._note(queue, piece.key, result)
-        self._tell(queue, Results(piece.key.request, piece.key.stage, [done]))
+        key = piece.key
+        self._tell(queue, Results(key.request, key.stage, key.round, [done]))
 
     def _note(self, queue: _ServiceQueue, key: PieceKey, result: PieceResult) -> Done:
         done = Done(key.number, result.handle, result.reason)
--- a/packages/serving/bergamotsaddle_serving/stage_queue.py
+++ b/packages/serving/bergamotsaddle_serving/stage_queue.py
@@ -16,11 +16,19 @@
 
 
 class PieceKey(NamedTuple):
-    """What tells a piece from all others."""
+    """What tells a piece from all others.
+
+    Attributes:
+        request: Id of the request.
+        stage: Number of the stage.
+        number: Number of the piece within the stage.
+        round: Counts how often the sender had to begin the stage anew.
+    """
 
     request: str
     stage: int
     number: int
+    round: int = 0
 
 
 class QueuedPiece(NamedTuple):
--- a/packages/serving/bergamotsaddle_serving/stage_run.py
+++ b/packages/serving/bergamotsaddle_serving/stage_run.py
@@ -52,13 +52,15 @@
 class _Open:
     """A stage of the request that is being done."""
 
-    def __init__(self, number: int, owner: str, zone: str, missing: set[int]) -> None:
+    def __init__(
+        self, number: int, owner: str, zone: str, missing: set[int], turn: int
+    ) -> None:
         self.number = number
         self.owner = owner
         self.zone = zone
         self.missing = missing
+        self.round = turn
         self.unacknowledged = 0
-        self.sent = 0
         self.next_at = 0.0
 
 
@@ -139,6 +141,7 @@
         urgency: int,
         deadline_at: float,
         spread: Callable[[str, int, int], list[tuple[str, int]]],
+        first_round: int = 0,
     ) -> None:
         self._head = head
         self._route = route
@@ -154,6 +157,7 @@
         self._owner_by_handle: dict[str, tuple[str, str]] = {}
         self._owners: set[str] = set()
         self._failures = 0
+        self._round = first_round
 
     def run(self) -> StageEnd:
         """Have all stages done.
@@ -173,6 +177,11 @@
         ]
         return StageEnd(tuple(handles), now() - began_at)
 
+    @property
+    def next_round(self) -> int:
+        """First round that a further run of the same request's stages may use."""
+        return self._round + 1
+
     def release(self) -> None:
         """Give up all results that are left, and whatever still waits."""
         self._exchange.close(self._head.id)
@@ -223,7 +232,7 @@
             if not owners:
                 raise self._refuse(ErrorKind.NO_TARGET, "no instance owns the queue")
             part, numbers = set(numbers[:count]), numbers[count:]
-            self._open.append(_Open(stage, owners[0], zone, part))
+            self._open.append(_Open(stage, owners[0], zone, part, self._round))
 
     def _send(self, opened: _Open) -> None:
         moment = now()
@@ -251,10 +260,9 @@
             result_bytes=stage.result_bytes,
             objective=self._plan.objective_at(opened.number) - moment,
             remaining=remaining,
-            sent=opened.sent,
+            round=opened.round,
         )
         opened.unacknowledged += 1
-        opened.sent += 1
         opened.next_at = moment + _ACK_LIMIT_S
         self._owners.add(opened.owner)
         self._exchange.send(opened.owner, message)
@@ -280,12 +288,12 @@
         if isinstance(message, Accepted):
             self._take_acknowledgement(message)
             return
-        for done in message.done:
-            self._take(message.stage, done)
+        self._take_results(message)
 
     def _take_acknowledgement(self, message: Accepted) -> None:
         for opened in self._open:
-            if opened.number == message.stage and message.number in opened.missing:
+            is_it = (opened.number, opened.round) == (message.stage, message.round)
+            if is_it and message.number in opened.missing:
                 self._note_heard(opened)
 
     def _note_heard(self, opened: _Open) -> None:
@@ -298,28 +306,37 @@
             times.append(now() + _ACK_LIMIT_S)
         return min([*times, self._deadline_at])
 
-    def _take(self, stage: int, done: Done) -> None:
-        opened = self._find(stage, done.number)
-        if opened is None:
-            self._give_up_extra(stage, done)
-            return
-        self._note_heard(opened)
-        if not done.handle:
-            self._fail(opened, done.reason)
-            return
-        service = self._route.stages[stage].service
+    def _take_results(self, message: Results) -> None:
+        failed: list[tuple[_Open, str]] = []
+        for done in message.done:
+            opened = self._find(message, done.number)
+            if opened is None:
+                self._give_up_extra(message.stage, done)
+                continue
+            self._note_heard(opened)
+            self._close(opened, done)
+            if not done.handle:
+                failed.append((opened, done.reason))
+        if failed:
+            self._fail(*failed[0])
+        if self._stage_is_done(message.stage):
+            self._plan.note_done(now())
+            self._release_inner()
+
+    def _close(self, opened: _Open, done: Done) -> None:
         opened.missing.discard(done.number)
-        self._results_by_stage.setdefault(stage, {})[done.number] = done.handle
-        self._owner_by_handle[done.handle] = (opened.owner, service)
         if not opened.missing:
             self._open.remove(opened)
-        if self._stage_is_done(stage):
-            self._plan.note_done(now())
-            self._release_inner()
+        if done.handle:
+            service = self._route.stages[opened.number].service
+            held = self._results_by_stage.setdefault(opened.number, {})
+            held[done.number] = done.handle
+            self._owner_by_handle[done.handle] = (opened.owner, service)
 
-    def _find(self, stage: int, number: int) -> _Open | None:
+    def _find(self, message: Results, number: int) -> _Open | None:
         for opened in self._open:
-            if opened.number == stage and number in opened.missing:
+            is_it = (opened.number, opened.round) == (message.stage, message.round)
+            if is_it and number in opened.missing:
                 return opened
         return None
 
@@ -345,7 +362,7 @@
             owner=opened.owner,
             reason=reason,
         )
-        self._open.remove(opened)
+        self._round += 1
         if reason == "gone":
             self._forget_inputs(opened.number)
         if reason == NO_TARGET:
@@ -353,7 +370,9 @@
         eventlet.sleep(_FAILURE_PAUSE_S * self._failures)
 
     def _forget_inputs(self, stage: int) -> None:
-        # A result went with its maker; without it the stage fails again and again.
+        # A result went with its maker; without it the stage fails again and again, and
+        # so do its pieces that still wait with the same inputs.
+        self._open = [opened for opened in self._open if opened.number != stage]
         for number in self._plan.predecessors(stage):
             handles = self._results_by_stage.pop(number, {}).values()
             self._release_handles(list(handles))
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -166,6 +166,7 @@
         self._context = context
         self._caller = caller
         self._stages: StageRun | None = None
+        self._last_stages: StageRun | None = None
         self._inputs: tuple[str, ...] | None = None
         self._fetching: GreenThread | None = None
         self._last_id = context.head.last_event_id
@@ -236,7 +237,8 @@
             self._inputs = ()
             return
         self.release()
-        self._stages = StageRun(
+        first_round = self._last_stages.next_round if self._last_stages else 0
+        self._stages = self._last_stages = StageRun(
             context.head,
             context.route,
             plan,
@@ -247,6 +249,7 @@
             spread=lambda service, stage, count: self._server.waits.spread(
                 service, context.route.stages[stage], count, context.urgency, plan
             ),
+            first_round=first_round,
         )
         end = self._stages.run()
         self._inputs = end.handles
@@ -271,7 +274,7 @@
         try:
             self._send(candidate, choice)
         except NotRunError as error:
-            self._note(candidate, error.reason, "no")
+            self._note(candidate, error.reason, "no", error.status)
             self._handle_refusal(candidate, error)
             return False
         except UnknownRunError as error:
@@ -301,7 +304,7 @@
                 )
                 limit = self._first_limit(choice)
                 self._release_when_fetched()
-                reply = attempt.send(dispatch, limit=limit)
+                reply = attempt.send(dispatch, limit=limit, most=context.remaining)
                 if not reply.is_success:
                     self._pass_failure(attempt, reply)
                     return
@@ -431,12 +434,15 @@
         gap = max(_SILENT_S, _SILENT_GAPS * context.route.event_gap)
         return min(context.remaining, gap)
 
-    def _note(self, candidate: Candidate, reason: str, ran: str) -> None:
+    def _note(
+        self, candidate: Candidate, reason: str, ran: str, status: int = 0
+    ) -> None:
         self._server.logger.warning(
             "attempt_failed",
             request=self._context.head.id,
             target=candidate.target.id,
             reason=reason,
+            status=status,
             ran=ran,
             last_event=self._last_id,
         )
