--- a/packages/serving/bergamotsaddle_serving/stage_owner.py
+++ b/packages/serving/bergamotsaddle_serving/stage_owner.py
@@ -49,6 +49,9 @@
 _FULL_PAUSE_S = 0.05
 _IDLE_CHECK_S = 0.25
 _MAX_TRIES = 2
+# How long after a call the next one may wait for the room that its results give up:
+# their way to the sender, from there to an engine, and the word that they were fetched.
+_ROOM_WAIT_S = 0.09
 # Results are told again if their first datagram got lost.
 _KEPT_RESULTS = 5_000
 _RELEASE_LIMIT_S = 0.5
@@ -66,6 +69,7 @@
         self.room = ResultRoom(batching.room_bytes, batching.keep_seconds)
         self.pace = 1.0
         self.free_at = 0.0
+        self.full_call_by = 0.0
         self.failures = 0
         self.rest_until = 0.0
         self.to_release: list[str] = []
@@ -289,14 +293,22 @@
                 continue
             for piece in queue.queue.take_expired(moment, worker.pace):
                 self._finish(queue, piece, PieceResult("", LATE))
-            batch = queue.queue.take_batch(moment, worker.room.left(moment), worker.pace)
+            batch = queue.queue.take_batch(
+                moment,
+                worker.room.left(moment),
+                worker.pace,
+                may_wait=moment < worker.full_call_by,
+            )
             if not batch:
-                self._await_news(queue)
+                self._await_news(queue, worker)
                 continue
             self._call(queue, worker, batch)
 
-    def _await_news(self, queue: _ServiceQueue) -> None:
-        with eventlet.Timeout(_IDLE_CHECK_S, False):
+    def _await_news(self, queue: _ServiceQueue, worker: _Worker) -> None:
+        wait = worker.full_call_by - now()
+        if wait <= 0:
+            wait = _IDLE_CHECK_S
+        with eventlet.Timeout(wait, False):
             queue.news.wait()
 
     def _turn_away(self, queue: _ServiceQueue) -> None:
@@ -329,6 +341,7 @@
             worker.room.end_reservation(size)
             queue.running.difference_update(piece.key for piece in batch)
             worker.free_at = now()
+            worker.full_call_by = now() + _ROOM_WAIT_S
         if results is None:
             self._put_back(queue, batch, "full")
             eventlet.sleep(_FULL_PAUSE_S)
--- a/packages/serving/bergamotsaddle_serving/stage_queue.py
+++ b/packages/serving/bergamotsaddle_serving/stage_queue.py
@@ -9,6 +9,8 @@
 # until one is given up. Declared sizes are approximate, so the room counted here can be
 # a result too large; asking again at once would meet the same answer every 2 ms.
 FULL_PAUSE_S = 0.12
+# A call below this part of what it could carry waits for room.
+_WORTH_CALLING = 0.6
 # Weight of the newest call in the mean number of pieces that a call carries under load.
 _FILL_WEIGHT = 0.2
 # Urgencies that are told apart in what owners say of their queues.
@@ -119,7 +121,12 @@
         return expired
 
     def take_batch(
-        self, moment: float, room_bytes: float, pace: float = 1.0
+        self,
+        moment: float,
+        room_bytes: float,
+        pace: float = 1.0,
+        *,
+        may_wait: bool = False,
     ) -> list[QueuedPiece]:
         """Take the pieces of the next call.
 
@@ -133,6 +140,9 @@
             moment: Now, on the hub's clock.
             room_bytes: Room for results that the target has left.
             pace: Actual time of calls against the declared one.
+            may_wait: Whether to take nothing rather than a small part of what a call
+                could carry. A call costs as much as several pieces, and the room that
+                the rest lacks is given up in a moment.
         """
         expected = self.batching.seconds(1) * pace
         bytes_by_set = self._bytes_by_set()
@@ -152,6 +162,12 @@
             batch.append(piece)
             if len(batch) == self.batching.size:
                 break
+        if (
+            may_wait
+            and len(batch) < self.batching.size * _WORTH_CALLING
+            and len(batch) < len(pieces) * _WORTH_CALLING
+        ):
+            return []
         for piece in batch:
             del self.piece_by_key[piece.key]
             self.open_sets.add(piece.key[:2])
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -1,6 +1,5 @@
 """Serves requests for engines: stages first, then a stream of events."""
 
-import random
 from collections import OrderedDict
 from typing import Any
 
@@ -9,6 +8,7 @@
 
 from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
 from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.admission import admits, retry_after
 from bergamotsaddle_serving.attempt import (
     PROMISES,
     Attempt,
@@ -42,17 +42,16 @@
 # times the longest pause that is on time, has lost it; callers give up at 2 s.
 _SILENT_S = 1.0
 _SILENT_GAPS = 3.0
-# The same before the first event, as a multiple of the expected time.
-_FIRST_FACTOR = 4.0
+# The same before the first event: reading a long prompt takes an engine up to a second
+# in which it sends nothing, and a dead one is noticed earlier by the kernel.
+_FIRST_SILENT_S = 2.0
+_FIRST_FACTOR = 6.0
 _MAX_REFUSALS = 3
 # From sending a request until its engine has fetched the inputs, besides the transfer:
 # two trips between zones and the engine's own work, several times over.
-FETCH_S = 0.03
-_FETCH_BYTES_PER_S = 400e6
-# The part of the time that is left which a prediction may use.
-_ADMIT_PART = 0.9
+FETCH_S = 0.02
+_FETCH_BYTES_PER_S = 800e6
 _CONFLICT = 409
-_LEAST_RETRY_S = 0.1
 
 
 class StreamServer:
@@ -219,13 +218,13 @@
             left=round(left, 3),
             version=context.version,
         )
-        if choice.seconds <= _ADMIT_PART * left:
+        objective = context.began_at + context.route.objective - now()
+        if admits(choice.seconds, objective, left):
             return
-        excess = choice.seconds - _ADMIT_PART * left
         raise context.refuse(
             ErrorKind.DEADLINE_INFEASIBLE,
             f"expected to take {choice.seconds:.2f} s",
-            retry_after=min(left / 3, max(_LEAST_RETRY_S, excess) * random.uniform(1, 2)),
+            retry_after=retry_after(choice.seconds, objective, left),
         )
 
     def _run_stages(self, choice: EngineChoice) -> None:
@@ -424,7 +423,7 @@
         context = self._context
         if not self._may_run_again():
             return context.remaining
-        limit = max(_SILENT_S, _FIRST_FACTOR * choice.finish_seconds)
+        limit = max(_FIRST_SILENT_S, _FIRST_FACTOR * choice.finish_seconds)
         return min(context.remaining, limit)
 
     def _silence_limit(self) -> float:
