--- a/packages/serving/bergamotsaddle_serving/peer_messages.py
+++ b/packages/serving/bergamotsaddle_serving/peer_messages.py
@@ -23,8 +23,10 @@
         life: Random name of its process's life.
         is_stopping: Whether it takes no more work for others.
         revision: Up to which its view knows the store.
-        waits: Expected seconds that a new piece waits, by stage service it owns a
-            queue for, for each urgency from 0 on.
+        loads: Load of each stage queue that it owns, by service: seconds until what
+            waits is done for each urgency from 0 on, then call time and pieces a second.
+        coming: Pieces of its admitted requests that will come to a stage later:
+            service, zone, number by urgency.
         running: Requests that it has at each engine.
         contacts: Other instances that it has heard lately.
     """
@@ -33,7 +35,8 @@
     life: str
     is_stopping: bool
     revision: int
-    waits: dict[str, list[float]]
+    loads: dict[str, list[float]]
+    coming: list[tuple[str, str, list[int]]]
     running: dict[str, int]
     contacts: list[Contact]
 
@@ -83,14 +86,12 @@
         stage: Number of the stage.
         number: Number of the first piece that was asked for.
         round: That of the submission.
-        wait: Expected seconds until the results are there.
     """
 
     request: str
     stage: int
     number: int
     round: int
-    wait: float
 
 
 class Done(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/serving/bergamotsaddle_serving/peers.py
+++ b/packages/serving/bergamotsaddle_serving/peers.py
@@ -50,7 +50,8 @@
         self.life = ""
         self.is_stopping = False
         self.revision = 0
-        self.waits: dict[str, list[float]] = {}
+        self.loads: dict[str, list[float]] = {}
+        self.coming: list[tuple[str, str, list[int]]] = []
         self.running: dict[str, int] = {}
         self.heard_at = float("-inf")
         self.known_at = now()
@@ -72,7 +73,8 @@
         self.life = life
         self.is_stopping = False
         self.by_id: dict[str, Peer] = {}
-        self.own_waits: Callable[[], dict[str, list[float]]] = dict
+        self.own_loads: Callable[[], dict[str, list[float]]] = dict
+        self.own_coming: Callable[[], list[tuple[str, str, list[int]]]] = list
         self.own_running: Callable[[], dict[str, int]] = dict
         self.own_revision: Callable[[], int] = lambda: 0
         self._handlers: dict[type, Handler] = {Hello: self._hear}
@@ -188,7 +190,8 @@
             life=self.life,
             is_stopping=self.is_stopping,
             revision=self.own_revision(),
-            waits=self.own_waits(),
+            loads=self.own_loads(),
+            coming=self.own_coming(),
             running=self.own_running(),
             contacts=[peer.contact for peer in told],
         )
@@ -227,7 +230,8 @@
         peer.life = hello.life
         peer.is_stopping = hello.is_stopping
         peer.revision = hello.revision
-        peer.waits = hello.waits
+        peer.loads = hello.loads
+        peer.coming = hello.coming
         peer.running = hello.running
         peer.heard_at = now()
         for contact in hello.contacts:
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -92,7 +92,8 @@
         self.handler = Handler(
             self.view, plain, streams, budget, dialect, self.metrics, logger
         )
-        self.peers.own_waits = self.owner.waits
+        self.peers.own_loads = self.owner.loads
+        self.peers.own_coming = waits.coming.told
         self.peers.own_running = self.health.running
         self.peers.own_revision = lambda: self.view.revision
         self.view.watch(self.owner.open_queues)
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/stage_load.py
@@ -0,0 +1,65 @@
+"""What a stage service in a zone has to do, and when a further stage is done there."""
+
+from typing import NamedTuple
+
+# Urgencies that are told apart in what owners say of their queues.
+URGENCIES = 4
+
+
+def level(urgency: int) -> int:
+    """The level at which an urgency is counted."""
+    return min(max(0, urgency), URGENCIES - 1)
+
+
+class StageLoad(NamedTuple):
+    """The load of one stage service in one zone.
+
+    Attributes:
+        drain: Seconds until what waits there now is done.
+        call: Seconds of a call.
+        rate: Pieces a second.
+    """
+
+    drain: float
+    call: float
+    rate: float
+
+    def seconds(self, start: float, ahead: float = 0.0) -> float:
+        """Expected seconds of a stage.
+
+        Args:
+            start: Seconds from now until it is begun; what waits there now is partly
+                done by then.
+            ahead: Pieces that will have come before it.
+        """
+        drain = self.drain + ahead / max(self.rate, 0.1)
+        return max(0.0, drain - start) + self.call
+
+
+class Coming:
+    """Pieces of admitted requests that will come to a stage later.
+
+    Answers bursts of requests with chains of stages. The queue of a chain's last stage
+    is still short when far more requests than it can do have been admitted; their
+    pieces are still with the first stages. Counting only what waits would admit
+    requests whose results expire in front of the last stage.
+    """
+
+    def __init__(self) -> None:
+        self._counts: dict[tuple[str, str], list[int]] = {}
+
+    def add(self, service: str, zone: str, urgency: int, pieces: int) -> None:
+        """Count pieces that will come; a negative number takes them back."""
+        counts = self._counts.setdefault((service, zone), [0] * URGENCIES)
+        counts[level(urgency)] += pieces
+        if not any(counts):
+            del self._counts[service, zone]
+
+    def before(self, service: str, zone: str, urgency: int) -> int:
+        """Pieces of this or a higher urgency that will come."""
+        counts = self._counts.get((service, zone))
+        return sum(counts[: level(urgency) + 1]) if counts else 0
+
+    def told(self) -> list[tuple[str, str, list[int]]]:
+        """All counts, to be told to others."""
+        return [(s, z, counts) for (s, z), counts in self._counts.items()]
--- a/packages/serving/bergamotsaddle_serving/stage_owner.py
+++ b/packages/serving/bergamotsaddle_serving/stage_owner.py
@@ -163,9 +163,8 @@
         done = [result for result in known if result is not None]
         if done:
             return Results(message.request, message.stage, message.round, done)
-        wait = self._waits(queue)[min(message.urgency, 3)]
         return Accepted(
-            message.request, message.stage, message.numbers[0], message.round, wait
+            message.request, message.stage, message.numbers[0], message.round
         )
 
     def cancel(self, message: Cancel) -> None:
@@ -183,17 +182,15 @@
         for handle in message.handles:
             self._release(self._dialect.maker(handle), handle, message.service)
 
-    def waits(self) -> dict[str, list[float]]:
-        """Expected seconds until a new piece is done, by service and urgency."""
-        waits = {}
+    def loads(self) -> dict[str, list[float]]:
+        """Load of each owned queue: drain by urgency, then call time and rate."""
         own = self._peers.own
-        for service, queue in self._queue_by_service.items():
-            if rank_owners(self._peers, service, own.zone)[:1] != [own.id]:
-                continue
-            self._hire(queue)
-            if queue.fit_workers():
-                waits[service] = [round(w, 3) for w in self._waits(queue)]
-        return waits
+        return {
+            service: self._load(queue)
+            for service, queue in self._queue_by_service.items()
+            if rank_owners(self._peers, service, own.zone)[:1] == [own.id]
+            and self._has_targets(queue)
+        }
 
     def is_busy(self) -> bool:
         """Tell whether pieces wait or run here."""
@@ -275,14 +272,14 @@
         )
         return None
 
-    def _waits(self, queue: _ServiceQueue) -> list[float]:
+    def _load(self, queue: _ServiceQueue) -> list[float]:
         workers = queue.fit_workers()
-        moment = now()
-        if not workers:
-            return [_LONGEST_REST_S] * 4
-        until_free = max(0.0, min(w.free_at for w in workers) - moment)
+        until_free = max(0.0, min(w.free_at for w in workers) - now())
         pace = min(w.pace for w in workers)
-        return queue.queue.waits(len(workers), until_free, pace)
+        drains = queue.queue.drains(len(workers), until_free, pace)
+        call = queue.queue.call_seconds(pace)
+        rate = queue.queue.rate(len(workers), pace)
+        return [round(figure, 3) for figure in (*drains, call, rate)]
 
     def _work(self, queue: _ServiceQueue, worker: _Worker) -> None:
         while queue.worker_by_life.get(worker.target.life) is worker:
--- a/packages/serving/bergamotsaddle_serving/stage_plan.py
+++ b/packages/serving/bergamotsaddle_serving/stage_plan.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from bergamotsaddle_serving.catalog import Route
+from bergamotsaddle_serving.stage_load import StageLoad
 
 # A stage that would be done before others is begun so much earlier than needed.
 _HEAD_START_S = 0.08
@@ -15,7 +16,7 @@
         route: The request's route.
         pieces: Number of pieces of each stage; absent ones count as none.
         zone: The zone in which its stages are to run.
-        expect: Expected seconds of a stage of a service in a zone.
+        load: Load of a stage service in a zone, pieces to come among it.
         began_at: When the request came.
         finish_seconds: Expected seconds from the last stage to the first event.
     """
@@ -25,7 +26,7 @@
         route: Route,
         pieces: tuple[int, ...],
         zone: str,
-        expect: Callable[[str, str], float],
+        load: Callable[[str, str], StageLoad],
         *,
         began_at: float,
         finish_seconds: float,
@@ -38,14 +39,23 @@
         count = len(route.stages)
         self.pieces = (*pieces[:count], *[0] * (count - len(pieces)))
         self.needed = [n for n in range(count) if self.pieces[n] > 0]
-        self.seconds = {n: expect(route.stages[n].service, zone) for n in self.needed}
+        self.seconds: dict[int, float] = {}
+        self._end_by_stage: dict[int, float] = {}
+        for stage in self.needed:
+            self._expect(stage, load(route.stages[stage].service, zone))
         followed = {n for stage in route.stages for n in stage.after}
         self.sinks = [n for n in self.needed if n not in followed]
         self._avoided: set[tuple[str, str]] = set()
 
+    def _expect(self, stage: int, load: StageLoad) -> None:
+        ends = [self._end_by_stage.get(n, 0.0) for n in self._route.stages[stage].after]
+        start = max(ends, default=0.0)
+        self.seconds[stage] = load.seconds(start)
+        self._end_by_stage[stage] = start + self.seconds[stage]
+
     def predecessors(self, stage: int) -> list[int]:
         """Stages whose results it needs."""
-        return [n for n in self._route.stages[stage].after if n in self.seconds]
+        return [n for n in self._route.stages[stage].after if self.pieces[n] > 0]
 
     def followers(self, stage: int) -> list[int]:
         """Stages that need its results."""
@@ -62,7 +72,7 @@
 
     def total_seconds(self) -> float:
         """Expected seconds of all stages together."""
-        return max((self.path_seconds(n) for n in self.needed), default=0.0)
+        return max(self._end_by_stage.values(), default=0.0)
 
     def objective_at(self, stage: int) -> float:
         """When the stage should be done for the request to be on time."""
--- a/packages/serving/bergamotsaddle_serving/stage_queue.py
+++ b/packages/serving/bergamotsaddle_serving/stage_queue.py
@@ -1,9 +1,9 @@
 """Decides which pieces of stages a target works on next. No input or output here."""
 
-import math
 from typing import NamedTuple
 
 from bergamotsaddle_serving.catalog import Batching
+from bergamotsaddle_serving.stage_load import URGENCIES, level
 
 # After a target said that it has no room, results of that size wait for this long, or
 # until one is given up. Declared sizes are approximate, so the room counted here can be
@@ -13,8 +13,6 @@
 _WORTH_CALLING = 0.6
 # Weight of the newest call in the mean number of pieces that a call carries under load.
 _FILL_WEIGHT = 0.2
-# Urgencies that are told apart in what owners say of their queues.
-URGENCIES = 4
 
 
 class PieceKey(NamedTuple):
@@ -189,8 +187,8 @@
         waiting = {key[:2] for key in self.piece_by_key}
         self.open_sets &= waiting
 
-    def waits(self, targets: int, until_free: float, pace: float) -> list[float]:
-        """Expected seconds until a new piece is done, by urgency.
+    def drains(self, targets: int, until_free: float, pace: float) -> list[float]:
+        """Seconds until what waits now is done, for each urgency and those before it.
 
         Args:
             targets: Number of targets that work on this queue.
@@ -199,16 +197,20 @@
         """
         ahead = [0] * URGENCIES
         for piece in self.piece_by_key.values():
-            for urgency in range(min(piece.urgency, URGENCIES - 1), URGENCIES):
+            for urgency in range(level(piece.urgency), URGENCIES):
                 ahead[urgency] += 1
-        return [until_free + self._turns(n, targets) * pace for n in ahead]
-
-    def _turns(self, ahead: int, targets: int) -> float:
-        size = max(1.0, self.fill)
-        full = math.floor(ahead / (size * targets))
-        last = min(size, math.ceil((ahead + 1) / targets - full * size) + 1)
-        seconds = self.batching.seconds
-        return full * seconds(size) + seconds(last)
+        rate = self.rate(targets, pace)
+        return [until_free + n / rate for n in ahead]
+
+    def rate(self, targets: int, pace: float) -> float:
+        """Pieces a second that so many targets do."""
+        fill = max(1.0, self.fill)
+        return targets * fill / (self.batching.seconds(fill) * pace)
+
+    def call_seconds(self, pace: float) -> float:
+        """Expected time of the next call."""
+        waiting = len(self.piece_by_key) + 1
+        return self.batching.seconds(min(waiting, max(1.0, self.fill))) * pace
 
 
 class ResultRoom:
--- a/packages/serving/bergamotsaddle_serving/stage_run.py
+++ b/packages/serving/bergamotsaddle_serving/stage_run.py
@@ -22,6 +22,7 @@
     Submit,
 )
 from bergamotsaddle_serving.peers import Peers
+from bergamotsaddle_serving.stage_load import Coming
 from bergamotsaddle_serving.stage_owner import LATE, NO_TARGET, StageOwner
 from bergamotsaddle_serving.stage_plan import StagePlan
 
@@ -141,6 +142,7 @@
         urgency: int,
         deadline_at: float,
         spread: Callable[[str, int, int], list[tuple[str, int]]],
+        coming: Coming,
         first_round: int = 0,
     ) -> None:
         self._head = head
@@ -158,6 +160,8 @@
         self._owners: set[str] = set()
         self._failures = 0
         self._round = first_round
+        self._coming = coming
+        self._announced: dict[int, int] = {}
 
     def run(self) -> StageEnd:
         """Have all stages done.
@@ -166,6 +170,7 @@
             RequestError: If they can't be done in time; the request has not run.
         """
         began_at = now()
+        self._announce()
         while not self._is_done():
             self._submit_ready()
             self._receive()
@@ -185,6 +190,8 @@
     def release(self) -> None:
         """Give up all results that are left, and whatever still waits."""
         self._exchange.close(self._head.id)
+        for stage in list(self._announced):
+            self._arrive(stage)
         if self._open:
             for owner in self._owners:
                 self._exchange.send(owner, Cancel(self._head.id))
@@ -224,7 +231,21 @@
         numbers = range(self._plan.pieces[stage])
         return [n for n in numbers if n not in held and n not in taken]
 
+    def _announce(self) -> None:
+        for stage in self._plan.needed:
+            self._announced[stage] = self._plan.pieces[stage]
+            self._count_coming(stage, self._plan.pieces[stage])
+
+    def _arrive(self, stage: int) -> None:
+        self._count_coming(stage, -self._announced.pop(stage, 0))
+
+    def _count_coming(self, stage: int, pieces: int) -> None:
+        if pieces:
+            service = self._route.stages[stage].service
+            self._coming.add(service, self._plan.zone, self._urgency, pieces)
+
     def _assign(self, stage: int) -> None:
+        self._arrive(stage)
         service = self._route.stages[stage].service
         numbers = self._unassigned(stage)
         for zone, count in self._spread(service, stage, len(numbers)):
--- a/packages/serving/bergamotsaddle_serving/stage_waits.py
+++ b/packages/serving/bergamotsaddle_serving/stage_waits.py
@@ -6,16 +6,17 @@
 from bergamotsaddle_serving.catalog import Stage
 from bergamotsaddle_serving.owners import rank_owners
 from bergamotsaddle_serving.peers import Peers
+from bergamotsaddle_serving.stage_load import Coming, StageLoad, level
 from bergamotsaddle_serving.stage_owner import StageOwner
 from bergamotsaddle_serving.stage_plan import StagePlan
-from bergamotsaddle_serving.stage_queue import URGENCIES
 from bergamotsaddle_serving.view import View
 
 # What is expected of an owner that has told nothing yet, on top of a call.
 _UNKNOWN_S = 0.1
 # Another zone must be this much faster for results to cross between zones.
 _CROSS_GAIN_S = 0.05
-_NO_TARGETS_S = 60.0
+_NO_TARGETS = StageLoad(60.0, 1.0, 1.0)
+_LEAST_RATE = 0.1
 # The part of a zone's room that one request may take.
 _ROOM_PART = 0.7
 
@@ -33,13 +34,16 @@
         self._view = view
         self._peers = peers
         self._owner = owner
+        self.coming = Coming()
 
-    def best(self, service: str, zone: str, urgency: int) -> float:
-        """Expected seconds of a stage, in its zone or wherever it is done earlier."""
-        times = self._times(service, urgency)
-        preferred = times.pop(zone, _NO_TARGETS_S)
-        other = min(times.values(), default=_NO_TARGETS_S)
-        return min(preferred, other + _CROSS_GAIN_S)
+    def best(self, service: str, zone: str, urgency: int) -> StageLoad:
+        """Load of a stage in its zone, or in another one if it is done earlier there."""
+        loads = self._loads(service, urgency)
+        preferred = loads.pop(zone, _NO_TARGETS)
+        other = min(loads.values(), key=_total, default=_NO_TARGETS)
+        if _total(preferred) <= _total(other) + _CROSS_GAIN_S:
+            return preferred
+        return other._replace(drain=other.drain + _CROSS_GAIN_S)
 
     def choose_zone(
         self, service: str, zone: str, urgency: int, plan: StagePlan
@@ -51,8 +55,8 @@
         there and is done earlier in another one.
         """
         times = {
-            z: t
-            for z, t in self._times(service, urgency).items()
+            z: _total(load)
+            for z, load in self._loads(service, urgency).items()
             if not plan.is_avoided(service, z)
         }
         if not times:
@@ -79,9 +83,9 @@
             Zones with the number of pieces for each.
         """
         zone = self.choose_zone(service, plan.zone, urgency, plan)
-        times = self._times(service, urgency)
+        loads = self._loads(service, urgency)
         room = self._room(service, zone, stage)
-        others = sorted((z for z in times if z != zone), key=times.__getitem__)
+        others = sorted((z for z in loads if z != zone), key=lambda z: _total(loads[z]))
         parts = min(1 + len(others), math.ceil(count / room))
         zones = [zone, *others][:parts]
         share, extra = divmod(count, len(zones))
@@ -93,30 +97,44 @@
         room = _ROOM_PART * declared.room_bytes * max(1, targets)
         return max(1, int(room / max(1, stage.result_bytes)))
 
-    def _times(self, service: str, urgency: int) -> dict[str, float]:
+    def _loads(self, service: str, urgency: int) -> dict[str, StageLoad]:
         zones = {known.target.zone for known in self._view.usable(service)}
-        times = {}
+        loads = {}
         for zone in zones:
-            seconds = self._seconds(service, zone, urgency)
-            if seconds is not None:
-                times[zone] = seconds
-        return times
+            load = self._load(service, zone, urgency)
+            if load is not None:
+                loads[zone] = load
+        return loads
 
-    def _seconds(self, service: str, zone: str, urgency: int) -> float | None:
+    def _load(self, service: str, zone: str, urgency: int) -> StageLoad | None:
         owners = rank_owners(self._peers, service, zone)
         if not owners:
             return None
-        level = min(urgency, URGENCIES - 1)
         if owners[0] == self._peers.own.id:
-            waits = self._owner.waits().get(service)
+            told = self._owner.loads().get(service)
         else:
-            waits = self._peers.by_id[owners[0]].waits.get(service)
-        if waits is None:
+            told = self._peers.by_id[owners[0]].loads.get(service)
+        if told is None:
             return self._unknown(service)
-        return waits[level]
-
-    def _unknown(self, service: str) -> float:
-        declared = self._view.configuration.services_by_name[service]
-        if declared.batching is None:
-            return _NO_TARGETS_S
-        return declared.batching.seconds(1) + _UNKNOWN_S
+        drain, call, rate = told[level(urgency)], told[-2], told[-1]
+        ahead = self._ahead(service, zone, urgency)
+        return StageLoad(drain + ahead / max(rate, _LEAST_RATE), call, rate)
+
+    def _ahead(self, service: str, zone: str, urgency: int) -> int:
+        ahead = self.coming.before(service, zone, urgency)
+        for peer in self._peers.alive():
+            for told_service, told_zone, counts in peer.coming:
+                if told_service == service and told_zone == zone:
+                    ahead += sum(counts[: level(urgency) + 1])
+        return ahead
+
+    def _unknown(self, service: str) -> StageLoad:
+        batching = self._view.configuration.services_by_name[service].batching
+        if batching is None:
+            return _NO_TARGETS
+        call = batching.seconds(1)
+        return StageLoad(_UNKNOWN_S, call, 1 / call)
+
+
+def _total(load: StageLoad) -> float:
+    return load.drain + load.call
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -104,12 +104,15 @@
         head = context.head
         key = prefix_key(head.prompt)
         views = [self._view(candidate, key) for candidate in found]
+        seconds_by_zone = {
+            zone: self.stage_seconds(context, zone) for zone in {v.zone for v in views}
+        }
         return choose_engine(
             views,
             head.prompt,
             head.prompt_tokens,
             objective=context.route.objective,
-            stage_seconds=lambda zone: self.stage_seconds(context, zone),
+            stage_seconds=seconds_by_zone.__getitem__,
         )
 
     def stage_seconds(self, context: Context, zone: str) -> float:
@@ -248,6 +251,7 @@
             spread=lambda service, stage, count: self._server.waits.spread(
                 service, context.route.stages[stage], count, context.urgency, plan
             ),
+            coming=self._server.waits.coming,
             first_round=first_round,
         )
         end = self._stages.run()
