--- a/packages/serving/bergamotsaddle_serving/admission.py
+++ b/packages/serving/bergamotsaddle_serving/admission.py
@@ -1,13 +1,16 @@
 """Decides whether a request is begun, before any work for it. No input or output."""
 
 import random
-
-# The part of the time that is left which a prediction may use; the rest absorbs what
-# varies between requests.
-_CAREFUL = 0.9
-# While newcomers keep coming, those that can be on time go ahead of late ones, which
-# wait for about twice the time that the queue before them takes.
-_LATE_FACTOR = 2.0
+from typing import NamedTuple
+
+# Less urgent kinds leave this part of the objective, a step of urgency, to more urgent
+# ones, down to the least part, so that none is starved.
+_URGENCY_STEP = 0.1
+_LEAST_PART = 0.6
+# A request that takes longer than its objective even on idle targets, as those with the
+# longest prompts do, may still wait for this part of it: large requests must be served
+# as well as small ones.
+_LARGE_PART = 0.25
 # Callers are told to come back after at least this time, and spread over as much again,
 # so that those of a burst do not return as another burst.
 _LEAST_RETRY_S = 0.1
@@ -15,31 +18,45 @@
 _MOST_RETRY_PART = 1 / 3
 
 
-def admits(expected: float, objective: float, left: float) -> bool:
-    """Tell whether a request should be begun.
-
-    Answers bursts beyond what the stages can do. Work for a request that ends without
-    an answer is taken from others, so it is refused at once when it would not be done
-    in time, and a late one already when the queue could not spare a second turn. Once
-    its stages have begun it is finished.
+class Forecast(NamedTuple):
+    """What is expected of a request.
 
-    Args:
-        expected: Seconds until the first event.
+    Attributes:
+        seconds: Until the first event.
+        idle_seconds: The same if nothing else were to be done.
         objective: Seconds from now until it is due.
         left: Seconds from now until the caller gives up.
     """
-    if expected <= objective:
-        return expected <= left
-    return _LATE_FACTOR * expected <= _CAREFUL * left
 
+    seconds: float
+    idle_seconds: float
+    objective: float
+    left: float
 
-def retry_after(expected: float, objective: float, left: float) -> float:
-    """Seconds after which a refused caller should come back.
+
+def admits(forecast: Forecast, urgency: int) -> bool:
+    """Tell whether a request should be begun.
+
+    Answers bursts beyond what the stages can do. If all were begun, the queues would
+    grow until every request is late, those that come after the burst as well; work for
+    requests that end without an answer would be taken from others. So a request is
+    refused at once when it would wait until it is late. Once begun it is finished,
+    before newcomers of any kind; less urgent kinds are therefore refused a little
+    earlier, or a sustained burst of them would keep urgent ones out.
 
     Args:
-        expected: Seconds until the first event.
-        objective: Seconds from now until it is due.
-        left: Seconds from now until the caller gives up.
+        forecast: What is expected.
+        urgency: 0 first.
     """
-    excess = max(_LEAST_RETRY_S, expected - objective)
-    return min(left * _MOST_RETRY_PART, excess * random.uniform(1.0, 2.0))
+    if forecast.seconds > forecast.left:
+        return False
+    part = max(_LEAST_PART, 1.0 - _URGENCY_STEP * urgency)
+    slack = part * forecast.objective - forecast.idle_seconds
+    waiting = forecast.seconds - forecast.idle_seconds
+    return waiting <= max(slack, _LARGE_PART * forecast.objective)
+
+
+def retry_after(forecast: Forecast) -> float:
+    """Seconds after which a refused caller should come back."""
+    excess = max(_LEAST_RETRY_S, forecast.seconds - forecast.objective)
+    return min(forecast.left * _MOST_RETRY_PART, excess * random.uniform(1.0, 2.0))
--- a/packages/serving/bergamotsaddle_serving/engine_choice.py
+++ b/packages/serving/bergamotsaddle_serving/engine_choice.py
@@ -48,12 +48,14 @@
         engine: The engine.
         seconds: Expected seconds until the first event, stages among them.
         finish_seconds: The part of them after the last stage.
+        idle_seconds: The same part if the engine had nothing else to do.
         reason: Why this one.
     """
 
     engine: EngineView
     seconds: float
     finish_seconds: float
+    idle_seconds: float
     reason: str
 
 
@@ -109,7 +111,8 @@
         finish = _finish_seconds(engine, tokens, tokens_per_s)
         total = stage_seconds(engine.zone) + finish
         reason = "home" if is_home else "known" if engine.knows else "free"
-        choices.append(EngineChoice(engine, total, finish, reason))
+        idle = _BASE_S + tokens / tokens_per_s
+        choices.append(EngineChoice(engine, total, finish, idle, reason))
     home = choices[0]
     if home.seconds <= _CAREFUL * objective:
         return home
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -178,6 +178,7 @@
             eventlet.sleep(_TICK_S)
             self.pool.prune()
             self.view.drop_lapsed()
+            self.owner.hand_over()
             if self._asked_to_reload:
                 self._asked_to_reload = False
                 self._reload()
--- a/packages/serving/bergamotsaddle_serving/stage_load.py
+++ b/packages/serving/bergamotsaddle_serving/stage_load.py
@@ -36,6 +36,13 @@
         return max(0.0, drain - start) + self.call
 
 
+class ZoneLoad(NamedTuple):
+    """A zone, and the load of a stage service there."""
+
+    zone: str
+    load: StageLoad
+
+
 class Coming:
     """Pieces of admitted requests that will come to a stage later.
 
--- a/packages/serving/bergamotsaddle_serving/stage_owner.py
+++ b/packages/serving/bergamotsaddle_serving/stage_owner.py
@@ -49,6 +49,9 @@
 _FULL_PAUSE_S = 0.05
 _IDLE_CHECK_S = 0.25
 _MAX_TRIES = 2
+# Another owner must have been seen at this many checks in a row, half a second apart,
+# for pieces to move there.
+_CHECKS_TO_MOVE = 2
 # How long after a call the next one may wait for the room that its results give up:
 # their way to the sender, from there to an engine, and the word that they were fetched.
 _ROOM_WAIT_S = 0.09
@@ -59,6 +62,7 @@
 FAILED = "failed"
 NO_ROOM = "room"
 LATE = "late"
+MOVED = "moved"
 
 
 class _Worker:
@@ -101,6 +105,7 @@
         self.done_by_key: OrderedDict[PieceKey, Done] = OrderedDict()
         self.cancelled: OrderedDict[str, None] = OrderedDict()
         self.news = Event()
+        self.disowned_checks = 0
 
     def wake(self) -> None:
         """Wake all workers."""
@@ -196,6 +201,25 @@
         """Tell whether pieces wait or run here."""
         return any(len(q.queue) or q.running for q in self._queue_by_service.values())
 
+    def hand_over(self) -> None:
+        """Have pieces that wait here sent to another instance that owns the queue now.
+
+        After an owner's return two instances would go on calling the same targets,
+        each with half-filled calls and half of the knowledge of their room.
+        """
+        own = self._peers.own
+        for queue in self._queue_by_service.values():
+            owner = rank_owners(self._peers, queue.service, own.zone)[:1]
+            if owner == [own.id] or not owner:
+                queue.disowned_checks = 0
+                continue
+            queue.disowned_checks += 1
+            if queue.disowned_checks != _CHECKS_TO_MOVE:
+                continue
+            for piece in list(queue.queue.piece_by_key.values()):
+                del queue.queue.piece_by_key[piece.key]
+                self._finish(queue, piece, PieceResult("", MOVED))
+
     def open_queues(self) -> None:
         """Open a queue for each stage service, so that its waits are known."""
         configuration = self._view.configuration
--- a/packages/serving/bergamotsaddle_serving/stage_plan.py
+++ b/packages/serving/bergamotsaddle_serving/stage_plan.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from bergamotsaddle_serving.catalog import Route
-from bergamotsaddle_serving.stage_load import StageLoad
+from bergamotsaddle_serving.stage_load import URGENCIES, ZoneLoad
 
 # A stage that would be done before others is begun so much earlier than needed.
 _HEAD_START_S = 0.08
@@ -16,7 +16,9 @@
         route: The request's route.
         pieces: Number of pieces of each stage; absent ones count as none.
         zone: The zone in which its stages are to run.
-        load: Load of a stage service in a zone, pieces to come among it.
+        load: Where a stage of the zone is best done as an urgency meets it, and the
+            load there.
+        urgency: Urgency of the request, 0 first.
         began_at: When the request came.
         finish_seconds: Expected seconds from the last stage to the first event.
     """
@@ -26,8 +28,9 @@
         route: Route,
         pieces: tuple[int, ...],
         zone: str,
-        load: Callable[[str, str], StageLoad],
+        load: Callable[[str, str, int], ZoneLoad],
         *,
+        urgency: int,
         began_at: float,
         finish_seconds: float,
     ) -> None:
@@ -40,18 +43,26 @@
         self.pieces = (*pieces[:count], *[0] * (count - len(pieces)))
         self.needed = [n for n in range(count) if self.pieces[n] > 0]
         self.seconds: dict[int, float] = {}
+        self.zone_by_stage: dict[int, str] = {}
         self._end_by_stage: dict[int, float] = {}
+        self._idle_by_stage: dict[int, float] = {}
         for stage in self.needed:
-            self._expect(stage, load(route.stages[stage].service, zone))
+            # Once begun a request waits for its turn like any other.
+            level = URGENCIES - 1 if self.predecessors(stage) else urgency
+            expected = load(route.stages[stage].service, zone, level)
+            self._expect(stage, expected)
         followed = {n for stage in route.stages for n in stage.after}
         self.sinks = [n for n in self.needed if n not in followed]
         self._avoided: set[tuple[str, str]] = set()
 
-    def _expect(self, stage: int, load: StageLoad) -> None:
+    def _expect(self, stage: int, expected: ZoneLoad) -> None:
         ends = [self._end_by_stage.get(n, 0.0) for n in self._route.stages[stage].after]
         start = max(ends, default=0.0)
-        self.seconds[stage] = load.seconds(start)
+        self.zone_by_stage[stage] = expected.zone
+        self.seconds[stage] = expected.load.seconds(start)
         self._end_by_stage[stage] = start + self.seconds[stage]
+        idle = [self._idle_by_stage.get(n, 0.0) for n in self._route.stages[stage].after]
+        self._idle_by_stage[stage] = max(idle, default=0.0) + expected.load.call
 
     def predecessors(self, stage: int) -> list[int]:
         """Stages whose results it needs."""
@@ -74,6 +85,10 @@
         """Expected seconds of all stages together."""
         return max(self._end_by_stage.values(), default=0.0)
 
+    def idle_seconds(self) -> float:
+        """The same if nothing waited anywhere."""
+        return max(self._idle_by_stage.values(), default=0.0)
+
     def objective_at(self, stage: int) -> float:
         """When the stage should be done for the request to be on time."""
         due = self._began_at + self._route.objective - self._finish_seconds
--- a/packages/serving/bergamotsaddle_serving/stage_queue.py
+++ b/packages/serving/bergamotsaddle_serving/stage_queue.py
@@ -8,9 +8,13 @@
 # After a target said that it has no room, results of that size wait for this long, or
 # until one is given up. Declared sizes are approximate, so the room counted here can be
 # a result too large; asking again at once would meet the same answer every 2 ms.
-FULL_PAUSE_S = 0.12
+FULL_PAUSE_S = 0.1
+_MOST_DOUBLINGS = 3
 # A call below this part of what it could carry waits for room.
 _WORTH_CALLING = 0.6
+# Among requests that have begun, a step of urgency counts as much as coming so much
+# earlier: enough to go ahead in a burst, too little to be overtaken for ever.
+_URGENCY_S = 0.5
 # Weight of the newest call in the mean number of pieces that a call carries under load.
 _FILL_WEIGHT = 0.2
 
@@ -62,17 +66,21 @@
 
     Answers a burst in which pieces come in faster than they are done for some seconds.
     First the rest of a stage that has results already: they hold room until the last
-    piece is there. Then urgent kinds. Among equals those that can still be on time
-    come before those that can't, or one late request would make the next one late in
-    turn; then those whose earlier stages have run, since their work would be thrown
-    away; then the one that is due first.
+    piece is there. Then requests whose earlier stages have run, the oldest first:
+    their results hold room as well, and expire after some seconds, so one that is
+    overtaken by every newcomer of a more urgent kind ends as work for nothing. Among
+    requests that begin, urgent kinds come first, and among equals those that can still
+    be on time, or one late request would make the next one late in turn.
     """
+    if piece.has_begun:
+        due = piece.objective_at + piece.urgency * _URGENCY_S
+        return (not is_open, False, 0, False, due, piece.key)
     is_late = piece.objective_at < moment + expected
     return (
         not is_open,
+        True,
         piece.urgency,
         is_late,
-        not piece.has_begun,
         piece.objective_at,
         piece.key,
     )
@@ -197,7 +205,8 @@
         """
         ahead = [0] * URGENCIES
         for piece in self.piece_by_key.values():
-            for urgency in range(level(piece.urgency), URGENCIES):
+            first = 0 if piece.has_begun else level(piece.urgency)
+            for urgency in range(first, URGENCIES):
                 ahead[urgency] += 1
         rate = self.rate(targets, pace)
         return [until_free + n / rate for n in ahead]
@@ -228,6 +237,7 @@
         self._reserved = 0
         self._full_until = 0.0
         self._refused_size = 0
+        self._refusals = 0
 
     def left(self, moment: float) -> float:
         """Bytes that are free, as far as it is known."""
@@ -238,7 +248,9 @@
 
     def note_full(self, size: int, moment: float) -> None:
         """Note that the target had no room for a result of a size."""
-        self._full_until = moment + FULL_PAUSE_S
+        if moment >= self._full_until:
+            self._refusals = min(self._refusals + 1, _MOST_DOUBLINGS)
+        self._full_until = moment + FULL_PAUSE_S * 2.0 ** (self._refusals - 1)
         self._refused_size = size
 
     def _uncounted(self, moment: float) -> float:
@@ -258,6 +270,7 @@
 
     def hold(self, handle: str, size: int, moment: float) -> None:
         """Note a result."""
+        self._refusals = 0
         self._held_by_handle[handle] = (moment + self._keep_seconds, size)
 
     def release(self, handle: str) -> None:
--- a/packages/serving/bergamotsaddle_serving/stage_run.py
+++ b/packages/serving/bergamotsaddle_serving/stage_run.py
@@ -23,7 +23,12 @@
 )
 from bergamotsaddle_serving.peers import Peers
 from bergamotsaddle_serving.stage_load import Coming
-from bergamotsaddle_serving.stage_owner import LATE, NO_TARGET, StageOwner
+from bergamotsaddle_serving.stage_owner import (
+    LATE,
+    MOVED,
+    NO_TARGET,
+    StageOwner,
+)
 from bergamotsaddle_serving.stage_plan import StagePlan
 
 # An owner acknowledges within a few ms; after this it is asked again, and after two
@@ -44,10 +49,20 @@
     Attributes:
         handles: Handles of the results that the request itself needs.
         seconds: How long they took.
+        stages: For each stage its zone, expected and actual seconds, for logs.
     """
 
     handles: tuple[str, ...]
     seconds: float
+    stages: list[tuple[int, str, float, float]]
+
+
+class _Place(NamedTuple):
+    """Where a result was made."""
+
+    owner: str
+    service: str
+    zone: str
 
 
 class _Open:
@@ -102,6 +117,12 @@
         if inbox is not None:
             inbox.put(message)
 
+    def successor(self, owner: str, service: str, zone: str) -> str:
+        """The owner itself while it lives, else the one in its place."""
+        if owner == self.peers.own.id or self.peers.is_alive(owner):
+            return owner
+        return next(iter(rank_owners(self.peers, service, zone)), owner)
+
     def send(self, owner: str, message: Message) -> None:
         """Send a message to an owner, which may be this instance itself."""
         if owner != self.peers.own.id:
@@ -156,12 +177,14 @@
         self._inbox = exchange.open(head.id)
         self._open: list[_Open] = []
         self._results_by_stage: dict[int, dict[int, str]] = {}
-        self._owner_by_handle: dict[str, tuple[str, str]] = {}
+        self._place_by_handle: dict[str, _Place] = {}
         self._owners: set[str] = set()
         self._failures = 0
         self._round = first_round
         self._coming = coming
         self._announced: dict[int, int] = {}
+        self._begun_by_stage: dict[int, float] = {}
+        self._ended_by_stage: dict[int, float] = {}
 
     def run(self) -> StageEnd:
         """Have all stages done.
@@ -180,7 +203,18 @@
             for stage in self._plan.sinks
             for number in sorted(self._results_by_stage.get(stage, ()))
         ]
-        return StageEnd(tuple(handles), now() - began_at)
+        return StageEnd(tuple(handles), now() - began_at, self._times())
+
+    def _times(self) -> list[tuple[int, str, float, float]]:
+        return [
+            (
+                stage,
+                self._plan.zone_by_stage[stage],
+                round(self._plan.seconds[stage], 3),
+                round(self._ended_by_stage[stage] - self._begun_by_stage[stage], 3),
+            )
+            for stage in self._plan.needed
+        ]
 
     @property
     def next_round(self) -> int:
@@ -196,7 +230,7 @@
             for owner in self._owners:
                 self._exchange.send(owner, Cancel(self._head.id))
             self._open.clear()
-        self._release_handles(list(self._owner_by_handle))
+        self._release_handles(list(self._place_by_handle))
 
     def _is_done(self) -> bool:
         return all(
@@ -242,10 +276,12 @@
     def _count_coming(self, stage: int, pieces: int) -> None:
         if pieces:
             service = self._route.stages[stage].service
-            self._coming.add(service, self._plan.zone, self._urgency, pieces)
+            zone = self._plan.zone_by_stage[stage]
+            self._coming.add(service, zone, self._urgency, pieces)
 
     def _assign(self, stage: int) -> None:
         self._arrive(stage)
+        self._begun_by_stage.setdefault(stage, now())
         service = self._route.stages[stage].service
         numbers = self._unassigned(stage)
         for zone, count in self._spread(service, stage, len(numbers)):
@@ -342,6 +378,7 @@
             self._fail(*failed[0])
         if self._stage_is_done(message.stage):
             self._plan.note_done(now())
+            self._ended_by_stage[message.stage] = now()
             self._release_inner()
 
     def _close(self, opened: _Open, done: Done) -> None:
@@ -352,7 +389,9 @@
             service = self._route.stages[opened.number].service
             held = self._results_by_stage.setdefault(opened.number, {})
             held[done.number] = done.handle
-            self._owner_by_handle[done.handle] = (opened.owner, service)
+            self._place_by_handle[done.handle] = _Place(
+                opened.owner, service, opened.zone
+            )
 
     def _find(self, message: Results, number: int) -> _Open | None:
         for opened in self._open:
@@ -373,6 +412,8 @@
     def _fail(self, opened: _Open, reason: str) -> None:
         if reason == LATE:
             raise self._refuse(ErrorKind.DEADLINE_INFEASIBLE, "a stage was too late")
+        if reason == MOVED:
+            return
         self._failures += 1
         if self._failures > _MAX_FAILURES:
             raise self._refuse(ErrorKind.NO_TARGET, f"a stage failed: {reason}")
@@ -407,13 +448,14 @@
                 self._release_handles(list(handles))
 
     def _release_handles(self, handles: list[str]) -> None:
-        by_owner: dict[tuple[str, str], list[str]] = {}
+        by_place: dict[_Place, list[str]] = {}
         for handle in handles:
-            place = self._owner_by_handle.pop(handle, None)
+            place = self._place_by_handle.pop(handle, None)
             if place is not None:
-                by_owner.setdefault(place, []).append(handle)
-        for (owner, service), group in by_owner.items():
-            self._exchange.send(owner, Release(service, group))
+                by_place.setdefault(place, []).append(handle)
+        for place, group in by_place.items():
+            owner = self._exchange.successor(place.owner, place.service, place.zone)
+            self._exchange.send(owner, Release(place.service, group))
 
     def _refuse(self, kind: ErrorKind, detail: str) -> RequestError:
         left = max(0.0, self._deadline_at - now())
--- a/packages/serving/bergamotsaddle_serving/stage_waits.py
+++ b/packages/serving/bergamotsaddle_serving/stage_waits.py
@@ -6,7 +6,7 @@
 from bergamotsaddle_serving.catalog import Stage
 from bergamotsaddle_serving.owners import rank_owners
 from bergamotsaddle_serving.peers import Peers
-from bergamotsaddle_serving.stage_load import Coming, StageLoad, level
+from bergamotsaddle_serving.stage_load import Coming, StageLoad, ZoneLoad, level
 from bergamotsaddle_serving.stage_owner import StageOwner
 from bergamotsaddle_serving.stage_plan import StagePlan
 from bergamotsaddle_serving.view import View
@@ -36,14 +36,17 @@
         self._owner = owner
         self.coming = Coming()
 
-    def best(self, service: str, zone: str, urgency: int) -> StageLoad:
+    def best(self, service: str, zone: str, urgency: int) -> ZoneLoad:
         """Load of a stage in its zone, or in another one if it is done earlier there."""
         loads = self._loads(service, urgency)
         preferred = loads.pop(zone, _NO_TARGETS)
-        other = min(loads.values(), key=_total, default=_NO_TARGETS)
-        if _total(preferred) <= _total(other) + _CROSS_GAIN_S:
-            return preferred
-        return other._replace(drain=other.drain + _CROSS_GAIN_S)
+        other = min(loads, key=lambda z: _total(loads[z]), default=None)
+        if other is None:
+            return ZoneLoad(zone, preferred)
+        load = loads[other]
+        if _total(preferred) <= _total(load) + _CROSS_GAIN_S:
+            return ZoneLoad(zone, preferred)
+        return ZoneLoad(other, load._replace(drain=load.drain + _CROSS_GAIN_S))
 
     def choose_zone(
         self, service: str, zone: str, urgency: int, plan: StagePlan
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -8,7 +8,7 @@
 
 from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving.admission import admits, retry_after
+from bergamotsaddle_serving.admission import Forecast, admits, retry_after
 from bergamotsaddle_serving.attempt import (
     PROMISES,
     Attempt,
@@ -125,7 +125,8 @@
             context.route,
             context.head.pieces,
             zone,
-            lambda service, z: self.waits.best(service, z, context.urgency),
+            lambda service, z, urgency: self.waits.best(service, z, urgency),
+            urgency=context.urgency,
             began_at=context.began_at,
             finish_seconds=finish,
         )
@@ -211,23 +212,30 @@
         therefore finished.
         """
         context = self._context
-        left = context.first_by - now()
+        plan = self._server.plan(context, choice.engine.zone, choice.finish_seconds)
+        forecast = Forecast(
+            seconds=choice.seconds,
+            idle_seconds=plan.idle_seconds() + choice.idle_seconds,
+            objective=context.began_at + context.route.objective - now(),
+            left=context.first_by - now(),
+        )
+        is_admitted = admits(forecast, context.urgency)
         self._server.logger.info(
-            "admit",
+            "admit" if is_admitted else "turn_away",
             request=context.head.id,
             engine=choice.engine.id,
             reason=choice.reason,
-            expected=round(choice.seconds, 3),
-            left=round(left, 3),
+            expected=round(forecast.seconds, 3),
+            idle=round(forecast.idle_seconds, 3),
+            left=round(forecast.left, 3),
             version=context.version,
         )
-        objective = context.began_at + context.route.objective - now()
-        if admits(choice.seconds, objective, left):
+        if is_admitted:
             return
         raise context.refuse(
             ErrorKind.DEADLINE_INFEASIBLE,
             f"expected to take {choice.seconds:.2f} s",
-            retry_after=retry_after(choice.seconds, objective, left),
+            retry_after=retry_after(forecast),
         )
 
     def _run_stages(self, choice: EngineChoice) -> None:
@@ -262,6 +270,7 @@
             zone=choice.engine.zone,
             seconds=round(end.seconds, 3),
             expected=round(plan.total_seconds(), 3),
+            stages=end.stages,
         )
 
     def _try(self, choice: EngineChoice) -> bool:
