--- a/packages/serving/bergamotsaddle_serving/stage_queue.py
+++ b/packages/serving/bergamotsaddle_serving/stage_queue.py
@@ -74,13 +74,14 @@
     """
     if piece.has_begun:
         due = piece.objective_at + piece.urgency * _URGENCY_S
-        return (not is_open, False, 0, False, due, piece.key)
+        is_late = piece.objective_at < moment + expected
+        return (not is_open, is_late, piece.urgency, False, due, piece.key)
     is_late = piece.objective_at < moment + expected
     return (
         not is_open,
-        True,
-        piece.urgency,
         is_late,
+        piece.urgency,
+        True,
         piece.objective_at,
         piece.key,
     )
