--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
-PACKAGES := $(wildcard packages/*/pyproject.toml)
+PACKAGES := $(wildcard packages/*/pyproject.toml) platform/adapter/pyproject.toml
 
 .PHONY: demo test lint format model faults bench capacity
 .NOTPARALLEL:
--- a/packages/serving/bergamotsaddle_serving/caller.py
+++ b/packages/serving/bergamotsaddle_serving/caller.py
@@ -1,5 +1,6 @@
 """A caller's connection: strict parsing, limits, and notice when the caller leaves."""
 
+import contextlib
 import re
 import socket
 import struct
@@ -148,21 +149,17 @@
 
     def close(self) -> None:
         """Close the connection, so that what was written still arrives."""
-        try:
+        # It fails where the caller has closed the connection already.
+        with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_WR)
-        except OSError:
-            # The caller has closed it already.
-            pass
         self._socket.close()
 
     def reset(self) -> None:
         """Break the connection off, so that an unfinished answer never looks whole."""
         self.must_close = True
-        try:
+        # It fails where the connection is gone already.
+        with contextlib.suppress(OSError):
             self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
-        except OSError:
-            # The connection is gone already.
-            pass
         self._socket.close()
 
     def _wait_first_byte(self) -> bool:
@@ -198,7 +195,9 @@
         return RawRequest(event.method, event.target, headers, body, began_at)
 
     def _read_head(self, limits: CallerLimits) -> tuple[bytes, bytes]:
-        data = self._ahead.lstrip(b"\r\n") if self._ahead[:1] in b"\r\n" else self._ahead
+        data = (
+            self._ahead.lstrip(b"\r\n") if self._ahead[:1] in b"\r\n" else self._ahead
+        )
         while _HEAD_END not in data:
             if len(data) > limits.head_bytes:
                 raise RequestError(ErrorKind.HEAD_TOO_LARGE, "the head is too large")
--- a/packages/serving/bergamotsaddle_serving/catalog.py
+++ b/packages/serving/bergamotsaddle_serving/catalog.py
@@ -5,7 +5,6 @@
 
 from bergamotsaddle_contracts.ini import Address
 
-
 # Callers give up a stream that shows nothing for the longest of this, so many times its
 # objective, and so many times its longest pause; as the platform tells.
 _PATIENCE_S = 2.0
--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -113,8 +113,9 @@
         """
         if now() - self.idle_since > self.keep_seconds - _KEEP_MARGIN_S:
             return False
-        ready, _, _ = _original_select.select([self._socket.fileno()], [], [], 0)
-        return not ready
+        poll = _original_select.poll()
+        poll.register(self._socket.fileno(), _original_select.POLLIN)
+        return not poll.poll(0)
 
     def send(self, request: Outgoing, *, limit: float) -> None:
         """Send a request.
--- a/packages/serving/bergamotsaddle_serving/follower.py
+++ b/packages/serving/bergamotsaddle_serving/follower.py
@@ -130,9 +130,7 @@
         if self.is_lost:
             return
         self.is_lost = True
-        self._logger.warning(
-            "store_lost", reason=reason, revision=self._view.revision
-        )
+        self._logger.warning("store_lost", reason=reason, revision=self._view.revision)
 
     def _regain(self, asked_at: float) -> None:
         self._view.confirmed_at = asked_at
--- a/packages/serving/bergamotsaddle_serving/peer_messages.py
+++ b/packages/serving/bergamotsaddle_serving/peer_messages.py
@@ -24,7 +24,7 @@
         is_stopping: Whether it takes no more work for others.
         revision: Up to which its view knows the store.
         loads: Load of each stage queue that it owns, by service: seconds until what
-            waits is done for each urgency from 0 on, then call time and pieces a second.
+            waits is done for each urgency from 0 on, call time, pieces a second.
         coming: Pieces of its admitted requests that will come to a stage later:
             service, zone, number by urgency.
         running: Requests that it has at each engine.
@@ -57,6 +57,7 @@
         urgency: 0 first.
         has_begun: Whether earlier stages of the request have run.
         result_bytes: Approximate size of a result.
+        input_bytes: Approximate size of all inputs together.
         objective: Seconds until the result should be there for the request to be on
             time.
         remaining: Seconds after which the result is of no use.
@@ -73,6 +74,7 @@
     urgency: int
     has_begun: bool
     result_bytes: int
+    input_bytes: int
     objective: float
     remaining: float
     round: int
@@ -111,6 +113,15 @@
     done: list[Done]
 
 
+class Started(Message):
+    """A target works on pieces and has fetched their inputs."""
+
+    request: str
+    stage: int
+    round: int
+    numbers: list[int]
+
+
 class Cancel(Message):
     """The request has ended: its pieces are not needed any more."""
 
@@ -124,7 +135,7 @@
     handles: list[str]
 
 
-Datagram = Hello | Submit | Accepted | Results | Cancel | Release
+Datagram = Hello | Submit | Accepted | Started | Results | Cancel | Release
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Datagram)
--- a/packages/serving/bergamotsaddle_serving/selector.py
+++ b/packages/serving/bergamotsaddle_serving/selector.py
@@ -56,9 +56,7 @@
             for known in self._view.usable(service)
             if known.target.id not in exclude
         ]
-        found = [
-            c for c in found if not c.is_cold or self._cold.may_send(c.target.id)
-        ]
+        found = [c for c in found if not c.is_cold or self._cold.may_send(c.target.id)]
         return [c for c in found if not c.state.is_resting()] or found
 
     def pick(self, service: str, exclude: set[str]) -> Candidate | None:
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -144,9 +144,7 @@
                 self.logger.warning("accept_failed", reason=str(error))
                 eventlet.sleep(_STOP_STEP_S)
                 continue
-            caller = CallerConnection(
-                sock, self.handler.limits, lambda: self._stopping
-            )
+            caller = CallerConnection(sock, self.handler.limits, lambda: self._stopping)
             eventlet.spawn_n(self.handler.run, caller)
 
     def _stop(self, listener: socket.socket) -> None:
--- a/packages/serving/bergamotsaddle_serving/stage_owner.py
+++ b/packages/serving/bergamotsaddle_serving/stage_owner.py
@@ -15,6 +15,7 @@
     ConnectionPool,
     Outgoing,
 )
+from bergamotsaddle_serving.fetching import fetch_seconds
 from bergamotsaddle_serving.messages import Dialect, HttpCall, Piece, PieceResult
 from bergamotsaddle_serving.owners import rank_owners
 from bergamotsaddle_serving.peer_messages import (
@@ -23,6 +24,7 @@
     Done,
     Release,
     Results,
+    Started,
     Submit,
 )
 from bergamotsaddle_serving.peers import Peers
@@ -118,6 +120,12 @@
         return [w for w in self.worker_by_life.values() if w.rest_until <= moment]
 
 
+def _input_bytes(batch: list[QueuedPiece]) -> int:
+    """Size of all inputs of a call; pieces of one stage share theirs."""
+    by_stage = {piece.key[:2]: piece.input_bytes for piece in batch}
+    return sum(by_stage.values())
+
+
 class StageOwner:
     """The queues that this instance owns.
 
@@ -271,11 +279,11 @@
                 # What it holds stays known until it is gone, so that results can
                 # still be given up; its threads end by themselves.
                 del queue.worker_by_life[life]
+            self._hire(queue)
+            self._turn_away(queue)
             queue.wake()
 
-    def _take(
-        self, queue: _ServiceQueue, message: Submit, number: int
-    ) -> Done | None:
+    def _take(self, queue: _ServiceQueue, message: Submit, number: int) -> Done | None:
         key = PieceKey(message.request, message.stage, number, message.round)
         if key in queue.done_by_key:
             return queue.done_by_key[key]
@@ -292,6 +300,7 @@
                 message.result_bytes,
                 message.key,
                 tuple(message.inputs),
+                message.input_bytes,
             )
         )
         return None
@@ -353,12 +362,16 @@
         self.calls += 1
         self.pieces += len(batch)
         limit = expected * max(1.0, worker.pace) * _LOST_FACTOR + _LOST_EXTRA_S
+        started = eventlet.spawn_after(
+            fetch_seconds(_input_bytes(batch)), self._tell_started, queue, batch
+        )
         try:
             results = self._send(worker, batch, limit)
         except (ConnectionLostError, ValueError) as error:
             self._fail(queue, worker, batch, str(error))
             return
         finally:
+            started.cancel()
             worker.room.end_reservation(size)
             queue.running.difference_update(piece.key for piece in batch)
             worker.free_at = now()
@@ -388,7 +401,8 @@
         if not self._view.may_get_work(worker.target):
             raise ConnectionLostError("left", is_unsent=True)
         pieces = [
-            Piece(*p.key[:3], p.input_key, p.inputs, p.expires_at - moment) for p in batch
+            Piece(*p.key[:3], p.input_key, p.inputs, p.expires_at - moment)
+            for p in batch
         ]
         call = self._dialect.run_pieces(pieces, worker.target)
         status, body = self._exchange(worker.target.address, call, limit)
@@ -490,14 +504,24 @@
                 queue.done_by_key.popitem(last=False)
         return done
 
-    def _tell(self, queue: _ServiceQueue, results: Results) -> None:
-        sender = queue.sender_by_request.get(results.request)
+    def _tell(self, queue: _ServiceQueue, message: Results | Started) -> None:
+        sender = queue.sender_by_request.get(message.request)
         if sender is None:
             return
         if sender == self._peers.own.id:
-            self.deliver_here(results)
+            self.deliver_here(message)
         else:
-            self._peers.send(sender, results)
+            self._peers.send(sender, message)
+
+    def _tell_started(self, queue: _ServiceQueue, batch: list[QueuedPiece]) -> None:
+        numbers: dict[tuple[str, int, int], list[int]] = {}
+        for piece in batch:
+            if piece.inputs:
+                key = piece.key
+                stage = (key.request, key.stage, key.round)
+                numbers.setdefault(stage, []).append(key.number)
+        for (request, stage, turn), group in numbers.items():
+            self._tell(queue, Started(request, stage, turn, group))
 
     def _release(self, address: Address, handle: str, service: str) -> None:
         queue = self._queue_by_service.get(service)
--- a/packages/serving/bergamotsaddle_serving/stage_plan.py
+++ b/packages/serving/bergamotsaddle_serving/stage_plan.py
@@ -61,7 +61,9 @@
         self.zone_by_stage[stage] = expected.zone
         self.seconds[stage] = expected.load.seconds(start)
         self._end_by_stage[stage] = start + self.seconds[stage]
-        idle = [self._idle_by_stage.get(n, 0.0) for n in self._route.stages[stage].after]
+        idle = [
+            self._idle_by_stage.get(n, 0.0) for n in self._route.stages[stage].after
+        ]
         self._idle_by_stage[stage] = max(idle, default=0.0) + expected.load.call
 
     def predecessors(self, stage: int) -> list[int]:
--- a/packages/serving/bergamotsaddle_serving/stage_queue.py
+++ b/packages/serving/bergamotsaddle_serving/stage_queue.py
@@ -47,6 +47,7 @@
         result_bytes: Room that the result takes.
         input_key: What to work on, for stages without predecessors.
         inputs: Handles of the results to work on, else.
+        input_bytes: Approximate size of all inputs together.
         tries: Calls that failed with it.
     """
 
@@ -58,6 +59,7 @@
     result_bytes: int
     input_key: str
     inputs: tuple[str, ...]
+    input_bytes: int = 0
     tries: int = 0
 
 
--- a/packages/serving/bergamotsaddle_serving/stage_run.py
+++ b/packages/serving/bergamotsaddle_serving/stage_run.py
@@ -19,6 +19,7 @@
     Message,
     Release,
     Results,
+    Started,
     Submit,
 )
 from bergamotsaddle_serving.peers import Peers
@@ -95,6 +96,7 @@
         owner.deliver_here = self.deliver
         peers.on(Submit, self._serve)
         peers.on(Accepted, lambda message, _: self.deliver(message))
+        peers.on(Started, lambda message, _: self.deliver(message))
         peers.on(Results, lambda message, _: self.deliver(message))
         peers.on(Cancel, lambda message, _: owner.cancel(message))
         peers.on(Release, lambda message, _: owner.release(message))
@@ -107,7 +109,7 @@
         """Close it."""
         self._inbox_by_request.pop(request, None)
 
-    def deliver(self, message: Accepted | Results) -> None:
+    def deliver(self, message: Accepted | Started | Results) -> None:
         """Hand a message to the request that waits for it.
 
         Results for a request that has ended are given up by its cancellation, which
@@ -183,6 +185,7 @@
         self._round = first_round
         self._coming = coming
         self._announced: dict[int, int] = {}
+        self._started_by_stage: dict[int, set[int]] = {}
         self._begun_by_stage: dict[int, float] = {}
         self._ended_by_stage: dict[int, float] = {}
 
@@ -315,6 +318,7 @@
             urgency=self._urgency,
             has_begun=bool(self._results_by_stage),
             result_bytes=stage.result_bytes,
+            input_bytes=self._input_bytes(opened.number),
             objective=self._plan.objective_at(opened.number) - moment,
             remaining=remaining,
             round=opened.round,
@@ -324,6 +328,12 @@
         self._owners.add(opened.owner)
         self._exchange.send(opened.owner, message)
 
+    def _input_bytes(self, stage: int) -> int:
+        return sum(
+            self._route.stages[n].result_bytes * self._plan.pieces[n]
+            for n in self._plan.predecessors(stage)
+        )
+
     def _leave(self, opened: _Open) -> None:
         # The owner has died, is cut off or stands still; its successor makes the
         # pieces again if they were made at all.
@@ -344,8 +354,10 @@
             return
         if isinstance(message, Accepted):
             self._take_acknowledgement(message)
-            return
-        self._take_results(message)
+        elif isinstance(message, Started):
+            self._take_start(message)
+        else:
+            self._take_results(message)
 
     def _take_acknowledgement(self, message: Accepted) -> None:
         for opened in self._open:
@@ -353,6 +365,13 @@
             if is_it and message.number in opened.missing:
                 self._note_heard(opened)
 
+    def _take_start(self, message: Started) -> None:
+        if message.round == self._round:
+            self._started_by_stage.setdefault(message.stage, set()).update(
+                message.numbers
+            )
+            self._release_inner()
+
     def _note_heard(self, opened: _Open) -> None:
         opened.unacknowledged = 0
         opened.next_at = now() + _REFRESH_S
@@ -425,6 +444,7 @@
             reason=reason,
         )
         self._round += 1
+        self._started_by_stage.clear()
         if reason == "gone":
             self._forget_inputs(opened.number)
         if reason == NO_TARGET:
@@ -440,13 +460,18 @@
             self._release_handles(list(handles))
 
     def _release_inner(self) -> None:
-        """Give up results whose followers are all done."""
+        """Give up results that all their followers have fetched."""
         for stage in self._plan.needed:
             followers = self._plan.followers(stage)
-            if followers and all(self._stage_is_done(s) for s in followers):
+            if followers and all(self._has_fetched(s) for s in followers):
                 handles = self._results_by_stage.get(stage, {}).values()
                 self._release_handles(list(handles))
 
+    def _has_fetched(self, stage: int) -> bool:
+        held = set(self._results_by_stage.get(stage, ()))
+        started = self._started_by_stage.get(stage, set())
+        return len(held | started) >= self._plan.pieces[stage]
+
     def _release_handles(self, handles: list[str]) -> None:
         by_place: dict[_Place, list[str]] = {}
         for handle in handles:
--- a/packages/serving/bergamotsaddle_serving/stage_waits.py
+++ b/packages/serving/bergamotsaddle_serving/stage_waits.py
@@ -37,7 +37,7 @@
         self.coming = Coming()
 
     def best(self, service: str, zone: str, urgency: int) -> ZoneLoad:
-        """Load of a stage in its zone, or in another one if it is done earlier there."""
+        """Load of a stage in its zone, or in another one if it is done earlier."""
         loads = self._loads(service, urgency)
         preferred = loads.pop(zone, _NO_TARGETS)
         other = min(loads, key=lambda z: _total(loads[z]), default=None)
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -28,6 +28,7 @@
     unshared_tokens,
 )
 from bergamotsaddle_serving.events import EventSplitter
+from bergamotsaddle_serving.fetching import fetch_seconds
 from bergamotsaddle_serving.messages import Dialect, Dispatch
 from bergamotsaddle_serving.selector import Candidate, Selector
 from bergamotsaddle_serving.stage_plan import StagePlan
@@ -47,10 +48,6 @@
 _FIRST_SILENT_S = 2.0
 _FIRST_FACTOR = 6.0
 _MAX_REFUSALS = 3
-# From sending a request until its engine has fetched the inputs, besides the transfer:
-# two trips between zones and the engine's own work, several times over.
-FETCH_S = 0.02
-_FETCH_BYTES_PER_S = 800e6
 _CONFLICT = 409
 
 
@@ -240,9 +237,7 @@
 
     def _run_stages(self, choice: EngineChoice) -> None:
         context = self._context
-        plan = self._server.plan(
-            context, choice.engine.zone, choice.finish_seconds
-        )
+        plan = self._server.plan(context, choice.engine.zone, choice.finish_seconds)
         if not plan.needed:
             self._inputs = ()
             return
@@ -262,7 +257,13 @@
             coming=self._server.waits.coming,
             first_round=first_round,
         )
-        end = self._stages.run()
+        try:
+            end = self._stages.run()
+        except RequestError as error:
+            if self._has_run:
+                # The stages of a second try can't vouch for what the first one did.
+                raise self._end(error.detail) from error
+            raise
         self._inputs = end.handles
         self._server.logger.info(
             "stages_done",
@@ -384,8 +385,7 @@
             return
         sizes = self._context.route.stages
         most = max(stage.result_bytes for stage in sizes) * len(self._inputs)
-        delay = FETCH_S + most / _FETCH_BYTES_PER_S
-        self._fetching = eventlet.spawn_after(delay, self._release_inputs)
+        self._fetching = eventlet.spawn_after(fetch_seconds(most), self._release_inputs)
 
     def _release_inputs(self) -> None:
         # If the stream breaks off later they are made again, which is rare.
--- /dev/null
+++ b/tests/test_stage_plan.py
@@ -0,0 +1,63 @@
+"""When the stages of a request should run."""
+
+import unittest
+
+from bergamotsaddle_serving.catalog import Kind, Route, Share, Stage
+from bergamotsaddle_serving.stage_load import StageLoad, ZoneLoad
+from bergamotsaddle_serving.stage_plan import StagePlan
+
+CHAIN = (
+    Stage("encode", (), 3_000_000),
+    Stage("encode", (), 8_000),
+    Stage("retrieve", (1,), 60_000),
+    Stage("rerank", (2,), 6_000),
+)
+ROUTE = Route(
+    "r", "h", "/", Kind.STREAM, 8.0, 2.4, 2, 1, (Share("engine", 1.0),), CHAIN
+)
+
+
+def plan(pieces, *, drain=0.0):
+    """Plan with calls of 0.25 s everywhere."""
+    return StagePlan(
+        ROUTE,
+        pieces,
+        "a",
+        lambda service, zone, urgency: ZoneLoad(zone, StageLoad(drain, 0.25, 50.0)),
+        urgency=1,
+        began_at=100.0,
+        finish_seconds=0.1,
+    )
+
+
+class StagePlanTest(unittest.TestCase):
+    """A chain of three stages beside a stage with a large result."""
+
+    def test_a_large_result_is_made_when_the_chain_is_about_to_end(self):
+        """The large result would be ready a second before it is needed.
+
+        Targets have room for six of them; made at once they keep that room from
+        requests that could use it, and those are late.
+        """
+        found = plan((1, 1, 8, 16))
+        self.assertTrue(found.should_wait(0, set(), 0.0))
+        self.assertFalse(found.should_wait(1, set(), 0.0))
+        self.assertFalse(found.should_wait(0, {1, 2}, 0.0))
+
+    def test_without_a_chain_it_is_made_at_once(self):
+        self.assertFalse(plan((2, 0, 0, 0)).should_wait(0, set(), 0.0))
+
+    def test_times(self):
+        found = plan((1, 1, 8, 16))
+        self.assertAlmostEqual(found.total_seconds(), 0.75)
+        self.assertAlmostEqual(found.objective_at(3), 102.3)
+        self.assertAlmostEqual(found.objective_at(1), 101.8)
+        self.assertEqual(found.sinks, [0, 3])
+
+    def test_a_queue_drains_while_earlier_stages_run(self):
+        self.assertAlmostEqual(plan((1, 1, 8, 16), drain=0.3).total_seconds(), 1.05)
+
+    def test_absent_stages_are_left_out(self):
+        found = plan((0, 1))
+        self.assertEqual(found.needed, [1])
+        self.assertEqual(found.predecessors(1), [])
--- /dev/null
+++ b/tests/test_stage_queue.py
@@ -0,0 +1,186 @@
+"""Which pieces a stage target works on next, under the loads that matter."""
+
+import unittest
+
+from parameterized import parameterized
+
+from bergamotsaddle_serving.catalog import Batching
+from bergamotsaddle_serving.stage_queue import (
+    FULL_PAUSE_S,
+    PieceKey,
+    QueuedPiece,
+    ResultRoom,
+    StageQueue,
+)
+
+BATCHING = Batching(
+    slots=1,
+    size=4,
+    call_seconds=0.15,
+    piece_seconds=0.03,
+    room_bytes=18e6,
+    keep_seconds=4.0,
+)
+LARGE = 3_000_000
+SMALL = 8_000
+
+
+def piece(request, number=0, **changes):
+    """Make a piece that is due in a second."""
+    values = {
+        "key": PieceKey(request, 0, number),
+        "urgency": 0,
+        "has_begun": False,
+        "objective_at": 1.0,
+        "expires_at": 4.0,
+        "result_bytes": SMALL,
+        "input_key": "k",
+        "inputs": (),
+    }
+    return QueuedPiece(**(values | changes))
+
+
+def requests(batch):
+    """Requests of a batch's pieces, each once, in order."""
+    return list(dict.fromkeys(taken.key.request for taken in batch))
+
+
+class RankTest(unittest.TestCase):
+    """Order of pieces of a single call with one place."""
+
+    @parameterized.expand(
+        [
+            ("earlier", piece("a", objective_at=0.9), piece("b")),
+            ("urgent", piece("a"), piece("b", urgency=1, objective_at=0.5)),
+            ("on_time", piece("a", urgency=2), piece("b", objective_at=0.1)),
+            ("begun", piece("a", has_begun=True), piece("b", objective_at=0.5)),
+        ]
+    )
+    def test_first(self, _, first, second):
+        queue = StageQueue(BATCHING._replace(size=1))
+        queue.add(second)
+        queue.add(first)
+        self.assertEqual(requests(queue.take_batch(0.0, 18e6)), ["a"])
+
+
+class BurstTest(unittest.TestCase):
+    """Bursts of requests whose results nearly fill a target's room."""
+
+    def test_large_stages_are_begun_whole(self):
+        """Many requests with three large results each come at once.
+
+        Were single pieces taken as they fit, two requests would each hold two results
+        and wait for the third; their callers would give up with nothing.
+        """
+        queue = StageQueue(BATCHING)
+        for request in "abcdef":
+            for number in range(3):
+                queue.add(piece(request, number, result_bytes=LARGE))
+        room = ResultRoom(18e6, 4.0)
+        finished = set()
+        held = {}
+        for turn in range(12):
+            moment = turn * 0.3
+            for taken in queue.take_batch(moment, room.left(moment)):
+                held.setdefault(taken.key.request, set()).add(taken.key.number)
+                room.hold(f"{taken.key}", LARGE, moment)
+            for request, numbers in list(held.items()):
+                if len(numbers) == 3:
+                    finished.add(request)
+                    del held[request]
+                    for number in range(3):
+                        room.release(f"{PieceKey(request, 0, number)}")
+            self.assertLessEqual(len(held), 1)
+        self.assertEqual(finished, set("abcdef"))
+
+    def test_small_results_pass_what_has_no_room(self):
+        """A large stage waits for room while small ones behind it could run.
+
+        A call with nothing but what fits keeps the target busy.
+        """
+        queue = StageQueue(BATCHING)
+        for number in range(3):
+            queue.add(piece("large", number, result_bytes=LARGE))
+        queue.add(piece("small", urgency=2))
+        self.assertEqual(requests(queue.take_batch(0.0, 6e6)), ["small"])
+
+    def test_a_call_waits_for_room_rather_than_go_nearly_empty(self):
+        """The results of the call before are about to be given up.
+
+        A call costs as much as five pieces; one that carries a single piece of the
+        many that wait halves what the target does in a burst.
+        """
+        queue = StageQueue(BATCHING)
+        for request in "abcdef":
+            queue.add(piece(request, result_bytes=LARGE))
+        self.assertEqual(queue.take_batch(0.0, 4e6, may_wait=True), [])
+        self.assertEqual(len(queue.take_batch(0.0, 4e6)), 1)
+        self.assertEqual(len(queue.take_batch(0.0, 18e6, may_wait=True)), 4)
+
+    def test_what_cannot_be_done_in_time_is_taken_out(self):
+        queue = StageQueue(BATCHING)
+        queue.add(piece("a", expires_at=0.1))
+        queue.add(piece("b", expires_at=1.0))
+        self.assertEqual(requests(queue.take_expired(0.0)), ["a"])
+        self.assertEqual(requests(queue.take_batch(0.0, 18e6)), ["b"])
+
+    def test_cancelled_requests_leave(self):
+        queue = StageQueue(BATCHING)
+        queue.add(piece("a"))
+        queue.add(piece("b"))
+        queue.cancel("a")
+        self.assertEqual(requests(queue.take_batch(0.0, 18e6)), ["b"])
+
+    def test_pieces_of_another_round_are_other_pieces(self):
+        """A result was lost and its stage is begun anew while old pieces wait.
+
+        Taking an old piece for the new one would hand out a result that was given up,
+        and the request would fail once more.
+        """
+        queue = StageQueue(BATCHING)
+        queue.add(piece("a"))
+        queue.add(piece("a", key=PieceKey("a", 0, 0, 1)))
+        self.assertEqual(len(queue), 2)
+
+    def test_drain_counts_urgencies_apart(self):
+        queue = StageQueue(BATCHING)
+        for number in range(8):
+            queue.add(piece("a", number, urgency=2))
+        drains = queue.drains(1, 0.1, 1.0)
+        self.assertAlmostEqual(drains[0], 0.1)
+        self.assertGreater(drains[2], 0.5)
+
+
+class RoomTest(unittest.TestCase):
+    """What is known of the results that a target holds."""
+
+    def test_results_end_after_their_time(self):
+        room = ResultRoom(10e6, 4.0)
+        room.hold("h", LARGE, 0.0)
+        self.assertEqual(room.left(3.9), 7e6)
+        self.assertEqual(room.left(4.1), 10e6)
+
+    def test_a_refusal_holds_back_that_size(self):
+        """Declared sizes are approximate, so a target may be full before we think.
+
+        Asking again at once met the same refusal every 2 ms, thousands of times.
+        """
+        room = ResultRoom(18e6, 4.0)
+        room.note_full(LARGE, 0.0)
+        self.assertLess(room.left(FULL_PAUSE_S / 2), LARGE)
+        self.assertGreater(room.left(FULL_PAUSE_S / 2), SMALL)
+        room.hold("h", LARGE, 0.0)
+        room.release("h")
+        self.assertGreater(room.left(FULL_PAUSE_S / 2), LARGE)
+
+    def test_repeated_refusals_wait_longer(self):
+        room = ResultRoom(18e6, 4.0)
+        moment = 0.0
+        waits = []
+        for _ in range(3):
+            room.note_full(LARGE, moment)
+            begin = moment
+            while room.left(moment) < LARGE:
+                moment += 0.01
+            waits.append(moment - begin)
+        self.assertGreater(waits[2], 3 * waits[0])
