Ask targets for their room after a refusal, wait for zones whose targets rest

Cause: after an owner's death its successor knew nothing of the results that targets still held. Workers that die are restarted with a log line.

--- a/packages/serving/bergamotsaddle_serving/messages.py
+++ b/packages/serving/bergamotsaddle_serving/messages.py
@@ -194,6 +194,12 @@
     def release_results(self, handles: Sequence[str], target: Target) -> HttpCall:
         """Make the call that gives up results."""
 
+    def ask_room(self, target: Target) -> HttpCall:
+        """Make the call that asks a stage target for its free room."""
+
+    def read_room(self, body: bytes) -> float:
+        """Decode its answer to bytes; raises ValueError if it is none."""
+
     def maker(self, handle: str) -> Address:
         """Address of the target that holds a result."""
 
--- a/packages/serving/bergamotsaddle_serving/stage_owner.py
+++ b/packages/serving/bergamotsaddle_serving/stage_owner.py
@@ -1,11 +1,11 @@
 """Owns queues of stage services: takes pieces from all instances and calls targets."""
 
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import Any
 
 import eventlet
 from eventlet.event import Event
-from eventlet.greenthread import GreenThread
 
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_daemon.clock import now
@@ -60,6 +60,7 @@
 # Results are told again if their first datagram got lost.
 _KEPT_RESULTS = 5_000
 _RELEASE_LIMIT_S = 0.5
+_ASK_LIMIT_S = 0.3
 NO_TARGET = "no_target"
 FAILED = "failed"
 NO_ROOM = "room"
@@ -80,7 +81,6 @@
         self.rest_until = 0.0
         self.to_release: list[str] = []
         self.has_release = Event()
-        self.threads: list[GreenThread] = []
 
     def rest(self) -> None:
         """Give it nothing for a while after a failure."""
@@ -260,8 +260,23 @@
             worker = _Worker(target, queue.queue.batching)
             queue.worker_by_life[target.life] = worker
             for _ in range(queue.queue.batching.slots):
-                worker.threads.append(eventlet.spawn(self._work, queue, worker))
-            worker.threads.append(eventlet.spawn(self._give_up, queue, worker))
+                eventlet.spawn_n(self._keep_working, self._work, queue, worker)
+            eventlet.spawn_n(self._keep_working, self._give_up, queue, worker)
+
+    def _keep_working(
+        self,
+        work: Callable[[_ServiceQueue, _Worker], None],
+        queue: _ServiceQueue,
+        worker: _Worker,
+    ) -> None:
+        # An error nobody thought of would end the only green thread that calls this
+        # target, and its queue would stand still; the log line tells of it.
+        while queue.worker_by_life.get(worker.target.life) is worker:
+            try:
+                work(queue, worker)
+            except Exception:
+                self._logger.exception("restarting", work=work.__qualname__)
+                eventlet.sleep(_IDLE_CHECK_S)
 
     def _own_targets(self, service: str) -> list[Target]:
         own_zone = self._peers.own.zone
@@ -357,7 +372,7 @@
         expected = queue.queue.batching.seconds(len(batch))
         began_at = now()
         worker.free_at = began_at + expected * worker.pace
-        worker.room.reserve(size)
+        worker.room.reserve(size, began_at)
         queue.running.update(piece.key for piece in batch)
         self.calls += 1
         self.pieces += len(batch)
@@ -392,8 +407,23 @@
             room=int(worker.room.left(now())),
             requests=sorted({piece.key.request for piece in batch}),
         )
+        if any(result.reason == NO_ROOM for result in results):
+            self._ask_room(worker)
         self._take_results(queue, worker, batch, results)
 
+    def _ask_room(self, worker: _Worker) -> None:
+        call = self._dialect.ask_room(worker.target)
+        try:
+            _, body = self._exchange(worker.target.address, call, _ASK_LIMIT_S)
+            free = self._dialect.read_room(body)
+        except (ConnectionLostError, ValueError) as error:
+            # What is known stays; the next refusal asks again.
+            self._logger.warning(
+                "room_unknown", target=worker.target.id, reason=str(error)
+            )
+            return
+        worker.room.correct(free, now())
+
     def _send(
         self, worker: _Worker, batch: list[QueuedPiece], limit: float
     ) -> list[PieceResult] | None:
--- a/packages/serving/bergamotsaddle_serving/stage_plan.py
+++ b/packages/serving/bergamotsaddle_serving/stage_plan.py
@@ -7,6 +7,8 @@
 
 # A stage that would be done before others is begun so much earlier than needed.
 _HEAD_START_S = 0.08
+# A zone whose targets all rest after failures is asked again after this.
+_AVOID_S = 0.5
 
 
 class StagePlan:
@@ -53,7 +55,7 @@
             self._expect(stage, expected)
         followed = {n for stage in route.stages for n in stage.after}
         self.sinks = [n for n in self.needed if n not in followed]
-        self._avoided: set[tuple[str, str]] = set()
+        self._avoided_until: dict[tuple[str, str], float] = {}
 
     def _expect(self, stage: int, expected: ZoneLoad) -> None:
         ends = [self._end_by_stage.get(n, 0.0) for n in self._route.stages[stage].after]
@@ -136,10 +138,10 @@
         """Note the end of a stage."""
         self._last_end = moment
 
-    def avoid(self, service: str, zone: str) -> None:
+    def avoid(self, service: str, zone: str, moment: float) -> None:
         """Note that a zone has no target of a service that works."""
-        self._avoided.add((service, zone))
+        self._avoided_until[service, zone] = moment + _AVOID_S
 
-    def is_avoided(self, service: str, zone: str) -> bool:
-        """Tell whether a zone was found without a target of a service."""
-        return (service, zone) in self._avoided
+    def is_avoided(self, service: str, zone: str, moment: float) -> bool:
+        """Tell whether a zone was found without a target of a service lately."""
+        return moment < self._avoided_until.get((service, zone), 0.0)
--- a/packages/serving/bergamotsaddle_serving/stage_queue.py
+++ b/packages/serving/bergamotsaddle_serving/stage_queue.py
@@ -1,5 +1,6 @@
 """Decides which pieces of stages a target works on next. No input or output here."""
 
+from collections import deque
 from typing import NamedTuple
 
 from bergamotsaddle_serving.catalog import Batching
@@ -10,6 +11,10 @@
 # a result too large; asking again at once would meet the same answer every 2 ms.
 FULL_PAUSE_S = 0.1
 _MOST_DOUBLINGS = 3
+# How long a target's word of results that only others know of is trusted.
+FOREIGN_S = 0.3
+# How old a target's word of its room may be.
+REPORT_LAG_S = 0.6
 # A call below this part of what it could carry waits for room.
 _WORTH_CALLING = 0.6
 # Among requests that have begun, a step of urgency counts as much as coming so much
@@ -241,10 +246,15 @@
         self._full_until = 0.0
         self._refused_size = 0
         self._refusals = 0
+        self._foreign = 0.0
+        self._known: deque[tuple[float, float]] = deque()
+        self._foreign_until = 0.0
 
     def left(self, moment: float) -> float:
         """Bytes that are free, as far as it is known."""
         left = self._uncounted(moment)
+        if moment < self._foreign_until:
+            left -= self._foreign
         if moment < self._full_until:
             return min(left, self._refused_size - 1)
         return left
@@ -256,6 +266,26 @@
         self._full_until = moment + FULL_PAUSE_S * 2.0 ** (self._refusals - 1)
         self._refused_size = size
 
+    def correct(self, free: float, moment: float) -> None:
+        """Take in what the target itself says is free.
+
+        After an owner has died, the target still holds results that only the dead one
+        knew of. Without asking, its successor would call for results that have no room
+        until these expire, seconds later. What the target says is some hundred
+        milliseconds old, so it is held against the most that was known to be taken in
+        that time; results given up meanwhile would else count as somebody else's.
+        """
+        taken = self._room_bytes - free
+        self._note_known(moment)
+        known = max(size for _, size in self._known)
+        self._foreign = max(0.0, taken - known)
+        self._foreign_until = moment + FOREIGN_S
+
+    def _note_known(self, moment: float) -> None:
+        self._known.append((moment, self._room_bytes - self._uncounted(moment)))
+        while self._known[0][0] < moment - REPORT_LAG_S:
+            self._known.popleft()
+
     def _uncounted(self, moment: float) -> float:
         for handle, (ends_at, _) in list(self._held_by_handle.items()):
             if ends_at <= moment:
@@ -263,9 +293,10 @@
         held = sum(size for _, size in self._held_by_handle.values())
         return self._room_bytes - held - self._reserved
 
-    def reserve(self, size: int) -> None:
+    def reserve(self, size: int, moment: float) -> None:
         """Set room aside for the results of a call."""
         self._reserved += size
+        self._note_known(moment)
 
     def end_reservation(self, size: int) -> None:
         """Give that room back when the call has ended."""
@@ -275,6 +306,7 @@
         """Note a result."""
         self._refusals = 0
         self._held_by_handle[handle] = (moment + self._keep_seconds, size)
+        self._note_known(moment)
 
     def release(self, handle: str) -> None:
         """Note that a result was given up."""
--- a/packages/serving/bergamotsaddle_serving/stage_run.py
+++ b/packages/serving/bergamotsaddle_serving/stage_run.py
@@ -42,6 +42,9 @@
 # Calls for one stage of a request that end without a result.
 _MAX_FAILURES = 4
 _FAILURE_PAUSE_S = 0.03
+# All targets of a zone rest after failures; another zone, or the same one later, may
+# still do the stage within the request's time.
+_NO_TARGET_PAUSE_S = 0.05
 
 
 class StageEnd(NamedTuple):
@@ -433,6 +436,11 @@
             raise self._refuse(ErrorKind.DEADLINE_INFEASIBLE, "a stage was too late")
         if reason == MOVED:
             return
+        if reason == NO_TARGET:
+            service = self._route.stages[opened.number].service
+            self._plan.avoid(service, opened.zone, now())
+            eventlet.sleep(_NO_TARGET_PAUSE_S)
+            return
         self._failures += 1
         if self._failures > _MAX_FAILURES:
             raise self._refuse(ErrorKind.NO_TARGET, f"a stage failed: {reason}")
@@ -447,8 +455,6 @@
         self._started_by_stage.clear()
         if reason == "gone":
             self._forget_inputs(opened.number)
-        if reason == NO_TARGET:
-            self._plan.avoid(self._route.stages[opened.number].service, opened.zone)
         eventlet.sleep(_FAILURE_PAUSE_S * self._failures)
 
     def _forget_inputs(self, stage: int) -> None:
--- a/packages/serving/bergamotsaddle_serving/stage_waits.py
+++ b/packages/serving/bergamotsaddle_serving/stage_waits.py
@@ -57,11 +57,7 @@
         so a stage stays in the zone of its request's engine unless it would be late
         there and is done earlier in another one.
         """
-        times = {
-            z: _total(load)
-            for z, load in self._loads(service, urgency).items()
-            if not plan.is_avoided(service, z)
-        }
+        times = self._times(service, urgency, plan)
         if not times:
             return zone
         best = min(times, key=times.__getitem__)
@@ -86,14 +82,21 @@
             Zones with the number of pieces for each.
         """
         zone = self.choose_zone(service, plan.zone, urgency, plan)
-        loads = self._loads(service, urgency)
+        times = self._times(service, urgency, plan)
         room = self._room(service, zone, stage)
-        others = sorted((z for z in loads if z != zone), key=lambda z: _total(loads[z]))
+        others = sorted((z for z in times if z != zone), key=times.__getitem__)
         parts = min(1 + len(others), math.ceil(count / room))
         zones = [zone, *others][:parts]
         share, extra = divmod(count, len(zones))
         return [(z, share + (n < extra)) for n, z in enumerate(zones)]
 
+    def _times(self, service: str, urgency: int, plan: StagePlan) -> dict[str, float]:
+        return {
+            zone: _total(load)
+            for zone, load in self._loads(service, urgency).items()
+            if not plan.is_avoided(service, zone, now())
+        }
+
     def _room(self, service: str, zone: str, stage: Stage) -> int:
         declared = self._view.configuration.services_by_name[service].batching
         targets = sum(k.target.zone == zone for k in self._view.usable(service))
--- a/tests/test_stage_queue.py
+++ b/tests/test_stage_queue.py
@@ -6,6 +6,7 @@
 
 from bergamotsaddle_serving.catalog import Batching
 from bergamotsaddle_serving.stage_queue import (
+    FOREIGN_S,
     FULL_PAUSE_S,
     PieceKey,
     QueuedPiece,
@@ -184,3 +185,21 @@
                 moment += 0.01
             waits.append(moment - begin)
         self.assertGreater(waits[2], 3 * waits[0])
+
+    def test_results_of_a_dead_owner_are_counted_for_a_moment(self):
+        """An owner dies, and the target still holds what only it knew of.
+
+        Its successor would call again and again for results that have no room; but a
+        target that is left alone says the same for ever, so it is tried again soon.
+        """
+        room = ResultRoom(18e6, 4.0)
+        room.correct(3e6, 10.0)
+        self.assertEqual(room.left(10.1), 3e6)
+        self.assertEqual(room.left(10.0 + FOREIGN_S), 18e6)
+
+    def test_what_was_just_given_up_is_not_taken_for_somebody_elses(self):
+        room = ResultRoom(18e6, 4.0)
+        room.hold("h", LARGE, 9.8)
+        room.release("h")
+        room.correct(15e6, 10.0)
+        self.assertEqual(room.left(10.1), 18e6)
