Tell a reset from an end, refuse lengths that are stated twice; tests of both HTTP edges

Cause: a green socket's recv gives nothing for a reset too, so an answer without length that was reset would have been taken for whole; h11 merges equal lengths.

--- a/packages/serving/bergamotsaddle_serving/caller.py
+++ b/packages/serving/bergamotsaddle_serving/caller.py
@@ -23,6 +23,7 @@
 _CHUNK = 65_536
 _HEAD_END = b"\r\n\r\n"
 _BARE_LINE_END = re.compile(rb"(?<!\r)\n|\r(?!\n)")
+_LENGTH_LINE = re.compile(rb"\r\ncontent-length[ \t]*:", re.IGNORECASE)
 _FOLDED = re.compile(rb"\r\n[ \t]")
 # A body takes far less on any link that a deadline of seconds allows for.
 _BODY_LIMIT_S = 10.0
@@ -208,6 +209,8 @@
         head, _, rest = data.partition(_HEAD_END)
         if len(head) > limits.head_bytes:
             raise RequestError(ErrorKind.HEAD_TOO_LARGE, "the head is too large")
+        if len(_LENGTH_LINE.findall(head)) > 1:
+            raise RequestError(ErrorKind.BAD_REQUEST, "two lengths")
         if _BARE_LINE_END.search(head) or _FOLDED.search(head):
             # Parsers disagree on such lines; a request could hide in what one of
             # them takes for a header.
--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -11,6 +11,7 @@
 from bergamotsaddle_contracts.errors import BergamotsaddleError
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving._sockets import receive
 from bergamotsaddle_serving.messages import RawHeaders
 
 _original_select = patcher.original("select")
@@ -230,9 +231,8 @@
     def _receive(self, limit: float) -> bytes:
         if limit <= 0:
             raise ConnectionLostError("silent")
-        self._socket.settimeout(limit)
         try:
-            return self._socket.recv(_CHUNK)
+            return receive(self._socket, _CHUNK, limit)
         except TimeoutError as error:
             raise ConnectionLostError("silent") from error
         except OSError as error:
--- a/tests/_paused.py
+++ b/tests/_paused.py
@@ -74,3 +74,8 @@
             raise AssertionError(f"did not happen within {limit} s")
         advance(step)
         passed += step
+
+
+def use_running_clock() -> None:
+    """Make the hub of this thread an ordinary one, for tests of real sockets."""
+    hubs.use_hub(epolls)
--- /dev/null
+++ b/tests/test_serving_caller.py
@@ -0,0 +1,175 @@
+"""The callers' edge: requests that parsers disagree on, slow ones, and leaving."""
+
+import socket
+import unittest
+
+import eventlet
+from parameterized import parameterized
+
+from bergamotsaddle_contracts.errors import ErrorKind, RequestError
+from bergamotsaddle_serving._sockets import receive
+from bergamotsaddle_serving.caller import CallerConnection, CallerLeftError
+from bergamotsaddle_serving.catalog import CallerLimits
+from tests._paused import use_paused_clock, use_running_clock
+
+setUpModule = use_running_clock
+tearDownModule = use_paused_clock
+
+LIMITS = CallerLimits(head_bytes=500, body_bytes=50, head_seconds=0.2, idle_seconds=0.2)
+HEAD = b"POST /p/ HTTP/1.1\r\nHost: h\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+LENGTH = b"Content-Length: 3\r\n"
+
+
+def pair():
+    """A caller's socket and the connection that serves it."""
+    listener = eventlet.listen(("127.0.0.1", 0))
+    client = eventlet.connect(listener.getsockname())
+    server, _ = listener.accept()
+    listener.close()
+    return client, CallerConnection(server, lambda: LIMITS, lambda: False)
+
+
+class RequestTest(unittest.TestCase):
+    """One request as bytes."""
+
+    def read(self, data, *, end=False):
+        """Send bytes and read a request from them."""
+        self.client, connection = pair()
+        self.client.sendall(data)
+        if end:
+            self.client.shutdown(socket.SHUT_WR)
+        return connection.read()
+
+    @parameterized.expand(
+        [
+            ("length_and_chunks", HEAD + LENGTH + CHUNKED + b"\r\n0\r\n\r\n"),
+            ("two_lengths", HEAD + LENGTH + b"Content-Length: 4\r\n\r\nabcd"),
+            ("same_length_twice", HEAD + LENGTH + LENGTH + b"\r\nabc"),
+            ("signed_length", HEAD + b"Content-Length: +3\r\n\r\nabc"),
+            ("negative_length", HEAD + b"Content-Length: -3\r\n\r\nabc"),
+            ("space_before_colon", HEAD + b"Content-Length : 3\r\n\r\nabc"),
+            ("folded", HEAD + b"X-A: b\r\n c\r\n\r\n"),
+            ("bare_line_feed", b"GET / HTTP/1.1\nHost: h\n\n"),
+            ("one_bare_line_feed", HEAD + b"X-A: b\nX-C: d\r\n\r\n"),
+            ("bare_return", HEAD + b"X-A: b\rX-C: d\r\n\r\n"),
+            ("no_host", b"GET / HTTP/1.1\r\n\r\n"),
+            ("two_hosts", HEAD + b"Host: i\r\n\r\n"),
+            ("two_encodings", HEAD + CHUNKED + CHUNKED + b"\r\n"),
+            ("unknown_encoding", HEAD + b"Transfer-Encoding: gzip\r\n\r\n"),
+            ("signed_chunk", HEAD + CHUNKED + b"\r\n+3\r\nabc\r\n0\r\n\r\n"),
+            ("no_http", b"hello\r\n\r\n"),
+        ]
+    )
+    def test_ambiguous_requests_are_refused(self, _, data):
+        """A caller, or somebody behind it, sends what two parsers read differently.
+
+        A second request hidden inside the first one would reach a target with a name
+        and a team that nobody checked.
+        """
+        try:
+            with self.assertRaises(RequestError) as raised:
+                self.read(data)
+        except NotImplementedError:
+            self.fail("not refused")
+        self.assertEqual(raised.exception.kind, ErrorKind.BAD_REQUEST)
+
+    @parameterized.expand(
+        [
+            (
+                "head",
+                HEAD + b"X-A: " + b"a" * 600 + b"\r\n\r\n",
+                ErrorKind.HEAD_TOO_LARGE,
+            ),
+            ("endless_head", HEAD + b"a" * 600, ErrorKind.HEAD_TOO_LARGE),
+            ("length", HEAD + b"Content-Length: 51\r\n\r\n", ErrorKind.TOO_LARGE),
+            ("chunks", HEAD + CHUNKED + b"\r\n33\r\n" + b"a" * 51, ErrorKind.TOO_LARGE),
+            ("slow_head", HEAD, ErrorKind.TOO_SLOW),
+        ]
+    )
+    def test_limits(self, _, data, kind):
+        with self.assertRaises(RequestError) as raised:
+            self.read(data)
+        self.assertEqual(raised.exception.kind, kind)
+
+    @parameterized.expand(
+        [
+            ("length", HEAD + b"Content-Length: 3\r\n\r\nabc", b"abc"),
+            ("chunks", HEAD + CHUNKED + b"\r\n3\r\nabc\r\n0\r\n\r\n", b"abc"),
+            ("none", HEAD + b"\r\n", b""),
+        ]
+    )
+    def test_bodies(self, _, data, body):
+        self.assertEqual(self.read(data).body, body)
+
+    def test_path_is_kept_as_sent(self):
+        request = self.read(b"GET /a%2Fb/?q=%20 HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.assertEqual(request.path, b"/a%2Fb/?q=%20")
+
+    def test_idle_callers_are_let_go(self):
+        self.assertIsNone(self.read(b""))
+
+    def test_a_cut_request_never_runs(self):
+        with self.assertRaises(CallerLeftError):
+            self.read(HEAD + b"Content-Length: 9\r\n\r\nabc", end=True)
+
+
+class AnswerTest(unittest.TestCase):
+    """Answers, and callers that leave."""
+
+    def test_pipelined_requests_are_served_in_turn(self):
+        client, connection = pair()
+        client.sendall((HEAD + b"Content-Length: 1\r\n\r\na") * 2)
+        for _ in range(2):
+            self.assertEqual(connection.read().body, b"a")
+            connection.answer(200, [], b"x")
+            self.assertTrue(connection.prepare_next())
+        self.assertEqual(client.recv(1000).count(b"200"), 2)
+
+    def test_a_request_sent_while_another_is_served_is_kept(self):
+        client, connection = pair()
+        client.sendall(HEAD + b"\r\n")
+        connection.read()
+
+        def work():
+            client.sendall(HEAD + b"Content-Length: 1\r\n\r\nb")
+            eventlet.sleep(0.02)
+            connection.answer(200, [], b"x")
+
+        connection.serve(work)
+        self.assertTrue(connection.prepare_next())
+        self.assertEqual(connection.read().body, b"b")
+
+    def test_work_ends_when_the_caller_leaves(self):
+        """A caller gives up while its request waits or runs.
+
+        Work that goes on for nobody takes the place of somebody's.
+        """
+        client, connection = pair()
+        client.sendall(HEAD + b"\r\n")
+        connection.read()
+        eventlet.spawn_after(0.02, client.close)
+        with self.assertRaises(CallerLeftError):
+            connection.serve(lambda: eventlet.sleep(5))
+
+    def test_a_stream_that_breaks_never_looks_whole(self):
+        client, connection = pair()
+        client.sendall(HEAD + b"\r\n")
+        connection.read()
+        connection.start(200, [])
+        connection.send(b"part")
+        connection.reset()
+        received = b""
+        with self.assertRaises(ConnectionResetError):
+            while data := receive(client, 100, 1.0):
+                received += data
+        self.assertNotIn(b"0\r\n\r\n", received)
+
+    def test_a_stopping_instance_says_that_it_closes(self):
+        client, connection = pair()
+        connection._is_stopping = lambda: True
+        client.sendall(HEAD + b"\r\n")
+        connection.read()
+        connection.answer(200, [], b"x")
+        self.assertIn(b"connection: close", client.recv(1000).lower())
+        self.assertFalse(connection.prepare_next())
--- /dev/null
+++ b/tests/test_serving_view.py
@@ -0,0 +1,125 @@
+"""The newest of what was published wins, whatever its source."""
+
+import unittest
+from unittest import mock
+
+import msgspec
+from parameterized import parameterized
+
+from bergamotsaddle_platform.dialect import PlatformDialect
+from bergamotsaddle_serving.messages import Entry
+from bergamotsaddle_serving.view import LAPSE_GRACE_S, View
+from tests._paused import advance
+
+TARGET = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "slots": 4,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "seq": 1,
+    "born": 5,
+}
+CONFIG = {"version": 3, "routes": [], "services": []}
+
+
+def entry(key, revision, value=None, **changes):
+    """An item of the store; without a value a deletion."""
+    body = None if value is None else msgspec.json.encode(value | changes)
+    return Entry(key, revision, body)
+
+
+def make_view():
+    """A view without a store."""
+    return View(PlatformDialect(), mock.Mock())
+
+
+class ViewTest(unittest.TestCase):
+    """One instance's view."""
+
+    def setUp(self):
+        self.view = make_view()
+
+    def apply(self, *entries):
+        """Take entries in."""
+        self.view.apply(entries, max(e.revision for e in entries), source="test")
+
+    def ids(self):
+        """Targets that may get work."""
+        return [known.target.id for known in self.view.usable("s")]
+
+    def test_older_news_change_nothing(self):
+        """A peer that was cut off tells what it knew before.
+
+        Were it believed, a target that has left would get work again.
+        """
+        self.apply(entry("servers/t", 9, TARGET, state="draining"))
+        self.apply(entry("servers/t", 8, TARGET))
+        self.assertEqual(self.ids(), [])
+
+    def test_an_older_version_of_the_configuration_is_never_taken(self):
+        self.apply(entry("op/config", 4, CONFIG, version=9))
+        self.apply(entry("op/config", 5, CONFIG, version=8))
+        self.assertEqual(self.view.configuration.version, 9)
+
+    @parameterized.expand(
+        [
+            ("no_state", {"state": "odd"}),
+            ("no_address", {"address": 5}),
+            ("slots", {"slots": "many"}),
+            ("service", {"service": None}),
+        ]
+    )
+    def test_malformed_entries_name_no_target(self, _, change):
+        self.apply(entry("servers/t", 4, TARGET | change))
+        self.assertEqual(self.ids(), [])
+
+    def test_evacuated_zones_get_nothing_until_taken_back(self):
+        self.apply(entry("servers/t", 4, TARGET), entry("op/evacuate/a", 5, {}))
+        self.assertEqual(self.ids(), [])
+        self.apply(entry("op/evacuate/a", 6))
+        self.assertEqual(self.ids(), ["t"])
+        self.assertTrue(self.view.is_cold(self.view.usable("s")[0]))
+
+    def test_a_list_deletes_what_it_lacks(self):
+        self.apply(entry("servers/t", 4, TARGET))
+        self.view.replace([], 7, source="store")
+        self.assertEqual(self.ids(), [])
+
+    def test_lapsed_entries_stay_until_the_store_has_been_back_for_a_while(self):
+        """Targets could not write to the store while it was away.
+
+        Their entries lapse though they live; giving all of them up at once would
+        leave callers without any.
+        """
+        self.apply(entry("servers/t", 4, TARGET))
+        advance(1.0)
+        self.view.store_back_at = self.now()
+        self.apply(entry("servers/t", 5))
+        self.assertEqual(self.ids(), ["t"])
+        advance(LAPSE_GRACE_S + 0.1)
+        self.view.drop_lapsed()
+        self.assertEqual(self.ids(), [])
+
+    def test_an_entry_that_is_back_in_time_stays(self):
+        self.apply(entry("servers/t", 4, TARGET))
+        self.view.store_back_at = self.now()
+        self.apply(entry("servers/t", 5))
+        self.apply(entry("servers/t", 6, TARGET))
+        advance(LAPSE_GRACE_S + 0.1)
+        self.view.drop_lapsed()
+        self.assertEqual(self.ids(), ["t"])
+
+    def test_work_chosen_before_a_change_is_not_sent_after_it(self):
+        self.apply(entry("servers/t", 4, TARGET))
+        target = self.view.usable("s")[0].target
+        self.assertTrue(self.view.may_get_work(target))
+        self.apply(entry("servers/t", 5, TARGET, born=6))
+        self.assertFalse(self.view.may_get_work(target))
+
+    def now(self):
+        """Time of the paused hub."""
+        from bergamotsaddle_daemon.clock import now
+
+        return now()
