--- a/packages/cli/bergamotsaddle_cli/state.py
+++ b/packages/cli/bergamotsaddle_cli/state.py
@@ -8,6 +8,7 @@
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
+from bergamotsaddle_cli.logs import read_story
 from bergamotsaddle_cli.pages import Page, Pages
 
 EXIT_NOT_FOUND = 1
@@ -199,6 +200,38 @@
     name = "explain"
     description = "Shows every decision made for a request, by its X-Request-Id."
     arguments = [argument("request", "Id of the request.")]
+    options = [
+        *AskingCommand.options,
+        option(
+            "log",
+            None,
+            "Log of a daemon to read instead of asking; - for standard input.",
+            flag=False,
+            multiple=True,
+        ),
+    ]
+
+    def handle(self) -> int:
+        """Read the logs if any are named, else ask the daemons."""
+        if not self.option("log"):
+            return super().handle()
+        try:
+            story = read_story(self.argument("request"), self.option("log"))
+        except OSError as error:
+            self.line_error(str(error))
+            return EXIT_INVALID
+        if self.option("json"):
+            self.say_json([line._asdict() for line in story])
+        elif story:
+            rows = [
+                [line.at[11:23], line.instance, line.event, _show(line.details)]
+                for line in story
+            ]
+            self.render_table(["at", "instance", "event", "because"], rows)
+        if story:
+            return 0
+        self.line_error("no line of these logs is about this request")
+        return EXIT_NOT_FOUND
 
     def ask(self, pages: Pages) -> int:
         """Find the daemons that know the request and show what they decided."""
@@ -227,3 +260,8 @@
             return self.say_failures(failures)
         self.line_error("no daemon asked remembers this request")
         return EXIT_NOT_FOUND
+
+
+def _show(details: dict[str, Any]) -> str:
+    """Show a line's details as words, a value each."""
+    return " ".join(f"{key}={value}" for key, value in details.items() if value != "")
--- a/packages/serving/bergamotsaddle_serving/stage_queue.py
+++ b/packages/serving/bergamotsaddle_serving/stage_queue.py
@@ -20,6 +20,10 @@
 # Among requests that have begun, a step of urgency counts as much as coming so much
 # earlier: enough to go ahead in a burst, too little to be overtaken for ever.
 _URGENCY_S = 0.5
+# A queue of more calls than this is long.
+_LONG_CALLS = 2
+# How long a request that has not begun may wait in a long queue after it was due there.
+_LATE_GRACE_S = 0.3
 # Weight of the newest call in the mean number of pieces that a call carries under load.
 _FILL_WEIGHT = 0.2
 
@@ -123,17 +127,30 @@
             del self.piece_by_key[key]
 
     def take_expired(self, moment: float, pace: float = 1.0) -> list[QueuedPiece]:
-        """Take out pieces that can't be done in time any more."""
+        """Take out pieces that wait for nothing.
+
+        These are the ones that can't be done in time, and in a queue of more than two
+        calls those of requests that are late before they have begun: newcomers that can
+        be on time go ahead of them, so that they would wait until their callers give
+        up. Refused now, the callers still have time to come back.
+        """
         least = self.batching.seconds(1) * pace
+        is_long = len(self.piece_by_key) > _LONG_CALLS * self.batching.size
         expired = [
             piece
             for piece in self.piece_by_key.values()
             if piece.expires_at < moment + least
+            or (is_long and self._is_hopeless(piece, moment))
         ]
         for piece in expired:
             del self.piece_by_key[piece.key]
         return expired
 
+    def _is_hopeless(self, piece: QueuedPiece, moment: float) -> bool:
+        if piece.has_begun or piece.key[:2] in self.open_sets:
+            return False
+        return moment > piece.objective_at + _LATE_GRACE_S
+
     def take_batch(
         self,
         moment: float,
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -179,3 +179,40 @@
         self.assertEqual(status, 1)
         self.assertIn("a1 (has 1)", output)
         self.assertEqual(run("wait x --at 127.0.0.1:1")[0], 2)
+
+
+class LogStoryTest(unittest.TestCase):
+    """A request's story out of the logs of several daemons."""
+
+    LINES = (
+        '{"instance":"b1","event":"stage_call","requests":["r1","r2"],'
+        '"timestamp":"2026-01-01T00:00:02Z","pieces":2}\n',
+        '  1.5 a1 {"instance":"a1","event":"admit","request":"r1","expected":0.5,'
+        '"timestamp":"2026-01-01T00:00:01Z"}\n',
+        "Traceback that names r1 {\n",
+        '{"instance":"a1","event":"request","request":"r9",'
+        '"timestamp":"2026-01-01T00:00:03Z"}\n',
+    )
+
+    def explain(self, *arguments):
+        """Run the command on a log."""
+        with tempfile.NamedTemporaryFile("w", suffix=".log") as file:
+            file.writelines(self.LINES)
+            file.flush()
+            return run(" ".join(["explain", *arguments, f"--log {file.name}"]))
+
+    def test_lines_are_joined_in_order_of_time(self):
+        status, output, _ = self.explain("r1")
+        self.assertEqual(status, 0)
+        self.assertLess(output.index("admit"), output.index("stage_call"))
+        self.assertIn("expected=0.5", output)
+
+    def test_json(self):
+        _, output, _ = self.explain("r1", "--json")
+        self.assertEqual(
+            [line["instance"] for line in msgspec.json.decode(output)], ["a1", "b1"]
+        )
+
+    def test_unknown_request_and_missing_file(self):
+        self.assertEqual(self.explain("nothing")[0], 1)
+        self.assertEqual(run("explain r1 --log /nonexistent/file")[0], 2)
--- a/tests/test_stage_queue.py
+++ b/tests/test_stage_queue.py
@@ -151,6 +151,20 @@
         self.assertAlmostEqual(drains[0], 0.1)
         self.assertGreater(drains[2], 0.5)
 
+    def test_late_newcomers_leave_a_long_queue(self):
+        """A burst leaves requests behind that were due before they began.
+
+        Those that can still be on time go ahead of them; they would wait until their
+        callers give up, instead of being told to come back.
+        """
+        queue = StageQueue(BATCHING)
+        for number in range(12):
+            queue.add(piece(f"r{number}", objective_at=5.0))
+        queue.add(piece("late", objective_at=1.0))
+        queue.add(piece("begun", objective_at=1.0, has_begun=True, expires_at=9.0))
+        self.assertEqual(queue.take_expired(1.2), [])
+        self.assertEqual(requests(queue.take_expired(1.4)), ["late"])
+
 
 class RoomTest(unittest.TestCase):
     """What is known of the results that a target holds."""
