--- /dev/null
+++ b/tests/test_platform_dialect.py
@@ -0,0 +1,222 @@
+"""What the platform speaks, decoded and encoded."""
+
+import base64
+import unittest
+
+import msgspec
+from parameterized import parameterized
+
+from bergamotsaddle_contracts.errors import ErrorKind, RequestError
+from bergamotsaddle_contracts.ini import Address
+from bergamotsaddle_platform.dialect import PlatformDialect
+from bergamotsaddle_serving.catalog import Kind, Target, Team
+from bergamotsaddle_serving.messages import Dispatch, Entry, Piece, PromptPart
+
+DIALECT = PlatformDialect()
+TARGET = Target("i-1", "svc", Address("10.0.0.1", 80), "a", 4)
+HEADERS = [
+    (b"host", b"Api.example:80"),
+    (b"x-request-id", b"r1"),
+    (b"x-deadline-ms", b"2500"),
+    (b"authorization", b"Token secret"),
+    (b"x-tenant", b"forged"),
+    (b"x-kv-hold", b"forged"),
+    (b"x-token-usage", b"1460,80"),
+    (b"x-prefix-hash", b"aa:800,bb:410"),
+    (b"x-pieces", b"2,0,8"),
+    (b"x-piece-key", b"k"),
+    (b"last-event-id", b"12"),
+    (b"connection", b"keep-alive, x-hop"),
+    (b"x-hop", b"1"),
+    (b"x-own", b"kept"),
+]
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r",
+            "host": "Api.example",
+            "prefix": "/p/",
+            "kind": "streaming",
+            "timeoutMs": 8000,
+            "targetLatencyMs": 1000,
+            "priority": 0,
+            "trafficSplit": [{"service": "a", "weight": 9}],
+            "attempts": 2,
+            "stages": [{"service": "s", "after": [], "sizeBytes": 3000}],
+            "resumable": True,
+            "targetGapMs": 400,
+        },
+        {
+            "name": "deep",
+            "host": "api.example",
+            "prefix": "/p/q/",
+            "kind": "non_idempotent",
+            "timeoutMs": 1200,
+            "service": "b",
+        },
+    ],
+    "services": [
+        {
+            "name": "s",
+            "pieces": {
+                "slots": 1,
+                "batch": 4,
+                "callMs": 150.0,
+                "itemMs": 32.0,
+                "headroomMb": 18.0,
+                "handleS": 4.0,
+            },
+        }
+    ],
+    "tenants": [{"name": "t", "apiKeys": ["secret"], "priority": 1}],
+    "limits": {"maxBodyBytes": 99},
+}
+
+
+def read_head(headers=HEADERS):
+    """Decode a request's head."""
+    return DIALECT.read_head(b"POST", b"/p/x?y", headers)
+
+
+class HeadTest(unittest.TestCase):
+    """Requests of callers, and what targets get."""
+
+    def test_decoded(self):
+        head = read_head()
+        self.assertEqual(
+            (head.id, head.host, head.key), ("r1", "api.example", "secret")
+        )
+        self.assertEqual((head.deadline, head.last_event_id), (2.5, 12))
+        self.assertEqual(head.prompt, (PromptPart("aa", 800), PromptPart("bb", 410)))
+        self.assertEqual((head.prompt_tokens, head.output_tokens), (1460, 80))
+        self.assertEqual((head.pieces, head.piece_key), ((2, 0, 8), "k"))
+
+    def test_targets_get_what_the_system_sets_and_no_key(self):
+        """A caller forges headers that only the system may set.
+
+        A target that believed them would charge another team, or take memory that was
+        set aside for another request.
+        """
+        dispatch = Dispatch(TARGET, 1.25, Team("t"), 0, ("h1", "h2"), 13)
+        sent = dict(DIALECT.forward(read_head(), dispatch, 0))
+        self.assertNotIn(b"authorization", sent)
+        self.assertNotIn(b"x-kv-hold", sent)
+        self.assertNotIn(b"x-hop", sent)
+        self.assertEqual(sent[b"x-tenant"], b"t")
+        self.assertEqual(sent[b"x-deadline-ms"], b"1250")
+        self.assertEqual(sent[b"x-target-instance"], b"i-1")
+        self.assertEqual(sent[b"x-inputs"], b"h1,h2")
+        self.assertEqual(sent[b"last-event-id"], b"13")
+        self.assertEqual(sent[b"x-own"], b"kept")
+
+    @parameterized.expand(
+        [
+            ("no_id", [h for h in HEADERS if h[0] != b"x-request-id"]),
+            ("usage", [*HEADERS, (b"x-token-usage", b"many")]),
+            ("pieces", [*HEADERS, (b"x-pieces", b"-1")]),
+        ]
+    )
+    def test_improper_heads(self, _, headers):
+        with self.assertRaises(RequestError) as raised:
+            read_head(headers)
+        self.assertEqual(raised.exception.kind, ErrorKind.BAD_REQUEST)
+
+    def test_answers(self):
+        answer = DIALECT.read_answer(
+            [
+                (b"x-request-id", b"r1"),
+                (b"x-response-seal", b"s"),
+                (b"x-server-load", b"3,0,8"),
+                (b"keep-alive", b"timeout=10"),
+            ]
+        )
+        self.assertTrue(answer.is_sealed)
+        self.assertFalse(answer.not_run)
+        self.assertEqual((answer.load.running, answer.keep_seconds), (3, 10.0))
+
+
+class StoreTest(unittest.TestCase):
+    """The store's items."""
+
+    def decode(self, key, value):
+        """Decode an item."""
+        return DIALECT.decode(Entry(key, 1, msgspec.json.encode(value)))
+
+    def test_configuration(self):
+        found = self.decode("op/config", CONFIG)
+        self.assertEqual(found.version, 7)
+        self.assertEqual(found.find_route("api.example", "/p/q/z").name, "deep")
+        route = found.find_route("api.example", "/p/z")
+        self.assertEqual((route.kind, route.objective), (Kind.STREAM, 1.0))
+        self.assertIsNone(found.find_route("api.example", "/z"))
+        batching = found.services_by_name["s"].batching
+        self.assertEqual((batching.size, batching.room_bytes), (4, 18e6))
+        self.assertEqual(found.team_by_key["secret"], Team("t", 1))
+        self.assertEqual(found.limits.body_bytes, 99)
+
+    @parameterized.expand(
+        [
+            ("no_json", b"{"),
+            ("no_object", b"[]"),
+            ("no_routes", b'{"version": 1, "services": []}'),
+            ("odd_kind", b'{"version":1,"services":[],"routes":[{"kind":"odd"}]}'),
+        ]
+    )
+    def test_malformed_configurations(self, _, value):
+        with self.assertRaises(ValueError):
+            DIALECT.decode(Entry("op/config", 1, value))
+
+    def test_pages(self):
+        value = base64.b64encode(b"{}").decode()
+        page = DIALECT.read_page(
+            msgspec.json.encode(
+                {
+                    "events": [
+                        {"key": "a", "value": value, "revision": 4},
+                        {"key": "b", "revision": 5, "isDeleted": True},
+                        {"key": "c", "value": "%%%", "revision": 6},
+                    ],
+                    "at": 6,
+                }
+            )
+        )
+        self.assertEqual([e.value for e in page.entries], [b"{}", None, b""])
+        self.assertEqual(page.revision, 6)
+
+    def test_foreign_keys_are_of_no_concern(self):
+        self.assertIsNone(self.decode("other/key", {}))
+        self.assertIsNone(DIALECT.target_id("op/config"))
+
+
+class PiecesTest(unittest.TestCase):
+    """Calls to stage targets."""
+
+    def test_pieces_name_their_key_or_their_inputs(self):
+        call = DIALECT.run_pieces(
+            [
+                Piece("r1", 0, 2, "k", (), 0.9),
+                Piece("r2", 2, 0, "k", ("10.0.0.9:80/h",), 0.5),
+            ],
+            TARGET,
+        )
+        first, second = msgspec.json.decode(call.body)["items"]
+        self.assertEqual((first["key"], first["remainingMs"]), ("k", 900))
+        self.assertNotIn("key", second)
+        self.assertEqual(second["inputs"], ["10.0.0.9:80/h"])
+
+    def test_results(self):
+        body = b'{"items":[{"handle":"10.0.0.7:80/h"},{"reason":"gone"}]}'
+        made, unmade = DIALECT.read_results(body)
+        self.assertEqual(DIALECT.maker(made.handle), Address("10.0.0.7", 80))
+        self.assertEqual((unmade.handle, unmade.reason), ("", "gone"))
+
+    @parameterized.expand([(b"[]",), (b'{"items":[1]}',), (b"x",), (b"{}",)])
+    def test_malformed_results(self, body):
+        with self.assertRaises(ValueError):
+            DIALECT.read_results(body)
+
+    def test_room(self):
+        self.assertEqual(DIALECT.read_room(b'{"freeMb":1.5}'), 1.5e6)
+        with self.assertRaises(ValueError):
+            DIALECT.read_room(b'{"freeMb":true}')
