--- a/packages/serving/bergamotsaddle_serving/stage_owner.py
+++ b/packages/serving/bergamotsaddle_serving/stage_owner.py
@@ -6,6 +6,7 @@
 
 import eventlet
 from eventlet.event import Event
+from eventlet.greenthread import GreenThread
 
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_daemon.clock import now
@@ -54,6 +55,9 @@
 # Another owner must have been seen at this many checks in a row, half a second apart,
 # for pieces to move there.
 _CHECKS_TO_MOVE = 2
+# How long after a sign of other callers a target is taken to have some: an owner that
+# was replaced works off its queue for up to a few calls.
+_SHARED_S = 2.0
 # How long after a call the next one may wait for the room that its results give up:
 # their way to the sender, from there to an engine, and the word that they were fetched.
 _ROOM_WAIT_S = 0.09
@@ -64,6 +68,7 @@
 NO_TARGET = "no_target"
 FAILED = "failed"
 NO_ROOM = "room"
+GONE = "gone"
 LATE = "late"
 MOVED = "moved"
 
@@ -77,11 +82,21 @@
         self.pace = 1.0
         self.free_at = 0.0
         self.full_call_by = 0.0
+        self.alone_from = now() + _SHARED_S
         self.failures = 0
         self.rest_until = 0.0
         self.to_release: list[str] = []
         self.has_release = Event()
 
+    def note_shared(self) -> None:
+        """Note a sign that others call the target as well.
+
+        A call then waits at the target before it begins, and inputs that were given up
+        shortly after sending it would be gone by its turn. That happens around every
+        change of owners, when two of them call the same targets for a moment.
+        """
+        self.alone_from = now() + _SHARED_S
+
     def rest(self) -> None:
         """Give it nothing for a while after a failure."""
         pause = min(_LONGEST_REST_S, _FIRST_REST_S * 2.0**self.failures)
@@ -377,21 +392,21 @@
         self.calls += 1
         self.pieces += len(batch)
         limit = expected * max(1.0, worker.pace) * _LOST_FACTOR + _LOST_EXTRA_S
-        started = eventlet.spawn_after(
-            fetch_seconds(_input_bytes(batch)), self._tell_started, queue, batch
-        )
+        started = self._announce_start(queue, worker, batch)
         try:
             results = self._send(worker, batch, limit)
         except (ConnectionLostError, ValueError) as error:
             self._fail(queue, worker, batch, str(error))
             return
         finally:
-            started.cancel()
+            if started is not None:
+                started.cancel()
             worker.room.end_reservation(size)
             queue.running.difference_update(piece.key for piece in batch)
             worker.free_at = now()
             worker.full_call_by = now() + _ROOM_WAIT_S
         if results is None:
+            worker.note_shared()
             self._put_back(queue, batch, "full")
             eventlet.sleep(_FULL_PAUSE_S)
             return
@@ -407,6 +422,8 @@
             room=int(worker.room.left(now())),
             requests=sorted({piece.key.request for piece in batch}),
         )
+        if any(result.reason == GONE for result in results):
+            worker.note_shared()
         if any(result.reason == NO_ROOM for result in results):
             self._ask_room(worker)
         self._take_results(queue, worker, batch, results)
@@ -470,6 +487,7 @@
         reason: str,
     ) -> None:
         worker.rest()
+        worker.note_shared()
         self._logger.warning(
             "stage_call_failed",
             service=queue.service,
@@ -543,6 +561,14 @@
         else:
             self._peers.send(sender, message)
 
+    def _announce_start(
+        self, queue: _ServiceQueue, worker: _Worker, batch: list[QueuedPiece]
+    ) -> GreenThread | None:
+        if now() < worker.alone_from:
+            return None
+        delay = fetch_seconds(_input_bytes(batch))
+        return eventlet.spawn_after(delay, self._tell_started, queue, batch)
+
     def _tell_started(self, queue: _ServiceQueue, batch: list[QueuedPiece]) -> None:
         numbers: dict[tuple[str, int, int], list[int]] = {}
         for piece in batch:
--- a/packages/serving/bergamotsaddle_serving/stage_run.py
+++ b/packages/serving/bergamotsaddle_serving/stage_run.py
@@ -25,6 +25,7 @@
 from bergamotsaddle_serving.peers import Peers
 from bergamotsaddle_serving.stage_load import Coming
 from bergamotsaddle_serving.stage_owner import (
+    GONE,
     LATE,
     MOVED,
     NO_TARGET,
@@ -453,7 +454,7 @@
         )
         self._round += 1
         self._started_by_stage.clear()
-        if reason == "gone":
+        if reason == GONE:
             self._forget_inputs(opened.number)
         eventlet.sleep(_FAILURE_PAUSE_S * self._failures)
 
