Answer every request truthfully before an instance ends

Ruled out: the listener (it was taken 2.2 s after SIGTERM) and the target (it had not been sent). Now whatever runs at the end of the grace time is answered 503 if nothing has left, else 502; the same at the end of a request's time. tests/test_serving_stop.py fails without it.

--- a/packages/serving/bergamotsaddle_serving/attempt.py
+++ b/packages/serving/bergamotsaddle_serving/attempt.py
@@ -122,6 +122,7 @@
             self._state.fail(is_certain=True)
             raise NotRunError(error.reason) from error
         self._connection = connection
+        context.progress.is_sent = True
         try:
             connection.send(outgoing, limit=limit)
             head = self._await_head(connection, limit, most or limit)
--- a/packages/serving/bergamotsaddle_serving/context.py
+++ b/packages/serving/bergamotsaddle_serving/context.py
@@ -8,6 +8,17 @@
 from bergamotsaddle_serving.messages import RequestHead
 
 
+class Progress:
+    """How far a request has come.
+
+    Attributes:
+        is_sent: Whether any byte of it has left for a target that might run it.
+    """
+
+    def __init__(self) -> None:
+        self.is_sent = False
+
+
 class Context(NamedTuple):
     """What is known of a request before any work for it.
 
@@ -20,6 +31,7 @@
         began_at: When it came, on the hub's clock.
         ends_at: When its caller or its route gives it up.
         version: Version of the configuration that it is served by.
+        progress: How far it has come.
     """
 
     head: RequestHead
@@ -30,6 +42,7 @@
     began_at: float
     ends_at: float
     version: int
+    progress: Progress
 
     @property
     def urgency(self) -> int:
@@ -48,6 +61,19 @@
         """Seconds that are left."""
         return self.ends_at - now()
 
+    def give_up(self, kind: ErrorKind, detail: str) -> RequestError:
+        """Make the error for a request that ends wherever it is.
+
+        It says "not run" only if nothing of the request has left.
+
+        Args:
+            kind: What to answer if a target may have run it.
+            detail: One sentence for the caller.
+        """
+        if self.progress.is_sent:
+            return RequestError(kind, detail, ran=Ran.UNKNOWN)
+        return self.refuse(ErrorKind.NOT_RUN, detail)
+
     def refuse(
         self, kind: ErrorKind, detail: str, *, retry_after: float | None = None
     ) -> RequestError:
--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -5,6 +5,7 @@
 
 import eventlet
 import msgspec
+from greenlet import greenlet
 
 from bergamotsaddle_contracts.errors import (
     BergamotsaddleError,
@@ -27,7 +28,7 @@
     Service,
     Team,
 )
-from bergamotsaddle_serving.context import Context
+from bergamotsaddle_serving.context import Context, Progress
 from bergamotsaddle_serving.messages import Dialect, RequestHead
 from bergamotsaddle_serving.metrics import Metrics
 from bergamotsaddle_serving.plain import PlainServer
@@ -51,6 +52,10 @@
     """The request's time is up."""
 
 
+class _StoppingError(BergamotsaddleError):
+    """This instance is about to end."""
+
+
 class Refusal(msgspec.Struct):
     """What a caller is told instead of an answer."""
 
@@ -91,7 +96,16 @@
         self._logger = logger
         self.connections: set[CallerConnection] = set()
         self.active = 0
-        self.stopping = False
+        self._workers: set[greenlet] = set()
+
+    def end_all(self) -> None:
+        """End every request that still runs, each with an answer that is true.
+
+        The process is about to be killed; a caller whose connection only closes does
+        not know whether its request has run, and one that may not repeat it is stuck.
+        """
+        for worker in list(self._workers):
+            eventlet.kill(worker, _StoppingError("stopping"))
 
     def limits(self) -> CallerLimits:
         """The limits on callers in force."""
@@ -158,12 +172,16 @@
             with eventlet.Timeout(max(0.001, context.remaining), _OutOfTimeError("")):
                 self._work(caller, context)
 
+        worker = eventlet.getcurrent()
+        self._workers.add(worker)
         try:
             caller.serve(work)
         except _OutOfTimeError as error:
-            raise RequestError(
-                ErrorKind.DEADLINE_PASSED, "out of time", ran=Ran.UNKNOWN
-            ) from error
+            raise context.give_up(ErrorKind.DEADLINE_PASSED, "out of time") from error
+        except _StoppingError as error:
+            raise context.give_up(ErrorKind.TARGET_FAILED, "stopping") from error
+        finally:
+            self._workers.discard(worker)
 
     def _work(self, caller: CallerConnection, context: Context) -> None:
         if context.route.kind is Kind.STREAM:
@@ -191,6 +209,7 @@
             began_at=raw.began_at,
             ends_at=raw.began_at + min(head.deadline, route.timeout),
             version=configuration.version,
+            progress=Progress(),
         )
 
     def _authenticate(
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -41,7 +41,9 @@
 _NOTICE_S = 2.6
 _STOP_STEP_S = 0.02
 # The process ends this long before it would be killed.
-_STOP_MARGIN_S = 0.6
+_STOP_MARGIN_S = 0.8
+# For the last answers to leave.
+_ANSWER_S = 0.1
 _TICK_S = 0.5
 _RESTART_PAUSE_S = 0.5
 
@@ -159,6 +161,8 @@
         while now() < limit and self._is_busy():
             self._close_idle()
             eventlet.sleep(_STOP_STEP_S)
+        self.handler.end_all()
+        eventlet.sleep(_ANSWER_S)
         self._close_idle()
         self.logger.info("stopped", active=self.handler.active)
 
--- /dev/null
+++ b/tests/test_serving_stop.py
@@ -0,0 +1,71 @@
+"""Requests that are still running when an instance ends."""
+
+import unittest
+from unittest import mock
+
+import eventlet
+from parameterized import parameterized
+
+from bergamotsaddle_contracts.errors import ErrorKind
+from bergamotsaddle_serving.caller import CallerConnection
+from bergamotsaddle_serving.catalog import CallerLimits, Kind, Route, Service, Share
+from bergamotsaddle_serving.context import Context, Progress
+from bergamotsaddle_serving.handler import Handler
+from bergamotsaddle_serving.messages import RequestHead
+from tests._paused import use_paused_clock, use_running_clock
+
+setUpModule = use_running_clock
+tearDownModule = use_paused_clock
+
+ROUTE = Route("r", "h", "/", Kind.ONCE, 9.0, 1.0, 1, 0, (Share("s", 1.0),))
+REQUEST = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+
+
+def make_context(*, is_sent):
+    """A request that waits, or has been sent."""
+    progress = Progress()
+    progress.is_sent = is_sent
+    head = RequestHead("r1", b"POST", b"/", "h", "", 9.0)
+    now = eventlet.hubs.get_hub().clock()
+    service = Service("s", 10)
+    return Context(head, b"", ROUTE, service, None, now, now + 9.0, 1, progress)
+
+
+class StopTest(unittest.TestCase):
+    """An instance whose time to stop is up."""
+
+    @parameterized.expand([("waiting", False, b" 503 "), ("sent", True, b" 502 ")])
+    def test_every_request_gets_a_true_answer(self, _, is_sent, status):
+        """Requests wait for a stage or a target when the process is about to end.
+
+        Were their connections only closed, callers would not know whether they have
+        run; "not run" may be said only of those of which nothing has left.
+        """
+        plain = mock.Mock()
+        plain.serve = lambda context: eventlet.sleep(5)
+        handler = Handler(*(mock.MagicMock() for _ in range(7)))
+        handler._plain = plain
+        handler._context = lambda head, raw: make_context(is_sent=is_sent)
+        handler._dialect.read_head.return_value = mock.Mock(id="r1")
+        listener = eventlet.listen(("127.0.0.1", 0))
+        client = eventlet.connect(listener.getsockname())
+        server, _ = listener.accept()
+        caller = CallerConnection(server, CallerLimits, lambda: True)
+        eventlet.spawn_n(handler.run, caller)
+        client.sendall(REQUEST)
+        eventlet.sleep(0.05)
+        self.assertEqual(handler.active, 1)
+        handler.end_all()
+        self.assertIn(status, client.recv(1000))
+        eventlet.sleep(0.01)
+        self.assertEqual(handler.active, 0)
+
+    @parameterized.expand(
+        [
+            (False, ErrorKind.NOT_RUN),
+            (True, ErrorKind.DEADLINE_PASSED),
+        ]
+    )
+    def test_giving_up_says_what_is_known(self, is_sent, kind):
+        error = make_context(is_sent=is_sent).give_up(ErrorKind.DEADLINE_PASSED, "x")
+        self.assertEqual(error.kind, kind)
