--- a/packages/serving/bergamotsaddle_serving/messages.py
+++ b/packages/serving/bergamotsaddle_serving/messages.py
@@ -1,6 +1,7 @@
 """Typed messages between the parts of the core and the adapter of a platform."""
 
 from collections.abc import Sequence
+from enum import StrEnum
 from typing import NamedTuple, Protocol
 
 from bergamotsaddle_contracts.ini import Address
@@ -118,11 +119,23 @@
     remaining: float
 
 
+class Unmade(StrEnum):
+    """Why a piece has no result; the first four are said by targets."""
+
+    ERROR = "error"
+    GONE = "gone"
+    LATE = "late"
+    NO_ROOM = "room"
+    FAILED = "failed"
+    MOVED = "moved"
+    NO_TARGET = "no_target"
+
+
 class PieceResult(NamedTuple):
     """How one piece ended: a handle to its result, or why there is none."""
 
     handle: str
-    reason: str = ""
+    reason: Unmade | None = None
 
 
 class Entry(NamedTuple):
--- a/packages/serving/bergamotsaddle_serving/peer_messages.py
+++ b/packages/serving/bergamotsaddle_serving/peer_messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from bergamotsaddle_serving.messages import Unmade
+
 
 class Message(msgspec.Struct, tag=True, array_like=True, frozen=True):
     """Base of all datagrams."""
@@ -101,7 +103,7 @@
 
     number: int
     handle: str
-    reason: str = ""
+    reason: Unmade | None = None
 
 
 class Results(Message):
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/stage_calls.py
@@ -0,0 +1,108 @@
+"""The calls that an owner of a stage queue makes to targets."""
+
+from collections.abc import Sequence
+
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.catalog import Target
+from bergamotsaddle_serving.client import (
+    ConnectionLostError,
+    ConnectionPool,
+    Outgoing,
+)
+from bergamotsaddle_serving.messages import Dialect, HttpCall, Piece, PieceResult
+from bergamotsaddle_serving.stage_queue import QueuedPiece
+from bergamotsaddle_serving.view import View
+
+_OK = 200
+_MISDIRECTED = 421
+_MAX_BODY = 1_000_000
+# Calls that need no turn at the target are answered within a few ms.
+_RELEASE_LIMIT_S = 0.5
+_ASK_LIMIT_S = 0.3
+
+
+class StageCalls:
+    """Calls to stage targets.
+
+    Args:
+        view: Tells whether a target may still get work.
+        pool: Connections to targets.
+        dialect: Makes and reads the calls.
+    """
+
+    def __init__(self, view: View, pool: ConnectionPool, dialect: Dialect) -> None:
+        self._view = view
+        self._pool = pool
+        self._dialect = dialect
+
+    def run(
+        self, target: Target, batch: Sequence[QueuedPiece], limit: float
+    ) -> list[PieceResult] | None:
+        """Have a target work on pieces.
+
+        Args:
+            target: The target.
+            batch: The pieces.
+            limit: Seconds after which the call counts as lost.
+
+        Returns:
+            A result for each piece, None if the target was full.
+
+        Raises:
+            ConnectionLostError: If the target may not get work, or broke off.
+            ValueError: If it sent no such answer.
+        """
+        if not self._view.may_get_work(target):
+            raise ConnectionLostError("left", is_unsent=True)
+        moment = now()
+        pieces = [
+            Piece(*p.key[:3], p.input_key, p.inputs, p.expires_at - moment)
+            for p in batch
+        ]
+        call = self._dialect.run_pieces(pieces, target)
+        status, body = self._exchange(target, call, limit)
+        if status == _MISDIRECTED:
+            raise ConnectionLostError("misdirected", is_unsent=True)
+        if status != _OK:
+            return None
+        results = self._dialect.read_results(body)
+        if len(results) != len(batch):
+            raise ValueError("expected a result for each piece")
+        return results
+
+    def ask_room(self, target: Target) -> float:
+        """Ask a target for its free room in bytes.
+
+        Raises:
+            ConnectionLostError: If it did not answer.
+            ValueError: If it sent no such answer.
+        """
+        call = self._dialect.ask_room(target)
+        _, body = self._exchange(target, call, _ASK_LIMIT_S)
+        return self._dialect.read_room(body)
+
+    def release(self, target: Target, handles: Sequence[str]) -> None:
+        """Give up results.
+
+        Raises:
+            ConnectionLostError: If the target did not answer.
+        """
+        call = self._dialect.release_results(handles, target)
+        self._exchange(target, call, _RELEASE_LIMIT_S)
+
+    def _exchange(
+        self, target: Target, call: HttpCall, limit: float
+    ) -> tuple[int, bytes]:
+        connection = self._pool.take(target.address)
+        try:
+            connection.send(
+                Outgoing(call.method, call.path, call.headers, call.body), limit=limit
+            )
+            head = connection.read_head(limit=limit)
+            body = connection.read_body(limit=limit, most=_MAX_BODY)
+        except BaseException:
+            connection.close()
+            raise
+        keep = self._dialect.read_answer(head.headers).keep_seconds
+        self._pool.give(connection, keep)
+        return head.status, body
--- a/packages/serving/bergamotsaddle_serving/stage_owner.py
+++ b/packages/serving/bergamotsaddle_serving/stage_owner.py
@@ -1,6 +1,5 @@
 """Owns queues of stage services: takes pieces from all instances and calls targets."""
 
-from collections import OrderedDict
 from collections.abc import Callable
 from typing import Any
 
@@ -10,14 +9,14 @@
 
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving.catalog import Batching, Target
+from bergamotsaddle_serving._stage_worker import ServiceQueue, Worker
+from bergamotsaddle_serving.catalog import Target
 from bergamotsaddle_serving.client import (
     ConnectionLostError,
     ConnectionPool,
-    Outgoing,
 )
 from bergamotsaddle_serving.fetching import fetch_seconds
-from bergamotsaddle_serving.messages import Dialect, HttpCall, Piece, PieceResult
+from bergamotsaddle_serving.messages import Dialect, PieceResult, Unmade
 from bergamotsaddle_serving.owners import rank_owners
 from bergamotsaddle_serving.peer_messages import (
     Accepted,
@@ -29,110 +28,26 @@
     Submit,
 )
 from bergamotsaddle_serving.peers import Peers
+from bergamotsaddle_serving.stage_calls import StageCalls
 from bergamotsaddle_serving.stage_queue import (
     PieceKey,
     QueuedPiece,
-    ResultRoom,
-    StageQueue,
 )
 from bergamotsaddle_serving.view import View
 
-_OK = 200
-_MISDIRECTED = 421
-_MAX_RESULT_BODY = 1_000_000
 # A call that takes this many times its expected time, and a little, counts as lost: a
 # target without power never answers, while slow ones keep within it.
 _LOST_FACTOR = 2.0
 _LOST_EXTRA_S = 0.4
-_MAX_PACE = 6.0
-_PACE_WEIGHT = 0.3
-# A target that failed gets nothing for a time that doubles up to the longest.
-_FIRST_REST_S = 0.3
-_LONGEST_REST_S = 3.0
 _FULL_PAUSE_S = 0.05
 _IDLE_CHECK_S = 0.25
 _MAX_TRIES = 2
 # Another owner must have been seen at this many checks in a row, half a second apart,
 # for pieces to move there.
 _CHECKS_TO_MOVE = 2
-# How long after a sign of other callers a target is taken to have some: an owner that
-# was replaced works off its queue for up to a few calls.
-_SHARED_S = 2.0
 # How long after a call the next one may wait for the room that its results give up:
 # their way to the sender, from there to an engine, and the word that they were fetched.
 _ROOM_WAIT_S = 0.09
-# Results are told again if their first datagram got lost.
-_KEPT_RESULTS = 5_000
-_RELEASE_LIMIT_S = 0.5
-_ASK_LIMIT_S = 0.3
-NO_TARGET = "no_target"
-FAILED = "failed"
-NO_ROOM = "room"
-GONE = "gone"
-LATE = "late"
-MOVED = "moved"
-
-
-class _Worker:
-    """What this owner knows of one target."""
-
-    def __init__(self, target: Target, batching: Batching) -> None:
-        self.target = target
-        self.room = ResultRoom(batching.room_bytes, batching.keep_seconds)
-        self.pace = 1.0
-        self.free_at = 0.0
-        self.full_call_by = 0.0
-        self.alone_from = now() + _SHARED_S
-        self.failures = 0
-        self.rest_until = 0.0
-        self.to_release: list[str] = []
-        self.has_release = Event()
-
-    def note_shared(self) -> None:
-        """Note a sign that others call the target as well.
-
-        A call then waits at the target before it begins, and inputs that were given up
-        shortly after sending it would be gone by its turn. That happens around every
-        change of owners, when two of them call the same targets for a moment.
-        """
-        self.alone_from = now() + _SHARED_S
-
-    def rest(self) -> None:
-        """Give it nothing for a while after a failure."""
-        pause = min(_LONGEST_REST_S, _FIRST_REST_S * 2.0**self.failures)
-        self.failures += 1
-        self.rest_until = now() + pause
-
-    def learn(self, seconds: float, expected: float) -> None:
-        """Take the time of an answered call into account."""
-        self.failures = 0
-        ratio = min(_MAX_PACE, seconds / expected)
-        self.pace += _PACE_WEIGHT * (ratio - self.pace)
-
-
-class _ServiceQueue:
-    """One stage service's queue and workers."""
-
-    def __init__(self, service: str, batching: Batching) -> None:
-        self.service = service
-        self.queue = StageQueue(batching)
-        self.worker_by_life: dict[tuple[str, int], _Worker] = {}
-        self.sender_by_request: dict[str, str] = {}
-        self.running: set[PieceKey] = set()
-        self.done_by_key: OrderedDict[PieceKey, Done] = OrderedDict()
-        self.cancelled: OrderedDict[str, None] = OrderedDict()
-        self.news = Event()
-        self.disowned_checks = 0
-
-    def wake(self) -> None:
-        """Wake all workers."""
-        news, self.news = self.news, Event()
-        news.send()
-
-    def fit_workers(self) -> list[_Worker]:
-        """Workers whose targets are not resting after a failure."""
-        moment = now()
-        return [w for w in self.worker_by_life.values() if w.rest_until <= moment]
 
 
 def _input_bytes(batch: list[QueuedPiece]) -> int:
@@ -162,10 +77,10 @@
     ) -> None:
         self._view = view
         self._peers = peers
-        self._pool = pool
+        self._calls = StageCalls(view, pool, dialect)
         self._dialect = dialect
         self._logger = logger
-        self._queue_by_service: dict[str, _ServiceQueue] = {}
+        self._queue_by_service: dict[str, ServiceQueue] = {}
         self.deliver_here: Any = None
         self.calls = 0
         self.pieces = 0
@@ -183,9 +98,9 @@
         """
         queue = self._queue(message.service)
         if queue is None or not self._has_targets(queue):
-            done = [Done(n, "", NO_TARGET) for n in message.numbers]
+            done = [Done(n, "", Unmade.NO_TARGET) for n in message.numbers]
             return Results(message.request, message.stage, message.round, done)
-        queue.sender_by_request[message.request] = sender
+        queue.note_sender(message.request, sender)
         known = [self._take(queue, message, number) for number in message.numbers]
         queue.wake()
         done = [result for result in known if result is not None]
@@ -201,9 +116,7 @@
             if queue.sender_by_request.pop(message.request, None) is None:
                 continue
             queue.queue.cancel(message.request)
-            queue.cancelled[message.request] = None
-            while len(queue.cancelled) > _KEPT_RESULTS:
-                queue.cancelled.popitem(last=False)
+            queue.note_cancelled(message.request)
 
     def release(self, message: Release) -> None:
         """Give up results at the targets that hold them."""
@@ -241,7 +154,7 @@
                 continue
             for piece in list(queue.queue.piece_by_key.values()):
                 del queue.queue.piece_by_key[piece.key]
-                self._finish(queue, piece, PieceResult("", MOVED))
+                self._finish(queue, piece, PieceResult("", Unmade.MOVED))
 
     def open_queues(self) -> None:
         """Open a queue for each stage service, so that its waits are known."""
@@ -252,27 +165,27 @@
             if service.batching is not None:
                 self._queue(service.name)
 
-    def _queue(self, service: str) -> _ServiceQueue | None:
+    def _queue(self, service: str) -> ServiceQueue | None:
         configuration = self._view.configuration
         declared = configuration and configuration.services_by_name.get(service)
         if not declared or declared.batching is None:
             return None
         queue = self._queue_by_service.get(service)
         if queue is None:
-            queue = _ServiceQueue(service, declared.batching)
+            queue = ServiceQueue(service, declared.batching)
             self._queue_by_service[service] = queue
         queue.queue.batching = declared.batching
         return queue
 
-    def _has_targets(self, queue: _ServiceQueue) -> bool:
+    def _has_targets(self, queue: ServiceQueue) -> bool:
         self._hire(queue)
         return bool(queue.fit_workers())
 
-    def _hire(self, queue: _ServiceQueue) -> None:
+    def _hire(self, queue: ServiceQueue) -> None:
         for target in self._own_targets(queue.service):
             if target.life in queue.worker_by_life:
                 continue
-            worker = _Worker(target, queue.queue.batching)
+            worker = Worker(target, queue.queue.batching)
             queue.worker_by_life[target.life] = worker
             for _ in range(queue.queue.batching.slots):
                 eventlet.spawn_n(self._keep_working, self._work, queue, worker)
@@ -280,9 +193,9 @@
 
     def _keep_working(
         self,
-        work: Callable[[_ServiceQueue, _Worker], None],
-        queue: _ServiceQueue,
-        worker: _Worker,
+        work: Callable[[ServiceQueue, Worker], None],
+        queue: ServiceQueue,
+        worker: Worker,
     ) -> None:
         # An error nobody thought of would end the only green thread that calls this
         # target, and its queue would stand still; the log line tells of it.
@@ -313,7 +226,7 @@
             self._turn_away(queue)
             queue.wake()
 
-    def _take(self, queue: _ServiceQueue, message: Submit, number: int) -> Done | None:
+    def _take(self, queue: ServiceQueue, message: Submit, number: int) -> Done | None:
         key = PieceKey(message.request, message.stage, number, message.round)
         if key in queue.done_by_key:
             return queue.done_by_key[key]
@@ -335,7 +248,7 @@
         )
         return None
 
-    def _load(self, queue: _ServiceQueue) -> list[float]:
+    def _load(self, queue: ServiceQueue) -> list[float]:
         workers = queue.fit_workers()
         until_free = max(0.0, min(w.free_at for w in workers) - now())
         pace = min(w.pace for w in workers)
@@ -344,7 +257,7 @@
         rate = queue.queue.rate(len(workers), pace)
         return [round(figure, 3) for figure in (*drains, call, rate)]
 
-    def _work(self, queue: _ServiceQueue, worker: _Worker) -> None:
+    def _work(self, queue: ServiceQueue, worker: Worker) -> None:
         while queue.worker_by_life.get(worker.target.life) is worker:
             moment = now()
             if worker.rest_until > moment:
@@ -352,7 +265,7 @@
                 eventlet.sleep(min(_IDLE_CHECK_S, worker.rest_until - moment))
                 continue
             for piece in queue.queue.take_expired(moment, worker.pace):
-                self._finish(queue, piece, PieceResult("", LATE))
+                self._finish(queue, piece, PieceResult("", Unmade.LATE))
             batch = queue.queue.take_batch(
                 moment,
                 worker.room.left(moment),
@@ -364,24 +277,24 @@
                 continue
             self._call(queue, worker, batch)
 
-    def _await_news(self, queue: _ServiceQueue, worker: _Worker) -> None:
+    def _await_news(self, queue: ServiceQueue, worker: Worker) -> None:
         wait = worker.full_call_by - now()
         if wait <= 0:
             wait = _IDLE_CHECK_S
         with eventlet.Timeout(wait, False):
             queue.news.wait()
 
-    def _turn_away(self, queue: _ServiceQueue) -> None:
+    def _turn_away(self, queue: ServiceQueue) -> None:
         # With all targets resting, the pieces have better chances in another zone,
         # and their senders choose that.
         if queue.fit_workers():
             return
         for piece in list(queue.queue.piece_by_key.values()):
             del queue.queue.piece_by_key[piece.key]
-            self._finish(queue, piece, PieceResult("", NO_TARGET))
+            self._finish(queue, piece, PieceResult("", Unmade.NO_TARGET))
 
     def _call(
-        self, queue: _ServiceQueue, worker: _Worker, batch: list[QueuedPiece]
+        self, queue: ServiceQueue, worker: Worker, batch: list[QueuedPiece]
     ) -> None:
         size = sum(piece.result_bytes for piece in batch)
         expected = queue.queue.batching.seconds(len(batch))
@@ -394,7 +307,7 @@
         limit = expected * max(1.0, worker.pace) * _LOST_FACTOR + _LOST_EXTRA_S
         started = self._announce_start(queue, worker, batch)
         try:
-            results = self._send(worker, batch, limit)
+            results = self._calls.run(worker.target, batch, limit)
         except (ConnectionLostError, ValueError) as error:
             self._fail(queue, worker, batch, str(error))
             return
@@ -407,7 +320,7 @@
             worker.full_call_by = now() + _ROOM_WAIT_S
         if results is None:
             worker.note_shared()
-            self._put_back(queue, batch, "full")
+            self._put_back(queue, batch, None)
             eventlet.sleep(_FULL_PAUSE_S)
             return
         worker.learn(now() - began_at, expected)
@@ -422,17 +335,15 @@
             room=int(worker.room.left(now())),
             requests=sorted({piece.key.request for piece in batch}),
         )
-        if any(result.reason == GONE for result in results):
+        if any(result.reason == Unmade.GONE for result in results):
             worker.note_shared()
-        if any(result.reason == NO_ROOM for result in results):
+        if any(result.reason == Unmade.NO_ROOM for result in results):
             self._ask_room(worker)
         self._take_results(queue, worker, batch, results)
 
-    def _ask_room(self, worker: _Worker) -> None:
-        call = self._dialect.ask_room(worker.target)
+    def _ask_room(self, worker: Worker) -> None:
         try:
-            _, body = self._exchange(worker.target.address, call, _ASK_LIMIT_S)
-            free = self._dialect.read_room(body)
+            free = self._calls.ask_room(worker.target)
         except (ConnectionLostError, ValueError) as error:
             # What is known stays; the next refusal asks again.
             self._logger.warning(
@@ -441,48 +352,10 @@
             return
         worker.room.correct(free, now())
 
-    def _send(
-        self, worker: _Worker, batch: list[QueuedPiece], limit: float
-    ) -> list[PieceResult] | None:
-        moment = now()
-        if not self._view.may_get_work(worker.target):
-            raise ConnectionLostError("left", is_unsent=True)
-        pieces = [
-            Piece(*p.key[:3], p.input_key, p.inputs, p.expires_at - moment)
-            for p in batch
-        ]
-        call = self._dialect.run_pieces(pieces, worker.target)
-        status, body = self._exchange(worker.target.address, call, limit)
-        if status == _MISDIRECTED:
-            raise ConnectionLostError("misdirected", is_unsent=True)
-        if status != _OK:
-            return None
-        results = self._dialect.read_results(body)
-        if len(results) != len(batch):
-            raise ValueError("expected a result for each piece")
-        return results
-
-    def _exchange(
-        self, address: Address, call: HttpCall, limit: float
-    ) -> tuple[int, bytes]:
-        connection = self._pool.take(address)
-        try:
-            connection.send(
-                Outgoing(call.method, call.path, call.headers, call.body), limit=limit
-            )
-            head = connection.read_head(limit=limit)
-            body = connection.read_body(limit=limit, most=_MAX_RESULT_BODY)
-        except BaseException:
-            connection.close()
-            raise
-        keep = self._dialect.read_answer(head.headers).keep_seconds
-        self._pool.give(connection, keep)
-        return head.status, body
-
     def _fail(
         self,
-        queue: _ServiceQueue,
-        worker: _Worker,
+        queue: ServiceQueue,
+        worker: Worker,
         batch: list[QueuedPiece],
         reason: str,
     ) -> None:
@@ -495,25 +368,25 @@
             reason=reason,
             requests=sorted({piece.key.request for piece in batch}),
         )
-        self._put_back(queue, batch, FAILED)
+        self._put_back(queue, batch, Unmade.FAILED)
 
     def _put_back(
-        self, queue: _ServiceQueue, batch: list[QueuedPiece], reason: str
+        self, queue: ServiceQueue, batch: list[QueuedPiece], reason: Unmade | None
     ) -> None:
         for piece in batch:
             if piece.key.request in queue.cancelled:
                 continue
             if piece.tries >= _MAX_TRIES:
-                self._finish(queue, piece, PieceResult("", FAILED))
+                self._finish(queue, piece, PieceResult("", Unmade.FAILED))
                 continue
-            tries = piece.tries + (reason == FAILED)
+            tries = piece.tries + (reason == Unmade.FAILED)
             queue.queue.add(piece._replace(tries=tries))
         queue.wake()
 
     def _take_results(
         self,
-        queue: _ServiceQueue,
-        worker: _Worker,
+        queue: ServiceQueue,
+        worker: Worker,
         batch: list[QueuedPiece],
         results: list[PieceResult],
     ) -> None:
@@ -526,7 +399,7 @@
                 if result.handle:
                     self._release(worker.target.address, result.handle, queue.service)
                 continue
-            if result.reason == NO_ROOM:
+            if result.reason == Unmade.NO_ROOM:
                 worker.room.note_full(piece.result_bytes, moment)
                 queue.queue.add(piece)
                 continue
@@ -538,21 +411,19 @@
             self._tell(queue, Results(request, stage, turn, done))
 
     def _finish(
-        self, queue: _ServiceQueue, piece: QueuedPiece, result: PieceResult
+        self, queue: ServiceQueue, piece: QueuedPiece, result: PieceResult
     ) -> None:
         done = self._note(queue, piece.key, result)
         key = piece.key
         self._tell(queue, Results(key.request, key.stage, key.round, [done]))
 
-    def _note(self, queue: _ServiceQueue, key: PieceKey, result: PieceResult) -> Done:
+    def _note(self, queue: ServiceQueue, key: PieceKey, result: PieceResult) -> Done:
         done = Done(key.number, result.handle, result.reason)
         if result.handle:
-            queue.done_by_key[key] = done
-            while len(queue.done_by_key) > _KEPT_RESULTS:
-                queue.done_by_key.popitem(last=False)
+            queue.note_done(key, done)
         return done
 
-    def _tell(self, queue: _ServiceQueue, message: Results | Started) -> None:
+    def _tell(self, queue: ServiceQueue, message: Results | Started) -> None:
         sender = queue.sender_by_request.get(message.request)
         if sender is None:
             return
@@ -562,14 +433,14 @@
             self._peers.send(sender, message)
 
     def _announce_start(
-        self, queue: _ServiceQueue, worker: _Worker, batch: list[QueuedPiece]
+        self, queue: ServiceQueue, worker: Worker, batch: list[QueuedPiece]
     ) -> GreenThread | None:
         if now() < worker.alone_from:
             return None
         delay = fetch_seconds(_input_bytes(batch))
         return eventlet.spawn_after(delay, self._tell_started, queue, batch)
 
-    def _tell_started(self, queue: _ServiceQueue, batch: list[QueuedPiece]) -> None:
+    def _tell_started(self, queue: ServiceQueue, batch: list[QueuedPiece]) -> None:
         numbers: dict[tuple[str, int, int], list[int]] = {}
         for piece in batch:
             if piece.inputs:
@@ -589,7 +460,7 @@
                     worker.has_release.send()
                 return
 
-    def _give_up(self, queue: _ServiceQueue, worker: _Worker) -> None:
+    def _give_up(self, queue: ServiceQueue, worker: Worker) -> None:
         while queue.worker_by_life.get(worker.target.life) is worker:
             if not worker.to_release:
                 with eventlet.Timeout(_IDLE_CHECK_S * 4, False):
@@ -597,9 +468,8 @@
                 worker.has_release = Event()
                 continue
             handles, worker.to_release = worker.to_release, []
-            call = self._dialect.release_results(handles, worker.target)
             try:
-                self._exchange(worker.target.address, call, _RELEASE_LIMIT_S)
+                self._calls.release(worker.target, handles)
             except ConnectionLostError as error:
                 # They end by themselves after their time; the room stays counted.
                 self._logger.warning(
--- a/packages/serving/bergamotsaddle_serving/stage_run.py
+++ b/packages/serving/bergamotsaddle_serving/stage_run.py
@@ -10,7 +10,7 @@
 from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.catalog import Route
-from bergamotsaddle_serving.messages import RequestHead
+from bergamotsaddle_serving.messages import RequestHead, Unmade
 from bergamotsaddle_serving.owners import rank_owners
 from bergamotsaddle_serving.peer_messages import (
     Accepted,
@@ -24,13 +24,7 @@
 )
 from bergamotsaddle_serving.peers import Peers
 from bergamotsaddle_serving.stage_load import Coming
-from bergamotsaddle_serving.stage_owner import (
-    GONE,
-    LATE,
-    MOVED,
-    NO_TARGET,
-    StageOwner,
-)
+from bergamotsaddle_serving.stage_owner import StageOwner
 from bergamotsaddle_serving.stage_plan import StagePlan
 
 # An owner acknowledges within a few ms; after this it is asked again, and after two
@@ -387,7 +381,7 @@
         return min([*times, self._deadline_at])
 
     def _take_results(self, message: Results) -> None:
-        failed: list[tuple[_Open, str]] = []
+        failed: list[tuple[_Open, Unmade | None]] = []
         for done in message.done:
             opened = self._find(message, done.number)
             if opened is None:
@@ -432,12 +426,12 @@
         for owner in self._owners:
             self._exchange.send(owner, release)
 
-    def _fail(self, opened: _Open, reason: str) -> None:
-        if reason == LATE:
+    def _fail(self, opened: _Open, reason: Unmade | None) -> None:
+        if reason is Unmade.LATE:
             raise self._refuse(ErrorKind.DEADLINE_INFEASIBLE, "a stage was too late")
-        if reason == MOVED:
+        if reason is Unmade.MOVED:
             return
-        if reason == NO_TARGET:
+        if reason is Unmade.NO_TARGET:
             service = self._route.stages[opened.number].service
             self._plan.avoid(service, opened.zone, now())
             eventlet.sleep(_NO_TARGET_PAUSE_S)
@@ -454,7 +448,7 @@
         )
         self._round += 1
         self._started_by_stage.clear()
-        if reason == GONE:
+        if reason is Unmade.GONE:
             self._forget_inputs(opened.number)
         eventlet.sleep(_FAILURE_PAUSE_S * self._failures)
 
