--- /dev/null
+++ b/tests/test_stage_owner.py
@@ -0,0 +1,247 @@
+"""Stages of a request through an owner's queue, with targets that fail."""
+
+import unittest
+from unittest import mock
+
+import eventlet
+import msgspec
+
+from bergamotsaddle_contracts.errors import RequestError
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_platform.dialect import PlatformDialect
+from bergamotsaddle_serving.catalog import Kind, Route, Share, Stage
+from bergamotsaddle_serving.client import ConnectionLostError
+from bergamotsaddle_serving.messages import Entry, PieceResult, RequestHead, Unmade
+from bergamotsaddle_serving.peer_messages import Contact, Release
+from bergamotsaddle_serving.stage_load import Coming, StageLoad, ZoneLoad
+from bergamotsaddle_serving.stage_owner import StageOwner
+from bergamotsaddle_serving.stage_plan import StagePlan
+from bergamotsaddle_serving.stage_run import StageExchange, StageRun
+from bergamotsaddle_serving.view import View
+from tests._paused import advance, settle
+
+BATCHING = {
+    "slots": 1,
+    "batch": 4,
+    "callMs": 150.0,
+    "itemMs": 30.0,
+    "headroomMb": 18.0,
+    "handleS": 4.0,
+}
+CONFIG = {
+    "version": 1,
+    "routes": [],
+    "services": [
+        {"name": "encode", "pieces": BATCHING},
+        {"name": "rerank", "pieces": BATCHING},
+    ],
+}
+STAGES = (Stage("encode", (), 8_000), Stage("rerank", (0,), 8_000))
+ROUTE = Route("r", "h", "/", Kind.STREAM, 8.0, 2.4, 1, 0, (Share("e", 1.0),), STAGES)
+
+
+def target_entry(name, service, port):
+    """An entry of a stage target."""
+    fields = {
+        "service": service,
+        "address": f"10.0.0.1:{port}",
+        "zone": "a",
+        "slots": 1,
+        "state": "ready",
+    }
+    return Entry(f"servers/{name}", port, msgspec.json.encode(fields))
+
+
+class FakeCalls:
+    """Targets that do as their script says, each call in 0.2 s."""
+
+    def __init__(self):
+        self.script = []
+        self.calls = []
+        self.released = []
+        self.live = set()
+        self._made = 0
+
+    def run(self, target, batch, limit):
+        """Work on pieces."""
+        self.calls.append((target.id, [piece.key[:3] for piece in batch]))
+        eventlet.sleep(0.2)
+        what = self.script.pop(0) if self.script else None
+        if isinstance(what, Exception):
+            raise what
+        return [self._result(target, piece, what) for piece in batch]
+
+    def _result(self, target, piece, what):
+        if any(handle not in self.live for handle in piece.inputs):
+            return PieceResult("", Unmade.GONE)
+        if isinstance(what, dict) and piece.key.number in what:
+            return PieceResult("", what[piece.key.number])
+        self._made += 1
+        handle = f"{target.address}/{self._made}"
+        self.live.add(handle)
+        return PieceResult(handle)
+
+    def release(self, target, handles):
+        """Give up results."""
+        self.released += handles
+        self.live -= set(handles)
+
+    def ask_room(self, target):
+        """Free room."""
+        return 18e6
+
+
+class StageOwnerTest(unittest.TestCase):
+    """One instance that owns the queues of its zone."""
+
+    def setUp(self):
+        dialect = PlatformDialect()
+        self.peers = mock.Mock(own=Contact("me", "a", "127.0.0.1"))
+        self.peers.alive.return_value = []
+        self.peers.owners.return_value = ["me"]
+        self.view = View(dialect, mock.Mock())
+        self.owner = StageOwner(
+            self.view, self.peers, mock.Mock(), dialect, mock.Mock()
+        )
+        self.calls = self.owner._calls = FakeCalls()
+        self.exchange = StageExchange(self.peers, self.owner)
+        config = Entry("op/config", 1, msgspec.json.encode(CONFIG))
+        encode = target_entry("t1", "encode", 81)
+        rerank = target_entry("t2", "rerank", 82)
+        self.view.apply([config, encode, rerank], 82, source="test")
+
+    def start(self, pieces=(2, 3)):
+        """Begin the stages of a request."""
+        head = RequestHead("r1", b"POST", b"/", "h", "", 8.0, pieces=pieces)
+        plan = StagePlan(
+            ROUTE,
+            pieces,
+            "a",
+            lambda service, zone, urgency: ZoneLoad(zone, StageLoad(0.0, 0.2, 10.0)),
+            urgency=0,
+            began_at=now(),
+            finish_seconds=0.1,
+        )
+        self.run_ = StageRun(
+            head,
+            ROUTE,
+            plan,
+            self.exchange,
+            mock.Mock(),
+            urgency=0,
+            deadline_at=now() + 6.0,
+            spread=lambda service, stage, count: [("a", count)],
+            coming=Coming(),
+        )
+        self.thread = eventlet.spawn(self._run)
+        settle()
+
+    def _run(self):
+        try:
+            return self.run_.run()
+        except RequestError as error:
+            return error
+
+    def finish(self, seconds):
+        """Let time pass; the end of the stages."""
+        advance(seconds)
+        self.assertTrue(self.thread.dead, "the stages have not ended")
+        return self.thread.wait()
+
+    def test_stages_run_in_turn_and_results_are_given_up(self):
+        self.start()
+        end = self.finish(0.6)
+        self.assertEqual(len(end.handles), 3)
+        self.assertEqual(len(self.calls.released), 2)
+        self.run_.release()
+        advance(0.1)
+        self.assertEqual(self.calls.live, set())
+
+    def test_one_failed_piece_is_done_again_alone(self):
+        """One piece of a stage fails, the others have results.
+
+        Doing all of them again would cost a call of which most is not needed, and
+        the results that are there would be held for nothing.
+        """
+        self.calls.script = [{1: Unmade.ERROR}]
+        self.start()
+        end = self.finish(1.2)
+        self.assertEqual(len(end.handles), 3)
+        self.assertEqual(self.calls.calls[1], ("t1", [("r1", 0, 1)]))
+
+    def test_a_lost_input_is_made_again(self):
+        """The maker of a result dies before the next stage has fetched it.
+
+        The stage before is done anew; its old results must not be handed out again.
+        """
+        self.start()
+        advance(0.25)
+        self.calls.live.clear()
+        end = self.finish(1.5)
+        self.assertEqual(len(end.handles), 3)
+        self.assertTrue(set(end.handles) <= self.calls.live)
+
+    def test_a_broken_call_is_repeated(self):
+        self.calls.script = [ConnectionLostError("reset")]
+        self.start()
+        self.assertEqual(len(self.finish(2.0).handles), 3)
+
+    def test_a_zone_that_is_taken_out_gets_no_further_piece(self):
+        self.start()
+        evacuation = Entry("op/evacuate/a", 90, b"{}")
+        self.view.apply([evacuation], 90, source="test")
+        advance(5.0)
+        self.assertLessEqual(len(self.calls.calls), 1)
+        self.assertIsInstance(self.finish(2.0), RequestError)
+
+    def test_results_of_a_request_that_has_ended_are_given_up(self):
+        """A caller leaves while a target works on its pieces.
+
+        Nobody would fetch the results, and they would hold room for seconds.
+        """
+        self.start()
+        advance(0.1)
+        self.thread.kill()
+        self.run_.release()
+        advance(0.5)
+        self.assertEqual(self.calls.live, set())
+        self.assertEqual(len(self.calls.calls), 1)
+
+    def test_an_owner_that_was_replaced_hands_its_queue_over(self):
+        """An instance comes back and owns the queue again.
+
+        Two instances that go on calling the same target send half-filled calls and
+        each know half of what it holds.
+        """
+        self.start((8, 1))
+        self.peers.owners.return_value = ["other"]
+        for _ in range(2):
+            self.owner.hand_over()
+        advance(0.1)
+        sent_to = [call.args[0] for call in self.peers.send.call_args_list]
+        self.assertIn("other", sent_to)
+
+    def test_a_silent_owner_is_left_for_the_next_one(self):
+        """The owner of the queue dies just after the pieces were sent to it."""
+        self.peers.owners.return_value = ["other"]
+        self.start()
+        advance(0.1)
+        self.peers.suspect.assert_not_called()
+        advance(0.3)
+        self.peers.suspect.assert_called_with("other")
+        self.peers.owners.return_value = ["me"]
+        self.assertEqual(len(self.finish(1.5).handles), 3)
+
+    def test_releases_go_to_the_successor_of_a_dead_owner(self):
+        self.start()
+        self.finish(0.6)
+        place = next(iter(self.run_._place_by_handle.values()))
+        self.run_._place_by_handle = dict.fromkeys(
+            self.run_._place_by_handle, place._replace(owner="dead")
+        )
+        self.peers.is_alive.return_value = False
+        self.run_.release()
+        advance(0.1)
+        self.assertEqual(self.calls.live, set())
+        sent = [call.args[1] for call in self.peers.send.call_args_list]
+        self.assertFalse(any(isinstance(message, Release) for message in sent))
