Begin a chain anew where its inputs still are

Ruled out: makers that died (none near the traced ones). Now stages whose inputs we gave up ourselves are done anew at once: 8 calls before, 6 after in the test's chain of three, which fails without it.

--- a/packages/serving/bergamotsaddle_serving/stage_run.py
+++ b/packages/serving/bergamotsaddle_serving/stage_run.py
@@ -449,14 +449,31 @@
         self._round += 1
         self._started_by_stage.clear()
         if reason is Unmade.GONE:
+            # So are the inputs of its other pieces that still wait.
+            self._open = [o for o in self._open if o.number != opened.number]
+            self._forget_inputs(opened.number)
+        elif self._gave_up_inputs(opened.number):
             self._forget_inputs(opened.number)
         eventlet.sleep(_FAILURE_PAUSE_S * self._failures)
 
+    def _gave_up_inputs(self, stage: int) -> bool:
+        return any(
+            handle not in self._place_by_handle
+            for number in self._plan.predecessors(stage)
+            for handle in self._results_by_stage.get(number, {}).values()
+        )
+
     def _forget_inputs(self, stage: int) -> None:
-        # A result went with its maker; without it the stage fails again and again, and
-        # so do its pieces that still wait with the same inputs.
-        self._open = [opened for opened in self._open if opened.number != stage]
+        """Have the stages before a stage done anew, as far back as it takes.
+
+        A result went with its maker, or was given up once it had been fetched. A stage
+        whose own inputs were given up can't be done anew either; sent with their old
+        handles, its pieces would take a call at each stage only to learn that.
+        """
         for number in self._plan.predecessors(stage):
+            self._open = [o for o in self._open if o.number != number]
+            if self._gave_up_inputs(number):
+                self._forget_inputs(number)
             handles = self._results_by_stage.pop(number, {}).values()
             self._release_handles(list(handles))
 
--- a/tests/test_stage_owner.py
+++ b/tests/test_stage_owner.py
@@ -37,6 +37,7 @@
     ],
 }
 STAGES = (Stage("encode", (), 8_000), Stage("rerank", (0,), 8_000))
+CHAIN = (*STAGES, Stage("rerank", (1,), 8_000))
 ROUTE = Route("r", "h", "/", Kind.STREAM, 8.0, 2.4, 1, 0, (Share("e", 1.0),), STAGES)
 
 
@@ -65,14 +66,16 @@
     def run(self, target, batch, limit):
         """Work on pieces."""
         self.calls.append((target.id, [piece.key[:3] for piece in batch]))
+        # Inputs are fetched at the beginning, so they may be given up from then on.
+        lost = {p.key for p in batch if not self.live.issuperset(p.inputs)}
         eventlet.sleep(0.2)
         what = self.script.pop(0) if self.script else None
         if isinstance(what, Exception):
             raise what
-        return [self._result(target, piece, what) for piece in batch]
+        return [self._result(target, piece, what, piece.key in lost) for piece in batch]
 
-    def _result(self, target, piece, what):
-        if any(handle not in self.live for handle in piece.inputs):
+    def _result(self, target, piece, what, is_lost):
+        if is_lost:
             return PieceResult("", Unmade.GONE)
         if isinstance(what, dict) and piece.key.number in what:
             return PieceResult("", what[piece.key.number])
@@ -110,11 +113,12 @@
         rerank = target_entry("t2", "rerank", 82)
         self.view.apply([config, encode, rerank], 82, source="test")
 
-    def start(self, pieces=(2, 3)):
+    def start(self, pieces=(2, 3), stages=STAGES):
         """Begin the stages of a request."""
+        route = ROUTE._replace(stages=stages)
         head = RequestHead("r1", b"POST", b"/", "h", "", 8.0, pieces=pieces)
         plan = StagePlan(
-            ROUTE,
+            route,
             pieces,
             "a",
             lambda service, zone, urgency: ZoneLoad(zone, StageLoad(0.0, 0.2, 10.0)),
@@ -124,7 +128,7 @@
         )
         self.run_ = StageRun(
             head,
-            ROUTE,
+            route,
             plan,
             self.exchange,
             mock.Mock(),
@@ -181,6 +185,22 @@
         self.assertEqual(len(end.handles), 3)
         self.assertTrue(set(end.handles) <= self.calls.live)
 
+    def test_a_chain_is_begun_where_its_inputs_still_are(self):
+        """The last stage fails after all results before it were given up.
+
+        Sent with handles that we gave up ourselves, pieces of each stage would take a
+        call only to learn that their inputs are gone: three calls for nothing.
+        """
+        self.owner.open_queues()
+        self.owner.loads()
+        advance(5.0)
+        self.start((1, 1, 1), CHAIN)
+        self.calls.script = [None, None, {0: Unmade.ERROR}]
+        end = self.finish(2.0)
+        self.assertEqual(len(end.handles), 1)
+        stages = [pieces[0][1] for _, pieces in self.calls.calls]
+        self.assertEqual(stages, [0, 1, 2, 0, 1, 2])
+
     def test_a_broken_call_is_repeated(self):
         self.calls.script = [ConnectionLostError("reset")]
         self.start()
