--- a/packages/serving/bergamotsaddle_serving/attempt.py
+++ b/packages/serving/bergamotsaddle_serving/attempt.py
@@ -9,11 +9,10 @@
     ConnectionLostError,
     ConnectionPool,
     IncomingHead,
-    Outgoing,
 )
 from bergamotsaddle_serving.context import Context
 from bergamotsaddle_serving.health import TargetState
-from bergamotsaddle_serving.messages import AnswerHead, Dialect, Dispatch
+from bergamotsaddle_serving.messages import AnswerHead, Dialect, Dispatch, HttpCall
 
 _MISDIRECTED = 421
 _SUCCESS = range(200, 300)
@@ -115,7 +114,7 @@
         context = self._context
         body = context.body
         headers = self._dialect.forward(context.head, dispatch, len(body))
-        outgoing = Outgoing(context.head.method, context.head.path, headers, body)
+        call = HttpCall(context.head.method, context.head.path, headers, body)
         try:
             connection = self._pool.take(dispatch.target.address, limit=limit)
         except ConnectionLostError as error:
@@ -124,7 +123,7 @@
         self._connection = connection
         context.progress.is_sent = True
         try:
-            connection.send(outgoing, limit=limit)
+            connection.send(call, limit=limit)
             head = self._await_head(connection, limit, most or limit)
         except ConnectionLostError as error:
             self._state.fail(is_certain=False)
--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -12,7 +12,7 @@
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving._sockets import receive
-from bergamotsaddle_serving.messages import RawHeaders
+from bergamotsaddle_serving.messages import HttpCall
 
 _original_select = patcher.original("select")
 
@@ -51,15 +51,6 @@
         self.is_unsent = is_unsent
 
 
-class Outgoing(NamedTuple):
-    """A request about to be sent: method, path, headers and body."""
-
-    method: bytes
-    path: bytes
-    headers: RawHeaders
-    body: bytes = b""
-
-
 class IncomingHead(NamedTuple):
     """Status and headers of an answer, header names in lower case."""
 
@@ -118,7 +109,7 @@
         poll.register(self._socket.fileno(), _original_select.POLLIN)
         return not poll.poll(0)
 
-    def send(self, request: Outgoing, *, limit: float) -> None:
+    def send(self, request: HttpCall, *, limit: float) -> None:
         """Send a request.
 
         Raises:
--- a/packages/serving/bergamotsaddle_serving/follower.py
+++ b/packages/serving/bergamotsaddle_serving/follower.py
@@ -6,7 +6,7 @@
 import eventlet
 
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving.client import Connection, ConnectionLostError, Outgoing
+from bergamotsaddle_serving.client import Connection, ConnectionLostError
 from bergamotsaddle_serving.messages import Dialect, HttpCall, Page
 from bergamotsaddle_serving.settings import ServingSettings
 from bergamotsaddle_serving.view import View
@@ -113,8 +113,7 @@
             connection = Connection(self._settings.store.address)
         self.calls += 1
         try:
-            request = Outgoing(call.method, call.path, call.headers, call.body)
-            connection.send(request, limit=limit)
+            connection.send(call, limit=limit)
             head = connection.read_head(limit=limit)
             body = connection.read_body(limit=limit, most=_MAX_PAGE_BYTES)
         except BaseException:
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -25,8 +25,8 @@
 from bergamotsaddle_serving.probe import serve_page
 from bergamotsaddle_serving.selector import Selector
 from bergamotsaddle_serving.settings import parse_settings
+from bergamotsaddle_serving.stage_exchange import StageExchange
 from bergamotsaddle_serving.stage_owner import StageOwner
-from bergamotsaddle_serving.stage_run import StageExchange
 from bergamotsaddle_serving.stage_waits import StageWaits
 from bergamotsaddle_serving.streams import StreamServer
 from bergamotsaddle_serving.view import View
--- a/packages/serving/bergamotsaddle_serving/settings.py
+++ b/packages/serving/bergamotsaddle_serving/settings.py
@@ -4,8 +4,6 @@
 
 from bergamotsaddle_contracts.ini import Address, IniFile, parse_address, parse_words
 
-_MS = 0.001
-
 
 class InstanceSettings(NamedTuple):
     """Who this instance is (``[instance]``)."""
--- a/packages/serving/bergamotsaddle_serving/stage_calls.py
+++ b/packages/serving/bergamotsaddle_serving/stage_calls.py
@@ -4,11 +4,7 @@
 
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.catalog import Target
-from bergamotsaddle_serving.client import (
-    ConnectionLostError,
-    ConnectionPool,
-    Outgoing,
-)
+from bergamotsaddle_serving.client import ConnectionLostError, ConnectionPool
 from bergamotsaddle_serving.messages import Dialect, HttpCall, Piece, PieceResult
 from bergamotsaddle_serving.stage_queue import QueuedPiece
 from bergamotsaddle_serving.view import View
@@ -95,9 +91,7 @@
     ) -> tuple[int, bytes]:
         connection = self._pool.take(target.address)
         try:
-            connection.send(
-                Outgoing(call.method, call.path, call.headers, call.body), limit=limit
-            )
+            connection.send(call, limit=limit)
             head = connection.read_head(limit=limit)
             body = connection.read_body(limit=limit, most=_MAX_BODY)
         except BaseException:
--- a/packages/serving/bergamotsaddle_serving/stage_run.py
+++ b/packages/serving/bergamotsaddle_serving/stage_run.py
@@ -5,7 +5,7 @@
 from typing import Any, NamedTuple
 
 import eventlet
-from eventlet.queue import Empty, LightQueue
+from eventlet.queue import Empty
 
 from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
 from bergamotsaddle_daemon.clock import now
@@ -16,15 +16,13 @@
     Accepted,
     Cancel,
     Done,
-    Message,
     Release,
     Results,
     Started,
     Submit,
 )
-from bergamotsaddle_serving.peers import Peers
+from bergamotsaddle_serving.stage_exchange import StageExchange
 from bergamotsaddle_serving.stage_load import Coming
-from bergamotsaddle_serving.stage_owner import StageOwner
 from bergamotsaddle_serving.stage_plan import StagePlan
 
 # An owner acknowledges within a few ms; after this it is asked again, and after two
@@ -79,68 +77,6 @@
         self.next_at = 0.0
 
 
-class StageExchange:
-    """Carries messages between the requests of this instance and the owners.
-
-    Args:
-        peers: The other instances.
-        owner: The queues of this instance itself.
-    """
-
-    def __init__(self, peers: Peers, owner: StageOwner) -> None:
-        self.peers = peers
-        self._owner = owner
-        self._inbox_by_request: dict[str, LightQueue] = {}
-        owner.deliver_here = self.deliver
-        peers.on(Submit, self._serve)
-        peers.on(Accepted, lambda message, _: self.deliver(message))
-        peers.on(Started, lambda message, _: self.deliver(message))
-        peers.on(Results, lambda message, _: self.deliver(message))
-        peers.on(Cancel, lambda message, _: owner.cancel(message))
-        peers.on(Release, lambda message, _: owner.release(message))
-
-    def open(self, request: str) -> LightQueue:
-        """Open the inbox of a request."""
-        return self._inbox_by_request.setdefault(request, LightQueue())
-
-    def close(self, request: str) -> None:
-        """Close it."""
-        self._inbox_by_request.pop(request, None)
-
-    def deliver(self, message: Accepted | Started | Results) -> None:
-        """Hand a message to the request that waits for it.
-
-        Results for a request that has ended are given up by its cancellation, which
-        the owner gets after them.
-        """
-        inbox = self._inbox_by_request.get(message.request)
-        if inbox is not None:
-            inbox.put(message)
-
-    def successor(self, owner: str, service: str, zone: str) -> str:
-        """The owner itself while it lives, else the one in its place."""
-        if owner == self.peers.own.id or self.peers.is_alive(owner):
-            return owner
-        return next(iter(rank_owners(self.peers, service, zone)), owner)
-
-    def send(self, owner: str, message: Message) -> None:
-        """Send a message to an owner, which may be this instance itself."""
-        if owner != self.peers.own.id:
-            self.peers.send(owner, message)
-        elif isinstance(message, Submit):
-            self.deliver(self._owner.submit(message, owner))
-        elif isinstance(message, Cancel):
-            self._owner.cancel(message)
-        elif isinstance(message, Release):
-            self._owner.release(message)
-
-    def _serve(self, message: Submit, address: tuple[str, int]) -> None:
-        sender = self.peers.id_of(address[0])
-        if sender is None:
-            return
-        self.peers.send_to(address, self._owner.submit(message, sender))
-
-
 class StageRun:
     """The stages of one request.
 
@@ -150,6 +86,12 @@
         plan: Where its stages are to run, and how long each takes.
         exchange: Carries messages to the owners.
         logger: Gets a line for each failure.
+        urgency: Its urgency, 0 first.
+        deadline_at: After which the results are of no use, on the hub's clock.
+        spread: Chooses zones, each with a number of pieces, for a stage service, the
+            number of a stage and that of its pieces.
+        coming: Counts the pieces of stages that are still to come.
+        first_round: First round that may be used; later than any of an earlier run.
     """
 
     def __init__(
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -31,8 +31,9 @@
 from bergamotsaddle_serving.fetching import fetch_seconds
 from bergamotsaddle_serving.messages import Dialect, Dispatch
 from bergamotsaddle_serving.selector import Candidate, Selector
+from bergamotsaddle_serving.stage_exchange import StageExchange
 from bergamotsaddle_serving.stage_plan import StagePlan
-from bergamotsaddle_serving.stage_run import StageExchange, StageRun
+from bergamotsaddle_serving.stage_run import StageRun
 from bergamotsaddle_serving.stage_waits import StageWaits
 
 _MAX_ANSWER_BYTES = 1_000_000
--- a/tests/test_serving_client.py
+++ b/tests/test_serving_client.py
@@ -10,14 +10,14 @@
     Connection,
     ConnectionLostError,
     ConnectionPool,
-    Outgoing,
 )
+from bergamotsaddle_serving.messages import HttpCall
 from tests._paused import use_paused_clock, use_running_clock
 
 setUpModule = use_running_clock
 tearDownModule = use_paused_clock
 
-REQUEST = Outgoing(b"GET", b"/", [(b"host", b"t")])
+REQUEST = HttpCall(b"GET", b"/", [(b"host", b"t")])
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 OPEN = b"HTTP/1.1 200 OK\r\n\r\nok"
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/tests/test_stage_owner.py
+++ b/tests/test_stage_owner.py
@@ -13,10 +13,11 @@
 from bergamotsaddle_serving.client import ConnectionLostError
 from bergamotsaddle_serving.messages import Entry, PieceResult, RequestHead, Unmade
 from bergamotsaddle_serving.peer_messages import Contact, Release
+from bergamotsaddle_serving.stage_exchange import StageExchange
 from bergamotsaddle_serving.stage_load import Coming, StageLoad, ZoneLoad
 from bergamotsaddle_serving.stage_owner import StageOwner
 from bergamotsaddle_serving.stage_plan import StagePlan
-from bergamotsaddle_serving.stage_run import StageExchange, StageRun
+from bergamotsaddle_serving.stage_run import StageRun
 from bergamotsaddle_serving.view import View
 from tests._paused import advance, settle
 
