--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -36,6 +36,20 @@
 # before it has read them all.
 _SEND_AHEAD = 16_384
 
+# Headers that concern one connection only and are not passed on.
+ONE_CONNECTION = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+    )
+)
+
 
 class ConnectionLostError(BergamotsaddleError):
     """A connection that ended, fell silent or spoke no HTTP.
@@ -72,7 +86,6 @@
         self.address = address
         self.idle_since = now()
         self.keep_seconds = _DEFAULT_KEEP_S
-        self.is_reused = False
         self._h11 = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_ANSWER_HEAD
         )
@@ -187,6 +200,27 @@
             return None
         raise ConnectionLostError("cut")
 
+    def exchange(
+        self, call: HttpCall, *, limit: float, most: int
+    ) -> tuple[IncomingHead, bytes]:
+        """Send a call and read its whole answer; a failure closes the connection.
+
+        Args:
+            call: The call.
+            limit: Seconds for each step.
+            most: Bytes that the body may have.
+
+        Raises:
+            ConnectionLostError: If there is no whole answer in time.
+        """
+        try:
+            self.send(call, limit=limit)
+            head = self.read_head(limit=limit)
+            return head, self.read_body(limit=limit, most=most)
+        except BaseException:
+            self.close()
+            raise
+
     def can_be_kept(self) -> bool:
         """Make ready for another request; False if the connection can't take one."""
         sender = self._sender
@@ -199,7 +233,6 @@
         self._h11.start_next_cycle()
         self._sender = None
         self.idle_since = now()
-        self.is_reused = True
         return True
 
     def close(self) -> None:
@@ -274,19 +307,5 @@
 def end_to_end(headers: Sequence[tuple[bytes, bytes]]) -> Iterator[tuple[bytes, bytes]]:
     """Yield the headers of an answer that concern more than one connection."""
     for name, value in headers:
-        if name not in _ONE_CONNECTION:
+        if name not in ONE_CONNECTION:
             yield name, value
-
-
-_ONE_CONNECTION = frozenset(
-    (
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-    )
-)
--- a/packages/serving/bergamotsaddle_serving/follower.py
+++ b/packages/serving/bergamotsaddle_serving/follower.py
@@ -112,13 +112,7 @@
                 connection.close()
             connection = Connection(self._settings.store.address)
         self.calls += 1
-        try:
-            connection.send(call, limit=limit)
-            head = connection.read_head(limit=limit)
-            body = connection.read_body(limit=limit, most=_MAX_PAGE_BYTES)
-        except BaseException:
-            connection.close()
-            raise
+        head, body = connection.exchange(call, limit=limit, most=_MAX_PAGE_BYTES)
         if head.status in (_OK, _GONE) and connection.can_be_kept():
             self._connection = connection
         else:
--- a/packages/serving/bergamotsaddle_serving/stage_calls.py
+++ b/packages/serving/bergamotsaddle_serving/stage_calls.py
@@ -90,13 +90,7 @@
         self, target: Target, call: HttpCall, limit: float
     ) -> tuple[int, bytes]:
         connection = self._pool.take(target.address)
-        try:
-            connection.send(call, limit=limit)
-            head = connection.read_head(limit=limit)
-            body = connection.read_body(limit=limit, most=_MAX_BODY)
-        except BaseException:
-            connection.close()
-            raise
+        head, body = connection.exchange(call, limit=limit, most=_MAX_BODY)
         keep = self._dialect.read_answer(head.headers).keep_seconds
         self._pool.give(connection, keep)
         return head.status, body
--- a/packages/serving/bergamotsaddle_serving/view.py
+++ b/packages/serving/bergamotsaddle_serving/view.py
@@ -39,7 +39,7 @@
         self._dialect = dialect
         self._logger = logger
         self._entry_by_key: dict[str, Entry] = {}
-        self._lapsing_by_key: dict[str, float] = {}
+        self._lapsing_keys: set[str] = set()
         self._known_by_id: dict[str, KnownTarget] = {}
         self._watchers: list[Callable[[], None]] = []
         self.configuration: Configuration | None = None
@@ -124,11 +124,11 @@
     def drop_lapsed(self) -> None:
         """Forget targets whose entries lapsed and did not come back in time."""
         due = now() - self.store_back_at > LAPSE_GRACE_S
-        if not due or not self._lapsing_by_key:
+        if not due or not self._lapsing_keys:
             return
-        for key in list(self._lapsing_by_key):
-            del self._lapsing_by_key[key]
+        for key in self._lapsing_keys:
             self._forget(key)
+        self._lapsing_keys.clear()
         self._rebuild()
 
     def _is_news(self, entry: Entry) -> bool:
@@ -137,7 +137,7 @@
 
     def _take(self, entry: Entry, source: str) -> None:
         self._entry_by_key[entry.key] = entry
-        self._lapsing_by_key.pop(entry.key, None)
+        self._lapsing_keys.discard(entry.key)
         try:
             decoded = self._dialect.decode(entry)
         except ValueError as error:
@@ -182,7 +182,7 @@
         if now() - self.store_back_at <= LAPSE_GRACE_S:
             # Around the store's outage an entry may lapse though its target lives;
             # giving up all of them at once would leave callers without any.
-            self._lapsing_by_key[key] = now()
+            self._lapsing_keys.add(key)
             return
         self._forget(key)
 
