Leave the targets of a zone that is back to its own owner

Cause: an owner of a stage queue took over the targets of a zone in which no instance lived, and kept them when the zone was back. Ruled out: slow release by senders (no release failed before the overlap began).

--- a/packages/serving/bergamotsaddle_serving/stage_owner.py
+++ b/packages/serving/bergamotsaddle_serving/stage_owner.py
@@ -145,6 +145,7 @@
         """
         own = self._peers.own
         for queue in self._queue_by_service.values():
+            self._hire(queue)
             owner = rank_owners(self._peers, queue.service, own.zone)[:1]
             if owner == [own.id] or not owner:
                 queue.disowned_checks = 0
@@ -182,7 +183,9 @@
         return bool(queue.fit_workers())
 
     def _hire(self, queue: ServiceQueue) -> None:
-        for target in self._own_targets(queue.service):
+        own = self._own_targets(queue.service)
+        self._dismiss(queue, {target.life for target in own})
+        for target in own:
             if target.life in queue.worker_by_life:
                 continue
             worker = Worker(target, queue.queue.batching)
@@ -191,6 +194,18 @@
                 eventlet.spawn_n(self._keep_working, self._work, queue, worker)
             eventlet.spawn_n(self._keep_working, self._give_up, queue, worker)
 
+    def _dismiss(self, queue: ServiceQueue, lives: set[tuple[str, int]]) -> None:
+        """Stop calling targets that are not this queue's any more.
+
+        A zone whose instances all stop for a moment has its targets called by owners
+        in other zones. Had these kept them after the zone's return, two owners would
+        call one target for good, each blind to the results that the other one's calls
+        hold there: two pieces in five then found no room.
+        """
+        for life in [life for life in queue.worker_by_life if life not in lives]:
+            # Its threads end by themselves after the call that runs.
+            del queue.worker_by_life[life]
+
     def _keep_working(
         self,
         work: Callable[[ServiceQueue, Worker], None],
@@ -217,11 +232,6 @@
 
     def _retire(self) -> None:
         for queue in self._queue_by_service.values():
-            usable = {k.target.life for k in self._view.usable(queue.service)}
-            for life in [life for life in queue.worker_by_life if life not in usable]:
-                # What it holds stays known until it is gone, so that results can
-                # still be given up; its threads end by themselves.
-                del queue.worker_by_life[life]
             self._hire(queue)
             self._turn_away(queue)
             queue.wake()
@@ -459,6 +469,25 @@
                 if not worker.has_release.ready():
                     worker.has_release.send()
                 return
+        # Made for a target that this owner does not call any more.
+        eventlet.spawn_n(self._release_elsewhere, address, handle)
+
+    def _release_elsewhere(self, address: Address, handle: str) -> None:
+        target = self._view.target_by_address.get(address)
+        if target is None:
+            # The result has gone with its maker.
+            self._logger.info("release_needless", handle=handle)
+            return
+        self._release_at(target, [handle])
+
+    def _release_at(self, target: Target, handles: list[str]) -> bool:
+        try:
+            self._calls.release(target, handles)
+        except ConnectionLostError as error:
+            # They end by themselves after their time; the room stays counted.
+            self._logger.warning("release_failed", target=target.id, reason=str(error))
+            return False
+        return True
 
     def _give_up(self, queue: ServiceQueue, worker: Worker) -> None:
         while queue.worker_by_life.get(worker.target.life) is worker:
@@ -468,14 +497,7 @@
                 worker.has_release = Event()
                 continue
             handles, worker.to_release = worker.to_release, []
-            try:
-                self._calls.release(worker.target, handles)
-            except ConnectionLostError as error:
-                # They end by themselves after their time; the room stays counted.
-                self._logger.warning(
-                    "release_failed", target=worker.target.id, reason=str(error)
-                )
-                continue
-            for handle in handles:
-                worker.room.release(handle)
-            queue.wake()
+            if self._release_at(worker.target, handles):
+                for handle in handles:
+                    worker.room.release(handle)
+                queue.wake()
--- a/tests/test_stage_owner.py
+++ b/tests/test_stage_owner.py
@@ -42,12 +42,12 @@
 ROUTE = Route("r", "h", "/", Kind.STREAM, 8.0, 2.4, 1, 0, (Share("e", 1.0),), STAGES)
 
 
-def target_entry(name, service, port):
+def target_entry(name, service, port, zone="a"):
     """An entry of a stage target."""
     fields = {
         "service": service,
         "address": f"10.0.0.1:{port}",
-        "zone": "a",
+        "zone": zone,
         "slots": 1,
         "state": "ready",
     }
@@ -114,10 +114,15 @@
         rerank = target_entry("t2", "rerank", 82)
         self.view.apply([config, encode, rerank], 82, source="test")
 
-    def start(self, pieces=(2, 3), stages=STAGES):
+    def add_target(self, name, service, port, zone):
+        """Have one more target register itself."""
+        entry = target_entry(name, service, port, zone)
+        self.view.apply([entry], 90, source="test")
+
+    def start(self, pieces=(2, 3), stages=STAGES, name="r1"):
         """Begin the stages of a request."""
         route = ROUTE._replace(stages=stages)
-        head = RequestHead("r1", b"POST", b"/", "h", "", 8.0, pieces=pieces)
+        head = RequestHead(name, b"POST", b"/", "h", "", 8.0, pieces=pieces)
         plan = StagePlan(
             route,
             pieces,
@@ -242,6 +247,42 @@
         sent_to = [call.args[0] for call in self.peers.send.call_args_list]
         self.assertIn("other", sent_to)
 
+    def test_targets_of_a_zone_that_is_back_are_left_to_its_own_owner(self):
+        """All instances of another zone stop and come back.
+
+        Meanwhile its targets are called from here. If that went on, two owners would
+        call them for good, each blind to the results that the other's calls hold; two
+        pieces in five then find no room.
+        """
+        self.add_target("t3", "encode", 83, zone="b")
+        self.start((8, 1))
+        self.finish(2.0)
+        self.assertIn("t3", {target for target, _ in self.calls.calls})
+        self.peers.alive.return_value = [
+            mock.Mock(contact=Contact("other", "b", "127.0.0.2"), is_stopping=False)
+        ]
+        self.owner.hand_over()
+        self.calls.calls.clear()
+        self.start((8, 1), name="r2")
+        self.finish(2.0)
+        self.assertNotIn("t3", {target for target, _ in self.calls.calls})
+
+    def test_results_at_targets_of_another_owner_are_given_up(self):
+        """Results are given up after their targets went to another owner.
+
+        Held until they expire, they would keep that owner's calls out for seconds.
+        """
+        self.add_target("t3", "encode", 83, zone="b")
+        self.start((8, 0))
+        self.finish(2.0)
+        self.peers.alive.return_value = [
+            mock.Mock(contact=Contact("other", "b", "127.0.0.2"), is_stopping=False)
+        ]
+        self.owner.hand_over()
+        self.run_.release()
+        advance(0.1)
+        self.assertEqual(self.calls.live, set())
+
     def test_a_silent_owner_is_left_for_the_next_one(self):
         """The owner of the queue dies just after the pieces were sent to it."""
         self.peers.owners.return_value = ["other"]
