--- a/packages/serving/bergamotsaddle_serving/_stage_worker.py
+++ b/packages/serving/bergamotsaddle_serving/_stage_worker.py
@@ -7,7 +7,12 @@
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.catalog import Batching, Target
 from bergamotsaddle_serving.peer_messages import Done
-from bergamotsaddle_serving.stage_queue import PieceKey, ResultRoom, StageQueue
+from bergamotsaddle_serving.stage_queue import (
+    OtherTarget,
+    PieceKey,
+    ResultRoom,
+    StageQueue,
+)
 
 _MAX_PACE = 6.0
 _PACE_WEIGHT = 0.3
@@ -34,6 +39,7 @@
         self.alone_from = now() + _SHARED_S
         self.failures = 0
         self.rest_until = 0.0
+        self.heard_at = float("-inf")
         self.to_release: list[str] = []
         self.has_release = Event()
 
@@ -52,9 +58,14 @@
         self.failures += 1
         self.rest_until = now() + pause
 
+    def note_heard(self) -> None:
+        """Note an answer."""
+        self.failures = 0
+        self.heard_at = now()
+
     def learn(self, seconds: float, expected: float) -> None:
         """Take the time of an answered call into account."""
-        self.failures = 0
+        self.note_heard()
         ratio = min(_MAX_PACE, seconds / expected)
         self.pace += _PACE_WEIGHT * (ratio - self.pace)
 
@@ -98,6 +109,19 @@
         moment = now()
         return [w for w in self.worker_by_life.values() if w.rest_until <= moment]
 
+    def others(self, worker: Worker) -> list[OtherTarget]:
+        """What the other workers can take."""
+        moment = now()
+        return [
+            OtherTarget(
+                other.target.zone,
+                max(0.0, other.free_at - moment),
+                other.room.left(moment),
+            )
+            for other in self.fit_workers()
+            if other is not worker
+        ]
+
 
 def _trim(kept: OrderedDict) -> None:
     while len(kept) > KEPT:
--- a/packages/serving/bergamotsaddle_serving/owners.py
+++ b/packages/serving/bergamotsaddle_serving/owners.py
@@ -1,10 +1,10 @@
-"""Which instance owns the queue of a stage service in a zone."""
+"""Which instance owns the queue of a stage service in a zone or region."""
 
 from bergamotsaddle_daemon._rendezvous import weigh
 from bergamotsaddle_serving.peers import Peers
 
 
-def rank_owners(peers: Peers, service: str, zone: str) -> list[str]:
+def rank_owners(peers: Peers, service: str, scope: str) -> list[str]:
     """Instances that may own the queue, the owner first.
 
     Instances that hear each other come to the same owner without a word between them.
@@ -14,7 +14,7 @@
     Args:
         peers: The instances that live.
         service: The stage service.
-        zone: The zone whose targets the queue is for.
+        scope: The zone or region whose targets the queue is for.
     """
-    key = f"{service} {zone}"
-    return sorted(peers.owners(zone), key=lambda peer: weigh(peer, key), reverse=True)
+    key = f"{service} {scope}"
+    return sorted(peers.owners(scope), key=lambda peer: weigh(peer, key), reverse=True)
--- a/packages/serving/bergamotsaddle_serving/peer_messages.py
+++ b/packages/serving/bergamotsaddle_serving/peer_messages.py
@@ -23,7 +23,8 @@
     Attributes:
         sender: Who sends it.
         life: Random name of its process's life.
-        is_stopping: Whether it takes no more work for others.
+        takes_work: Whether it takes work for others: not before its view is complete,
+            and not while it stops.
         revision: Up to which its view knows the store.
         loads: Load of each stage queue that it owns, by service: seconds until what
             waits is done for each urgency from 0 on, call time, pieces a second.
@@ -35,7 +36,7 @@
 
     sender: Contact
     life: str
-    is_stopping: bool
+    takes_work: bool
     revision: int
     loads: dict[str, list[float]]
     coming: list[tuple[str, str, list[int]]]
@@ -60,6 +61,7 @@
         has_begun: Whether earlier stages of the request have run.
         result_bytes: Approximate size of a result.
         input_bytes: Approximate size of all inputs together.
+        zone: Where the result is needed.
         objective: Seconds until the result should be there for the request to be on
             time.
         remaining: Seconds after which the result is of no use.
@@ -77,6 +79,7 @@
     has_begun: bool
     result_bytes: int
     input_bytes: int
+    zone: str
     objective: float
     remaining: float
     round: int
--- a/packages/serving/bergamotsaddle_serving/peers.py
+++ b/packages/serving/bergamotsaddle_serving/peers.py
@@ -48,7 +48,7 @@
     def __init__(self, contact: Contact) -> None:
         self.contact = contact
         self.life = ""
-        self.is_stopping = False
+        self.takes_work = False
         self.revision = 0
         self.loads: dict[str, list[float]] = {}
         self.coming: list[tuple[str, str, list[int]]] = []
@@ -71,7 +71,8 @@
         instance = settings.instance
         self.own = Contact(instance.id, instance.zone, instance.host)
         self.life = life
-        self.is_stopping = False
+        self.takes_work = False
+        self._region_by_zone = settings.zones.region_by_zone
         self.by_id: dict[str, Peer] = {}
         self.own_loads: Callable[[], dict[str, list[float]]] = dict
         self.own_coming: Callable[[], list[tuple[str, str, list[int]]]] = list
@@ -112,20 +113,29 @@
             moment >= peer.suspect_until
         )
 
-    def owners(self, zone: str) -> list[str]:
-        """Instances that can own a queue of a zone: its own ones, else all.
+    def region(self, zone: str) -> str:
+        """Region of a zone; a zone of no known region is one by itself."""
+        return self._region_by_zone.get(zone, zone)
 
-        The zone's own instances can reach its targets whatever is cut off.
+    def inhabited(self) -> set[str]:
+        """Zones in which an instance takes work, this one's own zone among them."""
+        alive = {p.contact.zone for p in self.alive() if p.takes_work}
+        return alive | {self.own.zone}
+
+    def owners(self, scope: str) -> list[str]:
+        """Instances that can own a queue of a zone or region: its own ones, else all.
+
+        Those inside can reach its targets whatever is cut off outside.
         """
         candidates = [
             peer.contact
             for peer in self.alive()
-            if not peer.is_stopping and now() >= peer.suspect_until
+            if peer.takes_work and now() >= peer.suspect_until
         ]
-        if not self.is_stopping:
+        if self.takes_work:
             candidates.append(self.own)
-        in_zone = [c.id for c in candidates if c.zone == zone]
-        return in_zone or [c.id for c in candidates]
+        inside = [c.id for c in candidates if scope in (c.zone, self.region(c.zone))]
+        return inside or [c.id for c in candidates]
 
     def suspect(self, peer_id: str) -> None:
         """Note that a peer did not acknowledge what it was sent."""
@@ -188,7 +198,7 @@
         return Hello(
             sender=self.own,
             life=self.life,
-            is_stopping=self.is_stopping,
+            takes_work=self.takes_work,
             revision=self.own_revision(),
             loads=self.own_loads(),
             coming=self.own_coming(),
@@ -228,7 +238,7 @@
             # Tell it at once, so that two starting instances need not wait a round.
             self.send_to((hello.sender.host, self._port), self._hello())
         peer.life = hello.life
-        peer.is_stopping = hello.is_stopping
+        peer.takes_work = hello.takes_work
         peer.revision = hello.revision
         peer.loads = hello.loads
         peer.coming = hello.coming
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -98,6 +98,7 @@
         self.peers.own_coming = waits.coming.told
         self.peers.own_running = self.health.running
         self.peers.own_revision = lambda: self.view.revision
+        self.view.watch(self._note_view)
         self.view.watch(self.owner.open_queues)
         self.view.watch(self._forget_targets)
         self._add_gauges()
@@ -152,8 +153,9 @@
     def _stop(self, listener: socket.socket) -> None:
         began_at = now()
         self._stopping = True
-        self.peers.is_stopping = True
+        self.peers.takes_work = False
         self.peers.greet()
+        self.owner.hand_over(is_final=True)
         self.logger.info("stopping", active=self.handler.active)
         eventlet.sleep(_NOTICE_S)
         listener.close()
@@ -195,6 +197,11 @@
         # takes effect at the next start.
         self.logger.info("reloaded", is_changed=settings != self.settings)
 
+    def _note_view(self) -> None:
+        # An instance that has just started knows no targets yet; as an owner it would
+        # turn every piece away.
+        self.peers.takes_work = self.is_ready()
+
     def _forget_targets(self) -> None:
         lives = {
             known.target.life
--- a/packages/serving/bergamotsaddle_serving/settings.py
+++ b/packages/serving/bergamotsaddle_serving/settings.py
@@ -35,6 +35,16 @@
     seeds: tuple[str, ...]
 
 
+class ZoneSettings(NamedTuple):
+    """The availability zones of the deployment (``[zones]``).
+
+    Attributes:
+        region_by_zone: Region of each zone.
+    """
+
+    region_by_zone: dict[str, str]
+
+
 class StoreSettings(NamedTuple):
     """Where operators and targets publish (``[store]``)."""
 
@@ -63,6 +73,7 @@
     instance: InstanceSettings
     listen: ListenSettings
     peers: PeerSettings
+    zones: ZoneSettings
     store: StoreSettings
     bounds: BoundSettings
 
@@ -89,6 +100,21 @@
     return text.strip()
 
 
+def _parse_pairs(text: str) -> dict[str, str]:
+    """Turn ``zone=region`` words into a table.
+
+    Raises:
+        ValueError: If a word is no such pair.
+    """
+    pairs = {}
+    for word in parse_words(text):
+        zone, sign, region = word.partition("=")
+        if not (zone and sign and region):
+            raise ValueError(f"expected zone=region, not {word!r}")
+        pairs[zone] = region
+    return pairs
+
+
 def parse_settings(text: str, *, name: str) -> ServingSettings:
     """Read and check settings.
 
@@ -113,6 +139,7 @@
             ini.get("listen", "metrics_port", _parse_port),
         ),
         PeerSettings(ini.get("peers", "seeds", parse_words, ())),
+        ZoneSettings(ini.get("zones", "regions", _parse_pairs, {})),
         StoreSettings(ini.get("store", "address", parse_address)),
         BoundSettings(
             ini.get("bounds", "grace_s", _parse_number),
--- a/packages/serving/bergamotsaddle_serving/stage_exchange.py
+++ b/packages/serving/bergamotsaddle_serving/stage_exchange.py
@@ -54,11 +54,11 @@
         if inbox is not None:
             inbox.put(message)
 
-    def successor(self, owner: str, service: str, zone: str) -> str:
+    def successor(self, owner: str, service: str, scope: str) -> str:
         """The owner itself while it lives, else the one in its place."""
         if owner == self.peers.own.id or self.peers.is_alive(owner):
             return owner
-        return next(iter(rank_owners(self.peers, service, zone)), owner)
+        return next(iter(rank_owners(self.peers, service, scope)), owner)
 
     def send(self, owner: str, message: Message) -> None:
         """Send a message to an owner, which may be this instance itself."""
--- a/packages/serving/bergamotsaddle_serving/stage_load.py
+++ b/packages/serving/bergamotsaddle_serving/stage_load.py
@@ -1,4 +1,4 @@
-"""What a stage service in a zone has to do, and when a further stage is done there."""
+"""The work at the queue of a stage service, and when a further stage is done there."""
 
 from typing import NamedTuple
 
@@ -12,7 +12,7 @@
 
 
 class StageLoad(NamedTuple):
-    """The load of one stage service in one zone.
+    """The load at one queue of a stage service.
 
     Attributes:
         drain: Seconds until what waits there now is done.
@@ -36,10 +36,10 @@
         return max(0.0, drain - start) + self.call
 
 
-class ZoneLoad(NamedTuple):
-    """A zone, and the load of a stage service there."""
+class ScopeLoad(NamedTuple):
+    """A zone or region, and the load at its queue of a stage service."""
 
-    zone: str
+    scope: str
     load: StageLoad
 
 
@@ -55,18 +55,18 @@
     def __init__(self) -> None:
         self._counts: dict[tuple[str, str], list[int]] = {}
 
-    def add(self, service: str, zone: str, urgency: int, pieces: int) -> None:
+    def add(self, service: str, scope: str, urgency: int, pieces: int) -> None:
         """Count pieces that will come; a negative number takes them back."""
-        counts = self._counts.setdefault((service, zone), [0] * URGENCIES)
+        counts = self._counts.setdefault((service, scope), [0] * URGENCIES)
         counts[level(urgency)] += pieces
         if not any(counts):
-            del self._counts[service, zone]
+            del self._counts[service, scope]
 
-    def before(self, service: str, zone: str, urgency: int) -> int:
+    def before(self, service: str, scope: str, urgency: int) -> int:
         """Pieces of this or a higher urgency that will come."""
-        counts = self._counts.get((service, zone))
+        counts = self._counts.get((service, scope))
         return sum(counts[: level(urgency) + 1]) if counts else 0
 
     def told(self) -> list[tuple[str, str, list[int]]]:
         """All counts, to be told to others."""
-        return [(s, z, counts) for (s, z), counts in self._counts.items()]
+        return [(*name, counts) for name, counts in self._counts.items()]
--- a/packages/serving/bergamotsaddle_serving/stage_owner.py
+++ b/packages/serving/bergamotsaddle_serving/stage_owner.py
@@ -28,6 +28,7 @@
     Submit,
 )
 from bergamotsaddle_serving.peers import Peers
+from bergamotsaddle_serving.scopes import Scopes
 from bergamotsaddle_serving.stage_calls import StageCalls
 from bergamotsaddle_serving.stage_queue import (
     PieceKey,
@@ -45,6 +46,9 @@
 # Another owner must have been seen at this many checks in a row, half a second apart,
 # for pieces to move there.
 _CHECKS_TO_MOVE = 2
+# A target in a zone of which no instance was heard may be cut off; a call would be lost
+# there for up to a second, so it is asked for its room first if it was silent so long.
+_DOUBT_S = 1.0
 # How long after a call the next one may wait for the room that its results give up:
 # their way to the sender, from there to an engine, and the word that they were fetched.
 _ROOM_WAIT_S = 0.09
@@ -81,6 +85,7 @@
         self._dialect = dialect
         self._logger = logger
         self._queue_by_service: dict[str, ServiceQueue] = {}
+        self.scopes = Scopes(view, peers)
         self.deliver_here: Any = None
         self.calls = 0
         self.pieces = 0
@@ -125,37 +130,50 @@
 
     def loads(self) -> dict[str, list[float]]:
         """Load of each owned queue: drain by urgency, then call time and rate."""
-        own = self._peers.own
         return {
             service: self._load(queue)
             for service, queue in self._queue_by_service.items()
-            if rank_owners(self._peers, service, own.zone)[:1] == [own.id]
-            and self._has_targets(queue)
+            if self._owner(service) == self._peers.own.id and self._has_targets(queue)
         }
 
+    def _owner(self, service: str) -> str | None:
+        """The instance that owns the queue of which this one is a possible owner."""
+        scope = self.scopes.of(service, self._peers.own.zone)
+        return next(iter(rank_owners(self._peers, service, scope)), None)
+
     def is_busy(self) -> bool:
         """Tell whether pieces wait or run here."""
         return any(len(q.queue) or q.running for q in self._queue_by_service.values())
 
-    def hand_over(self) -> None:
+    def hand_over(self, *, is_final: bool = False) -> None:
         """Have pieces that wait here sent to another instance that owns the queue now.
 
         After an owner's return two instances would go on calling the same targets,
         each with half-filled calls and half of the knowledge of their room.
+
+        Args:
+            is_final: Whether this instance stops, so that the others need not be seen
+                twice in its place.
         """
-        own = self._peers.own
         for queue in self._queue_by_service.values():
             self._hire(queue)
-            owner = rank_owners(self._peers, queue.service, own.zone)[:1]
-            if owner == [own.id] or not owner:
+            owner = self._owner(queue.service)
+            if owner in (None, self._peers.own.id):
                 queue.disowned_checks = 0
                 continue
             queue.disowned_checks += 1
-            if queue.disowned_checks != _CHECKS_TO_MOVE:
-                continue
-            for piece in list(queue.queue.piece_by_key.values()):
-                del queue.queue.piece_by_key[piece.key]
-                self._finish(queue, piece, PieceResult("", Unmade.MOVED))
+            if is_final or queue.disowned_checks == _CHECKS_TO_MOVE:
+                self._finish_all(queue, Unmade.MOVED)
+
+    def _finish_all(self, queue: ServiceQueue, reason: Unmade) -> None:
+        """Send all pieces that wait back to their requests."""
+        done_by_stage: dict[tuple[str, int, int], list[Done]] = {}
+        for key in list(queue.queue.piece_by_key):
+            del queue.queue.piece_by_key[key]
+            stage = (key.request, key.stage, key.round)
+            done_by_stage.setdefault(stage, []).append(Done(key.number, "", reason))
+        for (request, stage, turn), done in done_by_stage.items():
+            self._tell(queue, Results(request, stage, turn, done))
 
     def open_queues(self) -> None:
         """Open a queue for each stage service, so that its waits are known."""
@@ -222,12 +240,13 @@
                 eventlet.sleep(_IDLE_CHECK_S)
 
     def _own_targets(self, service: str) -> list[Target]:
-        own_zone = self._peers.own.zone
-        inhabited = {p.contact.zone for p in self._peers.alive() if not p.is_stopping}
+        scope = self.scopes.of(service, self._peers.own.zone)
+        inhabited = self._peers.inhabited()
         return [
             known.target
             for known in self._view.usable(service)
-            if known.target.zone == own_zone or known.target.zone not in inhabited
+            if self.scopes.of(service, known.target.zone) == scope
+            or known.target.zone not in inhabited
         ]
 
     def _retire(self) -> None:
@@ -254,6 +273,7 @@
                 message.key,
                 tuple(message.inputs),
                 message.input_bytes,
+                zone=message.zone,
             )
         )
         return None
@@ -274,6 +294,9 @@
                 self._turn_away(queue)
                 eventlet.sleep(min(_IDLE_CHECK_S, worker.rest_until - moment))
                 continue
+            if self._is_doubtful(worker) and not self._ask_room(worker):
+                worker.rest()
+                continue
             for piece in queue.queue.take_expired(moment, worker.pace):
                 self._finish(queue, piece, PieceResult("", Unmade.LATE))
             batch = queue.queue.take_batch(
@@ -281,12 +304,20 @@
                 worker.room.left(moment),
                 worker.pace,
                 may_wait=moment < worker.full_call_by,
+                zone=worker.target.zone,
+                others=queue.others(worker),
             )
             if not batch:
                 self._await_news(queue, worker)
                 continue
             self._call(queue, worker, batch)
 
+    def _is_doubtful(self, worker: Worker) -> bool:
+        if worker.failures:
+            return True
+        is_remote = worker.target.zone not in self._peers.inhabited()
+        return is_remote and worker.heard_at < now() - _DOUBT_S
+
     def _await_news(self, queue: ServiceQueue, worker: Worker) -> None:
         wait = worker.full_call_by - now()
         if wait <= 0:
@@ -299,9 +330,7 @@
         # and their senders choose that.
         if queue.fit_workers():
             return
-        for piece in list(queue.queue.piece_by_key.values()):
-            del queue.queue.piece_by_key[piece.key]
-            self._finish(queue, piece, PieceResult("", Unmade.NO_TARGET))
+        self._finish_all(queue, Unmade.NO_TARGET)
 
     def _call(
         self, queue: ServiceQueue, worker: Worker, batch: list[QueuedPiece]
@@ -351,7 +380,8 @@
             self._ask_room(worker)
         self._take_results(queue, worker, batch, results)
 
-    def _ask_room(self, worker: Worker) -> None:
+    def _ask_room(self, worker: Worker) -> bool:
+        """Ask a target for its room; False if it does not answer."""
         try:
             free = self._calls.ask_room(worker.target)
         except (ConnectionLostError, ValueError) as error:
@@ -359,8 +389,10 @@
             self._logger.warning(
                 "room_unknown", target=worker.target.id, reason=str(error)
             )
-            return
+            return False
+        worker.note_heard()
         worker.room.correct(free, now())
+        return True
 
     def _fail(
         self,
--- a/packages/serving/bergamotsaddle_serving/stage_plan.py
+++ b/packages/serving/bergamotsaddle_serving/stage_plan.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable
 
 from bergamotsaddle_serving.catalog import Route
-from bergamotsaddle_serving.stage_load import URGENCIES, ZoneLoad
+from bergamotsaddle_serving.stage_load import URGENCIES, ScopeLoad
 
 # A stage that would be done before others is begun so much earlier than needed.
 _HEAD_START_S = 0.08
-# A zone whose targets all rest after failures is asked again after this.
+# A queue whose targets all rest after failures is asked again after this.
 _AVOID_S = 0.5
 
 
@@ -18,8 +18,8 @@
         route: The request's route.
         pieces: Number of pieces of each stage; absent ones count as none.
         zone: The zone in which its stages are to run.
-        load: Where a stage of the zone is best done as an urgency meets it, and the
-            load there.
+        load: At which queue a stage of the zone is best done as an urgency meets it,
+            and the load there.
         urgency: Urgency of the request, 0 first.
         began_at: When the request came.
         finish_seconds: Expected seconds from the last stage to the first event.
@@ -30,7 +30,7 @@
         route: Route,
         pieces: tuple[int, ...],
         zone: str,
-        load: Callable[[str, str, int], ZoneLoad],
+        load: Callable[[str, str, int], ScopeLoad],
         *,
         urgency: int,
         began_at: float,
@@ -45,7 +45,7 @@
         self.pieces = (*pieces[:count], *[0] * (count - len(pieces)))
         self.needed = [n for n in range(count) if self.pieces[n] > 0]
         self.seconds: dict[int, float] = {}
-        self.zone_by_stage: dict[int, str] = {}
+        self.scope_by_stage: dict[int, str] = {}
         self._end_by_stage: dict[int, float] = {}
         self._idle_by_stage: dict[int, float] = {}
         for stage in self.needed:
@@ -57,10 +57,10 @@
         self.sinks = [n for n in self.needed if n not in followed]
         self._avoided_until: dict[tuple[str, str], float] = {}
 
-    def _expect(self, stage: int, expected: ZoneLoad) -> None:
+    def _expect(self, stage: int, expected: ScopeLoad) -> None:
         ends = [self._end_by_stage.get(n, 0.0) for n in self._route.stages[stage].after]
         start = max(ends, default=0.0)
-        self.zone_by_stage[stage] = expected.zone
+        self.scope_by_stage[stage] = expected.scope
         self.seconds[stage] = expected.load.seconds(start)
         self._end_by_stage[stage] = start + self.seconds[stage]
         idle = [
@@ -138,10 +138,10 @@
         """Note the end of a stage."""
         self._last_end = moment
 
-    def avoid(self, service: str, zone: str, moment: float) -> None:
-        """Note that a zone has no target of a service that works."""
-        self._avoided_until[service, zone] = moment + _AVOID_S
+    def avoid(self, service: str, scope: str, moment: float) -> None:
+        """Note that a queue has no target that works."""
+        self._avoided_until[service, scope] = moment + _AVOID_S
 
-    def is_avoided(self, service: str, zone: str, moment: float) -> bool:
-        """Tell whether a zone was found without a target of a service lately."""
-        return moment < self._avoided_until.get((service, zone), 0.0)
+    def is_avoided(self, service: str, scope: str, moment: float) -> bool:
+        """Tell whether a queue was found without a working target lately."""
+        return moment < self._avoided_until.get((service, scope), 0.0)
--- a/packages/serving/bergamotsaddle_serving/stage_queue.py
+++ b/packages/serving/bergamotsaddle_serving/stage_queue.py
@@ -1,6 +1,8 @@
 """Decides which pieces of stages a target works on next. No input or output here."""
 
+import math
 from collections import deque
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from bergamotsaddle_serving.catalog import Batching
@@ -24,6 +26,9 @@
 _LONG_CALLS = 2
 # How long a request that has not begun may wait in a long queue after it was due there.
 _LATE_GRACE_S = 0.3
+# Results from this size on are kept in the zone that needs them if time allows: moving
+# one between zones costs as much as a sixth of a call.
+_LARGE_BYTES = 500_000
 # Weight of the newest call in the mean number of pieces that a call carries under load.
 _FILL_WEIGHT = 0.2
 
@@ -58,6 +63,7 @@
         inputs: Handles of the results to work on, else.
         input_bytes: Approximate size of all inputs together.
         tries: Calls that failed with it.
+        zone: Where its result is needed.
     """
 
     key: PieceKey
@@ -70,6 +76,21 @@
     inputs: tuple[str, ...]
     input_bytes: int = 0
     tries: int = 0
+    zone: str = ""
+
+
+class OtherTarget(NamedTuple):
+    """A further target that works on the same queue.
+
+    Attributes:
+        zone: Its zone.
+        free_in: Seconds until its call has ended.
+        room_bytes: Room for results that it has left.
+    """
+
+    zone: str
+    free_in: float
+    room_bytes: float
 
 
 def rank(piece: QueuedPiece, moment: float, expected: float, is_open: bool) -> tuple:
@@ -98,6 +119,18 @@
     )
 
 
+def _is_large(piece: QueuedPiece) -> bool:
+    return piece.result_bytes >= _LARGE_BYTES
+
+
+def _has_time_at_home(
+    piece: QueuedPiece, home_waits: dict[str, float], moment: float
+) -> bool:
+    if not _is_large(piece) or piece.zone not in home_waits:
+        return False
+    return moment + home_waits[piece.zone] <= piece.objective_at
+
+
 class StageQueue:
     """The pieces that wait for one stage service at one owner.
 
@@ -158,14 +191,19 @@
         pace: float = 1.0,
         *,
         may_wait: bool = False,
+        zone: str = "",
+        others: Sequence[OtherTarget] = (),
     ) -> list[QueuedPiece]:
         """Take the pieces of the next call.
 
-        A stage is begun only if all its pieces fit into the room that is left. Were
-        single pieces taken as they fit, several requests would each hold a part of
-        their results and wait for room that only the others could give up; calls then
-        carry one piece each and nobody is done. A stage without room is passed over,
-        and smaller ones behind it go ahead.
+        A stage is begun only if all its pieces fit into the room that all targets
+        have left. Were single pieces taken as they fit, several requests would each
+        hold a part of their results and wait for room that only the others could give
+        up; calls then carry one piece each and nobody is done. A stage without room is
+        passed over, and smaller ones behind it go ahead.
+
+        A large result is left to a target in the zone that needs it, as long as it can
+        still be on time there.
 
         Args:
             moment: Now, on the hub's clock.
@@ -174,22 +212,33 @@
             may_wait: Whether to take nothing rather than a small part of what a call
                 could carry. A call costs as much as several pieces, and the room that
                 the rest lacks is given up in a moment.
+            zone: Zone of the target.
+            others: The other targets that work on this queue.
         """
         expected = self.batching.seconds(1) * pace
-        bytes_by_set = self._bytes_by_set()
         pieces = sorted(
             self.piece_by_key.values(),
             key=lambda p: rank(p, moment, expected, p.key[:2] in self.open_sets),
         )
+        self._close_sets()
+        bytes_by_set = self._bytes_by_set()
+        promised = sum(bytes_by_set[name] for name in self.open_sets)
+        unpromised = room_bytes + sum(o.room_bytes for o in others) - promised
+        home_waits = self._home_waits(others)
         batch: list[QueuedPiece] = []
-        begun: set[tuple[str, int]] = set()
+        begun = set(self.open_sets)
         for piece in pieces:
             name = piece.key[:2]
+            if piece.result_bytes > room_bytes:
+                continue
+            if piece.zone != zone and _has_time_at_home(piece, home_waits, moment):
+                continue
             if name not in begun:
-                if bytes_by_set[name] > room_bytes:
+                if bytes_by_set[name] > unpromised:
                     continue
-                room_bytes -= bytes_by_set[name]
+                unpromised -= bytes_by_set[name]
                 begun.add(name)
+            room_bytes -= piece.result_bytes
             batch.append(piece)
             if len(batch) == self.batching.size:
                 break
@@ -206,9 +255,18 @@
             self.fill += _FILL_WEIGHT * (len(batch) - self.fill)
         elif batch:
             self.fill += _FILL_WEIGHT * (self.batching.size - self.fill)
-        self._close_sets()
         return batch
 
+    def _home_waits(self, others: Sequence[OtherTarget]) -> dict[str, float]:
+        """Seconds until a large piece is done at a target of its own zone."""
+        large = [p.zone for p in self.piece_by_key.values() if _is_large(p)]
+        waits = {}
+        for zone in {other.zone for other in others if other.room_bytes > 0}:
+            free = [other.free_in for other in others if other.zone == zone]
+            calls = math.ceil(large.count(zone) / (self.batching.size * len(free)))
+            waits[zone] = min(free) + calls * self.batching.seconds(self.batching.size)
+        return waits
+
     def _bytes_by_set(self) -> dict[tuple[str, int], int]:
         sizes: dict[tuple[str, int], int] = {}
         for piece in self.piece_by_key.values():
--- a/packages/serving/bergamotsaddle_serving/stage_run.py
+++ b/packages/serving/bergamotsaddle_serving/stage_run.py
@@ -35,7 +35,7 @@
 # Calls for one stage of a request that end without a result.
 _MAX_FAILURES = 4
 _FAILURE_PAUSE_S = 0.03
-# All targets of a zone rest after failures; another zone, or the same one later, may
+# All targets of a queue rest after failures; another one, or the same one later, may
 # still do the stage within the request's time.
 _NO_TARGET_PAUSE_S = 0.05
 
@@ -46,7 +46,7 @@
     Attributes:
         handles: Handles of the results that the request itself needs.
         seconds: How long they took.
-        stages: For each stage its zone, expected and actual seconds, for logs.
+        stages: For each stage its queue, expected and actual seconds, for logs.
     """
 
     handles: tuple[str, ...]
@@ -59,18 +59,18 @@
 
     owner: str
     service: str
-    zone: str
+    scope: str
 
 
 class _Open:
     """A stage of the request that is being done."""
 
     def __init__(
-        self, number: int, owner: str, zone: str, missing: set[int], turn: int
+        self, number: int, owner: str, scope: str, missing: set[int], turn: int
     ) -> None:
         self.number = number
         self.owner = owner
-        self.zone = zone
+        self.scope = scope
         self.missing = missing
         self.round = turn
         self.unacknowledged = 0
@@ -88,7 +88,7 @@
         logger: Gets a line for each failure.
         urgency: Its urgency, 0 first.
         deadline_at: After which the results are of no use, on the hub's clock.
-        spread: Chooses zones, each with a number of pieces, for a stage service, the
+        spread: Chooses queues, each with a number of pieces, for a stage service, the
             number of a stage and that of its pieces.
         coming: Counts the pieces of stages that are still to come.
         first_round: First round that may be used; later than any of an earlier run.
@@ -152,7 +152,7 @@
         return [
             (
                 stage,
-                self._plan.zone_by_stage[stage],
+                self._plan.scope_by_stage[stage],
                 round(self._plan.seconds[stage], 3),
                 round(self._ended_by_stage[stage] - self._begun_by_stage[stage], 3),
             )
@@ -219,20 +219,20 @@
     def _count_coming(self, stage: int, pieces: int) -> None:
         if pieces:
             service = self._route.stages[stage].service
-            zone = self._plan.zone_by_stage[stage]
-            self._coming.add(service, zone, self._urgency, pieces)
+            scope = self._plan.scope_by_stage[stage]
+            self._coming.add(service, scope, self._urgency, pieces)
 
     def _assign(self, stage: int) -> None:
         self._arrive(stage)
         self._begun_by_stage.setdefault(stage, now())
         service = self._route.stages[stage].service
         numbers = self._unassigned(stage)
-        for zone, count in self._spread(service, stage, len(numbers)):
-            owners = rank_owners(self._exchange.peers, service, zone)
+        for scope, count in self._spread(service, stage, len(numbers)):
+            owners = rank_owners(self._exchange.peers, service, scope)
             if not owners:
                 raise self._refuse(ErrorKind.NO_TARGET, "no instance owns the queue")
             part, numbers = set(numbers[:count]), numbers[count:]
-            self._open.append(_Open(stage, owners[0], zone, part, self._round))
+            self._open.append(_Open(stage, owners[0], scope, part, self._round))
 
     def _send(self, opened: _Open) -> None:
         moment = now()
@@ -259,6 +259,7 @@
             has_begun=bool(self._results_by_stage),
             result_bytes=stage.result_bytes,
             input_bytes=self._input_bytes(opened.number),
+            zone=self._plan.zone,
             objective=self._plan.objective_at(opened.number) - moment,
             remaining=remaining,
             round=opened.round,
@@ -349,7 +350,7 @@
             held = self._results_by_stage.setdefault(opened.number, {})
             held[done.number] = done.handle
             self._place_by_handle[done.handle] = _Place(
-                opened.owner, service, opened.zone
+                opened.owner, service, opened.scope
             )
 
     def _find(self, message: Results, number: int) -> _Open | None:
@@ -375,7 +376,7 @@
             return
         if reason is Unmade.NO_TARGET:
             service = self._route.stages[opened.number].service
-            self._plan.avoid(service, opened.zone, now())
+            self._plan.avoid(service, opened.scope, now())
             eventlet.sleep(_NO_TARGET_PAUSE_S)
             return
         self._failures += 1
@@ -439,7 +440,7 @@
             if place is not None:
                 by_place.setdefault(place, []).append(handle)
         for place, group in by_place.items():
-            owner = self._exchange.successor(place.owner, place.service, place.zone)
+            owner = self._exchange.successor(place.owner, place.service, place.scope)
             self._exchange.send(owner, Release(place.service, group))
 
     def _refuse(self, kind: ErrorKind, detail: str) -> RequestError:
--- a/packages/serving/bergamotsaddle_serving/stage_waits.py
+++ b/packages/serving/bergamotsaddle_serving/stage_waits.py
@@ -1,4 +1,4 @@
-"""Expected times of stages in each zone, and the zone for each of them."""
+"""Expected times of stages at each queue, and the queue for each of them."""
 
 import math
 
@@ -6,18 +6,18 @@
 from bergamotsaddle_serving.catalog import Stage
 from bergamotsaddle_serving.owners import rank_owners
 from bergamotsaddle_serving.peers import Peers
-from bergamotsaddle_serving.stage_load import Coming, StageLoad, ZoneLoad, level
+from bergamotsaddle_serving.stage_load import Coming, ScopeLoad, StageLoad, level
 from bergamotsaddle_serving.stage_owner import StageOwner
 from bergamotsaddle_serving.stage_plan import StagePlan
 from bergamotsaddle_serving.view import View
 
 # What is expected of an owner that has told nothing yet, on top of a call.
 _UNKNOWN_S = 0.1
-# Another zone must be this much faster for results to cross between zones.
+# Another zone or region must be this much faster for results to cross between zones.
 _CROSS_GAIN_S = 0.05
 _NO_TARGETS = StageLoad(60.0, 1.0, 1.0)
 _LEAST_RATE = 0.1
-# The part of a zone's room that one request may take.
+# The part of the room at a queue's targets that one request may take.
 _ROOM_PART = 0.7
 
 
@@ -36,84 +36,90 @@
         self._owner = owner
         self.coming = Coming()
 
-    def best(self, service: str, zone: str, urgency: int) -> ZoneLoad:
-        """Load of a stage in its zone, or in another one if it is done earlier."""
+    def best(self, service: str, zone: str, urgency: int) -> ScopeLoad:
+        """Load at the queue of a zone, or at another one that is done earlier."""
+        scope = self._owner.scopes.of(service, zone)
         loads = self._loads(service, urgency)
-        preferred = loads.pop(zone, _NO_TARGETS)
-        other = min(loads, key=lambda z: _total(loads[z]), default=None)
+        preferred = loads.pop(scope, _NO_TARGETS)
+        other = min(loads, key=lambda name: _total(loads[name]), default=None)
         if other is None:
-            return ZoneLoad(zone, preferred)
+            return ScopeLoad(scope, preferred)
         load = loads[other]
         if _total(preferred) <= _total(load) + _CROSS_GAIN_S:
-            return ZoneLoad(zone, preferred)
-        return ZoneLoad(other, load._replace(drain=load.drain + _CROSS_GAIN_S))
+            return ScopeLoad(scope, preferred)
+        return ScopeLoad(other, load._replace(drain=load.drain + _CROSS_GAIN_S))
 
-    def choose_zone(
+    def choose_scope(
         self, service: str, zone: str, urgency: int, plan: StagePlan
     ) -> str:
-        """Choose the zone of a stage.
+        """Choose the queue of a stage.
 
         Answers load that is uneven between zones. Results that cross zones are dear,
-        so a stage stays in the zone of its request's engine unless it would be late
-        there and is done earlier in another one.
+        so a stage stays with the queue of its engine's zone unless it would be late
+        there and is done earlier at another one.
         """
+        scope = self._owner.scopes.of(service, zone)
         times = self._times(service, urgency, plan)
         if not times:
-            return zone
+            return scope
         best = min(times, key=times.__getitem__)
-        preferred = times.get(zone)
-        if preferred is None or best == zone:
+        preferred = times.get(scope)
+        if preferred is None or best == scope:
             return best
         slack = plan.slack(now())
         if preferred - times[best] <= max(_CROSS_GAIN_S, slack):
-            return zone
+            return scope
         return best
 
     def spread(
         self, service: str, stage: Stage, count: int, urgency: int, plan: StagePlan
     ) -> list[tuple[str, int]]:
-        """Choose the zones of a stage's pieces.
+        """Choose the queues of a stage's pieces.
 
         A target has room for a handful of large results. A stage with more pieces than
-        a zone holds at once would wait there for room that it takes up itself, so it
-        is spread over as many zones as it needs.
+        a queue's targets hold at once would wait there for room that it takes up
+        itself, so it is spread over as many queues as it needs.
 
         Returns:
-            Zones with the number of pieces for each.
+            Zones or regions with the number of pieces for each.
         """
-        zone = self.choose_zone(service, plan.zone, urgency, plan)
+        scope = self.choose_scope(service, plan.zone, urgency, plan)
         times = self._times(service, urgency, plan)
-        room = self._room(service, zone, stage)
-        others = sorted((z for z in times if z != zone), key=times.__getitem__)
+        room = self._room(service, scope, stage)
+        others = sorted((name for name in times if name != scope), key=times.get)
         parts = min(1 + len(others), math.ceil(count / room))
-        zones = [zone, *others][:parts]
-        share, extra = divmod(count, len(zones))
-        return [(z, share + (n < extra)) for n, z in enumerate(zones)]
+        scopes = [scope, *others][:parts]
+        share, extra = divmod(count, len(scopes))
+        return [(name, share + (n < extra)) for n, name in enumerate(scopes)]
 
     def _times(self, service: str, urgency: int, plan: StagePlan) -> dict[str, float]:
         return {
-            zone: _total(load)
-            for zone, load in self._loads(service, urgency).items()
-            if not plan.is_avoided(service, zone, now())
+            scope: _total(load)
+            for scope, load in self._loads(service, urgency).items()
+            if not plan.is_avoided(service, scope, now())
         }
 
-    def _room(self, service: str, zone: str, stage: Stage) -> int:
+    def _room(self, service: str, scope: str, stage: Stage) -> int:
         declared = self._view.configuration.services_by_name[service].batching
-        targets = sum(k.target.zone == zone for k in self._view.usable(service))
+        scopes = [
+            self._owner.scopes.of(service, known.target.zone)
+            for known in self._view.usable(service)
+        ]
+        targets = scopes.count(scope)
         room = _ROOM_PART * declared.room_bytes * max(1, targets)
         return max(1, int(room / max(1, stage.result_bytes)))
 
     def _loads(self, service: str, urgency: int) -> dict[str, StageLoad]:
         zones = {known.target.zone for known in self._view.usable(service)}
         loads = {}
-        for zone in zones:
-            load = self._load(service, zone, urgency)
+        for scope in {self._owner.scopes.of(service, zone) for zone in zones}:
+            load = self._load(service, scope, urgency)
             if load is not None:
-                loads[zone] = load
+                loads[scope] = load
         return loads
 
-    def _load(self, service: str, zone: str, urgency: int) -> StageLoad | None:
-        owners = rank_owners(self._peers, service, zone)
+    def _load(self, service: str, scope: str, urgency: int) -> StageLoad | None:
+        owners = rank_owners(self._peers, service, scope)
         if not owners:
             return None
         if owners[0] == self._peers.own.id:
@@ -123,14 +129,14 @@
         if told is None:
             return self._unknown(service)
         drain, call, rate = told[level(urgency)], told[-2], told[-1]
-        ahead = self._ahead(service, zone, urgency)
+        ahead = self._ahead(service, scope, urgency)
         return StageLoad(drain + ahead / max(rate, _LEAST_RATE), call, rate)
 
-    def _ahead(self, service: str, zone: str, urgency: int) -> int:
-        ahead = self.coming.before(service, zone, urgency)
+    def _ahead(self, service: str, scope: str, urgency: int) -> int:
+        ahead = self.coming.before(service, scope, urgency)
         for peer in self._peers.alive():
-            for told_service, told_zone, counts in peer.coming:
-                if told_service == service and told_zone == zone:
+            for told_service, told_scope, counts in peer.coming:
+                if told_service == service and told_scope == scope:
                     ahead += sum(counts[: level(urgency) + 1])
         return ahead
 
--- a/packages/serving/bergamotsaddle_serving/view.py
+++ b/packages/serving/bergamotsaddle_serving/view.py
@@ -89,8 +89,9 @@
             and key not in listed
             and entry.revision <= revision
         ]
-        self.apply([*entries, *missing], revision, source=source)
+        # Before the change is told: watchers ask whether the view is complete.
         self.has_listed = True
+        self.apply([*entries, *missing], revision, source=source)
 
     def entries_since(self, revision: int) -> list[Entry]:
         """Entries that changed after a revision, deletions among them."""
--- a/tests/test_serving_view.py
+++ b/tests/test_serving_view.py
@@ -58,6 +58,18 @@
         self.apply(entry("servers/t", 8, TARGET))
         self.assertEqual(self.ids(), [])
 
+    def test_a_first_list_is_complete_when_watchers_hear_of_it(self):
+        """An instance starts while nothing changes for a while.
+
+        If its parts were told of the list before it counts as complete, the instance
+        would not offer to own queues until the next change, and after a restart of all
+        instances no stage would be done.
+        """
+        seen = []
+        self.view.watch(lambda: seen.append(self.view.is_complete()))
+        self.view.replace([entry("op/config", 4, CONFIG)], 4, source="test")
+        self.assertEqual(seen, [True])
+
     def test_an_older_version_of_the_configuration_is_never_taken(self):
         self.apply(entry("op/config", 4, CONFIG, version=9))
         self.apply(entry("op/config", 5, CONFIG, version=8))
--- a/tests/test_stage_owner.py
+++ b/tests/test_stage_owner.py
@@ -14,7 +14,7 @@
 from bergamotsaddle_serving.messages import Entry, PieceResult, RequestHead, Unmade
 from bergamotsaddle_serving.peer_messages import Contact, Release
 from bergamotsaddle_serving.stage_exchange import StageExchange
-from bergamotsaddle_serving.stage_load import Coming, StageLoad, ZoneLoad
+from bergamotsaddle_serving.stage_load import Coming, ScopeLoad, StageLoad
 from bergamotsaddle_serving.stage_owner import StageOwner
 from bergamotsaddle_serving.stage_plan import StagePlan
 from bergamotsaddle_serving.stage_run import StageRun
@@ -103,6 +103,10 @@
         self.peers = mock.Mock(own=Contact("me", "a", "127.0.0.1"))
         self.peers.alive.return_value = []
         self.peers.owners.return_value = ["me"]
+        self.peers.region.side_effect = lambda zone: zone
+        self.peers.inhabited.side_effect = lambda: (
+            {peer.contact.zone for peer in self.peers.alive()} | {"a"}
+        )
         self.view = View(dialect, mock.Mock())
         self.owner = StageOwner(
             self.view, self.peers, mock.Mock(), dialect, mock.Mock()
@@ -127,7 +131,7 @@
             route,
             pieces,
             "a",
-            lambda service, zone, urgency: ZoneLoad(zone, StageLoad(0.0, 0.2, 10.0)),
+            lambda service, zone, urgency: ScopeLoad(zone, StageLoad(0.0, 0.2, 10.0)),
             urgency=0,
             began_at=now(),
             finish_seconds=0.1,
@@ -259,7 +263,7 @@
         self.finish(2.0)
         self.assertIn("t3", {target for target, _ in self.calls.calls})
         self.peers.alive.return_value = [
-            mock.Mock(contact=Contact("other", "b", "127.0.0.2"), is_stopping=False)
+            mock.Mock(contact=Contact("other", "b", "127.0.0.2"), takes_work=True)
         ]
         self.owner.hand_over()
         self.calls.calls.clear()
@@ -276,7 +280,7 @@
         self.start((8, 0))
         self.finish(2.0)
         self.peers.alive.return_value = [
-            mock.Mock(contact=Contact("other", "b", "127.0.0.2"), is_stopping=False)
+            mock.Mock(contact=Contact("other", "b", "127.0.0.2"), takes_work=True)
         ]
         self.owner.hand_over()
         self.run_.release()
--- a/tests/test_stage_plan.py
+++ b/tests/test_stage_plan.py
@@ -3,7 +3,7 @@
 import unittest
 
 from bergamotsaddle_serving.catalog import Kind, Route, Share, Stage
-from bergamotsaddle_serving.stage_load import StageLoad, ZoneLoad
+from bergamotsaddle_serving.stage_load import ScopeLoad, StageLoad
 from bergamotsaddle_serving.stage_plan import StagePlan
 
 CHAIN = (
@@ -23,7 +23,7 @@
         ROUTE,
         pieces,
         "a",
-        lambda service, zone, urgency: ZoneLoad(zone, StageLoad(drain, 0.25, 50.0)),
+        lambda service, zone, urgency: ScopeLoad(zone, StageLoad(drain, 0.25, 50.0)),
         urgency=1,
         began_at=100.0,
         finish_seconds=0.1,
--- a/tests/test_stage_queue.py
+++ b/tests/test_stage_queue.py
@@ -8,6 +8,7 @@
 from bergamotsaddle_serving.stage_queue import (
     FOREIGN_S,
     FULL_PAUSE_S,
+    OtherTarget,
     PieceKey,
     QueuedPiece,
     ResultRoom,
@@ -132,6 +133,20 @@
         queue.cancel("a")
         self.assertEqual(requests(queue.take_batch(0.0, 18e6)), ["b"])
 
+    def test_a_begun_stage_that_is_cancelled_promises_no_room(self):
+        """A caller leaves after a part of its stage was taken.
+
+        What is left of it is gone; an owner that still counted on it would stop calling
+        its targets.
+        """
+        queue = StageQueue(BATCHING)
+        for number in range(6):
+            queue.add(piece("a", number, result_bytes=LARGE))
+        self.assertEqual(len(queue.take_batch(0.0, 18e6)), 4)
+        queue.cancel("a")
+        queue.add(piece("b", result_bytes=LARGE))
+        self.assertEqual(requests(queue.take_batch(0.3, 6e6)), ["b"])
+
     def test_pieces_of_another_round_are_other_pieces(self):
         """A result was lost and its stage is begun anew while old pieces wait.
 
@@ -166,6 +181,62 @@
         self.assertEqual(requests(queue.take_expired(1.4)), ["late"])
 
 
+class SharedQueueTest(unittest.TestCase):
+    """One queue for targets in several zones."""
+
+    def test_large_results_stay_in_their_zone_while_there_is_time(self):
+        """A free target in another zone could take a piece at once.
+
+        Its result, of megabytes, would then cross zones. Small results may be made
+        anywhere: their move costs less than the wait.
+        """
+        busy = OtherTarget("a", free_in=0.2, room_bytes=18e6)
+        queue = StageQueue(BATCHING)
+        queue.add(piece("large", result_bytes=LARGE, zone="a"))
+        queue.add(piece("small", zone="a"))
+        batch = queue.take_batch(0.0, 18e6, zone="b", others=[busy])
+        self.assertEqual(requests(batch), ["small"])
+        batch = queue.take_batch(0.6, 18e6, zone="b", others=[busy])
+        self.assertEqual(requests(batch), ["large"])
+
+    def test_large_results_leave_a_zone_without_a_target(self):
+        queue = StageQueue(BATCHING)
+        queue.add(piece("large", result_bytes=LARGE, zone="a"))
+        other = OtherTarget("c", free_in=0.0, room_bytes=18e6)
+        batch = queue.take_batch(0.0, 18e6, zone="b", others=[other])
+        self.assertEqual(requests(batch), ["large"])
+
+    def test_a_stage_that_fits_no_single_target_is_spread(self):
+        """A request has eight large results, and a target has room for six.
+
+        Were a stage begun only if one target held all of it, such requests would wait
+        until their callers leave.
+        """
+        queue = StageQueue(BATCHING)
+        for number in range(8):
+            queue.add(piece("a", number, result_bytes=LARGE))
+        self.assertEqual(queue.take_batch(0.0, 18e6), [])
+        other = OtherTarget("b", free_in=0.0, room_bytes=18e6)
+        self.assertEqual(len(queue.take_batch(0.0, 18e6, others=[other])), 4)
+        self.assertEqual(len(queue.take_batch(0.0, 18e6, others=[])), 4)
+
+    def test_room_promised_to_a_begun_stage_is_not_given_to_another(self):
+        """Two requests have eight large results each, the targets room for twelve.
+
+        Begun together, each would hold a part and wait for what only the other gives
+        up.
+        """
+        queue = StageQueue(BATCHING)
+        for request in "ab":
+            for number in range(8):
+                queue.add(piece(request, number, result_bytes=LARGE))
+        other = OtherTarget("b", free_in=0.2, room_bytes=18e6)
+        first = queue.take_batch(0.0, 18e6, others=[other])
+        left = OtherTarget("a", free_in=0.2, room_bytes=6e6)
+        second = queue.take_batch(0.0, 18e6, zone="b", others=[left])
+        self.assertEqual(requests([*first, *second]), ["a"])
+
+
 class RoomTest(unittest.TestCase):
     """What is known of the results that a target holds."""
 
