Send nothing into a zone that is cut off, and read the room of targets as it is rounded

Targets tell their free room in whole megabytes rounded down, so those with room for half a megabyte say 0 always, and were left alone after each refusal. 3. A new owner told senders that inputs had been fetched while calls of the owner before still ran. Change: a zone of which nobody is heard for 0.5 s is asked through three targets and left out if none answers; room is read as the most that may be free; after a pause in its queue an owner takes targets for shared; an instance owns nothing in its first half second.

--- a/packages/serving/bergamotsaddle_serving/_stage_worker.py
+++ b/packages/serving/bergamotsaddle_serving/_stage_worker.py
@@ -39,7 +39,6 @@
         self.alone_from = now() + _SHARED_S
         self.failures = 0
         self.rest_until = 0.0
-        self.heard_at = float("-inf")
         self.to_release: list[str] = []
         self.has_release = Event()
 
@@ -52,20 +51,19 @@
         """
         self.alone_from = now() + _SHARED_S
 
+    def is_shared(self) -> bool:
+        """Tell whether others may have called the target lately."""
+        return now() < self.alone_from
+
     def rest(self) -> None:
         """Give it nothing for a while after a failure."""
         pause = min(_LONGEST_REST_S, _FIRST_REST_S * 2.0**self.failures)
         self.failures += 1
         self.rest_until = now() + pause
 
-    def note_heard(self) -> None:
-        """Note an answer."""
-        self.failures = 0
-        self.heard_at = now()
-
     def learn(self, seconds: float, expected: float) -> None:
         """Take the time of an answered call into account."""
-        self.note_heard()
+        self.failures = 0
         ratio = min(_MAX_PACE, seconds / expected)
         self.pace += _PACE_WEIGHT * (ratio - self.pace)
 
@@ -83,6 +81,19 @@
         self.cancelled: OrderedDict[str, None] = OrderedDict()
         self.news = Event()
         self.disowned_checks = 0
+        self._submitted_at = float("-inf")
+
+    def note_submission(self) -> None:
+        """Note that pieces came in.
+
+        After a pause this instance may have just become the owner, and calls of the
+        one before may still run.
+        """
+        moment = now()
+        if moment - self._submitted_at > _SHARED_S:
+            for worker in self.worker_by_life.values():
+                worker.note_shared()
+        self._submitted_at = moment
 
     def note_sender(self, request: str, sender: str) -> None:
         """Note which instance gets a request's results."""
--- a/packages/serving/bergamotsaddle_serving/messages.py
+++ b/packages/serving/bergamotsaddle_serving/messages.py
@@ -211,7 +211,11 @@
         """Make the call that asks a stage target for its free room."""
 
     def read_room(self, body: bytes) -> float:
-        """Decode its answer to bytes; raises ValueError if it is none."""
+        """Decode its answer to the bytes that are free at most.
+
+        Raises:
+            ValueError: If it is none.
+        """
 
     def maker(self, handle: str) -> Address:
         """Address of the target that holds a result."""
--- a/packages/serving/bergamotsaddle_serving/peers.py
+++ b/packages/serving/bergamotsaddle_serving/peers.py
@@ -122,6 +122,11 @@
         alive = {p.contact.zone for p in self.alive() if p.takes_work}
         return alive | {self.own.zone}
 
+    def zone_heard_at(self, zone: str) -> float:
+        """When any instance of a zone was heard last."""
+        heard = [p.heard_at for p in self.by_id.values() if p.contact.zone == zone]
+        return max(heard, default=float("-inf"))
+
     def owners(self, scope: str) -> list[str]:
         """Instances that can own a queue of a zone or region: its own ones, else all.
 
--- a/packages/serving/bergamotsaddle_serving/selector.py
+++ b/packages/serving/bergamotsaddle_serving/selector.py
@@ -7,6 +7,7 @@
 from bergamotsaddle_serving.health import Health, TargetState
 from bergamotsaddle_serving.peers import Peers
 from bergamotsaddle_serving.view import View
+from bergamotsaddle_serving.zone_reach import ZoneReach
 
 # What a trip to another zone and back adds, as a part of a request's time there.
 _OTHER_ZONE_S = 0.004
@@ -36,16 +37,29 @@
         health: What was seen of them.
         peers: What other instances have at them.
         cold: Spaces requests to cold ones.
+        reach: Knows the zones that are cut off.
     """
 
-    def __init__(self, view: View, health: Health, peers: Peers, cold: ColdPace):
+    def __init__(
+        self,
+        view: View,
+        health: Health,
+        peers: Peers,
+        cold: ColdPace,
+        reach: ZoneReach,
+    ) -> None:
         self._view = view
         self._health = health
         self._peers = peers
         self._cold = cold
+        self._reach = reach
 
     def candidates(self, service: str, exclude: set[str]) -> list[Candidate]:
-        """Targets that may get a request; those that failed lately only if no other."""
+        """Targets that may get a request.
+
+        Those that failed lately are left out if there is any other, and so are those
+        in a zone that is cut off: a request sent there is lost for up to two seconds.
+        """
         found = [
             Candidate(
                 known.target,
@@ -57,6 +71,7 @@
             if known.target.id not in exclude
         ]
         found = [c for c in found if not c.is_cold or self._cold.may_send(c.target.id)]
+        found = [c for c in found if not self._reach.is_lost(c.target.zone)] or found
         return [c for c in found if not c.state.is_resting()] or found
 
     def pick(self, service: str, exclude: set[str]) -> Candidate | None:
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -31,6 +31,7 @@
 from bergamotsaddle_serving.streams import StreamServer
 from bergamotsaddle_serving.view import View
 from bergamotsaddle_serving.view_exchange import ViewExchange
+from bergamotsaddle_serving.zone_reach import ZoneReach
 
 _STDOUT = 1
 _BACKLOG = 512
@@ -45,6 +46,8 @@
 # For the last answers to leave.
 _ANSWER_S = 0.1
 _TICK_S = 0.5
+# Two rounds of heartbeats and the answers: a seed names the others in its answer.
+_SETTLE_S = 0.5
 _RESTART_PAUSE_S = 0.5
 
 
@@ -68,6 +71,7 @@
         self._asked_to_stop = Event()
         self._asked_to_reload = False
         self._stopping = False
+        self._began_at = now()
         self._build()
 
     def _build(self) -> None:
@@ -81,10 +85,13 @@
         self.metrics = Metrics()
         self.follower = StoreFollower(settings, dialect, self.view, logger)
         self.exchange = ViewExchange(settings, self.view, self.peers, logger)
-        self.owner = StageOwner(self.view, self.peers, self.pool, dialect, logger)
+        self.reach = ZoneReach(self.view, self.peers, self.pool, dialect, logger)
+        self.owner = StageOwner(
+            self.view, self.peers, self.pool, dialect, self.reach, logger
+        )
         budget = RetryBudget(settings.bounds, self.peers.size)
         cold = ColdPace(self.peers.size)
-        selector = Selector(self.view, self.health, self.peers, cold)
+        selector = Selector(self.view, self.health, self.peers, cold, self.reach)
         stages = StageExchange(self.peers, self.owner)
         waits = StageWaits(self.view, self.peers, self.owner)
         plain = PlainServer(selector, self.pool, budget, dialect, logger)
@@ -119,6 +126,7 @@
             self.peers.run,
             self.follower.run,
             self.exchange.run,
+            self.reach.run,
             self._tick,
         ):
             eventlet.spawn_n(self._keep_running, work)
@@ -180,6 +188,7 @@
     def _tick(self) -> None:
         while True:
             eventlet.sleep(_TICK_S)
+            self._note_view()
             self.pool.prune()
             self.view.drop_lapsed()
             self.owner.hand_over()
@@ -199,8 +208,10 @@
 
     def _note_view(self) -> None:
         # An instance that has just started knows no targets yet; as an owner it would
-        # turn every piece away.
-        self.peers.takes_work = self.is_ready()
+        # turn every piece away. Nor has it heard the others: after a restart of all,
+        # each would take itself for the owner of everything.
+        is_settled = now() - self._began_at >= _SETTLE_S
+        self.peers.takes_work = is_settled and self.is_ready()
 
     def _forget_targets(self) -> None:
         lives = {
--- a/packages/serving/bergamotsaddle_serving/stage_calls.py
+++ b/packages/serving/bergamotsaddle_serving/stage_calls.py
@@ -67,7 +67,7 @@
         return results
 
     def ask_room(self, target: Target) -> float:
-        """Ask a target for its free room in bytes.
+        """Ask a target how many bytes it has free at most.
 
         Raises:
             ConnectionLostError: If it did not answer.
--- a/packages/serving/bergamotsaddle_serving/stage_owner.py
+++ b/packages/serving/bergamotsaddle_serving/stage_owner.py
@@ -35,6 +35,7 @@
     QueuedPiece,
 )
 from bergamotsaddle_serving.view import View
+from bergamotsaddle_serving.zone_reach import ZoneReach
 
 # A call that takes this many times its expected time, and a little, counts as lost: a
 # target without power never answers, while slow ones keep within it.
@@ -46,9 +47,6 @@
 # Another owner must have been seen at this many checks in a row, half a second apart,
 # for pieces to move there.
 _CHECKS_TO_MOVE = 2
-# A target in a zone of which no instance was heard may be cut off; a call would be lost
-# there for up to a second, so it is asked for its room first if it was silent so long.
-_DOUBT_S = 1.0
 # How long after a call the next one may wait for the room that its results give up:
 # their way to the sender, from there to an engine, and the word that they were fetched.
 _ROOM_WAIT_S = 0.09
@@ -68,6 +66,7 @@
         peers: Where results go.
         pool: Connections to targets.
         dialect: Makes the calls.
+        reach: Knows the zones that are cut off.
         logger: Gets a line for each call.
     """
 
@@ -77,9 +76,11 @@
         peers: Peers,
         pool: ConnectionPool,
         dialect: Dialect,
+        reach: ZoneReach,
         logger: Any,
     ) -> None:
         self._view = view
+        self._reach = reach
         self._peers = peers
         self._calls = StageCalls(view, pool, dialect)
         self._dialect = dialect
@@ -90,6 +91,7 @@
         self.calls = 0
         self.pieces = 0
         view.watch(self._retire)
+        reach.watch(self._retire)
 
     def submit(self, message: Submit, sender: str) -> Accepted | Results:
         """Take pieces into the queue.
@@ -105,6 +107,7 @@
         if queue is None or not self._has_targets(queue):
             done = [Done(n, "", Unmade.NO_TARGET) for n in message.numbers]
             return Results(message.request, message.stage, message.round, done)
+        queue.note_submission()
         queue.note_sender(message.request, sender)
         known = [self._take(queue, message, number) for number in message.numbers]
         queue.wake()
@@ -245,8 +248,11 @@
         return [
             known.target
             for known in self._view.usable(service)
-            if self.scopes.of(service, known.target.zone) == scope
-            or known.target.zone not in inhabited
+            if not self._reach.is_lost(known.target.zone)
+            and (
+                self.scopes.of(service, known.target.zone) == scope
+                or known.target.zone not in inhabited
+            )
         ]
 
     def _retire(self) -> None:
@@ -294,7 +300,8 @@
                 self._turn_away(queue)
                 eventlet.sleep(min(_IDLE_CHECK_S, worker.rest_until - moment))
                 continue
-            if self._is_doubtful(worker) and not self._ask_room(worker):
+            # Asked first, a dead target holds no pieces up for a whole call.
+            if worker.failures and not self._ask_room(worker):
                 worker.rest()
                 continue
             for piece in queue.queue.take_expired(moment, worker.pace):
@@ -312,12 +319,6 @@
                 continue
             self._call(queue, worker, batch)
 
-    def _is_doubtful(self, worker: Worker) -> bool:
-        if worker.failures:
-            return True
-        is_remote = worker.target.zone not in self._peers.inhabited()
-        return is_remote and worker.heard_at < now() - _DOUBT_S
-
     def _await_news(self, queue: ServiceQueue, worker: Worker) -> None:
         wait = worker.full_call_by - now()
         if wait <= 0:
@@ -390,8 +391,12 @@
                 "room_unknown", target=worker.target.id, reason=str(error)
             )
             return False
-        worker.note_heard()
+        worker.failures = 0
+        believed = worker.room.left(now())
         worker.room.correct(free, now())
+        self._logger.info(
+            "room", target=worker.target.id, free=int(free), believed=int(believed)
+        )
         return True
 
     def _fail(
@@ -477,7 +482,7 @@
     def _announce_start(
         self, queue: ServiceQueue, worker: Worker, batch: list[QueuedPiece]
     ) -> GreenThread | None:
-        if now() < worker.alone_from:
+        if worker.is_shared():
             return None
         delay = fetch_seconds(_input_bytes(batch))
         return eventlet.spawn_after(delay, self._tell_started, queue, batch)
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/zone_reach.py
@@ -0,0 +1,130 @@
+"""Which availability zones this instance can reach."""
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import eventlet
+
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.catalog import Target
+from bergamotsaddle_serving.client import ConnectionLostError, ConnectionPool
+from bergamotsaddle_serving.messages import Dialect
+from bergamotsaddle_serving.peers import Peers
+from bergamotsaddle_serving.view import View
+
+# Two rounds of heartbeats and a little: a zone of which no instance was heard for so
+# long may be cut off.
+_SILENT_S = 0.5
+_CHECK_S = 0.2
+# A silent zone is asked this often. A probe costs its target under 1 ms.
+_PROBE_S = 0.5
+# Ten times the trip between zones and back.
+_PROBE_LIMIT_S = 0.25
+_PROBES = 3
+_MAX_BODY = 65_536
+
+
+class ZoneReach:
+    """Tells zones that are cut off from those whose instances merely stopped.
+
+    When a zone is cut off, each request and each stage call that is sent there is lost
+    for up to two seconds, and the targets' entries stay as they were. An instance
+    notices that no instance of the zone is heard any more; since these may also have
+    stopped, it asks one of the zone's targets, and takes the zone for cut off only if
+    that does not answer.
+
+    A zone that was lost is found again by the first heartbeat or answered probe.
+
+    Args:
+        view: Knows the targets.
+        peers: Know when the instances of a zone were heard.
+        pool: Connections to targets.
+        dialect: Makes the probe.
+        logger: Gets a line when a zone is lost or regained.
+    """
+
+    def __init__(
+        self,
+        view: View,
+        peers: Peers,
+        pool: ConnectionPool,
+        dialect: Dialect,
+        logger: Any,
+    ) -> None:
+        self._view = view
+        self._peers = peers
+        self._pool = pool
+        self._dialect = dialect
+        self._logger = logger
+        self._lost: set[str] = set()
+        self._probed_at: dict[str, float] = {}
+        self._watchers: list[Callable[[], None]] = []
+
+    def watch(self, callback: Callable[[], None]) -> None:
+        """Have a function called when a zone is lost or regained."""
+        self._watchers.append(callback)
+
+    def is_lost(self, zone: str) -> bool:
+        """Tell whether a zone is taken for cut off."""
+        return zone in self._lost
+
+    def run(self) -> None:
+        """Look after all zones for ever."""
+        while True:
+            for zone, targets in self._targets_by_zone().items():
+                self._check(zone, targets)
+            eventlet.sleep(_CHECK_S)
+
+    def _targets_by_zone(self) -> dict[str, list[Target]]:
+        """Targets that can be asked, by zone; this instance's own zone is left out."""
+        by_zone: dict[str, list[Target]] = {}
+        configuration = self._view.configuration
+        if configuration is None:
+            return by_zone
+        for service in configuration.services_by_name.values():
+            if service.batching is None and not service.engine_slots:
+                continue
+            for known in self._view.targets_by_service.get(service.name, ()):
+                if known.target.zone != self._peers.own.zone:
+                    by_zone.setdefault(known.target.zone, []).append(known.target)
+        return by_zone
+
+    def _check(self, zone: str, targets: list[Target]) -> None:
+        moment = now()
+        if self._peers.zone_heard_at(zone) > moment - _SILENT_S:
+            self._note(zone, is_lost=False)
+            return
+        if self._probed_at.get(zone, float("-inf")) > moment - _PROBE_S:
+            return
+        self._probed_at[zone] = moment
+        asked = random.sample(targets, min(_PROBES, len(targets)))
+        eventlet.spawn_n(self._probe, zone, asked)
+
+    def _probe(self, zone: str, targets: list[Target]) -> None:
+        # One target may have crashed; that all of them have at once is rare.
+        answers = [eventlet.spawn(self._answers, target) for target in targets]
+        self._note(zone, is_lost=not any(answer.wait() for answer in answers))
+
+    def _answers(self, target: Target) -> bool:
+        call = self._dialect.ask_room(target)
+        try:
+            connection = self._pool.take(target.address, limit=_PROBE_LIMIT_S)
+            connection.exchange(call, limit=_PROBE_LIMIT_S, most=_MAX_BODY)
+        except ConnectionLostError as error:
+            self._logger.info("probe_failed", target=target.id, reason=error.reason)
+            return False
+        self._pool.give(connection, None)
+        return True
+
+    def _note(self, zone: str, *, is_lost: bool) -> None:
+        if is_lost == (zone in self._lost):
+            return
+        if is_lost:
+            self._lost.add(zone)
+            self._logger.warning("zone_lost", zone=zone)
+        else:
+            self._lost.discard(zone)
+            self._logger.info("zone_regained", zone=zone)
+        for callback in self._watchers:
+            callback()
--- a/tests/test_platform_dialect.py
+++ b/tests/test_platform_dialect.py
@@ -217,6 +217,11 @@
             DIALECT.read_results(body)
 
     def test_room(self):
+        """A target with room for half a megabyte always says 0 whole ones.
+
+        Taken at its word, an empty target was left alone for 0.3 s after each refusal.
+        """
+        self.assertEqual(DIALECT.read_room(b'{"freeMb":0}'), 1e6)
         self.assertEqual(DIALECT.read_room(b'{"freeMb":1.5}'), 1.5e6)
         with self.assertRaises(ValueError):
             DIALECT.read_room(b'{"freeMb":true}')
--- /dev/null
+++ b/tests/test_zone_reach.py
@@ -0,0 +1,111 @@
+"""Zones that are cut off, and zones whose instances merely stopped."""
+
+import unittest
+from unittest import mock
+
+import eventlet
+import msgspec
+
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_platform.dialect import PlatformDialect
+from bergamotsaddle_serving.budget import ColdPace
+from bergamotsaddle_serving.client import ConnectionLostError
+from bergamotsaddle_serving.health import Health
+from bergamotsaddle_serving.messages import Entry
+from bergamotsaddle_serving.peer_messages import Contact
+from bergamotsaddle_serving.selector import Selector
+from bergamotsaddle_serving.view import View
+from bergamotsaddle_serving.zone_reach import ZoneReach
+from tests._paused import advance
+
+PIECES = {
+    "slots": 1,
+    "batch": 4,
+    "callMs": 150.0,
+    "itemMs": 30.0,
+    "headroomMb": 18.0,
+    "handleS": 4.0,
+}
+CONFIG = {
+    "version": 1,
+    "routes": [],
+    "services": [{"name": "encode", "pieces": PIECES}],
+}
+
+
+def target_entry(name, zone, port):
+    """An entry of a stage target."""
+    fields = {
+        "service": "encode",
+        "address": f"10.0.0.1:{port}",
+        "zone": zone,
+        "slots": 1,
+        "state": "ready",
+    }
+    return Entry(f"servers/{name}", port, msgspec.json.encode(fields))
+
+
+class ZoneReachTest(unittest.TestCase):
+    """An instance in zone a, and two targets in zone b."""
+
+    def setUp(self):
+        dialect = PlatformDialect()
+        self.view = View(dialect, mock.Mock())
+        config = Entry("op/config", 1, msgspec.json.encode(CONFIG))
+        entries = [config, target_entry("t1", "b", 81), target_entry("t2", "b", 82)]
+        entries.append(target_entry("t3", "a", 83))
+        self.view.apply(entries, 83, source="test")
+        self.dead = set()
+        self.pool = mock.Mock()
+        self.pool.take.side_effect = self._take
+        self.peers = mock.Mock(own=Contact("me", "a", "127.0.0.1"))
+        self.peers.alive.return_value = []
+        self.heard_at = now()
+        self.peers.zone_heard_at.side_effect = lambda zone: self.heard_at
+        self.reach = ZoneReach(self.view, self.peers, self.pool, dialect, mock.Mock())
+        self.thread = eventlet.spawn(self.reach.run)
+        self.addCleanup(self.thread.kill)
+
+    def _take(self, address, limit):
+        if address.port in self.dead:
+            eventlet.sleep(limit)
+            raise ConnectionLostError("connect", is_unsent=True)
+        return mock.Mock()
+
+    def test_a_zone_that_is_cut_off_gets_nothing_until_it_is_back(self):
+        """A zone is cut off; its targets' entries stay as they were.
+
+        Each request that is sent there is lost for up to two seconds, and callers see
+        their requests end late or not at all.
+        """
+        changes = mock.Mock()
+        self.reach.watch(changes)
+        self.dead = {81, 82}
+        advance(1.2)
+        self.assertTrue(self.reach.is_lost("b"))
+        selector = Selector(
+            self.view, Health(), self.peers, ColdPace(lambda: 3), self.reach
+        )
+        found = selector.candidates("encode", set())
+        self.assertEqual([c.target.id for c in found], ["t3"])
+        found = selector.candidates("encode", {"t3"})
+        self.assertEqual(len(found), 2, "all that is left is tried all the same")
+        self.heard_at = now()
+        advance(0.3)
+        self.assertFalse(self.reach.is_lost("b"))
+        self.assertEqual(changes.call_count, 2)
+
+    def test_a_zone_whose_instances_stopped_is_not_lost(self):
+        """All instances of a zone stop, and one of its targets has crashed.
+
+        The other targets still answer; without them a third of what can be done would
+        lie idle until the instances are back.
+        """
+        self.dead = {81}
+        advance(5.0)
+        self.assertFalse(self.reach.is_lost("b"))
+
+    def test_the_own_zone_is_never_asked(self):
+        self.dead = {81, 82, 83}
+        advance(5.0)
+        self.assertFalse(self.reach.is_lost("a"))
