--- a/packages/serving/bergamotsaddle_serving/stage_queue.py
+++ b/packages/serving/bergamotsaddle_serving/stage_queue.py
@@ -31,9 +31,9 @@
 # of 60 kB moves 8 MB; results between zones were 2.1 GB on a day of 870 requests, of
 # which 0.25 GB were results of megabytes.
 _LARGE_BYTES = 100_000
-# A piece leaves its zone this long before it would be late there: calls take up to a
-# tenth longer than declared, three of them in a chain.
-_HOME_MARGIN_S = 0.1
+# The part of its slack that a piece may lose by waiting for its zone; later stages of
+# its request need the rest.
+_HOME_PART = 0.5
 # Weight of the newest call in the mean number of pieces that a call carries under load.
 _FILL_WEIGHT = 0.2
 
@@ -132,12 +132,21 @@
 
 
 def _has_time_at_home(
-    piece: QueuedPiece, home_waits: dict[str, float], moment: float
+    piece: QueuedPiece, home_waits: dict[str, float], moment: float, call: float
 ) -> bool:
+    """Tell whether a piece can wait for its zone.
+
+    Args:
+        piece: The piece.
+        home_waits: Seconds until a piece is done in each zone.
+        moment: Now, on the hub's clock.
+        call: Seconds of a full call.
+    """
     if not is_large(piece) or piece.zone not in home_waits:
         return False
-    due = piece.objective_at - _HOME_MARGIN_S
-    return moment + home_waits[piece.zone] <= due
+    slack = piece.objective_at - moment - call
+    extra = home_waits[piece.zone] - call
+    return extra <= min(_HOME_PART * slack, call)
 
 
 class StageQueue:
@@ -211,9 +220,10 @@
         up; calls then carry one piece each and nobody is done. A stage without room is
         passed over, and smaller ones behind it go ahead.
 
-        A piece with large inputs or a large result is left to a target in its zone, as
-        long as it can still be on time there; so is the rest of a stage of which a part
-        was taken, since the next stage needs its results together.
+        A piece with large inputs or a large result is left to a target in its zone, if
+        it costs no more than half of the piece's slack and a call; so is the rest of a
+        stage of which a part was taken, since the next stage needs its results
+        together.
 
         Args:
             moment: Now, on the hub's clock.
@@ -235,13 +245,16 @@
         promised = sum(bytes_by_set[name] for name in self.open_sets)
         unpromised = room_bytes + sum(o.room_bytes for o in others) - promised
         home_waits = self._home_waits(others)
+        call = self.batching.seconds(self.batching.size) * pace
         batch: list[QueuedPiece] = []
         begun = set(self.open_sets)
         for piece in pieces:
             name = piece.key[:2]
             if piece.result_bytes > room_bytes:
                 continue
-            if piece.zone != zone and _has_time_at_home(piece, home_waits, moment):
+            if piece.zone != zone and _has_time_at_home(
+                piece, home_waits, moment, call
+            ):
                 continue
             if name not in begun:
                 if bytes_by_set[name] > unpromised:
