Give up what the dead leave behind; spread the return of refused callers

What senders told it before they noticed was lost, so their results stayed until they expired; a dead sender's pieces went on being called for. Of an overloaded last stage a fifth of the pieces came to their turn after their inputs had expired. Ruled out: slow releases by living owners. Change: releases are repeated to the successor; an owner drops requests of instances that died or started anew; a piece waits no longer than its inputs live; releases go out by target, none to a lost zone.

--- a/packages/serving/bergamotsaddle_serving/_stage_worker.py
+++ b/packages/serving/bergamotsaddle_serving/_stage_worker.py
@@ -1,6 +1,7 @@
 """What an owner of a stage queue keeps of a service and of each of its targets."""
 
 from collections import OrderedDict
+from typing import NamedTuple
 
 from eventlet.event import Event
 
@@ -68,6 +69,13 @@
         self.pace += _PACE_WEIGHT * (ratio - self.pace)
 
 
+class Sender(NamedTuple):
+    """One life of the instance that gets a request's results."""
+
+    id: str
+    life: str | None
+
+
 class ServiceQueue:
     """One stage service's queue and workers."""
 
@@ -75,7 +83,7 @@
         self.service = service
         self.queue = StageQueue(batching)
         self.worker_by_life: dict[tuple[str, int], Worker] = {}
-        self.sender_by_request: OrderedDict[str, str] = OrderedDict()
+        self.sender_by_request: OrderedDict[str, Sender] = OrderedDict()
         self.running: set[PieceKey] = set()
         self.done_by_key: OrderedDict[PieceKey, Done] = OrderedDict()
         self.cancelled: OrderedDict[str, None] = OrderedDict()
@@ -95,7 +103,7 @@
                 worker.note_shared()
         self._submitted_at = moment
 
-    def note_sender(self, request: str, sender: str) -> None:
+    def note_sender(self, request: str, sender: Sender) -> None:
         """Note which instance gets a request's results."""
         self.sender_by_request[request] = sender
         _trim(self.sender_by_request)
@@ -105,6 +113,11 @@
         self.done_by_key[key] = done
         _trim(self.done_by_key)
 
+    def take_results(self, requests: set[str]) -> list[str]:
+        """Forget the results of requests; their handles."""
+        keys = [key for key in self.done_by_key if key.request in requests]
+        return [self.done_by_key.pop(key).handle for key in keys]
+
     def note_cancelled(self, request: str) -> None:
         """Note that the results of a request are not needed any more."""
         self.cancelled[request] = None
--- a/packages/serving/bergamotsaddle_serving/admission.py
+++ b/packages/serving/bergamotsaddle_serving/admission.py
@@ -58,5 +58,6 @@
 
 def retry_after(forecast: Forecast) -> float:
     """Seconds after which a refused caller should come back."""
-    excess = max(_LEAST_RETRY_S, forecast.seconds - forecast.objective)
-    return min(forecast.left * _MOST_RETRY_PART, excess * random.uniform(1.0, 2.0))
+    most = forecast.left * _MOST_RETRY_PART
+    least = min(most, max(_LEAST_RETRY_S, forecast.seconds - forecast.objective))
+    return random.uniform(least, most)
--- a/packages/serving/bergamotsaddle_serving/peers.py
+++ b/packages/serving/bergamotsaddle_serving/peers.py
@@ -127,6 +127,15 @@
         heard = [p.heard_at for p in self.by_id.values() if p.contact.zone == zone]
         return max(heard, default=float("-inf"))
 
+    def life_of(self, peer_id: str) -> str | None:
+        """The life of an instance's process, None if it was not heard lately."""
+        if peer_id == self.own.id:
+            return self.life
+        peer = self.by_id.get(peer_id)
+        if peer is None or now() - peer.heard_at >= self._silence_limit():
+            return None
+        return peer.life
+
     def owners(self, scope: str) -> list[str]:
         """Instances that can own a queue of a zone or region: its own ones, else all.
 
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -92,11 +92,11 @@
         budget = RetryBudget(settings.bounds, self.peers.size)
         cold = ColdPace(self.peers.size)
         selector = Selector(self.view, self.health, self.peers, cold, self.reach)
-        stages = StageExchange(self.peers, self.owner)
+        self.stage_exchange = StageExchange(self.peers, self.owner)
         waits = StageWaits(self.view, self.peers, self.owner)
         plain = PlainServer(selector, self.pool, budget, dialect, logger)
         streams = StreamServer(
-            selector, waits, stages, self.pool, budget, dialect, logger
+            selector, waits, self.stage_exchange, self.pool, budget, dialect, logger
         )
         self.handler = Handler(
             self.view, plain, streams, budget, dialect, self.metrics, logger
@@ -192,6 +192,8 @@
             self.pool.prune()
             self.view.drop_lapsed()
             self.owner.hand_over()
+            self.owner.drop_orphans()
+            self.stage_exchange.repeat_releases()
             if self._asked_to_reload:
                 self._asked_to_reload = False
                 self._reload()
--- a/packages/serving/bergamotsaddle_serving/stage_exchange.py
+++ b/packages/serving/bergamotsaddle_serving/stage_exchange.py
@@ -1,7 +1,11 @@
 """Carries pieces and results between requests and the owners of stage queues."""
 
+from collections import deque
+from typing import NamedTuple
+
 from eventlet.queue import LightQueue
 
+from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.owners import rank_owners
 from bergamotsaddle_serving.peer_messages import (
     Accepted,
@@ -15,6 +19,18 @@
 from bergamotsaddle_serving.peers import Peers
 from bergamotsaddle_serving.stage_owner import StageOwner
 
+# An owner that dies is noticed within a second; what it was sent before that is kept.
+_KEEP_RELEASES_S = 1.5
+
+
+class _SentRelease(NamedTuple):
+    """A release whose owner may have died before it arrived."""
+
+    sent_at: float
+    owner: str
+    scope: str
+    message: Release
+
 
 class StageExchange:
     """Carries messages between the requests of this instance and the owners.
@@ -28,6 +44,7 @@
         self.peers = peers
         self._owner = owner
         self._inbox_by_request: dict[str, LightQueue] = {}
+        self._sent_releases: deque[_SentRelease] = deque()
         owner.deliver_here = self.deliver
         peers.on(Submit, self._serve)
         peers.on(Accepted, lambda message, _: self.deliver(message))
@@ -71,6 +88,33 @@
         elif isinstance(message, Release):
             self._owner.release(message)
 
+    def release(self, owner: str, scope: str, message: Release) -> None:
+        """Give results up through the owner of their queue, or its successor.
+
+        Args:
+            owner: The owner that had them made.
+            scope: Zone or region of the queue.
+            message: The results.
+        """
+        owner = self.successor(owner, message.service, scope)
+        self.send(owner, message)
+        if owner != self.peers.own.id:
+            self._sent_releases.append(_SentRelease(now(), owner, scope, message))
+
+    def repeat_releases(self) -> None:
+        """Send releases again whose owner fell silent just after they were sent.
+
+        Until an owner's death is noticed, what it is sent is lost; the results would
+        hold their room for seconds until they expire. After the death of an owner of a
+        full queue two calls in three met full targets for four seconds.
+        """
+        sent_releases, self._sent_releases = self._sent_releases, deque()
+        for sent in sent_releases:
+            if not self.peers.is_alive(sent.owner):
+                self.release(sent.owner, sent.scope, sent.message)
+            elif now() - sent.sent_at < _KEEP_RELEASES_S:
+                self._sent_releases.append(sent)
+
     def _serve(self, message: Submit, address: tuple[str, int]) -> None:
         sender = self.peers.id_of(address[0])
         if sender is None:
--- a/packages/serving/bergamotsaddle_serving/stage_owner.py
+++ b/packages/serving/bergamotsaddle_serving/stage_owner.py
@@ -9,7 +9,7 @@
 
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving._stage_worker import ServiceQueue, Worker
+from bergamotsaddle_serving._stage_worker import Sender, ServiceQueue, Worker
 from bergamotsaddle_serving.catalog import Target
 from bergamotsaddle_serving.client import (
     ConnectionLostError,
@@ -109,7 +109,8 @@
             done = [Done(n, "", Unmade.NO_TARGET) for n in message.numbers]
             return Results(message.request, message.stage, message.round, done)
         queue.note_submission()
-        queue.note_sender(message.request, sender)
+        life = self._peers.life_of(sender)
+        queue.note_sender(message.request, Sender(sender, life))
         known = [self._take(queue, message, number) for number in message.numbers]
         queue.wake()
         done = [result for result in known if result is not None]
@@ -122,15 +123,50 @@
     def cancel(self, message: Cancel) -> None:
         """Drop what waits for a request, and mark what runs as not needed."""
         for queue in self._queue_by_service.values():
-            if queue.sender_by_request.pop(message.request, None) is None:
+            if message.request in queue.sender_by_request:
+                self._cancel(queue, message.request)
+
+    def _cancel(self, queue: ServiceQueue, request: str) -> None:
+        del queue.sender_by_request[request]
+        queue.queue.cancel(request)
+        queue.note_cancelled(request)
+
+    def drop_orphans(self) -> None:
+        """Drop the requests of instances that have died, and give up their results.
+
+        Nobody would fetch these; their pieces would take calls, and their results hold
+        room until they expire. An instance that was only cut off has its stages done
+        again.
+        """
+        for queue in self._queue_by_service.values():
+            senders = set(queue.sender_by_request.values())
+            dead = {s for s in senders if self._is_dead(s)}
+            if not dead:
                 continue
-            queue.queue.cancel(message.request)
-            queue.note_cancelled(message.request)
+            orphans = [r for r, s in queue.sender_by_request.items() if s in dead]
+            for request in orphans:
+                self._cancel(queue, request)
+            handles = queue.take_results(set(orphans))
+            self._logger.info(
+                "orphans_dropped",
+                service=queue.service,
+                senders=sorted(sender.id for sender in dead),
+                requests=len(orphans),
+                results=len(handles),
+            )
+            self.release(Release(queue.service, handles))
+
+    def _is_dead(self, sender: Sender) -> bool:
+        return sender.life is not None and self._peers.life_of(sender.id) != sender.life
 
     def release(self, message: Release) -> None:
         """Give up results at the targets that hold them."""
+        handles_by_maker: dict[Address, list[str]] = {}
         for handle in message.handles:
-            self._release(self._dialect.maker(handle), handle, message.service)
+            maker = self._dialect.maker(handle)
+            handles_by_maker.setdefault(maker, []).append(handle)
+        for maker, handles in handles_by_maker.items():
+            self._release(maker, handles, message.service)
 
     def loads(self) -> dict[str, list[float]]:
         """Load of each owned queue: drain by urgency, then call time and rate."""
@@ -460,7 +496,7 @@
                 worker.room.hold(result.handle, piece.result_bytes, moment)
             if piece.key.request in queue.cancelled:
                 if result.handle:
-                    self._release(worker.target.address, result.handle, queue.service)
+                    self.release(Release(queue.service, [result.handle]))
                 continue
             if result.reason == Unmade.NO_ROOM:
                 worker.room.note_full(piece.result_bytes, moment)
@@ -490,10 +526,10 @@
         sender = queue.sender_by_request.get(message.request)
         if sender is None:
             return
-        if sender == self._peers.own.id:
+        if sender.id == self._peers.own.id:
             self.deliver_here(message)
         else:
-            self._peers.send(sender, message)
+            self._peers.send(sender.id, message)
 
     def _announce_start(
         self, queue: ServiceQueue, worker: Worker, batch: list[QueuedPiece]
@@ -513,25 +549,25 @@
         for (request, stage, turn), group in numbers.items():
             self._tell(queue, Started(request, stage, turn, group))
 
-    def _release(self, address: Address, handle: str, service: str) -> None:
+    def _release(self, address: Address, handles: list[str], service: str) -> None:
         queue = self._queue_by_service.get(service)
         workers = queue.worker_by_life.values() if queue else ()
         for worker in workers:
             if worker.target.address == address:
-                worker.to_release.append(handle)
+                worker.to_release += handles
                 if not worker.has_release.ready():
                     worker.has_release.send()
                 return
         # Made for a target that this owner does not call any more.
-        eventlet.spawn_n(self._release_elsewhere, address, handle)
+        eventlet.spawn_n(self._release_elsewhere, address, handles)
 
-    def _release_elsewhere(self, address: Address, handle: str) -> None:
+    def _release_elsewhere(self, address: Address, handles: list[str]) -> None:
         target = self._view.target_by_address.get(address)
-        if target is None:
-            # The result has gone with its maker.
-            self._logger.info("release_needless", handle=handle)
+        if target is None or self._reach.is_lost(target.zone):
+            # They have gone with their maker, or nobody can be told to give them up.
+            self._logger.info("release_needless", address=str(address))
             return
-        self._release_at(target, [handle])
+        self._release_at(target, handles)
 
     def _release_at(self, target: Target, handles: list[str]) -> bool:
         try:
--- a/packages/serving/bergamotsaddle_serving/stage_run.py
+++ b/packages/serving/bergamotsaddle_serving/stage_run.py
@@ -91,6 +91,7 @@
         spread: Chooses queues, each with a number of pieces, for a stage service, the
             number of a stage and that of its pieces.
         coming: Counts the pieces of stages that are still to come.
+        keep_seconds: How long a service's targets keep results.
         first_round: First round that may be used; later than any of an earlier run.
     """
 
@@ -106,6 +107,7 @@
         deadline_at: float,
         spread: Callable[[str, int, int], list[tuple[str, int]]],
         coming: Coming,
+        keep_seconds: Callable[[str], float],
         first_round: int = 0,
     ) -> None:
         self._head = head
@@ -124,10 +126,12 @@
         self._failures = 0
         self._round = first_round
         self._coming = coming
+        self._keep_seconds = keep_seconds
         self._announced: dict[int, int] = {}
         self._started_by_stage: dict[int, set[int]] = {}
         self._begun_by_stage: dict[int, float] = {}
         self._ended_by_stage: dict[int, float] = {}
+        self._expires_by_stage: dict[int, float] = {}
 
     def run(self) -> StageEnd:
         """Have all stages done.
@@ -237,6 +241,8 @@
     def _send(self, opened: _Open) -> None:
         moment = now()
         remaining = self._deadline_at - moment - self._plan.after_seconds(opened.number)
+        # Sent on, pieces whose inputs have expired take a call only to learn that.
+        remaining = min(remaining, self._inputs_until(opened.number) - moment)
         if remaining <= 0:
             raise self._refuse(ErrorKind.DEADLINE_INFEASIBLE, "the stages are too late")
         if opened.unacknowledged > _MAX_UNACKNOWLEDGED:
@@ -269,6 +275,14 @@
         self._owners.add(opened.owner)
         self._exchange.send(opened.owner, message)
 
+    def _inputs_until(self, stage: int) -> float:
+        """When the first of a stage's inputs expires at its maker."""
+        ends = [
+            self._expires_by_stage.get(number, float("inf"))
+            for number in self._plan.predecessors(stage)
+        ]
+        return min(ends, default=float("inf"))
+
     def _input_bytes(self, stage: int) -> int:
         return sum(
             self._route.stages[n].result_bytes * self._plan.pieces[n]
@@ -349,6 +363,8 @@
             service = self._route.stages[opened.number].service
             held = self._results_by_stage.setdefault(opened.number, {})
             held[done.number] = done.handle
+            expires_at = now() + self._keep_seconds(service)
+            self._expires_by_stage.setdefault(opened.number, expires_at)
             self._place_by_handle[done.handle] = _Place(
                 opened.owner, service, opened.scope
             )
@@ -418,6 +434,7 @@
             if self._gave_up_inputs(number):
                 self._forget_inputs(number)
             handles = self._results_by_stage.pop(number, {}).values()
+            self._expires_by_stage.pop(number, None)
             self._release_handles(list(handles))
 
     def _release_inner(self) -> None:
@@ -440,8 +457,8 @@
             if place is not None:
                 by_place.setdefault(place, []).append(handle)
         for place, group in by_place.items():
-            owner = self._exchange.successor(place.owner, place.service, place.scope)
-            self._exchange.send(owner, Release(place.service, group))
+            message = Release(place.service, group)
+            self._exchange.release(place.owner, place.scope, message)
 
     def _refuse(self, kind: ErrorKind, detail: str) -> RequestError:
         left = max(0.0, self._deadline_at - now())
--- a/packages/serving/bergamotsaddle_serving/stage_waits.py
+++ b/packages/serving/bergamotsaddle_serving/stage_waits.py
@@ -92,6 +92,14 @@
         share, extra = divmod(count, len(scopes))
         return [(name, share + (n < extra)) for n, name in enumerate(scopes)]
 
+    def keep_seconds(self, service: str) -> float:
+        """How long targets of a stage service keep results."""
+        declared = self._view.configuration.services_by_name.get(service)
+        if declared is None or declared.batching is None:
+            # Dropped from the configuration since the stage was begun.
+            return 0.0
+        return declared.batching.keep_seconds
+
     def _times(self, service: str, urgency: int, plan: StagePlan) -> dict[str, float]:
         return {
             scope: _total(load)
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -256,6 +256,7 @@
                 service, context.route.stages[stage], count, context.urgency, plan
             ),
             coming=self._server.waits.coming,
+            keep_seconds=self._server.waits.keep_seconds,
             first_round=first_round,
         )
         try:
--- a/tests/test_stage_owner.py
+++ b/tests/test_stage_owner.py
@@ -12,7 +12,7 @@
 from bergamotsaddle_serving.catalog import Kind, Route, Share, Stage
 from bergamotsaddle_serving.client import ConnectionLostError
 from bergamotsaddle_serving.messages import Entry, PieceResult, RequestHead, Unmade
-from bergamotsaddle_serving.peer_messages import Contact, Release
+from bergamotsaddle_serving.peer_messages import Contact, Release, Submit
 from bergamotsaddle_serving.stage_exchange import StageExchange
 from bergamotsaddle_serving.stage_load import Coming, ScopeLoad, StageLoad
 from bergamotsaddle_serving.stage_owner import StageOwner
@@ -103,6 +103,7 @@
         self.peers = mock.Mock(own=Contact("me", "a", "127.0.0.1"))
         self.peers.alive.return_value = []
         self.peers.owners.return_value = ["me"]
+        self.peers.life_of.return_value = "life"
         self.peers.region.side_effect = lambda zone: zone
         self.peers.inhabited.side_effect = lambda: (
             {peer.contact.zone for peer in self.peers.alive()} | {"a"}
@@ -125,7 +126,7 @@
         entry = target_entry(name, service, port, zone)
         self.view.apply([entry], 90, source="test")
 
-    def start(self, pieces=(2, 3), stages=STAGES, name="r1"):
+    def start(self, pieces=(2, 3), stages=STAGES, name="r1", keep_seconds=4.0):
         """Begin the stages of a request."""
         route = ROUTE._replace(stages=stages)
         head = RequestHead(name, b"POST", b"/", "h", "", 8.0, pieces=pieces)
@@ -148,6 +149,7 @@
             deadline_at=now() + 6.0,
             spread=lambda service, stage, count: [("a", count)],
             coming=Coming(),
+            keep_seconds=lambda service: keep_seconds,
         )
         self.thread = eventlet.spawn(self._run)
         settle()
@@ -240,6 +242,75 @@
         self.assertEqual(self.calls.live, set())
         self.assertEqual(len(self.calls.calls), 1)
 
+    def test_work_of_an_instance_that_died_is_dropped(self):
+        """An instance is killed while its requests wait here.
+
+        Their pieces would take calls, and their results hold room until they expire;
+        requests of other instances find targets full meanwhile.
+        """
+        self.peers.id_of.return_value = "other"
+        submit = Submit(
+            request="r9",
+            stage=0,
+            service="encode",
+            numbers=list(range(8)),
+            key="k",
+            inputs=[],
+            urgency=0,
+            has_begun=False,
+            result_bytes=8_000,
+            input_bytes=0,
+            zone="a",
+            objective=1.0,
+            remaining=4.0,
+            round=0,
+        )
+        self.owner.submit(submit, "other")
+        advance(0.3)
+        self.assertEqual(len(self.calls.live), 4)
+        self.peers.life_of.return_value = "another life"
+        self.owner.drop_orphans()
+        advance(1.0)
+        self.assertEqual(self.calls.live, set())
+        self.assertEqual(len(self.calls.calls), 2)
+
+    def test_pieces_whose_inputs_have_expired_are_not_sent(self):
+        """A request waits before its second stage until its inputs have expired.
+
+        Each of its pieces would take a call only to learn that; a fifth of the pieces
+        of an overloaded last stage did.
+        """
+        self.peers.owners.side_effect = lambda zone: ["me"]
+        self.calls.script = [None, ConnectionLostError("reset")] * 4
+        self.start(keep_seconds=0.25)
+        advance(3.0)
+        self.assertEqual([t for t, _ in self.calls.calls].count("t2"), 1)
+        self.assertIsInstance(self.thread.wait(), RequestError)
+
+    def test_releases_that_a_dying_owner_missed_are_repeated(self):
+        """An owner dies, and what it is sent until that is noticed is lost.
+
+        The results would hold their room until they expire.
+        """
+        message = Release("encode", ["h1"])
+        self.peers.is_alive.return_value = True
+        self.exchange.release("other", "a", message)
+        self.exchange.repeat_releases()
+        self.peers.send.assert_called_once_with("other", message)
+        self.peers.is_alive.return_value = False
+        self.peers.owners.return_value = ["third"]
+        self.exchange.repeat_releases()
+        self.peers.send.assert_called_with("third", message)
+
+    def test_releases_are_not_kept_for_ever(self):
+        self.peers.is_alive.return_value = True
+        self.exchange.release("other", "a", Release("encode", ["h1"]))
+        advance(2.0)
+        self.exchange.repeat_releases()
+        self.peers.is_alive.return_value = False
+        self.exchange.repeat_releases()
+        self.assertEqual(self.peers.send.call_count, 1)
+
     def test_an_owner_that_was_replaced_hands_its_queue_over(self):
         """An instance comes back and owns the queue again.
 
