--- a/packages/serving/bergamotsaddle_serving/admission.py
+++ b/packages/serving/bergamotsaddle_serving/admission.py
@@ -11,6 +11,9 @@
 # longest prompts do, may still wait for this part of it: large requests must be served
 # as well as small ones.
 _LARGE_PART = 0.25
+# What a step of urgency adds to an expected wait: more urgent newcomers go ahead in the
+# meantime. Waits were 1.3 to 1.75 times as long as expected in bursts.
+_OVERTAKING = 0.3
 # Callers are told to come back after at least this time, and spread over as much again,
 # so that those of a burst do not return as another burst.
 _LEAST_RETRY_S = 0.1
@@ -52,7 +55,8 @@
         return False
     part = max(_LEAST_PART, 1.0 - _URGENCY_STEP * urgency)
     slack = part * forecast.objective - forecast.idle_seconds
-    waiting = forecast.seconds - forecast.idle_seconds
+    overtaking = 1.0 + _OVERTAKING * urgency
+    waiting = overtaking * (forecast.seconds - forecast.idle_seconds)
     return waiting <= max(slack, _LARGE_PART * forecast.objective)
 
 
--- a/tests/test_admission_forecast.py
+++ b/tests/test_admission_forecast.py
@@ -22,6 +22,8 @@
             ("large_in_queue", CALM._replace(seconds=2.9, idle_seconds=1.8), 0, False),
             ("urgent_near_full", CALM._replace(seconds=0.95), 0, True),
             ("other_near_full", CALM._replace(seconds=0.95), 2, False),
+            ("urgent_waits", CALM._replace(seconds=0.75), 0, True),
+            ("other_is_overtaken", CALM._replace(seconds=0.75), 2, False),
         ]
     )
     def test_admits(self, _, forecast, urgency, expected):
