--- a/packages/serving/bergamotsaddle_serving/selector.py
+++ b/packages/serving/bergamotsaddle_serving/selector.py
@@ -57,8 +57,9 @@
     def candidates(self, service: str, exclude: set[str]) -> list[Candidate]:
         """Targets that may get a request.
 
-        Those that failed lately are left out if there is any other, and so are those
-        in a zone that is cut off: a request sent there is lost for up to two seconds.
+        Those that failed lately are left out if there is any other. Those in a zone that
+        is cut off always are: a request sent there is lost for up to two seconds, and
+        one that nobody else can serve is better refused at once.
         """
         found = [
             Candidate(
@@ -71,7 +72,7 @@
             if known.target.id not in exclude
         ]
         found = [c for c in found if not c.is_cold or self._cold.may_send(c.target.id)]
-        found = [c for c in found if not self._reach.is_lost(c.target.zone)] or found
+        found = [c for c in found if not self._reach.is_lost(c.target.zone)]
         return [c for c in found if not c.state.is_resting()] or found
 
     def pick(self, service: str, exclude: set[str]) -> Candidate | None:
