Close idle connections at a planned stop without ending the process

Ruled out: late answers of targets and the grace time (the process ended 3.0 s after SIGTERM). Change: the error ends only the connection it belongs to.

--- a/packages/serving/bergamotsaddle_serving/caller.py
+++ b/packages/serving/bergamotsaddle_serving/caller.py
@@ -33,6 +33,10 @@
 _MAX_AHEAD = 262_144
 # Linger on, for no time: a close sends a reset instead of a proper end.
 _RESET = struct.pack("ii", 1, 0)
+# A green socket that another green thread closes raises EOFError in the one that reads.
+# Not caught there, it comes out of the hub and ends the process, in the middle of the
+# answers that are still being sent while an instance stops.
+_ENDED = (OSError, EOFError)
 
 
 class CallerLeftError(BergamotsaddleError):
@@ -167,7 +171,7 @@
         try:
             with eventlet.Timeout(self._limits().idle_seconds):
                 self._ahead = self._socket.recv(_CHUNK)
-        except (eventlet.Timeout, OSError):
+        except (eventlet.Timeout, *_ENDED):
             # An idle caller that stays silent or resets has lost nothing.
             return False
         return bool(self._ahead)
@@ -240,7 +244,7 @@
     def _receive(self) -> bytes:
         try:
             data = self._socket.recv(_CHUNK)
-        except OSError as error:
+        except _ENDED as error:
             raise CallerLeftError("reset") from error
         if not data:
             raise CallerLeftError("closed")
@@ -250,7 +254,7 @@
         while len(self._ahead) < _MAX_AHEAD:
             try:
                 data = self._socket.recv(_CHUNK)
-            except OSError:
+            except _ENDED:
                 data = b""
             if not data:
                 eventlet.kill(worker, CallerLeftError("closed"))
--- a/tests/test_serving_stop.py
+++ b/tests/test_serving_stop.py
@@ -60,6 +60,26 @@
         eventlet.sleep(0.01)
         self.assertEqual(handler.active, 0)
 
+    def test_closing_an_idle_connection_ends_only_that(self):
+        """An instance that stops closes a kept connection on which nothing is asked.
+
+        Another green thread waits for the next request on it. The error that closing
+        raises there once came out of the hub and ended the whole process, and callers
+        whose streams were still running got half an answer.
+        """
+        handler = Handler(*(mock.MagicMock() for _ in range(7)))
+        listener = eventlet.listen(("127.0.0.1", 0))
+        client = eventlet.connect(listener.getsockname())
+        server, _ = listener.accept()
+        caller = CallerConnection(server, CallerLimits, lambda: True)
+        eventlet.spawn_n(handler.run, caller)
+        eventlet.sleep(0.02)
+        self.assertTrue(caller.is_idle)
+        caller.close()
+        eventlet.sleep(0.02)
+        self.assertEqual(client.recv(1000), b"")
+        self.assertFalse(handler.connections)
+
     @parameterized.expand(
         [
             (False, ErrorKind.NOT_RUN),
