--- a/packages/serving/bergamotsaddle_serving/caller.py
+++ b/packages/serving/bergamotsaddle_serving/caller.py
@@ -159,6 +159,17 @@
             self._socket.shutdown(socket.SHUT_WR)
         self._socket.close()
 
+    def end_idle(self) -> None:
+        """Have the green thread that waits for a request close the connection.
+
+        Closed from outside, that thread would stand until something else used the
+        descriptor, and then get an error that comes out of the hub.
+        """
+        self.must_close = True
+        # It fails where the caller has closed the connection already.
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RD)
+
     def reset(self) -> None:
         """Break the connection off, so that an unfinished answer never looks whole."""
         self.must_close = True
--- a/packages/serving/bergamotsaddle_serving/selector.py
+++ b/packages/serving/bergamotsaddle_serving/selector.py
@@ -57,9 +57,9 @@
     def candidates(self, service: str, exclude: set[str]) -> list[Candidate]:
         """Targets that may get a request.
 
-        Those that failed lately are left out if there is any other. Those in a zone that
-        is cut off always are: a request sent there is lost for up to two seconds, and
-        one that nobody else can serve is better refused at once.
+        Those that failed lately are left out if there is any other. Those in a zone
+        that is cut off always are: a request sent there is lost for up to two seconds,
+        and one that nobody else can serve is better refused at once.
         """
         found = [
             Candidate(
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -182,8 +182,7 @@
     def _close_idle(self) -> None:
         for caller in list(self.handler.connections):
             if caller.is_idle:
-                caller.must_close = True
-                caller.close()
+                caller.end_idle()
 
     def _tick(self) -> None:
         while True:
--- a/tests/test_serving_stop.py
+++ b/tests/test_serving_stop.py
@@ -63,9 +63,10 @@
     def test_closing_an_idle_connection_ends_only_that(self):
         """An instance that stops closes a kept connection on which nothing is asked.
 
-        Another green thread waits for the next request on it. The error that closing
-        raises there once came out of the hub and ended the whole process, and callers
-        whose streams were still running got half an answer.
+        Another green thread waits for the next request on it. Closed under its hands,
+        it gets an error as soon as the descriptor is used again; that came out of the
+        hub and ended the whole process, and callers whose streams were still running
+        got half an answer.
         """
         handler = Handler(*(mock.MagicMock() for _ in range(7)))
         listener = eventlet.listen(("127.0.0.1", 0))
@@ -75,8 +76,11 @@
         eventlet.spawn_n(handler.run, caller)
         eventlet.sleep(0.02)
         self.assertTrue(caller.is_idle)
-        caller.close()
+        caller.end_idle()
         eventlet.sleep(0.02)
+        others = [eventlet.connect(listener.getsockname()) for _ in range(3)]
+        eventlet.sleep(0.02)
+        self.assertEqual(len(others), 3)
         self.assertEqual(client.recv(1000), b"")
         self.assertFalse(handler.connections)
 
