--- /dev/null
+++ b/tests/test_scopes.py
@@ -0,0 +1,114 @@
+"""Which targets share a stage queue, and which instances may own it."""
+
+import unittest
+from unittest import mock
+
+from parameterized import parameterized
+
+from bergamotsaddle_contracts.ini import Address
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.catalog import Target
+from bergamotsaddle_serving.owners import rank_owners
+from bergamotsaddle_serving.peer_messages import Contact, Hello
+from bergamotsaddle_serving.peers import Peers
+from bergamotsaddle_serving.scopes import MOST_SHARED, Scopes
+from bergamotsaddle_serving.settings import (
+    BoundSettings,
+    InstanceSettings,
+    ListenSettings,
+    PeerSettings,
+    ServingSettings,
+    StoreSettings,
+    ZoneSettings,
+)
+from bergamotsaddle_serving.view import KnownTarget
+from tests._paused import advance
+
+NOWHERE = Address("127.0.0.1", 9)
+REGIONS = {"a": "east", "b": "east", "c": "west"}
+SETTINGS = ServingSettings(
+    InstanceSettings("me", "a", "127.0.0.1"),
+    ListenSettings(NOWHERE, NOWHERE, 0, 0),
+    PeerSettings(()),
+    ZoneSettings(REGIONS),
+    StoreSettings(NOWHERE),
+    BoundSettings(8.0, 0.2, 10.0, 50.0),
+)
+
+
+def make_peers():
+    """The peers of an instance in zone a, without a network."""
+    peers = Peers(SETTINGS, "life", mock.Mock())
+    peers.send_to = mock.Mock()
+    peers.takes_work = True
+    return peers
+
+
+def hear(peers, name, zone, *, takes_work=True):
+    """Have an instance send a heartbeat."""
+    contact = Contact(name, zone, f"127.0.1.{len(peers.by_id) + 1}")
+    hello = Hello(contact, f"life of {name}", takes_work, 1, {}, [], {}, [])
+    peers._hear(hello, ("127.0.0.1", 9))
+
+
+def known(zone, count):
+    """Targets in a zone."""
+    target = Target("t", "encode", NOWHERE, zone, 1)
+    return [KnownTarget(target, 0.0)] * count
+
+
+class ScopesTest(unittest.TestCase):
+    """Few targets share a queue, many have one a zone."""
+
+    @parameterized.expand(
+        [
+            ("few", known("a", 3) + known("b", 3), "a", "east"),
+            ("other_region", known("a", 3) + known("b", 3), "c", "west"),
+            ("most", known("a", MOST_SHARED), "b", "east"),
+            ("many", known("a", MOST_SHARED) + known("b", 1), "b", "b"),
+            ("many_elsewhere", known("c", 50) + known("a", 1), "a", "east"),
+        ]
+    )
+    def test_scope(self, _, targets, zone, expected):
+        view = mock.Mock(targets_by_service={"encode": targets})
+        self.assertEqual(Scopes(view, make_peers()).of("encode", zone), expected)
+
+
+class OwnersTest(unittest.TestCase):
+    """Owners among the instances that are heard."""
+
+    def setUp(self):
+        self.peers = make_peers()
+        hear(self.peers, "b1", "b")
+        hear(self.peers, "c1", "c")
+
+    def test_a_region_is_owned_from_inside(self):
+        self.assertEqual(set(self.peers.owners("east")), {"me", "b1"})
+        self.assertEqual(self.peers.owners("west"), ["c1"])
+        self.assertEqual(self.peers.owners("b"), ["b1"])
+
+    def test_both_sides_of_a_cut_have_an_owner(self):
+        """A zone is cut off, and the owner of the region's queue is on the other side.
+
+        Its instances are no longer heard. Pieces that went on being sent to them would
+        wait until their callers leave.
+        """
+        advance(2.0)
+        self.assertEqual(rank_owners(self.peers, "encode", "east"), ["me"])
+        self.assertEqual(self.peers.zone_heard_at("b"), now() - 2.0)
+
+    def test_an_instance_without_a_view_owns_nothing(self):
+        """An instance starts and is heard before it has read any target.
+
+        As the owner of a queue it would turn every piece away.
+        """
+        hear(self.peers, "b1", "b", takes_work=False)
+        self.assertEqual(self.peers.owners("east"), ["me"])
+        self.peers.takes_work = False
+        hear(self.peers, "b1", "b")
+        self.assertEqual(self.peers.owners("east"), ["b1"])
+
+    def test_a_life_is_known_while_it_is_heard(self):
+        self.assertEqual(self.peers.life_of("b1"), "life of b1")
+        advance(2.0)
+        self.assertIsNone(self.peers.life_of("b1"))
--- /dev/null
+++ b/tests/test_serving_settings.py
@@ -0,0 +1,65 @@
+"""Settings of a serving daemon, and what is said of wrong ones."""
+
+import unittest
+
+from parameterized import parameterized
+
+from bergamotsaddle_contracts.errors import InvalidFileError
+from bergamotsaddle_serving.settings import parse_settings
+
+TEXT = """
+[instance]
+id = a1
+zone = a
+host = 10.0.0.1
+
+[listen]
+callers = 10.0.0.1:80
+ready = 10.0.0.1:81
+peer_port = 7740
+metrics_port = 9464
+
+[peers]
+seeds = 10.0.0.1:82,10.0.0.2:82
+
+[zones]
+regions = a=east,b=east
+
+[store]
+address = 10.0.0.9:80
+
+[bounds]
+grace_s = 8
+retry_ratio = 0.2
+retry_window_s = 10
+retry_extra = 58
+"""
+
+
+class SettingsTest(unittest.TestCase):
+    """The file that the platform renders from the template."""
+
+    def test_regions_of_zones(self):
+        settings = parse_settings(TEXT, name="daemon.ini")
+        self.assertEqual(settings.zones.region_by_zone, {"a": "east", "b": "east"})
+
+    def test_a_deployment_may_name_no_regions(self):
+        text = TEXT.replace("[zones]\nregions = a=east,b=east\n", "")
+        self.assertEqual(
+            parse_settings(text, name="daemon.ini").zones.region_by_zone, {}
+        )
+
+    @parameterized.expand(
+        [
+            ("regions = a=east", "regions = a", "zones", "regions"),
+            ("regions = a=east", "regions = =east", "zones", "regions"),
+            ("peer_port = 7740", "peer_port = x", "listen", "peer_port"),
+            ("grace_s = 8", "grace_s = -1", "bounds", "grace_s"),
+            ("id = a1", "id =", "instance", "id"),
+        ]
+    )
+    def test_a_fault_names_file_section_and_key(self, old, new, section, key):
+        with self.assertRaises(InvalidFileError) as caught:
+            parse_settings(TEXT.replace(old, new), name="daemon.ini")
+        for word in ("daemon.ini", section, key):
+            self.assertIn(word, str(caught.exception))
