Split the owner of stage queues into owner, caller, results and releases

One module had 592 lines and four jobs: owning queues, calling targets, telling senders, giving results up. The number of a region's targets is counted once a change of the view instead of at each piece.

--- a/packages/serving/bergamotsaddle_serving/scopes.py
+++ b/packages/serving/bergamotsaddle_serving/scopes.py
@@ -1,5 +1,7 @@
 """Which targets of a stage service share one queue."""
 
+from collections import Counter
+
 from bergamotsaddle_serving.peers import Peers
 from bergamotsaddle_serving.view import View
 
@@ -21,6 +23,9 @@
     def __init__(self, view: View, peers: Peers) -> None:
         self._view = view
         self._peers = peers
+        self._counts: Counter[tuple[str, str]] = Counter()
+        view.watch(self._count)
+        self._count()
 
     def of(self, service: str, zone: str) -> str:
         """Name of the region if its targets of a service share a queue, else the zone.
@@ -30,6 +35,11 @@
             zone: A zone.
         """
         region = self._peers.region(zone)
-        known = self._view.targets_by_service.get(service, ())
-        count = sum(self._peers.region(k.target.zone) == region for k in known)
-        return region if count <= MOST_SHARED else zone
+        return region if self._counts[service, region] <= MOST_SHARED else zone
+
+    def _count(self) -> None:
+        self._counts = Counter(
+            (service, self._peers.region(known.target.zone))
+            for service, group in self._view.targets_by_service.items()
+            for known in group
+        )
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -25,6 +25,7 @@
 from bergamotsaddle_serving.probe import serve_page
 from bergamotsaddle_serving.selector import Selector
 from bergamotsaddle_serving.settings import parse_settings
+from bergamotsaddle_serving.stage_calls import StageCalls
 from bergamotsaddle_serving.stage_exchange import StageExchange
 from bergamotsaddle_serving.stage_owner import StageOwner
 from bergamotsaddle_serving.stage_waits import StageWaits
@@ -86,8 +87,9 @@
         self.follower = StoreFollower(settings, dialect, self.view, logger)
         self.exchange = ViewExchange(settings, self.view, self.peers, logger)
         self.reach = ZoneReach(self.view, self.peers, self.pool, dialect, logger)
+        calls = StageCalls(self.view, self.pool, dialect)
         self.owner = StageOwner(
-            self.view, self.peers, self.pool, dialect, self.reach, logger
+            self.view, self.peers, calls, dialect, self.reach, logger
         )
         budget = RetryBudget(settings.bounds, self.peers.size)
         cold = ColdPace(self.peers.size)
@@ -254,7 +256,15 @@
             lambda: now() - self.view.confirmed_at,
         )
         gauge("store_calls", "Calls to the store.", lambda: self.follower.calls)
-        gauge("stage_calls", "Calls to stage targets.", lambda: self.owner.calls)
-        gauge("stage_pieces", "Pieces in these calls.", lambda: self.owner.pieces)
+        gauge(
+            "stage_calls",
+            "Calls to stage targets.",
+            lambda: self.owner.caller.calls_made,
+        )
+        gauge(
+            "stage_pieces",
+            "Pieces in these calls.",
+            lambda: self.owner.caller.pieces_sent,
+        )
         gauge("connections_opened", "New connections.", lambda: self.pool.opened)
         gauge("log_dropped", "Dropped log lines.", lambda: self._output.dropped)
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/stage_caller.py
@@ -0,0 +1,236 @@
+"""Calls the targets of a stage queue, one call after the other."""
+
+from typing import Any
+
+import eventlet
+from eventlet.greenthread import GreenThread
+
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving._stage_worker import ServiceQueue, Worker
+from bergamotsaddle_serving.client import ConnectionLostError
+from bergamotsaddle_serving.fetching import fetch_seconds
+from bergamotsaddle_serving.messages import PieceResult, Unmade
+from bergamotsaddle_serving.stage_calls import StageCalls
+from bergamotsaddle_serving.stage_queue import QueuedPiece, is_large
+from bergamotsaddle_serving.stage_releases import StageReleases
+from bergamotsaddle_serving.stage_results import Ended, StageResults
+
+# A call that takes this many times its expected time, and a little, counts as lost: a
+# target without power never answers, while slow ones keep within it.
+_LOST_FACTOR = 2.0
+_LOST_EXTRA_S = 0.4
+_FULL_PAUSE_S = 0.05
+_IDLE_CHECK_S = 0.25
+_MAX_TRIES = 2
+# How long after a call the next one may wait for the room that its results give up:
+# their way to the sender, from there to an engine, and the word that they were fetched.
+_ROOM_WAIT_S = 0.09
+
+
+def _input_bytes(batch: list[QueuedPiece]) -> int:
+    """Size of all inputs of a call; pieces of one stage share theirs."""
+    by_stage = {piece.key[:2]: piece.input_bytes for piece in batch}
+    return sum(by_stage.values())
+
+
+class StageCaller:
+    """Takes pieces out of a queue for one target at a time and calls it.
+
+    Args:
+        calls: Makes the calls.
+        results: Tells the senders what became of their pieces.
+        releases: Gives up results that nobody waits for any more.
+        logger: Gets a line for each call.
+
+    Attributes:
+        calls_made: Calls so far.
+        pieces_sent: Pieces in them.
+    """
+
+    def __init__(
+        self,
+        calls: StageCalls,
+        results: StageResults,
+        releases: StageReleases,
+        logger: Any,
+    ) -> None:
+        self._calls = calls
+        self._results = results
+        self._releases = releases
+        self._logger = logger
+        self.calls_made = 0
+        self.pieces_sent = 0
+
+    def run(self, queue: ServiceQueue, worker: Worker) -> None:
+        """Call a target while it belongs to the queue."""
+        while queue.worker_by_life.get(worker.target.life) is worker:
+            moment = now()
+            if worker.rest_until > moment:
+                self.turn_away(queue)
+                eventlet.sleep(min(_IDLE_CHECK_S, worker.rest_until - moment))
+                continue
+            # Asked first, a dead target holds no pieces up for a whole call.
+            if worker.failures and not self._ask_room(worker):
+                worker.rest()
+                continue
+            expired = queue.queue.take_expired(moment, worker.pace)
+            late = PieceResult("", Unmade.LATE)
+            self._results.finish(queue, [(piece.key, late) for piece in expired])
+            batch = queue.queue.take_batch(
+                moment,
+                worker.room.left(moment),
+                worker.pace,
+                may_wait=moment < worker.full_call_by,
+                zone=worker.target.zone,
+                others=queue.others(worker),
+            )
+            if not batch:
+                self._await_news(queue, worker)
+                continue
+            self._call(queue, worker, batch)
+
+    def _await_news(self, queue: ServiceQueue, worker: Worker) -> None:
+        wait = worker.full_call_by - now()
+        if wait <= 0:
+            wait = _IDLE_CHECK_S
+        with eventlet.Timeout(wait, False):
+            queue.news.wait()
+
+    def _call(
+        self, queue: ServiceQueue, worker: Worker, batch: list[QueuedPiece]
+    ) -> None:
+        size = sum(piece.result_bytes for piece in batch)
+        expected = queue.queue.batching.seconds(len(batch))
+        began_at = now()
+        worker.free_at = began_at + expected * worker.pace
+        worker.room.reserve(size, began_at)
+        queue.running.update(piece.key for piece in batch)
+        self.calls_made += 1
+        self.pieces_sent += len(batch)
+        limit = expected * max(1.0, worker.pace) * _LOST_FACTOR + _LOST_EXTRA_S
+        started = self._announce_start(queue, worker, batch)
+        try:
+            results = self._calls.run(worker.target, batch, limit)
+        except (ConnectionLostError, ValueError) as error:
+            self._fail(queue, worker, batch, str(error))
+            return
+        finally:
+            if started is not None:
+                started.cancel()
+            worker.room.end_reservation(size)
+            queue.running.difference_update(piece.key for piece in batch)
+            worker.free_at = now()
+            worker.full_call_by = now() + _ROOM_WAIT_S
+        if results is None:
+            worker.note_shared()
+            self._put_back(queue, batch, None)
+            eventlet.sleep(_FULL_PAUSE_S)
+            return
+        worker.learn(now() - began_at, expected)
+        self._logger.info(
+            "stage_call",
+            service=queue.service,
+            target=worker.target.id,
+            zone=worker.target.zone,
+            pieces=len(batch),
+            away=sum(p.zone != worker.target.zone for p in batch if is_large(p)),
+            waiting=len(queue.queue),
+            seconds=round(now() - began_at, 3),
+            unmade=[result.reason for result in results if result.reason],
+            room=int(worker.room.left(now())),
+            requests=sorted({piece.key.request for piece in batch}),
+        )
+        if any(result.reason == Unmade.GONE for result in results):
+            worker.note_shared()
+        if any(result.reason == Unmade.NO_ROOM for result in results):
+            self._ask_room(worker)
+        self._take_results(queue, worker, batch, results)
+
+    def _ask_room(self, worker: Worker) -> bool:
+        """Ask a target for its room; False if it does not answer."""
+        try:
+            free = self._calls.ask_room(worker.target)
+        except (ConnectionLostError, ValueError) as error:
+            # What is known stays; the next refusal asks again.
+            self._logger.warning(
+                "room_unknown", target=worker.target.id, reason=str(error)
+            )
+            return False
+        worker.failures = 0
+        believed = worker.room.left(now())
+        worker.room.correct(free, now())
+        self._logger.info(
+            "room", target=worker.target.id, free=int(free), believed=int(believed)
+        )
+        return True
+
+    def _fail(
+        self,
+        queue: ServiceQueue,
+        worker: Worker,
+        batch: list[QueuedPiece],
+        reason: str,
+    ) -> None:
+        worker.rest()
+        worker.note_shared()
+        self._logger.warning(
+            "stage_call_failed",
+            service=queue.service,
+            target=worker.target.id,
+            reason=reason,
+            requests=sorted({piece.key.request for piece in batch}),
+        )
+        self._put_back(queue, batch, Unmade.FAILED)
+
+    def _put_back(
+        self, queue: ServiceQueue, batch: list[QueuedPiece], reason: Unmade | None
+    ) -> None:
+        for piece in batch:
+            if piece.key.request in queue.cancelled:
+                continue
+            if piece.tries >= _MAX_TRIES:
+                failed = PieceResult("", Unmade.FAILED)
+                self._results.finish(queue, [(piece.key, failed)])
+                continue
+            tries = piece.tries + (reason == Unmade.FAILED)
+            queue.queue.add(piece._replace(tries=tries))
+        queue.wake()
+
+    def _take_results(
+        self,
+        queue: ServiceQueue,
+        worker: Worker,
+        batch: list[QueuedPiece],
+        results: list[PieceResult],
+    ) -> None:
+        moment = now()
+        ended: list[Ended] = []
+        needless: list[str] = []
+        for piece, result in zip(batch, results, strict=True):
+            if result.handle:
+                worker.room.hold(result.handle, piece.result_bytes, moment)
+            if piece.key.request in queue.cancelled:
+                needless += [result.handle] if result.handle else []
+            elif result.reason == Unmade.NO_ROOM:
+                worker.room.note_full(piece.result_bytes, moment)
+                queue.queue.add(piece)
+            else:
+                ended.append((piece.key, result))
+        self._releases.give_up(queue, needless)
+        self._results.finish(queue, ended)
+
+    def turn_away(self, queue: ServiceQueue) -> None:
+        """Send all pieces back if every target rests after failures.
+
+        They have better chances at another queue, and their senders choose that.
+        """
+        if not queue.fit_workers():
+            self._results.finish_waiting(queue, Unmade.NO_TARGET)
+
+    def _announce_start(
+        self, queue: ServiceQueue, worker: Worker, batch: list[QueuedPiece]
+    ) -> GreenThread | None:
+        if worker.is_shared():
+            return None
+        delay = fetch_seconds(_input_bytes(batch))
+        return eventlet.spawn_after(delay, self._results.tell_started, queue, batch)
--- a/packages/serving/bergamotsaddle_serving/stage_exchange.py
+++ b/packages/serving/bergamotsaddle_serving/stage_exchange.py
@@ -45,7 +45,7 @@
         self._owner = owner
         self._inbox_by_request: dict[str, LightQueue] = {}
         self._sent_releases: deque[_SentRelease] = deque()
-        owner.deliver_here = self.deliver
+        owner.results.deliver_here = self.deliver
         peers.on(Submit, self._serve)
         peers.on(Accepted, lambda message, _: self.deliver(message))
         peers.on(Started, lambda message, _: self.deliver(message))
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/stage_results.py
@@ -0,0 +1,68 @@
+"""Tells the senders of pieces what became of them."""
+
+from collections.abc import Callable, Iterable
+
+from bergamotsaddle_serving._stage_worker import ServiceQueue
+from bergamotsaddle_serving.messages import PieceResult, Unmade
+from bergamotsaddle_serving.peer_messages import Done, Results, Started
+from bergamotsaddle_serving.peers import Peers
+from bergamotsaddle_serving.stage_queue import PieceKey, QueuedPiece
+
+Ended = tuple[PieceKey, PieceResult]
+
+
+def _no_receiver(message: Results | Started) -> None:
+    raise RuntimeError(f"nobody takes {type(message).__name__} here yet")
+
+
+class StageResults:
+    """Sends results to the instances whose requests wait for them.
+
+    Args:
+        peers: The instances.
+
+    Attributes:
+        deliver_here: Takes the messages for requests of this instance itself.
+    """
+
+    def __init__(self, peers: Peers) -> None:
+        self._peers = peers
+        self.deliver_here: Callable[[Results | Started], None] = _no_receiver
+
+    def finish(self, queue: ServiceQueue, ended: Iterable[Ended]) -> None:
+        """Tell how pieces ended, and keep their results in case a datagram is lost."""
+        done_by_stage: dict[tuple[str, int, int], list[Done]] = {}
+        for key, result in ended:
+            done = Done(key.number, result.handle, result.reason)
+            if result.handle:
+                queue.note_done(key, done)
+            stage = (key.request, key.stage, key.round)
+            done_by_stage.setdefault(stage, []).append(done)
+        for (request, stage, turn), group in done_by_stage.items():
+            self._tell(queue, Results(request, stage, turn, group))
+
+    def finish_waiting(self, queue: ServiceQueue, reason: Unmade) -> None:
+        """Send all pieces that wait back to their requests."""
+        keys = list(queue.queue.piece_by_key)
+        queue.queue.piece_by_key.clear()
+        self.finish(queue, [(key, PieceResult("", reason)) for key in keys])
+
+    def tell_started(self, queue: ServiceQueue, batch: list[QueuedPiece]) -> None:
+        """Tell that a target has fetched the inputs of pieces."""
+        numbers: dict[tuple[str, int, int], list[int]] = {}
+        for piece in batch:
+            if piece.inputs:
+                key = piece.key
+                stage = (key.request, key.stage, key.round)
+                numbers.setdefault(stage, []).append(key.number)
+        for (request, stage, turn), group in numbers.items():
+            self._tell(queue, Started(request, stage, turn, group))
+
+    def _tell(self, queue: ServiceQueue, message: Results | Started) -> None:
+        sender = queue.sender_by_request.get(message.request)
+        if sender is None:
+            return
+        if sender.id == self._peers.own.id:
+            self.deliver_here(message)
+        else:
+            self._peers.send(sender.id, message)
--- a/tests/test_stage_owner.py
+++ b/tests/test_stage_owner.py
@@ -109,12 +109,12 @@
             {peer.contact.zone for peer in self.peers.alive()} | {"a"}
         )
         self.view = View(dialect, mock.Mock())
+        self.calls = FakeCalls()
         self.reach = mock.Mock()
         self.reach.is_lost.return_value = False
         self.owner = StageOwner(
-            self.view, self.peers, mock.Mock(), dialect, self.reach, mock.Mock()
+            self.view, self.peers, self.calls, dialect, self.reach, mock.Mock()
         )
-        self.calls = self.owner._calls = FakeCalls()
         self.exchange = StageExchange(self.peers, self.owner)
         config = Entry("op/config", 1, msgspec.json.encode(CONFIG))
         encode = target_entry("t1", "encode", 81)
