--- /dev/null
+++ b/tests/_stages.py
@@ -0,0 +1,26 @@
+"""Entries of stage targets, as the platform lists them."""
+
+import msgspec
+
+from bergamotsaddle_serving.messages import Entry
+
+BATCHING = {
+    "slots": 1,
+    "batch": 4,
+    "callMs": 150.0,
+    "itemMs": 30.0,
+    "headroomMb": 18.0,
+    "handleS": 4.0,
+}
+
+
+def target_entry(name, service, port, zone="a"):
+    """An entry of a stage target."""
+    fields = {
+        "service": service,
+        "address": f"10.0.0.1:{port}",
+        "zone": zone,
+        "slots": 1,
+        "state": "ready",
+    }
+    return Entry(f"servers/{name}", port, msgspec.json.encode(fields))
--- a/tests/test_stage_owner.py
+++ b/tests/test_stage_owner.py
@@ -20,15 +20,8 @@
 from bergamotsaddle_serving.stage_run import StageRun
 from bergamotsaddle_serving.view import View
 from tests._paused import advance, settle
+from tests._stages import BATCHING, target_entry
 
-BATCHING = {
-    "slots": 1,
-    "batch": 4,
-    "callMs": 150.0,
-    "itemMs": 30.0,
-    "headroomMb": 18.0,
-    "handleS": 4.0,
-}
 CONFIG = {
     "version": 1,
     "routes": [],
@@ -42,18 +35,6 @@
 ROUTE = Route("r", "h", "/", Kind.STREAM, 8.0, 2.4, 1, 0, (Share("e", 1.0),), STAGES)
 
 
-def target_entry(name, service, port, zone="a"):
-    """An entry of a stage target."""
-    fields = {
-        "service": service,
-        "address": f"10.0.0.1:{port}",
-        "zone": zone,
-        "slots": 1,
-        "state": "ready",
-    }
-    return Entry(f"servers/{name}", port, msgspec.json.encode(fields))
-
-
 class FakeCalls:
     """Targets that do as their script says, each call in 0.2 s."""
 
--- a/tests/test_zone_reach.py
+++ b/tests/test_zone_reach.py
@@ -17,34 +17,15 @@
 from bergamotsaddle_serving.view import View
 from bergamotsaddle_serving.zone_reach import ZoneReach
 from tests._paused import advance
+from tests._stages import BATCHING, target_entry
 
-PIECES = {
-    "slots": 1,
-    "batch": 4,
-    "callMs": 150.0,
-    "itemMs": 30.0,
-    "headroomMb": 18.0,
-    "handleS": 4.0,
-}
 CONFIG = {
     "version": 1,
     "routes": [],
-    "services": [{"name": "encode", "pieces": PIECES}],
+    "services": [{"name": "encode", "pieces": BATCHING}],
 }
 
 
-def target_entry(name, zone, port):
-    """An entry of a stage target."""
-    fields = {
-        "service": "encode",
-        "address": f"10.0.0.1:{port}",
-        "zone": zone,
-        "slots": 1,
-        "state": "ready",
-    }
-    return Entry(f"servers/{name}", port, msgspec.json.encode(fields))
-
-
 class ZoneReachTest(unittest.TestCase):
     """An instance in zone a, and two targets in zone b."""
 
@@ -52,8 +33,12 @@
         dialect = PlatformDialect()
         self.view = View(dialect, mock.Mock())
         config = Entry("op/config", 1, msgspec.json.encode(CONFIG))
-        entries = [config, target_entry("t1", "b", 81), target_entry("t2", "b", 82)]
-        entries.append(target_entry("t3", "a", 83))
+        entries = [
+            config,
+            target_entry("t1", "encode", 81, "b"),
+            target_entry("t2", "encode", 82, "b"),
+        ]
+        entries.append(target_entry("t3", "encode", 83))
         self.view.apply(entries, 83, source="test")
         self.dead = set()
         self.pool = mock.Mock()
