Let routes tell requests apart among teams of equal priority

Cause: a team's priority took the route's place. Change: requests are ordered by the team's priority, then by the route's; the pairs in force are numbered from 0. Owners tell loads of 6 urgencies instead of 4.

--- a/packages/serving/bergamotsaddle_serving/catalog.py
+++ b/packages/serving/bergamotsaddle_serving/catalog.py
@@ -147,13 +147,39 @@
 
     Attributes:
         name: Its name, which targets are told.
-        priority: Takes the place of the route's priority, if there is one.
+        priority: Goes before the route's priority, if there is one.
     """
 
     name: str
     priority: int | None = None
 
 
+def _priority(route: Route, team: Team | None) -> tuple[int, int]:
+    """What requests are ordered by: the team first, then the route.
+
+    A team's priority goes before the route's, but says nothing among the requests of
+    one team. Were it taken in the route's place, all kinds of requests would be equal
+    wherever all teams have the same priority, and long chains of little use would take
+    the places of those that operators ranked first.
+    """
+    if team is None or team.priority is None:
+        return route.priority, route.priority
+    return team.priority, route.priority
+
+
+def _rank_priorities(
+    routes: list[Route], teams: list[tuple[Team, tuple[str, ...]]]
+) -> dict[tuple[int, int], int]:
+    """Places of all priorities that requests can have, 0 first."""
+    callers: list[Team | None] = [team for team, _ in teams]
+    priorities = {
+        _priority(route, caller)
+        for route in routes
+        for caller in ([None, *callers] if route.is_public or not teams else callers)
+    }
+    return {priority: place for place, priority in enumerate(sorted(priorities))}
+
+
 class Configuration:
     """One version of what operators want.
 
@@ -178,10 +204,20 @@
         self.has_teams = bool(teams)
         self.services_by_name = {service.name: service for service in services}
         self.team_by_key = {key: team for team, keys in teams for key in keys}
+        self._urgency_by_priority = _rank_priorities(routes, teams)
         self.routes_by_host: dict[str, list[Route]] = {}
         for route in sorted(routes, key=lambda r: len(r.prefix), reverse=True):
             self.routes_by_host.setdefault(route.host, []).append(route)
 
+    def urgency(self, route: Route, team: Team | None) -> int:
+        """Place of a request among all that may come, 0 first.
+
+        Args:
+            route: Its route.
+            team: Its team, None on public routes.
+        """
+        return self._urgency_by_priority[_priority(route, team)]
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Find the route with the longest prefix that begins the path."""
         for route in self.routes_by_host.get(host, ()):
--- a/packages/serving/bergamotsaddle_serving/context.py
+++ b/packages/serving/bergamotsaddle_serving/context.py
@@ -31,6 +31,7 @@
         began_at: When it came, on the hub's clock.
         ends_at: When its caller or its route gives it up.
         version: Version of the configuration that it is served by.
+        urgency: Its place among all kinds of requests, 0 first.
         progress: How far it has come.
     """
 
@@ -42,15 +43,9 @@
     began_at: float
     ends_at: float
     version: int
+    urgency: int
     progress: Progress
 
-    @property
-    def urgency(self) -> int:
-        """Its priority, 0 first: the team's where it has one, else the route's."""
-        if self.team is not None and self.team.priority is not None:
-            return self.team.priority
-        return self.route.priority
-
     @property
     def first_by(self) -> float:
         """When the caller gives up for want of a first event, on the hub's clock."""
--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -209,6 +209,7 @@
             began_at=raw.began_at,
             ends_at=raw.began_at + min(head.deadline, route.timeout),
             version=configuration.version,
+            urgency=configuration.urgency(route, team),
             progress=Progress(),
         )
 
--- a/packages/serving/bergamotsaddle_serving/stage_load.py
+++ b/packages/serving/bergamotsaddle_serving/stage_load.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 # Urgencies that are told apart in what owners say of their queues.
-URGENCIES = 4
+URGENCIES = 6
 
 
 def level(urgency: int) -> int:
--- a/tests/test_serving_stop.py
+++ b/tests/test_serving_stop.py
@@ -28,7 +28,7 @@
     head = RequestHead("r1", b"POST", b"/", "h", "", 9.0)
     now = eventlet.hubs.get_hub().clock()
     service = Service("s", 10)
-    return Context(head, b"", ROUTE, service, None, now, now + 9.0, 1, progress)
+    return Context(head, b"", ROUTE, service, None, now, now + 9.0, 1, 0, progress)
 
 
 class StopTest(unittest.TestCase):
