Let each mechanism of the policy be switched off by a setting

Cause: what a mechanism is worth could only be measured by patches, so nobody else could repeat it. Change: section [policy] of the daemon's settings names the mechanisms that are off, a closed list; unknown names and names that stand twice are refused with section and key. Promises to callers and targets are no mechanisms. Behaviour with nothing switched off is unchanged.

--- a/packages/serving/bergamotsaddle_serving/_stage_worker.py
+++ b/packages/serving/bergamotsaddle_serving/_stage_worker.py
@@ -8,6 +8,7 @@
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.catalog import Batching, Target
 from bergamotsaddle_serving.peer_messages import Done
+from bergamotsaddle_serving.policy import Policy
 from bergamotsaddle_serving.stage_queue import (
     OtherTarget,
     PieceKey,
@@ -79,9 +80,9 @@
 class ServiceQueue:
     """One stage service's queue and workers."""
 
-    def __init__(self, service: str, batching: Batching) -> None:
+    def __init__(self, service: str, batching: Batching, policy: Policy) -> None:
         self.service = service
-        self.queue = StageQueue(batching)
+        self.queue = StageQueue(batching, policy)
         self.worker_by_life: dict[tuple[str, int], Worker] = {}
         self.sender_by_request: OrderedDict[str, Sender] = OrderedDict()
         self.running: set[PieceKey] = set()
--- a/packages/serving/bergamotsaddle_serving/admission.py
+++ b/packages/serving/bergamotsaddle_serving/admission.py
@@ -3,6 +3,8 @@
 import random
 from typing import NamedTuple
 
+from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
+
 # Less urgent kinds leave this part of the objective, a step of urgency, to more urgent
 # ones, down to the least part, so that none is starved.
 _URGENCY_STEP = 0.1
@@ -37,7 +39,7 @@
     left: float
 
 
-def admits(forecast: Forecast, urgency: int) -> bool:
+def admits(forecast: Forecast, urgency: int, policy: Policy = FULL_POLICY) -> bool:
     """Tell whether a request should be begun.
 
     Answers bursts beyond what the stages can do. If all were begun, the queues would
@@ -50,12 +52,17 @@
     Args:
         forecast: What is expected.
         urgency: 0 first.
+        policy: Which mechanisms are in force.
     """
     if forecast.seconds > forecast.left:
         return False
+    if not policy.has(Mechanism.ADMISSION):
+        return True
     part = max(_LEAST_PART, 1.0 - _URGENCY_STEP * urgency)
     slack = part * forecast.objective - forecast.idle_seconds
-    overtaking = 1.0 + _OVERTAKING * urgency
+    overtaking = 1.0
+    if policy.has(Mechanism.OVERTAKING):
+        overtaking += _OVERTAKING * urgency
     waiting = overtaking * (forecast.seconds - forecast.idle_seconds)
     return waiting <= max(slack, _LARGE_PART * forecast.objective)
 
--- a/packages/serving/bergamotsaddle_serving/engine_choice.py
+++ b/packages/serving/bergamotsaddle_serving/engine_choice.py
@@ -5,6 +5,7 @@
 
 from bergamotsaddle_daemon._rendezvous import weigh
 from bergamotsaddle_serving.messages import PromptPart
+from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
 
 # Prompt tokens that an engine reads in a second, before anything was measured.
 FIRST_TOKENS_PER_S = 50_000.0
@@ -79,6 +80,7 @@
     objective: float,
     stage_seconds: Callable[[str], float],
     tokens_per_s: float = FIRST_TOKENS_PER_S,
+    policy: Policy = FULL_POLICY,
 ) -> EngineChoice | None:
     """Choose an engine for a request.
 
@@ -95,6 +97,7 @@
         objective: Seconds until the first event is due.
         stage_seconds: Expected seconds of the stages for an engine in a zone.
         tokens_per_s: Prompt tokens that an engine reads in a second.
+        policy: Which mechanisms are in force.
 
     Returns:
         The choice, None if there is no engine.
@@ -114,6 +117,8 @@
         idle = _BASE_S + tokens / tokens_per_s
         choices.append(EngineChoice(engine, total, finish, idle, reason))
     home = choices[0]
+    if not policy.has(Mechanism.ENGINE_HOMES):
+        return min(choices, key=lambda choice: choice.seconds)
     if home.seconds <= _CAREFUL * objective:
         return home
     best = min(choices, key=lambda choice: choice.seconds)
--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -32,6 +32,7 @@
 from bergamotsaddle_serving.messages import Dialect, RequestHead
 from bergamotsaddle_serving.metrics import Metrics
 from bergamotsaddle_serving.plain import PlainServer
+from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
 from bergamotsaddle_serving.streams import StreamServer
 from bergamotsaddle_serving.view import View
 
@@ -75,6 +76,7 @@
         dialect: Decodes heads.
         metrics: Counts outcomes.
         logger: Gets a line for each request.
+        policy: Which mechanisms are in force.
     """
 
     def __init__(
@@ -86,7 +88,9 @@
         dialect: Dialect,
         metrics: Metrics,
         logger: Any,
+        policy: Policy = FULL_POLICY,
     ) -> None:
+        self._policy = policy
         self._view = view
         self._plain = plain
         self._streams = streams
@@ -209,10 +213,19 @@
             began_at=raw.began_at,
             ends_at=raw.began_at + min(head.deadline, route.timeout),
             version=configuration.version,
-            urgency=configuration.urgency(route, team),
+            urgency=self._urgency(configuration, route, team),
             progress=Progress(),
         )
 
+    def _urgency(
+        self, configuration: Configuration, route: Route, team: Team | None
+    ) -> int:
+        if self._policy.has(Mechanism.ROUTE_RANKS):
+            return configuration.urgency(route, team)
+        if team is not None and team.priority is not None:
+            return team.priority
+        return route.priority
+
     def _authenticate(
         self, configuration: Configuration, route: Route, head: RequestHead
     ) -> Team | None:
--- a/packages/serving/bergamotsaddle_serving/scopes.py
+++ b/packages/serving/bergamotsaddle_serving/scopes.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from bergamotsaddle_serving.peers import Peers
+from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
 from bergamotsaddle_serving.view import View
 
 # Up to this number of targets in a region they share one queue. A piece then waits for
@@ -18,9 +19,11 @@
     Args:
         view: The targets.
         peers: Know the regions of zones.
+        policy: Whether targets share queues.
     """
 
-    def __init__(self, view: View, peers: Peers) -> None:
+    def __init__(self, view: View, peers: Peers, policy: Policy = FULL_POLICY) -> None:
+        self._policy = policy
         self._view = view
         self._peers = peers
         self._counts: Counter[tuple[str, str]] = Counter()
@@ -34,6 +37,8 @@
             service: A stage service.
             zone: A zone.
         """
+        if not self._policy.has(Mechanism.REGION_QUEUES):
+            return zone
         region = self._peers.region(zone)
         return region if self._counts[service, region] <= MOST_SHARED else zone
 
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -77,6 +77,7 @@
 
     def _build(self) -> None:
         settings = self.settings
+        policy = settings.policy
         logger = self.logger
         dialect = self._dialect
         self.view = View(dialect, logger)
@@ -89,19 +90,26 @@
         self.reach = ZoneReach(self.view, self.peers, self.pool, dialect, logger)
         calls = StageCalls(self.view, self.pool, dialect)
         self.owner = StageOwner(
-            self.view, self.peers, calls, dialect, self.reach, logger
+            self.view, self.peers, calls, dialect, self.reach, logger, policy
         )
         budget = RetryBudget(settings.bounds, self.peers.size)
         cold = ColdPace(self.peers.size)
         selector = Selector(self.view, self.health, self.peers, cold, self.reach)
         self.stage_exchange = StageExchange(self.peers, self.owner)
-        waits = StageWaits(self.view, self.peers, self.owner)
+        waits = StageWaits(self.view, self.peers, self.owner, policy)
         plain = PlainServer(selector, self.pool, budget, dialect, logger)
         streams = StreamServer(
-            selector, waits, self.stage_exchange, self.pool, budget, dialect, logger
+            selector,
+            waits,
+            self.stage_exchange,
+            self.pool,
+            budget,
+            dialect,
+            logger,
+            policy,
         )
         self.handler = Handler(
-            self.view, plain, streams, budget, dialect, self.metrics, logger
+            self.view, plain, streams, budget, dialect, self.metrics, logger, policy
         )
         self.peers.own_loads = self.owner.loads
         self.peers.own_coming = waits.coming.told
--- a/packages/serving/bergamotsaddle_serving/settings.py
+++ b/packages/serving/bergamotsaddle_serving/settings.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from bergamotsaddle_contracts.ini import Address, IniFile, parse_address, parse_words
+from bergamotsaddle_serving.policy import FULL_POLICY, Policy, parse_policy
 
 
 class InstanceSettings(NamedTuple):
@@ -76,6 +77,7 @@
     zones: ZoneSettings
     store: StoreSettings
     bounds: BoundSettings
+    policy: Policy = FULL_POLICY
 
 
 def _parse_number(text: str) -> float:
@@ -147,6 +149,7 @@
             ini.get("bounds", "retry_window_s", _parse_number),
             ini.get("bounds", "retry_extra", _parse_number),
         ),
+        ini.get("policy", "off", parse_policy, FULL_POLICY),
     )
     ini.close()
     return settings
--- a/packages/serving/bergamotsaddle_serving/stage_caller.py
+++ b/packages/serving/bergamotsaddle_serving/stage_caller.py
@@ -10,6 +10,7 @@
 from bergamotsaddle_serving.client import ConnectionLostError
 from bergamotsaddle_serving.fetching import fetch_seconds
 from bergamotsaddle_serving.messages import PieceResult, Unmade
+from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
 from bergamotsaddle_serving.stage_calls import StageCalls
 from bergamotsaddle_serving.stage_queue import QueuedPiece, is_large
 from bergamotsaddle_serving.stage_releases import StageReleases
@@ -41,6 +42,7 @@
         results: Tells the senders what became of their pieces.
         releases: Gives up results that nobody waits for any more.
         logger: Gets a line for each call.
+        policy: Which mechanisms are in force.
 
     Attributes:
         calls_made: Calls so far.
@@ -53,7 +55,9 @@
         results: StageResults,
         releases: StageReleases,
         logger: Any,
+        policy: Policy = FULL_POLICY,
     ) -> None:
+        self._policy = policy
         self._calls = calls
         self._results = results
         self._releases = releases
@@ -230,7 +234,7 @@
     def _announce_start(
         self, queue: ServiceQueue, worker: Worker, batch: list[QueuedPiece]
     ) -> GreenThread | None:
-        if worker.is_shared():
+        if worker.is_shared() or not self._policy.has(Mechanism.EARLY_RELEASE):
             return None
         delay = fetch_seconds(_input_bytes(batch))
         return eventlet.spawn_after(delay, self._results.tell_started, queue, batch)
--- a/packages/serving/bergamotsaddle_serving/stage_owner.py
+++ b/packages/serving/bergamotsaddle_serving/stage_owner.py
@@ -19,6 +19,7 @@
     Submit,
 )
 from bergamotsaddle_serving.peers import Peers
+from bergamotsaddle_serving.policy import FULL_POLICY, Policy
 from bergamotsaddle_serving.scopes import Scopes
 from bergamotsaddle_serving.stage_caller import StageCaller
 from bergamotsaddle_serving.stage_calls import StageCalls
@@ -47,6 +48,7 @@
         dialect: Tells which target made a result.
         reach: Knows the zones that are cut off.
         logger: Gets a line for each call.
+        policy: Which mechanisms are in force.
 
     Attributes:
         scopes: Which targets share a queue.
@@ -62,17 +64,19 @@
         dialect: Dialect,
         reach: ZoneReach,
         logger: Any,
+        policy: Policy = FULL_POLICY,
     ) -> None:
         self._view = view
+        self._policy = policy
         self._reach = reach
         self._peers = peers
         self._dialect = dialect
         self._logger = logger
         self._queue_by_service: dict[str, ServiceQueue] = {}
-        self.scopes = Scopes(view, peers)
+        self.scopes = Scopes(view, peers, policy)
         self.results = StageResults(peers)
         self._releases = StageReleases(view, reach, calls, dialect, logger)
-        self.caller = StageCaller(calls, self.results, self._releases, logger)
+        self.caller = StageCaller(calls, self.results, self._releases, logger, policy)
         view.watch(self._retire)
         reach.watch(self._retire)
 
@@ -199,7 +203,7 @@
             return None
         queue = self._queue_by_service.get(service)
         if queue is None:
-            queue = ServiceQueue(service, declared.batching)
+            queue = ServiceQueue(service, declared.batching, self._policy)
             self._queue_by_service[service] = queue
         queue.queue.batching = declared.batching
         return queue
--- a/packages/serving/bergamotsaddle_serving/stage_plan.py
+++ b/packages/serving/bergamotsaddle_serving/stage_plan.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from bergamotsaddle_serving.catalog import Route
+from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
 from bergamotsaddle_serving.stage_load import URGENCIES, ScopeLoad
 
 # A stage that would be done before others is begun so much earlier than needed.
@@ -23,6 +24,7 @@
         urgency: Urgency of the request, 0 first.
         began_at: When the request came.
         finish_seconds: Expected seconds from the last stage to the first event.
+        policy: Which mechanisms are in force.
     """
 
     def __init__(
@@ -35,7 +37,9 @@
         urgency: int,
         began_at: float,
         finish_seconds: float,
+        policy: Policy = FULL_POLICY,
     ) -> None:
+        self._policy = policy
         self._route = route
         self.zone = zone
         self._began_at = began_at
@@ -111,6 +115,8 @@
             done: Stages that have ended.
             elapsed: Seconds since the last stage ended, or since the begin.
         """
+        if not self._policy.has(Mechanism.SIDE_STAGES_WAIT):
+            return False
         rest = self._longest_rest(stage, done) - elapsed
         return rest > self.path_seconds(stage) + _HEAD_START_S
 
--- a/packages/serving/bergamotsaddle_serving/stage_queue.py
+++ b/packages/serving/bergamotsaddle_serving/stage_queue.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from bergamotsaddle_serving.catalog import Batching
+from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
 from bergamotsaddle_serving.stage_load import URGENCIES, level
 
 # After a target said that it has no room, results of that size wait for this long, or
@@ -157,9 +158,11 @@
 
     Args:
         batching: How the service's targets work.
+        policy: How pieces are chosen.
     """
 
-    def __init__(self, batching: Batching) -> None:
+    def __init__(self, batching: Batching, policy: Policy = FULL_POLICY) -> None:
+        self._policy = policy
         self.batching = batching
         self.piece_by_key: dict[PieceKey, QueuedPiece] = {}
         self.open_sets: set[tuple[str, int]] = set()
@@ -186,7 +189,10 @@
         up. Refused now, the callers still have time to come back.
         """
         least = self.batching.seconds(1) * pace
-        is_long = len(self.piece_by_key) > _LONG_CALLS * self.batching.size
+        is_long = (
+            self._policy.has(Mechanism.LATE_LEAVE)
+            and len(self.piece_by_key) > _LONG_CALLS * self.batching.size
+        )
         expired = [
             piece
             for piece in self.piece_by_key.values()
@@ -246,17 +252,21 @@
         unpromised = room_bytes + sum(o.room_bytes for o in others) - promised
         home_waits = self._home_waits(others)
         call = self.batching.seconds(self.batching.size) * pace
+        has_homes = self._policy.has(Mechanism.HOME_ZONES)
+        begins_whole = self._policy.has(Mechanism.WHOLE_STAGES)
         batch: list[QueuedPiece] = []
         begun = set(self.open_sets)
         for piece in pieces:
             name = piece.key[:2]
             if piece.result_bytes > room_bytes:
                 continue
-            if piece.zone != zone and _has_time_at_home(
-                piece, home_waits, moment, call
+            if (
+                has_homes
+                and piece.zone != zone
+                and _has_time_at_home(piece, home_waits, moment, call)
             ):
                 continue
-            if name not in begun:
+            if begins_whole and name not in begun:
                 if bytes_by_set[name] > unpromised:
                     continue
                 unpromised -= bytes_by_set[name]
@@ -267,6 +277,7 @@
                 break
         if (
             may_wait
+            and self._policy.has(Mechanism.FULL_CALLS)
             and len(batch) < self.batching.size * _WORTH_CALLING
             and len(batch) < len(pieces) * _WORTH_CALLING
         ):
--- a/packages/serving/bergamotsaddle_serving/stage_waits.py
+++ b/packages/serving/bergamotsaddle_serving/stage_waits.py
@@ -6,6 +6,7 @@
 from bergamotsaddle_serving.catalog import Stage
 from bergamotsaddle_serving.owners import rank_owners
 from bergamotsaddle_serving.peers import Peers
+from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
 from bergamotsaddle_serving.stage_load import Coming, ScopeLoad, StageLoad, level
 from bergamotsaddle_serving.stage_owner import StageOwner
 from bergamotsaddle_serving.stage_plan import StagePlan
@@ -28,9 +29,17 @@
         view: Targets and services.
         peers: The owners.
         owner: This instance's own queues.
+        policy: Which mechanisms are in force.
     """
 
-    def __init__(self, view: View, peers: Peers, owner: StageOwner) -> None:
+    def __init__(
+        self,
+        view: View,
+        peers: Peers,
+        owner: StageOwner,
+        policy: Policy = FULL_POLICY,
+    ) -> None:
+        self._policy = policy
         self._view = view
         self._peers = peers
         self._owner = owner
@@ -141,6 +150,8 @@
         return StageLoad(drain + ahead / max(rate, _LEAST_RATE), call, rate)
 
     def _ahead(self, service: str, scope: str, urgency: int) -> int:
+        if not self._policy.has(Mechanism.COMING_PIECES):
+            return 0
         ahead = self.coming.before(service, scope, urgency)
         for peer in self._peers.alive():
             for told_service, told_scope, counts in peer.coming:
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -30,6 +30,7 @@
 from bergamotsaddle_serving.events import EventSplitter
 from bergamotsaddle_serving.fetching import fetch_seconds
 from bergamotsaddle_serving.messages import Dialect, Dispatch
+from bergamotsaddle_serving.policy import FULL_POLICY, Policy
 from bergamotsaddle_serving.selector import Candidate, Selector
 from bergamotsaddle_serving.stage_exchange import StageExchange
 from bergamotsaddle_serving.stage_plan import StagePlan
@@ -63,6 +64,7 @@
         budget: Limits repeats.
         dialect: Makes headers.
         logger: Gets a line for each decision.
+        policy: Which mechanisms are in force.
     """
 
     def __init__(
@@ -74,7 +76,9 @@
         budget: RetryBudget,
         dialect: Dialect,
         logger: Any,
+        policy: Policy = FULL_POLICY,
     ) -> None:
+        self.policy = policy
         self.selector = selector
         self.waits = waits
         self.exchange = exchange
@@ -111,6 +115,7 @@
             head.prompt_tokens,
             objective=context.route.objective,
             stage_seconds=seconds_by_zone.__getitem__,
+            policy=self.policy,
         )
 
     def stage_seconds(self, context: Context, zone: str) -> float:
@@ -127,6 +132,7 @@
             urgency=context.urgency,
             began_at=context.began_at,
             finish_seconds=finish,
+            policy=self.policy,
         )
 
     def candidate(self, context: Context, engine: EngineView) -> Candidate | None:
@@ -217,7 +223,7 @@
             objective=context.began_at + context.route.objective - now(),
             left=context.first_by - now(),
         )
-        is_admitted = admits(forecast, context.urgency)
+        is_admitted = admits(forecast, context.urgency, self._server.policy)
         self._server.logger.info(
             "admit" if is_admitted else "turn_away",
             request=context.head.id,
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,78 @@
+"""Mechanisms that are switched off, each in a load that it answers."""
+
+import unittest
+
+from parameterized import parameterized
+
+from bergamotsaddle_serving.admission import Forecast, admits
+from bergamotsaddle_serving.catalog import Batching
+from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
+from bergamotsaddle_serving.stage_queue import (
+    OtherTarget,
+    PieceKey,
+    QueuedPiece,
+    StageQueue,
+)
+
+BATCHING = Batching(
+    slots=1,
+    size=4,
+    call_seconds=0.15,
+    piece_seconds=0.03,
+    room_bytes=18e6,
+    keep_seconds=4.0,
+)
+LARGE = 3_000_000
+BUSY = OtherTarget("a", free_in=0.2, room_bytes=18e6)
+LATE = Forecast(seconds=1.5, idle_seconds=0.4, objective=1.0, left=4.0)
+OVERTAKEN = LATE._replace(seconds=0.75)
+
+
+def fill(queue, count):
+    """Queue large pieces of one request that is due in a second."""
+    for number in range(count):
+        key = PieceKey("r", 0, number)
+        piece = QueuedPiece(key, 0, False, 1.0, 9.0, LARGE, "k", (), zone="a")
+        queue.add(piece._replace(zone_bytes=LARGE))
+
+
+def take(policy, count, *, others):
+    """Number of pieces that a target in another zone takes."""
+    queue = StageQueue(BATCHING, policy)
+    fill(queue, count)
+    return len(queue.take_batch(0.0, 18e6, zone="b", others=others))
+
+
+def take_small_part(policy):
+    """Number of pieces taken where room is left for one of six requests."""
+    queue = StageQueue(BATCHING, policy)
+    for number in range(6):
+        key = PieceKey(f"r{number}", 0, 0)
+        queue.add(QueuedPiece(key, 0, False, 1.0, 9.0, LARGE, "k", ()))
+    return len(queue.take_batch(0.0, 4e6, may_wait=True))
+
+
+def leave(policy):
+    """Number of late pieces that leave a long queue."""
+    queue = StageQueue(BATCHING, policy)
+    fill(queue, 8)
+    queue.add(QueuedPiece(PieceKey("s", 0, 0), 0, False, 9.0, 9.0, LARGE, "k", ()))
+    return len(queue.take_expired(2.0))
+
+
+class OffTest(unittest.TestCase):
+    """What is decided with a mechanism, and without it."""
+
+    @parameterized.expand(
+        [
+            (Mechanism.ADMISSION, lambda p: admits(LATE, 0, p), False, True),
+            (Mechanism.OVERTAKING, lambda p: admits(OVERTAKEN, 2, p), False, True),
+            (Mechanism.HOME_ZONES, lambda p: take(p, 2, others=[BUSY]), 0, 2),
+            (Mechanism.WHOLE_STAGES, lambda p: take(p, 8, others=[]), 0, 4),
+            (Mechanism.LATE_LEAVE, leave, 8, 0),
+            (Mechanism.FULL_CALLS, take_small_part, 0, 1),
+        ]
+    )
+    def test_decision(self, mechanism, decide, with_it, without_it):
+        self.assertEqual(decide(FULL_POLICY), with_it)
+        self.assertEqual(decide(Policy(frozenset({mechanism}))), without_it)
--- a/tests/test_serving_settings.py
+++ b/tests/test_serving_settings.py
@@ -5,6 +5,7 @@
 from parameterized import parameterized
 
 from bergamotsaddle_contracts.errors import InvalidFileError
+from bergamotsaddle_serving.policy import Mechanism
 from bergamotsaddle_serving.settings import parse_settings
 
 TEXT = """
@@ -49,6 +50,21 @@
             parse_settings(text, name="daemon.ini").zones.region_by_zone, {}
         )
 
+    def test_mechanisms_are_in_force_unless_switched_off(self):
+        text = TEXT + "\n[policy]\noff = home_zones, full_calls\n"
+        policy = parse_settings(text, name="daemon.ini").policy
+        self.assertFalse(policy.has(Mechanism.HOME_ZONES))
+        self.assertTrue(policy.has(Mechanism.ADMISSION))
+        self.assertFalse(parse_settings(TEXT, name="daemon.ini").policy.off)
+
+    @parameterized.expand([("unknown", "homes"), ("twice", "admission, admission")])
+    def test_wrong_mechanisms_are_refused(self, _, words):
+        text = TEXT + f"\n[policy]\noff = {words}\n"
+        with self.assertRaises(InvalidFileError) as caught:
+            parse_settings(text, name="daemon.ini")
+        for word in ("daemon.ini", "policy", "off", words.split(",")[0]):
+            self.assertIn(word, str(caught.exception))
+
     @parameterized.expand(
         [
             ("regions = a=east", "regions = a", "zones", "regions"),
