Count a late chain's later stages in full before a side stage begins

Cause: the time since a chain's last stage ended was taken off the whole rest of the chain. A first stage that took a second in a burst made the rest look over, so large side results were made seconds too early and held room. Change: that time shortens the stage that runs, not those after it.

--- a/packages/serving/bergamotsaddle_serving/stage_plan.py
+++ b/packages/serving/bergamotsaddle_serving/stage_plan.py
@@ -117,12 +117,13 @@
         """
         if not self._policy.has(Mechanism.SIDE_STAGES_WAIT):
             return False
-        rest = self._longest_rest(stage, done) - elapsed
+        rest = self._longest_rest(stage, done, elapsed)
         return rest > self.path_seconds(stage) + _HEAD_START_S
 
-    def _longest_rest(self, stage: int, done: set[int]) -> float:
+    def _longest_rest(self, stage: int, done: set[int], elapsed: float) -> float:
+        # A stage that takes longer than expected shortens none of those after it.
         rests = [
-            self.path_seconds(n)
+            max(0.0, self.seconds[n] - elapsed) + self.after_seconds(n)
             for n in self.needed
             if n != stage
             and n not in done
--- a/tests/test_stage_plan.py
+++ b/tests/test_stage_plan.py
@@ -44,6 +44,16 @@
         self.assertFalse(found.should_wait(1, set(), 0.0))
         self.assertFalse(found.should_wait(0, {1, 2}, 0.0))
 
+    def test_a_late_chain_keeps_its_large_result_back(self):
+        """In a burst the first stage of a chain takes a second instead of 0.25 s.
+
+        Two stages are still to come. A large result made now would hold room for as
+        long as they take, and the requests that it keeps out are late.
+        """
+        found = plan((1, 1, 8, 16))
+        self.assertTrue(found.should_wait(0, set(), 1.0))
+        self.assertFalse(found.should_wait(0, {1, 2}, 1.0))
+
     def test_without_a_chain_it_is_made_at_once(self):
         self.assertFalse(plan((2, 0, 0, 0)).should_wait(0, set(), 0.0))
 
