Leave room for small results beside large ones

Change: a large result is made only if the small ones of a call still fit, unless targets hold fewer than three of it.

--- a/packages/serving/bergamotsaddle_serving/policy.py
+++ b/packages/serving/bergamotsaddle_serving/policy.py
@@ -36,6 +36,8 @@
     """Routes tell requests apart among teams of equal priority."""
     SIDE_STAGES_WAIT = "side_stages_wait"
     """A stage off the longest path waits until it would end with it."""
+    SMALL_RESULTS = "small_results"
+    """Large results leave room for small ones that wait beside them."""
     WHOLE_STAGES = "whole_stages"
     """A stage is begun only if there is room for all of its results."""
 
--- a/packages/serving/bergamotsaddle_serving/stage_queue.py
+++ b/packages/serving/bergamotsaddle_serving/stage_queue.py
@@ -35,6 +35,10 @@
 # The part of its slack that a piece may lose by waiting for its zone; later stages of
 # its request need the rest.
 _HOME_PART = 0.5
+# A result is small beside one that is so many times as large.
+_SMALL_FACTOR = 20
+# Targets that hold fewer results of a size than this spare no room beside them.
+_FEW_RESULTS = 3
 # Weight of the newest call in the mean number of pieces that a call carries under load.
 _FILL_WEIGHT = 0.2
 
@@ -254,11 +258,13 @@
         call = self.batching.seconds(self.batching.size) * pace
         has_homes = self._policy.has(Mechanism.HOME_ZONES)
         begins_whole = self._policy.has(Mechanism.WHOLE_STAGES)
+        small_bytes = self._small_bytes()
         batch: list[QueuedPiece] = []
         begun = set(self.open_sets)
         for piece in pieces:
             name = piece.key[:2]
-            if piece.result_bytes > room_bytes:
+            spared = small_bytes if self._is_bulky(piece, small_bytes) else 0
+            if piece.result_bytes + spared > room_bytes:
                 continue
             if (
                 has_homes
@@ -309,6 +315,28 @@
             waits[zone] = min(free) + calls * self.batching.seconds(self.batching.size)
         return waits
 
+    def _small_bytes(self) -> int:
+        """Room for the small results that could share a call with large ones.
+
+        The last large result that fits would else fill a target to the brim. Chains
+        whose first result takes a thousandth of that room would wait for a whole call
+        although their pieces cost a call little, and the call goes part-empty.
+        """
+        sizes = sorted(piece.result_bytes for piece in self.piece_by_key.values())
+        if not sizes or not self._policy.has(Mechanism.SMALL_RESULTS):
+            return 0
+        small = [size for size in sizes if size * _SMALL_FACTOR <= sizes[-1]]
+        return sum(small[: self.batching.size])
+
+    def _is_bulky(self, piece: QueuedPiece, small_bytes: int) -> bool:
+        """Tell whether a piece has to leave room for small results.
+
+        One of a size that a target holds once or twice never has to: it might wait for
+        ever behind small ones.
+        """
+        fits_often = piece.result_bytes * _FEW_RESULTS <= self.batching.room_bytes
+        return fits_often and piece.result_bytes > small_bytes
+
     def _bytes_by_set(self) -> dict[tuple[str, int], int]:
         sizes: dict[tuple[str, int], int] = {}
         for piece in self.piece_by_key.values():
--- a/tests/test_stage_queue.py
+++ b/tests/test_stage_queue.py
@@ -106,6 +106,27 @@
         queue.add(piece("small", urgency=2))
         self.assertEqual(requests(queue.take_batch(0.0, 6e6)), ["small"])
 
+    def test_large_results_leave_room_for_small_ones(self):
+        """Large results fill a target exactly, while chains wait for their first stage.
+
+        Small results take a thousandth of the room. Without any left they would wait
+        until the large ones are given up, and half of the call's places stay empty.
+        """
+        queue = StageQueue(BATCHING)
+        for number in range(3):
+            queue.add(piece(f"large{number}", result_bytes=LARGE))
+        for number in range(6):
+            queue.add(piece(f"small{number}", urgency=1))
+        batch = queue.take_batch(0.0, 2.0 * LARGE)
+        self.assertEqual([p.result_bytes for p in batch], [LARGE, SMALL, SMALL, SMALL])
+
+    def test_a_result_that_fills_a_target_is_made_beside_small_ones(self):
+        """A result takes all of a target's room, and small ones wait all the time."""
+        queue = StageQueue(BATCHING)
+        queue.add(piece("large", result_bytes=18_000_000))
+        queue.add(piece("small", urgency=1))
+        self.assertEqual(requests(queue.take_batch(0.0, 18e6)), ["large"])
+
     def test_a_call_waits_for_room_rather_than_go_nearly_empty(self):
         """The results of the call before are about to be given up.
 
