Tell peers how many prompt tokens engines have still to read

Cause: an instance knew only its own prompts at an engine, a seventh of all. Change: heartbeats carry the tokens that each engine has still to read, and the choice of an engine counts those of all instances. Sums over peers are made once every 20 ms instead of once a candidate: with 64 peers and 70 engines the old way went through all peers for each engine of each request.

--- a/packages/serving/bergamotsaddle_serving/engine_choice.py
+++ b/packages/serving/bergamotsaddle_serving/engine_choice.py
@@ -28,7 +28,7 @@
         zone: Its availability zone.
         slots: Requests that it runs at once.
         running: Requests that all instances have there, as far as known.
-        tokens_ahead: Prompt tokens of this instance's requests still to be read.
+        tokens_ahead: Prompt tokens of all instances' requests still to be read.
         knows: Whether it has read the shared parts lately, by this instance's record.
         delay: Further seconds to count, as for a target that failed lately.
     """
--- a/packages/serving/bergamotsaddle_serving/health.py
+++ b/packages/serving/bergamotsaddle_serving/health.py
@@ -87,6 +87,14 @@
             if life not in lives and not state.in_flight:
                 del self._state_by_life[life]
 
+    def reading(self) -> dict[str, int]:
+        """Prompt tokens of this instance's requests that engines have still to read."""
+        return {
+            state.target.id: state.prompt_tokens_ahead
+            for state in self._state_by_life.values()
+            if state.prompt_tokens_ahead
+        }
+
     def running(self) -> dict[str, int]:
         """Requests of this instance at each target that has any."""
         return {
--- a/packages/serving/bergamotsaddle_serving/peer_messages.py
+++ b/packages/serving/bergamotsaddle_serving/peer_messages.py
@@ -31,6 +31,7 @@
         coming: Pieces of its admitted requests that will come to a stage later:
             service, zone, number by urgency.
         running: Requests that it has at each engine.
+        reading: Prompt tokens of its requests that each engine has still to read.
         contacts: Other instances that it has heard lately.
     """
 
@@ -41,6 +42,7 @@
     loads: dict[str, list[float]]
     coming: list[tuple[str, str, list[int]]]
     running: dict[str, int]
+    reading: dict[str, int]
     contacts: list[Contact]
 
 
--- a/packages/serving/bergamotsaddle_serving/peers.py
+++ b/packages/serving/bergamotsaddle_serving/peers.py
@@ -19,6 +19,7 @@
     encode,
 )
 from bergamotsaddle_serving.settings import ServingSettings
+from bergamotsaddle_serving.target_totals import TargetTotals
 
 HELLO_INTERVAL_S = 0.2
 # Heartbeats sent at each interval at most; a larger fleet is gone through in turn.
@@ -34,6 +35,8 @@
 _MAX_DATAGRAM = 65_535
 # What one owner has not acknowledged is taken elsewhere; it is asked again after this.
 _SUSPECT_S = 1.0
+# How long sums over all peers are used again; heartbeats are ten times as old.
+_TOTALS_S = 0.02
 
 Handler = Callable[[Any, tuple[str, int]], None]
 
@@ -53,6 +56,7 @@
         self.loads: dict[str, list[float]] = {}
         self.coming: list[tuple[str, str, list[int]]] = []
         self.running: dict[str, int] = {}
+        self.reading: dict[str, int] = {}
         self.heard_at = float("-inf")
         self.known_at = now()
         self.suspect_until = float("-inf")
@@ -77,11 +81,14 @@
         self.own_loads: Callable[[], dict[str, list[float]]] = dict
         self.own_coming: Callable[[], list[tuple[str, str, list[int]]]] = list
         self.own_running: Callable[[], dict[str, int]] = dict
+        self.own_reading: Callable[[], dict[str, int]] = dict
         self.own_revision: Callable[[], int] = lambda: 0
         self._handlers: dict[type, Handler] = {Hello: self._hear}
         self._logger = logger
         self._port = settings.listen.peer_port
         self._seeds = [parse_address(seed).host for seed in settings.peers.seeds]
+        self._totals = TargetTotals()
+        self._totals_at = float("-inf")
         self._turn = 0
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((instance.host, self._port))
@@ -117,6 +124,14 @@
         """Region of a zone; a zone of no known region is one by itself."""
         return self._region_by_zone.get(zone, zone)
 
+    def totals(self) -> TargetTotals:
+        """What all other instances have at each target, as they told lately."""
+        moment = now()
+        if moment - self._totals_at > _TOTALS_S:
+            self._totals = TargetTotals(self.alive())
+            self._totals_at = moment
+        return self._totals
+
     def inhabited(self) -> set[str]:
         """Zones in which an instance takes work, this one's own zone among them."""
         alive = {p.contact.zone for p in self.alive() if p.takes_work}
@@ -217,6 +232,7 @@
             loads=self.own_loads(),
             coming=self.own_coming(),
             running=self.own_running(),
+            reading=self.own_reading(),
             contacts=[peer.contact for peer in told],
         )
 
@@ -257,6 +273,7 @@
         peer.loads = hello.loads
         peer.coming = hello.coming
         peer.running = hello.running
+        peer.reading = hello.reading
         peer.heard_at = now()
         for contact in hello.contacts:
             if contact.id != self.own.id and contact.id not in self.by_id:
--- a/packages/serving/bergamotsaddle_serving/policy.py
+++ b/packages/serving/bergamotsaddle_serving/policy.py
@@ -36,6 +36,8 @@
     """Routes tell requests apart among teams of equal priority."""
     SIDE_STAGES_WAIT = "side_stages_wait"
     """A stage off the longest path waits until it would end with it."""
+    SHARED_READING = "shared_reading"
+    """Instances tell each other how many prompt tokens engines have still to read."""
     SMALL_RESULTS = "small_results"
     """Large results leave room for small ones that wait beside them."""
     WHOLE_STAGES = "whole_stages"
--- a/packages/serving/bergamotsaddle_serving/selector.py
+++ b/packages/serving/bergamotsaddle_serving/selector.py
@@ -6,7 +6,7 @@
 from bergamotsaddle_serving.catalog import Service, Target
 from bergamotsaddle_serving.health import Health, TargetState
 from bergamotsaddle_serving.peers import Peers
-from bergamotsaddle_serving.view import View
+from bergamotsaddle_serving.view import KnownTarget, View
 from bergamotsaddle_serving.zone_reach import ZoneReach
 
 # What a trip to another zone and back adds, as a part of a request's time there.
@@ -21,12 +21,14 @@
         state: What this instance has seen of it.
         is_cold: Whether it is cold.
         others: Requests that other instances have there, as far as known.
+        tokens_ahead: Prompt tokens that it has still to read, for all instances.
     """
 
     target: Target
     state: TargetState
     is_cold: bool
     others: int
+    tokens_ahead: int = 0
 
 
 class Selector:
@@ -62,12 +64,7 @@
         and one that nobody else can serve is better refused at once.
         """
         found = [
-            Candidate(
-                known.target,
-                self._health.of(known.target),
-                self._view.is_cold(known),
-                self._others(known.target.id),
-            )
+            self._candidate(known)
             for known in self._view.usable(service)
             if known.target.id not in exclude
         ]
@@ -94,8 +91,17 @@
         if candidate.is_cold and service.cold_rate > 0:
             self._cold.note_sent(candidate.target.id, service.cold_rate)
 
-    def _others(self, target_id: str) -> int:
-        return sum(p.running.get(target_id, 0) for p in self._peers.alive())
+    def _candidate(self, known: KnownTarget) -> Candidate:
+        target = known.target
+        state = self._health.of(target)
+        totals = self._peers.totals()
+        return Candidate(
+            target,
+            state,
+            self._view.is_cold(known),
+            totals.running[target.id],
+            state.prompt_tokens_ahead + totals.reading[target.id],
+        )
 
     def _expected(self, candidate: Candidate) -> float:
         state = candidate.state
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -22,6 +22,7 @@
 from bergamotsaddle_serving.metrics import Metrics
 from bergamotsaddle_serving.peers import Peers
 from bergamotsaddle_serving.plain import PlainServer
+from bergamotsaddle_serving.policy import Mechanism
 from bergamotsaddle_serving.probe import serve_page
 from bergamotsaddle_serving.selector import Selector
 from bergamotsaddle_serving.settings import parse_settings
@@ -114,6 +115,8 @@
         self.peers.own_loads = self.owner.loads
         self.peers.own_coming = waits.coming.told
         self.peers.own_running = self.health.running
+        if policy.has(Mechanism.SHARED_READING):
+            self.peers.own_reading = self.health.reading
         self.peers.own_revision = lambda: self.view.revision
         self.view.watch(self._note_view)
         self.view.watch(self.owner.open_queues)
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -158,7 +158,7 @@
             target.zone,
             max(1, target.slots),
             state.in_flight + candidate.others,
-            state.prompt_tokens_ahead,
+            candidate.tokens_ahead,
             self._known_until.get((target.id, key), 0.0) > now(),
         )
 
--- a/tests/test_scopes.py
+++ b/tests/test_scopes.py
@@ -47,7 +47,7 @@
 def hear(peers, name, zone, *, takes_work=True):
     """Have an instance send a heartbeat."""
     contact = Contact(name, zone, f"127.0.1.{len(peers.by_id) + 1}")
-    hello = Hello(contact, f"life of {name}", takes_work, 1, {}, [], {}, [])
+    hello = Hello(contact, f"life of {name}", takes_work, 1, {}, [], {}, {}, [])
     peers._hear(hello, ("127.0.0.1", 9))
 
 
--- a/tests/test_zone_reach.py
+++ b/tests/test_zone_reach.py
@@ -14,6 +14,7 @@
 from bergamotsaddle_serving.messages import Entry
 from bergamotsaddle_serving.peer_messages import Contact
 from bergamotsaddle_serving.selector import Selector
+from bergamotsaddle_serving.target_totals import TargetTotals
 from bergamotsaddle_serving.view import View
 from bergamotsaddle_serving.zone_reach import ZoneReach
 from tests._paused import advance
@@ -45,6 +46,7 @@
         self.pool.take.side_effect = self._take
         self.peers = mock.Mock(own=Contact("me", "a", "127.0.0.1"))
         self.peers.alive.return_value = []
+        self.peers.totals.return_value = TargetTotals()
         self.heard_at = now()
         self.peers.zone_heard_at.side_effect = lambda zone: self.heard_at
         self.reach = ZoneReach(self.view, self.peers, self.pool, dialect, mock.Mock())
