Let owners of stage queues learn how far off their forecasts are

Cause: forecasts told what targets could do, not what they did. Ruled out: a constant factor, tried earlier: it helped one deployment and hurt another. Change: an owner compares each stage with what it told of its queue when the pieces came, by urgency, forgets within some ten stages, and corrects what it tells.

--- a/packages/serving/bergamotsaddle_serving/_stage_worker.py
+++ b/packages/serving/bergamotsaddle_serving/_stage_worker.py
@@ -15,6 +15,7 @@
     ResultRoom,
     StageQueue,
 )
+from bergamotsaddle_serving.wait_errors import StageKey, WaitErrors
 
 _MAX_PACE = 6.0
 _PACE_WEIGHT = 0.3
@@ -90,6 +91,7 @@
         self.cancelled: OrderedDict[str, None] = OrderedDict()
         self.news = Event()
         self.disowned_checks = 0
+        self.wait_errors = WaitErrors()
         self._submitted_at = float("-inf")
 
     def note_submission(self) -> None:
@@ -113,6 +115,8 @@
         """Keep a result, in case its datagram gets lost."""
         self.done_by_key[key] = done
         _trim(self.done_by_key)
+        stage = StageKey(key.request, key.stage, key.round)
+        self.wait_errors.note_done(stage, now())
 
     def take_results(self, requests: set[str]) -> list[str]:
         """Forget the results of requests; their handles."""
--- a/packages/serving/bergamotsaddle_serving/policy.py
+++ b/packages/serving/bergamotsaddle_serving/policy.py
@@ -40,6 +40,8 @@
     """Instances tell each other how many prompt tokens engines have still to read."""
     SMALL_RESULTS = "small_results"
     """Large results leave room for small ones that wait beside them."""
+    WAIT_ERRORS = "wait_errors"
+    """Owners of stage queues learn how far off their forecasts are."""
     WHOLE_STAGES = "whole_stages"
     """A stage is begun only if there is room for all of its results."""
 
--- a/packages/serving/bergamotsaddle_serving/stage_owner.py
+++ b/packages/serving/bergamotsaddle_serving/stage_owner.py
@@ -19,10 +19,11 @@
     Submit,
 )
 from bergamotsaddle_serving.peers import Peers
-from bergamotsaddle_serving.policy import FULL_POLICY, Policy
+from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
 from bergamotsaddle_serving.scopes import Scopes
 from bergamotsaddle_serving.stage_caller import StageCaller
 from bergamotsaddle_serving.stage_calls import StageCalls
+from bergamotsaddle_serving.stage_load import URGENCIES, level
 from bergamotsaddle_serving.stage_queue import (
     PieceKey,
     QueuedPiece,
@@ -30,6 +31,7 @@
 from bergamotsaddle_serving.stage_releases import StageReleases
 from bergamotsaddle_serving.stage_results import StageResults
 from bergamotsaddle_serving.view import View
+from bergamotsaddle_serving.wait_errors import StageKey
 from bergamotsaddle_serving.zone_reach import ZoneReach
 
 _IDLE_CHECK_S = 0.25
@@ -97,6 +99,7 @@
         queue.note_submission()
         life = self._peers.life_of(sender)
         queue.note_sender(message.request, Sender(sender, life))
+        self._note_begun(queue, message)
         known = [self._take(queue, message, number) for number in message.numbers]
         queue.wake()
         done = [result for result in known if result is not None]
@@ -106,6 +109,16 @@
             message.request, message.stage, message.numbers[0], message.round
         )
 
+    def _note_begun(self, queue: ServiceQueue, message: Submit) -> None:
+        stage = StageKey(message.request, message.stage, message.round)
+        if queue.wait_errors.has(stage):
+            return
+        urgency = URGENCIES - 1 if message.has_begun else level(message.urgency)
+        load = self._load(queue)
+        expected = load[urgency] + load[URGENCIES]
+        pieces = len(message.numbers)
+        queue.wait_errors.note_begun(stage, urgency, pieces, expected, now())
+
     def cancel(self, message: Cancel) -> None:
         """Drop what waits for a request, and mark what runs as not needed."""
         for queue in self._queue_by_service.values():
@@ -312,5 +325,7 @@
         pace = min(w.pace for w in workers)
         drains = queue.queue.drains(len(workers), until_free, pace)
         call = queue.queue.call_seconds(pace)
+        if self._policy.has(Mechanism.WAIT_ERRORS):
+            drains = queue.wait_errors.correct(drains, call)
         rate = queue.queue.rate(len(workers), pace)
         return [round(figure, 3) for figure in (*drains, call, rate)]
