--- a/packages/serving/bergamotsaddle_serving/stage_load.py
+++ b/packages/serving/bergamotsaddle_serving/stage_load.py
@@ -50,13 +50,18 @@
     is still short when far more requests than it can do have been admitted; their
     pieces are still with the first stages. Counting only what waits would admit
     requests whose results expire in front of the last stage.
+
+    Attributes:
+        changes: Number of changes so far.
     """
 
     def __init__(self) -> None:
         self._counts: dict[tuple[str, str], list[int]] = {}
+        self.changes = 0
 
     def add(self, service: str, scope: str, urgency: int, pieces: int) -> None:
         """Count pieces that will come; a negative number takes them back."""
+        self.changes += 1
         counts = self._counts.setdefault((service, scope), [0] * URGENCIES)
         counts[level(urgency)] += pieces
         if not any(counts):
--- a/packages/serving/bergamotsaddle_serving/stage_waits.py
+++ b/packages/serving/bergamotsaddle_serving/stage_waits.py
@@ -18,6 +18,8 @@
 _CROSS_GAIN_S = 0.05
 _NO_TARGETS = StageLoad(60.0, 1.0, 1.0)
 _LEAST_RATE = 0.1
+# How long a queue's load is used again: one request asks for it dozens of times.
+_SAME_LOADS_S = 0.01
 # The part of the room at a queue's targets that one request may take.
 _ROOM_PART = 0.7
 
@@ -44,6 +46,9 @@
         self._peers = peers
         self._owner = owner
         self.coming = Coming()
+        self._load_by_queue: dict[tuple[str, str, int], StageLoad | None] = {}
+        self._loads_at = float("-inf")
+        self._known_changes = 0
 
     def best(self, service: str, zone: str, urgency: int) -> ScopeLoad:
         """Load at the queue of a zone, or at another one that is done earlier."""
@@ -136,6 +141,23 @@
         return loads
 
     def _load(self, service: str, scope: str, urgency: int) -> StageLoad | None:
+        self._forget_old_loads()
+        queue = (service, scope, level(urgency))
+        if queue not in self._load_by_queue:
+            self._load_by_queue[queue] = self._ask_load(service, scope, urgency)
+        return self._load_by_queue[queue]
+
+    def _forget_old_loads(self) -> None:
+        # What this instance itself admits counts at once, or requests that come
+        # together would all be admitted by the load before the first of them.
+        moment = now()
+        is_old = moment - self._loads_at > _SAME_LOADS_S
+        if is_old or self._known_changes != self.coming.changes:
+            self._load_by_queue.clear()
+            self._loads_at = moment
+            self._known_changes = self.coming.changes
+
+    def _ask_load(self, service: str, scope: str, urgency: int) -> StageLoad | None:
         owners = rank_owners(self._peers, service, scope)
         if not owners:
             return None
