Go through a full stage queue less often

Cause: every submission and release wakes all workers of a queue, and each that finds no room went through all pieces again. With 300 pieces a look takes 0.77 ms; with 150 submissions a second and three waiting workers that is a third of a core of the one instance that owns the queue of a large fleet. Change: after a look in vain a worker waits 50 us for each piece that waits; loads by urgency are counted in one pass. Measured: pieces looked at in 0.6 s with 600 requests and a full target 81,086 -> under 20,000 (test); counting 300 pieces 287 us -> 113 us of processor time.

--- a/packages/serving/bergamotsaddle_serving/stage_caller.py
+++ b/packages/serving/bergamotsaddle_serving/stage_caller.py
@@ -23,6 +23,9 @@
 _FULL_PAUSE_S = 0.05
 _IDLE_CHECK_S = 0.25
 _MAX_TRIES = 2
+# A worker that found nothing to take looks again after this for each piece that waits:
+# some twenty times as long as it takes to look at one.
+_SCAN_PAUSE_S = 5e-5
 # How long after a call the next one may wait for the room that its results give up:
 # their way to the sender, from there to an engine, and the word that they were fetched.
 _ROOM_WAIT_S = 0.09
@@ -94,6 +97,10 @@
             self._call(queue, worker, batch)
 
     def _await_news(self, queue: ServiceQueue, worker: Worker) -> None:
+        # Each piece that comes and each result that is given up wakes all workers. In
+        # a burst each of them would go through hundreds of pieces hundreds of times a
+        # second, only to find no room; the owner would answer late, and be left.
+        eventlet.sleep(len(queue.queue) * _SCAN_PAUSE_S)
         wait = worker.full_call_by - now()
         if wait <= 0:
             wait = _IDLE_CHECK_S
--- a/packages/serving/bergamotsaddle_serving/stage_queue.py
+++ b/packages/serving/bergamotsaddle_serving/stage_queue.py
@@ -3,6 +3,7 @@
 import math
 from collections import deque
 from collections.abc import Sequence
+from itertools import accumulate
 from typing import NamedTuple
 
 from bergamotsaddle_serving.catalog import Batching
@@ -356,13 +357,11 @@
             until_free: Seconds until the first of them is free.
             pace: Actual time of calls against the declared one.
         """
-        ahead = [0] * URGENCIES
+        counts = [0] * URGENCIES
         for piece in self.piece_by_key.values():
-            first = 0 if piece.has_begun else level(piece.urgency)
-            for urgency in range(first, URGENCIES):
-                ahead[urgency] += 1
+            counts[0 if piece.has_begun else level(piece.urgency)] += 1
         rate = self.rate(targets, pace)
-        return [until_free + n / rate for n in ahead]
+        return [until_free + ahead / rate for ahead in accumulate(counts)]
 
     def rate(self, targets: int, pace: float) -> float:
         """Pieces a second that so many targets do."""
--- a/tests/test_stage_owner.py
+++ b/tests/test_stage_owner.py
@@ -17,6 +17,7 @@
 from bergamotsaddle_serving.stage_load import Coming, ScopeLoad, StageLoad
 from bergamotsaddle_serving.stage_owner import StageOwner
 from bergamotsaddle_serving.stage_plan import StagePlan
+from bergamotsaddle_serving.stage_queue import StageQueue
 from bergamotsaddle_serving.stage_run import StageRun
 from bergamotsaddle_serving.view import View
 from tests._paused import advance, settle
@@ -35,6 +36,26 @@
 ROUTE = Route("r", "h", "/", Kind.STREAM, 8.0, 2.4, 1, 0, (Share("e", 1.0),), STAGES)
 
 
+def make_submission(request):
+    """One piece of a large result of a request."""
+    return Submit(
+        request=request,
+        stage=0,
+        service="encode",
+        numbers=[0],
+        key="k",
+        inputs=[],
+        urgency=0,
+        has_begun=False,
+        result_bytes=9_000_000,
+        input_bytes=0,
+        zone="a",
+        objective=9.0,
+        remaining=9.0,
+        round=0,
+    )
+
+
 class FakeCalls:
     """Targets that do as their script says, each call in 0.2 s."""
 
@@ -156,6 +177,28 @@
         advance(0.1)
         self.assertEqual(self.calls.live, set())
 
+    def test_pieces_that_find_no_room_are_not_gone_through_again_and_again(self):
+        """A target has no room, and six hundred requests come within 0.6 s.
+
+        Each of them wakes the green thread that calls the target. If it went through
+        all that wait each time, the owner of a large service would do nothing else,
+        and its senders would take it for dead. Looking at a piece takes 2 to 3 us, so
+        20,000 of them in a second are a twentieth of a core.
+        """
+        looked_at = []
+
+        def look(queue, *args, **kwargs):
+            looked_at.append(len(queue))
+            return take_batch(queue, *args, **kwargs)
+
+        take_batch = StageQueue.take_batch
+        self.calls.script = [dict.fromkeys(range(4), Unmade.NO_ROOM)] * 9
+        with mock.patch.object(StageQueue, "take_batch", look):
+            for number in range(600):
+                self.owner.submit(make_submission(f"r{number}"), "me")
+                advance(0.001)
+        self.assertLess(sum(looked_at), 20_000)
+
     def test_one_failed_piece_is_done_again_alone(self):
         """One piece of a stage fails, the others have results.
 
