Review forecasts, calls, refusals and waste from daemons' logs

bergamotsaddle review reads the logs of any number of daemons: actual against expected times, how full calls were while pieces waited, how requests ended by route and by ten seconds, and in one sentence what bound most.

--- a/packages/cli/bergamotsaddle_cli/app.py
+++ b/packages/cli/bergamotsaddle_cli/app.py
@@ -3,6 +3,7 @@
 from cleo.application import Application
 
 from bergamotsaddle_cli.files import CheckCommand, DiffCommand, DigestCommand
+from bergamotsaddle_cli.reviewing import ReviewCommand
 from bergamotsaddle_cli.sending import SendCommand
 from bergamotsaddle_cli.state import (
     ConfigCommand,
@@ -22,6 +23,7 @@
     DiffCommand,
     DigestCommand,
     ExplainCommand,
+    ReviewCommand,
     SendCommand,
     StatusCommand,
     TargetsCommand,
--- a/packages/cli/bergamotsaddle_cli/logs.py
+++ b/packages/cli/bergamotsaddle_cli/logs.py
@@ -42,27 +42,47 @@
     return sorted(lines, key=lambda line: line.at)
 
 
+def read_lines(names: Iterable[str]) -> Iterator[dict[str, Any]]:
+    """Yield all decoded lines of logs.
+
+    Args:
+        names: Paths of logs; ``-`` for standard input.
+
+    Raises:
+        OSError: If a file can't be read.
+    """
+    for name in names:
+        yield from _decoded(name, "")
+
+
 def _lines(request: str, name: str) -> Iterator[LogLine]:
+    for fields in _decoded(name, request):
+        if _is_about(request, fields):
+            yield _line(fields)
+
+
+def _decoded(name: str, word: str) -> Iterator[dict[str, Any]]:
+    """Yield the lines of a log that hold a word, decoded."""
     if name == STDIN:
-        yield from _matching(request, sys.stdin)
+        yield from _matching(word, sys.stdin)
         return
     with Path(name).open(errors="replace") as file:
-        yield from _matching(request, file)
+        yield from _matching(word, file)
 
 
-def _matching(request: str, texts: Iterable[str]) -> Iterator[LogLine]:
+def _matching(word: str, texts: Iterable[str]) -> Iterator[dict[str, Any]]:
     for text in texts:
         # Whoever collects the logs may have put a time and a name before each line.
         begin = text.find("{")
-        if begin < 0 or request not in text:
+        if begin < 0 or word not in text:
             continue
         try:
             fields = msgspec.json.decode(text[begin:])
         except msgspec.DecodeError:
-            # Not one of ours, such as a traceback that quotes the id.
+            # Not one of ours, such as a traceback that quotes an id.
             continue
-        if isinstance(fields, dict) and _is_about(request, fields):
-            yield _line(fields)
+        if isinstance(fields, dict):
+            yield fields
 
 
 def _is_about(request: str, fields: dict[str, Any]) -> bool:
--- /dev/null
+++ b/packages/cli/bergamotsaddle_cli/reviewing.py
@@ -0,0 +1,88 @@
+"""The command that reviews daemons' logs."""
+
+from typing import ClassVar
+
+import msgspec
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from bergamotsaddle_cli.logs import read_lines
+from bergamotsaddle_cli.review import Review, Spread, review
+from bergamotsaddle_cli.state import EXIT_INVALID, JSON
+
+EXIT_EMPTY = 1
+
+
+class ReviewCommand(Command):
+    """Shows how well daemons decided, from their logs."""
+
+    name = "review"
+    description = "Review forecasts, calls, refusals and waste from daemons' logs."
+    options: ClassVar = [
+        option(
+            "log",
+            None,
+            "Log of a daemon; may be given more than once; - for standard input.",
+            flag=False,
+            multiple=True,
+        ),
+        JSON,
+    ]
+
+    def handle(self) -> int:
+        """Review; returns 0, 1 if the logs say nothing, 2 if one can't be read."""
+        names = self.option("log")
+        if not names:
+            self.line_error("give --log PATH of each daemon, or --log -")
+            return EXIT_INVALID
+        try:
+            found = review(read_lines(names))
+        except OSError as error:
+            self.line_error(f"--log: {error}")
+            return EXIT_INVALID
+        if not found.ends_by_route:
+            self.line_error("no request ended in these logs")
+            return EXIT_EMPTY
+        if self.option("json"):
+            self.line(msgspec.json.encode(found._asdict()).decode())
+        else:
+            self._show(found)
+        return 0
+
+    def _show(self, found: Review) -> None:
+        self.line("actual against expected     count  median   p90")
+        self._show_spread("first event", found.first_event)
+        self._show_spread("engine's part", found.engine)
+        for name, spread in found.by_stage.items():
+            self._show_spread(f"stage {name}", spread)
+        self.line("")
+        self.line("stage service     calls  pieces  while waiting  most  away  unmade")
+        for name, calls in found.calls_by_service.items():
+            unmade = ", ".join(f"{n} {r}" for r, n in calls["unmade"].items()) or "none"
+            self.line(
+                f"{name:16} {calls['calls']:6} {calls['pieces']:7}"
+                f" {calls['while_waiting']:14} {calls['most']:5} {calls['away']:5}"
+                f"  {unmade}"
+            )
+        self.line("")
+        self.line("route            whole  turned away  lost  other")
+        for route, ends in found.ends_by_route.items():
+            self.line(
+                f"{route:16} {ends['whole']:5} {ends['turned_away']:12}"
+                f" {ends['lost']:5} {ends['other']:6}"
+            )
+        self.line("")
+        self.line("from second      whole  turned away  lost")
+        for span in found.spans:
+            self.line(
+                f"{span['begins']:<16.0f} {span['whole']:5} {span['turned_away']:12}"
+                f" {span['lost']:5}"
+            )
+        self.line("")
+        self.line(f"stages done for requests that were lost: {found.lost_pieces}")
+        self.line(found.binds)
+
+    def _show_spread(self, name: str, spread: Spread) -> None:
+        self.line(
+            f"{name:26} {spread['count']:6} {spread['median']:7} {spread['p90']:5}"
+        )
