Admit by the share of more urgent requests instead of by steps

Cause: with routes told apart, places of requests run from 0 to 5 where teams have two priorities. Change: what counts is which part of the requests of the last seconds is more urgent; waits are taken 1.3 times as long as expected, and a tenth of the objective is left.

--- a/packages/serving/bergamotsaddle_serving/admission.py
+++ b/packages/serving/bergamotsaddle_serving/admission.py
@@ -5,17 +5,19 @@
 
 from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
 
-# Less urgent kinds leave this part of the objective, a step of urgency, to more urgent
-# ones, down to the least part, so that none is starved.
-_URGENCY_STEP = 0.1
-_LEAST_PART = 0.6
+# The part of the objective that a request may be expected to use.
+_MOST_PART = 0.9
+# What it leaves of that to more urgent ones if all others are.
+_URGENT_PART = 1 / 3
 # A request that takes longer than its objective even on idle targets, as those with the
 # longest prompts do, may still wait for this part of it: large requests must be served
 # as well as small ones.
 _LARGE_PART = 0.25
-# What a step of urgency adds to an expected wait: more urgent newcomers go ahead in the
-# meantime. Waits were 1.3 to 1.75 times as long as expected in bursts.
-_OVERTAKING = 0.3
+# How much longer than expected waits are taken to be: targets fail, and bursts go on.
+_WAIT_FACTOR = 1.3
+# What is added to that if all other requests are more urgent: newcomers go ahead in the
+# meantime, as many as came in a wait.
+_OVERTAKING = 1.0
 # Callers are told to come back after at least this time, and spread over as much again,
 # so that those of a burst do not return as another burst.
 _LEAST_RETRY_S = 0.1
@@ -39,7 +41,9 @@
     left: float
 
 
-def admits(forecast: Forecast, urgency: int, policy: Policy = FULL_POLICY) -> bool:
+def admits(
+    forecast: Forecast, more_urgent: float, policy: Policy = FULL_POLICY
+) -> bool:
     """Tell whether a request should be begun.
 
     Answers bursts beyond what the stages can do. If all were begun, the queues would
@@ -51,19 +55,19 @@
 
     Args:
         forecast: What is expected.
-        urgency: 0 first.
+        more_urgent: Part of the requests of late that are more urgent.
         policy: Which mechanisms are in force.
     """
     if forecast.seconds > forecast.left:
         return False
     if not policy.has(Mechanism.ADMISSION):
         return True
-    part = max(_LEAST_PART, 1.0 - _URGENCY_STEP * urgency)
+    part = _MOST_PART - _URGENT_PART * more_urgent
     slack = part * forecast.objective - forecast.idle_seconds
-    overtaking = 1.0
+    factor = _WAIT_FACTOR
     if policy.has(Mechanism.OVERTAKING):
-        overtaking += _OVERTAKING * urgency
-    waiting = overtaking * (forecast.seconds - forecast.idle_seconds)
+        factor += _OVERTAKING * more_urgent
+    waiting = factor * (forecast.seconds - forecast.idle_seconds)
     return waiting <= max(slack, _LARGE_PART * forecast.objective)
 
 
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -36,6 +36,7 @@
 from bergamotsaddle_serving.stage_plan import StagePlan
 from bergamotsaddle_serving.stage_run import StageRun
 from bergamotsaddle_serving.stage_waits import StageWaits
+from bergamotsaddle_serving.urgency_mix import UrgencyMix
 
 _MAX_ANSWER_BYTES = 1_000_000
 # How long an engine is taken to know shared parts that it read for this instance.
@@ -86,6 +87,7 @@
         self.budget = budget
         self.dialect = dialect
         self.logger = logger
+        self.mix = UrgencyMix()
         self._known_until: OrderedDict[tuple[str, str], float] = OrderedDict()
 
     def serve(self, context: Context, caller: CallerConnection) -> None:
@@ -94,6 +96,7 @@
         Raises:
             RequestError: If nothing of the answer has been sent yet.
         """
+        self.mix.note(context.urgency, now())
         run = _StreamRun(self, context, caller)
         try:
             run.run()
@@ -223,7 +226,8 @@
             objective=context.began_at + context.route.objective - now(),
             left=context.first_by - now(),
         )
-        is_admitted = admits(forecast, context.urgency, self._server.policy)
+        more_urgent = self._server.mix.more_urgent(context.urgency)
+        is_admitted = admits(forecast, more_urgent, self._server.policy)
         self._server.logger.info(
             "admit" if is_admitted else "turn_away",
             request=context.head.id,
@@ -232,6 +236,8 @@
             expected=round(forecast.seconds, 3),
             idle=round(forecast.idle_seconds, 3),
             left=round(forecast.left, 3),
+            urgency=context.urgency,
+            more_urgent=round(more_urgent, 2),
             version=context.version,
         )
         if is_admitted:
