Read changes of the store together in large fleets

Cause: each change answers the watches of all instances, and each asked again 0.1 s later. Change: the pause between two watches while entries change grows with the number of instances, from 0.1 to 0.6 s; a change still has to be in force within 2 s. Ruled out: one reader a zone, which is a larger change and has to hold through cuts of single instances.

--- a/packages/serving/bergamotsaddle_serving/follower.py
+++ b/packages/serving/bergamotsaddle_serving/follower.py
@@ -1,6 +1,7 @@
 """Follows the platform's store: one list, then a watch from there on."""
 
 import random
+from collections.abc import Callable
 from typing import Any
 
 import eventlet
@@ -16,8 +17,13 @@
 WATCH_WAIT_S = 2.5
 # An answer takes milliseconds; after this the connection counts as silent.
 _ANSWER_LIMIT_S = 0.8
-# Between two watches at least: changes that come together are read together.
-_BATCH_PAUSE_S = 0.1
+# Between two watches at least, for each instance that shares the store: changes that
+# come together are read together. When many targets are replaced, each of their entries
+# would else answer the watches of all instances at once.
+_PAUSE_PER_INSTANCE_S = 0.015
+# Bounds of it: a change has to be in force within two seconds, store's delays included.
+_LEAST_PAUSE_S = 0.1
+_MOST_PAUSE_S = 0.6
 _FIRST_BACKOFF_S = 0.1
 _LONGEST_BACKOFF_S = 1.0
 _BACKOFF_FACTOR = 1.6
@@ -27,6 +33,12 @@
 _TOO_MANY = 429
 
 
+def batch_pause(fleet_size: int) -> float:
+    """Seconds between two watches of an instance while entries change."""
+    share = fleet_size * _PAUSE_PER_INSTANCE_S
+    return min(_MOST_PAUSE_S, max(_LEAST_PAUSE_S, share))
+
+
 class _StoreError(Exception):
     """The store did not do as asked."""
 
@@ -38,12 +50,19 @@
         settings: Where the store is.
         dialect: Makes and reads its calls.
         view: Takes what was read.
+        fleet_size: Instances that share the store.
         logger: Gets a line when the store is lost and regained.
     """
 
     def __init__(
-        self, settings: ServingSettings, dialect: Dialect, view: View, logger: Any
+        self,
+        settings: ServingSettings,
+        dialect: Dialect,
+        view: View,
+        fleet_size: Callable[[], int],
+        logger: Any,
     ) -> None:
+        self._fleet_size = fleet_size
         self._settings = settings
         self._dialect = dialect
         self._view = view
@@ -79,7 +98,7 @@
         page = self._read(status, body)
         self._regain(asked_at)
         if self._view.apply(page.entries, page.revision, source="store"):
-            eventlet.sleep(_BATCH_PAUSE_S)
+            eventlet.sleep(batch_pause(self._fleet_size()))
 
     def _list(self) -> None:
         asked_at = now()
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -86,7 +86,9 @@
         self.pool = ConnectionPool()
         self.health = Health()
         self.metrics = Metrics()
-        self.follower = StoreFollower(settings, dialect, self.view, logger)
+        self.follower = StoreFollower(
+            settings, dialect, self.view, self.peers.size, logger
+        )
         self.exchange = ViewExchange(settings, self.view, self.peers, logger)
         self.reach = ZoneReach(self.view, self.peers, self.pool, dialect, logger)
         calls = StageCalls(self.view, self.pool, dialect)
