Tell waits by the order in which pieces really go

Cause: owners counted begun pieces ahead of every urgency, and told all begun requests the same wait, while the queue lets urgent ones go first among them as well. Change: a queue's places are urgencies, each with begun before fresh requests, as in the order of pieces; loads, errors of forecasts and plans use the same places. Kept: forecasts and order agree.

--- a/packages/serving/bergamotsaddle_serving/stage_load.py
+++ b/packages/serving/bergamotsaddle_serving/stage_load.py
@@ -11,6 +11,26 @@
     return min(max(0, urgency), URGENCIES - 1)
 
 
+# Places in a queue that are told apart: of each urgency, requests whose earlier stages
+# have run go before those that begin.
+PLACES = 2 * URGENCIES
+
+
+def place(urgency: int, *, has_begun: bool) -> int:
+    """The place at which pieces are counted; lower ones go first.
+
+    Args:
+        urgency: 0 first.
+        has_begun: Whether earlier stages of the request have run.
+    """
+    return 2 * level(urgency) + (not has_begun)
+
+
+def urgency_of(turn: int) -> int:
+    """The level of urgency of a place."""
+    return turn // 2
+
+
 class StageLoad(NamedTuple):
     """The load at one queue of a stage service.
 
--- a/packages/serving/bergamotsaddle_serving/stage_owner.py
+++ b/packages/serving/bergamotsaddle_serving/stage_owner.py
@@ -23,7 +23,7 @@
 from bergamotsaddle_serving.scopes import Scopes
 from bergamotsaddle_serving.stage_caller import StageCaller
 from bergamotsaddle_serving.stage_calls import StageCalls
-from bergamotsaddle_serving.stage_load import URGENCIES, level
+from bergamotsaddle_serving.stage_load import PLACES, place
 from bergamotsaddle_serving.stage_queue import (
     PieceKey,
     QueuedPiece,
@@ -113,11 +113,11 @@
         stage = StageKey(message.request, message.stage, message.round)
         if queue.wait_errors.has(stage):
             return
-        urgency = URGENCIES - 1 if message.has_begun else level(message.urgency)
+        turn = place(message.urgency, has_begun=message.has_begun)
         load = self._load(queue)
-        expected = load[urgency] + load[URGENCIES]
+        expected = load[turn] + load[PLACES]
         pieces = len(message.numbers)
-        queue.wait_errors.note_begun(stage, urgency, pieces, expected, now())
+        queue.wait_errors.note_begun(stage, turn, pieces, expected, now())
 
     def cancel(self, message: Cancel) -> None:
         """Drop what waits for a request, and mark what runs as not needed."""
@@ -164,7 +164,7 @@
         self._releases.give_up(queue, message.handles)
 
     def loads(self) -> dict[str, list[float]]:
-        """Load of each owned queue: drain by urgency, then call time and rate."""
+        """Load of each owned queue: drain by place, then call time and rate."""
         return {
             service: self._load(queue)
             for service, queue in self._queue_by_service.items()
--- a/packages/serving/bergamotsaddle_serving/stage_plan.py
+++ b/packages/serving/bergamotsaddle_serving/stage_plan.py
@@ -4,7 +4,7 @@
 
 from bergamotsaddle_serving.catalog import Route
 from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
-from bergamotsaddle_serving.stage_load import URGENCIES, ScopeLoad
+from bergamotsaddle_serving.stage_load import ScopeLoad, place
 
 # A stage that would be done before others is begun so much earlier than needed.
 _HEAD_START_S = 0.08
@@ -19,8 +19,8 @@
         route: The request's route.
         pieces: Number of pieces of each stage; absent ones count as none.
         zone: The zone in which its stages are to run.
-        load: At which queue a stage of the zone is best done as an urgency meets it,
-            and the load there.
+        load: At which queue a stage of the zone is best done as pieces of a place
+            meet it, and the load there.
         urgency: Urgency of the request, 0 first.
         began_at: When the request came.
         finish_seconds: Expected seconds from the last stage to the first event.
@@ -53,9 +53,10 @@
         self._end_by_stage: dict[int, float] = {}
         self._idle_by_stage: dict[int, float] = {}
         for stage in self.needed:
-            # Once begun a request waits for its turn like any other.
-            level = URGENCIES - 1 if self.predecessors(stage) else urgency
-            expected = load(route.stages[stage].service, zone, level)
+            has_begun = bool(self.predecessors(stage))
+            expected = load(
+                route.stages[stage].service, zone, place(urgency, has_begun=has_begun)
+            )
             self._expect(stage, expected)
         followed = {n for stage in route.stages for n in stage.after}
         self.sinks = [n for n in self.needed if n not in followed]
--- a/packages/serving/bergamotsaddle_serving/stage_queue.py
+++ b/packages/serving/bergamotsaddle_serving/stage_queue.py
@@ -8,7 +8,7 @@
 
 from bergamotsaddle_serving.catalog import Batching
 from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
-from bergamotsaddle_serving.stage_load import URGENCIES, level
+from bergamotsaddle_serving.stage_load import PLACES, place
 
 # After a target said that it has no room, results of that size wait for this long, or
 # until one is given up. Declared sizes are approximate, so the room counted here can be
@@ -350,16 +350,16 @@
         self.open_sets &= waiting
 
     def drains(self, targets: int, until_free: float, pace: float) -> list[float]:
-        """Seconds until what waits now is done, for each urgency and those before it.
+        """Seconds until what waits now is done, for each place and those before it.
 
         Args:
             targets: Number of targets that work on this queue.
             until_free: Seconds until the first of them is free.
             pace: Actual time of calls against the declared one.
         """
-        counts = [0] * URGENCIES
+        counts = [0] * PLACES
         for piece in self.piece_by_key.values():
-            counts[0 if piece.has_begun else level(piece.urgency)] += 1
+            counts[place(piece.urgency, has_begun=piece.has_begun)] += 1
         rate = self.rate(targets, pace)
         return [until_free + ahead / rate for ahead in accumulate(counts)]
 
--- a/packages/serving/bergamotsaddle_serving/stage_waits.py
+++ b/packages/serving/bergamotsaddle_serving/stage_waits.py
@@ -7,7 +7,7 @@
 from bergamotsaddle_serving.owners import rank_owners
 from bergamotsaddle_serving.peers import Peers
 from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
-from bergamotsaddle_serving.stage_load import Coming, ScopeLoad, StageLoad, level
+from bergamotsaddle_serving.stage_load import Coming, ScopeLoad, StageLoad, urgency_of
 from bergamotsaddle_serving.stage_owner import StageOwner
 from bergamotsaddle_serving.stage_plan import StagePlan
 from bergamotsaddle_serving.view import View
@@ -50,10 +50,10 @@
         self._loads_at = float("-inf")
         self._known_changes = 0
 
-    def best(self, service: str, zone: str, urgency: int) -> ScopeLoad:
+    def best(self, service: str, zone: str, turn: int) -> ScopeLoad:
         """Load at the queue of a zone, or at another one that is done earlier."""
         scope = self._owner.scopes.of(service, zone)
-        loads = self._loads(service, urgency)
+        loads = self._loads(service, turn)
         preferred = loads.pop(scope, _NO_TARGETS)
         other = min(loads, key=lambda name: _total(loads[name]), default=None)
         if other is None:
@@ -63,9 +63,7 @@
             return ScopeLoad(scope, preferred)
         return ScopeLoad(other, load._replace(drain=load.drain + _CROSS_GAIN_S))
 
-    def choose_scope(
-        self, service: str, zone: str, urgency: int, plan: StagePlan
-    ) -> str:
+    def choose_scope(self, service: str, zone: str, turn: int, plan: StagePlan) -> str:
         """Choose the queue of a stage.
 
         Answers load that is uneven between zones. Results that cross zones are dear,
@@ -73,7 +71,7 @@
         there and is done earlier at another one.
         """
         scope = self._owner.scopes.of(service, zone)
-        times = self._times(service, urgency, plan)
+        times = self._times(service, turn, plan)
         if not times:
             return scope
         best = min(times, key=times.__getitem__)
@@ -86,7 +84,7 @@
         return best
 
     def spread(
-        self, service: str, stage: Stage, count: int, urgency: int, plan: StagePlan
+        self, service: str, stage: Stage, count: int, turn: int, plan: StagePlan
     ) -> list[tuple[str, int]]:
         """Choose the queues of a stage's pieces.
 
@@ -97,8 +95,8 @@
         Returns:
             Zones or regions with the number of pieces for each.
         """
-        scope = self.choose_scope(service, plan.zone, urgency, plan)
-        times = self._times(service, urgency, plan)
+        scope = self.choose_scope(service, plan.zone, turn, plan)
+        times = self._times(service, turn, plan)
         room = self._room(service, scope, stage)
         others = sorted((name for name in times if name != scope), key=times.get)
         parts = min(1 + len(others), math.ceil(count / room))
@@ -114,10 +112,10 @@
             return 0.0
         return declared.batching.keep_seconds
 
-    def _times(self, service: str, urgency: int, plan: StagePlan) -> dict[str, float]:
+    def _times(self, service: str, turn: int, plan: StagePlan) -> dict[str, float]:
         return {
             scope: _total(load)
-            for scope, load in self._loads(service, urgency).items()
+            for scope, load in self._loads(service, turn).items()
             if not plan.is_avoided(service, scope, now())
         }
 
@@ -131,20 +129,20 @@
         room = _ROOM_PART * declared.room_bytes * max(1, targets)
         return max(1, int(room / max(1, stage.result_bytes)))
 
-    def _loads(self, service: str, urgency: int) -> dict[str, StageLoad]:
+    def _loads(self, service: str, turn: int) -> dict[str, StageLoad]:
         zones = {known.target.zone for known in self._view.usable(service)}
         loads = {}
         for scope in {self._owner.scopes.of(service, zone) for zone in zones}:
-            load = self._load(service, scope, urgency)
+            load = self._load(service, scope, turn)
             if load is not None:
                 loads[scope] = load
         return loads
 
-    def _load(self, service: str, scope: str, urgency: int) -> StageLoad | None:
+    def _load(self, service: str, scope: str, turn: int) -> StageLoad | None:
         self._forget_old_loads()
-        queue = (service, scope, level(urgency))
+        queue = (service, scope, turn)
         if queue not in self._load_by_queue:
-            self._load_by_queue[queue] = self._ask_load(service, scope, urgency)
+            self._load_by_queue[queue] = self._ask_load(service, scope, turn)
         return self._load_by_queue[queue]
 
     def _forget_old_loads(self) -> None:
@@ -157,7 +155,7 @@
             self._loads_at = moment
             self._known_changes = self.coming.changes
 
-    def _ask_load(self, service: str, scope: str, urgency: int) -> StageLoad | None:
+    def _ask_load(self, service: str, scope: str, turn: int) -> StageLoad | None:
         owners = rank_owners(self._peers, service, scope)
         if not owners:
             return None
@@ -167,18 +165,19 @@
             told = self._peers.by_id[owners[0]].loads.get(service)
         if told is None:
             return self._unknown(service)
-        drain, call, rate = told[level(urgency)], told[-2], told[-1]
-        ahead = self._ahead(service, scope, urgency)
+        drain, call, rate = told[turn], told[-2], told[-1]
+        ahead = self._ahead(service, scope, turn)
         return StageLoad(drain + ahead / max(rate, _LEAST_RATE), call, rate)
 
-    def _ahead(self, service: str, scope: str, urgency: int) -> int:
+    def _ahead(self, service: str, scope: str, turn: int) -> int:
         if not self._policy.has(Mechanism.COMING_PIECES):
             return 0
+        urgency = urgency_of(turn)
         ahead = self.coming.before(service, scope, urgency)
         for peer in self._peers.alive():
             for told_service, told_scope, counts in peer.coming:
                 if told_service == service and told_scope == scope:
-                    ahead += sum(counts[: level(urgency) + 1])
+                    ahead += sum(counts[: urgency + 1])
         return ahead
 
     def _unknown(self, service: str) -> StageLoad:
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -33,6 +33,7 @@
 from bergamotsaddle_serving.policy import FULL_POLICY, Policy
 from bergamotsaddle_serving.selector import Candidate, Selector
 from bergamotsaddle_serving.stage_exchange import StageExchange
+from bergamotsaddle_serving.stage_load import place
 from bergamotsaddle_serving.stage_plan import StagePlan
 from bergamotsaddle_serving.stage_run import StageRun
 from bergamotsaddle_serving.stage_waits import StageWaits
@@ -131,7 +132,7 @@
             context.route,
             context.head.pieces,
             zone,
-            lambda service, z, urgency: self.waits.best(service, z, urgency),
+            self.waits.best,
             urgency=context.urgency,
             began_at=context.began_at,
             finish_seconds=finish,
@@ -265,7 +266,11 @@
             urgency=context.urgency,
             deadline_at=context.first_by,
             spread=lambda service, stage, count: self._server.waits.spread(
-                service, context.route.stages[stage], count, context.urgency, plan
+                service,
+                context.route.stages[stage],
+                count,
+                place(context.urgency, has_begun=bool(plan.predecessors(stage))),
+                plan,
             ),
             coming=self._server.waits.coming,
             keep_seconds=self._server.waits.keep_seconds,
--- a/packages/serving/bergamotsaddle_serving/wait_errors.py
+++ b/packages/serving/bergamotsaddle_serving/wait_errors.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
-from bergamotsaddle_serving.stage_load import URGENCIES
+from bergamotsaddle_serving.stage_load import PLACES
 
 # Weight of the newest stage in the mean error: some ten stages, a second or two in a
 # burst, so that the error is forgotten as fast as it came.
@@ -28,15 +28,15 @@
 class _Expected:
     """What was expected of a stage when its pieces came in."""
 
-    def __init__(self, level: int, pieces: int, begun_at: float, seconds: float):
-        self.level = level
+    def __init__(self, place: int, pieces: int, begun_at: float, seconds: float):
+        self.place = place
         self.pieces = pieces
         self.begun_at = begun_at
         self.seconds = seconds
 
 
 class WaitErrors:
-    """The errors of forecasts at one queue, by urgency.
+    """The errors of forecasts at one queue, by place.
 
     Answers bursts in which a queue does less than its targets could: they wait for
     room, lose a zone or go part-empty. A forecast from what waits and what targets can
@@ -45,7 +45,7 @@
     """
 
     def __init__(self) -> None:
-        self._ratios = [1.0] * URGENCIES
+        self._ratios = [1.0] * PLACES
         self._expected_by_stage: OrderedDict[StageKey, _Expected] = OrderedDict()
 
     def has(self, stage: StageKey) -> bool:
@@ -53,18 +53,18 @@
         return stage in self._expected_by_stage
 
     def note_begun(
-        self, stage: StageKey, level: int, pieces: int, seconds: float, moment: float
+        self, stage: StageKey, place: int, pieces: int, seconds: float, moment: float
     ) -> None:
         """Note what is expected of a stage whose pieces have come in.
 
         Args:
             stage: Which one.
-            level: Level of urgency that it was told the load of.
+            place: Place that its pieces have in the queue.
             pieces: Number of its pieces.
             seconds: Expected seconds until it is done.
             moment: Now, on the hub's clock.
         """
-        self._expected_by_stage[stage] = _Expected(level, pieces, moment, seconds)
+        self._expected_by_stage[stage] = _Expected(place, pieces, moment, seconds)
         while len(self._expected_by_stage) > _KEPT:
             self._expected_by_stage.popitem(last=False)
 
@@ -80,14 +80,14 @@
         actual = moment - expected.begun_at
         ratio = actual / max(_LEAST_EXPECTED_S, expected.seconds)
         ratio = min(_MOST_RATIO, max(_LEAST_RATIO, ratio))
-        known = self._ratios[expected.level]
-        self._ratios[expected.level] += _WEIGHT * (ratio - known)
+        known = self._ratios[expected.place]
+        self._ratios[expected.place] += _WEIGHT * (ratio - known)
 
     def correct(self, drains: list[float], call: float) -> list[float]:
         """Correct forecasts by what was learnt.
 
         Args:
-            drains: Expected seconds until what waits is done, by urgency.
+            drains: Expected seconds until what waits is done, by place.
             call: Seconds of a call, which are not waited but worked.
         """
         return [
--- a/tests/test_stage_queue.py
+++ b/tests/test_stage_queue.py
@@ -5,6 +5,7 @@
 from parameterized import parameterized
 
 from bergamotsaddle_serving.catalog import Batching
+from bergamotsaddle_serving.stage_load import place
 from bergamotsaddle_serving.stage_queue import (
     FOREIGN_S,
     FULL_PAUSE_S,
@@ -184,8 +185,24 @@
         for number in range(8):
             queue.add(piece("a", number, urgency=2))
         drains = queue.drains(1, 0.1, 1.0)
-        self.assertAlmostEqual(drains[0], 0.1)
-        self.assertGreater(drains[2], 0.5)
+        self.assertAlmostEqual(drains[place(0, has_begun=False)], 0.1)
+        self.assertAlmostEqual(drains[place(2, has_begun=True)], 0.1)
+        self.assertGreater(drains[place(2, has_begun=False)], 0.5)
+
+    def test_drain_follows_the_order_of_pieces(self):
+        """Begun requests of two kinds wait for a later stage, the urgent ones first.
+
+        Told the same wait, the less urgent ones would be admitted in a burst of the
+        others and overtaken until they are late.
+        """
+        queue = StageQueue(BATCHING)
+        for number in range(4):
+            queue.add(piece("urgent", number, urgency=1, has_begun=True))
+            queue.add(piece("other", number, urgency=2, has_begun=True))
+        drains = queue.drains(1, 0.0, 1.0)
+        urgent = drains[place(1, has_begun=True)]
+        self.assertAlmostEqual(drains[place(2, has_begun=True)], 2 * urgent)
+        self.assertEqual(requests(queue.take_batch(0.0, 18e6)), ["urgent"])
 
     def test_late_newcomers_leave_a_long_queue(self):
         """A burst leaves requests behind that were due before they began.
--- a/tests/test_wait_errors.py
+++ b/tests/test_wait_errors.py
@@ -5,18 +5,18 @@
 from parameterized import parameterized
 
 from bergamotsaddle_serving.admission import Forecast, admits
-from bergamotsaddle_serving.stage_load import URGENCIES
+from bergamotsaddle_serving.stage_load import PLACES
 from bergamotsaddle_serving.wait_errors import StageKey, WaitErrors
 
 CALL_S = 0.3
-DRAINS = [0.3] * URGENCIES
+DRAINS = [0.3] * PLACES
 
 
-def replay(errors, actual, *, count=30, level=0):
+def replay(errors, actual, *, count=30, place=0):
     """Have stages end of two pieces of which 0.6 s were expected."""
     for number in range(count):
         stage = StageKey(f"r{number}", 0, 0)
-        errors.note_begun(stage, level, 2, 0.6, float(number))
+        errors.note_begun(stage, place, 2, 0.6, float(number))
         errors.note_done(stage, number + 0.1)
         errors.note_done(stage, number + actual)
 
@@ -44,10 +44,10 @@
         self.assertAlmostEqual(errors.correct(DRAINS, CALL_S)[0], 0.3, delta=0.05)
 
     @parameterized.expand([("others", 1, 0.3), ("own", 0, 1.2)])
-    def test_urgencies_are_told_apart(self, _, level, expected):
+    def test_places_are_told_apart(self, _, place, expected):
         errors = WaitErrors()
         replay(errors, 1.5)
-        found = errors.correct(DRAINS, CALL_S)[level]
+        found = errors.correct(DRAINS, CALL_S)[place]
         self.assertAlmostEqual(found, expected, delta=0.1)
 
     def test_one_stage_counts_little(self):
