--- a/packages/serving/bergamotsaddle_serving/engine_choice.py
+++ b/packages/serving/bergamotsaddle_serving/engine_choice.py
@@ -1,6 +1,5 @@
 """Decides which engine a request goes to. No input or output here."""
 
-import math
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
@@ -17,8 +16,6 @@
 # An engine that isn't the prompt's home must be this much faster to be worth reading
 # the shared parts again.
 _MOVE_GAIN_S = 0.15
-# Engines on which the subjects of one first part live at least.
-_LEAST_HOMES = 6
 # The part of the objective that a prediction may use; the rest absorbs what varies.
 _CAREFUL = 0.8
 
@@ -69,24 +66,6 @@
     return "/".join(part.id for part in shared)
 
 
-def rank_homes(
-    engines: Sequence[EngineView], prompt: Sequence[PromptPart]
-) -> list[EngineView]:
-    """Engines in the order in which they are to keep the shared parts of a prompt.
-
-    The first part is shared by many subjects. Were these spread over a large fleet one
-    by one, every engine would read the first part for itself; so they live on as many
-    engines as the square root of all, which leaves enough of them to a hot first part.
-    """
-    first = prompt[0].id if prompt else ""
-    key = prefix_key(prompt)
-    by_first = sorted(engines, key=lambda e: weigh(e.id, first), reverse=True)
-    count = max(_LEAST_HOMES, math.ceil(math.sqrt(len(by_first))))
-    near, far = by_first[:count], by_first[count:]
-    near.sort(key=lambda e: weigh(e.id, key), reverse=True)
-    return near + far
-
-
 def unshared_tokens(prompt: Sequence[PromptPart], prompt_tokens: int) -> int:
     """Tokens that are read even where the shared parts are known."""
     shared = sum(part.tokens for part in prompt[:-1])
@@ -125,7 +104,8 @@
     """
     if not engines:
         return None
-    by_weight = rank_homes(engines, prompt)
+    key = prefix_key(prompt)
+    by_weight = sorted(engines, key=lambda e: weigh(e.id, key), reverse=True)
     own_tokens = unshared_tokens(prompt, prompt_tokens)
     choices = []
     for place, engine in enumerate(by_weight):
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -48,22 +48,6 @@
         }
         self.assertEqual(len(homes), 4)
 
-    def test_a_first_part_lives_on_few_engines_of_a_large_fleet(self):
-        """Hundreds of subjects begin with the same instructions of 2,500 tokens.
-
-        With homes all over a fleet of seventy engines each of them would read these,
-        and callers behind it would wait for that.
-        """
-        fleet = [EngineView(f"e{n}", "a", 64, 0, 0, False) for n in range(70)]
-        homes = {
-            choose(
-                fleet,
-                prompt=(PromptPart("first", 2_500), PromptPart(f"s{n}", 9), PROMPT[1]),
-            ).engine.id
-            for n in range(300)
-        }
-        self.assertEqual(len(homes), 9)
-
     @parameterized.expand(
         [
             ("calm", {}, True),
