Have begun requests done in the order in which they are due

Change: begun requests go before all that begin, as the order's own description says, by when they are due with half a second a step of urgency; owners tell one wait for them.

--- a/packages/serving/bergamotsaddle_serving/stage_load.py
+++ b/packages/serving/bergamotsaddle_serving/stage_load.py
@@ -11,9 +11,9 @@
     return min(max(0, urgency), URGENCIES - 1)
 
 
-# Places in a queue that are told apart: of each urgency, requests whose earlier stages
-# have run go before those that begin.
-PLACES = 2 * URGENCIES
+# Places in a queue that are told apart: requests whose earlier stages have run go first,
+# in the order in which they are due, then each urgency of those that begin.
+PLACES = 1 + URGENCIES
 
 
 def place(urgency: int, *, has_begun: bool) -> int:
@@ -23,12 +23,12 @@
         urgency: 0 first.
         has_begun: Whether earlier stages of the request have run.
     """
-    return 2 * level(urgency) + (not has_begun)
+    return 0 if has_begun else 1 + level(urgency)
 
 
 def urgency_of(turn: int) -> int:
-    """The level of urgency of a place."""
-    return turn // 2
+    """The least urgent level of requests that go before a place or share it."""
+    return turn - 1 if turn else URGENCIES - 1
 
 
 class StageLoad(NamedTuple):
--- a/packages/serving/bergamotsaddle_serving/stage_queue.py
+++ b/packages/serving/bergamotsaddle_serving/stage_queue.py
@@ -24,6 +24,8 @@
 # Among requests that have begun, a step of urgency counts as much as coming so much
 # earlier: enough to go ahead in a burst, too little to be overtaken for ever.
 _URGENCY_S = 0.5
+# Requests that have begun go before every urgency of those that have not.
+_BEGUN_FIRST = -1
 # A queue of more calls than this is long.
 _LONG_CALLS = 2
 # How long a request that has not begun may wait in a long queue after it was due there.
@@ -117,19 +119,11 @@
     requests that begin, urgent kinds come first, and among equals those that can still
     be on time, or one late request would make the next one late in turn.
     """
+    is_late = piece.objective_at < moment + expected
     if piece.has_begun:
         due = piece.objective_at + piece.urgency * _URGENCY_S
-        is_late = piece.objective_at < moment + expected
-        return (not is_open, is_late, piece.urgency, False, due, piece.key)
-    is_late = piece.objective_at < moment + expected
-    return (
-        not is_open,
-        is_late,
-        piece.urgency,
-        True,
-        piece.objective_at,
-        piece.key,
-    )
+        return (not is_open, is_late, _BEGUN_FIRST, due, piece.key)
+    return (not is_open, is_late, piece.urgency, piece.objective_at, piece.key)
 
 
 def is_large(piece: QueuedPiece) -> bool:
--- a/tests/test_stage_queue.py
+++ b/tests/test_stage_queue.py
@@ -189,20 +189,35 @@
         self.assertAlmostEqual(drains[place(2, has_begun=True)], 0.1)
         self.assertGreater(drains[place(2, has_begun=False)], 0.5)
 
+    def test_begun_requests_are_not_overtaken_for_ever(self):
+        """A chat waits for its second stage while summaries keep coming to it.
+
+        Summaries are more urgent. Did each of them go ahead, the chat would hold the
+        result of its first stage until it expires, and all work for it would be lost.
+        """
+        queue = StageQueue(BATCHING)
+        queue.add(piece("chat", urgency=2, has_begun=True, objective_at=1.0))
+        for number in range(8):
+            due = 1.2 + 0.1 * number
+            queue.add(piece(f"s{number}", urgency=1, has_begun=True, objective_at=due))
+        taken = requests(queue.take_batch(0.0, 18e6))
+        self.assertIn("chat", taken)
+        self.assertEqual(taken[0], "s0")
+
     def test_drain_follows_the_order_of_pieces(self):
-        """Begun requests of two kinds wait for a later stage, the urgent ones first.
+        """Begun and fresh requests wait for the same stage.
 
-        Told the same wait, the less urgent ones would be admitted in a burst of the
-        others and overtaken until they are late.
+        Told the same wait, fresh ones would be admitted in front of a queue that goes
+        before them, and end late.
         """
         queue = StageQueue(BATCHING)
         for number in range(4):
-            queue.add(piece("urgent", number, urgency=1, has_begun=True))
-            queue.add(piece("other", number, urgency=2, has_begun=True))
+            queue.add(piece("begun", number, urgency=2, has_begun=True))
+            queue.add(piece("fresh", number, urgency=0))
         drains = queue.drains(1, 0.0, 1.0)
-        urgent = drains[place(1, has_begun=True)]
-        self.assertAlmostEqual(drains[place(2, has_begun=True)], 2 * urgent)
-        self.assertEqual(requests(queue.take_batch(0.0, 18e6)), ["urgent"])
+        begun = drains[place(2, has_begun=True)]
+        self.assertAlmostEqual(drains[place(0, has_begun=False)], 2 * begun)
+        self.assertEqual(requests(queue.take_batch(0.0, 18e6)), ["begun"])
 
     def test_late_newcomers_leave_a_long_queue(self):
         """A burst leaves requests behind that were due before they began.
