--- a/packages/serving/bergamotsaddle_serving/stage_load.py
+++ b/packages/serving/bergamotsaddle_serving/stage_load.py
@@ -11,7 +11,7 @@
     return min(max(0, urgency), URGENCIES - 1)
 
 
-# Places in a queue that are told apart: requests whose earlier stages have run go first,
+# Places in a queue that are told apart: first requests whose earlier stages have run,
 # in the order in which they are due, then each urgency of those that begin.
 PLACES = 1 + URGENCIES
 
