--- a/packages/serving/bergamotsaddle_serving/_stage_worker.py
+++ b/packages/serving/bergamotsaddle_serving/_stage_worker.py
@@ -9,10 +9,10 @@
 from bergamotsaddle_serving.catalog import Batching, Target
 from bergamotsaddle_serving.peer_messages import Done
 from bergamotsaddle_serving.policy import Policy
+from bergamotsaddle_serving.result_room import ResultRoom
 from bergamotsaddle_serving.stage_queue import (
     OtherTarget,
     PieceKey,
-    ResultRoom,
     StageQueue,
 )
 from bergamotsaddle_serving.wait_errors import StageKey, WaitErrors
