--- a/packages/serving/bergamotsaddle_serving/admission.py
+++ b/packages/serving/bergamotsaddle_serving/admission.py
@@ -8,7 +8,7 @@
 # The part of the objective that a request may be expected to use.
 _MOST_PART = 0.9
 # What it leaves of that to more urgent ones if all others are.
-_URGENT_PART = 1 / 3
+_URGENT_PART = 0.2
 # A request that takes longer than its objective even on idle targets, as those with the
 # longest prompts do, may still wait for this part of it: large requests must be served
 # as well as small ones.
@@ -16,8 +16,8 @@
 # How much longer than expected waits are taken to be: targets fail, and bursts go on.
 _WAIT_FACTOR = 1.3
 # What is added to that if all other requests are more urgent: newcomers go ahead in the
-# meantime, as many as came in a wait.
-_OVERTAKING = 1.0
+# meantime, but are refused in a burst like everybody else.
+_OVERTAKING = 0.5
 # Callers are told to come back after at least this time, and spread over as much again,
 # so that those of a burst do not return as another burst.
 _LEAST_RETRY_S = 0.1
