Let only strong machines own stage queues

Cause: owners were found by a hash that knows nothing of machines. Change: settings tell a machine's cores and link, heartbeats their strength, and queues are owned by those with half of the strongest one's strength or more; where all are alike nothing changes. Section [capacity] is optional.

--- a/packages/serving/bergamotsaddle_serving/peer_messages.py
+++ b/packages/serving/bergamotsaddle_serving/peer_messages.py
@@ -32,6 +32,7 @@
             service, zone, number by urgency.
         running: Requests that it has at each engine.
         reading: Prompt tokens of its requests that each engine has still to read.
+        strength: How much work for others its machine can do, in cores.
         contacts: Other instances that it has heard lately.
     """
 
@@ -43,6 +44,7 @@
     coming: list[tuple[str, str, list[int]]]
     running: dict[str, int]
     reading: dict[str, int]
+    strength: float
     contacts: list[Contact]
 
 
--- a/packages/serving/bergamotsaddle_serving/peers.py
+++ b/packages/serving/bergamotsaddle_serving/peers.py
@@ -19,6 +19,7 @@
     decode,
     encode,
 )
+from bergamotsaddle_serving.policy import Mechanism
 from bergamotsaddle_serving.settings import ServingSettings
 from bergamotsaddle_serving.target_totals import TargetTotals
 
@@ -34,6 +35,8 @@
 _MAX_DATAGRAM = 65_535
 # What one owner has not acknowledged is taken elsewhere; it is asked again after this.
 _SUSPECT_S = 1.0
+# Machines with this part of the strongest one's strength may own queues.
+_STRONG_PART = 0.5
 # How long sums over all peers are used again; heartbeats are ten times as old.
 _TOTALS_S = 0.02
 
@@ -56,6 +59,7 @@
         self.coming: list[tuple[str, str, list[int]]] = []
         self.running: dict[str, int] = {}
         self.reading: dict[str, int] = {}
+        self.strength = 0.0
         self.heard_at = float("-inf")
         self.known_at = now()
         self.suspect_until = float("-inf")
@@ -84,6 +88,9 @@
         self.own_revision: Callable[[], int] = lambda: 0
         self._handlers: dict[type, Handler] = {Hello: self._hear}
         self._logger = logger
+        self._strength = settings.capacity.strength
+        is_picked = settings.policy.has(Mechanism.STRONG_OWNERS)
+        self._least_part = _STRONG_PART if is_picked else 0.0
         self._port = settings.listen.peer_port
         self._seeds = [parse_address(seed).host for seed in settings.peers.seeds]
         self._totals = TargetTotals()
@@ -154,17 +161,26 @@
     def owners(self, scope: str) -> list[str]:
         """Instances that can own a queue of a zone or region: its own ones, else all.
 
-        Those inside can reach its targets whatever is cut off outside.
+        Those inside can reach its targets whatever is cut off outside. Of these only
+        the strong ones are taken: the owner of a large service makes dozens of calls a
+        second, and one on a weak machine would delay every request of the region while
+        others rest.
         """
-        candidates = [
-            peer.contact
+        strength_by_contact = {
+            peer.contact: peer.strength
             for peer in self.alive()
             if peer.takes_work and now() >= peer.suspect_until
-        ]
+        }
         if self.takes_work:
-            candidates.append(self.own)
-        inside = [c.id for c in candidates if scope in (c.zone, self.region(c.zone))]
-        return inside or [c.id for c in candidates]
+            strength_by_contact[self.own] = self._strength
+        inside = {
+            contact: strength
+            for contact, strength in strength_by_contact.items()
+            if scope in (contact.zone, self.region(contact.zone))
+        }
+        candidates = inside or strength_by_contact
+        least = self._least_part * max(candidates.values(), default=0.0)
+        return [contact.id for contact, s in candidates.items() if s >= least]
 
     def suspect(self, peer_id: str) -> None:
         """Note that a peer did not acknowledge what it was sent."""
@@ -233,6 +249,7 @@
             coming=self.own_coming(),
             running=self.own_running(),
             reading=self.own_reading(),
+            strength=self._strength,
             contacts=[peer.contact for peer in told],
         )
 
@@ -271,6 +288,7 @@
         peer.coming = hello.coming
         peer.running = hello.running
         peer.reading = hello.reading
+        peer.strength = hello.strength
         peer.heard_at = now()
         for contact in hello.contacts:
             if contact.id != self.own.id and contact.id not in self.by_id:
--- a/packages/serving/bergamotsaddle_serving/policy.py
+++ b/packages/serving/bergamotsaddle_serving/policy.py
@@ -42,6 +42,8 @@
     """Large results leave room for small ones that wait beside them."""
     WAIT_ERRORS = "wait_errors"
     """Owners of stage queues learn how far off their forecasts are."""
+    STRONG_OWNERS = "strong_owners"
+    """Only strong machines own stage queues."""
     WHOLE_STAGES = "whole_stages"
     """A stage is begun only if there is room for all of its results."""
 
--- a/packages/serving/bergamotsaddle_serving/settings.py
+++ b/packages/serving/bergamotsaddle_serving/settings.py
@@ -5,6 +5,10 @@
 from bergamotsaddle_contracts.ini import Address, IniFile, parse_address, parse_words
 from bergamotsaddle_serving.policy import FULL_POLICY, Policy, parse_policy
 
+# A link of so many megabits a second carries what an owner of queues sends and gets
+# while it uses a core.
+_MBPS_PER_CORE = 20.0
+
 
 class InstanceSettings(NamedTuple):
     """Who this instance is (``[instance]``)."""
@@ -68,6 +72,25 @@
     retry_extra: float
 
 
+class CapacitySettings(NamedTuple):
+    """What this instance may use of its machine (``[capacity]``).
+
+    Attributes:
+        cpu_share: Share of a core's time, as each of the cores gives it.
+        cpus: Number of cores.
+        link_mbps: Bandwidth of its link in megabits a second.
+    """
+
+    cpu_share: float = 1.0
+    cpus: float = 1.0
+    link_mbps: float = 1_000.0
+
+    @property
+    def strength(self) -> float:
+        """How much work for others it can do, in cores."""
+        return min(self.cpu_share * self.cpus, self.link_mbps / _MBPS_PER_CORE)
+
+
 class ServingSettings(NamedTuple):
     """All settings of one serving daemon."""
 
@@ -78,6 +101,7 @@
     store: StoreSettings
     bounds: BoundSettings
     policy: Policy = FULL_POLICY
+    capacity: CapacitySettings = CapacitySettings()
 
 
 def _parse_number(text: str) -> float:
@@ -150,6 +174,11 @@
             ini.get("bounds", "retry_extra", _parse_number),
         ),
         ini.get("policy", "off", parse_policy, FULL_POLICY),
+        CapacitySettings(
+            ini.get("capacity", "cpu_share", _parse_number, 1.0),
+            ini.get("capacity", "cpus", _parse_number, 1.0),
+            ini.get("capacity", "link_mbps", _parse_number, 1_000.0),
+        ),
     )
     ini.close()
     return settings
--- a/tests/test_scopes.py
+++ b/tests/test_scopes.py
@@ -44,10 +44,12 @@
     return peers
 
 
-def hear(peers, name, zone, *, takes_work=True):
+def hear(peers, name, zone, *, takes_work=True, strength=1.0):
     """Have an instance send a heartbeat."""
     contact = Contact(name, zone, f"127.0.1.{len(peers.by_id) + 1}")
-    hello = Hello(contact, f"life of {name}", takes_work, 1, {}, [], {}, {}, [])
+    hello = Hello(
+        contact, f"life of {name}", takes_work, 1, {}, [], {}, {}, strength, []
+    )
     peers._hear(hello, ("127.0.0.1", 9))
 
 
@@ -97,6 +99,20 @@
         self.assertEqual(rank_owners(self.peers, "encode", "east"), ["me"])
         self.assertEqual(self.peers.zone_heard_at("b"), now() - 2.0)
 
+    def test_strong_machines_own_queues(self):
+        """Two of six machines of a region have several times the cores of the others.
+
+        The owner of a service with nine targets makes two dozen calls a second. On a
+        weak machine it falls behind in a burst, and all requests of the region wait.
+        """
+        peers = make_peers()
+        for number in range(3):
+            hear(peers, f"weak{number}", "a", strength=0.4)
+        for number in range(2):
+            hear(peers, f"strong{number}", "b", strength=2.2)
+        self.assertEqual(set(peers.owners("east")), {"strong0", "strong1"})
+        self.assertEqual(peers.owners("a"), ["me"])
+
     def test_an_instance_without_a_view_owns_nothing(self):
         """An instance starts and is heard before it has read any target.
 
