--- a/packages/serving/bergamotsaddle_serving/stage_load.py
+++ b/packages/serving/bergamotsaddle_serving/stage_load.py
@@ -27,7 +27,10 @@
 
 
 def urgency_of(turn: int) -> int:
-    """The least urgent level of requests that go before a place or share it."""
+    """The least urgent level of requests that go before a place or share it.
+
+    Begun requests of all urgencies share the first place.
+    """
     return turn - 1 if turn else URGENCIES - 1
 
 
--- a/packages/serving/bergamotsaddle_serving/stage_waits.py
+++ b/packages/serving/bergamotsaddle_serving/stage_waits.py
@@ -27,6 +27,9 @@
 class StageWaits:
     """What owners tell of their queues.
 
+    A ``turn`` is the place that pieces have in a queue, as ``stage_load.place`` counts
+    it.
+
     Args:
         view: Targets and services.
         peers: The owners.
