--- a/tests/_stages.py
+++ b/tests/_stages.py
@@ -2,8 +2,18 @@
 
 import msgspec
 
+from bergamotsaddle_serving.catalog import Batching
 from bergamotsaddle_serving.messages import Entry
 
+FOUR_A_CALL = Batching(
+    slots=1,
+    size=4,
+    call_seconds=0.15,
+    piece_seconds=0.03,
+    room_bytes=18e6,
+    keep_seconds=4.0,
+)
+
 BATCHING = {
     "slots": 1,
     "batch": 4,
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -5,7 +5,6 @@
 from parameterized import parameterized
 
 from bergamotsaddle_serving.admission import Forecast, admits
-from bergamotsaddle_serving.catalog import Batching
 from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
 from bergamotsaddle_serving.stage_queue import (
     OtherTarget,
@@ -13,15 +12,8 @@
     QueuedPiece,
     StageQueue,
 )
+from tests._stages import FOUR_A_CALL
 
-BATCHING = Batching(
-    slots=1,
-    size=4,
-    call_seconds=0.15,
-    piece_seconds=0.03,
-    room_bytes=18e6,
-    keep_seconds=4.0,
-)
 LARGE = 3_000_000
 BUSY = OtherTarget("a", free_in=0.2, room_bytes=18e6)
 LATE = Forecast(seconds=1.5, idle_seconds=0.4, objective=1.0, left=4.0)
@@ -38,14 +30,14 @@
 
 def take(policy, count, *, others):
     """Number of pieces that a target in another zone takes."""
-    queue = StageQueue(BATCHING, policy)
+    queue = StageQueue(FOUR_A_CALL, policy)
     fill(queue, count)
     return len(queue.take_batch(0.0, 18e6, zone="b", others=others))
 
 
 def take_small_part(policy):
     """Number of pieces taken where room is left for one of six requests."""
-    queue = StageQueue(BATCHING, policy)
+    queue = StageQueue(FOUR_A_CALL, policy)
     for number in range(6):
         key = PieceKey(f"r{number}", 0, 0)
         queue.add(QueuedPiece(key, 0, False, 1.0, 9.0, LARGE, "k", ()))
@@ -54,7 +46,7 @@
 
 def leave(policy):
     """Number of late pieces that leave a long queue."""
-    queue = StageQueue(BATCHING, policy)
+    queue = StageQueue(FOUR_A_CALL, policy)
     fill(queue, 8)
     queue.add(QueuedPiece(PieceKey("s", 0, 0), 0, False, 9.0, 9.0, LARGE, "k", ()))
     return len(queue.take_expired(2.0))
--- a/tests/test_stage_queue.py
+++ b/tests/test_stage_queue.py
@@ -4,7 +4,6 @@
 
 from parameterized import parameterized
 
-from bergamotsaddle_serving.catalog import Batching
 from bergamotsaddle_serving.result_room import ResultRoom
 from bergamotsaddle_serving.stage_load import place
 from bergamotsaddle_serving.stage_queue import (
@@ -13,15 +12,8 @@
     QueuedPiece,
     StageQueue,
 )
+from tests._stages import FOUR_A_CALL
 
-BATCHING = Batching(
-    slots=1,
-    size=4,
-    call_seconds=0.15,
-    piece_seconds=0.03,
-    room_bytes=18e6,
-    keep_seconds=4.0,
-)
 LARGE = 3_000_000
 SMALL = 8_000
 
@@ -58,7 +50,7 @@
         ]
     )
     def test_first(self, _, first, second):
-        queue = StageQueue(BATCHING._replace(size=1))
+        queue = StageQueue(FOUR_A_CALL._replace(size=1))
         queue.add(second)
         queue.add(first)
         self.assertEqual(requests(queue.take_batch(0.0, 18e6)), ["a"])
@@ -73,7 +65,7 @@
         Were single pieces taken as they fit, two requests would each hold two results
         and wait for the third; their callers would give up with nothing.
         """
-        queue = StageQueue(BATCHING)
+        queue = StageQueue(FOUR_A_CALL)
         for request in "abcdef":
             for number in range(3):
                 queue.add(piece(request, number, result_bytes=LARGE))
@@ -99,7 +91,7 @@
 
         A call with nothing but what fits keeps the target busy.
         """
-        queue = StageQueue(BATCHING)
+        queue = StageQueue(FOUR_A_CALL)
         for number in range(3):
             queue.add(piece("large", number, result_bytes=LARGE))
         queue.add(piece("small", urgency=2))
@@ -111,7 +103,7 @@
         Small results take a thousandth of the room. Without any left they would wait
         until the large ones are given up, and half of the call's places stay empty.
         """
-        queue = StageQueue(BATCHING)
+        queue = StageQueue(FOUR_A_CALL)
         for number in range(3):
             queue.add(piece(f"large{number}", result_bytes=LARGE))
         for number in range(6):
@@ -121,7 +113,7 @@
 
     def test_a_result_that_fills_a_target_is_made_beside_small_ones(self):
         """A result takes all of a target's room, and small ones wait all the time."""
-        queue = StageQueue(BATCHING)
+        queue = StageQueue(FOUR_A_CALL)
         queue.add(piece("large", result_bytes=18_000_000))
         queue.add(piece("small", urgency=1))
         self.assertEqual(requests(queue.take_batch(0.0, 18e6)), ["large"])
@@ -132,7 +124,7 @@
         A call costs as much as five pieces; one that carries a single piece of the
         many that wait halves what the target does in a burst.
         """
-        queue = StageQueue(BATCHING)
+        queue = StageQueue(FOUR_A_CALL)
         for request in "abcdef":
             queue.add(piece(request, result_bytes=LARGE))
         self.assertEqual(queue.take_batch(0.0, 4e6, may_wait=True), [])
@@ -140,14 +132,14 @@
         self.assertEqual(len(queue.take_batch(0.0, 18e6, may_wait=True)), 4)
 
     def test_what_cannot_be_done_in_time_is_taken_out(self):
-        queue = StageQueue(BATCHING)
+        queue = StageQueue(FOUR_A_CALL)
         queue.add(piece("a", expires_at=0.1))
         queue.add(piece("b", expires_at=1.0))
         self.assertEqual(requests(queue.take_expired(0.0)), ["a"])
         self.assertEqual(requests(queue.take_batch(0.0, 18e6)), ["b"])
 
     def test_cancelled_requests_leave(self):
-        queue = StageQueue(BATCHING)
+        queue = StageQueue(FOUR_A_CALL)
         queue.add(piece("a"))
         queue.add(piece("b"))
         queue.cancel("a")
@@ -159,7 +151,7 @@
         What is left of it is gone; an owner that still counted on it would stop calling
         its targets.
         """
-        queue = StageQueue(BATCHING)
+        queue = StageQueue(FOUR_A_CALL)
         for number in range(6):
             queue.add(piece("a", number, result_bytes=LARGE))
         self.assertEqual(len(queue.take_batch(0.0, 18e6)), 4)
@@ -173,13 +165,13 @@
         Taking an old piece for the new one would hand out a result that was given up,
         and the request would fail once more.
         """
-        queue = StageQueue(BATCHING)
+        queue = StageQueue(FOUR_A_CALL)
         queue.add(piece("a"))
         queue.add(piece("a", key=PieceKey("a", 0, 0, 1)))
         self.assertEqual(len(queue), 2)
 
     def test_drain_counts_urgencies_apart(self):
-        queue = StageQueue(BATCHING)
+        queue = StageQueue(FOUR_A_CALL)
         for number in range(8):
             queue.add(piece("a", number, urgency=2))
         drains = queue.drains(1, 0.1, 1.0)
@@ -193,7 +185,7 @@
         Summaries are more urgent. Did each of them go ahead, the chat would hold the
         result of its first stage until it expires, and all work for it would be lost.
         """
-        queue = StageQueue(BATCHING)
+        queue = StageQueue(FOUR_A_CALL)
         queue.add(piece("chat", urgency=2, has_begun=True, objective_at=1.0))
         for number in range(8):
             due = 1.2 + 0.1 * number
@@ -208,7 +200,7 @@
         Told the same wait, fresh ones would be admitted in front of a queue that goes
         before them, and end late.
         """
-        queue = StageQueue(BATCHING)
+        queue = StageQueue(FOUR_A_CALL)
         for number in range(4):
             queue.add(piece("begun", number, urgency=2, has_begun=True))
             queue.add(piece("fresh", number, urgency=0))
@@ -223,7 +215,7 @@
         Those that can still be on time go ahead of them; they would wait until their
         callers give up, instead of being told to come back.
         """
-        queue = StageQueue(BATCHING)
+        queue = StageQueue(FOUR_A_CALL)
         for number in range(12):
             queue.add(piece(f"r{number}", objective_at=5.0))
         queue.add(piece("late", objective_at=1.0))
@@ -242,7 +234,7 @@
         anywhere: their move costs less than the wait.
         """
         busy = OtherTarget("a", free_in=0.2, room_bytes=18e6)
-        queue = StageQueue(BATCHING)
+        queue = StageQueue(FOUR_A_CALL)
         queue.add(piece("large", result_bytes=LARGE, zone="a", zone_bytes=LARGE))
         queue.add(piece("small", zone="a", zone_bytes=SMALL))
         batch = queue.take_batch(0.0, 18e6, zone="b", others=[busy])
@@ -256,7 +248,7 @@
         Their results are small, but 8 MB would cross zones for one request.
         """
         free = OtherTarget("a", free_in=0.1, room_bytes=18e6)
-        queue = StageQueue(BATCHING)
+        queue = StageQueue(FOUR_A_CALL)
         queue.add(piece("a", has_begun=True, zone="a", zone_bytes=480_000))
         self.assertEqual(queue.take_batch(0.0, 18e6, zone="b", others=[free]), [])
         batch = queue.take_batch(0.0, 18e6, zone="a")
@@ -268,7 +260,7 @@
         Done in another zone, the other two would have the next stage fetch its inputs
         from two zones.
         """
-        queue = StageQueue(BATCHING)
+        queue = StageQueue(FOUR_A_CALL)
         for number in range(6):
             queue.add(piece("a", number))
         self.assertEqual(len(queue.take_batch(0.0, 18e6, zone="a")), 4)
@@ -278,7 +270,7 @@
         self.assertEqual(len(batch), 2)
 
     def test_large_results_leave_a_zone_without_a_target(self):
-        queue = StageQueue(BATCHING)
+        queue = StageQueue(FOUR_A_CALL)
         queue.add(piece("large", result_bytes=LARGE, zone="a", zone_bytes=LARGE))
         other = OtherTarget("c", free_in=0.0, room_bytes=18e6)
         batch = queue.take_batch(0.0, 18e6, zone="b", others=[other])
@@ -290,7 +282,7 @@
         Were a stage begun only if one target held all of it, such requests would wait
         until their callers leave.
         """
-        queue = StageQueue(BATCHING)
+        queue = StageQueue(FOUR_A_CALL)
         for number in range(8):
             queue.add(piece("a", number, result_bytes=LARGE))
         self.assertEqual(queue.take_batch(0.0, 18e6), [])
@@ -304,7 +296,7 @@
         Begun together, each would hold a part and wait for what only the other gives
         up.
         """
-        queue = StageQueue(BATCHING)
+        queue = StageQueue(FOUR_A_CALL)
         for request in "ab":
             for number in range(8):
                 queue.add(piece(request, number, result_bytes=LARGE))
