Hear news that come while a worker of a stage queue pauses

Cause: since full queues are looked through less often, a worker that found nothing pauses before it waits for news, and took hold of the event only after the pause. News in between went unheard, also with an empty queue, where the pause only lets other green threads run: the target stood idle for up to 0.25 s. Found by reading the change once more. Change: the event is taken before the pause. The test failed first.

--- a/packages/serving/bergamotsaddle_serving/stage_caller.py
+++ b/packages/serving/bergamotsaddle_serving/stage_caller.py
@@ -97,6 +97,8 @@
             self._call(queue, worker, batch)
 
     def _await_news(self, queue: ServiceQueue, worker: Worker) -> None:
+        # Taken before the pause: news that come in it would else go unheard.
+        news = queue.news
         # Each piece that comes and each result that is given up wakes all workers. In
         # a burst each of them would go through hundreds of pieces hundreds of times a
         # second, only to find no room; the owner would answer late, and be left.
@@ -105,7 +107,7 @@
         if wait <= 0:
             wait = _IDLE_CHECK_S
         with eventlet.Timeout(wait, False):
-            queue.news.wait()
+            news.wait()
 
     def _call(
         self, queue: ServiceQueue, worker: Worker, batch: list[QueuedPiece]
--- a/tests/test_stage_owner.py
+++ b/tests/test_stage_owner.py
@@ -9,19 +9,21 @@
 from bergamotsaddle_contracts.errors import RequestError
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_platform.dialect import PlatformDialect
+from bergamotsaddle_serving._stage_worker import ServiceQueue
 from bergamotsaddle_serving.catalog import Kind, Route, Share, Stage
 from bergamotsaddle_serving.client import ConnectionLostError
 from bergamotsaddle_serving.messages import Entry, PieceResult, RequestHead, Unmade
 from bergamotsaddle_serving.peer_messages import Contact, Release, Submit
+from bergamotsaddle_serving.policy import FULL_POLICY
 from bergamotsaddle_serving.stage_exchange import StageExchange
 from bergamotsaddle_serving.stage_load import Coming, ScopeLoad, StageLoad
 from bergamotsaddle_serving.stage_owner import StageOwner
 from bergamotsaddle_serving.stage_plan import StagePlan
-from bergamotsaddle_serving.stage_queue import StageQueue
+from bergamotsaddle_serving.stage_queue import PieceKey, QueuedPiece, StageQueue
 from bergamotsaddle_serving.stage_run import StageRun
 from bergamotsaddle_serving.view import View
 from tests._paused import advance, settle
-from tests._stages import BATCHING, target_entry
+from tests._stages import BATCHING, FOUR_A_CALL, target_entry
 
 CONFIG = {
     "version": 1,
@@ -199,6 +201,23 @@
                 advance(0.001)
         self.assertLess(sum(looked_at), 20_000)
 
+    def test_news_during_the_pause_of_a_worker_is_not_lost(self):
+        """Room is given up just after a worker found none and pauses.
+
+        Waiting only for news that come after the pause, it would leave its target idle
+        for a quarter of a second beside a full queue.
+        """
+        queue = ServiceQueue("encode", FOUR_A_CALL, FULL_POLICY)
+        for number in range(100):
+            key = PieceKey(f"r{number}", 0, 0)
+            queue.queue.add(QueuedPiece(key, 0, False, 9.0, 9.0, 9_000_000, "k", ()))
+        worker = mock.Mock(full_call_by=0.0)
+        thread = eventlet.spawn(self.owner.caller._await_news, queue, worker)
+        advance(0.001)
+        queue.wake()
+        advance(0.01)
+        self.assertTrue(thread.dead)
+
     def test_one_failed_piece_is_done_again_alone(self):
         """One piece of a stage fails, the others have results.
 
