Log each daemon's processor time and late timers

Change: every 5 s a line 'usage' with processor time as a part of a core, the latest timer, datagrams, requests and calls to the store; review shows both figures beside the requests of each ten seconds.

--- a/packages/cli/bergamotsaddle_cli/review.py
+++ b/packages/cli/bergamotsaddle_cli/review.py
@@ -56,12 +56,23 @@
 
 
 class Span(TypedDict):
-    """Ten seconds of requests by when they ended."""
+    """Ten seconds of requests by when they ended, and the daemons' usage in them.
+
+    Attributes:
+        begins: Seconds since the first line.
+        whole: Answered whole.
+        turned_away: Refused before any work for them.
+        lost: Ended without a whole answer after work had begun.
+        cpu: Mean processor time of the daemons that told it, as a part of a core.
+        delay: The longest time that a timer of any daemon fired late, in seconds.
+    """
 
     begins: float
     whole: int
     turned_away: int
     lost: int
+    cpu: float
+    delay: float
 
 
 class Review(NamedTuple):
@@ -117,7 +128,7 @@
         by_stage=_by_stage(by_event["stages_done"]),
         calls_by_service=calls,
         ends_by_route=_ends(ends, kinds),
-        spans=_spans(ends, kinds),
+        spans=_spans(ends, kinds, by_event["usage"]),
         lost_pieces=lost,
         binds=_binds(totals, calls),
     )
@@ -191,25 +202,44 @@
     )
 
 
-def _spans(lines: Sequence[Line], kinds: dict[str, str]) -> list[Span]:
-    if not lines:
+def _spans(
+    ends: Sequence[Line], kinds: dict[str, str], usages: Sequence[Line]
+) -> list[Span]:
+    if not ends:
         return []
-    times = [datetime.fromisoformat(line["timestamp"]).timestamp() for line in lines]
-    first = min(times)
+    first = min(map(_seconds, ends))
     counts: dict[int, Counter[str]] = defaultdict(Counter)
-    for line, at in zip(lines, times, strict=True):
-        counts[int((at - first) // _SPAN_S)][kinds[line["request"]]] += 1
+    for line in ends:
+        counts[_place(line, first)][kinds[line["request"]]] += 1
+    usages_by_place: dict[int, list[Line]] = defaultdict(list)
+    for line in usages:
+        usages_by_place[_place(line, first)].append(line)
     return [
-        Span(
-            begins=place * _SPAN_S,
-            whole=count[_WHOLE],
-            turned_away=count["turned_away"],
-            lost=count["lost"],
-        )
-        for place, count in sorted(counts.items())
+        _span(place * _SPAN_S, counts[place], usages_by_place[place])
+        for place in sorted(counts)
     ]
 
 
+def _span(begins: float, count: Counter[str], usages: Sequence[Line]) -> Span:
+    cpu = sum(line["cpu"] for line in usages) / max(1, len(usages))
+    return Span(
+        begins=begins,
+        whole=count[_WHOLE],
+        turned_away=count["turned_away"],
+        lost=count["lost"],
+        cpu=round(cpu, 4),
+        delay=max((line["delay"] for line in usages), default=0.0),
+    )
+
+
+def _place(line: Line, first: float) -> int:
+    return int((_seconds(line) - first) // _SPAN_S)
+
+
+def _seconds(line: Line) -> float:
+    return datetime.fromisoformat(line["timestamp"]).timestamp()
+
+
 def _lost_pieces(lines: Iterable[Line], kinds: dict[str, str]) -> int:
     ended_badly = [line for line in lines if kinds.get(line["request"]) == "lost"]
     return sum(len(line["stages"]) for line in ended_badly)
--- a/packages/cli/bergamotsaddle_cli/reviewing.py
+++ b/packages/cli/bergamotsaddle_cli/reviewing.py
@@ -72,11 +72,11 @@
                 f" {ends['lost']:5} {ends['other']:6}"
             )
         self.line("")
-        self.line("from second      whole  turned away  lost")
+        self.line("from second      whole  turned away  lost  cores   late s")
         for span in found.spans:
             self.line(
                 f"{span['begins']:<16.0f} {span['whole']:5} {span['turned_away']:12}"
-                f" {span['lost']:5}"
+                f" {span['lost']:5} {span['cpu']:6.3f} {span['delay']:8.3f}"
             )
         self.line("")
         self.line(f"stages done for requests that were lost: {found.lost_pieces}")
--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -100,6 +100,7 @@
         self._logger = logger
         self.connections: set[CallerConnection] = set()
         self.active = 0
+        self.served = 0
         self._workers: set[greenlet] = set()
 
     def end_all(self) -> None:
@@ -138,6 +139,7 @@
         if raw is None:
             return False
         self.active += 1
+        self.served += 1
         try:
             self._serve(caller, raw)
         finally:
--- a/packages/serving/bergamotsaddle_serving/peers.py
+++ b/packages/serving/bergamotsaddle_serving/peers.py
@@ -97,6 +97,8 @@
         self._totals_at = float("-inf")
         self._turn = 0
         self._greetings = Greetings()
+        self.received = 0
+        self.sent = 0
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((instance.host, self._port))
 
@@ -200,6 +202,7 @@
 
     def send_to(self, address: tuple[str, int], message: Message) -> None:
         """Send a datagram to an address; it may get lost."""
+        self.sent += 1
         try:
             self._socket.sendto(encode(message), address)
         except OSError as error:
@@ -226,6 +229,7 @@
         while True:
             try:
                 data, address = self._socket.recvfrom(_MAX_DATAGRAM)
+                self.received += 1
                 self._dispatch(decode(data), address)
             except msgspec.DecodeError as error:
                 self._logger.warning("datagram_malformed", reason=str(error))
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -31,6 +31,7 @@
 from bergamotsaddle_serving.stage_owner import StageOwner
 from bergamotsaddle_serving.stage_waits import StageWaits
 from bergamotsaddle_serving.streams import StreamServer
+from bergamotsaddle_serving.usage import UsageMeter
 from bergamotsaddle_serving.view import View
 from bergamotsaddle_serving.view_exchange import ViewExchange
 from bergamotsaddle_serving.zone_reach import ZoneReach
@@ -124,6 +125,14 @@
         self.view.watch(self.owner.open_queues)
         self.view.watch(self._forget_targets)
         self._add_gauges()
+        self.usage = UsageMeter(
+            {
+                "datagrams_in": lambda: self.peers.received,
+                "datagrams_out": lambda: self.peers.sent,
+                "requests": lambda: self.handler.served,
+                "store_calls": lambda: self.follower.calls,
+            }
+        )
 
     def run(self) -> None:
         """Serve until told to stop, then stop gracefully."""
@@ -201,7 +210,10 @@
 
     def _tick(self) -> None:
         while True:
+            due_at = now() + _TICK_S
             eventlet.sleep(_TICK_S)
+            self.usage.note_delay(now() - due_at)
+            self._report_usage()
             self._note_view()
             self.pool.prune()
             self.view.drop_lapsed()
@@ -212,6 +224,17 @@
                 self._asked_to_reload = False
                 self._reload()
 
+    def _report_usage(self) -> None:
+        usage = self.usage.take()
+        if usage is not None:
+            self.logger.info(
+                "usage",
+                cpu=usage.cpu,
+                delay=usage.delay,
+                peers=len(self.peers.alive()),
+                **usage.counts,
+            )
+
     def _reload(self) -> None:
         try:
             settings = parse_settings(Path(self._path).read_text(), name=self._path)
--- a/tests/test_review.py
+++ b/tests/test_review.py
@@ -37,6 +37,16 @@
     }
 
 
+def used(cpu, delay, *, second):
+    """The line of a daemon's usage."""
+    return {
+        "event": "usage",
+        "cpu": cpu,
+        "delay": delay,
+        "timestamp": AT.format(second),
+    }
+
+
 ADMITTED = {"event": "admit", "request": "a", "expected": 0.5}
 STAGES = {"event": "stages_done", "request": "a", "stages": [[0, "east", 0.2, 0.6]]}
 FIRST = {
@@ -72,6 +82,17 @@
         lines = [ended("a", second=1), ended("b", second=12)]
         self.assertEqual([span["whole"] for span in review(lines).spans], [1, 1])
 
+    def test_usage_of_daemons_stands_beside_the_requests_of_the_time(self):
+        lines = [
+            ended("a", second=1),
+            used(0.1, 0.02, second=5),
+            used(0.3, 0.4, second=6),
+            ended("b", second=12),
+        ]
+        loaded, idle = review(lines).spans
+        self.assertEqual((loaded["cpu"], loaded["delay"]), (0.2, 0.4))
+        self.assertEqual((idle["cpu"], idle["delay"]), (0.0, 0.0))
+
     @parameterized.expand(
         [
             ("nothing", [], "No request"),
