--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,44 @@
+"""The list of known failures."""
+
+import unittest
+from types import SimpleNamespace
+
+from nose2 import result
+from parameterized import parameterized
+
+from tests._known_red import KnownRed, read_names
+
+LINE = "tests.test_a.ATest.test_b | make test | a request was lost | 22"
+
+
+class KnownRedTest(unittest.TestCase):
+    """Outcomes of tests with and without a line."""
+
+    def setUp(self):
+        self.plugin = KnownRed.__new__(KnownRed)
+        self.plugin._line_by_name = read_names(f"# comment\n\n{LINE}\n")
+
+    @parameterized.expand(
+        [
+            ("listed_fails", "test_b", result.FAIL, result.FAIL, True),
+            ("listed_errs", "test_b", result.ERROR, result.FAIL, True),
+            ("listed_passes", "test_b", result.PASS, result.ERROR, False),
+            ("other_fails", "test_c", result.FAIL, result.FAIL, False),
+            ("other_passes", "test_c", result.PASS, result.PASS, False),
+        ]
+    )
+    def test_outcome(self, _, test, outcome, expected_outcome, is_expected):
+        name = f"tests.test_a.ATest.{test}"
+        event = SimpleNamespace(
+            test=SimpleNamespace(id=lambda: name),
+            outcome=outcome,
+            expected=False,
+            exc_info=None,
+        )
+        self.plugin.setTestOutcome(event)
+        self.assertEqual(event.outcome, expected_outcome)
+        self.assertEqual(event.expected, is_expected)
+
+    def test_a_line_without_its_issue_is_refused(self):
+        with self.assertRaisesRegex(ValueError, "expected test"):
+            read_names("tests.test_a.ATest.test_b | make test | seen")
