Load at a daemon's start only what it uses

Cause: eventlet imports asyncio and patches subprocess, prometheus_client brings an HTTP server and client with it; none serves a request. Ruled out: the store (answers in 4 ms) and the restart itself (0.5 s, the platform's). The loopback deployment, which starts processes, takes eventlet's own subprocess.

--- a/packages/serving/bergamotsaddle_serving/metrics.py
+++ b/packages/serving/bergamotsaddle_serving/metrics.py
@@ -1,41 +1,94 @@
 """Counters, gauges and histograms, and the page that shows them."""
 
-from collections.abc import Callable
+from bisect import bisect_left
+from collections import Counter
+from collections.abc import Callable, Iterator
+from itertools import accumulate
+from typing import TYPE_CHECKING, NamedTuple
 
-import prometheus_client as prometheus
+if TYPE_CHECKING:
+    from prometheus_client import Metric
 
 _BUCKETS_S = (0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 4.0, 8.0)
+_PREFIX = "bergamotsaddle_"
+
+
+class _Gauge(NamedTuple):
+    """A figure that is read whenever the page is."""
+
+    name: str
+    text: str
+    read: Callable[[], float]
+
+
+class _Durations:
+    """How long the requests of one route took."""
+
+    def __init__(self) -> None:
+        self._counts = [0] * (len(_BUCKETS_S) + 1)
+        self.total = 0.0
+
+    def add(self, seconds: float) -> None:
+        """Add a duration."""
+        self._counts[bisect_left(_BUCKETS_S, seconds)] += 1
+        self.total += seconds
+
+    def buckets(self) -> list[tuple[str, float]]:
+        """Upper bounds with the number of durations up to each."""
+        bounds = [*map(str, _BUCKETS_S), "+Inf"]
+        return list(zip(bounds, accumulate(self._counts), strict=True))
 
 
 class Metrics:
-    """What a daemon counts."""
+    """What a daemon counts.
+
+    The library that formats the page is loaded when the page is first asked for: it
+    brings a server and a client of its own, which would delay every start.
+    """
 
     def __init__(self) -> None:
-        self.registry = prometheus.CollectorRegistry()
-        self._requests = prometheus.Counter(
-            "bergamotsaddle_requests",
-            "Requests by route and outcome.",
-            ("route", "outcome"),
-            registry=self.registry,
-        )
-        self._seconds = prometheus.Histogram(
-            "bergamotsaddle_request_seconds",
-            "Time from a request's first byte to its end, by route.",
-            ("route",),
-            buckets=_BUCKETS_S,
-            registry=self.registry,
-        )
+        self._requests: Counter[tuple[str, str]] = Counter()
+        self._durations_by_route: dict[str, _Durations] = {}
+        self._gauges: list[_Gauge] = []
 
     def count_request(self, route: str, outcome: str, seconds: float) -> None:
         """Count a request that has ended."""
-        self._requests.labels(route, outcome).inc()
-        self._seconds.labels(route).observe(seconds)
+        self._requests[route, outcome] += 1
+        self._durations_by_route.setdefault(route, _Durations()).add(seconds)
 
     def gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Show a figure that is read whenever the page is."""
-        gauge = prometheus.Gauge(f"bergamotsaddle_{name}", text, registry=self.registry)
-        gauge.set_function(read)
+        self._gauges.append(_Gauge(name, text, read))
 
     def page(self) -> bytes:
         """The page as text."""
-        return prometheus.generate_latest(self.registry)
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry()
+        registry.register(self)
+        return generate_latest(registry)
+
+    def collect(self) -> "Iterator[Metric]":
+        """Yield all metrics, as a collector of the library."""
+        from prometheus_client import core
+
+        requests = core.CounterMetricFamily(
+            f"{_PREFIX}requests",
+            "Requests by route and outcome.",
+            labels=("route", "outcome"),
+        )
+        for labels, count in self._requests.items():
+            requests.add_metric(labels, count)
+        yield requests
+        seconds = core.HistogramMetricFamily(
+            f"{_PREFIX}request_seconds",
+            "Time from a request's first byte to its end, by route.",
+            labels=("route",),
+        )
+        for route, durations in self._durations_by_route.items():
+            seconds.add_metric((route,), durations.buckets(), durations.total)
+        yield seconds
+        for gauge in self._gauges:
+            yield core.GaugeMetricFamily(
+                f"{_PREFIX}{gauge.name}", gauge.text, gauge.read()
+            )
--- a/packages/standins/bergamotsaddle_standins/fleet.py
+++ b/packages/standins/bergamotsaddle_standins/fleet.py
@@ -1,7 +1,6 @@
 """A whole deployment on loopback: platform, targets and daemons as processes."""
 
 import signal
-import subprocess
 import sys
 import tempfile
 from pathlib import Path
@@ -10,6 +9,7 @@
 import eventlet
 import msgspec
 import urllib3
+from eventlet.green import subprocess
 
 from bergamotsaddle_contracts.declaration import digest_key
 from bergamotsaddle_daemon.clock import now
--- /dev/null
+++ b/tests/test_serving_metrics.py
@@ -0,0 +1,28 @@
+"""The page of metrics."""
+
+import unittest
+
+from bergamotsaddle_serving.metrics import Metrics
+
+
+class MetricsTest(unittest.TestCase):
+    """Requests that have ended, and a gauge."""
+
+    def test_page(self):
+        metrics = Metrics()
+        for seconds in (0.05, 0.3, 30.0):
+            metrics.count_request("plans", "whole", seconds)
+        metrics.count_request("plans", "not_ready", 0.01)
+        metrics.gauge("peers_alive", "Peers.", lambda: 7)
+        lines = metrics.page().decode().splitlines()
+        name = "bergamotsaddle_request"
+        for line in (
+            f'{name}s_total{{outcome="whole",route="plans"}} 3.0',
+            f'{name}s_total{{outcome="not_ready",route="plans"}} 1.0',
+            f'{name}_seconds_bucket{{le="0.05",route="plans"}} 2.0',
+            f'{name}_seconds_bucket{{le="0.5",route="plans"}} 3.0',
+            f'{name}_seconds_bucket{{le="+Inf",route="plans"}} 4.0',
+            f'{name}_seconds_count{{route="plans"}} 4.0',
+            "bergamotsaddle_peers_alive 7.0",
+        ):
+            self.assertIn(line, lines)
