--- a/packages/serving/bergamotsaddle_serving/usage.py
+++ b/packages/serving/bergamotsaddle_serving/usage.py
@@ -1,6 +1,6 @@
 """What a daemon takes of its machine. No input or output here."""
 
-import time
+import resource
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -23,6 +23,12 @@
     counts: dict[str, int]
 
 
+def processor_seconds() -> float:
+    """Processor time of this process, user's and system's."""
+    spent = resource.getrusage(resource.RUSAGE_SELF)
+    return spent.ru_utime + spent.ru_stime
+
+
 class UsageMeter:
     """Measures the processor time of this process between two reports.
 
@@ -37,7 +43,7 @@
         self,
         counters: dict[str, Callable[[], int]],
         *,
-        processor_seconds: Callable[[], float] = time.process_time,
+        processor_seconds: Callable[[], float] = processor_seconds,
     ) -> None:
         self._counters = counters
         self._processor_seconds = processor_seconds
