Have the instances of a restarted fleet meet at once

Cause: an instance that others named, but that was not heard yet, was greeted with the silent ones, ten at a time once a second. Of 4,290 pairs half had met 2.0 s after the start, the last ones after 4.8 s. Until then daemons knew different parts of the fleet and took different instances for the owner of a queue: the calls of each stage service came from two owners until 46 s ('stage_call' lines), 66 of 68 repeated stages from 44 to 46 s had lost inputs, 1,108 pieces no room. Class of fault: a figure for each round that is right for ten instances and makes a wait that grows with the fleet. Change: those that were never greeted are greeted in the next round (up to 64), and an instance that knows few is answered with 32 contacts instead of 8.

--- a/packages/serving/bergamotsaddle_serving/peers.py
+++ b/packages/serving/bergamotsaddle_serving/peers.py
@@ -32,6 +32,10 @@
 _SILENT_EVERY = 5
 _FORGET_S = 600.0
 _CONTACTS_TOLD = 8
+# An instance that has just started is told so many, which still fit into one packet.
+_CONTACTS_TOLD_NEWCOMERS = 32
+# Instances that were named by others are greeted at once, so many in a round at most.
+_MOST_UNMET = 64
 _MAX_DATAGRAM = 65_535
 # What one owner has not acknowledged is taken elsewhere; it is asked again after this.
 _SUSPECT_S = 1.0
@@ -60,6 +64,7 @@
         self.running: dict[str, int] = {}
         self.reading: dict[str, int] = {}
         self.strength = 0.0
+        self.was_greeted = False
         self.heard_at = float("-inf")
         self.known_at = now()
         self.suspect_until = float("-inf")
@@ -241,9 +246,9 @@
         if handler is not None:
             handler(message, address)
 
-    def _hello(self) -> Hello:
+    def _hello(self, most_contacts: int = _CONTACTS_TOLD) -> Hello:
         alive = self.alive()
-        told = random.sample(alive, min(_CONTACTS_TOLD, len(alive)))
+        told = random.sample(alive, min(most_contacts, len(alive)))
         return Hello(
             sender=self.own,
             life=self.life,
@@ -268,7 +273,19 @@
             extra = chosen[:MOST_AT_ONCE]
         else:
             extra = []
-        return self._greetings.pick(hosts, owns_queues=owns_queues) + extra
+        picked = self._greetings.pick(hosts, owns_queues=owns_queues)
+        return [*picked, *extra, *self._take_unmet()]
+
+    def _take_unmet(self) -> list[str]:
+        """Hosts that others named and that were never greeted.
+
+        Met ten at a time, the instances of a restarted fleet would know different
+        parts of it for seconds, and take different ones for the owner of a queue.
+        """
+        unmet = [peer for peer in self.by_id.values() if not peer.was_greeted]
+        for peer in unmet[:_MOST_UNMET]:
+            peer.was_greeted = True
+        return [peer.contact.host for peer in unmet[:_MOST_UNMET]]
 
     def _silence_limit(self) -> float:
         rounds = 1 + len(self.by_id) // MOST_AT_ONCE
@@ -284,7 +301,10 @@
         if not was_alive or peer.life != hello.life:
             self._logger.info("peer_found", peer=hello.sender.id, life=hello.life)
             # Tell it at once, so that two starting instances need not wait a round.
-            self.send_to((hello.sender.host, self._port), self._hello())
+            is_newcomer = len(hello.contacts) < _CONTACTS_TOLD
+            most = _CONTACTS_TOLD_NEWCOMERS if is_newcomer else _CONTACTS_TOLD
+            self.send_to((hello.sender.host, self._port), self._hello(most))
+            peer.was_greeted = True
         peer.life = hello.life
         peer.takes_work = hello.takes_work
         peer.revision = hello.revision
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -50,7 +50,7 @@
 _ANSWER_S = 0.1
 _TICK_S = 0.5
 # Two rounds of heartbeats and the answers: a seed names the others in its answer.
-_SETTLE_S = 0.5
+SETTLE_S = 0.5
 _RESTART_PAUSE_S = 0.5
 
 
@@ -249,7 +249,7 @@
         # An instance that has just started knows no targets yet; as an owner it would
         # turn every piece away. Nor has it heard the others: after a restart of all,
         # each would take itself for the owner of everything.
-        is_settled = now() - self._began_at >= _SETTLE_S
+        is_settled = now() - self._began_at >= SETTLE_S
         self.peers.takes_work = is_settled and self.is_ready()
 
     def _forget_targets(self) -> None:
