Leave owners that do not answer until they are heard again

Cause: a peer counts as heard for four rounds of all heartbeats, 5.6 s with 66 instances and 29 s with 350, so owners beyond the cut stayed candidates all the while. The zone was known to be lost after 0.7 s, but only targets were chosen by that. A suspected owner was asked again after a second, though nothing had been heard of it, and each asking costs a request 0.24 s. Change: instances of a zone that is cut off own nothing; a suspected one stays so until it is heard. Whether a peer was heard is told in one place now, it was in four. Evidence: two tests with a fleet of 66 in one process; both failed before (owner in zone b of a cut-off zone c; a silent owner asked again).

--- a/packages/serving/bergamotsaddle_serving/peers.py
+++ b/packages/serving/bergamotsaddle_serving/peers.py
@@ -37,7 +37,8 @@
 # Instances that were named by others are greeted at once, so many in a round at most.
 _MOST_UNMET = 64
 _MAX_DATAGRAM = 65_535
-# What one owner has not acknowledged is taken elsewhere; it is asked again after this.
+# What one owner has not acknowledged is taken elsewhere for so long at least, and then
+# until it is heard again.
 _SUSPECT_S = 1.0
 # Machines with this part of the strongest one's strength may own queues.
 _STRONG_PART = 0.5
@@ -67,7 +68,12 @@
         self.was_greeted = False
         self.heard_at = float("-inf")
         self.known_at = now()
-        self.suspect_until = float("-inf")
+        self.suspected_at = float("-inf")
+
+    def is_suspect(self) -> bool:
+        """Tell whether it left something unacknowledged and was not heard since."""
+        is_fresh = now() - self.suspected_at < _SUSPECT_S
+        return is_fresh or self.heard_at < self.suspected_at
 
 
 class Peers:
@@ -91,6 +97,7 @@
         self.own_running: Callable[[], dict[str, int]] = dict
         self.own_reading: Callable[[], dict[str, int]] = dict
         self.own_revision: Callable[[], int] = lambda: 0
+        self.is_cut_off: Callable[[str], bool] = lambda zone: False
         self._handlers: dict[type, Handler] = {Hello: self._hear}
         self._logger = logger
         self._strength = settings.capacity.strength
@@ -113,9 +120,8 @@
 
     def alive(self) -> list[Peer]:
         """Peers that were heard lately."""
-        limit = self._silence_limit()
-        moment = now()
-        return [p for p in self.by_id.values() if moment - p.heard_at < limit]
+        since = self._heard_since()
+        return [p for p in self.by_id.values() if p.heard_at > since]
 
     def id_of(self, host: str) -> str | None:
         """Id of the instance at an IP number."""
@@ -127,12 +133,9 @@
     def is_alive(self, peer_id: str) -> bool:
         """Tell whether a peer was heard lately and acknowledges what it gets."""
         peer = self.by_id.get(peer_id)
-        if peer is None:
+        if peer is None or peer.is_suspect():
             return False
-        moment = now()
-        return moment - peer.heard_at < self._silence_limit() and (
-            moment >= peer.suspect_until
-        )
+        return peer.heard_at > self._heard_since()
 
     def region(self, zone: str) -> str:
         """Region of a zone; a zone of no known region is one by itself."""
@@ -161,7 +164,7 @@
         if peer_id == self.own.id:
             return self.life
         peer = self.by_id.get(peer_id)
-        if peer is None or now() - peer.heard_at >= self._silence_limit():
+        if peer is None or peer.heard_at <= self._heard_since():
             return None
         return peer.life
 
@@ -171,12 +174,15 @@
         Those inside can reach its targets whatever is cut off outside. Of these only
         the strong ones are taken: the owner of a large service makes dozens of calls a
         second, and one on a weak machine would delay every request of the region while
-        others rest.
+        others rest. Instances of a zone that is cut off count as heard for seconds in a
+        large fleet; whatever they were sent would have to be sent again.
         """
         strength_by_contact = {
             peer.contact: peer.strength
             for peer in self.alive()
-            if peer.takes_work and now() >= peer.suspect_until
+            if peer.takes_work
+            and not peer.is_suspect()
+            and not self.is_cut_off(peer.contact.zone)
         }
         if self.takes_work:
             strength_by_contact[self.own] = self._strength
@@ -193,7 +199,7 @@
         """Note that a peer did not acknowledge what it was sent."""
         peer = self.by_id.get(peer_id)
         if peer is not None:
-            peer.suspect_until = now() + _SUSPECT_S
+            peer.suspected_at = now()
 
     def size(self) -> int:
         """Instances known of late, this one among them, dead ones too."""
@@ -287,9 +293,10 @@
             peer.was_greeted = True
         return [peer.contact.host for peer in unmet[:_MOST_UNMET]]
 
-    def _silence_limit(self) -> float:
+    def _heard_since(self) -> float:
+        """Since when a peer that lives must have been heard."""
         rounds = 1 + len(self.by_id) // MOST_AT_ONCE
-        return HELLO_INTERVAL_S * rounds * _MISSED_HELLOS
+        return now() - HELLO_INTERVAL_S * rounds * _MISSED_HELLOS
 
     def _hear(self, hello: Hello, _: tuple[str, int]) -> None:
         if hello.sender.id == self.own.id:
@@ -297,7 +304,7 @@
         peer = self.by_id.get(hello.sender.id)
         if peer is None or peer.contact != hello.sender:
             peer = self.by_id[hello.sender.id] = Peer(hello.sender)
-        was_alive = now() - peer.heard_at < self._silence_limit()
+        was_alive = peer.heard_at > self._heard_since()
         if not was_alive or peer.life != hello.life:
             self._logger.info("peer_found", peer=hello.sender.id, life=hello.life)
             # Tell it at once, so that two starting instances need not wait a round.
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -92,6 +92,7 @@
         )
         self.exchange = ViewExchange(settings, self.view, self.peers, logger)
         self.reach = ZoneReach(self.view, self.peers, self.pool, dialect, logger)
+        self.peers.is_cut_off = self.reach.is_lost
         calls = StageCalls(self.view, self.pool, dialect)
         self.owner = StageOwner(
             self.view, self.peers, calls, dialect, self.reach, logger, policy
--- a/tests/test_peer_discovery.py
+++ b/tests/test_peer_discovery.py
@@ -1,4 +1,4 @@
-"""How instances find each other after a restart of a whole fleet."""
+"""How the instances of a large fleet find and lose each other."""
 
 import unittest
 
@@ -30,3 +30,47 @@
             owners = {rank_owners(peers, service, "r")[0] for peers in fleet}
             self.assertEqual(len(owners), 1)
         self.assertEqual({len(peers.alive()) for peers in fleet}, {size - 1})
+
+
+class LossTest(unittest.TestCase):
+    """A fleet in which peers count as heard for seconds after their last word."""
+
+    def setUp(self):
+        use_paused_clock()
+        self.addCleanup(use_paused_clock)
+        self.fleet = PeerFleet(66)
+        self.fleet.start(within=START_S)
+        advance(START_S + SETTLE_S)
+        self.inside = next(peers for peers in self.fleet if peers.own.zone == "c")
+
+    def owner(self):
+        """The owner of a queue as an instance of zone c sees it."""
+        return rank_owners(self.inside, "encode", "r")[0]
+
+    def zone_of(self, owner):
+        """Zone of an instance."""
+        if owner == self.inside.own.id:
+            return self.inside.own.zone
+        return self.inside.by_id[owner].contact.zone
+
+    def test_an_owner_beyond_a_cut_is_not_asked(self):
+        """Guards against waiting for owners of a zone that is known to be cut off."""
+        self.fleet.cut_off("c")
+        advance(SETTLE_S)
+        self.inside.is_cut_off = lambda zone: zone != "c"
+        self.assertEqual(self.zone_of(self.owner()), "c")
+
+    def test_a_silent_owner_is_not_asked_again_before_it_is_heard(self):
+        """Guards against each request waiting for the same dead owner in turn."""
+        self.fleet.cut_off("c")
+        silent = set()
+        while self.zone_of(self.owner()) != "c":
+            silent.add(self.owner())
+            self.inside.suspect(self.owner())
+        self.assertTrue(silent)
+        advance(2.0)
+        self.assertNotIn(self.owner(), silent)
+        self.fleet.heal()
+        advance(3.0)
+        owners = {rank_owners(peers, "encode", "r")[0] for peers in self.fleet}
+        self.assertEqual(owners, {self.owner()})
