Count the time to fetch inputs from when a request has left

Cause: a daemon gives up the inputs of a request 20 ms and a little after it begins to send it, when the engine has fetched them. Class of fault: a constant that holds on the machines of the small sites (1,000 Mbit/s) and not on weak ones. Ruled out: targets that died (no entry lines near them), a second owner (calm seconds). Change: the time begins once the request was handed to the connection, and counts its size at a fifth of the declared link. The same for calls of stage targets, whose size goes with the handles in them; with 1,000 Mbit/s both are as before.

--- a/packages/serving/bergamotsaddle_serving/attempt.py
+++ b/packages/serving/bergamotsaddle_serving/attempt.py
@@ -1,5 +1,6 @@
 """One request sent to one target."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from bergamotsaddle_contracts.errors import BergamotsaddleError
@@ -96,7 +97,12 @@
             self._connection.close()
 
     def send(
-        self, dispatch: Dispatch, *, limit: float, most: float | None = None
+        self,
+        dispatch: Dispatch,
+        *,
+        limit: float,
+        most: float | None = None,
+        on_sent: Callable[[int], None] | None = None,
     ) -> Reply:
         """Send the request and wait for the head of the answer.
 
@@ -106,6 +112,8 @@
             most: Seconds to wait for one that goes on answering other requests; a
                 busy engine reads other prompts first, and leaving it then would only
                 have the work done twice. The same as the limit if left out.
+            on_sent: Called with the size of the request once it was handed to the
+                connection.
 
         Raises:
             NotRunError: If the target did not run it.
@@ -123,7 +131,9 @@
         self._connection = connection
         context.progress.is_sent = True
         try:
-            connection.send(call, limit=limit)
+            size = connection.send(call, limit=limit)
+            if on_sent is not None:
+                on_sent(size)
             head = self._await_head(connection, limit, most or limit)
         except ConnectionLostError as error:
             self._state.fail(is_certain=False)
--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -122,9 +122,12 @@
         poll.register(self._socket.fileno(), _original_select.POLLIN)
         return not poll.poll(0)
 
-    def send(self, request: HttpCall, *, limit: float) -> None:
+    def send(self, request: HttpCall, *, limit: float) -> int:
         """Send a request.
 
+        Returns:
+            Its size in bytes; a large one is still being sent.
+
         Raises:
             ConnectionLostError: If that failed.
         """
@@ -140,11 +143,12 @@
         self._socket.settimeout(max(0.001, limit))
         if len(data) > _SEND_AHEAD:
             self._sender = eventlet.spawn(self._send_beside, data)
-            return
+            return len(data)
         try:
             self._socket.sendall(data)
         except OSError as error:
             raise ConnectionLostError("send") from error
+        return len(data)
 
     def _send_beside(self, data: bytes) -> bool:
         try:
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -14,6 +14,7 @@
 from bergamotsaddle_serving.budget import ColdPace, RetryBudget
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.client import ConnectionPool
+from bergamotsaddle_serving.fetching import FetchTimes
 from bergamotsaddle_serving.follower import StoreFollower
 from bergamotsaddle_serving.handler import Handler
 from bergamotsaddle_serving.health import Health
@@ -93,9 +94,17 @@
         self.exchange = ViewExchange(settings, self.view, self.peers, logger)
         self.reach = ZoneReach(self.view, self.peers, self.pool, dialect, logger)
         self.peers.is_cut_off = self.reach.is_lost
+        fetch_times = FetchTimes(settings.capacity.link_mbps)
         calls = StageCalls(self.view, self.pool, dialect)
         self.owner = StageOwner(
-            self.view, self.peers, calls, dialect, self.reach, logger, policy
+            self.view,
+            self.peers,
+            calls,
+            dialect,
+            self.reach,
+            logger,
+            policy,
+            fetch_times,
         )
         budget = RetryBudget(settings.bounds, self.peers.size)
         cold = ColdPace(self.peers.size)
@@ -112,6 +121,7 @@
             dialect,
             logger,
             policy,
+            fetch_times,
         )
         self.handler = Handler(
             self.view, plain, streams, budget, dialect, self.metrics, logger, policy
--- a/packages/serving/bergamotsaddle_serving/stage_caller.py
+++ b/packages/serving/bergamotsaddle_serving/stage_caller.py
@@ -8,7 +8,7 @@
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving._stage_worker import ServiceQueue, Worker
 from bergamotsaddle_serving.client import ConnectionLostError
-from bergamotsaddle_serving.fetching import fetch_seconds
+from bergamotsaddle_serving.fetching import FAST_LINK, FetchTimes
 from bergamotsaddle_serving.messages import PieceResult, Unmade
 from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
 from bergamotsaddle_serving.stage_calls import StageCalls
@@ -31,12 +31,21 @@
 _ROOM_WAIT_S = 0.09
 
 
+# Of a result's handle in a call.
+_HANDLE_BYTES = 40
+
+
 def _input_bytes(batch: list[QueuedPiece]) -> int:
     """Size of all inputs of a call; pieces of one stage share theirs."""
     by_stage = {piece.key[:2]: piece.input_bytes for piece in batch}
     return sum(by_stage.values())
 
 
+def _call_bytes(batch: list[QueuedPiece]) -> int:
+    """Approximate size of a call, most of which are handles of inputs."""
+    return _HANDLE_BYTES * sum(1 + len(piece.inputs) for piece in batch)
+
+
 class StageCaller:
     """Takes pieces out of a queue for one target at a time and calls it.
 
@@ -46,6 +55,7 @@
         releases: Gives up results that nobody waits for any more.
         logger: Gets a line for each call.
         policy: Which mechanisms are in force.
+        fetch_times: Tells when targets have fetched their inputs.
 
     Attributes:
         calls_made: Calls so far.
@@ -59,8 +69,10 @@
         releases: StageReleases,
         logger: Any,
         policy: Policy = FULL_POLICY,
+        fetch_times: FetchTimes = FAST_LINK,
     ) -> None:
         self._policy = policy
+        self._fetch_times = fetch_times
         self._calls = calls
         self._results = results
         self._releases = releases
@@ -245,5 +257,5 @@
     ) -> GreenThread | None:
         if worker.is_shared() or not self._policy.has(Mechanism.EARLY_RELEASE):
             return None
-        delay = fetch_seconds(_input_bytes(batch))
+        delay = self._fetch_times.seconds(_input_bytes(batch), _call_bytes(batch))
         return eventlet.spawn_after(delay, self._results.tell_started, queue, batch)
--- a/packages/serving/bergamotsaddle_serving/stage_owner.py
+++ b/packages/serving/bergamotsaddle_serving/stage_owner.py
@@ -8,6 +8,7 @@
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving._stage_worker import Sender, ServiceQueue, Worker
 from bergamotsaddle_serving.catalog import Target
+from bergamotsaddle_serving.fetching import FAST_LINK, FetchTimes
 from bergamotsaddle_serving.messages import Dialect, Unmade
 from bergamotsaddle_serving.owners import rank_owners
 from bergamotsaddle_serving.peer_messages import (
@@ -51,6 +52,7 @@
         reach: Knows the zones that are cut off.
         logger: Gets a line for each call.
         policy: Which mechanisms are in force.
+        fetch_times: Tells when targets have fetched their inputs.
 
     Attributes:
         scopes: Which targets share a queue.
@@ -67,6 +69,7 @@
         reach: ZoneReach,
         logger: Any,
         policy: Policy = FULL_POLICY,
+        fetch_times: FetchTimes = FAST_LINK,
     ) -> None:
         self._view = view
         self._policy = policy
@@ -78,7 +81,9 @@
         self.scopes = Scopes(view, peers, policy)
         self.results = StageResults(peers)
         self._releases = StageReleases(view, reach, calls, dialect, logger)
-        self.caller = StageCaller(calls, self.results, self._releases, logger, policy)
+        self.caller = StageCaller(
+            calls, self.results, self._releases, logger, policy, fetch_times
+        )
         view.watch(self._retire)
         reach.watch(self._retire)
 
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -28,7 +28,7 @@
     unshared_tokens,
 )
 from bergamotsaddle_serving.events import EventSplitter
-from bergamotsaddle_serving.fetching import fetch_seconds
+from bergamotsaddle_serving.fetching import FAST_LINK, FetchTimes
 from bergamotsaddle_serving.messages import Dialect, Dispatch
 from bergamotsaddle_serving.policy import FULL_POLICY, Policy
 from bergamotsaddle_serving.selector import Candidate, Selector
@@ -67,6 +67,7 @@
         dialect: Makes headers.
         logger: Gets a line for each decision.
         policy: Which mechanisms are in force.
+        fetch_times: Tells when engines have fetched their inputs.
     """
 
     def __init__(
@@ -79,8 +80,10 @@
         dialect: Dialect,
         logger: Any,
         policy: Policy = FULL_POLICY,
+        fetch_times: FetchTimes = FAST_LINK,
     ) -> None:
         self.policy = policy
+        self.fetch_times = fetch_times
         self.selector = selector
         self.waits = waits
         self.exchange = exchange
@@ -335,8 +338,12 @@
                     self._last_id,
                 )
                 limit = self._first_limit(choice)
-                self._release_when_fetched()
-                reply = attempt.send(dispatch, limit=limit, most=context.remaining)
+                reply = attempt.send(
+                    dispatch,
+                    limit=limit,
+                    most=context.remaining,
+                    on_sent=self._release_when_fetched,
+                )
                 if not reply.is_success:
                     self._pass_failure(attempt, reply)
                     return
@@ -393,7 +400,7 @@
         self._has_started = True
         self._caller.start(reply.head.status, list(end_to_end(reply.head.headers)))
 
-    def _release_when_fetched(self) -> None:
+    def _release_when_fetched(self, sent_bytes: int) -> None:
         """Give up the inputs once the engine has surely fetched them.
 
         An engine fetches them as soon as it gets the request, but its first event
@@ -404,7 +411,8 @@
             return
         sizes = self._context.route.stages
         most = max(stage.result_bytes for stage in sizes) * len(self._inputs)
-        self._fetching = eventlet.spawn_after(fetch_seconds(most), self._release_inputs)
+        delay = self._server.fetch_times.seconds(most, sent_bytes)
+        self._fetching = eventlet.spawn_after(delay, self._release_inputs)
 
     def _release_inputs(self) -> None:
         # If the stream breaks off later they are made again, which is rare.
