--- a/packages/serving/bergamotsaddle_serving/settings.py
+++ b/packages/serving/bergamotsaddle_serving/settings.py
@@ -116,6 +116,18 @@
     return value
 
 
+def _parse_positive(text: str) -> float:
+    """Turn text into a number above zero.
+
+    Raises:
+        ValueError: If it is none.
+    """
+    value = _parse_number(text)
+    if not value:
+        raise ValueError("expected a number above 0")
+    return value
+
+
 def _parse_port(text: str) -> int:
     return parse_address(f"127.0.0.1:{text.strip()}").port
 
@@ -175,9 +187,9 @@
         ),
         ini.get("policy", "off", parse_policy, FULL_POLICY),
         CapacitySettings(
-            ini.get("capacity", "cpu_share", _parse_number, 1.0),
-            ini.get("capacity", "cpus", _parse_number, 1.0),
-            ini.get("capacity", "link_mbps", _parse_number, 1_000.0),
+            ini.get("capacity", "cpu_share", _parse_positive, 1.0),
+            ini.get("capacity", "cpus", _parse_positive, 1.0),
+            ini.get("capacity", "link_mbps", _parse_positive, 1_000.0),
         ),
     )
     ini.close()
--- a/tests/test_serving_settings.py
+++ b/tests/test_serving_settings.py
@@ -78,6 +78,12 @@
             ("peer_port = 7740", "peer_port = x", "listen", "peer_port"),
             ("grace_s = 8", "grace_s = -1", "bounds", "grace_s"),
             ("id = a1", "id =", "instance", "id"),
+            (
+                "[bounds]",
+                "[capacity]\nlink_mbps = 0\n[bounds]",
+                "capacity",
+                "link_mbps",
+            ),
         ]
     )
     def test_a_fault_names_file_section_and_key(self, old, new, section, key):
