End a request's story with its cause, and fit it to a terminal

What operators saw: one line of a call with 66 unmade pieces made the table of 'explain' 700 columns wide, and it ended without a word on what mattered. Commands only, daemons are as before.

--- a/packages/cli/bergamotsaddle_cli/state.py
+++ b/packages/cli/bergamotsaddle_cli/state.py
@@ -2,19 +2,26 @@
 
 import os
 import sys
+import textwrap
+from itertools import groupby
 from typing import Any
 
 import msgspec
 from cleo.commands.command import Command
+from cleo.formatters.formatter import Formatter
 from cleo.helpers import argument, option
 
-from bergamotsaddle_cli.logs import read_story
+from bergamotsaddle_cli.cause import tell_cause
+from bergamotsaddle_cli.logs import LogLine, read_story
 from bergamotsaddle_cli.pages import Page, Pages
 
 EXIT_NOT_FOUND = 1
 EXIT_INVALID = 2
 EXIT_UNREACHABLE = 3
 ADDRESSES_VARIABLE = "BERGAMOTSADDLE_AT"
+# Of a request's story, so that it fits a terminal.
+_LINE_WIDTH = 100
+_DETAILS_INDENT = 14
 AT = option(
     "at",
     None,
@@ -223,16 +230,31 @@
         if self.option("json"):
             self.say_json([line._asdict() for line in story])
         elif story:
-            rows = [
-                [line.at[11:23], line.instance, line.event, _show(line.details)]
-                for line in story
-            ]
-            self.render_table(["at", "instance", "event", "because"], rows)
+            self._show_story(story)
         if story:
             return 0
         self.line_error("no line of these logs is about this request")
         return EXIT_NOT_FOUND
 
+    def _show_story(self, story: list[LogLine]) -> None:
+        width = max(len(line.instance) for line in story)
+        for line in story:
+            head = f"{line.at[11:23]}  {line.instance:{width}}  {line.event}"
+            self.line(f"<options=bold>{head}</>")
+            text = Formatter.escape(_show(line.details))
+            indent = " " * _DETAILS_INDENT
+            self.line(
+                textwrap.fill(
+                    text,
+                    _LINE_WIDTH,
+                    break_on_hyphens=False,
+                    initial_indent=indent,
+                    subsequent_indent=indent,
+                )
+            )
+        self.line("")
+        self.line(tell_cause(story))
+
     def ask(self, pages: Pages) -> int:
         """Find the daemons that know the request and show what they decided."""
         read, failures = pages.read_all(f"explain/{self.argument('request')}")
@@ -264,4 +286,15 @@
 
 def _show(details: dict[str, Any]) -> str:
     """Show a line's details as words, a value each."""
-    return " ".join(f"{key}={value}" for key, value in details.items() if value != "")
+    return " ".join(
+        f"{key}={_count(value) if isinstance(value, list) else value}"
+        for key, value in details.items()
+        if value != ""
+    )
+
+
+def _count(values: list[Any]) -> str:
+    """Show a list, each run of the same value once with its length."""
+    runs = [(value, len(list(group))) for value, group in groupby(values)]
+    shown = [f"{value} x{count}" if count > 1 else str(value) for value, count in runs]
+    return f"[{', '.join(shown)}]"
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -186,7 +186,9 @@
 
     LINES = (
         '{"instance":"b1","event":"stage_call","requests":["r1","r2"],'
-        '"timestamp":"2026-01-01T00:00:02Z","pieces":2}\n',
+        '"timestamp":"2026-01-01T00:00:02Z","pieces":2,"unmade":'
+        + msgspec.json.encode(["gone"] * 66 + ["late"]).decode()
+        + "}\n",
         '  1.5 a1 {"instance":"a1","event":"admit","request":"r1","expected":0.5,'
         '"timestamp":"2026-01-01T00:00:01Z"}\n',
         "Traceback that names r1 {\n",
@@ -206,6 +208,9 @@
         self.assertEqual(status, 0)
         self.assertLess(output.index("admit"), output.index("stage_call"))
         self.assertIn("expected=0.5", output)
+        self.assertIn("unmade=[gone x66, late]", output)
+        self.assertLessEqual(max(map(len, output.splitlines())), 100)
+        self.assertIn("not ended", output.splitlines()[-1])
 
     def test_json(self):
         _, output, _ = self.explain("r1", "--json")
