--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 PACKAGES := $(wildcard packages/*/pyproject.toml) platform/adapter/pyproject.toml
 
-.PHONY: demo test lint format model faults bench capacity
+.PHONY: demo test lint format model faults bench capacity meeting
 .NOTPARALLEL:
 
 $(STAMP): requirements.txt $(PACKAGES)
@@ -38,3 +38,6 @@
 
 capacity: $(STAMP)
 	$(PYTHON) -m bergamotsaddle_standins.capacity $(ARGS)
+
+meeting: $(STAMP)
+	$(PYTHON) -m bergamotsaddle_standins.meeting $(ARGS)
--- a/tests/test_peer_discovery.py
+++ b/tests/test_peer_discovery.py
@@ -6,8 +6,8 @@
 
 from bergamotsaddle_serving.owners import rank_owners
 from bergamotsaddle_serving.server import SETTLE_S
+from bergamotsaddle_standins.peer_fleet import PeerFleet
 from tests._paused import advance, use_paused_clock
-from tests._peer_fleet import PeerFleet
 
 START_S = 0.3
 
@@ -27,9 +27,8 @@
         fleet.start(within=START_S)
         advance(START_S + SETTLE_S)
         for service in ("encode", "retrieve", "rerank"):
-            owners = {rank_owners(peers, service, "r")[0] for peers in fleet}
-            self.assertEqual(len(owners), 1)
-        self.assertEqual({len(peers.alive()) for peers in fleet}, {size - 1})
+            self.assertEqual(len(fleet.owners(service)), 1)
+        self.assertEqual(fleet.least_known(), size - 1)
 
 
 class LossTest(unittest.TestCase):
@@ -72,5 +71,4 @@
         self.assertNotIn(self.owner(), silent)
         self.fleet.heal()
         advance(3.0)
-        owners = {rank_owners(peers, "encode", "r")[0] for peers in self.fleet}
-        self.assertEqual(owners, {self.owner()})
+        self.assertEqual(self.fleet.owners("encode"), {self.owner()})
