--- a/packages/serving/bergamotsaddle_serving/peers.py
+++ b/packages/serving/bergamotsaddle_serving/peers.py
@@ -32,9 +32,10 @@
 _SILENT_EVERY = 5
 _FORGET_S = 600.0
 _CONTACTS_TOLD = 8
-# An instance that has just started is told so many, which still fit into one packet.
+# Contacts named to an instance that knows few others; they fit into one packet.
 _CONTACTS_TOLD_NEWCOMERS = 32
-# Instances that were named by others are greeted at once, so many in a round at most.
+# Instances that were named by others and never greeted get a heartbeat in the next
+# round, so many of them at most.
 _MOST_UNMET = 64
 _MAX_DATAGRAM = 65_535
 # What one owner has not acknowledged is taken elsewhere for so long at least, and then
