--- a/packages/cli/bergamotsaddle_cli/cause.py
+++ b/packages/cli/bergamotsaddle_cli/cause.py
@@ -18,7 +18,7 @@
     end = _last(story, "request")
     if end is None:
         return "It has not ended in these logs."
-    return f"{_ending(end)} {_reason(story, end)}"
+    return f"{_ending(end)} {_reason(story)}"
 
 
 def _ending(end: dict[str, Any]) -> str:
@@ -26,7 +26,7 @@
     return f"Ended as '{outcome}' after {end.get('seconds', 0.0):.2f} s."
 
 
-def _reason(story: Sequence[LogLine], end: dict[str, Any]) -> str:
+def _reason(story: Sequence[LogLine]) -> str:
     refused = _last(story, "turn_away")
     if refused is not None:
         wait = refused["expected"] - refused["idle"]
--- a/packages/serving/bergamotsaddle_serving/peers.py
+++ b/packages/serving/bergamotsaddle_serving/peers.py
@@ -136,7 +136,7 @@
         peer = self.by_id.get(peer_id)
         if peer is None or peer.is_suspect():
             return False
-        return peer.heard_at > self._heard_since()
+        return self._is_heard(peer)
 
     def region(self, zone: str) -> str:
         """Region of a zone; a zone of no known region is one by itself."""
@@ -165,7 +165,7 @@
         if peer_id == self.own.id:
             return self.life
         peer = self.by_id.get(peer_id)
-        if peer is None or peer.heard_at <= self._heard_since():
+        if peer is None or not self._is_heard(peer):
             return None
         return peer.life
 
@@ -290,9 +290,13 @@
         parts of it for seconds, and take different ones for the owner of a queue.
         """
         unmet = [peer for peer in self.by_id.values() if not peer.was_greeted]
-        for peer in unmet[:_MOST_UNMET]:
+        chosen = unmet[:_MOST_UNMET]
+        for peer in chosen:
             peer.was_greeted = True
-        return [peer.contact.host for peer in unmet[:_MOST_UNMET]]
+        return [peer.contact.host for peer in chosen]
+
+    def _is_heard(self, peer: Peer) -> bool:
+        return peer.heard_at > self._heard_since()
 
     def _heard_since(self) -> float:
         """Since when a peer that lives must have been heard."""
@@ -305,7 +309,7 @@
         peer = self.by_id.get(hello.sender.id)
         if peer is None or peer.contact != hello.sender:
             peer = self.by_id[hello.sender.id] = Peer(hello.sender)
-        was_alive = peer.heard_at > self._heard_since()
+        was_alive = self._is_heard(peer)
         if not was_alive or peer.life != hello.life:
             self._logger.info("peer_found", peer=hello.sender.id, life=hello.life)
             # Tell it at once, so that two starting instances need not wait a round.
--- a/packages/serving/bergamotsaddle_serving/stage_caller.py
+++ b/packages/serving/bergamotsaddle_serving/stage_caller.py
@@ -29,8 +29,6 @@
 # How long after a call the next one may wait for the room that its results give up:
 # their way to the sender, from there to an engine, and the word that they were fetched.
 _ROOM_WAIT_S = 0.09
-
-
 # Of a result's handle in a call.
 _HANDLE_BYTES = 40
 
--- a/packages/serving/bergamotsaddle_serving/usage.py
+++ b/packages/serving/bergamotsaddle_serving/usage.py
@@ -35,8 +35,8 @@
     Late timers tell an overloaded daemon from one whose requests wait at targets.
 
     Args:
-        processor_seconds: Reads the processor time of this process.
         counters: Read the counters to report, by name.
+        processor_seconds: Reads the processor time of this process.
     """
 
     def __init__(
--- a/packages/standins/bergamotsaddle_standins/meeting.py
+++ b/packages/standins/bergamotsaddle_standins/meeting.py
@@ -1,8 +1,8 @@
 """Measures how fast a restarted fleet knows itself (``make meeting``).
 
 All instances start within 0.3 s and know three seeds. They are objects of one process
-on a virtual clock, joined by trips of 2 ms, so that the same call prints the same
-times; which peers are greeted is drawn from a seed.
+on a virtual clock, joined by trips of 2 ms; which peers are greeted is drawn from a
+seed. Datagrams of one moment arrive in any order, so sizes vary a little between calls.
 """
 
 import bergamotsaddle_daemon._green  # noqa: F401
@@ -58,18 +58,32 @@
         advance(_STEP_S)
         passed += _STEP_S
         is_agreed = all(len(fleet.owners(service)) == 1 for service in _SERVICES)
-        agreed = (passed if agreed is None else agreed) if is_agreed else None
+        if not is_agreed:
+            agreed = None
+        elif agreed is None:
+            agreed = passed
     datagrams = sum(peers.sent for peers in fleet) / size
     kilobytes = sum(peers.bytes_sent for peers in fleet) / size / 1_000
     return Meeting(passed if agreed is None else agreed, passed, datagrams, kilobytes)
 
 
+def _parse_size(word: str) -> int:
+    """Turn a word into a number of instances.
+
+    Raises:
+        ValueError: If it is none.
+    """
+    if not word.isdigit() or not int(word):
+        raise ValueError(f"expected a number of instances from 1 on, not {word!r}")
+    return int(word)
+
+
 def main() -> int:
     """Print a row for each size; the sizes are the arguments."""
     try:
-        sizes = [int(word) for word in sys.argv[1:]] or list(_SIZES)
-    except ValueError:
-        sys.stderr.write("meeting: expected numbers of instances\n")
+        sizes = [_parse_size(word) for word in sys.argv[1:]] or list(_SIZES)
+    except ValueError as error:
+        sys.stderr.write(f"meeting: {error}\n")
         return 2
     sys.stdout.write("instances  agreed s  known s  datagrams  KB an instance\n")
     for size in sizes:
