Name the work of a request, and tell an ended connection from other bytes

Both hypotheses of the postmortem (no memory of the work; targets that end by themselves) look the same in the logs without it.

The lines request and attempt_failed carry 16 hexadecimal digits of path, host, team and body. Reason closed is split off from no_http. No decision changes.

--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -91,6 +91,7 @@
         )
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sender: eventlet.greenthread.GreenThread | None = None
+        self._is_ended = False
         try:
             self._socket.settimeout(max(0.001, limit))
             self._set_options()
@@ -251,10 +252,13 @@
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as error:
-                raise ConnectionLostError("no_http") from error
+                reason = "closed" if self._is_ended else "no_http"
+                raise ConnectionLostError(reason) from error
             if event is not h11.NEED_DATA:
                 return event
-            self._h11.receive_data(self._receive(ends_at - now()))
+            data = self._receive(ends_at - now())
+            self._is_ended = not data
+            self._h11.receive_data(data)
 
     def _receive(self, limit: float) -> bytes:
         if limit <= 0:
--- a/packages/serving/bergamotsaddle_serving/context.py
+++ b/packages/serving/bergamotsaddle_serving/context.py
@@ -33,6 +33,7 @@
         version: Version of the configuration that it is served by.
         urgency: Its place among all kinds of requests, 0 first.
         progress: How far it has come.
+        work: Its fingerprint, the same each time that it is asked for.
     """
 
     head: RequestHead
@@ -45,6 +46,7 @@
     version: int
     urgency: int
     progress: Progress
+    work: str = ""
 
     @property
     def first_by(self) -> float:
--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -29,6 +29,7 @@
     Team,
 )
 from bergamotsaddle_serving.context import Context, Progress
+from bergamotsaddle_serving.fingerprint import fingerprint
 from bergamotsaddle_serving.messages import Dialect, RequestHead
 from bergamotsaddle_serving.metrics import Metrics
 from bergamotsaddle_serving.plain import PlainServer
@@ -217,6 +218,7 @@
             version=configuration.version,
             urgency=self._urgency(configuration, route, team),
             progress=Progress(),
+            work=fingerprint(head, team, raw.body),
         )
 
     def _urgency(
@@ -293,6 +295,7 @@
             request=request_id,
             route=route,
             team=context.team.name if context and context.team else "",
+            work=context.work if context else "",
             outcome=str(outcome),
             seconds=round(seconds, 4),
             left=round(context.remaining, 3) if context else 0.0,
--- a/packages/serving/bergamotsaddle_serving/plain.py
+++ b/packages/serving/bergamotsaddle_serving/plain.py
@@ -141,6 +141,7 @@
         self._logger.warning(
             "attempt_failed",
             request=context.head.id,
+            work=context.work,
             target=candidate.target.id,
             reason=reason,
             ran=ran,
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -479,6 +479,7 @@
         self._server.logger.warning(
             "attempt_failed",
             request=self._context.head.id,
+            work=self._context.work,
             target=candidate.target.id,
             reason=reason,
             status=status,
--- a/tests/test_serving_client.py
+++ b/tests/test_serving_client.py
@@ -99,6 +99,19 @@
         with self.assertRaises(ConnectionLostError):
             read(Script(answer, then=then))
 
+    @parameterized.expand(
+        [
+            ("ended", WHOLE[:-1], "close", "closed"),
+            ("ended_before_its_head", b"", "close", "closed"),
+            ("other_bytes", b"garbage\r\n\r\n", "keep", "no_http"),
+            ("broken_off", OPEN, "reset", "reset"),
+        ]
+    )
+    def test_the_reason_tells_an_end_from_other_bytes(self, _, answer, then, reason):
+        with self.assertRaises(ConnectionLostError) as caught:
+            read(Script(answer, then=then))
+        self.assertEqual(caught.exception.reason, reason)
+
     def test_an_early_answer_does_not_wait_for_the_body(self):
         """A target refuses a long request before it has read it."""
         script = Script(WHOLE, then="keep", first=10)
