--- /dev/null
+++ b/packages/standins/bergamotsaddle_standins/virtual_fleet.py
@@ -0,0 +1,191 @@
+"""Many instances before the same engines, in one process on a virtual clock."""
+
+from collections.abc import Callable
+from itertools import count
+from typing import Any
+from unittest import mock
+
+import eventlet
+import structlog
+
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.budget import ColdPace, RetryBudget
+from bergamotsaddle_serving.caller import RawRequest
+from bergamotsaddle_serving.catalog import (
+    CallerLimits,
+    Configuration,
+    Kind,
+    Route,
+    Service,
+    Share,
+    Target,
+)
+from bergamotsaddle_serving.handler import Handler
+from bergamotsaddle_serving.health import Health
+from bergamotsaddle_serving.messages import Entry, RawHeaders
+from bergamotsaddle_serving.metrics import Metrics
+from bergamotsaddle_serving.plain import PlainServer
+from bergamotsaddle_serving.selector import Selector
+from bergamotsaddle_serving.settings import BoundSettings
+from bergamotsaddle_serving.streams import StreamServer
+from bergamotsaddle_serving.view import View
+from bergamotsaddle_standins.peer_fleet import ZONES, PeerFleet, WiredPeers
+from bergamotsaddle_standins.virtual_targets import (
+    HOST,
+    SERVICE,
+    VirtualDialect,
+    VirtualPool,
+    VirtualTargets,
+)
+
+_SILENT = structlog.wrap_logger(
+    structlog.ReturnLogger(), wrapper_class=structlog.BoundLogger, processors=[]
+)
+_BOUNDS = BoundSettings(8.0, 0.2, 10.0, 58.0)
+_CONFIGURATION = "configuration"
+_ROUTE = Route(
+    "ask", HOST, "/", Kind.STREAM, 8.0, 2.4, 2, 0, (Share(SERVICE, 1.0),),
+    is_public=True, is_resumable=True,
+)  # fmt: skip
+
+
+class VirtualCaller:
+    """A caller with one request.
+
+    Args:
+        request: The request.
+
+    Attributes:
+        status: What it was answered, 0 so far.
+        headers: Headers of the answer.
+        is_whole: Whether the answer came whole.
+    """
+
+    def __init__(self, request: RawRequest) -> None:
+        self._requests = [request]
+        self.status = 0
+        self.headers: RawHeaders = []
+        self.is_whole = False
+        self.must_close = False
+        self.has_started = False
+
+    def read(self) -> RawRequest | None:
+        """Give the request, then none."""
+        return self._requests.pop() if self._requests else None
+
+    def serve(self, work: Callable[[], None]) -> None:
+        """Do the work."""
+        work()
+
+    def answer(self, status: int, headers: RawHeaders, body: bytes) -> None:
+        """Take a whole answer."""
+        self.start(status, headers)
+        self.finish()
+
+    def start(self, status: int, headers: RawHeaders) -> None:
+        """Take the head of an answer."""
+        self.has_started = True
+        self.status = status
+        self.headers = headers
+
+    def send(self, data: bytes) -> None:
+        """Take a part of it."""
+
+    def finish(self) -> None:
+        """Take its end."""
+        self.is_whole = True
+
+    def prepare_next(self) -> bool:
+        """Ask for nothing more."""
+        return False
+
+    def reset(self) -> None:
+        """Be cut off."""
+
+    def close(self) -> None:
+        """Be closed."""
+
+
+class VirtualInstance:
+    """One instance's serving core.
+
+    Args:
+        peers: The other instances.
+        targets: The engines.
+        dialect: Decodes what they say.
+    """
+
+    def __init__(
+        self, peers: WiredPeers, targets: VirtualTargets, dialect: VirtualDialect
+    ) -> None:
+        self.peers = peers
+        self.view = View(dialect, _SILENT)
+        self.view.has_listed = True
+        self.health = Health()
+        peers.own_running = self.health.running
+        pool = VirtualPool(targets, peers.own.id)
+        budget = RetryBudget(_BOUNDS, peers.size)
+        reach = mock.Mock(is_lost=lambda zone: False)
+        selector = Selector(self.view, self.health, peers, ColdPace(peers.size), reach)
+        plain = PlainServer(selector, pool, budget, dialect, _SILENT)
+        waits = mock.Mock(best=None)
+        streams = StreamServer(
+            selector, waits, mock.Mock(), pool, budget, dialect, _SILENT
+        )
+        self.handler = Handler(
+            self.view, plain, streams, budget, dialect, Metrics(), _SILENT
+        )
+
+
+class VirtualFleet:
+    """A fleet before its engines.
+
+    Args:
+        size: Number of instances.
+        targets: Number of engines.
+        back_after: Seconds after its end from which an engine is there again.
+    """
+
+    def __init__(self, size: int, *, targets: int, back_after: float = 3.0) -> None:
+        self._dialect = VirtualDialect()
+        self._revisions = count(1)
+        self._entries: list[Entry] = []
+        self._ids = count(1)
+        self.instances: list[VirtualInstance] = []
+        self.targets = VirtualTargets(
+            targets, ZONES, back_after=back_after, publish=self._publish
+        )
+        service = Service(SERVICE, 1_000, engine_slots=64)
+        configuration = Configuration(1, [_ROUTE], [service], [], CallerLimits())
+        self._publish(_CONFIGURATION, configuration)
+        self.peers = PeerFleet(size)
+        self.instances = [
+            VirtualInstance(peers, self.targets, self._dialect) for peers in self.peers
+        ]
+        for instance in self.instances:
+            instance.view.apply(self._entries, len(self._entries), source="list")
+
+    def start(self) -> None:
+        """Start all instances."""
+        self.peers.start(within=0.3)
+
+    def ask(self, number: int, path: bytes, body: bytes = b"") -> VirtualCaller:
+        """Send a request to an instance.
+
+        Returns:
+            The caller, who has an answer later.
+        """
+        headers = [(b"id", f"r{next(self._ids)}".encode())]
+        caller = VirtualCaller(RawRequest(b"POST", path, headers, body, now()))
+        instance = self.instances[number % len(self.instances)]
+        eventlet.spawn_n(instance.handler.run, caller)
+        return caller
+
+    def _publish(self, key: str, value: Target | Any | None) -> None:
+        if value is not None:
+            self._dialect.objects_by_key[key] = value
+        held = None if value is None else b"held"
+        entry = Entry(key, next(self._revisions), held)
+        self._entries.append(entry)
+        for instance in self.instances:
+            instance.view.apply([entry], entry.revision, source="list")
