Let instances tell each other what they observed of targets and requests

A fact (topic, key, value, age) is told to all that live at once; heartbeats carry a digest of all facts, and whoever holds others is told them, so that cuts, lost datagrams and restarts are made up for.

Nothing uses it yet.

--- a/packages/serving/bergamotsaddle_serving/peer_messages.py
+++ b/packages/serving/bergamotsaddle_serving/peer_messages.py
@@ -35,6 +35,7 @@
         strength: How much work for others its machine can do, in cores.
         contacts: Other instances that it has heard lately.
         missed: Ids of instances that did not answer it lately.
+        digest: Digest of the facts that it holds.
     """
 
     sender: Contact
@@ -48,6 +49,29 @@
     strength: float
     contacts: list[Contact]
     missed: list[str] = []
+    digest: int = 0
+
+
+class Fact(msgspec.Struct, array_like=True, frozen=True):
+    """Something that an instance observed.
+
+    Attributes:
+        topic: What kind of fact it is.
+        key: What it is about.
+        value: What holds.
+        age: Seconds since it was observed.
+    """
+
+    topic: str
+    key: str
+    value: float
+    age: float
+
+
+class News(Message):
+    """Facts that the receiver may not know."""
+
+    facts: list[Fact]
 
 
 class Inquiry(Message):
@@ -154,7 +178,9 @@
     handles: list[str]
 
 
-Datagram = Hello | Inquiry | Submit | Accepted | Started | Results | Cancel | Release
+Datagram = (
+    Hello | News | Inquiry | Submit | Accepted | Started | Results | Cancel | Release
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Datagram)
--- a/packages/serving/bergamotsaddle_serving/peers.py
+++ b/packages/serving/bergamotsaddle_serving/peers.py
@@ -103,6 +103,8 @@
         self.own_running: Callable[[], dict[str, int]] = dict
         self.own_reading: Callable[[], dict[str, int]] = dict
         self.own_revision: Callable[[], int] = lambda: 0
+        self.own_digest: Callable[[], int] = lambda: 0
+        self.on_hello: Callable[[Hello], None] = lambda hello: None
         self.is_cut_off: Callable[[str], bool] = lambda zone: False
         self._handlers: dict[type, Handler] = {
             Hello: self._hear,
@@ -304,6 +306,7 @@
             strength=self._strength,
             contacts=[peer.contact for peer in told],
             missed=self._missed(),
+            digest=self.own_digest(),
         )
 
     def _round(self, *, owns_queues: bool) -> list[str]:
@@ -408,6 +411,7 @@
         peer.reading = hello.reading
         peer.strength = hello.strength
         peer.heard_at = self._heard_at_by_zone[hello.sender.zone] = now()
+        self.on_hello(hello)
         for contact in hello.contacts:
             if contact.id != self.own.id and contact.id not in self.by_id:
                 self.by_id[contact.id] = Peer(contact)
--- /dev/null
+++ b/tests/test_gossip.py
@@ -0,0 +1,133 @@
+"""What instances tell each other of targets and requests."""
+
+import unittest
+
+from parameterized import parameterized
+
+from bergamotsaddle_serving.gossip import Gossip, Topic
+from bergamotsaddle_serving.gossip_exchange import GossipExchange
+from bergamotsaddle_serving.peer_messages import Fact
+from bergamotsaddle_standins.peer_fleet import PeerFleet
+from tests._paused import advance, use_paused_clock
+
+TOPIC = Topic("t", keep_seconds=60.0, most=4)
+
+
+class Instance:
+    """One instance's facts, and what its watcher heard."""
+
+    def __init__(self):
+        self.gossip = Gossip()
+        self.heard = []
+        self.gossip.open(TOPIC, lambda *change: self.heard.append(change))
+
+    def value(self, key):
+        return self.gossip.value(TOPIC, key)
+
+
+class GossipTest(unittest.TestCase):
+    """One instance's facts."""
+
+    def setUp(self):
+        use_paused_clock()
+        self.instance = Instance()
+        self.gossip = self.instance.gossip
+
+    def test_only_news_is_told(self):
+        self.assertEqual(self.gossip.note(TOPIC, "k", 1.0), Fact("t", "k", 1.0, 0.0))
+        self.assertIsNone(self.gossip.note(TOPIC, "k", 1.0))
+        self.assertEqual(self.gossip.note(TOPIC, "k", 2.0), Fact("t", "k", 2.0, 0.0))
+
+    @parameterized.expand(
+        [
+            ("later", 0.5, 2.0),
+            ("on_the_way_at_the_same_time", 0.95, 1.0),
+            ("earlier", 3.0, 1.0),
+        ]
+    )
+    def test_the_latest_observation_wins(self, _, age, value):
+        self.gossip.note(TOPIC, "k", 1.0)
+        advance(1.0)
+        self.gossip.hear([Fact("t", "k", 2.0, age)])
+        self.assertEqual(self.instance.value("k"), value)
+
+    def test_a_fact_is_forgotten_at_its_age_wherever_it_was_heard(self):
+        """Guards against facts that look younger at each hop and never end."""
+        self.gossip.hear([Fact("t", "k", 1.0, 50.0)])
+        advance(9.0)
+        self.gossip.hear([Fact("t", "k", 1.0, 58.95)])
+        advance(1.2)
+        self.gossip.forget_old()
+        self.assertIsNone(self.instance.value("k"))
+        self.assertEqual(self.instance.heard, [("k", 1.0), ("k", None)])
+        self.gossip.hear([Fact("t", "k", 1.0, 60.5)])
+        self.assertIsNone(self.instance.value("k"))
+
+    def test_too_many_facts_push_out_those_of_least_worth(self):
+        gossip = Gossip()
+        gossip.open(TOPIC, lambda *_: None, worth=lambda key: float(key))
+        for key in ("5", "1", "4", "2", "3"):
+            gossip.note(TOPIC, key, 1.0)
+        self.assertEqual({fact.key for fact in gossip.facts()}, {"5", "4", "2", "3"})
+
+    def test_digests_are_equal_for_the_same_facts_in_any_order(self):
+        other = Instance().gossip
+        for key in ("a", "b"):
+            self.gossip.note(TOPIC, key, 1.0)
+        for key in ("b", "a"):
+            other.note(TOPIC, key, 1.0)
+        self.assertEqual(self.gossip.digest, other.digest)
+        other.note(TOPIC, "a", 0.0)
+        self.assertNotEqual(self.gossip.digest, other.digest)
+
+
+class SpreadTest(unittest.TestCase):
+    """A fleet on one clock."""
+
+    def setUp(self):
+        use_paused_clock()
+        self.addCleanup(use_paused_clock)
+
+    def start(self, size):
+        self.fleet = PeerFleet(size)
+        self.instances = [Instance() for _ in range(size)]
+        self.exchanges = [
+            GossipExchange(instance.gossip, peers)
+            for instance, peers in zip(self.instances, self.fleet, strict=True)
+        ]
+        self.fleet.start(within=0.3)
+
+    def observe(self, number, key):
+        fact = self.instances[number].gossip.note(TOPIC, key, 1.0)
+        self.exchanges[number].tell([fact])
+
+    def knowing(self, key):
+        return sum(instance.value(key) is not None for instance in self.instances)
+
+    @parameterized.expand([("small", 7), ("middle", 66)])
+    def test_all_know_at_once(self, _, size):
+        self.start(size)
+        advance(2.0)
+        self.observe(0, "k")
+        advance(0.1)
+        self.assertEqual(self.knowing("k"), size)
+
+    def test_a_zone_that_was_cut_off_learns_what_it_missed(self):
+        self.start(8)
+        advance(2.0)
+        self.fleet.cut_off("a")
+        self.observe(1, "outside")
+        self.observe(0, "inside")
+        advance(5.0)
+        self.assertEqual(self.knowing("outside"), 6)
+        self.assertEqual(self.knowing("inside"), 2)
+        self.fleet.heal()
+        advance(2.0)
+        self.assertEqual(self.knowing("outside"), 8)
+        self.assertEqual(self.knowing("inside"), 8)
+
+    def test_an_instance_that_starts_later_is_told(self):
+        self.start(7)
+        self.observe(0, "k")
+        advance(2.0)
+        self.assertEqual(self.knowing("k"), 7)
