Hold back a request under which three targets have ended

Cause: a daemon knows a request by its id, and each try has a new one. That targets ended under the same work was known nowhere, so each try was some instance's first, and each first try was repeated at a second engine.

Change: ends of targets are laid to the work (path, host, team, body) that they ran, told to all instances, and counted by life. A break-off counts only once the target refuses connections or its life leaves the list without notice. Of those that ran together the one that was at most ends is to blame; whatever runs whole is cleared and stays so for that software. A suspect goes alone to a quiet engine. After three ends it reaches no target: 503, not run, no time to come back.

Ruled out: holding back after two ends (innocent requests beside a fatal one reach two).

--- a/packages/contracts/bergamotsaddle_contracts/errors.py
+++ b/packages/contracts/bergamotsaddle_contracts/errors.py
@@ -33,6 +33,7 @@
     NO_TARGET = "no_target"
     TARGET_FAILED = "target_failed"
     NOT_READY = "not_ready"
+    HELD_BACK = "held_back"
     INTERNAL = "internal"
 
 
@@ -69,6 +70,7 @@
     ErrorKind.NO_TARGET: Answer(503, Ran.NO, 1.0),
     ErrorKind.TARGET_FAILED: Answer(502, Ran.YES, 1.0),
     ErrorKind.NOT_READY: Answer(503, Ran.NO, 0.1),
+    ErrorKind.HELD_BACK: Answer(503, Ran.NO, None),
     ErrorKind.INTERNAL: Answer(500, Ran.UNKNOWN, 1.0),
 }
 
--- a/packages/serving/bergamotsaddle_serving/catalog.py
+++ b/packages/serving/bergamotsaddle_serving/catalog.py
@@ -238,6 +238,7 @@
         is_draining: Whether it leaves soon and must get nothing new.
         cold_seconds: How long it stays cold from when the entry was read.
         started_ms: When this life began, by its own clock; 0 if unknown.
+        software: Version of its software, empty if unknown.
     """
 
     id: str
@@ -248,6 +249,7 @@
     is_draining: bool = False
     cold_seconds: float = 0.0
     started_ms: int = 0
+    software: str = ""
 
     @property
     def life(self) -> tuple[str, int]:
--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -21,6 +21,8 @@
 # A connection between zones takes two trips of a few ms; a target that has not taken
 # one after this is dead, cut off or out of places.
 CONNECT_LIMIT_S = 0.4
+# A machine that is there answers a connection within a trip or two.
+_LISTENING_LIMIT_S = 0.1
 # An instance without power acknowledges nothing. The kernel then ends the connection
 # after this time instead of after many minutes.
 _UNACKNOWLEDGED_LIMIT_MS = 1_500
@@ -36,6 +38,9 @@
 # before it has read them all.
 _SEND_AHEAD = 16_384
 
+# Reasons of a connection that ended before its answer did.
+BROKEN_OFF = frozenset(("closed", "cut", "reset", "send"))
+
 # Headers that concern one connection only and are not passed on.
 ONE_CONNECTION = frozenset(
     (
@@ -98,7 +103,9 @@
             self._socket.connect(tuple(address))
         except OSError as error:
             self._socket.close()
-            raise ConnectionLostError("connect", is_unsent=True) from error
+            is_refused = isinstance(error, ConnectionRefusedError)
+            reason = "refused" if is_refused else "connect"
+            raise ConnectionLostError(reason, is_unsent=True) from error
 
     def _set_options(self) -> None:
         sock = self._socket
@@ -302,6 +309,18 @@
             return
         self._idle_by_address.setdefault(connection.address, []).append(connection)
 
+    def is_refused(self, address: Address) -> bool:
+        """Tell whether nobody listens at an address.
+
+        A connection that is made is kept for the next request.
+        """
+        try:
+            connection = self.take(address, limit=_LISTENING_LIMIT_S)
+        except ConnectionLostError as error:
+            return error.reason == "refused"
+        self._idle_by_address.setdefault(address, []).append(connection)
+        return False
+
     def prune(self) -> None:
         """Close idle connections that are past their time."""
         for address, idle in list(self._idle_by_address.items()):
--- a/packages/serving/bergamotsaddle_serving/context.py
+++ b/packages/serving/bergamotsaddle_serving/context.py
@@ -71,6 +71,11 @@
             return RequestError(kind, detail, ran=Ran.UNKNOWN)
         return self.refuse(ErrorKind.NOT_RUN, detail)
 
+    def hold_back(self) -> RequestError:
+        """Make the error for a request that ends its targets."""
+        detail = "targets ended each time that they ran it"
+        return self.refuse(ErrorKind.HELD_BACK, detail)
+
     def refuse(
         self, kind: ErrorKind, detail: str, *, retry_after: float | None = None
     ) -> RequestError:
--- a/packages/serving/bergamotsaddle_serving/engine_choice.py
+++ b/packages/serving/bergamotsaddle_serving/engine_choice.py
@@ -72,6 +72,24 @@
     return max(0, prompt_tokens - shared)
 
 
+def set_apart(engines: Sequence[EngineView], work: str) -> list[EngineView]:
+    """The engine for a request under which another one has ended.
+
+    What runs beside it may be lost, so it goes where little runs; and two such requests
+    go to different engines, or the harmless one would be at the next end as well.
+
+    Args:
+        engines: The candidates.
+        work: Fingerprint of the request.
+
+    Returns:
+        One engine, none if there is none.
+    """
+    by_load = sorted(engines, key=lambda engine: (engine.running, engine.id))
+    quiet = by_load[: (len(by_load) + 1) // 2]
+    return sorted(quiet, key=lambda engine: weigh(engine.id, work))[-1:]
+
+
 def choose_engine(
     engines: Sequence[EngineView],
     prompt: Sequence[PromptPart],
--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -35,6 +35,7 @@
 from bergamotsaddle_serving.plain import PlainServer
 from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
 from bergamotsaddle_serving.streams import StreamServer
+from bergamotsaddle_serving.suspects import Suspects
 from bergamotsaddle_serving.view import View
 
 _CLOSING = frozenset(
@@ -78,6 +79,7 @@
         metrics: Counts outcomes.
         logger: Gets a line for each request.
         policy: Which mechanisms are in force.
+        suspects: Knows requests that end their targets.
     """
 
     def __init__(
@@ -90,8 +92,11 @@
         metrics: Metrics,
         logger: Any,
         policy: Policy = FULL_POLICY,
+        *,
+        suspects: Suspects,
     ) -> None:
         self._policy = policy
+        self._suspects = suspects
         self._view = view
         self._plain = plain
         self._streams = streams
@@ -156,6 +161,8 @@
             head = self._dialect.read_head(raw.method, raw.path, raw.headers)
             request_id = head.id
             context = self._context(head, raw)
+            if self._suspects.is_held_back(context.work):
+                raise context.hold_back()
             self._budget.count_request(context.service.name)
             self._run(caller, context)
         except RequestError as error:
--- a/packages/serving/bergamotsaddle_serving/plain.py
+++ b/packages/serving/bergamotsaddle_serving/plain.py
@@ -15,6 +15,8 @@
 from bergamotsaddle_serving.context import Context
 from bergamotsaddle_serving.messages import Dialect, Dispatch, RawHeaders
 from bergamotsaddle_serving.selector import Candidate, Selector
+from bergamotsaddle_serving.suspects import Suspects
+from bergamotsaddle_serving.target_ends import TargetEnds
 
 _MAX_ANSWER_BYTES = 64_000_000
 _SERVER_ERROR = 500
@@ -44,6 +46,8 @@
         budget: Limits repeats.
         dialect: Makes headers.
         logger: Gets a line for each attempt that didn't answer.
+        suspects: Knows requests that end their targets.
+        ends: Finds out whether a target has ended.
     """
 
     def __init__(
@@ -53,7 +57,12 @@
         budget: RetryBudget,
         dialect: Dialect,
         logger: Any,
+        *,
+        suspects: Suspects,
+        ends: TargetEnds,
     ) -> None:
+        self._suspects = suspects
+        self._ends = ends
         self._selector = selector
         self._pool = pool
         self._budget = budget
@@ -87,10 +96,12 @@
             except UnknownRunError as error:
                 self._note(context, candidate, error.reason, "unknown")
                 ran += 1
-                if not can_repeat:
+                self._ends.note_failure(candidate.target, [context.work], error.reason)
+                if not can_repeat or self._suspects.is_held_back(context.work):
                     return self._give_up(context, failure, ran)
                 continue
             ran += 1
+            self._suspects.note_whole(candidate.target, context.work)
             if answer.status < _SERVER_ERROR or not can_repeat:
                 return answer
             failure = answer
@@ -99,7 +110,10 @@
         if context.remaining <= 0:
             return None
         service = context.service
-        candidate = self._selector.pick(service.name, tried)
+        if self._suspects.is_suspect(context.work):
+            candidate = self._selector.pick_quiet(service.name, tried, context.work)
+        else:
+            candidate = self._selector.pick(service.name, tried)
         if candidate is None or not self._selector.may_send(candidate):
             return None
         if tried and not self._budget.take(service.name):
--- a/packages/serving/bergamotsaddle_serving/policy.py
+++ b/packages/serving/bergamotsaddle_serving/policy.py
@@ -22,6 +22,8 @@
     """Inputs are given up once they have been fetched, before the call ends."""
     ENGINE_HOMES = "engine_homes"
     """Prompts with the same shared parts go to the same engine."""
+    FATAL_REQUESTS = "fatal_requests"
+    """Requests under which three targets have ended are held back."""
     FULL_CALLS = "full_calls"
     """A call waits a moment for room rather than go nearly empty."""
     HOME_ZONES = "home_zones"
--- a/packages/serving/bergamotsaddle_serving/selector.py
+++ b/packages/serving/bergamotsaddle_serving/selector.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from bergamotsaddle_daemon._rendezvous import weigh
 from bergamotsaddle_serving.budget import ColdPace
 from bergamotsaddle_serving.catalog import Service, Target
 from bergamotsaddle_serving.health import Health, TargetState
@@ -82,6 +83,23 @@
         found = self.candidates(service, exclude)
         return min(found, key=self._expected, default=None)
 
+    def pick_quiet(
+        self, service: str, exclude: set[str], work: str
+    ) -> Candidate | None:
+        """Pick the target of a plain service that has least to lose.
+
+        Args:
+            service: The service.
+            exclude: Targets that have been tried.
+            work: Fingerprint of a request under which another target has ended.
+        """
+        found = self.candidates(service, exclude)
+        return min(
+            found,
+            key=lambda c: (c.state.in_flight + c.others, weigh(c.target.id, work)),
+            default=None,
+        )
+
     def may_send(self, candidate: Candidate) -> bool:
         """Tell whether a chosen target may still get the request."""
         return self._view.may_get_work(candidate.target)
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -17,6 +17,8 @@
 from bergamotsaddle_serving.client import ConnectionPool
 from bergamotsaddle_serving.fetching import FetchTimes
 from bergamotsaddle_serving.follower import StoreFollower
+from bergamotsaddle_serving.gossip import Gossip
+from bergamotsaddle_serving.gossip_exchange import GossipExchange
 from bergamotsaddle_serving.handler import Handler
 from bergamotsaddle_serving.health import Health
 from bergamotsaddle_serving.log import BoundedOutput, make_logger
@@ -33,6 +35,8 @@
 from bergamotsaddle_serving.stage_owner import StageOwner
 from bergamotsaddle_serving.stage_waits import StageWaits
 from bergamotsaddle_serving.streams import StreamServer
+from bergamotsaddle_serving.suspects import Suspects
+from bergamotsaddle_serving.target_ends import TargetEnds
 from bergamotsaddle_serving.usage import UsageMeter
 from bergamotsaddle_serving.view import View
 from bergamotsaddle_serving.view_exchange import ViewExchange
@@ -102,6 +106,16 @@
         self.reach = ZoneReach(self.view, self.peers, self.pool, dialect, logger)
         self.peers.is_cut_off = self.reach.is_lost
         self.reach.watch(self.peers.forget_roster)
+        self.gossip = Gossip()
+        self.gossip_exchange = GossipExchange(self.gossip, self.peers)
+        self.suspects = Suspects(
+            self.gossip,
+            self.gossip_exchange.tell,
+            self.view.releases,
+            logger,
+            policy,
+        )
+        ends = TargetEnds(self.pool, self.view, self.suspects)
         fetch_times = FetchTimes(settings.capacity.link_mbps)
         calls = StageCalls(self.view, self.pool, dialect)
         self.owner = StageOwner(
@@ -119,7 +133,15 @@
         selector = Selector(self.view, self.health, self.peers, cold, self.reach)
         self.stage_exchange = StageExchange(self.peers, self.owner)
         waits = StageWaits(self.view, self.peers, self.owner, policy)
-        plain = PlainServer(selector, self.pool, budget, dialect, logger)
+        plain = PlainServer(
+            selector,
+            self.pool,
+            budget,
+            dialect,
+            logger,
+            suspects=self.suspects,
+            ends=ends,
+        )
         streams = StreamServer(
             selector,
             waits,
@@ -130,9 +152,19 @@
             logger,
             policy,
             fetch_times,
+            suspects=self.suspects,
+            ends=ends,
         )
         self.handler = Handler(
-            self.view, plain, streams, budget, dialect, self.metrics, logger, policy
+            self.view,
+            plain,
+            streams,
+            budget,
+            dialect,
+            self.metrics,
+            logger,
+            policy,
+            suspects=self.suspects,
         )
         self.peers.own_loads = self.owner.loads
         self.peers.own_coming = waits.coming.told
@@ -238,6 +270,7 @@
             self._note_view()
             self.pool.prune()
             self.view.drop_lapsed()
+            self.gossip.forget_old()
             self.owner.hand_over()
             self.owner.drop_orphans()
             self.stage_exchange.repeat_releases()
@@ -324,4 +357,14 @@
             lambda: self.owner.caller.pieces_sent,
         )
         gauge("connections_opened", "New connections.", lambda: self.pool.opened)
+        gauge(
+            "requests_suspected",
+            "Requests under which a target ended.",
+            lambda: len(self.suspects),
+        )
+        gauge(
+            "requests_held_back",
+            "Requests that end their targets.",
+            lambda: len(self.suspects.held_back()),
+        )
         gauge("log_dropped", "Dropped log lines.", lambda: self._output.dropped)
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -25,6 +25,7 @@
     EngineView,
     choose_engine,
     prefix_key,
+    set_apart,
     unshared_tokens,
 )
 from bergamotsaddle_serving.events import EventSplitter
@@ -37,6 +38,8 @@
 from bergamotsaddle_serving.stage_plan import StagePlan
 from bergamotsaddle_serving.stage_run import StageRun
 from bergamotsaddle_serving.stage_waits import StageWaits
+from bergamotsaddle_serving.suspects import Suspects
+from bergamotsaddle_serving.target_ends import TargetEnds
 from bergamotsaddle_serving.urgency_mix import UrgencyMix
 
 _MAX_ANSWER_BYTES = 1_000_000
@@ -68,6 +71,8 @@
         logger: Gets a line for each decision.
         policy: Which mechanisms are in force.
         fetch_times: Tells when engines have fetched their inputs.
+        suspects: Knows requests that end their targets.
+        ends: Finds out whether an engine has ended.
     """
 
     def __init__(
@@ -81,8 +86,13 @@
         logger: Any,
         policy: Policy = FULL_POLICY,
         fetch_times: FetchTimes = FAST_LINK,
+        *,
+        suspects: Suspects,
+        ends: TargetEnds,
     ) -> None:
         self.policy = policy
+        self.suspects = suspects
+        self.ends = ends
         self.fetch_times = fetch_times
         self.selector = selector
         self.waits = waits
@@ -113,6 +123,8 @@
         head = context.head
         key = prefix_key(head.prompt)
         views = [self._view(candidate, key) for candidate in found]
+        if self.suspects.is_suspect(context.work):
+            views = set_apart(views, context.work)
         seconds_by_zone = {
             zone: self.stage_seconds(context, zone) for zone in {v.zone for v in views}
         }
@@ -305,6 +317,7 @@
             return False
         if self._exclude and not self._server.budget.take(context.service.name):
             raise self._end("no repeats are left")
+        self._check_harmless()
         self._server.selector.note_sent(candidate, context.service)
         try:
             self._send(candidate, choice)
@@ -314,12 +327,23 @@
             return False
         except UnknownRunError as error:
             self._note(candidate, error.reason, "unknown")
-            self._exclude.add(candidate.target.id)
+            target = candidate.target
+            self._server.ends.note_failure(target, [context.work], error.reason)
+            self._exclude.add(target.id)
             self._has_run += 1
             self._check_resumable()
             return False
+        self._server.suspects.note_whole(candidate.target, context.work)
         return True
 
+    def _check_harmless(self) -> None:
+        """End a request that has become known to end its targets."""
+        if not self._server.suspects.is_held_back(self._context.work):
+            return
+        if self._has_run:
+            raise self._end("targets ended while they ran it")
+        raise self._context.hold_back()
+
     def _send(self, candidate: Candidate, choice: EngineChoice) -> None:
         context = self._context
         state = candidate.state
--- a/packages/serving/bergamotsaddle_serving/view.py
+++ b/packages/serving/bergamotsaddle_serving/view.py
@@ -151,6 +151,21 @@
             and target.zone not in self.evacuated
         )
 
+    def is_leaving(self, target: Target) -> bool:
+        """Tell whether a target gave notice that it leaves."""
+        known = self._known_by_id.get(target.id)
+        return known is not None and known.target.is_draining
+
+    def has_life(self, target: Target) -> bool:
+        """Tell whether a life of a target is listed."""
+        known = self._known_by_id.get(target.id)
+        return known is not None and known.target.life == target.life
+
+    def releases(self) -> set[tuple[str, str]]:
+        """Service and software version of each target that is listed."""
+        targets = [known.target for known in self._known_by_id.values()]
+        return {(target.service, target.software) for target in targets}
+
     def is_cold(self, known: KnownTarget) -> bool:
         """Tell whether a target bears only few requests."""
         moment = now()
--- a/packages/standins/bergamotsaddle_standins/virtual_fleet.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_fleet.py
@@ -20,6 +20,8 @@
     Share,
     Target,
 )
+from bergamotsaddle_serving.gossip import Gossip
+from bergamotsaddle_serving.gossip_exchange import GossipExchange
 from bergamotsaddle_serving.handler import Handler
 from bergamotsaddle_serving.health import Health
 from bergamotsaddle_serving.messages import Entry, RawHeaders
@@ -28,6 +30,8 @@
 from bergamotsaddle_serving.selector import Selector
 from bergamotsaddle_serving.settings import BoundSettings
 from bergamotsaddle_serving.streams import StreamServer
+from bergamotsaddle_serving.suspects import Suspects
+from bergamotsaddle_serving.target_ends import TargetEnds
 from bergamotsaddle_serving.view import View
 from bergamotsaddle_standins.peer_fleet import ZONES, PeerFleet, WiredPeers
 from bergamotsaddle_standins.virtual_targets import (
@@ -127,13 +131,25 @@
         budget = RetryBudget(_BOUNDS, peers.size)
         reach = mock.Mock(is_lost=lambda zone: False)
         selector = Selector(self.view, self.health, peers, ColdPace(peers.size), reach)
-        plain = PlainServer(selector, pool, budget, dialect, _SILENT)
+        gossip = Gossip()
+        tell = GossipExchange(gossip, peers).tell
+        self.suspects = Suspects(gossip, tell, self.view.releases, _SILENT)
+        ends = TargetEnds(pool, self.view, self.suspects)
+        crashes = {"suspects": self.suspects, "ends": ends}
+        plain = PlainServer(selector, pool, budget, dialect, _SILENT, **crashes)
         waits = mock.Mock(best=None)
         streams = StreamServer(
-            selector, waits, mock.Mock(), pool, budget, dialect, _SILENT
+            selector, waits, mock.Mock(), pool, budget, dialect, _SILENT, **crashes
         )
         self.handler = Handler(
-            self.view, plain, streams, budget, dialect, Metrics(), _SILENT
+            self.view,
+            plain,
+            streams,
+            budget,
+            dialect,
+            Metrics(),
+            _SILENT,
+            suspects=self.suspects,
         )
 
 
--- a/packages/standins/bergamotsaddle_standins/virtual_targets.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_targets.py
@@ -201,9 +201,14 @@
         eventlet.sleep(_TRIP_S)
         target = self._targets.by_address[address]
         if not target.is_up:
-            raise ConnectionLostError("connect", is_unsent=True)
+            raise ConnectionLostError("refused", is_unsent=True)
         return VirtualConnection(self._targets, target, self._instance)
 
+    def is_refused(self, address: Address) -> bool:
+        """Tell whether nobody listens at an address."""
+        eventlet.sleep(_TRIP_S)
+        return not self._targets.by_address[address].is_up
+
     def give(self, connection: VirtualConnection, keep_seconds: float | None) -> None:
         """Take back a connection; none is kept."""
 
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -49,3 +49,44 @@
             advance(1.0)
         self.assertLessEqual(len(late_tries(fleet)), MOST_LATE_TRIES)
         self.assertLessEqual(fleet.targets.ended, 3)
+
+    def test_many_callers_at_once_and_those_beside_them(self):
+        """Guards against innocent requests that are held back with a fatal one."""
+        fleet = VirtualFleet(7, targets=TARGETS)
+        fleet.targets.fatal_paths.add(FATAL)
+        fleet.start()
+        advance(2.0)
+        others = []
+        for step in range(60):
+            if step % 5 == 0:
+                for _ in range(3):
+                    fleet.ask(random.randrange(7), FATAL, b"body")
+            for number in range(8):
+                # Half of them are one popular question, the others each their own.
+                path = b"/popular" if number % 2 else b"/own/%d/%d" % (step, number)
+                others.append(fleet.ask(random.randrange(7), path, b"body"))
+            advance(0.2)
+        advance(8.0)
+        self.assertLessEqual(len(late_tries(fleet)), MOST_LATE_TRIES)
+        held = {work for i in fleet.instances for work in i.suspects.held_back()}
+        self.assertEqual(len(held), 1)
+        refused = [caller for caller in others if caller.status == 503]
+        self.assertEqual(refused, [])
+
+    def test_ordinary_ends_hold_nothing_back(self):
+        """Guards against suspicion where targets end by themselves."""
+        fleet = VirtualFleet(7, targets=TARGETS, back_after=1.0)
+        fleet.start()
+        advance(2.0)
+        targets = list(fleet.targets)
+        for step in range(100):
+            for number in range(4):
+                path = b"/popular" if number % 2 else b"/own/%d/%d" % (step, number)
+                fleet.ask(random.randrange(7), path, b"body")
+            if step % 4 == 0:
+                target = random.choice(targets)
+                fleet.targets.end(target, target.life)
+            advance(0.1)
+        advance(8.0)
+        held = {work for i in fleet.instances for work in i.suspects.held_back()}
+        self.assertEqual(held, set())
--- a/tests/test_serving_stop.py
+++ b/tests/test_serving_stop.py
@@ -31,6 +31,12 @@
     return Context(head, b"", ROUTE, service, None, now, now + 9.0, 1, 0, progress)
 
 
+def make_handler():
+    """A handler that holds nothing back."""
+    suspects = mock.Mock(is_held_back=lambda work: False)
+    return Handler(*(mock.MagicMock() for _ in range(7)), suspects=suspects)
+
+
 class StopTest(unittest.TestCase):
     """An instance whose time to stop is up."""
 
@@ -43,7 +49,7 @@
         """
         plain = mock.Mock()
         plain.serve = lambda context: eventlet.sleep(5)
-        handler = Handler(*(mock.MagicMock() for _ in range(7)))
+        handler = make_handler()
         handler._plain = plain
         handler._context = lambda head, raw: make_context(is_sent=is_sent)
         handler._dialect.read_head.return_value = mock.Mock(id="r1")
@@ -68,7 +74,7 @@
         hub and ended the whole process, and callers whose streams were still running
         got half an answer.
         """
-        handler = Handler(*(mock.MagicMock() for _ in range(7)))
+        handler = make_handler()
         listener = eventlet.listen(("127.0.0.1", 0))
         client = eventlet.connect(listener.getsockname())
         server, _ = listener.accept()
