Lay ends of stage targets to the requests whose pieces they worked on

Submissions carry the fingerprint of the request; the owner reports ends of stage targets as others are reported, sends pieces of suspects in calls of their own, and gives pieces of a request that is held back to no target. A call that is answered clears its requests. The tests: three stage targets lost in all over three tries of one request; who goes into which call.

--- a/packages/serving/bergamotsaddle_serving/peer_messages.py
+++ b/packages/serving/bergamotsaddle_serving/peer_messages.py
@@ -101,6 +101,7 @@
         remaining: Seconds after which the result is of no use.
         round: Counts how often the sender had to begin the stage anew. Pieces of
             another round are other pieces: their inputs are gone or given up.
+        work: Fingerprint of the request.
     """
 
     request: str
@@ -117,6 +118,7 @@
     objective: float
     remaining: float
     round: int
+    work: str = ""
 
 
 class Accepted(Message):
--- a/packages/serving/bergamotsaddle_serving/plain.py
+++ b/packages/serving/bergamotsaddle_serving/plain.py
@@ -15,7 +15,6 @@
 from bergamotsaddle_serving.context import Context
 from bergamotsaddle_serving.messages import Dialect, Dispatch, RawHeaders
 from bergamotsaddle_serving.selector import Candidate, Selector
-from bergamotsaddle_serving.suspects import Suspects
 from bergamotsaddle_serving.target_ends import TargetEnds
 
 _MAX_ANSWER_BYTES = 64_000_000
@@ -46,8 +45,7 @@
         budget: Limits repeats.
         dialect: Makes headers.
         logger: Gets a line for each attempt that didn't answer.
-        suspects: Knows requests that end their targets.
-        ends: Finds out whether a target has ended.
+        ends: Finds out whether a target has ended, and under which requests.
     """
 
     def __init__(
@@ -58,10 +56,9 @@
         dialect: Dialect,
         logger: Any,
         *,
-        suspects: Suspects,
         ends: TargetEnds,
     ) -> None:
-        self._suspects = suspects
+        self._suspects = ends.suspects
         self._ends = ends
         self._selector = selector
         self._pool = pool
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -127,6 +127,7 @@
             logger,
             policy,
             fetch_times,
+            ends=ends,
         )
         budget = RetryBudget(settings.bounds, self.peers.size)
         cold = ColdPace(self.peers.size)
@@ -139,7 +140,6 @@
             budget,
             dialect,
             logger,
-            suspects=self.suspects,
             ends=ends,
         )
         streams = StreamServer(
@@ -152,7 +152,6 @@
             logger,
             policy,
             fetch_times,
-            suspects=self.suspects,
             ends=ends,
         )
         self.handler = Handler(
--- a/packages/serving/bergamotsaddle_serving/stage_caller.py
+++ b/packages/serving/bergamotsaddle_serving/stage_caller.py
@@ -12,9 +12,14 @@
 from bergamotsaddle_serving.messages import PieceResult, Unmade
 from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
 from bergamotsaddle_serving.stage_calls import StageCalls
-from bergamotsaddle_serving.stage_queue import QueuedPiece, is_large
+from bergamotsaddle_serving.stage_queue import (
+    QueuedPiece,
+    is_large,
+    set_suspects_apart,
+)
 from bergamotsaddle_serving.stage_releases import StageReleases
 from bergamotsaddle_serving.stage_results import Ended, StageResults
+from bergamotsaddle_serving.target_ends import TargetEnds
 
 # A call that takes this many times its expected time, and a little, counts as lost: a
 # target without power never answers, while slow ones keep within it.
@@ -56,6 +61,7 @@
         logger: Gets a line for each call.
         policy: Which mechanisms are in force.
         fetch_times: Tells when targets have fetched their inputs.
+        ends: Finds out whether a target has ended, and under which requests.
 
     Attributes:
         calls_made: Calls so far.
@@ -70,7 +76,10 @@
         logger: Any,
         policy: Policy = FULL_POLICY,
         fetch_times: FetchTimes = FAST_LINK,
+        *,
+        ends: TargetEnds,
     ) -> None:
+        self._ends = ends
         self._policy = policy
         self._fetch_times = fetch_times
         self._calls = calls
@@ -106,7 +115,23 @@
             if not batch:
                 self._await_news(queue, worker)
                 continue
-            self._call(queue, worker, batch)
+            batch = self._leave_suspects(queue, batch)
+            if batch:
+                self._call(queue, worker, batch)
+
+    def _leave_suspects(
+        self, queue: ServiceQueue, batch: list[QueuedPiece]
+    ) -> list[QueuedPiece]:
+        """The pieces that may go into one call; others wait or are given up."""
+        suspects = self._ends.suspects
+        fatal = [piece for piece in batch if suspects.is_held_back(piece.work)]
+        failed = PieceResult("", Unmade.FAILED)
+        self._results.finish(queue, [(piece.key, failed) for piece in fatal])
+        harmless = [piece for piece in batch if piece not in fatal]
+        call, rest = set_suspects_apart(harmless, suspects.is_suspect)
+        for piece in rest:
+            queue.queue.add(piece)
+        return call
 
     def _await_news(self, queue: ServiceQueue, worker: Worker) -> None:
         # Taken before the pause: news that come in it would else go unheard.
@@ -139,6 +164,9 @@
         try:
             results = self._calls.run(worker.target, batch, limit)
         except (ConnectionLostError, ValueError) as error:
+            reason = getattr(error, "reason", "")
+            works = sorted({piece.work for piece in batch})
+            self._ends.note_failure(worker.target, works, reason)
             self._fail(queue, worker, batch, str(error))
             return
         finally:
@@ -154,6 +182,8 @@
             eventlet.sleep(_FULL_PAUSE_S)
             return
         worker.learn(now() - began_at, expected)
+        for work in {piece.work for piece in batch}:
+            self._ends.suspects.note_whole(worker.target, work)
         self._logger.info(
             "stage_call",
             service=queue.service,
--- a/packages/serving/bergamotsaddle_serving/stage_owner.py
+++ b/packages/serving/bergamotsaddle_serving/stage_owner.py
@@ -31,6 +31,7 @@
 )
 from bergamotsaddle_serving.stage_releases import StageReleases
 from bergamotsaddle_serving.stage_results import StageResults
+from bergamotsaddle_serving.target_ends import TargetEnds
 from bergamotsaddle_serving.view import View
 from bergamotsaddle_serving.wait_errors import StageKey
 from bergamotsaddle_serving.zone_reach import ZoneReach
@@ -53,6 +54,7 @@
         logger: Gets a line for each call.
         policy: Which mechanisms are in force.
         fetch_times: Tells when targets have fetched their inputs.
+        ends: Finds out whether a target has ended, and under which requests.
 
     Attributes:
         scopes: Which targets share a queue.
@@ -70,6 +72,8 @@
         logger: Any,
         policy: Policy = FULL_POLICY,
         fetch_times: FetchTimes = FAST_LINK,
+        *,
+        ends: TargetEnds,
     ) -> None:
         self._view = view
         self._policy = policy
@@ -82,7 +86,13 @@
         self.results = StageResults(peers)
         self._releases = StageReleases(view, reach, calls, dialect, logger)
         self.caller = StageCaller(
-            calls, self.results, self._releases, logger, policy, fetch_times
+            calls,
+            self.results,
+            self._releases,
+            logger,
+            policy,
+            fetch_times,
+            ends=ends,
         )
         view.watch(self._retire)
         reach.watch(self._retire)
@@ -325,6 +335,7 @@
                 message.input_bytes,
                 zone=zone,
                 zone_bytes=zone_bytes,
+                work=message.work,
             )
         )
         return None
--- a/packages/serving/bergamotsaddle_serving/stage_queue.py
+++ b/packages/serving/bergamotsaddle_serving/stage_queue.py
@@ -1,7 +1,7 @@
 """Decides which pieces of stages a target works on next. No input or output here."""
 
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from itertools import accumulate
 from typing import NamedTuple
 
@@ -67,6 +67,7 @@
         tries: Calls that failed with it.
         zone: Where most of its inputs are or its result is needed.
         zone_bytes: How much of these is there.
+        work: Fingerprint of its request.
     """
 
     key: PieceKey
@@ -81,6 +82,7 @@
     tries: int = 0
     zone: str = ""
     zone_bytes: float = 0.0
+    work: str = ""
 
 
 class OtherTarget(NamedTuple):
@@ -115,6 +117,29 @@
     return (not is_open, is_late, piece.urgency, piece.objective_at, piece.key)
 
 
+def set_suspects_apart(
+    batch: Sequence[QueuedPiece], is_suspect: Callable[[str], bool]
+) -> tuple[list[QueuedPiece], list[QueuedPiece]]:
+    """Keep requests under which targets have ended out of the calls of others.
+
+    Args:
+        batch: Pieces of one call.
+        is_suspect: Tells requests under which a target has ended.
+
+    Returns:
+        The pieces of the call, either those of no suspect or those of one, and the
+        pieces that wait for another call.
+    """
+    works = {piece.work for piece in batch}
+    suspects = {work for work in works if is_suspect(work)}
+    if len(works) < 2 or not suspects:
+        return list(batch), []
+    chosen = works - suspects or {batch[0].work}
+    call = [piece for piece in batch if piece.work in chosen]
+    rest = [piece for piece in batch if piece.work not in chosen]
+    return call, rest
+
+
 def is_large(piece: QueuedPiece) -> bool:
     """Tell whether a piece should be done in its zone."""
     return piece.zone_bytes >= _LARGE_BYTES
--- a/packages/serving/bergamotsaddle_serving/stage_run.py
+++ b/packages/serving/bergamotsaddle_serving/stage_run.py
@@ -93,6 +93,7 @@
         coming: Counts the pieces of stages that are still to come.
         keep_seconds: How long a service's targets keep results.
         first_round: First round that may be used; later than any of an earlier run.
+        work: Fingerprint of the request.
     """
 
     def __init__(
@@ -109,7 +110,9 @@
         coming: Coming,
         keep_seconds: Callable[[str], float],
         first_round: int = 0,
+        work: str = "",
     ) -> None:
+        self._work = work
         self._head = head
         self._route = route
         self._plan = plan
@@ -269,6 +272,7 @@
             objective=self._plan.objective_at(opened.number) - moment,
             remaining=remaining,
             round=opened.round,
+            work=self._work,
         )
         opened.unacknowledged += 1
         opened.next_at = moment + _ACK_LIMIT_S
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -38,7 +38,6 @@
 from bergamotsaddle_serving.stage_plan import StagePlan
 from bergamotsaddle_serving.stage_run import StageRun
 from bergamotsaddle_serving.stage_waits import StageWaits
-from bergamotsaddle_serving.suspects import Suspects
 from bergamotsaddle_serving.target_ends import TargetEnds
 from bergamotsaddle_serving.urgency_mix import UrgencyMix
 
@@ -71,8 +70,7 @@
         logger: Gets a line for each decision.
         policy: Which mechanisms are in force.
         fetch_times: Tells when engines have fetched their inputs.
-        suspects: Knows requests that end their targets.
-        ends: Finds out whether an engine has ended.
+        ends: Finds out whether an engine has ended, and under which requests.
     """
 
     def __init__(
@@ -87,11 +85,10 @@
         policy: Policy = FULL_POLICY,
         fetch_times: FetchTimes = FAST_LINK,
         *,
-        suspects: Suspects,
         ends: TargetEnds,
     ) -> None:
         self.policy = policy
-        self.suspects = suspects
+        self.suspects = ends.suspects
         self.ends = ends
         self.fetch_times = fetch_times
         self.selector = selector
@@ -290,6 +287,7 @@
             coming=self._server.waits.coming,
             keep_seconds=self._server.waits.keep_seconds,
             first_round=first_round,
+            work=context.work,
         )
         try:
             end = self._stages.run()
--- a/packages/serving/bergamotsaddle_serving/target_ends.py
+++ b/packages/serving/bergamotsaddle_serving/target_ends.py
@@ -24,12 +24,15 @@
         pool: Connections to targets.
         view: Knows which lives there are.
         suspects: Gets the reports.
+
+    Attributes:
+        suspects: What the reports come to.
     """
 
     def __init__(self, pool: ConnectionPool, view: View, suspects: Suspects) -> None:
         self._pool = pool
         self._view = view
-        self._suspects = suspects
+        self.suspects = suspects
         self._pending_by_life: dict[
             tuple[str, int], tuple[float, Target, set[str]]
         ] = {}
@@ -51,7 +54,7 @@
             )
             pending[2].update(works)
             return
-        self._suspects.note_end(target, works)
+        self.suspects.note_end(target, works)
 
     def _note_view(self) -> None:
         since = now() - _PENDING_S
@@ -60,4 +63,4 @@
                 del self._pending_by_life[life]
             elif not self._view.has_life(target):
                 del self._pending_by_life[life]
-                self._suspects.note_end(target, sorted(works))
+                self.suspects.note_end(target, sorted(works))
--- a/packages/standins/bergamotsaddle_standins/virtual_fleet.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_fleet.py
@@ -135,11 +135,10 @@
         tell = GossipExchange(gossip, peers).tell
         self.suspects = Suspects(gossip, tell, self.view.releases, _SILENT)
         ends = TargetEnds(pool, self.view, self.suspects)
-        crashes = {"suspects": self.suspects, "ends": ends}
-        plain = PlainServer(selector, pool, budget, dialect, _SILENT, **crashes)
+        plain = PlainServer(selector, pool, budget, dialect, _SILENT, ends=ends)
         waits = mock.Mock(best=None)
         streams = StreamServer(
-            selector, waits, mock.Mock(), pool, budget, dialect, _SILENT, **crashes
+            selector, waits, mock.Mock(), pool, budget, dialect, _SILENT, ends=ends
         )
         self.handler = Handler(
             self.view,
--- a/tests/test_stage_owner.py
+++ b/tests/test_stage_owner.py
@@ -12,6 +12,7 @@
 from bergamotsaddle_serving._stage_worker import ServiceQueue
 from bergamotsaddle_serving.catalog import Kind, Route, Share, Stage
 from bergamotsaddle_serving.client import ConnectionLostError
+from bergamotsaddle_serving.gossip import Gossip
 from bergamotsaddle_serving.messages import Entry, PieceResult, RequestHead, Unmade
 from bergamotsaddle_serving.peer_messages import Contact, Release, Started, Submit
 from bergamotsaddle_serving.policy import FULL_POLICY
@@ -21,6 +22,8 @@
 from bergamotsaddle_serving.stage_plan import StagePlan
 from bergamotsaddle_serving.stage_queue import PieceKey, QueuedPiece, StageQueue
 from bergamotsaddle_serving.stage_run import StageRun
+from bergamotsaddle_serving.suspects import FATAL_ENDS, Suspects
+from bergamotsaddle_serving.target_ends import TargetEnds
 from bergamotsaddle_serving.view import View
 from tests._paused import advance, settle
 from tests._stages import BATCHING, FOUR_A_CALL, target_entry
@@ -116,8 +119,18 @@
         self.calls = FakeCalls()
         self.reach = mock.Mock()
         self.reach.is_lost.return_value = False
+        self.suspects = Suspects(
+            Gossip(), lambda facts: None, self.view.releases, mock.Mock()
+        )
+        pool = mock.Mock(is_refused=lambda address: True)
         self.owner = StageOwner(
-            self.view, self.peers, self.calls, dialect, self.reach, mock.Mock()
+            self.view,
+            self.peers,
+            self.calls,
+            dialect,
+            self.reach,
+            mock.Mock(),
+            ends=TargetEnds(pool, self.view, self.suspects),
         )
         self.exchange = StageExchange(self.peers, self.owner)
         config = Entry("op/config", 1, msgspec.json.encode(CONFIG))
@@ -130,7 +143,7 @@
         entry = target_entry(name, service, port, zone)
         self.view.apply([entry], 90, source="test")
 
-    def start(self, pieces=(2, 3), stages=STAGES, name="r1", keep_seconds=4.0):
+    def start(self, pieces=(2, 3), stages=STAGES, name="r1", keep_seconds=4.0, work=""):
         """Begin the stages of a request."""
         route = ROUTE._replace(stages=stages)
         head = RequestHead(name, b"POST", b"/", "h", "", 8.0, pieces=pieces)
@@ -154,6 +167,7 @@
             spread=lambda service, stage, count: [("a", count)],
             coming=Coming(),
             keep_seconds=lambda service: keep_seconds,
+            work=work,
         )
         self.thread = eventlet.spawn(self._run)
         settle()
@@ -179,6 +193,29 @@
         advance(0.1)
         self.assertEqual(self.calls.live, set())
 
+    def test_pieces_under_which_targets_end_stop_reaching_them(self):
+        """Guards against a request that ends one stage target after the other."""
+        for number, zone in enumerate("abc"):
+            self.add_target(f"more{number}", "encode", 83 + number, zone)
+        for name in ("r1", "r2", "r3"):
+            self.calls.script = [ConnectionLostError("closed")] * 9
+            self.start((1, 1), name=name, work="w")
+            advance(4.0)
+        self.assertTrue(self.suspects.is_held_back("w"))
+        self.assertEqual(len(self.calls.calls), FATAL_ENDS)
+
+    def test_a_call_that_a_target_answers_clears_its_requests(self):
+        self.start(work="w")
+        self.finish(0.6)
+        for number in range(3):
+            self.suspects.note_end(self.target("t1", started_ms=number), ["w"])
+        self.assertFalse(self.suspects.is_suspect("w"))
+
+    def target(self, name, started_ms=0):
+        """A target as it is listed, in some life."""
+        known = next(k for k in self.view.usable("encode") if k.target.id == name)
+        return known.target._replace(started_ms=started_ms)
+
     def test_pieces_that_find_no_room_are_not_gone_through_again_and_again(self):
         """A target has no room, and six hundred requests come within 0.6 s.
 
--- a/tests/test_stage_queue.py
+++ b/tests/test_stage_queue.py
@@ -11,6 +11,7 @@
     PieceKey,
     QueuedPiece,
     StageQueue,
+    set_suspects_apart,
 )
 from tests._stages import FOUR_A_CALL
 
@@ -38,6 +39,26 @@
     return list(dict.fromkeys(taken.key.request for taken in batch))
 
 
+class SuspectsApartTest(unittest.TestCase):
+    """Calls in which a request under which targets have ended would take part."""
+
+    @parameterized.expand(
+        [
+            ("no_suspect", "aab", "", "aab", ""),
+            ("only_the_suspect", "ss", "s", "ss", ""),
+            ("suspect_first", "sab", "s", "ab", "s"),
+            ("suspect_last", "abs", "s", "ab", "s"),
+            ("two_suspects", "stts", "st", "ss", "tt"),
+        ]
+    )
+    def test_it_goes_alone(self, _, works, suspects, called, left):
+        """Guards against a fatal request that takes others' pieces with it."""
+        batch = [piece("r", number, work=work) for number, work in enumerate(works)]
+        call, rest = set_suspects_apart(batch, lambda work: work in suspects)
+        self.assertEqual("".join(p.work for p in call), called)
+        self.assertEqual("".join(p.work for p in rest), left)
+
+
 class RankTest(unittest.TestCase):
     """Order of pieces of a single call with one place."""
 
