Read the limits that targets name, and tell them to all instances

The adapter decodes the header; the latest answer of a target's life holds, an answer without a limit ends it, and changes are logged and told as other facts are. No decision changes.

--- a/packages/serving/bergamotsaddle_serving/attempt.py
+++ b/packages/serving/bergamotsaddle_serving/attempt.py
@@ -187,6 +187,7 @@
         answer = self._dialect.read_answer(head.headers)
         self._keep = answer.keep_seconds
         self._state.note_load(answer.load)
+        self._state.note_limit(answer.limit)
         if answer.not_run or head.status == _MISDIRECTED:
             self._drain()
             raise NotRunError("refused", head.status)
--- a/packages/serving/bergamotsaddle_serving/health.py
+++ b/packages/serving/bergamotsaddle_serving/health.py
@@ -1,5 +1,7 @@
 """What this instance has seen of each target."""
 
+from collections.abc import Callable
+
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.catalog import Target
 from bergamotsaddle_serving.messages import TargetLoad
@@ -19,10 +21,14 @@
 
     Args:
         target: The target.
+        on_limit: Called with the target and the limit that each answer names.
     """
 
-    def __init__(self, target: Target) -> None:
+    def __init__(
+        self, target: Target, on_limit: Callable[[Target, float | None], None]
+    ) -> None:
         self.target = target
+        self._on_limit = on_limit
         self.in_flight = 0
         self.prompt_tokens_ahead = 0
         self.latency = _FIRST_LATENCY_S
@@ -42,6 +48,10 @@
             self.load = load
             self.load_at = now()
 
+    def note_limit(self, limit: float | None) -> None:
+        """Note the limit that an answer names, None if it names none."""
+        self._on_limit(self.target, limit)
+
     def waiting(self) -> int:
         """Requests that waited there by its own word, 0 if that is too old."""
         if self.load is None or now() - self.load_at > _LOAD_AGE_S:
@@ -68,16 +78,26 @@
 
 
 class Health:
-    """The states of all targets."""
+    """The states of all targets.
+
+    Args:
+        on_limit: Called with the target and the limit that each answer names.
+    """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        on_limit: Callable[[Target, float | None], None] = lambda target, limit: None,
+    ) -> None:
+        self._on_limit = on_limit
         self._state_by_life: dict[tuple[str, int], TargetState] = {}
 
     def of(self, target: Target) -> TargetState:
         """The state of a target's life."""
         state = self._state_by_life.get(target.life)
         if state is None:
-            state = self._state_by_life[target.life] = TargetState(target)
+            state = self._state_by_life[target.life] = TargetState(
+                target, self._on_limit
+            )
         state.target = target
         return state
 
--- a/packages/serving/bergamotsaddle_serving/messages.py
+++ b/packages/serving/bergamotsaddle_serving/messages.py
@@ -89,6 +89,7 @@
         load: Its load, None if not told.
         keep_seconds: How long an idle connection is kept, None if not told.
         is_encoded: Whether the body is in some encoding and thus not the target's.
+        limit: Requests a second that it takes from all instances, None if not told.
     """
 
     request_id: str
@@ -97,6 +98,7 @@
     load: TargetLoad | None
     keep_seconds: float | None
     is_encoded: bool
+    limit: float | None = None
 
 
 class Piece(NamedTuple):
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -24,6 +24,7 @@
 from bergamotsaddle_serving.log import BoundedOutput, make_logger
 from bergamotsaddle_serving.messages import Dialect
 from bergamotsaddle_serving.metrics import Metrics
+from bergamotsaddle_serving.named_limits import NamedLimits
 from bergamotsaddle_serving.peers import Peers
 from bergamotsaddle_serving.plain import PlainServer
 from bergamotsaddle_serving.policy import Mechanism
@@ -92,7 +93,6 @@
         self.view = View(dialect, logger)
         self.peers = Peers(settings, secrets.token_hex(4), logger)
         self.pool = ConnectionPool()
-        self.health = Health()
         self.metrics = Metrics()
         self.store = StoreFollower(
             settings, dialect, self.view, self.peers.size, logger
@@ -116,8 +116,10 @@
             policy,
         )
         ends = TargetEnds(self.pool, self.view, self.suspects)
+        self.limits = NamedLimits(self.gossip, self.gossip_exchange.tell, logger)
+        self.health = Health(self.limits.note)
         fetch_times = FetchTimes(settings.capacity.link_mbps)
-        calls = StageCalls(self.view, self.pool, dialect)
+        calls = StageCalls(self.view, self.pool, dialect, self.limits)
         self.owner = StageOwner(
             self.view,
             self.peers,
@@ -312,6 +314,7 @@
             for known in group
         }
         self.health.keep_only(lives)
+        self.limits.keep_only(lives)
 
     def _keep_running(self, work: Any) -> None:
         # An error nobody thought of would end the green thread, and this instance
@@ -366,4 +369,5 @@
             "Requests that end their targets.",
             lambda: len(self.suspects.held_back()),
         )
+        gauge("targets_limited", "Targets that name a limit.", lambda: len(self.limits))
         gauge("log_dropped", "Dropped log lines.", lambda: self._output.dropped)
--- a/packages/serving/bergamotsaddle_serving/stage_calls.py
+++ b/packages/serving/bergamotsaddle_serving/stage_calls.py
@@ -6,6 +6,7 @@
 from bergamotsaddle_serving.catalog import Target
 from bergamotsaddle_serving.client import ConnectionLostError, ConnectionPool
 from bergamotsaddle_serving.messages import Dialect, HttpCall, Piece, PieceResult
+from bergamotsaddle_serving.named_limits import NamedLimits
 from bergamotsaddle_serving.stage_queue import QueuedPiece
 from bergamotsaddle_serving.view import View
 
@@ -24,9 +25,17 @@
         view: Tells whether a target may still get work.
         pool: Connections to targets.
         dialect: Makes and reads the calls.
+        limits: Get what answers say.
     """
 
-    def __init__(self, view: View, pool: ConnectionPool, dialect: Dialect) -> None:
+    def __init__(
+        self,
+        view: View,
+        pool: ConnectionPool,
+        dialect: Dialect,
+        limits: NamedLimits,
+    ) -> None:
+        self._limits = limits
         self._view = view
         self._pool = pool
         self._dialect = dialect
@@ -91,6 +100,7 @@
     ) -> tuple[int, bytes]:
         connection = self._pool.take(target.address)
         head, body = connection.exchange(call, limit=limit, most=_MAX_BODY)
-        keep = self._dialect.read_answer(head.headers).keep_seconds
-        self._pool.give(connection, keep)
+        answer = self._dialect.read_answer(head.headers)
+        self._limits.note(target, answer.limit)
+        self._pool.give(connection, answer.keep_seconds)
         return head.status, body
--- a/packages/standins/bergamotsaddle_standins/virtual_fleet.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_fleet.py
@@ -26,6 +26,7 @@
 from bergamotsaddle_serving.health import Health
 from bergamotsaddle_serving.messages import Entry, RawHeaders
 from bergamotsaddle_serving.metrics import Metrics
+from bergamotsaddle_serving.named_limits import NamedLimits
 from bergamotsaddle_serving.plain import PlainServer
 from bergamotsaddle_serving.selector import Selector
 from bergamotsaddle_serving.settings import BoundSettings
@@ -125,14 +126,15 @@
         self.peers = peers
         self.view = View(dialect, _SILENT)
         self.view.has_listed = True
-        self.health = Health()
+        gossip = Gossip()
+        tell = GossipExchange(gossip, peers).tell
+        self.limits = NamedLimits(gossip, tell, _SILENT)
+        self.health = Health(self.limits.note)
         peers.own_running = self.health.running
         pool = VirtualPool(targets, peers.own.id)
         budget = RetryBudget(_BOUNDS, peers.size)
         reach = mock.Mock(is_lost=lambda zone: False)
         selector = Selector(self.view, self.health, peers, ColdPace(peers.size), reach)
-        gossip = Gossip()
-        tell = GossipExchange(gossip, peers).tell
         self.suspects = Suspects(gossip, tell, self.view.releases, _SILENT)
         ends = TargetEnds(pool, self.view, self.suspects)
         plain = PlainServer(selector, pool, budget, dialect, _SILENT, ends=ends)
--- a/packages/standins/bergamotsaddle_standins/virtual_targets.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_targets.py
@@ -50,6 +50,10 @@
     Args:
         number: Its number, which names its address.
         zone: Its availability zone.
+
+    Attributes:
+        limit: Requests a second that its answers name, None for none.
+        arrivals: Requests that reached this address so far.
     """
 
     def __init__(self, number: int, zone: str) -> None:
@@ -57,6 +61,7 @@
         self.zone = zone
         self.life = 1
         self.is_up = True
+        self.limit: float | None = None
         self.arrivals: list[Arrival] = []
         self.runs: set[VirtualConnection] = set()
         self._number = number
@@ -93,7 +98,8 @@
         """Decode the headers of an answer."""
         by_name = dict(headers)
         request_id = by_name[b"id"].decode()
-        return AnswerHead(request_id, True, False, None, None, False)
+        limit = float(by_name[b"limit"]) if b"limit" in by_name else None
+        return AnswerHead(request_id, True, False, None, None, False, limit)
 
     def target_id(self, key: str) -> str | None:
         """Id of the target that an entry tells of."""
@@ -141,7 +147,10 @@
         if is_misdirected:
             return IncomingHead(_MISDIRECTED, [*self._headers.items()])
         self._wait(self._began_at + _FIRST_EVENT_S + self._slowness(), limit)
-        return IncomingHead(_OK, [(b"id", self._headers[b"id"])])
+        headers = [(b"id", self._headers[b"id"])]
+        if self._target.limit is not None:
+            headers.append((b"limit", str(self._target.limit).encode()))
+        return IncomingHead(_OK, headers)
 
     def read_some(self, *, limit: float) -> bytes | None:
         """Give the next event, None at the end."""
--- /dev/null
+++ b/tests/test_named_limits.py
@@ -0,0 +1,77 @@
+"""The limits that targets name, as instances learn of them."""
+
+import unittest
+from unittest import mock
+
+from parameterized import parameterized
+
+from bergamotsaddle_contracts.ini import Address
+from bergamotsaddle_platform.dialect import PlatformDialect
+from bergamotsaddle_serving.catalog import Target
+from bergamotsaddle_serving.gossip import Gossip
+from bergamotsaddle_serving.named_limits import NamedLimits
+from tests._paused import use_paused_clock
+
+TARGET = Target("t1", "generate", Address("10.0.0.1", 80), "a", 64, started_ms=5)
+
+
+class DecodeTest(unittest.TestCase):
+    """The header of an answer."""
+
+    @parameterized.expand(
+        [
+            ("whole", b"3", 3.0),
+            ("decimal", b" 0.25 ", 0.25),
+            ("none", None, None),
+            ("negative", b"-1", None),
+            ("word", b"inf", None),
+            ("exponent", b"1e3", None),
+            ("nothing", b"", None),
+        ]
+    )
+    def test_limit(self, _, value, limit):
+        headers = [] if value is None else [(b"server-limit", value)]
+        self.assertEqual(PlatformDialect().read_answer(headers).limit, limit)
+
+
+class NamedLimitsTest(unittest.TestCase):
+    """What holds after some answers."""
+
+    def setUp(self):
+        use_paused_clock()
+        self.told = []
+        self.gossip = Gossip()
+        self.limits = NamedLimits(self.gossip, self.told.extend, mock.Mock())
+
+    @parameterized.expand(
+        [
+            ("never_named", [None, None], None, 0),
+            ("named", [2.0], 2.0, 1),
+            ("named_again", [2.0, 2.0, 2.0], 2.0, 1),
+            ("changed", [2.0, 0.5], 0.5, 2),
+            ("ended", [2.0, None, None], None, 2),
+            ("named_anew", [2.0, None, 1.0], 1.0, 3),
+        ]
+    )
+    def test_the_latest_answer_holds_and_only_news_is_told(
+        self, _, answers, limit, told
+    ):
+        for answer in answers:
+            self.limits.note(TARGET, answer)
+        self.assertEqual(self.limits.of(TARGET), limit)
+        self.assertEqual(len(self.told), told)
+
+    def test_a_new_life_under_the_same_id_has_named_nothing(self):
+        """Guards against a limit that outlives the target which named it."""
+        self.limits.note(TARGET, 1.0)
+        self.assertIsNone(self.limits.of(TARGET._replace(started_ms=6)))
+        self.limits.keep_only({("t1", 6)})
+        self.assertEqual(len(self.limits), 0)
+        self.assertEqual(list(self.gossip.facts()), [])
+
+    def test_another_instance_learns_of_it(self):
+        other = Gossip()
+        limits = NamedLimits(other, lambda facts: None, mock.Mock())
+        self.limits.note(TARGET, 1.0)
+        other.hear(self.told)
+        self.assertEqual(limits.of(TARGET), 1.0)
