Keep requests of all instances together within the limits that targets name

Change: each limit has one owner, by rendezvous among the strong instances of the target's zone that take work, and each request needs a permit of it, asked for after admission and before the stages are run. Without one the request goes to another engine; is there none, it is refused at once with the time at which the next permit is due. Urgent requests go first, every fourth permit is anybody's. Owners that are cut off from others give out the part of the rate that the instances which they hear make up; a new owner begins empty. Stage calls need permits as well.

--- a/packages/serving/bergamotsaddle_serving/admission.py
+++ b/packages/serving/bergamotsaddle_serving/admission.py
@@ -76,3 +76,19 @@
     most = forecast.left * _MOST_RETRY_PART
     least = min(most, max(_LEAST_RETRY_S, forecast.seconds - forecast.objective))
     return random.uniform(least, most)
+
+
+def spread_out(wait: float | None) -> float | None:
+    """When a caller should come back for whom there is room after a wait.
+
+    Args:
+        wait: Seconds until there is room, None if that is unknown.
+
+    Returns:
+        Seconds, spread so that those who were refused together return one by one;
+        None if unknown.
+    """
+    if wait is None:
+        return None
+    least = max(_LEAST_RETRY_S, wait)
+    return random.uniform(least, 2.0 * least)
--- a/packages/serving/bergamotsaddle_serving/peer_messages.py
+++ b/packages/serving/bergamotsaddle_serving/peer_messages.py
@@ -78,6 +78,36 @@
     """Asks for a heartbeat at once."""
 
 
+class RateAsk(Message):
+    """Asks the owner of a shared rate for a permit.
+
+    Attributes:
+        number: The sender's number for the question.
+        key: What the rate is for.
+        scope: The zone whose instances own it.
+        rate: Permits a second, for all instances together.
+        urgency: Of the request, 0 first.
+    """
+
+    number: int
+    key: str
+    scope: str
+    rate: float
+    urgency: int
+
+
+class RateAnswer(Message):
+    """The owner's answer.
+
+    Attributes:
+        number: Number of the question.
+        wait: 0 if there is a permit, else the seconds after which to ask again.
+    """
+
+    number: int
+    wait: float
+
+
 class Submit(Message):
     """Pieces of one stage of a request, for the owner of a stage queue.
 
@@ -181,7 +211,17 @@
 
 
 Datagram = (
-    Hello | News | Inquiry | Submit | Accepted | Started | Results | Cancel | Release
+    Hello
+    | News
+    | Inquiry
+    | RateAsk
+    | RateAnswer
+    | Submit
+    | Accepted
+    | Started
+    | Results
+    | Cancel
+    | Release
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/serving/bergamotsaddle_serving/peers.py
+++ b/packages/serving/bergamotsaddle_serving/peers.py
@@ -233,6 +233,10 @@
         """Instances known of late, this one among them, dead ones too."""
         return len(self.by_id) + 1
 
+    def heard_part(self) -> float:
+        """Which part of all instances that are known lives, this one among them."""
+        return (len(self.alive()) + 1) / self.size()
+
     def send(self, peer_id: str, message: Message) -> None:
         """Send a datagram to a peer; it may get lost."""
         peer = self.by_id.get(peer_id)
--- a/packages/serving/bergamotsaddle_serving/plain.py
+++ b/packages/serving/bergamotsaddle_serving/plain.py
@@ -4,6 +4,7 @@
 
 from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
 from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.admission import spread_out
 from bergamotsaddle_serving.attempt import (
     PROMISES,
     Attempt,
@@ -73,11 +74,12 @@
             RequestError: If there is none; it says whether the request has run.
         """
         tried: set[str] = set()
+        denied: set[str] = set()
         failure: WholeAnswer | None = None
         ran = 0
         refusals = 0
         while True:
-            candidate = self._next(context, tried, ran)
+            candidate = self._next(context, tried, denied)
             if candidate is None:
                 return self._give_up(context, failure, ran)
             tried.add(candidate.target.id)
@@ -103,20 +105,35 @@
                 return answer
             failure = answer
 
-    def _next(self, context: Context, tried: set[str], ran: int) -> Candidate | None:
+    def _next(
+        self, context: Context, tried: set[str], denied: set[str]
+    ) -> Candidate | None:
+        """The target to try next, None if there is none.
+
+        Args:
+            context: The request.
+            tried: Targets that it was sent to.
+            denied: Targets that had no permit to give; more are added.
+        """
         if context.remaining <= 0:
             return None
-        service = context.service
-        if self._suspects.is_suspect(context.work):
-            candidate = self._selector.pick_quiet(service.name, tried, context.work)
-        else:
-            candidate = self._selector.pick(service.name, tried)
-        if candidate is None or not self._selector.may_send(candidate):
-            return None
-        if tried and not self._budget.take(service.name):
+        while True:
+            candidate = self._pick(context, tried | denied)
+            if candidate is None or not self._selector.may_send(candidate):
+                return None
+            if self._selector.reserve(candidate, context.head.id, context.urgency):
+                break
+            denied.add(candidate.target.id)
+        if tried and not self._budget.take(context.service.name):
             return None
         return candidate
 
+    def _pick(self, context: Context, exclude: set[str]) -> Candidate | None:
+        service = context.service.name
+        if self._suspects.is_suspect(context.work):
+            return self._selector.pick_quiet(service, exclude, context.work)
+        return self._selector.pick(service, exclude)
+
     def _try(
         self, context: Context, candidate: Candidate, *, can_repeat: bool
     ) -> WholeAnswer:
@@ -141,7 +158,12 @@
         if failure is not None:
             return failure
         if not ran:
-            raise context.refuse(ErrorKind.NO_TARGET, "no target took the request")
+            wait = self._selector.permit_wait(context.service.name)
+            raise context.refuse(
+                ErrorKind.NO_TARGET,
+                "no target took the request",
+                retry_after=spread_out(wait),
+            )
         raise RequestError(
             ErrorKind.TARGET_FAILED, "the target broke off", ran=Ran.UNKNOWN
         )
--- a/packages/serving/bergamotsaddle_serving/selector.py
+++ b/packages/serving/bergamotsaddle_serving/selector.py
@@ -7,6 +7,7 @@
 from bergamotsaddle_serving.catalog import Service, Target
 from bergamotsaddle_serving.health import Health, TargetState
 from bergamotsaddle_serving.peers import Peers
+from bergamotsaddle_serving.target_rates import TargetRates
 from bergamotsaddle_serving.view import KnownTarget, View
 from bergamotsaddle_serving.zone_reach import ZoneReach
 
@@ -41,6 +42,7 @@
         peers: What other instances have at them.
         cold: Spaces requests to cold ones.
         reach: Knows the zones that are cut off.
+        rates: Knows the targets that have no permit to give.
     """
 
     def __init__(
@@ -50,7 +52,9 @@
         peers: Peers,
         cold: ColdPace,
         reach: ZoneReach,
+        rates: TargetRates,
     ) -> None:
+        self._rates = rates
         self._view = view
         self._health = health
         self._peers = peers
@@ -62,16 +66,42 @@
 
         Those that failed lately are left out if there is any other. Those in a zone
         that is cut off always are: a request sent there is lost for up to two seconds,
-        and one that nobody else can serve is better refused at once.
+        and one that nobody else can serve is better refused at once. So are those that
+        have no permit to give.
         """
+        found = self._reachable(service, exclude)
+        found = [c for c in found if not self._rates.wait(c.target)]
+        return _rested(found)
+
+    def find(self, service: str, target_id: str) -> Candidate | None:
+        """The candidate of an id, whether or not it has another permit to give."""
+        for candidate in _rested(self._reachable(service, set())):
+            if candidate.target.id == target_id:
+                return candidate
+        return None
+
+    def permit_wait(self, service: str) -> float | None:
+        """Seconds until a target may have a permit to give, None if none lacks any."""
+        targets = [known.target for known in self._view.usable(service)]
+        waits = [wait for target in targets if (wait := self._rates.wait(target))]
+        return min(waits, default=None)
+
+    def reserve(self, candidate: Candidate, request: str, urgency: int) -> bool:
+        """Get a permit for a request to a target, if it needs any."""
+        return self._rates.reserve(candidate.target, request, urgency)
+
+    def is_limited(self, candidate: Candidate) -> bool:
+        """Tell whether a request to a target needs a permit."""
+        return self._rates.is_limited(candidate.target)
+
+    def _reachable(self, service: str, exclude: set[str]) -> list[Candidate]:
         found = [
             self._candidate(known)
             for known in self._view.usable(service)
             if known.target.id not in exclude
         ]
         found = [c for c in found if not c.is_cold or self._cold.may_send(c.target.id)]
-        found = [c for c in found if not self._reach.is_lost(c.target.zone)]
-        return [c for c in found if not c.state.is_resting()] or found
+        return [c for c in found if not self._reach.is_lost(c.target.zone)]
 
     def pick(self, service: str, exclude: set[str]) -> Candidate | None:
         """Pick the target of a plain service that should answer first.
@@ -129,3 +159,8 @@
         crowding = taken / slots
         trip = 0.0 if candidate.target.zone == self._peers.own.zone else _OTHER_ZONE_S
         return state.latency * (1.0 + queueing + 0.3 * crowding) + trip
+
+
+def _rested(found: list[Candidate]) -> list[Candidate]:
+    """Those that have not failed lately, all if there are none."""
+    return [c for c in found if not c.state.is_resting()] or found
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -29,8 +29,10 @@
 from bergamotsaddle_serving.plain import PlainServer
 from bergamotsaddle_serving.policy import Mechanism
 from bergamotsaddle_serving.probe import serve_page
+from bergamotsaddle_serving.rate_exchange import RateExchange
 from bergamotsaddle_serving.selector import Selector
 from bergamotsaddle_serving.settings import parse_settings
+from bergamotsaddle_serving.shared_rate import RateOwner
 from bergamotsaddle_serving.stage_calls import StageCalls
 from bergamotsaddle_serving.stage_exchange import StageExchange
 from bergamotsaddle_serving.stage_owner import StageOwner
@@ -38,6 +40,7 @@
 from bergamotsaddle_serving.streams import StreamServer
 from bergamotsaddle_serving.suspects import Suspects
 from bergamotsaddle_serving.target_ends import TargetEnds
+from bergamotsaddle_serving.target_rates import TargetRates
 from bergamotsaddle_serving.usage import UsageMeter
 from bergamotsaddle_serving.view import View
 from bergamotsaddle_serving.view_exchange import ViewExchange
@@ -118,8 +121,11 @@
         ends = TargetEnds(self.pool, self.view, self.suspects)
         self.limits = NamedLimits(self.gossip, self.gossip_exchange.tell, logger)
         self.health = Health(self.limits.note)
+        self.rate_owner = RateOwner(self.peers.heard_part)
+        rate_exchange = RateExchange(self.peers, self.rate_owner)
+        self.rates = TargetRates(self.limits, rate_exchange, logger)
         fetch_times = FetchTimes(settings.capacity.link_mbps)
-        calls = StageCalls(self.view, self.pool, dialect, self.limits)
+        calls = StageCalls(self.view, self.pool, dialect, self.limits, self.rates)
         self.owner = StageOwner(
             self.view,
             self.peers,
@@ -133,7 +139,9 @@
         )
         budget = RetryBudget(settings.bounds, self.peers.size)
         cold = ColdPace(self.peers.size)
-        selector = Selector(self.view, self.health, self.peers, cold, self.reach)
+        selector = Selector(
+            self.view, self.health, self.peers, cold, self.reach, self.rates
+        )
         self.stage_exchange = StageExchange(self.peers, self.owner)
         waits = StageWaits(self.view, self.peers, self.owner, policy)
         plain = PlainServer(
@@ -272,6 +280,7 @@
             self.pool.prune()
             self.view.drop_lapsed()
             self.gossip.forget_old()
+            self.rate_owner.forget_idle()
             self.owner.hand_over()
             self.owner.drop_orphans()
             self.stage_exchange.repeat_releases()
@@ -315,6 +324,7 @@
         }
         self.health.keep_only(lives)
         self.limits.keep_only(lives)
+        self.rates.keep_only(lives)
 
     def _keep_running(self, work: Any) -> None:
         # An error nobody thought of would end the green thread, and this instance
--- a/packages/serving/bergamotsaddle_serving/stage_calls.py
+++ b/packages/serving/bergamotsaddle_serving/stage_calls.py
@@ -8,6 +8,7 @@
 from bergamotsaddle_serving.messages import Dialect, HttpCall, Piece, PieceResult
 from bergamotsaddle_serving.named_limits import NamedLimits
 from bergamotsaddle_serving.stage_queue import QueuedPiece
+from bergamotsaddle_serving.target_rates import TargetRates
 from bergamotsaddle_serving.view import View
 
 _OK = 200
@@ -26,6 +27,7 @@
         pool: Connections to targets.
         dialect: Makes and reads the calls.
         limits: Get what answers say.
+        rates: Keep the calls within the limits.
     """
 
     def __init__(
@@ -34,7 +36,9 @@
         pool: ConnectionPool,
         dialect: Dialect,
         limits: NamedLimits,
+        rates: TargetRates,
     ) -> None:
+        self._rates = rates
         self._limits = limits
         self._view = view
         self._pool = pool
@@ -51,7 +55,8 @@
             limit: Seconds after which the call counts as lost.
 
         Returns:
-            A result for each piece, None if the target was full.
+            A result for each piece, None if the target was full or had no permit
+            to give.
 
         Raises:
             ConnectionLostError: If the target may not get work, or broke off.
@@ -59,6 +64,9 @@
         """
         if not self._view.may_get_work(target):
             raise ConnectionLostError("left", is_unsent=True)
+        urgency = min(piece.urgency for piece in batch)
+        if not self._rates.reserve(target, batch[0].key.request, urgency):
+            return None
         moment = now()
         pieces = [
             Piece(*p.key[:3], p.input_key, p.inputs, p.expires_at - moment)
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -8,7 +8,12 @@
 
 from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving.admission import Forecast, admits, retry_after
+from bergamotsaddle_serving.admission import (
+    Forecast,
+    admits,
+    retry_after,
+    spread_out,
+)
 from bergamotsaddle_serving.attempt import (
     PROMISES,
     Attempt,
@@ -153,10 +158,7 @@
 
     def candidate(self, context: Context, engine: EngineView) -> Candidate | None:
         """The candidate with an engine's id."""
-        for found in self.selector.candidates(context.service.name, set()):
-            if found.target.id == engine.id:
-                return found
-        return None
+        return self.selector.find(context.service.name, engine.id)
 
     def note_known(self, target_id: str, context: Context) -> None:
         """Note that an engine has read the shared parts of a prompt."""
@@ -195,6 +197,8 @@
         self._last_id = context.head.last_event_id
         self._exclude: set[str] = set()
         self._has_started = False
+        self._reserved = ""
+        self._was_sent = False
         self._has_run = 0
         self._refusals = 0
 
@@ -202,6 +206,9 @@
         """Serve the request."""
         choice = self._choose()
         self._admit(choice)
+        while not self._reserve(choice):
+            choice = self._choose()
+            self._admit(choice)
         while True:
             if self._inputs is None:
                 self._run_stages(choice)
@@ -224,6 +231,23 @@
             raise self._end("no engine can take the request")
         return choice
 
+    def _reserve(self, choice: EngineChoice) -> bool:
+        """Get a permit if the engine needs any; else another engine is to be chosen.
+
+        Asked for before the stages are run, so that no work is done for a request that
+        no engine may get.
+        """
+        context = self._context
+        candidate = self._server.candidate(context, choice.engine)
+        if candidate is None:
+            return True
+        selector = self._server.selector
+        if selector.reserve(candidate, context.head.id, context.urgency):
+            self._reserved = choice.engine.id
+            return True
+        self._exclude.add(choice.engine.id)
+        return False
+
     def _admit(self, choice: EngineChoice) -> None:
         """Refuse a request that would not be done in time, before any stage runs.
 
@@ -313,10 +337,14 @@
         if candidate is None or not self._server.selector.may_send(candidate):
             self._exclude.add(choice.engine.id)
             return False
-        if self._exclude and not self._server.budget.take(context.service.name):
+        if self._reserved != choice.engine.id and not self._reserve(choice):
+            return False
+        self._reserved = ""
+        if self._was_sent and not self._server.budget.take(context.service.name):
             raise self._end("no repeats are left")
         self._check_harmless()
         self._server.selector.note_sent(candidate, context.service)
+        self._was_sent = True
         try:
             self._send(candidate, choice)
         except NotRunError as error:
@@ -479,7 +507,10 @@
     def _end(self, detail: str) -> RequestError:
         if self._has_run:
             return RequestError(ErrorKind.TARGET_FAILED, detail, ran=Ran.UNKNOWN)
-        return self._context.refuse(ErrorKind.NO_TARGET, detail)
+        wait = self._server.selector.permit_wait(self._context.service.name)
+        return self._context.refuse(
+            ErrorKind.NO_TARGET, detail, retry_after=spread_out(wait)
+        )
 
     def _first_limit(self, choice: EngineChoice) -> float:
         context = self._context
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/target_rates.py
@@ -0,0 +1,71 @@
+"""Keeps requests to targets within the limits that these name."""
+
+from typing import Any
+
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.catalog import Target
+from bergamotsaddle_serving.named_limits import NamedLimits
+from bergamotsaddle_serving.rate_exchange import RateExchange
+
+
+class TargetRates:
+    """Permits for requests to targets that name a limit.
+
+    Args:
+        limits: What targets name.
+        exchange: Asks for permits.
+        logger: Gets a line when a target takes no more for now.
+    """
+
+    def __init__(
+        self, limits: NamedLimits, exchange: RateExchange, logger: Any
+    ) -> None:
+        self._limits = limits
+        self._exchange = exchange
+        self._logger = logger
+        self._free_at_by_life: dict[tuple[str, int], float] = {}
+
+    def is_limited(self, target: Target) -> bool:
+        """Tell whether a request to a target needs a permit."""
+        return self._limits.of(target) is not None
+
+    def reserve(self, target: Target, request: str, urgency: int) -> bool:
+        """Get a permit for one request, if the target needs any.
+
+        Args:
+            target: The target.
+            request: Id of the request.
+            urgency: Its urgency, 0 first.
+
+        Returns:
+            Whether it may be sent.
+        """
+        limit = self._limits.of(target)
+        if limit is None:
+            return True
+        if self.wait(target) > 0:
+            return False
+        key = f"{target.id} {target.started_ms}"
+        wait = self._exchange.ask(key, target.zone, limit, urgency)
+        if wait <= 0:
+            return True
+        self._free_at_by_life[target.life] = now() + wait
+        self._logger.info(
+            "limit_reached",
+            request=request,
+            target=target.id,
+            limit=limit,
+            wait=round(wait, 3),
+        )
+        return False
+
+    def wait(self, target: Target) -> float:
+        """Seconds until a target may have a permit to give, 0 if it may now."""
+        if not self._free_at_by_life or not self.is_limited(target):
+            return 0.0
+        return max(0.0, self._free_at_by_life.get(target.life, 0.0) - now())
+
+    def keep_only(self, lives: set[tuple[str, int]]) -> None:
+        """Forget targets that are gone."""
+        for life in set(self._free_at_by_life) - lives:
+            del self._free_at_by_life[life]
--- a/packages/standins/bergamotsaddle_standins/virtual_fleet.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_fleet.py
@@ -28,11 +28,14 @@
 from bergamotsaddle_serving.metrics import Metrics
 from bergamotsaddle_serving.named_limits import NamedLimits
 from bergamotsaddle_serving.plain import PlainServer
+from bergamotsaddle_serving.rate_exchange import RateExchange
 from bergamotsaddle_serving.selector import Selector
 from bergamotsaddle_serving.settings import BoundSettings
+from bergamotsaddle_serving.shared_rate import RateOwner
 from bergamotsaddle_serving.streams import StreamServer
 from bergamotsaddle_serving.suspects import Suspects
 from bergamotsaddle_serving.target_ends import TargetEnds
+from bergamotsaddle_serving.target_rates import TargetRates
 from bergamotsaddle_serving.view import View
 from bergamotsaddle_standins.peer_fleet import ZONES, PeerFleet, WiredPeers
 from bergamotsaddle_standins.virtual_targets import (
@@ -134,7 +137,10 @@
         pool = VirtualPool(targets, peers.own.id)
         budget = RetryBudget(_BOUNDS, peers.size)
         reach = mock.Mock(is_lost=lambda zone: False)
-        selector = Selector(self.view, self.health, peers, ColdPace(peers.size), reach)
+        owner = RateOwner(peers.heard_part)
+        rates = TargetRates(self.limits, RateExchange(peers, owner), _SILENT)
+        cold = ColdPace(peers.size)
+        selector = Selector(self.view, self.health, peers, cold, reach, rates)
         self.suspects = Suspects(gossip, tell, self.view.releases, _SILENT)
         ends = TargetEnds(pool, self.view, self.suspects)
         plain = PlainServer(selector, pool, budget, dialect, _SILENT, ends=ends)
--- a/tests/test_limited_targets.py
+++ b/tests/test_limited_targets.py
@@ -6,6 +6,7 @@
 from parameterized import parameterized
 
 from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.owners import rank_owners
 from bergamotsaddle_standins.virtual_fleet import VirtualFleet
 from tests._paused import advance, use_paused_clock
 
@@ -78,3 +79,53 @@
         self.assert_within_limit(home)
         # Other targets have room for the rest.
         self.assertEqual({caller.status for caller in callers}, {200})
+
+    @parameterized.expand(SIZES)
+    def test_what_a_limit_allows_is_used_and_the_rest_refused_at_once(self, _, size):
+        """Guards against a limit that is divided among instances which have no use."""
+        self.start(size, targets=1)
+        (target,) = self.fleet.targets
+        target.limit = 2.0
+        self.named_at = now()
+        callers = self.ask(14.0, 6.0)
+        self.assert_within_limit(target)
+        used = len(self.bounded(target)) / (now() - self.named_at - STABLE_S)
+        self.assertGreaterEqual(used, USED_PART * target.limit)
+        advance(1.0)
+        refused = [caller for caller in callers if caller.status == 503]
+        self.assertEqual({c.status for c in callers}, {200, 503})
+        for caller in refused:
+            self.assertIn(b"retry-after", dict(caller.headers))
+
+    @parameterized.expand(
+        [
+            ("cut", lambda fleet, owner: fleet.peers.cut_off(owner.own.zone)),
+            ("killed", lambda fleet, owner: fleet.peers.kill(owner.own.id)),
+            ("stopped", lambda fleet, owner: setattr(owner, "takes_work", False)),
+        ]
+    )
+    def test_a_limit_holds_while_its_owner_changes(self, _, harm):
+        """Guards against two owners that each give out the whole rate."""
+        self.start(12, targets=1)
+        (target,) = self.fleet.targets
+        target.limit = 3.0
+        self.named_at = now()
+        self.ask(6.0, 12.0)
+        key = f"{target.id} 0"
+        peers = next(iter(self.fleet.peers))
+        name = rank_owners(peers, key, target.zone)[0]
+        harm(self.fleet, next(p for p in self.fleet.peers if p.own.id == name))
+        self.ask(8.0, 12.0)
+        self.assert_within_limit(target)
+
+    def test_a_target_that_names_no_limit_any_more_gets_its_requests_again(self):
+        """Guards against a target that is left alone for good, or overrun at once."""
+        self.start(7, targets=9)
+        home = self.limit_home(0.5)
+        self.ask(6.0, 6.0)
+        home.limit = None
+        ended_at = now()
+        self.ask(6.0, 6.0)
+        after = [a.moment for a in home.arrivals if a.moment > ended_at + STABLE_S]
+        self.assertGreater(len(after), 6)
+        self.assertLessEqual(most_in_a_window(after), 6.0 * WINDOW_S + SLACK)
--- a/tests/test_zone_reach.py
+++ b/tests/test_zone_reach.py
@@ -71,7 +71,12 @@
         advance(1.2)
         self.assertTrue(self.reach.is_lost("b"))
         selector = Selector(
-            self.view, Health(), self.peers, ColdPace(lambda: 3), self.reach
+            self.view,
+            Health(),
+            self.peers,
+            ColdPace(lambda: 3),
+            self.reach,
+            mock.Mock(wait=lambda target: 0.0),
         )
         found = selector.candidates("encode", set())
         self.assertEqual([c.target.id for c in found], ["t3"])
