Tell facts together, and ever less often to peers that stay different

In a fleet of hundreds a target that ends breaks off dozens of requests, and each was told to all peers by a datagram of its own; peers whose facts differ for good (full tables) would have been sent 512 of them once a second for ever.

--- a/packages/serving/bergamotsaddle_serving/gossip.py
+++ b/packages/serving/bergamotsaddle_serving/gossip.py
@@ -1,6 +1,6 @@
 """Facts that one instance observed and all of them need. No input or output here."""
 
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Sequence
 from hashlib import blake2b
 from typing import NamedTuple
 
@@ -126,12 +126,16 @@
         """The same number at all instances that hold the same facts; 0 for none."""
         return self._digest
 
-    def facts(self) -> Iterator[Fact]:
-        """All facts that are held."""
+    def facts(self) -> list[Fact]:
+        """All facts that are held, those of most worth first."""
         moment = now()
-        for name, table in self._table_by_topic.items():
-            for key, held in table.held_by_key.items():
-                yield Fact(name, key, held.value, moment - held.observed_at)
+        by_worth = [
+            (table.worth(key), Fact(name, key, held.value, moment - held.observed_at))
+            for name, table in self._table_by_topic.items()
+            for key, held in table.held_by_key.items()
+        ]
+        by_worth.sort(key=lambda pair: pair[0], reverse=True)
+        return [fact for _, fact in by_worth]
 
     def _put(self, table: _Table, key: str, value: float, moment: float) -> None:
         known = table.held_by_key.get(key)
--- a/packages/serving/bergamotsaddle_serving/gossip_exchange.py
+++ b/packages/serving/bergamotsaddle_serving/gossip_exchange.py
@@ -1,7 +1,10 @@
 """Carries facts between the instances."""
 
+import random
 from collections.abc import Sequence
-from itertools import islice
+from typing import NamedTuple
+
+import eventlet
 
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.gossip import Gossip
@@ -10,9 +13,29 @@
 
 # They fit into one packet.
 _FACTS_A_DATAGRAM = 16
-# Whoever holds other facts is told all of one's own, so often at most.
-_REPEAT_S = 1.0
-_MOST_TOLD = 512
+# A target that ends breaks off many requests; what they come to is told together.
+_GATHER_S = 0.02
+# Whoever holds other facts is told some of one's own after this time, and after twice
+# as long each time that they still differ.
+_FIRST_PAUSE_S = 1.0
+_LONGEST_PAUSE_S = 60.0
+# Facts that are told then: those of most worth, and others by chance.
+_MOST_WORTH = 64
+_BY_CHANCE = 64
+
+
+class _Differing(NamedTuple):
+    """A peer that holds other facts.
+
+    Attributes:
+        life: Of its process; a new one knows nothing.
+        tell_at: When to tell it some.
+        pause: Seconds until the time after that.
+    """
+
+    life: str
+    tell_at: float
+    pause: float
 
 
 class GossipExchange:
@@ -30,7 +53,8 @@
     def __init__(self, gossip: Gossip, peers: Peers) -> None:
         self._gossip = gossip
         self._peers = peers
-        self._told_at_by_peer: dict[str, float] = {}
+        self._fresh: list[Fact] = []
+        self._differing_by_peer: dict[str, _Differing] = {}
         peers.on(News, lambda message, _: gossip.hear(message.facts))
         peers.own_digest = lambda: gossip.digest
         peers.on_hello = self._compare
@@ -42,20 +66,36 @@
             facts: What ``Gossip.note`` gave; None is passed over.
         """
         news = [fact for fact in facts if fact is not None]
-        if not news:
-            return
+        if news and not self._fresh:
+            eventlet.spawn_after(_GATHER_S, self._flush)
+        self._fresh += news
+
+    def _flush(self) -> None:
+        facts, self._fresh = self._fresh, []
         for peer in self._peers.alive():
-            self._send(peer.contact.id, news)
+            self._send(peer.contact.id, facts)
 
     def _compare(self, hello: Hello) -> None:
+        peer_id = hello.sender.id
         if hello.digest == self._gossip.digest:
+            self._differing_by_peer.pop(peer_id, None)
             return
-        peer_id = hello.sender.id
         moment = now()
-        if moment - self._told_at_by_peer.get(peer_id, float("-inf")) < _REPEAT_S:
+        known = self._differing_by_peer.get(peer_id)
+        if known is None or known.life != hello.life:
+            known = _Differing(hello.life, moment, _FIRST_PAUSE_S)
+        if known.tell_at > moment:
             return
-        self._told_at_by_peer[peer_id] = moment
-        self._send(peer_id, list(islice(self._gossip.facts(), _MOST_TOLD)))
+        longer = min(_LONGEST_PAUSE_S, 2.0 * known.pause)
+        self._differing_by_peer[peer_id] = known._replace(
+            tell_at=moment + known.pause, pause=longer
+        )
+        self._send(peer_id, self._choose())
+
+    def _choose(self) -> list[Fact]:
+        facts = self._gossip.facts()
+        rest = facts[_MOST_WORTH:]
+        return facts[:_MOST_WORTH] + random.sample(rest, min(_BY_CHANCE, len(rest)))
 
     def _send(self, peer_id: str, facts: Sequence[Fact]) -> None:
         for begin in range(0, len(facts), _FACTS_A_DATAGRAM):
--- a/packages/serving/bergamotsaddle_serving/named_limits.py
+++ b/packages/serving/bergamotsaddle_serving/named_limits.py
@@ -9,6 +9,8 @@
 
 _LIMITS = Topic("limit", keep_seconds=3_600.0, most=5_000)
 _NONE = -1.0
+# A limit is in force now, while most ends of targets have no consequence.
+_WORTH = 100.0
 
 
 class NamedLimits:
@@ -34,7 +36,7 @@
         self._tell = tell
         self._logger = logger
         self._limit_by_key: dict[str, float] = {}
-        gossip.open(_LIMITS, self._hear)
+        gossip.open(_LIMITS, self._hear, worth=lambda key: _WORTH)
 
     def note(self, target: Target, limit: float | None) -> None:
         """Note what an answer of a target says.
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -1,6 +1,7 @@
 """What instances tell each other of targets and requests."""
 
 import unittest
+from unittest import mock
 
 from parameterized import parameterized
 
@@ -126,6 +127,18 @@
         self.assertEqual(self.knowing("outside"), 8)
         self.assertEqual(self.knowing("inside"), 8)
 
+    def test_facts_that_differ_for_long_are_told_ever_less_often(self):
+        """Guards against instances that send all they know once a second for ever."""
+        self.start(2)
+        advance(2.0)
+        # The second instance knows no such topic, so they never hold the same.
+        self.instances[1].gossip._table_by_topic.clear()
+        self.observe(0, "k")
+        sent = mock.Mock(wraps=self.exchanges[0]._send)
+        self.exchanges[0]._send = sent
+        advance(60.0)
+        self.assertLess(sent.call_count, 9)
+
     def test_an_instance_that_starts_later_is_told(self):
         self.start(7)
         self.observe(0, "k")
