--- a/packages/cli/bergamotsaddle_cli/app.py
+++ b/packages/cli/bergamotsaddle_cli/app.py
@@ -14,6 +14,7 @@
     TeamsCommand,
     ZonesCommand,
 )
+from bergamotsaddle_cli.suspects import SuspectsCommand
 from bergamotsaddle_cli.waiting import WaitCommand
 
 COMMANDS = (
@@ -26,6 +27,7 @@
     ReviewCommand,
     SendCommand,
     StatusCommand,
+    SuspectsCommand,
     TargetsCommand,
     TeamsCommand,
     WaitCommand,
