--- a/packages/serving/bergamotsaddle_serving/attempt.py
+++ b/packages/serving/bergamotsaddle_serving/attempt.py
@@ -187,7 +187,8 @@
         answer = self._dialect.read_answer(head.headers)
         self._keep = answer.keep_seconds
         self._state.note_load(answer.load)
-        self._state.note_limit(answer.limit)
+        if answer.limit is not None:
+            self._state.note_limit(answer.limit)
         if answer.not_run or head.status == _MISDIRECTED:
             self._drain()
             raise NotRunError("refused", head.status)
@@ -199,6 +200,8 @@
         if answer.is_encoded or (head.status in _SUCCESS and not answer.is_sealed):
             self._state.fail(is_certain=False)
             raise UnknownRunError("unsigned")
+        # A refusal may leave the limit out; only an answer that ran ends it.
+        self._state.note_limit(answer.limit)
         return Reply(head, answer)
 
     def _drain(self) -> None:
--- a/packages/serving/bergamotsaddle_serving/stage_calls.py
+++ b/packages/serving/bergamotsaddle_serving/stage_calls.py
@@ -109,6 +109,7 @@
         connection = self._pool.take(target.address)
         head, body = connection.exchange(call, limit=limit, most=_MAX_BODY)
         answer = self._dialect.read_answer(head.headers)
-        self._limits.note(target, answer.limit)
+        if answer.limit is not None or head.status == _OK:
+            self._limits.note(target, answer.limit)
         self._pool.give(connection, answer.keep_seconds)
         return head.status, body
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -1,5 +1,6 @@
 """The limits that targets name, as instances learn of them."""
 
+import contextlib
 import unittest
 from unittest import mock
 
@@ -7,8 +8,12 @@
 
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_platform.dialect import PlatformDialect
+from bergamotsaddle_serving.attempt import Attempt, NotRunError
 from bergamotsaddle_serving.catalog import Target
+from bergamotsaddle_serving.client import IncomingHead
 from bergamotsaddle_serving.gossip import Gossip
+from bergamotsaddle_serving.health import TargetState
+from bergamotsaddle_serving.messages import AnswerHead
 from bergamotsaddle_serving.named_limits import NamedLimits
 from tests._paused import use_paused_clock
 
@@ -75,3 +80,33 @@
         self.limits.note(TARGET, 1.0)
         other.hear(self.told)
         self.assertEqual(limits.of(TARGET), 1.0)
+
+
+class AnswerTest(unittest.TestCase):
+    """Which answers begin and end a limit."""
+
+    @parameterized.expand(
+        [
+            ("served_with", 200, False, 2.0, [2.0]),
+            ("served_without", 200, False, None, [None]),
+            ("refused_with", 503, True, 2.0, [2.0]),
+            ("refused_without", 503, True, None, []),
+            ("misdirected", 421, False, None, []),
+        ]
+    )
+    def test_only_an_answer_that_ran_ends_a_limit(self, _, status, not_run, limit, got):
+        """Guards against refusals without a limit that let everybody in."""
+        noted = []
+        state = TargetState(TARGET, lambda target, limit: noted.append(limit))
+        connection = mock.Mock()
+        connection.read_head.return_value = IncomingHead(status, [])
+        dialect = mock.Mock()
+        dialect.read_answer.return_value = AnswerHead(
+            "", True, not_run, None, None, False, limit
+        )
+        pool = mock.Mock()
+        pool.take.return_value = connection
+        attempt = Attempt(mock.MagicMock(), state, pool, dialect)
+        with contextlib.suppress(NotRunError), attempt:
+            attempt.send(mock.MagicMock(), limit=1.0)
+        self.assertEqual(list(dict.fromkeys(noted)), got)
