Let a permit lapse after 1.5 s

Where these are held up for seconds and then end together, the permits of all these seconds were used at one moment: 50 requests in 4 s at a target that takes 35 (test, 30 asked for a second, stages held up for 6 s). A permit that is older is not used; the request asks again.

--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -59,6 +59,8 @@
 _FIRST_SILENT_S = 2.0
 _FIRST_FACTOR = 6.0
 _MAX_REFUSALS = 3
+# A permit is good for so long; those of a longer time would arrive together.
+_PERMIT_S = 1.5
 _CONFLICT = 409
 
 
@@ -197,7 +199,7 @@
         self._last_id = context.head.last_event_id
         self._exclude: set[str] = set()
         self._has_started = False
-        self._reserved = ""
+        self._permit = ("", 0.0)
         self._was_sent = False
         self._has_run = 0
         self._refusals = 0
@@ -243,11 +245,21 @@
             return True
         selector = self._server.selector
         if selector.reserve(candidate, context.head.id, context.urgency):
-            self._reserved = choice.engine.id
+            self._permit = (choice.engine.id, now() + _PERMIT_S)
             return True
         self._exclude.add(choice.engine.id)
         return False
 
+    def _use_permit(self, choice: EngineChoice) -> bool:
+        """Use the permit for an engine up, or get one if it is for another or old."""
+        engine, until = self._permit
+        self._permit = ("", 0.0)
+        if engine == choice.engine.id and now() < until:
+            return True
+        is_granted = self._reserve(choice)
+        self._permit = ("", 0.0)
+        return is_granted
+
     def _admit(self, choice: EngineChoice) -> None:
         """Refuse a request that would not be done in time, before any stage runs.
 
@@ -337,9 +349,8 @@
         if candidate is None or not self._server.selector.may_send(candidate):
             self._exclude.add(choice.engine.id)
             return False
-        if self._reserved != choice.engine.id and not self._reserve(choice):
+        if not self._use_permit(choice):
             return False
-        self._reserved = ""
         if self._was_sent and not self._server.budget.take(context.service.name):
             raise self._end("no repeats are left")
         self._check_harmless()
--- a/tests/test_limited_targets.py
+++ b/tests/test_limited_targets.py
@@ -2,10 +2,13 @@
 
 import random
 import unittest
+from unittest import mock
 
+import eventlet
 from parameterized import parameterized
 
 from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving import streams
 from bergamotsaddle_serving.owners import rank_owners
 from bergamotsaddle_standins.virtual_fleet import VirtualFleet
 from tests._paused import advance, use_paused_clock
@@ -129,3 +132,20 @@
         after = [a.moment for a in home.arrivals if a.moment > ended_at + STABLE_S]
         self.assertGreater(len(after), 6)
         self.assertLessEqual(most_in_a_window(after), 6.0 * WINDOW_S + SLACK)
+
+    def test_requests_that_were_held_up_do_not_arrive_together(self):
+        """Guards against permits of many seconds that are used at one moment."""
+        self.start(7, targets=1)
+        (target,) = self.fleet.targets
+        target.limit = 5.0
+        self.named_at = now()
+        self.ask(4.0, 30.0)
+        free_at = now() + 6.0
+
+        def hold_up(run, choice):
+            eventlet.sleep(max(0.0, free_at - now()))
+            run._inputs = ()
+
+        with mock.patch.object(streams._StreamRun, "_run_stages", hold_up):
+            self.ask(10.0, 30.0)
+        self.assert_within_limit(target)
