--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -212,6 +212,7 @@
             choice = self._choose()
             self._admit(choice)
         while True:
+            self._check_harmless()
             if self._inputs is None:
                 self._run_stages(choice)
             if self._try(choice):
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -2,9 +2,11 @@
 
 import random
 import unittest
+from unittest import mock
 
 from parameterized import parameterized
 
+from bergamotsaddle_serving import streams
 from bergamotsaddle_standins.virtual_fleet import VirtualFleet
 from tests._paused import advance, use_paused_clock
 
@@ -90,3 +92,17 @@
         advance(8.0)
         held = {work for i in fleet.instances for work in i.suspects.held_back()}
         self.assertEqual(held, set())
+
+    def test_no_stage_is_run_again_for_a_request_that_is_held_back(self):
+        """Guards against stage work that is thrown away for a fatal request."""
+        fleet = VirtualFleet(7, targets=TARGETS)
+        fleet.targets.fatal_paths.add(FATAL)
+        fleet.start()
+        advance(2.0)
+        run_stages = mock.Mock()
+        with mock.patch.object(streams._StreamRun, "_run_stages", run_stages):
+            for number in range(4):
+                fleet.ask(number, FATAL, b"body")
+                advance(1.0)
+        arrivals = sum(len(target.arrivals) for target in fleet.targets)
+        self.assertEqual(run_stages.call_count, arrivals)
