--- a/packages/serving/bergamotsaddle_serving/selector.py
+++ b/packages/serving/bergamotsaddle_serving/selector.py
@@ -90,10 +90,6 @@
         """Get a permit for a request to a target, if it needs any."""
         return self._rates.reserve(candidate.target, request, urgency)
 
-    def is_limited(self, candidate: Candidate) -> bool:
-        """Tell whether a request to a target needs a permit."""
-        return self._rates.is_limited(candidate.target)
-
     def _reachable(self, service: str, exclude: set[str]) -> list[Candidate]:
         found = [
             self._candidate(known)
--- a/packages/serving/bergamotsaddle_serving/target_rates.py
+++ b/packages/serving/bergamotsaddle_serving/target_rates.py
@@ -25,10 +25,6 @@
         self._logger = logger
         self._free_at_by_life: dict[tuple[str, int], float] = {}
 
-    def is_limited(self, target: Target) -> bool:
-        """Tell whether a request to a target needs a permit."""
-        return self._limits.of(target) is not None
-
     def reserve(self, target: Target, request: str, urgency: int) -> bool:
         """Get a permit for one request, if the target needs any.
 
@@ -61,7 +57,7 @@
 
     def wait(self, target: Target) -> float:
         """Seconds until a target may have a permit to give, 0 if it may now."""
-        if not self._free_at_by_life or not self.is_limited(target):
+        if not self._free_at_by_life or self._limits.of(target) is None:
             return 0.0
         return max(0.0, self._free_at_by_life.get(target.life, 0.0) - now())
 
