--- a/packages/cli/bergamotsaddle_cli/reviewing.py
+++ b/packages/cli/bergamotsaddle_cli/reviewing.py
@@ -1,45 +1,25 @@
 """The command that reviews daemons' logs."""
 
-from typing import ClassVar
+from collections.abc import Iterator
+from typing import Any
 
 import msgspec
-from cleo.commands.command import Command
-from cleo.helpers import option
 
-from bergamotsaddle_cli.logs import read_lines
+from bergamotsaddle_cli.log_reading import LogsCommand
 from bergamotsaddle_cli.review import Review, Spread, review
-from bergamotsaddle_cli.state import EXIT_INVALID, JSON
 
 EXIT_EMPTY = 1
 
 
-class ReviewCommand(Command):
+class ReviewCommand(LogsCommand):
     """Shows how well daemons decided, from their logs."""
 
     name = "review"
     description = "Review forecasts, calls, refusals and waste from daemons' logs."
-    options: ClassVar = [
-        option(
-            "log",
-            None,
-            "Log of a daemon; may be given more than once; - for standard input.",
-            flag=False,
-            multiple=True,
-        ),
-        JSON,
-    ]
 
-    def handle(self) -> int:
-        """Review; returns 0, 1 if the logs say nothing, 2 if one can't be read."""
-        names = self.option("log")
-        if not names:
-            self.line_error("give --log PATH of each daemon, or --log -")
-            return EXIT_INVALID
-        try:
-            found = review(read_lines(names))
-        except OSError as error:
-            self.line_error(f"--log: {error}")
-            return EXIT_INVALID
+    def show(self, lines: Iterator[dict[str, Any]]) -> int:
+        """Review; returns 0, 1 if the logs say nothing."""
+        found = review(lines)
         if not found.ends_by_route:
             self.line_error("no request ended in these logs")
             return EXIT_EMPTY
--- a/packages/cli/bergamotsaddle_cli/suspects.py
+++ b/packages/cli/bergamotsaddle_cli/suspects.py
@@ -1,14 +1,11 @@
 """The requests under which targets ended, from daemons' logs."""
 
-from collections.abc import Iterable
-from typing import Any, ClassVar
+from collections.abc import Iterable, Iterator
+from typing import Any
 
 import msgspec
-from cleo.commands.command import Command
-from cleo.helpers import option
 
-from bergamotsaddle_cli.logs import read_lines
-from bergamotsaddle_cli.state import EXIT_INVALID, JSON
+from bergamotsaddle_cli.log_reading import LogsCommand
 
 
 class Suspect(msgspec.Struct):
@@ -70,33 +67,15 @@
         suspect.refused += line.get("outcome") == "held_back"
 
 
-class SuspectsCommand(Command):
+class SuspectsCommand(LogsCommand):
     """Lists what is held back and why."""
 
     name = "suspects"
     description = "List requests under which targets ended, from daemons' logs."
-    options: ClassVar = [
-        option(
-            "log",
-            None,
-            "Log of a daemon; may be given more than once; - for standard input.",
-            flag=False,
-            multiple=True,
-        ),
-        JSON,
-    ]
-
-    def handle(self) -> int:
-        """List; returns 0, or 2 if a log can't be read."""
-        names = self.option("log")
-        if not names:
-            self.line_error("give --log PATH of each daemon, or --log -")
-            return EXIT_INVALID
-        try:
-            found = find_suspects(read_lines(names))
-        except OSError as error:
-            self.line_error(f"--log: {error}")
-            return EXIT_INVALID
+
+    def show(self, lines: Iterator[dict[str, Any]]) -> int:
+        """List the requests."""
+        found = find_suspects(lines)
         if self.option("json"):
             self.line(msgspec.json.encode(found).decode())
             return 0
