--- /dev/null
+++ b/tests/test_target_ends.py
@@ -0,0 +1,102 @@
+"""Which broken connections are taken for the end of a target."""
+
+import unittest
+from unittest import mock
+
+import eventlet
+from parameterized import parameterized
+
+from bergamotsaddle_contracts.ini import Address
+from bergamotsaddle_serving.catalog import Target
+from bergamotsaddle_serving.client import ConnectionLostError, ConnectionPool
+from bergamotsaddle_serving.target_ends import TargetEnds
+from tests._paused import advance, use_paused_clock, use_running_clock
+
+TARGET = Target("t1", "generate", Address("10.0.0.1", 80), "a", 64)
+
+
+class TargetEndsTest(unittest.TestCase):
+    """One request that was broken off."""
+
+    def setUp(self):
+        use_paused_clock()
+        self.view = mock.Mock()
+        self.view.is_leaving.return_value = False
+        self.view.has_life.return_value = True
+        self.pool = mock.Mock()
+        self.suspects = mock.Mock()
+        self.ends = TargetEnds(self.pool, self.view, self.suspects)
+        ((self.note_view,), _) = self.view.watch.call_args
+
+    def fail(self, reason="closed", *, is_refused=False):
+        self.pool.is_refused.return_value = is_refused
+        self.ends.note_failure(TARGET, ["w"], reason)
+
+    @parameterized.expand(
+        [
+            ("ended", "closed", True, 1),
+            ("reset_and_ended", "reset", True, 1),
+            ("failed_and_lives", "closed", False, 0),
+            ("silent", "silent", True, 0),
+            ("other_bytes", "no_http", True, 0),
+            ("another_answer", "crossed", True, 0),
+        ]
+    )
+    def test_what_counts(self, _, reason, is_refused, ends):
+        self.fail(reason, is_refused=is_refused)
+        self.assertEqual(self.suspects.note_end.call_count, ends)
+
+    def test_a_target_that_gave_notice_has_not_crashed(self):
+        """Guards against suspicion where targets are replaced."""
+        self.view.is_leaving.return_value = True
+        self.fail(is_refused=True)
+        self.suspects.note_end.assert_not_called()
+
+    @parameterized.expand([("soon", 1.0, 1), ("much_later", 11.0, 0)])
+    def test_a_target_that_is_back_at_once_has_ended_too(self, _, after, ends):
+        """Guards against ends that go unseen as the next life listens already."""
+        self.fail()
+        advance(after)
+        self.view.has_life.return_value = False
+        self.note_view()
+        self.assertEqual(self.suspects.note_end.call_count, ends)
+
+    def test_a_target_that_leaves_after_a_notice_is_forgotten(self):
+        self.fail()
+        self.view.is_leaving.return_value = True
+        self.note_view()
+        self.view.has_life.return_value = False
+        self.note_view()
+        self.suspects.note_end.assert_not_called()
+
+
+class RefusedTest(unittest.TestCase):
+    """Whether anybody listens at an address."""
+
+    def setUp(self):
+        use_running_clock()
+        self.addCleanup(use_paused_clock)
+        self.listener = eventlet.listen(("127.0.0.1", 0))
+        self.address = Address(*self.listener.getsockname())
+        self.pool = ConnectionPool()
+
+    def test_nobody(self):
+        self.listener.close()
+        self.assertTrue(self.pool.is_refused(self.address))
+
+    def test_somebody(self):
+        self.assertFalse(self.pool.is_refused(self.address))
+        self.pool.take(self.address)
+        self.assertEqual(self.pool.opened, 1, "the connection is kept for a request")
+
+    def test_nobody_answers(self):
+        """Guards against taking a machine that is cut off for one that has ended."""
+        nowhere = Address("127.0.0.1", self.address.port)
+        with mock.patch(
+            "bergamotsaddle_serving.client.Connection", side_effect=_silence
+        ):
+            self.assertFalse(self.pool.is_refused(nowhere))
+
+
+def _silence(address, *, limit):
+    raise ConnectionLostError("connect", is_unsent=True)
