Make the virtual fleet of plain parts

No mocks in a package, one silent logger, the route by named fields, and each connection knows itself whether its request is fatal.

--- a/packages/standins/bergamotsaddle_standins/peer_fleet.py
+++ b/packages/standins/bergamotsaddle_standins/peer_fleet.py
@@ -27,7 +27,8 @@
 _NOWHERE = Address("127.0.0.1", 9)
 # Sockets are bound, since peers make them, and not used.
 _ANY_PORT = 0
-_SILENT = structlog.wrap_logger(
+# A logger that writes nothing.
+SILENT = structlog.wrap_logger(
     structlog.ReturnLogger(), wrapper_class=structlog.BoundLogger, processors=[]
 )
 
@@ -47,7 +48,7 @@
     """
 
     def __init__(self, settings: ServingSettings, life: str, carry: Carry) -> None:
-        super().__init__(settings, life, _SILENT)
+        super().__init__(settings, life, SILENT)
         self._carry = carry
         self.bytes_sent = 0
 
--- a/packages/standins/bergamotsaddle_standins/virtual_fleet.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_fleet.py
@@ -2,11 +2,10 @@
 
 from collections.abc import Callable
 from itertools import count
+from types import SimpleNamespace
 from typing import Any
-from unittest import mock
 
 import eventlet
-import structlog
 
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.budget import ColdPace, RetryBudget
@@ -37,7 +36,12 @@
 from bergamotsaddle_serving.target_ends import TargetEnds
 from bergamotsaddle_serving.target_rates import TargetRates
 from bergamotsaddle_serving.view import View
-from bergamotsaddle_standins.peer_fleet import ZONES, PeerFleet, WiredPeers
+from bergamotsaddle_standins.peer_fleet import (
+    SILENT,
+    ZONES,
+    PeerFleet,
+    WiredPeers,
+)
 from bergamotsaddle_standins.virtual_targets import (
     HOST,
     SERVICE,
@@ -46,15 +50,21 @@
     VirtualTargets,
 )
 
-_SILENT = structlog.wrap_logger(
-    structlog.ReturnLogger(), wrapper_class=structlog.BoundLogger, processors=[]
-)
 _BOUNDS = BoundSettings(8.0, 0.2, 10.0, 58.0)
 _CONFIGURATION = "configuration"
 _ROUTE = Route(
-    "ask", HOST, "/", Kind.STREAM, 8.0, 2.4, 2, 0, (Share(SERVICE, 1.0),),
-    is_public=True, is_resumable=True,
-)  # fmt: skip
+    name="ask",
+    host=HOST,
+    prefix="/",
+    kind=Kind.STREAM,
+    timeout=8.0,
+    objective=2.4,
+    attempts=2,
+    priority=0,
+    shares=(Share(SERVICE, 1.0),),
+    is_public=True,
+    is_resumable=True,
+)
 
 
 class VirtualCaller:
@@ -127,26 +137,27 @@
         self, peers: WiredPeers, targets: VirtualTargets, dialect: VirtualDialect
     ) -> None:
         self.peers = peers
-        self.view = View(dialect, _SILENT)
+        self.view = View(dialect, SILENT)
         self.view.has_listed = True
         gossip = Gossip()
         tell = GossipExchange(gossip, peers).tell
-        self.limits = NamedLimits(gossip, tell, _SILENT)
+        self.limits = NamedLimits(gossip, tell, SILENT)
         self.health = Health(self.limits.note)
         peers.own_running = self.health.running
         pool = VirtualPool(targets, peers.own.id)
         budget = RetryBudget(_BOUNDS, peers.size)
-        reach = mock.Mock(is_lost=lambda zone: False)
+        reach = SimpleNamespace(is_lost=lambda zone: False)
         owner = RateOwner(peers.heard_part)
-        rates = TargetRates(self.limits, RateExchange(peers, owner), _SILENT)
+        rates = TargetRates(self.limits, RateExchange(peers, owner), SILENT)
         cold = ColdPace(peers.size)
         selector = Selector(self.view, self.health, peers, cold, reach, rates)
-        self.suspects = Suspects(gossip, tell, self.view.releases, _SILENT)
+        self.suspects = Suspects(gossip, tell, self.view.releases, SILENT)
         ends = TargetEnds(pool, self.view, self.suspects)
-        plain = PlainServer(selector, pool, budget, dialect, _SILENT, ends=ends)
-        waits = mock.Mock(best=None)
+        plain = PlainServer(selector, pool, budget, dialect, SILENT, ends=ends)
+        # Its routes have no stages.
+        waits = SimpleNamespace(best=None)
         streams = StreamServer(
-            selector, waits, mock.Mock(), pool, budget, dialect, _SILENT, ends=ends
+            selector, waits, None, pool, budget, dialect, SILENT, ends=ends
         )
         self.handler = Handler(
             self.view,
@@ -155,7 +166,7 @@
             budget,
             dialect,
             Metrics(),
-            _SILENT,
+            SILENT,
             suspects=self.suspects,
         )
 
--- a/packages/standins/bergamotsaddle_standins/virtual_targets.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_targets.py
@@ -128,12 +128,16 @@
         self._broken = Event()
         self._headers: dict[bytes, bytes] = {}
         self._began_at = 0.0
+        self._first_seconds = _FIRST_EVENT_S
         self._left = list(_EVENTS)
 
     def send(self, call: HttpCall, *, limit: float) -> int:
         """Send a request, which begins to run."""
         self._headers = dict(call.headers)
         self._began_at = now()
+        if call.path in self._targets.fatal_paths:
+            # Its target ends before the first event.
+            self._first_seconds = 2.0 * _FATAL_S
         arrival = Arrival(now(), self._instance, call.path)
         self._target.arrivals.append(arrival)
         if self._headers[b"target"].decode() == self._target.id:
@@ -146,7 +150,7 @@
         is_misdirected = self._headers[b"target"].decode() != self._target.id
         if is_misdirected:
             return IncomingHead(_MISDIRECTED, [*self._headers.items()])
-        self._wait(self._began_at + _FIRST_EVENT_S + self._slowness(), limit)
+        self._wait(self._began_at + self._first_seconds, limit)
         headers = [(b"id", self._headers[b"id"])]
         if self._target.limit is not None:
             headers.append((b"limit", str(self._target.limit).encode()))
@@ -174,11 +178,6 @@
         """End it from the caller's side."""
         self._target.runs.discard(self)
 
-    def _slowness(self) -> float:
-        """A fatal request ends its target before its first event."""
-        is_fatal = self._targets.is_fatal(self._target)
-        return 2.0 * _FATAL_S if is_fatal else 0.0
-
     def _wait(self, until: float, limit: float) -> None:
         pause = max(0.0, min(until - now(), limit))
         with eventlet.Timeout(pause, False):
@@ -257,10 +256,6 @@
         if path in self.fatal_paths:
             eventlet.spawn_after(_FATAL_S, self.end, target, target.life)
 
-    def is_fatal(self, target: VirtualTarget) -> bool:
-        """Tell whether the last request of a target is one that ends it."""
-        return target.arrivals[-1].path in self.fatal_paths
-
     def end(self, target: VirtualTarget, life: int) -> None:
         """End a life of a target with all that it runs."""
         if not target.is_up or target.life != life:
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -2,7 +2,6 @@
 
 import unittest
 
-import structlog
 from parameterized import parameterized
 
 from bergamotsaddle_contracts.ini import Address
@@ -11,11 +10,9 @@
 from bergamotsaddle_serving.gossip import Gossip
 from bergamotsaddle_serving.policy import Mechanism, Policy
 from bergamotsaddle_serving.suspects import Suspects
+from bergamotsaddle_standins.peer_fleet import SILENT
 from tests._paused import advance, use_paused_clock
 
-SILENT = structlog.wrap_logger(
-    structlog.ReturnLogger(), wrapper_class=structlog.BoundLogger, processors=[]
-)
 DAY_S = 86_400.0
 
 
