Bound the age of each instance's view by the deployment's own bounds

Cause: from 2.5 s on the store turns a third of the instances away without an answer. A silent store was noticed after 3.3 s (a watch of 2.5 s and 0.8 s), each silent reader in a row cost its followers another held request of 1 s, and a reader counted as behind only at 4 s. No bound of the deployment entered, so the age of a view depended on how many readers in a row were silent.

Evidence: a fleet on a virtual clock whose next readers of all zones are silent to 35 in 100 instances while the configuration changes ten times a second.

Change: ViewFreshness derives all times from the tightest bound on a change (configuration, drain, evacuation). A watch is held for 0.35 of it less the age of the view, a silent source is given up at 0.6; a reader answers held requests as soon as its view is confirmed, and at once if it is refused or overdue itself; an instance with an overdue view reads the store, and asks two peers in other zones at growing pauses.

Tests: three checks of store calls assumed a watch of 2.5 s, which can't confirm a view within 2 s. They are replaced by one call per reader and watch with 5 in 100 to spare (50 before), and by counting which instances watch at all. Cost: calls of an idle reader 0.4 -> 1.4 a second at a bound of 2 s, 0.95 at 3 s.

--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -38,6 +38,8 @@
 # respond before it has read the whole body.
 _MAX_INLINE_SEND = 16_384
 
+# Reason of connections whose response did not arrive in time.
+SILENT = "silent"
 # Reasons of connections that were closed before the response was complete.
 BROKEN_CONNECTION_REASONS = frozenset(("closed", "cut", "reset", "send"))
 
@@ -224,7 +226,12 @@
         raise ConnectionLostError("cut")
 
     def exchange(
-        self, call: HttpCall, *, limit: float, max_bytes: int
+        self,
+        call: HttpCall,
+        *,
+        limit: float,
+        max_bytes: int,
+        body_limit: float | None = None,
     ) -> tuple[RawResponseHead, bytes]:
         """Send a call and read its whole response; a failure closes the connection.
 
@@ -232,6 +239,7 @@
             call: The call.
             limit: Seconds for each of sending, the head and the body.
             max_bytes: Maximum size of the response's body.
+            body_limit: Seconds for the body, where they differ from the limit.
 
         Raises:
             ConnectionLostError: If no complete response arrives in time.
@@ -239,7 +247,8 @@
         try:
             self.send(call, limit=limit)
             head = self.read_head(limit=limit)
-            return head, self.read_body(limit=limit, max_bytes=max_bytes)
+            body_limit = limit if body_limit is None else body_limit
+            return head, self.read_body(limit=body_limit, max_bytes=max_bytes)
         except BaseException:
             self.close()
             raise
@@ -280,11 +289,11 @@
 
     def _receive(self, limit: float) -> bytes:
         if limit <= 0:
-            raise ConnectionLostError("silent")
+            raise ConnectionLostError(SILENT)
         try:
             return receive(self._socket, _CHUNK, limit)
         except TimeoutError as error:
-            raise ConnectionLostError("silent") from error
+            raise ConnectionLostError(SILENT) from error
         except OSError as error:
             raise ConnectionLostError("reset") from error
 
--- a/packages/serving/bergamotsaddle_serving/follower.py
+++ b/packages/serving/bergamotsaddle_serving/follower.py
@@ -7,23 +7,14 @@
 import eventlet
 
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving.client import Connection, ConnectionLostError
+from bergamotsaddle_serving.client import SILENT, Connection, ConnectionLostError
 from bergamotsaddle_serving.messages import Dialect, HttpCall, StorePage
 from bergamotsaddle_serving.settings import ServingSettings
 from bergamotsaddle_serving.view import View
+from bergamotsaddle_serving.view_freshness import ViewFreshness
 
-# How long the store may hold a watch. A silent connection is noticed only after this
-# time, so it stays well below the seconds within which a change must be in force.
-WATCH_WAIT_S = 2.5
-# A response takes milliseconds; after this time the connection counts as silent.
+# Time for a response to a call that the store does not hold, and for a long body.
 _RESPONSE_TIMEOUT_S = 0.8
-# After this time a watch has either a response or an error.
-MAX_WATCH_S = WATCH_WAIT_S + _RESPONSE_TIMEOUT_S
-# The first watch after this instance followed a reader is short, because it has to
-# confirm the view soon. A watch counts as the first one if none ended within
-# _WATCH_GAP_S before it.
-_FIRST_WATCH_WAIT_S = 0.05
-_WATCH_GAP_S = 2.0
 # The store may cut a waiting watch; the next call then succeeds within this time.
 _MAX_CUT_S = 0.4
 # Minimum pause between two watches for each instance that shares the store, so that
@@ -66,6 +57,7 @@
     Attributes:
         is_lost: Whether the last call to the store failed.
         calls: Number of calls to the store so far.
+        on_refused: Called when the store has failed for longer than a cut watch takes.
     """
 
     def __init__(
@@ -84,14 +76,17 @@
         self._connection: Connection | None = None
         self._must_list = False
         self._backoff = _INITIAL_BACKOFF_S
-        self._watched_at = float("-inf")
+        self._freshness = ViewFreshness(settings.bounds.change)
         self.is_lost = False
+        self._is_silent = False
         self._lost_at = float("-inf")
         self.calls = 0
+        self.on_refused: Callable[[], None] = lambda: None
 
     def is_refused(self) -> bool:
         """Return whether the store has failed for longer than a cut watch takes."""
-        return self.is_lost and now() - self._lost_at > _MAX_CUT_S
+        is_cut_only = not self._is_silent and now() - self._lost_at <= _MAX_CUT_S
+        return self.is_lost and not is_cut_only
 
     def step(self) -> None:
         """Read a snapshot or the next changes; pause after a failure."""
@@ -100,6 +95,8 @@
             self._backoff = _INITIAL_BACKOFF_S
         except (ConnectionLostError, _StoreError, ValueError) as error:
             self._record_loss(str(error))
+            if self.is_refused():
+                self.on_refused()
             eventlet.sleep(self._backoff * random.uniform(0.5, 1.0))
             self._backoff = min(_MAX_BACKOFF_S, self._backoff * _BACKOFF_FACTOR)
 
@@ -108,20 +105,19 @@
             self._read_snapshot()
             return
         requested_at = now()
-        has_paused = requested_at - self._watched_at > _WATCH_GAP_S
-        wait = _FIRST_WATCH_WAIT_S if has_paused else WATCH_WAIT_S
+        wait = self._freshness.watch_wait(self._view.age())
         call = self._dialect.watch_entries(self._view.revision, wait)
-        status, body = self._call(call, wait + _RESPONSE_TIMEOUT_S)
-        self._watched_at = now()
+        status, body = self._call(call, wait + self._freshness.response_timeout)
         if status == _GONE:
             self._logger.info("store_history_gone", revision=self._view.revision)
             self._must_list = True
             return
         page = self._decode_page(status, body)
         # The store held a watch without changes for the whole wait.
-        self._confirm(requested_at if page.entries else requested_at + wait)
+        held_until = min(requested_at + wait, now())
+        self._confirm(requested_at if page.entries else held_until)
         if self._view.apply(page.entries, page.revision, source="store"):
-            eventlet.sleep(batch_pause(self._fleet_size()))
+            eventlet.sleep(self._freshness.limit_pause(batch_pause(self._fleet_size())))
 
     def _read_snapshot(self) -> None:
         requested_at = now()
@@ -156,7 +152,12 @@
                 connection.close()
             connection = Connection(self._settings.store.address)
         self.calls += 1
-        head, body = connection.exchange(call, limit=limit, max_bytes=_MAX_PAGE_BYTES)
+        head, body = connection.exchange(
+            call,
+            limit=limit,
+            max_bytes=_MAX_PAGE_BYTES,
+            body_limit=max(limit, _RESPONSE_TIMEOUT_S),
+        )
         if head.status in (_OK, _GONE) and connection.prepare_next():
             self._connection = connection
         else:
@@ -164,6 +165,7 @@
         return head.status, body
 
     def _record_loss(self, reason: str) -> None:
+        self._is_silent |= reason == SILENT
         if self.is_lost:
             return
         self.is_lost = True
@@ -171,9 +173,9 @@
         self._logger.warning("store_lost", reason=reason, revision=self._view.revision)
 
     def _confirm(self, confirmed_at: float) -> None:
-        self._view.confirmed_at = confirmed_at
+        self._view.confirm(confirmed_at)
         if not self.is_lost:
             return
-        self.is_lost = False
+        self.is_lost = self._is_silent = False
         self._view.store_regained_at = now()
         self._logger.info("store_regained", revision=self._view.revision)
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -105,8 +105,15 @@
             settings, self.view, self.peers, logger, self.store.is_refused
         )
         self.follower = ViewFollower(
-            self.store, self.exchange, self.view, self.peers, logger, policy
+            self.store,
+            self.exchange,
+            self.view,
+            self.peers,
+            logger,
+            settings.bounds.change,
+            policy,
         )
+        self.store.on_refused = self.exchange.wake_requests
         self.reach = ZoneReach(self.view, self.peers, self.pool, dialect, logger)
         self.peers.is_zone_unreachable = self.reach.is_lost
         self.reach.subscribe(self.peers.invalidate_roster)
@@ -211,6 +218,7 @@
             self.peers.run,
             self.follower.run,
             self.exchange.run,
+            self.exchange.run_refresh,
             self.reach.run,
             self._tick,
         ):
@@ -362,7 +370,7 @@
         gauge(
             "view_age_seconds",
             "Time since the store confirmed the view.",
-            lambda: now() - self.view.confirmed_at,
+            self.view.age,
         )
         gauge("store_calls", "Calls to the store.", lambda: self.store.calls)
         gauge(
--- a/packages/serving/bergamotsaddle_serving/settings.py
+++ b/packages/serving/bergamotsaddle_serving/settings.py
@@ -8,6 +8,9 @@
 # Bandwidth in megabits per second that an owner of queues needs for each core that it
 # uses.
 _MBPS_PER_CORE = 20.0
+# Seconds until a change must be in force where the settings name no bound.
+_DEFAULT_CHANGE_S = 2.0
+_MS_PER_S = 1_000.0
 
 
 class InstanceSettings(NamedTuple):
@@ -78,12 +81,23 @@
         retry_ratio: Extra calls allowed, as a fraction of the first calls.
         retry_window: Seconds over which extra calls are counted.
         retry_extra: Number of extra calls allowed besides, over all instances.
+        configuration: Seconds until a new configuration must be in force.
+        drain: Seconds until a draining target must get no more requests.
+        evacuation: Seconds until an evacuated zone must get no more requests.
     """
 
     grace: float
     retry_ratio: float
     retry_window: float
     retry_extra: float
+    configuration: float = _DEFAULT_CHANGE_S
+    drain: float = _DEFAULT_CHANGE_S
+    evacuation: float = _DEFAULT_CHANGE_S
+
+    @property
+    def change(self) -> float:
+        """Seconds until any change in the store must be in force."""
+        return min(self.configuration, self.drain, self.evacuation)
 
 
 class CapacitySettings(NamedTuple):
@@ -142,6 +156,15 @@
     return value
 
 
+def _parse_milliseconds(text: str) -> float:
+    """Parse a positive number of milliseconds; return seconds.
+
+    Raises:
+        ValueError: If the text is no such number.
+    """
+    return _parse_positive(text) / _MS_PER_S
+
+
 def _parse_port(text: str) -> int:
     return parse_address(f"127.0.0.1:{text.strip()}").port
 
@@ -198,6 +221,11 @@
             ini.get("bounds", "retry_ratio", _parse_number),
             ini.get("bounds", "retry_window_s", _parse_number),
             ini.get("bounds", "retry_extra", _parse_number),
+            ini.get(
+                "bounds", "configuration_ms", _parse_milliseconds, _DEFAULT_CHANGE_S
+            ),
+            ini.get("bounds", "drain_ms", _parse_milliseconds, _DEFAULT_CHANGE_S),
+            ini.get("bounds", "evacuation_ms", _parse_milliseconds, _DEFAULT_CHANGE_S),
         ),
         ini.get("policy", "off", parse_policy, FULL_POLICY),
         CapacitySettings(
--- a/packages/serving/bergamotsaddle_serving/view.py
+++ b/packages/serving/bergamotsaddle_serving/view.py
@@ -61,6 +61,7 @@
         revision: Store revision up to which the view is complete.
         has_snapshot: Whether a snapshot of all entries has been applied.
         confirmed_at: When the store last confirmed that the view is up to date.
+        on_confirm: Called after each confirmation.
         store_regained_at: When the store last returned after an outage.
     """
 
@@ -71,6 +72,7 @@
         self._lapsing_keys: set[str] = set()
         self._known_by_id: dict[str, KnownTarget] = {}
         self._callbacks: list[Callable[[], None]] = []
+        self.on_confirm: Callable[[], None] = lambda: None
         self.configuration: Configuration | None = None
         self.evacuated_zones: set[str] = set()
         self._cold_until_by_zone: dict[str, float] = {}
@@ -86,6 +88,17 @@
         """Return whether the view has all that this instance needs to serve."""
         return self.configuration is not None and self.has_snapshot
 
+    def age(self) -> float:
+        """Return the seconds since the store confirmed the view, at a peer or here."""
+        return now() - self.confirmed_at
+
+    def confirm(self, confirmed_at: float) -> None:
+        """Record that the view contains all changes from before a time."""
+        if confirmed_at <= self.confirmed_at:
+            return
+        self.confirmed_at = confirmed_at
+        self.on_confirm()
+
     def subscribe(self, callback: Callable[[], None]) -> None:
         """Register a function to be called after each change."""
         self._callbacks.append(callback)
--- a/packages/serving/bergamotsaddle_serving/view_exchange.py
+++ b/packages/serving/bergamotsaddle_serving/view_exchange.py
@@ -1,5 +1,6 @@
 """Exchanges view changes with peers, for instances that the store does not serve."""
 
+import random
 import socket
 from collections.abc import Callable
 from typing import Any
@@ -16,6 +17,7 @@
 from bergamotsaddle_serving.peers import Peers
 from bergamotsaddle_serving.settings import ServingSettings
 from bergamotsaddle_serving.view import View
+from bergamotsaddle_serving.view_freshness import ViewFreshness
 
 _CHECK_INTERVAL_S = 0.3
 # The same until the view has its first snapshot.
@@ -31,6 +33,13 @@
 _IDLE_TIMEOUT_S = 5.0
 # Maximum time for which a request waits for a change.
 _MAX_WAIT_S = 2.0
+# Peers that an instance asks at a time while its view is overdue, and the pauses
+# between these times. They grow while no peer has a newer view, as in an outage of the
+# store, when all instances are overdue.
+_ASKED_PEERS = 2
+_MIN_ASK_INTERVAL_S = 0.1
+_MAX_ASK_INTERVAL_S = 1.0
+_ASK_INTERVAL_FACTOR = 2.0
 # Revision before the first one: requests all entries.
 _NO_REVISION = -1
 _MAX_FRAME_BYTES = 16_000_000
@@ -96,13 +105,21 @@
             self.close()
             raise LinkError(str(error)) from error
 
-    def query(self, request: ViewRequest) -> ViewResponse:
+    def query(
+        self, request: ViewRequest, *, limit: float | None = None
+    ) -> ViewResponse:
         """Send a request and read its response.
 
+        Args:
+            request: The request.
+            limit: Seconds until the response; by default what the request may wait
+                and the time of an exchange.
+
         Raises:
             LinkError: If no valid response arrives in time.
         """
-        self._socket.settimeout(request.wait + _EXCHANGE_TIMEOUT_S)
+        default = request.wait + _EXCHANGE_TIMEOUT_S
+        self._socket.settimeout(default if limit is None else limit)
         try:
             _send_frame(self._socket, request)
             frame = _read_frame(self._socket)
@@ -141,8 +158,10 @@
     ) -> None:
         self._view = view
         self._is_store_lost = is_store_lost
+        self._freshness = ViewFreshness(settings.bounds.change)
         self._changed = Event()
-        view.subscribe(self._on_view_change)
+        view.subscribe(self.wake_requests)
+        view.on_confirm = self.wake_requests
         self._peers = peers
         self._logger = logger
         self._port = settings.listen.peer_port
@@ -176,6 +195,26 @@
             ):
                 self._catch_up(ahead)
 
+    def run_refresh(self) -> None:
+        """Ask peers for changes while the view is overdue, forever."""
+        interval = _MIN_ASK_INTERVAL_S
+        while True:
+            eventlet.sleep(interval)
+            is_overdue = self._freshness.is_overdue(self._view.age())
+            if not is_overdue or not self._view.has_snapshot:
+                interval = _MIN_ASK_INTERVAL_S
+                continue
+            self._ask_peers()
+            interval = min(_MAX_ASK_INTERVAL_S, interval * _ASK_INTERVAL_FACTOR)
+
+    def _ask_peers(self) -> None:
+        """Ask random peers, in other zones if possible, which have other readers."""
+        alive = self._peers.alive()
+        elsewhere = [p for p in alive if p.contact.zone != self._peers.own.zone]
+        candidates = elsewhere if len(elsewhere) >= _ASKED_PEERS else alive
+        for peer in random.sample(candidates, min(_ASKED_PEERS, len(candidates))):
+            eventlet.spawn_n(self._catch_up, peer.contact)
+
     def _max_lag(self) -> float:
         """Return for how many seconds this instance may be behind a peer.
 
@@ -209,7 +248,7 @@
             view.replace(response.entries, response.revision, source=source)
         else:
             view.apply(response.entries, response.revision, source=source)
-        view.confirmed_at = max(view.confirmed_at, at - response.age)
+        view.confirm(at - response.age)
 
     def _catch_up(self, contact: Contact) -> None:
         since = self._view.revision if self._view.has_snapshot else _NO_REVISION
@@ -240,19 +279,31 @@
         try:
             while (frame := _read_frame(sock)) is not None:
                 request = msgspec.msgpack.decode(frame, type=ViewRequest)
-                self._wait_for_change(request)
+                self._wait_for_news(request)
                 _send_frame(sock, self._make_response(request))
         except (OSError, msgspec.DecodeError) as error:
             self._logger.info("peer_question_failed", reason=str(error))
         finally:
             sock.close()
 
-    def _wait_for_change(self, request: ViewRequest) -> None:
+    def _wait_for_news(self, request: ViewRequest) -> None:
+        """Wait until the view changes or is confirmed, at most as long as requested.
+
+        An instance that is itself without a source responds at once, so that the
+        sender loses no time.
+        """
         until = now() + min(request.wait, _MAX_WAIT_S)
-        while self._view.revision <= request.revision and now() < until:
+        confirmed_at = self._view.confirmed_at
+        while not self._has_news(request, confirmed_at) and now() < until:
             with eventlet.Timeout(until - now(), False):
                 self._changed.wait()
 
+    def _has_news(self, request: ViewRequest, confirmed_at: float) -> bool:
+        view = self._view
+        if view.revision > request.revision or view.confirmed_at > confirmed_at:
+            return True
+        return self._is_store_lost() or self._freshness.is_overdue(view.age())
+
     def _make_response(self, request: ViewRequest) -> ViewResponse:
         view = self._view
         changes = view.changes_since(request.revision)
@@ -262,12 +313,13 @@
             revision=view.revision,
             has_snapshot=view.has_snapshot,
             is_snapshot=changes.is_snapshot,
-            age=at - view.confirmed_at,
+            age=view.age(),
             regained_age=at - view.store_regained_at,
             is_store_lost=self._is_store_lost(),
         )
 
-    def _on_view_change(self) -> None:
+    def wake_requests(self) -> None:
+        """Let requests that wait check whether they can be answered."""
         changed, self._changed = self._changed, Event()
         changed.send()
 
--- a/packages/serving/bergamotsaddle_serving/view_follower.py
+++ b/packages/serving/bergamotsaddle_serving/view_follower.py
@@ -5,7 +5,7 @@
 import eventlet
 
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving.follower import MAX_WATCH_S, StoreFollower
+from bergamotsaddle_serving.follower import StoreFollower
 from bergamotsaddle_serving.owners import rank_owners
 from bergamotsaddle_serving.peers import Peers
 from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
@@ -17,19 +17,15 @@
     ViewExchange,
     ViewRequest,
 )
+from bergamotsaddle_serving.view_freshness import ViewFreshness
 
-# How long a reader may hold a request. A frozen reader is noticed after this time.
-_REQUEST_WAIT_S = 1.0
-# A reader counts as cut off from the store if its view has not been confirmed for this
-# long.
-_MAX_VIEW_AGE_S = MAX_WATCH_S + 0.7
 # How long a reader is avoided after it did not respond, lost the store or fell behind.
 _AVOID_READER_S = 5.0
 # How long an instance that has just started waits to learn of readers.
 _SETTLE_S = 1.0
 _SETTLE_INTERVAL_S = 0.1
 # How long an instance does not read the store after the store refused it.
-_AVOID_STORE_S = 1.0
+_AVOID_STORE_S = 2.0
 
 
 class ViewFollower:
@@ -41,6 +37,7 @@
         view: View of this instance.
         peers: The other instances, among them the possible readers.
         logger: Logs when another reader is followed or a reader is abandoned.
+        bound: Seconds until a change in the store must be in force.
         policy: Decides whether there are readers.
     """
 
@@ -51,8 +48,10 @@
         view: View,
         peers: Peers,
         logger: Any,
+        bound: float,
         policy: Policy = FULL_POLICY,
     ) -> None:
+        self._freshness = ViewFreshness(bound)
         self._store = store
         self._exchange = exchange
         self._view = view
@@ -90,7 +89,10 @@
             return None
         at = now()
         avoided = {name for name, until in self._avoided_until.items() if until > at}
-        return pick_reader(ranked, self._peers.own.id, avoided)
+        is_overdue = self._freshness.is_overdue(self._view.age())
+        return pick_reader(
+            ranked, self._peers.own.id, avoided, is_overdue=is_overdue
+        )
 
     def _read_store(self) -> None:
         self._store.step()
@@ -100,7 +102,11 @@
     def _follow_reader(self, reader: str) -> None:
         try:
             link = self._connect_to(reader)
-            response = link.query(ViewRequest(self._view.revision, _REQUEST_WAIT_S))
+            age = self._view.age()
+            response = link.query(
+                ViewRequest(self._view.revision, self._freshness.reader_wait(age)),
+                limit=self._freshness.reader_timeout(age),
+            )
         except LinkError as error:
             self._close_link()
             self._abandon_reader(reader, str(error))
@@ -109,7 +115,7 @@
         self._exchange.apply_response(response, source=reader)
         if response.is_store_lost:
             self._abandon_reader(reader, "store lost")
-        elif response.age > _MAX_VIEW_AGE_S:
+        elif self._freshness.is_overdue(response.age):
             self._abandon_reader(reader, "behind")
 
     def _abandon_reader(self, reader: str, reason: str) -> None:
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -35,7 +35,10 @@
         dialect.read_page.return_value = StorePage([], 1, False)
         view = mock.Mock(revision=1, has_snapshot=True)
         view.apply.return_value = True
-        follower = StoreFollower(mock.Mock(), dialect, view, lambda: 65, mock.Mock())
+        view.age.return_value = 0.0
+        settings = mock.Mock()
+        settings.bounds.change = 3.0
+        follower = StoreFollower(settings, dialect, view, lambda: 65, mock.Mock())
 
         def respond(*_):
             eventlet.sleep(RESPONSE_S)
--- a/tests/test_view_follower.py
+++ b/tests/test_view_follower.py
@@ -7,7 +7,8 @@
 from eventlet.event import Event
 from parameterized import parameterized
 
-from bergamotsaddle_serving.client import ConnectionLostError
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.client import SILENT, ConnectionLostError
 from bergamotsaddle_serving.follower import StoreFollower
 from bergamotsaddle_serving.messages import StoreEntry, StorePage
 from bergamotsaddle_serving.owners import rank_owners
@@ -16,6 +17,7 @@
 from bergamotsaddle_serving.view import View
 from bergamotsaddle_serving.view_exchange import LinkError, ViewExchange
 from bergamotsaddle_serving.view_follower import ViewFollower
+from bergamotsaddle_serving.view_freshness import ViewFreshness
 from bergamotsaddle_standins.peer_fleet import ZONES, PeerFleet
 from tests._paused import advance, use_paused_clock
 
@@ -29,6 +31,16 @@
 # The platform's tightest bound on a configuration change, less a margin for the
 # platform's own delay.
 IN_FORCE_S = 1.8
+BOUND_S = 2.0
+# Part of a bound that is left for the platform's delay and the request itself.
+MARGIN_S = 0.2
+# Calls per second of one reader of an unchanged store: a view that is confirmed less
+# often can't be brought up to date within the bound once its source falls silent.
+READER_RATE = 1.05 / ViewFreshness(BOUND_S).watch_wait(0.0)
+# Fraction of the instances that the store turns away, and how often it changes then.
+SILENT_FRACTION = 0.35
+CHANGES = 90
+CHANGE_INTERVAL_S = 0.1
 KEY = "op/config"
 STUB = mock.Mock()
 
@@ -40,7 +52,9 @@
         revision: Revision of the newest write.
         entries: Entries by key, deleted ones with the value None.
         calls: Number of calls.
-        refused: Instances whose calls get no response.
+        watchers: Instances that have watched.
+        refused: Instances whose calls are refused.
+        silent: Instances whose calls get no response.
         resets: Instances whose next call is reset.
         history_start: First revision from which changes can be watched.
         changed: Is sent at the next write.
@@ -50,7 +64,9 @@
         self.revision = 0
         self.entries = {}
         self.calls = 0
+        self.watchers = set()
         self.refused = set()
+        self.silent = set()
         self.resets = set()
         self.history_start = 0
         self.changed = Event()
@@ -62,12 +78,13 @@
         changed, self.changed = self.changed, Event()
         changed.send()
 
-    def call(self, instance, call):
-        """Respond to a call of an instance."""
+    def call(self, instance, call, limit):
+        """Respond to a call of an instance within a limit in seconds."""
         self.calls += 1
+        called_at = now()
         eventlet.sleep(STORE_DELAY_S)
         if instance in self.refused:
-            raise ConnectionLostError("silent")
+            raise ConnectionLostError("reset")
         if instance in self.resets:
             self.resets.discard(instance)
             raise ConnectionLostError("reset")
@@ -75,11 +92,15 @@
         if kind == "list":
             live = [e for e in self.entries.values() if e.value is not None]
             return OK, StorePage(live, self.revision)
+        self.watchers.add(instance)
         if after < self.history_start:
             return GONE, b""
         with eventlet.Timeout(wait, False):
             while self.revision <= after:
                 self.changed.wait()
+        if instance in self.silent:
+            eventlet.sleep(max(0.0, called_at + limit - now()))
+            raise ConnectionLostError(SILENT)
         updates = [e for e in self.entries.values() if e.revision > after]
         return OK, StorePage(updates, self.revision)
 
@@ -113,16 +134,17 @@
         self.contact = contact
         self._simulation = simulation
 
-    def query(self, request):
+    def query(self, request, *, limit=0.6):
         """Return the response of the peer, unless it is dead or frozen."""
         simulation, name = self._simulation, self.contact.id
         if name in simulation.dead:
             raise LinkError("reset")
         eventlet.sleep(LINK_DELAY_S)
         exchange = simulation.instances[name].exchange
-        exchange._wait_for_change(request)
+        asked_at = now()
+        exchange._wait_for_news(request)
         if name in simulation.frozen:
-            eventlet.sleep(request.wait + 0.6)
+            eventlet.sleep(max(0.0, asked_at + limit - now()))
             raise LinkError("silent")
         response = exchange._make_response(request)
         eventlet.sleep(LINK_DELAY_S)
@@ -139,22 +161,29 @@
         dialect = FakeDialect()
         self.peers = peers
         self.view = View(dialect, STUB)
-        self.store = StoreFollower(
-            STUB, dialect, self.view, lambda: len(simulation.instances), STUB
-        )
-        self.store._call = lambda call, _: simulation.store.call(peers.own.id, call)
         settings = mock.Mock()
         settings.listen.peer_port = 0
         settings.instance.host = peers.own.host
+        settings.bounds.change = simulation.bound
+        self.store = StoreFollower(
+            settings, dialect, self.view, lambda: len(simulation.instances), STUB
+        )
+        self.store._call = lambda call, limit: simulation.store.call(
+            peers.own.id, call, limit
+        )
         self.exchange = ViewExchange(
             settings, self.view, peers, STUB, self.store.is_refused
         )
         self.exchange.connect = lambda contact: FakeLink(simulation, contact)
-        self.follower = ViewFollower(self.store, self.exchange, self.view, peers, STUB)
+        self.follower = ViewFollower(
+            self.store, self.exchange, self.view, peers, STUB, simulation.bound
+        )
+        self.store.on_refused = self.exchange.wake_requests
         peers.own_revision = lambda: self.view.revision
         self.threads = [
             eventlet.spawn(self.follower.run),
             eventlet.spawn(self.exchange.run),
+            eventlet.spawn(self.exchange.run_refresh),
         ]
 
     def stop(self):
@@ -172,7 +201,8 @@
 class FleetSimulation:
     """A fleet and its store, some of whose instances are dead or frozen."""
 
-    def __init__(self, size):
+    def __init__(self, size, bound=BOUND_S):
+        self.bound = bound
         self.store = FakeStore()
         self.store.write(KEY, b"1")
         self.dead = set()
@@ -229,6 +259,43 @@
     simulation.kill(names)
 
 
+def pick_silent(simulation):
+    """Return instances that the store turns away, with the next readers of all zones.
+
+    In small zones the instance that is ranked last keeps the store.
+    """
+    silent = set()
+    in_rank_order = [
+        rank_owners(instance.peers, STORE, zone)
+        for zone in ZONES
+        for instance in simulation.live_instances()[:1]
+    ]
+    count = int(SILENT_FRACTION * len(simulation.instances))
+    for place in range(len(simulation.instances)):
+        for ranked in in_rank_order:
+            if place < len(ranked) - 1 and len(silent) < count:
+                silent.add(ranked[place])
+    return silent
+
+
+def replay_changes(simulation, in_force):
+    """Change the configuration in quick succession.
+
+    Returns:
+        Number of times that an instance had an older version than the one that was
+        written ``in_force`` seconds before.
+    """
+    late = 0
+    versions = {}
+    for number in range(CHANGES):
+        simulation.store.write(KEY, str(number + 2).encode())
+        versions[number] = number + 2
+        advance(CHANGE_INTERVAL_S)
+        due = versions.get(number + 1 - round(in_force / CHANGE_INTERVAL_S), 1)
+        late += sum(int(value) < due for value in simulation.known_values())
+    return late
+
+
 class FollowingTest(unittest.TestCase):
     """A simulated fleet in four zones."""
 
@@ -236,9 +303,9 @@
         use_paused_clock()
         self.addCleanup(use_paused_clock)
 
-    def start_simulation(self, size):
+    def start_simulation(self, size, bound=BOUND_S):
         """Start the simulation of a fleet."""
-        simulation = FleetSimulation(size)
+        simulation = FleetSimulation(size, bound)
         self.addCleanup(simulation.close)
         return simulation
 
@@ -258,8 +325,9 @@
         """Guards against watches by all instances before they know their readers."""
         size = 32
         simulation = self.start_simulation(size)
-        readers = DISCOVERY_S * len(ZONES)
-        self.assertLessEqual(simulation.store.calls, size + readers)
+        watches = 1 + READER_RATE * (START_S + DISCOVERY_S)
+        self.assertLessEqual(simulation.store.calls, size + watches * len(ZONES))
+        self.assertEqual(len(simulation.store.watchers), len(ZONES))
 
     def test_an_idle_fleet_keeps_its_readers(self):
         """Guards against changes of the reader because the store does not change."""
@@ -267,7 +335,8 @@
         before = simulation.store.calls
         advance(OBSERVED_S)
         rate = (simulation.store.calls - before) / OBSERVED_S
-        self.assertLess(rate, 0.6 * len(ZONES))
+        self.assertLess(rate, READER_RATE * len(ZONES))
+        self.assertEqual(len(simulation.store.watchers), len(ZONES))
 
     def test_readers_whose_watch_is_reset_are_kept(self):
         """Guards against a fleet that reads the store itself after one reset watch."""
@@ -277,7 +346,8 @@
         advance(OBSERVED_S)
         rate = (simulation.store.calls - before) / OBSERVED_S
         self.assertFalse(simulation.store.resets)
-        self.assertLess(rate, 0.8 * len(ZONES))
+        self.assertLess(rate, READER_RATE * len(ZONES))
+        self.assertEqual(len(simulation.store.watchers), len(ZONES))
 
     @parameterized.expand([("small", 8), ("large", 32)])
     def test_each_zone_has_one_reader(self, _, size):
@@ -305,6 +375,24 @@
         advance(IN_FORCE_S)
         self.assertEqual(simulation.known_values(), {b"2"})
 
+    @parameterized.expand(
+        [
+            ("tight_small", 8, 2.0),
+            ("tight_large", 66, 2.0),
+            ("small", 8, 3.0),
+            ("large", 66, 3.0),
+            ("wide_large", 66, 4.0),
+        ]
+    )
+    def test_changes_take_effect_while_the_store_is_silent_to_readers(
+        self, _, size, bound
+    ):
+        """Guards against silent readers whose time-outs add up beyond the bound."""
+        simulation = self.start_simulation(size, bound)
+        simulation.store.silent |= pick_silent(simulation)
+        oldest = replay_changes(simulation, bound - MARGIN_S)
+        self.assertEqual(oldest, 0)
+
     def test_a_change_takes_effect_when_the_store_lost_its_history(self):
         """Guards against a reader that stays behind when the history is dropped."""
         simulation = self.start_simulation(8)
@@ -344,7 +432,19 @@
             ("itself_next", ["x", "me", "y"], ["x"], None),
             ("itself_avoided", ["me", "x", "y"], ["me"], "x"),
             ("two_tried_in_vain", ["x", "y", "z"], ["x", "y"], None),
+            ("refused_itself", ["x", "y", "z", "me"], ["x", "y", "me"], "z"),
         ]
     )
     def test_pick(self, _, ranked, avoided, expected):
         self.assertEqual(pick_reader(ranked, "me", avoided), expected)
+
+    @parameterized.expand(
+        [
+            ("reads_itself", ["x", "me"], [], None),
+            ("unless_the_store_refused_it", ["x", "me"], ["me"], "x"),
+        ]
+    )
+    def test_pick_with_an_overdue_view(self, _, ranked, avoided, expected):
+        """Guards against waiting for a silent reader while the bound expires."""
+        picked = pick_reader(ranked, "me", avoided, is_overdue=True)
+        self.assertEqual(picked, expected)
