Pass no request on once the process is about to exit

Cause: a stopping instance waits while requests run, then flushes for 0.1 s and exits. A request whose bytes were still arriving counted as not running, so the wait ended; once read, it was passed on during the flush. Idle connections stayed open for that time as well.

Evidence: the test stops a server while a caller sends the second half of a request. Before: passed on, still running at the exit; now answered. Ruled out: the deadline of the grace period, which was 3.3 s away.

Change: a request that is being read counts as busy; before the flush the handler closes and rejects what still comes with 503 (not run), and idle connections are closed first.

--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -85,6 +85,8 @@
     Attributes:
         connections: Open connections of callers.
         active: Number of requests that are being served.
+        is_closed: Whether further requests are rejected, because the process exits
+            before it could respond to them.
         served: Number of requests so far.
     """
 
@@ -112,9 +114,14 @@
         self._logger = logger
         self.connections: set[CallerConnection] = set()
         self.active = 0
+        self.is_closed = False
         self.served = 0
         self._workers: set[greenlet] = set()
 
+    def is_reading(self) -> bool:
+        """Return whether a caller has sent a part of a request."""
+        return any(not caller.is_idle for caller in self.connections)
+
     def abort_all(self) -> None:
         """Abort all running requests; the responses say whether they may have run.
 
@@ -167,6 +174,8 @@
         try:
             head = self._dialect.read_head(raw.method, raw.path, raw.headers)
             request_id = head.id
+            if self.is_closed:
+                raise RequestError(ErrorKind.NOT_READY, "stopping")
             context = self._make_context(head, raw)
             if self._suspects.is_quarantined(context.fingerprint):
                 raise context.quarantine_error()
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -271,13 +271,16 @@
         while now() < deadline and self._is_busy():
             self._close_idle()
             eventlet.sleep(_STOP_POLL_S)
+        self.handler.is_closed = True
         self.handler.abort_all()
-        eventlet.sleep(_FLUSH_S)
         self._close_idle()
+        eventlet.sleep(_FLUSH_S)
         self.logger.info("stopped", active=self.handler.active)
 
     def _is_busy(self) -> bool:
-        return self.handler.active > 0 or self.owner.is_busy()
+        # A request whose last bytes are still to come is read to its end as well.
+        has_requests = self.handler.active > 0 or self.handler.is_reading()
+        return has_requests or self.owner.is_busy()
 
     def _close_idle(self) -> None:
         for caller in list(self.handler.connections):
--- a/tests/test_serving_stop.py
+++ b/tests/test_serving_stop.py
@@ -7,17 +7,22 @@
 from parameterized import parameterized
 
 from bergamotsaddle_contracts.errors import ErrorKind
+from bergamotsaddle_serving import server as server_module
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.catalog import CallerLimits, Kind, Route, Service, Share
 from bergamotsaddle_serving.context import Context, Progress
 from bergamotsaddle_serving.handler import Handler
 from bergamotsaddle_serving.messages import RequestHead
+from bergamotsaddle_serving.plain import CompleteResponse
+from bergamotsaddle_serving.server import ServingServer
 from tests._paused import use_paused_clock, use_running_clock
 
 setUpModule = use_running_clock
 tearDownModule = use_paused_clock
 
 ROUTE = Route("r", "h", "/", Kind.ONCE, 9.0, 1.0, 1, 0, (Share("s", 1.0),))
+# The process exits 0.8 s earlier.
+STOP_GRACE_S = 1.2
 REQUEST = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -90,6 +95,54 @@
         self.assertEqual(client.recv(1000), b"")
         self.assertFalse(handler.connections)
 
+    def stop_while_sending(self, *, pause):
+        """Stop an instance while a caller sends a request.
+
+        Args:
+            pause: Seconds between the two halves of the request.
+
+        Returns:
+            Number of requests that were passed on, number of those that still run at
+            the end of the process, and the bytes that the caller got.
+        """
+        passed_on = []
+
+        def serve(context):
+            passed_on.append(context)
+            eventlet.sleep(0.2)
+            return CompleteResponse(200, [], b"done")
+
+        handler = make_handler()
+        handler._plain = mock.Mock(serve=serve)
+        handler._make_context = lambda head, raw: make_context(is_sent=True)
+        handler._dialect.read_head.return_value = mock.Mock(id="r1")
+        server = ServingServer.__new__(ServingServer)
+        server.handler, server.peers, server.logger = handler, mock.Mock(), mock.Mock()
+        server.owner = mock.Mock(is_busy=lambda: False)
+        server.settings = mock.Mock()
+        server.settings.bounds.grace = STOP_GRACE_S
+        listener = eventlet.listen(("127.0.0.1", 0))
+        client = eventlet.connect(listener.getsockname())
+        accepted, _ = listener.accept()
+        caller = CallerConnection(accepted, CallerLimits, lambda: True)
+        eventlet.spawn_n(handler.run, caller)
+        client.sendall(REQUEST[:20])
+        eventlet.spawn_after(pause, client.sendall, REQUEST[20:])
+        with mock.patch.object(server_module, "_STOP_NOTICE_S", 0.05):
+            server._stop(listener)
+        unfinished = handler.active
+        return len(passed_on), unfinished, client.recv(1000)
+
+    @parameterized.expand([("waits_for_it", 0.1, 1), ("rejects_it", 0.47, 0)])
+    def test_a_request_that_arrives_while_stopping(self, _, pause, expected):
+        """Guards against a request that is passed on just before the process exits.
+
+        Its connection would be closed without a response, although a target runs it.
+        """
+        passed_on, unfinished, received = self.stop_while_sending(pause=pause)
+        self.assertEqual((passed_on, unfinished), (expected, 0))
+        self.assertTrue(received.startswith(b"HTTP/1.1 "))
+
     @parameterized.expand(
         [
             (False, ErrorKind.NOT_RUN),
