--- a/packages/serving/bergamotsaddle_serving/policy.py
+++ b/packages/serving/bergamotsaddle_serving/policy.py
@@ -53,13 +53,20 @@
 
 
 class Policy(NamedTuple):
-    """The enabled mechanisms.
+    """The enabled mechanisms, and the strategy of each decision that has several.
 
     Attributes:
         off: Mechanisms that are switched off.
+        placement: How an engine is chosen, a name in ``engine_choice.PLACEMENTS``.
+        pace: How fast engines are taken to be, a name in ``engine_paces.PACES``.
+        slow_calls: When a slow stage target takes a call, a name in
+            ``slow_calls.SLOW_CALLS``.
     """
 
     off: frozenset[Mechanism] = frozenset()
+    placement: str = "home"
+    pace: str = "declared"
+    slow_calls: str = "greedy"
 
     def has(self, mechanism: Mechanism) -> bool:
         """Return whether a mechanism is enabled."""
@@ -69,7 +76,7 @@
 FULL_POLICY = Policy()
 
 
-def parse_policy(text: str) -> Policy:
+def parse_mechanisms(text: str) -> frozenset[Mechanism]:
     """Parse a comma-separated list of mechanisms that are switched off.
 
     Raises:
@@ -82,4 +89,4 @@
             raise ValueError(f"no mechanism is named {word!r}; use one of {known}")
         if words.count(word) > 1:
             raise ValueError(f"mechanism {word!r} is listed twice")
-    return Policy(frozenset(Mechanism(word) for word in words))
+    return frozenset(Mechanism(word) for word in words)
--- a/packages/serving/bergamotsaddle_serving/settings.py
+++ b/packages/serving/bergamotsaddle_serving/settings.py
@@ -3,7 +3,10 @@
 from typing import NamedTuple
 
 from bergamotsaddle_contracts.ini import Address, IniFile, parse_address, parse_words
-from bergamotsaddle_serving.policy import FULL_POLICY, Policy, parse_policy
+from bergamotsaddle_serving.engine_choice import PLACEMENTS
+from bergamotsaddle_serving.engine_paces import PACES
+from bergamotsaddle_serving.policy import FULL_POLICY, Policy, parse_mechanisms
+from bergamotsaddle_serving.slow_calls import SLOW_CALLS
 
 # Bandwidth in megabits per second that an owner of queues needs for each core that it
 # uses.
@@ -227,7 +230,12 @@
             ini.get("bounds", "drain_ms", _parse_milliseconds, _DEFAULT_CHANGE_S),
             ini.get("bounds", "evacuation_ms", _parse_milliseconds, _DEFAULT_CHANGE_S),
         ),
-        ini.get("policy", "off", parse_policy, FULL_POLICY),
+        Policy(
+            ini.get("policy", "off", parse_mechanisms, FULL_POLICY.off),
+            ini.get("policy", "placement", PLACEMENTS.parse, FULL_POLICY.placement),
+            ini.get("policy", "pace", PACES.parse, FULL_POLICY.pace),
+            ini.get("policy", "slow_calls", SLOW_CALLS.parse, FULL_POLICY.slow_calls),
+        ),
         CapacitySettings(
             ini.get("capacity", "cpu_share", _parse_positive, 1.0),
             ini.get("capacity", "cpus", _parse_positive, 1.0),
--- a/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
+++ b/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
@@ -113,7 +113,7 @@
             batch = queue.queue.pop_batch(
                 at,
                 worker.memory.free_bytes(at),
-                worker.slowdown,
+                worker.recent_slowdown(at),
                 may_wait=at < worker.wait_for_memory_until,
                 zone=worker.target.zone,
                 others=queue.other_targets(worker),
--- a/packages/serving/bergamotsaddle_serving/view_follower.py
+++ b/packages/serving/bergamotsaddle_serving/view_follower.py
@@ -90,9 +90,7 @@
         at = now()
         avoided = {name for name, until in self._avoided_until.items() if until > at}
         is_overdue = self._freshness.is_overdue(self._view.age())
-        return pick_reader(
-            ranked, self._peers.own.id, avoided, is_overdue=is_overdue
-        )
+        return pick_reader(ranked, self._peers.own.id, avoided, is_overdue=is_overdue)
 
     def _read_store(self) -> None:
         self._store.step()
--- a/packages/standins/bergamotsaddle_standins/virtual_fleet.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_fleet.py
@@ -19,6 +19,7 @@
     Share,
     Target,
 )
+from bergamotsaddle_serving.engine_paces import DeclaredPaces
 from bergamotsaddle_serving.gossip import Gossip
 from bergamotsaddle_serving.gossip_exchange import GossipExchange
 from bergamotsaddle_serving.handler import Handler
@@ -26,6 +27,7 @@
 from bergamotsaddle_serving.messages import RawHeaders, StoreEntry
 from bergamotsaddle_serving.metrics import Metrics
 from bergamotsaddle_serving.named_limits import NamedLimits
+from bergamotsaddle_serving.pace_exchange import PaceExchange
 from bergamotsaddle_serving.plain import PlainServer
 from bergamotsaddle_serving.rate_exchange import RateExchange
 from bergamotsaddle_serving.selector import Selector
@@ -161,7 +163,15 @@
         # The only route has no stages.
         waits = SimpleNamespace(best_scope=None)
         streams = StreamServer(
-            selector, waits, None, pool, budget, dialect, SILENT_LOGGER, crashes=crashes
+            selector,
+            waits,
+            None,
+            pool,
+            budget,
+            dialect,
+            SILENT_LOGGER,
+            crashes=crashes,
+            paces=PaceExchange(DeclaredPaces(), peers),
         )
         self.handler = Handler(
             self.view,
