--- a/packages/serving/bergamotsaddle_serving/policy.py
+++ b/packages/serving/bergamotsaddle_serving/policy.py
@@ -61,12 +61,15 @@
         pace: How fast engines are taken to be, a name in ``engine_paces.PACES``.
         slow_calls: When a slow stage target takes a call, a name in
             ``slow_calls.SLOW_CALLS``.
+        suspicion: When a request that was present at crashes is isolated, a name in
+            ``suspects.SUSPICIONS``.
     """
 
     off: frozenset[Mechanism] = frozenset()
     placement: str = "home"
     pace: str = "declared"
     slow_calls: str = "greedy"
+    suspicion: str = "first_crash"
 
     def has(self, mechanism: Mechanism) -> bool:
         """Return whether a mechanism is enabled."""
--- a/packages/serving/bergamotsaddle_serving/settings.py
+++ b/packages/serving/bergamotsaddle_serving/settings.py
@@ -7,6 +7,7 @@
 from bergamotsaddle_serving.engine_paces import PACES
 from bergamotsaddle_serving.policy import FULL_POLICY, Policy, parse_mechanisms
 from bergamotsaddle_serving.slow_calls import SLOW_CALLS
+from bergamotsaddle_serving.suspects import SUSPICIONS
 
 # Bandwidth in megabits per second that an owner of queues needs for each core that it
 # uses.
@@ -235,6 +236,7 @@
             ini.get("policy", "placement", PLACEMENTS.parse, FULL_POLICY.placement),
             ini.get("policy", "pace", PACES.parse, FULL_POLICY.pace),
             ini.get("policy", "slow_calls", SLOW_CALLS.parse, FULL_POLICY.slow_calls),
+            ini.get("policy", "suspicion", SUSPICIONS.parse, FULL_POLICY.suspicion),
         ),
         CapacitySettings(
             ini.get("capacity", "cpu_share", _parse_positive, 1.0),
