Run suspects' stage pieces in calls of their own instead of setting them back

Cause: the pieces of requests that were present at a crash were taken out of each call after it had been put together, and put back into the queue, where they came first again. They were never called until they timed out after 8 s, and the place that they took in each call stayed empty: six pieces of four requests left 2 of 8 places, 40 pieces of five requests 1 of 41.

Ruled out: result memory (it was free), zones (also for results of 8 kB, which may run anywhere).

Change: the first piece of a call decides. If it belongs to a suspect, the call carries that request only; otherwise suspects are passed over while the call is filled.

--- a/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
+++ b/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
@@ -15,7 +15,6 @@
 from bergamotsaddle_serving.stage_queue import (
     QueuedPiece,
     is_large,
-    isolate_suspects,
 )
 from bergamotsaddle_serving.stage_releases import StageReleases
 from bergamotsaddle_serving.stage_results import FinishedPiece, StageResults
@@ -117,31 +116,24 @@
                 may_wait=at < worker.wait_for_memory_until,
                 zone=worker.target.zone,
                 others=queue.other_targets(worker),
+                is_suspect=self._crashes.suspects.is_suspect,
             )
             if not batch:
                 self._wait_for_change(queue, worker)
                 continue
-            batch = self._isolate_suspects(queue, batch)
+            batch = self._fail_quarantined(queue, batch)
             if batch:
                 self._call(queue, worker, batch)
 
-    def _isolate_suspects(
+    def _fail_quarantined(
         self, queue: ServiceQueue, batch: list[QueuedPiece]
     ) -> list[QueuedPiece]:
-        """Return the pieces that may share a call.
-
-        Pieces of quarantined requests fail, and suspects that must not share a call
-        with other requests go back to the queue.
-        """
+        """Fail the pieces of quarantined requests and return the other ones."""
         suspects = self._crashes.suspects
         fatal = [piece for piece in batch if suspects.is_quarantined(piece.fingerprint)]
         failed = PieceResult("", PieceFailure.FAILED)
         self._results.finish(queue, [(piece.key, failed) for piece in fatal])
-        allowed = [piece for piece in batch if piece not in fatal]
-        call, remainder = isolate_suspects(allowed, suspects.is_suspect)
-        for piece in remainder:
-            queue.queue.add(piece)
-        return call
+        return [piece for piece in batch if piece not in fatal]
 
     def _wait_for_change(self, queue: ServiceQueue, worker: Worker) -> None:
         # Read before the pause, so that a change during it is not missed.
--- a/packages/serving/bergamotsaddle_serving/stage_queue.py
+++ b/packages/serving/bergamotsaddle_serving/stage_queue.py
@@ -5,6 +5,7 @@
 
 import math
 from collections.abc import Callable, Sequence
+from functools import cache
 from itertools import accumulate
 from typing import NamedTuple
 
@@ -131,29 +132,6 @@
     return (not is_open, is_late, piece.urgency, piece.objective_at, piece.key)
 
 
-def isolate_suspects(
-    batch: Sequence[QueuedPiece], is_suspect: Callable[[str], bool]
-) -> tuple[list[QueuedPiece], list[QueuedPiece]]:
-    """Keep suspect requests out of the calls that carry other requests.
-
-    Args:
-        batch: Pieces of one call.
-        is_suspect: Returns whether a target has crashed under a fingerprint.
-
-    Returns:
-        The pieces of the call, which belong either to no suspect or to exactly one,
-        and the pieces that wait for another call.
-    """
-    fingerprints = {piece.fingerprint for piece in batch}
-    suspects = {fingerprint for fingerprint in fingerprints if is_suspect(fingerprint)}
-    if len(fingerprints) < 2 or not suspects:
-        return list(batch), []
-    chosen = fingerprints - suspects or {batch[0].fingerprint}
-    call = [piece for piece in batch if piece.fingerprint in chosen]
-    remaining = [piece for piece in batch if piece.fingerprint not in chosen]
-    return call, remaining
-
-
 def is_large(piece: QueuedPiece) -> bool:
     """Return whether a piece should run in its own zone."""
     return piece.zone_bytes >= _LARGE_BYTES
@@ -177,6 +155,30 @@
     return extra <= min(_MAX_ZONE_WAIT_FRACTION * slack, call)
 
 
+class _Isolation:
+    """Keeps suspect requests apart from the other requests of a call.
+
+    Args:
+        is_suspect: Returns whether a target has crashed under a fingerprint.
+    """
+
+    def __init__(self, is_suspect: Callable[[str], bool]) -> None:
+        self._is_suspect = cache(is_suspect)
+        self._first: QueuedPiece | None = None
+
+    def admits(self, piece: QueuedPiece) -> bool:
+        """Return whether a piece may join the call."""
+        first = self._first
+        if first is None or piece.fingerprint == first.fingerprint:
+            return True
+        fingerprints = (first.fingerprint, piece.fingerprint)
+        return not any(self._is_suspect(fingerprint) for fingerprint in fingerprints)
+
+    def record(self, piece: QueuedPiece) -> None:
+        """Record a piece of the call."""
+        self._first = self._first or piece
+
+
 class StageQueue:
     """The pieces that wait for one stage service at one owner.
 
@@ -255,6 +257,7 @@
         may_wait: bool = False,
         zone: str = "",
         others: Sequence[OtherTarget] = (),
+        is_suspect: Callable[[str], bool] = lambda fingerprint: False,
     ) -> list[QueuedPiece]:
         """Remove and return the pieces of the next call.
 
@@ -270,6 +273,11 @@
         holds for the remaining pieces of a partly taken stage, since the next stage
         needs its results in one place.
 
+        The pieces of a suspect request don't share a call with other requests. The
+        first piece decides: either the call carries only its request, or it carries no
+        suspect and is filled from the pieces behind them. So suspects neither wait
+        forever nor take up room in the calls of others.
+
         Args:
             now: Current time on the hub's clock.
             free_bytes: Free memory for results at the target.
@@ -279,6 +287,7 @@
                 memory that the other pieces need is released soon.
             zone: Zone of the target.
             others: The other targets that work on this queue.
+            is_suspect: Returns whether a target has crashed under a fingerprint.
         """
         expected = self.batching.seconds(1) * slowdown
         pieces = sorted(
@@ -297,8 +306,11 @@
         small_bytes = self._small_bytes()
         batch: list[QueuedPiece] = []
         started = set(self.started_stages)
+        isolation = _Isolation(is_suspect)
         for piece in pieces:
             stage = piece.key[:2]
+            if not isolation.admits(piece):
+                continue
             kept_free = (
                 small_bytes if self._must_leave_memory(piece, small_bytes) else 0
             )
@@ -317,6 +329,7 @@
                 started.add(stage)
             free_bytes -= piece.result_bytes
             batch.append(piece)
+            isolation.record(piece)
             if len(batch) == self.batching.size:
                 break
         if (
