Review why first events were late

`bergamotsaddle review` counts late first events by route and by what took longer than expected: an earlier attempt, the engine or the stages. The log line of admission names the objective for it.

--- a/packages/cli/bergamotsaddle_cli/review.py
+++ b/packages/cli/bergamotsaddle_cli/review.py
@@ -5,6 +5,8 @@
 from datetime import datetime
 from typing import Any, NamedTuple, TypedDict
 
+from bergamotsaddle_cli.lateness import late_by_route
+
 _COMPLETE = "whole"
 # Shorter expected times are raised to this; ratios to them say little.
 _MIN_EXPECTED_S = 0.05
@@ -85,6 +87,7 @@
         by_stage: Times of stages relative to their forecasts, by stage number.
         calls_by_service: Statistics of calls by stage service.
         ends_by_route: Numbers of requests by route and outcome.
+        late_by_route: Numbers of late first events by route and reason.
         spans: Numbers of requests by outcome in spans of ten seconds.
         lost_pieces: Results made for requests without a complete response.
         binds: The bottleneck in one sentence.
@@ -95,6 +98,7 @@
     by_stage: dict[str, RatioQuantiles]
     calls_by_service: dict[str, CallStats]
     ends_by_route: dict[str, OutcomeCounts]
+    late_by_route: dict[str, dict[str, int]]
     spans: list[TimeSpan]
     lost_pieces: int
     binds: str
@@ -131,6 +135,7 @@
         by_stage=_quantiles_by_stage(by_event["stages_done"]),
         calls_by_service=calls,
         ends_by_route=_outcomes_by_route(ends, kinds),
+        late_by_route=late_by_route(by_event),
         spans=_time_spans(ends, kinds, by_event["usage"]),
         lost_pieces=lost,
         binds=_describe_bottleneck(totals, calls),
--- a/packages/cli/bergamotsaddle_cli/review_command.py
+++ b/packages/cli/bergamotsaddle_cli/review_command.py
@@ -52,6 +52,11 @@
                 f" {counts['lost']:5} {counts['other']:6}"
             )
         self.line("")
+        self.line("late first event by what took longer than expected")
+        for route, reasons in found.late_by_route.items():
+            text = ", ".join(f"{n} {reason}" for reason, n in reasons.items())
+            self.line(f"{route:16} {text}")
+        self.line("")
         self.line("from second      whole  turned away  lost  cores   late s")
         for span in found.spans:
             self.line(
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -331,6 +331,7 @@
             expected=round(forecast.seconds, 3),
             idle=round(forecast.idle_seconds, 3),
             left=round(forecast.remaining, 3),
+            objective=context.route.objective,
             urgency=context.urgency,
             more_urgent=round(more_urgent, 2),
             version=context.version,
--- a/tests/test_review.py
+++ b/tests/test_review.py
@@ -70,6 +70,26 @@
         self.assertEqual(found.engine["median"], 3.0)
         self.assertEqual(found.by_stage["1 of 1"]["median"], 3.0)
 
+    @parameterized.expand(
+        [
+            ("engine", {"seconds": 1.0}, [], {"engine": 1}),
+            ("stages", {}, [], {"stages": 1}),
+            ("earlier", {}, [{"event": "attempt_failed"}], {"earlier attempt": 1}),
+            ("in_time", {"since": 0.4}, [], {}),
+        ]
+    )
+    def test_late_first_events(self, _, first, others, expected):
+        stages = STAGES | {"seconds": 0.6, "expected": 0.2}
+        lines = [
+            ADMITTED | {"objective": 0.9},
+            stages,
+            FIRST | first,
+            *(line | {"request": "a"} for line in others),
+            request_line("a"),
+        ]
+        found = review_logs(lines).late_by_route
+        self.assertEqual(found.get("quotes", {}), expected)
+
     def test_calls(self):
         lines = [
             call_line(4),
