--- a/packages/serving/bergamotsaddle_serving/view_follower.py
+++ b/packages/serving/bergamotsaddle_serving/view_follower.py
@@ -23,7 +23,8 @@
 _AVOID_READER_S = 5.0
 # How long an instance that has just started waits to learn of readers.
 _SETTLE_S = 1.0
-_SETTLE_INTERVAL_S = 0.1
+# Pause of an instance that has neither a reader nor the store.
+_IDLE_INTERVAL_S = 0.1
 # How long an instance does not read the store after the store refused it.
 _AVOID_STORE_S = 2.0
 
@@ -71,8 +72,8 @@
         """Wait for the next changes, or for the confirmation that there are none."""
         ranked = rank_owners(self._peers, STORE, self._peers.own.zone)
         reader = self._pick_reader(ranked)
-        if reader is None and self._is_settling():
-            eventlet.sleep(_SETTLE_INTERVAL_S)
+        if reader is None and (self._is_settling() or self._is_refused()):
+            eventlet.sleep(_IDLE_INTERVAL_S)
         elif reader is None:
             self._close_link()
             self._read_store()
@@ -84,6 +85,15 @@
         is_new = now() - self._started_at < _SETTLE_S
         return is_new and self._has_readers and self._view.has_snapshot
 
+    def _is_refused(self) -> bool:
+        """Return whether the store has just refused this instance.
+
+        During an outage of the store all instances are in this state. If each of them
+        kept trying, the store would get most of its calls while it serves none.
+        """
+        own_id = self._peers.own.id
+        return self._avoided_until.get(own_id, float("-inf")) > now()
+
     def _pick_reader(self, ranked: list[str]) -> str | None:
         if not self._has_readers or not self._view.has_snapshot:
             return None
--- a/tests/test_view_follower.py
+++ b/tests/test_view_follower.py
@@ -32,6 +32,8 @@
 # platform's own delay.
 IN_FORCE_S = 1.8
 BOUND_S = 2.0
+# After this time without a disturbance the platform's bounds hold again.
+STABLE_WINDOW_S = 3.0
 # Part of a bound that is left for the platform's delay and the request itself.
 MARGIN_S = 0.2
 # Calls per second of one reader of an unchanged store: a view that is confirmed less
@@ -393,6 +395,21 @@
         oldest = replay_changes(simulation, bound - MARGIN_S)
         self.assertEqual(oldest, 0)
 
+    def test_an_outage_of_the_store_does_not_multiply_its_calls(self):
+        """Guards against a fleet whose instances all retry a store that is down."""
+        size = 32
+        simulation = self.start_simulation(size)
+        simulation.store.silent |= set(simulation.instances)
+        before = simulation.store.calls
+        for _ in range(int(OBSERVED_S)):
+            advance(1.0)
+        rate = (simulation.store.calls - before) / OBSERVED_S
+        self.assertLess(rate, 0.5 * size)
+        simulation.store.silent.clear()
+        simulation.store.write(KEY, b"2")
+        advance(STABLE_WINDOW_S)
+        self.assertEqual(simulation.known_values(), {b"2"})
+
     def test_a_change_takes_effect_when_the_store_lost_its_history(self):
         """Guards against a reader that stays behind when the history is dropped."""
         simulation = self.start_simulation(8)
