Count a refused connection neither as a repeat nor as a refusal

Cause: each connection that a crashed engine refused counted as one of three refusals and used up one of the two or three repeats that an instance has in ten seconds, although nothing had reached a target. A crashed engine stays listed for a second or more, and each instance has to find out by itself.

Change: only attempts that reached a target count as repeats and refusals; connections that could not be made have a limit of their own, eight a request. The budget's rule counts arrivals at replicas, so it is kept as before.

--- a/packages/serving/bergamotsaddle_serving/attempt.py
+++ b/packages/serving/bergamotsaddle_serving/attempt.py
@@ -17,6 +17,9 @@
 
 _MISDIRECTED = 421
 _SUCCESS = range(200, 300)
+# Targets without a connection that one request may be offered to. Each takes a round
+# trip if the target has crashed, and the connect limit if it lost power.
+MAX_UNREACHABLE = 8
 # Statuses that tell callers that their request has not run. A target's response with
 # one of them does not guarantee that, so it is never forwarded as it is.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -35,6 +38,11 @@
         self.reason = reason
         self.status = status
 
+    @property
+    def has_arrived(self) -> bool:
+        """Whether the request reached the target, which refused it."""
+        return self.status != 0
+
 
 class OutcomeUnknownError(BergamotsaddleError):
     """The target may have run the request, but sent no complete response.
--- a/packages/serving/bergamotsaddle_serving/plain.py
+++ b/packages/serving/bergamotsaddle_serving/plain.py
@@ -6,6 +6,7 @@
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.admission import add_jitter
 from bergamotsaddle_serving.attempt import (
+    MAX_UNREACHABLE,
     NOT_RUN_STATUSES,
     Attempt,
     NotRunError,
@@ -84,8 +85,12 @@
         failure: CompleteResponse | None = None
         runs = 0
         refusals = 0
+        unreachable = 0
         while True:
-            candidate = self._next_candidate(context, tried, denied)
+            is_repeat = runs + refusals > 0
+            candidate = self._next_candidate(
+                context, tried, denied, is_repeat=is_repeat
+            )
             if candidate is None:
                 return self._finish_failed(context, failure, runs)
             tried.add(candidate.target.id)
@@ -94,8 +99,9 @@
                 response = self._try(context, candidate, can_repeat=can_repeat)
             except NotRunError as error:
                 self._log_failed_attempt(context, candidate, error.reason, "no")
-                refusals += 1
-                if refusals >= _MAX_REFUSALS:
+                refusals += error.has_arrived
+                unreachable += not error.has_arrived
+                if refusals >= _MAX_REFUSALS or unreachable > MAX_UNREACHABLE:
                     return self._finish_failed(context, failure, runs)
                 continue
             except OutcomeUnknownError as error:
@@ -114,14 +120,20 @@
             failure = response
 
     def _next_candidate(
-        self, context: Context, tried: set[str], denied: set[str]
+        self,
+        context: Context,
+        tried: set[str],
+        denied: set[str],
+        *,
+        is_repeat: bool,
     ) -> Candidate | None:
         """Return the target to try next, None if there is none.
 
         Args:
             context: The request.
-            tried: Ids of targets that the request was sent to.
+            tried: Ids of targets that were tried.
             denied: Ids of targets that had no permit left; further ones are added.
+            is_repeat: Whether the request has reached one of the tried targets.
         """
         if context.remaining <= 0:
             return None
@@ -132,7 +144,7 @@
             if self._selector.reserve(candidate, context.head.id, context.urgency):
                 break
             denied.add(candidate.target.id)
-        if tried and not self._budget.try_acquire(context.service.name):
+        if is_repeat and not self._budget.try_acquire(context.service.name):
             return None
         return candidate
 
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -15,6 +15,7 @@
     retry_after,
 )
 from bergamotsaddle_serving.attempt import (
+    MAX_UNREACHABLE,
     NOT_RUN_STATUSES,
     Attempt,
     NotRunError,
@@ -234,9 +235,10 @@
         self._has_started = False
         # Id of an engine, and until when its permit is used.
         self._permit = ("", 0.0)
-        self._was_sent = False
+        self._has_arrived = False
         self._possible_runs = 0
         self._refusals = 0
+        self._unreachable = 0
 
     def run(self) -> None:
         """Run the stages, then try engines until one has completed the stream."""
@@ -405,14 +407,16 @@
             return False
         if not self._use_permit(choice):
             return False
-        if self._was_sent and not self._server.budget.try_acquire(context.service.name):
+        is_repeat = self._has_arrived
+        if is_repeat and not self._server.budget.try_acquire(context.service.name):
             raise self._failure_error("no repeats are left")
         self._check_quarantine()
         self._server.selector.record_sent(candidate, context.service)
-        self._was_sent = True
+        self._has_arrived = True
         try:
             self._send(candidate, choice)
         except NotRunError as error:
+            self._has_arrived = is_repeat or error.has_arrived
             self._log_failed_attempt(candidate, error.reason, "no", error.status)
             self._handle_refusal(candidate, error)
             return False
@@ -585,8 +589,9 @@
             self._inputs = None
         else:
             self._exclude.add(candidate.target.id)
-        self._refusals += 1
-        if self._refusals > _MAX_REFUSALS:
+        self._refusals += error.has_arrived
+        self._unreachable += not error.has_arrived
+        if self._refusals > _MAX_REFUSALS or self._unreachable > MAX_UNREACHABLE:
             raise self._failure_error("no engine took the request")
 
     def _may_run_again(self) -> bool:
