Drop the observed pace of engines

Tried: instances learnt from first events, and from their absence, how much slower than usual an engine is, told all others at once, and forecast with it.

--- a/packages/serving/bergamotsaddle_serving/engine_choice.py
+++ b/packages/serving/bergamotsaddle_serving/engine_choice.py
@@ -36,7 +36,6 @@
         has_cached_prefix: Whether this instance recently had the engine prefill the
             shared parts.
         delay: Extra seconds to count, such as after a recent failure.
-        slowdown: How many times as long as usual the engine takes.
     """
 
     id: str
@@ -46,7 +45,6 @@
     tokens_ahead: int
     has_cached_prefix: bool
     delay: float = 0.0
-    slowdown: float = 1.0
 
 
 class EngineChoice(NamedTuple):
@@ -66,11 +64,6 @@
     idle_seconds: float
     reason: str
 
-    @property
-    def usual_seconds(self) -> float:
-        """Expected seconds after the last stage if the engine were not slow."""
-        return self.finish_seconds / self.engine.slowdown
-
 
 Placement = Callable[[Sequence[EngineChoice], float], EngineChoice]
 PLACEMENTS: Registry[Placement] = Registry("placement")
@@ -197,5 +190,4 @@
     prefill = (engine.tokens_ahead + tokens) / tokens_per_s
     full = max(0, engine.running - engine.slots + 1)
     queueing = full / max(1, engine.slots)
-    seconds = _BASE_S + prefill + engine.running * _PER_RUNNING_S + queueing
-    return engine.slowdown * seconds + engine.delay
+    return _BASE_S + prefill + engine.running * _PER_RUNNING_S + queueing + engine.delay
--- a/packages/serving/bergamotsaddle_serving/peer_messages.py
+++ b/packages/serving/bergamotsaddle_serving/peer_messages.py
@@ -89,20 +89,6 @@
     """Asks the receiver to send a heartbeat at once."""
 
 
-class PaceReport(Message, tag="Pace"):
-    """Reports how much slower than usual an engine is.
-
-    Attributes:
-        target: Id of the engine.
-        started_ms: Start time of its incarnation, 0 if unknown.
-        slowdown: How many times as long as usual it takes, 1 if it is not slow.
-    """
-
-    target: str
-    started_ms: int
-    slowdown: float
-
-
 class RateRequest(Message, tag="RateAsk"):
     """Asks the owner of a shared rate for a permit.
 
@@ -238,7 +224,6 @@
     Heartbeat
     | GossipUpdate
     | HeartbeatRequest
-    | PaceReport
     | RateRequest
     | RateResponse
     | Submit
--- a/packages/serving/bergamotsaddle_serving/policy.py
+++ b/packages/serving/bergamotsaddle_serving/policy.py
@@ -58,7 +58,6 @@
     Attributes:
         off: Mechanisms that are switched off.
         placement: How an engine is chosen, a name in ``engine_choice.PLACEMENTS``.
-        pace: How fast engines are taken to be, a name in ``engine_paces.PACES``.
         slow_calls: When a slow stage target takes a call, a name in
             ``slow_calls.SLOW_CALLS``.
         suspicion: When a request that was present at crashes is isolated, a name in
@@ -67,7 +66,6 @@
 
     off: frozenset[Mechanism] = frozenset()
     placement: str = "home"
-    pace: str = "declared"
     slow_calls: str = "greedy"
     suspicion: str = "first_crash"
 
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -15,7 +15,6 @@
 from bergamotsaddle_serving.budget import ColdRateLimiter, RetryBudget
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.client import ConnectionPool
-from bergamotsaddle_serving.engine_paces import PACES
 from bergamotsaddle_serving.fetching import FetchTimes
 from bergamotsaddle_serving.follower import StoreFollower
 from bergamotsaddle_serving.gossip import Gossip
@@ -26,7 +25,6 @@
 from bergamotsaddle_serving.messages import Dialect
 from bergamotsaddle_serving.metrics import Metrics
 from bergamotsaddle_serving.named_limits import NamedLimits
-from bergamotsaddle_serving.pace_exchange import PaceExchange
 from bergamotsaddle_serving.peers import Peers
 from bergamotsaddle_serving.plain import PlainServer
 from bergamotsaddle_serving.policy import Mechanism
@@ -175,7 +173,6 @@
             policy,
             fetch_times,
             crashes=crashes,
-            paces=PaceExchange(PACES.by_name[policy.pace](), self.peers),
         )
         self.handler = Handler(
             self.view,
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -37,7 +37,6 @@
 from bergamotsaddle_serving.events import EventSplitter
 from bergamotsaddle_serving.fetching import DEFAULT_FETCH_TIMES, FetchTimes
 from bergamotsaddle_serving.messages import Dialect, Dispatch
-from bergamotsaddle_serving.pace_exchange import PaceExchange
 from bergamotsaddle_serving.policy import FULL_POLICY, Policy
 from bergamotsaddle_serving.selector import Candidate, Selector
 from bergamotsaddle_serving.stage_exchange import StageExchange
@@ -84,7 +83,6 @@
         policy: Enabled mechanisms.
         fetch_times: Estimates when engines have fetched their inputs.
         crashes: Detects crashed engines and the requests that they were running.
-        paces: Exchanges with the other instances which engines are slow.
     """
 
     def __init__(
@@ -100,10 +98,8 @@
         fetch_times: FetchTimes = DEFAULT_FETCH_TIMES,
         *,
         crashes: TargetCrashes,
-        paces: PaceExchange,
     ) -> None:
         self.policy = policy
-        self.paces = paces
         self.suspects = crashes.suspects
         self.crashes = crashes
         self.fetch_times = fetch_times
@@ -207,7 +203,6 @@
             state.in_flight + candidate.others,
             candidate.tokens_ahead,
             self._cached_until.get((target.id, key), 0.0) > now(),
-            slowdown=self.paces.paces.slowdown(target.incarnation, now()),
         )
 
 
@@ -448,7 +443,6 @@
         state.prompt_tokens_ahead += tokens
         is_prefilling = True
         server = self._server
-        pace_timer = self._schedule_pace_report(candidate, choice)
         try:
             with Attempt(context, state, server.pool, server.dialect) as attempt:
                 dispatch = Dispatch(
@@ -475,12 +469,6 @@
                 is_prefilling = False
                 seconds = now() - attempt.started_at
                 state.record_success(seconds)
-                server.paces.observe(
-                    candidate.target.incarnation,
-                    choice.usual_seconds,
-                    seconds,
-                    is_done=True,
-                )
                 server.logger.info(
                     "first_event",
                     request=context.head.id,
@@ -488,33 +476,15 @@
                     seconds=round(seconds, 3),
                     expected=round(choice.finish_seconds, 3),
                     tokens=tokens,
-                    slowdown=choice.engine.slowdown,
                     since=round(now() - context.started_at, 3),
                 )
                 server.record_cached_prefix(candidate.target.id, context)
                 self._release_inputs()
-                pace_timer.cancel()
                 self._relay(attempt, response, splitter, data)
         finally:
-            pace_timer.cancel()
             if is_prefilling:
                 state.prompt_tokens_ahead -= tokens
 
-    def _schedule_pace_report(
-        self, candidate: Candidate, choice: EngineChoice
-    ) -> GreenThread:
-        """Report an engine as slow unless its first event arrives in time."""
-        paces = self._server.paces
-        patience = paces.paces.patience(choice.usual_seconds)
-        return eventlet.spawn_after(
-            min(patience, self._context.remaining),
-            paces.observe,
-            candidate.target.incarnation,
-            choice.usual_seconds,
-            patience,
-            is_done=False,
-        )
-
     def _prefill_tokens(self, choice: EngineChoice) -> int:
         """Return how many prompt tokens the engine has to read."""
         head = self._context.head
--- a/packages/standins/bergamotsaddle_standins/virtual_fleet.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_fleet.py
@@ -19,7 +19,6 @@
     Share,
     Target,
 )
-from bergamotsaddle_serving.engine_paces import DeclaredPaces
 from bergamotsaddle_serving.gossip import Gossip
 from bergamotsaddle_serving.gossip_exchange import GossipExchange
 from bergamotsaddle_serving.handler import Handler
@@ -27,7 +26,6 @@
 from bergamotsaddle_serving.messages import RawHeaders, StoreEntry
 from bergamotsaddle_serving.metrics import Metrics
 from bergamotsaddle_serving.named_limits import NamedLimits
-from bergamotsaddle_serving.pace_exchange import PaceExchange
 from bergamotsaddle_serving.plain import PlainServer
 from bergamotsaddle_serving.rate_exchange import RateExchange
 from bergamotsaddle_serving.selector import Selector
@@ -171,7 +169,6 @@
             dialect,
             SILENT_LOGGER,
             crashes=crashes,
-            paces=PaceExchange(DeclaredPaces(), peers),
         )
         self.handler = Handler(
             self.view,
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -85,11 +85,8 @@
         slow = choose(engines()).engine.id
         chosen = set()
         for number in range(12):
-            loads = {
-                f"e{n}": {"running": (number * n) % 5, "slowdown": 1.0}
-                for n in range(1, 5)
-            }
-            loads[slow] = {"slowdown": 8.0}
+            loads = {f"e{n}": {"running": (number * n) % 5} for n in range(1, 5)}
+            loads[slow] = {"tokens_ahead": 90_000}
             chosen.add(choose(engines(**loads), placement=placement).engine.id)
         return chosen
 
