Let a suspect's call not wait to be filled

A call that carries one suspect can't be filled from the queue, but waited up to 90 ms after each call of its target for memory that other pieces would need.

--- a/packages/serving/bergamotsaddle_serving/stage_queue.py
+++ b/packages/serving/bergamotsaddle_serving/stage_queue.py
@@ -166,6 +166,11 @@
         self._is_suspect = cache(is_suspect)
         self._first: QueuedPiece | None = None
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether no other request may join the call."""
+        return self._first is not None and self._is_suspect(self._first.fingerprint)
+
     def admits(self, piece: QueuedPiece) -> bool:
         """Return whether a piece may join the call."""
         first = self._first
@@ -334,6 +339,7 @@
                 break
         if (
             may_wait
+            and not isolation.is_complete
             and self._policy.has(Mechanism.FULL_CALLS)
             and len(batch) < self.batching.size * _MIN_CALL_FRACTION
             and len(batch) < len(pieces) * _MIN_CALL_FRACTION
