--- a/packages/serving/bergamotsaddle_serving/follower.py
+++ b/packages/serving/bergamotsaddle_serving/follower.py
@@ -13,8 +13,8 @@
 from bergamotsaddle_serving.view import View
 from bergamotsaddle_serving.view_freshness import ViewFreshness
 
-# Time for a response to a call that the store does not hold, and for a long body.
-_RESPONSE_TIMEOUT_S = 0.8
+# Time for the body of a response, which may be a large configuration on a slow link.
+_BODY_TIMEOUT_S = 0.8
 # The store may cut a waiting watch; the next call then succeeds within this time.
 _MAX_CUT_S = 0.4
 # Minimum pause between two watches for each instance that shares the store, so that
@@ -74,7 +74,6 @@
         self._view = view
         self._logger = logger
         self._connection: Connection | None = None
-        self._must_list = False
         self._backoff = _INITIAL_BACKOFF_S
         self._freshness = ViewFreshness(settings.bounds.change)
         self.is_lost = False
@@ -101,16 +100,25 @@
             self._backoff = min(_MAX_BACKOFF_S, self._backoff * _BACKOFF_FACTOR)
 
     def _read_next(self) -> None:
-        if self._must_list or not self._view.has_snapshot:
+        if not self._view.has_snapshot or self._freshness.is_overdue(self._view.age()):
             self._read_snapshot()
             return
         requested_at = now()
         wait = self._freshness.watch_wait(self._view.age())
         call = self._dialect.watch_entries(self._view.revision, wait)
-        status, body = self._call(call, wait + self._freshness.response_timeout)
+        try:
+            status, body = self._call(call, wait + self._freshness.response_timeout)
+        except ConnectionLostError as error:
+            if error.reason != SILENT:
+                raise
+            # While the store drops its history, watches get no response but lists do.
+            self._record_loss(error.reason)
+            self.on_refused()
+            self._read_snapshot()
+            return
         if status == _GONE:
             self._logger.info("store_history_gone", revision=self._view.revision)
-            self._must_list = True
+            self._read_snapshot()
             return
         page = self._decode_page(status, body)
         # The store held a watch without changes for the whole wait.
@@ -131,11 +139,10 @@
         # The pages are read one after the other, so later ones may contain newer
         # changes. The watch from the first page's revision reads those again.
         self._view.replace(entries, first.revision, source="store")
-        self._must_list = False
 
     def _read_page(self, after: str) -> StorePage:
         status, body = self._call(
-            self._dialect.list_entries(after), _RESPONSE_TIMEOUT_S
+            self._dialect.list_entries(after), self._freshness.response_timeout
         )
         return self._decode_page(status, body)
 
@@ -156,7 +163,7 @@
             call,
             limit=limit,
             max_bytes=_MAX_PAGE_BYTES,
-            body_limit=max(limit, _RESPONSE_TIMEOUT_S),
+            body_limit=max(limit, _BODY_TIMEOUT_S),
         )
         if head.status in (_OK, _GONE) and connection.prepare_next():
             self._connection = connection
--- a/tests/test_view_follower.py
+++ b/tests/test_view_follower.py
@@ -57,6 +57,7 @@
         watchers: Instances that have watched.
         refused: Instances whose calls are refused.
         silent: Instances whose calls get no response.
+        is_deaf: Whether watches get no response.
         resets: Instances whose next call is reset.
         history_start: First revision from which changes can be watched.
         changed: Is sent at the next write.
@@ -69,6 +70,7 @@
         self.watchers = set()
         self.refused = set()
         self.silent = set()
+        self.is_deaf = False
         self.resets = set()
         self.history_start = 0
         self.changed = Event()
@@ -91,7 +93,7 @@
             self.resets.discard(instance)
             raise ConnectionLostError("reset")
         kind, after, wait = call
-        if kind == "list":
+        if kind == "list" and instance not in self.silent:
             live = [e for e in self.entries.values() if e.value is not None]
             return OK, StorePage(live, self.revision)
         self.watchers.add(instance)
@@ -100,7 +102,7 @@
         with eventlet.Timeout(wait, False):
             while self.revision <= after:
                 self.changed.wait()
-        if instance in self.silent:
+        if instance in self.silent or (self.is_deaf and kind == "watch"):
             eventlet.sleep(max(0.0, called_at + limit - now()))
             raise ConnectionLostError(SILENT)
         updates = [e for e in self.entries.values() if e.revision > after]
@@ -419,6 +421,15 @@
         advance(IN_FORCE_S)
         self.assertEqual(simulation.known_values(), {b"2"})
 
+    @parameterized.expand([("small", 8, 2.0), ("large", 32, 2.0), ("wide", 32, 4.0)])
+    def test_a_change_takes_effect_while_watches_are_silent(self, _, size, bound):
+        """Guards against a view that waits for watches of a store that compacts."""
+        simulation = self.start_simulation(size, bound)
+        simulation.store.is_deaf = True
+        simulation.store.write(KEY, b"2")
+        advance(bound - MARGIN_S)
+        self.assertEqual(simulation.known_values(), {b"2"})
+
     def test_a_new_reader_reports_earlier_deletions(self):
         """Guards against targets that stay listed because no deletion is reported."""
         store = FakeStore()
