--- a/packages/serving/bergamotsaddle_serving/attempt.py
+++ b/packages/serving/bergamotsaddle_serving/attempt.py
@@ -6,6 +6,7 @@
 from bergamotsaddle_contracts.errors import BergamotsaddleError
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.client import (
+    CONNECTION_REFUSED,
     Connection,
     ConnectionLostError,
     ConnectionPool,
@@ -17,9 +18,9 @@
 
 _MISDIRECTED = 421
 _SUCCESS = range(200, 300)
-# Targets without a connection that one request may be offered to. Each takes a round
-# trip if the target has crashed, and the connect limit if it lost power.
-MAX_UNREACHABLE = 8
+# Refused connections of one request. Each takes a round trip to a crashed target, which
+# is cheap but should not go on for long.
+MAX_REFUSED_CONNECTIONS = 8
 # Statuses that tell callers that their request has not run. A target's response with
 # one of them does not guarantee that, so it is never forwarded as it is.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -39,9 +40,9 @@
         self.status = status
 
     @property
-    def has_arrived(self) -> bool:
-        """Whether the request reached the target, which refused it."""
-        return self.status != 0
+    def is_connection_refused(self) -> bool:
+        """Whether the target refused the connection, which takes one round trip."""
+        return self.status == 0 and self.reason == CONNECTION_REFUSED
 
 
 class OutcomeUnknownError(BergamotsaddleError):
--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -38,6 +38,8 @@
 # respond before it has read the whole body.
 _MAX_INLINE_SEND = 16_384
 
+# Reason of connections that the peer's machine refused, since nothing listens there.
+CONNECTION_REFUSED = "refused"
 # Reason of connections whose response did not arrive in time.
 SILENT = "silent"
 # Reasons of connections that were closed before the response was complete.
@@ -107,7 +109,7 @@
         except OSError as error:
             self._socket.close()
             is_refused = isinstance(error, ConnectionRefusedError)
-            reason = "refused" if is_refused else "connect"
+            reason = CONNECTION_REFUSED if is_refused else "connect"
             raise ConnectionLostError(reason, is_unsent=True) from error
 
     def _set_options(self) -> None:
@@ -352,7 +354,7 @@
         try:
             connection = self.acquire(address, limit=_LISTENING_TIMEOUT_S)
         except ConnectionLostError as error:
-            return error.reason == "refused"
+            return error.reason == CONNECTION_REFUSED
         self._idle_by_address.setdefault(address, []).append(connection)
         return False
 
--- a/packages/serving/bergamotsaddle_serving/plain.py
+++ b/packages/serving/bergamotsaddle_serving/plain.py
@@ -6,7 +6,7 @@
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.admission import add_jitter
 from bergamotsaddle_serving.attempt import (
-    MAX_UNREACHABLE,
+    MAX_REFUSED_CONNECTIONS,
     NOT_RUN_STATUSES,
     Attempt,
     NotRunError,
@@ -85,7 +85,7 @@
         failure: CompleteResponse | None = None
         runs = 0
         refusals = 0
-        unreachable = 0
+        refused_connections = 0
         while True:
             is_repeat = runs + refusals > 0
             candidate = self._next_candidate(
@@ -99,9 +99,12 @@
                 response = self._try(context, candidate, can_repeat=can_repeat)
             except NotRunError as error:
                 self._log_failed_attempt(context, candidate, error.reason, "no")
-                refusals += error.has_arrived
-                unreachable += not error.has_arrived
-                if refusals >= _MAX_REFUSALS or unreachable > MAX_UNREACHABLE:
+                refusals += not error.is_connection_refused
+                refused_connections += error.is_connection_refused
+                if (
+                    refusals >= _MAX_REFUSALS
+                    or refused_connections > MAX_REFUSED_CONNECTIONS
+                ):
                     return self._finish_failed(context, failure, runs)
                 continue
             except OutcomeUnknownError as error:
@@ -133,7 +136,8 @@
             context: The request.
             tried: Ids of targets that were tried.
             denied: Ids of targets that had no permit left; further ones are added.
-            is_repeat: Whether the request has reached one of the tried targets.
+            is_repeat: Whether an earlier attempt counts, because a target was reached or
+                did not respond.
         """
         if context.remaining <= 0:
             return None
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -15,7 +15,7 @@
     retry_after,
 )
 from bergamotsaddle_serving.attempt import (
-    MAX_UNREACHABLE,
+    MAX_REFUSED_CONNECTIONS,
     NOT_RUN_STATUSES,
     Attempt,
     NotRunError,
@@ -230,10 +230,10 @@
         self._has_started = False
         # Id of an engine, and until when its permit is used.
         self._permit = ("", 0.0)
-        self._has_arrived = False
+        self._was_offered = False
         self._possible_runs = 0
         self._refusals = 0
-        self._unreachable = 0
+        self._refused_connections = 0
 
     def run(self) -> None:
         """Run the stages, then try engines until one has completed the stream."""
@@ -402,16 +402,16 @@
             return False
         if not self._use_permit(choice):
             return False
-        is_repeat = self._has_arrived
+        is_repeat = self._was_offered
         if is_repeat and not self._server.budget.try_acquire(context.service.name):
             raise self._failure_error("no repeats are left")
         self._check_quarantine()
         self._server.selector.record_sent(candidate, context.service)
-        self._has_arrived = True
+        self._was_offered = True
         try:
             self._send(candidate, choice)
         except NotRunError as error:
-            self._has_arrived = is_repeat or error.has_arrived
+            self._was_offered = is_repeat or not error.is_connection_refused
             self._log_failed_attempt(candidate, error.reason, "no", error.status)
             self._handle_refusal(candidate, error)
             return False
@@ -559,9 +559,12 @@
             self._inputs = None
         else:
             self._exclude.add(candidate.target.id)
-        self._refusals += error.has_arrived
-        self._unreachable += not error.has_arrived
-        if self._refusals > _MAX_REFUSALS or self._unreachable > MAX_UNREACHABLE:
+        self._refusals += not error.is_connection_refused
+        self._refused_connections += error.is_connection_refused
+        if (
+            self._refusals > _MAX_REFUSALS
+            or self._refused_connections > MAX_REFUSED_CONNECTIONS
+        ):
             raise self._failure_error("no engine took the request")
 
     def _may_run_again(self) -> bool:
