--- a/packages/serving/bergamotsaddle_serving/_stage_worker.py
+++ b/packages/serving/bergamotsaddle_serving/_stage_worker.py
@@ -20,7 +20,6 @@
 # Upper bound on a single call's slowdown, and its weight in the moving average.
 _MAX_SLOWDOWN = 6.0
 _SLOWDOWN_WEIGHT = 0.3
-_SLOWDOWN_HALF_LIFE_S = 2.0
 # A target that failed gets no calls for a time that doubles with each failure.
 _FIRST_BACKOFF_S = 0.3
 _MAX_BACKOFF_S = 3.0
@@ -63,15 +62,6 @@
         self.backoff_until = 0.0
         self.to_release: list[str] = []
         self.release_requested = Event()
-        self._measured_at = now()
-
-    def recent_slowdown(self, at: float) -> float:
-        """Return the slowdown, which is forgotten gradually without further calls.
-
-        A target that was slow and gets no calls for that reason is tried again.
-        """
-        age = at - self._measured_at
-        return 1.0 + (self.slowdown - 1.0) * 0.5 ** (age / _SLOWDOWN_HALF_LIFE_S)
 
     def record_sharing(self) -> None:
         """Record a sign that another instance calls the target as well.
@@ -100,7 +90,6 @@
             expected: Expected duration.
         """
         self.failures = 0
-        self._measured_at = now()
         ratio = min(_MAX_SLOWDOWN, seconds / expected)
         self.slowdown += _SLOWDOWN_WEIGHT * (ratio - self.slowdown)
 
@@ -202,7 +191,6 @@
                 other.target.zone,
                 max(0.0, other.free_at - at),
                 other.memory.free_bytes(at),
-                other.recent_slowdown(at),
             )
             for other in self.available_workers()
             if other is not worker
--- a/packages/serving/bergamotsaddle_serving/engine_choice.py
+++ b/packages/serving/bergamotsaddle_serving/engine_choice.py
@@ -7,7 +7,6 @@
 from typing import NamedTuple
 
 from bergamotsaddle_daemon._rendezvous import rendezvous_weight
-from bergamotsaddle_daemon.registry import Registry
 from bergamotsaddle_serving.messages import PromptPart
 from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
 
@@ -65,10 +64,6 @@
     reason: str
 
 
-Placement = Callable[[Sequence[EngineChoice], float], EngineChoice]
-PLACEMENTS: Registry[Placement] = Registry("placement")
-
-
 def prefix_key(prompt: Sequence[PromptPart]) -> str:
     """Return the key of the shared prefix: all parts of a prompt but its last one."""
     shared = prompt[:-1] or prompt
@@ -117,8 +112,8 @@
     This serves bursts about few subjects, and fleets in which each instance sees only a
     fraction of the traffic. Rendezvous hashing of the shared parts gives all instances
     the same preferred engine without communication, so the parts are prefilled once
-    rather than once per engine. The policy's placement decides when another engine is
-    chosen; it gets the choices in order of preference, and the objective in seconds.
+    rather than once per engine. Another engine is chosen only if the preferred one
+    would be late and the other one is faster by more than the extra prefill costs.
 
     Args:
         engines: The candidates.
@@ -128,7 +123,7 @@
         stage_seconds: Returns the expected seconds of the stages for an engine in a
             zone.
         tokens_per_s: Prompt tokens that an engine prefills per second.
-        policy: Enabled mechanisms and the placement.
+        policy: Enabled mechanisms.
 
     Returns:
         The choice, None if there are no candidates.
@@ -153,38 +148,15 @@
         )
         idle = _BASE_S + tokens / tokens_per_s
         choices.append(EngineChoice(engine, total, finish, idle, reason))
+    preferred = choices[0]
     if not policy.has(Mechanism.ENGINE_HOMES):
         return min(choices, key=lambda choice: choice.seconds)
-    return PLACEMENTS.by_name[policy.placement](choices, objective)
-
-
-@PLACEMENTS.register("home")
-def choose_home(choices: Sequence[EngineChoice], objective: float) -> EngineChoice:
-    """Choose the preferred engine, or the fastest one if that would be late.
-
-    This suits engines that rarely have more work than they can do, so that the fastest
-    one is seldom needed.
-    """
-    preferred = choices[0]
     if preferred.seconds <= _MAX_OBJECTIVE_FRACTION * objective:
         return preferred
     best = min(choices, key=lambda choice: choice.seconds)
     return best if best.seconds < preferred.seconds - _MOVE_GAIN_S else preferred
 
 
-@PLACEMENTS.register("bounded")
-def choose_bounded(choices: Sequence[EngineChoice], objective: float) -> EngineChoice:
-    """Choose the first engine in order of preference that has little enough to do.
-
-    This suits bursts about few subjects, and engines that turn slow or leave: all
-    instances send what a preferred engine can't take to the same next one, so that the
-    shared parts are prefilled there once.
-    """
-    fastest = min(choice.seconds for choice in choices)
-    limit = max(_MAX_OBJECTIVE_FRACTION * objective, fastest + _MOVE_GAIN_S)
-    return next(choice for choice in choices if choice.seconds <= limit)
-
-
 def _finish_seconds(engine: EngineView, tokens: int, tokens_per_s: float) -> float:
     """Return the expected seconds from the last stage to the first event."""
     prefill = (engine.tokens_ahead + tokens) / tokens_per_s
--- a/packages/serving/bergamotsaddle_serving/plain.py
+++ b/packages/serving/bergamotsaddle_serving/plain.py
@@ -136,8 +136,8 @@
             context: The request.
             tried: Ids of targets that were tried.
             denied: Ids of targets that had no permit left; further ones are added.
-            is_repeat: Whether an earlier attempt counts, because a target was reached or
-                did not respond.
+            is_repeat: Whether an earlier attempt counts as one, since a target was
+                reached or did not respond.
         """
         if context.remaining <= 0:
             return None
--- a/packages/serving/bergamotsaddle_serving/policy.py
+++ b/packages/serving/bergamotsaddle_serving/policy.py
@@ -57,16 +57,11 @@
 
     Attributes:
         off: Mechanisms that are switched off.
-        placement: How an engine is chosen, a name in ``engine_choice.PLACEMENTS``.
-        slow_calls: When a slow stage target takes a call, a name in
-            ``slow_calls.SLOW_CALLS``.
         suspicion: When a request that was present at crashes is isolated, a name in
             ``suspects.SUSPICIONS``.
     """
 
     off: frozenset[Mechanism] = frozenset()
-    placement: str = "home"
-    slow_calls: str = "greedy"
     suspicion: str = "first_crash"
 
     def has(self, mechanism: Mechanism) -> bool:
--- a/packages/serving/bergamotsaddle_serving/settings.py
+++ b/packages/serving/bergamotsaddle_serving/settings.py
@@ -3,9 +3,7 @@
 from typing import NamedTuple
 
 from bergamotsaddle_contracts.ini import Address, IniFile, parse_address, parse_words
-from bergamotsaddle_serving.engine_choice import PLACEMENTS
 from bergamotsaddle_serving.policy import FULL_POLICY, Policy, parse_mechanisms
-from bergamotsaddle_serving.slow_calls import SLOW_CALLS
 from bergamotsaddle_serving.suspects import SUSPICIONS
 
 # Bandwidth in megabits per second that an owner of queues needs for each core that it
@@ -232,8 +230,6 @@
         ),
         Policy(
             ini.get("policy", "off", parse_mechanisms, FULL_POLICY.off),
-            ini.get("policy", "placement", PLACEMENTS.parse, FULL_POLICY.placement),
-            ini.get("policy", "slow_calls", SLOW_CALLS.parse, FULL_POLICY.slow_calls),
             ini.get("policy", "suspicion", SUSPICIONS.parse, FULL_POLICY.suspicion),
         ),
         CapacitySettings(
--- a/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
+++ b/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
@@ -112,7 +112,7 @@
             batch = queue.queue.pop_batch(
                 at,
                 worker.memory.free_bytes(at),
-                worker.recent_slowdown(at),
+                worker.slowdown,
                 may_wait=at < worker.wait_for_memory_until,
                 zone=worker.target.zone,
                 others=queue.other_targets(worker),
--- a/packages/serving/bergamotsaddle_serving/stage_queue.py
+++ b/packages/serving/bergamotsaddle_serving/stage_queue.py
@@ -11,7 +11,6 @@
 
 from bergamotsaddle_serving.catalog import Batching
 from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
-from bergamotsaddle_serving.slow_calls import SLOW_CALLS, CallingTarget
 from bergamotsaddle_serving.stage_load import PLACES, place
 
 # A call that would carry less than this fraction of its capacity waits for memory.
@@ -98,13 +97,11 @@
         zone: Availability zone of the target.
         free_in: Seconds until its current call ends.
         free_bytes: Free memory for results.
-        slowdown: Actual time of its calls relative to the declared one.
     """
 
     zone: str
     free_in: float
     free_bytes: float
-    slowdown: float = 1.0
 
 
 def rank(piece: QueuedPiece, now: float, expected: float, is_open: bool) -> tuple:
@@ -167,8 +164,8 @@
         self._first: QueuedPiece | None = None
 
     @property
-    def is_complete(self) -> bool:
-        """Whether no other request may join the call."""
+    def carries_suspect(self) -> bool:
+        """Whether the call carries a suspect, so that no other request may join."""
         return self._first is not None and self._is_suspect(self._first.fingerprint)
 
     def admits(self, piece: QueuedPiece) -> bool:
@@ -305,7 +302,6 @@
         unreserved = free_bytes + sum(o.free_bytes for o in others) - reserved
         zone_waits = self._zone_waits(others)
         call = self.batching.seconds(self.batching.size) * slowdown
-        pieces = pieces[self._pieces_to_leave(pieces, slowdown, others) :]
         prefers_own_zone = self._policy.has(Mechanism.HOME_ZONES)
         needs_whole_stage = self._policy.has(Mechanism.WHOLE_STAGES)
         small_bytes = self._small_bytes()
@@ -339,7 +335,7 @@
                 break
         if (
             may_wait
-            and not isolation.is_complete
+            and not isolation.carries_suspect
             and self._policy.has(Mechanism.FULL_CALLS)
             and len(batch) < self.batching.size * _MIN_CALL_FRACTION
             and len(batch) < len(pieces) * _MIN_CALL_FRACTION
@@ -360,28 +356,6 @@
             )
         return batch
 
-    def _pieces_to_leave(
-        self,
-        pieces: Sequence[QueuedPiece],
-        slowdown: float,
-        others: Sequence[OtherTarget],
-    ) -> int:
-        """Return how many of the first pieces are left to faster targets."""
-        if not pieces:
-            return 0
-        mean_bytes = sum(piece.result_bytes for piece in pieces) / len(pieces)
-        targets = [
-            CallingTarget(
-                other.free_in,
-                other.slowdown,
-                max(0, int(other.free_bytes / max(1.0, mean_bytes))),
-            )
-            for other in others
-        ]
-        size = self.batching.size
-        rule = SLOW_CALLS.by_name[self._policy.slow_calls]
-        return rule(slowdown, targets, size, self.batching.seconds(size))
-
     def _keep_together(self, stages: set[tuple[str, int]], zone: str) -> None:
         """Assign the remaining pieces of partly taken stages to a zone."""
         for key, piece in self.piece_by_key.items():
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -6,7 +6,6 @@
 
 from bergamotsaddle_serving.engine_choice import EngineView, choose_engine, prefix_key
 from bergamotsaddle_serving.messages import PromptPart
-from bergamotsaddle_serving.policy import Policy
 
 PROMPT = (PromptPart("shared", 13_000), PromptPart("own", 3_000))
 
@@ -20,16 +19,11 @@
     return views
 
 
-def choose(candidates, *, objective=1.0, prompt=PROMPT, placement="home"):
+def choose(candidates, *, objective=1.0, prompt=PROMPT):
     """Choose an engine for a request whose stages take 0.3 s in every zone."""
     tokens = sum(part.tokens for part in prompt)
     return choose_engine(
-        candidates,
-        prompt,
-        tokens,
-        objective=objective,
-        stage_seconds=lambda _: 0.3,
-        policy=Policy(placement=placement),
+        candidates, prompt, tokens, objective=objective, stage_seconds=lambda _: 0.3
     )
 
 
@@ -75,26 +69,3 @@
     def test_key_excludes_the_part_of_one_request(self):
         self.assertEqual(prefix_key(PROMPT), "shared")
         self.assertEqual(prefix_key(PROMPT[:1]), "shared")
-
-
-class PlacementTest(unittest.TestCase):
-    """Where requests go while their preferred engine is slow."""
-
-    def spill(self, placement):
-        """Return the engines of a burst, each request with other loads elsewhere."""
-        slow = choose(engines()).engine.id
-        chosen = set()
-        for number in range(12):
-            loads = {f"e{n}": {"running": (number * n) % 5} for n in range(1, 5)}
-            loads[slow] = {"tokens_ahead": 90_000}
-            chosen.add(choose(engines(**loads), placement=placement).engine.id)
-        return chosen
-
-    def test_bounded_placement_moves_a_subject_to_one_engine(self):
-        """Guards against shared parts that many engines read during a burst."""
-        self.assertEqual(len(self.spill("bounded")), 1)
-        self.assertGreater(len(self.spill("home")), 1)
-
-    @parameterized.expand(["home", "bounded"])
-    def test_an_idle_preferred_engine_is_kept(self, placement):
-        self.assertEqual(choose(engines(), placement=placement).reason, "home")
