--- a/packages/serving/bergamotsaddle_serving/policy.py
+++ b/packages/serving/bergamotsaddle_serving/policy.py
@@ -53,16 +53,13 @@
 
 
 class Policy(NamedTuple):
-    """The enabled mechanisms, and the strategy of each decision that has several.
+    """The enabled mechanisms.
 
     Attributes:
         off: Mechanisms that are switched off.
-        suspicion: When a request that was present at crashes is isolated, a name in
-            ``suspects.SUSPICIONS``.
     """
 
     off: frozenset[Mechanism] = frozenset()
-    suspicion: str = "first_crash"
 
     def has(self, mechanism: Mechanism) -> bool:
         """Return whether a mechanism is enabled."""
@@ -72,7 +69,7 @@
 FULL_POLICY = Policy()
 
 
-def parse_mechanisms(text: str) -> frozenset[Mechanism]:
+def parse_policy(text: str) -> Policy:
     """Parse a comma-separated list of mechanisms that are switched off.
 
     Raises:
@@ -85,4 +82,4 @@
             raise ValueError(f"no mechanism is named {word!r}; use one of {known}")
         if words.count(word) > 1:
             raise ValueError(f"mechanism {word!r} is listed twice")
-    return frozenset(Mechanism(word) for word in words)
+    return Policy(frozenset(Mechanism(word) for word in words))
--- a/packages/serving/bergamotsaddle_serving/settings.py
+++ b/packages/serving/bergamotsaddle_serving/settings.py
@@ -3,8 +3,7 @@
 from typing import NamedTuple
 
 from bergamotsaddle_contracts.ini import Address, IniFile, parse_address, parse_words
-from bergamotsaddle_serving.policy import FULL_POLICY, Policy, parse_mechanisms
-from bergamotsaddle_serving.suspects import SUSPICIONS
+from bergamotsaddle_serving.policy import FULL_POLICY, Policy, parse_policy
 
 # Bandwidth in megabits per second that an owner of queues needs for each core that it
 # uses.
@@ -228,10 +227,7 @@
             ini.get("bounds", "drain_ms", _parse_milliseconds, _DEFAULT_CHANGE_S),
             ini.get("bounds", "evacuation_ms", _parse_milliseconds, _DEFAULT_CHANGE_S),
         ),
-        Policy(
-            ini.get("policy", "off", parse_mechanisms, FULL_POLICY.off),
-            ini.get("policy", "suspicion", SUSPICIONS.parse, FULL_POLICY.suspicion),
-        ),
+        ini.get("policy", "off", parse_policy, FULL_POLICY),
         CapacitySettings(
             ini.get("capacity", "cpu_share", _parse_positive, 1.0),
             ini.get("capacity", "cpus", _parse_positive, 1.0),
--- a/packages/serving/bergamotsaddle_serving/stage_queue.py
+++ b/packages/serving/bergamotsaddle_serving/stage_queue.py
@@ -163,11 +163,6 @@
         self._is_suspect = cache(is_suspect)
         self._first: QueuedPiece | None = None
 
-    @property
-    def carries_suspect(self) -> bool:
-        """Whether the call carries a suspect, so that no other request may join."""
-        return self._first is not None and self._is_suspect(self._first.fingerprint)
-
     def admits(self, piece: QueuedPiece) -> bool:
         """Return whether a piece may join the call."""
         first = self._first
@@ -335,7 +330,6 @@
                 break
         if (
             may_wait
-            and not isolation.carries_suspect
             and self._policy.has(Mechanism.FULL_CALLS)
             and len(batch) < self.batching.size * _MIN_CALL_FRACTION
             and len(batch) < len(pieces) * _MIN_CALL_FRACTION
--- a/packages/serving/bergamotsaddle_serving/suspects.py
+++ b/packages/serving/bergamotsaddle_serving/suspects.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any, NamedTuple
 
-from bergamotsaddle_daemon.registry import Registry
 from bergamotsaddle_serving.catalog import Target
 from bergamotsaddle_serving.gossip import Gossip, Topic
 from bergamotsaddle_serving.peer_messages import Fact
@@ -25,31 +24,6 @@
 _MAX_CLEARED = 4_096
 
 
-# Returns whether a request with a number of crashes is isolated from other ones.
-SuspicionRule = Callable[[int], bool]
-SUSPICIONS: Registry[SuspicionRule] = Registry("suspicion")
-
-
-@SUSPICIONS.register("first_crash")
-def isolates_after_first(crashes: int) -> bool:
-    """Isolate each request that was present at a crash.
-
-    This suits rare crashes: most of the requests that were present when a target
-    crashed are harmless, but they are few.
-    """
-    return crashes >= 1
-
-
-@SUSPICIONS.register("second_crash")
-def isolates_after_second(crashes: int) -> bool:
-    """Isolate a request that was present at two crashes.
-
-    This suits crashes of many targets at once. Nearly all requests present then are
-    harmless; isolated, each of them would have its prompt read again elsewhere.
-    """
-    return crashes >= 2
-
-
 class _Incarnation(NamedTuple):
     """An incarnation of a target as keys of facts name it.
 
@@ -103,7 +77,6 @@
         self._software_versions = software_versions
         self._logger = logger
         self._is_on = policy.has(Mechanism.FATAL_REQUESTS)
-        self._isolates = SUSPICIONS.by_name[policy.suspicion]
         self._incarnations_by_fingerprint: dict[str, set[_Incarnation]] = {}
         self._fingerprints_by_incarnation: dict[_Incarnation, set[str]] = {}
         self._cleared: OrderedDict[tuple[str, tuple[str, str]], None] = OrderedDict()
@@ -152,10 +125,8 @@
         )
 
     def is_suspect(self, fingerprint: str) -> bool:
-        """Return whether a request is isolated from others for its crashes."""
-        if not self._is_on:
-            return False
-        return self._isolates(len(self._attributed_crashes(fingerprint)))
+        """Return whether a crash is attributed to a request."""
+        return self._is_on and bool(self._attributed_crashes(fingerprint))
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Return whether a request must not reach any target."""
--- a/tests/test_stage_queue.py
+++ b/tests/test_stage_queue.py
@@ -77,12 +77,10 @@
             queue.add(piece(f"r{number}", fingerprint=f"r{number}"))
         calls = []
         while len(queue):
-            # A suspect's call does not wait for pieces that may not join it.
             calls.append(
                 queue.pop_batch(
                     0.0,
                     18e6,
-                    may_wait=True,
                     is_suspect=lambda name: name[0] == "s",
                 )
             )
