Let only instances with a view wait after a refusal of the store

An instance that starts while the store refuses it has no view to serve by, and tries again as before: after a second at most, not two.

--- a/packages/serving/bergamotsaddle_serving/view_follower.py
+++ b/packages/serving/bergamotsaddle_serving/view_follower.py
@@ -86,13 +86,13 @@
         return is_new and self._has_readers and self._view.has_snapshot
 
     def _is_refused(self) -> bool:
-        """Return whether the store has just refused this instance.
+        """Return whether the store has just refused this instance, which has a view.
 
         During an outage of the store all instances are in this state. If each of them
         kept trying, the store would get most of its calls while it serves none.
         """
-        own_id = self._peers.own.id
-        return self._avoided_until.get(own_id, float("-inf")) > now()
+        refused_until = self._avoided_until.get(self._peers.own.id, float("-inf"))
+        return self._view.has_snapshot and refused_until > now()
 
     def _pick_reader(self, ranked: list[str]) -> str | None:
         if not self._has_readers or not self._view.has_snapshot:
