Turn requests away again while no queue has an owner

Why: all instances admit at once without knowing each other's work, the stages fill with requests that are late already, and fresh ones wait behind them. Those that are turned away come back when the load is known. Reverted with its tests.

--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -63,8 +63,6 @@
 # Two rounds of heartbeats and the responses to them: the response of a seed contains
 # the contacts of the other instances.
 SETTLE_S = 0.5
-# Time until the other instances have heard that one accepts work.
-_OWNER_NOTICE_S = 0.25
 _RESTART_PAUSE_S = 0.5
 
 
@@ -153,7 +151,7 @@
             self.view, self.health, self.peers, cold, self.reach, self.rates
         )
         self.stage_exchange = StageExchange(self.peers, self.owner)
-        waits = StageWaits(self.view, self.peers, self.owner, policy, self._settle_wait)
+        waits = StageWaits(self.view, self.peers, self.owner, policy)
         plain = PlainServer(
             selector,
             self.pool,
@@ -328,11 +326,6 @@
         # runs, and all other settings take effect at the next start.
         self.logger.info("reloaded", is_changed=settings != self.settings)
 
-    def _settle_wait(self) -> float:
-        """Return the seconds until this instance and its peers own queues."""
-        settled_at = self._started_at + SETTLE_S + _OWNER_NOTICE_S
-        return max(0.0, settled_at - now())
-
     def _update_accepts_work(self) -> None:
         # An instance that has just started has no targets in its view yet; as an owner
         # it would reject every piece. It has received no heartbeats either: after a
--- a/packages/serving/bergamotsaddle_serving/stage_run.py
+++ b/packages/serving/bergamotsaddle_serving/stage_run.py
@@ -39,9 +39,6 @@
 # Pause after a queue reported that all its targets are backing off. Another queue, or
 # the same one later, may still run the stage before the request's deadline.
 _NO_TARGET_PAUSE_S = 0.05
-# How long a stage waits for an instance that owns its queue. Instances that have just
-# started own queues within this time.
-_OWNER_WAIT_S = 1.0
 
 
 class StageOutcome(NamedTuple):
@@ -153,7 +150,6 @@
         self._location_by_handle: dict[str, _ResultLocation] = {}
         self._owners: set[str] = set()
         self._failures = 0
-        self._owner_expected_by: float | None = None
         self._round = first_round
         self._pending = pending
         self._ttl_seconds = ttl_seconds
@@ -240,8 +236,7 @@
             done = {s for s in self._plan.needed if self._stage_is_done(s)}
             if self._plan.should_wait(stage, done, elapsed):
                 continue
-            if self._has_owner(stage):
-                self._assign(stage)
+            self._assign(stage)
         for submission in list(self._submissions):
             if submission.next_at <= at:
                 self._send(submission)
@@ -272,24 +267,6 @@
             scope = self._plan.scope_by_stage[stage]
             self._pending.add(service, scope, self._urgency, pieces)
 
-    def _has_owner(self, stage: int) -> bool:
-        """Return whether the queue of a stage has an owner.
-
-        Raises:
-            RequestError: If it has had none for too long.
-        """
-        service = self._route.stages[stage].service
-        scope = self._plan.scope_by_stage[stage]
-        if rank_owners(self._exchange.peers, service, scope):
-            return True
-        if self._owner_expected_by is None:
-            self._owner_expected_by = now() + _OWNER_WAIT_S
-        if now() > self._owner_expected_by:
-            raise self._rejection_error(
-                ErrorKind.NO_TARGET, "no instance owns the queue"
-            )
-        return False
-
     def _assign(self, stage: int) -> None:
         """Choose queues for the unassigned pieces of a stage."""
         self._remove_pending(stage)
--- a/packages/serving/bergamotsaddle_serving/stage_waits.py
+++ b/packages/serving/bergamotsaddle_serving/stage_waits.py
@@ -1,7 +1,6 @@
 """Expected times of stages at each queue, and the choice of a queue for each stage."""
 
 import math
-from collections.abc import Callable
 
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.catalog import Stage
@@ -40,8 +39,6 @@
         peers: The other instances, which own queues.
         owner: The queues that this instance owns.
         policy: Enabled mechanisms.
-        settle_wait: Returns the seconds until queues are expected to have owners after
-            the start of this instance, 0 once it has settled.
 
     Attributes:
         pending: Pieces of this instance's requests that will reach a stage later.
@@ -53,10 +50,8 @@
         peers: Peers,
         owner: StageOwner,
         policy: Policy = FULL_POLICY,
-        settle_wait: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._policy = policy
-        self._settle_wait = settle_wait
         self._view = view
         self._peers = peers
         self._owner = owner
@@ -176,7 +171,7 @@
         """Return the last reported load of a queue, None if no instance owns it."""
         owners = rank_owners(self._peers, service, scope)
         if not owners:
-            return self._settling_load(service)
+            return None
         if owners[0] == self._peers.own.id:
             reported = self._owner.loads().get(service)
         else:
@@ -196,17 +191,6 @@
         reported = self._peers.roster().pending_by_queue.get((service, scope), ())
         return ahead + sum(reported[: urgency + 1])
 
-    def _settling_load(self, service: str) -> StageLoad | None:
-        """Return the load to expect at a queue without an owner.
-
-        After a restart of all instances no queue has an owner until the first ones have
-        settled. Rejected in that time, callers that have already lost one attempt with
-        the instances would use up another one, although their requests can be served.
-        """
-        wait = self._settle_wait()
-        load = self._unknown_load(service)
-        return load._replace(drain=wait + load.drain) if wait > 0 else None
-
     def _unknown_load(self, service: str) -> StageLoad:
         """Return the load to expect at an owner that has not reported any."""
         batching = self._view.configuration.services_by_name[service].batching
--- a/tests/test_stage_owner.py
+++ b/tests/test_stage_owner.py
@@ -6,7 +6,7 @@
 import eventlet
 import msgspec
 
-from bergamotsaddle_contracts.errors import Ran, RequestError
+from bergamotsaddle_contracts.errors import RequestError
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_platform.dialect import PlatformDialect
 from bergamotsaddle_serving._stage_worker import ServiceQueue
@@ -210,21 +210,6 @@
         advance(0.1)
         self.assertEqual(self.calls.live, set())
 
-    def test_stages_wait_for_the_first_owner_after_a_restart(self):
-        """Guards against rejecting callers until restarted instances have settled."""
-        self.peers.owners.return_value = []
-        self.start()
-        advance(0.4)
-        self.assertEqual(self.calls.calls, [])
-        self.peers.owners.return_value = ["me"]
-        self.assertEqual(len(self.finish(0.7).handles), 3)
-
-    def test_stages_without_an_owner_are_rejected(self):
-        """Guards against holding a request that nobody will run."""
-        self.peers.owners.return_value = []
-        self.start()
-        self.assertEqual(self.finish(1.2).ran, Ran.NO)
-
     def test_pieces_that_crash_targets_are_quarantined(self):
         """Guards against a request that crashes one stage target after the other."""
         for number, zone in enumerate("abc"):
