--- a/packages/serving/bergamotsaddle_serving/view_freshness.py
+++ b/packages/serving/bergamotsaddle_serving/view_freshness.py
@@ -5,9 +5,8 @@
 
 from typing import NamedTuple
 
-# Fractions of the bound within which a change must be in force. A silent source is
-# given up at OVERDUE_FRACTION; the rest is for other sources, one of which may be
-# silent as well.
+# Fractions of the bound. A source that has not responded when the view is overdue is
+# given up; the rest of the bound is for other sources, one of which may be silent too.
 _WATCH_FRACTION = 0.35
 _RESPONSE_FRACTION = 0.2
 _OVERDUE_FRACTION = 0.6
@@ -20,13 +19,12 @@
 
 
 class ViewFreshness(NamedTuple):
-    """The times that keep the age of a view within a bound.
+    """Computes time-outs that keep the age of a view within a bound.
 
-    The load that this answers: the store or the reader that an instance follows falls
-    silent without closing connections, perhaps several readers one after the other,
-    while operators change the configuration and take keys away. The age of the view,
-    which counts from its last confirmation whatever the source, decides how long the
-    next source may hold a call. So silent sources can't add up.
+    This handles a store, or readers one after the other, that stop responding without
+    closing connections while operators change the configuration. How long a source may
+    hold a call depends on the age of the view, which counts from the last confirmation
+    by any source. The time-outs of several silent sources therefore do not add up.
 
     Attributes:
         bound: Seconds until a change in the store must be in force.
