--- a/tests/test_view_follower.py
+++ b/tests/test_view_follower.py
@@ -286,8 +286,9 @@
     """Change the configuration in quick succession.
 
     Returns:
-        Number of times that an instance had an older version than the one that was
-        written ``in_force`` seconds before.
+        Number of versions in use that were older than the one that was written
+        ``in_force`` seconds before, summed over all checks. Instances that use the same
+        outdated version count once.
     """
     late = 0
     versions = {}
