--- a/packages/standins/bergamotsaddle_standins/soak_dialect.py
+++ b/packages/standins/bergamotsaddle_standins/soak_dialect.py
@@ -55,6 +55,8 @@
 )
 _CHAT_STAGE = Stage(RERANK, (), 10_000)
 _MS = 0.001
+# A port that nothing listens on.
+_UNKNOWN_ADDRESS = Address("127.0.0.1", 1)
 
 
 class SoakConfiguration(msgspec.Struct):
@@ -76,13 +78,13 @@
 
     Attributes:
         service: Name of its service.
-        address: Host and port.
+        addresses: Host and port at which each instance reaches it, by instance id.
         zone: Its availability zone.
         is_draining: Whether it is about to leave.
     """
 
     service: str
-    address: str
+    addresses: dict[str, str]
     zone: str
     is_draining: bool = False
 
@@ -115,6 +117,8 @@
     """
 
     def __init__(self, instance: str) -> None:
+        self._instance = instance
+        self._address_by_target: dict[str, Address] = {}
         self._store_headers = [
             (b"host", b"store"),
             (b"instance", instance.encode()),
@@ -186,7 +190,8 @@
 
     def result_address(self, handle: str) -> Address:
         """Return the address of the target that holds a result."""
-        return parse_address(handle.partition("/")[0])
+        target = handle.partition("/")[0]
+        return self._address_by_target.get(target, _UNKNOWN_ADDRESS)
 
     def list_entries(self, after: str) -> HttpCall:
         """Make the call that reads all entries of the store."""
@@ -223,10 +228,13 @@
                 msgspec.json.decode(entry.value, type=SoakConfiguration)
             )
         published = msgspec.json.decode(entry.value, type=SoakTarget)
+        target_id = entry.key.removeprefix(TARGET_PREFIX)
+        address = parse_address(published.addresses[self._instance])
+        self._address_by_target[target_id] = address
         return Target(
-            id=entry.key.removeprefix(TARGET_PREFIX),
+            id=target_id,
             service=published.service,
-            address=parse_address(published.address),
+            address=address,
             zone=published.zone,
             slots=32,
             is_draining=published.is_draining,
--- /dev/null
+++ b/packages/standins/bergamotsaddle_standins/soak_links.py
@@ -0,0 +1,146 @@
+"""Links between the instances and the targets of a soak, which can be cut."""
+
+import contextlib
+import socket as blocking_socket
+from collections.abc import Callable
+from enum import StrEnum
+from typing import Any
+
+import eventlet
+from eventlet.green import socket
+
+_HOST = "127.0.0.1"
+_BACKLOG = 512
+_READ_BYTES = 65_536
+_POLL_S = 0.02
+# A backlog of 0 holds one connection. More are opened to be sure that it is full.
+_BACKLOG_FILLERS = 3
+
+
+class CutMode(StrEnum):
+    """What happens to the connections of a link that is cut."""
+
+    HANG = "hang"
+    """Neither new connections nor those that are open carry anything."""
+    RESET = "reset"
+    """Open connections are reset and new ones refused."""
+    REFUSE = "refuse"
+    """Open connections live on, new ones are refused."""
+
+
+Action = Callable[["TargetLink"], None]
+_ACTION_BY_MODE: dict[CutMode, Action] = {}
+
+
+def _register_mode(mode: CutMode) -> Callable[[Action], Action]:
+    """Return a decorator that registers how a link is cut."""
+
+    def add(function: Action) -> Action:
+        _ACTION_BY_MODE[mode] = function
+        return function
+
+    return add
+
+
+class TargetLink:
+    """One instance's link to one target.
+
+    Args:
+        destination: Port of the target on loopback.
+
+    Attributes:
+        port: Port at which the instance reaches the target.
+    """
+
+    def __init__(self, destination: int) -> None:
+        self._destination = destination
+        self._sockets: set[Any] = set()
+        self._fillers: list[Any] = []
+        self._is_silent = False
+        self._listener: Any = None
+        self._acceptor: Any = None
+        self._bind(0)
+        self.port = self._listener.getsockname()[1]
+        self._listen()
+
+    def cut(self, mode: CutMode) -> None:
+        """Cut the link."""
+        _ACTION_BY_MODE[mode](self)
+
+    def heal(self) -> None:
+        """Restore the link."""
+        self._is_silent = False
+        for filler in self._fillers:
+            filler.close()
+        self._fillers = []
+        if self._acceptor is not None:
+            return
+        self._listen()
+
+    @_register_mode(CutMode.HANG)
+    def _hang(self) -> None:
+        self._is_silent = True
+        self._acceptor.kill()
+        self._acceptor = None
+        # With a full backlog the kernel drops the first packet of new connections.
+        self._listener.listen(0)
+        for _ in range(_BACKLOG_FILLERS):
+            filler = blocking_socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((_HOST, self.port))
+            self._fillers.append(filler)
+
+    @_register_mode(CutMode.RESET)
+    def _reset(self) -> None:
+        self._refuse()
+        for sock in list(self._sockets):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
+    @_register_mode(CutMode.REFUSE)
+    def _refuse(self) -> None:
+        self._acceptor.kill()
+        self._acceptor = None
+        self._listener.close()
+        # A port that is bound but not listened on refuses connections and stays ours.
+        self._bind(self.port)
+
+    def _bind(self, port: int) -> None:
+        self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind((_HOST, port))
+
+    def _listen(self) -> None:
+        self._listener.listen(_BACKLOG)
+        self._acceptor = eventlet.spawn(self._accept)
+
+    def _accept(self) -> None:
+        while True:
+            client, _ = self._listener.accept()
+            eventlet.spawn_n(self._connect, client)
+
+    def _connect(self, client: Any) -> None:
+        try:
+            server = eventlet.connect((_HOST, self._destination))
+        except OSError:
+            client.close()
+            return
+        self._sockets |= {client, server}
+        threads = [
+            eventlet.spawn(self._forward, *pair)
+            for pair in ((client, server), (server, client))
+        ]
+        for thread in threads:
+            thread.wait()
+        self._sockets -= {client, server}
+        client.close()
+        server.close()
+
+    def _forward(self, one: Any, other: Any) -> None:
+        with contextlib.suppress(OSError):
+            while data := one.recv(_READ_BYTES):
+                while self._is_silent:
+                    eventlet.sleep(_POLL_S)
+                other.sendall(data)
+        with contextlib.suppress(OSError):
+            other.shutdown(socket.SHUT_RDWR)
