Hand requests over to instances that reach their service

The others suffered too, as the instances that were cut off went on to own stage queues.

Cause: an instance had no way to a target but its own links, and did not know that they were cut. zone_reach knows zones whose instances are silent, and all instances were heard. _without_backoff offers every failed target again when all have failed, so each request was refused by one target after the other. Class of fault: a failure of this instance is taken for a failure of its targets.

Ruled out: overloaded targets, which served the other instances meanwhile.

Change: service_reach notices a service whose targets accept no new connection, in 0.3 to 2 s, by two rounds of probes at several targets; heartbeats name lost services at once; an instance that has lost all accepts no work, so that its queues move. handover sends a request, once it is lost here, to one instance that reaches the service (own zone, own region, any; the less loaded of two), over a port of its own. A response that breaks at any byte promises nothing.

Why this works in every way links are cut: whether open connections hang, are reset or live on, no new one opens.

--- a/packages/serving/bergamotsaddle_serving/caller.py
+++ b/packages/serving/bergamotsaddle_serving/caller.py
@@ -57,6 +57,7 @@
         headers: Headers, names in lower case.
         body: The complete body.
         started_at: Time on the hub's clock when its first byte was read.
+        is_from_peer: Whether another instance handed it over.
     """
 
     method: bytes
@@ -64,6 +65,7 @@
     headers: list[tuple[bytes, bytes]]
     body: bytes
     started_at: float
+    is_from_peer: bool = False
 
 
 class CallerConnection:
@@ -73,6 +75,8 @@
         sock: The accepted socket.
         limits: Returns the limits in force.
         is_stopping: Returns whether this instance is stopping.
+        is_peer: Whether it is a connection of another instance, which hands over
+            requests of its callers.
 
     Attributes:
         is_idle: Whether the connection waits for the first byte of a request.
@@ -85,7 +89,10 @@
         sock: socket.socket,
         limits: Callable[[], CallerLimits],
         is_stopping: Callable[[], bool],
+        *,
+        is_peer: bool = False,
     ) -> None:
+        self._is_peer = is_peer
         self._socket = sock
         self._limits = limits
         self._is_stopping = is_stopping
@@ -244,7 +251,9 @@
         except eventlet.Timeout as error:
             raise RequestError(ErrorKind.TOO_SLOW, "the body took too long") from error
         headers = list(event.headers)
-        return RawRequest(event.method, event.target, headers, body, started_at)
+        return RawRequest(
+            event.method, event.target, headers, body, started_at, self._is_peer
+        )
 
     def _read_head(self, limits: CallerLimits) -> tuple[bytes, bytes]:
         data = (
--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -1,7 +1,7 @@
 """HTTP connections to targets and the store, strictly parsed, pooled and checked."""
 
 import socket
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from typing import NamedTuple
 
 import eventlet
@@ -305,11 +305,16 @@
 
     Attributes:
         opened: Number of connections opened so far.
+        last_response_at: When the last complete response was read.
+        on_opened: Called with each address to which a connection was opened, and
+            whether that succeeded.
     """
 
     def __init__(self) -> None:
         self._idle_by_address: dict[Address, list[Connection]] = {}
         self.opened = 0
+        self.last_response_at = float("-inf")
+        self.on_opened: Callable[[Address, bool], None] = lambda address, is_open: None
 
     def acquire(
         self, address: Address, *, limit: float = CONNECT_LIMIT_S
@@ -329,8 +334,34 @@
             if connection.is_usable():
                 return connection
             connection.close()
+        return self._open(address, min(limit, CONNECT_LIMIT_S))
+
+    def probe(self, address: Address, limit: float) -> bool:
+        """Return whether a new connection to an address can be opened.
+
+        The pool keeps the connection for the next request.
+
+        Args:
+            address: Address to connect to.
+            limit: Seconds for connecting.
+        """
+        try:
+            connection = self._open(address, limit)
+        except ConnectionLostError:
+            # The result says that it failed, and the listener records it.
+            return False
+        self._idle_by_address.setdefault(address, []).append(connection)
+        return True
+
+    def _open(self, address: Address, limit: float) -> Connection:
         self.opened += 1
-        return Connection(address, limit=min(limit, CONNECT_LIMIT_S))
+        try:
+            connection = Connection(address, limit=limit)
+        except ConnectionLostError:
+            self.on_opened(address, False)
+            raise
+        self.on_opened(address, True)
+        return connection
 
     def release(self, connection: Connection, keep_alive_seconds: float | None) -> None:
         """Return a connection to the pool after its response was read to the end.
@@ -341,6 +372,7 @@
         """
         if keep_alive_seconds is not None:
             connection.keep_alive_seconds = keep_alive_seconds
+        self.last_response_at = now()
         if not connection.prepare_next():
             connection.close()
             return
--- a/packages/serving/bergamotsaddle_serving/context.py
+++ b/packages/serving/bergamotsaddle_serving/context.py
@@ -1,5 +1,6 @@
 """A caller's request while it is served."""
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
@@ -34,6 +35,8 @@
         urgency: Rank among all kinds of requests, 0 first.
         progress: Progress of the request.
         fingerprint: Digest of its content, the same for each repetition of a request.
+        headers: Its headers as received, names in lower case.
+        sender: Id of the instance that handed it over, empty if a caller sent it.
     """
 
     head: RequestHead
@@ -47,6 +50,13 @@
     urgency: int
     progress: Progress
     fingerprint: str = ""
+    headers: Sequence[tuple[bytes, bytes]] = ()
+    sender: str = ""
+
+    @property
+    def is_relayed(self) -> bool:
+        """Whether another instance handed the request over."""
+        return bool(self.sender)
 
     @property
     def first_event_by(self) -> float:
--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -30,10 +30,17 @@
 )
 from bergamotsaddle_serving.context import Context, Progress
 from bergamotsaddle_serving.fingerprint import fingerprint
-from bergamotsaddle_serving.messages import Dialect, RequestHead
+from bergamotsaddle_serving.handover import Handover
+from bergamotsaddle_serving.helper_choice import may_relay
+from bergamotsaddle_serving.messages import Dialect, RawHeaders, RequestHead
 from bergamotsaddle_serving.metrics import Metrics
 from bergamotsaddle_serving.plain import PlainServer
 from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
+from bergamotsaddle_serving.relay_headers import (
+    RelayedRequest,
+    decode_request,
+    encode_error,
+)
 from bergamotsaddle_serving.stop_schedule import StopSchedule
 from bergamotsaddle_serving.streams import StreamServer
 from bergamotsaddle_serving.suspects import Suspects
@@ -50,6 +57,7 @@
 # Maximum fraction of the remaining time that callers are asked to wait before a retry.
 _MAX_RETRY_AFTER_FRACTION = 1 / 3
 _COMPLETE = "whole"
+_NOT_RELAYED = RelayedRequest(sender="", elapsed=0.0, version=0)
 _CALLER_LEFT = "caller_left"
 
 
@@ -82,10 +90,14 @@
         logger: Logs each request.
         policy: Enabled mechanisms.
         suspects: Requests that are suspected of crashing their targets.
+        handover: Hands requests over to other instances, None to serve all of them
+            here.
 
     Attributes:
         connections: Open connections of callers.
         active: Number of requests that are being served.
+        relayed: Number of these that other instances handed over.
+        timer_delay: Seconds by which timers of this process last fired late.
         is_closed: Whether further requests are rejected, because the process exits
             before it could respond to them.
         stop_schedule: Times of the graceful stop, None until it is requested.
@@ -105,7 +117,9 @@
         policy: Policy = FULL_POLICY,
         *,
         suspects: Suspects,
+        handover: Handover | None = None,
     ) -> None:
+        self._handover = handover
         self._policy = policy
         self._suspects = suspects
         self._view = view
@@ -117,6 +131,8 @@
         self._logger = logger
         self.connections: set[CallerConnection] = set()
         self.active = 0
+        self.relayed = 0
+        self.timer_delay = 0.0
         self.is_closed = False
         self.stop_schedule: StopSchedule | None = None
         self.rejected_while_stopping = 0
@@ -164,11 +180,13 @@
         if raw is None:
             return False
         self.active += 1
+        self.relayed += raw.is_from_peer
         self.served += 1
         try:
             self._serve(caller, raw)
         finally:
             self.active -= 1
+            self.relayed -= raw.is_from_peer
         return caller.prepare_next()
 
     def _serve(self, caller: CallerConnection, raw: RawRequest) -> None:
@@ -183,11 +201,10 @@
             self._check_stop(raw.started_at, context.deadline_at)
             if self._suspects.is_quarantined(context.fingerprint):
                 raise context.quarantine_error()
-            self._budget.count_request(context.service.name)
             self._run(caller, context)
         except RequestError as error:
             outcome = error.kind
-            self._handle_error(caller, request_id, error, context)
+            self._handle_error(caller, raw, request_id, error, context)
         except CallerLeftError:
             outcome = _CALLER_LEFT
             caller.reset()
@@ -196,9 +213,8 @@
             outcome = ErrorKind.INTERNAL
             self._logger.exception("request_error", request=request_id)
             detail = "internal error"
-            self._handle_error(
-                caller, request_id, RequestError(ErrorKind.INTERNAL, detail), context
-            )
+            unexpected = RequestError(ErrorKind.INTERNAL, detail)
+            self._handle_error(caller, raw, request_id, unexpected, context)
         self._record_outcome(request_id, context, outcome, now() - started_at)
 
     def _check_stop(self, arrived_at: float, deadline_at: float) -> None:
@@ -229,6 +245,23 @@
             self._workers.discard(worker)
 
     def _dispatch(self, caller: CallerConnection, context: Context) -> None:
+        handover = self._handover
+        if handover is None:
+            self._serve_here(caller, context)
+            return
+        if handover.is_needed(context):
+            handover.serve(context, caller)
+            return
+        try:
+            self._serve_here(caller, context)
+        except RequestError as error:
+            # The targets may have become unreachable while the request waited.
+            if caller.has_started or not handover.may_follow(error, context):
+                raise
+            handover.serve(context, caller)
+
+    def _serve_here(self, caller: CallerConnection, context: Context) -> None:
+        self._budget.count_request(context.service.name)
         if context.route.kind is Kind.STREAM:
             self._streams.serve(context, caller)
             return
@@ -239,6 +272,8 @@
         configuration = self._view.configuration
         if configuration is None or not self._view.is_complete():
             raise RequestError(ErrorKind.NOT_READY, "no configuration is known yet")
+        relayed = self._check_relayed(configuration, raw)
+        started_at = raw.started_at - relayed.elapsed
         path = head.path.partition(b"?")[0].decode("latin-1")
         route = configuration.find_route(head.host, path)
         if route is None:
@@ -251,14 +286,36 @@
             route=route,
             service=service,
             team=team,
-            started_at=raw.started_at,
-            deadline_at=raw.started_at + min(head.deadline, route.timeout),
+            started_at=started_at,
+            deadline_at=started_at + min(head.deadline, route.timeout),
             version=configuration.version,
             urgency=self._urgency(configuration, route, team),
             progress=Progress(),
             fingerprint=fingerprint(head, team, raw.body),
+            headers=raw.headers,
+            sender=relayed.sender,
         )
 
+    def _check_relayed(
+        self, configuration: Configuration, raw: RawRequest
+    ) -> RelayedRequest:
+        """Return what a handed-over request says, or the values of a caller's own.
+
+        Raises:
+            RequestError: If this instance can't serve it for the sender.
+        """
+        if not raw.is_from_peer:
+            return _NOT_RELAYED
+        relayed = decode_request(raw.headers)
+        if configuration.version < relayed.version:
+            # The sender accepted it by a newer configuration, which no later response
+            # may contradict.
+            raise RequestError(ErrorKind.NOT_READY, "the configuration is too old")
+        local = self.active - self.relayed
+        if not may_relay(relayed=self.relayed - 1, local=local, delay=self.timer_delay):
+            raise RequestError(ErrorKind.OVERLOADED, "too many handed-over requests")
+        return relayed
+
     def _urgency(
         self, configuration: Configuration, route: Route, team: Team | None
     ) -> int:
@@ -292,6 +349,7 @@
     def _handle_error(
         self,
         caller: CallerConnection,
+        raw: RawRequest,
         request_id: str,
         error: RequestError,
         context: Context | None,
@@ -304,12 +362,17 @@
         if error.retry_after is not None and context is not None:
             max_retry_after = max(0.0, context.remaining * _MAX_RETRY_AFTER_FRACTION)
             error.retry_after = min(error.retry_after, max_retry_after)
-        self._send_error(caller, request_id, error)
+        extra = encode_error(error) if raw.is_from_peer else []
+        self._send_error(caller, request_id, error, extra)
 
     def _send_error(
-        self, caller: CallerConnection, request_id: str, error: RequestError
+        self,
+        caller: CallerConnection,
+        request_id: str,
+        error: RequestError,
+        extra_headers: RawHeaders = (),
     ) -> None:
-        headers = [(b"content-type", b"application/json")]
+        headers = [(b"content-type", b"application/json"), *extra_headers]
         if request_id:
             headers.append((b"x-request-id", request_id.encode("latin-1")))
         if error.retry_after is not None and error.ran is Ran.NO:
@@ -339,4 +402,5 @@
             seconds=round(seconds, 4),
             left=round(context.remaining, 3) if context else 0.0,
             version=context.version if context else 0,
+            sender=context.sender if context else "",
         )
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/handover.py
@@ -0,0 +1,248 @@
+"""Hands requests over to other instances while targets can't be reached from here."""
+
+from collections import Counter
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+from bergamotsaddle_contracts.errors import (
+    BergamotsaddleError,
+    ErrorKind,
+    Ran,
+    RequestError,
+)
+from bergamotsaddle_contracts.ini import Address
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.admission import add_jitter
+from bergamotsaddle_serving.caller import CallerConnection
+from bergamotsaddle_serving.catalog import Kind
+from bergamotsaddle_serving.client import (
+    SILENT,
+    Connection,
+    ConnectionLostError,
+    RawResponseHead,
+    end_to_end_headers,
+)
+from bergamotsaddle_serving.context import Context
+from bergamotsaddle_serving.helper_choice import Helper, choose_helper
+from bergamotsaddle_serving.messages import HttpCall
+from bergamotsaddle_serving.peers import Peers
+from bergamotsaddle_serving.relay_headers import (
+    RelayedRequest,
+    decode_error,
+    encode_request,
+)
+from bergamotsaddle_serving.service_reach import ServiceReach
+
+T = TypeVar("T")
+
+_MAX_HELPERS = 3
+_CONNECT_LIMIT_S = 0.25
+# How often to check that a helper that has sent nothing yet is still alive.
+_ALIVE_CHECK_S = 0.2
+# A helper counts a request's time from this much earlier, so that its response at the
+# deadline arrives before this instance gives up.
+_TRANSIT_S = 0.02
+_MAX_RESPONSE_BYTES = 64_000_000
+# Reasons for which another helper may serve a request that this one has not run.
+_OTHER_HELPER_KINDS = frozenset(
+    (ErrorKind.NO_TARGET, ErrorKind.NOT_READY, ErrorKind.OVERLOADED)
+)
+
+
+class _HelperRefusedError(BergamotsaddleError):
+    """A helper did not run the request, and another one may.
+
+    Args:
+        reason: One word for logs.
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+class Handover:
+    """Hands over requests for services that this instance does not reach.
+
+    Only the links between an instance and its targets may be cut, while its callers
+    still send it requests: the load balancer removes it after seconds, and open
+    connections stay. Other instances reach the targets. Each request goes to one of
+    them at most once: a helper never hands it over again, and a request that a helper
+    may have run goes to no other one.
+
+    Args:
+        reach: Services that this instance does not reach.
+        peers: The other instances and the services that they reach.
+        port: TCP port at which all instances accept such requests.
+        logger: Gets a line for each request that is handed over.
+    """
+
+    def __init__(
+        self, reach: ServiceReach, peers: Peers, port: int, logger: Any
+    ) -> None:
+        self._reach = reach
+        self._peers = peers
+        self._port = port
+        self._logger = logger
+        self._in_flight_by_id: Counter[str] = Counter()
+
+    def is_needed(self, context: Context) -> bool:
+        """Return whether a request can be served by another instance only."""
+        return not context.is_relayed and self._reach.is_lost(context.service.name)
+
+    def may_follow(self, error: RequestError, context: Context) -> bool:
+        """Return whether a request that failed here may be handed over."""
+        return error.ran is Ran.NO and self.is_needed(context)
+
+    def serve(self, context: Context, caller: CallerConnection) -> None:
+        """Have another instance serve a request, and forward its response.
+
+        Raises:
+            RequestError: If no instance served it.
+        """
+        refused: set[str] = set()
+        while len(refused) < _MAX_HELPERS and context.remaining > 0:
+            helper = self._choose(context.service.name, refused)
+            if helper is None:
+                break
+            try:
+                self._serve_by(helper, context, caller)
+            except _HelperRefusedError as error:
+                self._log(context, helper, error.reason)
+                refused.add(helper.id)
+            else:
+                self._log(context, helper, "whole")
+                return
+        wait = self._reach.seconds_to_probe(context.service.name)
+        raise context.rejection_error(
+            ErrorKind.NO_TARGET,
+            "no instance that reaches the service took the request",
+            retry_after=add_jitter(wait),
+        )
+
+    def _choose(self, service: str, refused: set[str]) -> Helper | None:
+        helpers = [
+            Helper(
+                peer.contact.id,
+                peer.contact.zone,
+                peer.contact.host,
+                peer.cores,
+                self._in_flight_by_id[peer.contact.id],
+            )
+            for peer in self._peers.reaching(service)
+            if peer.contact.id not in refused
+        ]
+        return choose_helper(helpers, self._peers.own.zone, self._peers.region)
+
+    def _serve_by(
+        self, helper: Helper, context: Context, caller: CallerConnection
+    ) -> None:
+        try:
+            address = Address(helper.host, self._port)
+            limit = min(_CONNECT_LIMIT_S, context.remaining)
+            connection = Connection(address, limit=limit)
+        except ConnectionLostError as error:
+            self._peers.verify(helper.id)
+            raise _HelperRefusedError(error.reason) from error
+        self._in_flight_by_id[helper.id] += 1
+        try:
+            self._exchange(helper, connection, context, caller)
+        except ConnectionLostError as error:
+            self._log(context, helper, error.reason)
+            raise RequestError(
+                ErrorKind.TARGET_FAILED,
+                "the instance that served the request broke off",
+                ran=Ran.UNKNOWN,
+            ) from error
+        finally:
+            self._in_flight_by_id[helper.id] -= 1
+            connection.close()
+
+    def _exchange(
+        self,
+        helper: Helper,
+        connection: Connection,
+        context: Context,
+        caller: CallerConnection,
+    ) -> None:
+        context.progress.is_sent = True
+        connection.send(self._make_call(context), limit=context.remaining)
+
+        def read(part: Callable[..., T]) -> T:
+            return self._read_while_alive(helper, context, part)
+
+        head = read(connection.read_head)
+        error = decode_error(head.headers)
+        if error is not None:
+            self._handle_error(error, context)
+        headers = list(end_to_end_headers(head.headers))
+        if context.route.kind is not Kind.STREAM:
+            limit = max(0.0, context.remaining)
+            body = connection.read_body(limit=limit, max_bytes=_MAX_RESPONSE_BYTES)
+            caller.respond(head.status, headers, body)
+            return
+        self._forward_stream(head, caller, lambda: read(connection.read_some))
+
+    def _forward_stream(
+        self,
+        head: RawResponseHead,
+        caller: CallerConnection,
+        read_some: Callable[[], bytes | None],
+    ) -> None:
+        caller.start(head.status, list(end_to_end_headers(head.headers)))
+        while (data := read_some()) is not None:
+            caller.send(data)
+        caller.finish()
+
+    def _make_call(self, context: Context) -> HttpCall:
+        relayed = RelayedRequest(
+            self._peers.own.id,
+            max(0.0, now() - context.started_at) + _TRANSIT_S,
+            context.version,
+        )
+        head = context.head
+        headers = encode_request(context.headers, relayed, len(context.body))
+        return HttpCall(head.method, head.path, headers, context.body)
+
+    def _read_while_alive(
+        self, helper: Helper, context: Context, part: Callable[..., T]
+    ) -> T:
+        """Read a part of a response for as long as the helper is alive.
+
+        Raises:
+            ConnectionLostError: If the helper broke off or is not alive any more.
+        """
+        incarnation = self._peers.incarnation_of(helper.id)
+        while True:
+            try:
+                return part(limit=min(_ALIVE_CHECK_S, max(0.0, context.remaining)))
+            except ConnectionLostError as error:
+                is_alive = self._peers.incarnation_of(helper.id) == incarnation
+                if error.reason != SILENT or not is_alive or context.remaining <= 0:
+                    raise
+
+    def _handle_error(self, error: RequestError, context: Context) -> None:
+        """Raise the error of a helper.
+
+        Raises:
+            _HelperRefusedError: If another helper may serve the request.
+            RequestError: If not.
+        """
+        if error.ran is not Ran.NO:
+            raise error
+        # Only the helper could have sent it to a target, and it did not.
+        context.progress.is_sent = False
+        if error.kind in _OTHER_HELPER_KINDS:
+            raise _HelperRefusedError(error.kind)
+        raise error
+
+    def _log(self, context: Context, helper: Helper, outcome: str) -> None:
+        self._logger.info(
+            "handed_over",
+            request=context.head.id,
+            service=context.service.name,
+            helper=helper.id,
+            zone=helper.zone,
+            outcome=outcome,
+            left=round(context.remaining, 3),
+        )
--- a/packages/serving/bergamotsaddle_serving/peer_messages.py
+++ b/packages/serving/bergamotsaddle_serving/peer_messages.py
@@ -47,6 +47,7 @@
         contacts: Other instances that it received a heartbeat from recently.
         unresponsive: Ids of instances that did not respond to it recently.
         digest: Digest of the gossip facts that it holds.
+        unreachable: Names of services whose targets it cannot reach.
     """
 
     sender: Contact
@@ -61,6 +62,7 @@
     contacts: list[Contact]
     unresponsive: list[str] = []
     digest: int = 0
+    unreachable: list[str] = []
 
 
 class Fact(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/serving/bergamotsaddle_serving/peers.py
+++ b/packages/serving/bergamotsaddle_serving/peers.py
@@ -73,6 +73,7 @@
         last_seen_at: When its last heartbeat arrived.
         added_at: When it became known.
         suspected_at: When it last left a message unacknowledged.
+        unreachable: Names of services whose targets it cannot reach.
     """
 
     def __init__(self, contact: Contact) -> None:
@@ -85,6 +86,7 @@
         self.running: dict[str, int] = {}
         self.prefill_tokens: dict[str, int] = {}
         self.cores = 0.0
+        self.unreachable: frozenset[str] = frozenset()
         self.was_contacted = False
         self.last_seen_at = float("-inf")
         self.added_at = now()
@@ -132,6 +134,7 @@
         self.own_prefill_tokens: Callable[[], dict[str, int]] = dict
         self.own_revision: Callable[[], int] = lambda: 0
         self.own_digest: Callable[[], int] = lambda: 0
+        self.own_unreachable: Callable[[], list[str]] = list
         self.on_heartbeat: Callable[[Heartbeat], None] = lambda heartbeat: None
         self.is_zone_unreachable: Callable[[str], bool] = lambda zone: False
         self._handlers: dict[type, Handler] = {
@@ -176,8 +179,12 @@
         if self._is_owner_candidate():
             # A peer that received the change a round later would use another owner
             # until then.
-            for peer in self.by_id.values():
-                peer.was_contacted = False
+            self.announce()
+
+    def announce(self) -> None:
+        """Send each known peer a heartbeat in the next round."""
+        for peer in self.by_id.values():
+            peer.was_contacted = False
 
     def roster(self) -> Roster:
         """Return the roster of live instances, at most ``_ROSTER_TTL_S`` old."""
@@ -203,6 +210,17 @@
                 return peer.contact.id
         return None
 
+    def reaching(self, service: str) -> list[Peer]:
+        """Return the live peers that accept work and reach targets of a service."""
+        return [
+            peer
+            for peer in self.alive()
+            if peer.accepts_work
+            and not peer.is_suspect()
+            and service not in peer.unreachable
+            and not self.is_zone_unreachable(peer.contact.zone)
+        ]
+
     def is_alive(self, peer_id: str) -> bool:
         """Return whether a peer's heartbeats arrive and it acknowledges messages."""
         peer = self.by_id.get(peer_id)
@@ -342,6 +360,7 @@
             contacts=[peer.contact for peer in sampled],
             unresponsive=self._unresponsive_ids(),
             digest=self.own_digest(),
+            unreachable=self.own_unreachable(),
         )
 
     def _next_hosts(self, *, owns_queues: bool) -> list[str]:
@@ -453,6 +472,7 @@
         peer.running = heartbeat.running
         peer.prefill_tokens = heartbeat.prefill_tokens
         peer.cores = heartbeat.cores
+        peer.unreachable = frozenset(heartbeat.unreachable)
         peer.last_seen_at = self._last_seen_at_by_zone[heartbeat.sender.zone] = now()
         self.on_heartbeat(heartbeat)
         for contact in heartbeat.contacts:
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/relay_headers.py
@@ -0,0 +1,109 @@
+"""Headers of requests that one instance hands over to another, and of the responses."""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
+from bergamotsaddle_serving.client import HOP_BY_HOP_HEADERS
+from bergamotsaddle_serving.messages import RawHeaders
+
+_PREFIX = b"bergamotsaddle-"
+_ELAPSED_MS = _PREFIX + b"elapsed-ms"
+_VERSION = _PREFIX + b"version"
+_SENDER = _PREFIX + b"sender"
+_KIND = _PREFIX + b"kind"
+_RAN = _PREFIX + b"ran"
+_RETRY_AFTER = b"retry-after"
+_EXPECT = b"expect"
+_MS_PER_S = 1_000.0
+
+
+class RelayedRequest(NamedTuple):
+    """What a handed-over request says besides the caller's own request.
+
+    Attributes:
+        sender: Id of the instance that hands it over.
+        elapsed: Seconds since the caller sent it.
+        version: Version of the configuration by which the sender accepted it.
+    """
+
+    sender: str
+    elapsed: float
+    version: int
+
+
+def encode_request(
+    headers: Sequence[tuple[bytes, bytes]], relayed: RelayedRequest, size: int
+) -> RawHeaders:
+    """Return the headers with which a request is handed over.
+
+    Args:
+        headers: Headers as received from the caller, names in lower case.
+        relayed: What the receiver has to know besides.
+        size: Size of the body in bytes.
+    """
+    dropped = HOP_BY_HOP_HEADERS | _named_by_connection(headers) | {_EXPECT}
+    kept = [
+        (name, value)
+        for name, value in headers
+        if name not in dropped and not name.startswith(_PREFIX)
+    ]
+    return [
+        *kept,
+        (b"content-length", b"%d" % size),
+        (_SENDER, relayed.sender.encode("latin-1")),
+        (_ELAPSED_MS, b"%d" % (relayed.elapsed * _MS_PER_S)),
+        (_VERSION, b"%d" % relayed.version),
+    ]
+
+
+def decode_request(headers: Sequence[tuple[bytes, bytes]]) -> RelayedRequest:
+    """Decode the headers of a handed-over request.
+
+    Raises:
+        RequestError: If one of them is missing or malformed.
+    """
+    by_name = dict(headers)
+    try:
+        return RelayedRequest(
+            by_name[_SENDER].decode("latin-1"),
+            int(by_name[_ELAPSED_MS]) / _MS_PER_S,
+            int(by_name[_VERSION]),
+        )
+    except (KeyError, ValueError) as error:
+        detail = "expected the headers of a handed-over request"
+        raise RequestError(ErrorKind.BAD_REQUEST, detail) from error
+
+
+def encode_error(error: RequestError) -> RawHeaders:
+    """Return the headers that tell an instance why its request failed here."""
+    return [(_KIND, error.kind.encode()), (_RAN, error.ran.encode())]
+
+
+def decode_error(headers: Sequence[tuple[bytes, bytes]]) -> RequestError | None:
+    """Return the error of the instance that a request was handed over to.
+
+    Returns:
+        The error, None if the response is a target's.
+    """
+    by_name = dict(headers)
+    if _KIND not in by_name:
+        return None
+    try:
+        kind = ErrorKind(by_name[_KIND].decode("latin-1"))
+        ran = Ran(by_name.get(_RAN, b"").decode("latin-1"))
+        retry_after = _parse_seconds(by_name.get(_RETRY_AFTER))
+    except ValueError:
+        # A kind or an outcome that this version does not know promises nothing.
+        return RequestError(ErrorKind.TARGET_FAILED, "unknown outcome", ran=Ran.UNKNOWN)
+    return RequestError(kind, "the helper failed", ran=ran, retry_after=retry_after)
+
+
+def _parse_seconds(value: bytes | None) -> float | None:
+    return None if value is None else float(value)
+
+
+def _named_by_connection(headers: Sequence[tuple[bytes, bytes]]) -> frozenset[bytes]:
+    listed = [value for name, value in headers if name == b"connection"]
+    names = b",".join(listed).lower().split(b",")
+    return frozenset(name.strip() for name in names)
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -4,6 +4,7 @@
 import secrets
 import signal
 import socket
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -14,12 +15,14 @@
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.budget import ColdRateLimiter, RetryBudget
 from bergamotsaddle_serving.caller import CallerConnection
+from bergamotsaddle_serving.catalog import CallerLimits
 from bergamotsaddle_serving.client import ConnectionPool
 from bergamotsaddle_serving.fetching import FetchTimes
 from bergamotsaddle_serving.follower import StoreFollower
 from bergamotsaddle_serving.gossip import Gossip
 from bergamotsaddle_serving.gossip_exchange import GossipExchange
 from bergamotsaddle_serving.handler import Handler
+from bergamotsaddle_serving.handover import Handover
 from bergamotsaddle_serving.health import Health
 from bergamotsaddle_serving.log import BoundedOutput, make_logger
 from bergamotsaddle_serving.messages import Dialect
@@ -31,6 +34,7 @@
 from bergamotsaddle_serving.probe import serve_page
 from bergamotsaddle_serving.rate_exchange import RateExchange
 from bergamotsaddle_serving.selector import Selector
+from bergamotsaddle_serving.service_reach import ServiceReach
 from bergamotsaddle_serving.settings import parse_settings
 from bergamotsaddle_serving.shared_rate import RateOwner
 from bergamotsaddle_serving.stage_calls import StageCalls
@@ -61,6 +65,8 @@
 # Time for the last responses to be sent.
 _FLUSH_S = 0.1
 _TICK_INTERVAL_S = 0.5
+# Room for the headers that instances add to requests that they hand over.
+_RELAY_HEAD_BYTES = 1_024
 # Two rounds of heartbeats and the responses to them: the response of a seed contains
 # the contacts of the other instances.
 SETTLE_S = 0.5
@@ -118,6 +124,14 @@
         self.reach = ZoneReach(self.view, self.peers, self.pool, dialect, logger)
         self.peers.is_zone_unreachable = self.reach.is_lost
         self.reach.subscribe(self.peers.invalidate_roster)
+        self.service_reach = ServiceReach(
+            self.view, settings.instance.zone, self.pool, logger
+        )
+        self.peers.own_unreachable = self.service_reach.lost_services
+        self.service_reach.subscribe(self._on_reach_change)
+        handover = Handover(
+            self.service_reach, self.peers, settings.listen.relay_port, logger
+        )
         self.gossip = Gossip()
         self.gossip_exchange = GossipExchange(self.gossip, self.peers)
         self.suspects = Suspects(
@@ -183,6 +197,7 @@
             logger,
             policy,
             suspects=self.suspects,
+            handover=handover,
         )
         self.peers.own_loads = self.owner.loads
         self.peers.own_pending = waits.pending.report
@@ -214,6 +229,7 @@
         callers = eventlet.listen(tuple(listen.callers), backlog=_BACKLOG)
         ready = eventlet.listen(tuple(listen.ready))
         metrics = eventlet.listen((host, listen.metrics_port))
+        relayed = eventlet.listen((host, listen.relay_port), backlog=_BACKLOG)
         for loop in (
             self.peers.receive,
             self.peers.run,
@@ -221,12 +237,14 @@
             self.exchange.run,
             self.exchange.run_refresh,
             self.reach.run,
+            self.service_reach.run,
             self._tick,
         ):
             eventlet.spawn_n(self._run_supervised, loop)
         eventlet.spawn_n(serve_page, ready, self._ready_page)
         eventlet.spawn_n(serve_page, metrics, lambda: (_OK, self.metrics.page()))
-        eventlet.spawn_n(self._accept, callers)
+        eventlet.spawn_n(self._accept, callers, self.handler.limits)
+        eventlet.spawn_n(self._accept, relayed, self._relay_limits, is_peer=True)
         # Objects loaded so far live as long as the process, so the garbage collector
         # need not visit them.
         gc.freeze()
@@ -234,7 +252,7 @@
             "started", life=self.peers.incarnation, callers=str(listen.callers)
         )
         self._stop_requested.wait()
-        self._stop(callers)
+        self._stop(callers, relayed)
 
     def is_ready(self) -> bool:
         """Return whether the load balancer should send callers here."""
@@ -243,7 +261,13 @@
     def _ready_page(self) -> tuple[int, bytes]:
         return (_OK if self.is_ready() else _UNAVAILABLE), b""
 
-    def _accept(self, listener: socket.socket) -> None:
+    def _accept(
+        self,
+        listener: socket.socket,
+        limits: Callable[[], CallerLimits],
+        *,
+        is_peer: bool = False,
+    ) -> None:
         while True:
             try:
                 sock, _ = listener.accept()
@@ -255,11 +279,16 @@
                 eventlet.sleep(_STOP_POLL_S)
                 continue
             caller = CallerConnection(
-                sock, self.handler.limits, lambda: self._is_stopping
+                sock, limits, lambda: self._is_stopping, is_peer=is_peer
             )
             eventlet.spawn_n(self.handler.run, caller)
 
-    def _stop(self, listener: socket.socket) -> None:
+    def _relay_limits(self) -> CallerLimits:
+        """Return the limits on handed-over requests, whose heads are longer."""
+        limits = self.handler.limits()
+        return limits._replace(head_bytes=limits.head_bytes + _RELAY_HEAD_BYTES)
+
+    def _stop(self, *listeners: socket.socket) -> None:
         schedule = StopSchedule(
             now(), _STOP_NOTICE_S, self.settings.bounds.grace - _STOP_MARGIN_S
         )
@@ -268,7 +297,8 @@
         self._announce_stop()
         self.logger.info("stopping", active=self.handler.active)
         eventlet.sleep(_STOP_NOTICE_S)
-        listener.close()
+        for listener in listeners:
+            listener.close()
         while now() < schedule.aborts_at and self._is_busy():
             self._close_idle()
             eventlet.sleep(_STOP_POLL_S)
@@ -309,7 +339,8 @@
         while True:
             due_at = now() + _TICK_INTERVAL_S
             eventlet.sleep(_TICK_INTERVAL_S)
-            self.usage.record_delay(now() - due_at)
+            self.handler.timer_delay = now() - due_at
+            self.usage.record_delay(self.handler.timer_delay)
             self._report_usage()
             self._update_accepts_work()
             self.pool.prune()
@@ -350,7 +381,15 @@
         # restart of the whole fleet, each instance would see itself as the owner of all
         # queues.
         is_settled = now() - self._started_at >= SETTLE_S
-        self.peers.accepts_work = is_settled and self.is_ready()
+        self.peers.accepts_work = (
+            is_settled and self.is_ready() and not self.service_reach.is_isolated()
+        )
+
+    def _on_reach_change(self) -> None:
+        self.peers.announce()
+        self._update_accepts_work()
+        if self.service_reach.is_isolated():
+            self.owner.hand_over(is_final=True)
 
     def _forget_unlisted_targets(self) -> None:
         incarnations = {
--- a/packages/serving/bergamotsaddle_serving/settings.py
+++ b/packages/serving/bergamotsaddle_serving/settings.py
@@ -37,12 +37,15 @@
         ready: Address of the load balancer's readiness probe.
         peer_port: UDP and TCP port for other instances, the same at all of them.
         metrics_port: Port at which metrics are served.
+        relay_port: TCP port for requests that other instances hand over, the same at
+            all of them. Defaults to the port after ``peer_port``.
     """
 
     callers: Address
     ready: Address
     peer_port: int
     metrics_port: int
+    relay_port: int
 
 
 class PeerSettings(NamedTuple):
@@ -214,6 +217,7 @@
         InvalidFileError: If settings are invalid; it lists all of them.
     """
     ini = IniFile(text, name=name)
+    peer_port = ini.get("listen", "peer_port", _parse_port)
     settings = ServingSettings(
         InstanceSettings(
             ini.get("instance", "id", _parse_name),
@@ -223,8 +227,9 @@
         ListenSettings(
             ini.get("listen", "callers", parse_address),
             ini.get("listen", "ready", parse_address),
-            ini.get("listen", "peer_port", _parse_port),
+            peer_port,
             ini.get("listen", "metrics_port", _parse_port),
+            ini.get("listen", "relay_port", _parse_port, (peer_port or 0) + 1),
         ),
         PeerSettings(ini.get("peers", "seeds", parse_words, ())),
         ZoneSettings(ini.get("zones", "regions", _parse_pairs, {})),
--- a/packages/standins/bergamotsaddle_standins/peer_fleet.py
+++ b/packages/standins/bergamotsaddle_standins/peer_fleet.py
@@ -143,7 +143,9 @@
 def _settings(number: int, host: str, seeds: tuple[str, ...]) -> ServingSettings:
     return ServingSettings(
         InstanceSettings(f"i{number}", ZONES[number % len(ZONES)], host),
-        ListenSettings(_UNUSED_ADDRESS, _UNUSED_ADDRESS, _ANY_PORT, _ANY_PORT),
+        ListenSettings(
+            _UNUSED_ADDRESS, _UNUSED_ADDRESS, _ANY_PORT, _ANY_PORT, _ANY_PORT
+        ),
         PeerSettings(seeds),
         ZoneSettings(dict.fromkeys(ZONES, REGION)),
         StoreSettings(_UNUSED_ADDRESS),
--- a/packages/standins/bergamotsaddle_standins/soak.py
+++ b/packages/standins/bergamotsaddle_standins/soak.py
@@ -442,12 +442,13 @@
         ]
         self._cut_instances = self._rng.choice(groups)
         self._cut_mode = self._rng.choice([*CutMode])
-        started_at = now()
+        hosts = frozenset(instance.host for instance in self._cut_instances)
+        cut = Cut(hosts, started_at=now(), ended_at=float("inf"))
+        self._cuts.append(cut)
         self._for_each_cut_link(lambda link: link.cut(self._cut_mode))
         eventlet.sleep(self._rng.uniform(_MIN_CUT_S, _MAX_CUT_S))
         self._for_each_cut_link(TargetLink.heal)
-        hosts = frozenset(instance.host for instance in self._cut_instances)
-        self._cuts.append(Cut(hosts, started_at, now()))
+        self._cuts[-1] = cut._replace(ended_at=now())
         self._cut_instances = []
 
     def _for_each_cut_link(self, change: Callable[[TargetLink], None]) -> None:
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,291 @@
+"""Tests for requests that are handed over while targets are out of reach."""
+
+import unittest
+from collections import Counter
+from types import SimpleNamespace
+from unittest import mock
+
+import eventlet
+from parameterized import parameterized
+
+from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.catalog import Kind, Route, Service, Share
+from bergamotsaddle_serving.context import Context, Progress
+from bergamotsaddle_serving.handover import Handover
+from bergamotsaddle_serving.helper_choice import Helper, choose_helper, may_relay
+from bergamotsaddle_serving.messages import RequestHead
+from bergamotsaddle_serving.peer_messages import Contact
+from bergamotsaddle_serving.relay_headers import (
+    RelayedRequest,
+    decode_error,
+    decode_request,
+    encode_error,
+    encode_request,
+)
+from tests._paused import use_paused_clock, use_running_clock
+
+setUpModule = use_running_clock
+tearDownModule = use_paused_clock
+
+HOST = "127.0.0.1"
+BODY = b"HTTP/1.1 200 OK\r\nSeal: x\r\nContent-Length: 4\r\n\r\nbody"
+STREAM = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+REGION_BY_ZONE = {"a": "north", "b": "north", "c": "south"}
+
+
+def refusal(kind, ran=Ran.NO, status=503):
+    """Return a helper's own error as it is sent to the instance that handed over."""
+    headers = encode_error(RequestError(kind, "x", ran=ran))
+    lines = b"".join(b"%s: %s\r\n" % header for header in headers)
+    head = b"HTTP/1.1 %d X\r\nRetry-After: 0.25\r\n" % status
+    return head + lines + b"Content-Length: 0\r\n\r\n"
+
+
+def make_context(kind=Kind.ONCE, *, sender=""):
+    """Return the context of a request with a second left."""
+    route = Route("r", "h", "/", kind, 9.0, 1.0, 1, 0, (Share("s", 1.0),))
+    head = RequestHead("r1", b"POST", b"/x", "h", "", 9.0)
+    service = Service("s", 10)
+    headers = [(b"host", b"h"), (b"deadline", b"1000")]
+    return Context(
+        head,
+        b"input",
+        route,
+        service,
+        None,
+        now(),
+        now() + 1.0,
+        7,
+        0,
+        Progress(),
+        headers=headers,
+        sender=sender,
+    )
+
+
+class ScriptedHelper:
+    """A helper that answers each request with the same bytes, then closes.
+
+    Attributes:
+        requests: What it received.
+        port: Its port.
+    """
+
+    def __init__(self, response, *, delay=0.0):
+        listener = eventlet.listen((HOST, 0))
+        self.port = listener.getsockname()[1]
+        self.requests = []
+        self.has_left = False
+        self._response = response
+        self._delay = delay
+        eventlet.spawn_n(self._run, listener)
+
+    def _run(self, listener):
+        while True:
+            sock, _ = listener.accept()
+            self.requests.append(sock.recv(65_536))
+            eventlet.sleep(self._delay)
+            sock.sendall(self._response)
+            self.has_left = not sock.recv(1) if self._delay else False
+            sock.close()
+
+
+class HandoverTest(unittest.TestCase):
+    """One helper in the own zone, and an instance that reaches nothing."""
+
+    def hand_over(self, response, *, kind=Kind.ONCE, delay=0.0, helpers=1):
+        """Hand one request over and return its context and the caller."""
+        self.helper = ScriptedHelper(response, delay=delay)
+        contacts = [Contact(f"h{n}", "a", HOST) for n in range(helpers)]
+        peers = mock.Mock(own=Contact("me", "a", HOST), region=lambda zone: zone)
+        peers.reaching.return_value = [
+            SimpleNamespace(contact=contact, cores=1.0) for contact in contacts
+        ]
+        peers.incarnation_of.side_effect = lambda peer_id: "1"
+        reach = mock.Mock(is_lost=lambda service: True)
+        reach.seconds_to_probe.return_value = 0.5
+        self.peers = peers
+        self.handover = Handover(reach, peers, self.helper.port, mock.Mock())
+        self.context = make_context(kind)
+        self.caller = mock.Mock()
+        self.handover.serve(self.context, self.caller)
+
+    def test_a_whole_response_is_forwarded(self):
+        self.hand_over(BODY)
+        self.caller.respond.assert_called_once_with(200, [(b"seal", b"x")], b"body")
+        request = self.helper.requests[0]
+        self.assertTrue(request.startswith(b"POST /x HTTP/1.1\r\n"))
+        self.assertTrue(request.endswith(b"\r\n\r\ninput"))
+
+    def test_a_stream_is_forwarded_to_its_proper_end(self):
+        self.hand_over(STREAM, kind=Kind.STREAM)
+        self.caller.send.assert_called_once_with(b"body")
+        self.caller.finish.assert_called_once_with()
+
+    @parameterized.expand([("body", BODY, Kind.ONCE), ("stream", STREAM, Kind.STREAM)])
+    def test_a_response_cut_at_any_byte_promises_nothing(self, _, response, kind):
+        """Guards against "not run" for a request that a helper may have run."""
+        for size in range(len(response)):
+            with self.assertRaises(RequestError) as caught:
+                self.hand_over(response[:size], kind=kind)
+            self.assertEqual(caught.exception.ran, Ran.UNKNOWN, size)
+            self.assertTrue(self.context.progress.is_sent)
+            self.assertEqual(len(self.helper.requests), 1, "handed over once")
+            self.caller.finish.assert_not_called()
+            self.caller.respond.assert_not_called()
+
+    @parameterized.expand(
+        [
+            ("overloaded", ErrorKind.OVERLOADED, 3),
+            ("behind", ErrorKind.NOT_READY, 3),
+            ("cut_off_too", ErrorKind.NO_TARGET, 3),
+            ("late", ErrorKind.DEADLINE_INFEASIBLE, 1),
+        ]
+    )
+    def test_a_refused_request_has_not_run(self, _, kind, tries):
+        """A few other helpers are asked if the refusal is due to the helper."""
+        with self.assertRaises(RequestError) as caught:
+            self.hand_over(refusal(kind), helpers=9)
+        self.assertEqual(caught.exception.ran, Ran.NO)
+        self.assertIsNotNone(caught.exception.retry_after)
+        self.assertFalse(self.context.progress.is_sent)
+        self.assertEqual(len(self.helper.requests), tries)
+
+    def test_the_unknown_outcome_of_a_helper_is_passed_on(self):
+        with self.assertRaises(RequestError) as caught:
+            self.hand_over(refusal(ErrorKind.TARGET_FAILED, Ran.UNKNOWN, 502))
+        self.assertEqual(caught.exception.ran, Ran.UNKNOWN)
+        self.assertEqual(len(self.helper.requests), 1)
+
+    def test_without_a_helper_it_is_rejected_at_once(self):
+        """Guards against callers kept waiting for what can't be served."""
+        started_at = now()
+        with self.assertRaises(RequestError) as caught:
+            self.hand_over(BODY, helpers=0)
+        self.assertEqual(caught.exception.kind, ErrorKind.NO_TARGET)
+        self.assertGreaterEqual(caught.exception.retry_after, 0.5)
+        self.assertLess(now() - started_at, 0.1)
+
+    def test_a_dead_helper_is_noticed_before_the_deadline(self):
+        def kill():
+            self.peers.incarnation_of.side_effect = lambda peer_id: None
+
+        eventlet.spawn_after(0.1, kill)
+        started_at = now()
+        with self.assertRaises(RequestError) as caught:
+            self.hand_over(BODY, delay=5.0)
+        self.assertEqual(caught.exception.ran, Ran.UNKNOWN)
+        self.assertLess(now() - started_at, 0.6)
+
+    def test_a_caller_that_leaves_is_passed_on(self):
+        """Guards against helpers that go on with requests nobody waits for."""
+        thread = eventlet.spawn(self.hand_over, BODY, delay=0.2)
+        eventlet.sleep(0.1)
+        thread.kill()
+        eventlet.sleep(0.3)
+        self.assertTrue(self.helper.has_left)
+        self.assertEqual(sum(self.handover._in_flight_by_id.values()), 0)
+
+    @parameterized.expand([("caller", "", True), ("peer", "other", False)])
+    def test_a_request_takes_one_hop(self, _, sender, expected):
+        """Guards against requests that instances pass around."""
+        reach = mock.Mock(is_lost=lambda service: True)
+        handover = Handover(reach, mock.Mock(), 1, mock.Mock())
+        self.assertEqual(handover.is_needed(make_context(sender=sender)), expected)
+
+
+class HelperChoiceTest(unittest.TestCase):
+    """Which instance serves a request of an instance without targets."""
+
+    def choose(self, *zones, in_flight=(0,) * 9, times=40):
+        """Return how often each helper was chosen by an instance in zone a."""
+        helpers = [
+            Helper(f"{zone}{n}", zone, HOST, 1.0, in_flight[n])
+            for n, zone in enumerate(zones)
+        ]
+        region = REGION_BY_ZONE.__getitem__
+        chosen = [choose_helper(helpers, "a", region) for _ in range(times)]
+        return Counter(helper and helper.id for helper in chosen)
+
+    @parameterized.expand(
+        [
+            ("own_zone", "cba", {"a2"}),
+            ("own_region", "cb", {"b1"}),
+            ("any", "c", {"c0"}),
+            ("none", "", {None}),
+        ]
+    )
+    def test_the_nearest_helper_serves(self, _, zones, expected):
+        self.assertEqual(set(self.choose(*zones)), expected)
+
+    def test_many_instances_do_not_choose_the_same_helper(self):
+        chosen = self.choose("a", "a", "a", times=300)
+        self.assertGreater(min(chosen.values()), 60)
+
+    def test_a_loaded_helper_is_avoided(self):
+        chosen = self.choose("a", "a", in_flight=(9, 0))
+        self.assertEqual(set(chosen), {"a1"})
+
+    @parameterized.expand(
+        [
+            ("idle", 200, 0, 0.0, True),
+            ("busy", 20, 10, 0.1, False),
+            ("busy_with_few", 10, 0, 0.1, True),
+            ("busy_with_own_ones", 20, 40, 0.1, True),
+        ]
+    )
+    def test_own_callers_are_not_crowded_out(self, _, relayed, local, delay, expected):
+        """Guards against callers of a helper that suffer from another's cut."""
+        self.assertEqual(may_relay(relayed=relayed, local=local, delay=delay), expected)
+
+
+class RelayHeadersTest(unittest.TestCase):
+    """What instances tell each other about a request that is handed over."""
+
+    def test_a_request_is_passed_on_unchanged(self):
+        headers = [
+            (b"host", b"h"),
+            (b"connection", b"x-hop"),
+            (b"x-hop", b"1"),
+            (b"expect", b"100-continue"),
+            (b"transfer-encoding", b"chunked"),
+            (b"bergamotsaddle-sender", b"forged"),
+            (b"x-own", b"2"),
+        ]
+        relayed = RelayedRequest("me", 0.25, 7)
+        encoded = encode_request(headers, relayed, 3)
+        self.assertEqual(
+            encoded[:3], [(b"host", b"h"), (b"x-own", b"2"), (b"content-length", b"3")]
+        )
+        self.assertEqual(decode_request(encoded), relayed)
+
+    @parameterized.expand(
+        [
+            ("none", []),
+            (
+                "malformed",
+                [
+                    (b"bergamotsaddle-sender", b"me"),
+                    (b"bergamotsaddle-elapsed-ms", b"x"),
+                    (b"bergamotsaddle-version", b"1"),
+                ],
+            ),
+        ]
+    )
+    def test_a_request_without_them_is_rejected(self, _, headers):
+        with self.assertRaises(RequestError):
+            decode_request(headers)
+
+    @parameterized.expand([*ErrorKind])
+    def test_errors_keep_their_kind(self, kind):
+        error = RequestError(ErrorKind(kind), "x")
+        decoded = decode_error(encode_error(error))
+        self.assertEqual((decoded.kind, decoded.ran), (error.kind, error.ran))
+
+    def test_an_unknown_kind_promises_nothing(self):
+        headers = [(b"bergamotsaddle-kind", b"new"), (b"bergamotsaddle-ran", b"no")]
+        self.assertEqual(decode_error(headers).ran, Ran.UNKNOWN)
+
+    def test_a_response_of_a_target_is_no_error(self):
+        self.assertIsNone(decode_error([(b"content-length", b"1")]))
