Take a refusal for a target's crash only if another target accepts connections

Cause: a refused connection counted as the crash of its target, also where every target refuses since this instance is cut off. Class of fault: a failure of this instance is taken for a failure of its targets.

--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -141,7 +141,12 @@
             logger,
             policy,
         )
-        crashes = TargetCrashes(self.pool, self.view, self.suspects)
+        crashes = TargetCrashes(
+            self.pool,
+            self.view,
+            self.suspects,
+            reaches_another=self.service_reach.reaches_another,
+        )
         self.limits = NamedLimits(self.gossip, self.gossip_exchange.publish, logger)
         self.health = Health(self.limits.record)
         self.rate_owner = RateOwner(self.peers.reachable_fraction)
--- a/packages/serving/bergamotsaddle_serving/service_reach.py
+++ b/packages/serving/bergamotsaddle_serving/service_reach.py
@@ -129,6 +129,20 @@
         known = self._service_by_name.get(service)
         return max(0.0, known.probe_at - now()) if known is not None else 0.0
 
+    def reaches_another(self, target: Target) -> bool:
+        """Return whether another target accepts connections, whatever its service.
+
+        Args:
+            target: The target to leave out.
+        """
+        others = [
+            address
+            for address in self._view.target_by_address
+            if address != target.address
+        ]
+        sampled = random.sample(others, min(_OTHER_PROBES, len(others)))
+        return any(self._pool.probe(address, _PROBE_LIMIT_S) for address in sampled)
+
     def run(self) -> None:
         """Check all services forever."""
         while True:
--- a/packages/serving/bergamotsaddle_serving/target_crashes.py
+++ b/packages/serving/bergamotsaddle_serving/target_crashes.py
@@ -1,6 +1,6 @@
 """Finds out whether a target has crashed when its connections break."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.catalog import Target
@@ -17,19 +17,29 @@
     """Reports crashes of targets with the requests that they ran.
 
     A connection may also be broken by the network, or by a target that fails a
-    request and stays up. Only a target that refuses connections, or whose incarnation
-    leaves the list without notice, has crashed.
+    request and stays up. Only a target that refuses connections while other targets
+    accept them, or whose incarnation leaves the list without notice, has crashed.
 
     Args:
         pool: Connections to targets.
         view: Listed targets and their incarnations.
         suspects: Gets the reports.
+        reaches_another: Returns whether another target than the given one accepts
+            connections from here.
 
     Attributes:
         suspects: Attributes the reported crashes to requests.
     """
 
-    def __init__(self, pool: ConnectionPool, view: View, suspects: Suspects) -> None:
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        view: View,
+        suspects: Suspects,
+        *,
+        reaches_another: Callable[[Target], bool] = lambda target: True,
+    ) -> None:
+        self._reaches_another = reaches_another
         self._pool = pool
         self._view = view
         self.suspects = suspects
@@ -50,7 +60,8 @@
         """
         if reason not in BROKEN_CONNECTION_REASONS or self._view.is_leaving(target):
             return
-        if not self._pool.is_refused(target.address):
+        is_refused = self._pool.is_refused(target.address)
+        if not is_refused or not self._reaches_another(target):
             pending = self._pending_by_incarnation.setdefault(
                 target.incarnation, (now(), target, set())
             )
--- a/tests/test_service_reach.py
+++ b/tests/test_service_reach.py
@@ -137,6 +137,14 @@
         advance(10.0)
         self.assertEqual(self.pool.probes, [])
 
+    @parameterized.expand([("crash", {81}, True), ("cut", PORTS, False)])
+    def test_other_targets_tell_a_crash_from_a_cut(self, _, ports, expected):
+        """Guards against requests quarantined since their instance lost its links."""
+        self.pool.refusing = set(ports)
+        target = self.view.targets_by_service["s"][0].target
+        self.assertEqual(target.address.port, 81)
+        self.assertEqual(self.reach.reaches_another(target), expected)
+
     def test_a_service_without_targets_is_not_lost(self):
         self.pool.refusing = set(PORTS)
         advance(5.0)
--- a/tests/test_target_crashes.py
+++ b/tests/test_target_crashes.py
@@ -25,7 +25,13 @@
         self.view.has_incarnation.return_value = True
         self.pool = mock.Mock()
         self.suspects = mock.Mock()
-        self.crashes = TargetCrashes(self.pool, self.view, self.suspects)
+        self.reaches_another = True
+        self.crashes = TargetCrashes(
+            self.pool,
+            self.view,
+            self.suspects,
+            reaches_another=lambda target: self.reaches_another,
+        )
         ((self.on_view_change,), _) = self.view.subscribe.call_args
 
     def fail(self, reason="closed", *, is_refused=False):
@@ -54,6 +60,15 @@
         self.fail(is_refused=True)
         self.suspects.record_crash.assert_not_called()
 
+    def test_a_refusal_by_all_targets_is_no_crash(self):
+        """Guards against requests quarantined since their instance lost its links."""
+        self.reaches_another = False
+        self.fail(is_refused=True)
+        self.suspects.record_crash.assert_not_called()
+        self.view.has_incarnation.return_value = False
+        self.on_view_change()
+        self.assertEqual(self.suspects.record_crash.call_count, 1, "it has left")
+
     @parameterized.expand([("soon", 1.0, 1), ("much_later", 11.0, 0)])
     def test_a_target_that_restarts_at_once_has_crashed(self, _, after, crashes):
         """Guards against missed crashes where the next incarnation already listens."""
