Soak brittle targets and silences, and list what fails

The soak's targets for lookups now turn brittle for 8 s: one slot, no queue, and more than 3 rejections in a second make them fail for 3 s. A silence holds back what open connections carry for up to a second.

Decoded responses get the field brittleness, which nothing reads yet.

--- a/packages/serving/bergamotsaddle_serving/messages.py
+++ b/packages/serving/bergamotsaddle_serving/messages.py
@@ -98,6 +98,8 @@
             such a body is not the target's own.
         limit: Requests per second that the target accepts from all instances together,
             None if not given.
+        brittleness: Number of requests that the target, and each other one of its
+            service, can reject in a second without failing; None if not given.
     """
 
     request_id: str
@@ -107,6 +109,7 @@
     keep_alive_seconds: float | None
     is_encoded: bool
     limit: float | None = None
+    brittleness: float | None = None
 
 
 class Piece(NamedTuple):
--- a/packages/standins/bergamotsaddle_standins/soak.py
+++ b/packages/standins/bergamotsaddle_standins/soak.py
@@ -22,6 +22,7 @@
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_standins.soak_audit import (
     MIN_STALL_S,
+    BrittleTime,
     Cut,
     SoakRecord,
     Versions,
@@ -62,6 +63,8 @@
 _STALL_CHECK_S = 0.05
 _MIN_CUT_S = 5.0
 _MAX_CUT_S = 8.0
+_MAX_PAUSE_OF_TARGET_S = 1.0
+_BRITTLE_S = 8.0
 _SETTINGS = """
 [instance]
 id = {id}
@@ -238,6 +241,7 @@
             for _ in range(_WEIGHT_BY_DISTURBANCE.get(name, 1))
         ]
         self._cuts: list[Cut] = []
+        self._brittle_times: list[BrittleTime] = []
         self._cut_instances: list[SoakInstance] = []
         self._cut_mode = CutMode.HANG
         self._instance_ids = [f"i{number}" for number in range(instances)]
@@ -318,6 +322,7 @@
             {instance.host: instance.stops for instance in self._instances},
             self._stalls,
             self._cuts,
+            self._brittle_times,
         )
         ends = [fault for instance in self._instances for fault in instance.faults]
         return [*find_breaches(record), *ends]
@@ -451,6 +456,35 @@
         self._cuts[-1] = cut._replace(ended_at=now())
         self._cut_instances = []
 
+    @register_disturbance("silence")
+    def _pause_target(self) -> None:
+        """Let a sound target say nothing for up to a second, then go on."""
+        if self._cut_instances or self._is_over:
+            return
+        target = self._rng.choice(self._targets)
+        for link in target.link_by_instance.values():
+            link.pause()
+        eventlet.sleep(self._rng.uniform(0.0, _MAX_PAUSE_OF_TARGET_S))
+        for link in target.link_by_instance.values():
+            link.resume()
+
+    @register_disturbance("brittle")
+    def _make_brittle(self) -> None:
+        """Let targets of a service fail when they reject many requests."""
+        if any(target.is_brittle for target in self._targets) or self._is_over:
+            return
+        targets = [target for target in self._targets if target.service == LOOKUPS]
+        started_at = now()
+        for target in targets:
+            target.is_brittle = True
+            self._store.write(TARGET_PREFIX + target.id, target.entry())
+        eventlet.sleep(_BRITTLE_S)
+        self._brittle_times.append(BrittleTime(len(targets), started_at, now()))
+        for target in targets:
+            target.is_brittle = False
+            if target in self._targets:
+                self._store.write(TARGET_PREFIX + target.id, target.entry())
+
     def _for_each_cut_link(self, change: Callable[[TargetLink], None]) -> None:
         for target in self._targets:
             for instance in self._cut_instances:
--- a/packages/standins/bergamotsaddle_standins/soak_audit.py
+++ b/packages/standins/bergamotsaddle_standins/soak_audit.py
@@ -34,6 +34,9 @@
 _MIN_SERVED_FRACTION = 2.0 / 3.0
 _ALLOWED_FAILURES = 10
 _ALLOWED_FAILURES_FRACTION = 0.02
+# Failures of brittle targets that are allowed, and more by their number.
+_ALLOWED_FALLS = 2
+_ALLOWED_FALLS_FRACTION = 0.1
 _STALL_EFFECT_S = 5.0
 
 
@@ -78,6 +81,20 @@
     ended_at: float
 
 
+class BrittleTime(NamedTuple):
+    """A time in which the targets of a service are brittle.
+
+    Attributes:
+        targets: Number of these targets.
+        started_at: When it began, on the hub's clock.
+        ended_at: When it ended.
+    """
+
+    targets: int
+    started_at: float
+    ended_at: float
+
+
 class SoakRecord(NamedTuple):
     """What happened in a soak.
 
@@ -92,6 +109,7 @@
         stops_by_host: Times at which each instance was told to stop.
         stalls: Times at which a timer of the soak fired late.
         cuts: Times in which instances reached no target.
+        brittle_times: Times in which targets failed when they rejected many requests.
     """
 
     exchanges: list[Exchange]
@@ -104,6 +122,7 @@
     stops_by_host: dict[str, list[float]]
     stalls: list[float]
     cuts: Sequence[Cut] = ()
+    brittle_times: Sequence[BrittleTime] = ()
 
     def was_stalled(self, at: float) -> bool:
         """Return whether the machine was too busy for the bounds before a time."""
@@ -122,8 +141,13 @@
         """Return whether a cut may have broken a request while a target ran it.
 
         Instances also serve requests that others hand over, so it may have been a cut
-        of any instance.
+        of any instance. The failure of a brittle target breaks requests as well.
         """
+        if any(
+            exchange.started_at <= fall <= exchange.ended_at
+            for fall in self.ledger.falls
+        ):
+            return True
         return any(
             exchange.started_at <= cut.started_at + STABLE_S
             and exchange.ended_at >= cut.started_at
@@ -147,6 +171,8 @@
     yield from _check_leaving(record)
     for cut in record.cuts:
         yield from _check_cut(cut, record)
+    for brittle in record.brittle_times:
+        yield from _check_falls(brittle, record)
 
 
 def count_statuses(exchanges: Iterable[Exchange]) -> Counter[str]:
@@ -201,6 +227,16 @@
         )
 
 
+def _check_falls(brittle: BrittleTime, record: SoakRecord) -> Iterator[str]:
+    falls = [
+        at
+        for at in record.ledger.falls
+        if brittle.started_at <= at <= brittle.ended_at and not record.was_stalled(at)
+    ]
+    if len(falls) > _ALLOWED_FALLS + _ALLOWED_FALLS_FRACTION * brittle.targets:
+        yield f"fell: {brittle.targets} brittle targets failed {len(falls)} times"
+
+
 def _is_served(exchange: Exchange) -> bool:
     return exchange.status == _OK and exchange.is_complete and exchange.is_in_time
 
--- a/packages/standins/bergamotsaddle_standins/soak_dialect.py
+++ b/packages/standins/bergamotsaddle_standins/soak_dialect.py
@@ -81,12 +81,14 @@
         addresses: Host and port at which each instance reaches it, by instance id.
         zone: Its availability zone.
         is_draining: Whether it is about to leave.
+        slots: Requests that it runs at once.
     """
 
     service: str
     addresses: dict[str, str]
     zone: str
     is_draining: bool = False
+    slots: int = 32
 
 
 class _Item(msgspec.Struct):
@@ -154,6 +156,7 @@
         """Return the headers with which a request is sent to a target."""
         return [
             (b"host", HOST.encode()),
+            (b"instance", self._instance.encode()),
             *head.forwarded,
             (b"target", dispatch.target.id.encode()),
             (b"content-length", b"%d" % size),
@@ -163,8 +166,15 @@
         """Decode the headers of a target's response."""
         by_name = dict(headers)
         request_id = by_name.get(b"id", b"").decode()
-        not_run = b"not-run" in by_name
-        return ResponseHead(request_id, True, not_run, None, None, False)
+        return ResponseHead(
+            request_id,
+            is_signed=True,
+            not_run=b"not-run" in by_name,
+            load=None,
+            keep_alive_seconds=None,
+            is_encoded=False,
+            brittleness=_parse_number(by_name.get(b"brittle")),
+        )
 
     def run_pieces(self, pieces: Sequence[Piece], target: Target) -> HttpCall:
         """Make the call that runs pieces at a stage target."""
@@ -236,11 +246,15 @@
             service=published.service,
             address=address,
             zone=published.zone,
-            slots=32,
+            slots=published.slots,
             is_draining=published.is_draining,
         )
 
 
+def _parse_number(value: bytes | None) -> float | None:
+    return None if value is None else float(value)
+
+
 def _post(path: bytes, body: bytes, target: Target) -> HttpCall:
     headers = [
         (b"host", HOST.encode()),
--- a/packages/standins/bergamotsaddle_standins/soak_links.py
+++ b/packages/standins/bergamotsaddle_standins/soak_links.py
@@ -64,7 +64,9 @@
         self._listen()
 
     def cut(self, mode: CutMode) -> None:
-        """Cut the link."""
+        """Cut the link unless it is cut already."""
+        if self._acceptor is None:
+            return
         _ACTION_BY_MODE[mode](self)
 
     def heal(self) -> None:
@@ -77,6 +79,14 @@
             return
         self._listen()
 
+    def pause(self) -> None:
+        """Hold back what open connections carry, until ``resume``."""
+        self._is_silent = True
+
+    def resume(self) -> None:
+        """Let open connections carry data again."""
+        self._is_silent = False
+
     @_register_mode(CutMode.HANG)
     def _hang(self) -> None:
         self._is_silent = True
--- a/packages/standins/bergamotsaddle_standins/soak_targets.py
+++ b/packages/standins/bergamotsaddle_standins/soak_targets.py
@@ -17,12 +17,20 @@
     RERANK_CALL_S,
     SoakTarget,
 )
-from bergamotsaddle_standins.soak_links import TargetLink
+from bergamotsaddle_standins.soak_links import CutMode, TargetLink
 
+_SLOTS = 32
 _MAX_WORK_S = 0.06
 _EVENT_PAUSE_S = 0.04
 _MAX_EVENTS = 60
 _FREE_BYTES = 1e8
+# A brittle target has few slots and works for longer. It fails if it rejects more than
+# this many requests in a second.
+_BRITTLE_SLOTS = 1
+_BRITTLE_WORK_S = 0.25
+_BRITTLENESS = 3
+_FALL_S = 3.0
+_WINDOW_S = 1.0
 
 
 class Run(NamedTuple):
@@ -47,11 +55,13 @@
     Attributes:
         runs_by_request: Runs by id of the request.
         calls_by_target: Times of the calls to stage targets.
+        falls: Times at which brittle targets failed.
     """
 
     def __init__(self) -> None:
         self.runs_by_request: defaultdict[str, list[Run]] = defaultdict(list)
         self.calls_by_target: defaultdict[str, list[float]] = defaultdict(list)
+        self.falls: list[float] = []
 
 
 class RunningTarget:
@@ -70,6 +80,7 @@
         service: Its service.
         zone: Its availability zone.
         link_by_instance: The link of each instance to it, by instance id.
+        is_brittle: Whether it has few slots and fails when it rejects many requests.
     """
 
     def __init__(
@@ -87,6 +98,9 @@
         self._ledger = ledger
         self._rng = rng
         self._handles = count()
+        self.is_brittle = False
+        self._running = 0
+        self._rejected_at: list[float] = []
         port = serve(self._app())
         self.link_by_instance = {instance: TargetLink(port) for instance in instances}
 
@@ -96,7 +110,8 @@
             instance: f"127.0.0.1:{link.port}"
             for instance, link in self.link_by_instance.items()
         }
-        return SoakTarget(self.service, addresses, self.zone, is_draining)
+        slots = _BRITTLE_SLOTS if self.is_brittle else _SLOTS
+        return SoakTarget(self.service, addresses, self.zone, is_draining, slots)
 
     def _app(self) -> App:
         work_by_service = {ENGINE: self._stream, RERANK: self._run_pieces}
@@ -122,10 +137,42 @@
         return (("Id", request),)
 
     def _run(self, environ: Environ, start_response) -> list[bytes]:
+        if self.is_brittle and self._running >= _BRITTLE_SLOTS:
+            return self._reject(environ, start_response)
         headers = self._record(environ)
         environ["wsgi.input"].read()
-        eventlet.sleep(self._rng.uniform(0.0, _MAX_WORK_S))
-        return respond_json(start_response, "done", headers=headers)
+        seconds = self._rng.uniform(0.0, _MAX_WORK_S)
+        self._running += 1
+        eventlet.sleep(_BRITTLE_WORK_S if self.is_brittle else seconds)
+        self._running -= 1
+        return respond_json(
+            start_response, "done", headers=(*headers, *self._notices())
+        )
+
+    def _notices(self) -> tuple[tuple[str, str], ...]:
+        """Return the headers with which all responses describe this target."""
+        return (("Brittle", str(_BRITTLENESS)),) if self.is_brittle else ()
+
+    def _reject(self, environ: Environ, start_response) -> list[bytes]:
+        environ["wsgi.input"].read()
+        since = now() - _WINDOW_S
+        self._rejected_at = [at for at in self._rejected_at if at > since] + [now()]
+        if len(self._rejected_at) > _BRITTLENESS:
+            self._rejected_at = []
+            self._ledger.falls.append(now())
+            eventlet.spawn_n(self._fall)
+        headers = (("Not-Run", "1"), ("Id", environ["HTTP_ID"]), *self._notices())
+        return respond_json(
+            start_response, None, status="503 Service Unavailable", headers=headers
+        )
+
+    def _fall(self) -> None:
+        """Be out of reach for a while, as after a crash."""
+        for link in self.link_by_instance.values():
+            link.cut(CutMode.RESET)
+        eventlet.sleep(_FALL_S)
+        for link in self.link_by_instance.values():
+            link.heal()
 
     def _stream(self, environ: Environ, start_response) -> Iterator[bytes]:
         headers = self._record(environ)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,7 @@
 from parameterized import parameterized
 
 from bergamotsaddle_standins.soak_audit import (
+    BrittleTime,
     Cut,
     SoakRecord,
     Versions,
@@ -21,6 +22,8 @@
 SOAK = ("-m", "bergamotsaddle_standins.soak")
 SHORT = ("--seed", "1", "--seconds", "15", "--instances", "4")
 CHANGES = ("--only", "stop", "reload", "move", "key", "replace", "store")
+BRITTLE = ("--seed", "2", "--seconds", "20", "--instances", "5", "--only", "brittle")
+SILENCES = ("--seed", "3", "--seconds", "10", "--instances", "4", "--only", "silence")
 CUTS = ("--seed", "1", "--seconds", "20", "--instances", "5", "--only", "cut")
 BOUND_S = 2.0
 GRACE_S = 8.0
@@ -62,6 +65,14 @@
         """Guards against callers left without service by a cut of their instance."""
         self.check(*CUTS)
 
+    def test_brittle_targets_seldom_fail(self):
+        """Guards against targets that fail since they must reject many requests."""
+        self.check(*BRITTLE)
+
+    def test_a_silent_second_breaks_nothing(self):
+        """Guards against requests lost at targets that go on after a silence."""
+        self.check(*SILENCES)
+
     def check(self, *arguments):
         """Run a soak and check that it found nothing."""
         done = subprocess.run(
@@ -196,6 +207,25 @@
         found = [breach.partition(":")[0] for breach in find_breaches(record)]
         self.assertEqual(found, expected)
 
+    @parameterized.expand([("few", 2, []), ("many", 3, ["fell"])])
+    def test_brittle_targets(self, _, falls, expected):
+        ledger = Ledger()
+        ledger.falls += [SENT_AT + n for n in range(falls)]
+        record = SoakRecord(
+            [],
+            ledger,
+            Versions("new"),
+            Versions(("new",)),
+            {},
+            BOUND_S,
+            GRACE_S,
+            {},
+            [],
+            brittle_times=[BrittleTime(3, SENT_AT, SENT_AT + 5.0)],
+        )
+        found = [breach.partition(":")[0] for breach in find_breaches(record)]
+        self.assertEqual(found, expected)
+
     def test_a_revoked_key(self):
         exchange = make_exchange(CHAT._replace(key="old"), 200)
         self.assertEqual(self.find(exchange, [make_run()]), ["outdated"])
