Keep the rejections of brittle targets rare, for all instances together

Cause: no response's brittleness was read. Each instance filled such a target's queue by itself, and after a rejection went on to send to it, so that all instances together were rejected several times as often as it survives. Class of fault: what a target says about itself is not heard, or by one instance only.

Change: target_notices reads what any response says (plain, streams, stage calls, rejections, probes). An instance sends to a brittle target only while it knows of a free slot; the first rejection makes all instances leave it alone for 1 to 1.5 s, each of them returning at a time of its own. Checked when targets are chosen and again once the connection is open; a rejected caller is told when a target is to be tried again.

--- a/packages/serving/bergamotsaddle_serving/attempt.py
+++ b/packages/serving/bergamotsaddle_serving/attempt.py
@@ -222,6 +222,7 @@
         decoded = self._dialect.read_response(head.headers)
         self._keep_alive_seconds = decoded.keep_alive_seconds
         self._state.record_load(decoded.load)
+        self._state.record_response(head.status, decoded)
         if decoded.limit is not None:
             self._state.record_limit(decoded.limit)
         if decoded.not_run or head.status == _MISDIRECTED:
--- a/packages/serving/bergamotsaddle_serving/catalog.py
+++ b/packages/serving/bergamotsaddle_serving/catalog.py
@@ -240,6 +240,12 @@
         return None
 
 
+def fact_key(incarnation: tuple[str, int]) -> str:
+    """Return the key of gossip facts about an incarnation of a target."""
+    target_id, started_ms = incarnation
+    return f"{target_id} {started_ms}"
+
+
 class Target(NamedTuple):
     """One incarnation of a back end, as it registered itself.
 
@@ -269,3 +275,8 @@
     def incarnation(self) -> tuple[str, int]:
         """Id and start time, which identify this incarnation of the target."""
         return self.id, self.started_ms
+
+    @property
+    def key(self) -> str:
+        """The incarnation as the key of gossip facts."""
+        return fact_key(self.incarnation)
--- a/packages/serving/bergamotsaddle_serving/health.py
+++ b/packages/serving/bergamotsaddle_serving/health.py
@@ -4,7 +4,7 @@
 
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.catalog import Target
-from bergamotsaddle_serving.messages import TargetLoad
+from bergamotsaddle_serving.messages import ResponseHead, TargetLoad
 
 _LATENCY_WEIGHT = 0.15
 _INITIAL_LATENCY_S = 0.05
@@ -16,12 +16,18 @@
 _MAX_LOAD_AGE_S = 0.5
 
 
+def ignore_response(target: Target, status: int, head: ResponseHead) -> None:
+    """Ignore what a response says about its target."""
+
+
 class TargetState:
     """One incarnation of a target as this instance observes it.
 
     Args:
         target: The target.
         on_limit: Called with the target and the limit that each response names.
+        on_response: Called with the target, and the status and decoded headers of each
+            response.
 
     Attributes:
         target: The target.
@@ -36,9 +42,13 @@
     """
 
     def __init__(
-        self, target: Target, on_limit: Callable[[Target, float | None], None]
+        self,
+        target: Target,
+        on_limit: Callable[[Target, float | None], None],
+        on_response: Callable[[Target, int, ResponseHead], None] = ignore_response,
     ) -> None:
         self.target = target
+        self._on_response = on_response
         self._on_limit = on_limit
         self.in_flight = 0
         self.prompt_tokens_ahead = 0
@@ -59,6 +69,10 @@
             self.load = load
             self.load_at = now()
 
+    def record_response(self, status: int, head: ResponseHead) -> None:
+        """Record the status and headers of a response."""
+        self._on_response(self.target, status, head)
+
     def record_limit(self, limit: float | None) -> None:
         """Record the limit that a response names, None if it names none."""
         self._on_limit(self.target, limit)
@@ -93,13 +107,17 @@
 
     Args:
         on_limit: Called with the target and the limit that each response names.
+        on_response: Called with the target, and the status and decoded headers of each
+            response.
     """
 
     def __init__(
         self,
         on_limit: Callable[[Target, float | None], None] = lambda target, limit: None,
+        on_response: Callable[[Target, int, ResponseHead], None] = ignore_response,
     ) -> None:
         self._on_limit = on_limit
+        self._on_response = on_response
         self._state_by_incarnation: dict[tuple[str, int], TargetState] = {}
 
     def of(self, target: Target) -> TargetState:
@@ -107,7 +125,7 @@
         state = self._state_by_incarnation.get(target.incarnation)
         if state is None:
             state = self._state_by_incarnation[target.incarnation] = TargetState(
-                target, self._on_limit
+                target, self._on_limit, self._on_response
             )
         state.target = target
         return state
--- a/packages/serving/bergamotsaddle_serving/selector.py
+++ b/packages/serving/bergamotsaddle_serving/selector.py
@@ -7,6 +7,7 @@
 from bergamotsaddle_serving.catalog import Service, Target
 from bergamotsaddle_serving.health import Health, TargetState
 from bergamotsaddle_serving.peers import Peers
+from bergamotsaddle_serving.target_notices import TargetNotices
 from bergamotsaddle_serving.target_rates import TargetRates
 from bergamotsaddle_serving.view import KnownTarget, View
 from bergamotsaddle_serving.zone_reach import ZoneReach
@@ -43,6 +44,7 @@
         cold: Limits the rate of requests to cold targets.
         reach: Zones that are cut off from this instance.
         rates: Permits for targets that name a limit.
+        notices: What targets say about themselves.
     """
 
     def __init__(
@@ -53,7 +55,10 @@
         cold: ColdRateLimiter,
         reach: ZoneReach,
         rates: TargetRates,
+        *,
+        notices: TargetNotices,
     ) -> None:
+        self._notices = notices
         self._rates = rates
         self._view = view
         self._health = health
@@ -87,8 +92,8 @@
     def permit_wait(self, service: str) -> float | None:
         """Return the seconds until a target may have a permit; None if all may now."""
         targets = [known.target for known in self._view.usable(service)]
-        waits = [wait for target in targets if (wait := self._rates.wait(target))]
-        return min(waits, default=None)
+        waits = [max(self._rates.wait(t), self._notices.wait(t)) for t in targets]
+        return min((wait for wait in waits if wait), default=None)
 
     def reserve(self, candidate: Candidate, request: str, urgency: int) -> bool:
         """Acquire a permit for a request if the target requires one."""
@@ -101,7 +106,12 @@
             if known.target.id not in exclude
         ]
         found = [c for c in found if not c.is_cold or self._cold.may_send(c.target.id)]
-        return [c for c in found if not self._reach.is_lost(c.target.zone)]
+        found = [c for c in found if not self._reach.is_lost(c.target.zone)]
+        return [
+            c
+            for c in found
+            if self._notices.has_room(c.target, c.state.in_flight + c.others)
+        ]
 
     def pick(self, service: str, exclude: set[str]) -> Candidate | None:
         """Return the target of a plain service that should respond first.
@@ -138,7 +148,8 @@
 
     def may_send(self, candidate: Candidate) -> bool:
         """Return whether a chosen target may still get the request."""
-        return self._view.may_get_work(candidate.target)
+        target = candidate.target
+        return self._view.may_get_work(target) and self._notices.may_send(target)
 
     def record_sent(self, candidate: Candidate, service: Service) -> None:
         """Record that a request is about to be sent to a target."""
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -19,6 +19,7 @@
 from bergamotsaddle_serving.client import ConnectionPool
 from bergamotsaddle_serving.fetching import FetchTimes
 from bergamotsaddle_serving.follower import StoreFollower
+from bergamotsaddle_serving.full_targets import FullTargets
 from bergamotsaddle_serving.gossip import Gossip
 from bergamotsaddle_serving.gossip_exchange import GossipExchange
 from bergamotsaddle_serving.handler import Handler
@@ -27,7 +28,7 @@
 from bergamotsaddle_serving.log import BoundedOutput, make_logger
 from bergamotsaddle_serving.messages import Dialect
 from bergamotsaddle_serving.metrics import Metrics
-from bergamotsaddle_serving.named_limits import NamedLimits
+from bergamotsaddle_serving.named_limits import BRITTLENESS, NamedLimits
 from bergamotsaddle_serving.peers import Peers
 from bergamotsaddle_serving.plain import PlainServer
 from bergamotsaddle_serving.policy import Mechanism
@@ -45,6 +46,7 @@
 from bergamotsaddle_serving.streams import StreamServer
 from bergamotsaddle_serving.suspects import Suspects
 from bergamotsaddle_serving.target_crashes import TargetCrashes
+from bergamotsaddle_serving.target_notices import TargetNotices
 from bergamotsaddle_serving.target_rates import TargetRates
 from bergamotsaddle_serving.usage import UsageMeter
 from bergamotsaddle_serving.view import View
@@ -121,7 +123,17 @@
             policy,
         )
         self.store.on_refused = self.exchange.wake_requests
-        self.reach = ZoneReach(self.view, self.peers, self.pool, dialect, logger)
+        self.gossip = Gossip()
+        self.gossip_exchange = GossipExchange(self.gossip, self.peers)
+        publish = self.gossip_exchange.publish
+        self.limits = NamedLimits(self.gossip, publish, logger)
+        self.brittleness = NamedLimits(self.gossip, publish, logger, BRITTLENESS)
+        full = FullTargets(self.gossip, publish, self.brittleness, logger)
+        self.notices = TargetNotices(self.brittleness, full)
+        self.health = Health(self.limits.record, self.notices.read)
+        self.reach = ZoneReach(
+            self.view, self.peers, self.pool, dialect, logger, notices=self.notices
+        )
         self.peers.is_zone_unreachable = self.reach.is_lost
         self.reach.subscribe(self.peers.invalidate_roster)
         self.service_reach = ServiceReach(
@@ -132,8 +144,6 @@
         handover = Handover(
             self.service_reach, self.peers, settings.listen.relay_port, logger
         )
-        self.gossip = Gossip()
-        self.gossip_exchange = GossipExchange(self.gossip, self.peers)
         self.suspects = Suspects(
             self.gossip,
             self.gossip_exchange.publish,
@@ -147,13 +157,18 @@
             self.suspects,
             reaches_another=self.service_reach.reaches_another,
         )
-        self.limits = NamedLimits(self.gossip, self.gossip_exchange.publish, logger)
-        self.health = Health(self.limits.record)
         self.rate_owner = RateOwner(self.peers.reachable_fraction)
         rate_exchange = RateExchange(self.peers, self.rate_owner)
         self.rates = TargetRates(self.limits, rate_exchange, logger)
         fetch_times = FetchTimes(settings.capacity.link_mbps)
-        calls = StageCalls(self.view, self.pool, dialect, self.limits, self.rates)
+        calls = StageCalls(
+            self.view,
+            self.pool,
+            dialect,
+            self.limits,
+            self.rates,
+            notices=self.notices,
+        )
         self.owner = StageOwner(
             self.view,
             self.peers,
@@ -168,7 +183,13 @@
         budget = RetryBudget(settings.bounds, self.peers.size)
         cold = ColdRateLimiter(self.peers.size)
         selector = Selector(
-            self.view, self.health, self.peers, cold, self.reach, self.rates
+            self.view,
+            self.health,
+            self.peers,
+            cold,
+            self.reach,
+            self.rates,
+            notices=self.notices,
         )
         self.stage_exchange = StageExchange(self.peers, self.owner)
         waits = StageWaits(self.view, self.peers, self.owner, policy)
@@ -404,6 +425,7 @@
         }
         self.health.keep_only(incarnations)
         self.limits.keep_only(incarnations)
+        self.brittleness.keep_only(incarnations)
         self.rates.keep_only(incarnations)
 
     def _run_supervised(self, loop: Any) -> None:
--- a/packages/serving/bergamotsaddle_serving/stage_calls.py
+++ b/packages/serving/bergamotsaddle_serving/stage_calls.py
@@ -12,6 +12,7 @@
 from bergamotsaddle_serving.messages import Dialect, HttpCall, Piece, PieceResult
 from bergamotsaddle_serving.named_limits import NamedLimits
 from bergamotsaddle_serving.stage_queue import QueuedPiece
+from bergamotsaddle_serving.target_notices import TargetNotices
 from bergamotsaddle_serving.target_rates import TargetRates
 from bergamotsaddle_serving.view import View
 
@@ -32,6 +33,7 @@
         dialect: Encodes calls and decodes responses.
         limits: Records the limits that responses name.
         rates: Keeps the calls within these limits.
+        notices: Reads what targets say about themselves.
     """
 
     def __init__(
@@ -41,7 +43,10 @@
         dialect: Dialect,
         limits: NamedLimits,
         rates: TargetRates,
+        *,
+        notices: TargetNotices,
     ) -> None:
+        self._notices = notices
         self._rates = rates
         self._limits = limits
         self._view = view
@@ -66,14 +71,16 @@
                 sent.
 
         Returns:
-            A result for each piece, None if the target was full or no permit for it
-            was available.
+            A result for each piece, None if the target was full, wants to be left alone
+            or had no permit available.
 
         Raises:
             ConnectionLostError: If the target may not get work or broke off.
             ValueError: If the response is invalid.
         """
         self._check_target(target)
+        if not self._notices.may_send(target):
+            return None
         urgency = min(piece.urgency for piece in batch)
         if not self._rates.reserve(target, batch[0].key.request, urgency):
             return None
@@ -90,6 +97,9 @@
         except ConnectionLostError:
             connection.close()
             raise
+        if not self._notices.may_send(target):
+            connection.close()
+            return None
         on_connected()
         status, body = self._exchange(connection, target, call, limit)
         if status == _MISDIRECTED:
@@ -132,6 +142,7 @@
     ) -> tuple[int, bytes]:
         head, body = connection.exchange(call, limit=limit, max_bytes=_MAX_BODY_BYTES)
         response = self._dialect.read_response(head.headers)
+        self._notices.read(target, head.status, response)
         if response.limit is not None or head.status == _OK:
             self._limits.record(target, response.limit)
         self._pool.release(connection, response.keep_alive_seconds)
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/target_notices.py
@@ -0,0 +1,56 @@
+"""Reads what targets say about themselves in any of their responses."""
+
+from bergamotsaddle_serving.catalog import Target
+from bergamotsaddle_serving.full_targets import FullTargets
+from bergamotsaddle_serving.messages import ResponseHead
+from bergamotsaddle_serving.named_limits import NamedLimits
+
+_UNAVAILABLE = 503
+
+
+class TargetNotices:
+    """The only reader of what targets say about themselves.
+
+    Responses to requests, stage calls and probes all pass through here, rejections
+    included. What a response says applies to all later sends, so each path asks again
+    just before it sends.
+
+    Args:
+        brittleness: Rejections that each brittle target can bear in a second.
+        full: Brittle targets that rejected a request.
+    """
+
+    def __init__(self, brittleness: NamedLimits, full: FullTargets) -> None:
+        self._brittleness = brittleness
+        self._full = full
+
+    def read(self, target: Target, status: int, head: ResponseHead) -> None:
+        """Read a response.
+
+        Args:
+            target: The target that sent it.
+            status: HTTP status.
+            head: Its decoded headers.
+        """
+        # Only the response to a request that has run shows that a notice has ended.
+        if head.brittleness is not None or not head.not_run:
+            self._brittleness.record(target, head.brittleness)
+        if head.not_run and status == _UNAVAILABLE:
+            self._full.record_rejection(target)
+
+    def has_room(self, target: Target, requests: int) -> bool:
+        """Return whether a target may get a request besides those that it has.
+
+        Args:
+            target: The target.
+            requests: Requests of all instances at the target, as far as known.
+        """
+        return self._full.has_room(target, requests)
+
+    def may_send(self, target: Target) -> bool:
+        """Return whether a chosen target may still get a request."""
+        return not self._full.wait(target)
+
+    def wait(self, target: Target) -> float:
+        """Return for how many seconds a target is to be left alone."""
+        return self._full.wait(target)
--- a/packages/serving/bergamotsaddle_serving/zone_reach.py
+++ b/packages/serving/bergamotsaddle_serving/zone_reach.py
@@ -11,6 +11,7 @@
 from bergamotsaddle_serving.client import ConnectionLostError, ConnectionPool
 from bergamotsaddle_serving.messages import Dialect
 from bergamotsaddle_serving.peers import Peers
+from bergamotsaddle_serving.target_notices import TargetNotices
 from bergamotsaddle_serving.view import View
 
 # If no instance of a zone was seen for this long, a random one is asked for a heartbeat
@@ -63,6 +64,7 @@
         pool: Connections to targets.
         dialect: Builds the probe.
         logger: Gets a line when a zone is lost or regained.
+        notices: Reads what probed targets say about themselves.
     """
 
     def __init__(
@@ -72,7 +74,10 @@
         pool: ConnectionPool,
         dialect: Dialect,
         logger: Any,
+        *,
+        notices: TargetNotices,
     ) -> None:
+        self._notices = notices
         self._view = view
         self._peers = peers
         self._pool = pool
@@ -148,10 +153,14 @@
         call = self._dialect.query_free_memory(target)
         try:
             connection = self._pool.acquire(target.address, limit=_PROBE_LIMIT_S)
-            connection.exchange(call, limit=_PROBE_LIMIT_S, max_bytes=_MAX_BODY)
+            head, _ = connection.exchange(
+                call, limit=_PROBE_LIMIT_S, max_bytes=_MAX_BODY
+            )
         except ConnectionLostError as error:
             self._logger.info("probe_failed", target=target.id, reason=error.reason)
             return False
+        response = self._dialect.read_response(head.headers)
+        self._notices.read(target, head.status, response)
         self._pool.release(connection, None)
         return True
 
--- a/packages/standins/bergamotsaddle_standins/soak.py
+++ b/packages/standins/bergamotsaddle_standins/soak.py
@@ -22,6 +22,7 @@
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_standins.soak_audit import (
     MIN_STALL_S,
+    STABLE_S,
     BrittleTime,
     Cut,
     SoakRecord,
@@ -470,7 +471,10 @@
 
     @register_disturbance("brittle")
     def _make_brittle(self) -> None:
-        """Let targets of a service fail when they reject many requests."""
+        """Let targets of a service fail when they reject many requests.
+
+        They say so in their responses for some time before their queues disappear.
+        """
         if any(target.is_brittle for target in self._targets) or self._is_over:
             return
         targets = [target for target in self._targets if target.service == LOOKUPS]
@@ -478,10 +482,14 @@
         for target in targets:
             target.is_brittle = True
             self._store.write(TARGET_PREFIX + target.id, target.entry())
+        eventlet.sleep(STABLE_S)
+        for target in targets:
+            target.has_queue = False
         eventlet.sleep(_BRITTLE_S)
         self._brittle_times.append(BrittleTime(len(targets), started_at, now()))
         for target in targets:
             target.is_brittle = False
+            target.has_queue = True
             if target in self._targets:
                 self._store.write(TARGET_PREFIX + target.id, target.entry())
 
--- a/packages/standins/bergamotsaddle_standins/soak_targets.py
+++ b/packages/standins/bergamotsaddle_standins/soak_targets.py
@@ -81,6 +81,7 @@
         zone: Its availability zone.
         link_by_instance: The link of each instance to it, by instance id.
         is_brittle: Whether it has few slots and fails when it rejects many requests.
+        has_queue: Whether requests may wait for its slots.
     """
 
     def __init__(
@@ -99,6 +100,7 @@
         self._rng = rng
         self._handles = count()
         self.is_brittle = False
+        self.has_queue = True
         self._running = 0
         self._rejected_at: list[float] = []
         port = serve(self._app())
@@ -137,7 +139,7 @@
         return (("Id", request),)
 
     def _run(self, environ: Environ, start_response) -> list[bytes]:
-        if self.is_brittle and self._running >= _BRITTLE_SLOTS:
+        if not self.has_queue and self._running >= _BRITTLE_SLOTS:
             return self._reject(environ, start_response)
         headers = self._record(environ)
         environ["wsgi.input"].read()
--- a/packages/standins/bergamotsaddle_standins/virtual_fleet.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_fleet.py
@@ -19,13 +19,14 @@
     Share,
     Target,
 )
+from bergamotsaddle_serving.full_targets import FullTargets
 from bergamotsaddle_serving.gossip import Gossip
 from bergamotsaddle_serving.gossip_exchange import GossipExchange
 from bergamotsaddle_serving.handler import Handler
 from bergamotsaddle_serving.health import Health
 from bergamotsaddle_serving.messages import RawHeaders, StoreEntry
 from bergamotsaddle_serving.metrics import Metrics
-from bergamotsaddle_serving.named_limits import NamedLimits
+from bergamotsaddle_serving.named_limits import BRITTLENESS, NamedLimits
 from bergamotsaddle_serving.plain import PlainServer
 from bergamotsaddle_serving.rate_exchange import RateExchange
 from bergamotsaddle_serving.selector import Selector
@@ -34,6 +35,7 @@
 from bergamotsaddle_serving.streams import StreamServer
 from bergamotsaddle_serving.suspects import Suspects
 from bergamotsaddle_serving.target_crashes import TargetCrashes
+from bergamotsaddle_serving.target_notices import TargetNotices
 from bergamotsaddle_serving.target_rates import TargetRates
 from bergamotsaddle_serving.view import View
 from bergamotsaddle_standins.peer_fleet import (
@@ -142,7 +144,10 @@
         gossip = Gossip()
         publish = GossipExchange(gossip, peers).publish
         self.limits = NamedLimits(gossip, publish, SILENT_LOGGER)
-        self.health = Health(self.limits.record)
+        brittleness = NamedLimits(gossip, publish, SILENT_LOGGER, BRITTLENESS)
+        full = FullTargets(gossip, publish, brittleness, SILENT_LOGGER)
+        notices = TargetNotices(brittleness, full)
+        self.health = Health(self.limits.record, notices.read)
         peers.own_running = self.health.running
         pool = VirtualPool(targets, peers.own.id)
         budget = RetryBudget(_BOUNDS, peers.size)
@@ -150,7 +155,9 @@
         owner = RateOwner(peers.reachable_fraction)
         rates = TargetRates(self.limits, RateExchange(peers, owner), SILENT_LOGGER)
         cold = ColdRateLimiter(peers.size)
-        selector = Selector(self.view, self.health, peers, cold, reach, rates)
+        selector = Selector(
+            self.view, self.health, peers, cold, reach, rates, notices=notices
+        )
         self.suspects = Suspects(
             gossip, publish, self.view.software_versions, SILENT_LOGGER
         )
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -93,7 +93,14 @@
     def test_pieces_are_not_sent(self, _, change):
         """Guards against stage calls that reach a target after the bound."""
         rates = mock.Mock(reserve=lambda target, request, urgency: True)
-        calls = StageCalls(self.view, self.pool, mock.MagicMock(), mock.Mock(), rates)
+        calls = StageCalls(
+            self.view,
+            self.pool,
+            mock.MagicMock(),
+            mock.Mock(),
+            rates,
+            notices=mock.Mock(),
+        )
         piece = mock.Mock(urgency=0, expires_at=0.0, key=PieceKey("r", 0, 0, 0))
         error = self.run_beside(lambda: calls.run(self.target, [piece], 1.0), change)
         self.assertTrue(error.is_unsent)
--- a/tests/test_zone_reach.py
+++ b/tests/test_zone_reach.py
@@ -9,7 +9,7 @@
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_platform.dialect import PlatformDialect
 from bergamotsaddle_serving.budget import ColdRateLimiter
-from bergamotsaddle_serving.client import ConnectionLostError
+from bergamotsaddle_serving.client import ConnectionLostError, RawResponseHead
 from bergamotsaddle_serving.health import Health
 from bergamotsaddle_serving.messages import StoreEntry
 from bergamotsaddle_serving.peer_messages import Contact
@@ -49,7 +49,14 @@
         self.peers.totals.return_value = TargetTotals()
         self.last_seen_at = now()
         self.peers.zone_last_seen_at.side_effect = lambda zone: self.last_seen_at
-        self.reach = ZoneReach(self.view, self.peers, self.pool, dialect, mock.Mock())
+        self.reach = ZoneReach(
+            self.view,
+            self.peers,
+            self.pool,
+            dialect,
+            mock.Mock(),
+            notices=mock.Mock(),
+        )
         self.thread = eventlet.spawn(self.reach.run)
         self.addCleanup(self.thread.kill)
 
@@ -57,7 +64,8 @@
         if address.port in self.dead:
             eventlet.sleep(limit)
             raise ConnectionLostError("connect", is_unsent=True)
-        return mock.Mock()
+        response = RawResponseHead(200, []), b""
+        return mock.Mock(exchange=lambda *args, **kwargs: response)
 
     def test_a_cut_off_zone_gets_no_work_until_it_is_reachable(self):
         """A zone is cut off while the entries of its targets stay unchanged.
@@ -77,6 +85,7 @@
             ColdRateLimiter(lambda: 3),
             self.reach,
             mock.Mock(wait=lambda target: 0.0),
+            notices=mock.Mock(has_room=lambda target, requests: True),
         )
         found = selector.candidates("encode", set())
         self.assertEqual([c.target.id for c in found], ["t3"])
