Bear a silence of two seconds at a sound target

What callers would see: a stream or request that a sound target runs is lost if the target acknowledges nothing for a second or so.

Cause: with TCP_USER_TIMEOUT set, the kernel ignores the number of keep-alive probes and gives up at the first unanswered one at which nothing has arrived for that time. With 1.5 s, an idle time of 2 s and probes each second, one silent second between 2 and 3 s after the last byte closed the connection; data that was not acknowledged for 1.5 s closed it as well.

Change: 3.5 s, the first probe after 1 s. A silent target of which nothing arrives is given up after 4 s instead of 3 s.

--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -24,11 +24,14 @@
 # A reachable machine accepts or refuses a connection within a trip or two.
 _LISTENING_TIMEOUT_S = 0.1
 # A machine that has lost power acknowledges nothing. The kernel then closes the
-# connection after this time instead of after many minutes.
-_UNACKNOWLEDGED_TIMEOUT_MS = 1_500
-_KEEPALIVE_IDLE_S = 2
+# connection after this time instead of after many minutes. Once it is set, it also
+# decides when unanswered keep-alive probes close an idle connection, whatever their
+# number. A sound target may be silent for a second or two, so a probe that follows such
+# a silence must still be answered in time.
+_UNACKNOWLEDGED_TIMEOUT_MS = 3_500
+_KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1
-_KEEPALIVE_PROBES = 2
+_KEEPALIVE_PROBES = 3
 # How long an idle connection is kept if the target names no time.
 _DEFAULT_KEEP_ALIVE_S = 4.0
 # An idle connection is not reused this long before the target closes it: a request that
--- a/tests/test_serving_client.py
+++ b/tests/test_serving_client.py
@@ -1,5 +1,6 @@
 """Tests for connections to targets: broken, late and repeated responses."""
 
+import socket
 import unittest
 
 import eventlet
@@ -17,6 +18,7 @@
 setUpModule = use_running_clock
 tearDownModule = use_paused_clock
 
+SILENCE_S = 2.0
 REQUEST = HttpCall(b"GET", b"/", [(b"host", b"t")])
 COMPLETE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\n\r\nok"
@@ -70,6 +72,35 @@
     return head.status, connection.read_body(limit=limit, max_bytes=100)
 
 
+class SilenceTest(unittest.TestCase):
+    """The kernel's patience with a target that acknowledges nothing."""
+
+    def setUp(self):
+        self.socket = Connection(ScriptedTarget(then="keep").address)._socket
+
+    def option(self, name):
+        return self.socket.getsockopt(socket.IPPROTO_TCP, name)
+
+    def test_a_silence_of_two_seconds_closes_no_connection(self):
+        """Guards against work lost at a target that was silent and goes on.
+
+        The kernel gives up at the first unanswered probe at which nothing has arrived
+        for the user timeout.
+        """
+        idle = self.option(socket.TCP_KEEPIDLE)
+        interval = self.option(socket.TCP_KEEPINTVL)
+        limit = self.option(socket.TCP_USER_TIMEOUT) / 1_000
+        checks = [idle + n * interval for n in range(20)]
+        gives_up_at = next(at for at in checks[1:] if at >= limit)
+        probes = [at for at in checks if at < gives_up_at]
+        for starts_at in (0.0, 0.25, 0.5, 0.75, 0.99):
+            ends_at = starts_at + SILENCE_S
+            is_answered = any(not starts_at <= at < ends_at for at in probes)
+            self.assertTrue(is_answered, f"silent from {starts_at} s")
+        self.assertGreater(limit, SILENCE_S)
+        self.assertLess(gives_up_at, 5.0, "a dead target is noticed")
+
+
 class ResponseTest(unittest.TestCase):
     """Parsing of one response."""
 
