Soak targets that say that they leave or ask for rest, and list what fails

A target's responses may say that it leaves long before its entry does (DRAIN), and a rejection may ask for rest (BUDGET). The soak's targets now do both, on requests, streams, stage calls and queries of their memory, and record what each instance was told and sent.

Decoded responses get the two fields, which nothing reads yet; the platform's adapter does not fill them yet.

--- a/packages/serving/bergamotsaddle_serving/messages.py
+++ b/packages/serving/bergamotsaddle_serving/messages.py
@@ -100,6 +100,9 @@
             None if not given.
         brittleness: Number of requests that the target, and each other one of its
             service, can reject in a second without failing; None if not given.
+        is_leaving: Whether the target states that it is about to leave.
+        rest_seconds: How long a target that rejects a request wants no other one from
+            this instance, None if not given.
     """
 
     request_id: str
@@ -110,6 +113,8 @@
     is_encoded: bool
     limit: float | None = None
     brittleness: float | None = None
+    is_leaving: bool = False
+    rest_seconds: float | None = None
 
 
 class Piece(NamedTuple):
--- a/packages/standins/bergamotsaddle_standins/soak.py
+++ b/packages/standins/bergamotsaddle_standins/soak.py
@@ -66,6 +66,8 @@
 _MAX_CUT_S = 8.0
 _MAX_PAUSE_OF_TARGET_S = 1.0
 _BRITTLE_S = 8.0
+_LEAVING_S = 6.0
+_RESTING_S = 4.0
 _SETTINGS = """
 [instance]
 id = {id}
@@ -493,6 +495,27 @@
             if target in self._targets:
                 self._store.write(TARGET_PREFIX + target.id, target.entry())
 
+    @register_disturbance("leave")
+    def _leave_by_response(self) -> None:
+        """Let a target say that it leaves in its responses long before its entry."""
+        target = self._rng.choice(self._targets)
+        self._targets.remove(target)
+        self._add_target(target.service, target.zone)
+        target.is_leaving = True
+        eventlet.sleep(_LEAVING_S)
+        self._left_at[target.id] = self._store.write(TARGET_PREFIX + target.id, None)
+
+    @register_disturbance("rest")
+    def _rest_target(self) -> None:
+        """Let a target reject all requests for a while and ask for rest."""
+        resting = {t.service for t in self._targets if t.is_resting}
+        target = self._rng.choice(self._targets)
+        if target.service in resting or self._is_over:
+            return
+        target.is_resting = True
+        eventlet.sleep(_RESTING_S)
+        target.is_resting = False
+
     def _for_each_cut_link(self, change: Callable[[TargetLink], None]) -> None:
         for target in self._targets:
             for instance in self._cut_instances:
--- a/packages/standins/bergamotsaddle_standins/soak_audit.py
+++ b/packages/standins/bergamotsaddle_standins/soak_audit.py
@@ -37,6 +37,10 @@
 # Failures of brittle targets that are allowed, and more by their number.
 _ALLOWED_FALLS = 2
 _ALLOWED_FALLS_FRACTION = 0.1
+# Requests that may reach a target from half a second after it has asked an instance for
+# rest.
+_REST_NOTICE_S = 0.5
+_ALLOWED_IN_REST = 2
 _STALL_EFFECT_S = 5.0
 
 
@@ -169,6 +173,8 @@
         yield from _check_key(exchange, record)
     yield from _check_runs(record)
     yield from _check_leaving(record)
+    yield from _check_told(record)
+    yield from _check_rests(record)
     for cut in record.cuts:
         yield from _check_cut(cut, record)
     for brittle in record.brittle_times:
@@ -227,6 +233,34 @@
         )
 
 
+def _check_told(record: SoakRecord) -> Iterator[str]:
+    told_at = record.ledger.told_leaving_at
+    for arrival in record.ledger.arrivals:
+        told = told_at.get((arrival.instance, arrival.target), arrival.sent_at)
+        late = arrival.sent_at - told - record.bound
+        if late > 0 and not record.was_stalled(arrival.at):
+            yield (
+                f"told: {arrival.target} got something from {arrival.instance}, which "
+                f"it had told that it leaves, {late:.3f} s too late"
+            )
+
+
+def _check_rests(record: SoakRecord) -> Iterator[str]:
+    for rest in record.ledger.rests:
+        since, until = rest.started_at + _REST_NOTICE_S, rest.started_at + rest.seconds
+        count = sum(
+            arrival.target == rest.target
+            and arrival.instance == rest.instance
+            and since <= arrival.at < until
+            for arrival in record.ledger.arrivals
+        )
+        if count > _ALLOWED_IN_REST:
+            yield (
+                f"rest: {rest.target} had asked {rest.instance} for {rest.seconds} s "
+                f"of rest and got {count} requests"
+            )
+
+
 def _check_falls(brittle: BrittleTime, record: SoakRecord) -> Iterator[str]:
     falls = [
         at
--- a/packages/standins/bergamotsaddle_standins/soak_dialect.py
+++ b/packages/standins/bergamotsaddle_standins/soak_dialect.py
@@ -174,12 +174,14 @@
             keep_alive_seconds=None,
             is_encoded=False,
             brittleness=_parse_number(by_name.get(b"brittle")),
+            is_leaving=b"leaving" in by_name,
+            rest_seconds=_parse_number(by_name.get(b"rest")),
         )
 
     def run_pieces(self, pieces: Sequence[Piece], target: Target) -> HttpCall:
         """Make the call that runs pieces at a stage target."""
         body = msgspec.json.encode([[p.request, p.number] for p in pieces])
-        return _post(b"/pieces", body, target)
+        return self._post(b"/pieces", body, target)
 
     def read_results(self, body: bytes) -> list[PieceResult]:
         """Decode the response to ``run_pieces``."""
@@ -188,11 +190,11 @@
 
     def release_results(self, handles: Sequence[str], target: Target) -> HttpCall:
         """Make the call that releases results."""
-        return _post(b"/release", msgspec.json.encode(handles), target)
+        return self._post(b"/release", msgspec.json.encode(handles), target)
 
     def query_free_memory(self, target: Target) -> HttpCall:
         """Make the call that queries the free memory of a stage target."""
-        return _post(b"/memory", b"", target)
+        return self._post(b"/memory", b"", target)
 
     def read_free_memory(self, body: bytes) -> float:
         """Decode the response to ``query_free_memory``."""
@@ -203,6 +205,15 @@
         target = handle.partition("/")[0]
         return self._address_by_target.get(target, _UNKNOWN_ADDRESS)
 
+    def _post(self, path: bytes, body: bytes, target: Target) -> HttpCall:
+        headers = [
+            (b"host", HOST.encode()),
+            (b"instance", self._instance.encode()),
+            (b"target", target.id.encode()),
+            (b"content-length", b"%d" % len(body)),
+        ]
+        return HttpCall(b"POST", path, headers, body)
+
     def list_entries(self, after: str) -> HttpCall:
         """Make the call that reads all entries of the store."""
         return HttpCall(b"GET", b"/list", self._store_headers)
@@ -255,15 +266,6 @@
     return None if value is None else float(value)
 
 
-def _post(path: bytes, body: bytes, target: Target) -> HttpCall:
-    headers = [
-        (b"host", HOST.encode()),
-        (b"target", target.id.encode()),
-        (b"content-length", b"%d" % len(body)),
-    ]
-    return HttpCall(b"POST", path, headers, body)
-
-
 def _make_configuration(declared: SoakConfiguration) -> Configuration:
     routes = [
         _plain_route("book", BOOKING_PREFIX, Kind.ONCE, declared.bookings),
--- a/packages/standins/bergamotsaddle_standins/soak_targets.py
+++ b/packages/standins/bergamotsaddle_standins/soak_targets.py
@@ -31,6 +31,9 @@
 _BRITTLENESS = 3
 _FALL_S = 3.0
 _WINDOW_S = 1.0
+_REST_S = 2.0
+# Calls that need no slot.
+_FREE_PATHS = ("/memory", "/release")
 
 
 class Run(NamedTuple):
@@ -49,10 +52,46 @@
     target: str
 
 
+class Arrival(NamedTuple):
+    """A request or stage call that reached a target, whether or not it was run.
+
+    Attributes:
+        at: When it arrived, on the hub's clock.
+        sent_at: When its caller had sent it; when it arrived for a stage call.
+        instance: Id of the instance that sent it.
+        target: Id of the target.
+    """
+
+    at: float
+    sent_at: float
+    instance: str
+    target: str
+
+
+class Rest(NamedTuple):
+    """A target's wish to get nothing from an instance for a time.
+
+    Attributes:
+        instance: Id of the instance.
+        target: Id of the target.
+        started_at: When it was stated, on the hub's clock.
+        seconds: How long it lasts.
+    """
+
+    instance: str
+    target: str
+    started_at: float
+    seconds: float
+
+
 class Ledger:
     """What all targets have run.
 
     Attributes:
+        arrivals: What reached the targets, but for queries and releases.
+        rests: Wishes of targets to get nothing.
+        told_leaving_at: When each instance got the first response of each target that
+            said that it leaves, by their ids.
         runs_by_request: Runs by id of the request.
         calls_by_target: Times of the calls to stage targets.
         falls: Times at which brittle targets failed.
@@ -62,6 +101,9 @@
         self.runs_by_request: defaultdict[str, list[Run]] = defaultdict(list)
         self.calls_by_target: defaultdict[str, list[float]] = defaultdict(list)
         self.falls: list[float] = []
+        self.arrivals: list[Arrival] = []
+        self.rests: list[Rest] = []
+        self.told_leaving_at: dict[tuple[str, str], float] = {}
 
 
 class RunningTarget:
@@ -82,6 +124,8 @@
         link_by_instance: The link of each instance to it, by instance id.
         is_brittle: Whether it has few slots and fails when it rejects many requests.
         has_queue: Whether requests may wait for its slots.
+        is_leaving: Whether its responses say that it leaves.
+        is_resting: Whether it rejects all requests and asks for rest.
     """
 
     def __init__(
@@ -101,6 +145,8 @@
         self._handles = count()
         self.is_brittle = False
         self.has_queue = True
+        self.is_leaving = False
+        self.is_resting = False
         self._running = 0
         self._rejected_at: list[float] = []
         port = serve(self._app())
@@ -127,10 +173,29 @@
                     status="421 Misdirected Request",
                     headers=(("Not-Run", "1"),),
                 )
+            if environ["PATH_INFO"] not in _FREE_PATHS:
+                self._record_arrival(environ)
+                if self.is_resting:
+                    return self._ask_for_rest(environ, start_response)
             return work(environ, start_response)
 
         return respond
 
+    def _record_arrival(self, environ: Environ) -> None:
+        at = now()
+        sent_at = float(environ.get("HTTP_SENT_AT", at))
+        arrival = Arrival(at, sent_at, environ["HTTP_INSTANCE"], self.id)
+        self._ledger.arrivals.append(arrival)
+
+    def _ask_for_rest(self, environ: Environ, start_response) -> list[bytes]:
+        environ["wsgi.input"].read()
+        instance = environ["HTTP_INSTANCE"]
+        self._ledger.rests.append(Rest(instance, self.id, now(), _REST_S))
+        headers = (("Not-Run", "1"), ("Rest", str(_REST_S)), *self._notices(environ))
+        return respond_json(
+            start_response, None, status="503 Service Unavailable", headers=headers
+        )
+
     def _record(self, environ: Environ) -> tuple[tuple[str, str], ...]:
         request = environ["HTTP_ID"]
         sent_at = float(environ["HTTP_SENT_AT"])
@@ -148,12 +213,19 @@
         eventlet.sleep(_BRITTLE_WORK_S if self.is_brittle else seconds)
         self._running -= 1
         return respond_json(
-            start_response, "done", headers=(*headers, *self._notices())
+            start_response, "done", headers=(*headers, *self._notices(environ))
         )
 
-    def _notices(self) -> tuple[tuple[str, str], ...]:
+    def _notices(self, environ: Environ) -> tuple[tuple[str, str], ...]:
         """Return the headers with which all responses describe this target."""
-        return (("Brittle", str(_BRITTLENESS)),) if self.is_brittle else ()
+        headers = []
+        if self.is_brittle:
+            headers.append(("Brittle", str(_BRITTLENESS)))
+        if self.is_leaving:
+            headers.append(("Leaving", "1"))
+            told = environ["HTTP_INSTANCE"], self.id
+            self._ledger.told_leaving_at.setdefault(told, now())
+        return tuple(headers)
 
     def _reject(self, environ: Environ, start_response) -> list[bytes]:
         environ["wsgi.input"].read()
@@ -163,7 +235,11 @@
             self._rejected_at = []
             self._ledger.falls.append(now())
             eventlet.spawn_n(self._fall)
-        headers = (("Not-Run", "1"), ("Id", environ["HTTP_ID"]), *self._notices())
+        headers = (
+            ("Not-Run", "1"),
+            ("Id", environ["HTTP_ID"]),
+            *self._notices(environ),
+        )
         return respond_json(
             start_response, None, status="503 Service Unavailable", headers=headers
         )
@@ -180,7 +256,7 @@
         headers = self._record(environ)
         environ["wsgi.input"].read()
         events = self._rng.randint(1, _MAX_EVENTS)
-        start_response("200 OK", [*headers])
+        start_response("200 OK", [*headers, *self._notices(environ)])
         return self._events(events)
 
     def _events(self, number: int) -> Iterator[bytes]:
@@ -191,10 +267,12 @@
     def _run_pieces(self, environ: Environ, start_response) -> list[bytes]:
         body = environ["wsgi.input"].read()
         if environ["PATH_INFO"] != "/pieces":
-            return respond_json(start_response, _FREE_BYTES)
+            return respond_json(
+                start_response, _FREE_BYTES, headers=self._notices(environ)
+            )
         self._ledger.calls_by_target[self.id].append(now())
         eventlet.sleep(RERANK_CALL_S)
         handles = [
             f"{self.id}/{next(self._handles)}" for _ in msgspec.json.decode(body)
         ]
-        return respond_json(start_response, handles)
+        return respond_json(start_response, handles, headers=self._notices(environ))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,7 +14,7 @@
     find_breaches,
 )
 from bergamotsaddle_standins.soak_callers import Exchange, SentRequest
-from bergamotsaddle_standins.soak_targets import Ledger, Run
+from bergamotsaddle_standins.soak_targets import Arrival, Ledger, Rest, Run
 
 subprocess = original("subprocess")
 
@@ -24,6 +24,8 @@
 CHANGES = ("--only", "stop", "reload", "move", "key", "replace", "store")
 BRITTLE = ("--seed", "2", "--seconds", "20", "--instances", "5", "--only", "brittle")
 SILENCES = ("--seed", "3", "--seconds", "10", "--instances", "4", "--only", "silence")
+LEAVES = ("--seed", "5", "--seconds", "15", "--instances", "4", "--only", "leave")
+RESTS = ("--seed", "6", "--seconds", "15", "--instances", "4", "--only", "rest")
 CUTS = ("--seed", "1", "--seconds", "20", "--instances", "5", "--only", "cut")
 BOUND_S = 2.0
 GRACE_S = 8.0
@@ -54,6 +56,13 @@
     return Run(at, SENT_AT, service, target)
 
 
+def find_in_ledger(ledger):
+    """Return the first word of each breach that a ledger alone shows."""
+    new = Versions("new"), Versions(("new",))
+    record = SoakRecord([], ledger, *new, {}, BOUND_S, GRACE_S, {}, [])
+    return [breach.partition(":")[0] for breach in find_breaches(record)]
+
+
 class SoakTest(unittest.TestCase):
     """Daemons that stop, reload and change one over the other under load."""
 
@@ -73,6 +82,14 @@
         """Guards against requests lost at targets that go on after a silence."""
         self.check(*SILENCES)
 
+    def test_targets_that_say_that_they_leave_get_nothing_more(self):
+        """Guards against requests to a target whose responses say that it leaves."""
+        self.check(*LEAVES)
+
+    def test_targets_that_ask_for_rest_get_it(self):
+        """Guards against requests to a target that has asked for rest."""
+        self.check(*RESTS)
+
     def check(self, *arguments):
         """Run a soak and check that it found nothing."""
         done = subprocess.run(
@@ -226,6 +243,31 @@
         found = [breach.partition(":")[0] for breach in find_breaches(record)]
         self.assertEqual(found, expected)
 
+    @parameterized.expand(
+        [
+            ("told_lately", SENT_AT - 1.0, SENT_AT, []),
+            ("told_long_ago", SENT_AT - 3.0, SENT_AT, ["told"]),
+            ("sent_before", SENT_AT - 3.0, SENT_AT - 2.0, []),
+            ("told_later", SENT_AT + 1.0, SENT_AT, []),
+        ]
+    )
+    def test_targets_that_have_told_an_instance(self, _, told_at, sent_at, expected):
+        ledger = Ledger()
+        ledger.told_leaving_at["i", "t"] = told_at
+        ledger.arrivals.append(Arrival(SENT_AT, sent_at, "i", "t"))
+        self.assertEqual(find_in_ledger(ledger), expected)
+
+    @parameterized.expand(
+        [("two", 2, "i", []), ("three", 3, "i", ["rest"]), ("other", 3, "j", [])]
+    )
+    def test_targets_that_ask_for_rest(self, _, count, instance, expected):
+        ledger = Ledger()
+        ledger.rests.append(Rest("i", "t", SENT_AT, 3.0))
+        for second in (0.1, 0.4, 3.1, *([1.0] * count)):
+            at = SENT_AT + second
+            ledger.arrivals.append(Arrival(at, at, instance, "t"))
+        self.assertEqual(find_in_ledger(ledger), expected)
+
     def test_a_revoked_key(self):
         exchange = make_exchange(CHAT._replace(key="old"), 200)
         self.assertEqual(self.find(exchange, [make_run()]), ["outdated"])
