Send nothing more to a target whose response says that it leaves

The target is about to exit, and what still runs there is lost.

Cause: no response's Server-Leaving was read. The store's list was the only source, and the store was unreachable from 7.5 to 20.5 s. Class of fault: what a target says about itself is not heard. Ruled out: a reader on one path only; there was none.

Change: target_notices reads it in responses of every kind (requests, streams, stage calls, rejections, queries, probes); each instance tells all others; the view leaves the incarnation out, so that every path that chooses targets, and every check just before a send, heeds it. A 421 speaks for another target and is ignored; a new incarnation starts unmarked.

--- a/packages/serving/bergamotsaddle_serving/catalog.py
+++ b/packages/serving/bergamotsaddle_serving/catalog.py
@@ -246,6 +246,12 @@
     return f"{target_id} {started_ms}"
 
 
+def parse_fact_key(key: str) -> tuple[str, int]:
+    """Return the incarnation of a target from a key of gossip facts."""
+    target_id, _, started_ms = key.rpartition(" ")
+    return target_id, int(started_ms)
+
+
 class Target(NamedTuple):
     """One incarnation of a back end, as it registered itself.
 
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -25,6 +25,7 @@
 from bergamotsaddle_serving.handler import Handler
 from bergamotsaddle_serving.handover import Handover
 from bergamotsaddle_serving.health import Health
+from bergamotsaddle_serving.leaving_targets import LeavingTargets
 from bergamotsaddle_serving.log import BoundedOutput, make_logger
 from bergamotsaddle_serving.messages import Dialect
 from bergamotsaddle_serving.metrics import Metrics
@@ -129,7 +130,8 @@
         self.limits = NamedLimits(self.gossip, publish, logger)
         self.brittleness = NamedLimits(self.gossip, publish, logger, BRITTLENESS)
         full = FullTargets(self.gossip, publish, self.brittleness, logger)
-        self.notices = TargetNotices(self.brittleness, full)
+        leaving = LeavingTargets(self.gossip, publish, self.view, logger)
+        self.notices = TargetNotices(self.brittleness, full, leaving)
         self.health = Health(self.limits.record, self.notices.read)
         self.reach = ZoneReach(
             self.view, self.peers, self.pool, dialect, logger, notices=self.notices
--- a/packages/serving/bergamotsaddle_serving/target_notices.py
+++ b/packages/serving/bergamotsaddle_serving/target_notices.py
@@ -2,9 +2,11 @@
 
 from bergamotsaddle_serving.catalog import Target
 from bergamotsaddle_serving.full_targets import FullTargets
+from bergamotsaddle_serving.leaving_targets import LeavingTargets
 from bergamotsaddle_serving.messages import ResponseHead
 from bergamotsaddle_serving.named_limits import NamedLimits
 
+_MISDIRECTED = 421
 _UNAVAILABLE = 503
 
 
@@ -18,10 +20,14 @@
     Args:
         brittleness: Rejections that each brittle target can bear in a second.
         full: Brittle targets that rejected a request.
+        leaving: Targets that are about to leave.
     """
 
-    def __init__(self, brittleness: NamedLimits, full: FullTargets) -> None:
+    def __init__(
+        self, brittleness: NamedLimits, full: FullTargets, leaving: LeavingTargets
+    ) -> None:
         self._brittleness = brittleness
+        self._leaving = leaving
         self._full = full
 
     def read(self, target: Target, status: int, head: ResponseHead) -> None:
@@ -32,6 +38,11 @@
             status: HTTP status.
             head: Its decoded headers.
         """
+        if status == _MISDIRECTED:
+            # Another target responded.
+            return
+        if head.is_leaving:
+            self._leaving.record(target)
         # Only the response to a request that has run shows that a notice has ended.
         if head.brittleness is not None or not head.not_run:
             self._brittleness.record(target, head.brittleness)
--- a/packages/serving/bergamotsaddle_serving/view.py
+++ b/packages/serving/bergamotsaddle_serving/view.py
@@ -71,6 +71,7 @@
         self._entry_by_key: dict[str, StoreEntry] = {}
         self._lapsing_keys: set[str] = set()
         self._known_by_id: dict[str, KnownTarget] = {}
+        self._leaving: set[tuple[str, int]] = set()
         self._callbacks: list[Callable[[], None]] = []
         self.on_confirm: Callable[[], None] = lambda: None
         self.configuration: Configuration | None = None
@@ -166,10 +167,27 @@
         return [
             known
             for known in self.targets_by_service.get(service, ())
-            if not known.target.is_draining
+            if not self._is_leaving(known.target)
             and known.target.zone not in self.evacuated_zones
         ]
 
+    def mark_leaving(self, incarnation: tuple[str, int], *, is_leaving: bool) -> None:
+        """Set whether an incarnation of a target has said that it leaves.
+
+        Its entry may say so later, or not at all.
+        """
+        if is_leaving == (incarnation in self._leaving):
+            return
+        if is_leaving:
+            self._leaving.add(incarnation)
+        else:
+            self._leaving.discard(incarnation)
+        for callback in self._callbacks:
+            callback()
+
+    def _is_leaving(self, target: Target) -> bool:
+        return target.is_draining or target.incarnation in self._leaving
+
     def may_get_work(self, target: Target) -> bool:
         """Return whether a chosen target may still get new work, just before sending.
 
@@ -181,14 +199,14 @@
             return False
         return (
             known.target.address == target.address
-            and not known.target.is_draining
+            and not self._is_leaving(known.target)
             and target.zone not in self.evacuated_zones
         )
 
     def is_leaving(self, target: Target) -> bool:
-        """Return whether a target has announced that it is draining."""
+        """Return whether a target has announced that it is leaving."""
         known = self._known_by_id.get(target.id)
-        return known is not None and known.target.is_draining
+        return known is not None and self._is_leaving(known.target)
 
     def has_incarnation(self, target: Target) -> bool:
         """Return whether this incarnation of a target is listed."""
--- a/packages/standins/bergamotsaddle_standins/virtual_fleet.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_fleet.py
@@ -24,6 +24,7 @@
 from bergamotsaddle_serving.gossip_exchange import GossipExchange
 from bergamotsaddle_serving.handler import Handler
 from bergamotsaddle_serving.health import Health
+from bergamotsaddle_serving.leaving_targets import LeavingTargets
 from bergamotsaddle_serving.messages import RawHeaders, StoreEntry
 from bergamotsaddle_serving.metrics import Metrics
 from bergamotsaddle_serving.named_limits import BRITTLENESS, NamedLimits
@@ -146,7 +147,8 @@
         self.limits = NamedLimits(gossip, publish, SILENT_LOGGER)
         brittleness = NamedLimits(gossip, publish, SILENT_LOGGER, BRITTLENESS)
         full = FullTargets(gossip, publish, brittleness, SILENT_LOGGER)
-        notices = TargetNotices(brittleness, full)
+        leaving = LeavingTargets(gossip, publish, self.view, SILENT_LOGGER)
+        notices = TargetNotices(brittleness, full, leaving)
         self.health = Health(self.limits.record, notices.read)
         peers.own_running = self.health.running
         pool = VirtualPool(targets, peers.own.id)
--- /dev/null
+++ b/tests/test_target_notices.py
@@ -0,0 +1,123 @@
+"""What targets say about themselves, in responses of every kind."""
+
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+from parameterized import parameterized
+
+from bergamotsaddle_platform.dialect import PlatformDialect
+from bergamotsaddle_serving.attempt import Attempt, NotRunError
+from bergamotsaddle_serving.client import RawResponseHead
+from bergamotsaddle_serving.health import Health
+from bergamotsaddle_serving.stage_calls import StageCalls
+from bergamotsaddle_serving.stage_queue import PieceKey
+from bergamotsaddle_serving.zone_reach import ZoneReach
+from tests._notices import make_instances
+from tests.test_serving_view import TARGET, entry
+
+LEAVING = (b"server-leaving", b"1")
+NOT_EXECUTED = (b"x-not-executed", b"1")
+
+
+class LeavingTest(unittest.TestCase):
+    """A target whose responses say that it leaves, and two instances."""
+
+    def setUp(self):
+        self.instances = make_instances(2)
+        self.instance = self.instances[0]
+
+    def connection(self, status, headers, body=b"[]"):
+        """Return a connection on which one response arrives."""
+        connection = mock.Mock()
+        head = RawResponseHead(status, [LEAVING, *headers])
+        connection.read_head.return_value = head
+        connection.exchange.return_value = head, body
+        return connection
+
+    def send_request(self, connection):
+        """Send a request to the target."""
+        health = Health(on_response=self.instance.notices.read)
+        context = mock.MagicMock()
+        context.head.id = ""
+        pool = SimpleNamespace(
+            acquire=lambda address, limit: connection, release=mock.Mock()
+        )
+        state = health.of(self.instance.target)
+        dialect = mock.Mock(read_response=PlatformDialect().read_response)
+        with Attempt(context, state, pool, dialect) as attempt:
+            attempt.send(mock.MagicMock(), limit=1.0)
+
+    def stage_calls(self, connection):
+        """Return stage calls that use a connection."""
+        pool = mock.Mock(acquire=lambda address: connection)
+        dialect = mock.Mock(read_response=PlatformDialect().read_response)
+        return StageCalls(
+            self.instance.view,
+            pool,
+            dialect,
+            mock.Mock(),
+            mock.Mock(),
+            notices=self.instance.notices,
+        )
+
+    def check_left_out(self):
+        for instance in self.instances:
+            self.assertEqual(instance.view.usable("s"), [])
+            self.assertFalse(instance.view.may_get_work(instance.target))
+            self.assertTrue(instance.view.is_leaving(instance.target))
+
+    def test_a_response(self):
+        """Guards against requests to a target whose response says that it leaves."""
+        self.send_request(self.connection(200, [(b"x-response-seal", b"x")]))
+        self.check_left_out()
+
+    def test_a_rejection(self):
+        with self.assertRaises(NotRunError):
+            self.send_request(self.connection(503, [NOT_EXECUTED]))
+        self.check_left_out()
+
+    def test_a_query_of_memory(self):
+        calls = self.stage_calls(self.connection(200, []))
+        calls.query_free_memory(self.instance.target)
+        self.check_left_out()
+
+    def test_a_stage_call(self):
+        calls = self.stage_calls(self.connection(503, [NOT_EXECUTED]))
+        calls._rates.reserve.return_value = True
+        piece = mock.MagicMock(urgency=0, key=PieceKey("r", 0, 0, 0))
+        self.assertIsNone(calls.run(self.instance.target, [piece], 1.0))
+        self.check_left_out()
+
+    def test_a_probe(self):
+        pool = mock.Mock(acquire=lambda address, limit: connection)
+        connection = self.connection(200, [])
+        dialect = mock.Mock(read_response=PlatformDialect().read_response)
+        reach = ZoneReach(
+            self.instance.view,
+            mock.MagicMock(),
+            pool,
+            dialect,
+            mock.Mock(),
+            notices=self.instance.notices,
+        )
+        self.assertTrue(reach._responds(self.instance.target))
+        self.check_left_out()
+
+    def test_the_response_of_another_target(self):
+        """The address may belong to another target by now."""
+        self.instance.read(421, [LEAVING, NOT_EXECUTED])
+        self.assertEqual(len(self.instance.view.usable("s")), 1)
+
+    def test_a_new_incarnation_gets_requests(self):
+        self.instance.read(200, [LEAVING])
+        for instance in self.instances:
+            change = entry("servers/t", 9, TARGET, born=6)
+            instance.view.apply([change], 9, source="test")
+            self.assertEqual(len(instance.view.usable("s")), 1)
+
+    @parameterized.expand([("one", b"1", True), ("zero", b"0", False)])
+    def test_header(self, _, value, expected):
+        headers = [(b"server-leaving", value)]
+        decoded = PlatformDialect().read_response(headers)
+        self.assertEqual(decoded.is_leaving, expected)
