Leave targets alone for as long as they ask for when they reject a request

Cause: no target's Retry-After was read; a rejected instance came back after its own back-off, which rejections don't even start. Class of fault: what a target says about itself is not heard.

Change: target_rests keeps the rest of each incarnation, for this instance alone: told to all, a target that sheds a part of its load would lose all of it. While one target rests, another one of its service gets at most two requests per slot from what is known, so that the overload isn't moved there; what that leaves over is rejected at once, with the time at which a target is free.

--- a/packages/serving/bergamotsaddle_serving/_stage_worker.py
+++ b/packages/serving/bergamotsaddle_serving/_stage_worker.py
@@ -46,7 +46,8 @@
         exclusive_from: When this instance may again assume that no other one calls the
             target.
         failures: Consecutive failures.
-        backoff_until: Until when the target gets no calls after a failure.
+        backoff_until: Until when the target gets no calls, after a failure or since it
+            asked for that.
         to_release: Handles of results that are to be released.
         release_requested: Set when handles are added to ``to_release``.
     """
@@ -82,6 +83,10 @@
         self.failures += 1
         self.backoff_until = now() + pause
 
+    def pause_until(self, at: float) -> None:
+        """Make no calls to the target before a time, which is no failure of it."""
+        self.backoff_until = max(self.backoff_until, at)
+
     def record_call_seconds(self, seconds: float, expected: float) -> None:
         """Record the duration of a successful call.
 
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -49,6 +49,7 @@
 from bergamotsaddle_serving.target_crashes import TargetCrashes
 from bergamotsaddle_serving.target_notices import TargetNotices
 from bergamotsaddle_serving.target_rates import TargetRates
+from bergamotsaddle_serving.target_rests import TargetRests
 from bergamotsaddle_serving.usage import UsageMeter
 from bergamotsaddle_serving.view import View
 from bergamotsaddle_serving.view_exchange import ViewExchange
@@ -130,8 +131,9 @@
         self.limits = NamedLimits(self.gossip, publish, logger)
         self.brittleness = NamedLimits(self.gossip, publish, logger, BRITTLENESS)
         full = FullTargets(self.gossip, publish, self.brittleness, logger)
+        self.rests = TargetRests(logger)
         leaving = LeavingTargets(self.gossip, publish, self.view, logger)
-        self.notices = TargetNotices(self.brittleness, full, leaving)
+        self.notices = TargetNotices(self.brittleness, full, leaving, self.rests)
         self.health = Health(self.limits.record, self.notices.read)
         self.reach = ZoneReach(
             self.view, self.peers, self.pool, dialect, logger, notices=self.notices
@@ -429,6 +431,7 @@
         self.limits.keep_only(incarnations)
         self.brittleness.keep_only(incarnations)
         self.rates.keep_only(incarnations)
+        self.rests.keep_only(incarnations)
 
     def _run_supervised(self, loop: Any) -> None:
         # An unexpected error would end the green thread, and this instance would go on
--- a/packages/serving/bergamotsaddle_serving/stage_calls.py
+++ b/packages/serving/bergamotsaddle_serving/stage_calls.py
@@ -111,6 +111,10 @@
             raise ValueError("expected a result for each piece")
         return results
 
+    def wait(self, target: Target) -> float:
+        """Return for how many seconds a target wants no calls from this instance."""
+        return self._notices.wait(target)
+
     def query_free_memory(self, target: Target) -> float:
         """Return how many bytes of memory a target has free at most.
 
--- a/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
+++ b/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
@@ -97,6 +97,7 @@
         """Call a target for as long as it belongs to the queue."""
         while queue.worker_by_incarnation.get(worker.target.incarnation) is worker:
             at = now()
+            worker.pause_until(at + self._calls.wait(worker.target))
             if worker.backoff_until > at:
                 self.reject_if_no_target(queue)
                 eventlet.sleep(min(_IDLE_CHECK_S, worker.backoff_until - at))
--- a/packages/serving/bergamotsaddle_serving/target_notices.py
+++ b/packages/serving/bergamotsaddle_serving/target_notices.py
@@ -5,6 +5,7 @@
 from bergamotsaddle_serving.leaving_targets import LeavingTargets
 from bergamotsaddle_serving.messages import ResponseHead
 from bergamotsaddle_serving.named_limits import NamedLimits
+from bergamotsaddle_serving.target_rests import TargetRests
 
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
@@ -21,11 +22,17 @@
         brittleness: Rejections that each brittle target can bear in a second.
         full: Brittle targets that rejected a request.
         leaving: Targets that are about to leave.
+        rests: Targets that asked this instance for rest.
     """
 
     def __init__(
-        self, brittleness: NamedLimits, full: FullTargets, leaving: LeavingTargets
+        self,
+        brittleness: NamedLimits,
+        full: FullTargets,
+        leaving: LeavingTargets,
+        rests: TargetRests,
     ) -> None:
+        self._rests = rests
         self._brittleness = brittleness
         self._leaving = leaving
         self._full = full
@@ -46,8 +53,11 @@
         # Only the response to a request that has run shows that a notice has ended.
         if head.brittleness is not None or not head.not_run:
             self._brittleness.record(target, head.brittleness)
-        if head.not_run and status == _UNAVAILABLE:
-            self._full.record_rejection(target)
+        if not head.not_run or status != _UNAVAILABLE:
+            return
+        self._full.record_rejection(target)
+        if head.rest_seconds is not None:
+            self._rests.record(target, head.rest_seconds)
 
     def has_room(self, target: Target, requests: int) -> bool:
         """Return whether a target may get a request besides those that it has.
@@ -56,12 +66,13 @@
             target: The target.
             requests: Requests of all instances at the target, as far as known.
         """
-        return self._full.has_room(target, requests)
+        is_free = self._full.has_room(target, requests)
+        return is_free and self._rests.has_room(target, requests)
 
     def may_send(self, target: Target) -> bool:
         """Return whether a chosen target may still get a request."""
-        return not self._full.wait(target)
+        return not self.wait(target)
 
     def wait(self, target: Target) -> float:
         """Return for how many seconds a target is to be left alone."""
-        return self._full.wait(target)
+        return max(self._full.wait(target), self._rests.wait(target))
--- a/packages/standins/bergamotsaddle_standins/virtual_fleet.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_fleet.py
@@ -38,6 +38,7 @@
 from bergamotsaddle_serving.target_crashes import TargetCrashes
 from bergamotsaddle_serving.target_notices import TargetNotices
 from bergamotsaddle_serving.target_rates import TargetRates
+from bergamotsaddle_serving.target_rests import TargetRests
 from bergamotsaddle_serving.view import View
 from bergamotsaddle_standins.peer_fleet import (
     SILENT_LOGGER,
@@ -148,7 +149,7 @@
         brittleness = NamedLimits(gossip, publish, SILENT_LOGGER, BRITTLENESS)
         full = FullTargets(gossip, publish, brittleness, SILENT_LOGGER)
         leaving = LeavingTargets(gossip, publish, self.view, SILENT_LOGGER)
-        notices = TargetNotices(brittleness, full, leaving)
+        notices = TargetNotices(brittleness, full, leaving, TargetRests(SILENT_LOGGER))
         self.health = Health(self.limits.record, notices.read)
         peers.own_running = self.health.running
         pool = VirtualPool(targets, peers.own.id)
--- a/tests/_notices.py
+++ b/tests/_notices.py
@@ -8,6 +8,7 @@
 from bergamotsaddle_serving.leaving_targets import LeavingTargets
 from bergamotsaddle_serving.named_limits import BRITTLENESS, NamedLimits
 from bergamotsaddle_serving.target_notices import TargetNotices
+from bergamotsaddle_serving.target_rests import TargetRests
 from tests.test_serving_view import TARGET, entry, make_view
 
 
@@ -32,7 +33,9 @@
         brittleness = NamedLimits(self.gossip, send, mock.Mock(), BRITTLENESS)
         full = FullTargets(self.gossip, send, brittleness, mock.Mock())
         leaving = LeavingTargets(self.gossip, send, self.view, mock.Mock())
-        self.notices = TargetNotices(brittleness, full, leaving)
+        self.notices = TargetNotices(
+            brittleness, full, leaving, TargetRests(mock.Mock())
+        )
 
     def read(self, status, headers):
         """Read a response of the target."""
--- a/tests/test_stage_owner.py
+++ b/tests/test_stage_owner.py
@@ -76,6 +76,7 @@
         released: Handles of released results.
         live: Handles of results that targets hold.
         connect_seconds: Seconds until the connection for a call is open.
+        rest_until: When targets accept calls from this instance again.
     """
 
     def __init__(self):
@@ -84,6 +85,7 @@
         self.released = []
         self.live = set()
         self.connect_seconds = 0.0
+        self.rest_until = 0.0
         self._made = 0
 
     def run(self, target, batch, limit, *, on_connected):
@@ -116,6 +118,10 @@
         self.released += handles
         self.live -= set(handles)
 
+    def wait(self, target):
+        """Return for how long the target wants no calls."""
+        return self.rest_until - now()
+
     def query_free_memory(self, target):
         """Return the free memory in bytes."""
         return 18e6
@@ -214,6 +220,18 @@
         advance(0.1)
         self.assertEqual(self.calls.live, set())
 
+    def test_a_target_that_rests_gets_no_call(self):
+        """Guards against stage calls to a target that has asked for rest."""
+        self.calls.rest_until = now() + 1.0
+        self.start((1, 1))
+        advance(0.9)
+        self.assertEqual(self.calls.calls, [])
+        self.calls.rest_until = 0.0
+        advance(0.5)
+        self.start((1, 1), name="r2")
+        advance(1.0)
+        self.assertNotEqual(self.calls.calls, [])
+
     def test_pieces_that_crash_targets_are_quarantined(self):
         """Guards against a request that crashes one stage target after the other."""
         for number, zone in enumerate("abc"):
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -14,6 +14,7 @@
 from bergamotsaddle_serving.stage_queue import PieceKey
 from bergamotsaddle_serving.zone_reach import ZoneReach
 from tests._notices import make_instances
+from tests._paused import advance, use_paused_clock
 from tests.test_serving_view import TARGET, entry
 
 LEAVING = (b"server-leaving", b"1")
@@ -121,3 +122,72 @@
         headers = [(b"server-leaving", value)]
         decoded = PlatformDialect().read_response(headers)
         self.assertEqual(decoded.is_leaving, expected)
+
+
+class RestTest(unittest.TestCase):
+    """A target that rejects one instance and asks it for three seconds of rest."""
+
+    def setUp(self):
+        use_paused_clock()
+        self.instance, self.other = make_instances(2)
+        self.target = self.instance.target
+        self.neighbour = self.target._replace(id="u")
+
+    def reject(self, *headers, status=503):
+        self.instance.read(status, [(b"retry-after", b"3"), *headers])
+
+    def test_it_gets_nothing_for_that_time(self):
+        """Guards against requests to a target that has asked for rest."""
+        self.reject(NOT_EXECUTED)
+        self.assertFalse(self.instance.notices.has_room(self.target, 0))
+        advance(2.9)
+        self.assertFalse(self.instance.notices.may_send(self.target))
+        self.assertAlmostEqual(self.instance.notices.wait(self.target), 0.1, 2)
+        advance(0.2)
+        self.assertTrue(self.instance.notices.may_send(self.target))
+        self.assertTrue(self.instance.notices.has_room(self.target, 0))
+
+    def test_another_instance_goes_on(self):
+        """Guards against a target that loses all load since it sheds some."""
+        self.reject(NOT_EXECUTED)
+        self.assertTrue(self.other.notices.has_room(self.target, 0))
+
+    def test_other_targets_are_not_overloaded(self):
+        """Guards against a rest that moves an overload to the next target."""
+        room = self.instance.notices.has_room
+        self.assertTrue(room(self.neighbour, 100))
+        self.reject(NOT_EXECUTED)
+        self.assertTrue(room(self.neighbour, 7))
+        self.assertFalse(room(self.neighbour, 8))
+        self.assertTrue(room(self.neighbour._replace(service="v"), 100))
+        advance(3.1)
+        self.assertTrue(room(self.neighbour, 100))
+
+    def test_a_shorter_rest_does_not_end_a_longer_one(self):
+        self.reject(NOT_EXECUTED)
+        self.instance.read(503, [(b"retry-after", b"0.5"), NOT_EXECUTED])
+        advance(1.0)
+        self.assertFalse(self.instance.notices.may_send(self.target))
+
+    def test_a_new_incarnation_does_not_rest(self):
+        self.reject(NOT_EXECUTED)
+        restarted = self.target._replace(started_ms=6)
+        self.assertTrue(self.instance.notices.may_send(restarted))
+
+    @parameterized.expand(
+        [
+            ("run", [], 503),
+            ("misdirected", [NOT_EXECUTED], 421),
+            ("over_quota", [NOT_EXECUTED], 429),
+        ]
+    )
+    def test_responses_that_ask_for_none(self, _, headers, status):
+        self.reject(*headers, status=status)
+        self.assertTrue(self.instance.notices.may_send(self.target))
+
+    @parameterized.expand(
+        [("fraction", b"0.5", 0.5), ("date", b"Wed, 21 Oct 2026 07:28:00 GMT", None)]
+    )
+    def test_header(self, _, value, expected):
+        decoded = PlatformDialect().read_response([(b"retry-after", value)])
+        self.assertEqual(decoded.rest_seconds, expected)
