--- a/packages/serving/bergamotsaddle_serving/caller.py
+++ b/packages/serving/bergamotsaddle_serving/caller.py
@@ -75,10 +75,10 @@
         sock: The accepted socket.
         limits: Returns the limits in force.
         is_stopping: Returns whether this instance is stopping.
-        is_peer: Whether it is a connection of another instance, which hands over
-            requests of its callers.
+        is_peer: Whether it is a connection of another instance.
 
     Attributes:
+        is_peer: Whether another instance hands over requests of its callers on it.
         is_idle: Whether the connection waits for the first byte of a request.
         must_close: Whether it has to be closed after the current response.
         has_started: Whether a response to the current request has been started.
@@ -92,7 +92,7 @@
         *,
         is_peer: bool = False,
     ) -> None:
-        self._is_peer = is_peer
+        self.is_peer = is_peer
         self._socket = sock
         self._limits = limits
         self._is_stopping = is_stopping
@@ -252,7 +252,7 @@
             raise RequestError(ErrorKind.TOO_SLOW, "the body took too long") from error
         headers = list(event.headers)
         return RawRequest(
-            event.method, event.target, headers, body, started_at, self._is_peer
+            event.method, event.target, headers, body, started_at, self.is_peer
         )
 
     def _read_head(self, limits: CallerLimits) -> tuple[bytes, bytes]:
--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -32,7 +32,7 @@
 from bergamotsaddle_serving.fingerprint import fingerprint
 from bergamotsaddle_serving.handover import Handover
 from bergamotsaddle_serving.helper_choice import may_relay
-from bergamotsaddle_serving.messages import Dialect, RawHeaders, RequestHead
+from bergamotsaddle_serving.messages import Dialect, RequestHead
 from bergamotsaddle_serving.metrics import Metrics
 from bergamotsaddle_serving.plain import PlainServer
 from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
@@ -204,7 +204,7 @@
             self._run(caller, context)
         except RequestError as error:
             outcome = error.kind
-            self._handle_error(caller, raw, request_id, error, context)
+            self._handle_error(caller, request_id, error, context)
         except CallerLeftError:
             outcome = _CALLER_LEFT
             caller.reset()
@@ -214,7 +214,7 @@
             self._logger.exception("request_error", request=request_id)
             detail = "internal error"
             unexpected = RequestError(ErrorKind.INTERNAL, detail)
-            self._handle_error(caller, raw, request_id, unexpected, context)
+            self._handle_error(caller, request_id, unexpected, context)
         self._record_outcome(request_id, context, outcome, now() - started_at)
 
     def _check_stop(self, arrived_at: float, deadline_at: float) -> None:
@@ -349,7 +349,6 @@
     def _handle_error(
         self,
         caller: CallerConnection,
-        raw: RawRequest,
         request_id: str,
         error: RequestError,
         context: Context | None,
@@ -362,17 +361,14 @@
         if error.retry_after is not None and context is not None:
             max_retry_after = max(0.0, context.remaining * _MAX_RETRY_AFTER_FRACTION)
             error.retry_after = min(error.retry_after, max_retry_after)
-        extra = encode_error(error) if raw.is_from_peer else []
-        self._send_error(caller, request_id, error, extra)
+        self._send_error(caller, request_id, error)
 
     def _send_error(
-        self,
-        caller: CallerConnection,
-        request_id: str,
-        error: RequestError,
-        extra_headers: RawHeaders = (),
+        self, caller: CallerConnection, request_id: str, error: RequestError
     ) -> None:
-        headers = [(b"content-type", b"application/json"), *extra_headers]
+        headers = [(b"content-type", b"application/json")]
+        if caller.is_peer:
+            headers += encode_error(error)
         if request_id:
             headers.append((b"x-request-id", request_id.encode("latin-1")))
         if error.retry_after is not None and error.ran is Ran.NO:
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -458,6 +458,16 @@
     def _add_gauges(self) -> None:
         gauge = self.metrics.add_gauge
         gauge("requests_active", "Requests here.", lambda: self.handler.active)
+        gauge(
+            "requests_relayed",
+            "Requests here that other instances handed over.",
+            lambda: self.handler.relayed,
+        )
+        gauge(
+            "services_lost",
+            "Services whose targets can't be reached from here.",
+            lambda: len(self.service_reach.lost_services()),
+        )
         gauge("peers_alive", "Peers heard lately.", lambda: len(self.peers.alive()))
         gauge(
             "view_age_seconds",
--- a/packages/standins/bergamotsaddle_standins/virtual_fleet.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_fleet.py
@@ -81,6 +81,7 @@
         status: Status of the response, or 0 before it.
         headers: Headers of the response.
         is_complete: Whether the response was received to its end.
+        is_peer: Whether another instance hands over requests on it, which none does.
     """
 
     def __init__(self, request: RawRequest) -> None:
@@ -90,6 +91,7 @@
         self.is_complete = False
         self.must_close = False
         self.has_started = False
+        self.is_peer = False
 
     def read(self) -> RawRequest | None:
         """Return the request, then None."""
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -10,8 +10,10 @@
 
 from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving.catalog import Kind, Route, Service, Share
+from bergamotsaddle_serving.caller import CallerConnection
+from bergamotsaddle_serving.catalog import CallerLimits, Kind, Route, Service, Share
 from bergamotsaddle_serving.context import Context, Progress
+from bergamotsaddle_serving.handler import Handler
 from bergamotsaddle_serving.handover import Handover
 from bergamotsaddle_serving.helper_choice import Helper, choose_helper, may_relay
 from bergamotsaddle_serving.messages import RequestHead
@@ -195,6 +197,42 @@
         self.assertEqual(handover.is_needed(make_context(sender=sender)), expected)
 
 
+class HelperTest(unittest.TestCase):
+    """An instance that gets a request from another one."""
+
+    def respond(self, data):
+        """Return the response to some bytes on a connection of a peer."""
+        mocks = (mock.MagicMock() for _ in range(7))
+        handler = Handler(*mocks, suspects=mock.Mock())
+        handler._view.configuration.version = 6
+        handler._dialect.read_head.return_value = mock.Mock(id="r1", path=b"/")
+        listener = eventlet.listen((HOST, 0))
+        client = eventlet.connect(listener.getsockname())
+        accepted, _ = listener.accept()
+        caller = CallerConnection(accepted, CallerLimits, lambda: False, is_peer=True)
+        eventlet.spawn_n(handler.run, caller)
+        client.sendall(data)
+        return client.recv(1_000)
+
+    @parameterized.expand(
+        [
+            ("malformed", b"POST / HTTP/1.1\r\nno header\r\n\r\n", b"bad_request"),
+            ("not_handed_over", b"POST / HTTP/1.1\r\nHost: h\r\n\r\n", b"bad_request"),
+            (
+                "newer",
+                b"POST / HTTP/1.1\r\nHost: h\r\nBergamotsaddle-Sender: i\r\n"
+                b"Bergamotsaddle-Elapsed-Ms: 1\r\nBergamotsaddle-Version: 7\r\n\r\n",
+                b"not_ready",
+            ),
+        ]
+    )
+    def test_its_own_errors_are_marked(self, _, data, kind):
+        """Guards against an error of a helper that looks like a target's response."""
+        response = self.respond(data)
+        self.assertIn(b"bergamotsaddle-kind: " + kind, response)
+        self.assertIn(b"bergamotsaddle-ran: no", response)
+
+
 class HelperChoiceTest(unittest.TestCase):
     """Which instance serves a request of an instance without targets."""
 
