--- a/tests/test_view_follower.py
+++ b/tests/test_view_follower.py
@@ -289,6 +289,12 @@
     return silent
 
 
+def advance_in_steps(seconds):
+    """Advance the clock in steps, since a large fleet fires many timers."""
+    for _ in range(round(seconds / START_STEP_S)):
+        advance(START_STEP_S)
+
+
 def replay_changes(simulation, in_force):
     """Change the configuration in quick succession.
 
@@ -443,6 +449,31 @@
         advance(STABLE_WINDOW_S)
         self.assertEqual(simulation.known_values(), {b"2"})
 
+    @parameterized.expand(
+        [
+            ("silent_small", "silent", 7, 12.0),
+            ("silent_large", "silent", 32, 12.0),
+            ("refused_small", "refused", 7, 12.0),
+            ("refused_large", "refused", 32, 12.0),
+            ("silent_briefly", "silent", 7, 4.5),
+            ("refused_briefly", "refused", 7, 4.5),
+        ]
+    )
+    def test_changes_take_effect_as_soon_as_the_store_is_back(
+        self, _, how, size, seconds
+    ):
+        """Guards against routes refused as unknown after an outage of the store."""
+        simulation = self.start_simulation(size)
+        away = getattr(simulation.store, how)
+        away |= set(simulation.instances)
+        advance_in_steps(seconds)
+        away.clear()
+        simulation.store.write(KEY, b"2")
+        advance(0.04)
+        simulation.store.write(KEY, b"3")
+        advance(IN_FORCE_S)
+        self.assertEqual(simulation.known_values(), {b"3"})
+
     def test_a_change_takes_effect_when_the_store_lost_its_history(self):
         """Guards against a reader that stays behind when the history is dropped."""
         simulation = self.start_simulation(8)
