Learn of changes at once when the store is back after an outage

The store had been away since 7 s, and the version was acknowledged as it came back.

Cause: an instance that the store had refused left it alone for 2 s, waited 0.4 s for a silent store and paused for up to 1 s more, whatever the bound. And when one instance found the store back, the others learned of it only by that or by their own next try: a peer that is ahead was asked after a lag of 0.4 s or more, also by an instance whose view was overdue.

Ruled out: a late heartbeat alone (0.2 s a round) and the link.

Change: the pause after a refusal depends on the number of instances that try, and is spread (0.2 s to 2 s); the back-off within it ends at 0.4 s; the first instance that finds the store back tells all others in its next heartbeat; one whose view is overdue asks a peer that is ahead at once.

--- a/packages/serving/bergamotsaddle_serving/follower.py
+++ b/packages/serving/bergamotsaddle_serving/follower.py
@@ -26,7 +26,12 @@
 _MIN_PAUSE_S = 0.1
 _MAX_PAUSE_S = 0.6
 _INITIAL_BACKOFF_S = 0.1
-_MAX_BACKOFF_S = 1.0
+_MAX_BACKOFF_S = 0.4
+# Pause of an instance that the store refused, for each instance that shares the store.
+# Whichever of them finds the store back first tells the others.
+_RETRY_PER_INSTANCE_S = 0.12
+_MIN_RETRY_PAUSE_S = 0.2
+_MAX_RETRY_PAUSE_S = 2.0
 _BACKOFF_FACTOR = 1.6
 _MAX_PAGE_BYTES = 16_000_000
 _OK = 200
@@ -40,6 +45,16 @@
     return min(_MAX_PAUSE_S, max(_MIN_PAUSE_S, pause))
 
 
+def retry_pause(fleet_size: int) -> float:
+    """Return the seconds for which to leave the store alone after it refused a call.
+
+    They are spread, so that some instance tries at any time. Calls that are on the way
+    when the store returns may still get no response.
+    """
+    pause = min(_MAX_RETRY_PAUSE_S, fleet_size * _RETRY_PER_INSTANCE_S)
+    return max(_MIN_RETRY_PAUSE_S, pause * random.uniform(0.5, 1.0))
+
+
 class _StoreError(Exception):
     """The store responded with an error."""
 
@@ -58,6 +73,7 @@
         is_lost: Whether the last call to the store failed.
         calls: Number of calls to the store so far.
         on_refused: Called when the store has failed for longer than a cut watch takes.
+        on_regained: Called when the store has returned after an outage.
     """
 
     def __init__(
@@ -81,12 +97,17 @@
         self._lost_at = float("-inf")
         self.calls = 0
         self.on_refused: Callable[[], None] = lambda: None
+        self.on_regained: Callable[[], None] = lambda: None
 
     def is_refused(self) -> bool:
         """Return whether the store has failed for longer than a cut watch takes."""
         is_cut_only = not self._is_silent and now() - self._lost_at <= _MAX_CUT_S
         return self.is_lost and not is_cut_only
 
+    def retry_pause(self) -> float:
+        """Return the seconds for which to leave a store alone that refused a call."""
+        return retry_pause(self._fleet_size())
+
     def step(self) -> None:
         """Read a snapshot or the next changes; pause after a failure."""
         try:
@@ -190,6 +211,7 @@
         was_away = unconfirmed >= self._settings.store.min_outage
         if was_away:
             self._view.store_regained_at = now()
+            self.on_regained()
         self._logger.info(
             "store_regained",
             revision=self._view.revision,
--- a/packages/serving/bergamotsaddle_serving/view_exchange.py
+++ b/packages/serving/bergamotsaddle_serving/view_exchange.py
@@ -20,8 +20,8 @@
 from bergamotsaddle_serving.view_freshness import ViewFreshness
 
 _CHECK_INTERVAL_S = 0.3
-# The same until the view has its first snapshot.
-_STARTUP_CHECK_INTERVAL_S = 0.1
+# The same while the view has no snapshot yet or may be older than the bound.
+_URGENT_INTERVAL_S = 0.1
 # If a peer has been ahead for this long, it has changes that the store does not deliver
 # to this instance.
 _MIN_LAG_S = 0.4
@@ -177,11 +177,8 @@
     def run(self) -> None:
         """Catch up with peers that are ahead, forever."""
         while True:
-            eventlet.sleep(
-                _CHECK_INTERVAL_S
-                if self._view.has_snapshot
-                else _STARTUP_CHECK_INTERVAL_S
-            )
+            is_urgent = self._is_urgent()
+            eventlet.sleep(_URGENT_INTERVAL_S if is_urgent else _CHECK_INTERVAL_S)
             ahead = self._find_peer_ahead()
             if ahead is None:
                 self._behind_since = None
@@ -192,11 +189,14 @@
                 # does not advance.
                 self._behind_since = now()
                 self._last_revision = self._view.revision
-            if now() - self._behind_since >= self._max_lag() or not (
-                self._view.has_snapshot
-            ):
+            if self._is_urgent() or now() - self._behind_since >= self._max_lag():
                 self._catch_up(ahead)
 
+    def _is_urgent(self) -> bool:
+        """Return whether the view lacks a snapshot or may be older than the bound."""
+        is_overdue = self._freshness.is_overdue(self._view.age())
+        return is_overdue or not self._view.has_snapshot
+
     def run_refresh(self) -> None:
         """Ask peers for changes while the view is overdue, forever."""
         interval = _MIN_ASK_INTERVAL_S
--- a/packages/serving/bergamotsaddle_serving/view_follower.py
+++ b/packages/serving/bergamotsaddle_serving/view_follower.py
@@ -25,8 +25,6 @@
 _SETTLE_S = 1.0
 # Pause of an instance that has neither a reader nor the store.
 _IDLE_INTERVAL_S = 0.1
-# How long an instance does not read the store after the store refused it.
-_AVOID_STORE_S = 2.0
 
 
 class ViewFollower:
@@ -62,6 +60,8 @@
         self._has_readers = policy.has(Mechanism.STORE_READERS)
         self._avoided_until: dict[str, float] = {}
         self._link: PeerLink | None = None
+        # The heartbeats name the revision, which the others lack after an outage.
+        store.on_regained = peers.announce
 
     def run(self) -> None:
         """Follow forever."""
@@ -105,7 +105,7 @@
     def _read_store(self) -> None:
         self._store.step()
         if self._store.is_refused():
-            self._avoid(self._peers.own.id, _AVOID_STORE_S)
+            self._avoid(self._peers.own.id, self._store.retry_pause())
 
     def _follow_reader(self, reader: str) -> None:
         try:
