--- a/packages/cli/bergamotsaddle_cli/cause.py
+++ b/packages/cli/bergamotsaddle_cli/cause.py
@@ -34,7 +34,11 @@
             f"Refused before any work: {rejected['expected']:.2f} s were expected, "
             f"{wait:.2f} s of them behind other requests."
         )
-    problems = [*_describe_repeated_stages(lines), *_describe_failed_attempts(lines)]
+    problems = [
+        *_describe_repeated_stages(lines),
+        *_describe_failed_attempts(lines),
+        *_describe_failed_handovers(lines),
+    ]
     if problems:
         sentence = "; ".join(problems)
         return f"{sentence[0].upper()}{sentence[1:]}."
@@ -51,6 +55,16 @@
     return [f"target {f['target']} did not serve it ({f['reason']})" for f in failures]
 
 
+def _describe_failed_handovers(lines: Sequence[LogLine]) -> list[str]:
+    handovers = [line.details for line in lines if line.event == "handed_over"]
+    return [
+        f"instance {h['helper']} did not serve it for the one that it came to "
+        f"({h['outcome']})"
+        for h in handovers
+        if h["outcome"] != "whole"
+    ]
+
+
 def _describe_slowest(lines: Sequence[LogLine]) -> str:
     """Describe the step with the longest delay beyond its expected time."""
     times = {}
--- a/tests/test_cause.py
+++ b/tests/test_cause.py
@@ -18,6 +18,8 @@
 REJECTED = line("turn_away", expected=1.5, idle=0.5)
 STAGE_AGAIN = line("stage_again", stage=2, reason="gone")
 FAILED = line("attempt_failed", target="i-1", reason="silent")
+OVERLOADED = line("handed_over", helper="b2", outcome="overloaded")
+HANDED_OVER = line("handed_over", helper="c1", outcome="whole")
 SLOW_STAGE = line("stages_done", stages=[[0, "east", 0.2, 0.3], [1, "east", 0.2, 0.9]])
 SLOW_ENGINE = line("first_event", target="i-1", seconds=1.1, expected=0.1)
 FAST_ENGINE = line("first_event", target="i-1", seconds=0.12, expected=0.1)
@@ -36,6 +38,12 @@
                 "Stage 2 was done again (gone)",
             ),
             ("failed", [FAILED, COMPLETE], "Target i-1 did not serve it (silent)"),
+            (
+                "helper",
+                [OVERLOADED, HANDED_OVER, COMPLETE],
+                "Instance b2 did not serve",
+            ),
+            ("handed_over", [HANDED_OVER, COMPLETE], "Nothing went wrong"),
             ("stage", [SLOW_STAGE, FAST_ENGINE, COMPLETE], "stage 1 at east, 0.90 s"),
             ("engine", [SLOW_STAGE, SLOW_ENGINE, COMPLETE], "engine i-1, 1.10 s"),
             ("calm", [FAST_ENGINE, COMPLETE], "Nothing went wrong"),
