--- a/packages/standins/bergamotsaddle_standins/soak.py
+++ b/packages/standins/bergamotsaddle_standins/soak.py
@@ -453,9 +453,13 @@
         hosts = frozenset(instance.host for instance in self._cut_instances)
         cut = Cut(hosts, started_at=now(), ended_at=float("inf"))
         self._cuts.append(cut)
-        self._for_each_cut_link(lambda link: link.cut(self._cut_mode))
+        targets = set(self._targets)
+        for link in self._cut_links(targets):
+            link.cut(self._cut_mode)
         eventlet.sleep(self._rng.uniform(_MIN_CUT_S, _MAX_CUT_S))
-        self._for_each_cut_link(TargetLink.heal)
+        # Targets may have been added or removed meanwhile.
+        for link in self._cut_links(targets | set(self._targets)):
+            link.heal()
         self._cuts[-1] = cut._replace(ended_at=now())
         self._cut_instances = []
 
@@ -516,10 +520,13 @@
         eventlet.sleep(_RESTING_S)
         target.is_resting = False
 
-    def _for_each_cut_link(self, change: Callable[[TargetLink], None]) -> None:
-        for target in self._targets:
-            for instance in self._cut_instances:
-                change(target.link_by_instance[instance.id])
+    def _cut_links(self, targets: set[RunningTarget]) -> list[TargetLink]:
+        """Return the links between the instances that are cut off and some targets."""
+        return [
+            target.link_by_instance[instance.id]
+            for target in targets
+            for instance in self._cut_instances
+        ]
 
 
 def main() -> int:
