Name a listed test that passes, and test a bad relay_port

The test run ended with an internal error of nose2 instead of the name of a test that is listed in KNOWN-RED.txt and passes: the plugin gave None for the traceback, which nose2 joins as lines. Seen when the tests of an outage passed after their fix. The new test failed before with that error.

--- a/tests/_known_red.py
+++ b/tests/_known_red.py
@@ -6,6 +6,7 @@
 from nose2 import result
 from nose2.events import Plugin, StartTestRunEvent, TestOutcomeEvent
 
+_LISTED_BUT_PASSES = "listed in KNOWN-RED.txt, but passes"
 LIST_PATH = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
@@ -62,10 +63,11 @@
             return
         if event.outcome == result.PASS:
             event.outcome = result.ERROR
+            # nose2 prints the last item as lines if it is no traceback.
             event.exc_info = (
                 AssertionError,
-                AssertionError("listed, but passes"),
-                None,
+                AssertionError(_LISTED_BUT_PASSES),
+                [f"{_LISTED_BUT_PASSES}\n"],
             )
         elif event.outcome in (result.FAIL, result.ERROR):
             event.outcome = result.FAIL
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 from nose2 import result
+from nose2.util import format_traceback
 from parameterized import parameterized
 
 from tests._known_red import KnownRed, read_known_failures
@@ -39,6 +40,16 @@
         self.assertEqual(event.outcome, expected_outcome)
         self.assertEqual(event.expected, is_expected)
 
+    def test_a_listed_test_that_passes_is_reported(self):
+        """Guards against a test run that ends without naming the test."""
+        event = SimpleNamespace(
+            test=SimpleNamespace(id=lambda: "tests.test_a.ATest.test_b"),
+            outcome=result.PASS,
+            exc_info=None,
+        )
+        self.plugin.setTestOutcome(event)
+        self.assertIn("passes", format_traceback(event.test, event.exc_info))
+
     def test_a_line_without_its_issue_is_invalid(self):
         with self.assertRaisesRegex(ValueError, "expected test"):
             read_known_failures("tests.test_a.ATest.test_b | make test | seen")
--- a/tests/test_serving_settings.py
+++ b/tests/test_serving_settings.py
@@ -76,6 +76,7 @@
             ("regions = a=east", "regions = a", "zones", "regions"),
             ("regions = a=east", "regions = =east", "zones", "regions"),
             ("peer_port = 7740", "peer_port = x", "listen", "peer_port"),
+            ("[peers]", "relay_port = x\n[peers]", "listen", "relay_port"),
             ("grace_s = 8", "grace_s = -1", "bounds", "grace_s"),
             ("id = a1", "id =", "instance", "id"),
             ("[bounds]", "heartbeat_ms = 0\n[bounds]", "store", "heartbeat_ms"),
