Wait for a silent target while no other one could take the request

Cause: a repeatable request is given up at a target that takes five times its usual time, 0.3 s at least, so that another one can respond earlier. Whether there is another one was not asked. t3 was a sound target that had become slower, the two others were brittle and without a free slot. Its work was lost, and the request had possibly run, so that not even its caller was told to return. Class of fault: a limit that is meant to help gives up what nothing else can do.

Change: at that limit the request stays if no other target may be chosen now, for the head and for the body. Tests: both cases failed before as target_failed; another target is still tried early.

--- a/packages/serving/bergamotsaddle_serving/attempt.py
+++ b/packages/serving/bergamotsaddle_serving/attempt.py
@@ -7,6 +7,7 @@
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.client import (
     CONNECTION_REFUSED,
+    SILENT,
     Connection,
     ConnectionLostError,
     ConnectionPool,
@@ -120,6 +121,7 @@
         *,
         limit: float,
         max_wait: float | None = None,
+        keeps_waiting: Callable[[], bool] | None = None,
         on_sent: Callable[[int], None] | None = None,
         may_send: Callable[[], bool] = lambda: True,
     ) -> Response:
@@ -128,9 +130,12 @@
         Args:
             dispatch: Parameters of the request for the target.
             limit: Seconds after which a silent target counts as lost.
-            max_wait: Seconds to wait for a target that keeps responding to other
-                requests. A busy engine reads other prompts first, and abandoning it
-                would only have the work done twice. Defaults to ``limit``.
+            max_wait: Seconds to wait for a target while ``keeps_waiting`` says so.
+                Defaults to ``limit``.
+            keeps_waiting: Returns whether to wait for longer than the limit. By
+                default, whether the target has responded to other requests meanwhile:
+                a busy engine reads other prompts first, and abandoning it would only
+                have the work done twice.
             on_sent: Called with the size of the request once it has been handed to the
                 connection.
             may_send: Returns whether the target may still get the request. It may have
@@ -157,14 +162,18 @@
             size = connection.send(call, limit=limit)
             if on_sent is not None:
                 on_sent(size)
-            head = self._read_head(connection, limit, max_wait or limit)
+            head = self._read_head(connection, limit, max_wait or limit, keeps_waiting)
         except ConnectionLostError as error:
             self._state.record_failure(is_certain=False)
             raise OutcomeUnknownError(error.reason) from error
         return self._check_head(head)
 
     def _read_head(
-        self, connection: Connection, limit: float, max_wait: float
+        self,
+        connection: Connection,
+        limit: float,
+        max_wait: float,
+        keeps_waiting: Callable[[], bool] | None,
     ) -> RawResponseHead:
         deadline_at = now() + max_wait
         while True:
@@ -174,8 +183,10 @@
                     limit=min(limit, deadline_at - waiting_since)
                 )
             except ConnectionLostError as error:
+                if error.reason != SILENT or now() >= deadline_at:
+                    raise
                 is_busy = self._state.last_seen_at > waiting_since
-                if error.reason != "silent" or not is_busy or now() >= deadline_at:
+                if not (is_busy if keeps_waiting is None else keeps_waiting()):
                     raise
 
     def read_body(self, *, limit: float, max_bytes: int) -> bytes:
--- a/packages/serving/bergamotsaddle_serving/plain.py
+++ b/packages/serving/bergamotsaddle_serving/plain.py
@@ -96,7 +96,9 @@
             tried.add(candidate.target.id)
             can_repeat = context.route.may_repeat and runs + 1 < context.route.attempts
             try:
-                response = self._try(context, candidate, can_repeat=can_repeat)
+                response = self._try(
+                    context, candidate, tried | denied, can_repeat=can_repeat
+                )
             except NotRunError as error:
                 self._log_failed_attempt(context, candidate, error.reason, "no")
                 refusals += not error.is_connection_refused
@@ -161,10 +163,19 @@
         return self._selector.pick(service, exclude)
 
     def _try(
-        self, context: Context, candidate: Candidate, *, can_repeat: bool
+        self,
+        context: Context,
+        candidate: Candidate,
+        excluded: set[str],
+        *,
+        can_repeat: bool,
     ) -> CompleteResponse:
         state = candidate.state
         limit = context.remaining
+
+        def is_only_target() -> bool:
+            return self._pick(context, excluded) is None
+
         if can_repeat and self._budget.remaining(context.service.name) >= 1:
             limit = min(limit, max(_MIN_TIMEOUT_S, _SLOW_FACTOR * state.latency))
         self._selector.record_sent(candidate, context.service)
@@ -173,8 +184,12 @@
             response = attempt.send(
                 dispatch,
                 limit=limit,
+                max_wait=context.remaining,
+                keeps_waiting=is_only_target,
                 may_send=lambda: self._selector.may_send(candidate),
             )
+            if limit < context.remaining and is_only_target():
+                limit = context.remaining
             body = attempt.read_body(limit=limit, max_bytes=_MAX_RESPONSE_BYTES)
             if response.head.status in NOT_RUN_STATUSES:
                 raise OutcomeUnknownError(f"status {response.head.status}")
