Let only instances that reach a service own its queues

Cause: an instance gave up its queues only once it had lost all services. Here it still reached one target of one service, which was draining and got no work, so it went on to own the queue of another service that it had lost. Evidence: i3 logs service_lost for rerank at 22.22 s and room_unknown for its targets until 25 s, no other instance made a call; bookings-1 never became lost.

Change: the ranking of owners leaves out instances that name the service as unreachable in their heartbeats, unless all do; a lost service hands its queue over at once; only targets that may get work count as reached, and services without such targets don't hide that an instance is isolated.

--- a/packages/serving/bergamotsaddle_serving/owners.py
+++ b/packages/serving/bergamotsaddle_serving/owners.py
@@ -7,6 +7,8 @@
 def rank_owners(peers: Peers, service: str, scope: str) -> list[str]:
     """Return the instances that may own a queue, the owner first.
 
+    Instances that do not reach the service own no queue of it, unless none does.
+
     Rendezvous hashing gives all instances that reach each other the same owner without
     communication. While they are cut off from each other, two instances may own a
     queue. The targets' own refusals then keep the calls apart; pieces may run twice,
@@ -18,6 +20,8 @@
         scope: The zone or region whose targets the queue serves.
     """
     key = f"{service} {scope}"
+    owners = peers.owners(scope)
+    reaching = [owner for owner in owners if peers.reaches(owner, service)]
     return sorted(
-        peers.owners(scope), key=lambda peer: rendezvous_weight(peer, key), reverse=True
+        reaching or owners, key=lambda peer: rendezvous_weight(peer, key), reverse=True
     )
--- a/packages/serving/bergamotsaddle_serving/peers.py
+++ b/packages/serving/bergamotsaddle_serving/peers.py
@@ -210,6 +210,13 @@
                 return peer.contact.id
         return None
 
+    def reaches(self, instance_id: str, service: str) -> bool:
+        """Return whether an instance reaches targets of a service, as far as known."""
+        if instance_id == self.own.id:
+            return service not in self.own_unreachable()
+        peer = self.by_id.get(instance_id)
+        return peer is None or service not in peer.unreachable
+
     def reaching(self, service: str) -> list[Peer]:
         """Return the live peers that accept work and reach targets of a service."""
         return [
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -418,8 +418,7 @@
     def _on_reach_change(self) -> None:
         self.peers.announce()
         self._update_accepts_work()
-        if self.service_reach.is_isolated():
-            self.owner.hand_over(is_final=True)
+        self.owner.hand_over(is_final=True)
 
     def _forget_unlisted_targets(self) -> None:
         incarnations = {
--- a/packages/serving/bergamotsaddle_serving/service_reach.py
+++ b/packages/serving/bergamotsaddle_serving/service_reach.py
@@ -120,9 +120,9 @@
         return [name for name, s in self._service_by_name.items() if s.is_lost]
 
     def is_isolated(self) -> bool:
-        """Return whether no target of any service can be reached."""
-        services = self._service_by_name.values()
-        return bool(services) and all(service.is_lost for service in services)
+        """Return whether no target can be reached that may get work."""
+        names = [name for name in self._service_by_name if self._view.usable(name)]
+        return bool(names) and all(self.is_lost(name) for name in names)
 
     def seconds_to_probe(self, service: str) -> float:
         """Return the seconds until a lost service is probed again."""
@@ -205,10 +205,13 @@
                 service.failed_rounds = max(service.failed_rounds, 1)
 
     def _sample(self, name: str) -> list[Target]:
-        """Return targets to probe, the ones of this instance's zone first."""
-        listed = [known.target for known in self._view.targets_by_service.get(name, ())]
-        own = [target for target in listed if target.zone == self._zone]
-        others = [target for target in listed if target.zone != self._zone]
+        """Return targets to probe, the ones of this instance's zone first.
+
+        Targets that get no work don't count: reaching them serves no request.
+        """
+        usable = [known.target for known in self._view.usable(name)]
+        own = [target for target in usable if target.zone == self._zone]
+        others = [target for target in usable if target.zone != self._zone]
         return random.sample(own, min(_OWN_ZONE_PROBES, len(own))) + random.sample(
             others, min(_OTHER_PROBES, len(others))
         )
--- a/tests/test_service_reach.py
+++ b/tests/test_service_reach.py
@@ -10,6 +10,7 @@
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_platform.dialect import PlatformDialect
 from bergamotsaddle_serving.messages import StoreEntry
+from bergamotsaddle_serving.owners import rank_owners
 from bergamotsaddle_serving.service_reach import ServiceReach
 from bergamotsaddle_serving.view import View
 from tests._paused import advance
@@ -48,6 +49,23 @@
         return is_open
 
 
+class OwnersTest(unittest.TestCase):
+    """Who owns the queue of a service that some instances do not reach."""
+
+    @parameterized.expand(
+        [
+            ("all_reach", (), {"a", "b", "c"}),
+            ("some_reach", ("a", "b"), {"c"}),
+            ("none_reaches", ("a", "b", "c"), {"a", "b", "c"}),
+        ]
+    )
+    def test_an_owner_reaches_its_targets(self, _, cut_off, expected):
+        """Guards against stages that wait for an owner without links to targets."""
+        peers = mock.Mock(reaches=lambda owner, service: owner not in cut_off)
+        peers.owners.return_value = ["a", "b", "c"]
+        self.assertEqual(set(rank_owners(peers, "s", "zone")), expected)
+
+
 class ServiceReachTest(unittest.TestCase):
     """An instance in zone a, a service with three targets and one with two."""
 
@@ -145,6 +163,24 @@
         self.assertEqual(target.address.port, 81)
         self.assertEqual(self.reach.reaches_another(target), expected)
 
+    def test_a_target_that_leaves_does_not_count(self):
+        """Guards against a service that counts as reached by what gets no work."""
+        self.view.mark_leaving(("t81", 0), is_leaving=True)
+        leaving = self.view.targets_by_service["s"][0].target
+        self.assertTrue(self.view.is_leaving(leaving))
+        self.pool.refusing = {82, 83, 91, 92}
+        advance(STABLE_S)
+        self.assertEqual(sorted(self.reach.lost_services()), ["s", "u"])
+        self.assertTrue(self.reach.is_isolated())
+
+    def test_a_service_whose_targets_all_leave_does_not_hide_a_cut(self):
+        """Guards against queues owned by an instance that reaches no target."""
+        for port in (91, 92):
+            self.view.mark_leaving((f"t{port}", 0), is_leaving=True)
+        self.pool.refusing = set(PORTS)
+        advance(STABLE_S)
+        self.assertTrue(self.reach.is_isolated())
+
     def test_a_service_without_targets_is_not_lost(self):
         self.pool.refusing = set(PORTS)
         advance(5.0)
