--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -57,6 +57,9 @@
 # Maximum fraction of the remaining time that callers are asked to wait before a retry.
 _MAX_RETRY_AFTER_FRACTION = 1 / 3
 _COMPLETE = "whole"
+# How long a handed-over request waits for the configuration of its sender.
+_MAX_VERSION_WAIT_S = 1.0
+_VERSION_CHECK_S = 0.02
 _NOT_RELAYED = RelayedRequest(sender="", elapsed=0.0, version=0)
 _CALLER_LEFT = "caller_left"
 
@@ -197,6 +200,8 @@
         try:
             head = self._dialect.read_head(raw.method, raw.path, raw.headers)
             request_id = head.id
+            if raw.is_from_peer:
+                self._wait_for_version(raw, head)
             context = self._make_context(head, raw)
             self._check_stop(raw.started_at, context.deadline_at)
             if self._suspects.is_quarantined(context.fingerprint):
@@ -296,6 +301,21 @@
             sender=relayed.sender,
         )
 
+    def _wait_for_version(self, raw: RawRequest, head: RequestHead) -> None:
+        """Wait until this instance has the configuration of a request's sender.
+
+        A change reaches instances at different times, and all helpers may still lack
+        it. It arrives within the bound on changes.
+        """
+        version = decode_request(raw.headers).version
+        until = now() + min(_MAX_VERSION_WAIT_S, head.deadline / 3.0)
+        while self._known_version() < version and now() < until:
+            eventlet.sleep(_VERSION_CHECK_S)
+
+    def _known_version(self) -> int:
+        configuration = self._view.configuration
+        return configuration.version if configuration is not None else 0
+
     def _check_relayed(
         self, configuration: Configuration, raw: RawRequest
     ) -> RelayedRequest:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -33,6 +33,10 @@
 HOST = "127.0.0.1"
 BODY = b"HTTP/1.1 200 OK\r\nSeal: x\r\nContent-Length: 4\r\n\r\nbody"
 STREAM = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+NEWER = (
+    b"POST / HTTP/1.1\r\nHost: h\r\nBergamotsaddle-Sender: i\r\n"
+    b"Bergamotsaddle-Elapsed-Ms: 1\r\nBergamotsaddle-Version: 7\r\n\r\n"
+)
 REGION_BY_ZONE = {"a": "north", "b": "north", "c": "south"}
 
 
@@ -200,12 +204,27 @@
 class HelperTest(unittest.TestCase):
     """An instance that gets a request from another one."""
 
-    def respond(self, data):
-        """Return the response to some bytes on a connection of a peer."""
+    def respond(self, data, *, version_7_after=9.0):
+        """Return the response to some bytes on a connection of a peer.
+
+        Args:
+            data: The bytes.
+            version_7_after: Seconds until the helper has version 7.
+        """
         mocks = (mock.MagicMock() for _ in range(7))
         handler = Handler(*mocks, suspects=mock.Mock())
         handler._view.configuration.version = 6
-        handler._dialect.read_head.return_value = mock.Mock(id="r1", path=b"/")
+        head = mock.Mock(id="r1", path=b"/", deadline=0.6)
+        handler._dialect.read_head.return_value = head
+        handler._view.configuration.find_route.return_value = None
+        timer = eventlet.spawn_after(
+            version_7_after,
+            setattr,
+            handler._view.configuration,
+            "version",
+            7,
+        )
+        self.addCleanup(timer.cancel)
         listener = eventlet.listen((HOST, 0))
         client = eventlet.connect(listener.getsockname())
         accepted, _ = listener.accept()
@@ -218,12 +237,7 @@
         [
             ("malformed", b"POST / HTTP/1.1\r\nno header\r\n\r\n", b"bad_request"),
             ("not_handed_over", b"POST / HTTP/1.1\r\nHost: h\r\n\r\n", b"bad_request"),
-            (
-                "newer",
-                b"POST / HTTP/1.1\r\nHost: h\r\nBergamotsaddle-Sender: i\r\n"
-                b"Bergamotsaddle-Elapsed-Ms: 1\r\nBergamotsaddle-Version: 7\r\n\r\n",
-                b"not_ready",
-            ),
+            ("newer", NEWER, b"not_ready"),
         ]
     )
     def test_its_own_errors_are_marked(self, _, data, kind):
@@ -232,6 +246,11 @@
         self.assertIn(b"bergamotsaddle-kind: " + kind, response)
         self.assertIn(b"bergamotsaddle-ran: no", response)
 
+    def test_it_waits_for_the_configuration_of_the_sender(self):
+        """Guards against requests that no helper takes just after a change."""
+        response = self.respond(NEWER, version_7_after=0.1)
+        self.assertIn(b"bergamotsaddle-kind: not_found", response)
+
 
 class HelperChoiceTest(unittest.TestCase):
     """Which instance serves a request of an instance without targets."""
