Ignore signals once a stop is over

Cause: while the interpreter exits it removes handlers of signals and restores the default, so that a reload that arrives then kills the process. Ignored signals stay ignored. Ruled out: a signal before the handler is set, since the process starts with it ignored.

Change: the signals to stop and to reload are ignored once the stop is over. The test sends the signal after the handlers were removed; without the change the process ends with -1.

--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -77,6 +77,16 @@
 _RESTART_PAUSE_S = 0.5
 
 
+def _ignore_signals() -> None:
+    """Ignore further signals to stop or to reload, since the process is about to exit.
+
+    While the interpreter exits it removes handlers, and the signals would kill it. It
+    keeps them ignored.
+    """
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
+
+
 class ServingServer:
     """One serving daemon.
 
@@ -283,6 +293,7 @@
         )
         self._stop_requested.wait()
         self._stop(callers, relayed)
+        _ignore_signals()
 
     def is_ready(self) -> bool:
         """Return whether the load balancer should send callers here."""
--- a/tests/test_serving_stop.py
+++ b/tests/test_serving_stop.py
@@ -1,9 +1,11 @@
 """Tests for requests that are still running when an instance stops."""
 
+import sys
 import unittest
 from unittest import mock
 
 import eventlet
+from eventlet.patcher import original
 from parameterized import parameterized
 
 from bergamotsaddle_contracts.errors import ErrorKind
@@ -18,10 +20,27 @@
 from bergamotsaddle_serving.stop_schedule import StopSchedule
 from tests._paused import use_paused_clock, use_running_clock
 
+subprocess = original("subprocess")
+
 setUpModule = use_running_clock
 tearDownModule = use_paused_clock
 
 ROUTE = Route("r", "h", "/", Kind.ONCE, 9.0, 1.0, 1, 0, (Share("s", 1.0),))
+# The module is cleared after the interpreter has removed the handlers of signals.
+EXIT_WITH_LATE_SIGNAL = """
+import os, signal
+from bergamotsaddle_serving import server
+
+class Late:
+    def __init__(self, kill, pid):
+        self.kill, self.pid = kill, pid
+    def __del__(self):
+        self.kill(self.pid, 1)
+
+signal.signal(signal.SIGHUP, lambda *_: None)
+server._ignore_signals()
+os.late = Late(os.kill, os.getpid())
+"""
 # The process exits 0.8 s earlier.
 STOP_GRACE_S = 1.2
 REQUEST = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
@@ -256,3 +275,17 @@
             ErrorKind.DEADLINE_PASSED, "x"
         )
         self.assertEqual(error.kind, kind)
+
+
+class ExitTest(unittest.TestCase):
+    """A process that exits after its stop."""
+
+    def test_a_late_signal_does_not_kill_it(self):
+        """Guards against a stop that counts as failed since a reload came last."""
+        done = subprocess.run(
+            [sys.executable, "-c", EXIT_WITH_LATE_SIGNAL],
+            capture_output=True,
+            timeout=20.0,
+            check=False,
+        )
+        self.assertEqual(done.returncode, 0, done.stderr.decode())
