Probe services only while a response is awaited, and seldom after a success

Cause: an instance without any response for half a second probed a target each 0.75 s although nobody waited, and each connection that a crashed target refused started a round of four probes.

Change: silence counts only if something was sent since the last part of a response; a part of a stream counts as a response; a round that reached a target is followed by a second without one; the first round has one target in the own zone and one in the others.

--- a/packages/serving/bergamotsaddle_serving/attempt.py
+++ b/packages/serving/bergamotsaddle_serving/attempt.py
@@ -224,12 +224,13 @@
         except ConnectionLostError as error:
             self._state.record_failure(is_certain=False)
             raise OutcomeUnknownError(error.reason) from error
-        self._state.last_seen_at = now()
+        self._state.last_seen_at = self._pool.last_response_at = now()
         if data is None:
             self._return_connection()
         return data
 
     def _check_head(self, head: RawResponseHead) -> Response:
+        self._pool.last_response_at = now()
         decoded = self._dialect.read_response(head.headers)
         self._keep_alive_seconds = decoded.keep_alive_seconds
         self._state.record_load(decoded.load)
--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -308,7 +308,8 @@
 
     Attributes:
         opened: Number of connections opened so far.
-        last_response_at: When the last complete response was read.
+        last_acquired_at: When a connection was last acquired to send something.
+        last_response_at: When a part of a response was last read.
         on_opened: Called with each address to which a connection was opened, and
             whether that succeeded.
     """
@@ -316,6 +317,7 @@
     def __init__(self) -> None:
         self._idle_by_address: dict[Address, list[Connection]] = {}
         self.opened = 0
+        self.last_acquired_at = float("-inf")
         self.last_response_at = float("-inf")
         self.on_opened: Callable[[Address, bool], None] = lambda address, is_open: None
 
@@ -331,6 +333,7 @@
         Raises:
             ConnectionLostError: If no connection can be made in time.
         """
+        self.last_acquired_at = now()
         idle = self._idle_by_address.get(address)
         while idle:
             connection = idle.pop()
--- a/packages/serving/bergamotsaddle_serving/service_reach.py
+++ b/packages/serving/bergamotsaddle_serving/service_reach.py
@@ -13,10 +13,12 @@
 from bergamotsaddle_serving.view import View
 
 _CHECK_S = 0.1
-# An instance that gets no response and opens no connection for this long probes one
+# An instance that has sent something and gets no response for this long probes one
 # target. In a partition, nothing else would tell it that its targets are out of reach.
 _SILENT_S = 0.5
-_IDLE_PROBE_PAUSE_S = 0.75
+_SILENCE_PROBE_PAUSE_S = 0.75
+# Pause after a round that reached a target. Each probe costs a connection.
+_REACHED_PAUSE_S = 1.0
 # Ten times the round trip between zones.
 _PROBE_LIMIT_S = 0.25
 # One round may fail because this process was suspended while it waited.
@@ -25,10 +27,10 @@
 # Pause between two rounds for a lost service; it doubles up to the maximum.
 _INITIAL_LOST_PAUSE_S = 0.25
 _MAX_LOST_PAUSE_S = 1.0
-# Targets of a round, in the own zone and in all others. A few of them may have crashed
-# or be in a zone that is cut off.
-_OWN_ZONE_PROBES = 2
-_OTHER_PROBES = 2
+# Targets of a round, in the own zone and again in all others: fewer in the first round.
+# A few of them may have crashed or be in a zone that is cut off.
+_FIRST_PROBES = 1
+_PROBES = 2
 
 
 class _Service:
@@ -64,6 +66,7 @@
             self.is_lost = False
             self.failed_rounds = 0
             self.pause = _INITIAL_LOST_PAUSE_S
+            self.probe_at = now() + _REACHED_PAUSE_S
             return
         self.failed_rounds += 1
         if self.failed_rounds < _ROUNDS_TO_LOSE:
@@ -101,7 +104,7 @@
         self._logger = logger
         self._service_by_name: dict[str, _Service] = {}
         self._listeners: list[Callable[[], None]] = []
-        self._idle_probe_at = now() + _IDLE_PROBE_PAUSE_S
+        self._silence_probe_at = now() + _SILENCE_PROBE_PAUSE_S
         pool.on_opened = self._record_opening
         view.subscribe(self._on_view_change)
         self._on_view_change()
@@ -140,7 +143,7 @@
             for address in self._view.target_by_address
             if address != target.address
         ]
-        sampled = random.sample(others, min(_OTHER_PROBES, len(others)))
+        sampled = random.sample(others, min(_PROBES, len(others)))
         return any(self._pool.probe(address, _PROBE_LIMIT_S) for address in sampled)
 
     def run(self) -> None:
@@ -151,8 +154,8 @@
 
     def _check(self) -> None:
         at = now()
-        if self._is_silent(at) and at >= self._idle_probe_at:
-            self._idle_probe_at = at + _IDLE_PROBE_PAUSE_S
+        if self._is_silent(at) and at >= self._silence_probe_at:
+            self._silence_probe_at = at + _SILENCE_PROBE_PAUSE_S
             self._probe_any()
         for name, service in self._service_by_name.items():
             if service.is_due(at):
@@ -160,21 +163,23 @@
                 eventlet.spawn_n(self._run_round, name, service)
 
     def _is_silent(self, at: float) -> bool:
+        """Return whether something was sent and no target has responded since."""
         opened_at = [s.opened_at for s in self._service_by_name.values()]
         last_sign_at = max(self._pool.last_response_at, *opened_at, float("-inf"))
-        return last_sign_at < at - _SILENT_S
+        return last_sign_at < min(at - _SILENT_S, self._pool.last_acquired_at)
 
     def _probe_any(self) -> None:
         """Probe a target of a service that is not lost; a failure raises suspicion."""
         names = [n for n, s in self._service_by_name.items() if not s.is_lost]
-        targets = self._sample(random.choice(names)) if names else []
+        targets = self._sample(random.choice(names), 1) if names else []
         if targets:
             eventlet.spawn_n(self._pool.probe, targets[0].address, _PROBE_LIMIT_S)
 
     def _run_round(self, name: str, service: _Service) -> None:
         was_lost = service.is_lost
         try:
-            targets = self._sample(name)
+            count = _PROBES if service.failed_rounds else _FIRST_PROBES
+            targets = self._sample(name, count)
             probes = [
                 eventlet.spawn(self._pool.probe, target.address, _PROBE_LIMIT_S)
                 for target in targets
@@ -204,16 +209,20 @@
                 service.failed_at = now()
                 service.failed_rounds = max(service.failed_rounds, 1)
 
-    def _sample(self, name: str) -> list[Target]:
+    def _sample(self, name: str, count: int) -> list[Target]:
         """Return targets to probe, the ones of this instance's zone first.
 
         Targets that get no work don't count: reaching them serves no request.
+
+        Args:
+            name: Name of the service.
+            count: Number of targets in this instance's zone, and in all others.
         """
         usable = [known.target for known in self._view.usable(name)]
         own = [target for target in usable if target.zone == self._zone]
         others = [target for target in usable if target.zone != self._zone]
-        return random.sample(own, min(_OWN_ZONE_PROBES, len(own))) + random.sample(
-            others, min(_OTHER_PROBES, len(others))
+        return random.sample(own, min(count, len(own))) + random.sample(
+            others, min(count, len(others))
         )
 
     def _record_opening(self, address: Address, is_open: bool) -> None:
