Log how responses are framed and the parts of prompts, and replay crashes that look like ends of responses

Cause suspected: the end of an unframed response and the end of its target are the same bytes, and a response that counts as complete clears the request. attempt_failed now tells the framing and, with request, the parts of the prompt, which is missing for the second matter as well; no decision reads either.

The replay: seven instances, nine engines, back after 2.5 s, two tries of one request every 0.7 s, unique ones beside them.

--- a/packages/serving/bergamotsaddle_serving/attempt.py
+++ b/packages/serving/bergamotsaddle_serving/attempt.py
@@ -158,6 +158,7 @@
         if not may_send():
             raise NotRunError("left")
         context.progress.is_sent = True
+        context.progress.is_framed = None
         try:
             size = connection.send(call, limit=limit)
             if on_sent is not None:
@@ -242,6 +243,7 @@
         self._return_connection()
 
     def _check_head(self, head: RawResponseHead) -> Response:
+        self._context.progress.is_framed = head.is_framed
         self._pool.last_response_at = now()
         decoded = self._dialect.read_response(head.headers)
         self._keep_alive_seconds = decoded.keep_alive_seconds
--- a/packages/serving/bergamotsaddle_serving/context.py
+++ b/packages/serving/bergamotsaddle_serving/context.py
@@ -9,16 +9,21 @@
 from bergamotsaddle_serving.messages import RequestHead
 from bergamotsaddle_serving.stream_origins import StreamOrigin
 
+_MAX_LOGGED_PARTS = 16
+
 
 class Progress:
     """Progress of a request.
 
     Attributes:
         is_sent: Whether any byte of it was sent to a target that might run it.
+        is_framed: Whether the last response states where its body ends, None before
+            its head has arrived.
     """
 
     def __init__(self) -> None:
         self.is_sent = False
+        self.is_framed: bool | None = None
 
 
 class Context(NamedTuple):
@@ -56,6 +61,11 @@
     sender: str = ""
     origin: StreamOrigin | None = None
 
+    @property
+    def logged_parts(self) -> tuple[str, ...]:
+        """Ids of the shared parts of the prompt, as many as a log line holds."""
+        return self.head.shared_parts[:_MAX_LOGGED_PARTS]
+
     @property
     def is_relayed(self) -> bool:
         """Whether another instance handed the request over."""
--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -422,6 +422,7 @@
             route=route,
             team=context.team.name if context and context.team else "",
             work=context.fingerprint if context else "",
+            parts=context.logged_parts if context else (),
             outcome=str(outcome),
             reason=reason,
             seconds=round(seconds, 4),
--- a/packages/serving/bergamotsaddle_serving/messages.py
+++ b/packages/serving/bergamotsaddle_serving/messages.py
@@ -58,6 +58,14 @@
     forwarded: tuple[tuple[bytes, bytes], ...] = ()
     resumed_request: str = ""
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Ids of all parts of the prompt but the last one, each of them once.
+
+        The last part belongs to the request itself; the others may be shared.
+        """
+        return tuple(dict.fromkeys(part.id for part in self.prompt[:-1]))
+
     @property
     def is_resumption(self) -> bool:
         """Whether the caller has a part of the stream already."""
--- a/packages/serving/bergamotsaddle_serving/plain.py
+++ b/packages/serving/bergamotsaddle_serving/plain.py
@@ -222,6 +222,7 @@
             work=context.fingerprint,
             target=candidate.target.id,
             reason=reason,
+            framed=context.progress.is_framed,
             ran=ran,
             in_flight=candidate.state.in_flight,
         )
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -722,9 +722,11 @@
             "attempt_failed",
             request=self._context.head.id,
             work=self._context.fingerprint,
+            parts=self._context.logged_parts,
             target=candidate.target.id,
             reason=reason,
             status=status,
+            framed=self._context.progress.is_framed,
             ran=ran,
             last_event=self._last_id,
         )
--- a/packages/standins/bergamotsaddle_standins/virtual_targets.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_targets.py
@@ -26,14 +26,34 @@
 _LATENCY_S = 0.002
 _FIRST_EVENT_S = 0.05
 _STREAM_S = 0.5
-# How long a target runs a fatal request before it crashes.
-_CRASH_AFTER_S = 0.1
 # Seconds from a crash until the list of targets drops the target.
 _REGISTRATION_LAG_S = 1.1
 _OK = 200
 _MISDIRECTED = 421
 _DEADLINE_S = 8.0
 _EVENTS = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n")
+_PARTIAL_EVENT = b"id: 2\nda"
+
+
+class CrashEnding(NamedTuple):
+    """How the connections of a crashing engine end.
+
+    Attributes:
+        events: Number of events that a fatal request gets before the crash.
+        is_framed: Whether responses state where their bodies end. Otherwise they end
+            with their connections.
+        is_inside_event: Whether a part of the next event precedes the end of a fatal
+            request.
+        is_reset: Whether the connection of a fatal request is reset. The others are
+            closed.
+        after: Seconds from the arrival of a fatal request to the crash.
+    """
+
+    events: int = 0
+    is_framed: bool = True
+    is_inside_event: bool = False
+    is_reset: bool = False
+    after: float = 0.1
 
 
 class Arrival(NamedTuple):
@@ -139,19 +159,21 @@
         self._started_at = 0.0
         self._first_seconds = _FIRST_EVENT_S
         self._remaining_events = list(_EVENTS)
+        self._has_partial_event = False
+        self._is_reset = False
 
     def send(self, call: HttpCall, *, limit: float) -> int:
         """Send a request, which starts to run if it names the current incarnation."""
         self._headers = dict(call.headers)
         self._started_at = now()
-        if call.path in self._targets.fatal_paths:
+        if call.path in self._targets.fatal_paths and not self._targets.ending.events:
             # The target crashes before the first event.
-            self._first_seconds = 2.0 * _CRASH_AFTER_S
+            self._first_seconds = 2.0 * self._targets.ending.after
         arrival = Arrival(now(), self._instance, call.path)
         self._target.arrivals.append(arrival)
         if self._headers[b"target"].decode() == self._target.id:
             self._target.runs.add(self)
-            self._targets.start_request(self._target, call.path)
+            self._targets.start_request(self._target, call.path, self)
         return 0
 
     def read_head(self, *, limit: float) -> RawResponseHead:
@@ -164,7 +186,11 @@
         if is_misdirected:
             return RawResponseHead(_MISDIRECTED, [*self._headers.items()])
         self._wait(self._started_at + self._first_seconds, limit)
+        if self._closed_by_target.ready():
+            raise ConnectionLostError("closed")
         headers = [(b"id", self._headers[b"id"])]
+        if self._targets.ending.is_framed:
+            headers.append((b"transfer-encoding", b"chunked"))
         if self._target.limit is not None:
             headers.append((b"limit", str(self._target.limit).encode()))
         return RawResponseHead(_OK, headers)
@@ -177,17 +203,33 @@
         """
         if len(self._remaining_events) < len(_EVENTS):
             self._wait(self._started_at + _STREAM_S, limit)
+        if self._closed_by_target.ready():
+            return self._read_remainder()
         if not self._remaining_events:
             self._target.runs.discard(self)
             return None
         return self._remaining_events.pop(0)
 
+    def _read_remainder(self) -> bytes | None:
+        """Return what a crashed target sent last, then None as at a proper end."""
+        if not self._has_partial_event:
+            return None
+        self._has_partial_event = False
+        return _PARTIAL_EVENT
+
     def read_body(self, *, limit: float, max_bytes: int) -> bytes:
         """Return an empty body, as error responses have none."""
         return b""
 
-    def disconnect(self) -> None:
-        """Close the connection from the target's side."""
+    def disconnect(self, *, is_cause: bool = False) -> None:
+        """Close the connection from the target's side.
+
+        Args:
+            is_cause: Whether the request on it crashes the target.
+        """
+        ending = self._targets.ending
+        self._is_reset = is_cause and ending.is_reset
+        self._has_partial_event = is_cause and ending.is_inside_event
         if not self._closed_by_target.ready():
             self._closed_by_target.send()
 
@@ -200,7 +242,11 @@
         with eventlet.Timeout(pause, False):
             self._closed_by_target.wait()
         if self._closed_by_target.ready():
-            raise ConnectionLostError("closed")
+            if self._is_reset:
+                raise ConnectionLostError("reset")
+            if self._targets.ending.is_framed:
+                raise ConnectionLostError("closed")
+            return
         if until > now():
             raise ConnectionLostError("silent")
 
@@ -252,6 +298,7 @@
 
     Attributes:
         fatal_paths: Paths of the requests that crash a target.
+        ending: How the connections of a crashing target end.
         crash_count: Number of crashes so far.
     """
 
@@ -264,6 +311,7 @@
         publish: Callable[[str, Target | None], None],
     ) -> None:
         self.fatal_paths: set[bytes] = set()
+        self.ending = CrashEnding()
         self.crash_count = 0
         self._restart_after = restart_after
         self._publish = publish
@@ -275,19 +323,33 @@
     def __iter__(self):
         return iter(self.by_address.values())
 
-    def start_request(self, target: VirtualTarget, path: bytes) -> None:
+    def start_request(
+        self, target: VirtualTarget, path: bytes, connection: VirtualConnection
+    ) -> None:
         """Run a request and schedule the crash of its target if the path is fatal."""
         if path in self.fatal_paths:
-            eventlet.spawn_after(_CRASH_AFTER_S, self.crash, target, target.incarnation)
+            crash = (target, target.incarnation, connection)
+            eventlet.spawn_after(self.ending.after, self.crash, *crash)
 
-    def crash(self, target: VirtualTarget, incarnation: int) -> None:
-        """Crash an incarnation of a target and disconnect all requests it runs."""
+    def crash(
+        self,
+        target: VirtualTarget,
+        incarnation: int,
+        cause: VirtualConnection | None = None,
+    ) -> None:
+        """Crash an incarnation of a target and disconnect all requests it runs.
+
+        Args:
+            target: The target.
+            incarnation: Number of the run that crashes, if it still lasts.
+            cause: Connection of the request that causes the crash, if any.
+        """
         if not target.is_up or target.incarnation != incarnation:
             return
         self.crash_count += 1
         target.is_up = False
         for connection in list(target.runs):
-            connection.disconnect()
+            connection.disconnect(is_cause=connection is cause)
         target.runs.clear()
         eventlet.spawn_after(_REGISTRATION_LAG_S, self._publish, target.id, None)
         eventlet.spawn_after(self._restart_after, self._start, target)
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -8,6 +8,7 @@
 
 from bergamotsaddle_serving import streams
 from bergamotsaddle_standins.virtual_fleet import VirtualFleet
+from bergamotsaddle_standins.virtual_targets import CrashEnding
 from tests._paused import advance, use_paused_clock
 
 FATAL = b"/fatal"
@@ -52,6 +53,37 @@
         self.assertLessEqual(len(late_tries(fleet)), MAX_LATE_TRIES)
         self.assertLessEqual(fleet.targets.crash_count, 3)
 
+    @parameterized.expand(
+        [
+            ("framed_before_an_event", CrashEnding()),
+            ("framed_behind_an_event", CrashEnding(events=1)),
+            ("unframed_before_an_event", CrashEnding(is_framed=False)),
+            ("unframed_behind_an_event", CrashEnding(events=1, is_framed=False)),
+            (
+                "unframed_inside_an_event",
+                CrashEnding(1, is_framed=False, is_inside_event=True, after=0.4),
+            ),
+            (
+                "unframed_behind_an_event_reset",
+                CrashEnding(1, is_framed=False, is_reset=True, after=0.4),
+            ),
+        ]
+    )
+    def test_a_crash_is_not_taken_for_the_end_of_a_response(self, _, ending):
+        """Guards against crashes that clear the request which causes them."""
+        fleet = VirtualFleet(7, targets=TARGETS, restart_after=2.5)
+        fleet.targets.fatal_paths.add(FATAL)
+        fleet.targets.ending = ending
+        fleet.start()
+        advance(2.0)
+        for step in range(200):
+            if step % 10 in (0, 2):
+                # The second try is interrupted by the crash that the first one causes.
+                fleet.send_request(random.randrange(7), FATAL, b"body")
+            fleet.send_request(random.randrange(7), b"/own/%d" % step, b"body")
+            advance(0.07)
+        self.assertLessEqual(len(late_tries(fleet)), MAX_LATE_TRIES)
+
     def test_many_callers_at_once_and_requests_beside_them(self):
         """Guards against other requests that are quarantined with a fatal one."""
         fleet = VirtualFleet(7, targets=TARGETS)
