Clear a request only by a success that its target has outlived

Cause: an ending that proves nothing counted as proof. An unframed stream that ends behind a whole event was complete, also if its target had just crashed; it, every response that is no 2xx and every stage call, made or not, cleared the request at all instances. A success from before the crashes was known to one instance only.

Ruled out: an own fault of ends inside an event and of resets; with one try at a time both pass, it is the other try, cut behind a whole event, that clears.

Change: the end of an unframed response is checked against its target. A success is reported once the target has been listed for 1 s after it, 10 s if it was unframed, and has not crashed. Only 2xx and pieces that were made count. An instance with a success withdraws crashes that others record later, in its own half second so that few do it twice. Ends soon after the caller left, and cut-off responses of stage targets that can't be decoded, count.

Tests that are changed, equally strict: a stage call clears its requests after the delay; mocks of TargetCrashes say whether a target has crashed.

--- a/packages/serving/bergamotsaddle_serving/plain.py
+++ b/packages/serving/bergamotsaddle_serving/plain.py
@@ -2,7 +2,12 @@
 
 from typing import Any
 
-from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
+from bergamotsaddle_contracts.errors import (
+    BergamotsaddleError,
+    ErrorKind,
+    Ran,
+    RequestError,
+)
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.admission import add_jitter
 from bergamotsaddle_serving.attempt import (
@@ -13,7 +18,11 @@
     OutcomeUnknownError,
 )
 from bergamotsaddle_serving.budget import RetryBudget
-from bergamotsaddle_serving.client import ConnectionPool, end_to_end_headers
+from bergamotsaddle_serving.client import (
+    UNFINISHED,
+    ConnectionPool,
+    end_to_end_headers,
+)
 from bergamotsaddle_serving.context import Context
 from bergamotsaddle_serving.messages import Dialect, Dispatch, RawHeaders
 from bergamotsaddle_serving.selector import Candidate, Selector
@@ -118,8 +127,11 @@
                 if not can_repeat or self._suspects.is_quarantined(context.fingerprint):
                     return self._finish_failed(context, failure, runs)
                 continue
+            except BergamotsaddleError:
+                # The caller left or the deadline passed while the target worked on it.
+                self._crashes.record_abandoned(candidate.target, context.fingerprint)
+                raise
             runs += 1
-            self._suspects.record_success(candidate.target, context.fingerprint)
             if response.status < _SERVER_ERROR or not can_repeat:
                 return response
             failure = response
@@ -193,10 +205,24 @@
             body = attempt.read_body(limit=limit, max_bytes=_MAX_RESPONSE_BYTES)
             if response.head.status in NOT_RUN_STATUSES:
                 raise OutcomeUnknownError(f"status {response.head.status}")
+            if not response.head.is_framed:
+                self._check_unframed(candidate)
             state.record_success(now() - attempt.started_at)
+        if response.is_success:
+            self._crashes.record_success(
+                candidate.target,
+                [context.fingerprint],
+                is_framed=response.head.is_framed,
+            )
         headers = list(end_to_end_headers(response.head.headers))
         return CompleteResponse(response.head.status, headers, body)
 
+    def _check_unframed(self, candidate: Candidate) -> None:
+        """Raise an error if an unframed response ended as its target crashed."""
+        if self._crashes.has_ended_with_target(candidate.target):
+            candidate.state.record_failure(is_certain=False)
+            raise OutcomeUnknownError(UNFINISHED)
+
     def _finish_failed(
         self, context: Context, failure: CompleteResponse | None, runs: int
     ) -> CompleteResponse:
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -182,7 +182,7 @@
             logger,
             policy,
         )
-        crashes = TargetCrashes(
+        self.crashes = crashes = TargetCrashes(
             self.pool,
             self.view,
             self.suspects,
@@ -417,6 +417,8 @@
             self.pool.prune()
             self.view.drop_lapsed()
             self.gossip.drop_expired()
+            self.crashes.check_successes()
+            self.suspects.withdraw_disputed()
             self.software_history.refresh()
             self.origin_exchange.renew()
             self.rate_owner.forget_idle()
--- a/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
+++ b/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
@@ -7,7 +7,7 @@
 
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving._stage_worker import ServiceQueue, Worker
-from bergamotsaddle_serving.client import ConnectionLostError
+from bergamotsaddle_serving.client import UNFINISHED, ConnectionLostError
 from bergamotsaddle_serving.fetching import DEFAULT_FETCH_TIMES, FetchTimes
 from bergamotsaddle_serving.messages import PieceFailure, PieceResult
 from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
@@ -174,7 +174,8 @@
                 ),
             )
         except (ConnectionLostError, ValueError) as error:
-            reason = getattr(error, "reason", "")
+            # An unframed response that is cut off can't be decoded.
+            reason = getattr(error, "reason", UNFINISHED)
             fingerprints = sorted({piece.fingerprint for piece in batch})
             self._crashes.record_failure(worker.target, fingerprints, reason)
             self._handle_failure(queue, worker, batch, str(error))
@@ -192,8 +193,11 @@
             eventlet.sleep(_FULL_PAUSE_S)
             return
         worker.record_call_seconds(now() - started_at, expected)
-        for fingerprint in {piece.fingerprint for piece in batch}:
-            self._crashes.suspects.record_success(worker.target, fingerprint)
+        made = [p for p, r in zip(batch, results, strict=True) if r.reason is None]
+        # A response that could be decoded is complete, however it was framed.
+        self._crashes.record_success(
+            worker.target, {piece.fingerprint for piece in made}, is_framed=True
+        )
         self._logger.info(
             "stage_call",
             service=queue.service,
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -7,7 +7,12 @@
 import eventlet
 from eventlet.greenthread import GreenThread
 
-from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
+from bergamotsaddle_contracts.errors import (
+    BergamotsaddleError,
+    ErrorKind,
+    Ran,
+    RequestError,
+)
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.admission import (
     Forecast,
@@ -457,8 +462,9 @@
         self._check_quarantine()
         self._server.selector.record_sent(candidate, context.service)
         self._was_offered = True
+        target = candidate.target
         try:
-            self._send(candidate, choice)
+            response = self._send(candidate, choice)
         except NotRunError as error:
             self._was_offered = is_repeat or not error.is_connection_refused
             self._log_failed_attempt(candidate, error.reason, "no", error.status)
@@ -466,7 +472,6 @@
             return False
         except OutcomeUnknownError as error:
             self._log_failed_attempt(candidate, error.reason, "unknown")
-            target = candidate.target
             self._server.crashes.record_failure(
                 target, [context.fingerprint], error.reason
             )
@@ -474,7 +479,16 @@
             self._possible_runs += 1
             self._check_resumable()
             return False
-        self._server.suspects.record_success(candidate.target, context.fingerprint)
+        except RequestError:
+            raise
+        except BergamotsaddleError:
+            # The caller left or the deadline passed while the engine worked on it.
+            self._server.crashes.record_abandoned(target, context.fingerprint)
+            raise
+        if response.is_success:
+            self._server.crashes.record_success(
+                target, [context.fingerprint], is_framed=response.head.is_framed
+            )
         return True
 
     def _check_quarantine(self) -> None:
@@ -485,7 +499,16 @@
             raise self._failure_error("targets ended while they ran it")
         raise self._context.quarantine_error()
 
-    def _send(self, candidate: Candidate, choice: EngineChoice) -> None:
+    def _send(self, candidate: Candidate, choice: EngineChoice) -> Response:
+        """Send the request to an engine and relay its response.
+
+        Returns:
+            The head of the response, which was relayed completely.
+
+        Raises:
+            NotRunError: If the engine did not run the request.
+            OutcomeUnknownError: If the response is incomplete.
+        """
         context = self._context
         state = candidate.state
         tokens = self._prefill_tokens(choice)
@@ -512,7 +535,7 @@
                 )
                 if not response.is_success:
                     self._forward_failure(attempt, response)
-                    return
+                    return response
                 splitter = EventSplitter()
                 data = attempt.read_some(limit=limit)
                 if data is None and not self._is_behind_last_event(response, splitter):
@@ -534,6 +557,7 @@
                 server.record_cached_prefix(candidate.target.id, context)
                 self._release_inputs()
                 self._relay(attempt, response, splitter, data, candidate.target)
+                return response
         finally:
             if is_prefilling:
                 state.prompt_tokens_ahead -= tokens
@@ -572,7 +596,10 @@
                     self._last_id = event.id
             data = attempt.read_some(limit=self._event_timeout())
         is_nothing_left = self._is_behind_last_event(response, splitter)
-        attempt.finish_stream(is_whole=is_nothing_left or splitter.may_end())
+        is_whole = is_nothing_left or splitter.may_end()
+        if not response.head.is_framed:
+            is_whole &= not self._server.crashes.has_ended_with_target(target)
+        attempt.finish_stream(is_whole=is_whole)
         self._start_response(response)
         if splitter.remainder:
             self._caller.send(splitter.remainder)
--- a/packages/serving/bergamotsaddle_serving/suspects.py
+++ b/packages/serving/bergamotsaddle_serving/suspects.py
@@ -80,6 +80,8 @@
         self._incarnations_by_fingerprint: dict[str, set[_Incarnation]] = {}
         self._fingerprints_by_incarnation: dict[_Incarnation, set[str]] = {}
         self._cleared: OrderedDict[tuple[str, tuple[str, str]], None] = OrderedDict()
+        # Keys of crash facts that a success at this instance contradicts.
+        self._disputed: dict[str, None] = {}
         gossip.subscribe(_CRASHES, self._on_fact, priority=self._retention_priority)
 
     def record_crash(self, target: Target, fingerprints: Iterable[str]) -> None:
@@ -103,7 +105,7 @@
             self._log(fingerprint, target)
 
     def record_success(self, target: Target, fingerprint: str) -> None:
-        """Record that a target completed a request without a crash."""
+        """Record that a target completed a request and outlived it."""
         software = _incarnation(target).software
         self._cleared[fingerprint, software] = None
         self._cleared.move_to_end((fingerprint, software))
@@ -124,6 +126,25 @@
             ]
         )
 
+    def has_crashed(self, target: Target) -> bool:
+        """Return whether a crash of this incarnation is attributed to any request."""
+        return _incarnation(target) in self._fingerprints_by_incarnation
+
+    def withdraw_disputed(self) -> None:
+        """Withdraw the crashes that others recorded for requests that succeeded here.
+
+        Every instance that knows of a success could do so; instances call this at
+        different times, so that most find the crash withdrawn already.
+        """
+        disputed, self._disputed = self._disputed, {}
+        self._publish(
+            [
+                self._gossip.record(_CRASHES, key, _CLEARED)
+                for key in disputed
+                if self._gossip.value(_CRASHES, key) == _CRASHED
+            ]
+        )
+
     def is_suspect(self, fingerprint: str) -> bool:
         """Return whether a crash is attributed to a request."""
         return self._is_on and bool(self._attributed_crashes(fingerprint))
@@ -186,6 +207,8 @@
             return
         fingerprint, incarnation = parsed
         if value == _CRASHED:
+            if (fingerprint, incarnation.software) in self._cleared:
+                self._disputed[key] = None
             self._incarnations_by_fingerprint.setdefault(fingerprint, set()).add(
                 incarnation
             )
--- a/packages/standins/bergamotsaddle_standins/virtual_fleet.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_fleet.py
@@ -1,5 +1,6 @@
 """Many instances that share engines, in one process on a virtual clock."""
 
+import random
 from collections.abc import Callable
 from itertools import count
 from types import SimpleNamespace
@@ -59,6 +60,7 @@
 )
 
 _BOUNDS = BoundSettings(8.0, 0.2, 10.0, 58.0)
+_TICK_S = 0.5
 _CONFIGURATION = "configuration"
 _ROUTE = Route(
     name="ask",
@@ -171,7 +173,8 @@
         self.suspects = Suspects(
             gossip, publish, self.view.software_versions, SILENT_LOGGER
         )
-        crashes = TargetCrashes(pool, self.view, self.suspects)
+        self.crashes = TargetCrashes(pool, self.view, self.suspects)
+        crashes = self.crashes
         plain = PlainServer(
             selector, pool, budget, dialect, SILENT_LOGGER, crashes=crashes
         )
@@ -210,6 +213,13 @@
             suspects=self.suspects,
         )
 
+    def tick(self) -> None:
+        """Do what an instance does regularly, without end."""
+        while True:
+            self.crashes.check_successes()
+            self.suspects.withdraw_disputed()
+            eventlet.sleep(_TICK_S)
+
 
 class VirtualFleet:
     """A fleet of instances and its engines.
@@ -243,6 +253,8 @@
     def start(self) -> None:
         """Start all instances."""
         self.peers.start(within=0.3)
+        for instance in self.instances:
+            eventlet.spawn_after(random.uniform(0.0, _TICK_S), instance.tick)
 
     def send_request(
         self, number: int, path: bytes, body: bytes = b""
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -68,6 +68,7 @@
         framing: How the first response states its end: "length", "chunks" or "open".
         is_reset: Whether the first connection is reset instead of closed.
         later_framing: How later responses state their end.
+        crashes_first: Whether it crashes with the end of the first response.
 
     Attributes:
         first: The first response.
@@ -75,7 +76,16 @@
         address: Its address.
     """
 
-    def __init__(self, cut, framing, *, is_reset=False, later_framing="chunks"):
+    def __init__(
+        self,
+        cut,
+        framing,
+        *,
+        is_reset=False,
+        later_framing="chunks",
+        crashes_first=False,
+    ):
+        self._crashes_first = crashes_first
         self._later_framing = later_framing
         self.first = frame(WHOLE[:cut], framing)
         self._is_reset = is_reset
@@ -84,6 +94,11 @@
         self.address = Address(*self.listener.getsockname())
         self.thread = eventlet.spawn(self._run)
 
+    @property
+    def has_crashed(self):
+        """Whether the last response ended with a crash."""
+        return self._crashes_first and len(self.requests) == 1
+
     def _run(self):
         while True:
             sock, _ = self.listener.accept()
@@ -118,6 +133,9 @@
         target = Target(target_id, "s", engine.address, "a", 4)
         return Candidate(target, health.of(target), False, 0)
 
+    engine.crashes = mock.Mock(
+        suspects=suspects, has_ended_with_target=lambda target: engine.has_crashed
+    )
     selector = mock.Mock(find=find, permit_wait=lambda service, **_: 0.1)
     waits = SimpleNamespace(best_scope=mock.Mock(), pending=mock.Mock())
     dialect = PlatformDialect()
@@ -129,7 +147,7 @@
         mock.Mock(),
         dialect,
         mock.Mock(),
-        crashes=mock.Mock(suspects=suspects),
+        crashes=engine.crashes,
         resumptions=make_lone_resumptions(),
     )
 
@@ -279,6 +297,25 @@
         status, body, is_complete = relay(engine, is_resumable=True)
         self.assertEqual((status, body, is_complete), (200, WHOLE, is_whole))
 
+    @parameterized.expand([(end,) for end in ENDS_OF_EVENTS])
+    def test_a_crash_behind_an_event_is_not_the_end_of_a_stream(self, end):
+        """Guards against an unframed stream that ends with its engine."""
+        for is_resumable in (False, True):
+            engine = ScriptedEngine(end, "open", crashes_first=True)
+            status, body, is_complete = relay(engine, is_resumable=is_resumable)
+            self.assertEqual((status, is_complete), (200, is_resumable))
+            self.assertEqual(body, WHOLE if is_resumable else WHOLE[:end])
+
+    @parameterized.expand(
+        [("success", b"200 OK", True), ("failure", b"500 Failed", False)]
+    )
+    def test_only_a_success_clears_a_request(self, _, status, is_cleared):
+        """Guards against failures that count as proof that a request is sound."""
+        engine = ScriptedEngine(len(WHOLE), "length")
+        engine.first = engine.first.replace(b"200 OK", status)
+        relay(engine)
+        self.assertEqual(engine.crashes.record_success.called, is_cleared)
+
     def test_events_without_ids_are_not_sent_twice(self):
         """Guards against a stream that starts anew behind events without ids."""
         unnumbered = b"data: a\n\n"
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -98,10 +98,11 @@
             mock.Mock(read_response=lambda headers: head, forward=mock.MagicMock()),
             mock.Mock(),
             crashes=mock.Mock(
+                has_ended_with_target=lambda target: False,
                 suspects=mock.Mock(
                     is_suspect=lambda fingerprint: False,
                     is_quarantined=lambda fingerprint: False,
-                )
+                ),
             ),
         )
         context = Context(
--- a/tests/test_stage_owner.py
+++ b/tests/test_stage_owner.py
@@ -149,6 +149,7 @@
             Gossip(), lambda facts: None, self.view.software_versions, mock.Mock()
         )
         pool = mock.Mock(is_refused=lambda address: True)
+        self.crashes = TargetCrashes(pool, self.view, self.suspects)
         self.owner = StageOwner(
             self.view,
             self.peers,
@@ -156,7 +157,7 @@
             dialect,
             self.reach,
             mock.Mock(),
-            crashes=TargetCrashes(pool, self.view, self.suspects),
+            crashes=self.crashes,
         )
         self.exchange = StageExchange(self.peers, self.owner)
         config = StoreEntry("op/config", 1, msgspec.json.encode(CONFIG))
@@ -247,10 +248,21 @@
     def test_a_successful_call_clears_its_requests(self):
         self.start(fingerprint="w")
         self.finish(0.6)
+        advance(1.0)
+        self.crashes.check_successes()
         for number in range(3):
             self.suspects.record_crash(self.target("t1", started_ms=number), ["w"])
         self.assertFalse(self.suspects.is_suspect("w"))
 
+    def test_pieces_that_were_not_made_clear_no_request(self):
+        """Guards against a full target whose rejections clear a fatal request."""
+        self.calls.script = [dict.fromkeys(range(4), PieceFailure.NO_MEMORY)] * 99
+        self.start(fingerprint="w")
+        advance(1.6)
+        self.crashes.check_successes()
+        self.suspects.record_crash(self.target("t1"), ["w"])
+        self.assertTrue(self.suspects.is_suspect("w"))
+
     def target(self, name, started_ms=0):
         """Return a listed target in an incarnation with the given start time."""
         known = next(k for k in self.view.usable("encode") if k.target.id == name)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -68,7 +68,9 @@
         mock.Mock(),
         PlatformDialect(),
         mock.Mock(),
-        crashes=mock.Mock(suspects=suspects),
+        crashes=mock.Mock(
+            suspects=suspects, has_ended_with_target=lambda target: False
+        ),
         resumptions=make_lone_resumptions(*(c.target for c in candidates)),
     )
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -21,6 +21,17 @@
     return Target(f"t{number}", "generate", address, "a", 64, software=software)
 
 
+class _Peer:
+    """Another instance that gets new facts."""
+
+    def __init__(self, gossip):
+        self._gossip = gossip
+
+    def merge_new(self, facts):
+        """Merge facts; those that are not new are None."""
+        self._gossip.merge([fact for fact in facts if fact is not None])
+
+
 class SuspectsTest(unittest.TestCase):
     """Crash attribution at one instance."""
 
@@ -75,6 +86,21 @@
         self.assertFalse(self.suspects.is_quarantined("w"))
         self.assertFalse(self.suspects.is_suspect("w"))
 
+    def test_a_success_at_another_instance_withdraws_later_crashes(self):
+        """Guards against a quarantine that only one instance knows to be wrong."""
+        gossips = [Gossip(), Gossip()]
+        first, second = (
+            Suspects(g, other.merge_new, lambda: self.software_versions, SILENT_LOGGER)
+            for g, other in zip(gossips, map(_Peer, reversed(gossips)), strict=True)
+        )
+        first.record_success(target(9), "w")
+        for number in (1, 2, 3):
+            second.record_crash(target(number), ["w"])
+        self.assertTrue(second.is_quarantined("w"))
+        advance(0.5)
+        first.withdraw_disputed()
+        self.assertFalse(second.is_suspect("w"))
+
     def test_success_on_older_software_does_not_clear(self):
         self.suspects.record_success(target(9, "v0"), "w")
         self.crash(1, 2, 3)
--- a/tests/test_target_crashes.py
+++ b/tests/test_target_crashes.py
@@ -38,6 +38,11 @@
         self.pool.is_refused.return_value = is_refused
         self.crashes.record_failure(TARGET, ["w"], reason)
 
+    def leave(self):
+        """Remove the target's incarnation from the list."""
+        self.view.has_incarnation.return_value = False
+        self.on_view_change()
+
     @parameterized.expand(
         [
             ("ended", "closed", True, 1),
@@ -86,6 +91,70 @@
         self.on_view_change()
         self.suspects.record_crash.assert_not_called()
 
+    @parameterized.expand(
+        [
+            ("framed_at_once", True, 0.0, 0),
+            ("framed", True, 1.0, 1),
+            ("unframed", False, 1.0, 0),
+            ("unframed_and_listed_for_long", False, 10.0, 1),
+        ]
+    )
+    def test_a_success_counts_once_its_target_has_outlived_it(
+        self, _, is_framed, after, successes
+    ):
+        """Guards against crashes that clear a request as ends of its response."""
+        self.suspects.has_crashed.return_value = False
+        self.crashes.record_success(TARGET, ["w"], is_framed=is_framed)
+        advance(after)
+        self.crashes.check_successes()
+        self.assertEqual(self.suspects.record_success.call_count, successes)
+
+    @parameterized.expand([("crashed", True, True), ("unlisted", False, False)])
+    def test_a_target_that_did_not_outlive_a_success(self, _, has_crashed, is_listed):
+        """Guards against requests that are cleared by a run before a crash."""
+        self.suspects.has_crashed.return_value = has_crashed
+        self.view.has_incarnation.return_value = is_listed
+        self.crashes.record_success(TARGET, ["w"], is_framed=True)
+        advance(1.0)
+        self.crashes.check_successes()
+        self.suspects.record_success.assert_not_called()
+
+    def test_an_unframed_success_before_an_unlisted_crash_counts_as_its_cause(self):
+        """Guards against missed crashes of targets that listen again at once."""
+        self.crashes.record_success(TARGET, ["w"], is_framed=False)
+        self.leave()
+        self.suspects.record_crash.assert_called_once_with(TARGET, ["w"])
+
+    @parameterized.expand([("crashed", True, 1), ("alive", False, 0)])
+    def test_a_target_that_crashes_after_its_caller_left(self, _, is_refused, crashes):
+        """Guards against fatal requests whose callers leave before the crash."""
+        self.pool.is_refused.return_value = is_refused
+        self.crashes.record_abandoned(TARGET, "w")
+        advance(0.6)
+        self.assertEqual(self.suspects.record_crash.call_count, crashes)
+
+    def test_a_target_that_lapses_after_its_caller_left_has_not_crashed(self):
+        """Guards against crashes recorded when the store removes silent targets."""
+        self.pool.is_refused.return_value = False
+        self.crashes.record_abandoned(TARGET, "w")
+        self.leave()
+        self.suspects.record_crash.assert_not_called()
+
+    def test_an_abandoned_run_is_reported_with_a_crash_soon_after(self):
+        self.crashes.record_abandoned(TARGET, "v")
+        self.fail(is_refused=True)
+        self.suspects.record_crash.assert_called_once_with(TARGET, ["v", "w"])
+
+    @parameterized.expand(
+        [("closed", True, False, True), ("alive", False, False, False)]
+        + [("left", True, True, False)]
+    )
+    def test_the_end_of_an_unframed_response(self, _, is_refused, is_leaving, ended):
+        """Guards against complete responses that end in a crash or an exit."""
+        self.pool.is_refused.return_value = is_refused
+        self.view.is_leaving.return_value = is_leaving
+        self.assertEqual(self.crashes.has_ended_with_target(TARGET), ended)
+
 
 class RefusedTest(unittest.TestCase):
     """Detection of addresses at which no process listens."""
