--- a/packages/standins/bergamotsaddle_standins/virtual_fleet.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_fleet.py
@@ -1,7 +1,7 @@
 """Many instances that share engines, in one process on a virtual clock."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from itertools import count
 from types import SimpleNamespace
 from typing import Any
@@ -86,6 +86,7 @@
     Attributes:
         status: Status of the response, or 0 before it.
         headers: Headers of the response.
+        body: Body of the response.
         is_complete: Whether the response was received to its end.
         is_peer: Whether another instance hands over requests on it, which none does.
     """
@@ -94,6 +95,7 @@
         self._requests = [request]
         self.status = 0
         self.headers: RawHeaders = []
+        self.body = b""
         self.is_complete = False
         self.must_close = False
         self.has_started = False
@@ -110,6 +112,7 @@
     def respond(self, status: int, headers: RawHeaders, body: bytes) -> None:
         """Receive a complete response."""
         self.start(status, headers)
+        self.send(body)
         self.finish()
 
     def start(self, status: int, headers: RawHeaders) -> None:
@@ -119,7 +122,8 @@
         self.headers = headers
 
     def send(self, data: bytes) -> None:
-        """Discard a part of the response body."""
+        """Receive a part of the response body."""
+        self.body += data
 
     def finish(self) -> None:
         """Receive the end of the response."""
@@ -257,14 +261,23 @@
             eventlet.spawn_after(random.uniform(0.0, _TICK_S), instance.tick)
 
     def send_request(
-        self, number: int, path: bytes, body: bytes = b""
+        self, number: int, path: bytes, body: bytes = b"", prompt: Sequence[str] = ()
     ) -> VirtualCaller:
         """Send a request to an instance.
 
+        Args:
+            number: Number of the instance.
+            path: Path of the request.
+            body: Its body.
+            prompt: Ids of the parts of its prompt.
+
         Returns:
             The caller, which gets its response later.
         """
-        headers = [(b"id", f"r{next(self._ids)}".encode())]
+        headers = [
+            (b"id", f"r{next(self._ids)}".encode()),
+            (b"prompt", ",".join(prompt).encode()),
+        ]
         caller = VirtualCaller(RawRequest(b"POST", path, headers, body, now()))
         instance = self.instances[number % len(self.instances)]
         eventlet.spawn_n(instance.handler.run, caller)
--- a/packages/standins/bergamotsaddle_standins/virtual_targets.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_targets.py
@@ -13,6 +13,7 @@
 from bergamotsaddle_serving.messages import (
     Dispatch,
     HttpCall,
+    PromptPart,
     RawHeaders,
     RequestHead,
     ResponseHead,
@@ -31,6 +32,7 @@
 _OK = 200
 _MISDIRECTED = 421
 _DEADLINE_S = 8.0
+_PART_TOKENS = 100
 _EVENTS = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n")
 _PARTIAL_EVENT = b"id: 2\nda"
 
@@ -63,11 +65,13 @@
         at: Time of the arrival on the hub's clock.
         instance: Id of the instance that sent the request.
         path: Path of the request.
+        parts: Ids of the parts of its prompt.
     """
 
     at: float
     instance: str
     path: bytes
+    parts: tuple[str, ...] = ()
 
 
 class VirtualTarget:
@@ -113,14 +117,25 @@
 
     def read_head(self, method: bytes, path: bytes, headers: RawHeaders) -> RequestHead:
         """Decode the head of a caller's request."""
-        request_id = dict(headers)[b"id"].decode()
-        return RequestHead(request_id, method, path, HOST, "", _DEADLINE_S)
+        by_name = dict(headers)
+        return RequestHead(
+            by_name[b"id"].decode(),
+            method,
+            path,
+            HOST,
+            "",
+            _DEADLINE_S,
+            prompt=tuple(
+                PromptPart(part, _PART_TOKENS) for part in _read_parts(by_name)
+            ),
+        )
 
     def forward(self, head: RequestHead, dispatch: Dispatch, size: int) -> RawHeaders:
         """Return the headers of a request that is forwarded to a target."""
         return [
             (b"id", head.id.encode()),
             (b"target", dispatch.target.id.encode()),
+            (b"prompt", ",".join(part.id for part in head.prompt).encode()),
         ]
 
     def read_response(self, headers: RawHeaders) -> ResponseHead:
@@ -139,6 +154,11 @@
         return None if entry.value is None else self.objects_by_key[entry.key]
 
 
+def _read_parts(headers: dict[bytes, bytes]) -> tuple[str, ...]:
+    """Return the ids of the parts of a prompt."""
+    return tuple(part for part in headers[b"prompt"].decode().split(",") if part)
+
+
 class VirtualConnection:
     """A connection from one instance to one target.
 
@@ -166,14 +186,17 @@
         """Send a request, which starts to run if it names the current incarnation."""
         self._headers = dict(call.headers)
         self._started_at = now()
-        if call.path in self._targets.fatal_paths and not self._targets.ending.events:
+        parts = _read_parts(self._headers)
+        arrival = Arrival(now(), self._instance, call.path, parts)
+        is_fatal = self._targets.is_fatal(arrival)
+        if is_fatal and not self._targets.ending.events:
             # The target crashes before the first event.
             self._first_seconds = 2.0 * self._targets.ending.after
-        arrival = Arrival(now(), self._instance, call.path)
         self._target.arrivals.append(arrival)
         if self._headers[b"target"].decode() == self._target.id:
             self._target.runs.add(self)
-            self._targets.start_request(self._target, call.path, self)
+            if is_fatal:
+                self._targets.schedule_crash(self._target, self)
         return 0
 
     def read_head(self, *, limit: float) -> RawResponseHead:
@@ -202,7 +225,7 @@
             ConnectionLostError: If the target crashes or the limit passes before.
         """
         if len(self._remaining_events) < len(_EVENTS):
-            self._wait(self._started_at + _STREAM_S, limit)
+            self._wait(self._started_at + self._targets.stream_seconds, limit)
         if self._closed_by_target.ready():
             return self._read_remainder()
         if not self._remaining_events:
@@ -298,8 +321,11 @@
 
     Attributes:
         fatal_paths: Paths of the requests that crash a target.
+        fatal_parts: Parts of prompts that crash a target, except as last ones.
+        stream_seconds: Duration of a sound stream.
         ending: How the connections of a crashing target end.
         crash_count: Number of crashes so far.
+        crash_times: When each of them happened, on the hub's clock.
     """
 
     def __init__(
@@ -311,6 +337,9 @@
         publish: Callable[[str, Target | None], None],
     ) -> None:
         self.fatal_paths: set[bytes] = set()
+        self.fatal_parts: set[str] = set()
+        self.stream_seconds = _STREAM_S
+        self.crash_times: list[float] = []
         self.ending = CrashEnding()
         self.crash_count = 0
         self._restart_after = restart_after
@@ -323,13 +352,17 @@
     def __iter__(self):
         return iter(self.by_address.values())
 
-    def start_request(
-        self, target: VirtualTarget, path: bytes, connection: VirtualConnection
+    def is_fatal(self, arrival: Arrival) -> bool:
+        """Return whether a request crashes the target that runs it."""
+        is_fatal_part = not self.fatal_parts.isdisjoint(arrival.parts[:-1])
+        return arrival.path in self.fatal_paths or is_fatal_part
+
+    def schedule_crash(
+        self, target: VirtualTarget, connection: VirtualConnection
     ) -> None:
-        """Run a request and schedule the crash of its target if the path is fatal."""
-        if path in self.fatal_paths:
-            crash = (target, target.incarnation, connection)
-            eventlet.spawn_after(self.ending.after, self.crash, *crash)
+        """Let a target crash a moment after a fatal request has arrived."""
+        crash = (target, target.incarnation, connection)
+        eventlet.spawn_after(self.ending.after, self.crash, *crash)
 
     def crash(
         self,
@@ -347,6 +380,7 @@
         if not target.is_up or target.incarnation != incarnation:
             return
         self.crash_count += 1
+        self.crash_times.append(now())
         target.is_up = False
         for connection in list(target.runs):
             connection.disconnect(is_cause=connection is cause)
