Hold back parts of prompts under which five targets have ended

Cause: crashes were attributed to whole requests. Requests that are all different have one crash each, and nothing read the parts of their prompts.

Ruled out: a team or route as the cause (11 whole requests of it meanwhile in the record).

Change: suspect_parts.py keeps, as two kinds of facts that are never taken back, the runs that crashes interrupted and the crashes of which a part is cleared, by a run with it that was whole later. Five crashes of which a part is not cleared quarantine it; parts on which targets had written for a while wait a second longer, parts that always come together are refused together, an evident cause explains its crashes, and a part that is no evident cause is tried twice. Waiting attempts are aborted. Datagrams of facts are split by size, as these facts are longer.

--- a/packages/serving/bergamotsaddle_serving/context.py
+++ b/packages/serving/bergamotsaddle_serving/context.py
@@ -9,7 +9,8 @@
 from bergamotsaddle_serving.messages import RequestHead
 from bergamotsaddle_serving.stream_origins import StreamOrigin
 
-_MAX_LOGGED_PARTS = 16
+# Maximum number of names that a log line lists.
+MAX_LOGGED_NAMES = 16
 
 
 class Progress:
@@ -64,7 +65,7 @@
     @property
     def logged_parts(self) -> tuple[str, ...]:
         """Ids of the shared parts of the prompt, as many as a log line holds."""
-        return self.head.shared_parts[:_MAX_LOGGED_PARTS]
+        return self.head.shared_parts[:MAX_LOGGED_NAMES]
 
     @property
     def is_relayed(self) -> bool:
@@ -94,9 +95,15 @@
             return RequestError(kind, detail, ran=Ran.UNKNOWN)
         return self.rejection_error(ErrorKind.NOT_RUN, detail)
 
-    def quarantine_error(self) -> RequestError:
-        """Make the error for a request that crashes its targets."""
+    def quarantine_error(self, part: str | None = None) -> RequestError:
+        """Make the error for a request that crashes its targets.
+
+        Args:
+            part: Part of its prompt that crashes them, None if it does so as a whole.
+        """
         detail = "targets ended each time that they ran it"
+        if part is not None:
+            detail = f"targets ended each time that they ran part {part} of its prompt"
         return self.rejection_error(ErrorKind.HELD_BACK, detail)
 
     def rejection_error(
--- a/packages/serving/bergamotsaddle_serving/gossip.py
+++ b/packages/serving/bergamotsaddle_serving/gossip.py
@@ -110,6 +110,10 @@
         stored = self._table_by_topic[topic.name].stored_by_key.get(key)
         return None if stored is None else stored.value
 
+    def observed_at(self, topic: Topic, key: str) -> float:
+        """Return when a stored fact was observed, on the hub's clock."""
+        return self._table_by_topic[topic.name].stored_by_key[key].observed_at
+
     def drop_expired(self) -> None:
         """Drop facts that are older than the limit of their topic."""
         current_time = now()
--- a/packages/serving/bergamotsaddle_serving/gossip_exchange.py
+++ b/packages/serving/bergamotsaddle_serving/gossip_exchange.py
@@ -1,7 +1,7 @@
 """Exchanges gossip facts with the other instances."""
 
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from typing import NamedTuple
 
 import eventlet
@@ -11,8 +11,9 @@
 from bergamotsaddle_serving.peer_messages import Fact, GossipUpdate, Heartbeat
 from bergamotsaddle_serving.peers import Peers
 
-# This many facts fit into one packet.
-_FACTS_PER_DATAGRAM = 16
+# Size of the facts that fit into one packet, and what a fact takes beside its key.
+_DATAGRAM_BYTES = 1_200
+_FACT_BYTES = 32
 # The crash of a target interrupts many requests; the facts that follow from them are
 # sent together after this delay.
 _BATCH_DELAY_S = 0.02
@@ -108,6 +109,20 @@
         )
 
     def _send(self, peer_id: str, facts: Sequence[Fact]) -> None:
-        for start in range(0, len(facts), _FACTS_PER_DATAGRAM):
-            batch = list(facts[start : start + _FACTS_PER_DATAGRAM])
+        for batch in _split(facts):
             self._peers.send(peer_id, GossipUpdate(batch))
+
+
+def _split(facts: Iterable[Fact]) -> Iterator[list[Fact]]:
+    """Yield lists of facts that each fit into one packet, if any fact does."""
+    batch: list[Fact] = []
+    size = 0
+    for fact in facts:
+        fact_size = len(fact.key) + _FACT_BYTES
+        if batch and size + fact_size > _DATAGRAM_BYTES:
+            yield batch
+            batch, size = [], 0
+        batch.append(fact)
+        size += fact_size
+    if batch:
+        yield batch
--- a/packages/serving/bergamotsaddle_serving/messages.py
+++ b/packages/serving/bergamotsaddle_serving/messages.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from enum import StrEnum
+from hashlib import blake2b
 from typing import NamedTuple, Protocol
 
 from bergamotsaddle_contracts.ini import Address
@@ -9,6 +10,11 @@
 
 RawHeaders = list[tuple[bytes, bytes]]
 
+# Parts of a prompt that are told from each other; the rest of a longer one is not.
+_MAX_SHARED_PARTS = 256
+_MAX_PART_ID = 32
+_DIGEST_BYTES = 8
+
 
 class PromptPart(NamedTuple):
     """A section of a prompt that several requests may share.
@@ -22,6 +28,13 @@
     tokens: int
 
 
+def _short_name(part_id: str) -> str:
+    """Return the id of a part, or a digest of an id that no log or datagram holds."""
+    if len(part_id) <= _MAX_PART_ID and part_id.isalnum():
+        return part_id
+    return blake2b(part_id.encode(), digest_size=_DIGEST_BYTES).hexdigest()
+
+
 class RequestHead(NamedTuple):
     """The decoded head of a caller's request.
 
@@ -64,7 +77,8 @@
 
         The last part belongs to the request itself; the others may be shared.
         """
-        return tuple(dict.fromkeys(part.id for part in self.prompt[:-1]))
+        shared = self.prompt[:-1][:_MAX_SHARED_PARTS]
+        return tuple(dict.fromkeys(_short_name(part.id) for part in shared))
 
     @property
     def is_resumption(self) -> bool:
--- a/packages/serving/bergamotsaddle_serving/plain.py
+++ b/packages/serving/bergamotsaddle_serving/plain.py
@@ -26,6 +26,7 @@
 from bergamotsaddle_serving.context import Context
 from bergamotsaddle_serving.messages import Dialect, Dispatch, RawHeaders
 from bergamotsaddle_serving.selector import Candidate, Selector
+from bergamotsaddle_serving.suspect_parts import Work
 from bergamotsaddle_serving.target_crashes import TargetCrashes
 
 _MAX_RESPONSE_BYTES = 64_000_000
@@ -122,14 +123,15 @@
                 self._log_failed_attempt(context, candidate, error.reason, "unknown")
                 runs += 1
                 self._crashes.record_failure(
-                    candidate.target, [context.fingerprint], error.reason
+                    candidate.target, [Work(context.fingerprint)], error.reason
                 )
                 if not can_repeat or self._suspects.is_quarantined(context.fingerprint):
                     return self._finish_failed(context, failure, runs)
                 continue
             except BergamotsaddleError:
                 # The caller left or the deadline passed while the target worked on it.
-                self._crashes.record_abandoned(candidate.target, context.fingerprint)
+                work = Work(context.fingerprint)
+                self._crashes.record_abandoned(candidate.target, work)
                 raise
             runs += 1
             if response.status < _SERVER_ERROR or not can_repeat:
@@ -211,7 +213,7 @@
         if response.is_success:
             self._crashes.record_success(
                 candidate.target,
-                [context.fingerprint],
+                [Work(context.fingerprint)],
                 is_framed=response.head.is_framed,
             )
         headers = list(end_to_end_headers(response.head.headers))
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -49,6 +49,7 @@
 from bergamotsaddle_serving.stop_schedule import StopSchedule
 from bergamotsaddle_serving.stream_origins import StreamOrigins
 from bergamotsaddle_serving.streams import StreamServer
+from bergamotsaddle_serving.suspect_parts import SuspectParts
 from bergamotsaddle_serving.suspects import Suspects
 from bergamotsaddle_serving.target_crashes import TargetCrashes
 from bergamotsaddle_serving.target_notices import TargetNotices
@@ -182,10 +183,19 @@
             logger,
             policy,
         )
+        self.suspect_parts = SuspectParts(
+            self.gossip,
+            self.gossip_exchange.publish,
+            self.view.software_versions,
+            logger,
+            policy,
+            allowed=settings.suspects.allowed_parts,
+        )
         self.crashes = crashes = TargetCrashes(
             self.pool,
             self.view,
             self.suspects,
+            self.suspect_parts,
             reaches_another=self.service_reach.reaches_another,
         )
         self.rate_owner = RateOwner(self.peers.reachable_fraction)
@@ -232,7 +242,7 @@
             logger,
             crashes=crashes,
         )
-        streams = StreamServer(
+        self.streams = streams = StreamServer(
             selector,
             waits,
             self.stage_exchange,
@@ -419,6 +429,7 @@
             self.gossip.drop_expired()
             self.crashes.check_successes()
             self.suspects.withdraw_disputed()
+            self.streams.abort_quarantined()
             self.software_history.refresh()
             self.origin_exchange.renew()
             self.rate_owner.forget_idle()
@@ -446,8 +457,9 @@
         except (OSError, InvalidFileError) as error:
             self.logger.warning("reload_failed", reason=str(error))
             return
-        # The settings are only validated here. Addresses can't change while the process
-        # runs, and all other settings take effect at the next start.
+        self.suspect_parts.allowed = settings.suspects.allowed_parts
+        # The other settings are only validated here. Addresses can't change while the
+        # process runs, and the rest takes effect at the next start.
         self.logger.info("reloaded", is_changed=settings != self.settings)
 
     def _update_accepts_work(self) -> None:
@@ -546,6 +558,16 @@
             "Requests that end their targets.",
             lambda: len(self.suspects.quarantined()),
         )
+        gauge(
+            "parts_suspected",
+            "Parts of prompts under which a target ended.",
+            lambda: len(self.suspect_parts),
+        )
+        gauge(
+            "parts_held_back",
+            "Parts of prompts that end their targets.",
+            lambda: len(self.suspect_parts.held()),
+        )
         gauge(
             "stream_origins",
             "Streams whose version is known here.",
--- a/packages/serving/bergamotsaddle_serving/settings.py
+++ b/packages/serving/bergamotsaddle_serving/settings.py
@@ -143,6 +143,16 @@
         return min(self.cpu_share * self.cpus, self.link_mbps / _MBPS_PER_CORE)
 
 
+class SuspectSettings(NamedTuple):
+    """Parts of prompts that are suspected of crashing targets (``[suspects]``).
+
+    Attributes:
+        allowed_parts: Ids of parts that are never quarantined.
+    """
+
+    allowed_parts: frozenset[str] = frozenset()
+
+
 class ServingSettings(NamedTuple):
     """All settings of a serving daemon."""
 
@@ -154,6 +164,7 @@
     bounds: BoundSettings
     policy: Policy = FULL_POLICY
     capacity: CapacitySettings = CapacitySettings()
+    suspects: SuspectSettings = SuspectSettings()
 
 
 def _parse_number(text: str) -> float:
@@ -275,6 +286,9 @@
             ini.get("capacity", "cpus", _parse_positive, 1.0),
             ini.get("capacity", "link_mbps", _parse_positive, 1_000.0),
         ),
+        SuspectSettings(
+            frozenset(ini.get("suspects", "allowed_parts", parse_words, ())),
+        ),
     )
     ini.raise_for_faults()
     return settings
--- a/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
+++ b/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
@@ -1,5 +1,6 @@
 """Sends batches of pieces from a stage queue to its targets."""
 
+from collections.abc import Iterable
 from typing import Any
 
 import eventlet
@@ -18,6 +19,7 @@
 )
 from bergamotsaddle_serving.stage_releases import StageReleases
 from bergamotsaddle_serving.stage_results import FinishedPiece, StageResults
+from bergamotsaddle_serving.suspect_parts import Work
 from bergamotsaddle_serving.target_crashes import TargetCrashes
 
 # A call counts as lost after this multiple of its expected time plus the extra. A
@@ -176,8 +178,7 @@
         except (ConnectionLostError, ValueError) as error:
             # An unframed response that is cut off can't be decoded.
             reason = getattr(error, "reason", UNFINISHED)
-            fingerprints = sorted({piece.fingerprint for piece in batch})
-            self._crashes.record_failure(worker.target, fingerprints, reason)
+            self._crashes.record_failure(worker.target, _works(batch), reason)
             self._handle_failure(queue, worker, batch, str(error))
             return
         finally:
@@ -195,9 +196,7 @@
         worker.record_call_seconds(now() - started_at, expected)
         made = [p for p, r in zip(batch, results, strict=True) if r.reason is None]
         # A response that could be decoded is complete, however it was framed.
-        self._crashes.record_success(
-            worker.target, {piece.fingerprint for piece in made}, is_framed=True
-        )
+        self._crashes.record_success(worker.target, _works(made), is_framed=True)
         self._logger.info(
             "stage_call",
             service=queue.service,
@@ -321,3 +320,8 @@
             return []
         delay = self._fetch_times.seconds(_input_bytes(batch), _call_bytes(batch))
         return [eventlet.spawn_after(delay, self._results.send_started, queue, batch)]
+
+
+def _works(pieces: Iterable[QueuedPiece]) -> list[Work]:
+    """Return what a target runs for the requests of some pieces."""
+    return [Work(f) for f in sorted({piece.fingerprint for piece in pieces})]
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -6,6 +6,7 @@
 
 import eventlet
 from eventlet.greenthread import GreenThread
+from greenlet import greenlet
 
 from bergamotsaddle_contracts.errors import (
     BergamotsaddleError,
@@ -32,7 +33,7 @@
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.catalog import Target
 from bergamotsaddle_serving.client import ConnectionPool, end_to_end_headers
-from bergamotsaddle_serving.context import Context
+from bergamotsaddle_serving.context import MAX_LOGGED_NAMES, Context
 from bergamotsaddle_serving.engine_choice import (
     EngineChoice,
     EngineView,
@@ -52,6 +53,7 @@
 from bergamotsaddle_serving.stage_plan import StagePlan
 from bergamotsaddle_serving.stage_run import StageRun
 from bergamotsaddle_serving.stage_waits import StageWaits
+from bergamotsaddle_serving.suspect_parts import HeldPart, Work
 from bergamotsaddle_serving.target_crashes import TargetCrashes
 from bergamotsaddle_serving.urgency_distribution import UrgencyDistribution
 from bergamotsaddle_serving.version_choice import prefer_replicated_versions
@@ -77,6 +79,7 @@
 _PERMIT_LIFETIME_S = 1.5
 _CONFLICT = 409
 _REPLACED = "replaced"
+_QUARANTINED = "quarantined"
 
 
 class StreamServer:
@@ -94,6 +97,9 @@
         fetch_times: Estimates when engines have fetched their inputs.
         crashes: Detects crashed engines and the requests that they were running.
         resumptions: Knows which engines may go on with a stream.
+
+    Attributes:
+        waiting_runs: Requests that wait for the first event of an engine.
     """
 
     def __init__(
@@ -125,6 +131,15 @@
         self.logger = logger
         self.urgencies = UrgencyDistribution()
         self._cached_until: OrderedDict[tuple[str, str], float] = OrderedDict()
+        self.waiting_runs: set[_StreamRun] = set()
+
+    def abort_quarantined(self) -> None:
+        """Abort requests that wait for a first event and have been quarantined.
+
+        An engine drops a request whose connection is closed before it begins with it.
+        """
+        for run in list(self.waiting_runs):
+            run.abort_if_quarantined()
 
     def serve(self, context: Context, caller: CallerConnection) -> None:
         """Serve a request until its response is complete.
@@ -262,6 +277,12 @@
         # Whether another engine than the one in use may go on with the stream.
         self._has_another_engine = True
         self._has_unnumbered_event = False
+        # What waits for the first event of the current attempt, None if nothing does.
+        self._waiter: greenlet | None = None
+        self._target: Target | None = None
+        self._is_trial = False
+        # When the engine of the current attempt sent its first event.
+        self._writing_since: float | None = None
         # Id of an engine, and until when its permit is used.
         self._permit = ("", 0.0)
         self._was_offered = False
@@ -271,6 +292,7 @@
 
     def run(self) -> None:
         """Run the stages, then try engines until one has completed the stream."""
+        self._check_quarantine()
         choice = self._choose()
         self._admit(choice)
         while not self._reserve(choice):
@@ -460,8 +482,11 @@
         if is_repeat and not self._server.budget.try_acquire(context.service.name):
             raise self._failure_error("no repeats are left")
         self._check_quarantine()
+        parts = self._server.crashes.parts
+        self._is_trial = parts.record_sent(context.head.shared_parts)
         self._server.selector.record_sent(candidate, context.service)
         self._was_offered = True
+        self._writing_since = None
         target = candidate.target
         try:
             response = self._send(candidate, choice)
@@ -472,9 +497,7 @@
             return False
         except OutcomeUnknownError as error:
             self._log_failed_attempt(candidate, error.reason, "unknown")
-            self._server.crashes.record_failure(
-                target, [context.fingerprint], error.reason
-            )
+            self._server.crashes.record_failure(target, [self._work()], error.reason)
             self._exclude.add(target.id)
             self._possible_runs += 1
             self._check_resumable()
@@ -483,21 +506,46 @@
             raise
         except BergamotsaddleError:
             # The caller left or the deadline passed while the engine worked on it.
-            self._server.crashes.record_abandoned(target, context.fingerprint)
+            self._server.crashes.record_abandoned(target, self._work())
             raise
         if response.is_success:
             self._server.crashes.record_success(
-                target, [context.fingerprint], is_framed=response.head.is_framed
+                target, [self._work()], is_framed=response.head.is_framed
             )
         return True
 
     def _check_quarantine(self) -> None:
         """Raise an error if the request has been quarantined in the meantime."""
-        if not self._server.suspects.is_quarantined(self._context.fingerprint):
+        context = self._context
+        held = self._server.crashes.parts.find_held(context.head.shared_parts)
+        if held is None and not self._server.suspects.is_quarantined(
+            context.fingerprint
+        ):
             return
+        if held is not None:
+            self._log_held_part(held)
         if self._possible_runs:
             raise self._failure_error("targets ended while they ran it")
-        raise self._context.quarantine_error()
+        raise context.quarantine_error(held.part if held is not None else None)
+
+    def abort_if_quarantined(self) -> None:
+        """Abort the current attempt, which has no event yet, if it is quarantined."""
+        if self._waiter is None or self._is_trial or not self._is_quarantined():
+            return
+        self._server.crashes.record_abandoned(self._target, self._work())
+        eventlet.kill(self._waiter, OutcomeUnknownError(_QUARANTINED))
+
+    def _is_quarantined(self) -> bool:
+        context = self._context
+        crashes = self._server.crashes
+        return crashes.parts.find_held(
+            context.head.shared_parts
+        ) is not None or crashes.suspects.is_quarantined(context.fingerprint)
+
+    def _work(self) -> Work:
+        """Return what the engine runs in the current attempt."""
+        context = self._context
+        return Work(context.fingerprint, context.head.shared_parts, self._writing_since)
 
     def _send(self, candidate: Candidate, choice: EngineChoice) -> Response:
         """Send the request to an engine and relay its response.
@@ -526,6 +574,7 @@
                     self._last_id,
                 )
                 limit = self._first_event_timeout(choice)
+                self._start_waiting(candidate.target)
                 response = attempt.send(
                     dispatch,
                     limit=limit,
@@ -538,6 +587,7 @@
                     return response
                 splitter = EventSplitter()
                 data = attempt.read_some(limit=limit)
+                self._stop_waiting()
                 if data is None and not self._is_behind_last_event(response, splitter):
                     attempt.finish_stream(is_whole=False)
                 state.prompt_tokens_ahead -= tokens
@@ -559,9 +609,19 @@
                 self._relay(attempt, response, splitter, data, candidate.target)
                 return response
         finally:
+            self._stop_waiting()
             if is_prefilling:
                 state.prompt_tokens_ahead -= tokens
 
+    def _start_waiting(self, target: Target) -> None:
+        self._target = target
+        self._waiter = eventlet.getcurrent()
+        self._server.waiting_runs.add(self)
+
+    def _stop_waiting(self) -> None:
+        self._waiter = None
+        self._server.waiting_runs.discard(self)
+
     def _prefill_tokens(self, choice: EngineChoice) -> int:
         """Return how many prompt tokens the engine has to read."""
         head = self._context.head
@@ -585,6 +645,8 @@
         is_bound = False
         while data is not None:
             for event in splitter.feed(data):
+                if self._writing_since is None:
+                    self._writing_since = now()
                 if not is_bound:
                     self._bind(target)
                     is_bound = True
@@ -742,6 +804,15 @@
         gap = max(_MIN_EVENT_TIMEOUT_S, _EVENT_TIMEOUT_GAPS * context.route.event_gap)
         return min(context.remaining, gap)
 
+    def _log_held_part(self, held: HeldPart) -> None:
+        self._server.logger.warning(
+            "part_held_back",
+            request=self._context.head.id,
+            part=held.part,
+            companions=sorted(held.companions)[:MAX_LOGGED_NAMES],
+            targets=held.targets[:MAX_LOGGED_NAMES],
+        )
+
     def _log_failed_attempt(
         self, candidate: Candidate, reason: str, ran: str, status: int = 0
     ) -> None:
--- a/packages/serving/bergamotsaddle_serving/suspect_parts.py
+++ b/packages/serving/bergamotsaddle_serving/suspect_parts.py
@@ -17,22 +17,31 @@
 _DAY_S = 86_400.0
 _CRASHED_RUNS = Topic("part_crash", ttl_seconds=_DAY_S, max_facts=2_000)
 _CLEARED_PARTS = Topic("part_clear", ttl_seconds=_DAY_S, max_facts=4_000)
-# Values of facts about crashed runs.
+_TRIALS = Topic("part_trial", ttl_seconds=_DAY_S, max_facts=500)
+# Values of facts about crashed runs: how far the response was.
 _WAITING = 1.0
-_WRITING = 2.0
+_BEGUN = 2.0
+_WRITING = 3.0
 _CLEARED = 1.0
+_TRIED = 1.0
 _SEPARATOR = "\t"
 _PART_SEPARATOR = ","
 _RUN_KEY_PARTS = 5
 _CLEAR_KEY_PARTS = 4
+_TRIAL_KEY_PARTS = 2
 # A fact about a run with more parts is split, so that it fits into a datagram.
 _PARTS_PER_FACT = 32
 # Time in which the reports of all instances about a crash arrive.
 _REPORT_S = 0.3
-# Time in which a harmless part that is in frequent use completes a run somewhere.
-_DOUBT_S = 2.0
 # Crashes that are closer together may have a common cause, such as a lost rack.
+_SAME_MOMENT_S = 0.3
 _MIN_SPREAD_S = 0.5
+# Time in which a harmless part that is in frequent use completes a run somewhere.
+_DOUBT_S = 1.0
+# Pauses before the trials of a quarantined part, from the last crash or trial on.
+_TRIAL_PAUSES_S = (4.0, 60.0)
+# A decision holds for this long unless a fact arrives. It depends on times as well.
+_DECISION_S = 0.1
 
 
 # A target that has written for this long was not crashed by the start of the response.
@@ -77,7 +86,7 @@
     """A run that a crash interrupted."""
 
     parts: frozenset[str]
-    is_writing: bool
+    progress: float
 
 
 class HeldPart(NamedTuple):
@@ -88,11 +97,14 @@
         companions: Ids of parts that were in the same prompts at each crash. Only
             prompts that hold all of them are refused.
         targets: Ids of the targets that crashed.
+        is_trial_due: Whether one request may be sent to find out whether the part is
+            harmless.
     """
 
     part: str
     companions: frozenset[str]
     targets: tuple[str, ...]
+    is_trial_due: bool = False
 
 
 class SuspectParts:
@@ -109,10 +121,18 @@
     of crashes and completed runs. Both kinds of facts are never taken back, and all
     instances that hold the same facts decide the same.
 
-    Quarantine: a part is quarantined after five crashes of which it is not cleared. At
-    a crash where the same target had been writing another response on the part for a
-    while, the part is a doubtful cause; the same holds for crashes close together. In
-    these cases the quarantine waits for a moment in which harmless parts are cleared.
+    Quarantine: a part is quarantined after five crashes of which it is not cleared, if
+    since the first of them no target is known to have written on it for a while. So it
+    is told from parts that are merely popular. A part is an evident cause if, at these
+    crashes, no run with it had an event yet. Evident causes explain their crashes,
+    which then don't count for other parts.
+
+    Doubt: a part on which targets had written for a while is quarantined after five
+    crashes at different moments, once a moment has passed in which harmless parts are
+    cleared.
+
+    Trials: no request could clear a quarantined part any more. So one request is sent
+    after some seconds and one after a minute, unless the part is an evident cause.
 
     Companions: parts that were in the same prompts at each crash can't be told apart.
     Only prompts that hold all of them are refused, so that sound requests which share
@@ -151,15 +171,25 @@
         self._is_on = policy.has(Mechanism.FATAL_REQUESTS)
         # The inner keys are fingerprints.
         self._runs_by_crash: dict[_Crash, dict[str, _CrashedRun]] = {}
+        self._parts_by_key: dict[str, frozenset[str]] = {}
         # When each crash was observed, on the hub's clock.
         self._observed_at_by_crash: dict[_Crash, float] = {}
-        # The crashes of which each part is not cleared.
         self._crashes_by_part: dict[str, set[_Crash]] = {}
+        # The crashes of which each part is not cleared.
+        self._uncleared_by_part: dict[str, set[_Crash]] = {}
+        # When a target last crashed that had written on a part for a while.
+        self._written_at_by_part: dict[str, float] = {}
         self._cleared: set[tuple[str, _Crash]] = set()
+        # When each trial was made; the inner keys number the trials of a part.
+        self._trials_by_part: dict[str, dict[str, float]] = {}
+        self._held_by_part: dict[str, HeldPart | None] = {}
+        self._evident_causes: frozenset[str] = frozenset()
+        self._decided_at = float("-inf")
         gossip.subscribe(
             _CRASHED_RUNS, self._on_crashed_run, priority=self._retention_priority
         )
         gossip.subscribe(_CLEARED_PARTS, self._on_cleared_part)
+        gossip.subscribe(_TRIALS, self._on_trial)
 
     def record_crash(self, target: Target, works: Iterable[Work]) -> None:
         """Record that a target crashed while it ran some requests."""
@@ -168,10 +198,9 @@
         for work in works:
             if not work.parts:
                 continue
-            is_writing = _is_writing(work)
-            value = _WRITING if is_writing else _WAITING
+            progress = _progress(work)
             facts += [
-                self._gossip.record(_CRASHED_RUNS, key, value)
+                self._gossip.record(_CRASHED_RUNS, key, progress)
                 for key in _run_keys(work, crash)
             ]
             self._logger.warning(
@@ -179,7 +208,7 @@
                 target=target.id,
                 work=work.fingerprint,
                 parts=work.parts[:_PARTS_PER_FACT],
-                is_writing=is_writing,
+                has_begun=progress != _WAITING,
             )
         self._publish(facts)
 
@@ -190,7 +219,7 @@
         for part in parts:
             crashes = [
                 crash
-                for crash in self._crashes_by_part.get(part, ())
+                for crash in self._uncleared_by_part.get(part, ())
                 if crash[:2] == software
             ]
             if not crashes:
@@ -213,34 +242,80 @@
         Returns:
             The part, None if the prompt may reach targets.
         """
-        if not self._is_on:
+        found = self._find_all(parts)
+        if len(found) == 1 and found[0].is_trial_due:
             return None
-        for part in parts:
-            held = self._hold(part)
-            if held is not None and held.companions.issubset(parts):
-                return held
-        return None
+        return found[0] if found else None
+
+    def record_sent(self, parts: Collection[str]) -> bool:
+        """Record that a request with some parts is sent.
+
+        Returns:
+            Whether it is a trial of a quarantined part.
+        """
+        found = self._find_all(parts)
+        for held in found:
+            number = str(len(self._trials_by_part.get(held.part, ())))
+            key = _SEPARATOR.join((held.part, number))
+            self._publish([self._gossip.record(_TRIALS, key, _TRIED)])
+            self._logger.warning("part_tried", part=held.part, trial=int(number) + 1)
+        return bool(found)
+
+    def _find_all(self, parts: Collection[str]) -> list[HeldPart]:
+        """Return the quarantined parts that a prompt holds with their companions."""
+        if not self._is_on:
+            return []
+        found = [self._hold(part) for part in parts]
+        return [held for held in found if held and held.companions.issubset(parts)]
 
     def held(self) -> list[HeldPart]:
         """Return all quarantined parts."""
-        found = [self._hold(part) for part in self._crashes_by_part]
+        found = [self._hold(part) for part in list(self._uncleared_by_part)]
         return [held for held in found if held is not None]
 
     def __len__(self) -> int:
         """Number of parts under which a target has crashed."""
-        return len(self._crashes_by_part)
+        return len(self._uncleared_by_part)
 
     def _hold(self, part: str) -> HeldPart | None:
         """Return a part's quarantine, None if it is not quarantined."""
-        crashes = self._crashes_by_part.get(part, ())
-        if len(crashes) < MAX_PART_CRASHES or part in self.allowed:
+        if len(self._uncleared_by_part.get(part, ())) < MAX_PART_CRASHES:
             return None
-        if not self._is_listed(crashes):
+        if now() - self._decided_at > _DECISION_S:
+            self._decided_at = now()
+            self._held_by_part.clear()
+            self._evident_causes = frozenset(
+                p for p in self._uncleared_by_part if self._is_evident(p)
+            )
+        if part not in self._held_by_part:
+            self._held_by_part[part] = self._decide(part)
+        return self._held_by_part[part]
+
+    def _decide(self, part: str) -> HeldPart | None:
+        crashes = self._uncleared_by_part[part]
+        if part in self.allowed or not self._is_listed(crashes):
             return None
-        if not (self._is_certain(part, crashes) or self._is_settled(crashes)):
+        crashes = self._counted_crashes(part)
+        if not crashes:
             return None
-        targets = tuple(sorted(crash.target_id for crash in crashes))
-        return HeldPart(part, self._companions(part, crashes), targets)
+        return HeldPart(
+            part,
+            self._companions(part, crashes),
+            tuple(sorted(crash.target_id for crash in crashes)),
+            self._is_trial_due(part, crashes),
+        )
+
+    def _counted_crashes(self, part: str) -> list[_Crash]:
+        """Return the crashes for which a part is quarantined, none if it is not."""
+        recent = self._since_written(part)
+        if part in self._evident_causes:
+            return recent
+        recent = [c for c in recent if not self._is_explained(c)]
+        if self._is_certain(recent):
+            return recent
+        crashes = self._uncleared_by_part[part]
+        crashes = [c for c in crashes if not self._is_explained(c)]
+        return crashes if self._is_held_in_doubt(crashes) else []
 
     def _is_listed(self, crashes: Collection[_Crash]) -> bool:
         """Return whether targets may run the software of any of the crashes."""
@@ -252,25 +327,63 @@
             for crash in crashes
         )
 
-    def _is_settled(self, crashes: Collection[_Crash]) -> bool:
-        """Return whether a harmless part would have been cleared by now."""
+    def _is_evident(self, part: str) -> bool:
+        """Return whether a part always crashes targets before the first event."""
+        if len(self._uncleared_by_part[part]) < MAX_PART_CRASHES:
+            return False
+        crashes = self._since_written(part)
+        has_begun = any(run.progress != _WAITING for run in self._runs(part, crashes))
+        return not has_begun and self._is_certain(crashes)
+
+    def _is_certain(self, crashes: Collection[_Crash]) -> bool:
+        """Return whether crashes are enough, and too far apart for a common cause."""
         times = self._times(crashes)
-        return len(times) >= MAX_PART_CRASHES and (
-            now() - times[MAX_PART_CRASHES - 1] >= _DOUBT_S
-        )
+        if len(times) < MAX_PART_CRASHES or times[-1] - times[0] < _MIN_SPREAD_S:
+            return False
+        return now() - times[MAX_PART_CRASHES - 1] >= _REPORT_S
+
+    def _since_written(self, part: str) -> list[_Crash]:
+        """Return the crashes since a target is known to have written on a part."""
+        written_at = self._written_at_by_part.get(part, float("-inf"))
+        return [
+            crash
+            for crash in self._uncleared_by_part[part]
+            if self._observed_at_by_crash[crash] > written_at
+        ]
+
+    def _is_explained(self, crash: _Crash) -> bool:
+        """Return whether an evident cause was present at a crash."""
+        runs = self._runs_by_crash[crash].values()
+        return any(not run.parts.isdisjoint(self._evident_causes) for run in runs)
 
-    def _is_certain(self, part: str, crashes: Collection[_Crash]) -> bool:
-        """Return whether a part can be told from the parts beside it."""
-        times = self._times(c for c in crashes if not self._is_doubtful(part, c))
-        if len(times) < MAX_PART_CRASHES:
+    def _runs(self, part: str, crashes: Iterable[_Crash]) -> Iterator[_CrashedRun]:
+        """Yield the runs with a part that crashes interrupted."""
+        for crash in crashes:
+            for run in self._runs_by_crash[crash].values():
+                if part in run.parts:
+                    yield run
+
+    def _is_held_in_doubt(self, crashes: Collection[_Crash]) -> bool:
+        moments: list[float] = []
+        for at in self._times(crashes):
+            if not moments or at - moments[-1] >= _SAME_MOMENT_S:
+                moments.append(at)
+        if len(moments) < MAX_PART_CRASHES:
             return False
-        last = times[MAX_PART_CRASHES - 1]
-        return now() - last >= _REPORT_S and last - times[0] >= _MIN_SPREAD_S
+        return now() - moments[MAX_PART_CRASHES - 1] >= _DOUBT_S
 
-    def _is_doubtful(self, part: str, crash: _Crash) -> bool:
-        """Return whether the target had been writing on a part for a while."""
-        runs = self._runs_by_crash[crash].values()
-        return any(run.is_writing and part in run.parts for run in runs)
+    def _is_trial_due(self, part: str, crashes: Collection[_Crash]) -> bool:
+        """Return whether a request may be sent to find out if a part is harmless."""
+        if part in self._evident_causes:
+            return False
+        times = self._times(crashes)
+        trials = [
+            at for at in self._trials_by_part.get(part, {}).values() if at > times[0]
+        ]
+        if len(trials) >= len(_TRIAL_PAUSES_S):
+            return False
+        since = max(times[-1], *trials, float("-inf"))
+        return now() - since >= _TRIAL_PAUSES_S[len(trials)]
 
     def _times(self, crashes: Iterable[_Crash]) -> list[float]:
         """Return when crashes were observed, the first one first."""
@@ -285,33 +398,40 @@
         return (companions or frozenset()) - {part}
 
     def _parts_beside(self, part: str, crash: _Crash) -> frozenset[str]:
-        runs = [r for r in self._runs_by_crash[crash].values() if part in r.parts]
-        causes = [run for run in runs if not run.is_writing] or runs
+        runs = list(self._runs(part, [crash]))
+        causes = [run for run in runs if run.progress != _WRITING] or runs
         found = frozenset().union(*(run.parts for run in causes))
         return frozenset(p for p in found if (p, crash) not in self._cleared)
 
     def _retention_priority(self, key: str) -> float:
-        parsed = _parse_run_key(key)
-        if parsed is None:
-            return 0.0
-        return float(max(len(self._crashes_by_part.get(p, ())) for p in parsed[2]))
+        uncleared = self._uncleared_by_part
+        parts = self._parts_by_key.get(key, ())
+        return float(max((len(uncleared.get(p, ())) for p in parts), default=0))
 
     def _on_crashed_run(self, key: str, value: float | None) -> None:
         parsed = _parse_run_key(key)
         if parsed is None:
             return
+        self._decided_at = float("-inf")
         fingerprint, crash, parts = parsed
         if value is None:
+            self._parts_by_key.pop(key, None)
             self._forget_run(fingerprint, crash)
             return
+        self._parts_by_key[key] = parts
         runs = self._runs_by_crash.setdefault(crash, {})
-        known = runs.get(fingerprint, _CrashedRun(frozenset(), False))
-        runs[fingerprint] = _CrashedRun(known.parts | parts, value == _WRITING)
+        known = runs.get(fingerprint, _CrashedRun(frozenset(), value))
+        runs[fingerprint] = _CrashedRun(known.parts | parts, value)
         observed_at = self._gossip.observed_at(_CRASHED_RUNS, key)
         first = self._observed_at_by_crash.setdefault(crash, observed_at)
         self._observed_at_by_crash[crash] = min(first, observed_at)
         for part in parts:
-            self._index(part, crash)
+            self._crashes_by_part.setdefault(part, set()).add(crash)
+            if value == _WRITING:
+                written_at = self._written_at_by_part.get(part, observed_at)
+                self._written_at_by_part[part] = max(written_at, observed_at)
+            if (part, crash) not in self._cleared:
+                self._uncleared_by_part.setdefault(part, set()).add(crash)
 
     def _forget_run(self, fingerprint: str, crash: _Crash) -> None:
         runs = self._runs_by_crash.get(crash, {})
@@ -320,7 +440,10 @@
             return
         remaining = frozenset().union(*(other.parts for other in runs.values()))
         for part in run.parts - remaining:
-            self._remove_from_index(part, crash)
+            _discard(self._uncleared_by_part, part, crash)
+            _discard(self._crashes_by_part, part, crash)
+            if part not in self._crashes_by_part:
+                self._written_at_by_part.pop(part, None)
         if not runs:
             del self._runs_by_crash[crash]
             del self._observed_at_by_crash[crash]
@@ -329,30 +452,44 @@
         parsed = _parse_clear_key(key)
         if parsed is None:
             return
-        if value is None:
-            self._cleared.discard(parsed)
-            self._index(*parsed)
-        else:
+        self._decided_at = float("-inf")
+        part, crash = parsed
+        if value is not None:
             self._cleared.add(parsed)
-            self._remove_from_index(*parsed)
+            _discard(self._uncleared_by_part, part, crash)
+            return
+        self._cleared.discard(parsed)
+        if crash in self._crashes_by_part.get(part, ()):
+            self._uncleared_by_part.setdefault(part, set()).add(crash)
 
-    def _index(self, part: str, crash: _Crash) -> None:
-        """Add a crash to those of a part, unless the part is cleared of it."""
-        runs = self._runs_by_crash.get(crash, {}).values()
-        is_present = any(part in run.parts for run in runs)
-        if is_present and (part, crash) not in self._cleared:
-            self._crashes_by_part.setdefault(part, set()).add(crash)
+    def _on_trial(self, key: str, value: float | None) -> None:
+        fields = key.split(_SEPARATOR)
+        if len(fields) != _TRIAL_KEY_PARTS:
+            return
+        self._decided_at = float("-inf")
+        part, number = fields
+        trials = self._trials_by_part.setdefault(part, {})
+        if value is not None:
+            trials[number] = self._gossip.observed_at(_TRIALS, key)
+            return
+        trials.pop(number, None)
+        if not trials:
+            del self._trials_by_part[part]
 
-    def _remove_from_index(self, part: str, crash: _Crash) -> None:
-        crashes = self._crashes_by_part.get(part, set())
-        crashes.discard(crash)
-        if not crashes:
-            self._crashes_by_part.pop(part, None)
+
+def _discard(index: dict[str, set[_Crash]], part: str, crash: _Crash) -> None:
+    """Remove a crash from a part, and the part from its index without any."""
+    crashes = index.get(part, set())
+    crashes.discard(crash)
+    if not crashes:
+        index.pop(part, None)
 
 
-def _is_writing(work: Work) -> bool:
-    since = work.writing_since
-    return since is not None and now() - since >= _WRITING_S
+def _progress(work: Work) -> float:
+    """Return how far the response of a run was when its target crashed."""
+    if work.writing_since is None:
+        return _WAITING
+    return _WRITING if now() - work.writing_since >= _WRITING_S else _BEGUN
 
 
 def _crash(target: Target) -> _Crash:
--- a/packages/serving/bergamotsaddle_serving/target_crashes.py
+++ b/packages/serving/bergamotsaddle_serving/target_crashes.py
@@ -10,6 +10,7 @@
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.catalog import Target
 from bergamotsaddle_serving.client import BROKEN_CONNECTION_REASONS, ConnectionPool
+from bergamotsaddle_serving.suspect_parts import SuspectParts, Work
 from bergamotsaddle_serving.suspects import Suspects
 from bergamotsaddle_serving.view import View
 
@@ -41,12 +42,12 @@
     Attributes:
         end: How it ended.
         ended_at: When it ended, on the hub's clock.
-        fingerprint: Fingerprint of its request.
+        work: What ran.
     """
 
     end: _End
     ended_at: float
-    fingerprint: str
+    work: Work
 
 
 class _PendingTarget(NamedTuple):
@@ -62,12 +63,12 @@
     Attributes:
         due_at: When it becomes a proof, on the hub's clock.
         target: The target that ran it.
-        fingerprint: Fingerprint of its request.
+        work: What ran.
     """
 
     due_at: float
     target: Target
-    fingerprint: str
+    work: Work
 
 
 class TargetCrashes:
@@ -86,11 +87,13 @@
         pool: Connections to targets.
         view: Listed targets and their incarnations.
         suspects: Gets the reports.
+        parts: Gets the reports too.
         reaches_another: Returns whether another target than the given one accepts
             connections from here.
 
     Attributes:
         suspects: Attributes the reported crashes to requests.
+        parts: Attributes them to parts of prompts.
     """
 
     def __init__(
@@ -98,6 +101,7 @@
         pool: ConnectionPool,
         view: View,
         suspects: Suspects,
+        parts: SuspectParts,
         *,
         reaches_another: Callable[[Target], bool] = lambda target: True,
     ) -> None:
@@ -105,6 +109,7 @@
         self._pool = pool
         self._view = view
         self.suspects = suspects
+        self.parts = parts
         self._pending_by_incarnation: dict[tuple[str, int], _PendingTarget] = {}
         self._successes_by_framing: dict[bool, deque[_Success]] = {
             True: deque(),
@@ -118,22 +123,22 @@
         return not self._view.is_leaving(target) and self._has_crashed(target)
 
     def record_failure(
-        self, target: Target, fingerprints: Sequence[str], reason: str
+        self, target: Target, works: Sequence[Work], reason: str
     ) -> None:
         """Record that a connection failed while a target ran some requests.
 
         Args:
             target: The target.
-            fingerprints: Fingerprints of the requests.
+            works: What it ran for them.
             reason: Why it failed, the ``reason`` of a ``ConnectionLostError``.
         """
         if reason not in BROKEN_CONNECTION_REASONS or self._view.is_leaving(target):
             return
-        self._add_pending(target, _End.BROKEN, fingerprints)
+        self._add_pending(target, _End.BROKEN, works)
         if self._has_crashed(target):
             self._report_crash(target)
 
-    def record_abandoned(self, target: Target, fingerprint: str) -> None:
+    def record_abandoned(self, target: Target, work: Work) -> None:
         """Record that the caller left while a target ran its request.
 
         No connection shows a crash that follows, so the target is checked once.
@@ -141,24 +146,23 @@
         if target.incarnation not in self._checked_incarnations:
             self._checked_incarnations.add(target.incarnation)
             eventlet.spawn_after(_ABANDONED_CHECK_S, self._check_abandoned, target)
-        self._add_pending(target, _End.ABANDONED, [fingerprint])
+        self._add_pending(target, _End.ABANDONED, [work])
 
     def record_success(
-        self, target: Target, fingerprints: Iterable[str], *, is_framed: bool
+        self, target: Target, works: Sequence[Work], *, is_framed: bool
     ) -> None:
         """Record that a target sent a complete and successful response.
 
         Args:
             target: The target.
-            fingerprints: Fingerprints of the requests that it ran.
+            works: What it ran for the requests.
             is_framed: Whether the response stated where its body ends.
         """
-        fingerprints = list(fingerprints)
         if not is_framed:
-            self._add_pending(target, _End.UNFRAMED, fingerprints)
+            self._add_pending(target, _End.UNFRAMED, works)
         due_at = now() + (_PROOF_DELAY_S if is_framed else _PENDING_S)
         self._successes_by_framing[is_framed].extend(
-            _Success(due_at, target, fingerprint) for fingerprint in fingerprints
+            _Success(due_at, target, work) for work in works
         )
 
     def check_successes(self) -> None:
@@ -166,10 +170,11 @@
         self._drop_old_runs()
         for successes in self._successes_by_framing.values():
             while successes and successes[0].due_at <= now():
-                _, target, fingerprint = successes.popleft()
+                _, target, work = successes.popleft()
                 is_listed = self._view.has_incarnation(target)
                 if is_listed and not self.suspects.has_crashed(target):
-                    self.suspects.record_success(target, fingerprint)
+                    self.suspects.record_success(target, work.fingerprint)
+                    self.parts.record_success(target, work.parts)
 
     def _check_abandoned(self, target: Target) -> None:
         self._checked_incarnations.discard(target.incarnation)
@@ -182,24 +187,26 @@
         is_refused = self._pool.is_refused(target.address)
         return is_refused and self._reaches_another(target)
 
-    def _add_pending(
-        self, target: Target, end: _End, fingerprints: Iterable[str]
-    ) -> None:
+    def _add_pending(self, target: Target, end: _End, works: Iterable[Work]) -> None:
         pending = self._pending_by_incarnation.setdefault(
             target.incarnation, _PendingTarget(target, deque())
         )
-        pending.runs.extend(_Run(end, now(), f) for f in fingerprints)
+        pending.runs.extend(_Run(end, now(), work) for work in works)
 
     def _report_crash(self, target: Target) -> None:
         """Report a crash with all runs that it may have interrupted."""
         pending = self._pending_by_incarnation.pop(target.incarnation)
-        fingerprints = {
-            run.fingerprint
-            for run in pending.runs
-            if now() - run.ended_at <= run.end.value
-        }
-        if fingerprints:
-            self.suspects.record_crash(target, sorted(fingerprints))
+        self._report(
+            target,
+            [run for run in pending.runs if now() - run.ended_at <= run.end.value],
+        )
+
+    def _report(self, target: Target, runs: Sequence[_Run]) -> None:
+        work_by_fingerprint = {run.work.fingerprint: run.work for run in runs}
+        if not runs:
+            return
+        self.suspects.record_crash(target, sorted(work_by_fingerprint))
+        self.parts.record_crash(target, list(work_by_fingerprint.values()))
 
     def _on_view_change(self) -> None:
         """Report pending runs of targets whose incarnation has left the list."""
@@ -230,9 +237,11 @@
         if not ends:
             return
         crashed_at = ends[-1].ended_at
-        fingerprints = {
-            run.fingerprint
-            for run in runs
-            if run.end is _End.BROKEN or crashed_at - run.ended_at <= run.end.value
-        }
-        self.suspects.record_crash(target, sorted(fingerprints))
+        self._report(
+            target,
+            [
+                run
+                for run in runs
+                if run.end is _End.BROKEN or crashed_at - run.ended_at <= run.end.value
+            ],
+        )
--- a/packages/standins/bergamotsaddle_standins/virtual_fleet.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_fleet.py
@@ -39,6 +39,7 @@
 from bergamotsaddle_serving.software_history import SoftwareHistory
 from bergamotsaddle_serving.stream_origins import StreamOrigins
 from bergamotsaddle_serving.streams import StreamServer
+from bergamotsaddle_serving.suspect_parts import SuspectParts
 from bergamotsaddle_serving.suspects import Suspects
 from bergamotsaddle_serving.target_crashes import TargetCrashes
 from bergamotsaddle_serving.target_notices import TargetNotices
@@ -177,7 +178,10 @@
         self.suspects = Suspects(
             gossip, publish, self.view.software_versions, SILENT_LOGGER
         )
-        self.crashes = TargetCrashes(pool, self.view, self.suspects)
+        self.parts = SuspectParts(
+            gossip, publish, self.view.software_versions, SILENT_LOGGER
+        )
+        self.crashes = TargetCrashes(pool, self.view, self.suspects, self.parts)
         crashes = self.crashes
         plain = PlainServer(
             selector, pool, budget, dialect, SILENT_LOGGER, crashes=crashes
@@ -195,7 +199,7 @@
         resumptions = Resumptions(origin_exchange, history, self.view, SILENT_LOGGER)
         # The only route has no stages.
         waits = SimpleNamespace(best_scope=None)
-        streams = StreamServer(
+        self.streams = streams = StreamServer(
             selector,
             waits,
             None,
@@ -222,6 +226,7 @@
         while True:
             self.crashes.check_successes()
             self.suspects.withdraw_disputed()
+            self.streams.abort_quarantined()
             eventlet.sleep(_TICK_S)
 
 
--- a/packages/standins/bergamotsaddle_standins/virtual_targets.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_targets.py
@@ -379,6 +379,9 @@
         """
         if not target.is_up or target.incarnation != incarnation:
             return
+        if cause is not None and cause not in target.runs:
+            # The target has dropped the request with its connection.
+            return
         self.crash_count += 1
         self.crash_times.append(now())
         target.is_up = False
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -134,7 +134,9 @@
         return Candidate(target, health.of(target), False, 0)
 
     engine.crashes = mock.Mock(
-        suspects=suspects, has_ended_with_target=lambda target: engine.has_crashed
+        suspects=suspects,
+        parts=mock.Mock(find_held=lambda parts: None),
+        has_ended_with_target=lambda target: engine.has_crashed,
     )
     selector = mock.Mock(find=find, permit_wait=lambda service, **_: 0.1)
     waits = SimpleNamespace(best_scope=mock.Mock(), pending=mock.Mock())
--- a/tests/test_fatal_parts.py
+++ b/tests/test_fatal_parts.py
@@ -167,6 +167,17 @@
         load.run(20.0, every=24, at_once=6)
         self.check(fleet, load, [BAD])
 
+    def test_waiting_requests_are_aborted(self):
+        """Guards against engines that crash under what was sent before the fifth."""
+        random.seed(2)
+        fleet = self.make_fleet(7, ending=CrashEnding(after=2.0))
+        load = Load(fleet, SECOND)
+        load.run(4.0)
+        load.run(12.0, every=4)
+        waiting = [run for i in fleet.instances for run in i.streams.waiting_runs]
+        self.assertEqual([run for run in waiting if run._is_quarantined()], [])
+        self.assertLess(fleet.targets.crash_count, TARGETS - 1)
+
     def test_ordinary_crashes_quarantine_no_part(self):
         """Guards against popular parts that are refused after ordinary crashes."""
         fleet = self.make_fleet(7, parts=())
--- a/tests/test_stage_owner.py
+++ b/tests/test_stage_owner.py
@@ -149,7 +149,7 @@
             Gossip(), lambda facts: None, self.view.software_versions, mock.Mock()
         )
         pool = mock.Mock(is_refused=lambda address: True)
-        self.crashes = TargetCrashes(pool, self.view, self.suspects)
+        self.crashes = TargetCrashes(pool, self.view, self.suspects, mock.Mock())
         self.owner = StageOwner(
             self.view,
             self.peers,
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -69,7 +69,9 @@
         PlatformDialect(),
         mock.Mock(),
         crashes=mock.Mock(
-            suspects=suspects, has_ended_with_target=lambda target: False
+            suspects=suspects,
+            parts=mock.Mock(find_held=lambda parts: None),
+            has_ended_with_target=lambda target: False,
         ),
         resumptions=make_lone_resumptions(*(c.target for c in candidates)),
     )
--- a/tests/test_target_crashes.py
+++ b/tests/test_target_crashes.py
@@ -9,6 +9,7 @@
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_serving.catalog import Target
 from bergamotsaddle_serving.client import ConnectionLostError, ConnectionPool
+from bergamotsaddle_serving.suspect_parts import Work
 from bergamotsaddle_serving.target_crashes import TargetCrashes
 from tests._paused import advance, use_paused_clock, use_running_clock
 
@@ -25,18 +26,20 @@
         self.view.has_incarnation.return_value = True
         self.pool = mock.Mock()
         self.suspects = mock.Mock()
+        self.parts = mock.Mock()
         self.reaches_another = True
         self.crashes = TargetCrashes(
             self.pool,
             self.view,
             self.suspects,
+            self.parts,
             reaches_another=lambda target: self.reaches_another,
         )
         ((self.on_view_change,), _) = self.view.subscribe.call_args
 
     def fail(self, reason="closed", *, is_refused=False):
         self.pool.is_refused.return_value = is_refused
-        self.crashes.record_failure(TARGET, ["w"], reason)
+        self.crashes.record_failure(TARGET, [Work("w")], reason)
 
     def leave(self):
         """Remove the target's incarnation from the list."""
@@ -104,7 +107,7 @@
     ):
         """Guards against crashes that clear a request as ends of its response."""
         self.suspects.has_crashed.return_value = False
-        self.crashes.record_success(TARGET, ["w"], is_framed=is_framed)
+        self.crashes.record_success(TARGET, [Work("w")], is_framed=is_framed)
         advance(after)
         self.crashes.check_successes()
         self.assertEqual(self.suspects.record_success.call_count, successes)
@@ -114,14 +117,14 @@
         """Guards against requests that are cleared by a run before a crash."""
         self.suspects.has_crashed.return_value = has_crashed
         self.view.has_incarnation.return_value = is_listed
-        self.crashes.record_success(TARGET, ["w"], is_framed=True)
+        self.crashes.record_success(TARGET, [Work("w")], is_framed=True)
         advance(1.0)
         self.crashes.check_successes()
         self.suspects.record_success.assert_not_called()
 
     def test_an_unframed_success_before_an_unlisted_crash_counts_as_its_cause(self):
         """Guards against missed crashes of targets that listen again at once."""
-        self.crashes.record_success(TARGET, ["w"], is_framed=False)
+        self.crashes.record_success(TARGET, [Work("w")], is_framed=False)
         self.leave()
         self.suspects.record_crash.assert_called_once_with(TARGET, ["w"])
 
@@ -129,19 +132,19 @@
     def test_a_target_that_crashes_after_its_caller_left(self, _, is_refused, crashes):
         """Guards against fatal requests whose callers leave before the crash."""
         self.pool.is_refused.return_value = is_refused
-        self.crashes.record_abandoned(TARGET, "w")
+        self.crashes.record_abandoned(TARGET, Work("w"))
         advance(0.6)
         self.assertEqual(self.suspects.record_crash.call_count, crashes)
 
     def test_a_target_that_lapses_after_its_caller_left_has_not_crashed(self):
         """Guards against crashes recorded when the store removes silent targets."""
         self.pool.is_refused.return_value = False
-        self.crashes.record_abandoned(TARGET, "w")
+        self.crashes.record_abandoned(TARGET, Work("w"))
         self.leave()
         self.suspects.record_crash.assert_not_called()
 
     def test_an_abandoned_run_is_reported_with_a_crash_soon_after(self):
-        self.crashes.record_abandoned(TARGET, "v")
+        self.crashes.record_abandoned(TARGET, Work("v"))
         self.fail(is_refused=True)
         self.suspects.record_crash.assert_called_once_with(TARGET, ["v", "w"])
 
