Specify how instances find the part that crashes targets, and search it

A fatal part is held where its crashes are known, a proven part is free where facts agree, and the same facts decide the same.

--- a/model/__main__.py
+++ b/model/__main__.py
@@ -4,7 +4,16 @@
 
 from minicheck import Protocol, check_safety
 
-from model import configuration, eras, origins, permits, placement, rates, tickets
+from model import (
+    configuration,
+    eras,
+    origins,
+    parts,
+    permits,
+    placement,
+    rates,
+    tickets,
+)
 from model.specification import Specification
 
 MAX_STATES = 3_000_000
@@ -15,6 +24,7 @@
     configuration.SPECIFICATION,
     eras.SPECIFICATION,
     origins.SPECIFICATION,
+    parts.SPECIFICATION,
     rates.SPECIFICATION,
     *placement.SPECIFICATIONS,
 )
