Let the second of two runs that one crash interrupts find it reported

Callers saw 500 where an engine ended under several requests of one instance. Cause: both runs check the target, which waits for the network; the first one reports all of them and removes the entry, the second one raised KeyError. Ruled out: engines that answer 500 themselves; the log names the exception. The test fails before.

--- a/packages/serving/bergamotsaddle_serving/target_crashes.py
+++ b/packages/serving/bergamotsaddle_serving/target_crashes.py
@@ -195,7 +195,10 @@
 
     def _report_crash(self, target: Target) -> None:
         """Report a crash with all runs that it may have interrupted."""
-        pending = self._pending_by_incarnation.pop(target.incarnation)
+        pending = self._pending_by_incarnation.pop(target.incarnation, None)
+        if pending is None:
+            # Another run at it was interrupted too, and has reported both.
+            return
         self._report(
             target,
             [run for run in pending.runs if now() - run.ended_at <= run.end.value],
--- a/tests/test_target_crashes.py
+++ b/tests/test_target_crashes.py
@@ -122,6 +122,18 @@
         self.crashes.check_successes()
         self.suspects.record_success.assert_not_called()
 
+    def test_two_runs_that_one_crash_interrupts(self):
+        """Guards against internal errors where two requests check a target at once."""
+        self.pool.is_refused.side_effect = lambda address: eventlet.sleep(0.01) or True
+        threads = [
+            eventlet.spawn(self.crashes.record_failure, TARGET, [Work(name)], "closed")
+            for name in ("v", "w")
+        ]
+        advance(0.1)
+        for thread in threads:
+            thread.wait()
+        self.suspects.record_crash.assert_called_once_with(TARGET, ["v", "w"])
+
     def test_an_unframed_success_before_an_unlisted_crash_counts_as_its_cause(self):
         """Guards against missed crashes of targets that listen again at once."""
         self.crashes.record_success(TARGET, [Work("w")], is_framed=False)
