Let the age of runs tell which part a crash is due to

Cause: where all engines are young, no run with a popular part has lasted a second, so it looks as bad as the fatal one; whole requests that were sent again to each engine were quarantined for crashes of the part.

Change: a part whose runs are younger than those with another part only, at most of their common crashes, explains them. This takes the place of evident causes. Crashes that a quarantined part explains don't count against whole requests.

--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -176,20 +176,21 @@
         self.origins = StreamOrigins()
         self.origin_exchange = OriginExchange(self.origins, self.peers)
         resumptions = Resumptions(self.origin_exchange, history, self.view, logger)
-        self.suspects = Suspects(
+        self.suspect_parts = SuspectParts(
             self.gossip,
             self.gossip_exchange.publish,
             self.view.software_versions,
             logger,
             policy,
+            allowed=settings.suspects.allowed_parts,
         )
-        self.suspect_parts = SuspectParts(
+        self.suspects = Suspects(
             self.gossip,
             self.gossip_exchange.publish,
             self.view.software_versions,
             logger,
             policy,
-            allowed=settings.suspects.allowed_parts,
+            explains_crash=self.suspect_parts.explains_crash,
         )
         self.crashes = crashes = TargetCrashes(
             self.pool,
--- a/packages/serving/bergamotsaddle_serving/suspect_parts.py
+++ b/packages/serving/bergamotsaddle_serving/suspect_parts.py
@@ -18,10 +18,6 @@
 _CRASHED_RUNS = Topic("part_crash", ttl_seconds=_DAY_S, max_facts=2_000)
 _CLEARED_PARTS = Topic("part_clear", ttl_seconds=_DAY_S, max_facts=4_000)
 _TRIALS = Topic("part_trial", ttl_seconds=_DAY_S, max_facts=500)
-# Values of facts about crashed runs: how far the response was.
-_WAITING = 1.0
-_BEGUN = 2.0
-_WRITING = 3.0
 _CLEARED = 1.0
 _TRIED = 1.0
 _SEPARATOR = "\t"
@@ -40,12 +36,21 @@
 _DOUBT_S = 1.0
 # Pauses before the trials of a quarantined part, from the last crash or trial on.
 _TRIAL_PAUSES_S = (4.0, 60.0)
+# A part explains the crashes of another one if it was younger at this fraction of the
+# crashes at which they can be compared, and at this many at least.
+_MIN_YOUNGER = 0.7
+_MIN_COMPARED = 2
+_YOUNGER_S = 0.02
+# Parts that are compared with each other, those with most crashes first.
+_MAX_CANDIDATES = 12
 # A decision holds for this long unless a fact arrives. It depends on times as well.
 _DECISION_S = 0.1
 
 
 # A target that has written for this long was not crashed by the start of the response.
 _WRITING_S = 1.0
+# What a run with an event counts as at least.
+_MIN_WRITING_S = 0.01
 
 
 class Work(NamedTuple):
@@ -83,10 +88,15 @@
 
 
 class _CrashedRun(NamedTuple):
-    """A run that a crash interrupted."""
+    """A run that a crash interrupted.
+
+    Attributes:
+        parts: Ids of the shared parts of its prompt.
+        seconds: For how long its target had been writing the response.
+    """
 
     parts: frozenset[str]
-    progress: float
+    seconds: float
 
 
 class HeldPart(NamedTuple):
@@ -96,16 +106,21 @@
         part: Id of the part.
         companions: Ids of parts that were in the same prompts at each crash. Only
             prompts that hold all of them are refused.
-        targets: Ids of the targets that crashed.
+        crashes: The crashes for which it is quarantined.
         is_trial_due: Whether one request may be sent to find out whether the part is
             harmless.
     """
 
     part: str
     companions: frozenset[str]
-    targets: tuple[str, ...]
+    crashes: frozenset[_Crash]
     is_trial_due: bool = False
 
+    @property
+    def targets(self) -> tuple[str, ...]:
+        """Ids of the targets that crashed."""
+        return tuple(sorted(crash.target_id for crash in self.crashes))
+
 
 class SuspectParts:
     """Parts of prompts under which targets have crashed.
@@ -123,16 +138,19 @@
 
     Quarantine: a part is quarantined after five crashes of which it is not cleared, if
     since the first of them no target is known to have written on it for a while. So it
-    is told from parts that are merely popular. A part is an evident cause if, at these
-    crashes, no run with it had an event yet. Evident causes explain their crashes,
-    which then don't count for other parts.
+    is told from parts that are merely popular.
+
+    Explanation: the run that causes a crash is younger than most runs beside it. If the
+    runs with one part are younger than those with another one only, at most of their
+    common crashes, these crashes count for the first part only.
 
     Doubt: a part on which targets had written for a while is quarantined after five
     crashes at different moments, once a moment has passed in which harmless parts are
     cleared.
 
     Trials: no request could clear a quarantined part any more. So one request is sent
-    after some seconds and one after a minute, unless the part is an evident cause.
+    after some seconds and one after a minute, unless no run with the part had an event
+    yet when it was interrupted.
 
     Companions: parts that were in the same prompts at each crash can't be told apart.
     Only prompts that hold all of them are refused, so that sound requests which share
@@ -174,7 +192,8 @@
         self._parts_by_key: dict[str, frozenset[str]] = {}
         # When each crash was observed, on the hub's clock.
         self._observed_at_by_crash: dict[_Crash, float] = {}
-        self._crashes_by_part: dict[str, set[_Crash]] = {}
+        # By part and crash, for how long targets had been writing at most.
+        self._crashes_by_part: dict[str, dict[_Crash, float]] = {}
         # The crashes of which each part is not cleared.
         self._uncleared_by_part: dict[str, set[_Crash]] = {}
         # When a target last crashed that had written on a part for a while.
@@ -183,7 +202,6 @@
         # When each trial was made; the inner keys number the trials of a part.
         self._trials_by_part: dict[str, dict[str, float]] = {}
         self._held_by_part: dict[str, HeldPart | None] = {}
-        self._evident_causes: frozenset[str] = frozenset()
         self._decided_at = float("-inf")
         gossip.subscribe(
             _CRASHED_RUNS, self._on_crashed_run, priority=self._retention_priority
@@ -198,9 +216,9 @@
         for work in works:
             if not work.parts:
                 continue
-            progress = _progress(work)
+            seconds = _writing_seconds(work)
             facts += [
-                self._gossip.record(_CRASHED_RUNS, key, progress)
+                self._gossip.record(_CRASHED_RUNS, key, seconds)
                 for key in _run_keys(work, crash)
             ]
             self._logger.warning(
@@ -208,7 +226,7 @@
                 target=target.id,
                 work=work.fingerprint,
                 parts=work.parts[:_PARTS_PER_FACT],
-                has_begun=progress != _WAITING,
+                writing=seconds,
             )
         self._publish(facts)
 
@@ -273,6 +291,18 @@
         found = [self._hold(part) for part in list(self._uncleared_by_part)]
         return [held for held in found if held is not None]
 
+    def explains_crash(self, service: str, software: str, name: str) -> bool:
+        """Return whether a quarantined part explains a crash.
+
+        Args:
+            service: Service of the target.
+            software: Version of its software.
+            name: Id of the target and when the incarnation started.
+        """
+        crash = _Crash(service, software, name)
+        found = [self._hold(part) for part in self._candidates()]
+        return any(held is not None and crash in held.crashes for held in found)
+
     def __len__(self) -> int:
         """Number of parts under which a target has crashed."""
         return len(self._uncleared_by_part)
@@ -284,9 +314,6 @@
         if now() - self._decided_at > _DECISION_S:
             self._decided_at = now()
             self._held_by_part.clear()
-            self._evident_causes = frozenset(
-                p for p in self._uncleared_by_part if self._is_evident(p)
-            )
         if part not in self._held_by_part:
             self._held_by_part[part] = self._decide(part)
         return self._held_by_part[part]
@@ -301,22 +328,51 @@
         return HeldPart(
             part,
             self._companions(part, crashes),
-            tuple(sorted(crash.target_id for crash in crashes)),
+            frozenset(crashes),
             self._is_trial_due(part, crashes),
         )
 
     def _counted_crashes(self, part: str) -> list[_Crash]:
         """Return the crashes for which a part is quarantined, none if it is not."""
-        recent = self._since_written(part)
-        if part in self._evident_causes:
-            return recent
-        recent = [c for c in recent if not self._is_explained(c)]
+        causes = [cause for cause in self._candidates() if self._explains(cause, part)]
+        crashes = [
+            crash
+            for crash in self._uncleared_by_part[part]
+            if not any(crash in self._crashes_by_part[cause] for cause in causes)
+        ]
+        written_at = self._written_at_by_part.get(part, float("-inf"))
+        recent = [c for c in crashes if self._observed_at_by_crash[c] > written_at]
         if self._is_certain(recent):
             return recent
-        crashes = self._uncleared_by_part[part]
-        crashes = [c for c in crashes if not self._is_explained(c)]
         return crashes if self._is_held_in_doubt(crashes) else []
 
+    def _candidates(self) -> list[str]:
+        """Return the parts that may explain crashes, those with most crashes first."""
+        uncleared = self._uncleared_by_part
+        found = [p for p in uncleared if len(uncleared[p]) >= MAX_PART_CRASHES]
+        found.sort(key=lambda part: (-len(uncleared[part]), part))
+        return found[:_MAX_CANDIDATES]
+
+    def _explains(self, cause: str, part: str) -> bool:
+        """Return whether runs with one part are younger than those with another one.
+
+        Runs with both of them tell nothing.
+        """
+        if cause == part:
+            return False
+        causes = self._crashes_by_part[cause]
+        compared = younger = 0
+        for crash in self._uncleared_by_part[part]:
+            apart = [
+                run.seconds
+                for run in self._runs(part, [crash])
+                if cause not in run.parts
+            ]
+            if apart and crash in causes:
+                compared += 1
+                younger += causes[crash] + _YOUNGER_S <= max(apart)
+        return compared >= _MIN_COMPARED and younger >= _MIN_YOUNGER * compared
+
     def _is_listed(self, crashes: Collection[_Crash]) -> bool:
         """Return whether targets may run the software of any of the crashes."""
         software_versions = self._software_versions()
@@ -327,14 +383,6 @@
             for crash in crashes
         )
 
-    def _is_evident(self, part: str) -> bool:
-        """Return whether a part always crashes targets before the first event."""
-        if len(self._uncleared_by_part[part]) < MAX_PART_CRASHES:
-            return False
-        crashes = self._since_written(part)
-        has_begun = any(run.progress != _WAITING for run in self._runs(part, crashes))
-        return not has_begun and self._is_certain(crashes)
-
     def _is_certain(self, crashes: Collection[_Crash]) -> bool:
         """Return whether crashes are enough, and too far apart for a common cause."""
         times = self._times(crashes)
@@ -342,20 +390,6 @@
             return False
         return now() - times[MAX_PART_CRASHES - 1] >= _REPORT_S
 
-    def _since_written(self, part: str) -> list[_Crash]:
-        """Return the crashes since a target is known to have written on a part."""
-        written_at = self._written_at_by_part.get(part, float("-inf"))
-        return [
-            crash
-            for crash in self._uncleared_by_part[part]
-            if self._observed_at_by_crash[crash] > written_at
-        ]
-
-    def _is_explained(self, crash: _Crash) -> bool:
-        """Return whether an evident cause was present at a crash."""
-        runs = self._runs_by_crash[crash].values()
-        return any(not run.parts.isdisjoint(self._evident_causes) for run in runs)
-
     def _runs(self, part: str, crashes: Iterable[_Crash]) -> Iterator[_CrashedRun]:
         """Yield the runs with a part that crashes interrupted."""
         for crash in crashes:
@@ -374,7 +408,7 @@
 
     def _is_trial_due(self, part: str, crashes: Collection[_Crash]) -> bool:
         """Return whether a request may be sent to find out if a part is harmless."""
-        if part in self._evident_causes:
+        if not any(self._crashes_by_part[part][crash] for crash in crashes):
             return False
         times = self._times(crashes)
         trials = [
@@ -399,7 +433,7 @@
 
     def _parts_beside(self, part: str, crash: _Crash) -> frozenset[str]:
         runs = list(self._runs(part, [crash]))
-        causes = [run for run in runs if run.progress != _WRITING] or runs
+        causes = [run for run in runs if run.seconds < _WRITING_S] or runs
         found = frozenset().union(*(run.parts for run in causes))
         return frozenset(p for p in found if (p, crash) not in self._cleared)
 
@@ -426,8 +460,9 @@
         first = self._observed_at_by_crash.setdefault(crash, observed_at)
         self._observed_at_by_crash[crash] = min(first, observed_at)
         for part in parts:
-            self._crashes_by_part.setdefault(part, set()).add(crash)
-            if value == _WRITING:
+            longest = self._crashes_by_part.setdefault(part, {})
+            longest[crash] = max(value, longest.get(crash, 0.0))
+            if value >= _WRITING_S:
                 written_at = self._written_at_by_part.get(part, observed_at)
                 self._written_at_by_part[part] = max(written_at, observed_at)
             if (part, crash) not in self._cleared:
@@ -441,8 +476,9 @@
         remaining = frozenset().union(*(other.parts for other in runs.values()))
         for part in run.parts - remaining:
             _discard(self._uncleared_by_part, part, crash)
-            _discard(self._crashes_by_part, part, crash)
-            if part not in self._crashes_by_part:
+            self._crashes_by_part[part].pop(crash)
+            if not self._crashes_by_part[part]:
+                del self._crashes_by_part[part]
                 self._written_at_by_part.pop(part, None)
         if not runs:
             del self._runs_by_crash[crash]
@@ -485,11 +521,11 @@
         index.pop(part, None)
 
 
-def _progress(work: Work) -> float:
-    """Return how far the response of a run was when its target crashed."""
+def _writing_seconds(work: Work) -> float:
+    """Return for how long a target had been writing a response, 0 before it began."""
     if work.writing_since is None:
-        return _WAITING
-    return _WRITING if now() - work.writing_since >= _WRITING_S else _BEGUN
+        return 0.0
+    return max(_MIN_WRITING_S, round(now() - work.writing_since, 2))
 
 
 def _crash(target: Target) -> _Crash:
--- a/packages/serving/bergamotsaddle_serving/suspects.py
+++ b/packages/serving/bergamotsaddle_serving/suspects.py
@@ -62,6 +62,8 @@
         logger: Gets a line when a target crashes under a request and when a request
             is cleared.
         policy: Enabled mechanisms.
+        explains_crash: Returns whether a crash has a known cause, given service,
+            software and name of the incarnation.
     """
 
     def __init__(
@@ -71,7 +73,10 @@
         software_versions: Callable[[], set[tuple[str, str]]],
         logger: Any,
         policy: Policy = FULL_POLICY,
+        *,
+        explains_crash: Callable[[str, str, str], bool] = lambda *_: False,
     ) -> None:
+        self._explains_crash = explains_crash
         self._gossip = gossip
         self._publish = publish
         self._software_versions = software_versions
@@ -154,6 +159,13 @@
         if not self._is_on:
             return False
         incarnations = self._attributed_crashes(fingerprint)
+        if len(incarnations) < MAX_CRASHES:
+            return False
+        incarnations = [
+            incarnation
+            for incarnation in incarnations
+            if not self._explains_crash(*incarnation.software, incarnation.name)
+        ]
         if len(incarnations) < MAX_CRASHES:
             return False
         software_versions = self._software_versions()
--- a/packages/standins/bergamotsaddle_standins/virtual_fleet.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_fleet.py
@@ -175,12 +175,16 @@
         selector = Selector(
             self.view, self.health, peers, cold, reach, rates, notices=notices
         )
-        self.suspects = Suspects(
-            gossip, publish, self.view.software_versions, SILENT_LOGGER
-        )
         self.parts = SuspectParts(
             gossip, publish, self.view.software_versions, SILENT_LOGGER
         )
+        self.suspects = Suspects(
+            gossip,
+            publish,
+            self.view.software_versions,
+            SILENT_LOGGER,
+            explains_crash=self.parts.explains_crash,
+        )
         self.crashes = TargetCrashes(pool, self.view, self.suspects, self.parts)
         crashes = self.crashes
         plain = PlainServer(
--- a/tests/test_suspect_parts.py
+++ b/tests/test_suspect_parts.py
@@ -129,7 +129,7 @@
         advance(SETTLE_S)
         self.assertFalse(self.instance.is_held("popular"))
 
-    def test_an_evident_cause_explains_its_crashes(self):
+    def test_a_younger_part_explains_its_crashes(self):
         """Guards against a shared part that is refused for crashes of another one."""
         for number in range(5):
             self.instance.parts.record_crash(
@@ -144,6 +144,13 @@
         self.assertTrue(self.instance.is_held("bad"))
         self.assertFalse(self.instance.is_held("popular"))
 
+    def test_what_a_quarantined_part_explains(self):
+        self.instance.crash(range(5), ("bad",))
+        advance(SETTLE_S)
+        explains = self.instance.parts.explains_crash
+        self.assertTrue(explains("generate", "v1", "t3:0"))
+        self.assertFalse(explains("generate", "v1", "t9:0"))
+
     def test_a_part_with_interrupted_events_is_tried_again(self):
         """Guards against a harmless part that nothing could clear any more."""
         for number in range(5):
@@ -173,7 +180,7 @@
                 sent += 1
         self.assertEqual(sent, 2)
 
-    def test_an_evident_cause_is_not_tried(self):
+    def test_a_part_without_interrupted_events_is_not_tried(self):
         self.instance.crash(range(5), ("bad",))
         for _ in range(100):
             advance(10.0)
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -101,6 +101,21 @@
         first.withdraw_disputed()
         self.assertFalse(second.is_suspect("w"))
 
+    def test_crashes_with_a_known_cause_quarantine_no_request(self):
+        """Guards against requests that are refused for a part beside them."""
+        explained = set()
+        self.suspects = Suspects(
+            Gossip(),
+            lambda facts: None,
+            lambda: self.software_versions,
+            SILENT_LOGGER,
+            explains_crash=lambda *names: names[-1] in explained,
+        )
+        self.crash(1, 2, 3)
+        self.assertTrue(self.suspects.is_quarantined("w"))
+        explained.add("t2:0")
+        self.assertFalse(self.suspects.is_quarantined("w"))
+
     def test_success_on_older_software_does_not_clear(self):
         self.suspects.record_success(target(9, "v0"), "w")
         self.crash(1, 2, 3)
