Let the soak send requests and parts that crash engines, in every framing

Engines crash in the soak by request and by part, framed or not, before, behind and inside events, closed or reset; the ledger judges how many reach engines later than 3 s after the third or fifth crash, and whether sound streams begin at least half as often.

--- a/packages/standins/bergamotsaddle_standins/soak.py
+++ b/packages/standins/bergamotsaddle_standins/soak.py
@@ -8,12 +8,14 @@
 
 # isort: split
 import argparse
+import contextlib
 import random
 import signal
 import socket
 import sys
 import tempfile
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
+from itertools import count
 from pathlib import Path
 
 import eventlet
@@ -23,7 +25,11 @@
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_standins.soak_audit import count_statuses, find_breaches
 from bergamotsaddle_standins.soak_breaks import BreakMode
-from bergamotsaddle_standins.soak_callers import SoakCaller
+from bergamotsaddle_standins.soak_callers import (
+    CallerSocket,
+    SentRequest,
+    SoakCaller,
+)
 from bergamotsaddle_standins.soak_dialect import (
     CONFIGURATION_KEY,
     ENGINE,
@@ -32,6 +38,13 @@
     TARGET_PREFIX,
     SoakConfiguration,
 )
+from bergamotsaddle_standins.soak_fatal import (
+    BegunStream,
+    CauseKind,
+    FatalCause,
+    find_fatal_breaches,
+    is_sound_stream,
+)
 from bergamotsaddle_standins.soak_guard import AddressesInUseError, hold_addresses
 from bergamotsaddle_standins.soak_links import CutMode, TargetLink
 from bergamotsaddle_standins.soak_record import (
@@ -82,6 +95,11 @@
 _MAX_ROLLOUT_PAUSE_S = 0.6
 _MAX_SIDE_BY_SIDE_S = 4.0
 _UNDONE_FRACTION = 0.3
+_FATAL_S = 10.0
+_FATAL_PAUSE_S = 0.35
+_ENTRY_LAG_S = 1.0
+_ENGINE_RESTART_S = 1.5
+_OK_STATUS = 200
 _SETTINGS = """
 [instance]
 id = {id}
@@ -298,6 +316,8 @@
         self._serving_by_engine: dict[str, ServingTime] = {}
         self._software_number = 1
         self._is_rolling_out = False
+        self._is_sending_fatal = False
+        self._causes: list[FatalCause] = []
         self._target_number = 0
         self._targets: list[RunningTarget] = []
         self._stalls: list[float] = []
@@ -389,7 +409,7 @@
     def _find_faults(self) -> list[str]:
         record = self._make_record()
         ends = [fault for instance in self._instances for fault in instance.faults]
-        return [*find_breaches(record), *ends]
+        return [*find_breaches(record), *self._find_fatal_breaches(), *ends]
 
     def _make_instance(
         self, number: int, hosts: list[str], folder: Path
@@ -485,6 +505,7 @@
             software=software,
         )
         if service == ENGINE:
+            target.on_crash = self._replace_crashed
             self._serving_by_engine[target_id] = ServingTime(software, now())
         self._targets.append(target)
         for instance in self._cut_instances:
@@ -661,6 +682,63 @@
         eventlet.sleep(self._rng.uniform(0.0, _MAX_BREAKING_S))
         target.break_mode = None
 
+    @register_disturbance("fatal")
+    def _send_fatal_requests(self) -> None:
+        """Send requests that crash the engines which run them, for some seconds."""
+        if self._is_sending_fatal or self._is_over:
+            return
+        self._is_sending_fatal = True
+        kind = self._rng.choice([*CauseKind])
+        cause = FatalCause(kind, len(self._causes))
+        self._causes.append(cause)
+        until = now() + _FATAL_S
+        attempts = count()
+        while now() < until and not self._is_over:
+            eventlet.spawn_n(self._send_fatal, cause, next(attempts))
+            eventlet.sleep(_FATAL_PAUSE_S)
+        self._is_sending_fatal = False
+
+    def _send_fatal(self, cause: FatalCause, attempt: int) -> None:
+        request = SentRequest(
+            f"f{cause.number}-{attempt}",
+            cause.path(attempt),
+            "key-0",
+            cause.name.encode(),
+            parts=cause.parts(attempt),
+        )
+        with contextlib.suppress(OSError):
+            connection = CallerSocket(self._pick_address())
+            connection.send(request.encode())
+            connection.read(request.deadline)
+            connection.close()
+
+    def _replace_crashed(self, target: RunningTarget) -> None:
+        """Remove the entry of an engine that has crashed, and start it again."""
+        if target not in self._targets:
+            return
+        self._targets.remove(target)
+        self._end_serving(target)
+        eventlet.spawn_n(self._restart_crashed, target)
+
+    def _restart_crashed(self, target: RunningTarget) -> None:
+        eventlet.sleep(_ENTRY_LAG_S)
+        self._removed.add(target.id)
+        self._left_at[target.id] = self._store.write(TARGET_PREFIX + target.id, None)
+        eventlet.sleep(_ENGINE_RESTART_S)
+        self._add_target(target.service, target.zone, software=target.software)
+
+    def _find_fatal_breaches(self) -> Iterator[str]:
+        streams = [
+            BegunStream(e.started_at, e.status == _OK_STATUS and bool(e.events))
+            for caller in self._callers
+            for e in caller.exchanges
+            if is_sound_stream(e.request.path) and not e.request.resumes
+        ]
+        ledger = self._ledger
+        return find_fatal_breaches(
+            self._causes, ledger.fatal_arrivals, ledger.fatal_crashes, streams
+        )
+
     def _cut_links(self, targets: set[RunningTarget]) -> list[TargetLink]:
         """Return the links between the instances that are cut off and some targets."""
         return [
--- a/packages/standins/bergamotsaddle_standins/soak_callers.py
+++ b/packages/standins/bergamotsaddle_standins/soak_callers.py
@@ -36,6 +36,7 @@
 # A caller waits somewhat longer than its deadline for a late response.
 _READ_MARGIN_S = 2.0
 _MS = 0.001
+_TOPICS = 3
 _OK = 200
 _EVENT = re.compile(rb"id: ([0-9]+)\ndata: ([^\n]*)\n\n")
 
@@ -52,6 +53,7 @@
             unless the stream is taken up again.
         last_event: Number of the last event that its caller has, -1 if it has none.
         waited: Seconds for which its caller has waited before.
+        parts: Ids of the parts of its prompt.
     """
 
     id: str
@@ -61,6 +63,7 @@
     resumes: str = ""
     last_event: int = -1
     waited: float = 0.0
+    parts: tuple[str, ...] = ()
 
     @property
     def stream(self) -> str:
@@ -88,7 +91,7 @@
         head = (
             f"POST {self.path} HTTP/1.1\r\nHost: {HOST}\r\nId: {self.id}\r\n"
             f"Key: {self.key}\r\nDeadline-Ms: {self.deadline / _MS:.0f}\r\n"
-            f"Sent-At: {now():.6f}\r\n{resumption}"
+            f"Sent-At: {now():.6f}\r\n{resumption}Parts: {','.join(self.parts)}\r\n"
             f"Content-Length: {len(self.body)}\r\n\r\n"
         )
         return head.encode() + self.body
@@ -394,4 +397,9 @@
             [BOOKING_PREFIX, LOOKUP_PREFIX, CHAT_PREFIX, TALK_PREFIX]
         )
         size = self._rng.randrange(_MAX_BODY_BYTES)
-        return SentRequest(request, prefix + request, self._pick_key(), b"x" * size)
+        parts = ()
+        if prefix in STREAM_PREFIXES:
+            parts = ("system", f"topic{self._number % _TOPICS}", request)
+        body = b"x" * size
+        key = self._pick_key()
+        return SentRequest(request, prefix + request, key, body, parts=parts)
--- a/packages/standins/bergamotsaddle_standins/soak_dialect.py
+++ b/packages/standins/bergamotsaddle_standins/soak_dialect.py
@@ -25,6 +25,7 @@
     HttpCall,
     Piece,
     PieceResult,
+    PromptPart,
     RawHeaders,
     RequestHead,
     ResponseHead,
@@ -64,6 +65,7 @@
 )
 _CHAT_STAGE = Stage(RERANK, (), 10_000)
 _MS = 0.001
+_PART_TOKENS = 20
 # A port that nothing listens on.
 _UNKNOWN_ADDRESS = Address("127.0.0.1", 1)
 
@@ -156,6 +158,7 @@
             host=HOST,
             key=by_name.get(b"key", b"").decode(),
             deadline=int(by_name[b"deadline-ms"]) * _MS,
+            prompt=_parse_parts(by_name.get(b"parts", b"")),
             prompt_tokens=100 if is_chat else 0,
             output_tokens=20 if is_chat else 0,
             pieces=(3,) if is_chat else (),
@@ -166,6 +169,7 @@
                 (b"id", by_name[b"id"]),
                 (b"sent-at", by_name[b"sent-at"]),
                 (b"stream", by_name.get(b"resumes", by_name[b"id"])),
+                (b"parts", by_name.get(b"parts", b"")),
             ),
         )
 
@@ -292,6 +296,11 @@
         )
 
 
+def _parse_parts(value: bytes) -> tuple[PromptPart, ...]:
+    parts = [part for part in value.decode().split(",") if part]
+    return tuple(PromptPart(part, _PART_TOKENS) for part in parts)
+
+
 def _parse_event_id(value: bytes | None) -> int | None:
     return None if value is None else int(value)
 
--- a/packages/standins/bergamotsaddle_standins/soak_links.py
+++ b/packages/standins/bergamotsaddle_standins/soak_links.py
@@ -73,6 +73,17 @@
             return
         _ACTION_BY_MODE[mode](self)
 
+    def crash(self, *, is_reset: bool) -> None:
+        """End all connections and refuse new ones, as the crash of the target does.
+
+        Args:
+            is_reset: Whether connections are reset rather than closed.
+        """
+        if self._acceptor is None:
+            return
+        self._reset()
+        self._is_resetting = is_reset
+
     def heal(self) -> None:
         """Restore the link."""
         self._is_silent = False
