Replay a balancer that sends most new connections to one instance (RECOVER)

Three daemons, 40 new connections a second spread over them for 4 s, then 4 to 16 times as many at one of them for 8 s; first attempts that were read. Cause looked for: refusals of an instance that is alone with the load.

Conclusion: no fault of an instance is shown, and the product is not changed.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 PACKAGES := $(wildcard packages/*/pyproject.toml) platform/adapter/pyproject.toml
 
-.PHONY: demo test lint format model faults soak bench capacity meeting origins
+.PHONY: demo test lint format model faults soak bench capacity meeting origins leaning
 .NOTPARALLEL:
 
 $(STAMP): requirements.txt $(PACKAGES)
@@ -47,3 +47,6 @@
 
 origins: $(STAMP)
 	$(PYTHON) -m bergamotsaddle_standins.origin_cost $(ARGS)
+
+leaning: $(STAMP)
+	$(PYTHON) -m bergamotsaddle_standins.leaning $(ARGS)
