Compare the ages of runs that hold one of two parts only

Cause: a run with both parts counted as a young run of the sound one, so that this explained the crashes of the fatal one.

Change: only runs with one of two parts are compared, unless all runs with one hold the other as well.

--- a/packages/serving/bergamotsaddle_serving/suspect_parts.py
+++ b/packages/serving/bergamotsaddle_serving/suspect_parts.py
@@ -35,7 +35,7 @@
 # Time in which a harmless part that is in frequent use completes a run somewhere.
 _DOUBT_S = 1.0
 # Pauses before the trials of a quarantined part, from the last crash or trial on.
-_TRIAL_PAUSES_S = (4.0, 60.0)
+_TRIAL_PAUSES_S = (2.0, 60.0)
 # A part explains the crashes of another one if it was younger at this fraction of the
 # crashes at which they can be compared, and at this many at least.
 _MIN_YOUNGER = 0.7
@@ -356,23 +356,36 @@
     def _explains(self, cause: str, part: str) -> bool:
         """Return whether runs with one part are younger than those with another one.
 
-        Runs with both of them tell nothing.
+        Runs with both of them tell nothing, unless the cause never is without the part.
         """
         if cause == part:
             return False
-        causes = self._crashes_by_part[cause]
+        crashes = self._uncleared_by_part[part]
+        is_nested = all(part in run.parts for run in self._runs(cause, crashes))
         compared = younger = 0
-        for crash in self._uncleared_by_part[part]:
-            apart = [
-                run.seconds
-                for run in self._runs(part, [crash])
-                if cause not in run.parts
-            ]
-            if apart and crash in causes:
+        for crash in crashes:
+            causes = self._longest_writing(cause, crash, None if is_nested else part)
+            beside = self._longest_writing(part, crash, cause)
+            if causes is not None and beside is not None:
                 compared += 1
-                younger += causes[crash] + _YOUNGER_S <= max(apart)
+                younger += causes + _YOUNGER_S <= beside
         return compared >= _MIN_COMPARED and younger >= _MIN_YOUNGER * compared
 
+    def _longest_writing(
+        self, part: str, crash: _Crash, without: str | None
+    ) -> float | None:
+        """Return for how long a target had been writing on a part at most.
+
+        Args:
+            part: The part.
+            crash: Crash of the target.
+            without: Part of other runs, which are left out.
+        """
+        seconds = [
+            run.seconds for run in self._runs(part, [crash]) if without not in run.parts
+        ]
+        return max(seconds, default=None)
+
     def _is_listed(self, crashes: Collection[_Crash]) -> bool:
         """Return whether targets may run the software of any of the crashes."""
         software_versions = self._software_versions()
