Excuse requests of a soak that an engine's crash breaks before they reach it

Cause: the audit counted breaks where a stream had begun to run. Falls of brittle targets are treated so already.

--- a/packages/standins/bergamotsaddle_standins/soak_record.py
+++ b/packages/standins/bergamotsaddle_standins/soak_record.py
@@ -218,11 +218,13 @@
         """Return whether a cut may have broken a request while a target ran it.
 
         Instances also serve requests that others hand over, so it may have been a cut
-        of any instance. The failure of a brittle target breaks requests as well.
+        of any instance. The failure of a brittle target and the crash of an engine
+        break requests as well, also those that have not reached it yet.
         """
+        crashes = [crash.at for crash in self.ledger.fatal_crashes]
         if any(
-            exchange.started_at <= fall <= exchange.ended_at
-            for fall in self.ledger.falls
+            exchange.started_at <= at <= exchange.ended_at
+            for at in (*self.ledger.falls, *crashes)
         ):
             return True
         return any(
