--- a/packages/cli/bergamotsaddle_cli/cause.py
+++ b/packages/cli/bergamotsaddle_cli/cause.py
@@ -50,6 +50,12 @@
 
 
 def _describe_reason(lines: Sequence[LogLine]) -> str:
+    held = _find_last(lines, "part_held_back")
+    if held is not None:
+        targets = ", ".join(held["targets"])
+        return (
+            f"Part {held['part']} of its prompt is held back: {targets} ended under it."
+        )
     rejected = _find_last(lines, "turn_away")
     if rejected is not None:
         wait = rejected["expected"] - rejected["idle"]
--- a/tests/test_serving_settings.py
+++ b/tests/test_serving_settings.py
@@ -56,6 +56,13 @@
         self.assertEqual(settings.capacity.cores, 0.5)
         self.assertEqual(parse_settings(TEXT, name="daemon.ini").capacity.cores, 1.0)
 
+    def test_parts_that_operators_allow(self):
+        text = TEXT + "\n[suspects]\nallowed_parts = 5c1e07a2, 91bd3f06\n"
+        settings = parse_settings(text, name="daemon.ini")
+        self.assertEqual(settings.suspects.allowed_parts, {"5c1e07a2", "91bd3f06"})
+        settings = parse_settings(TEXT, name="daemon.ini")
+        self.assertEqual(settings.suspects.allowed_parts, frozenset())
+
     def test_mechanisms_are_enabled_unless_switched_off(self):
         text = TEXT + "\n[policy]\noff = home_zones, full_calls\n"
         policy = parse_settings(text, name="daemon.ini").policy
--- a/tests/test_suspects_command.py
+++ b/tests/test_suspects_command.py
@@ -9,7 +9,7 @@
 from parameterized import parameterized
 
 from bergamotsaddle_cli.app import make_application
-from bergamotsaddle_cli.suspects import find_suspects
+from bergamotsaddle_cli.suspects import find_suspect_parts, find_suspects
 
 
 def crash_line(fingerprint, target, second, *, is_held_back=False):
@@ -67,6 +67,43 @@
         self.assertEqual(find_suspects([request_line("x", "whole")]), [])
 
 
+def part_line(event, second, **fields):
+    """Return a log line about parts of prompts."""
+    return {"event": event, "timestamp": f"2026-01-05T08:00:{second:02d}Z", **fields}
+
+
+PART_CRASHES = [
+    part_line("prompt_ended", n, instance=f"i{n % 2}", target=f"t{n}", parts=["p", "q"])
+    for n in range(5)
+]
+REFUSED = part_line("part_held_back", 9, part="p", targets=["t0"])
+
+
+class FindSuspectPartsTest(unittest.TestCase):
+    """The parts of prompts that are found in log lines."""
+
+    @parameterized.expand(
+        [
+            ("crashed", PART_CRASHES, "suspected", 0),
+            ("refused", [*PART_CRASHES, REFUSED, REFUSED], "held back", 2),
+            (
+                "ran_whole_later",
+                [*PART_CRASHES, part_line("part_cleared", 8, part="p")],
+                "cleared",
+                0,
+            ),
+        ]
+    )
+    def test_state(self, _, lines, state, refused):
+        part = next(part for part in find_suspect_parts(lines) if part.part == "p")
+        self.assertEqual((part.state, part.refused), (state, refused))
+
+    def test_who_saw_which_crash(self):
+        part = find_suspect_parts([*PART_CRASHES, PART_CRASHES[0]])[0]
+        self.assertEqual(part.instances_by_target["t0"], ["i0"])
+        self.assertEqual(part.instances_by_target["t3"], ["i1"])
+
+
 class SuspectsCommandTest(unittest.TestCase):
     """The command as an operator runs it."""
 
