--- a/packages/serving/bergamotsaddle_serving/policy.py
+++ b/packages/serving/bergamotsaddle_serving/policy.py
@@ -23,7 +23,7 @@
     ENGINE_HOMES = "engine_homes"
     """Send prompts with the same shared parts to the same preferred engine."""
     FATAL_REQUESTS = "fatal_requests"
-    """Quarantine requests under which three targets have crashed."""
+    """Quarantine requests and parts of prompts that crash targets."""
     FULL_CALLS = "full_calls"
     """Let a call wait briefly for memory rather than run nearly empty."""
     HOME_ZONES = "home_zones"
--- a/packages/serving/bergamotsaddle_serving/suspect_parts.py
+++ b/packages/serving/bergamotsaddle_serving/suspect_parts.py
@@ -189,6 +189,7 @@
         self._is_on = policy.has(Mechanism.FATAL_REQUESTS)
         # The inner keys are fingerprints.
         self._runs_by_crash: dict[_Crash, dict[str, _CrashedRun]] = {}
+        # Parsed keys of the facts about these runs.
         self._parts_by_key: dict[str, frozenset[str]] = {}
         # When each crash was observed, on the hub's clock.
         self._observed_at_by_crash: dict[_Crash, float] = {}
@@ -411,6 +412,7 @@
                     yield run
 
     def _is_held_in_doubt(self, crashes: Collection[_Crash]) -> bool:
+        """Return whether crashes are enough, although a target had written before."""
         moments: list[float] = []
         for at in self._times(crashes):
             if not moments or at - moments[-1] >= _SAME_MOMENT_S:
