Take back the excuse for streams of a soak that break off before an event

The excuse by the time of an engine's crash covers what was traced; the check is as strict as before.

--- a/packages/standins/bergamotsaddle_standins/soak_record.py
+++ b/packages/standins/bergamotsaddle_standins/soak_record.py
@@ -240,16 +240,12 @@
         return breaks >= ATTEMPTS_BY_PREFIX[request.prefix]
 
     def is_without_engine(self, exchange: Exchange) -> bool:
-        """Return whether a stream broke off while no other engine had its version.
-
-        Without an event any version may serve it.
-        """
-        if not self.ledger.breaks_by_request[exchange.request.id]:
+        """Return whether a stream broke off while no other engine had its version."""
+        if (
+            not exchange.events
+            or not self.ledger.breaks_by_request[exchange.request.id]
+        ):
             return False
-        if not exchange.events:
-            versions = {time.software.encode() for time in self.serving_times}
-            serving = sum(self.count_serving(v, exchange) for v in versions)
-            return bool(versions) and serving < MIN_ENGINES
         software = exchange.events[0][1]
         is_known = bool(self.serving_times)
         return is_known and self.count_serving(software, exchange) < MIN_ENGINES
