Repeat a trial of a part that has shown nothing

Cause: a trial counted, and the next one came a minute later, also if its request neither crashed a target nor was completed.

Change: only trials that a crash follows count. The test of two trials has its trials crash targets now, as those of a fatal part do; another one repeats a trial without a result.

Conclusion: a trial of a fatal part always crashes, so no more targets end.

--- a/packages/serving/bergamotsaddle_serving/suspect_parts.py
+++ b/packages/serving/bergamotsaddle_serving/suspect_parts.py
@@ -149,8 +149,8 @@
     cleared.
 
     Trials: no request could clear a quarantined part any more. So one request is sent
-    after some seconds and one after a minute, unless no run with the part had an event
-    yet when it was interrupted.
+    after some seconds, and one a minute after a trial that crashed a target, unless no
+    run with the part had an event yet when it was interrupted.
 
     Companions: parts that were in the same prompts at each crash can't be told apart.
     Only prompts that hold all of them are refused, so that sound requests which share
@@ -429,10 +429,12 @@
         trials = [
             at for at in self._trials_by_part.get(part, {}).values() if at > times[0]
         ]
-        if len(trials) >= len(_TRIAL_PAUSES_S):
+        # A trial without a crash or a completed run has shown nothing.
+        failed = sum(times[-1] > at for at in trials)
+        if failed >= len(_TRIAL_PAUSES_S):
             return False
-        since = max(times[-1], *trials, float("-inf"))
-        return now() - since >= _TRIAL_PAUSES_S[len(trials)]
+        since = max([times[-1], *trials])
+        return now() - since >= _TRIAL_PAUSES_S[failed]
 
     def _times(self, crashes: Iterable[_Crash]) -> list[float]:
         """Return when crashes were observed, the first one first."""
--- a/tests/test_suspect_parts.py
+++ b/tests/test_suspect_parts.py
@@ -194,8 +194,23 @@
             if not self.instance.is_held("maybe"):
                 self.instance.parts.record_sent(("maybe",))
                 sent += 1
+                work = Work(f"t{sent}", ("maybe",), now() - 0.1)
+                advance(0.1)
+                self.instance.parts.record_crash(target(100 + sent), [work])
         self.assertEqual(sent, 2)
 
+    def test_a_trial_that_shows_nothing_is_repeated(self):
+        """Guards against a harmless part whose only trial found no engine."""
+        for number in range(5):
+            work = Work(f"w{number}", ("maybe",), now() - 0.1)
+            self.instance.parts.record_crash(target(number), [work])
+            advance(0.5)
+        for _ in range(3):
+            advance(2.5)
+            self.assertFalse(self.instance.is_held("maybe"))
+            self.instance.parts.record_sent(("maybe",))
+            self.assertTrue(self.instance.is_held("maybe"))
+
     def test_a_part_without_interrupted_events_is_not_tried(self):
         self.instance.crash(range(5), ("bad",))
         for _ in range(100):
