Excuse only streams of a soak for the crash of an engine

Cause: the excuse of held for every request that overlaps a crash, also for bookings and lookups, which no engine runs and no trace showed. The check of those is as strict as before. The audit tests pass; no soak was run on this.

--- a/packages/standins/bergamotsaddle_standins/soak_record.py
+++ b/packages/standins/bergamotsaddle_standins/soak_record.py
@@ -7,7 +7,7 @@
 from typing import Generic, NamedTuple, TypeVar
 
 from bergamotsaddle_standins.soak_callers import Exchange
-from bergamotsaddle_standins.soak_dialect import ATTEMPTS_BY_PREFIX
+from bergamotsaddle_standins.soak_dialect import ATTEMPTS_BY_PREFIX, STREAM_PREFIXES
 from bergamotsaddle_standins.soak_store import LAPSE_S
 from bergamotsaddle_standins.soak_targets import Ledger, Run, StageCall
 
@@ -221,7 +221,9 @@
         of any instance. The failure of a brittle target and the crash of an engine
         break requests as well, also those that have not reached it yet.
         """
-        crashes = [crash.at for crash in self.ledger.fatal_crashes]
+        # Only streams run at engines.
+        is_stream = exchange.request.path.startswith(STREAM_PREFIXES)
+        crashes = [crash.at for crash in self.ledger.fatal_crashes if is_stream]
         if any(
             exchange.started_at <= at <= exchange.ended_at
             for at in (*self.ledger.falls, *crashes)
