--- a/packages/standins/bergamotsaddle_standins/peer_fleet.py
+++ b/packages/standins/bergamotsaddle_standins/peer_fleet.py
@@ -1,6 +1,7 @@
 """Peers of many instances in one process, on a simulated network with partitions."""
 
 from collections.abc import Callable, Iterator
+from itertools import count
 
 import eventlet
 import structlog
@@ -54,6 +55,10 @@
         self._transmit = transmit
         self.bytes_sent = 0
 
+    def disconnect(self) -> None:
+        """Send nothing more, as a process that was killed."""
+        self._transmit = lambda *_: None
+
     def _send_bytes(self, address: tuple[str, int], data: bytes) -> None:
         self.sent += 1
         self.bytes_sent += len(data)
@@ -74,13 +79,15 @@
 
     def __init__(self, size: int, *, accept_delay: float = 0.0) -> None:
         self._accept_delay = accept_delay
+        self._restarts = count(1)
         self._partitioned_zones: set[str] = set()
         self._running_hosts: set[str] = set()
         hosts = [_host(number) for number in range(size)]
-        seeds = tuple(f"{host}:{_UNUSED_ADDRESS.port}" for host in hosts[:SEEDS])
+        self._hosts = hosts
+        self._seeds = tuple(f"{host}:{_UNUSED_ADDRESS.port}" for host in hosts[:SEEDS])
         self.peers_by_host = {
             host: WiredPeers(
-                _settings(number, host, seeds), f"life-{number}", self._transmit
+                _settings(number, host, self._seeds), f"life-{number}", self._transmit
             )
             for number, host in enumerate(hosts)
         }
@@ -104,6 +111,24 @@
         self._running_hosts.discard(peers.own.host)
         peers.send_heartbeats = lambda: None
 
+    def restart(self, number: int) -> WiredPeers:
+        """Kill an instance and start it again without what it knew.
+
+        Returns:
+            The peers of the new process.
+        """
+        host = self._hosts[number]
+        self.peers_by_host[host].disconnect()
+        name = f"life-{number}-{next(self._restarts)}"
+        peers = WiredPeers(_settings(number, host, self._seeds), name, self._transmit)
+        self.peers_by_host[host] = peers
+        self._running_hosts.discard(host)
+        return peers
+
+    def run(self, peers: WiredPeers) -> None:
+        """Start an instance that was started again."""
+        eventlet.spawn_n(self._run, peers)
+
     def heal(self) -> None:
         """End all partitions."""
         self._partitioned_zones.clear()
--- a/packages/standins/bergamotsaddle_standins/virtual_fleet.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_fleet.py
@@ -166,7 +166,7 @@
         notices = TargetNotices(brittleness, full, leaving, TargetRests(SILENT_LOGGER))
         self.health = Health(self.limits.record, notices.read)
         peers.own_running = self.health.running
-        pool = VirtualPool(targets, peers.own.id)
+        self._pool = pool = VirtualPool(targets, peers.own.id)
         budget = RetryBudget(_BOUNDS, peers.size)
         reach = SimpleNamespace(is_lost=lambda zone: False)
         owner = RateOwner(peers.reachable_fraction)
@@ -227,12 +227,16 @@
 
     def tick(self) -> None:
         """Do what an instance does regularly, without end."""
-        while True:
+        while not self._pool.is_closed:
             self.crashes.check_successes()
             self.suspects.withdraw_disputed()
             self.streams.abort_quarantined()
             eventlet.sleep(_TICK_S)
 
+    def kill(self) -> None:
+        """Send nothing more, as a process that was killed."""
+        self._pool.is_closed = True
+
 
 class VirtualFleet:
     """A fleet of instances and its engines.
@@ -269,6 +273,25 @@
         for instance in self.instances:
             eventlet.spawn_after(random.uniform(0.0, _TICK_S), instance.tick)
 
+    def restart(self, number: int, *, after: float = 0.5) -> None:
+        """Kill an instance and start it again without what it knew.
+
+        Args:
+            number: Number of the instance.
+            after: Seconds until the new process runs.
+        """
+        self.instances[number].kill()
+        peers = self.peers.restart(number)
+        instance = VirtualInstance(peers, self.targets, self._dialect)
+        self.instances[number] = instance
+        eventlet.spawn_after(after, self._start_again, instance)
+
+    def _start_again(self, instance: VirtualInstance) -> None:
+        position = StorePosition(0, len(self._entries))
+        instance.view.apply(self._entries, position, source="list")
+        self.peers.run(instance.peers)
+        eventlet.spawn_n(instance.tick)
+
     def send_request(
         self, number: int, path: bytes, body: bytes = b"", prompt: Sequence[str] = ()
     ) -> VirtualCaller:
--- a/packages/standins/bergamotsaddle_standins/virtual_targets.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_targets.py
@@ -1,5 +1,6 @@
 """Simulated engines that crash and restart, in one process on the hub's clock."""
 
+from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -29,6 +30,8 @@
 _STREAM_S = 0.5
 # Seconds from a crash until the list of targets drops the target.
 _REGISTRATION_LAG_S = 1.1
+# Seconds from the announcement that a target leaves until it is replaced.
+_LEAVING_S = 1.0
 _OK = 200
 _MISDIRECTED = 421
 _DEADLINE_S = 8.0
@@ -49,6 +52,9 @@
         is_reset: Whether the connection of a fatal request is reset. The others are
             closed.
         after: Seconds from the arrival of a fatal request to the crash.
+        is_behind_response: Whether a fatal request gets its whole response and
+            ``after`` counts from its end.
+        is_silent: Whether connections carry nothing more instead of being closed.
     """
 
     events: int = 0
@@ -56,6 +62,27 @@
     is_inside_event: bool = False
     is_reset: bool = False
     after: float = 0.1
+    is_behind_response: bool = False
+    is_silent: bool = False
+
+
+class Fatality(NamedTuple):
+    """Which runs of a fatal request crash their engines.
+
+    Attributes:
+        whole_runs: Runs that complete before the first one that crashes its engine.
+        whole_every: Further runs of which one completes, 0 if none does.
+    """
+
+    whole_runs: int = 0
+    whole_every: int = 0
+
+    def is_whole(self, number: int) -> bool:
+        """Return whether a run completes, given how many preceded it."""
+        if number < self.whole_runs:
+            return True
+        position = number - self.whole_runs + 1
+        return self.whole_every > 0 and position % self.whole_every == 0
 
 
 class Arrival(NamedTuple):
@@ -84,6 +111,8 @@
     Attributes:
         incarnation: Number of the current run of the target, from 1.
         is_up: Whether the target runs.
+        software: Version of its software.
+        is_silent: Whether it has crashed and its address swallows all packets.
         limit: Requests per second that its responses announce as its limit, or None.
         arrivals: Requests that reached this address so far, in any incarnation.
         runs: Connections on which a request runs.
@@ -94,6 +123,8 @@
         self.zone = zone
         self.incarnation = 1
         self.is_up = True
+        self.is_silent = False
+        self.software = ""
         self.limit: float | None = None
         self.arrivals: list[Arrival] = []
         self.runs: set[VirtualConnection] = set()
@@ -106,7 +137,14 @@
 
     def entry(self) -> Target:
         """Return the entry that the target registers."""
-        return Target(self.id, SERVICE, self.address, self.zone, _SLOTS)
+        return Target(
+            self.id,
+            SERVICE,
+            self.address,
+            self.zone,
+            _SLOTS,
+            software=self.software,
+        )
 
 
 class VirtualDialect:
@@ -166,11 +204,15 @@
         targets: All targets.
         target: Target at the other end.
         instance: Id of the instance.
+
+    Attributes:
+        is_silent: Whether the target has crashed without closing the connection.
     """
 
     def __init__(
         self, targets: "VirtualTargets", target: VirtualTarget, instance: str
     ) -> None:
+        self.is_silent = False
         self._targets = targets
         self._target = target
         self._instance = instance
@@ -188,15 +230,19 @@
         self._started_at = now()
         parts = _read_parts(self._headers)
         arrival = Arrival(now(), self._instance, call.path, parts)
-        is_fatal = self._targets.is_fatal(arrival)
-        if is_fatal and not self._targets.ending.events:
+        is_fatal = self._targets.crashes(arrival)
+        ending = self._targets.ending
+        if is_fatal and not ending.events and not ending.is_behind_response:
             # The target crashes before the first event.
             self._first_seconds = 2.0 * self._targets.ending.after
         self._target.arrivals.append(arrival)
         if self._headers[b"target"].decode() == self._target.id:
             self._target.runs.add(self)
             if is_fatal:
-                self._targets.schedule_crash(self._target, self)
+                after = ending.after
+                if ending.is_behind_response:
+                    after += self._targets.stream_seconds
+                self._targets.schedule_crash(self._target, self, after)
         return 0
 
     def read_head(self, *, limit: float) -> RawResponseHead:
@@ -261,9 +307,13 @@
         self._target.runs.discard(self)
 
     def _wait(self, until: float, limit: float) -> None:
-        pause = max(0.0, min(until - now(), limit))
+        started_at = now()
+        pause = max(0.0, min(until - started_at, limit))
         with eventlet.Timeout(pause, False):
             self._closed_by_target.wait()
+        if self.is_silent:
+            eventlet.sleep(max(0.0, limit - (now() - started_at)))
+            raise ConnectionLostError("silent")
         if self._closed_by_target.ready():
             if self._is_reset:
                 raise ConnectionLostError("reset")
@@ -280,11 +330,15 @@
     Args:
         targets: All targets.
         instance: Id of the instance.
+
+    Attributes:
+        is_closed: Whether the instance was killed and sends nothing more.
     """
 
     def __init__(self, targets: "VirtualTargets", instance: str) -> None:
         self._targets = targets
         self._instance = instance
+        self.is_closed = False
 
     def acquire(self, address: Address, *, limit: float = 1.0) -> VirtualConnection:
         """Open a connection to an address.
@@ -293,7 +347,12 @@
             ConnectionLostError: If no target is up at the address.
         """
         eventlet.sleep(_LATENCY_S)
+        if self.is_closed:
+            raise ConnectionLostError("refused", is_unsent=True)
         target = self._targets.by_address[address]
+        if target.is_silent:
+            eventlet.sleep(limit)
+            raise ConnectionLostError("connect", is_unsent=True)
         if not target.is_up:
             raise ConnectionLostError("refused", is_unsent=True)
         return VirtualConnection(self._targets, target, self._instance)
@@ -301,7 +360,8 @@
     def is_refused(self, address: Address) -> bool:
         """Return whether an address refuses connections."""
         eventlet.sleep(_LATENCY_S)
-        return not self._targets.by_address[address].is_up
+        target = self._targets.by_address[address]
+        return not target.is_up and not target.is_silent
 
     def release(
         self, connection: VirtualConnection, keep_alive_seconds: float | None
@@ -324,8 +384,10 @@
         fatal_parts: Parts of prompts that crash a target, except as last ones.
         stream_seconds: Duration of a sound stream.
         ending: How the connections of a crashing target end.
+        fatality: Which runs of a fatal request crash their targets.
         crash_count: Number of crashes so far.
         crash_times: When each of them happened, on the hub's clock.
+        fatal_crash_times: The same for those that a fatal request caused.
     """
 
     def __init__(
@@ -340,7 +402,10 @@
         self.fatal_parts: set[str] = set()
         self.stream_seconds = _STREAM_S
         self.crash_times: list[float] = []
+        self.fatal_crash_times: list[float] = []
         self.ending = CrashEnding()
+        self.fatality = Fatality()
+        self._fatal_runs: Counter[bytes] = Counter()
         self.crash_count = 0
         self._restart_after = restart_after
         self._publish = publish
@@ -357,12 +422,29 @@
         is_fatal_part = not self.fatal_parts.isdisjoint(arrival.parts[:-1])
         return arrival.path in self.fatal_paths or is_fatal_part
 
+    def crashes(self, arrival: Arrival) -> bool:
+        """Count a run and return whether it crashes the target."""
+        if not self.is_fatal(arrival):
+            return False
+        number = self._fatal_runs[arrival.path]
+        self._fatal_runs[arrival.path] += 1
+        return not self.fatality.is_whole(number)
+
     def schedule_crash(
-        self, target: VirtualTarget, connection: VirtualConnection
+        self, target: VirtualTarget, connection: VirtualConnection, after: float
     ) -> None:
-        """Let a target crash a moment after a fatal request has arrived."""
+        """Let a target crash some seconds after a fatal request has arrived."""
         crash = (target, target.incarnation, connection)
-        eventlet.spawn_after(self.ending.after, self.crash, *crash)
+        eventlet.spawn_after(after, self.crash, *crash)
+
+    def replace(self, target: VirtualTarget, software: str) -> None:
+        """Announce that a target leaves, and start one with other software."""
+        self._publish(target.id, target.entry()._replace(is_draining=True))
+        eventlet.sleep(_LEAVING_S)
+        if target.is_up:
+            self._publish(target.id, None)
+            target.software = software
+            self._start(target)
 
     def crash(
         self,
@@ -379,14 +461,21 @@
         """
         if not target.is_up or target.incarnation != incarnation:
             return
-        if cause is not None and cause not in target.runs:
+        is_held = cause is None or self.ending.is_behind_response
+        if not is_held and cause not in target.runs:
             # The target has dropped the request with its connection.
             return
         self.crash_count += 1
         self.crash_times.append(now())
+        if cause is not None:
+            self.fatal_crash_times.append(now())
         target.is_up = False
+        target.is_silent = cause is not None and self.ending.is_silent
         for connection in list(target.runs):
-            connection.disconnect(is_cause=connection is cause)
+            if target.is_silent:
+                connection.is_silent = True
+            else:
+                connection.disconnect(is_cause=connection is cause)
         target.runs.clear()
         eventlet.spawn_after(_REGISTRATION_LAG_S, self._publish, target.id, None)
         eventlet.spawn_after(self._restart_after, self._start, target)
@@ -394,4 +483,5 @@
     def _start(self, target: VirtualTarget) -> None:
         target.incarnation += 1
         target.is_up = True
+        target.is_silent = False
         self._publish(target.id, target.entry())
