--- a/tests/test_serving_settings.py
+++ b/tests/test_serving_settings.py
@@ -65,7 +65,7 @@
 
     def test_requests_that_operators_allow(self):
         text = TEXT + "\n[suspects]\nallowed_requests = 5c1e07a291bd3f06\n"
-        settings = parse_settings(text)
+        settings = parse_settings(text, name="daemon.ini")
         self.assertEqual(settings.suspects.allowed_requests, {"5c1e07a291bd3f06"})
 
     def test_mechanisms_are_enabled_unless_switched_off(self):
