--- a/model/__main__.py
+++ b/model/__main__.py
@@ -12,6 +12,7 @@
     permits,
     placement,
     rates,
+    requests,
     tickets,
 )
 from model.specification import Specification
@@ -25,6 +26,8 @@
     eras.SPECIFICATION,
     origins.SPECIFICATION,
     parts.SPECIFICATION,
+    requests.SPECIFICATION,
+    requests.RELEASE_SPECIFICATION,
     rates.SPECIFICATION,
     *placement.SPECIFICATIONS,
 )
