Count what targets outlive by service, and look at requests with most tries first

Stages of a request that were whole were told as runs that targets outlived. And sound streams that go on elsewhere were present at all three crashes; the log shows three of them with as many crashes, younger than the fatal one, so one of them explained its crashes.

Change: only targets of the service that crashed can outlive a request. Crash facts carry a digest of the request's id; of requests with as many crashes the one that ran under most ids is looked at first, since a stream goes on under one id and a fatal request is sent again.

The soak learns requests that crash later, two of three times, behind a whole response, silently, many at one moment, and whose callers leave.

--- a/packages/serving/bergamotsaddle_serving/crash_history.py
+++ b/packages/serving/bergamotsaddle_serving/crash_history.py
@@ -27,6 +27,20 @@
 _PAUSE_FACTOR = 10.0
 
 
+class CrashedRun(NamedTuple):
+    """A run of a request at a target that crashed.
+
+    Attributes:
+        age: For how long the target had been running it, in seconds.
+        is_certain: Whether the target ran it when it crashed, or had just completed it.
+        request: Digest of the id of the request.
+    """
+
+    age: float = 0.0
+    is_certain: bool = True
+    request: str = ""
+
+
 class Survival(NamedTuple):
     """A run of a request that its target has outlived, since an earlier crash.
 
@@ -47,11 +61,13 @@
         age: For how long the target had been running the request, in seconds.
         is_certain: Whether the target ran the request when it crashed, or had just
             completed it.
+        requests: Digests of the ids under which it ran.
     """
 
     at: float
     age: float
     is_certain: bool
+    requests: frozenset[str]
 
 
 class _Moment(NamedTuple):
@@ -115,12 +131,28 @@
             i for i, crash in self._crash_by_incarnation.items() if crash.is_certain
         ]
 
+    @property
+    def services(self) -> set[str]:
+        """Services of the incarnations that crashed."""
+        return {incarnation.service for incarnation in self._crash_by_incarnation}
+
     @property
     def mean_age(self) -> float:
         """Mean time for which targets had run the request when they crashed, in s."""
         ages = [crash.age for crash in self._crash_by_incarnation.values()]
         return sum(ages) / len(ages) if ages else 0.0
 
+    @property
+    def precedence(self) -> tuple[int, int, float]:
+        """Order in which requests are looked at, the likeliest cause first.
+
+        A stream that goes on elsewhere meets further crashes under the same id, while a
+        fatal request is sent again and again.
+        """
+        crashes = self._crash_by_incarnation.values()
+        requests = frozenset().union(*(crash.requests for crash in crashes))
+        return -len(crashes), -len(requests), self.mean_age
+
     @property
     def youngest_age(self) -> float:
         """Shortest time for which a target had run it when it crashed, in seconds."""
@@ -150,20 +182,21 @@
         crashes = self._crash_by_incarnation
         return max(crashes, key=lambda i: (crashes[i].at, i), default=None)
 
-    def add_crash(
-        self, incarnation: Incarnation, at: float, age: float, *, is_certain: bool
-    ) -> None:
+    def add_crash(self, incarnation: Incarnation, at: float, run: CrashedRun) -> None:
         """Add a crash, or what another run of the request tells of it.
 
         Args:
             incarnation: The incarnation that crashed.
             at: When the crash was observed, on the hub's clock.
-            age: For how long it had been running the request, in seconds.
-            is_certain: Whether it ran the request then, or had just completed it.
+            run: A run of the request there.
         """
-        known = self._crash_by_incarnation.get(incarnation, _Crash(at, age, is_certain))
+        found = _Crash(at, run.age, run.is_certain, frozenset((run.request,)))
+        known = self._crash_by_incarnation.get(incarnation, found)
         self._crash_by_incarnation[incarnation] = _Crash(
-            min(known.at, at), max(known.age, age), known.is_certain or is_certain
+            min(known.at, at),
+            max(known.age, run.age),
+            known.is_certain or run.is_certain,
+            known.requests | found.requests,
         )
 
     def drop_crash(self, incarnation: Incarnation) -> None:
@@ -231,11 +264,9 @@
         self, crashes: Iterable[Incarnation], software: tuple[str, str] | None
     ) -> list[_Moment]:
         """Return the moments of crashes of one version or of all, in order."""
-        times = sorted(
-            self._crash_by_incarnation[crash].at
-            for crash in crashes
-            if software is None or crash[:2] == software
-        )
+        crashes = [c for c in crashes if software is None or c[:2] == software]
+        services = {crash.service for crash in crashes}
+        times = sorted(self._crash_by_incarnation[crash].at for crash in crashes)
         moments: list[_Moment] = []
         for at in times:
             if moments and at - moments[-1].started_at < _MOMENT_S:
@@ -243,6 +274,8 @@
             else:
                 moments.append(_Moment(at, 1))
         for survival in self._survival_by_key.values():
+            if survival.software[0] not in services:
+                continue
             if software is not None and survival.software != software:
                 continue
             before = [n for n, m in enumerate(moments) if m.started_at <= survival.at]
--- a/packages/serving/bergamotsaddle_serving/fingerprint.py
+++ b/packages/serving/bergamotsaddle_serving/fingerprint.py
@@ -6,6 +6,7 @@
 from bergamotsaddle_serving.messages import RequestHead
 
 _DIGEST_BYTES = 8
+_ID_BYTES = 3
 
 
 def fingerprint(head: RequestHead, team: Team | None, body: bytes) -> str:
@@ -30,3 +31,8 @@
         digest.update(len(part).to_bytes(4, "big") + part)
     digest.update(body)
     return digest.hexdigest()
+
+
+def digest_id(request_id: str) -> str:
+    """Return a short digest of the id of a request, 6 hexadecimal digits."""
+    return blake2b(request_id.encode(), digest_size=_ID_BYTES).hexdigest()
--- a/packages/serving/bergamotsaddle_serving/plain.py
+++ b/packages/serving/bergamotsaddle_serving/plain.py
@@ -123,14 +123,14 @@
             except OutcomeUnknownError as error:
                 self._log_failed_attempt(context, candidate, error.reason, "unknown")
                 runs += 1
-                work = Work(context.fingerprint, started_at=sent_at)
+                work = _work(context, sent_at)
                 self._crashes.record_failure(candidate.target, [work], error.reason)
                 if not can_repeat or self._suspects.is_quarantined(context.fingerprint):
                     return self._finish_failed(context, failure, runs)
                 continue
             except BergamotsaddleError:
                 # The caller left or the deadline passed while the target worked on it.
-                work = Work(context.fingerprint, started_at=sent_at)
+                work = _work(context, sent_at)
                 self._crashes.record_abandoned(candidate.target, work)
                 raise
             runs += 1
@@ -213,7 +213,7 @@
         if response.is_success:
             self._crashes.record_success(
                 candidate.target,
-                [Work(context.fingerprint)],
+                [_work(context, attempt.started_at)],
                 is_framed=response.head.is_framed,
             )
         headers = list(end_to_end_headers(response.head.headers))
@@ -254,3 +254,8 @@
             ran=ran,
             in_flight=candidate.state.in_flight,
         )
+
+
+def _work(context: Context, started_at: float) -> Work:
+    """Return what a target runs for a request."""
+    return Work(context.fingerprint, started_at=started_at, request=context.head.id)
--- a/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
+++ b/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
@@ -324,4 +324,5 @@
 
 def _works(pieces: Iterable[QueuedPiece]) -> list[Work]:
     """Return what a target runs for the requests of some pieces."""
-    return [Work(f) for f in sorted({piece.fingerprint for piece in pieces})]
+    request_by_fingerprint = {p.fingerprint: p.key.request for p in pieces}
+    return [Work(f, request=r) for f, r in sorted(request_by_fingerprint.items())]
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -573,6 +573,7 @@
             context.head.shared_parts,
             self._writing_since,
             self._sent_at,
+            context.head.id,
         )
 
     def _send(self, candidate: Candidate, choice: EngineChoice) -> Response:
--- a/packages/serving/bergamotsaddle_serving/suspect_parts.py
+++ b/packages/serving/bergamotsaddle_serving/suspect_parts.py
@@ -64,12 +64,14 @@
             None before.
         started_at: When the target got the request, on the hub's clock; None if that
             is unknown.
+        request: Id of the request; a caller that repeats it uses another one.
     """
 
     fingerprint: str
     parts: tuple[str, ...] = ()
     writing_since: float | None = None
     started_at: float | None = None
+    request: str = ""
 
 
 class _CrashedRun(NamedTuple):
--- a/packages/serving/bergamotsaddle_serving/suspects.py
+++ b/packages/serving/bergamotsaddle_serving/suspects.py
@@ -3,14 +3,19 @@
 This module does no input or output.
 """
 
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from enum import Enum, auto
 from itertools import count
 from typing import Any
 
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.catalog import Target
-from bergamotsaddle_serving.crash_history import MAX_CRASHES, CrashHistory, Survival
+from bergamotsaddle_serving.crash_history import (
+    MAX_CRASHES,
+    CrashedRun,
+    CrashHistory,
+    Survival,
+)
 from bergamotsaddle_serving.gossip import Gossip, Topic
 from bergamotsaddle_serving.incarnations import Incarnation, incarnation_of
 from bergamotsaddle_serving.peer_messages import Fact
@@ -22,7 +27,7 @@
 _DISPROVED = Topic("survival_disproved", ttl_seconds=_DAY_S, max_facts=2_000)
 _TRUE = 1.0
 _SEPARATOR = "\t"
-_CRASH_KEY_PARTS = 6
+_CRASH_KEY_PARTS = 7
 _CERTAIN = "ran"
 _UNCERTAIN = "earlier"
 _SURVIVAL_KEY_PARTS = 5
@@ -64,9 +69,8 @@
     Quarantine: ``CrashHistory`` weighs crashes against outlived runs. No request is
     quarantined for fewer than three crashes.
 
-    Attribution: requests are looked at in turn, those with most crashes first, and the
-    youngest of these. One that is to blame explains all of its crashes, which don't
-    count for the requests behind it.
+    Attribution: requests are looked at in turn, those with most crashes first. One that
+    is to blame explains all of its crashes, which don't count for those behind it.
 
     Trials: some time after the last crash, or when no target runs the software that
     crashed any more, single requests are let through. The request is free once targets
@@ -134,33 +138,19 @@
         )
 
     def record_crash(
-        self,
-        target: Target,
-        fingerprints: Iterable[str],
-        ages: Iterable[float] = (),
-        *,
-        is_certain: bool = True,
+        self, target: Target, run_by_fingerprint: Mapping[str, CrashedRun]
     ) -> None:
         """Record that a target crashed while it ran some requests.
 
         Args:
             target: The target.
-            fingerprints: Fingerprints of the requests.
-            ages: For how long it had been running each of them, in seconds; 0 if left
-                out.
-            is_certain: Whether it ran them when it crashed, or had just completed them.
-                Otherwise it had completed them some time before.
+            run_by_fingerprint: A run of each request there.
         """
         incarnation = incarnation_of(target)
-        fingerprints = [*fingerprints]
-        ages = [*ages] or [0.0] * len(fingerprints)
-        keys = [
-            _crash_key(f, incarnation, age, is_certain=is_certain)
-            for f, age in zip(fingerprints, ages, strict=True)
-        ]
+        keys = [_crash_key(f, incarnation, r) for f, r in run_by_fingerprint.items()]
         self._publish([self._gossip.record(_CRASHES, key, _TRUE) for key in keys])
-        for fingerprint in fingerprints:
-            self._log(fingerprint, target, is_certain=is_certain)
+        for fingerprint, run in run_by_fingerprint.items():
+            self._log(fingerprint, target, is_certain=run.is_certain)
 
     def record_success(self, target: Target, fingerprint: str) -> str | None:
         """Record that a target has outlived a run of a request.
@@ -169,7 +159,10 @@
             Key of the survival for ``disprove``, None if it is of no interest.
         """
         history = self._history_by_fingerprint.get(fingerprint)
-        if not history or self.has_crashed(target):
+        if not history or target.service not in history.services:
+            # Stages of a request are whole before an engine crashes under it.
+            return None
+        if self.has_crashed(target):
             return None
         told = self._told(fingerprint, history)
         if len(told) >= _MAX_TOLD or not history.needs_survival():
@@ -279,7 +272,7 @@
         """Return the requests that may be to blame, those with most crashes first."""
         histories = self._history_by_fingerprint
         found = [f for f, h in histories.items() if len(h) >= MAX_CRASHES]
-        found.sort(key=lambda f: (-len(histories[f]), histories[f].mean_age, f))
+        found.sort(key=lambda f: (histories[f].precedence, f))
         return found[:_MAX_CANDIDATES]
 
     def _told(self, fingerprint: str, history: CrashHistory) -> list[str]:
@@ -298,13 +291,13 @@
         if parsed is None:
             return
         self._decided_at = float("-inf")
-        fingerprint, incarnation, age, is_certain = parsed
+        fingerprint, incarnation, run = parsed
         if value is None:
             self._forget_crash(fingerprint, incarnation)
             return
         history = self._history_by_fingerprint.setdefault(fingerprint, CrashHistory())
         at = self._gossip.observed_at(_CRASHES, key)
-        history.add_crash(incarnation, at, age, is_certain=is_certain)
+        history.add_crash(incarnation, at, run)
         self._fingerprints_by_incarnation.setdefault(incarnation, set()).add(
             fingerprint
         )
@@ -373,21 +366,20 @@
     )
 
 
-def _crash_key(
-    fingerprint: str, incarnation: Incarnation, age: float, *, is_certain: bool
-) -> str:
-    kind = _CERTAIN if is_certain else _UNCERTAIN
-    return _SEPARATOR.join((fingerprint, *incarnation, f"{age:.1f}", kind))
+def _crash_key(fingerprint: str, incarnation: Incarnation, run: CrashedRun) -> str:
+    kind = _CERTAIN if run.is_certain else _UNCERTAIN
+    age = f"{run.age:.1f}"
+    return _SEPARATOR.join((fingerprint, *incarnation, age, kind, run.request))
 
 
-def _parse_crash_key(key: str) -> tuple[str, Incarnation, float, bool] | None:
+def _parse_crash_key(key: str) -> tuple[str, Incarnation, CrashedRun] | None:
     """Return the parts of a key, None if a name in it contains the separator."""
     parts = key.split(_SEPARATOR)
     if len(parts) != _CRASH_KEY_PARTS:
         return None
-    fingerprint, service, software, name, age, kind = parts
-    incarnation = Incarnation(service, software, name)
-    return fingerprint, incarnation, float(age), kind == _CERTAIN
+    fingerprint, service, software, name, age, kind, request = parts
+    run = CrashedRun(float(age), kind == _CERTAIN, request)
+    return fingerprint, Incarnation(service, software, name), run
 
 
 def _survival_key(fingerprint: str, target: Target, observer: str) -> str:
--- a/packages/serving/bergamotsaddle_serving/target_crashes.py
+++ b/packages/serving/bergamotsaddle_serving/target_crashes.py
@@ -16,6 +16,8 @@
     SILENT,
     ConnectionPool,
 )
+from bergamotsaddle_serving.crash_history import CrashedRun
+from bergamotsaddle_serving.fingerprint import digest_id
 from bergamotsaddle_serving.health import TargetState
 from bergamotsaddle_serving.incarnations import Incarnation
 from bergamotsaddle_serving.suspect_parts import SuspectParts, Work
@@ -340,11 +342,13 @@
         }
         if not run_by_fingerprint:
             return
-        fingerprints = sorted(run_by_fingerprint)
         for run in run_by_fingerprint.values():
             self._disprove(target, run, crashed_at)
-        ages = [run_by_fingerprint[f].age for f in fingerprints]
-        self.suspects.record_crash(target, fingerprints, ages, is_certain=is_certain)
+        crashed = {
+            fingerprint: CrashedRun(run.age, is_certain, digest_id(run.work.request))
+            for fingerprint, run in sorted(run_by_fingerprint.items())
+        }
+        self.suspects.record_crash(target, crashed)
         works = [run.work for run in run_by_fingerprint.values() if _shows_part(run)]
         if works:
             self.parts.record_crash(target, works)
--- a/packages/standins/bergamotsaddle_standins/soak.py
+++ b/packages/standins/bergamotsaddle_standins/soak.py
@@ -39,11 +39,14 @@
     SoakConfiguration,
 )
 from bergamotsaddle_standins.soak_fatal import (
+    PACES,
     BegunStream,
     CauseKind,
     FatalCause,
+    Manner,
     find_fatal_breaches,
     is_sound_stream,
+    pick_leaving,
 )
 from bergamotsaddle_standins.soak_guard import AddressesInUseError, hold_addresses
 from bergamotsaddle_standins.soak_links import CutMode, TargetLink
@@ -96,7 +99,6 @@
 _MAX_SIDE_BY_SIDE_S = 4.0
 _UNDONE_FRACTION = 0.3
 _FATAL_S = 10.0
-_FATAL_PAUSE_S = 0.35
 _ENTRY_LAG_S = 1.0
 _ENGINE_RESTART_S = 1.5
 _OK_STATUS = 200
@@ -689,13 +691,17 @@
             return
         self._is_sending_fatal = True
         kind = self._rng.choice([*CauseKind])
-        cause = FatalCause(kind, len(self._causes))
+        is_request = kind is CauseKind.REQUEST
+        manner = self._rng.choice([*Manner]) if is_request else Manner.EACH
+        cause = FatalCause(kind, len(self._causes), manner)
         self._causes.append(cause)
+        pace = self._rng.choice(PACES)
         until = now() + _FATAL_S
         attempts = count()
         while now() < until and not self._is_over:
-            eventlet.spawn_n(self._send_fatal, cause, next(attempts))
-            eventlet.sleep(_FATAL_PAUSE_S)
+            for _ in range(pace.at_once):
+                eventlet.spawn_n(self._send_fatal, cause, next(attempts))
+            eventlet.sleep(pace.pause)
         self._is_sending_fatal = False
 
     def _send_fatal(self, cause: FatalCause, attempt: int) -> None:
@@ -709,7 +715,8 @@
         with contextlib.suppress(OSError):
             connection = CallerSocket(self._pick_address())
             connection.send(request.encode())
-            connection.read(request.deadline)
+            leaves_after = pick_leaving(self._rng)
+            connection.read(request.deadline if leaves_after is None else leaves_after)
             connection.close()
 
     def _replace_crashed(self, target: RunningTarget) -> None:
--- a/packages/standins/bergamotsaddle_standins/soak_fatal.py
+++ b/packages/standins/bergamotsaddle_standins/soak_fatal.py
@@ -18,6 +18,9 @@
 _MIN_BEGUN = 0.5
 _MIN_STREAMS = 20
 _MAX_EVENTS = 2
+_BEHIND_FRACTION = 0.2
+_SILENT_FRACTION = 0.2
+_LEAVING_S = (0.02, 1.2)
 _MAX_CRASH_DELAY_S = 0.3
 
 
@@ -30,6 +33,25 @@
     """They share a part of their prompts, and no two are alike."""
 
 
+class Manner(StrEnum):
+    """Which runs of a fatal request crash their engines."""
+
+    EACH = "each"
+    """All of them."""
+    LATER = "later"
+    """All but the first few, which are whole."""
+    MOST = "most"
+    """Two of three."""
+
+    def is_whole(self, number: int) -> bool:
+        """Return whether a run is whole, given how many preceded it."""
+        if self is Manner.LATER:
+            return number < _WHOLE_RUNS
+        return self is Manner.MOST and number % _WHOLE_EVERY == 0
+
+
+_WHOLE_RUNS = 6
+_WHOLE_EVERY = 3
 _CRASHES_BY_KIND = {CauseKind.REQUEST: 3, CauseKind.PART: 5}
 
 
@@ -39,17 +61,19 @@
     Attributes:
         kind: What they have in common.
         number: Number of the cause.
+        manner: Which runs of a request crash their engines; those with a part all do.
     """
 
     kind: CauseKind
     number: int
+    manner: Manner = Manner.EACH
 
     @property
     def name(self) -> str:
         """The path or part that they share."""
         if self.kind is CauseKind.PART:
             return f"{_BAD_PART}{self.number}"
-        return f"{FATAL_PREFIX}-{self.number}"
+        return f"{FATAL_PREFIX}-{self.manner}-{self.number}"
 
     def path(self, attempt: int) -> str:
         """Return the path of an attempt."""
@@ -73,6 +97,8 @@
         is_open: Whether its response states neither a length nor chunks.
         is_inside_event: Whether it gets a part of another event.
         is_reset: Whether connections are reset rather than closed.
+        is_behind_response: Whether it gets its whole response before the crash.
+        is_silent: Whether connections carry nothing more rather than being closed.
     """
 
     delay: float
@@ -80,6 +106,23 @@
     is_open: bool
     is_inside_event: bool
     is_reset: bool
+    is_behind_response: bool = False
+    is_silent: bool = False
+
+
+class Pace(NamedTuple):
+    """How often callers send fatal requests.
+
+    Attributes:
+        pause: Seconds between two times.
+        at_once: Number of requests at each of them.
+    """
+
+    pause: float
+    at_once: int
+
+
+PACES = (Pace(0.35, 1), Pace(2.0, 6))
 
 
 class FatalRun(NamedTuple):
@@ -115,17 +158,31 @@
     return path if path.startswith(FATAL_PREFIX) else None
 
 
-def pick_ending(rng: random.Random) -> CrashEnding:
-    """Pick how an engine crashes."""
+def find_manner(cause: str) -> Manner:
+    """Return which runs of a fatal request crash their engines."""
+    found = [m for m in Manner if cause.startswith(f"{FATAL_PREFIX}-{m}-")]
+    return found[0] if found else Manner.EACH
+
+
+def pick_ending(rng: random.Random, *, is_request: bool) -> CrashEnding:
+    """Pick how an engine crashes, under a request or under a part of its prompt."""
+    hidden = rng.random() if is_request else 1.0
     return CrashEnding(
         rng.uniform(0.0, _MAX_CRASH_DELAY_S),
         rng.randint(0, _MAX_EVENTS),
         rng.random() < 0.5,
         rng.random() < 0.5,
         rng.random() < 0.5,
+        is_behind_response=hidden < _BEHIND_FRACTION,
+        is_silent=_BEHIND_FRACTION <= hidden < _BEHIND_FRACTION + _SILENT_FRACTION,
     )
 
 
+def pick_leaving(rng: random.Random) -> float | None:
+    """Pick after how many seconds a fatal request's caller leaves, if it does."""
+    return rng.choice([None, None, None, *_LEAVING_S])
+
+
 def is_sound_stream(path: str) -> bool:
     """Return whether a path is that of a stream which crashes nothing."""
     return path.startswith(STREAM_PREFIXES) and not path.startswith(FATAL_PREFIX)
--- a/packages/standins/bergamotsaddle_standins/soak_targets.py
+++ b/packages/standins/bergamotsaddle_standins/soak_targets.py
@@ -22,7 +22,13 @@
     RERANK_CALL_S,
     SoakTarget,
 )
-from bergamotsaddle_standins.soak_fatal import FatalRun, find_cause, pick_ending
+from bergamotsaddle_standins.soak_fatal import (
+    FATAL_PREFIX,
+    FatalRun,
+    find_cause,
+    find_manner,
+    pick_ending,
+)
 from bergamotsaddle_standins.soak_links import CutMode, TargetLink
 
 _SLOTS = 32
@@ -36,6 +42,7 @@
 _BRITTLE_WORK_S = 0.25
 _BRITTLENESS = 3
 _FALL_S = 3.0
+_MAX_BEHIND_S = 0.6
 _WINDOW_S = 1.0
 _REST_S = 2.0
 _BROKEN_FRACTION = 0.5
@@ -124,6 +131,7 @@
         breaks_by_request: Number of runs of each request that broke off.
         fatal_arrivals: Fatal requests that reached engines.
         fatal_crashes: The crashes that they caused.
+        fatal_runs: Number of runs of each cause so far.
     """
 
     def __init__(self) -> None:
@@ -137,6 +145,7 @@
         self.told_leaving_at: dict[tuple[str, str], float] = {}
         self.fatal_arrivals: list[FatalRun] = []
         self.fatal_crashes: list[FatalRun] = []
+        self.fatal_runs: Counter[str] = Counter()
 
 
 class RunningTarget:
@@ -336,7 +345,11 @@
         parts = [b"id: %d\ndata: %s\n\n" % (n, software) for n in range(first, events)]
         cause = find_cause(environ["PATH_INFO"], environ.get("HTTP_PARTS", ""))
         if cause is not None:
-            return self._crash(environ, start_response, headers, cause)
+            self._ledger.fatal_arrivals.append(FatalRun(now(), cause))
+            number = self._ledger.fatal_runs[cause]
+            self._ledger.fatal_runs[cause] += 1
+            if not find_manner(cause).is_whole(number):
+                return self._crash(environ, start_response, headers, cause, parts)
         if self.break_mode is not None and parts:
             return self._break_off(environ, headers, parts, pause=_EVENT_PAUSE_S)
         start_response("200 OK", list(headers))
@@ -354,10 +367,13 @@
         start_response,
         headers: Sequence[tuple[str, str]],
         cause: str,
+        whole: Sequence[bytes],
     ) -> Iterable[bytes]:
         """Begin with a fatal request, then crash with all that runs."""
-        self._ledger.fatal_arrivals.append(FatalRun(now(), cause))
-        ending = pick_ending(self._rng)
+        is_request = cause.startswith(FATAL_PREFIX)
+        ending = pick_ending(self._rng, is_request=is_request)
+        if ending.is_behind_response:
+            return self._crash_behind(environ, start_response, headers, cause, whole)
         first = int(environ.get("HTTP_LAST_EVENT_ID", -1)) + 1
         software = self.software.encode()
         parts = [
@@ -370,7 +386,7 @@
         def send() -> Iterator[bytes]:
             yield from _pace(parts, _EVENT_PAUSE_S)
             eventlet.sleep(ending.delay)
-            self._end(cause, is_reset=ending.is_reset)
+            self._end(cause, is_reset=ending.is_reset, is_silent=ending.is_silent)
             # The rest of the response goes to a connection that is gone.
             eventlet.sleep(_FALL_S)
 
@@ -379,15 +395,38 @@
         start_response("200 OK", list(headers))
         return send()
 
-    def _end(self, cause: str, *, is_reset: bool) -> None:
-        """End all connections and accept no more, as a process that has died."""
+    def _crash_behind(
+        self,
+        environ: Environ,
+        start_response,
+        headers: Sequence[tuple[str, str]],
+        cause: str,
+        whole: Sequence[bytes],
+    ) -> Iterable[bytes]:
+        """Send a whole response, then crash with all that runs."""
+        start_response("200 OK", list(headers))
+        seconds = len(whole) * _EVENT_PAUSE_S + self._rng.uniform(0.1, _MAX_BEHIND_S)
+        eventlet.spawn_after(seconds, self._end, cause, is_reset=False)
+        return self._send_events(environ["HTTP_ID"], whole)
+
+    def _end(self, cause: str, *, is_reset: bool, is_silent: bool = False) -> None:
+        """End all connections and accept no more, as a process that has died.
+
+        Args:
+            cause: What crashed it.
+            is_reset: Whether connections are reset rather than closed.
+            is_silent: Whether they stay open and carry nothing more.
+        """
         if self._has_crashed:
             return
         self._has_crashed = True
         self._ledger.fatal_crashes.append(FatalRun(now(), cause))
         self._ledger.breaks_by_request.update(self._streams)
         for link in self.link_by_instance.values():
-            link.crash(is_reset=is_reset)
+            if is_silent:
+                link.cut(CutMode.HANG)
+            else:
+                link.crash(is_reset=is_reset)
         self.on_crash(self)
 
     def _run_pieces(self, environ: Environ, start_response) -> list[bytes]:
--- a/tests/test_stage_owner.py
+++ b/tests/test_stage_owner.py
@@ -12,6 +12,7 @@
 from bergamotsaddle_serving._stage_worker import ServiceQueue
 from bergamotsaddle_serving.catalog import Kind, Route, Share, Stage
 from bergamotsaddle_serving.client import ConnectionLostError
+from bergamotsaddle_serving.crash_history import CrashedRun
 from bergamotsaddle_serving.gossip import Gossip
 from bergamotsaddle_serving.messages import (
     PieceFailure,
@@ -245,22 +246,36 @@
         self.assertTrue(self.suspects.is_quarantined("w"))
         self.assertEqual(len(self.calls.calls), MAX_CRASHES)
 
-    def test_a_successful_call_clears_its_requests(self):
+    def crash(self, target):
+        """Record that a target crashed under the request."""
+        self.suspects.record_crash(target, {"w": CrashedRun()})
+
+    def test_calls_that_targets_outlive_excuse_a_crash(self):
+        """Guards against a popular request that stays suspect for one crash."""
+        self.crash(self.target("t1", started_ms=1))
+        self.assertTrue(self.suspects.is_suspect("w"))
+        for name in ("r1", "r2"):
+            self.start(name=name, fingerprint="w")
+            self.finish(0.6)
+        self.assertFalse(self.suspects.is_suspect("w"))
+
+    def test_a_successful_call_excuses_no_later_crash(self):
+        """Guards against a request that was made once and crashes targets later."""
         self.start(fingerprint="w")
         self.finish(0.6)
         advance(1.0)
-        self.crashes.check_successes()
-        for number in range(3):
-            self.suspects.record_crash(self.target("t1", started_ms=number), ["w"])
-        self.assertFalse(self.suspects.is_suspect("w"))
+        for number in range(MAX_CRASHES):
+            self.crash(self.target("t1", started_ms=number + 1))
+            advance(1.0)
+        self.assertTrue(self.suspects.is_quarantined("w"))
 
-    def test_pieces_that_were_not_made_clear_no_request(self):
-        """Guards against a full target whose rejections clear a fatal request."""
+    def test_pieces_that_were_not_made_excuse_no_crash(self):
+        """Guards against a full target whose rejections hide a fatal request."""
+        self.crash(self.target("t1", started_ms=1))
         self.calls.script = [dict.fromkeys(range(4), PieceFailure.NO_MEMORY)] * 99
         self.start(fingerprint="w")
         advance(1.6)
         self.crashes.check_successes()
-        self.suspects.record_crash(self.target("t1"), ["w"])
         self.assertTrue(self.suspects.is_suspect("w"))
 
     def target(self, name, started_ms=0):
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -6,6 +6,7 @@
 
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_serving.catalog import Target
+from bergamotsaddle_serving.crash_history import CrashedRun
 from bergamotsaddle_serving.engine_choice import EngineView, isolate_engine
 from bergamotsaddle_serving.gossip import Gossip
 from bergamotsaddle_serving.policy import Mechanism, Policy
@@ -24,6 +25,12 @@
     return Target(f"t{number}", "generate", address, "a", 64, software=software)
 
 
+def crash(suspects, crashed, *fingerprints, runs=()):
+    """Record that a target crashed while it ran some requests."""
+    runs = runs or [CrashedRun()] * len(fingerprints)
+    suspects.record_crash(crashed, dict(zip(fingerprints, runs, strict=True)))
+
+
 class _Peer:
     """Another instance that gets new facts."""
 
@@ -54,9 +61,9 @@
             **options,
         )
 
-    def crash(self, *numbers, fingerprints=("w",), software="v1", ages=()):
+    def crash(self, *numbers, fingerprints=("w",), software="v1", runs=()):
         for number in numbers:
-            self.suspects.record_crash(target(number, software), fingerprints, ages)
+            crash(self.suspects, target(number, software), *fingerprints, runs=runs)
             advance(APART_S)
 
     def outlive(self, *numbers, software="v1"):
@@ -89,7 +96,7 @@
     def test_crashes_at_one_moment_count_a_moment_later(self):
         """Guards against a popular request that is refused as a rack is lost."""
         for number in range(4):
-            self.suspects.record_crash(target(number), ["w"])
+            crash(self.suspects, target(number), "w")
         self.assertFalse(self.suspects.is_quarantined("w"))
         advance(0.4)
         self.assertTrue(self.suspects.is_quarantined("w"))
@@ -131,13 +138,22 @@
             for g, other in zip(gossips, map(_Peer, reversed(gossips)), strict=True)
         )
         for number in (1, 2, 3):
-            second.record_crash(target(number), ["w"])
+            crash(second, target(number), "w")
             advance(APART_S)
             for other in range(20, 24):
                 first.record_success(target(other), "w")
         self.assertFalse(second.is_quarantined("w"))
         self.assertFalse(second.is_suspect("w"))
 
+    def test_stages_that_are_whole_excuse_no_crash_of_an_engine(self):
+        """Guards against a fatal request whose stages run whole before each crash."""
+        stage = target(20)._replace(service="rerank")
+        for number in (1, 2, 3):
+            self.crash(number)
+            for _ in range(8):
+                self.suspects.record_success(stage, "w")
+        self.assertTrue(self.suspects.is_quarantined("w"))
+
     def test_a_survival_that_is_disproved_counts_for_nothing(self):
         """Guards against responses that look whole behind which the target crashes."""
         keys = []
@@ -162,7 +178,7 @@
             SILENT_LOGGER,
         )
         for number in (1, 2, 3):
-            sender.record_crash(target(number), ["w", "x"])
+            crash(sender, target(number), "w", "x")
             sender.disprove(sender.record_success(target(20), "x"))
             for other in range(21, 25):
                 sender.record_success(target(other), "x")
@@ -178,14 +194,24 @@
     def test_a_crash_some_time_after_a_run_counts_less(self):
         """Guards against requests that are held back for crashes of idle targets."""
         for number in (1, 2, 3, 4):
-            self.suspects.record_crash(target(number), ["w"], is_certain=False)
+            crash(
+                self.suspects, target(number), "w", runs=[CrashedRun(is_certain=False)]
+            )
             advance(APART_S)
         self.assertFalse(self.suspects.is_quarantined("w"))
         self.assertTrue(self.suspects.is_suspect("w"))
 
     def test_the_younger_of_two_requests_at_the_same_crashes_is_blamed(self):
         """Guards against a stream that goes on elsewhere and meets the next crash."""
-        self.crash(1, 2, 3, fingerprints=("f", "s"), ages=(0.1, 1.5))
+        runs = (CrashedRun(0.1), CrashedRun(1.5))
+        self.crash(1, 2, 3, fingerprints=("f", "s"), runs=runs)
+        self.assertEqual(self.suspects.quarantined(), ["f"])
+
+    def test_a_stream_that_goes_on_elsewhere_is_not_blamed(self):
+        """Guards against a sound stream that moves from one crash to the next."""
+        for number in (1, 2, 3):
+            runs = (CrashedRun(1.0, request=f"r{number}"), CrashedRun(0.1, request="r"))
+            self.crash(number, fingerprints=("f", "s"), runs=runs)
         self.assertEqual(self.suspects.quarantined(), ["f"])
 
     def test_two_fatal_requests_are_blamed_for_their_own_crashes(self):
@@ -291,7 +317,7 @@
             gossip, lambda _: None, lambda: self.software_versions, SILENT_LOGGER
         )
         for number in (1, 2, 3):
-            suspects.record_crash(target(number), ["w"])
+            crash(suspects, target(number), "w")
         advance(DAY_S - 1.0)
         gossip.drop_expired()
         self.assertFalse(suspects.may_enter("w"))
@@ -303,7 +329,7 @@
         """Guards against eviction by a flood of requests that each crash one target."""
         self.crash(1, 2, 3)
         for number in range(4, 10_000):
-            self.suspects.record_crash(target(number), [f"w{number}"])
+            crash(self.suspects, target(number), f"w{number}")
         self.assertEqual(self.suspects.quarantined(), ["w"])
         self.assertLessEqual(len(self.suspects), 2_000)
 
--- a/tests/test_target_crashes.py
+++ b/tests/test_target_crashes.py
@@ -51,7 +51,8 @@
         """Check that one crash was reported, and under which requests."""
         self.suspects.record_crash.assert_called_once()
         self.assertEqual(self.suspects.record_crash.call_args.args[0], TARGET)
-        self.assertEqual(self.suspects.record_crash.call_args.args[1], fingerprints)
+        reported = list(self.suspects.record_crash.call_args.args[1])
+        self.assertEqual(reported, fingerprints)
 
     def leave(self):
         """Remove the target's incarnation from the list."""
@@ -157,8 +158,7 @@
         self.crashes.record_success(TARGET, [Work("w")], is_framed=True)
         advance(0.3)
         self.suspects.on_crash("other", incarnation_of(TARGET))
-        self.suspects.record_crash.assert_called_once()
-        self.assertEqual(self.suspects.record_crash.call_args.args[1], ["w"])
+        self.check_reported(["w"])
 
     @parameterized.expand([("listed", True, 0), ("lapsed", False, 1)])
     def test_a_silent_target_has_crashed_once_its_entry_lapses(
