Remember which targets have given notice until their last runs have ended

A target that gave notice may leave the list before its last run has ended. A run that falls silent or breaks off then was recorded as interrupted by a crash (by reading, with a test); no report is traced to it.

--- a/packages/serving/bergamotsaddle_serving/target_crashes.py
+++ b/packages/serving/bergamotsaddle_serving/target_crashes.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import random
-from collections import defaultdict, deque
+from collections import OrderedDict, defaultdict, deque
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from enum import Enum, auto
 from typing import NamedTuple
@@ -42,6 +42,8 @@
 _MAX_TELL_DELAY_S = 0.15
 # A target that has left the list and sent nothing for this long has crashed.
 _SILENCE_S = 1.0
+# Number of incarnations that are remembered as having given notice.
+_MAX_LEFT = 1_000
 # A run that its target has outlived so far may still be interrupted by a crash.
 _ONGOING_PROOF_S = 2.0
 
@@ -149,16 +151,18 @@
 
 
 class TargetCrashes:
-    """Reports crashes of targets, and runs that are proven to be no cause of any.
+    """Reports crashes of targets, and runs that targets have outlived.
 
     A connection may also be broken by the network, or by a target that fails a
     request and stays up. Only a target that refuses connections while other targets
     accept them, or whose incarnation leaves the list without notice, has crashed.
 
     A response without a length or chunks ends with its connection, so its end may be
-    the crash of its target. A successful run is therefore reported only once its target
-    has been listed for some time after it: briefly if the response was framed, for as
-    long as a crashed incarnation may be listed if it was not.
+    the crash of its target, and a whole response may leave something that crashes it a
+    moment later. What a target seems to have outlived is told at once, so that popular
+    requests are not held back, and disproved if a crash follows soon: briefly if the
+    response was framed, for as long as a crashed incarnation may be listed if it was
+    not. Parts of prompts, whose successes can't be disproved, are told after that time.
 
     Args:
         pool: Connections to targets.
@@ -200,6 +204,9 @@
         # The inner tuples are incarnations.
         self._proofs_by_run: dict[tuple[str, tuple[str, int]], list[_Proof]] = {}
         self._checked_fingerprints: set[str] = set()
+        # Incarnations that have given notice. They may leave the list before the last
+        # of their runs has ended.
+        self._left_incarnations: OrderedDict[tuple[str, int], None] = OrderedDict()
         self.on_crash: Callable[[], None] = lambda: None
         suspects.on_crash = self._on_known_crash
         view.subscribe(self._on_view_change)
@@ -228,7 +235,7 @@
 
     def has_ended_with_target(self, target: Target) -> bool:
         """Return whether the end of an unframed response was a crash of its target."""
-        return not self._view.is_leaving(target) and self._has_crashed(target)
+        return not self._is_leaving(target) and self._has_crashed(target)
 
     def record_failure(
         self, target: Target, works: Sequence[Work], reason: str
@@ -240,7 +247,7 @@
             works: What it ran for them.
             reason: Why it failed, the ``reason`` of a ``ConnectionLostError``.
         """
-        if self._view.is_leaving(target):
+        if self._is_leaving(target):
             return
         if reason == SILENT:
             self._add_pending(target, _End.SILENT, works)
@@ -269,7 +276,7 @@
             works: What it ran for the requests.
             is_framed: Whether the response stated where its body ends.
         """
-        if not self._view.is_leaving(target):
+        if not self._is_leaving(target):
             self._add_pending(target, _End.WHOLE if is_framed else _End.UNFRAMED, works)
         due_at = now() + (_PROOF_DELAY_S if is_framed else _PENDING_S)
         if any(self.suspects.is_suspect(work.fingerprint) for work in works):
@@ -408,13 +415,27 @@
     def _on_view_change(self) -> None:
         """Report pending runs of targets whose incarnation has left the list."""
         self._drop_old_runs()
+        self._remember_leaving()
         for incarnation, (target, _) in list(self._pending_by_incarnation.items()):
-            if self._view.is_leaving(target):
+            if self._is_leaving(target):
                 del self._pending_by_incarnation[incarnation]
             elif not self._view.has_incarnation(target):
                 self._report_unlisted(incarnation)
         self._report_silent()
 
+    def _is_leaving(self, target: Target) -> bool:
+        """Return whether a target has given notice, also if it is gone by now."""
+        is_gone = target.incarnation in self._left_incarnations
+        return is_gone or self._view.is_leaving(target)
+
+    def _remember_leaving(self) -> None:
+        for runs in self._ongoing_by_fingerprint.values():
+            for run in runs.values():
+                if self._view.is_leaving(run.target):
+                    self._left_incarnations[run.target.incarnation] = None
+        while len(self._left_incarnations) > _MAX_LEFT:
+            self._left_incarnations.popitem(last=False)
+
     def _report_silent(self) -> None:
         """Report targets that are not listed any more and send nothing either.
 
@@ -423,7 +444,7 @@
         for runs in list(self._ongoing_by_fingerprint.values()):
             for run in list(runs.values()):
                 target = run.target
-                if self._view.has_incarnation(target) or self._view.is_leaving(target):
+                if self._view.has_incarnation(target) or self._is_leaving(target):
                     continue
                 heard_at = max(run.work.started_at, run.state.last_seen_at)
                 if now() - heard_at >= _SILENCE_S:
--- a/tests/test_target_crashes.py
+++ b/tests/test_target_crashes.py
@@ -181,6 +181,18 @@
             self.leave()
         self.assertEqual(self.suspects.record_crash.call_count, crashes)
 
+    def test_a_run_at_a_target_that_gave_notice_and_is_gone(self):
+        """Guards against crashes recorded for slow runs at targets that left."""
+        work = Work("w", started_at=now())
+        with self.crashes.watch(TARGET, mock.Mock(last_seen_at=now()), work):
+            self.view.is_leaving.return_value = True
+            self.on_view_change()
+            self.view.is_leaving.return_value = False
+            advance(2.0)
+            self.leave()
+            self.fail("silent")
+        self.suspects.record_crash.assert_not_called()
+
     @parameterized.expand([("older", 0.5, 1), ("as_young", 0.05, 0)])
     def test_what_goes_on_elsewhere_is_told_when_a_target_crashes(
         self, _, age, survivals
