--- a/packages/standins/bergamotsaddle_standins/soak.py
+++ b/packages/standins/bergamotsaddle_standins/soak.py
@@ -542,6 +542,10 @@
             return
         self._is_rolling_out = True
         old = [target for target in self._targets if target.service == ENGINE]
+        if not old:
+            # All engines have crashed and are starting again.
+            self._is_rolling_out = False
+            return
         self._software_number += 1
         new = f"v{self._software_number}"
         self._replace_engines(old, new)
--- a/packages/standins/bergamotsaddle_standins/soak_audit.py
+++ b/packages/standins/bergamotsaddle_standins/soak_audit.py
@@ -75,7 +75,7 @@
     if not exchange.is_complete:
         is_read = has_run or seconds > _LOST_AFTER_S
         is_allowed = (
-            not exchange.is_in_time
+            not exchange.has_time_left
             or exchange.has_left
             or record.is_killed(exchange)
             or record.is_cut_by_stop(exchange)
--- a/packages/standins/bergamotsaddle_standins/soak_callers.py
+++ b/packages/standins/bergamotsaddle_standins/soak_callers.py
@@ -33,6 +33,8 @@
 _LEFT = 0.3
 _MAX_EVENTS_TO_LEAVE = 6
 _CONNECT_TIMEOUT_S = 1.0
+# What a helper has less of the time until the deadline.
+HELPER_RESERVE_S = 0.02
 # A caller waits somewhat longer than its deadline for a late response.
 _READ_MARGIN_S = 2.0
 _MS = 0.001
@@ -135,6 +137,15 @@
         is_talk = self.request.path.startswith(TALK_PREFIX)
         return is_talk and not self.is_complete and bool(self.events)
 
+    @property
+    def has_time_left(self) -> bool:
+        """Whether it ended before its deadline passed at a helper.
+
+        An instance that hands a request over keeps some time for the response.
+        """
+        seconds = self.ended_at - self.started_at
+        return seconds < self.request.deadline - HELPER_RESERVE_S
+
     @property
     def is_in_time(self) -> bool:
         """Whether it ended before the deadline of the request."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -206,6 +206,18 @@
                 [make_run()],
                 [],
             ),
+            (
+                "cut_at_the_deadline_of_a_helper",
+                make_exchange(CHAT, 200, seconds=5.985, is_complete=False),
+                [make_run()],
+                [],
+            ),
+            (
+                "cut_before_the_deadline_of_a_helper",
+                make_exchange(CHAT, 200, seconds=5.97, is_complete=False),
+                [make_run()],
+                ["lost"],
+            ),
             ("crossed", make_exchange(CHAT, 0, is_complete=False), [], []),
             ("denied", make_exchange(CHAT, 401), [], ["denied"]),
         ]
