Compare parts of prompts only as crashes change, and repeat trials that others spoil

A decision on parts took 28 ms in a storm of crashes.

Cause: two instances that tried the sound part within 0.02 s counted as two trials, and a crash under a younger run with the fatal part only counted as their failure; after two failed trials there is no further one. All runs of all crashes were scanned for each comparison.

Change: trials at one moment count once, and crashes at which another suspect part is younger don't count against a trial. Runs by crash stand in CrashedRuns, which keeps answers until a crash gets another run; comparisons hold for 0.2 s.

Three new tests; each fails without the change.

--- a/packages/serving/bergamotsaddle_serving/suspect_parts.py
+++ b/packages/serving/bergamotsaddle_serving/suspect_parts.py
@@ -8,6 +8,7 @@
 
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.catalog import Target
+from bergamotsaddle_serving.crashed_runs import WRITING_S, CrashedRuns
 from bergamotsaddle_serving.gossip import Gossip, Topic
 from bergamotsaddle_serving.incarnations import Incarnation, incarnation_of
 from bergamotsaddle_serving.peer_messages import Fact
@@ -44,12 +45,13 @@
 _YOUNGER_S = 0.02
 # Parts that are compared with each other, those with most crashes first.
 _MAX_CANDIDATES = 12
+# The comparison of a part with others holds for this long. In a storm of crashes it
+# costs milliseconds, and each crash brings dozens of facts.
+_COMPARISON_S = 0.2
 # A decision holds for this long unless a fact arrives. It depends on times as well.
 _DECISION_S = 0.1
 
 
-# A target that has written for this long was not crashed by the start of the response.
-_WRITING_S = 1.0
 # What a run with an event counts as at least.
 _MIN_WRITING_S = 0.01
 
@@ -74,18 +76,6 @@
     request: str = ""
 
 
-class _CrashedRun(NamedTuple):
-    """A run that a crash interrupted.
-
-    Attributes:
-        parts: Ids of the shared parts of its prompt.
-        seconds: For how long its target had been writing the response.
-    """
-
-    parts: frozenset[str]
-    seconds: float
-
-
 class HeldPart(NamedTuple):
     """A quarantined part of a prompt.
 
@@ -174,8 +164,7 @@
         self._logger = logger
         self.allowed = allowed
         self._is_on = policy.has(Mechanism.FATAL_REQUESTS)
-        # The inner keys are fingerprints.
-        self._runs_by_crash: dict[Incarnation, dict[str, _CrashedRun]] = {}
+        self._runs = CrashedRuns()
         # Parsed keys of the facts about these runs.
         self._parts_by_key: dict[str, frozenset[str]] = {}
         # When each crash was observed, on the hub's clock.
@@ -184,6 +173,8 @@
         self._crashes_by_part: dict[str, dict[Incarnation, float]] = {}
         # The crashes of which each part is not cleared.
         self._uncleared_by_part: dict[str, set[Incarnation]] = {}
+        # When the causes of a part's crashes were found, and which they are.
+        self._causes_by_part: dict[str, tuple[float, list[str]]] = {}
         # When a target last crashed that had written on a part for a while.
         self._written_at_by_part: dict[str, float] = {}
         self._cleared: set[tuple[str, Incarnation]] = set()
@@ -322,7 +313,7 @@
 
     def _counted_crashes(self, part: str) -> list[Incarnation]:
         """Return the crashes for which a part is quarantined, none if it is not."""
-        causes = [cause for cause in self._candidates() if self._explains(cause, part)]
+        causes = self._find_causes(part)
         crashes = [
             crash
             for crash in self._uncleared_by_part[part]
@@ -334,6 +325,15 @@
             return recent
         return crashes if self._is_held_in_doubt(crashes) else []
 
+    def _find_causes(self, part: str) -> list[str]:
+        """Return the parts that explain crashes of a part, as found lately."""
+        found_at, causes = self._causes_by_part.get(part, (float("-inf"), []))
+        if now() - found_at >= _COMPARISON_S:
+            candidates = self._candidates()
+            causes = [cause for cause in candidates if self._explains(cause, part)]
+            self._causes_by_part[part] = (now(), causes)
+        return [cause for cause in causes if cause in self._crashes_by_part]
+
     def _candidates(self) -> list[str]:
         """Return the parts that may explain crashes, those with most crashes first."""
         uncleared = self._uncleared_by_part
@@ -349,31 +349,17 @@
         if cause == part:
             return False
         crashes = self._uncleared_by_part[part]
-        is_nested = all(part in run.parts for run in self._runs(cause, crashes))
+        is_nested = self._runs.is_nested(cause, part, crashes)
         compared = younger = 0
         for crash in crashes:
-            causes = self._longest_writing(cause, crash, None if is_nested else part)
-            beside = self._longest_writing(part, crash, cause)
+            without = None if is_nested else part
+            causes = self._runs.longest_writing(cause, crash, without)
+            beside = self._runs.longest_writing(part, crash, cause)
             if causes is not None and beside is not None:
                 compared += 1
                 younger += causes + _YOUNGER_S <= beside
         return compared >= _MIN_COMPARED and younger >= _MIN_YOUNGER * compared
 
-    def _longest_writing(
-        self, part: str, crash: Incarnation, without: str | None
-    ) -> float | None:
-        """Return for how long a target had been writing on a part at most.
-
-        Args:
-            part: The part.
-            crash: Crash of the target.
-            without: Part of other runs, which are left out.
-        """
-        seconds = [
-            run.seconds for run in self._runs(part, [crash]) if without not in run.parts
-        ]
-        return max(seconds, default=None)
-
     def _is_listed(self, crashes: Collection[Incarnation]) -> bool:
         """Return whether targets may run the software of any of the crashes."""
         software_versions = self._software_versions()
@@ -391,13 +377,6 @@
             return False
         return now() - times[MAX_PART_CRASHES - 1] >= _REPORT_S
 
-    def _runs(self, part: str, crashes: Iterable[Incarnation]) -> Iterator[_CrashedRun]:
-        """Yield the runs with a part that crashes interrupted."""
-        for crash in crashes:
-            for run in self._runs_by_crash[crash].values():
-                if part in run.parts:
-                    yield run
-
     def _is_held_in_doubt(self, crashes: Collection[Incarnation]) -> bool:
         """Return whether crashes are enough, although a target had written before."""
         moments: list[float] = []
@@ -413,15 +392,38 @@
         if not any(self._crashes_by_part[part][crash] for crash in crashes):
             return False
         times = self._times(crashes)
-        trials = [
-            at for at in self._trials_by_part.get(part, {}).values() if at > times[0]
-        ]
+        trials = self._trial_moments(part, since=times[0])
         # A trial without a crash or a completed run has shown nothing.
-        failed = sum(times[-1] > at for at in trials)
+        blamed = self._times(c for c in crashes if not self._has_younger(part, c))
+        failed = sum(blamed[-1] > at for at in trials) if blamed else 0
         if failed >= len(_TRIAL_PAUSES_S):
             return False
-        since = max([times[-1], *trials])
-        return now() - since >= _TRIAL_PAUSES_S[failed]
+        last = max([times[-1], *trials])
+        return now() - last >= _TRIAL_PAUSES_S[failed]
+
+    def _trial_moments(self, part: str, *, since: float) -> list[float]:
+        """Return when a part was tried; instances may do so at the same moment."""
+        moments: list[float] = []
+        for at in sorted(self._trials_by_part.get(part, {}).values()):
+            if at > since and (not moments or at - moments[-1] >= _SAME_MOMENT_S):
+                moments.append(at)
+        return moments
+
+    def _has_younger(self, part: str, crash: Incarnation) -> bool:
+        """Return whether runs with another suspect part only were younger at a crash.
+
+        Such a crash does not show that a trial of this part has failed.
+        """
+        for other in self._candidates():
+            if other == part:
+                continue
+            seconds = self._runs.longest_writing(other, crash, part)
+            beside = self._runs.longest_writing(part, crash, other)
+            if seconds is None or beside is None:
+                continue
+            if seconds + _YOUNGER_S <= beside:
+                return True
+        return False
 
     def _times(self, crashes: Iterable[Incarnation]) -> list[float]:
         """Return when crashes were observed, the first one first."""
@@ -436,9 +438,7 @@
         return (companions or frozenset()) - {part}
 
     def _parts_beside(self, part: str, crash: Incarnation) -> frozenset[str]:
-        runs = list(self._runs(part, [crash]))
-        causes = [run for run in runs if run.seconds < _WRITING_S] or runs
-        found = frozenset().union(*(run.parts for run in causes))
+        found = self._runs.parts_beside(part, crash)
         return frozenset(p for p in found if (p, crash) not in self._cleared)
 
     def _retention_priority(self, key: str) -> float:
@@ -457,36 +457,29 @@
             self._forget_run(fingerprint, crash)
             return
         self._parts_by_key[key] = parts
-        runs = self._runs_by_crash.setdefault(crash, {})
-        known = runs.get(fingerprint, _CrashedRun(frozenset(), value))
-        runs[fingerprint] = _CrashedRun(known.parts | parts, value)
+        self._runs.add(crash, fingerprint, parts, value)
         observed_at = self._gossip.observed_at(_CRASHED_RUNS, key)
         first = self._observed_at_by_crash.setdefault(crash, observed_at)
         self._observed_at_by_crash[crash] = min(first, observed_at)
         for part in parts:
             longest = self._crashes_by_part.setdefault(part, {})
             longest[crash] = max(value, longest.get(crash, 0.0))
-            if value >= _WRITING_S:
+            if value >= WRITING_S:
                 written_at = self._written_at_by_part.get(part, observed_at)
                 self._written_at_by_part[part] = max(written_at, observed_at)
             if (part, crash) not in self._cleared:
                 self._uncleared_by_part.setdefault(part, set()).add(crash)
 
     def _forget_run(self, fingerprint: str, crash: Incarnation) -> None:
-        runs = self._runs_by_crash.get(crash, {})
-        run = runs.pop(fingerprint, None)
-        if run is None:
-            return
-        remaining = frozenset().union(*(other.parts for other in runs.values()))
-        for part in run.parts - remaining:
+        for part in self._runs.remove(crash, fingerprint):
             _discard(self._uncleared_by_part, part, crash)
             self._crashes_by_part[part].pop(crash)
             if not self._crashes_by_part[part]:
                 del self._crashes_by_part[part]
                 self._written_at_by_part.pop(part, None)
-        if not runs:
-            del self._runs_by_crash[crash]
-            del self._observed_at_by_crash[crash]
+                self._causes_by_part.pop(part, None)
+        if crash not in self._runs:
+            self._observed_at_by_crash.pop(crash, None)
 
     def _on_cleared_part(self, key: str, value: float | None) -> None:
         parsed = _parse_clear_key(key)
--- a/tests/test_suspect_parts.py
+++ b/tests/test_suspect_parts.py
@@ -2,12 +2,14 @@
 
 import random
 import unittest
+from unittest import mock
 
 from parameterized import parameterized
 
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.catalog import Target
+from bergamotsaddle_serving.crashed_runs import CrashedRuns
 from bergamotsaddle_serving.gossip import Gossip
 from bergamotsaddle_serving.messages import PromptPart, RequestHead
 from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
@@ -211,6 +213,54 @@
             self.instance.parts.record_sent(("maybe",))
             self.assertTrue(self.instance.is_held("maybe"))
 
+    def test_a_trial_that_another_part_interrupts_is_repeated(self):
+        """Guards against a harmless part whose trial meets a crash of a fatal one."""
+        for number in range(5):
+            works = [
+                Work(f"w{number}", ("maybe",), now() - 0.1),
+                Work(f"b{number}", ("bad",), now() - 0.1),
+            ]
+            self.instance.parts.record_crash(target(number), works)
+            advance(0.5)
+        for number in range(10, 13):
+            advance(3.0)
+            self.assertFalse(self.instance.is_held("maybe"), "one request is due")
+            self.instance.parts.record_sent(("maybe",))
+            advance(0.4)
+            works = [Work("w", ("maybe",), now() - 0.3), Work("b", ("bad",))]
+            self.instance.parts.record_crash(target(number), works)
+
+    def test_trials_at_one_moment_count_once(self):
+        """Guards against a harmless part that two instances try, and then nobody."""
+        for number in range(5):
+            work = Work(f"w{number}", ("maybe",), now() - 0.1)
+            self.instance.parts.record_crash(target(number), [work])
+            advance(0.5)
+        advance(4.0)
+        for number in (8, 9):
+            self.instance.parts.record_sent(("maybe",))
+            work = Work(f"w{number}", ("maybe",), now() - 0.1)
+            self.instance.parts.record_crash(target(number), [work])
+            advance(0.1)
+        advance(61.0)
+        self.assertFalse(self.instance.is_held("maybe"))
+
+    def test_further_decisions_compare_no_run_again(self):
+        """Guards against decisions that cost too much while targets crash."""
+        common = [f"p{number}" for number in range(12)]
+        for number in range(33):
+            works = [
+                Work(f"w{number}.{n}", tuple(random.sample(common, 6)), now() - n / 20)
+                for n in range(60)
+            ]
+            self.instance.parts.record_crash(target(number), works)
+            advance(0.3)
+        self.instance.parts.held()
+        with mock.patch.object(CrashedRuns, "_runs") as runs:
+            advance(0.5)
+            self.instance.parts.held()
+        runs.assert_not_called()
+
     def test_a_part_without_interrupted_events_is_not_tried(self):
         self.instance.crash(range(5), ("bad",))
         for _ in range(100):
