Let the crashes of a test of trials come behind both trials

The test passed without the change before: its second crash came at the moment of the second trial, which counts for neither. Now it fails without the change.

--- a/tests/test_suspect_parts.py
+++ b/tests/test_suspect_parts.py
@@ -239,9 +239,9 @@
         advance(4.0)
         for number in (8, 9):
             self.instance.parts.record_sent(("maybe",))
+            advance(0.05)
             work = Work(f"w{number}", ("maybe",), now() - 0.1)
             self.instance.parts.record_crash(target(number), [work])
-            advance(0.1)
         advance(61.0)
         self.assertFalse(self.instance.is_held("maybe"))
 
