Bind only the process that was told that a target leaves, and list what is left of parts

The ledger counted what was told by instance, not by process. A response counts now for the process that was there when its request arrived; rows for a start before, while and since it was told. The check is as strict for one and the same process.

--- a/packages/standins/bergamotsaddle_standins/soak.py
+++ b/packages/standins/bergamotsaddle_standins/soak.py
@@ -166,6 +166,7 @@
         is_stopping: Whether it was told to stop.
         stops: Times at which it was told to stop, on the hub's clock.
         kills: Times at which it was killed.
+        starts: Times at which a process of it started.
         faults: Exits with an error or after the grace period.
     """
 
@@ -182,6 +183,7 @@
         self.is_stopping = False
         self.stops: list[float] = []
         self.kills: list[float] = []
+        self.starts: list[float] = []
         self.faults: list[str] = []
         self._failed_probes = 0
         self._is_killed = False
@@ -196,6 +198,7 @@
             handler = signal.signal(signal.SIGHUP, signal.SIG_IGN)
             self._process = subprocess.Popen(command, stdout=log, stderr=log)
             signal.signal(signal.SIGHUP, handler)
+        self.starts.append(now())
 
     def stop(self) -> None:
         """Stop the process gracefully and start it again."""
@@ -400,6 +403,7 @@
             self._store.returned_at,
             self._told_gone_at(),
             {i.id: [*i.stops, *i.kills] for i in self._instances},
+            {i.id: i.starts for i in self._instances},
         )
 
     def _told_gone_at(self) -> dict[tuple[str, str], float]:
--- a/packages/standins/bergamotsaddle_standins/soak_audit.py
+++ b/packages/standins/bergamotsaddle_standins/soak_audit.py
@@ -147,10 +147,8 @@
 
 
 def _check_told(record: SoakRecord) -> Iterator[str]:
-    told_at = record.ledger.told_leaving_at
     for arrival in record.ledger.arrivals:
-        told = told_at.get((arrival.instance, arrival.target), arrival.sent_at)
-        late = arrival.sent_at - told - record.bound
+        late = arrival.sent_at - record.told_leaving_at(arrival) - record.bound
         if late > 0 and not record.was_stalled(arrival.at):
             yield (
                 f"told: {arrival.target} got something from {arrival.instance}, which "
--- a/packages/standins/bergamotsaddle_standins/soak_record.py
+++ b/packages/standins/bergamotsaddle_standins/soak_record.py
@@ -9,7 +9,7 @@
 from bergamotsaddle_standins.soak_callers import Exchange
 from bergamotsaddle_standins.soak_dialect import ATTEMPTS_BY_PREFIX, STREAM_PREFIXES
 from bergamotsaddle_standins.soak_store import LAPSE_S
-from bergamotsaddle_standins.soak_targets import Ledger, Run, StageCall
+from bergamotsaddle_standins.soak_targets import Arrival, Ledger, Run, StageCall
 
 T = TypeVar("T")
 
@@ -118,6 +118,7 @@
         told_gone_at: When the store told each instance that a target is gone, by their
             ids.
         ends_by_instance: Times at which each instance was told to stop, or killed.
+        starts_by_instance: Times at which a process of each instance started.
     """
 
     exchanges: list[Exchange]
@@ -137,6 +138,7 @@
     returned_at: Sequence[float] = ()
     told_gone_at: Mapping[tuple[str, str], float] = {}
     ends_by_instance: Mapping[str, Sequence[float]] = {}
+    starts_by_instance: Mapping[str, Sequence[float]] = {}
 
     def count_serving(self, software: bytes, exchange: Exchange) -> int:
         """Return how many engines of a version served all the while."""
@@ -194,6 +196,23 @@
             gone_at = min(gone_at, self._told_gone_at(use))
         return use.at - gone_at - self.bound
 
+    def told_leaving_at(self, arrival: Arrival) -> float:
+        """Return when the sending process was told that a target leaves.
+
+        Returns:
+            The time, that of the arrival if an earlier process was told only.
+        """
+        starts = self.starts_by_instance.get(arrival.instance, ())
+        told = self.ledger.told_leaving.get((arrival.instance, arrival.target), ())
+        return min(
+            (
+                response.at
+                for response in told
+                if not any(response.arrived_at < at <= arrival.at for at in starts)
+            ),
+            default=arrival.sent_at,
+        )
+
     def _told_gone_at(self, use: Run | StageCall) -> float:
         """Return when an instance was told that a target is gone, if it still knows."""
         told_at = self.told_gone_at.get((use.instance, use.target), use.at)
--- a/packages/standins/bergamotsaddle_standins/soak_targets.py
+++ b/packages/standins/bergamotsaddle_standins/soak_targets.py
@@ -48,6 +48,8 @@
 _BROKEN_FRACTION = 0.5
 PLAIN_RESULT = "done"
 FIRST_SOFTWARE = "v1"
+# Key of the time at which a request arrived.
+_ARRIVED_AT = "soak.arrived_at"
 # Calls that need no slot.
 _FREE_PATHS = ("/memory", "/release")
 
@@ -116,14 +118,26 @@
     seconds: float
 
 
+class Told(NamedTuple):
+    """A response by which a target tells an instance that it leaves.
+
+    Attributes:
+        arrived_at: When its request arrived, on the hub's clock.
+        at: When the response was sent.
+    """
+
+    arrived_at: float
+    at: float
+
+
 class Ledger:
     """What all targets have run.
 
     Attributes:
         arrivals: What reached the targets, but for queries and releases.
         rests: Wishes of targets to get nothing.
-        told_leaving_at: When each instance got the first response of each target that
-            said that it leaves, by their ids.
+        told_leaving: The responses of each target to each instance that said that it
+            leaves, by their ids.
         runs_by_request: Runs by id of the request.
         stage_calls: Calls to stage targets.
         falls: Times at which brittle targets failed.
@@ -142,7 +156,7 @@
         self.breaks_by_request: Counter[str] = Counter()
         self.arrivals: list[Arrival] = []
         self.rests: list[Rest] = []
-        self.told_leaving_at: dict[tuple[str, str], float] = {}
+        self.told_leaving: defaultdict[tuple[str, str], list[Told]] = defaultdict(list)
         self.fatal_arrivals: list[FatalRun] = []
         self.fatal_crashes: list[FatalRun] = []
         self.fatal_runs: Counter[str] = Counter()
@@ -222,6 +236,7 @@
         work = work_by_service.get(self.service, self._run)
 
         def respond(environ: Environ, start_response):
+            environ[_ARRIVED_AT] = now()
             if environ.get("HTTP_TARGET") != self.id:
                 return respond_json(
                     start_response,
@@ -304,8 +319,8 @@
             headers.append(("Brittle", str(_BRITTLENESS)))
         if self.is_leaving:
             headers.append(("Leaving", "1"))
-            told = environ["HTTP_INSTANCE"], self.id
-            self._ledger.told_leaving_at.setdefault(told, now())
+            told = Told(environ[_ARRIVED_AT], now())
+            self._ledger.told_leaving[environ["HTTP_INSTANCE"], self.id].append(told)
         return tuple(headers)
 
     def _reject(self, environ: Environ, start_response) -> list[bytes]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,7 +16,7 @@
     SoakRecord,
     Versions,
 )
-from bergamotsaddle_standins.soak_targets import Arrival, Ledger, Rest, Run
+from bergamotsaddle_standins.soak_targets import Arrival, Ledger, Rest, Run, Told
 
 subprocess = original("subprocess")
 
@@ -314,10 +314,29 @@
     )
     def test_targets_that_have_told_an_instance(self, _, told_at, sent_at, expected):
         ledger = Ledger()
-        ledger.told_leaving_at["i", "t"] = told_at
+        ledger.told_leaving["i", "t"].append(Told(told_at, told_at))
         ledger.arrivals.append(Arrival(SENT_AT, sent_at, "i", "t"))
         self.assertEqual(find_in_ledger(ledger), expected)
 
+    @parameterized.expand(
+        [
+            ("before_it_was_told", SENT_AT - 9.0, ["told"]),
+            ("while_it_was_told", SENT_AT - 6.5, []),
+            ("since", SENT_AT - 1.0, []),
+            ("later", SENT_AT + 1.0, ["told"]),
+        ]
+    )
+    def test_an_instance_that_started_again(self, _, started_at, expected):
+        """What an earlier process was told does not bind the present one."""
+        ledger = Ledger()
+        ledger.told_leaving["i", "t"].append(Told(SENT_AT - 7.0, SENT_AT - 6.0))
+        ledger.arrivals.append(Arrival(SENT_AT, SENT_AT, "i", "t"))
+        record = make_record([], ledger)._replace(
+            starts_by_instance={"i": [started_at]}
+        )
+        found = [breach.partition(":")[0] for breach in find_breaches(record)]
+        self.assertEqual(found, expected)
+
     @parameterized.expand(
         [("two", 2, "i", []), ("three", 3, "i", ["rest"]), ("other", 3, "j", [])]
     )
