--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -30,7 +30,8 @@
 from bergamotsaddle_serving.health import Health
 from bergamotsaddle_serving.selector import Candidate
 from bergamotsaddle_serving.stage_run import StageOutcome
-from bergamotsaddle_serving.streams import StreamServer, _StreamRun
+from bergamotsaddle_serving.stream_run import StreamRun
+from bergamotsaddle_serving.streams import StreamServer
 from tests._paused import use_paused_clock, use_running_clock
 from tests._resumptions import make_lone_resumptions
 
@@ -245,10 +246,11 @@
         )
         server = mock.Mock()
         server.plan.return_value = mock.Mock(needed=[0], total_seconds=lambda: 0.0)
-        run = _StreamRun(server, context._replace(head=mock.Mock()), mock.Mock())
+        run = StreamRun(server, context._replace(head=mock.Mock()), mock.Mock())
         if last_event_at is not None:
-            run._has_started, run._last_event_at = True, last_event_at
-        with mock.patch(f"{StreamServer.__module__}.StageRun") as stages:
+            run._output.has_started = True
+            run._output.last_event_at = last_event_at
+        with mock.patch(f"{StreamRun.__module__}.StageRun") as stages:
             stages.return_value.run.return_value = StageOutcome((), 0.0, [])
             run._run_stages(mock.Mock())
         self.assertEqual(stages.call_args.kwargs["deadline_at"], expected)
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -6,7 +6,7 @@
 
 from parameterized import parameterized
 
-from bergamotsaddle_serving import streams
+from bergamotsaddle_serving import stream_run
 from bergamotsaddle_standins.virtual_fleet import VirtualFleet
 from bergamotsaddle_standins.virtual_targets import CrashEnding
 from tests._paused import advance, use_paused_clock
@@ -147,7 +147,7 @@
             suspects = run._server.suspects
             were_quarantined.append(suspects.is_quarantined(run._context.fingerprint))
 
-        with mock.patch.object(streams._StreamRun, "_run_stages", run_stages):
+        with mock.patch.object(stream_run.StreamRun, "_run_stages", run_stages):
             for number in range(4):
                 fleet.send_request(number, FATAL, b"body")
                 advance(1.0)
--- a/tests/test_limited_targets.py
+++ b/tests/test_limited_targets.py
@@ -8,7 +8,7 @@
 from parameterized import parameterized
 
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving import streams
+from bergamotsaddle_serving import stream_run
 from bergamotsaddle_serving.owners import rank_owners
 from bergamotsaddle_standins.virtual_fleet import VirtualFleet
 from tests._paused import advance, use_paused_clock
@@ -146,6 +146,6 @@
             eventlet.sleep(max(0.0, free_at - now()))
             run._inputs = ()
 
-        with mock.patch.object(streams._StreamRun, "_run_stages", delay):
+        with mock.patch.object(stream_run.StreamRun, "_run_stages", delay):
             self.send_requests(10.0, 30.0)
         self.assert_within_limit(target)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -16,7 +16,8 @@
 from bergamotsaddle_serving.messages import PromptPart, RequestHead
 from bergamotsaddle_serving.selector import Candidate
 from bergamotsaddle_serving.stream_origins import StreamOrigin
-from bergamotsaddle_serving.streams import StreamServer, _StreamRun
+from bergamotsaddle_serving.stream_run import StreamRun
+from bergamotsaddle_serving.streams import StreamServer
 from tests import test_broken_streams
 from tests._paused import use_paused_clock, use_running_clock
 from tests._resumptions import make_lone_resumptions
@@ -172,7 +173,7 @@
         head = RequestHead("r", b"POST", b"/", "h", "", 9.0)
         context = make_context(head, mock.Mock(body=b""), is_resumable=True)
         context = context._replace(origin=origin and StreamOrigin(*origin))
-        run = _StreamRun(server, context, mock.Mock())
+        run = StreamRun(server, context, mock.Mock())
         choice = run._choose()._replace(seconds=2.5)
         if is_admitted:
             run._admit(choice)
@@ -213,7 +214,7 @@
         head = head._replace(prompt=(PromptPart(prompt, 10),))
         context = make_context(head, mock.Mock(body=b""), is_resumable=True)
         origin = software and StreamOrigin("s", software)
-        run = _StreamRun(server, context._replace(origin=origin), mock.Mock())
+        run = StreamRun(server, context._replace(origin=origin), mock.Mock())
         choice = run._choose()
         try:
             run._admit(choice)
@@ -233,7 +234,7 @@
         server = make_server(candidates)
         head = RequestHead("r", b"POST", b"/", "h", "", 9.0)
         context = make_context(head, mock.Mock(body=b""), is_resumable=True)
-        run = _StreamRun(server, context, mock.Mock())
+        run = StreamRun(server, context, mock.Mock())
         run._bind(candidates[0].target)
         limit = run._event_timeout()
         self.assertEqual(limit > 3.0, waits)
@@ -251,7 +252,7 @@
         head = RequestHead("r", b"POST", b"/", "h", "", 9.0)
         context = make_context(head, mock.Mock(body=b""), is_resumable=True)
         context = context._replace(origin=StreamOrigin("s", "v1"))
-        run = _StreamRun(server, context, mock.Mock())
+        run = StreamRun(server, context, mock.Mock())
         run._exclude = {"a"}
         with self.assertRaises(RequestError) as raised:
             run._choose()
