Let a removal that was known before a return of the store hold at once

Cause, by the listed trace: the instance knew the removal for 5.8 s; in two returns of the store 0.3 s apart a copy listed the target again, and the removal that was written again 1 ms later counted as an entry that lapses around an outage, which keeps its target for 2 s (View._apply_deletion).

Change: the view remembers incarnations whose entries were removed while the store was stable. If a copy lists one of them again, its next removal, or a copy that lacks it, takes effect at once. A target that is listed again while the store is stable is forgotten there, so that one which was merely cut from the store lapses like any other. Two of the three new tests fail without the change.

--- a/packages/serving/bergamotsaddle_serving/view.py
+++ b/packages/serving/bergamotsaddle_serving/view.py
@@ -1,5 +1,6 @@
 """The local copy of what operators and targets published in the platform's store."""
 
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
@@ -18,6 +19,8 @@
 # It is back within two seconds of the store's return; a target whose entry is missing
 # for longer is gone.
 LAPSE_GRACE_S = 2.0
+# Number of incarnations that are remembered as removed.
+_MAX_GONE = 1_000
 # How long operators may take to write again what an older copy of the store lacks.
 REWRITE_GRACE_S = 10.0
 # The store removes the entry of a target that has been silent for this long, unless the
@@ -74,6 +77,8 @@
         self._table = EntryTable(dialect)
         self._known_by_id: dict[str, KnownTarget] = {}
         self._leaving: set[tuple[str, int]] = set()
+        # Incarnations whose entries were removed while the store was stable.
+        self._gone: OrderedDict[tuple[str, int], None] = OrderedDict()
         self._callbacks: list[Callable[[], None]] = []
         self.on_confirm: Callable[[], None] = lambda: None
         self.configuration: Configuration | None = None
@@ -166,6 +171,7 @@
         self.has_snapshot = True
         self.apply([*entries, *missing], position, source=source, is_first=is_first)
         self._table.mark_lapsing()
+        self._drop_gone()
         self._logger.info(
             "listed", entries=len(entries), source=source, **position._asdict()
         )
@@ -329,6 +335,8 @@
         elif isinstance(decoded, Configuration):
             self._apply_configuration(decoded, source)
         elif isinstance(decoded, Target):
+            if not self._is_store_settling():
+                self._gone.pop(decoded.incarnation, None)
             cold_until = now() + decoded.cold_seconds
             self._known_by_id[decoded.id] = KnownTarget(decoded, cold_until)
         elif entry.value is None:
@@ -349,14 +357,36 @@
         self._logger.info("configuration", version=decoded.version, source=source)
 
     def _apply_deletion(self, key: str) -> None:
-        is_known = self._dialect.target_id(key) in self._known_by_id
-        if is_known and now() - self.store_regained_at <= LAPSE_GRACE_S:
+        known = self._known_by_id.get(self._dialect.target_id(key) or "")
+        if known is None:
+            return
+        incarnation = known.target.incarnation
+        if self._is_store_settling() and incarnation not in self._gone:
             # Around an outage of the store an entry may expire although its target is
             # alive. Removing all such targets at once would leave callers without any.
             self._table.lapsing_keys.add(key)
             return
+        self._gone[incarnation] = None
+        if len(self._gone) > _MAX_GONE:
+            self._gone.popitem(last=False)
         self._forget(key)
 
+    def _is_store_settling(self) -> bool:
+        """Return whether entries may be missing although their targets are alive."""
+        return now() - self.store_regained_at <= LAPSE_GRACE_S
+
+    def _drop_gone(self) -> None:
+        """Drop targets that a copy of the store listed again, once it lacks them."""
+        due = [key for key in self._table.lapsing_keys if self._is_gone(key)]
+        for key in due:
+            self._drop(self._table.remove(key))
+        if due:
+            self._rebuild()
+
+    def _is_gone(self, key: str) -> bool:
+        known = self._known_by_id.get(self._dialect.target_id(key) or "")
+        return known is not None and known.target.incarnation in self._gone
+
     def _forget(self, key: str) -> None:
         target_id = self._dialect.target_id(key)
         if target_id is not None:
--- a/tests/test_serving_view.py
+++ b/tests/test_serving_view.py
@@ -171,6 +171,36 @@
         self.restore(cold)
         self.assertFalse(self.view.is_cold(self.view.usable("s")[0]))
 
+    def list_again(self):
+        """Let a copy list a removed target, under a revision that is not known."""
+        self.view.replace([entry("servers/t", 4, TARGET)], at(4), source="test")
+        self.apply(entry("servers/t", 6))
+        advance(LAPSE_GRACE_S + 1.0)
+        self.restore(entry("servers/t", 5, TARGET), revision=5)
+        self.assertEqual(self.usable_ids(), ["t"])
+
+    def test_a_removal_that_a_copy_undoes_holds_once_it_is_written_again(self):
+        """Guards against work for a target whose removal was known before a return."""
+        self.list_again()
+        self.apply(entry("servers/t", 6)._replace(era=1))
+        self.assertEqual(self.usable_ids(), [])
+
+    def test_a_removal_that_one_copy_undoes_and_the_next_one_has(self):
+        """Guards against the same where the store returns twice in a row."""
+        self.list_again()
+        advance(0.3)
+        self.restore(era=2)
+        self.assertEqual(self.usable_ids(), [])
+
+    def test_a_removed_target_that_is_listed_for_long_lapses_like_others(self):
+        """Guards against a target dropped at once though it came back meanwhile."""
+        self.list_again()
+        advance(LAPSE_GRACE_S + 1.0)
+        self.apply(entry("servers/t", 7, TARGET, seq=2)._replace(era=1))
+        self.view.store_regained_at = self.now()
+        self.apply(entry("servers/t", 8)._replace(era=1))
+        self.assertEqual(self.usable_ids(), ["t"])
+
     def test_a_target_that_was_gone_returns_if_it_still_writes(self):
         """Guards against a target that lapsed before and is never used again."""
         target = entry("servers/t", 2, TARGET)
