--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -205,8 +205,7 @@
                 self._wait_for_version(raw, head)
             context = self._make_context(head, raw)
             self._check_stop(raw.started_at, context.deadline_at)
-            if not self._suspects.may_enter(context.fingerprint):
-                raise context.quarantine_error()
+            self._check_quarantine(context)
             self._run(caller, context)
         except RequestError as error:
             outcome, reason = error.kind, error.detail
@@ -233,6 +232,19 @@
         self.rejected_while_stopping += 1
         raise RequestError(ErrorKind.NOT_READY, "stopping")
 
+    def _check_quarantine(self, context: Context) -> None:
+        """Raise an error if a request must not reach targets.
+
+        The instance that handed a request over has the permit for its trial.
+        """
+        suspects = self._suspects
+        if context.is_relayed:
+            may_enter = not suspects.is_quarantined(context.fingerprint)
+        else:
+            may_enter = suspects.may_enter(context.fingerprint)
+        if not may_enter:
+            raise context.quarantine_error()
+
     def _run(self, caller: CallerConnection, context: Context) -> None:
         def dispatch() -> None:
             with eventlet.Timeout(max(0.001, context.remaining), _OutOfTimeError("")):
--- a/tests/test_serving_stop.py
+++ b/tests/test_serving_stop.py
@@ -94,6 +94,23 @@
     raise RequestError(ErrorKind.TARGET_FAILED, "no repeats are left")
 
 
+class QuarantineTest(unittest.TestCase):
+    """A request that is on trial after targets have crashed under it."""
+
+    @parameterized.expand([("own", "", True), ("handed_over", "i1", False)])
+    def test_one_permit_is_requested_for_a_trial(self, _, sender, is_refused):
+        """Guards against a helper that refuses the trial its sender has permitted."""
+        suspects = mock.Mock()
+        suspects.is_quarantined.return_value = False
+        suspects.may_enter.return_value = False
+        handler = Handler(*(mock.MagicMock() for _ in range(7)), suspects=suspects)
+        context = make_context(is_sent=False)._replace(sender=sender)
+        if is_refused:
+            self.assertRaises(RequestError, handler._check_quarantine, context)
+        else:
+            handler._check_quarantine(context)
+
+
 class FailureTest(unittest.TestCase):
     """A request that fails."""
 
