--- a/packages/serving/bergamotsaddle_serving/crash_history.py
+++ b/packages/serving/bergamotsaddle_serving/crash_history.py
@@ -3,6 +3,7 @@
 This module does no input or output.
 """
 
+from bisect import bisect_right
 from collections.abc import Collection, Iterable, Iterator
 from itertools import pairwise
 from typing import NamedTuple
@@ -266,25 +267,33 @@
         """Return the moments of crashes of one version or of all, in order."""
         crashes = [c for c in crashes if software is None or c[:2] == software]
         services = {crash.service for crash in crashes}
-        times = sorted(self._crash_by_incarnation[crash].at for crash in crashes)
-        moments: list[_Moment] = []
-        for at in times:
-            if moments and at - moments[-1].started_at < _MOMENT_S:
-                moments[-1] = moments[-1]._replace(crashes=moments[-1].crashes + 1)
-            else:
-                moments.append(_Moment(at, 1))
+        moments = _group(self._crash_by_incarnation[crash].at for crash in crashes)
         for survival in self._survival_by_key.values():
-            if survival.software[0] not in services:
-                continue
-            if software is not None and survival.software != software:
-                continue
-            before = [n for n, m in enumerate(moments) if m.started_at <= survival.at]
-            if before:
-                last = moments[before[-1]]
-                moments[before[-1]] = last._replace(survivals=last.survivals + 1)
+            is_same = software is None or survival.software == software
+            if is_same and survival.software[0] in services:
+                _count_survival(moments, survival.at)
         return moments
 
 
+def _group(times: Iterable[float]) -> list[_Moment]:
+    """Group times of crashes into moments."""
+    moments: list[_Moment] = []
+    for at in sorted(times):
+        if moments and at - moments[-1].started_at < _MOMENT_S:
+            moments[-1] = moments[-1]._replace(crashes=moments[-1].crashes + 1)
+        else:
+            moments.append(_Moment(at, 1))
+    return moments
+
+
+def _count_survival(moments: list[_Moment], at: float) -> None:
+    """Count an outlived run for the last moment before it, if there is one."""
+    position = bisect_right(moments, at, key=lambda moment: moment.started_at) - 1
+    if position >= 0:
+        moment = moments[position]
+        moments[position] = moment._replace(survivals=moment.survivals + 1)
+
+
 def _weigh_backwards(
     moments: list[_Moment], *, is_final: bool
 ) -> Iterator[tuple[int, int, float]]:
--- a/packages/serving/bergamotsaddle_serving/target_crashes.py
+++ b/packages/serving/bergamotsaddle_serving/target_crashes.py
@@ -20,6 +20,7 @@
 from bergamotsaddle_serving.fingerprint import digest_id
 from bergamotsaddle_serving.health import TargetState
 from bergamotsaddle_serving.incarnations import Incarnation
+from bergamotsaddle_serving.survival_proofs import SurvivalProofs
 from bergamotsaddle_serving.suspect_parts import SuspectParts, Work
 from bergamotsaddle_serving.suspects import Suspects
 from bergamotsaddle_serving.view import View
@@ -115,20 +116,6 @@
     work: Work
 
 
-class _Proof(NamedTuple):
-    """A survival that was told, and until when a crash would disprove it.
-
-    Attributes:
-        until: On the hub's clock.
-        key: Key of the survival.
-        is_whole: Whether the run was whole. Otherwise it went on.
-    """
-
-    until: float
-    key: str
-    is_whole: bool
-
-
 class _PendingTarget(NamedTuple):
     """An incarnation that may have crashed, and its interrupted runs."""
 
@@ -201,8 +188,7 @@
         # The inner keys are identities.
         self._ongoing_by_fingerprint: defaultdict[str, dict[int, _OngoingRun]]
         self._ongoing_by_fingerprint = defaultdict(dict)
-        # The inner tuples are incarnations.
-        self._proofs_by_run: dict[tuple[str, tuple[str, int]], list[_Proof]] = {}
+        self._proofs = SurvivalProofs(suspects, max_age=_PENDING_S)
         self._checked_fingerprints: set[str] = set()
         # Incarnations that have given notice. They may leave the list before the last
         # of their runs has ended.
@@ -282,7 +268,7 @@
         if any(self.suspects.is_suspect(work.fingerprint) for work in works):
             self._check_later(target, _PROOF_DELAY_S - _REPORT_S)
         for work in works:
-            self._tell_outlived(target, work.fingerprint, until=due_at, is_whole=True)
+            self._proofs.tell(target, work.fingerprint, until=due_at, is_whole=True)
         # Parts have no way to withdraw a success, so they learn of it later.
         self._successes_by_framing[is_framed].extend(
             _Success(due_at, target, work) for work in works if work.parts
@@ -297,7 +283,7 @@
                 is_listed = self._view.has_incarnation(target)
                 if is_listed and not self.suspects.has_crashed(target):
                     self.parts.record_success(target, work.parts)
-        self._drop_old_proofs()
+        self._proofs.drop_old()
         self._report_silent()
 
     def _check_later(self, target: Target, delay: float) -> None:
@@ -350,7 +336,12 @@
         if not run_by_fingerprint:
             return
         for run in run_by_fingerprint.values():
-            self._disprove(target, run, crashed_at)
+            self._proofs.disprove(
+                target,
+                run.work.fingerprint,
+                crashed_at=crashed_at,
+                is_whole=run.is_whole,
+            )
         crashed = {
             fingerprint: CrashedRun(run.age, is_certain, digest_id(run.work.request))
             for fingerprint, run in sorted(run_by_fingerprint.items())
@@ -381,36 +372,7 @@
             is_listed = self._view.has_incarnation(run.target)
             if is_listed and now() - run.work.started_at >= min_age:
                 until = now() + _ONGOING_PROOF_S
-                self._tell_outlived(
-                    run.target, fingerprint, until=until, is_whole=False
-                )
-
-    def _tell_outlived(
-        self, target: Target, fingerprint: str, *, until: float, is_whole: bool
-    ) -> None:
-        key = self.suspects.record_success(target, fingerprint)
-        if key is not None:
-            proofs = self._proofs_by_run.setdefault(
-                (fingerprint, target.incarnation), []
-            )
-            proofs.append(_Proof(until, key, is_whole))
-
-    def _disprove(self, target: Target, run: _Run, crashed_at: float) -> None:
-        """Take back what was told too early of a target that has crashed.
-
-        Whole runs before one that the crash interrupted were outlived.
-        """
-        key = (run.work.fingerprint, target.incarnation)
-        for proof in self._proofs_by_run.pop(key, ()):
-            if proof.is_whole == run.is_whole and crashed_at <= proof.until:
-                self.suspects.disprove(proof.key)
-
-    def _drop_old_proofs(self) -> None:
-        """Forget proofs that no crash can disprove any more."""
-        since = now() - _PENDING_S
-        for run, proofs in list(self._proofs_by_run.items()):
-            if proofs[-1].until < since:
-                del self._proofs_by_run[run]
+                self._proofs.tell(run.target, fingerprint, until=until, is_whole=False)
 
     def _on_view_change(self) -> None:
         """Report pending runs of targets whose incarnation has left the list."""
