Run the stages of a stream that broke off by its next event, not by its first

Cause: traced in logs of a soak of cuts (c7-14: reset behind event 28, "a stage was too late" 0.015 s later with 4.7 s left, no call made; c20-10 the same). Pieces are submitted with the objective of the route, which counts from the request and has long passed by then. A queue of more than two calls drops pieces that are overdue and have not started; a crash has the stages of all streams of its engine run again at once, so the queue is long.

Change: once the caller has a part of the stream, its pieces are due when the caller gives up. They don't go ahead of others. The row of the test for a resumed stream fails without it.

--- a/packages/serving/bergamotsaddle_serving/stage_run.py
+++ b/packages/serving/bergamotsaddle_serving/stage_run.py
@@ -117,6 +117,8 @@
         first_round: First round to use. It must be later than all rounds of an
             earlier run of the same request.
         fingerprint: Fingerprint of the request.
+        has_objective: Whether the first event is still due by the objective of the
+            route. Once the caller has a part of the stream, only its patience counts.
     """
 
     def __init__(
@@ -134,8 +136,10 @@
         ttl_seconds: Callable[[str], float],
         first_round: int = 0,
         fingerprint: str = "",
+        has_objective: bool = True,
     ) -> None:
         self._fingerprint = fingerprint
+        self._has_objective = has_objective
         self._head = head
         self._route = route
         self._plan = plan
@@ -303,6 +307,9 @@
             for number in self._plan.predecessors(submission.stage)
             for piece in sorted(self._results_by_stage[number])
         ]
+        objective = remaining
+        if self._has_objective:
+            objective = self._plan.objective_at(submission.stage) - at
         message = Submit(
             request=self._head.id,
             stage=submission.stage,
@@ -315,7 +322,7 @@
             result_bytes=stage.result_bytes,
             input_bytes=self._input_bytes(submission.stage),
             zone=self._plan.zone,
-            objective=self._plan.objective_at(submission.stage) - at,
+            objective=objective,
             remaining=remaining,
             round=submission.round,
             fingerprint=self._fingerprint,
--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -248,6 +248,7 @@
             ttl_seconds=self._server.waits.ttl_seconds,
             first_round=first_round,
             fingerprint=context.fingerprint,
+            has_objective=not self._output.has_started,
         )
         try:
             outcome = self._stages.run()
--- a/tests/test_stage_owner.py
+++ b/tests/test_stage_owner.py
@@ -5,6 +5,7 @@
 
 import eventlet
 import msgspec
+from parameterized import parameterized
 
 from bergamotsaddle_contracts.errors import RequestError
 from bergamotsaddle_daemon.clock import now
@@ -172,7 +173,14 @@
         self.view.apply([entry], StorePosition(0, 90), source="test")
 
     def start(
-        self, pieces=(2, 3), stages=STAGES, name="r1", ttl_seconds=4.0, fingerprint=""
+        self,
+        pieces=(2, 3),
+        stages=STAGES,
+        name="r1",
+        ttl_seconds=4.0,
+        fingerprint="",
+        started_at=None,
+        has_objective=True,
     ):
         """Start the stages of a request."""
         route = ROUTE._replace(stages=stages)
@@ -183,7 +191,7 @@
             "a",
             lambda service, zone, urgency: ScopeLoad(zone, StageLoad(0.0, 0.2, 10.0)),
             urgency=0,
-            started_at=now(),
+            started_at=now() if started_at is None else started_at,
             finish_seconds=0.1,
         )
         self.run_ = StageRun(
@@ -198,6 +206,7 @@
             pending=PendingWork(),
             ttl_seconds=lambda service: ttl_seconds,
             fingerprint=fingerprint,
+            has_objective=has_objective,
         )
         self.thread = eventlet.spawn(self._run)
         settle()
@@ -223,6 +232,22 @@
         advance(0.1)
         self.assertEqual(self.calls.live, set())
 
+    @parameterized.expand([("first_event", True, True), ("resumed", False, False)])
+    def test_stages_that_run_again_in_a_long_queue(self, _, has_objective, is_late):
+        """Guards against streams cut with time left, as their first event is overdue.
+
+        An engine that crashes has the stages of all its streams run again at once.
+        """
+        for number in range(8):
+            self.start((4, 1), name=f"other{number}")
+        self.start(
+            (1, 1),
+            started_at=now() - 5.0,
+            has_objective=has_objective,
+        )
+        outcome = self.finish(5.5)
+        self.assertEqual(isinstance(outcome, RequestError), is_late)
+
     def test_a_target_that_rests_gets_no_call(self):
         """Guards against stage calls to a target that has asked for rest."""
         self.calls.rest_until = now() + 1.0
