--- a/model/parts.py
+++ b/model/parts.py
@@ -9,7 +9,7 @@
 
 from typing import NamedTuple
 
-from model.specification import Specification, Steps, put
+from model.specification import Specification, Steps, put, tell
 
 INSTANCES = (0, 1)
 FATAL, HARMLESS = "fatal", "harmless"
@@ -65,7 +65,7 @@
         if state.whole_runs < MAX_WHOLE_RUNS:
             yield from _complete(state, instance, mistake)
         if not state.is_cut:
-            yield from _deliver(state, instance)
+            yield from tell(state, instance)
     if state.is_cut:
         yield "heal", state._replace(is_cut=False)
     elif state.cuts < MAX_CUTS:
@@ -122,15 +122,6 @@
             yield f"whole {instance} {part}", after._replace(facts=facts)
 
 
-def _deliver(state: State, sender: int) -> Steps:
-    """Tell the other instance one fact that it does not know."""
-    receiver = 1 - sender
-    for fact in sorted(state.facts[sender] - state.facts[receiver]):
-        known = state.facts[receiver] | {fact}
-        facts = put(state.facts, receiver, known)
-        yield f"tell {receiver} {fact}", state._replace(facts=facts)
-
-
 def _is_held(state: State, instance: int, part: str) -> bool:
     known = state.facts[instance] | state.private[instance]
     crashes = {n for kind, n, p in known if kind == "crash" and p == part}
--- a/model/requests.py
+++ b/model/requests.py
@@ -10,7 +10,7 @@
 
 from typing import NamedTuple
 
-from model.specification import Specification, Steps, put
+from model.specification import Specification, Steps, put, tell
 
 INSTANCES = (0, 1)
 # Stands for the three crashes of the product.
@@ -57,7 +57,7 @@
             yield from _run(state, instance, mistake)
         if state.restarts < MAX_RESTARTS:
             yield f"restart {instance}", _restart(state, instance)
-        yield from _deliver(state, instance)
+        yield from tell(state, instance)
 
 
 def _run(state: State, instance: int, mistake: str) -> Steps:
@@ -112,15 +112,6 @@
     )
 
 
-def _deliver(state: State, sender: int) -> Steps:
-    """Tell the other instance one fact that it does not know."""
-    receiver = 1 - sender
-    for fact in sorted(state.facts[sender] - state.facts[receiver]):
-        known = state.facts[receiver] | {fact}
-        facts = put(state.facts, receiver, known)
-        yield f"tell {receiver} {fact}", state._replace(facts=facts)
-
-
 def is_held(state: State, instance: int, mistake: str = "") -> bool:
     """Return whether an instance holds the request back."""
     known = state.facts[instance] | state.private[instance]
--- a/model/specification.py
+++ b/model/specification.py
@@ -43,3 +43,12 @@
 def put(values: tuple, index: int, value: object) -> tuple:
     """Return a copy of a tuple with one value replaced."""
     return (*values[:index], value, *values[index + 1 :])
+
+
+def tell(state: Any, sender: int) -> Steps:
+    """Tell the other one of two instances one fact that it does not know."""
+    receiver = 1 - sender
+    for fact in sorted(state.facts[sender] - state.facts[receiver]):
+        known = state.facts[receiver] | {fact}
+        facts = put(state.facts, receiver, known)
+        yield f"tell {receiver} {fact}", state._replace(facts=facts)
--- a/packages/standins/bergamotsaddle_standins/soak_targets.py
+++ b/packages/standins/bergamotsaddle_standins/soak_targets.py
@@ -356,8 +356,7 @@
             environ["HTTP_STREAM"], self._rng.randint(1, _MAX_EVENTS)
         )
         first = int(environ.get("HTTP_LAST_EVENT_ID", -1)) + 1
-        software = self.software.encode()
-        parts = [b"id: %d\ndata: %s\n\n" % (n, software) for n in range(first, events)]
+        parts = self._events(range(first, events))
         cause = find_cause(environ["PATH_INFO"], environ.get("HTTP_PARTS", ""))
         if cause is not None:
             self._ledger.fatal_arrivals.append(FatalRun(now(), cause))
@@ -370,6 +369,11 @@
         start_response("200 OK", list(headers))
         return self._send_events(environ["HTTP_ID"], parts)
 
+    def _events(self, numbers: Iterable[int]) -> list[bytes]:
+        """Return events with some numbers, which name the software."""
+        software = self.software.encode()
+        return [b"id: %d\ndata: %s\n\n" % (number, software) for number in numbers]
+
     def _send_events(self, request: str, parts: Sequence[bytes]) -> Iterator[bytes]:
         try:
             yield from _pace(parts, _EVENT_PAUSE_S)
@@ -390,11 +394,7 @@
         if ending.is_behind_response:
             return self._crash_behind(environ, start_response, headers, cause, whole)
         first = int(environ.get("HTTP_LAST_EVENT_ID", -1)) + 1
-        software = self.software.encode()
-        parts = [
-            b"id: %d\ndata: %s\n\n" % (n, software)
-            for n in range(first, first + ending.events)
-        ]
+        parts = self._events(range(first, first + ending.events))
         if ending.is_inside_event:
             parts.append(b"id: %d\nda" % (first + ending.events))
 
