--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -221,7 +221,7 @@
         self.assertEqual(sorted(self.suspects.quarantined()), ["f", "g"])
 
     def test_a_popular_request_explains_no_crash(self):
-        """Guards against crashes that are laid to what runs everywhere."""
+        """Guards against crashes attributed to a request that runs everywhere."""
         self.crash(1, fingerprints=("p", "w"))
         for number in (2, 3):
             for other in range(20, 30):
