--- a/tests/test_hidden_fatal_requests.py
+++ b/tests/test_hidden_fatal_requests.py
@@ -252,7 +252,7 @@
         self.assertEqual(load.refused(), [])
 
     def test_two_fatal_requests_at_once(self):
-        """Guards against crashes attributed to another fatal request than their cause."""
+        """Guards against crashes of one fatal request attributed to the other."""
         fleet = VirtualFleet(7, targets=TARGETS, restart_after=RESTART_S)
         fleet.targets.fatal_paths.update((FATAL, OTHER_FATAL))
         fleet.targets.stream_seconds = STREAM_S
