--- a/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
+++ b/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
@@ -196,7 +196,9 @@
         worker.record_call_seconds(now() - started_at, expected)
         made = [p for p, r in zip(batch, results, strict=True) if r.reason is None]
         # A response that could be decoded is complete, however it was framed.
-        self._crashes.record_success(worker.target, _works(made), is_framed=True)
+        self._crashes.record_success(
+            worker.target, _works(made), is_framed=True, is_stage=True
+        )
         self._logger.info(
             "stage_call",
             service=queue.service,
--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -345,7 +345,7 @@
             raise self._failure_error("targets ended while they ran it")
         raise context.quarantine_error(held.part if held is not None else None)
 
-    def abort_if_quarantined(self) -> None:
+    def abort_if_quarantined(self, *, checks_parts: bool = True) -> None:
         """Abort the current attempt if the request is quarantined.
 
         Quarantine of a part aborts no attempt that has an event: the part crashes
@@ -354,7 +354,8 @@
         if self._runner is None or self._is_trial:
             return
         suspects = self._server.crashes.suspects
-        has_part = self._writing_since is None and self._has_held_part()
+        is_waiting = checks_parts and self._writing_since is None
+        has_part = is_waiting and self._has_held_part()
         if not has_part and not suspects.is_quarantined(self._context.fingerprint):
             return
         self._server.crashes.record_abandoned(self._target, self._work())
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -107,8 +107,10 @@
             eventlet.spawn_after(_ABORT_DELAY_S, self._abort)
 
     def _abort(self) -> None:
+        # Parts of prompts take long to compare; they are looked at more seldom.
         self._is_aborting = False
-        self.abort_quarantined()
+        for run in list(self.ongoing_runs):
+            run.abort_if_quarantined(checks_parts=False)
 
     def serve(self, context: Context, caller: CallerConnection) -> None:
         """Serve a request until its response is complete.
--- a/packages/serving/bergamotsaddle_serving/suspects.py
+++ b/packages/serving/bergamotsaddle_serving/suspects.py
@@ -258,16 +258,20 @@
         self._blamed_by_fingerprint = {}
         self._explained = {}
         for fingerprint in self._candidates():
-            history = self._history_by_fingerprint[fingerprint]
-            crashes = [
-                crash
-                for crash in history.counted
-                if crash not in self._explained and not self._explains_crash(*crash)
-            ]
-            if history.is_blamed(crashes):
+            crashes = self._blamed_crashes(self._history_by_fingerprint[fingerprint])
+            if crashes:
                 self._blamed_by_fingerprint[fingerprint] = frozenset(crashes)
                 self._explained.update(dict.fromkeys(crashes, fingerprint))
 
+    def _blamed_crashes(self, history: CrashHistory) -> list[Incarnation]:
+        """Return the crashes for which a request is to blame, none if it is not."""
+        crashes = [c for c in history.counted if c not in self._explained]
+        if not history.is_blamed(crashes):
+            return []
+        # Parts of prompts are compared for this, which takes much longer.
+        crashes = [crash for crash in crashes if not self._explains_crash(*crash)]
+        return crashes if history.is_blamed(crashes) else []
+
     def _candidates(self) -> list[str]:
         """Return the requests that may be to blame, those with most crashes first."""
         histories = self._history_by_fingerprint
--- a/packages/serving/bergamotsaddle_serving/target_crashes.py
+++ b/packages/serving/bergamotsaddle_serving/target_crashes.py
@@ -253,7 +253,12 @@
         self._add_pending(target, _End.ABANDONED, [work])
 
     def record_success(
-        self, target: Target, works: Sequence[Work], *, is_framed: bool
+        self,
+        target: Target,
+        works: Sequence[Work],
+        *,
+        is_framed: bool,
+        is_stage: bool = False,
     ) -> None:
         """Record that a target sent a complete and successful response.
 
@@ -261,8 +266,10 @@
             target: The target.
             works: What it ran for the requests.
             is_framed: Whether the response stated where its body ends.
+            is_stage: Whether it ran pieces of many requests. A crash behind its
+                response makes none of them suspect: suspects get calls of their own.
         """
-        if not self._is_leaving(target):
+        if not self._is_leaving(target) and not (is_stage and is_framed):
             self._add_pending(target, _End.WHOLE if is_framed else _End.UNFRAMED, works)
         due_at = now() + (_PROOF_DELAY_S if is_framed else _PENDING_S)
         if any(self.suspects.is_suspect(work.fingerprint) for work in works):
