--- a/packages/serving/bergamotsaddle_serving/metrics.py
+++ b/packages/serving/bergamotsaddle_serving/metrics.py
@@ -54,6 +54,8 @@
 
     def __init__(self) -> None:
         self._requests: Counter[tuple[str, str]] = Counter()
+        self._failed_attempts: Counter[tuple[str, str]] = Counter()
+        self._cut_streams: Counter[tuple[str, str]] = Counter()
         self._durations_by_route: dict[str, _Histogram] = {}
         self._gauges: list[_Gauge] = []
 
@@ -62,6 +64,14 @@
         self._requests[route, outcome] += 1
         self._durations_by_route.setdefault(route, _Histogram()).add(seconds)
 
+    def count_failed_attempt(self, route: str, reason: str) -> None:
+        """Count an attempt at a target that was given up."""
+        self._failed_attempts[route, reason] += 1
+
+    def count_cut_stream(self, route: str, reason: str) -> None:
+        """Count a stream that ended between its first and its last event."""
+        self._cut_streams[route, reason] += 1
+
     def add_gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Add a gauge.
 
@@ -84,14 +94,28 @@
         """Yield all metrics, as the library expects of a collector."""
         from prometheus_client import core
 
-        requests = core.CounterMetricFamily(
-            f"{_PREFIX}requests",
-            "Requests by route and outcome.",
-            labels=("route", "outcome"),
+        counters = (
+            ("requests", "Requests by route and outcome.", "outcome", self._requests),
+            (
+                "failed_attempts",
+                "Attempts at targets that were given up, by route and reason.",
+                "reason",
+                self._failed_attempts,
+            ),
+            (
+                "cut_streams",
+                "Streams that ended before their last event, by route and reason.",
+                "reason",
+                self._cut_streams,
+            ),
         )
-        for labels, count in self._requests.items():
-            requests.add_metric(labels, count)
-        yield requests
+        for name, text, label, count_by_labels in counters:
+            family = core.CounterMetricFamily(
+                f"{_PREFIX}{name}", text, labels=("route", label)
+            )
+            for labels, count in count_by_labels.items():
+                family.add_metric(labels, count)
+            yield family
         seconds = core.HistogramMetricFamily(
             f"{_PREFIX}request_seconds",
             "Time from a request's first byte to its end, by route.",
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -258,6 +258,7 @@
             fetch_times,
             crashes=crashes,
             resumptions=resumptions,
+            metrics=self.metrics,
         )
         self.handler = Handler(
             self.view,
--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -579,9 +579,11 @@
             raise self._failure_error("which version began the stream is uncertain")
 
     def _failure_error(self, detail: str) -> RequestError:
+        context = self._context
+        if self._output.has_started:
+            self._server.metrics.count_cut_stream(context.route.name, detail)
         if self._possible_runs:
             return RequestError(ErrorKind.TARGET_FAILED, detail, ran=Ran.UNKNOWN)
-        context = self._context
         server = self._server
         origin = context.origin
         if origin is not None and not server.resumptions.has_target(origin):
@@ -626,15 +628,20 @@
     def _log_failed_attempt(
         self, candidate: Candidate, reason: str, ran: str, status: int = 0
     ) -> None:
+        context = self._context
+        self._server.metrics.count_failed_attempt(context.route.name, reason)
         self._server.logger.warning(
             "attempt_failed",
-            request=self._context.head.id,
-            work=self._context.fingerprint,
-            parts=self._context.logged_parts,
+            request=context.head.id,
+            work=context.fingerprint,
+            parts=context.logged_parts,
             target=candidate.target.id,
             reason=reason,
             status=status,
-            framed=self._context.progress.is_framed,
+            framed=context.progress.is_framed,
             ran=ran,
             last_event=self._output.last_id,
+            runs=self._possible_runs,
+            repeats=self._server.budget.remaining(context.service.name),
+            patience=round(self._next_event_by() - now(), 3),
         )
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -20,6 +20,7 @@
 )
 from bergamotsaddle_serving.fetching import DEFAULT_FETCH_TIMES, FetchTimes
 from bergamotsaddle_serving.messages import Dialect
+from bergamotsaddle_serving.metrics import Metrics
 from bergamotsaddle_serving.policy import FULL_POLICY, Policy
 from bergamotsaddle_serving.resumption import Resumptions
 from bergamotsaddle_serving.selector import Candidate, Selector
@@ -54,6 +55,7 @@
         fetch_times: Estimates when engines have fetched their inputs.
         crashes: Detects crashed engines and the requests that they were running.
         resumptions: Knows which engines may go on with a stream.
+        metrics: Counts attempts that were given up, and streams that were cut.
 
     Attributes:
         ongoing_runs: Requests that were sent to an engine.
@@ -73,7 +75,9 @@
         *,
         crashes: TargetCrashes,
         resumptions: Resumptions,
+        metrics: Metrics | None = None,
     ) -> None:
+        self.metrics = metrics or Metrics()
         self.policy = policy
         self.resumptions = resumptions
         self.suspects = crashes.suspects
--- a/tests/test_serving_metrics.py
+++ b/tests/test_serving_metrics.py
@@ -4,6 +4,8 @@
 
 from bergamotsaddle_serving.metrics import Metrics
 
+PREFIX = "bergamotsaddle_"
+
 
 class MetricsTest(unittest.TestCase):
     """Counters and histograms of finished requests, and a gauge."""
@@ -13,9 +15,11 @@
         for seconds in (0.05, 0.3, 30.0):
             metrics.count_request("plans", "whole", seconds)
         metrics.count_request("plans", "not_ready", 0.01)
+        metrics.count_failed_attempt("plans", "silent")
+        metrics.count_cut_stream("plans", "no repeats")
         metrics.add_gauge("peers_alive", "Peers.", lambda: 7)
         lines = metrics.page().decode().splitlines()
-        name = "bergamotsaddle_request"
+        name = f"{PREFIX}request"
         for line in (
             f'{name}s_total{{outcome="whole",route="plans"}} 3.0',
             f'{name}s_total{{outcome="not_ready",route="plans"}} 1.0',
@@ -23,6 +27,8 @@
             f'{name}_seconds_bucket{{le="0.5",route="plans"}} 3.0',
             f'{name}_seconds_bucket{{le="+Inf",route="plans"}} 4.0',
             f'{name}_seconds_count{{route="plans"}} 4.0',
-            "bergamotsaddle_peers_alive 7.0",
+            f'{PREFIX}failed_attempts_total{{reason="silent",route="plans"}} 1.0',
+            f'{PREFIX}cut_streams_total{{reason="no repeats",route="plans"}} 1.0',
+            f"{PREFIX}peers_alive 7.0",
         ):
             self.assertIn(line, lines)
