--- a/packages/serving/bergamotsaddle_serving/attempt.py
+++ b/packages/serving/bergamotsaddle_serving/attempt.py
@@ -1,7 +1,7 @@
 """Sends one request to one target and reads its response."""
 
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 from bergamotsaddle_contracts.errors import BergamotsaddleError
 from bergamotsaddle_daemon.clock import now
@@ -18,6 +18,8 @@
 from bergamotsaddle_serving.health import TargetState
 from bergamotsaddle_serving.messages import Dialect, Dispatch, HttpCall, ResponseHead
 
+T = TypeVar("T")
+
 _MISDIRECTED = 421
 # Refused connections of one request. Each takes a round trip to a crashed target, which
 # is cheap but should not go on for long.
@@ -58,6 +60,16 @@
         self.reason = reason
 
 
+class SilentError(OutcomeUnknownError):
+    """The target has sent nothing for a time, but may still go on.
+
+    The connection is open, and the part that was being read may be read again.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(SILENT)
+
+
 class Response(NamedTuple):
     """Head of a target's response.
 
@@ -104,6 +116,8 @@
         self._dialect = dialect
         self._connection: Connection | None = None
         self._keep_alive_seconds: float | None = None
+        self._is_silent = False
+        self._is_writing = False
         self.started_at = now()
 
     def __enter__(self) -> "Attempt":
@@ -112,6 +126,9 @@
 
     def __exit__(self, *_: object) -> None:
         self._state.in_flight -= 1
+        self._state.silent -= self._is_silent
+        self._state.writing -= self._is_writing
+        self._is_silent = self._is_writing = False
         if self._connection is not None:
             self._connection.close()
 
@@ -129,7 +146,7 @@
 
         Args:
             dispatch: Parameters of the request for the target.
-            limit: Seconds after which a silent target counts as lost.
+            limit: Seconds after which a target that sends nothing counts as silent.
             max_wait: Seconds to wait for a target while ``keeps_waiting`` says so.
                 Defaults to ``limit``.
             keeps_waiting: Returns whether to wait for longer than the limit. By
@@ -143,6 +160,7 @@
 
         Raises:
             NotRunError: If the target did not run the request.
+            SilentError: If the head did not arrive within the limit.
             OutcomeUnknownError: If the target may have run the request.
         """
         context = self._context
@@ -159,19 +177,34 @@
             raise NotRunError("left")
         context.progress.is_sent = True
         context.progress.is_framed = None
-        try:
-            size = connection.send(call, limit=limit)
-            if on_sent is not None:
-                on_sent(size)
-            head = self._read_head(connection, limit, max_wait or limit, keeps_waiting)
-        except ConnectionLostError as error:
-            self._state.record_failure(is_certain=False)
-            raise OutcomeUnknownError(error.reason) from error
+        size = self._read(lambda: connection.send(call, limit=limit))
+        if on_sent is not None:
+            on_sent(size)
+        return self.read_response(
+            limit=limit, max_wait=max_wait, keeps_waiting=keeps_waiting
+        )
+
+    def read_response(
+        self,
+        *,
+        limit: float,
+        max_wait: float | None = None,
+        keeps_waiting: Callable[[], bool] | None = None,
+    ) -> Response:
+        """Wait for the head of the response, as ``send`` does.
+
+        Raises:
+            NotRunError: If the target did not run the request.
+            SilentError: If the head did not arrive within the limit.
+            OutcomeUnknownError: If the target may have run the request.
+        """
+        head = self._read(
+            lambda: self._read_head(limit, max_wait or limit, keeps_waiting)
+        )
         return self._check_head(head)
 
     def _read_head(
         self,
-        connection: Connection,
         limit: float,
         max_wait: float,
         keeps_waiting: Callable[[], bool] | None,
@@ -180,7 +213,7 @@
         while True:
             waiting_since = now()
             try:
-                return connection.read_head(
+                return self._connection.read_head(
                     limit=min(limit, deadline_at - waiting_since)
                 )
             except ConnectionLostError as error:
@@ -194,17 +227,18 @@
         """Read the complete body.
 
         Args:
-            limit: Seconds after which the target counts as lost.
+            limit: Seconds after which the target counts as silent.
             max_bytes: Size that the body may have.
 
         Raises:
+            SilentError: If it did not arrive within the limit. What has arrived is
+                kept for the next call.
             OutcomeUnknownError: If the body is incomplete.
         """
-        try:
-            body = self._connection.read_body(limit=limit, max_bytes=max_bytes)
-        except ConnectionLostError as error:
-            self._state.record_failure(is_certain=False)
-            raise OutcomeUnknownError(error.reason) from error
+        connection = self._connection
+        body = self._read(
+            lambda: connection.read_body(limit=limit, max_bytes=max_bytes)
+        )
         self._return_connection()
         return body
 
@@ -212,21 +246,48 @@
         """Read the next chunk of the body.
 
         Args:
-            limit: Seconds after which a silent target counts as lost.
+            limit: Seconds after which the target counts as silent.
 
         Returns:
             The chunk, None at the end of the body. ``finish_stream`` must follow it.
 
         Raises:
-            OutcomeUnknownError: If the body broke off or nothing arrived in time.
+            SilentError: If nothing arrived within the limit.
+            OutcomeUnknownError: If the body broke off.
+        """
+        data = self._read(lambda: self._connection.read_some(limit=limit))
+        self._state.last_seen_at = self._pool.last_response_at = now()
+        if data is not None and not self._is_writing:
+            self._is_writing = True
+            self._state.writing += 1
+        return data
+
+    def _read(self, part: Callable[[], T]) -> T:
+        """Use the connection, and record whether the target is silent.
+
+        Raises:
+            SilentError: If the target sent nothing in time.
+            OutcomeUnknownError: If the connection failed.
         """
         try:
-            data = self._connection.read_some(limit=limit)
+            value = part()
         except ConnectionLostError as error:
+            if error.reason != SILENT:
+                self._state.record_failure(is_certain=False)
+                raise OutcomeUnknownError(error.reason) from error
+            self._record_silence()
+            raise SilentError from error
+        if self._is_silent:
+            self._is_silent = False
+            self._state.silent -= 1
+            self._state.record_end_of_silence()
+        return value
+
+    def _record_silence(self) -> None:
+        if not self._is_silent:
+            self._is_silent = True
+            self._state.silent += 1
             self._state.record_failure(is_certain=False)
-            raise OutcomeUnknownError(error.reason) from error
-        self._state.last_seen_at = self._pool.last_response_at = now()
-        return data
 
     def finish_stream(self, *, is_whole: bool) -> None:
         """End a response that was read to the end of its body.
--- a/packages/serving/bergamotsaddle_serving/budget.py
+++ b/packages/serving/bergamotsaddle_serving/budget.py
@@ -19,8 +19,14 @@
         self._seconds = seconds
         self._times: deque[float] = deque()
 
-    def add(self) -> None:
-        self._times.append(now())
+    def add(self) -> float:
+        at = now()
+        self._times.append(at)
+        return at
+
+    def remove(self, at: float) -> None:
+        if at in self._times:
+            self._times.remove(at)
 
     def count(self) -> int:
         start = now() - self._seconds
@@ -29,6 +35,29 @@
         return len(self._times)
 
 
+class Repeat:
+    """One extra call that nobody else may use meanwhile.
+
+    Args:
+        window: Where extra calls are counted.
+    """
+
+    def __init__(self, window: _Window) -> None:
+        self._window = window
+        self._counted_at: float | None = window.add()
+
+    def use(self) -> None:
+        """Count the call now, as it is about to be sent."""
+        self.cancel()
+        self._window.add()
+
+    def cancel(self) -> None:
+        """Give the call back unless it was used."""
+        if self._counted_at is not None:
+            self._window.remove(self._counted_at)
+            self._counted_at = None
+
+
 class RetryBudget:
     """Limits the extra calls of each service.
 
@@ -54,11 +83,14 @@
 
     def try_acquire(self, service: str) -> bool:
         """Use one extra call and return True, or return False if none remains."""
+        return self.reserve(service) is not None
+
+    def reserve(self, service: str) -> Repeat | None:
+        """Return an extra call that is kept until it is used or canceled, if any."""
         extra = self._window(self._extra_by_service, service)
         if extra.count() + 1 > self._allowed(service):
-            return False
-        extra.add()
-        return True
+            return None
+        return Repeat(extra)
 
     def remaining(self, service: str) -> float:
         """Return the number of extra calls that remain."""
--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -122,6 +122,8 @@
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sender: eventlet.greenthread.GreenThread | None = None
         self._has_peer_closed = False
+        # Chunks of a body that is being read.
+        self._chunks: list[bytes] = []
         try:
             self._socket.settimeout(max(0.001, limit))
             self._set_options()
@@ -214,6 +216,8 @@
     def read_body(self, *, limit: float, max_bytes: int) -> bytes:
         """Read the whole body of the response.
 
+        What has arrived is kept for the next call if the rest did not arrive in time.
+
         Args:
             limit: Seconds for the whole body.
             max_bytes: Maximum size of the body.
@@ -222,13 +226,14 @@
             ConnectionLostError: If the body is incomplete or too large.
         """
         until = now() + limit
-        chunks = []
-        size = 0
+        chunks = self._chunks
+        size = sum(map(len, chunks))
         while (data := self.read_some(limit=until - now())) is not None:
             chunks.append(data)
             size += len(data)
             if size > max_bytes:
                 raise ConnectionLostError("too_long")
+        self._chunks = []
         return b"".join(chunks)
 
     def read_some(self, *, limit: float) -> bytes | None:
--- a/packages/serving/bergamotsaddle_serving/health.py
+++ b/packages/serving/bergamotsaddle_serving/health.py
@@ -37,6 +37,9 @@
         failures: Number of failures in a row.
         backoff_until: When the target may get requests again.
         last_seen_at: When it last responded.
+        silent: Running requests of this instance that have waited for longer than
+            their limit.
+        writing: Running requests of this instance whose bodies have begun to arrive.
         load: Last load that it reported, None before the first report.
         load_at: When it reported that load.
     """
@@ -56,6 +59,8 @@
         self.failures = 0
         self.backoff_until = 0.0
         self.last_seen_at = 0.0
+        self.silent = 0
+        self.writing = 0
         self.load: TargetLoad | None = None
         self.load_at = 0.0
 
@@ -63,6 +68,15 @@
         """Return whether the target gets no requests after recent failures."""
         return now() < self.backoff_until
 
+    def is_quiet(self, seconds: float) -> bool:
+        """Return whether the target seems to have stopped.
+
+        Args:
+            seconds: Pause between two parts of a response that is not unusual.
+        """
+        is_overdue = now() - self.last_seen_at > seconds
+        return self.silent > 0 or (self.writing > 0 and is_overdue)
+
     def record_load(self, load: TargetLoad | None) -> None:
         """Record the load that the target reports, if any."""
         if load is not None:
@@ -89,6 +103,12 @@
         self.last_seen_at = now()
         self.latency += _LATENCY_WEIGHT * (seconds - self.latency)
 
+    def record_end_of_silence(self) -> None:
+        """Record that the target goes on after a silence."""
+        self.failures = 0
+        self.backoff_until = 0.0
+        self.last_seen_at = now()
+
     def record_failure(self, *, is_certain: bool) -> None:
         """Record a failure.
 
--- a/tests/test_joint_limits.py
+++ b/tests/test_joint_limits.py
@@ -39,6 +39,36 @@
     def test_an_idle_instance_may_retry_once(self):
         self.assertTrue(RetryBudget(BOUNDS, lambda: 500).try_acquire("s"))
 
+    @parameterized.expand(
+        [("kept", None, 0), ("canceled", "cancel", 1), ("used", "use", 0)]
+    )
+    def test_a_reserved_repeat(self, _, action, expected):
+        """Guards against a repeat that two requests count on."""
+        budget = RetryBudget(BOUNDS, lambda: 500)
+        repeat = budget.reserve("s")
+        if action is not None:
+            getattr(repeat, action)()
+        self.assertEqual(budget.reserve("s") is not None, bool(expected))
+
+    def test_a_repeat_counts_from_its_use(self):
+        """Guards against a window that misses repeats that were reserved long ago."""
+        budget = RetryBudget(BOUNDS, lambda: 500)
+        repeat = budget.reserve("s")
+        advance(9.0)
+        repeat.use()
+        advance(5.0)
+        self.assertIsNone(budget.reserve("s"))
+        advance(5.0)
+        self.assertIsNotNone(budget.reserve("s"))
+
+    def test_a_used_repeat_is_not_given_back(self):
+        """Guards against a sent repeat that does not count."""
+        budget = RetryBudget(BOUNDS, lambda: 500)
+        repeat = budget.reserve("s")
+        repeat.use()
+        repeat.cancel()
+        self.assertIsNone(budget.reserve("s"))
+
 
 class ColdRateTest(unittest.TestCase):
     """Requests to a cold target from all instances."""
--- a/tests/test_serving_client.py
+++ b/tests/test_serving_client.py
@@ -72,6 +72,29 @@
     return head.status, connection.read_body(limit=limit, max_bytes=100)
 
 
+class PausedBodyTest(unittest.TestCase):
+    """A body whose parts arrive with a pause between them."""
+
+    def test_the_parts_before_a_pause_are_kept(self):
+        """Guards against a body that lacks what came before its reader gave up."""
+        listener = eventlet.listen(("127.0.0.1", 0))
+
+        def serve():
+            sock, _ = listener.accept()
+            sock.recv(65_536)
+            sock.sendall(CHUNKED + b"2\r\nok\r\n")
+            eventlet.sleep(0.3)
+            sock.sendall(b"1\r\n!\r\n0\r\n\r\n")
+
+        eventlet.spawn_n(serve)
+        connection = Connection(Address(*listener.getsockname()))
+        connection.send(REQUEST, limit=1.0)
+        connection.read_head(limit=1.0)
+        with self.assertRaises(ConnectionLostError):
+            connection.read_body(limit=0.1, max_bytes=100)
+        self.assertEqual(connection.read_body(limit=1.0, max_bytes=100), b"ok!")
+
+
 class SilenceTest(unittest.TestCase):
     """The kernel's patience with a target that acknowledges nothing."""
 
