--- a/tests/_resumptions.py
+++ b/tests/_resumptions.py
@@ -84,9 +84,14 @@
         self.history.refresh()
 
 
-def make_lone_resumptions(*targets):
-    """Return the resumptions of an instance without peers."""
+def make_lone_instance(*targets):
+    """Return an instance without peers, which knows targets."""
     instance = OriginInstance(next(iter(PeerFleet(1))))
     instance.list_targets(*targets)
     instance.view.confirmed_at = float("inf")
-    return instance.resumptions
+    return instance
+
+
+def make_lone_resumptions(*targets):
+    """Return the resumptions of an instance without peers."""
+    return make_lone_instance(*targets).resumptions
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -174,13 +174,14 @@
     return Context(head, raw.body, route, service, None, *times, 1, 0, Progress())
 
 
-def read_response(client, version):
+def read_response(client, version, *, on_data=lambda: None):
     """Read a response.
 
     Args:
         client: The caller's socket.
         version: Minor version of HTTP in the request. With 0 the response ends with
             its connection.
+        on_data: Called when a part of the body has arrived.
 
     Returns:
         Status, body, and whether the framing says that the response is complete.
@@ -198,28 +199,44 @@
                 status = event.status_code
             elif isinstance(event, h11.Data):
                 body += bytes(event.data)
+                on_data()
             else:
                 return status, body, isinstance(event, h11.EndOfMessage)
     except (OSError, h11.RemoteProtocolError):
         return status, body, False
 
 
-def relay(engine, *, version=1, is_resumable=False):
-    """Send one request through an instance and return what its caller got."""
+def connect(server, make_request_context, *, budget=None):
+    """Return a caller's connection to an instance.
+
+    Args:
+        server: Serves streams.
+        make_request_context: Called with the head and the whole of a request; returns
+            its context.
+        budget: Counts requests, None if nothing does.
+    """
     mocks = [mock.MagicMock() for _ in range(7)]
-    mocks[2] = make_server(engine)
+    mocks[2] = server
+    mocks[3] = budget or mocks[3]
     mocks[4] = PlatformDialect()
     suspects = mock.Mock(is_quarantined=lambda fingerprint: False)
     handler = Handler(*mocks, suspects=suspects)
-    handler._make_context = lambda head, raw: make_context(
-        head, raw, is_resumable=is_resumable
-    )
+    handler._make_context = make_request_context
     listener = eventlet.listen((HOST, 0))
     client = eventlet.connect(listener.getsockname())
     accepted, _ = listener.accept()
     listener.close()
     caller = CallerConnection(accepted, CallerLimits, lambda: False)
     eventlet.spawn_n(handler.run, caller)
+    return client
+
+
+def relay(engine, *, version=1, is_resumable=False):
+    """Send one request through an instance and return what its caller got."""
+    client = connect(
+        make_server(engine),
+        lambda head, raw: make_context(head, raw, is_resumable=is_resumable),
+    )
     client.sendall(REQUEST % version)
     try:
         return read_response(client, version)
