--- a/packages/serving/bergamotsaddle_serving/attempt.py
+++ b/packages/serving/bergamotsaddle_serving/attempt.py
@@ -101,6 +101,7 @@
 
     Attributes:
         started_at: When the attempt was made, on the hub's clock.
+        is_sent: Whether the request was sent on a connection, whole or in part.
     """
 
     def __init__(
@@ -118,6 +119,7 @@
         self._keep_alive_seconds: float | None = None
         self._is_silent = False
         self._is_writing = False
+        self.is_sent = False
         self.started_at = now()
 
     def __enter__(self) -> "Attempt":
@@ -175,7 +177,7 @@
         self._connection = connection
         if not may_send():
             raise NotRunError("left")
-        context.progress.is_sent = True
+        self.is_sent = context.progress.is_sent = True
         context.progress.is_framed = None
         size = self._read(lambda: connection.send(call, limit=limit))
         if on_sent is not None:
--- a/packages/serving/bergamotsaddle_serving/metrics.py
+++ b/packages/serving/bergamotsaddle_serving/metrics.py
@@ -56,6 +56,7 @@
         self._requests: Counter[tuple[str, str]] = Counter()
         self._failed_attempts: Counter[tuple[str, str]] = Counter()
         self._cut_streams: Counter[tuple[str, str]] = Counter()
+        self._silences: Counter[tuple[str, str]] = Counter()
         self._durations_by_route: dict[str, _Histogram] = {}
         self._gauges: list[_Gauge] = []
 
@@ -72,6 +73,10 @@
         """Count a stream that ended between its first and its last event."""
         self._cut_streams[route, reason] += 1
 
+    def count_silence(self, route: str, end: str) -> None:
+        """Count a run of a stream that sent nothing for longer than its limit."""
+        self._silences[route, end] += 1
+
     def add_gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Add a gauge.
 
@@ -108,6 +113,12 @@
                 "reason",
                 self._cut_streams,
             ),
+            (
+                "silences",
+                "Silent runs of streams, by route and how the silence ended.",
+                "end",
+                self._silences,
+            ),
         )
         for name, text, label, count_by_labels in counters:
             family = core.CounterMetricFamily(
--- a/packages/serving/bergamotsaddle_serving/race.py
+++ b/packages/serving/bergamotsaddle_serving/race.py
@@ -52,6 +52,10 @@
         """Return whether a function was started and its end has not been returned."""
         return name in self._thread_by_name
 
+    def __len__(self) -> int:
+        """Return the number of functions whose end has not been returned."""
+        return len(self._thread_by_name)
+
     def start(self, name: str, function: Callable[[], T]) -> None:
         """Start a function.
 
--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -22,33 +22,31 @@
 from bergamotsaddle_serving.attempt import (
     MAX_REFUSED_CONNECTIONS,
     NOT_RUN_STATUSES,
-    Attempt,
     NotRunError,
     OutcomeUnknownError,
-    Response,
+    SilentError,
 )
+from bergamotsaddle_serving.budget import Repeat
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.catalog import Target
+from bergamotsaddle_serving.client import SILENT
 from bergamotsaddle_serving.context import MAX_LOGGED_NAMES, Context
-from bergamotsaddle_serving.engine_choice import (
-    EngineChoice,
-    unshared_tokens,
-)
-from bergamotsaddle_serving.events import EventSplitter
+from bergamotsaddle_serving.engine_choice import EngineChoice
+from bergamotsaddle_serving.engine_run import EngineRun
+from bergamotsaddle_serving.events import StreamEvent
+from bergamotsaddle_serving.hedged_read import Progress, read_hedged
 from bergamotsaddle_serving.messages import Dispatch
-from bergamotsaddle_serving.selector import Candidate
 from bergamotsaddle_serving.stage_load import place
 from bergamotsaddle_serving.stage_run import StageRun
 from bergamotsaddle_serving.stream_output import StreamOutput
-from bergamotsaddle_serving.suspect_parts import HeldPart, Work
+from bergamotsaddle_serving.suspect_parts import HeldPart
 
 if TYPE_CHECKING:
     from bergamotsaddle_serving.streams import StreamServer
 
-_MAX_RESPONSE_BYTES = 1_000_000
 # An engine that sends nothing in the middle of a stream for the longer of this time and
-# several times the longest pause that is on time counts as lost. Callers give up after
-# 2 s.
+# several times the longest pause that is on time counts as silent. Callers give
+# up after 2 s.
 _MIN_EVENT_TIMEOUT_S = 1.0
 _EVENT_TIMEOUT_GAPS = 3.0
 # The same before the first event. It is longer because an engine sends nothing while it
@@ -61,17 +59,31 @@
 # longer, the requests that use them would arrive at the engine together.
 _PERMIT_LIFETIME_S = 1.5
 _CONFLICT = 409
+_SERVER_ERROR = 500
 _REPLACED = "replaced"
 _QUARANTINED = "quarantined"
+# Pause between attempts to prepare a hedge.
+_HEDGE_PAUSE_S = 0.2
+# How a silence ends.
+_GOES_ON = "goes on"
+_HEDGED = "hedged"
+_FAILED = "failed"
+_ABANDONED = "abandoned"
 
 
 class StreamRun:
     """State of one streaming request while it is served.
 
+    A run that falls silent stays open while another one, the hedge, is prepared beside
+    it. The run whose next event arrives first goes on, and the other one is closed.
+
     Args:
         server: The server that the request came to.
         context: The request.
         caller: Connection that receives the response.
+
+    Attributes:
+        runs: Open runs, the oldest one first. All but the last one are silent.
     """
 
     def __init__(
@@ -85,16 +97,13 @@
         self._release_timer: GreenThread | None = None
         self._output = StreamOutput(caller, context.head.last_event_id)
         self._exclude: set[str] = set()
-        # Whether another engine than the one in use may go on with the stream.
-        self._has_another_engine = True
-        # What runs the current attempt, None if nothing does.
-        self._runner: greenlet | None = None
-        self._target: Target | None = None
-        self._is_trial = False
-        # When the engine of the current attempt got the request.
-        self._sent_at: float | None = None
-        # When it sent its first event.
-        self._writing_since: float | None = None
+        self.runs: list[EngineRun] = []
+        # Why no hedge could be had in the current silence, empty if that is unknown.
+        self._lack = ""
+        # What waits for events of the open runs, None if nothing does.
+        self._reader: greenlet | None = None
+        # A run whose failure is forwarded unless another engine does better.
+        self._failed_run: EngineRun | None = None
         # Id of an engine, and until when its permit is used.
         self._permit = ("", 0.0)
         self._was_offered = False
@@ -104,6 +113,24 @@
 
     def run(self) -> None:
         """Run the stages, then try engines until one has completed the stream."""
+        try:
+            self._run()
+        except RequestError as error:
+            if self._output.has_started:
+                route = self._context.route.name
+                self._server.metrics.count_cut_stream(route, error.detail)
+            elif self._failed_run is not None:
+                self._output.respond(self._failed_run.response, self._failed_run.body)
+                return
+            raise
+        except BergamotsaddleError:
+            # The caller left or the deadline passed while engines worked on it.
+            self._record_abandoned()
+            raise
+        finally:
+            self._close_runs()
+
+    def _run(self) -> None:
         self._check_quarantine()
         choice = self._choose()
         self._admit(choice)
@@ -284,52 +311,206 @@
         """Send the request to an engine and relay its response.
 
         Returns:
-            Whether a response was relayed. Otherwise another engine is to be tried.
+            Whether the response was relayed completely. Otherwise another engine may
+            be tried.
         """
-        context = self._context
-        candidate = self._server.candidate(context, choice.engine)
+        run = self._make_run(choice)
+        if run is None:
+            return False
+        self._start(run)
+        while self.runs:
+            try:
+                progress = self._read()
+                if progress is not None and self._forward(progress):
+                    return True
+            except (NotRunError, OutcomeUnknownError) as error:
+                for run in list(self.runs):
+                    self.end_run(run, error)
+        self._check_way_on()
+        return False
+
+    def _forward(self, progress: Progress) -> bool:
+        """Forward what a run has read; return whether that ends the response."""
+        run, events = progress
+        if events:
+            self._relay(run, events)
+            return False
+        if not run.response.is_success:
+            return self._forward_failure(run)
+        self._release_inputs()
+        self._output.finish(run.response, run.remainder)
+        is_framed = run.response.head.is_framed
+        self._server.crashes.record_success(run.target, [run.work], is_framed=is_framed)
+        return True
+
+    def _make_run(
+        self, choice: EngineChoice, repeat: Repeat | None = None
+    ) -> EngineRun | None:
+        """Return a run at an engine, None if the engine may not be used now.
+
+        Args:
+            choice: How the engine was chosen.
+            repeat: Repeat that is reserved for the run, None to acquire one if the
+                request needs it.
+
+        Raises:
+            RequestError: If no repeat is left, or the request is quarantined.
+        """
+        candidate = self._server.candidate(self._context, choice.engine)
         if candidate is None or not self._server.selector.may_send(candidate):
             self._exclude.add(choice.engine.id)
-            return False
+            return None
         if not self._use_permit(choice):
-            return False
-        is_repeat = self._was_offered
-        if is_repeat and not self._server.budget.try_acquire(context.service.name):
-            raise self._failure_error("no repeats are left")
+            return None
+        if self._was_offered and repeat is None:
+            repeat = self._server.budget.reserve(self._context.service.name)
+            if repeat is None:
+                raise self._failure_error("no repeats are left")
         self._check_quarantine()
-        parts = self._server.crashes.parts
-        self._is_trial = parts.record_sent(context.head.shared_parts)
-        self._server.selector.record_sent(candidate, context.service)
+        return EngineRun(self._server, self._context, candidate, choice, repeat=repeat)
+
+    def _start(self, run: EngineRun) -> None:
+        context = self._context
+        dispatch = Dispatch(
+            run.target,
+            context.remaining,
+            context.team,
+            context.urgency,
+            self._inputs or (),
+            self._output.last_id,
+        )
         self._was_offered = True
-        self._writing_since = None
-        self._sent_at = now()
-        target = candidate.target
+        self.runs.append(run)
+        run.start(dispatch, self._release_when_fetched)
+
+    def _read(self) -> Progress | None:
+        """Wait for the next events, and prepare a hedge if the engine is silent.
+
+        Returns:
+            The progress of the run that goes on, None if no run is left.
+
+        Raises:
+            NotRunError: If the engine did not run the request.
+            OutcomeUnknownError: If all open runs have to be closed.
+        """
+        (run,) = self.runs
+        self._reader = eventlet.getcurrent()
+        self._server.ongoing_runs.add(self)
         try:
-            with self._server.crashes.watch(target, candidate.state, self._work()):
-                response = self._send(candidate, choice)
-        except NotRunError as error:
-            self._was_offered = is_repeat or not error.is_connection_refused
-            self._log_failed_attempt(candidate, error.reason, "no", error.status)
-            self._handle_refusal(candidate, error)
-            return False
-        except OutcomeUnknownError as error:
-            self._log_failed_attempt(candidate, error.reason, "unknown")
-            self._server.crashes.record_failure(target, [self._work()], error.reason)
-            self._exclude.add(target.id)
+            return Progress(run, run.read(limit=self.read_limit(run)))
+        except SilentError:
+            return self._read_silent(run)
+        finally:
+            self._reader = None
+            self._server.ongoing_runs.discard(self)
+
+    def _read_silent(self, silent: EngineRun) -> Progress | None:
+        """Wait for the next events of a silent run or of a hedge.
+
+        Returns:
+            As ``_read``.
+        """
+        since = now()
+        end = _ABANDONED
+        self._record_silence(silent)
+        try:
+            progress = read_hedged(self)
+            end = _FAILED
+            if progress is not None:
+                end = _GOES_ON if progress.run is silent else _HEDGED
+                self._keep_only(progress.run)
+            return progress
+        finally:
+            self._server.metrics.count_silence(self._context.route.name, end)
+            self._server.logger.info(
+                "silence_ended",
+                request=self._context.head.id,
+                target=silent.id,
+                end=end,
+                lack=self._lack,
+                seconds=round(now() - since, 3),
+            )
+
+    def _record_silence(self, run: EngineRun) -> None:
+        self._lack = ""
+        crashes = self._server.crashes
+        crashes.record_failure(run.target, [run.work], SILENT)
+        self._log_attempt("attempt_silent", run, SILENT, "unknown")
+
+    def _keep_only(self, kept: EngineRun) -> None:
+        """Close all runs but one, which goes on with the stream."""
+        for run in list(self.runs):
+            if run is kept:
+                continue
+            if not run.is_silent:
+                # The engine may go on for a moment after it has lost its caller.
+                self._server.crashes.record_abandoned(run.target, run.work)
+            self._log_attempt("attempt_failed", run, SILENT, "unknown")
+            self._close(run)
+            self._exclude.add(run.id)
             self._possible_runs += 1
-            self._check_resumable()
-            return False
-        except RequestError:
-            raise
-        except BergamotsaddleError:
-            # The caller left or the deadline passed while the engine worked on it.
-            self._server.crashes.record_abandoned(target, self._work())
-            raise
-        if response.is_success:
-            self._server.crashes.record_success(
-                target, [self._work()], is_framed=response.head.is_framed
+        # A hedge may have begun to run its stages.
+        self._release_inputs()
+
+    def may_hedge(self) -> bool:
+        """Return whether all open runs are silent and another one may be added."""
+        return all(run.is_silent for run in self.runs) and self._may_run_again()
+
+    def prepare_hedge(self) -> EngineRun | None:
+        """Start another run, or return None after a pause if there can't be one."""
+        try:
+            run, lack = self._make_hedge()
+        except RequestError as error:
+            run, lack = None, error.detail
+        if run is not None:
+            self._log_attempt("hedge_started", run, "", "no")
+            return run
+        if lack != self._lack:
+            self._lack = lack
+            self._server.logger.info(
+                "hedge_lacking", request=self._context.head.id, lack=lack
             )
-        return True
+        eventlet.sleep(_HEDGE_PAUSE_S)
+        return None
+
+    def _make_hedge(self) -> tuple[EngineRun | None, str]:
+        """Start another run with all that it needs.
+
+        Returns:
+            The run, or None and what it lacks.
+
+        Raises:
+            RequestError: If its stages can't be run, or the request is quarantined.
+        """
+        repeat = self._server.budget.reserve(self._context.service.name)
+        if repeat is None:
+            return None, "no repeat is left"
+        try:
+            choice = self._choose_hedge()
+            if choice is None:
+                return None, "no other engine responds"
+            self._check_quarantine()
+            if self._inputs is None:
+                self._run_stages(choice)
+            run = self._make_run(choice, repeat)
+            if run is None:
+                return None, "the engine may not be used"
+            self._start(run)
+            return run, ""
+        finally:
+            repeat.cancel()
+
+    def _choose_hedge(self) -> EngineChoice | None:
+        """Choose an engine that is not silent itself, None if there is none."""
+        server = self._server
+        pause = self._event_pause() / 2.0
+        exclude = self._exclude | {run.id for run in self.runs}
+        while (choice := server.choose(self._context, exclude)) is not None:
+            candidate = server.candidate(self._context, choice.engine)
+            if candidate is not None and not candidate.state.is_quiet(pause):
+                return choice
+            exclude.add(choice.engine.id)
+        return None
 
     def _check_quarantine(self) -> None:
         """Raise an error if the request has been quarantined in the meantime."""
@@ -346,146 +527,55 @@
         raise context.quarantine_error(held.part if held is not None else None)
 
     def abort_if_quarantined(self, *, checks_parts: bool = True) -> None:
-        """Abort the current attempt if the request is quarantined.
+        """Abort the open runs if the request is quarantined.
 
-        Quarantine of a part aborts no attempt that has an event: the part crashes
+        Quarantine of a part aborts no stream that has an event: the part crashes
         engines as they begin to write.
         """
-        if self._runner is None or self._is_trial:
+        if self._reader is None or any(run.is_trial for run in self.runs):
             return
         suspects = self._server.crashes.suspects
-        is_waiting = checks_parts and self._writing_since is None
-        has_part = is_waiting and self._has_held_part()
+        is_waiting = all(run.writing_since is None for run in self.runs)
+        has_part = checks_parts and is_waiting and self._has_held_part()
         if not has_part and not suspects.is_quarantined(self._context.fingerprint):
             return
-        self._server.crashes.record_abandoned(self._target, self._work())
-        eventlet.kill(self._runner, OutcomeUnknownError(_QUARANTINED))
+        self._record_abandoned()
+        eventlet.kill(self._reader, OutcomeUnknownError(_QUARANTINED))
 
     def _has_held_part(self) -> bool:
         parts = self._server.crashes.parts
         return parts.find_held(self._context.head.shared_parts) is not None
 
-    def _work(self) -> Work:
-        """Return what the engine runs in the current attempt."""
-        context = self._context
-        return Work(
-            context.fingerprint,
-            context.head.shared_parts,
-            self._writing_since,
-            self._sent_at,
-            context.head.id,
-        )
-
-    def _send(self, candidate: Candidate, choice: EngineChoice) -> Response:
-        """Send the request to an engine and relay its response.
-
-        Returns:
-            The head of the response, which was relayed completely.
-
-        Raises:
-            NotRunError: If the engine did not run the request.
-            OutcomeUnknownError: If the response is incomplete.
-        """
-        context = self._context
-        state = candidate.state
-        tokens = self._prefill_tokens(choice)
-        state.prompt_tokens_ahead += tokens
-        is_prefilling = True
-        server = self._server
-        try:
-            with Attempt(context, state, server.pool, server.dialect) as attempt:
-                dispatch = Dispatch(
-                    candidate.target,
-                    context.remaining,
-                    context.team,
-                    context.urgency,
-                    self._inputs or (),
-                    self._output.last_id,
-                )
-                limit = self._first_event_timeout(choice)
-                self._start_running(candidate.target)
-                response = attempt.send(
-                    dispatch,
-                    limit=limit,
-                    max_wait=context.remaining,
-                    on_sent=self._release_when_fetched,
-                    may_send=lambda: server.selector.may_send(candidate),
-                )
-                if not response.is_success:
-                    self._forward_failure(attempt, response)
-                    return response
-                splitter = EventSplitter()
-                data = attempt.read_some(limit=limit)
-                if data is None and not self._is_behind_last_event(response, splitter):
-                    attempt.finish_stream(is_whole=False)
-                state.prompt_tokens_ahead -= tokens
-                is_prefilling = False
-                seconds = now() - attempt.started_at
-                state.record_success(seconds)
-                server.logger.info(
-                    "first_event",
-                    request=context.head.id,
-                    target=candidate.target.id,
-                    seconds=round(seconds, 3),
-                    expected=round(choice.finish_seconds, 3),
-                    software=candidate.target.software,
-                    tokens=tokens,
-                    since=round(now() - context.started_at, 3),
-                )
-                server.record_cached_prefix(candidate.target.id, context)
-                self._release_inputs()
-                self._relay(attempt, response, splitter, data, candidate.target)
-                return response
-        finally:
-            self._stop_running()
-            if is_prefilling:
-                state.prompt_tokens_ahead -= tokens
-
-    def _start_running(self, target: Target) -> None:
-        self._target = target
-        self._runner = eventlet.getcurrent()
-        self._server.ongoing_runs.add(self)
+    def _record_abandoned(self) -> None:
+        for run in self.runs:
+            self._server.crashes.record_abandoned(run.target, run.work)
 
-    def _stop_running(self) -> None:
-        self._runner = None
-        self._server.ongoing_runs.discard(self)
-
-    def _prefill_tokens(self, choice: EngineChoice) -> int:
-        """Return how many prompt tokens the engine has to read."""
-        head = self._context.head
-        if choice.reason == "free":
-            return head.prompt_tokens
-        return unshared_tokens(head.prompt, head.prompt_tokens)
-
-    def _relay(
-        self,
-        attempt: Attempt,
-        response: Response,
-        splitter: EventSplitter,
-        data: bytes | None,
-        target: Target,
-    ) -> None:
-        """Relay complete events until the stream ends, the first bytes included.
+    def _relay(self, run: EngineRun, events: list[StreamEvent]) -> None:
+        """Send events to the caller.
 
         Raises:
-            OutcomeUnknownError: If the stream broke off.
+            OutcomeUnknownError: If the engine may run other software by now.
         """
-        is_bound = False
-        while data is not None:
-            for event in splitter.feed(data):
-                if self._writing_since is None:
-                    self._writing_since = now()
-                if not is_bound:
-                    self._bind(target)
-                    is_bound = True
-                self._output.send(response, event)
-            data = attempt.read_some(limit=self._event_timeout())
-        is_nothing_left = self._is_behind_last_event(response, splitter)
-        is_whole = is_nothing_left or splitter.may_end()
-        if not response.head.is_framed:
-            is_whole &= not self._server.crashes.has_ended_with_target(target)
-        attempt.finish_stream(is_whole=is_whole)
-        self._output.finish(response, splitter.remainder)
+        if run.writing_since is None:
+            self._record_first_event(run)
+            self._bind(run.target)
+        for event in events:
+            self._output.send(run.response, event)
+
+    def _record_first_event(self, run: EngineRun) -> None:
+        run.record_first_event()
+        self._server.logger.info(
+            "first_event",
+            request=self._context.head.id,
+            target=run.id,
+            seconds=round(now() - run.started_at, 3),
+            expected=round(run.choice.finish_seconds, 3),
+            software=run.target.software,
+            tokens=run.prompt_tokens,
+            since=round(now() - self._context.started_at, 3),
+        )
+        self._server.record_cached_prefix(run.id, self._context)
+        self._release_inputs()
 
     def _bind(self, target: Target) -> None:
         """Bind the stream to the software of the engine that sends its first event.
@@ -497,21 +587,6 @@
         if resumptions.is_replaced(target):
             raise OutcomeUnknownError(_REPLACED)
         self._context = resumptions.bind(self._context, target)
-        # If there is none, waiting for a silent engine costs nothing.
-        self._has_another_engine = resumptions.has_target(
-            self._context.origin, {*self._exclude, target.id}
-        )
-
-    def _is_behind_last_event(
-        self, response: Response, splitter: EventSplitter
-    ) -> bool:
-        """Return whether a response that ends here says that no event is left.
-
-        A stream may break off behind its last event. The engine that goes on then has
-        nothing to send, and only the framing of its response shows that it is whole.
-        """
-        is_resumed = self._output.last_id is not None
-        return is_resumed and splitter.is_empty and response.head.is_framed
 
     def _release_when_fetched(self, sent_bytes: int) -> None:
         """Release the inputs once the engine has certainly fetched them.
@@ -533,55 +608,104 @@
             self._inputs = None
         self.release()
 
-    def _forward_failure(self, attempt: Attempt, response: Response) -> None:
-        status = response.head.status
-        body = attempt.read_body(
-            limit=self._event_timeout(), max_bytes=_MAX_RESPONSE_BYTES
-        )
-        if status in NOT_RUN_STATUSES or self._output.has_started:
-            raise OutcomeUnknownError(f"status {status}")
-        if status >= 500 and self._may_run_again():
-            raise OutcomeUnknownError(f"status {status}")
-        self._output.respond(response, body)
+    def may_forward(self, run: EngineRun) -> bool:
+        """Return whether a response that has ended is for the caller in any case."""
+        if run.response.is_success:
+            return True
+        status = run.response.head.status
+        is_promise = status in NOT_RUN_STATUSES
+        is_lasting = status < _SERVER_ERROR and not is_promise
+        return is_lasting and not self._output.has_started
+
+    def _forward_failure(self, run: EngineRun) -> bool:
+        """Forward a failure unless another engine may do better.
+
+        Returns:
+            Whether it was forwarded.
+        """
+        status = run.response.head.status
+        may_forward = status not in NOT_RUN_STATUSES and not self._output.has_started
+        if may_forward and (self.may_forward(run) or not self._may_run_again()):
+            self._output.respond(run.response, run.body)
+            return True
+        self.end_run(run, OutcomeUnknownError(f"status {status}"))
+        return False
+
+    def end_run(self, run: EngineRun, error: NotRunError | OutcomeUnknownError) -> None:
+        """Close a run that failed, and record what that says of its engine."""
+        if isinstance(error, NotRunError):
+            self._was_offered = run.is_repeat or not error.is_connection_refused
+            self._log_attempt("attempt_failed", run, error.reason, "no", error.status)
+            self._close(run)
+            self._record_refusal(run, error)
+            return
+        self._log_attempt("attempt_failed", run, error.reason, "unknown")
+        self._close(run)
+        crashes = self._server.crashes
+        crashes.record_failure(run.target, [run.work], error.reason)
+        self._exclude.add(run.id)
+        self._possible_runs += 1
+        self._keep_failure(run)
+
+    def _keep_failure(self, run: EngineRun) -> None:
+        """Keep an engine's own failure, which tells the caller more than ours."""
+        response = run.response
+        if response is None or response.is_success:
+            return
+        if response.head.status not in NOT_RUN_STATUSES:
+            self._failed_run = run
 
-    def _handle_refusal(self, candidate: Candidate, error: NotRunError) -> None:
+    def _close(self, run: EngineRun) -> None:
+        self.runs.remove(run)
+        run.close()
+
+    def _close_runs(self) -> None:
+        for run in list(self.runs):
+            self._close(run)
+
+    def _record_refusal(self, run: EngineRun, error: NotRunError) -> None:
         if error.status == _CONFLICT:
             # A result was lost with its target before the engine had fetched it.
             self.release()
             self._inputs = None
         else:
-            self._exclude.add(candidate.target.id)
+            self._exclude.add(run.id)
         self._refusals += not error.is_connection_refused
         self._refused_connections += error.is_connection_refused
-        if (
-            self._refusals > _MAX_REFUSALS
-            or self._refused_connections > MAX_REFUSED_CONNECTIONS
-        ):
-            raise self._failure_error("no engine took the request")
 
     def _may_run_again(self) -> bool:
+        """Return whether another engine may get the request beside the open runs."""
         context = self._context
         return (
             context.route.may_repeat
             and not self._output.has_unnumbered_event
-            and self._possible_runs + 1 < context.route.attempts
+            and self._possible_runs + len(self.runs) < context.route.attempts
             and context.remaining > 0
-            and self._has_another_engine
+            and self._has_certain_origin()
         )
 
-    def _check_resumable(self) -> None:
-        """Raise an error if the request must not be sent to another engine."""
+    def _has_certain_origin(self) -> bool:
         context = self._context
-        can_resume = context.route.may_repeat and not self._output.has_unnumbered_event
-        if not can_resume or self._possible_runs >= context.route.attempts:
+        return not context.origin or self._server.resumptions.is_certain(context)
+
+    def _check_way_on(self) -> None:
+        """Raise an error if the request must not be sent to another engine."""
+        if (
+            self._refusals > _MAX_REFUSALS
+            or self._refused_connections > MAX_REFUSED_CONNECTIONS
+        ):
+            raise self._failure_error("no engine took the request")
+        if not self._possible_runs:
+            return
+        route = self._context.route
+        can_resume = route.may_repeat and not self._output.has_unnumbered_event
+        if not can_resume or self._possible_runs >= route.attempts:
             raise self._failure_error("the engine broke off")
-        if context.origin and not self._server.resumptions.is_certain(context):
+        if not self._has_certain_origin():
             raise self._failure_error("which version began the stream is uncertain")
 
     def _failure_error(self, detail: str) -> RequestError:
         context = self._context
-        if self._output.has_started:
-            self._server.metrics.count_cut_stream(context.route.name, detail)
         if self._possible_runs:
             return RequestError(ErrorKind.TARGET_FAILED, detail, ran=Ran.UNKNOWN)
         server = self._server
@@ -597,24 +721,20 @@
             ErrorKind.NO_TARGET, detail, retry_after=add_jitter(wait)
         )
 
-    def _first_event_timeout(self, choice: EngineChoice) -> float:
-        """Return after how many seconds without a first event an engine is lost."""
-        context = self._context
-        if not self._may_run_again():
-            return context.remaining
-        limit = max(
-            _MIN_FIRST_EVENT_TIMEOUT_S,
-            _FIRST_EVENT_TIMEOUT_FACTOR * choice.finish_seconds,
-        )
-        return min(context.remaining, limit)
-
-    def _event_timeout(self) -> float:
-        """Return after how many seconds without an event an engine is lost."""
-        context = self._context
-        if not self._may_run_again():
-            return context.remaining
-        gap = max(_MIN_EVENT_TIMEOUT_S, _EVENT_TIMEOUT_GAPS * context.route.event_gap)
-        return min(context.remaining, gap)
+    def read_limit(self, run: EngineRun) -> float:
+        """Return after how many seconds without an event a run is silent."""
+        remaining = self._context.remaining
+        if run.is_silent or not self._may_run_again():
+            return remaining
+        if run.writing_since is not None:
+            return min(remaining, self._event_pause())
+        limit = _FIRST_EVENT_TIMEOUT_FACTOR * run.choice.finish_seconds
+        return min(remaining, max(_MIN_FIRST_EVENT_TIMEOUT_S, limit))
+
+    def _event_pause(self) -> float:
+        """Return after how many seconds without an event an engine is silent."""
+        gap = _EVENT_TIMEOUT_GAPS * self._context.route.event_gap
+        return max(_MIN_EVENT_TIMEOUT_S, gap)
 
     def _log_held_part(self, held: HeldPart) -> None:
         self._server.logger.warning(
@@ -625,17 +745,16 @@
             targets=held.targets[:MAX_LOGGED_NAMES],
         )
 
-    def _log_failed_attempt(
-        self, candidate: Candidate, reason: str, ran: str, status: int = 0
+    def _log_attempt(
+        self, event: str, run: EngineRun, reason: str, ran: str, status: int = 0
     ) -> None:
         context = self._context
-        self._server.metrics.count_failed_attempt(context.route.name, reason)
         self._server.logger.warning(
-            "attempt_failed",
+            event,
             request=context.head.id,
             work=context.fingerprint,
             parts=context.logged_parts,
-            target=candidate.target.id,
+            target=run.id,
             reason=reason,
             status=status,
             framed=context.progress.is_framed,
@@ -645,3 +764,5 @@
             repeats=self._server.budget.remaining(context.service.name),
             patience=round(self._next_event_by() - now(), 3),
         )
+        if event == "attempt_failed":
+            self._server.metrics.count_failed_attempt(context.route.name, reason)
--- a/tests/_paced_engines.py
+++ b/tests/_paced_engines.py
@@ -45,6 +45,8 @@
     b"HTTP/1.1 500 Failed\r\nX-Request-Id: %s\r\nX-Response-Seal: x\r\n"
     b"Content-Length: 0\r\n\r\n"
 )
+# Requests that an engine runs at once, so that none is turned away.
+_SLOTS = 32
 _POLL_S = 0.005
 # The budget of an instance alone takes its share for a fleet of this size, and uses a
 # fraction of that.
@@ -311,7 +313,9 @@
         self._is_numbered = is_numbered
         self.engines = [PacedEngine(s, is_numbered=is_numbered) for s in scripts]
         targets = [
-            make_target(name, "v1", service=SERVICE, address=engine.address)
+            make_target(name, "v1", service=SERVICE, address=engine.address)._replace(
+                slots=_SLOTS
+            )
             for name, engine in zip(names, self.engines, strict=True)
         ]
         refusing = {
--- a/tests/test_fatal_parts.py
+++ b/tests/test_fatal_parts.py
@@ -176,7 +176,11 @@
         load.run(4.0)
         load.run(12.0, every=4)
         running = [run for i in fleet.instances for run in i.streams.ongoing_runs]
-        waiting = [run for run in running if run._writing_since is None]
+        waiting = [
+            stream
+            for stream in running
+            if any(run.writing_since is None for run in stream.runs)
+        ]
         self.assertEqual([run for run in waiting if run._has_held_part()], [])
         times = sorted(fleet.targets.crash_times)
         self.assertLessEqual(times[-1], times[CRASHES - 1] + ABORTED_S)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -224,11 +224,11 @@
 
     @parameterized.expand(
         [
-            ("alone", {"a": "v1", "b": "v2"}, True),
-            ("two", {"a": "v1", "b": "v1"}, False),
+            ("alone", {"a": "v1", "b": "v2"}, None),
+            ("two", {"a": "v1", "b": "v1"}, "b"),
         ]
     )
-    def test_a_silent_engine(self, _, software_by_id, waits):
+    def test_a_silent_engine(self, _, software_by_id, expected):
         """Guards against streams that are given up although no other engine is left."""
         candidates = make_candidates(ADDRESS, software_by_id)
         server = make_server(candidates)
@@ -236,8 +236,11 @@
         context = make_context(head, mock.Mock(body=b""), is_resumable=True)
         run = StreamRun(server, context, mock.Mock())
         run._bind(candidates[0].target)
-        limit = run._event_timeout()
-        self.assertEqual(limit > 3.0, waits)
+        run.runs.append(SimpleNamespace(id="a", is_silent=True))
+        hedge = run._choose_hedge()
+        self.assertEqual(hedge and hedge.engine.id, expected)
+        run.runs[0].writing_since = 0.0
+        self.assertGreater(run.read_limit(run.runs[0]), 3.0)
 
     @parameterized.expand(
         [
