--- a/packages/serving/bergamotsaddle_serving/engine_run.py
+++ b/packages/serving/bergamotsaddle_serving/engine_run.py
@@ -85,6 +85,12 @@
         """Bytes behind the last complete event."""
         return self._splitter.remainder
 
+    @property
+    def is_engine_quiet(self) -> bool:
+        """Whether the engine writes responses, but has sent nothing since the start."""
+        state = self._candidate.state
+        return state.writing > 0 and state.last_seen_at <= self.started_at
+
     @property
     def prompt_tokens(self) -> int:
         """Prompt tokens that the engine has to read."""
--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -62,6 +62,9 @@
 _SERVER_ERROR = 500
 _REPLACED = "replaced"
 _QUARANTINED = "quarantined"
+_OVERTAKEN = "overtaken"
+# Pause between checks whether an engine that was quiet has fetched its inputs.
+_FETCH_CHECK_S = 0.05
 # Pause between attempts to prepare a hedge.
 _HEDGE_PAUSE_S = 0.2
 # How a silence ends.
@@ -381,7 +384,7 @@
         )
         self._was_offered = True
         self.runs.append(run)
-        run.start(dispatch, self._release_when_fetched)
+        run.start(dispatch, lambda size: self._release_when_fetched(run, size))
 
     def _read(self) -> Progress | None:
         """Wait for the next events, and prepare a hedge if the engine is silent.
@@ -445,7 +448,8 @@
             if not run.is_silent:
                 # The engine may go on for a moment after it has lost its caller.
                 self._server.crashes.record_abandoned(run.target, run.work)
-            self._log_attempt("attempt_failed", run, SILENT, "unknown")
+            reason = SILENT if run.is_silent else _OVERTAKEN
+            self._log_attempt("attempt_failed", run, reason, "unknown")
             self._close(run)
             self._exclude.add(run.id)
             self._possible_runs += 1
@@ -588,7 +592,7 @@
             raise OutcomeUnknownError(_REPLACED)
         self._context = resumptions.bind(self._context, target)
 
-    def _release_when_fetched(self, sent_bytes: int) -> None:
+    def _release_when_fetched(self, run: EngineRun, sent_bytes: int) -> None:
         """Release the inputs once the engine has certainly fetched them.
 
         An engine fetches its inputs as soon as it receives the request, but sends its
@@ -600,7 +604,15 @@
         sizes = self._context.route.stages
         max_bytes = max(stage.result_bytes for stage in sizes) * len(self._inputs)
         delay = self._server.fetch_times.seconds(max_bytes, sent_bytes)
-        self._release_timer = eventlet.spawn_after(delay, self._release_inputs)
+        self._release_timer = eventlet.spawn_after(delay, self._release_fetched, run)
+
+    def _release_fetched(self, run: EngineRun) -> None:
+        if not run.is_engine_quiet:
+            self._release_inputs()
+            return
+        self._release_timer = eventlet.spawn_after(
+            _FETCH_CHECK_S, self._release_fetched, run
+        )
 
     def _release_inputs(self) -> None:
         # If the stream breaks off later, which is rare, the stages are run again.
