--- a/packages/cli/bergamotsaddle_cli/cause.py
+++ b/packages/cli/bergamotsaddle_cli/cause.py
@@ -65,6 +65,7 @@
         )
     problems = [
         *_describe_repeated_stages(lines),
+        *_describe_silences(lines),
         *_describe_failed_attempts(lines),
         *_describe_failed_handovers(lines),
     ]
@@ -84,6 +85,15 @@
     return [f"target {f['target']} did not serve it ({f['reason']})" for f in failures]
 
 
+def _describe_silences(lines: Sequence[LogLine]) -> list[str]:
+    silences = [line.details for line in lines if line.event == "silence_ended"]
+    return [
+        f"target {s['target']} sent nothing for {s['seconds']:.2f} s beyond its limit "
+        f"({s['end']}{', ' + s['lack'] if s['lack'] else ''})"
+        for s in silences
+    ]
+
+
 def _describe_failed_handovers(lines: Sequence[LogLine]) -> list[str]:
     handovers = [line.details for line in lines if line.event == "handed_over"]
     return [
--- a/tests/test_cause.py
+++ b/tests/test_cause.py
@@ -18,6 +18,9 @@
 REJECTED = line("turn_away", expected=1.5, idle=0.5)
 STAGE_AGAIN = line("stage_again", stage=2, reason="gone")
 FAILED = line("attempt_failed", target="i-1", reason="silent")
+SILENT = line(
+    "silence_ended", target="i-1", end="goes on", lack="no repeat is left", seconds=0.2
+)
 OVERLOADED = line("handed_over", helper="b2", outcome="overloaded")
 HANDED_OVER = line("handed_over", helper="c1", outcome="whole")
 SLOW_STAGE = line("stages_done", stages=[[0, "east", 0.2, 0.3], [1, "east", 0.2, 0.9]])
@@ -58,6 +61,12 @@
                 "Stage 2 was done again (gone)",
             ),
             ("failed", [FAILED, COMPLETE], "Target i-1 did not serve it (silent)"),
+            (
+                "silent",
+                [SILENT, COMPLETE],
+                "Target i-1 sent nothing for 0.20 s beyond its limit "
+                "(goes on, no repeat is left)",
+            ),
             (
                 "helper",
                 [OVERLOADED, HANDED_OVER, COMPLETE],
