--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -3,7 +3,6 @@
 from typing import TYPE_CHECKING
 
 import eventlet
-from eventlet.greenthread import GreenThread
 from greenlet import greenlet
 
 from bergamotsaddle_contracts.errors import (
@@ -36,8 +35,7 @@
 from bergamotsaddle_serving.events import StreamEvent
 from bergamotsaddle_serving.hedged_read import Progress, read_hedged
 from bergamotsaddle_serving.messages import Dispatch
-from bergamotsaddle_serving.stage_load import place
-from bergamotsaddle_serving.stage_run import StageRun
+from bergamotsaddle_serving.stream_inputs import StreamInputs
 from bergamotsaddle_serving.stream_output import StreamOutput
 from bergamotsaddle_serving.suspect_parts import HeldPart
 
@@ -63,8 +61,6 @@
 _REPLACED = "replaced"
 _QUARANTINED = "quarantined"
 _OVERTAKEN = "overtaken"
-# Pause between checks whether an engine that was quiet has fetched its inputs.
-_FETCH_CHECK_S = 0.05
 # Pause between attempts to prepare a hedge.
 _HEDGE_PAUSE_S = 0.2
 # How a silence ends.
@@ -94,10 +90,7 @@
     ) -> None:
         self._server = server
         self._context = context
-        self._stages: StageRun | None = None
-        self._last_stages: StageRun | None = None
-        self._inputs: tuple[str, ...] | None = None
-        self._release_timer: GreenThread | None = None
+        self._inputs = StreamInputs(server, context)
         self._output = StreamOutput(caller, context.head.last_event_id)
         self._exclude: set[str] = set()
         self.runs: list[EngineRun] = []
@@ -142,7 +135,7 @@
             self._admit(choice)
         while True:
             self._check_quarantine()
-            if self._inputs is None:
+            if self._inputs.handles is None:
                 self._run_stages(choice)
             if self._try(choice):
                 return
@@ -150,12 +143,7 @@
 
     def release(self) -> None:
         """Release the results and pending pieces that the request still holds."""
-        if self._release_timer is not None:
-            self._release_timer.cancel()
-            self._release_timer = None
-        if self._stages is not None:
-            self._stages.release()
-            self._stages = None
+        self._inputs.release()
 
     def _choose(self) -> EngineChoice:
         choice = self._server.choose(self._context, self._exclude)
@@ -250,53 +238,18 @@
         )
 
     def _run_stages(self, choice: EngineChoice) -> None:
-        context = self._context
-        plan = self._server.plan(context, choice.engine.zone, choice.finish_seconds)
-        if not plan.needed:
-            self._inputs = ()
-            return
-        self.release()
-        first_round = self._last_stages.next_round if self._last_stages else 0
-        self._stages = self._last_stages = StageRun(
-            context.head,
-            context.route,
-            plan,
-            self._server.exchange,
-            self._server.logger,
-            urgency=context.urgency,
-            deadline_at=self._next_event_by(),
-            choose_queues=lambda service, stage, count: (
-                self._server.waits.choose_queues(
-                    service,
-                    context.route.stages[stage],
-                    count,
-                    place(context.urgency, has_started=bool(plan.predecessors(stage))),
-                    plan,
-                )
-            ),
-            pending=self._server.waits.pending,
-            ttl_seconds=self._server.waits.ttl_seconds,
-            first_round=first_round,
-            fingerprint=context.fingerprint,
-            has_objective=not self._output.has_started,
-        )
         try:
-            outcome = self._stages.run()
+            self._inputs.run_stages(
+                choice,
+                deadline_at=self._next_event_by(),
+                has_objective=not self._output.has_started,
+            )
         except RequestError as error:
             if self._possible_runs:
                 # The error says that the request has not run, but an earlier attempt
                 # may have run it.
                 raise self._failure_error(error.detail) from error
             raise
-        self._inputs = outcome.handles
-        self._server.logger.info(
-            "stages_done",
-            request=context.head.id,
-            zone=choice.engine.zone,
-            seconds=round(outcome.seconds, 3),
-            expected=round(plan.total_seconds(), 3),
-            stages=outcome.stages,
-        )
 
     def _next_event_by(self) -> float:
         """Return when the caller gives up waiting for the next event.
@@ -340,7 +293,7 @@
             return False
         if not run.response.is_success:
             return self._forward_failure(run)
-        self._release_inputs()
+        self._inputs.drop()
         self._output.finish(run.response, run.remainder)
         is_framed = run.response.head.is_framed
         self._server.crashes.record_success(run.target, [run.work], is_framed=is_framed)
@@ -379,12 +332,12 @@
             context.remaining,
             context.team,
             context.urgency,
-            self._inputs or (),
+            self._inputs.handles or (),
             self._output.last_id,
         )
         self._was_offered = True
         self.runs.append(run)
-        run.start(dispatch, lambda size: self._release_when_fetched(run, size))
+        run.start(dispatch, lambda size: self._inputs.release_when_fetched(run, size))
 
     def _read(self) -> Progress | None:
         """Wait for the next events, and prepare a hedge if the engine is silent.
@@ -454,7 +407,7 @@
             self._exclude.add(run.id)
             self._possible_runs += 1
         # A hedge may have begun to run its stages.
-        self._release_inputs()
+        self._inputs.drop()
 
     def may_hedge(self) -> bool:
         """Return whether all open runs are silent and another one may be added."""
@@ -494,7 +447,7 @@
             if choice is None:
                 return None, "no other engine responds"
             self._check_quarantine()
-            if self._inputs is None:
+            if self._inputs.handles is None:
                 self._run_stages(choice)
             run = self._make_run(choice, repeat)
             if run is None:
@@ -579,7 +532,7 @@
             since=round(now() - self._context.started_at, 3),
         )
         self._server.record_cached_prefix(run.id, self._context)
-        self._release_inputs()
+        self._inputs.drop()
 
     def _bind(self, target: Target) -> None:
         """Bind the stream to the software of the engine that sends its first event.
@@ -592,34 +545,6 @@
             raise OutcomeUnknownError(_REPLACED)
         self._context = resumptions.bind(self._context, target)
 
-    def _release_when_fetched(self, run: EngineRun, sent_bytes: int) -> None:
-        """Release the inputs once the engine has certainly fetched them.
-
-        An engine fetches its inputs as soon as it receives the request, but sends its
-        first event only after it has read the prompt, up to half a second later. Stage
-        targets with memory for a handful of results would be idle until then.
-        """
-        if not self._inputs:
-            return
-        sizes = self._context.route.stages
-        max_bytes = max(stage.result_bytes for stage in sizes) * len(self._inputs)
-        delay = self._server.fetch_times.seconds(max_bytes, sent_bytes)
-        self._release_timer = eventlet.spawn_after(delay, self._release_fetched, run)
-
-    def _release_fetched(self, run: EngineRun) -> None:
-        if not run.is_engine_quiet:
-            self._release_inputs()
-            return
-        self._release_timer = eventlet.spawn_after(
-            _FETCH_CHECK_S, self._release_fetched, run
-        )
-
-    def _release_inputs(self) -> None:
-        # If the stream breaks off later, which is rare, the stages are run again.
-        if self._inputs:
-            self._inputs = None
-        self.release()
-
     def may_forward(self, run: EngineRun) -> bool:
         """Return whether a response that has ended is for the caller in any case."""
         if run.response.is_success:
@@ -678,8 +603,7 @@
     def _record_refusal(self, run: EngineRun, error: NotRunError) -> None:
         if error.status == _CONFLICT:
             # A result was lost with its target before the engine had fetched it.
-            self.release()
-            self._inputs = None
+            self._inputs.forget()
         else:
             self._exclude.add(run.id)
         self._refusals += not error.is_connection_refused
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -30,6 +30,7 @@
 from bergamotsaddle_serving.health import Health
 from bergamotsaddle_serving.selector import Candidate
 from bergamotsaddle_serving.stage_run import StageOutcome
+from bergamotsaddle_serving.stream_inputs import StreamInputs
 from bergamotsaddle_serving.stream_run import StreamRun
 from bergamotsaddle_serving.streams import StreamServer
 from tests._paused import use_paused_clock, use_running_clock
@@ -267,7 +268,7 @@
         if last_event_at is not None:
             run._output.has_started = True
             run._output.last_event_at = last_event_at
-        with mock.patch(f"{StreamRun.__module__}.StageRun") as stages:
+        with mock.patch(f"{StreamInputs.__module__}.StageRun") as stages:
             stages.return_value.run.return_value = StageOutcome((), 0.0, [])
             run._run_stages(mock.Mock())
         self.assertEqual(stages.call_args.kwargs["deadline_at"], expected)
--- a/tests/test_held_inputs.py
+++ b/tests/test_held_inputs.py
@@ -12,7 +12,7 @@
 from bergamotsaddle_serving.engine_run import EngineRun
 from bergamotsaddle_serving.health import TargetState
 from bergamotsaddle_serving.selector import Candidate
-from bergamotsaddle_serving.stream_run import StreamRun
+from bergamotsaddle_serving.stream_inputs import StreamInputs
 from tests._paused import advance, use_paused_clock
 
 setUpModule = use_paused_clock
@@ -47,9 +47,9 @@
         state.last_seen_at = now()
         server = mock.Mock(fetch_times=mock.Mock(seconds=lambda *_: FETCH_S))
         route = mock.Mock(stages=[mock.Mock(result_bytes=10)])
-        stream = StreamRun(server, mock.Mock(route=route), mock.Mock())
-        stream._inputs = ("h1",)
-        stream._stages = stages = mock.Mock()
+        inputs = StreamInputs(server, mock.Mock(route=route))
+        inputs.handles = ("h1",)
+        inputs._stages = stages = mock.Mock()
         run = EngineRun(
             server,
             mock.Mock(),
@@ -58,7 +58,7 @@
             repeat=None,
         )
         run.started_at = now()
-        stream._release_when_fetched(run, REQUEST_BYTES)
+        inputs.release_when_fetched(run, REQUEST_BYTES)
         if heard_after is not None:
             eventlet.spawn_after(heard_after, self.hear, state)
         advance(PAUSE_S)
--- a/tests/test_limited_targets.py
+++ b/tests/test_limited_targets.py
@@ -144,7 +144,7 @@
 
         def delay(run, choice):
             eventlet.sleep(max(0.0, free_at - now()))
-            run._inputs = ()
+            run._inputs.handles = ()
 
         with mock.patch.object(stream_run.StreamRun, "_run_stages", delay):
             self.send_requests(10.0, 30.0)
