--- a/packages/serving/bergamotsaddle_serving/stream_inputs.py
+++ b/packages/serving/bergamotsaddle_serving/stream_inputs.py
@@ -44,6 +44,9 @@
     ) -> None:
         """Run the stages.
 
+        The objective of the route counts for the first run only. It has mostly passed
+        when an engine fails, and the caller waits for longer.
+
         Args:
             choice: The engine that needs the results.
             deadline_at: When they are useless, on the hub's clock.
@@ -58,8 +61,9 @@
             self.handles = ()
             return
         self.release()
+        is_first = self._last_stages is None
         self._stages = self._make_stages(
-            plan, deadline_at=deadline_at, has_objective=has_objective
+            plan, deadline_at=deadline_at, has_objective=has_objective and is_first
         )
         self._last_stages = self._stages
         outcome = self._stages.run()
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -273,6 +273,28 @@
             run._run_stages(mock.Mock())
         self.assertEqual(stages.call_args.kwargs["deadline_at"], expected)
 
+    @parameterized.expand(
+        [
+            ("first", False, [True]),
+            ("again", False, [True, False]),
+            ("on", True, [False]),
+        ]
+    )
+    def test_the_objective_counts_once(self, _, has_started, expected):
+        """Guards against stages that are late for an objective which has passed."""
+        server = mock.Mock()
+        server.plan.return_value = mock.Mock(needed=[0], total_seconds=lambda: 0.0)
+        route = Route("r", "h", "/", Kind.STREAM, 12.0, 1.0, 3, 0, (Share("s", 1.0),))
+        context = mock.Mock(route=route, deadline_at=12.0, first_event_by=4.0)
+        run = StreamRun(server, context, mock.Mock())
+        run._output.has_started = has_started
+        with mock.patch(f"{StreamInputs.__module__}.StageRun") as stages:
+            stages.return_value.run.return_value = StageOutcome((), 0.0, [])
+            for _ in expected:
+                run._run_stages(mock.Mock())
+        found = [call.kwargs["has_objective"] for call in stages.call_args_list]
+        self.assertEqual(found, expected)
+
 
 class BrokenStreamTest(unittest.TestCase):
     """A stream of three events that ends at every byte."""
