--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -2,6 +2,7 @@
 
 import unittest
 from types import SimpleNamespace
+from typing import NamedTuple
 from unittest import mock
 
 import eventlet
@@ -10,6 +11,7 @@
 from bergamotsaddle_contracts.errors import RequestError
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.budget import RetryBudget
 from bergamotsaddle_serving.catalog import Kind, Route, Service, Share, Target
 from bergamotsaddle_serving.client import ConnectionLostError, RawResponseHead
 from bergamotsaddle_serving.context import Context, Progress
@@ -17,24 +19,61 @@
 from bergamotsaddle_serving.messages import RequestHead, ResponseHead
 from bergamotsaddle_serving.plain import PlainServer
 from bergamotsaddle_serving.selector import Candidate
+from bergamotsaddle_serving.settings import BoundSettings
 from tests._paused import advance, use_paused_clock
 
 SILENT_S = 1.0
 DEADLINE_S = 2.0
 ROUTE = Route("r", "h", "/", Kind.IDEMPOTENT, 9.0, 0.2, 2, 0, (Share("s", 1.0),))
+BOUNDS = BoundSettings(grace=5.0, retry_ratio=0.2, retry_window=10.0, retry_extra=60)
+# A share is never less than one repeat.
+ONE_REPEAT = BOUNDS._replace(retry_ratio=0.0, retry_extra=0.0)
+TARGET_HEAD = ResponseHead("", True, False, None, None, False)
 
 
-class SilentConnection:
-    """A connection to a target that responds after a while.
+class Script(NamedTuple):
+    """What a target does with a request.
+
+    Attributes:
+        head_after: Seconds until the head of its response arrives.
+        body_after: Seconds from the request until the body arrives.
+        status: Status of the response, 421 if it rejects the request.
+        error: Why the connection is lost when the head is due, empty if it is not.
+        is_refused: Whether it refuses connections.
+        is_leaving: Whether it has announced that it is leaving.
+        has_permit: Whether a permit for it is available.
+    """
+
+    head_after: float = 0.0
+    body_after: float = 0.0
+    status: int = 200
+    error: str = ""
+    is_refused: bool = False
+    is_leaving: bool = False
+    has_permit: bool = True
+
+
+SOUND = Script()
+SLOW_HEAD = Script(SILENT_S, SILENT_S)
+SLOW_BODY = Script(0.0, SILENT_S)
+DEAD = Script(99.0, 99.0)
+REJECTING = Script(status=421)
+BREAKING = Script(error="closed")
+FAILING = Script(status=500)
+
+
+class ScriptedConnection:
+    """A connection to a target.
 
     Args:
-        head_at: When the head arrives, on the hub's clock.
-        body_at: When the body arrives.
+        script: What the target does.
+        on_close: Called when the connection is closed.
     """
 
-    def __init__(self, head_at, body_at):
-        self._head_at = head_at
-        self._body_at = body_at
+    def __init__(self, script, on_close):
+        self._script = script
+        self._on_close = on_close
+        self._sent_at = now()
 
     def send(self, call, *, limit):
         """Accept a request."""
@@ -42,60 +81,110 @@
 
     def read_head(self, *, limit):
         """Return the head once it has arrived."""
-        self._wait(self._head_at, limit)
-        return RawResponseHead(200, [])
+        self._wait(self._script.head_after, limit)
+        if self._script.error:
+            raise ConnectionLostError(self._script.error)
+        return RawResponseHead(self._script.status, [(b"content-length", b"4")])
 
     def read_body(self, *, limit, max_bytes):
         """Return the body once it has arrived."""
-        self._wait(self._body_at, limit)
+        self._wait(self._script.body_after, limit)
         return b"done"
 
     def close(self):
         """Close the connection."""
+        self._on_close()
 
-    def _wait(self, until, limit):
-        pause = max(0.0, until - now())
+    def _wait(self, seconds, limit):
+        pause = max(0.0, self._sent_at + seconds - now())
         eventlet.sleep(min(pause, limit))
         if pause > limit:
             raise ConnectionLostError("silent")
 
 
-class SilentTargetTest(unittest.TestCase):
-    """Targets of which the first one is silent for a second, then goes on."""
+class PlainTest(unittest.TestCase):
+    """Serves a request at targets that follow scripts.
+
+    Attributes:
+        used: Numbers of the targets that got the request, in this order.
+        closed: Numbers of the targets whose connection was closed.
+    """
 
     def setUp(self):
         use_paused_clock()
+        self.used = []
+        self.closed = []
+
+    def serve(self, *scripts, **options):
+        """Serve one request and return its outcome; see ``serve_all``."""
+        return self.serve_all(1, *scripts, **options)[0]
 
-    def serve(self, targets, silent):
-        """Serve a request; return the response or the error."""
+    def serve_all(
+        self,
+        requests,
+        *scripts,
+        bounds=BOUNDS,
+        used_repeats=0,
+        route=ROUTE,
+        later=(),
+    ):
+        """Serve requests that come at the same moment.
+
+        Args:
+            requests: Number of requests.
+            scripts: A script for each target.
+            bounds: Bounds of the repeats.
+            used_repeats: Number of repeats that were used just before.
+            route: Route of the request.
+            later: Scripts of targets that are added after 0.4 s.
+
+        Returns:
+            The status of each response, or the kind of error.
+        """
         health = Health()
-        candidates = [
-            Candidate(target, health.of(target), False, 0)
-            for target in [
-                Target(f"t{n}", "s", Address("10.0.0.1", n), "a", 4)
-                for n in range(targets)
-            ]
-        ]
+        candidates = []
+
+        def add(*scripts):
+            for script in scripts:
+                number = len(candidates)
+                address = Address("10.0.0.1", number)
+                target = Target(f"t{number}", "s", address, "a", 4)
+                candidates.append(Candidate(target, health.of(target), False, 0))
+                script_by_number[number] = script
+
+        def script_of(candidate):
+            return script_by_number[candidate.target.address.port]
 
         def pick(service, exclude):
             found = [c for c in candidates if c.target.id not in exclude]
             return found[0] if found else None
 
         def acquire(address, *, limit):
-            self.used.append(address.port)
-            silence = SILENT_S if address.port == 0 else 0.0
-            head_at = now() + (silence if silent == "head" else 0.0)
-            return SilentConnection(head_at, now() + silence)
+            number = address.port
+            if script_by_number[number].is_refused:
+                raise ConnectionLostError("refused", is_unsent=True)
+            self.used.append(number)
+            script = script_by_number[number]
+            return ScriptedConnection(script, lambda: self.closed.append(number))
 
-        self.used = []
-        selector = mock.Mock(pick=pick)
+        script_by_number = {}
+        add(*scripts)
+        eventlet.spawn_after(0.4, add, *later)
+        selector = mock.Mock(
+            pick=pick,
+            may_send=lambda candidate: not script_of(candidate).is_leaving,
+            reserve=lambda candidate, *_: script_of(candidate).has_permit,
+        )
         selector.permit_wait.return_value = None
-        head = ResponseHead("", True, False, None, None, False)
+        budget = RetryBudget(bounds, lambda: 6)
+        budget.count_request("s")
+        for _ in range(used_repeats):
+            budget.try_acquire("s")
         server = PlainServer(
             selector,
             SimpleNamespace(acquire=acquire, release=mock.Mock()),
-            mock.Mock(remaining=lambda service: 9.0),
-            mock.Mock(read_response=lambda headers: head, forward=mock.MagicMock()),
+            budget,
+            mock.Mock(read_response=lambda _: TARGET_HEAD, forward=mock.MagicMock()),
             mock.Mock(),
             crashes=mock.MagicMock(
                 has_ended_with_target=lambda target: False,
@@ -105,37 +194,76 @@
                 ),
             ),
         )
-        context = Context(
-            RequestHead("r1", b"GET", b"/", "h", "", 9.0),
-            b"",
-            ROUTE,
-            Service("s", 10),
-            None,
-            now(),
-            now() + DEADLINE_S,
-            1,
-            0,
-            Progress(),
-        )
-        results = []
+        results = [None] * requests
 
-        def run():
+        def run(number):
+            context = Context(
+                RequestHead(f"r{number}", b"GET", b"/", "h", "", 9.0),
+                b"",
+                route,
+                Service("s", 10),
+                None,
+                now(),
+                now() + DEADLINE_S,
+                1,
+                0,
+                Progress(),
+            )
             try:
-                results.append(server.serve(context).status)
+                results[number] = server.serve(context).status
             except RequestError as error:
-                results.append(error.kind)
+                results[number] = error.kind
 
-        eventlet.spawn_n(run)
+        for number in range(requests):
+            eventlet.spawn_n(run, number)
         advance(DEADLINE_S)
         return results
 
-    @parameterized.expand([("head",), ("body",)])
-    def test_the_only_target_is_waited_for(self, silent):
+
+class SilentTargetTest(PlainTest):
+    """Targets of which the first one is silent for a second, then goes on."""
+
+    @parameterized.expand([("head", SLOW_HEAD), ("body", SLOW_BODY)])
+    def test_the_only_target_is_waited_for(self, _, silent):
         """Guards against work that is lost though no other target could do it."""
-        self.assertEqual(self.serve(1, silent), [200])
+        self.assertEqual(self.serve(silent), 200)
         self.assertEqual(self.used, [0])
 
-    @parameterized.expand([("head",), ("body",)])
-    def test_another_target_is_tried_early(self, silent):
-        self.assertEqual(self.serve(2, silent), [200])
+    @parameterized.expand([("head", SLOW_HEAD), ("body", SLOW_BODY)])
+    def test_another_target_is_tried_early(self, _, silent):
+        self.assertEqual(self.serve(silent, SOUND), 200)
         self.assertEqual(self.used, [0, 1])
+        self.assertEqual(self.closed, [0])
+
+    @parameterized.expand(
+        [
+            (f"{name}_{silence}", silent, second)
+            for silence, silent in [("head", SLOW_HEAD), ("body", SLOW_BODY)]
+            for name, second in [
+                ("rejects", REJECTING),
+                ("breaks_off", BREAKING),
+                ("fails", FAILING),
+                ("refuses_connections", Script(is_refused=True)),
+                ("is_leaving", Script(is_leaving=True)),
+                ("has_no_permit", Script(has_permit=False)),
+                ("is_silent_too", DEAD),
+            ]
+        ]
+    )
+    def test_its_response_counts_if_the_next_target(self, _, silent, second):
+        """Guards against a 502 for a request that its first target would answer."""
+        self.assertEqual(self.serve(silent, second), 200)
+
+    @parameterized.expand([("head", SLOW_HEAD), ("body", SLOW_BODY)])
+    def test_it_is_waited_for_while_no_repeats_are_left(self, _, silent):
+        self.assertEqual(
+            self.serve(silent, SOUND, bounds=ONE_REPEAT, used_repeats=1), 200
+        )
+        self.assertEqual(self.used, [0])
+
+    @parameterized.expand([("head", SLOW_HEAD), ("body", SLOW_BODY)])
+    def test_many_requests_ask_for_few_repeats(self, _, silent):
+        """Guards against requests that give up a target for the same repeat."""
+        outcomes = self.serve_all(5, silent, DEAD, bounds=ONE_REPEAT)
+        self.assertEqual(outcomes, [200] * 5)
+        self.assertEqual(self.used, [0] * 5 + [1])
