--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/plain_run.py
@@ -0,0 +1,392 @@
+"""Runs one request for a plain service at one target or at several."""
+
+import contextlib
+from typing import TYPE_CHECKING, NamedTuple
+
+from bergamotsaddle_contracts.errors import (
+    BergamotsaddleError,
+    ErrorKind,
+    Ran,
+    RequestError,
+)
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.admission import add_jitter
+from bergamotsaddle_serving.attempt import (
+    MAX_REFUSED_CONNECTIONS,
+    NOT_RUN_STATUSES,
+    Attempt,
+    NotRunError,
+    OutcomeUnknownError,
+    Response,
+    SilentError,
+)
+from bergamotsaddle_serving.client import (
+    SILENT,
+    UNFINISHED,
+    end_to_end_headers,
+)
+from bergamotsaddle_serving.context import Context
+from bergamotsaddle_serving.health import TargetState
+from bergamotsaddle_serving.messages import Dispatch, RawHeaders
+from bergamotsaddle_serving.race import Finish, Race
+from bergamotsaddle_serving.selector import Candidate
+from bergamotsaddle_serving.suspect_parts import Work
+
+if TYPE_CHECKING:
+    from bergamotsaddle_serving.plain import PlainServer
+
+_MAX_RESPONSE_BYTES = 64_000_000
+_SERVER_ERROR = 500
+# A target that takes this many times its usual time has lost the request, or is so slow
+# that another one is expected to respond earlier.
+_SLOW_FACTOR = 5.0
+_MIN_TIMEOUT_S = 0.3
+# Refusals after which no further target is tried.
+_MAX_REFUSALS = 3
+# The response of a target that failed is forwarded so long before the deadline.
+_FORWARD_S = 0.02
+
+
+class CompleteResponse(NamedTuple):
+    """A target's complete response, ready to be forwarded.
+
+    Attributes:
+        status: HTTP status.
+        headers: End-to-end headers.
+        body: Complete body.
+    """
+
+    status: int
+    headers: RawHeaders
+    body: bytes
+
+
+class _TargetRun:
+    """One run of a request at one target.
+
+    Args:
+        server: The server that the request came to.
+        context: The request.
+        candidate: The target.
+
+    Attributes:
+        target: The target.
+        state: State of the target as this instance observes it.
+        limit: Seconds after which the target is slow.
+    """
+
+    def __init__(
+        self, server: "PlainServer", context: Context, candidate: Candidate
+    ) -> None:
+        self._server = server
+        self._context = context
+        self._candidate = candidate
+        self.target = candidate.target
+        self.state = candidate.state
+        self.limit = max(_MIN_TIMEOUT_S, _SLOW_FACTOR * self.state.latency)
+        self._closing = contextlib.ExitStack()
+        attempt = Attempt(context, self.state, server.pool, server.dialect)
+        self._attempt = self._closing.enter_context(attempt)
+        self._is_sent = False
+        self._response: Response | None = None
+
+    def read(self) -> CompleteResponse:
+        """Send the request, unless it has been sent, and read its response.
+
+        Raises:
+            NotRunError: If the target did not run the request.
+            SilentError: If it is slow. Reading may go on after that.
+            OutcomeUnknownError: If it may have run the request.
+        """
+        limit = min(self.limit, self._context.remaining)
+        if self._response is None:
+            self._response = self._read_response(limit)
+        response = self._response
+        body = self._attempt.read_body(limit=limit, max_bytes=_MAX_RESPONSE_BYTES)
+        if response.head.status in NOT_RUN_STATUSES:
+            raise OutcomeUnknownError(f"status {response.head.status}")
+        if not response.head.is_framed:
+            self._check_unframed()
+        self.state.record_success(now() - self._attempt.started_at)
+        if response.is_success:
+            self._server.crashes.record_success(
+                self.target, [self.work()], is_framed=response.head.is_framed
+            )
+        headers = list(end_to_end_headers(response.head.headers))
+        return CompleteResponse(response.head.status, headers, body)
+
+    def read_to_end(self) -> CompleteResponse:
+        """Do the same for as long as the caller waits, however slow the target is."""
+        while True:
+            try:
+                return self.read()
+            except SilentError:
+                if self._context.remaining <= 0:
+                    raise
+
+    def work(self) -> Work:
+        """Return what the target runs."""
+        head = self._context.head
+        return Work(
+            self._context.fingerprint,
+            started_at=self._attempt.started_at,
+            request=head.id,
+        )
+
+    def close(self) -> None:
+        """Close the connection unless the response was read to its end."""
+        self._closing.close()
+
+    def _read_response(self, limit: float) -> Response:
+        if self._is_sent:
+            return self._attempt.read_response(limit=limit)
+        self._is_sent = True
+        selector = self._server.selector
+        selector.record_sent(self._candidate, self._context.service)
+        dispatch = Dispatch(self.target, self._context.remaining, self._context.team)
+        return self._attempt.send(
+            dispatch,
+            limit=limit,
+            may_send=lambda: selector.may_send(self._candidate),
+        )
+
+    def _check_unframed(self) -> None:
+        """Raise an error if an unframed response ended as its target crashed."""
+        if self._server.crashes.has_ended_with_target(self.target):
+            self.state.record_failure(is_certain=False)
+            raise OutcomeUnknownError(UNFINISHED)
+
+
+class PlainRun:
+    """State of one request for a plain service while it is served.
+
+    A target that is slow keeps the request while another one gets it as well: the first
+    complete response counts, and nothing is given up for a target that may refuse it.
+
+    Args:
+        server: The server that the request came to.
+        context: The request.
+    """
+
+    def __init__(self, server: "PlainServer", context: Context) -> None:
+        self._server = server
+        self._context = context
+        self._race: Race[CompleteResponse] = Race()
+        self._open_by_id: dict[str, _TargetRun] = {}
+        self._tried: set[str] = set()
+        self._denied: set[str] = set()
+        self._failure: CompleteResponse | None = None
+        # Runs that have ended and may have run the request.
+        self._ended = 0
+        self._refusals = 0
+        self._refused_connections = 0
+        # Seconds after which the last target that was tried is slow.
+        self._limit = _MIN_TIMEOUT_S
+
+    def run(self) -> CompleteResponse:
+        """Return the response to the request.
+
+        Raises:
+            RequestError: If there is none; it says whether the request may have run.
+        """
+        try:
+            with self._race:
+                response = self._advance()
+                while response is None:
+                    response = self._advance()
+            for run in self._open_by_id.values():
+                self._record_silent(run)
+            return response
+        except RequestError:
+            raise
+        except BergamotsaddleError:
+            # The caller left or the deadline passed while targets worked on it.
+            for run in self._open_by_id.values():
+                self._server.crashes.record_abandoned(run.target, run.work())
+            raise
+        finally:
+            for run in self._open_by_id.values():
+                run.close()
+
+    def _advance(self) -> CompleteResponse | None:
+        """Start another run or wait for one; return the response if that ends it."""
+        if self._failure is not None and self._context.remaining <= _FORWARD_S:
+            return self._failure
+        candidate = self._choose()
+        if candidate is not None:
+            finish = self._start(candidate)
+        elif self._open_by_id:
+            finish = self._wait()
+        else:
+            return self._finish_failed()
+        return self._handle(finish) if finish is not None else None
+
+    def _choose(self) -> Candidate | None:
+        """Return another target for the request, None if none may get it now.
+
+        A permit and a repeat are held for it then.
+        """
+        if not self._may_add():
+            return None
+        repeat = None
+        if self._open_by_id or self._ended or self._refusals:
+            repeat = self._server.budget.reserve(self._context.service.name)
+            if repeat is None:
+                return None
+        candidate = self._reserve_target()
+        if repeat is not None:
+            if candidate is None:
+                repeat.cancel()
+            else:
+                repeat.use()
+        return candidate
+
+    def _may_add(self) -> bool:
+        """Return whether another target may get the request."""
+        if (
+            self._context.remaining <= 0
+            or self._refusals >= _MAX_REFUSALS
+            or self._refused_connections > MAX_REFUSED_CONNECTIONS
+        ):
+            return False
+        return not (self._open_by_id or self._ended) or self._may_repeat()
+
+    def _may_repeat(self) -> bool:
+        """Return whether the request may run once more."""
+        route = self._context.route
+        runs = self._ended + len(self._open_by_id)
+        return (
+            route.may_repeat
+            and runs < route.attempts
+            and not self._server.suspects.is_quarantined(self._context.fingerprint)
+        )
+
+    def _reserve_target(self) -> Candidate | None:
+        context = self._context
+        selector = self._server.selector
+        while True:
+            candidate = self._pick()
+            if candidate is None or not selector.may_send(candidate):
+                return None
+            if selector.reserve(candidate, context.head.id, context.urgency):
+                return candidate
+            self._denied.add(candidate.target.id)
+
+    def _pick(self) -> Candidate | None:
+        """Return a target that is not silent; any if the request waits at none."""
+        exclude = self._tried | self._denied
+        silent: set[str] = set()
+        while True:
+            candidate = self._pick_except(exclude | silent)
+            if candidate is None or not _is_silent(candidate.state):
+                break
+            silent.add(candidate.target.id)
+        if candidate is None and silent and not self._open_by_id:
+            return self._pick_except(exclude)
+        return candidate
+
+    def _pick_except(self, exclude: set[str]) -> Candidate | None:
+        context = self._context
+        selector = self._server.selector
+        if self._server.suspects.is_suspect(context.fingerprint):
+            return selector.pick_least_loaded(
+                context.service.name, exclude, context.fingerprint
+            )
+        return selector.pick(context.service.name, exclude)
+
+    def _start(self, candidate: Candidate) -> Finish[CompleteResponse] | None:
+        """Send the request to a target.
+
+        Returns:
+            The end of a run, None if all targets are slow.
+        """
+        name = candidate.target.id
+        self._tried.add(name)
+        run = _TargetRun(self._server, self._context, candidate)
+        self._limit = run.limit
+        is_alone = not self._open_by_id
+        self._open_by_id[name] = run
+        if is_alone:
+            try:
+                return Finish(name, run.read())
+            except SilentError:
+                self._race.start(name, run.read_to_end)
+                return None
+            except (NotRunError, OutcomeUnknownError) as error:
+                return Finish(name, None, error)
+        self._race.start(name, run.read_to_end)
+        return self._wait()
+
+    def _wait(self) -> Finish[CompleteResponse] | None:
+        """Return the end of a run, None if all targets are slow."""
+        left = self._context.remaining
+        if self._failure is not None:
+            left -= _FORWARD_S
+        return self._race.wait(timeout=max(0.0, min(self._limit, left)))
+
+    def _handle(self, finish: Finish[CompleteResponse]) -> CompleteResponse | None:
+        """Handle the end of a run; return the response that ends the request."""
+        run = self._open_by_id.pop(finish.name)
+        run.close()
+        try:
+            response = finish.result()
+        except NotRunError as error:
+            self._log_failed_attempt(run, error.reason, "no")
+            self._refusals += not error.is_connection_refused
+            self._refused_connections += error.is_connection_refused
+            return None
+        except OutcomeUnknownError as error:
+            self._log_failed_attempt(run, error.reason, "unknown")
+            self._ended += 1
+            crashes = self._server.crashes
+            crashes.record_failure(run.target, [run.work()], error.reason)
+            return None
+        self._ended += 1
+        if response.status < _SERVER_ERROR:
+            return response
+        self._failure = response
+        return None
+
+    def _finish_failed(self) -> CompleteResponse:
+        """Return the response of a target that failed, if there is one.
+
+        Raises:
+            RequestError: If there is none.
+        """
+        if self._failure is not None:
+            return self._failure
+        context = self._context
+        if not self._ended:
+            wait = self._server.selector.permit_wait(context.service.name)
+            raise context.rejection_error(
+                ErrorKind.NO_TARGET,
+                "no target took the request",
+                retry_after=add_jitter(wait),
+            )
+        raise RequestError(
+            ErrorKind.TARGET_FAILED, "the target broke off", ran=Ran.UNKNOWN
+        )
+
+    def _record_silent(self, run: _TargetRun) -> None:
+        """Record a target that was slower than another one."""
+        self._log_failed_attempt(run, SILENT, "unknown")
+        self._server.crashes.record_failure(run.target, [run.work()], SILENT)
+
+    def _log_failed_attempt(self, run: _TargetRun, reason: str, ran: str) -> None:
+        context = self._context
+        self._server.logger.warning(
+            "attempt_failed",
+            request=context.head.id,
+            work=context.fingerprint,
+            target=run.target.id,
+            reason=reason,
+            framed=context.progress.is_framed,
+            ran=ran,
+            in_flight=run.state.in_flight,
+            open=list(self._open_by_id),
+        )
+
+
+def _is_silent(state: TargetState) -> bool:
+    """Return whether requests wait at a target that responds to none."""
+    return state.silent > 0 and now() - state.last_seen_at > _MIN_TIMEOUT_S
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -8,7 +8,7 @@
 import eventlet
 from parameterized import parameterized
 
-from bergamotsaddle_contracts.errors import RequestError
+from bergamotsaddle_contracts.errors import ErrorKind, RequestError
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.budget import RetryBudget
@@ -20,7 +20,7 @@
 from bergamotsaddle_serving.plain import PlainServer
 from bergamotsaddle_serving.selector import Candidate
 from bergamotsaddle_serving.settings import BoundSettings
-from tests._paused import advance, use_paused_clock
+from tests._paused import advance, settle, use_paused_clock
 
 SILENT_S = 1.0
 DEADLINE_S = 2.0
@@ -74,6 +74,7 @@
         self._script = script
         self._on_close = on_close
         self._sent_at = now()
+        self._body = b"done"
 
     def send(self, call, *, limit):
         """Accept a request."""
@@ -86,10 +87,15 @@
             raise ConnectionLostError(self._script.error)
         return RawResponseHead(self._script.status, [(b"content-length", b"4")])
 
-    def read_body(self, *, limit, max_bytes):
-        """Return the body once it has arrived."""
+    def read_some(self, *, limit):
+        """Return the body once it has arrived, then its end."""
         self._wait(self._script.body_after, limit)
-        return b"done"
+        chunk, self._body = self._body, None
+        return chunk
+
+    def read_body(self, *, limit, max_bytes):
+        """Return the whole body once it has arrived."""
+        return self.read_some(limit=limit)
 
     def close(self):
         """Close the connection."""
@@ -127,6 +133,7 @@
         used_repeats=0,
         route=ROUTE,
         later=(),
+        leaves_after=DEADLINE_S,
     ):
         """Serve requests that come at the same moment.
 
@@ -137,6 +144,7 @@
             used_repeats: Number of repeats that were used just before.
             route: Route of the request.
             later: Scripts of targets that are added after 0.4 s.
+            leaves_after: Seconds after which the callers leave.
 
         Returns:
             The status of each response, or the kind of error.
@@ -214,9 +222,11 @@
             except RequestError as error:
                 results[number] = error.kind
 
-        for number in range(requests):
-            eventlet.spawn_n(run, number)
-        advance(DEADLINE_S)
+        threads = [eventlet.spawn(run, number) for number in range(requests)]
+        advance(leaves_after)
+        for thread in threads:
+            thread.kill()
+        settle()
         return results
 
 
@@ -267,3 +277,33 @@
         outcomes = self.serve_all(5, silent, DEAD, bounds=ONE_REPEAT)
         self.assertEqual(outcomes, [200] * 5)
         self.assertEqual(self.used, [0] * 5 + [1])
+
+    def test_the_response_of_a_failed_target_is_forwarded_at_last(self):
+        """Guards against a response that is kept back for one that never comes."""
+        self.assertEqual(self.serve(DEAD, FAILING), 500)
+
+    @parameterized.expand([(2, [0, 1], ErrorKind.TARGET_FAILED), (3, [0, 1, 2], 200)])
+    def test_no_more_targets_get_it_than_the_route_allows(
+        self, attempts, used, outcome
+    ):
+        route = ROUTE._replace(attempts=attempts)
+        self.assertEqual(self.serve(DEAD, DEAD, SOUND, route=route), outcome)
+        self.assertEqual(self.used, used)
+
+    @parameterized.expand([(SLOW_HEAD, 200), (DEAD, ErrorKind.TARGET_FAILED)])
+    def test_one_that_must_not_be_repeated_runs_once(self, silent, outcome):
+        route = ROUTE._replace(kind=Kind.ONCE)
+        self.assertEqual(self.serve(silent, SOUND, route=route), outcome)
+        self.assertEqual(self.used, [0])
+
+    def test_both_targets_lose_it_when_its_caller_leaves(self):
+        """Guards against targets that go on with requests nobody waits for."""
+        self.serve(DEAD, DEAD, leaves_after=0.5)
+        self.assertEqual(sorted(self.closed), [0, 1])
+
+    def test_a_pause_of_all_targets_starts_few_repeats(self):
+        """Guards against repeats at targets that are known to be silent too."""
+        route = ROUTE._replace(attempts=3)
+        outcomes = self.serve_all(9, SLOW_HEAD, SLOW_HEAD, SLOW_HEAD, route=route)
+        self.assertEqual(outcomes, [200] * 9)
+        self.assertLessEqual(len(self.used), 9 + 9)
