--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -28,6 +28,8 @@
 BOUNDS = BoundSettings(grace=5.0, retry_ratio=0.2, retry_window=10.0, retry_extra=60)
 # A share is never less than one repeat.
 ONE_REPEAT = BOUNDS._replace(retry_ratio=0.0, retry_extra=0.0)
+# A repeat that was used is available again after half a second.
+BRIEF = ONE_REPEAT._replace(retry_window=0.5)
 TARGET_HEAD = ResponseHead("", True, False, None, None, False)
 
 
@@ -42,6 +44,7 @@
         is_refused: Whether it refuses connections.
         is_leaving: Whether it has announced that it is leaving.
         has_permit: Whether a permit for it is available.
+        lasts: Seconds after which the target is sound.
     """
 
     head_after: float = 0.0
@@ -51,6 +54,7 @@
     is_refused: bool = False
     is_leaving: bool = False
     has_permit: bool = True
+    lasts: float = float("inf")
 
 
 SOUND = Script()
@@ -160,8 +164,12 @@
                 candidates.append(Candidate(target, health.of(target), False, 0))
                 script_by_number[number] = script
 
+        def script_at(number):
+            script = script_by_number[number]
+            return script if now() - started_at < script.lasts else SOUND
+
         def script_of(candidate):
-            return script_by_number[candidate.target.address.port]
+            return script_at(candidate.target.address.port)
 
         def pick(service, exclude):
             found = [c for c in candidates if c.target.id not in exclude]
@@ -169,12 +177,13 @@
 
         def acquire(address, *, limit):
             number = address.port
-            if script_by_number[number].is_refused:
+            script = script_at(number)
+            if script.is_refused:
                 raise ConnectionLostError("refused", is_unsent=True)
             self.used.append(number)
-            script = script_by_number[number]
             return ScriptedConnection(script, lambda: self.closed.append(number))
 
+        started_at = now()
         script_by_number = {}
         add(*scripts)
         eventlet.spawn_after(0.4, add, *later)
@@ -307,3 +316,37 @@
         outcomes = self.serve_all(9, SLOW_HEAD, SLOW_HEAD, SLOW_HEAD, route=route)
         self.assertEqual(outcomes, [200] * 9)
         self.assertLessEqual(len(self.used), 9 + 9)
+
+
+class BrokenRunTest(PlainTest):
+    """Requests whose first run broke off, with time left."""
+
+    @parameterized.expand(
+        [
+            ("target", (BREAKING,), {"later": (SOUND,)}),
+            ("return_of_its_target", (BREAKING._replace(lasts=0.4),), {}),
+            ("permit", (BREAKING, Script(has_permit=False, lasts=0.4)), {}),
+            ("repeat", (BREAKING, SOUND), {"bounds": BRIEF, "used_repeats": 1}),
+            (
+                "target_that_takes_it",
+                (BREAKING, *[REJECTING._replace(lasts=0.4)] * 3),
+                {},
+            ),
+        ]
+    )
+    def test_they_wait_for_a(self, _, scripts, options):
+        """Guards against a 502 as nothing could follow at that very moment."""
+        self.assertEqual(self.serve(*scripts, **options), 200)
+        self.assertLessEqual(len(self.used), 8)
+
+    @parameterized.expand([(1, 1), (2, 2)])
+    def test_their_runs_are_limited(self, attempts, runs):
+        route = ROUTE._replace(attempts=attempts)
+        outcome = self.serve(BREAKING, BREAKING, SOUND, route=route)
+        self.assertEqual(outcome, ErrorKind.TARGET_FAILED)
+        self.assertEqual(len(self.used), runs)
+
+    def test_one_that_no_target_ran_is_rejected_at_once(self):
+        """Guards against callers kept waiting for what can't be served."""
+        outcome = self.serve(REJECTING, leaves_after=0.01)
+        self.assertEqual(outcome, ErrorKind.NO_TARGET)
