--- a/packages/serving/bergamotsaddle_serving/plain_run.py
+++ b/packages/serving/bergamotsaddle_serving/plain_run.py
@@ -3,6 +3,8 @@
 import contextlib
 from typing import TYPE_CHECKING, NamedTuple
 
+import eventlet
+
 from bergamotsaddle_contracts.errors import (
     BergamotsaddleError,
     ErrorKind,
@@ -43,8 +45,15 @@
 _MIN_TIMEOUT_S = 0.3
 # Refusals after which no further target is tried.
 _MAX_REFUSALS = 3
+# Pause of a request whose run broke off if no other one can follow; it doubles up to
+# the maximum.
+_FIRST_PAUSE_S = 0.1
+_MAX_PAUSE_S = 0.4
+# The target that broke off is not tried again for this long.
+_BROKEN_PAUSE_S = 0.5
 # The response of a target that failed is forwarded so long before the deadline.
 _FORWARD_S = 0.02
+_OVERTAKEN = "overtaken"
 
 
 class CompleteResponse(NamedTuple):
@@ -73,6 +82,7 @@
         target: The target.
         state: State of the target as this instance observes it.
         limit: Seconds after which the target is slow.
+        is_slow: Whether it has been slow.
     """
 
     def __init__(
@@ -87,6 +97,7 @@
         self._closing = contextlib.ExitStack()
         attempt = Attempt(context, self.state, server.pool, server.dialect)
         self._attempt = self._closing.enter_context(attempt)
+        self.is_slow = False
         self._is_sent = False
         self._response: Response | None = None
 
@@ -99,10 +110,14 @@
             OutcomeUnknownError: If it may have run the request.
         """
         limit = min(self.limit, self._context.remaining)
-        if self._response is None:
-            self._response = self._read_response(limit)
+        try:
+            if self._response is None:
+                self._response = self._read_response(limit)
+            body = self._attempt.read_body(limit=limit, max_bytes=_MAX_RESPONSE_BYTES)
+        except SilentError:
+            self.is_slow = True
+            raise
         response = self._response
-        body = self._attempt.read_body(limit=limit, max_bytes=_MAX_RESPONSE_BYTES)
         if response.head.status in NOT_RUN_STATUSES:
             raise OutcomeUnknownError(f"status {response.head.status}")
         if not response.head.is_framed:
@@ -174,12 +189,13 @@
         self._race: Race[CompleteResponse] = Race()
         self._open_by_id: dict[str, _TargetRun] = {}
         self._tried: set[str] = set()
-        self._denied: set[str] = set()
+        self._broken_at_by_id: dict[str, float] = {}
         self._failure: CompleteResponse | None = None
         # Runs that have ended and may have run the request.
         self._ended = 0
         self._refusals = 0
         self._refused_connections = 0
+        self._pause_seconds = _FIRST_PAUSE_S
         # Seconds after which the last target that was tried is slow.
         self._limit = _MIN_TIMEOUT_S
 
@@ -195,7 +211,7 @@
                 while response is None:
                     response = self._advance()
             for run in self._open_by_id.values():
-                self._record_silent(run)
+                self._record_slower(run)
             return response
         except RequestError:
             raise
@@ -217,6 +233,9 @@
             finish = self._start(candidate)
         elif self._open_by_id:
             finish = self._wait()
+        elif self._may_follow():
+            self._pause()
+            return None
         else:
             return self._finish_failed()
         return self._handle(finish) if finish is not None else None
@@ -264,26 +283,34 @@
     def _reserve_target(self) -> Candidate | None:
         context = self._context
         selector = self._server.selector
+        denied: set[str] = set()
         while True:
-            candidate = self._pick()
+            candidate = self._pick(self._tried | denied)
             if candidate is None or not selector.may_send(candidate):
                 return None
             if selector.reserve(candidate, context.head.id, context.urgency):
                 return candidate
-            self._denied.add(candidate.target.id)
+            denied.add(candidate.target.id)
+
+    def _pick(self, exclude: set[str]) -> Candidate | None:
+        """Return a target that is not silent, or any if the request waits at none.
 
-    def _pick(self) -> Candidate | None:
-        """Return a target that is not silent; any if the request waits at none."""
-        exclude = self._tried | self._denied
-        silent: set[str] = set()
+        One that broke off comes last.
+        """
+        others = exclude | self._broken_at_by_id.keys()
+        candidate = self._pick_responsive(others)
+        if candidate is not None or self._open_by_id:
+            return candidate
+        since = now() - _BROKEN_PAUSE_S
+        recent = {name for name, at in self._broken_at_by_id.items() if at > since}
+        return self._pick_except(others) or self._pick_except(exclude | recent)
+
+    def _pick_responsive(self, exclude: set[str]) -> Candidate | None:
         while True:
-            candidate = self._pick_except(exclude | silent)
+            candidate = self._pick_except(exclude)
             if candidate is None or not _is_silent(candidate.state):
-                break
-            silent.add(candidate.target.id)
-        if candidate is None and silent and not self._open_by_id:
-            return self._pick_except(exclude)
-        return candidate
+                return candidate
+            exclude = exclude | {candidate.target.id}
 
     def _pick_except(self, exclude: set[str]) -> Candidate | None:
         context = self._context
@@ -338,6 +365,7 @@
         except OutcomeUnknownError as error:
             self._log_failed_attempt(run, error.reason, "unknown")
             self._ended += 1
+            self._broken_at_by_id[run.target.id] = now()
             crashes = self._server.crashes
             crashes.record_failure(run.target, [run.work()], error.reason)
             return None
@@ -347,6 +375,21 @@
         self._failure = response
         return None
 
+    def _may_follow(self) -> bool:
+        """Return whether another run may follow the one that broke off, a bit later."""
+        left = self._context.remaining
+        is_unknown = self._ended > 0 and self._failure is None
+        return is_unknown and left > 0 and self._may_repeat()
+
+    def _pause(self) -> None:
+        """Wait a bit for a target, a permit or a repeat, and try all targets again."""
+        eventlet.sleep(min(self._pause_seconds, self._context.remaining))
+        self._pause_seconds = min(_MAX_PAUSE_S, 2.0 * self._pause_seconds)
+        self._tried.clear()
+        # One more target may reject it, so that it does not use up the repeats.
+        self._refusals = min(self._refusals, _MAX_REFUSALS - 1)
+        self._refused_connections = 0
+
     def _finish_failed(self) -> CompleteResponse:
         """Return the response of a target that failed, if there is one.
 
@@ -367,10 +410,15 @@
             ErrorKind.TARGET_FAILED, "the target broke off", ran=Ran.UNKNOWN
         )
 
-    def _record_silent(self, run: _TargetRun) -> None:
-        """Record a target that was slower than another one."""
-        self._log_failed_attempt(run, SILENT, "unknown")
-        self._server.crashes.record_failure(run.target, [run.work()], SILENT)
+    def _record_slower(self, run: _TargetRun) -> None:
+        """Record a run that another one has overtaken."""
+        crashes = self._server.crashes
+        if run.is_slow:
+            self._log_failed_attempt(run, SILENT, "unknown")
+            crashes.record_failure(run.target, [run.work()], SILENT)
+        else:
+            self._log_failed_attempt(run, _OVERTAKEN, "unknown")
+            crashes.record_abandoned(run.target, run.work())
 
     def _log_failed_attempt(self, run: _TargetRun, reason: str, ran: str) -> None:
         context = self._context
