--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -31,6 +31,7 @@
 tearDownModule = use_paused_clock
 
 HOST = "127.0.0.1"
+OTHER_HOST = "127.0.0.2"
 BODY = b"HTTP/1.1 200 OK\r\nSeal: x\r\nContent-Length: 4\r\n\r\nbody"
 EVENT = b"id: 1\n\n"
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -74,21 +75,35 @@
     )
 
 
+def read_relayed(request):
+    """Return what a handed-over request says besides the caller's own."""
+    lines = request.partition(b"\r\n\r\n")[0].split(b"\r\n")[1:]
+    pairs = [line.partition(b": ") for line in lines]
+    return decode_request([(name.lower(), value) for name, _, value in pairs])
+
+
 class ScriptedHelper:
     """A helper that answers each request with the same bytes, then closes.
 
+    Args:
+        response: The bytes.
+        delay: Seconds until it sends them.
+        address: Where it listens.
+        is_killed: Whether its process is killed behind the first response.
+
     Attributes:
         requests: What it received.
         port: Its port.
     """
 
-    def __init__(self, response, *, delay=0.0):
-        listener = eventlet.listen((HOST, 0))
+    def __init__(self, response, *, delay=0.0, address=(HOST, 0), is_killed=False):
+        listener = eventlet.listen(address)
         self.port = listener.getsockname()[1]
         self.requests = []
         self.has_left = False
         self._response = response
         self._delay = delay
+        self._is_killed = is_killed
         eventlet.spawn_n(self._run, listener)
 
     def _run(self, listener):
@@ -97,6 +112,10 @@
             self.requests.append(sock.recv(65_536))
             eventlet.sleep(self._delay)
             sock.sendall(self._response)
+            if self._is_killed:
+                listener.close()
+                sock.close()
+                return
             self.has_left = not sock.recv(1) if self._delay else False
             sock.close()
 
@@ -234,6 +253,95 @@
         self.assertEqual(handover.is_needed(make_context(sender=sender)), expected)
 
 
+class KilledHelperTest(unittest.TestCase):
+    """A helper in the own zone that is killed, and another one elsewhere."""
+
+    def hand_over(
+        self,
+        first,
+        second,
+        *,
+        kind=Kind.STREAM,
+        is_resumable=True,
+        attempts=2,
+        is_killed=True,
+    ):
+        """Hand one request over."""
+        self.first = ScriptedHelper(first, is_killed=is_killed)
+        port = self.first.port
+        self.second = ScriptedHelper(second, address=(OTHER_HOST, port))
+        contacts = [Contact("h0", "a", HOST), Contact("h1", "b", OTHER_HOST)]
+        peers = mock.Mock(own=Contact("me", "a", HOST), region=lambda zone: zone)
+        peers.reaching.return_value = [
+            SimpleNamespace(contact=contact, cores=1.0) for contact in contacts
+        ]
+        peers.incarnation_of.side_effect = lambda peer_id: "1"
+        reach = mock.Mock(is_lost=lambda service: True)
+        reach.seconds_to_probe.return_value = 0.5
+        context = make_context(kind)
+        route = context.route._replace(is_resumable=is_resumable, attempts=attempts)
+        self.context = context._replace(route=route)
+        self.caller = mock.Mock()
+        Handover(reach, peers, port, mock.Mock()).serve(self.context, self.caller)
+
+    def sent_events(self):
+        """Return the events that the caller got."""
+        return [call.args[0] for call in self.caller.send.call_args_list]
+
+    @parameterized.expand(
+        [
+            ("nothing", b""),
+            ("a_part_of_the_head", CHUNKED[:20]),
+            ("the_head", CHUNKED),
+            ("a_part_of_an_event", CHUNKED + b"7\r\n" + EVENT[:4]),
+        ]
+    )
+    def test_another_helper_begins_a_stream_of_which_it_sent(self, _, first):
+        """Guards against a 502 for a stream of which the caller has nothing yet."""
+        self.hand_over(first, STREAM)
+        self.assertEqual(self.sent_events(), [EVENT])
+        self.caller.finish.assert_called_once_with()
+        relayed = read_relayed(self.second.requests[0])
+        self.assertEqual((relayed.runs, relayed.last_event), (1, None))
+
+    def test_another_helper_goes_on_behind_its_last_event(self):
+        """Guards against a stream that ends though the rest may follow."""
+        self.hand_over(STREAM[:-5], STREAM.replace(b"id: 1", b"id: 2"))
+        self.assertEqual(self.sent_events(), [EVENT, EVENT.replace(b"1", b"2")])
+        self.caller.start.assert_called_once()
+        self.caller.finish.assert_called_once_with()
+        relayed = read_relayed(self.second.requests[0])
+        self.assertEqual((relayed.runs, relayed.last_event), (1, 1))
+
+    @parameterized.expand([("nothing", 0), ("a_part", len(BODY) - 2)])
+    def test_another_helper_serves_a_repeatable_request_of_which_it_sent(self, _, size):
+        self.hand_over(BODY[:size], BODY, kind=Kind.IDEMPOTENT)
+        self.caller.respond.assert_called_once_with(200, [(b"seal", b"x")], b"body")
+
+    @parameterized.expand(
+        [
+            ("must_not_be_repeated", b"", {"kind": Kind.ONCE, "is_resumable": False}),
+            ("can_not_resume", b"", {"is_resumable": False}),
+            ("has_no_run_left", b"", {"attempts": 1}),
+            ("has_an_event_without_a_number", CHUNKED + b"9\r\ndata: x\n\n\r\n", {}),
+            ("its_helper_gave_up", b"", {"is_killed": False}),
+        ]
+    )
+    def test_no_other_helper_gets_a_request_that(self, _, first, options):
+        """Guards against a request that runs more often than it may."""
+        with self.assertRaises(RequestError) as caught:
+            self.hand_over(first, STREAM, **options)
+        self.assertEqual(caught.exception.ran, Ran.UNKNOWN)
+        self.assertEqual(self.second.requests, [])
+
+    @parameterized.expand([ErrorKind.NO_TARGET, ErrorKind.DEADLINE_INFEASIBLE])
+    def test_a_refusal_behind_it_does_not_say_that_it_has_not_run(self, kind):
+        with self.assertRaises(RequestError) as caught:
+            self.hand_over(b"", refusal(kind))
+        self.assertEqual(caught.exception.ran, Ran.UNKNOWN)
+        self.assertTrue(self.context.progress.is_sent)
+
+
 class HelperTest(unittest.TestCase):
     """An instance that gets a request from another one."""
 
