--- a/packages/serving/bergamotsaddle_serving/context.py
+++ b/packages/serving/bergamotsaddle_serving/context.py
@@ -45,6 +45,7 @@
         headers: Its headers as received, names in lower case.
         sender: Id of the instance that handed it over, empty if a caller sent it.
         origin: What sent the first event of the stream, None before it.
+        earlier_runs: How often the request may have run at instances that have died.
     """
 
     head: RequestHead
@@ -61,6 +62,7 @@
     headers: Sequence[tuple[bytes, bytes]] = ()
     sender: str = ""
     origin: StreamOrigin | None = None
+    earlier_runs: int = 0
 
     @property
     def logged_parts(self) -> tuple[str, ...]:
--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -280,7 +280,22 @@
             handover.serve(context, caller)
 
     def _serve_here(self, caller: CallerConnection, context: Context) -> None:
-        self._budget.count_request(context.service.name)
+        service = context.service.name
+        if not context.earlier_runs:
+            self._budget.count_request(service)
+            self._run_here(caller, context)
+            return
+        repeat = self._budget.reserve(service)
+        if repeat is None:
+            raise context.rejection_error(ErrorKind.OVERLOADED, "no repeats are left")
+        try:
+            self._run_here(caller, context)
+        except RequestError as error:
+            if error.ran is Ran.NO:
+                repeat.cancel()
+            raise
+
+    def _run_here(self, caller: CallerConnection, context: Context) -> None:
         if context.route.kind is Kind.STREAM:
             self._streams.serve(context, caller)
             return
@@ -299,8 +314,11 @@
             raise RequestError(ErrorKind.NOT_FOUND, "no route leads there")
         team = self._authenticate(configuration, route, head)
         service = self._pick_service(configuration, route)
+        if relayed.runs:
+            attempts = max(1, route.attempts - relayed.runs)
+            route = route._replace(attempts=attempts)
         return Context(
-            head=head,
+            head=_at_last_event(head, relayed),
             body=raw.body,
             route=route,
             service=service,
@@ -313,6 +331,7 @@
             fingerprint=fingerprint(head, team, raw.body),
             headers=raw.headers,
             sender=relayed.sender,
+            earlier_runs=relayed.runs,
         )
 
     def _wait_for_version(self, raw: RawRequest, head: RequestHead) -> None:
@@ -442,3 +461,13 @@
             version=context.version if context else 0,
             sender=context.sender if context else "",
         )
+
+
+def _at_last_event(head: RequestHead, relayed: RelayedRequest) -> RequestHead:
+    """Return the head of a request for the rest of a stream that broke off."""
+    if relayed.last_event is None:
+        return head
+    return head._replace(
+        last_event_id=relayed.last_event,
+        resumed_request=head.resumed_request or head.id,
+    )
--- a/packages/serving/bergamotsaddle_serving/handover.py
+++ b/packages/serving/bergamotsaddle_serving/handover.py
@@ -1,7 +1,7 @@
 """Hands requests over to other instances while targets can't be reached from here."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any, TypeVar
 
 from bergamotsaddle_contracts.errors import (
@@ -24,7 +24,7 @@
     end_to_end_headers,
 )
 from bergamotsaddle_serving.context import Context
-from bergamotsaddle_serving.events import EventSplitter
+from bergamotsaddle_serving.events import EventSplitter, StreamEvent
 from bergamotsaddle_serving.helper_choice import Helper, choose_helper
 from bergamotsaddle_serving.messages import HttpCall
 from bergamotsaddle_serving.peers import Peers
@@ -69,6 +69,92 @@
         self.reason = reason
 
 
+def _join(chunks: Iterator[bytes]) -> bytes:
+    """Return the whole body of a response.
+
+    Raises:
+        ConnectionLostError: If it is too large.
+    """
+    body = bytearray()
+    for chunk in chunks:
+        body += chunk
+        if len(body) > _MAX_RESPONSE_BYTES:
+            raise ConnectionLostError("too_long")
+    return bytes(body)
+
+
+class _Delivery:
+    """What the caller of a request that is handed over has received.
+
+    Args:
+        context: The request.
+        caller: Connection that receives the response.
+
+    Attributes:
+        runs: How often helpers that broke off may have run it.
+        last_event: Id of the last event that it has, None if it has none.
+    """
+
+    def __init__(self, context: Context, caller: CallerConnection) -> None:
+        self._route = context.route
+        self._caller = caller
+        self._has_started = False
+        self._has_unnumbered_event = False
+        self.runs = 0
+        self.last_event: int | None = None
+
+    def may_follow(self) -> bool:
+        """Return whether another helper may run the request, or the rest of it."""
+        route = self._route
+        may_repeat = route.may_repeat and not self._has_unnumbered_event
+        return may_repeat and self.runs < route.attempts
+
+    def start(self, head: RawResponseHead) -> None:
+        """Start the response unless it has started."""
+        if not self._has_started:
+            self._has_started = True
+            headers = list(end_to_end_headers(head.headers))
+            self._caller.start(head.status, headers)
+
+    def send(self, head: RawResponseHead, event: StreamEvent) -> None:
+        """Send an event, after the head of the response if it is the first one.
+
+        Raises:
+            ConnectionLostError: If a helper begins anew instead of going on.
+        """
+        has_part = self.runs > 0 and self.last_event is not None
+        if has_part and event.id is not None and event.id <= self.last_event:
+            raise ConnectionLostError("begun_anew")
+        self.start(head)
+        self._caller.send(event.data)
+        self._has_unnumbered_event |= not event.allows_resume
+        if event.id is not None:
+            self.last_event = event.id
+
+    def finish(self, head: RawResponseHead, remainder: bytes) -> None:
+        """End the response properly.
+
+        Args:
+            head: Head of the helper's response.
+            remainder: Bytes behind its last complete event.
+        """
+        self.start(head)
+        if remainder:
+            self._caller.send(remainder)
+        self._caller.finish()
+
+    def respond(self, head: RawResponseHead, body: bytes) -> None:
+        """Send a complete response.
+
+        Raises:
+            ConnectionLostError: If a part of another one was sent.
+        """
+        if self._has_started:
+            raise ConnectionLostError("failed")
+        headers = list(end_to_end_headers(head.headers))
+        self._caller.respond(head.status, headers, body)
+
+
 class Handover:
     """Hands over requests for services that this instance does not reach.
 
@@ -76,7 +162,8 @@
     still send it requests: the load balancer removes it after seconds, and open
     connections stay. Other instances reach the targets. Each request goes to one of
     them at most once: a helper never hands it over again, and a request that a helper
-    may have run goes to no other one.
+    may have run goes to another one only if that helper has died, the request may be
+    repeated and its route allows another run.
 
     Args:
         reach: Services that this instance does not reach.
@@ -108,19 +195,34 @@
         Raises:
             RequestError: If no instance served it.
         """
-        refused: set[str] = set()
-        while len(refused) < _MAX_HELPERS and context.remaining > 0:
-            helper = self._choose(context.service.name, refused)
+        delivery = _Delivery(context, caller)
+        tried: set[str] = set()
+        refusals = 0
+        while refusals < _MAX_HELPERS and context.remaining > 0:
+            helper = self._choose(context.service.name, tried)
             if helper is None:
                 break
+            tried.add(helper.id)
+            incarnation = self._peers.incarnation_of(helper.id)
             try:
-                self._serve_by(helper, context, caller)
+                self._serve_by(helper, context, delivery)
             except _HelperRefusedError as error:
                 self._log(context, helper, error.reason)
-                refused.add(helper.id)
+                refusals += 1
+            except ConnectionLostError as error:
+                self._log(context, helper, error.reason)
+                delivery.runs += 1
+                if not delivery.may_follow() or not self._has_died(helper, incarnation):
+                    break
             else:
                 self._log(context, helper, "whole")
                 return
+        if delivery.runs:
+            raise RequestError(
+                ErrorKind.TARGET_FAILED,
+                "the instance that served the request broke off",
+                ran=Ran.UNKNOWN,
+            )
         wait = self._reach.seconds_to_probe(context.service.name)
         raise context.rejection_error(
             ErrorKind.NO_TARGET,
@@ -128,7 +230,18 @@
             retry_after=add_jitter(wait),
         )
 
-    def _choose(self, service: str, refused: set[str]) -> Helper | None:
+    def _has_died(self, helper: Helper, incarnation: str | None) -> bool:
+        """Return whether a helper that broke off is gone, so that it runs nothing."""
+        if self._peers.incarnation_of(helper.id) != incarnation:
+            return True
+        try:
+            Connection(Address(helper.host, self._port), limit=_CONNECT_LIMIT_S).close()
+        except ConnectionLostError:
+            self._peers.verify(helper.id)
+            return True
+        return False
+
+    def _choose(self, service: str, tried: set[str]) -> Helper | None:
         helpers = [
             Helper(
                 peer.contact.id,
@@ -138,13 +251,18 @@
                 self._in_flight_by_id[peer.contact.id],
             )
             for peer in self._peers.reaching(service)
-            if peer.contact.id not in refused
+            if peer.contact.id not in tried
         ]
         return choose_helper(helpers, self._peers.own.zone, self._peers.region)
 
-    def _serve_by(
-        self, helper: Helper, context: Context, caller: CallerConnection
-    ) -> None:
+    def _serve_by(self, helper: Helper, context: Context, delivery: _Delivery) -> None:
+        """Have a helper serve a request.
+
+        Raises:
+            _HelperRefusedError: If the helper did not run it, and another one may.
+            ConnectionLostError: If the helper broke off.
+            RequestError: If it failed.
+        """
         try:
             address = Address(helper.host, self._port)
             limit = min(_CONNECT_LIMIT_S, context.remaining)
@@ -154,14 +272,7 @@
             raise _HelperRefusedError(error.reason) from error
         self._in_flight_by_id[helper.id] += 1
         try:
-            self._exchange(helper, connection, context, caller)
-        except ConnectionLostError as error:
-            self._log(context, helper, error.reason)
-            raise RequestError(
-                ErrorKind.TARGET_FAILED,
-                "the instance that served the request broke off",
-                ran=Ran.UNKNOWN,
-            ) from error
+            self._exchange(helper, connection, context, delivery)
         finally:
             self._in_flight_by_id[helper.id] -= 1
             connection.close()
@@ -171,10 +282,10 @@
         helper: Helper,
         connection: Connection,
         context: Context,
-        caller: CallerConnection,
+        delivery: _Delivery,
     ) -> None:
         context.progress.is_sent = True
-        connection.send(self._make_call(context), limit=context.remaining)
+        connection.send(self._make_call(context, delivery), limit=context.remaining)
 
         def read(part: Callable[..., T]) -> T:
             return self._read_while_alive(helper, context, part)
@@ -182,26 +293,27 @@
         head = read(connection.read_head)
         error = decode_error(head.headers)
         if error is not None:
-            self._handle_error(error, context)
+            self._handle_error(error, context, delivery)
         if not head.is_framed:
             # An instance always states it, so this is not the whole response.
             raise ConnectionLostError("cut")
+        chunks = iter(lambda: read(connection.read_some), None)
         if context.route.kind is Kind.STREAM and head.is_success:
-            is_resumed = context.head.last_event_id is not None
+            has_part = context.head.last_event_id is not None
             self._forward_stream(
-                head, caller, lambda: read(connection.read_some), is_resumed=is_resumed
+                head,
+                delivery,
+                chunks,
+                is_resumed=has_part or delivery.last_event is not None,
             )
             return
-        headers = list(end_to_end_headers(head.headers))
-        limit = max(0.0, context.remaining)
-        body = connection.read_body(limit=limit, max_bytes=_MAX_RESPONSE_BYTES)
-        caller.respond(head.status, headers, body)
+        delivery.respond(head, _join(chunks))
 
     def _forward_stream(
         self,
         head: RawResponseHead,
-        caller: CallerConnection,
-        read_some: Callable[[], bytes | None],
+        delivery: _Delivery,
+        chunks: Iterator[bytes],
         *,
         is_resumed: bool,
     ) -> None:
@@ -212,29 +324,22 @@
         Raises:
             ConnectionLostError: If the stream broke off.
         """
-        headers = list(end_to_end_headers(head.headers))
         splitter = EventSplitter()
-        has_started = False
-        while (data := read_some()) is not None:
+        for data in chunks:
             for event in splitter.feed(data):
-                if not has_started:
-                    caller.start(head.status, headers)
-                    has_started = True
-                caller.send(event.data)
+                delivery.send(head, event)
         is_nothing_left = is_resumed and splitter.is_empty
         if not (is_nothing_left or splitter.may_end()):
             raise ConnectionLostError(UNFINISHED)
-        if not has_started:
-            caller.start(head.status, headers)
-        if splitter.remainder:
-            caller.send(splitter.remainder)
-        caller.finish()
+        delivery.finish(head, splitter.remainder)
 
-    def _make_call(self, context: Context) -> HttpCall:
+    def _make_call(self, context: Context, delivery: _Delivery) -> HttpCall:
         relayed = RelayedRequest(
             self._peers.own.id,
             max(0.0, now() - context.started_at) + _TRANSIT_S,
             context.version,
+            delivery.runs,
+            delivery.last_event,
         )
         head = context.head
         headers = encode_request(context.headers, relayed, len(context.body))
@@ -257,15 +362,20 @@
                 if error.reason != SILENT or not is_alive or context.remaining <= 0:
                     raise
 
-    def _handle_error(self, error: RequestError, context: Context) -> None:
+    def _handle_error(
+        self, error: RequestError, context: Context, delivery: _Delivery
+    ) -> None:
         """Raise the error of a helper.
 
         Raises:
-            _HelperRefusedError: If another helper may serve the request.
+            _HelperRefusedError: If another helper may serve the request, or if one may
+                have run it, whose outcome the caller is then told.
             RequestError: If not.
         """
         if error.ran is not Ran.NO:
             raise error
+        if delivery.runs:
+            raise _HelperRefusedError(error.kind)
         # Only the helper could have sent it to a target, and it did not.
         context.progress.is_sent = False
         if error.kind in _OTHER_HELPER_KINDS:
--- a/packages/serving/bergamotsaddle_serving/relay_headers.py
+++ b/packages/serving/bergamotsaddle_serving/relay_headers.py
@@ -10,6 +10,8 @@
 _PREFIX = b"bergamotsaddle-"
 _ELAPSED_MS = _PREFIX + b"elapsed-ms"
 _VERSION = _PREFIX + b"version"
+_RUNS = _PREFIX + b"runs"
+_LAST_EVENT = _PREFIX + b"last-event"
 _SENDER = _PREFIX + b"sender"
 _KIND = _PREFIX + b"kind"
 _RAN = _PREFIX + b"ran"
@@ -25,11 +27,16 @@
         sender: Id of the instance that hands it over.
         elapsed: Seconds since the caller sent it.
         version: Version of the configuration by which the sender accepted it.
+        runs: How often it may have run at helpers that have died.
+        last_event: Last event that the caller has from one of them, None if it has
+            none.
     """
 
     sender: str
     elapsed: float
     version: int
+    runs: int = 0
+    last_event: int | None = None
 
 
 def encode_request(
@@ -48,13 +55,18 @@
         for name, value in headers
         if name not in dropped and not name.startswith(_PREFIX)
     ]
-    return [
+    encoded = [
         *kept,
         (b"content-length", b"%d" % size),
         (_SENDER, relayed.sender.encode("latin-1")),
         (_ELAPSED_MS, b"%d" % (relayed.elapsed * _MS_PER_S)),
         (_VERSION, b"%d" % relayed.version),
     ]
+    if relayed.runs:
+        encoded.append((_RUNS, b"%d" % relayed.runs))
+    if relayed.last_event is not None:
+        encoded.append((_LAST_EVENT, b"%d" % relayed.last_event))
+    return encoded
 
 
 def decode_request(headers: Sequence[tuple[bytes, bytes]]) -> RelayedRequest:
@@ -69,6 +81,8 @@
             by_name[_SENDER].decode("latin-1"),
             int(by_name[_ELAPSED_MS]) / _MS_PER_S,
             int(by_name[_VERSION]),
+            int(by_name.get(_RUNS, b"0")),
+            int(by_name[_LAST_EVENT]) if _LAST_EVENT in by_name else None,
         )
     except (KeyError, ValueError) as error:
         detail = "expected the headers of a handed-over request"
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -10,7 +10,7 @@
 
 from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving.caller import CallerConnection
+from bergamotsaddle_serving.caller import CallerConnection, RawRequest
 from bergamotsaddle_serving.catalog import CallerLimits, Kind, Route, Service, Share
 from bergamotsaddle_serving.context import Context, Progress
 from bergamotsaddle_serving.handler import Handler
@@ -313,6 +313,13 @@
         relayed = read_relayed(self.second.requests[0])
         self.assertEqual((relayed.runs, relayed.last_event), (1, 1))
 
+    def test_events_are_not_sent_twice(self):
+        """Guards against a helper of an older version, which begins anew."""
+        with self.assertRaises(RequestError):
+            self.hand_over(STREAM[:-5], STREAM)
+        self.assertEqual(self.sent_events(), [EVENT])
+        self.caller.finish.assert_not_called()
+
     @parameterized.expand([("nothing", 0), ("a_part", len(BODY) - 2)])
     def test_another_helper_serves_a_repeatable_request_of_which_it_sent(self, _, size):
         self.hand_over(BODY[:size], BODY, kind=Kind.IDEMPOTENT)
@@ -393,6 +400,55 @@
         self.assertIn(b"bergamotsaddle-kind: not_found", response)
 
 
+class RepeatedHandoverTest(unittest.TestCase):
+    """A request that another helper may have run before it died."""
+
+    def setUp(self):
+        mocks = (mock.MagicMock() for _ in range(7))
+        self.handler = Handler(*mocks, suspects=mock.Mock())
+        self.context = make_context()._replace(earlier_runs=1)
+
+    def serve(self, repeats, error=None):
+        """Serve it with some repeats left; return the repeat and the error."""
+        repeat = mock.Mock() if repeats else None
+        self.handler._budget.reserve.return_value = repeat
+        self.handler._plain.serve.side_effect = error
+        try:
+            self.handler._serve_here(mock.Mock(), self.context)
+        except RequestError as caught:
+            return repeat, caught
+        return repeat, None
+
+    def test_its_runs_and_events_are_taken_on(self):
+        """Guards against more runs than the route allows, and events sent twice."""
+        configuration = self.handler._view.configuration
+        configuration.version = 7
+        configuration.has_teams = False
+        configuration.find_route.return_value = self.context.route._replace(attempts=3)
+        relayed = RelayedRequest("me", 0.0, 7, runs=1, last_event=5)
+        headers = encode_request([], relayed, 0)
+        raw = RawRequest(b"POST", b"/x", headers, b"", now(), is_from_peer=True)
+        context = self.handler._make_context(self.context.head, raw)
+        self.assertEqual(context.route.attempts, 2)
+        self.assertEqual(context.head.last_event_id, 5)
+        self.assertEqual(context.head.resumed_request, "r1")
+
+    def test_it_is_a_repeat(self):
+        """Guards against repeats that no budget counts."""
+        self.serve(1)
+        self.handler._budget.count_request.assert_not_called()
+        self.handler._budget.reserve.assert_called_once_with("s")
+
+    def test_without_a_repeat_it_may_go_to_another_helper(self):
+        _, error = self.serve(0)
+        self.assertEqual((error.kind, error.ran), (ErrorKind.OVERLOADED, Ran.NO))
+
+    @parameterized.expand([(Ran.NO, True), (Ran.UNKNOWN, False)])
+    def test_its_repeat_is_given_back_if_it_has_not_run(self, ran, expected):
+        repeat, _ = self.serve(1, RequestError(ErrorKind.NO_TARGET, "x", ran=ran))
+        self.assertEqual(repeat.cancel.called, expected)
+
+
 class HelperChoiceTest(unittest.TestCase):
     """Which instance serves a request of an instance without targets."""
 
