--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -265,24 +265,45 @@
         is_resumable=True,
         attempts=2,
         is_killed=True,
+        second_after=0.0,
+        regained_after=9.0,
     ):
-        """Hand one request over."""
+        """Hand one request over.
+
+        Args:
+            first: What the first helper sends before it breaks off.
+            second: Response of the second helper.
+            kind: Kind of the route.
+            is_resumable: Whether its streams may be resumed.
+            attempts: Runs that it allows.
+            is_killed: Whether the first helper is killed.
+            second_after: Seconds after which the second helper reaches the service.
+            regained_after: Seconds after which this instance does.
+
+        Returns:
+            The context with which the request is to be served here, if any.
+        """
         self.first = ScriptedHelper(first, is_killed=is_killed)
         port = self.first.port
         self.second = ScriptedHelper(second, address=(OTHER_HOST, port))
         contacts = [Contact("h0", "a", HOST), Contact("h1", "b", OTHER_HOST)]
         peers = mock.Mock(own=Contact("me", "a", HOST), region=lambda zone: zone)
-        peers.reaching.return_value = [
+        all_reaching = [
             SimpleNamespace(contact=contact, cores=1.0) for contact in contacts
         ]
+        started_at = now()
+        peers.reaching.side_effect = lambda service: (
+            all_reaching if now() - started_at >= second_after else all_reaching[:1]
+        )
         peers.incarnation_of.side_effect = lambda peer_id: "1"
-        reach = mock.Mock(is_lost=lambda service: True)
+        reach = mock.Mock(is_lost=lambda service: now() - started_at < regained_after)
         reach.seconds_to_probe.return_value = 0.5
         context = make_context(kind)
         route = context.route._replace(is_resumable=is_resumable, attempts=attempts)
         self.context = context._replace(route=route)
         self.caller = mock.Mock()
-        Handover(reach, peers, port, mock.Mock()).serve(self.context, self.caller)
+        handover = Handover(reach, peers, port, mock.Mock())
+        return handover.serve(self.context, self.caller)
 
     def sent_events(self):
         """Return the events that the caller got."""
@@ -304,6 +325,17 @@
         relayed = read_relayed(self.second.requests[0])
         self.assertEqual((relayed.runs, relayed.last_event), (1, None))
 
+    def test_a_stream_waits_for_another_helper(self):
+        """Guards against a 502 as nobody reaches the service at that very moment."""
+        self.hand_over(b"", STREAM, second_after=0.3)
+        self.assertEqual(self.sent_events(), [EVENT])
+
+    def test_a_stream_waits_for_the_service(self):
+        context = self.hand_over(b"", STREAM, second_after=9.0, regained_after=0.3)
+        self.assertEqual(self.second.requests, [])
+        self.assertEqual(context.earlier_runs, 1)
+        self.assertEqual(context.route.attempts, 1)
+
     def test_another_helper_goes_on_behind_its_last_event(self):
         """Guards against a stream that ends though the rest may follow."""
         self.hand_over(STREAM[:-5], STREAM.replace(b"id: 1", b"id: 2"))
