--- a/packages/serving/bergamotsaddle_serving/context.py
+++ b/packages/serving/bergamotsaddle_serving/context.py
@@ -84,6 +84,12 @@
         """Seconds until the deadline."""
         return self.deadline_at - now()
 
+    def after_runs(self, runs: int) -> "Context":
+        """Return the context of the request after runs at instances that have died."""
+        attempts = max(1, self.route.attempts - runs)
+        route = self.route._replace(attempts=attempts)
+        return self._replace(route=route, earlier_runs=runs)
+
     def abort_error(self, kind: ErrorKind, detail: str) -> RequestError:
         """Make the error for a request that is aborted at any point.
 
--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -269,7 +269,7 @@
             self._serve_here(caller, context)
             return
         if handover.is_needed(context):
-            handover.serve(context, caller)
+            self._hand_over(caller, context)
             return
         try:
             self._serve_here(caller, context)
@@ -277,7 +277,21 @@
             # The targets may have become unreachable while the request waited.
             if caller.has_started or not handover.may_follow(error, context):
                 raise
-            handover.serve(context, caller)
+            self._hand_over(caller, context)
+
+    def _hand_over(self, caller: CallerConnection, context: Context) -> None:
+        rest = self._handover.serve(context, caller)
+        if rest is None:
+            return
+        try:
+            self._serve_here(caller, rest)
+        except RequestError as error:
+            if error.ran is not Ran.NO:
+                raise
+            # It has not run here, but may have at the helper that died.
+            raise RequestError(
+                ErrorKind.TARGET_FAILED, error.detail, ran=Ran.UNKNOWN
+            ) from error
 
     def _serve_here(self, caller: CallerConnection, context: Context) -> None:
         service = context.service.name
@@ -314,10 +328,7 @@
             raise RequestError(ErrorKind.NOT_FOUND, "no route leads there")
         team = self._authenticate(configuration, route, head)
         service = self._pick_service(configuration, route)
-        if relayed.runs:
-            attempts = max(1, route.attempts - relayed.runs)
-            route = route._replace(attempts=attempts)
-        return Context(
+        context = Context(
             head=_at_last_event(head, relayed),
             body=raw.body,
             route=route,
@@ -331,8 +342,8 @@
             fingerprint=fingerprint(head, team, raw.body),
             headers=raw.headers,
             sender=relayed.sender,
-            earlier_runs=relayed.runs,
         )
+        return context.after_runs(relayed.runs) if relayed.runs else context
 
     def _wait_for_version(self, raw: RawRequest, head: RequestHead) -> None:
         """Wait until this instance has the configuration of a request's sender.
--- a/packages/serving/bergamotsaddle_serving/handover.py
+++ b/packages/serving/bergamotsaddle_serving/handover.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Iterator
 from typing import Any, TypeVar
 
+import eventlet
+
 from bergamotsaddle_contracts.errors import (
     BergamotsaddleError,
     ErrorKind,
@@ -41,6 +43,10 @@
 _CONNECT_LIMIT_S = 0.25
 # How often to check that a helper that has sent nothing yet is still alive.
 _ALIVE_CHECK_S = 0.2
+# Pause of a request whose helper has died while no other instance takes it; it doubles
+# up to the maximum.
+_FIRST_PAUSE_S = 0.1
+_MAX_PAUSE_S = 0.4
 # A helper counts a request's time from this much earlier, so that its response at the
 # deadline arrives before this instance gives up.
 _TRANSIT_S = 0.02
@@ -93,12 +99,13 @@
     Attributes:
         runs: How often helpers that broke off may have run it.
         last_event: Id of the last event that it has, None if it has none.
+        is_empty: Whether it has nothing.
     """
 
     def __init__(self, context: Context, caller: CallerConnection) -> None:
         self._route = context.route
         self._caller = caller
-        self._has_started = False
+        self.is_empty = True
         self._has_unnumbered_event = False
         self.runs = 0
         self.last_event: int | None = None
@@ -111,8 +118,8 @@
 
     def start(self, head: RawResponseHead) -> None:
         """Start the response unless it has started."""
-        if not self._has_started:
-            self._has_started = True
+        if self.is_empty:
+            self.is_empty = False
             headers = list(end_to_end_headers(head.headers))
             self._caller.start(head.status, headers)
 
@@ -149,7 +156,7 @@
         Raises:
             ConnectionLostError: If a part of another one was sent.
         """
-        if self._has_started:
+        if not self.is_empty:
             raise ConnectionLostError("failed")
         headers = list(end_to_end_headers(head.headers))
         self._caller.respond(head.status, headers, body)
@@ -189,19 +196,35 @@
         """Return whether a request that failed here may be handed over."""
         return error.ran is Ran.NO and self.is_needed(context)
 
-    def serve(self, context: Context, caller: CallerConnection) -> None:
+    def serve(self, context: Context, caller: CallerConnection) -> Context | None:
         """Have another instance serve a request, and forward its response.
 
+        Returns:
+            The context with which this instance is to serve the request, since it
+            reaches the service again after a helper died; None if it was served.
+
         Raises:
             RequestError: If no instance served it.
         """
         delivery = _Delivery(context, caller)
         tried: set[str] = set()
         refusals = 0
-        while refusals < _MAX_HELPERS and context.remaining > 0:
-            helper = self._choose(context.service.name, tried)
+        pause = _FIRST_PAUSE_S
+        while context.remaining > 0:
+            helper = None
+            if refusals < _MAX_HELPERS:
+                helper = self._choose(context.service.name, tried)
             if helper is None:
-                break
+                if not delivery.runs:
+                    break
+                if delivery.is_empty and not self._reach.is_lost(context.service.name):
+                    return context.after_runs(delivery.runs)
+                eventlet.sleep(min(pause, context.remaining))
+                pause = min(_MAX_PAUSE_S, 2.0 * pause)
+                tried.clear()
+                # One more helper may refuse it.
+                refusals = min(refusals, _MAX_HELPERS - 1)
+                continue
             tried.add(helper.id)
             incarnation = self._peers.incarnation_of(helper.id)
             try:
@@ -216,7 +239,7 @@
                     break
             else:
                 self._log(context, helper, "whole")
-                return
+                return None
         if delivery.runs:
             raise RequestError(
                 ErrorKind.TARGET_FAILED,
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -475,6 +475,15 @@
         _, error = self.serve(0)
         self.assertEqual((error.kind, error.ran), (ErrorKind.OVERLOADED, Ran.NO))
 
+    def test_a_refusal_behind_it_does_not_say_that_it_has_not_run(self):
+        handover = mock.Mock()
+        handover.serve.return_value = self.context
+        self.handler._handover = handover
+        self.handler._budget.reserve.return_value = None
+        with self.assertRaises(RequestError) as caught:
+            self.handler._dispatch(mock.Mock(), self.context)
+        self.assertEqual(caught.exception.ran, Ran.UNKNOWN)
+
     @parameterized.expand([(Ran.NO, True), (Ran.UNKNOWN, False)])
     def test_its_repeat_is_given_back_if_it_has_not_run(self, ran, expected):
         repeat, _ = self.serve(1, RequestError(ErrorKind.NO_TARGET, "x", ran=ran))
