--- a/packages/serving/bergamotsaddle_serving/_stage_worker.py
+++ b/packages/serving/bergamotsaddle_serving/_stage_worker.py
@@ -125,7 +125,7 @@
         sender_by_request: Instances that receive the results of requests.
         running: Pieces in running calls.
         outcome_by_key: Outcomes of recently finished pieces.
-        cancelled: Recently cancelled requests.
+        cancelled: First round that is needed of recently cancelled requests.
         changed: Event that wakes the workers; replaced each time that it is sent.
         disowned_checks: Consecutive checks that found another owner for the queue.
         wait_errors: Corrects forecasts by the errors of earlier ones.
@@ -138,7 +138,7 @@
         self.sender_by_request: OrderedDict[str, Sender] = OrderedDict()
         self.running: set[PieceKey] = set()
         self.outcome_by_key: OrderedDict[PieceKey, PieceOutcome] = OrderedDict()
-        self.cancelled: OrderedDict[str, None] = OrderedDict()
+        self.cancelled: OrderedDict[str, int] = OrderedDict()
         self.changed = Event()
         self.disowned_checks = 0
         self.wait_errors = WaitErrors()
@@ -173,11 +173,20 @@
         keys = [key for key in self.outcome_by_key if key.request in requests]
         return [self.outcome_by_key.pop(key).handle for key in keys]
 
-    def record_cancelled(self, request: str) -> None:
-        """Record that the results of a request are no longer needed."""
-        self.cancelled[request] = None
+    def record_cancelled(self, request: str, before_round: int) -> None:
+        """Record that results of a request are no longer needed.
+
+        Args:
+            request: Id of the request.
+            before_round: First round whose results are needed, if it ever comes.
+        """
+        self.cancelled[request] = before_round
         _trim(self.cancelled)
 
+    def is_cancelled(self, key: PieceKey) -> bool:
+        """Return whether the result of a piece is no longer needed."""
+        return key.round < self.cancelled.get(key.request, 0)
+
     def wake_workers(self) -> None:
         """Wake all workers."""
         changed, self.changed = self.changed, Event()
--- a/packages/serving/bergamotsaddle_serving/peer_messages.py
+++ b/packages/serving/bergamotsaddle_serving/peer_messages.py
@@ -7,6 +7,9 @@
 
 from bergamotsaddle_serving.messages import PieceFailure, StorePosition
 
+# Behind every round of a request.
+ALL_ROUNDS = 2**31
+
 
 class Message(msgspec.Struct, tag=True, array_like=True, frozen=True):
     """Base class of all datagrams."""
@@ -240,9 +243,15 @@
 
 
 class Cancel(Message):
-    """Withdraws all pieces of a request that has ended."""
+    """Withdraws pieces of a request that has ended, or that needs no stages now.
+
+    Attributes:
+        request: Id of the request.
+        before_round: First round that is not withdrawn.
+    """
 
     request: str
+    before_round: int = ALL_ROUNDS
 
 
 class Release(Message):
--- a/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
+++ b/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
@@ -269,7 +269,7 @@
             reason: Why the call failed, None if the target only refused it.
         """
         for piece in batch:
-            if piece.key.request in queue.cancelled:
+            if queue.is_cancelled(piece.key):
                 continue
             if piece.failed_calls >= _MAX_TRIES:
                 failed = PieceResult("", PieceFailure.FAILED)
@@ -292,7 +292,7 @@
         for piece, result in zip(batch, results, strict=True):
             if result.handle:
                 worker.memory.add(result.handle, piece.result_bytes, at)
-            if piece.key.request in queue.cancelled:
+            if queue.is_cancelled(piece.key):
                 unneeded += [result.handle] if result.handle else []
             elif result.reason == PieceFailure.NO_MEMORY:
                 worker.memory.record_full(piece.result_bytes, at)
--- a/packages/serving/bergamotsaddle_serving/stage_owner.py
+++ b/packages/serving/bergamotsaddle_serving/stage_owner.py
@@ -12,6 +12,7 @@
 from bergamotsaddle_serving.messages import Dialect, PieceFailure
 from bergamotsaddle_serving.owners import rank_owners
 from bergamotsaddle_serving.peer_messages import (
+    ALL_ROUNDS,
     Accepted,
     Cancel,
     PieceOutcome,
@@ -160,12 +161,12 @@
         """Drop the queued pieces of a request and mark its running ones as unneeded."""
         for queue in self._queue_by_service.values():
             if message.request in queue.sender_by_request:
-                self._cancel(queue, message.request)
+                self._cancel(queue, message.request, message.before_round)
 
-    def _cancel(self, queue: ServiceQueue, request: str) -> None:
+    def _cancel(self, queue: ServiceQueue, request: str, before_round: int) -> None:
         del queue.sender_by_request[request]
-        queue.queue.cancel(request)
-        queue.record_cancelled(request)
+        queue.queue.cancel(request, before_round)
+        queue.record_cancelled(request, before_round)
 
     def drop_orphans(self) -> None:
         """Drop the requests of dead instances and release their results.
@@ -181,7 +182,7 @@
                 continue
             orphans = [r for r, s in queue.sender_by_request.items() if s in dead]
             for request in orphans:
-                self._cancel(queue, request)
+                self._cancel(queue, request, ALL_ROUNDS)
             handles = queue.pop_handles(set(orphans))
             self._logger.info(
                 "orphans_dropped",
--- a/packages/serving/bergamotsaddle_serving/stage_queue.py
+++ b/packages/serving/bergamotsaddle_serving/stage_queue.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from bergamotsaddle_serving.catalog import Batching
+from bergamotsaddle_serving.peer_messages import ALL_ROUNDS
 from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
 from bergamotsaddle_serving.stage_load import PLACES, place
 
@@ -208,9 +209,13 @@
         """Add a piece."""
         self.piece_by_key[piece.key] = piece
 
-    def cancel(self, request: str) -> None:
-        """Remove the pieces of a request that has ended."""
-        for key in [k for k in self.piece_by_key if k.request == request]:
+    def cancel(self, request: str, before_round: int = ALL_ROUNDS) -> None:
+        """Remove the pieces of a request that are of an earlier round."""
+        for key in [
+            key
+            for key in self.piece_by_key
+            if key.request == request and key.round < before_round
+        ]:
             del self.piece_by_key[key]
 
     def pop_expired(self, now: float, slowdown: float = 1.0) -> list[QueuedPiece]:
--- a/packages/serving/bergamotsaddle_serving/stage_run.py
+++ b/packages/serving/bergamotsaddle_serving/stage_run.py
@@ -213,7 +213,7 @@
             self._remove_pending(stage)
         if self._submissions:
             for owner in self._owners:
-                self._exchange.send(owner, Cancel(self._head.id))
+                self._exchange.send(owner, Cancel(self._head.id, self.next_round))
             self._submissions.clear()
         self._release_handles(list(self._location_by_handle))
 
--- a/tests/test_stage_owner.py
+++ b/tests/test_stage_owner.py
@@ -181,6 +181,7 @@
         fingerprint="",
         started_at=None,
         has_objective=True,
+        first_round=0,
     ):
         """Start the stages of a request."""
         route = ROUTE._replace(stages=stages)
@@ -207,6 +208,7 @@
             ttl_seconds=lambda service: ttl_seconds,
             fingerprint=fingerprint,
             has_objective=has_objective,
+            first_round=first_round,
         )
         self.thread = eventlet.spawn(self._run)
         settle()
@@ -428,6 +430,19 @@
         self.assertEqual(self.calls.live, set())
         self.assertEqual(len(self.calls.calls), 1)
 
+    def test_canceled_stages_may_run_again(self):
+        """Guards against stages that never end as they were cancelled before."""
+        self.start()
+        advance(0.1)
+        self.thread.kill()
+        self.run_.release()
+        self.start(first_round=self.run_.next_round)
+        outcome = self.finish(1.0)
+        self.assertEqual(len(outcome.handles), 3)
+        self.run_.release()
+        advance(0.1)
+        self.assertEqual(self.calls.live, set())
+
     def test_pieces_of_a_dead_instance_are_dropped(self):
         """An instance is killed while its pieces wait in an owner's queue.
 
