--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -14,7 +14,7 @@
     RequestError,
 )
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving.budget import RetryBudget
+from bergamotsaddle_serving.budget import Repeat, RetryBudget
 from bergamotsaddle_serving.caller import (
     CallerConnection,
     CallerLeftError,
@@ -284,7 +284,7 @@
         if rest is None:
             return
         try:
-            self._serve_here(caller, rest)
+            self._run_as_repeat(caller, rest.context, rest.repeat)
         except RequestError as error:
             if error.ran is not Ran.NO:
                 raise
@@ -302,6 +302,11 @@
         repeat = self._budget.reserve(service)
         if repeat is None:
             raise context.rejection_error(ErrorKind.OVERLOADED, "no repeats are left")
+        self._run_as_repeat(caller, context, repeat)
+
+    def _run_as_repeat(
+        self, caller: CallerConnection, context: Context, repeat: Repeat
+    ) -> None:
         try:
             self._run_here(caller, context)
         except RequestError as error:
--- a/packages/serving/bergamotsaddle_serving/handover.py
+++ b/packages/serving/bergamotsaddle_serving/handover.py
@@ -1,8 +1,9 @@
 """Hands requests over to other instances while targets can't be reached from here."""
 
+import contextlib
 from collections import Counter
 from collections.abc import Callable, Iterator
-from typing import Any, TypeVar
+from typing import Any, NamedTuple, TypeVar
 
 import eventlet
 
@@ -15,6 +16,7 @@
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.admission import add_jitter
+from bergamotsaddle_serving.budget import Repeat, RetryBudget
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.catalog import Kind
 from bergamotsaddle_serving.client import (
@@ -41,6 +43,8 @@
 
 _MAX_HELPERS = 3
 _CONNECT_LIMIT_S = 0.25
+# A killed process is cleaned up within this time.
+_DYING_S = 0.1
 # How often to check that a helper that has sent nothing yet is still alive.
 _ALIVE_CHECK_S = 0.2
 # Pause of a request whose helper has died while no other instance takes it; it doubles
@@ -63,6 +67,18 @@
 )
 
 
+class Rest(NamedTuple):
+    """A request that a helper may have run before it died.
+
+    Attributes:
+        context: The request with the runs that it has left.
+        repeat: The repeat that is held for it.
+    """
+
+    context: Context
+    repeat: Repeat
+
+
 class _HelperRefusedError(BergamotsaddleError):
     """A helper did not run the request, and another one may.
 
@@ -177,11 +193,19 @@
         peers: The other instances and the services that they reach.
         port: TCP port at which all instances accept such requests.
         logger: Gets a line for each request that is handed over.
+        budget: Limits repeats of requests whose helper has died.
     """
 
     def __init__(
-        self, reach: ServiceReach, peers: Peers, port: int, logger: Any
+        self,
+        reach: ServiceReach,
+        peers: Peers,
+        port: int,
+        logger: Any,
+        *,
+        budget: RetryBudget,
     ) -> None:
+        self._budget = budget
         self._reach = reach
         self._peers = peers
         self._port = port
@@ -196,12 +220,12 @@
         """Return whether a request that failed here may be handed over."""
         return error.ran is Ran.NO and self.is_needed(context)
 
-    def serve(self, context: Context, caller: CallerConnection) -> Context | None:
+    def serve(self, context: Context, caller: CallerConnection) -> Rest | None:
         """Have another instance serve a request, and forward its response.
 
         Returns:
-            The context with which this instance is to serve the request, since it
-            reaches the service again after a helper died; None if it was served.
+            The rest of the request that this instance is to serve, since it reaches
+            the service again after a helper died; None if it was served.
 
         Raises:
             RequestError: If no instance served it.
@@ -217,8 +241,9 @@
             if helper is None:
                 if not delivery.runs:
                     break
-                if delivery.is_empty and not self._reach.is_lost(context.service.name):
-                    return context.after_runs(delivery.runs)
+                rest = self._take_back(context, delivery)
+                if rest is not None:
+                    return rest
                 eventlet.sleep(min(pause, context.remaining))
                 pause = min(_MAX_PAUSE_S, 2.0 * pause)
                 tried.clear()
@@ -253,13 +278,32 @@
             retry_after=add_jitter(wait),
         )
 
+    def _take_back(self, context: Context, delivery: _Delivery) -> Rest | None:
+        """Return the rest of a request if this instance can serve it now."""
+        service = context.service.name
+        if not delivery.is_empty or self._reach.is_lost(service):
+            return None
+        repeat = self._budget.reserve(service)
+        if repeat is None:
+            return None
+        return Rest(context.after_runs(delivery.runs), repeat)
+
     def _has_died(self, helper: Helper, incarnation: str | None) -> bool:
-        """Return whether a helper that broke off is gone, so that it runs nothing."""
+        """Return whether a helper that broke off is gone, so that it runs nothing.
+
+        The kernel may accept a connection while a killed process is being cleaned up,
+        but resets it then.
+        """
         if self._peers.incarnation_of(helper.id) != incarnation:
             return True
+        address = Address(helper.host, self._port)
         try:
-            Connection(Address(helper.host, self._port), limit=_CONNECT_LIMIT_S).close()
-        except ConnectionLostError:
+            connection = Connection(address, limit=_CONNECT_LIMIT_S)
+            with contextlib.closing(connection):
+                connection.read_head(limit=_DYING_S)
+        except ConnectionLostError as error:
+            if error.reason == SILENT:
+                return False
             self._peers.verify(helper.id)
             return True
         return False
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -160,8 +160,13 @@
         )
         self.peers.own_unreachable = self.service_reach.lost_services
         self.service_reach.subscribe(self._on_reach_change)
+        budget = RetryBudget(settings.bounds, self.peers.size)
         handover = Handover(
-            self.service_reach, self.peers, settings.listen.relay_port, logger
+            self.service_reach,
+            self.peers,
+            settings.listen.relay_port,
+            logger,
+            budget=budget,
         )
         history = SoftwareHistory(
             self.gossip,
@@ -225,7 +230,6 @@
             fetch_times,
             crashes=crashes,
         )
-        budget = RetryBudget(settings.bounds, self.peers.size)
         cold = ColdRateLimiter(self.peers.size)
         selector = Selector(
             self.view,
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -14,7 +14,7 @@
 from bergamotsaddle_serving.catalog import CallerLimits, Kind, Route, Service, Share
 from bergamotsaddle_serving.context import Context, Progress
 from bergamotsaddle_serving.handler import Handler
-from bergamotsaddle_serving.handover import Handover
+from bergamotsaddle_serving.handover import Handover, Rest
 from bergamotsaddle_serving.helper_choice import Helper, choose_helper, may_relay
 from bergamotsaddle_serving.messages import RequestHead
 from bergamotsaddle_serving.peer_messages import Contact
@@ -90,13 +90,16 @@
         delay: Seconds until it sends them.
         address: Where it listens.
         is_killed: Whether its process is killed behind the first response.
+        dies_for: Seconds for which its kernel still accepts connections then.
 
     Attributes:
         requests: What it received.
         port: Its port.
     """
 
-    def __init__(self, response, *, delay=0.0, address=(HOST, 0), is_killed=False):
+    def __init__(
+        self, response, *, delay=0.0, address=(HOST, 0), is_killed=False, dies_for=0.0
+    ):
         listener = eventlet.listen(address)
         self.port = listener.getsockname()[1]
         self.requests = []
@@ -104,6 +107,7 @@
         self._response = response
         self._delay = delay
         self._is_killed = is_killed
+        self._dies_for = dies_for
         eventlet.spawn_n(self._run, listener)
 
     def _run(self, listener):
@@ -113,8 +117,11 @@
             eventlet.sleep(self._delay)
             sock.sendall(self._response)
             if self._is_killed:
-                listener.close()
+                if not self._dies_for:
+                    listener.close()
                 sock.close()
+                eventlet.sleep(self._dies_for)
+                listener.close()
                 return
             self.has_left = not sock.recv(1) if self._delay else False
             sock.close()
@@ -135,7 +142,9 @@
         reach = mock.Mock(is_lost=lambda service: True)
         reach.seconds_to_probe.return_value = 0.5
         self.peers = peers
-        self.handover = Handover(reach, peers, self.helper.port, mock.Mock())
+        self.handover = Handover(
+            reach, peers, self.helper.port, mock.Mock(), budget=mock.Mock()
+        )
         self.context = make_context(kind)
         self.caller = mock.Mock()
         self.handover.serve(self.context, self.caller)
@@ -249,7 +258,7 @@
     def test_a_request_takes_one_hop(self, _, sender, expected):
         """Guards against requests that instances pass around."""
         reach = mock.Mock(is_lost=lambda service: True)
-        handover = Handover(reach, mock.Mock(), 1, mock.Mock())
+        handover = Handover(reach, mock.Mock(), 1, mock.Mock(), budget=mock.Mock())
         self.assertEqual(handover.is_needed(make_context(sender=sender)), expected)
 
 
@@ -265,8 +274,10 @@
         is_resumable=True,
         attempts=2,
         is_killed=True,
+        dies_for=0.0,
         second_after=0.0,
         regained_after=9.0,
+        repeat_after=0.0,
     ):
         """Hand one request over.
 
@@ -277,13 +288,15 @@
             is_resumable: Whether its streams may be resumed.
             attempts: Runs that it allows.
             is_killed: Whether the first helper is killed.
+            dies_for: Seconds for which its kernel still accepts connections then.
             second_after: Seconds after which the second helper reaches the service.
             regained_after: Seconds after which this instance does.
+            repeat_after: Seconds after which a repeat is available here.
 
         Returns:
-            The context with which the request is to be served here, if any.
+            The rest of the request that is to be served here, if any.
         """
-        self.first = ScriptedHelper(first, is_killed=is_killed)
+        self.first = ScriptedHelper(first, is_killed=is_killed, dies_for=dies_for)
         port = self.first.port
         self.second = ScriptedHelper(second, address=(OTHER_HOST, port))
         contacts = [Contact("h0", "a", HOST), Contact("h1", "b", OTHER_HOST)]
@@ -302,7 +315,11 @@
         route = context.route._replace(is_resumable=is_resumable, attempts=attempts)
         self.context = context._replace(route=route)
         self.caller = mock.Mock()
-        handover = Handover(reach, peers, port, mock.Mock())
+        budget = mock.Mock()
+        budget.reserve.side_effect = lambda service: (
+            mock.Mock() if now() - started_at >= repeat_after else None
+        )
+        handover = Handover(reach, peers, port, mock.Mock(), budget=budget)
         return handover.serve(self.context, self.caller)
 
     def sent_events(self):
@@ -325,16 +342,29 @@
         relayed = read_relayed(self.second.requests[0])
         self.assertEqual((relayed.runs, relayed.last_event), (1, None))
 
+    def test_a_helper_that_is_just_dying_is_known_to_be(self):
+        """Guards against a 502 as its kernel has not closed its listener yet."""
+        self.hand_over(b"", STREAM, dies_for=0.05)
+        self.assertEqual(self.sent_events(), [EVENT])
+
     def test_a_stream_waits_for_another_helper(self):
         """Guards against a 502 as nobody reaches the service at that very moment."""
         self.hand_over(b"", STREAM, second_after=0.3)
         self.assertEqual(self.sent_events(), [EVENT])
 
-    def test_a_stream_waits_for_the_service(self):
-        context = self.hand_over(b"", STREAM, second_after=9.0, regained_after=0.3)
+    @parameterized.expand([("the_service", 0.3, 0.0), ("a_repeat", 0.0, 0.3)])
+    def test_a_stream_waits_for(self, _, regained_after, repeat_after):
+        rest = self.hand_over(
+            b"",
+            STREAM,
+            second_after=9.0,
+            regained_after=regained_after,
+            repeat_after=repeat_after,
+        )
         self.assertEqual(self.second.requests, [])
-        self.assertEqual(context.earlier_runs, 1)
-        self.assertEqual(context.route.attempts, 1)
+        self.assertEqual(rest.context.earlier_runs, 1)
+        self.assertEqual(rest.context.route.attempts, 1)
+        rest.repeat.cancel.assert_not_called()
 
     def test_another_helper_goes_on_behind_its_last_event(self):
         """Guards against a stream that ends though the rest may follow."""
@@ -477,9 +507,10 @@
 
     def test_a_refusal_behind_it_does_not_say_that_it_has_not_run(self):
         handover = mock.Mock()
-        handover.serve.return_value = self.context
+        handover.serve.return_value = Rest(self.context, mock.Mock())
         self.handler._handover = handover
-        self.handler._budget.reserve.return_value = None
+        error = RequestError(ErrorKind.NO_TARGET, "x", ran=Ran.NO)
+        self.handler._plain.serve.side_effect = error
         with self.assertRaises(RequestError) as caught:
             self.handler._dispatch(mock.Mock(), self.context)
         self.assertEqual(caught.exception.ran, Ran.UNKNOWN)
