--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -14,7 +14,7 @@
     RequestError,
 )
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving.budget import Repeat, RetryBudget
+from bergamotsaddle_serving.budget import RetryBudget
 from bergamotsaddle_serving.caller import (
     CallerConnection,
     CallerLeftError,
@@ -280,18 +280,9 @@
             self._hand_over(caller, context)
 
     def _hand_over(self, caller: CallerConnection, context: Context) -> None:
-        rest = self._handover.serve(context, caller)
-        if rest is None:
-            return
-        try:
-            self._run_as_repeat(caller, rest.context, rest.repeat)
-        except RequestError as error:
-            if error.ran is not Ran.NO:
-                raise
-            # It has not run here, but may have at the helper that died.
-            raise RequestError(
-                ErrorKind.TARGET_FAILED, error.detail, ran=Ran.UNKNOWN
-            ) from error
+        self._handover.serve(
+            context, caller, serve_here=lambda rest: self._run_here(caller, rest)
+        )
 
     def _serve_here(self, caller: CallerConnection, context: Context) -> None:
         service = context.service.name
@@ -302,11 +293,6 @@
         repeat = self._budget.reserve(service)
         if repeat is None:
             raise context.rejection_error(ErrorKind.OVERLOADED, "no repeats are left")
-        self._run_as_repeat(caller, context, repeat)
-
-    def _run_as_repeat(
-        self, caller: CallerConnection, context: Context, repeat: Repeat
-    ) -> None:
         try:
             self._run_here(caller, context)
         except RequestError as error:
--- a/packages/serving/bergamotsaddle_serving/handover.py
+++ b/packages/serving/bergamotsaddle_serving/handover.py
@@ -3,7 +3,7 @@
 import contextlib
 from collections import Counter
 from collections.abc import Callable, Iterator
-from typing import Any, NamedTuple, TypeVar
+from typing import Any, TypeVar
 
 import eventlet
 
@@ -16,7 +16,7 @@
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.admission import add_jitter
-from bergamotsaddle_serving.budget import Repeat, RetryBudget
+from bergamotsaddle_serving.budget import RetryBudget
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.catalog import Kind
 from bergamotsaddle_serving.client import (
@@ -67,18 +67,6 @@
 )
 
 
-class Rest(NamedTuple):
-    """A request that a helper may have run before it died.
-
-    Attributes:
-        context: The request with the runs that it has left.
-        repeat: The repeat that is held for it.
-    """
-
-    context: Context
-    repeat: Repeat
-
-
 class _HelperRefusedError(BergamotsaddleError):
     """A helper did not run the request, and another one may.
 
@@ -91,6 +79,14 @@
         self.reason = reason
 
 
+def _broken_error() -> RequestError:
+    return RequestError(
+        ErrorKind.TARGET_FAILED,
+        "the instance that served the request broke off",
+        ran=Ran.UNKNOWN,
+    )
+
+
 def _join(chunks: Iterator[bytes]) -> bytes:
     """Return the whole body of a response.
 
@@ -220,12 +216,20 @@
         """Return whether a request that failed here may be handed over."""
         return error.ran is Ran.NO and self.is_needed(context)
 
-    def serve(self, context: Context, caller: CallerConnection) -> Rest | None:
+    def serve(
+        self,
+        context: Context,
+        caller: CallerConnection,
+        *,
+        serve_here: Callable[[Context], None],
+    ) -> None:
         """Have another instance serve a request, and forward its response.
 
-        Returns:
-            The rest of the request that this instance is to serve, since it reaches
-            the service again after a helper died; None if it was served.
+        Args:
+            context: The request.
+            caller: Connection that receives the response.
+            serve_here: Serves the request at this instance. It is called behind a
+                helper that died if this instance reaches the service again.
 
         Raises:
             RequestError: If no instance served it.
@@ -241,9 +245,8 @@
             if helper is None:
                 if not delivery.runs:
                     break
-                rest = self._take_back(context, delivery)
-                if rest is not None:
-                    return rest
+                if self._take_back(context, delivery, serve_here):
+                    return
                 eventlet.sleep(min(pause, context.remaining))
                 pause = min(_MAX_PAUSE_S, 2.0 * pause)
                 tried.clear()
@@ -264,13 +267,9 @@
                     break
             else:
                 self._log(context, helper, "whole")
-                return None
+                return
         if delivery.runs:
-            raise RequestError(
-                ErrorKind.TARGET_FAILED,
-                "the instance that served the request broke off",
-                ran=Ran.UNKNOWN,
-            )
+            raise _broken_error()
         wait = self._reach.seconds_to_probe(context.service.name)
         raise context.rejection_error(
             ErrorKind.NO_TARGET,
@@ -278,15 +277,33 @@
             retry_after=add_jitter(wait),
         )
 
-    def _take_back(self, context: Context, delivery: _Delivery) -> Rest | None:
-        """Return the rest of a request if this instance can serve it now."""
+    def _take_back(
+        self,
+        context: Context,
+        delivery: _Delivery,
+        serve_here: Callable[[Context], None],
+    ) -> bool:
+        """Serve a request here if that is possible now; return whether it was.
+
+        Raises:
+            RequestError: If it failed.
+        """
         service = context.service.name
         if not delivery.is_empty or self._reach.is_lost(service):
-            return None
+            return False
         repeat = self._budget.reserve(service)
         if repeat is None:
-            return None
-        return Rest(context.after_runs(delivery.runs), repeat)
+            return False
+        try:
+            serve_here(context.after_runs(delivery.runs))
+        except RequestError as error:
+            if error.ran is not Ran.NO:
+                raise
+            repeat.cancel()
+            if error.kind not in _OTHER_HELPER_KINDS:
+                raise _broken_error() from error
+            return False
+        return True
 
     def _has_died(self, helper: Helper, incarnation: str | None) -> bool:
         """Return whether a helper that broke off is gone, so that it runs nothing.
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -14,7 +14,7 @@
 from bergamotsaddle_serving.catalog import CallerLimits, Kind, Route, Service, Share
 from bergamotsaddle_serving.context import Context, Progress
 from bergamotsaddle_serving.handler import Handler
-from bergamotsaddle_serving.handover import Handover, Rest
+from bergamotsaddle_serving.handover import Handover
 from bergamotsaddle_serving.helper_choice import Helper, choose_helper, may_relay
 from bergamotsaddle_serving.messages import RequestHead
 from bergamotsaddle_serving.peer_messages import Contact
@@ -147,7 +147,7 @@
         )
         self.context = make_context(kind)
         self.caller = mock.Mock()
-        self.handover.serve(self.context, self.caller)
+        self.handover.serve(self.context, self.caller, serve_here=mock.Mock())
 
     def test_a_whole_response_is_forwarded(self):
         self.hand_over(BODY)
@@ -278,6 +278,7 @@
         second_after=0.0,
         regained_after=9.0,
         repeat_after=0.0,
+        here=None,
     ):
         """Hand one request over.
 
@@ -292,9 +293,7 @@
             second_after: Seconds after which the second helper reaches the service.
             regained_after: Seconds after which this instance does.
             repeat_after: Seconds after which a repeat is available here.
-
-        Returns:
-            The rest of the request that is to be served here, if any.
+            here: What serving it here raises, time after time.
         """
         self.first = ScriptedHelper(first, is_killed=is_killed, dies_for=dies_for)
         port = self.first.port
@@ -320,7 +319,8 @@
             mock.Mock() if now() - started_at >= repeat_after else None
         )
         handover = Handover(reach, peers, port, mock.Mock(), budget=budget)
-        return handover.serve(self.context, self.caller)
+        self.serve_here = mock.Mock(side_effect=here)
+        handover.serve(self.context, self.caller, serve_here=self.serve_here)
 
     def sent_events(self):
         """Return the events that the caller got."""
@@ -354,7 +354,7 @@
 
     @parameterized.expand([("the_service", 0.3, 0.0), ("a_repeat", 0.0, 0.3)])
     def test_a_stream_waits_for(self, _, regained_after, repeat_after):
-        rest = self.hand_over(
+        self.hand_over(
             b"",
             STREAM,
             second_after=9.0,
@@ -362,9 +362,30 @@
             repeat_after=repeat_after,
         )
         self.assertEqual(self.second.requests, [])
-        self.assertEqual(rest.context.earlier_runs, 1)
-        self.assertEqual(rest.context.route.attempts, 1)
-        rest.repeat.cancel.assert_not_called()
+        (context,) = self.serve_here.call_args.args
+        self.assertEqual(context.earlier_runs, 1)
+        self.assertEqual(context.route.attempts, 1)
+
+    def test_a_stream_that_is_refused_here_waits_on(self):
+        """Guards against a 502 as engines come back just after the service."""
+        refusal_here = RequestError(ErrorKind.VERSION_GONE, "x", ran=Ran.NO)
+        self.hand_over(
+            b"",
+            STREAM,
+            second_after=9.0,
+            regained_after=0.0,
+            here=[refusal_here, refusal_here, None],
+        )
+        self.assertEqual(self.serve_here.call_count, 3)
+
+    @parameterized.expand([(Ran.NO,), (Ran.UNKNOWN,)])
+    def test_a_failure_here_does_not_say_that_it_has_not_run(self, ran):
+        error = RequestError(ErrorKind.HELD_BACK, "x", ran=ran)
+        with self.assertRaises(RequestError) as caught:
+            self.hand_over(
+                b"", STREAM, second_after=9.0, regained_after=0.0, here=[error]
+            )
+        self.assertEqual(caught.exception.ran, Ran.UNKNOWN)
 
     def test_another_helper_goes_on_behind_its_last_event(self):
         """Guards against a stream that ends though the rest may follow."""
@@ -505,16 +526,6 @@
         _, error = self.serve(0)
         self.assertEqual((error.kind, error.ran), (ErrorKind.OVERLOADED, Ran.NO))
 
-    def test_a_refusal_behind_it_does_not_say_that_it_has_not_run(self):
-        handover = mock.Mock()
-        handover.serve.return_value = Rest(self.context, mock.Mock())
-        self.handler._handover = handover
-        error = RequestError(ErrorKind.NO_TARGET, "x", ran=Ran.NO)
-        self.handler._plain.serve.side_effect = error
-        with self.assertRaises(RequestError) as caught:
-            self.handler._dispatch(mock.Mock(), self.context)
-        self.assertEqual(caught.exception.ran, Ran.UNKNOWN)
-
     @parameterized.expand([(Ran.NO, True), (Ran.UNKNOWN, False)])
     def test_its_repeat_is_given_back_if_it_has_not_run(self, ran, expected):
         repeat, _ = self.serve(1, RequestError(ErrorKind.NO_TARGET, "x", ran=ran))
