--- a/packages/serving/bergamotsaddle_serving/stage_run.py
+++ b/packages/serving/bergamotsaddle_serving/stage_run.py
@@ -80,6 +80,7 @@
         round_number: Round in which the pieces were submitted.
 
     Attributes:
+        was_received: Whether the owner has responded.
         unacknowledged: Messages sent since the owner last responded.
         next_at: When the submission is sent again.
     """
@@ -92,6 +93,7 @@
         self.scope = scope
         self.missing = missing
         self.round = round_number
+        self.was_received = False
         self.unacknowledged = 0
         self.next_at = 0.0
 
@@ -150,6 +152,8 @@
         self._choose_queues = choose_queues
         self._inbox = exchange.open_inbox(head.id)
         self._submissions: list[_Submission] = []
+        # Submissions to silent owners, which may still run their pieces.
+        self._abandoned: list[_Submission] = []
         self._results_by_stage: dict[int, dict[int, str]] = {}
         self._location_by_handle: dict[str, _ResultLocation] = {}
         self._owners: set[str] = set()
@@ -211,10 +215,11 @@
         self._exchange.close_inbox(self._head.id)
         for stage in list(self._pending_by_stage):
             self._remove_pending(stage)
-        if self._submissions:
+        if self._submissions or self._abandoned:
             for owner in self._owners:
                 self._exchange.send(owner, Cancel(self._head.id, self.next_round))
             self._submissions.clear()
+            self._abandoned.clear()
         self._release_handles(list(self._location_by_handle))
 
     def _is_done(self) -> bool:
@@ -357,9 +362,30 @@
         )
         self._exchange.peers.suspect(submission.owner)
         self._submissions.remove(submission)
+        self._abandoned.append(submission)
         if self._has_released_inputs(submission.stage):
             self._start_round()
             self._discard_inputs(submission.stage)
+        self._withdraw_abandoned()
+
+    def _withdraw_abandoned(self) -> None:
+        """Cancel pieces at silent owners that can't help any more.
+
+        An owner that was only paused finds the cancellation behind the submission. One
+        that has received the pieces may be done with them before its successor.
+        """
+        busy = {submission.owner for submission in self._submissions}
+        for submission in list(self._abandoned):
+            is_useful = submission.was_received and not self._stage_is_done(
+                submission.stage
+            )
+            if is_useful or submission.owner in busy:
+                continue
+            self._abandoned.remove(submission)
+            message = Cancel(self._head.id, self.next_round)
+            self._exchange.send(submission.owner, message)
+            # The owner may come back and get other pieces.
+            self._start_round()
 
     def _receive(self) -> None:
         wait = self._next_event() - now()
@@ -391,6 +417,7 @@
             self._release_fetched()
 
     def _record_response(self, submission: _Submission) -> None:
+        submission.was_received = True
         submission.unacknowledged = 0
         submission.next_at = now() + _REFRESH_S
 
@@ -417,6 +444,7 @@
         if self._stage_is_done(message.stage):
             self._plan.record_stage_done(now())
             self._finished_at_by_stage[message.stage] = now()
+            self._withdraw_abandoned()
             self._release_fetched()
 
     def _store_outcome(self, submission: _Submission, outcome: PieceOutcome) -> None:
--- a/tests/test_stage_owner.py
+++ b/tests/test_stage_owner.py
@@ -22,7 +22,13 @@
     StoreEntry,
     StorePosition,
 )
-from bergamotsaddle_serving.peer_messages import Contact, Release, Started, Submit
+from bergamotsaddle_serving.peer_messages import (
+    Cancel,
+    Contact,
+    Release,
+    Started,
+    Submit,
+)
 from bergamotsaddle_serving.policy import FULL_POLICY
 from bergamotsaddle_serving.stage_exchange import StageExchange
 from bergamotsaddle_serving.stage_load import PendingWork, ScopeLoad, StageLoad
@@ -597,6 +603,78 @@
         self.peers.owners.return_value = ["me"]
         self.assertEqual(len(self.finish(1.5).handles), 3)
 
+    def pause_owner(self, seconds, *, after=0.0):
+        """Make another instance the owner, whose messages are held up for a while.
+
+        Args:
+            seconds: For how long it neither receives nor sends.
+            after: Seconds until then.
+        """
+        other = StageOwner(
+            self.view,
+            mock.Mock(
+                own=Contact("other", "a", "127.0.0.2"),
+                owners=lambda scope: ["other"],
+                alive=list,
+                active_zones=lambda: {"a"},
+                region=lambda zone: zone,
+                incarnation_of=lambda instance: "life",
+                send=lambda instance, message: hold_up(self.exchange.deliver, message),
+            ),
+            self.calls,
+            PlatformDialect(),
+            self.reach,
+            mock.Mock(),
+            crashes=self.crashes,
+        )
+        pauses_at = now() + after
+
+        def receive(message):
+            if isinstance(message, Submit):
+                self.exchange.deliver(other.submit(message, "me"))
+            elif isinstance(message, Cancel):
+                other.cancel(message)
+            elif isinstance(message, Release):
+                other.release(message)
+
+        def hold_up(deliver, message):
+            is_paused = pauses_at <= now() < pauses_at + seconds
+            delay = pauses_at + seconds - now() if is_paused else 0.0
+            eventlet.spawn_after(delay, deliver, message)
+
+        def suspect(instance):
+            self.peers.owners.return_value = ["me"]
+
+        self.peers.owners.return_value = ["other"]
+        self.peers.send.side_effect = lambda instance, message: hold_up(
+            receive, message
+        )
+        self.peers.suspect.side_effect = suspect
+
+    @parameterized.expand([(0.1,), (0.3,), (0.5,), (1.0,), (2.0,)])
+    def test_a_pause_of_the_owner_makes_no_work_twice(self, seconds):
+        """Guards against calls for pieces that another owner has taken over."""
+        self.pause_owner(seconds)
+        self.start()
+        outcome = self.finish(3.0)
+        self.assertEqual(len(outcome.handles), 3)
+        self.run_.release()
+        advance(3.0)
+        self.assertEqual(len(self.calls.calls), 2, self.calls.calls)
+        self.assertEqual(self.calls.live, set())
+
+    def test_a_paused_owner_may_be_first(self):
+        """Guards against results that are dropped as another owner was asked too."""
+        self.pause_owner(0.7, after=0.05)
+        self.start()
+        outcome = self.finish(3.0)
+        self.assertEqual(len(outcome.handles), 3)
+        # Its successor, asked after 0.64 s, would be done with this stage at 0.84 s.
+        self.assertLess(outcome.seconds, 0.84 + 0.2)
+        self.run_.release()
+        advance(1.0)
+        self.assertEqual(self.calls.live, set())
+
     def test_inputs_that_a_dead_owner_used_up_are_recomputed_at_once(self):
         """Guards against a call by the successor only to learn that inputs are gone."""
         self.start()
