--- a/packages/serving/bergamotsaddle_serving/handover.py
+++ b/packages/serving/bergamotsaddle_serving/handover.py
@@ -124,9 +124,15 @@
 
     def may_follow(self) -> bool:
         """Return whether another helper may run the request, or the rest of it."""
-        route = self._route
-        may_repeat = route.may_repeat and not self._has_unnumbered_event
-        return may_repeat and self.runs < route.attempts
+        return self._may_run(self.runs + 1)
+
+    def may_leave(self) -> bool:
+        """Return the same for the time after the helper that runs it now."""
+        return self._may_run(self.runs + 2)
+
+    def _may_run(self, runs: int) -> bool:
+        may_repeat = self._route.may_repeat and not self._has_unnumbered_event
+        return may_repeat and runs <= self._route.attempts
 
     def start(self, head: RawResponseHead) -> None:
         """Start the response unless it has started."""
@@ -372,7 +378,7 @@
         connection.send(self._make_call(context, delivery), limit=context.remaining)
 
         def read(part: Callable[..., T]) -> T:
-            return self._read_while_alive(helper, context, part)
+            return self._read_while_alive(helper, context, delivery, part)
 
         head = read(connection.read_head)
         error = decode_error(head.headers)
@@ -430,12 +436,19 @@
         return HttpCall(head.method, head.path, headers, context.body)
 
     def _read_while_alive(
-        self, helper: Helper, context: Context, part: Callable[..., T]
+        self,
+        helper: Helper,
+        context: Context,
+        delivery: _Delivery,
+        part: Callable[..., T],
     ) -> T:
         """Read a part of a response for as long as the helper is alive.
 
+        One that is not heard may be paused. A request that another instance could serve
+        leaves it only once there is one.
+
         Raises:
-            ConnectionLostError: If the helper broke off or is not alive any more.
+            ConnectionLostError: If the helper broke off or is left.
         """
         incarnation = self._peers.incarnation_of(helper.id)
         while True:
@@ -443,9 +456,18 @@
                 return part(limit=min(_ALIVE_CHECK_S, max(0.0, context.remaining)))
             except ConnectionLostError as error:
                 is_alive = self._peers.incarnation_of(helper.id) == incarnation
-                if error.reason != SILENT or not is_alive or context.remaining <= 0:
+                if error.reason != SILENT or context.remaining <= 0:
+                    raise
+                stays = delivery.may_leave() and not self._has_way(helper, context)
+                if not (is_alive or stays):
                     raise
 
+    def _has_way(self, helper: Helper, context: Context) -> bool:
+        """Return whether another instance or this one reaches a request's service."""
+        service = context.service.name
+        is_lost = self._reach.is_lost(service)
+        return not is_lost or self._choose(service, {helper.id}) is not None
+
     def _handle_error(
         self, error: RequestError, context: Context, delivery: _Delivery
     ) -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -275,6 +275,7 @@
         attempts=2,
         is_killed=True,
         dies_for=0.0,
+        delay=0.0,
         second_after=0.0,
         regained_after=9.0,
         repeat_after=0.0,
@@ -290,12 +291,15 @@
             attempts: Runs that it allows.
             is_killed: Whether the first helper is killed.
             dies_for: Seconds for which its kernel still accepts connections then.
+            delay: Seconds for which it is paused first, and not heard by its peers.
             second_after: Seconds after which the second helper reaches the service.
             regained_after: Seconds after which this instance does.
             repeat_after: Seconds after which a repeat is available here.
             here: What serving it here raises, time after time.
         """
-        self.first = ScriptedHelper(first, is_killed=is_killed, dies_for=dies_for)
+        self.first = ScriptedHelper(
+            first, delay=delay, is_killed=is_killed, dies_for=dies_for
+        )
         port = self.first.port
         self.second = ScriptedHelper(second, address=(OTHER_HOST, port))
         contacts = [Contact("h0", "a", HOST), Contact("h1", "b", OTHER_HOST)]
@@ -307,7 +311,9 @@
         peers.reaching.side_effect = lambda service: (
             all_reaching if now() - started_at >= second_after else all_reaching[:1]
         )
-        peers.incarnation_of.side_effect = lambda peer_id: "1"
+        peers.incarnation_of.side_effect = lambda peer_id: (
+            None if 0.1 <= now() - started_at < delay else "1"
+        )
         reach = mock.Mock(is_lost=lambda service: now() - started_at < regained_after)
         reach.seconds_to_probe.return_value = 0.5
         context = make_context(kind)
@@ -347,6 +353,15 @@
         self.hand_over(b"", STREAM, dies_for=0.05)
         self.assertEqual(self.sent_events(), [EVENT])
 
+    @parameterized.expand([("no_other", 9.0, 0), ("another", 0.0, 1)])
+    def test_a_paused_helper_is_left_only_for(self, _, second_after, handed_over):
+        """Guards against a 502 for what a paused helper would have served."""
+        self.hand_over(
+            STREAM, STREAM, is_killed=False, delay=0.6, second_after=second_after
+        )
+        self.assertEqual(self.sent_events(), [EVENT])
+        self.assertEqual(len(self.second.requests), handed_over)
+
     def test_a_stream_waits_for_another_helper(self):
         """Guards against a 502 as nobody reaches the service at that very moment."""
         self.hand_over(b"", STREAM, second_after=0.3)
