--- a/tests/test_stage_owner.py
+++ b/tests/test_stage_owner.py
@@ -1,7 +1,7 @@
 """Tests for stages that run through an owner's queue, with failing targets."""
 
 import unittest
-from itertools import count
+from collections import deque
 from unittest import mock
 
 import eventlet
@@ -638,13 +638,22 @@
             elif isinstance(message, Release):
                 other.release(message)
 
-        # What waits for the end of the pause is delivered in the order of sending.
-        order = count()
+        held = deque()
 
         def hold_up(deliver, message):
             is_paused = pauses_at <= now() < pauses_at + seconds
-            delay = pauses_at + seconds - now() if is_paused else 0.0
-            eventlet.spawn_after(delay + 1e-6 * next(order), deliver, message)
+            if not is_paused:
+                eventlet.spawn_after(0.0, deliver, message)
+                return
+            if not held:
+                eventlet.spawn_after(pauses_at + seconds - now(), deliver_held)
+            held.append((deliver, message))
+
+        def deliver_held():
+            # A process that goes on reads all that has arrived, in its order.
+            while held:
+                deliver, message = held.popleft()
+                deliver(message)
 
         def suspect(instance):
             self.peers.owners.return_value = ["me"]
