--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 PACKAGES := $(wildcard packages/*/pyproject.toml) platform/adapter/pyproject.toml
 
-.PHONY: demo test lint format model faults soak bench capacity meeting origins leaning
+.PHONY: demo test lint format model faults soak bench capacity meeting origins leaning silence
 .NOTPARALLEL:
 
 $(STAMP): requirements.txt $(PACKAGES)
@@ -50,3 +50,6 @@
 
 leaning: $(STAMP)
 	$(PYTHON) -m bergamotsaddle_standins.leaning $(ARGS)
+
+silence: $(STAMP)
+	$(PYTHON) -m bergamotsaddle_standins.silence $(ARGS)
--- a/packages/standins/bergamotsaddle_standins/soak.py
+++ b/packages/standins/bergamotsaddle_standins/soak.py
@@ -102,7 +102,9 @@
 _ENTRY_LAG_S = 1.0
 _ENGINE_RESTART_S = 1.5
 _OK_STATUS = 200
-_SETTINGS = """
+_RETRY_RATIO = 0.2
+_RETRY_EXTRA = 58
+SETTINGS = """
 [instance]
 id = {id}
 zone = {zone}
@@ -126,9 +128,9 @@
 
 [bounds]
 grace_s = {grace}
-retry_ratio = 0.2
+retry_ratio = {retry_ratio}
 retry_window_s = 10
-retry_extra = 58
+retry_extra = {retry_extra}
 """
 
 
@@ -422,13 +424,15 @@
     ) -> SoakInstance:
         zone = ZONES[number % len(ZONES)]
         instance_id = self._instance_ids[number]
-        settings = _SETTINGS.format(
+        settings = SETTINGS.format(
             id=instance_id,
             zone=zone,
             host=hosts[number],
             seeds=",".join(f"{host}:7740" for host in hosts[:3]),
             store_port=self._store.port,
             grace=_GRACE_S,
+            retry_ratio=_RETRY_RATIO,
+            retry_extra=_RETRY_EXTRA,
         )
         return SoakInstance(instance_id, zone, hosts[number], folder, settings)
 
--- a/packages/standins/bergamotsaddle_standins/soak_callers.py
+++ b/packages/standins/bergamotsaddle_standins/soak_callers.py
@@ -190,12 +190,19 @@
         """
         self._socket.sendall(data)
 
-    def read(self, limit: float, *, max_events: int | None = None) -> ReceivedResponse:
+    def read(
+        self,
+        limit: float,
+        *,
+        max_events: int | None = None,
+        on_data: Callable[[], None] = lambda: None,
+    ) -> ReceivedResponse:
         """Read a response.
 
         Args:
             limit: Seconds to wait for each part of it.
             max_events: Number of events after which to stop, None for all.
+            on_data: Called when a part of its body has arrived.
         """
         parser = h11.Connection(h11.CLIENT)
         headers = [("host", HOST), ("content-length", "0")]
@@ -216,6 +223,7 @@
                     status = event.status_code
                 elif isinstance(event, h11.Data):
                     body += bytes(event.data)
+                    on_data()
                     if max_events and len(_EVENT.findall(body)) >= max_events:
                         break
                 elif isinstance(event, h11.EndOfMessage):
--- a/packages/standins/bergamotsaddle_standins/soak_dialect.py
+++ b/packages/standins/bergamotsaddle_standins/soak_dialect.py
@@ -42,7 +42,9 @@
 CHAT_PREFIX = "/chat/"
 # Streams that another engine may resume.
 TALK_PREFIX = "/talk/"
-STREAM_PREFIXES = (CHAT_PREFIX, TALK_PREFIX)
+# Streams of an experiment, whose rules the configuration sets.
+TRIAL_PREFIX = "/trial/"
+STREAM_PREFIXES = (CHAT_PREFIX, TALK_PREFIX, TRIAL_PREFIX)
 ATTEMPTS_BY_PREFIX = {
     BOOKING_PREFIX: 1,
     LOOKUP_PREFIX: 2,
@@ -70,6 +72,22 @@
 _UNKNOWN_ADDRESS = Address("127.0.0.1", 1)
 
 
+class TrialRules(msgspec.Struct):
+    """Rules for the streams of an experiment.
+
+    Attributes:
+        attempts: Maximum number of engines that one stream may run on.
+        objective: Seconds until its first event is due.
+        event_gap: Seconds until the next one is due.
+        has_stage: Whether a stage runs first.
+    """
+
+    attempts: int
+    objective: float
+    event_gap: float
+    has_stage: bool = False
+
+
 class SoakConfiguration(msgspec.Struct):
     """What operators change during a soak.
 
@@ -77,11 +95,13 @@
         version: Version of the configuration.
         bookings: Service that runs bookings.
         keys: Valid API keys.
+        trial: Rules for the streams of an experiment, None if there is none.
     """
 
     version: int
     bookings: str
     keys: list[str]
+    trial: TrialRules | None = None
 
 
 class SoakTarget(msgspec.Struct):
@@ -316,6 +336,8 @@
         _stream_route("chat", CHAT_PREFIX, is_resumable=False),
         _stream_route("talk", TALK_PREFIX, is_resumable=True),
     ]
+    if declared.trial is not None:
+        routes.append(_trial_route(declared.trial))
     services = [
         Service(declared.bookings, 1_000),
         Service(LOOKUPS, 1_000),
@@ -354,3 +376,20 @@
         stages=(_CHAT_STAGE,),
         is_resumable=is_resumable,
     )
+
+
+def _trial_route(rules: TrialRules) -> Route:
+    return Route(
+        name="trial",
+        host=HOST,
+        prefix=TRIAL_PREFIX,
+        kind=Kind.STREAM,
+        timeout=CHAT_DEADLINE_S,
+        objective=rules.objective,
+        attempts=rules.attempts,
+        priority=1,
+        shares=(Share(ENGINE, 1.0),),
+        stages=(_CHAT_STAGE,) if rules.has_stage else (),
+        is_resumable=True,
+        event_gap=rules.event_gap,
+    )
--- a/packages/standins/bergamotsaddle_standins/soak_targets.py
+++ b/packages/standins/bergamotsaddle_standins/soak_targets.py
@@ -187,6 +187,8 @@
         break_mode: How its responses break off, None if they do not. They have no
             length meanwhile.
         on_crash: Called when the target has crashed.
+        event_pause: Seconds before each event of a stream.
+        end_pause: Seconds from the last event of a stream to its end.
     """
 
     def __init__(
@@ -213,6 +215,8 @@
         self.is_resting = False
         self.break_mode: BreakMode | None = None
         self.on_crash: Callable[[RunningTarget], None] = lambda target: None
+        self.event_pause = _EVENT_PAUSE_S
+        self.end_pause = 0.0
         self._streams: set[str] = set()
         self._has_crashed = False
         self._running = 0
@@ -365,7 +369,7 @@
             if not find_manner(cause).is_whole(number):
                 return self._crash(environ, start_response, headers, cause, parts)
         if self.break_mode is not None and parts:
-            return self._break_off(environ, headers, parts, pause=_EVENT_PAUSE_S)
+            return self._break_off(environ, headers, parts, pause=self.event_pause)
         start_response("200 OK", list(headers))
         return self._send_events(environ["HTTP_ID"], parts)
 
@@ -376,7 +380,8 @@
 
     def _send_events(self, request: str, parts: Sequence[bytes]) -> Iterator[bytes]:
         try:
-            yield from _pace(parts, _EVENT_PAUSE_S)
+            yield from _pace(parts, self.event_pause)
+            eventlet.sleep(self.end_pause)
         finally:
             self._streams.discard(request)
 
@@ -399,7 +404,7 @@
             parts.append(b"id: %d\nda" % (first + ending.events))
 
         def send() -> Iterator[bytes]:
-            yield from _pace(parts, _EVENT_PAUSE_S)
+            yield from _pace(parts, self.event_pause)
             eventlet.sleep(ending.delay)
             self._end(cause, is_reset=ending.is_reset, is_silent=ending.is_silent)
             # The rest of the response goes to a connection that is gone.
@@ -420,7 +425,7 @@
     ) -> Iterable[bytes]:
         """Send a whole response, then crash with all that runs."""
         start_response("200 OK", list(headers))
-        seconds = len(whole) * _EVENT_PAUSE_S + self._rng.uniform(0.1, _MAX_BEHIND_S)
+        seconds = len(whole) * self.event_pause + self._rng.uniform(0.1, _MAX_BEHIND_S)
         eventlet.spawn_after(seconds, self._end, cause, is_reset=False)
         return self._send_events(environ["HTTP_ID"], whole)
 
