--- a/tests/_paced_engines.py
+++ b/tests/_paced_engines.py
@@ -59,11 +59,16 @@
 
     Attributes:
         pauses: Seconds for which it sends nothing once an event with some number is
-            due for the first time, by that number; with 0, as soon as it runs.
+            due for the first time, by that number; with 0, as soon as it runs, and
+            with the number behind the last event, before the end.
         is_burst: Whether all that was due in a pause is sent at its end; otherwise
             the events behind it are paced as before.
         reset_after: Seconds from the start of its first pause after which it resets
             the connection, None if it doesn't.
+        reset_at: Number of an event instead of which it resets the connection once,
+            0 if it doesn't.
+        is_split: Whether half of an event is sent before the pause.
+        holds_head: Whether the head is sent with the first event only.
         first_delay: Seconds until the first event of each response.
         refusal: A response that it sends to each request instead of a stream.
         is_down: Whether it refuses connections.
@@ -72,6 +77,9 @@
     pauses: dict[int, float] = {}  # noqa: RUF012
     is_burst: bool = False
     reset_after: float | None = None
+    reset_at: int = 0
+    is_split: bool = False
+    holds_head: bool = False
     first_delay: float = 0.0
     refusal: bytes = b""
     is_down: bool = False
@@ -130,6 +138,7 @@
         self.runs = []
         self.silent_since = None
         self.silent_until = 0.0
+        self._has_reset = False
         if 0 in self._pauses:
             self.pause(self._pauses.pop(0))
         self._threads = []
@@ -185,25 +194,40 @@
             response = script.refusal
             sock.sendall(response % run.request if b"%s" in response else response)
             return
-        head = HEAD.replace(b"r1", run.request)
-        sock.sendall(head + b"Transfer-Encoding: chunked\r\n\r\n")
+        head = HEAD.replace(b"r1", run.request) + b"Transfer-Encoding: chunked\r\n\r\n"
+        if not script.holds_head:
+            sock.sendall(head)
+            head = b""
         due_at = run.started_at + script.first_delay
-        for number in range(run.after + 1, EVENTS + 1):
+        for number in range(run.after + 1, EVENTS + 2):
             self._sleep_until(due_at)
+            event = self._event(number) if number <= EVENTS else b""
             if number in self._pauses:
+                if script.is_split:
+                    half, event = event[:5], event[5:]
+                    sock.sendall(head + _encode_chunk(half))
                 self.pause(self._pauses.pop(number))
-            if not self._wait_until_due(due_at):
-                run.has_ended = True
-                reader.kill()
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-                sock.close()
+            if not self._wait_until_due(due_at) or self._is_reset_at(number):
+                self._reset(sock, run, reader)
                 return
-            run.sent_at_by_event[number] = now()
-            event = self._event(number)
-            sock.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+            if event:
+                run.sent_at_by_event[number] = now()
+            sock.sendall(head + _encode_chunk(event))
+            head = b""
             due_at = (due_at if script.is_burst else now()) + EVENT_GAP_S
         run.has_ended = True
-        sock.sendall(b"0\r\n\r\n")
+
+    def _is_reset_at(self, number):
+        """Return whether the connection is to break once at an event."""
+        is_due = number == self._script.reset_at and not self._has_reset
+        self._has_reset |= is_due
+        return is_due
+
+    def _reset(self, sock, run, reader):
+        run.has_ended = True
+        reader.kill()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+        sock.close()
 
     def _wait_until_due(self, due_at):
         """Wait for the end of a pause; return False if the connection is to break."""
@@ -225,6 +249,11 @@
         return make_event(number, is_numbered=self._is_numbered)
 
 
+def _encode_chunk(data):
+    """Return a chunk of a body, the last one if there are no bytes."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
 def make_event(number, *, is_numbered=True):
     """Return one event of a stream."""
     data = b"data: %d\n\n" % number
@@ -290,6 +319,7 @@
         attempts: Targets that a request may run on.
         permits: Whether each engine grants permits, all by default.
         is_numbered: Whether events have ids.
+        is_spread: Whether prompts begin differently, so that each engine gets some.
         stages: Stages before the stream, None if there are none.
 
     Attributes:
@@ -306,11 +336,13 @@
         attempts=3,
         permits=(),
         is_numbered=True,
+        is_spread=False,
         stages=None,
     ):
         names = [f"e{n}" for n in range(len(scripts))]
         names.sort(key=lambda name: rendezvous_weight(name, ""), reverse=True)
         self._is_numbered = is_numbered
+        self._is_spread = is_spread
         self.engines = [PacedEngine(s, is_numbered=is_numbered) for s in scripts]
         targets = [
             make_target(name, "v1", service=SERVICE, address=engine.address)._replace(
@@ -392,11 +424,13 @@
     def open(self):
         """Send a request; return its caller's socket and when it was sent."""
         client = connect(self.server, self._make_context)
+        number = next(self._numbers)
+        prompt = b"X-Prefix-Hash: p%d:10,q:10\r\n" % number if self._is_spread else b""
         request = (
             b"POST / HTTP/1.1\r\nHost: h\r\nX-Request-Id: q%d\r\nX-Pieces: 2\r\n"
-            b"Content-Length: 0\r\n\r\n"
+            b"%sContent-Length: 0\r\n\r\n"
         )
-        client.sendall(request % next(self._numbers))
+        client.sendall(request % (number, prompt))
         return client, now()
 
     def call(self):
