--- a/model/__main__.py
+++ b/model/__main__.py
@@ -13,6 +13,7 @@
     placement,
     rates,
     requests,
+    silence,
     tickets,
 )
 from model.specification import Specification
@@ -29,6 +30,7 @@
     requests.SPECIFICATION,
     requests.RELEASE_SPECIFICATION,
     rates.SPECIFICATION,
+    silence.SPECIFICATION,
     *placement.SPECIFICATIONS,
 )
 
