--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 PACKAGES := $(wildcard packages/*/pyproject.toml) platform/adapter/pyproject.toml
 
-.PHONY: demo test lint format model faults soak bench capacity meeting origins leaning
+.PHONY: demo test lint format model faults soak bench capacity meeting pauses origins leaning
 .NOTPARALLEL:
 
 $(STAMP): requirements.txt $(PACKAGES)
@@ -45,6 +45,9 @@
 meeting: $(STAMP)
 	$(PYTHON) -m bergamotsaddle_standins.meeting $(ARGS)
 
+pauses: $(STAMP)
+	$(PYTHON) -m bergamotsaddle_standins.pauses $(ARGS)
+
 origins: $(STAMP)
 	$(PYTHON) -m bergamotsaddle_standins.origin_cost $(ARGS)
 
--- a/packages/standins/bergamotsaddle_standins/virtual_fleet.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_fleet.py
@@ -1,5 +1,6 @@
 """Many instances that share engines, in one process on a virtual clock."""
 
+import math
 import random
 from collections.abc import Callable, Sequence
 from itertools import count
@@ -60,10 +61,10 @@
     VirtualTargets,
 )
 
-_BOUNDS = BoundSettings(8.0, 0.2, 10.0, 58.0)
+BOUNDS = BoundSettings(8.0, 0.2, 10.0, 58.0)
 _TICK_S = 0.5
 _CONFIGURATION = "configuration"
-_ROUTE = Route(
+ROUTE = Route(
     name="ask",
     host=HOST,
     prefix="/",
@@ -88,6 +89,9 @@
         status: Status of the response, or 0 before it.
         headers: Headers of the response.
         body: Body of the response.
+        sent_at: When the request was sent, on the hub's clock.
+        received_at: When each part of the body was received.
+        ended_at: When the response ended, properly or not; infinite before.
         is_complete: Whether the response was received to its end.
         is_peer: Whether another instance hands over requests on it, which none does.
     """
@@ -97,6 +101,9 @@
         self.status = 0
         self.headers: RawHeaders = []
         self.body = b""
+        self.sent_at = request.started_at
+        self.received_at: list[float] = []
+        self.ended_at = math.inf
         self.is_complete = False
         self.must_close = False
         self.has_started = False
@@ -125,10 +132,12 @@
     def send(self, data: bytes) -> None:
         """Receive a part of the response body."""
         self.body += data
+        self.received_at.append(now())
 
     def finish(self) -> None:
         """Receive the end of the response."""
         self.is_complete = True
+        self.ended_at = now()
 
     def prepare_next(self) -> bool:
         """Return False, as there is no further request."""
@@ -136,6 +145,7 @@
 
     def reset(self) -> None:
         """Accept a reset of the connection."""
+        self.ended_at = min(self.ended_at, now())
 
     def close(self) -> None:
         """Accept the end of the connection."""
@@ -148,10 +158,15 @@
         peers: Peers of this instance.
         targets: All engines.
         dialect: Encodes and decodes the messages of the engines.
+        bounds: Limits for all instances together.
     """
 
     def __init__(
-        self, peers: WiredPeers, targets: VirtualTargets, dialect: VirtualDialect
+        self,
+        peers: WiredPeers,
+        targets: VirtualTargets,
+        dialect: VirtualDialect,
+        bounds: BoundSettings,
     ) -> None:
         self.peers = peers
         self.view = View(dialect, SILENT_LOGGER)
@@ -167,7 +182,7 @@
         self.health = Health(self.limits.record, notices.read)
         peers.own_running = self.health.running
         self._pool = pool = VirtualPool(targets, peers.own.id)
-        budget = RetryBudget(_BOUNDS, peers.size)
+        budget = RetryBudget(bounds, peers.size)
         reach = SimpleNamespace(is_lost=lambda zone: False)
         owner = RateOwner(peers.reachable_fraction)
         rate_exchange = RateExchange(peers, owner)
@@ -199,7 +214,7 @@
             peers,
             SILENT_LOGGER,
             is_first_start=True,
-            max_view_age=_BOUNDS.change,
+            max_view_age=bounds.change,
         )
         gossip_exchange.on_agreement = history.learn_from
         origin_exchange = OriginExchange(StreamOrigins(), peers)
@@ -247,23 +262,41 @@
         size: Number of instances.
         targets: Number of engines.
         restart_after: Seconds from the crash of an engine until it is up again.
+        route: The only route.
+        bounds: Limits for all instances together.
+        software: Version of the software of all engines.
     """
 
-    def __init__(self, size: int, *, targets: int, restart_after: float = 3.0) -> None:
+    def __init__(
+        self,
+        size: int,
+        *,
+        targets: int,
+        restart_after: float = 3.0,
+        route: Route = ROUTE,
+        bounds: BoundSettings = BOUNDS,
+        software: str = "",
+    ) -> None:
+        self._bounds = bounds
         self._dialect = VirtualDialect()
         self._revisions = count(1)
         self._entries: list[StoreEntry] = []
         self._ids = count(1)
         self.instances: list[VirtualInstance] = []
         self.targets = VirtualTargets(
-            targets, ZONES, restart_after=restart_after, publish=self._publish
+            targets,
+            ZONES,
+            restart_after=restart_after,
+            publish=self._publish,
+            software=software,
         )
         service = Service(SERVICE, 1_000, engine_slots=64)
-        configuration = Configuration(1, [_ROUTE], [service], [], CallerLimits())
+        configuration = Configuration(1, [route], [service], [], CallerLimits())
         self._publish(_CONFIGURATION, configuration)
         self.peers = PeerFleet(size)
         self.instances = [
-            VirtualInstance(peers, self.targets, self._dialect) for peers in self.peers
+            VirtualInstance(peers, self.targets, self._dialect, bounds)
+            for peers in self.peers
         ]
         for instance in self.instances:
             position = StorePosition(0, len(self._entries))
@@ -284,7 +317,7 @@
         """
         self.instances[number].kill()
         peers = self.peers.restart(number)
-        instance = VirtualInstance(peers, self.targets, self._dialect)
+        instance = VirtualInstance(peers, self.targets, self._dialect, self._bounds)
         self.instances[number] = instance
         eventlet.spawn_after(after, self._start_again, instance)
 
--- a/packages/standins/bergamotsaddle_standins/virtual_targets.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_targets.py
@@ -1,5 +1,6 @@
-"""Simulated engines that crash and restart, in one process on the hub's clock."""
+"""Simulated engines that crash, restart and pause, on the hub's clock."""
 
+import math
 from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
@@ -36,7 +37,7 @@
 _MISDIRECTED = 421
 _DEADLINE_S = 8.0
 _PART_TOKENS = 100
-_EVENTS = (b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n")
+_EVENTS = 2
 _PARTIAL_EVENT = b"id: 2\nda"
 
 
@@ -93,12 +94,14 @@
         instance: Id of the instance that sent the request.
         path: Path of the request.
         parts: Ids of the parts of its prompt.
+        last_event: Number of the last event that its caller has, 0 if it has none.
     """
 
     at: float
     instance: str
     path: bytes
     parts: tuple[str, ...] = ()
+    last_event: int = 0
 
 
 class VirtualTarget:
@@ -107,24 +110,27 @@
     Args:
         number: Number from which the address and id are derived.
         zone: Availability zone of the target.
+        software: Version of its software.
 
     Attributes:
         incarnation: Number of the current run of the target, from 1.
         is_up: Whether the target runs.
         software: Version of its software.
         is_silent: Whether it has crashed and its address swallows all packets.
+        paused_until: Until when it neither reads nor sends anything.
         limit: Requests per second that its responses announce as its limit, or None.
         arrivals: Requests that reached this address so far, in any incarnation.
         runs: Connections on which a request runs.
     """
 
-    def __init__(self, number: int, zone: str) -> None:
+    def __init__(self, number: int, zone: str, software: str = "") -> None:
         self.address = Address(f"10.9.0.{number}", _PORT)
         self.zone = zone
         self.incarnation = 1
         self.is_up = True
         self.is_silent = False
-        self.software = ""
+        self.paused_until = 0.0
+        self.software = software
         self.limit: float | None = None
         self.arrivals: list[Arrival] = []
         self.runs: set[VirtualConnection] = set()
@@ -135,6 +141,11 @@
         """Id of the target in its current incarnation."""
         return f"t{self._number}-{self.incarnation}"
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether the target neither reads nor sends anything now."""
+        return now() < self.paused_until
+
     def entry(self) -> Target:
         """Return the entry that the target registers."""
         return Target(
@@ -174,6 +185,7 @@
             (b"id", head.id.encode()),
             (b"target", dispatch.target.id.encode()),
             (b"prompt", ",".join(part.id for part in head.prompt).encode()),
+            (b"last-event", b"%d" % (dispatch.last_event_id or 0)),
         ]
 
     def read_response(self, headers: RawHeaders) -> ResponseHead:
@@ -208,6 +220,7 @@
     Attributes:
         is_silent: Whether the target has crashed without closing the connection.
         is_whole: Whether the response was read to its end.
+        path: Path of the request on it.
     """
 
     def __init__(
@@ -221,17 +234,22 @@
         self._closed_by_target = Event()
         self._headers: dict[bytes, bytes] = {}
         self._started_at = 0.0
+        self.path = b""
         self._first_seconds = _FIRST_EVENT_S
-        self._remaining_events = list(_EVENTS)
+        self._first_event = self._next_event = 1
         self._has_partial_event = False
         self._is_reset = False
 
     def send(self, call: HttpCall, *, limit: float) -> int:
         """Send a request, which starts to run if it names the current incarnation."""
         self._headers = dict(call.headers)
-        self._started_at = now()
+        self._started_at = max(now(), self._target.paused_until)
+        self.path = call.path
         parts = _read_parts(self._headers)
-        arrival = Arrival(now(), self._instance, call.path, parts)
+        last_event = int(self._headers[b"last-event"])
+        if self._targets.goes_on:
+            self._first_event = self._next_event = last_event + 1
+        arrival = Arrival(now(), self._instance, call.path, parts, last_event)
         is_fatal = self._targets.crashes(arrival)
         ending = self._targets.ending
         if is_fatal and not ending.events and not ending.is_behind_response:
@@ -240,8 +258,8 @@
         self._target.arrivals.append(arrival)
         if self._headers[b"target"].decode() == self._target.id:
             self._target.runs.add(self)
-            if is_fatal:
-                after = ending.after
+            if is_fatal and math.isfinite(self._started_at):
+                after = self._started_at - now() + ending.after
                 if ending.is_behind_response:
                     after += self._targets.stream_seconds
                 self._targets.schedule_crash(self._target, self, after)
@@ -255,6 +273,8 @@
         """
         is_misdirected = self._headers[b"target"].decode() != self._target.id
         if is_misdirected:
+            if self._target.is_paused:
+                self._wait(now(), limit)
             return RawResponseHead(_MISDIRECTED, [*self._headers.items()])
         self._wait(self._started_at + self._first_seconds, limit)
         if self._closed_by_target.ready():
@@ -272,15 +292,20 @@
         Raises:
             ConnectionLostError: If the target crashes or the limit passes before.
         """
-        if len(self._remaining_events) < len(_EVENTS):
-            self._wait(self._started_at + self._targets.stream_seconds, limit)
+        targets = self._targets
+        sent = self._next_event - self._first_event
+        if sent or self._target.is_paused:
+            # The end comes with the last event.
+            pauses = min(sent, targets.event_count - self._first_event)
+            self._wait(self._started_at + pauses * targets.event_seconds, limit)
         if self._closed_by_target.ready():
             return self._read_remainder()
-        if not self._remaining_events:
+        if self._next_event > targets.event_count:
             self.is_whole = True
             self._target.runs.discard(self)
             return None
-        return self._remaining_events.pop(0)
+        self._next_event += 1
+        return b"id: %d\ndata: x\n\n" % (self._next_event - 1)
 
     def _read_remainder(self) -> bytes | None:
         """Return what a crashed target sent last, then None as at a proper end."""
@@ -311,9 +336,7 @@
 
     def _wait(self, until: float, limit: float) -> None:
         started_at = now()
-        pause = max(0.0, min(until - started_at, limit))
-        with eventlet.Timeout(pause, False):
-            self._closed_by_target.wait()
+        until = self._wait_until(until, started_at + limit)
         if self.is_silent:
             eventlet.sleep(max(0.0, limit - (now() - started_at)))
             raise ConnectionLostError("silent")
@@ -326,6 +349,21 @@
         if until > now():
             raise ConnectionLostError("silent")
 
+    def _wait_until(self, until: float, limit_at: float) -> float:
+        """Wait for a time, the end of a pause or that of the connection.
+
+        Returns:
+            The time for which it waited, later than the limit if that passed before.
+        """
+        while True:
+            due = max(until, self._target.paused_until)
+            with eventlet.Timeout(max(0.0, min(due, limit_at) - now()), False):
+                self._closed_by_target.wait()
+            # A pause may have begun meanwhile.
+            is_due = due >= self._target.paused_until or limit_at <= now()
+            if is_due or self._closed_by_target.ready():
+                return max(until, self._target.paused_until)
+
 
 class VirtualPool:
     """Connection pool of one instance.
@@ -381,11 +419,15 @@
         restart_after: Seconds from the crash of a target until it is up again.
         publish: Called with the id and entry of each target that registers, and with
             None instead of the entry when a registration lapses.
+        software: Version of the software of all targets.
 
     Attributes:
         fatal_paths: Paths of the requests that crash a target.
         fatal_parts: Parts of prompts that crash a target, except as last ones.
         stream_seconds: Duration of a sound stream.
+        event_count: Number of its events, at even intervals.
+        goes_on: Whether a run goes on behind the last event that the caller has.
+            Otherwise each run begins with the first event.
         ending: How the connections of a crashing target end.
         fatality: Which runs of a fatal request crash their targets.
         crash_count: Number of crashes so far.
@@ -400,10 +442,13 @@
         *,
         restart_after: float,
         publish: Callable[[str, Target | None], None],
+        software: str = "",
     ) -> None:
         self.fatal_paths: set[bytes] = set()
         self.fatal_parts: set[str] = set()
         self.stream_seconds = _STREAM_S
+        self.event_count = _EVENTS
+        self.goes_on = False
         self.crash_times: list[float] = []
         self.fatal_crash_times: list[float] = []
         self.ending = CrashEnding()
@@ -412,7 +457,9 @@
         self.crash_count = 0
         self._restart_after = restart_after
         self._publish = publish
-        targets = [VirtualTarget(n, zones[n % len(zones)]) for n in range(count)]
+        targets = [
+            VirtualTarget(n, zones[n % len(zones)], software) for n in range(count)
+        ]
         self.by_address = {target.address: target for target in targets}
         for target in targets:
             publish(target.id, target.entry())
@@ -420,6 +467,29 @@
     def __iter__(self):
         return iter(self.by_address.values())
 
+    @property
+    def event_seconds(self) -> float:
+        """Seconds between two events of a stream."""
+        return self.stream_seconds / (self.event_count - 1)
+
+    def pause(self, seconds: float | None, *, share: float = 1.0) -> None:
+        """Let some targets neither read nor send anything, then go on.
+
+        Their connections stay open. What was due meanwhile comes at the end.
+
+        Args:
+            seconds: How long the pause lasts, None if it never ends.
+            share: Fraction of the targets that pause; at least one does.
+        """
+        until = math.inf if seconds is None else now() + seconds
+        count = max(1, round(share * len(self.by_address)))
+        for target in [*self][:count]:
+            target.paused_until = max(target.paused_until, until)
+
+    def open_runs(self) -> Counter[bytes]:
+        """Return the number of open runs of each request, by its path."""
+        return Counter(run.path for target in self for run in target.runs)
+
     def is_fatal(self, arrival: Arrival) -> bool:
         """Return whether a request crashes the target that runs it."""
         is_fatal_part = not self.fatal_parts.isdisjoint(arrival.parts[:-1])
