--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -404,14 +404,16 @@
             reason = SILENT if run.is_silent else _OVERTAKEN
             self._log_attempt("attempt_failed", run, reason, "unknown")
             self._close(run)
-            self._exclude.add(run.id)
             self._possible_runs += 1
+            if run.is_silent:
+                self._exclude.add(run.id)
         # A hedge may have begun to run its stages.
         self._inputs.drop()
 
     def may_hedge(self) -> bool:
         """Return whether all open runs are silent and another one may be added."""
-        return all(run.is_silent for run in self.runs) and self._may_run_again()
+        are_silent = self.runs and all(run.is_silent for run in self.runs)
+        return bool(are_silent) and self._may_run_again()
 
     def prepare_hedge(self) -> EngineRun | None:
         """Start another run, or return None after a pause if there can't be one."""
