--- a/packages/serving/bergamotsaddle_serving/gossip.py
+++ b/packages/serving/bergamotsaddle_serving/gossip.py
@@ -3,14 +3,21 @@
 This module does no input or output.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Container, Sequence
+from functools import reduce
 from hashlib import blake2b
+from operator import itemgetter, xor
 from typing import NamedTuple
 
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.peer_messages import Fact
 
 _HASH_BYTES = 8
+# Facts are compared by groups, so that a few that differ are found among thousands. The
+# digests of all groups fit into one packet.
+_GROUPS = 128
+_GROUP_DIGEST_BYTES = 4
+_GROUP_DIGEST_MASK = (1 << 8 * _GROUP_DIGEST_BYTES) - 1
 # A fact carries its age at the time it was sent, so it is slightly older on arrival. An
 # observation must be newer by more than this to replace the stored one.
 _TRANSIT_S = 0.1
@@ -61,7 +68,7 @@
 
     def __init__(self) -> None:
         self._table_by_topic: dict[str, _Table] = {}
-        self._digest = 0
+        self._digests = [0] * _GROUPS
 
     def subscribe(
         self,
@@ -132,21 +139,52 @@
     @property
     def digest(self) -> int:
         """Digest that is equal at all instances with the same facts; 0 for none."""
-        return self._digest
+        return reduce(xor, self._digests)
+
+    @property
+    def group_digests(self) -> bytes:
+        """Digests of all groups of facts, one after the other."""
+        return b"".join(map(_encode_group_digest, self._digests))
 
     def facts(self) -> list[Fact]:
         """Return all stored facts, those of the highest retention priority first."""
+        return [fact for _, fact in self._facts_by_group(range(_GROUPS))]
+
+    def differing_facts(self, group_digests: bytes) -> list[tuple[int, Fact]]:
+        """Return the facts of the groups that differ from those of another instance.
+
+        Args:
+            group_digests: Its ``group_digests``.
+
+        Returns:
+            The group of each fact and the fact, those of the highest retention
+            priority first.
+        """
+        size = _GROUP_DIGEST_BYTES
+        own = self.group_digests
+        differing = {
+            group
+            for group in range(_GROUPS)
+            if own[group * size : (group + 1) * size]
+            != group_digests[group * size : (group + 1) * size]
+        }
+        return self._facts_by_group(differing)
+
+    def _facts_by_group(self, groups: Container[int]) -> list[tuple[int, Fact]]:
+        """Return the facts of some groups, the highest retention priority first."""
         current_time = now()
-        by_priority = [
+        found = [
             (
                 table.priority(key),
+                stored.hash % _GROUPS,
                 Fact(name, key, stored.value, current_time - stored.observed_at),
             )
             for name, table in self._table_by_topic.items()
             for key, stored in table.stored_by_key.items()
+            if stored.hash % _GROUPS in groups
         ]
-        by_priority.sort(key=lambda pair: pair[0], reverse=True)
-        return [fact for _, fact in by_priority]
+        found.sort(key=itemgetter(0), reverse=True)
+        return [(group, fact) for _, group, fact in found]
 
     def _put(self, table: _Table, key: str, value: float, observed_at: float) -> None:
         known = table.stored_by_key.get(key)
@@ -154,16 +192,17 @@
             table.stored_by_key[key] = known._replace(observed_at=observed_at)
             return
         if known is not None:
-            self._digest ^= known.hash
+            self._digests[known.hash % _GROUPS] ^= known.hash
         hashed = _hash(table.topic.name, key, value)
         table.stored_by_key[key] = _StoredFact(value, observed_at, hashed)
-        self._digest ^= hashed
+        self._digests[hashed % _GROUPS] ^= hashed
         table.listener(key, value)
         if len(table.stored_by_key) > table.topic.max_facts:
             self._drop(table, self._lowest_priority(table))
 
     def _drop(self, table: _Table, key: str) -> None:
-        self._digest ^= table.stored_by_key.pop(key).hash
+        dropped = table.stored_by_key.pop(key).hash
+        self._digests[dropped % _GROUPS] ^= dropped
         table.listener(key, None)
 
     def _lowest_priority(self, table: _Table) -> str:
@@ -185,6 +224,13 @@
     return observed_at > known.observed_at + _TRANSIT_S
 
 
+def _encode_group_digest(digest: int) -> bytes:
+    # The lowest bits name the group, so all of its facts share them.
+    return (digest >> 8 * _GROUP_DIGEST_BYTES & _GROUP_DIGEST_MASK).to_bytes(
+        _GROUP_DIGEST_BYTES, "big"
+    )
+
+
 def _hash(topic: str, key: str, value: float) -> int:
     text = f"{topic} {key} {value}".encode()
     return int.from_bytes(blake2b(text, digest_size=_HASH_BYTES).digest(), "big")
--- a/packages/serving/bergamotsaddle_serving/gossip_exchange.py
+++ b/packages/serving/bergamotsaddle_serving/gossip_exchange.py
@@ -1,6 +1,7 @@
 """Exchanges gossip facts with the other instances."""
 
 import random
+from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from typing import NamedTuple
 
@@ -8,7 +9,12 @@
 
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.gossip import Gossip
-from bergamotsaddle_serving.peer_messages import Fact, GossipUpdate, Heartbeat
+from bergamotsaddle_serving.peer_messages import (
+    Fact,
+    GossipQuery,
+    GossipUpdate,
+    Heartbeat,
+)
 from bergamotsaddle_serving.peers import Peers
 
 # Size of the facts that fit into one packet, and what a fact takes beside its key.
@@ -17,14 +23,17 @@
 # The crash of a target interrupts many requests; the facts that follow from them are
 # sent together after this delay.
 _BATCH_DELAY_S = 0.02
-# Pause after which a peer whose facts still differ gets facts again. It doubles each
+# An instance asks one peer at a time for what it lacks. If all peers that differ sent
+# what they hold, a few facts on the way would fill the links of a large fleet.
+_MIN_QUERY_PAUSE_S = 0.3
+# Pause after which a peer whose facts still differ is asked again. It doubles each
 # time, up to the maximum.
 _INITIAL_PAUSE_S = 1.0
 _MAX_PAUSE_S = 60.0
-# The facts that such a peer gets: the ones of highest retention priority, and a random
-# sample of the rest.
+# The facts that a query gets at most: those of highest retention priority, and whole
+# groups of the rest. A group that arrived whole doesn't differ any more.
+_MAX_FACTS = 256
 _TOP_FACTS = 64
-_RANDOM_FACTS = 64
 
 
 class _DivergentPeer(NamedTuple):
@@ -32,12 +41,12 @@
 
     Attributes:
         incarnation: Incarnation of the peer; a new one holds no facts.
-        send_at: Earliest time at which to send it facts.
-        pause: Seconds to wait after that until facts are sent again.
+        ask_at: Earliest time at which to ask it for facts.
+        pause: Seconds to wait after that until it is asked again.
     """
 
     incarnation: str
-    send_at: float
+    ask_at: float
     pause: float
 
 
@@ -46,7 +55,8 @@
 
     A new fact is sent to all live instances at once. Heartbeats carry a digest of all
     facts. An instance that was unreachable, missed a datagram or has just started has a
-    different digest, and gets facts when its heartbeat arrives.
+    different digest than its peers, and asks one of them for what it lacks. It says
+    what it holds by digests of groups of facts, so only groups that differ are sent.
 
     Args:
         gossip: The facts that this instance holds.
@@ -62,8 +72,10 @@
         self._gossip = gossip
         self._peers = peers
         self._unsent: list[Fact] = []
-        self._divergent_by_peer: dict[str, _DivergentPeer] = {}
-        peers.set_handler(GossipUpdate, lambda message, _: gossip.merge(message.facts))
+        self._divergent_by_host: dict[str, _DivergentPeer] = {}
+        self._asked_at = float("-inf")
+        peers.set_handler(GossipUpdate, self._handle_update)
+        peers.set_handler(GossipQuery, self._handle_query)
         peers.own_digest = lambda: gossip.digest
         peers.on_heartbeat = self._compare_digest
 
@@ -84,35 +96,66 @@
             self._send(peer.contact.id, facts)
 
     def _compare_digest(self, heartbeat: Heartbeat) -> None:
-        peer_id = heartbeat.sender.id
+        host = heartbeat.sender.host
         if heartbeat.digest == self._gossip.digest:
-            self._divergent_by_peer.pop(peer_id, None)
+            self._divergent_by_host.pop(host, None)
             self.on_agreement(heartbeat)
             return
         at = now()
-        known = self._divergent_by_peer.get(peer_id)
+        known = self._divergent_by_host.get(host)
         if known is None or known.incarnation != heartbeat.incarnation:
             known = _DivergentPeer(heartbeat.incarnation, at, _INITIAL_PAUSE_S)
-        if known.send_at > at:
+        if known.ask_at > at or self._asked_at + _MIN_QUERY_PAUSE_S > at:
             return
+        self._asked_at = at
         next_pause = min(_MAX_PAUSE_S, 2.0 * known.pause)
-        self._divergent_by_peer[peer_id] = known._replace(
-            send_at=at + known.pause, pause=next_pause
-        )
-        self._send(peer_id, self._choose_facts())
-
-    def _choose_facts(self) -> list[Fact]:
-        facts = self._gossip.facts()
-        remainder = facts[_TOP_FACTS:]
-        return facts[:_TOP_FACTS] + random.sample(
-            remainder, min(_RANDOM_FACTS, len(remainder))
+        self._divergent_by_host[host] = known._replace(
+            ask_at=at + known.pause, pause=next_pause
         )
+        query = GossipQuery(self._gossip.group_digests)
+        self._peers.send(heartbeat.sender.id, query)
+
+    def _handle_query(self, query: GossipQuery, address: tuple[str, int]) -> None:
+        """Send a peer the facts that it lacks, as far as its groups tell."""
+        peer_id = self._peers.id_of(address[0])
+        if peer_id is not None:
+            facts = self._gossip.differing_facts(query.group_digests)
+            self._send(peer_id, _choose(facts))
+
+    def _handle_update(self, update: GossipUpdate, address: tuple[str, int]) -> None:
+        """Merge facts, and ask a peer that sent new ones for more."""
+        digest = self._gossip.digest
+        self._gossip.merge(update.facts)
+        divergent = self._divergent_by_host.get(address[0])
+        if divergent is not None and self._gossip.digest != digest:
+            self._divergent_by_host[address[0]] = divergent._replace(
+                ask_at=now(), pause=_INITIAL_PAUSE_S
+            )
 
     def _send(self, peer_id: str, facts: Sequence[Fact]) -> None:
         for batch in _split(facts):
             self._peers.send(peer_id, GossipUpdate(batch))
 
 
+def _choose(facts: Sequence[tuple[int, Fact]]) -> list[Fact]:
+    """Return the facts of a response.
+
+    Args:
+        facts: The group of each fact and the fact, the most important ones first.
+    """
+    chosen = [fact for _, fact in facts[:_TOP_FACTS]]
+    facts_by_group = defaultdict(list)
+    for group, fact in facts[_TOP_FACTS:]:
+        facts_by_group[group].append(fact)
+    groups = list(facts_by_group.values())
+    random.shuffle(groups)
+    for group in groups:
+        if len(chosen) >= _MAX_FACTS:
+            break
+        chosen += group
+    return chosen
+
+
 def _split(facts: Iterable[Fact]) -> Iterator[list[Fact]]:
     """Yield lists of facts that each fit into one packet, if any fact does."""
     batch: list[Fact] = []
--- a/packages/serving/bergamotsaddle_serving/peer_messages.py
+++ b/packages/serving/bergamotsaddle_serving/peer_messages.py
@@ -89,6 +89,16 @@
     facts: list[Fact]
 
 
+class GossipQuery(Message, tag="NewsAsk"):
+    """Asks the receiver for the facts that the sender lacks.
+
+    Attributes:
+        group_digests: Digests of the groups of facts that the sender holds.
+    """
+
+    group_digests: bytes
+
+
 class HeartbeatRequest(Message, tag="Inquiry"):
     """Asks the receiver to send a heartbeat at once."""
 
@@ -255,6 +265,7 @@
 Datagram = (
     Heartbeat
     | GossipUpdate
+    | GossipQuery
     | HeartbeatRequest
     | OriginUpdate
     | OriginQuery
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -13,6 +13,7 @@
 from tests._paused import advance, use_paused_clock
 
 TOPIC = Topic("t", ttl_seconds=60.0, max_facts=4)
+LARGE_TOPIC = Topic("large", ttl_seconds=60.0, max_facts=2_000)
 
 
 class Instance:
@@ -22,6 +23,7 @@
         self.gossip = Gossip()
         self.changes = []
         self.gossip.subscribe(TOPIC, lambda *change: self.changes.append(change))
+        self.gossip.subscribe(LARGE_TOPIC, lambda *_: None)
 
     def value(self, key):
         return self.gossip.value(TOPIC, key)
@@ -82,6 +84,33 @@
         other.record(TOPIC, "a", 0.0)
         self.assertNotEqual(self.gossip.digest, other.digest)
 
+    @parameterized.expand([("one", 1), ("some", 8)])
+    def test_few_facts_are_compared_to_find_those_that_differ(self, _, lacking):
+        """Guards against sending thousands of facts where a few differ."""
+        other = Instance().gossip
+        for number in range(2_000):
+            self.gossip.record(LARGE_TOPIC, str(number), 1.0)
+            if number >= lacking:
+                other.record(LARGE_TOPIC, str(number), 1.0)
+        found = self.gossip.differing_facts(other.group_digests)
+        keys = {fact.key for _, fact in found}
+        self.assertLessEqual({str(number) for number in range(lacking)}, keys)
+        self.assertLess(len(keys), 40 * lacking)
+
+    def test_a_fact_with_another_value_differs(self):
+        other = Instance().gossip
+        self.gossip.record(TOPIC, "k", 1.0)
+        other.record(TOPIC, "k", 2.0)
+        found = self.gossip.differing_facts(other.group_digests)
+        self.assertEqual([fact.value for _, fact in found], [1.0])
+
+    def test_the_same_facts_do_not_differ(self):
+        other = Instance().gossip
+        for number in range(200):
+            self.gossip.record(LARGE_TOPIC, str(number), 1.0)
+            other.record(LARGE_TOPIC, str(199 - number), 1.0)
+        self.assertEqual(self.gossip.differing_facts(other.group_digests), [])
+
 
 def make_lossy(carry, loss):
     """Wrap a network's delivery so that it loses a fraction of the datagrams."""
@@ -171,3 +200,58 @@
         self.observe(0, "k")
         advance(2.0)
         self.assertEqual(self.count_knowing("k"), 7)
+
+    def hold_many(self, instances, facts, *, first=0):
+        """Let instances hold facts as long as those of crashes."""
+        for instance in instances:
+            for number in range(first, first + facts):
+                instance.gossip.record(LARGE_TOPIC, f"{number:080}", 1.0)
+
+    def count_differing(self):
+        """Return how many different sets of facts the instances hold."""
+        return len({instance.gossip.digest for instance in self.instances})
+
+    @parameterized.expand([("few_known", 40), ("many_known", 400)])
+    def test_a_burst_of_facts_does_not_fill_the_links(self, _, known):
+        """Guards against peers that send all facts while new ones are on the way."""
+        random.seed(31)
+        size, new = 66, 80
+        self.start(size)
+        self.hold_many(self.instances, known)
+        advance(2.0)
+        for peers in self.fleet:
+            peers._transmit = make_lossy(peers._transmit, 0.1)
+        idle = self.count_bytes(2.0)
+        for number in range(known, known + new):
+            observer = random.randrange(size)
+            fact = self.instances[observer].gossip.record(
+                LARGE_TOPIC, f"{number:080}", 1.0
+            )
+            self.exchanges[observer].publish([fact])
+            advance(0.001)
+        busy = self.count_bytes(2.0)
+        self.assertEqual(self.count_differing(), 1)
+        # Each instance tells and gets every fact once; the remainder is for lost ones.
+        self.assertLess(busy - idle, 3.0 * size * new * 100)
+
+    def count_bytes(self, seconds):
+        """Return the bytes that all instances send in some seconds."""
+        before = sum(peers.bytes_sent for peers in self.fleet)
+        advance(seconds)
+        return sum(peers.bytes_sent for peers in self.fleet) - before
+
+    def test_a_long_cut_ends_with_equal_facts(self):
+        """Guards against answers that never reach some of many differing facts."""
+        random.seed(32)
+        self.start(12)
+        advance(2.0)
+        self.fleet.partition_zone("a")
+        advance(3.0)
+        # Instances are spread evenly over four zones.
+        inside = self.instances[::4]
+        outside = [i for i in self.instances if i not in inside]
+        self.hold_many(inside, 600)
+        self.hold_many(outside, 600, first=1_000)
+        self.fleet.heal()
+        advance(5.0)
+        self.assertEqual(self.count_differing(), 1)
