--- a/packages/serving/bergamotsaddle_serving/attempt.py
+++ b/packages/serving/bergamotsaddle_serving/attempt.py
@@ -140,7 +140,6 @@
         *,
         limit: float,
         max_wait: float | None = None,
-        keeps_waiting: Callable[[], bool] | None = None,
         on_sent: Callable[[int], None] | None = None,
         may_send: Callable[[], bool] = lambda: True,
     ) -> Response:
@@ -149,12 +148,8 @@
         Args:
             dispatch: Parameters of the request for the target.
             limit: Seconds after which a target that sends nothing counts as silent.
-            max_wait: Seconds to wait for a target while ``keeps_waiting`` says so.
+            max_wait: Seconds to wait while the target responds to other requests.
                 Defaults to ``limit``.
-            keeps_waiting: Returns whether to wait for longer than the limit. By
-                default, whether the target has responded to other requests meanwhile:
-                a busy engine reads other prompts first, and abandoning it would only
-                have the work done twice.
             on_sent: Called with the size of the request once it has been handed to the
                 connection.
             may_send: Returns whether the target may still get the request. It may have
@@ -182,17 +177,9 @@
         size = self._read(lambda: connection.send(call, limit=limit))
         if on_sent is not None:
             on_sent(size)
-        return self.read_response(
-            limit=limit, max_wait=max_wait, keeps_waiting=keeps_waiting
-        )
+        return self.read_response(limit=limit, max_wait=max_wait)
 
-    def read_response(
-        self,
-        *,
-        limit: float,
-        max_wait: float | None = None,
-        keeps_waiting: Callable[[], bool] | None = None,
-    ) -> Response:
+    def read_response(self, *, limit: float, max_wait: float | None = None) -> Response:
         """Wait for the head of the response, as ``send`` does.
 
         Raises:
@@ -200,30 +187,26 @@
             SilentError: If the head did not arrive within the limit.
             OutcomeUnknownError: If the target may have run the request.
         """
-        head = self._read(
-            lambda: self._read_head(limit, max_wait or limit, keeps_waiting)
-        )
+        head = self._read(lambda: self._read_head(limit, max_wait or limit))
         return self._check_head(head)
 
-    def _read_head(
-        self,
-        limit: float,
-        max_wait: float,
-        keeps_waiting: Callable[[], bool] | None,
-    ) -> RawResponseHead:
+    def _read_head(self, limit: float, max_wait: float) -> RawResponseHead:
         deadline_at = now() + max_wait
+        wait = limit
         while True:
             waiting_since = now()
             try:
                 return self._connection.read_head(
-                    limit=min(limit, deadline_at - waiting_since)
+                    limit=min(wait, deadline_at - waiting_since)
                 )
             except ConnectionLostError as error:
-                if error.reason != SILENT or now() >= deadline_at:
-                    raise
-                is_busy = self._state.last_seen_at > waiting_since
-                if not (is_busy if keeps_waiting is None else keeps_waiting()):
+                last_seen_at = self._state.last_seen_at
+                is_over = error.reason != SILENT or now() >= deadline_at
+                if is_over or last_seen_at <= waiting_since:
                     raise
+                # A busy engine reads other prompts first, and a hedge would only have
+                # the work done twice.
+                wait = last_seen_at + limit - now()
 
     def read_body(self, *, limit: float, max_bytes: int) -> bytes:
         """Read the complete body.
--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -462,14 +462,12 @@
     def _choose_hedge(self) -> EngineChoice | None:
         """Choose an engine that is not silent itself, None if there is none."""
         server = self._server
-        pause = self._event_pause() / 2.0
+        service = self._context.service.name
+        known = server.known_silences(service, self._event_pause() / 2.0)
         exclude = self._exclude | {run.id for run in self.runs}
-        while (choice := server.choose(self._context, exclude)) is not None:
-            candidate = server.candidate(self._context, choice.engine)
-            if candidate is not None and not candidate.state.is_quiet(pause):
-                return choice
-            exclude.add(choice.engine.id)
-        return None
+        if known.responsive <= exclude:
+            return None
+        return server.choose(self._context, exclude | known.quiet)
 
     def _check_quarantine(self) -> None:
         """Raise an error if the request has been quarantined in the meantime."""
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Sequence
-from typing import Any
+from typing import Any, NamedTuple
 
 import eventlet
 
@@ -35,11 +35,26 @@
 # How long an engine is assumed to cache the shared prefix of a prompt that it read for
 # this instance.
 _CACHED_PREFIX_TTL_S = 20.0
+_MAX_SILENCES_AGE_S = 0.2
 _MAX_CACHED_PREFIXES = 20_000
 # Time in which the facts of one crash arrive.
 _ABORT_DELAY_S = 0.03
 
 
+class KnownSilences(NamedTuple):
+    """Which engines of a service have stopped sending.
+
+    Attributes:
+        at: When they were looked at, on the hub's clock.
+        quiet: Ids of the engines that seem to have stopped.
+        responsive: Ids of the others that may get a request.
+    """
+
+    at: float
+    quiet: frozenset[str]
+    responsive: frozenset[str]
+
+
 class StreamServer:
     """Serves requests to which engines respond with streams.
 
@@ -94,6 +109,7 @@
         self._cached_until: OrderedDict[tuple[str, str], float] = OrderedDict()
         self.ongoing_runs: set[StreamRun] = set()
         self._is_aborting = False
+        self._silences_by_service: dict[str, KnownSilences] = {}
         crashes.on_crash = self._abort_soon
 
     def abort_quarantined(self) -> None:
@@ -178,6 +194,26 @@
             policy=self.policy,
         )
 
+    def known_silences(self, service: str, pause: float) -> KnownSilences:
+        """Return which engines of a service have stopped sending.
+
+        The answer may be a fraction of a second old: many streams ask at a time when
+        all engines are silent, and each look takes as long as there are engines.
+
+        Args:
+            service: The service.
+            pause: Seconds between two parts of a response that are not unusual.
+        """
+        known = self._silences_by_service.get(service)
+        if known is not None and now() - known.at < _MAX_SILENCES_AGE_S:
+            return known
+        candidates = self.selector.candidates(service, set())
+        quiet = frozenset(c.target.id for c in candidates if c.state.is_quiet(pause))
+        ids = frozenset(c.target.id for c in candidates)
+        known = KnownSilences(now(), quiet, ids - quiet)
+        self._silences_by_service[service] = known
+        return known
+
     def stage_seconds(self, context: Context, zone: str) -> float:
         """Return the expected duration of all stages of a request in a zone."""
         return self.plan(context, zone, 0.0).total_seconds()
