--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -269,7 +269,7 @@
             self._serve_here(caller, context)
             return
         if handover.is_needed(context):
-            handover.serve(context, caller)
+            self._hand_over(caller, context)
             return
         try:
             self._serve_here(caller, context)
@@ -277,10 +277,30 @@
             # The targets may have become unreachable while the request waited.
             if caller.has_started or not handover.may_follow(error, context):
                 raise
-            handover.serve(context, caller)
+            self._hand_over(caller, context)
+
+    def _hand_over(self, caller: CallerConnection, context: Context) -> None:
+        self._handover.serve(
+            context, caller, serve_here=lambda rest: self._run_here(caller, rest)
+        )
 
     def _serve_here(self, caller: CallerConnection, context: Context) -> None:
-        self._budget.count_request(context.service.name)
+        service = context.service.name
+        if not context.earlier_runs:
+            self._budget.count_request(service)
+            self._run_here(caller, context)
+            return
+        repeat = self._budget.reserve(service)
+        if repeat is None:
+            raise context.rejection_error(ErrorKind.OVERLOADED, "no repeats are left")
+        try:
+            self._run_here(caller, context)
+        except RequestError as error:
+            if error.ran is Ran.NO:
+                repeat.cancel()
+            raise
+
+    def _run_here(self, caller: CallerConnection, context: Context) -> None:
         if context.route.kind is Kind.STREAM:
             self._streams.serve(context, caller)
             return
@@ -299,8 +319,8 @@
             raise RequestError(ErrorKind.NOT_FOUND, "no route leads there")
         team = self._authenticate(configuration, route, head)
         service = self._pick_service(configuration, route)
-        return Context(
-            head=head,
+        context = Context(
+            head=_at_last_event(head, relayed),
             body=raw.body,
             route=route,
             service=service,
@@ -314,6 +334,7 @@
             headers=raw.headers,
             sender=relayed.sender,
         )
+        return context.after_runs(relayed.runs) if relayed.runs else context
 
     def _wait_for_version(self, raw: RawRequest, head: RequestHead) -> None:
         """Wait until this instance has the configuration of a request's sender.
@@ -442,3 +463,13 @@
             version=context.version if context else 0,
             sender=context.sender if context else "",
         )
+
+
+def _at_last_event(head: RequestHead, relayed: RelayedRequest) -> RequestHead:
+    """Return the head of a request for the rest of a stream that broke off."""
+    if relayed.last_event is None:
+        return head
+    return head._replace(
+        last_event_id=relayed.last_event,
+        resumed_request=head.resumed_request or head.id,
+    )
--- a/packages/serving/bergamotsaddle_serving/peer_messages.py
+++ b/packages/serving/bergamotsaddle_serving/peer_messages.py
@@ -7,6 +7,9 @@
 
 from bergamotsaddle_serving.messages import PieceFailure, StorePosition
 
+# Behind every round of a request.
+ALL_ROUNDS = 2**31
+
 
 class Message(msgspec.Struct, tag=True, array_like=True, frozen=True):
     """Base class of all datagrams."""
@@ -89,6 +92,16 @@
     facts: list[Fact]
 
 
+class GossipQuery(Message, tag="NewsAsk"):
+    """Asks the receiver for the facts that the sender lacks.
+
+    Attributes:
+        group_digests: Digests of the groups of facts that the sender holds.
+    """
+
+    group_digests: bytes
+
+
 class HeartbeatRequest(Message, tag="Inquiry"):
     """Asks the receiver to send a heartbeat at once."""
 
@@ -240,9 +253,15 @@
 
 
 class Cancel(Message):
-    """Withdraws all pieces of a request that has ended."""
+    """Withdraws pieces of a request that has ended, or that needs no stages now.
+
+    Attributes:
+        request: Id of the request.
+        before_round: First round that is not withdrawn.
+    """
 
     request: str
+    before_round: int = ALL_ROUNDS
 
 
 class Release(Message):
@@ -255,6 +274,7 @@
 Datagram = (
     Heartbeat
     | GossipUpdate
+    | GossipQuery
     | HeartbeatRequest
     | OriginUpdate
     | OriginQuery
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -30,6 +30,7 @@
 from bergamotsaddle_serving.health import Health
 from bergamotsaddle_serving.selector import Candidate
 from bergamotsaddle_serving.stage_run import StageOutcome
+from bergamotsaddle_serving.stream_inputs import StreamInputs
 from bergamotsaddle_serving.stream_run import StreamRun
 from bergamotsaddle_serving.streams import StreamServer
 from tests._paused import use_paused_clock, use_running_clock
@@ -267,11 +268,33 @@
         if last_event_at is not None:
             run._output.has_started = True
             run._output.last_event_at = last_event_at
-        with mock.patch(f"{StreamRun.__module__}.StageRun") as stages:
+        with mock.patch(f"{StreamInputs.__module__}.StageRun") as stages:
             stages.return_value.run.return_value = StageOutcome((), 0.0, [])
             run._run_stages(mock.Mock())
         self.assertEqual(stages.call_args.kwargs["deadline_at"], expected)
 
+    @parameterized.expand(
+        [
+            ("first", False, [True]),
+            ("again", False, [True, False]),
+            ("on", True, [False]),
+        ]
+    )
+    def test_the_objective_counts_once(self, _, has_started, expected):
+        """Guards against stages that are late for an objective which has passed."""
+        server = mock.Mock()
+        server.plan.return_value = mock.Mock(needed=[0], total_seconds=lambda: 0.0)
+        route = Route("r", "h", "/", Kind.STREAM, 12.0, 1.0, 3, 0, (Share("s", 1.0),))
+        context = mock.Mock(route=route, deadline_at=12.0, first_event_by=4.0)
+        run = StreamRun(server, context, mock.Mock())
+        run._output.has_started = has_started
+        with mock.patch(f"{StreamInputs.__module__}.StageRun") as stages:
+            stages.return_value.run.return_value = StageOutcome((), 0.0, [])
+            for _ in expected:
+                run._run_stages(mock.Mock())
+        found = [call.kwargs["has_objective"] for call in stages.call_args_list]
+        self.assertEqual(found, expected)
+
 
 class BrokenStreamTest(unittest.TestCase):
     """A stream of three events that ends at every byte."""
