--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -109,7 +109,7 @@
         self._cached_until: OrderedDict[tuple[str, str], float] = OrderedDict()
         self.ongoing_runs: set[StreamRun] = set()
         self._is_aborting = False
-        self._silences_by_service: dict[str, KnownSilences] = {}
+        self._silences: dict[tuple[str, float], KnownSilences] = {}
         crashes.on_crash = self._abort_soon
 
     def abort_quarantined(self) -> None:
@@ -204,14 +204,14 @@
             service: The service.
             pause: Seconds between two parts of a response that are not unusual.
         """
-        known = self._silences_by_service.get(service)
+        known = self._silences.get((service, pause))
         if known is not None and now() - known.at < _MAX_SILENCES_AGE_S:
             return known
         candidates = self.selector.candidates(service, set())
         quiet = frozenset(c.target.id for c in candidates if c.state.is_quiet(pause))
         ids = frozenset(c.target.id for c in candidates)
         known = KnownSilences(now(), quiet, ids - quiet)
-        self._silences_by_service[service] = known
+        self._silences[service, pause] = known
         return known
 
     def stage_seconds(self, context: Context, zone: str) -> float:
