--- a/tests/test_stage_owner.py
+++ b/tests/test_stage_owner.py
@@ -628,6 +628,7 @@
             crashes=self.crashes,
         )
         pauses_at = now() + after
+        held = []
 
         def receive(message):
             if isinstance(message, Submit):
@@ -638,13 +639,19 @@
                 other.release(message)
 
         def hold_up(deliver, message):
-            is_paused = pauses_at <= now() < pauses_at + seconds
-            delay = pauses_at + seconds - now() if is_paused else 0.0
-            eventlet.spawn_after(delay, deliver, message)
+            if pauses_at <= now() < pauses_at + seconds:
+                held.append((deliver, message))
+            else:
+                eventlet.spawn_n(deliver, message)
+
+        def resume():
+            for deliver, message in held:
+                deliver(message)
 
         def suspect(instance):
             self.peers.owners.return_value = ["me"]
 
+        eventlet.spawn_after(after + seconds, resume)
         self.peers.owners.return_value = ["other"]
         self.peers.send.side_effect = lambda instance, message: hold_up(
             receive, message
