--- a/tests/test_stage_owner.py
+++ b/tests/test_stage_owner.py
@@ -1,6 +1,7 @@
 """Tests for stages that run through an owner's queue, with failing targets."""
 
 import unittest
+from collections import deque
 from unittest import mock
 
 import eventlet
@@ -628,7 +629,6 @@
             crashes=self.crashes,
         )
         pauses_at = now() + after
-        held = []
 
         def receive(message):
             if isinstance(message, Submit):
@@ -638,20 +638,26 @@
             elif isinstance(message, Release):
                 other.release(message)
 
-        def hold_up(deliver, message):
-            if pauses_at <= now() < pauses_at + seconds:
-                held.append((deliver, message))
-            else:
-                eventlet.spawn_n(deliver, message)
+        held = deque()
 
-        def resume():
-            for deliver, message in held:
+        def hold_up(deliver, message):
+            is_paused = pauses_at <= now() < pauses_at + seconds
+            if not is_paused:
+                eventlet.spawn_after(0.0, deliver, message)
+                return
+            if not held:
+                eventlet.spawn_after(pauses_at + seconds - now(), deliver_held)
+            held.append((deliver, message))
+
+        def deliver_held():
+            # A process that goes on reads all that has arrived, in its order.
+            while held:
+                deliver, message = held.popleft()
                 deliver(message)
 
         def suspect(instance):
             self.peers.owners.return_value = ["me"]
 
-        eventlet.spawn_after(after + seconds, resume)
         self.peers.owners.return_value = ["other"]
         self.peers.send.side_effect = lambda instance, message: hold_up(
             receive, message
