--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -9,6 +9,7 @@
 
 from bergamotsaddle_contracts.errors import ErrorKind, RequestError
 from bergamotsaddle_contracts.ini import Address
+from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_platform.dialect import PlatformDialect
 from bergamotsaddle_serving.catalog import Target
 from bergamotsaddle_serving.client import ConnectionPool
@@ -182,6 +183,16 @@
             run._admit(choice)
         self.assertIs(raised.exception.kind, ErrorKind.DEADLINE_INFEASIBLE)
 
+    def test_a_stream_whose_helper_died_is_not_due_by_its_objective(self):
+        """Guards against a 502 for a stream that waited for a way on."""
+        server = make_server(make_candidates(ADDRESS, {"a": "v1", "b": "v1"}))
+        head = RequestHead("r", b"POST", b"/", "h", "", 9.0)
+        context = make_context(head, mock.Mock(body=b""), is_resumable=True)
+        waited = context.route.objective + 0.5
+        context = context._replace(started_at=now() - waited).after_runs(1)
+        run = StreamRun(server, context, mock.Mock())
+        run._admit(run._choose())
+
     @parameterized.expand([("calm", 15), ("burst", 40), ("heavy_burst", 80)])
     def test_streams_that_are_taken_up_go_on_as_often_as_new_ones_begin(self, _, rate):
         """Guards against streams that end in bursts, as few engines have their version.
