--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -30,6 +30,7 @@
 from bergamotsaddle_serving.health import Health
 from bergamotsaddle_serving.selector import Candidate
 from bergamotsaddle_serving.stage_run import StageOutcome
+from bergamotsaddle_serving.stream_inputs import StreamInputs
 from bergamotsaddle_serving.stream_run import StreamRun
 from bergamotsaddle_serving.streams import StreamServer
 from tests._paused import use_paused_clock, use_running_clock
@@ -174,13 +175,14 @@
     return Context(head, raw.body, route, service, None, *times, 1, 0, Progress())
 
 
-def read_response(client, version):
+def read_response(client, version, *, on_data=lambda: None):
     """Read a response.
 
     Args:
         client: The caller's socket.
         version: Minor version of HTTP in the request. With 0 the response ends with
             its connection.
+        on_data: Called when a part of the body has arrived.
 
     Returns:
         Status, body, and whether the framing says that the response is complete.
@@ -198,28 +200,44 @@
                 status = event.status_code
             elif isinstance(event, h11.Data):
                 body += bytes(event.data)
+                on_data()
             else:
                 return status, body, isinstance(event, h11.EndOfMessage)
     except (OSError, h11.RemoteProtocolError):
         return status, body, False
 
 
-def relay(engine, *, version=1, is_resumable=False):
-    """Send one request through an instance and return what its caller got."""
+def connect(server, make_request_context, *, budget=None):
+    """Return a caller's connection to an instance.
+
+    Args:
+        server: Serves streams.
+        make_request_context: Called with the head and the whole of a request; returns
+            its context.
+        budget: Counts requests, None if nothing does.
+    """
     mocks = [mock.MagicMock() for _ in range(7)]
-    mocks[2] = make_server(engine)
+    mocks[2] = server
+    mocks[3] = budget or mocks[3]
     mocks[4] = PlatformDialect()
     suspects = mock.Mock(is_quarantined=lambda fingerprint: False)
     handler = Handler(*mocks, suspects=suspects)
-    handler._make_context = lambda head, raw: make_context(
-        head, raw, is_resumable=is_resumable
-    )
+    handler._make_context = make_request_context
     listener = eventlet.listen((HOST, 0))
     client = eventlet.connect(listener.getsockname())
     accepted, _ = listener.accept()
     listener.close()
     caller = CallerConnection(accepted, CallerLimits, lambda: False)
     eventlet.spawn_n(handler.run, caller)
+    return client
+
+
+def relay(engine, *, version=1, is_resumable=False):
+    """Send one request through an instance and return what its caller got."""
+    client = connect(
+        make_server(engine),
+        lambda head, raw: make_context(head, raw, is_resumable=is_resumable),
+    )
     client.sendall(REQUEST % version)
     try:
         return read_response(client, version)
@@ -250,11 +268,33 @@
         if last_event_at is not None:
             run._output.has_started = True
             run._output.last_event_at = last_event_at
-        with mock.patch(f"{StreamRun.__module__}.StageRun") as stages:
+        with mock.patch(f"{StreamInputs.__module__}.StageRun") as stages:
             stages.return_value.run.return_value = StageOutcome((), 0.0, [])
             run._run_stages(mock.Mock())
         self.assertEqual(stages.call_args.kwargs["deadline_at"], expected)
 
+    @parameterized.expand(
+        [
+            ("first", False, [True]),
+            ("again", False, [True, False]),
+            ("on", True, [False]),
+        ]
+    )
+    def test_the_objective_counts_once(self, _, has_started, expected):
+        """Guards against stages that are late for an objective which has passed."""
+        server = mock.Mock()
+        server.plan.return_value = mock.Mock(needed=[0], total_seconds=lambda: 0.0)
+        route = Route("r", "h", "/", Kind.STREAM, 12.0, 1.0, 3, 0, (Share("s", 1.0),))
+        context = mock.Mock(route=route, deadline_at=12.0, first_event_by=4.0)
+        run = StreamRun(server, context, mock.Mock())
+        run._output.has_started = has_started
+        with mock.patch(f"{StreamInputs.__module__}.StageRun") as stages:
+            stages.return_value.run.return_value = StageOutcome((), 0.0, [])
+            for _ in expected:
+                run._run_stages(mock.Mock())
+        found = [call.kwargs["has_objective"] for call in stages.call_args_list]
+        self.assertEqual(found, expected)
+
 
 class BrokenStreamTest(unittest.TestCase):
     """A stream of three events that ends at every byte."""
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -10,7 +10,7 @@
 
 from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving.caller import CallerConnection
+from bergamotsaddle_serving.caller import CallerConnection, RawRequest
 from bergamotsaddle_serving.catalog import CallerLimits, Kind, Route, Service, Share
 from bergamotsaddle_serving.context import Context, Progress
 from bergamotsaddle_serving.handler import Handler
@@ -31,6 +31,7 @@
 tearDownModule = use_paused_clock
 
 HOST = "127.0.0.1"
+OTHER_HOST = "127.0.0.2"
 BODY = b"HTTP/1.1 200 OK\r\nSeal: x\r\nContent-Length: 4\r\n\r\nbody"
 EVENT = b"id: 1\n\n"
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -74,21 +75,39 @@
     )
 
 
+def read_relayed(request):
+    """Return what a handed-over request says besides the caller's own."""
+    lines = request.partition(b"\r\n\r\n")[0].split(b"\r\n")[1:]
+    pairs = [line.partition(b": ") for line in lines]
+    return decode_request([(name.lower(), value) for name, _, value in pairs])
+
+
 class ScriptedHelper:
     """A helper that answers each request with the same bytes, then closes.
 
+    Args:
+        response: The bytes.
+        delay: Seconds until it sends them.
+        address: Where it listens.
+        is_killed: Whether its process is killed behind the first response.
+        dies_for: Seconds for which its kernel still accepts connections then.
+
     Attributes:
         requests: What it received.
         port: Its port.
     """
 
-    def __init__(self, response, *, delay=0.0):
-        listener = eventlet.listen((HOST, 0))
+    def __init__(
+        self, response, *, delay=0.0, address=(HOST, 0), is_killed=False, dies_for=0.0
+    ):
+        listener = eventlet.listen(address)
         self.port = listener.getsockname()[1]
         self.requests = []
         self.has_left = False
         self._response = response
         self._delay = delay
+        self._is_killed = is_killed
+        self._dies_for = dies_for
         eventlet.spawn_n(self._run, listener)
 
     def _run(self, listener):
@@ -97,6 +116,13 @@
             self.requests.append(sock.recv(65_536))
             eventlet.sleep(self._delay)
             sock.sendall(self._response)
+            if self._is_killed:
+                if not self._dies_for:
+                    listener.close()
+                sock.close()
+                eventlet.sleep(self._dies_for)
+                listener.close()
+                return
             self.has_left = not sock.recv(1) if self._delay else False
             sock.close()
 
@@ -116,10 +142,12 @@
         reach = mock.Mock(is_lost=lambda service: True)
         reach.seconds_to_probe.return_value = 0.5
         self.peers = peers
-        self.handover = Handover(reach, peers, self.helper.port, mock.Mock())
+        self.handover = Handover(
+            reach, peers, self.helper.port, mock.Mock(), budget=mock.Mock()
+        )
         self.context = make_context(kind)
         self.caller = mock.Mock()
-        self.handover.serve(self.context, self.caller)
+        self.handover.serve(self.context, self.caller, serve_here=mock.Mock())
 
     def test_a_whole_response_is_forwarded(self):
         self.hand_over(BODY)
@@ -230,10 +258,195 @@
     def test_a_request_takes_one_hop(self, _, sender, expected):
         """Guards against requests that instances pass around."""
         reach = mock.Mock(is_lost=lambda service: True)
-        handover = Handover(reach, mock.Mock(), 1, mock.Mock())
+        handover = Handover(reach, mock.Mock(), 1, mock.Mock(), budget=mock.Mock())
         self.assertEqual(handover.is_needed(make_context(sender=sender)), expected)
 
 
+class KilledHelperTest(unittest.TestCase):
+    """A helper in the own zone that is killed, and another one elsewhere."""
+
+    def hand_over(
+        self,
+        first,
+        second,
+        *,
+        kind=Kind.STREAM,
+        is_resumable=True,
+        attempts=2,
+        is_killed=True,
+        dies_for=0.0,
+        delay=0.0,
+        second_after=0.0,
+        regained_after=9.0,
+        repeat_after=0.0,
+        here=None,
+    ):
+        """Hand one request over.
+
+        Args:
+            first: What the first helper sends before it breaks off.
+            second: Response of the second helper.
+            kind: Kind of the route.
+            is_resumable: Whether its streams may be resumed.
+            attempts: Runs that it allows.
+            is_killed: Whether the first helper is killed.
+            dies_for: Seconds for which its kernel still accepts connections then.
+            delay: Seconds for which it is paused first, and not heard by its peers.
+            second_after: Seconds after which the second helper reaches the service.
+            regained_after: Seconds after which this instance does.
+            repeat_after: Seconds after which a repeat is available here.
+            here: What serving it here raises, time after time.
+        """
+        self.first = ScriptedHelper(
+            first, delay=delay, is_killed=is_killed, dies_for=dies_for
+        )
+        port = self.first.port
+        self.second = ScriptedHelper(second, address=(OTHER_HOST, port))
+        contacts = [Contact("h0", "a", HOST), Contact("h1", "b", OTHER_HOST)]
+        peers = mock.Mock(own=Contact("me", "a", HOST), region=lambda zone: zone)
+        all_reaching = [
+            SimpleNamespace(contact=contact, cores=1.0) for contact in contacts
+        ]
+        started_at = now()
+        peers.reaching.side_effect = lambda service: (
+            all_reaching if now() - started_at >= second_after else all_reaching[:1]
+        )
+        peers.incarnation_of.side_effect = lambda peer_id: (
+            None if 0.1 <= now() - started_at < delay else "1"
+        )
+        reach = mock.Mock(is_lost=lambda service: now() - started_at < regained_after)
+        reach.seconds_to_probe.return_value = 0.5
+        context = make_context(kind)
+        route = context.route._replace(is_resumable=is_resumable, attempts=attempts)
+        self.context = context._replace(route=route)
+        self.caller = mock.Mock()
+        budget = mock.Mock()
+        budget.reserve.side_effect = lambda service: (
+            mock.Mock() if now() - started_at >= repeat_after else None
+        )
+        handover = Handover(reach, peers, port, mock.Mock(), budget=budget)
+        self.serve_here = mock.Mock(side_effect=here)
+        handover.serve(self.context, self.caller, serve_here=self.serve_here)
+
+    def sent_events(self):
+        """Return the events that the caller got."""
+        return [call.args[0] for call in self.caller.send.call_args_list]
+
+    @parameterized.expand(
+        [
+            ("nothing", b""),
+            ("a_part_of_the_head", CHUNKED[:20]),
+            ("the_head", CHUNKED),
+            ("a_part_of_an_event", CHUNKED + b"7\r\n" + EVENT[:4]),
+        ]
+    )
+    def test_another_helper_begins_a_stream_of_which_it_sent(self, _, first):
+        """Guards against a 502 for a stream of which the caller has nothing yet."""
+        self.hand_over(first, STREAM)
+        self.assertEqual(self.sent_events(), [EVENT])
+        self.caller.finish.assert_called_once_with()
+        relayed = read_relayed(self.second.requests[0])
+        self.assertEqual((relayed.runs, relayed.last_event), (1, None))
+
+    def test_a_helper_that_is_just_dying_is_known_to_be(self):
+        """Guards against a 502 as its kernel has not closed its listener yet."""
+        self.hand_over(b"", STREAM, dies_for=0.05)
+        self.assertEqual(self.sent_events(), [EVENT])
+
+    @parameterized.expand([("no_other", 9.0, 0), ("another", 0.0, 1)])
+    def test_a_paused_helper_is_left_only_for(self, _, second_after, handed_over):
+        """Guards against a 502 for what a paused helper would have served."""
+        self.hand_over(
+            STREAM, STREAM, is_killed=False, delay=0.6, second_after=second_after
+        )
+        self.assertEqual(self.sent_events(), [EVENT])
+        self.assertEqual(len(self.second.requests), handed_over)
+
+    def test_a_stream_waits_for_another_helper(self):
+        """Guards against a 502 as nobody reaches the service at that very moment."""
+        self.hand_over(b"", STREAM, second_after=0.3)
+        self.assertEqual(self.sent_events(), [EVENT])
+
+    @parameterized.expand([("the_service", 0.3, 0.0), ("a_repeat", 0.0, 0.3)])
+    def test_a_stream_waits_for(self, _, regained_after, repeat_after):
+        self.hand_over(
+            b"",
+            STREAM,
+            second_after=9.0,
+            regained_after=regained_after,
+            repeat_after=repeat_after,
+        )
+        self.assertEqual(self.second.requests, [])
+        (context,) = self.serve_here.call_args.args
+        self.assertEqual(context.earlier_runs, 1)
+        self.assertEqual(context.route.attempts, 1)
+
+    def test_a_stream_that_is_refused_here_waits_on(self):
+        """Guards against a 502 as engines come back just after the service."""
+        refusal_here = RequestError(ErrorKind.VERSION_GONE, "x", ran=Ran.NO)
+        self.hand_over(
+            b"",
+            STREAM,
+            second_after=9.0,
+            regained_after=0.0,
+            here=[refusal_here, refusal_here, None],
+        )
+        self.assertEqual(self.serve_here.call_count, 3)
+
+    @parameterized.expand([(Ran.NO,), (Ran.UNKNOWN,)])
+    def test_a_failure_here_does_not_say_that_it_has_not_run(self, ran):
+        error = RequestError(ErrorKind.HELD_BACK, "x", ran=ran)
+        with self.assertRaises(RequestError) as caught:
+            self.hand_over(
+                b"", STREAM, second_after=9.0, regained_after=0.0, here=[error]
+            )
+        self.assertEqual(caught.exception.ran, Ran.UNKNOWN)
+
+    def test_another_helper_goes_on_behind_its_last_event(self):
+        """Guards against a stream that ends though the rest may follow."""
+        self.hand_over(STREAM[:-5], STREAM.replace(b"id: 1", b"id: 2"))
+        self.assertEqual(self.sent_events(), [EVENT, EVENT.replace(b"1", b"2")])
+        self.caller.start.assert_called_once()
+        self.caller.finish.assert_called_once_with()
+        relayed = read_relayed(self.second.requests[0])
+        self.assertEqual((relayed.runs, relayed.last_event), (1, 1))
+
+    def test_events_are_not_sent_twice(self):
+        """Guards against a helper of an older version, which begins anew."""
+        with self.assertRaises(RequestError):
+            self.hand_over(STREAM[:-5], STREAM)
+        self.assertEqual(self.sent_events(), [EVENT])
+        self.caller.finish.assert_not_called()
+
+    @parameterized.expand([("nothing", 0), ("a_part", len(BODY) - 2)])
+    def test_another_helper_serves_a_repeatable_request_of_which_it_sent(self, _, size):
+        self.hand_over(BODY[:size], BODY, kind=Kind.IDEMPOTENT)
+        self.caller.respond.assert_called_once_with(200, [(b"seal", b"x")], b"body")
+
+    @parameterized.expand(
+        [
+            ("must_not_be_repeated", b"", {"kind": Kind.ONCE, "is_resumable": False}),
+            ("can_not_resume", b"", {"is_resumable": False}),
+            ("has_no_run_left", b"", {"attempts": 1}),
+            ("has_an_event_without_a_number", CHUNKED + b"9\r\ndata: x\n\n\r\n", {}),
+            ("its_helper_gave_up", b"", {"is_killed": False}),
+        ]
+    )
+    def test_no_other_helper_gets_a_request_that(self, _, first, options):
+        """Guards against a request that runs more often than it may."""
+        with self.assertRaises(RequestError) as caught:
+            self.hand_over(first, STREAM, **options)
+        self.assertEqual(caught.exception.ran, Ran.UNKNOWN)
+        self.assertEqual(self.second.requests, [])
+
+    @parameterized.expand([ErrorKind.NO_TARGET, ErrorKind.DEADLINE_INFEASIBLE])
+    def test_a_refusal_behind_it_does_not_say_that_it_has_not_run(self, kind):
+        with self.assertRaises(RequestError) as caught:
+            self.hand_over(b"", refusal(kind))
+        self.assertEqual(caught.exception.ran, Ran.UNKNOWN)
+        self.assertTrue(self.context.progress.is_sent)
+
+
 class HelperTest(unittest.TestCase):
     """An instance that gets a request from another one."""
 
@@ -285,6 +498,55 @@
         self.assertIn(b"bergamotsaddle-kind: not_found", response)
 
 
+class RepeatedHandoverTest(unittest.TestCase):
+    """A request that another helper may have run before it died."""
+
+    def setUp(self):
+        mocks = (mock.MagicMock() for _ in range(7))
+        self.handler = Handler(*mocks, suspects=mock.Mock())
+        self.context = make_context()._replace(earlier_runs=1)
+
+    def serve(self, repeats, error=None):
+        """Serve it with some repeats left; return the repeat and the error."""
+        repeat = mock.Mock() if repeats else None
+        self.handler._budget.reserve.return_value = repeat
+        self.handler._plain.serve.side_effect = error
+        try:
+            self.handler._serve_here(mock.Mock(), self.context)
+        except RequestError as caught:
+            return repeat, caught
+        return repeat, None
+
+    def test_its_runs_and_events_are_taken_on(self):
+        """Guards against more runs than the route allows, and events sent twice."""
+        configuration = self.handler._view.configuration
+        configuration.version = 7
+        configuration.has_teams = False
+        configuration.find_route.return_value = self.context.route._replace(attempts=3)
+        relayed = RelayedRequest("me", 0.0, 7, runs=1, last_event=5)
+        headers = encode_request([], relayed, 0)
+        raw = RawRequest(b"POST", b"/x", headers, b"", now(), is_from_peer=True)
+        context = self.handler._make_context(self.context.head, raw)
+        self.assertEqual(context.route.attempts, 2)
+        self.assertEqual(context.head.last_event_id, 5)
+        self.assertEqual(context.head.resumed_request, "r1")
+
+    def test_it_is_a_repeat(self):
+        """Guards against repeats that no budget counts."""
+        self.serve(1)
+        self.handler._budget.count_request.assert_not_called()
+        self.handler._budget.reserve.assert_called_once_with("s")
+
+    def test_without_a_repeat_it_may_go_to_another_helper(self):
+        _, error = self.serve(0)
+        self.assertEqual((error.kind, error.ran), (ErrorKind.OVERLOADED, Ran.NO))
+
+    @parameterized.expand([(Ran.NO, True), (Ran.UNKNOWN, False)])
+    def test_its_repeat_is_given_back_if_it_has_not_run(self, ran, expected):
+        repeat, _ = self.serve(1, RequestError(ErrorKind.NO_TARGET, "x", ran=ran))
+        self.assertEqual(repeat.cancel.called, expected)
+
+
 class HelperChoiceTest(unittest.TestCase):
     """Which instance serves a request of an instance without targets."""
 
