--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -210,9 +210,10 @@
             objective=context.started_at + context.route.objective - now(),
             remaining=context.first_event_by - now(),
         )
-        if context.origin is not None:
-            # The caller has a part of the stream, and ending it would waste that work.
-            # It is due only before the caller gives up.
+        if context.origin is not None or context.earlier_runs:
+            # The caller has a part of the stream, or has waited for an instance that
+            # died, and ending it would waste that. It is due only before the caller
+            # gives up.
             forecast = forecast._replace(objective=forecast.remaining)
         more_urgent = self._server.urgencies.more_urgent_fraction(context.urgency)
         is_admitted = admits(forecast, more_urgent, self._server.policy)
