--- a/packages/standins/bergamotsaddle_standins/soak_audit.py
+++ b/packages/standins/bergamotsaddle_standins/soak_audit.py
@@ -131,6 +131,8 @@
         if cut.started_at + STABLE_S <= exchange.started_at < cut.ended_at
         and not record.is_near_stop(exchange)
         and not record.was_stalled(exchange.ended_at)
+        and record.has_helper(cut, exchange)
+        and record.has_engine(exchange)
     ]
     inside = [_is_served(e) for e in tries if e.host in cut.hosts]
     outside = [_is_served(e) for e in tries if e.host not in cut.hosts]
--- a/packages/standins/bergamotsaddle_standins/soak_record.py
+++ b/packages/standins/bergamotsaddle_standins/soak_record.py
@@ -149,6 +149,18 @@
             for time in self.serving_times
         )
 
+    def has_engine(self, exchange: Exchange) -> bool:
+        """Return whether an engine was known to serve when a stream was requested.
+
+        Other requests need none.
+        """
+        if not exchange.request.path.startswith(STREAM_PREFIXES):
+            return True
+        return not self.serving_times or any(
+            time.started_at + self.bound <= exchange.started_at <= time.ended_at
+            for time in self.serving_times
+        )
+
     def is_killed(self, exchange: Exchange) -> bool:
         """Return whether an instance that served a request was killed meanwhile.
 
@@ -279,7 +291,16 @@
 
     def is_near_stop(self, exchange: Exchange) -> bool:
         """Return whether the instance stopped, or had just started, meanwhile."""
+        return self._is_near_stop(exchange.host, exchange.started_at)
+
+    def has_helper(self, cut: Cut, exchange: Exchange) -> bool:
+        """Return whether an instance that reaches the targets served in a cut."""
+        others = self.stops_by_host.keys() - cut.hosts
+        at = exchange.started_at
+        return not others or any(not self._is_near_stop(host, at) for host in others)
+
+    def _is_near_stop(self, host: str, at: float) -> bool:
         return any(
-            stop - STABLE_S <= exchange.started_at <= stop + self.grace + STABLE_S
-            for stop in self.stops_by_host.get(exchange.host, ())
+            stop - STABLE_S <= at <= stop + self.grace + STABLE_S
+            for stop in self.stops_by_host.get(host, ())
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -38,11 +38,13 @@
 GRACE_S = 8.0
 HOST = "127.0.0.1"
 OTHER_HOST = "127.0.0.2"
+THIRD_HOST = "127.0.0.3"
 SENT_AT = 10.0
 CHANGED_AT = 7.0
 BOOKING = SentRequest("r", "/book/r", "old", b"")
 CHAT = SentRequest("r", "/chat/r", "new", b"")
 TALK = SentRequest("r", "/talk/r", "new", b"")
+LOOK = SentRequest("r", "/look/r", "new", b"")
 EVENT = b"id: 0\ndata: x\n\n"
 NEXT_EVENT = b"id: 1\ndata: x\n\n"
 
@@ -285,6 +287,37 @@
         found = [breach.partition(":")[0] for breach in find_breaches(record)]
         self.assertEqual(found, expected)
 
+    @parameterized.expand(
+        [
+            ("no_helper", {OTHER_HOST: [9.0]}, [], CHAT, []),
+            ("a_helper_that_serves", {OTHER_HOST: []}, [], CHAT, ["cut off"]),
+            ("one_of_two", {OTHER_HOST: [9.0], THIRD_HOST: []}, [], CHAT, ["cut off"]),
+            ("no_engine", {}, [ServingTime("v1", 0.0, 9.9)], CHAT, []),
+            ("an_engine_just_added", {}, [ServingTime("v1", 8.1)], CHAT, []),
+            ("an_engine", {}, [ServingTime("v1", 0.0)], CHAT, ["cut off"]),
+            (
+                "no_engine_is_needed",
+                {},
+                [ServingTime("v1", 0.0, 1.0)],
+                LOOK,
+                ["cut off"],
+            ),
+        ]
+    )
+    def test_what_nobody_can_serve_in_a_cut(
+        self, _, stops, serving_times, request, expected
+    ):
+        """Guards against a comparison of requests that no instance could serve."""
+        refused = [make_exchange(request, 503)] * 30
+        served = [make_exchange(request, 200)._replace(host=THIRD_HOST)] * 30
+        record = make_record([*refused, *served], make_ledger())._replace(
+            cuts=[Cut(frozenset([HOST]), 5.0, SENT_AT + 1.0)],
+            stops_by_host=stops,
+            serving_times=serving_times,
+        )
+        found = [breach.partition(":")[0] for breach in find_breaches(record)]
+        self.assertEqual(found, expected)
+
     @parameterized.expand([("few", 2, []), ("many", 3, ["fell"])])
     def test_brittle_targets(self, _, falls, expected):
         ledger = Ledger()
