--- a/packages/standins/bergamotsaddle_standins/soak_audit.py
+++ b/packages/standins/bergamotsaddle_standins/soak_audit.py
@@ -185,7 +185,8 @@
 
 
 def _is_served(exchange: Exchange) -> bool:
-    return exchange.status == _OK and exchange.is_complete and exchange.is_in_time
+    is_whole = exchange.is_complete or exchange.has_left
+    return exchange.status == _OK and is_whole and exchange.is_in_time
 
 
 def _check_key(exchange: Exchange, record: SoakRecord) -> Iterator[str]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -287,6 +287,18 @@
         found = [breach.partition(":")[0] for breach in find_breaches(record)]
         self.assertEqual(found, expected)
 
+    @parameterized.expand([("left", True, []), ("cut", False, ["cut off"])])
+    def test_streams_that_callers_leave_in_a_cut(self, _, has_left, expected):
+        """Guards against a stream that its caller left counted as not served."""
+        talk = make_exchange(TALK, 200, is_complete=False)
+        talk = talk._replace(body=EVENT, has_left=has_left)
+        others = [make_exchange(CHAT, 200)._replace(host=OTHER_HOST)] * 30
+        record = make_record([*[talk] * 30, *others], make_ledger())._replace(
+            cuts=[Cut(frozenset([HOST]), 5.0, SENT_AT + 1.0)]
+        )
+        found = [breach.partition(":")[0] for breach in find_breaches(record)]
+        self.assertEqual([name for name in found if name == "cut off"], expected)
+
     @parameterized.expand(
         [
             ("no_helper", {OTHER_HOST: [9.0]}, [], CHAT, []),
