--- a/packages/serving/bergamotsaddle_serving/engine_run.py
+++ b/packages/serving/bergamotsaddle_serving/engine_run.py
@@ -75,6 +75,11 @@
         """Id of the engine; a stream has at most one run at a time there."""
         return self.target.id
 
+    @property
+    def is_sent(self) -> bool:
+        """Whether the engine may have got the request."""
+        return self._attempt is not None and self._attempt.is_sent
+
     @property
     def is_repeat(self) -> bool:
         """Whether it uses a repeat of the budget."""
@@ -112,7 +117,7 @@
         )
 
     def start(self, dispatch: Dispatch, on_sent: Callable[[int], None]) -> None:
-        """Count the run. The first read sends its request.
+        """Prepare to send the request, which the first read does.
 
         Args:
             dispatch: Parameters of the request for the engine.
@@ -121,8 +126,6 @@
         """
         server = self._server
         context = self._context
-        if self._repeat is not None:
-            self._repeat.use()
         self.is_trial = server.crashes.parts.record_sent(context.head.shared_parts)
         server.selector.record_sent(self._candidate, context.service)
         self.started_at = now()
@@ -192,15 +195,21 @@
         remaining = self._context.remaining
         if self._attempt.is_sent:
             return self._attempt.read_response(limit=limit, max_wait=remaining)
-        selector = self._server.selector
         return self._attempt.send(
             self._dispatch,
             limit=limit,
             max_wait=remaining,
             on_sent=self._on_sent,
-            may_send=lambda: selector.may_send(self._candidate),
+            may_send=self._may_send,
         )
 
+    def _may_send(self) -> bool:
+        """Return whether the engine may get the request, which then is a repeat."""
+        may_send = self._server.selector.may_send(self._candidate)
+        if may_send and self._repeat is not None:
+            self._repeat.use()
+        return may_send
+
     def _is_whole(self) -> bool:
         """Return whether a response that ends here may be complete.
 
--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -1,5 +1,6 @@
 """Runs the stages of one streaming request, then relays an engine's events."""
 
+import contextlib
 from typing import TYPE_CHECKING
 
 import eventlet
@@ -399,15 +400,16 @@
         for run in list(self.runs):
             if run is kept:
                 continue
-            if not run.is_silent:
-                # The engine may go on for a moment after it has lost its caller.
-                self._server.crashes.record_abandoned(run.target, run.work)
             reason = SILENT if run.is_silent else _OVERTAKEN
-            self._log_attempt("attempt_failed", run, reason, "unknown")
+            ran = "unknown" if run.is_sent else "no"
+            self._log_attempt("attempt_failed", run, reason, ran)
             self._close(run)
-            self._possible_runs += 1
+            self._possible_runs += run.is_sent
             if run.is_silent:
                 self._exclude.add(run.id)
+            elif run.is_sent:
+                # The engine may go on for a moment after it has lost its caller.
+                self._server.crashes.record_abandoned(run.target, run.work)
         # A hedge may have begun to run its stages.
         self._inputs.drop()
 
@@ -445,7 +447,8 @@
         repeat = self._server.budget.reserve(self._context.service.name)
         if repeat is None:
             return None, "no repeat is left"
-        try:
+        with contextlib.ExitStack() as stack:
+            stack.callback(repeat.cancel)
             choice = self._choose_hedge()
             if choice is None:
                 return None, "no other engine responds"
@@ -456,9 +459,9 @@
             if run is None:
                 return None, "the engine may not be used"
             self._start(run)
+            # The run cancels it unless it is sent.
+            stack.pop_all()
             return run, ""
-        finally:
-            repeat.cancel()
 
     def _choose_hedge(self) -> EngineChoice | None:
         """Choose an engine that is not silent itself, None if there is none."""
