--- a/tests/_paced_engines.py
+++ b/tests/_paced_engines.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 import eventlet
+import eventlet.green.socket
 
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_daemon._rendezvous import rendezvous_weight
@@ -48,6 +49,9 @@
 # Requests that an engine runs at once, so that none is turned away.
 _SLOTS = 32
 _POLL_S = 0.005
+_BACKLOG = 200
+# A backlog of 0 holds one connection.
+_FILLERS = 3
 # The budget of an instance alone takes its share for a fleet of this size, and uses a
 # fraction of that.
 _MIN_FLEET = 6
@@ -72,6 +76,7 @@
         first_delay: Seconds until the first event of each response.
         refusal: A response that it sends to each request instead of a stream.
         is_down: Whether it refuses connections.
+        is_hanging: Whether connections to it are never opened.
     """
 
     pauses: dict[int, float] = {}  # noqa: RUF012
@@ -83,6 +88,7 @@
     first_delay: float = 0.0
     refusal: bytes = b""
     is_down: bool = False
+    is_hanging: bool = False
 
 
 class EngineRun:
@@ -142,11 +148,15 @@
         if 0 in self._pauses:
             self.pause(self._pauses.pop(0))
         self._threads = []
-        self._listener = eventlet.listen((HOST, 0), backlog=200)
+        self._listener = eventlet.green.socket.socket()
+        # A port that is bound but not listened on refuses connections and stays ours.
+        self._listener.bind((HOST, 0))
         self.address = Address(*self._listener.getsockname())
-        if script.is_down:
-            self._listener.close()
-        else:
+        self._fillers = []
+        if script.is_hanging:
+            self._fill_backlog()
+        elif not script.is_down:
+            self._listener.listen(_BACKLOG)
             self._spawn(self._accept)
 
     def pause(self, seconds):
@@ -159,6 +169,17 @@
         for thread in self._threads:
             thread.kill()
         self._listener.close()
+        for filler in self._fillers:
+            filler.close()
+
+    def _fill_backlog(self):
+        # With a full backlog the kernel drops the first packet of new connections.
+        self._listener.listen(0)
+        for _ in range(_FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(tuple(self.address))
+            self._fillers.append(filler)
 
     def _spawn(self, function, *args):
         thread = eventlet.spawn(function, *args)
@@ -203,16 +224,21 @@
             self._sleep_until(due_at)
             event = self._event(number) if number <= EVENTS else b""
             if number in self._pauses:
-                if script.is_split:
+                if script.is_split and event:
                     half, event = event[:5], event[5:]
                     sock.sendall(head + _encode_chunk(half))
+                    head = b""
                 self.pause(self._pauses.pop(number))
             if not self._wait_until_due(due_at) or self._is_reset_at(number):
                 self._reset(sock, run, reader)
                 return
             if event:
                 run.sent_at_by_event[number] = now()
-            sock.sendall(head + _encode_chunk(event))
+            try:
+                sock.sendall(head + _encode_chunk(event))
+            except OSError:
+                # The instance has closed the connection; the reader records it.
+                return
             head = b""
             due_at = (due_at if script.is_burst else now()) + EVENT_GAP_S
         run.has_ended = True
--- a/tests/test_hedges.py
+++ b/tests/test_hedges.py
@@ -1,5 +1,6 @@
 """Streams whose engines fall silent, break off or resume around a second run."""
 
+import random
 import unittest
 
 import eventlet
@@ -10,11 +11,15 @@
     FOREVER,
     PATIENCE_S,
     EngineScript,
+    SecondStages,
+    use_scripted_stages,
 )
 from tests._paused import use_paused_clock, use_running_clock
 from tests.test_silent_streams import (
     BUSY,
     DOWN,
+    FAILING,
+    LATE,
     MIDDLE_EVENT,
     SILENT,
     SOUND,
@@ -24,12 +29,25 @@
     run_together,
 )
 
-setUpModule = use_running_clock
-tearDownModule = use_paused_clock
-
 LATER_EVENT = MIDDLE_EVENT + 5
 # When the first event of a stream is due.
 MAX_BEGIN_S = 0.9
+CASES = 60
+# Less than the patience of callers, together with the delay of a first event.
+MAX_PAUSES_S = 3.0
+_stages = use_scripted_stages()
+
+
+def setUpModule():  # noqa: N802
+    """Use the running clock, and stages that deployments are given."""
+    use_running_clock()
+    _stages.start()
+
+
+def tearDownModule():  # noqa: N802
+    """Use the paused clock and real stages again."""
+    _stages.stop()
+    use_paused_clock()
 
 
 def find_faults(table, *, max_gap=PATIENCE_S):
@@ -149,6 +167,20 @@
         self.assertEqual(faults, {})
 
 
+class UnsentHedgeTest(unittest.TestCase):
+    """A second run that ends before its request was sent to an engine."""
+
+    def test_it_costs_no_repeat_and_no_attempt(self):
+        """Guards against streams that end as a run that never began was counted."""
+        breaking = EngineScript(pauses={MIDDLE_EVENT: 1.2}, reset_at=LATER_EVENT)
+        hanging = EngineScript(is_hanging=True)
+        table = {
+            "last_repeat": ((breaking, hanging, SOUND), {"repeats": 1}),
+            "last_attempt": ((breaking, hanging, SOUND), {"attempts": 2}),
+        }
+        self.assertEqual(find_faults(table), {})
+
+
 class NewStreamTest(unittest.TestCase):
     """Streams that begin during and after a pause of many others."""
 
@@ -183,3 +215,79 @@
             self.assertEqual(sum(one.is_whole for one in begun), STREAMS)
             self.assertLess(max(one.longest_gap for one in begun), MAX_BEGIN_S)
             self.assertEqual(deployment.find_leaks(), {})
+
+
+class RandomScriptsTest(unittest.TestCase):
+    """Streams at engines that pause, refuse and break off at random."""
+
+    maxDiff = None
+
+    def check(self, seeds, *, breaks):
+        """Check streams with many seeds at the same time."""
+        found = run_together(
+            lambda seed: call_random(random.Random(seed), breaks=breaks),
+            {seed: seed for seed in seeds},
+        )
+        faults = {seed: broken for seed, broken in found.items() if broken}
+        self.assertEqual(faults, {})
+
+    def test_engines_that_only_pause(self):
+        """Guards against streams that are cut though each engine goes on in time."""
+        self.check(range(CASES), breaks=False)
+
+    def test_engines_that_break_off_as_well(self):
+        """Guards against events out of order, further runs, and what is held on to."""
+        self.check(range(CASES), breaks=True)
+
+
+def call_random(rng, *, breaks):
+    """Return what is wrong with a stream at engines with random scripts."""
+    scripts = [make_script(rng, may_refuse=False, breaks=breaks)]
+    for _ in range(rng.randint(0, 2)):
+        scripts.append(make_script(rng, may_refuse=True, breaks=breaks))
+    options = {
+        "attempts": rng.randint(1, 3),
+        "repeats": rng.choice([0, 1, 2, None]),
+        "is_numbered": rng.random() < 0.9,
+    }
+    if rng.random() < 0.4:
+        error = rng.choice([None, LATE])
+        options["stages"] = SecondStages(rng.uniform(0.0, 1.0), error)
+    eventlet.sleep(rng.uniform(0.0, 2.0))
+    received, leaks, runs = call_once(*scripts, **options)
+    faults = {
+        "leaks": bool(leaks),
+        "order": received.events != [*range(1, len(received.events) + 1)],
+        # An engine that refuses has not run the request.
+        "runs": runs > options["attempts"] + scripts.count(BUSY),
+        "not whole": not breaks and not received.is_whole,
+        "hangs": received.longest_gap > PATIENCE_S,
+    }
+    return [name for name, is_found in faults.items() if is_found]
+
+
+def make_script(rng, *, may_refuse, breaks):
+    """Return a random script of an engine.
+
+    Args:
+        rng: Makes the choices.
+        may_refuse: Whether it may refuse all requests.
+        breaks: Whether its responses may break off.
+    """
+    if may_refuse and rng.random() < 0.25:
+        return rng.choice([BUSY, DOWN, FAILING])
+    left = MAX_PAUSES_S
+    pauses = {}
+    for number in rng.sample(range(1, EVENTS + 2), rng.randint(0, 2)):
+        pauses[number] = rng.uniform(0.1, left)
+        left -= pauses[number]
+    how = rng.choice(["", "after", "at"]) if breaks else ""
+    return EngineScript(
+        pauses=pauses,
+        is_burst=rng.random() < 0.4,
+        reset_after=rng.uniform(0.1, MAX_PAUSES_S) if how == "after" else None,
+        reset_at=rng.randint(1, EVENTS + 1) if how == "at" else 0,
+        first_delay=rng.choice([0.0, 0.05, 0.3]),
+        is_split=rng.random() < 0.3,
+        holds_head=rng.random() < 0.3,
+    )
