--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -320,11 +320,11 @@
             return None
         if not self._use_permit(choice):
             return None
+        self._check_quarantine()
         if self._was_offered and repeat is None:
             repeat = self._server.budget.reserve(self._context.service.name)
             if repeat is None:
                 raise self._failure_error("no repeats are left")
-        self._check_quarantine()
         return EngineRun(self._server, self._context, candidate, choice, repeat=repeat)
 
     def _start(self, run: EngineRun) -> None:
