--- a/packages/standins/bergamotsaddle_standins/soak.py
+++ b/packages/standins/bergamotsaddle_standins/soak.py
@@ -49,6 +49,13 @@
     pick_leaving,
 )
 from bergamotsaddle_standins.soak_guard import AddressesInUseError, hold_addresses
+from bergamotsaddle_standins.soak_hush import (
+    HUSH_GAP_S,
+    REST_S,
+    Hush,
+    pick_hushed,
+    pick_hushes,
+)
 from bergamotsaddle_standins.soak_links import CutMode, TargetLink
 from bergamotsaddle_standins.soak_record import (
     MIN_STALL_S,
@@ -308,6 +315,8 @@
         self._guard = hold_addresses(hosts)
         self._cuts: list[Cut] = []
         self._brittle_times: list[BrittleTime] = []
+        self._hushes: list[Hush] = []
+        self._is_hushing = False
         self._cut_instances: list[SoakInstance] = []
         self._cut_mode = CutMode.HANG
         self._instance_ids = [f"i{number}" for number in range(instances)]
@@ -406,6 +415,7 @@
             self._told_gone_at(),
             {i.id: [*i.stops, *i.kills] for i in self._instances},
             {i.id: i.starts for i in self._instances},
+            self._hushes,
         )
 
     def _told_gone_at(self) -> dict[tuple[str, str], float]:
@@ -639,6 +649,29 @@
         for link in target.link_by_instance.values():
             link.resume()
 
+    @register_disturbance("hush")
+    def _hush_targets(self) -> None:
+        """Let a share of some targets hold back all bytes, at times twice in a row."""
+        hushed = pick_hushed(self._targets, self._rng)
+        if self._is_hushing or self._is_over or not hushed:
+            return
+        self._is_hushing = True
+        links = [link for t in hushed for link in t.link_by_instance.values()]
+        ids = {target.id for target in hushed}
+        engines = {t.id for t in self._targets if t.service == ENGINE}
+        for seconds in pick_hushes(self._rng):
+            hush = Hush(ids, bool(engines - ids), now())
+            self._hushes.append(hush)
+            for link in links:
+                link.pause()
+            eventlet.sleep(seconds)
+            for link in links:
+                link.resume()
+            self._hushes[-1] = hush._replace(ended_at=now())
+            eventlet.sleep(HUSH_GAP_S)
+        eventlet.sleep(REST_S)
+        self._is_hushing = False
+
     @register_disturbance("brittle")
     def _make_brittle(self) -> None:
         """Let targets of a service fail when they reject many requests.
--- a/packages/standins/bergamotsaddle_standins/soak_audit.py
+++ b/packages/standins/bergamotsaddle_standins/soak_audit.py
@@ -14,6 +14,7 @@
     BOOKING_PREFIX,
     STREAM_PREFIXES,
 )
+from bergamotsaddle_standins.soak_hush import find_stays, is_impatient
 from bergamotsaddle_standins.soak_record import (
     STABLE_S,
     BrittleTime,
@@ -57,6 +58,8 @@
     yield from _check_leaving(record)
     yield from _check_told(record)
     yield from _check_rests(record)
+    runs = record.ledger.runs_by_request
+    yield from find_stays(record.exchanges, record.hushes, runs)
     for cut in record.cuts:
         yield from _check_cut(cut, record)
     for brittle in record.brittle_times:
@@ -77,6 +80,7 @@
         is_allowed = (
             not exchange.has_time_left
             or exchange.has_left
+            or is_impatient(exchange)
             or record.is_killed(exchange)
             or record.is_cut_by_stop(exchange)
             or record.is_broken_by_cut(exchange)
@@ -92,6 +96,7 @@
     elif (
         exchange.status in _FAILED_STATUSES
         and exchange.is_in_time
+        and not is_impatient(exchange)
         and not record.is_killed(exchange)
         and not record.is_broken_by_cut(exchange)
         and not record.is_broken_by_targets(exchange)
--- a/packages/standins/bergamotsaddle_standins/soak_callers.py
+++ b/packages/standins/bergamotsaddle_standins/soak_callers.py
@@ -111,6 +111,7 @@
         status: HTTP status, 0 without a response.
         is_complete: Whether the response came to its proper end.
         body: What was received of the response's body.
+        longest_pause: Longest time in which nothing of the response came, in seconds.
         is_behind_break: Whether an earlier response on its connection broke off.
         has_left: Whether the caller closed the connection in the middle of a stream.
     """
@@ -123,6 +124,7 @@
     status: int
     is_complete: bool
     body: bytes = b""
+    longest_pause: float = 0.0
     is_behind_break: bool = False
     has_left: bool = False
 
@@ -159,11 +161,13 @@
         status: HTTP status, 0 without a response.
         is_complete: Whether the response came to its proper end.
         body: The bytes of its body.
+        longest_pause: Longest time in which nothing came, in seconds.
     """
 
     status: int
     is_complete: bool
     body: bytes
+    longest_pause: float = 0.0
 
 
 class CallerSocket:
@@ -214,11 +218,13 @@
         self._socket.settimeout(limit)
         status = 0
         body = b""
+        pause, since = 0.0, now()
         try:
             while True:
                 event = parser.next_event()
                 if event is h11.NEED_DATA:
                     parser.receive_data(self._socket.recv(_CHUNK))
+                    pause, since = max(pause, now() - since), now()
                 elif isinstance(event, h11.Response):
                     status = event.status_code
                 elif isinstance(event, h11.Data):
@@ -229,14 +235,14 @@
                 elif isinstance(event, h11.EndOfMessage):
                     self._buffered = parser.trailing_data[0]
                     self.is_open = parser.their_state is not h11.MUST_CLOSE
-                    return ReceivedResponse(status, True, body)
+                    return ReceivedResponse(status, True, body, pause)
                 elif isinstance(event, h11.ConnectionClosed):
                     break
         except (OSError, h11.RemoteProtocolError):
             # The instance closed or reset the connection; the audit judges that.
             status = status or 0
         self.is_open = False
-        return ReceivedResponse(status, False, body)
+        return ReceivedResponse(status, False, body, max(pause, now() - since))
 
     def close(self) -> None:
         """Close the connection."""
--- a/packages/standins/bergamotsaddle_standins/soak_dialect.py
+++ b/packages/standins/bergamotsaddle_standins/soak_dialect.py
@@ -57,6 +57,9 @@
 RERANK_CALL_S = 0.05
 CHAT_DEADLINE_S = 6.0
 PLAIN_DEADLINE_S = 1.5
+_STREAM_OBJECTIVE_S = 1.0
+# Seconds without an event after which callers abandon a stream.
+STREAM_PATIENCE_S = 4.0 * _STREAM_OBJECTIVE_S
 _BATCHING = Batching(
     slots=1,
     size=8,
@@ -369,7 +372,7 @@
         prefix=prefix,
         kind=Kind.STREAM,
         timeout=CHAT_DEADLINE_S,
-        objective=1.0,
+        objective=_STREAM_OBJECTIVE_S,
         attempts=ATTEMPTS_BY_PREFIX[prefix],
         priority=1,
         shares=(Share(ENGINE, 1.0),),
--- a/packages/standins/bergamotsaddle_standins/soak_links.py
+++ b/packages/standins/bergamotsaddle_standins/soak_links.py
@@ -60,6 +60,7 @@
         self._servers: set[Any] = set()
         self._fillers: list[Any] = []
         self._is_silent = False
+        self._pauses = 0
         self._is_resetting = False
         self._listener: Any = None
         self._acceptor: Any = None
@@ -96,12 +97,12 @@
         self._listen()
 
     def pause(self) -> None:
-        """Hold back what open connections carry, until ``resume``."""
-        self._is_silent = True
+        """Hold back what connections carry, until ``resume`` is called as often."""
+        self._pauses += 1
 
     def resume(self) -> None:
-        """Let open connections carry data again."""
-        self._is_silent = False
+        """End one pause."""
+        self._pauses -= 1
 
     @_register_mode(CutMode.HANG)
     def _hang(self) -> None:
@@ -173,7 +174,7 @@
         """Forward data in one direction; return whether it ended properly."""
         try:
             while data := receive(one, _READ_BYTES):
-                while self._is_silent:
+                while self._is_silent or self._pauses:
                     eventlet.sleep(_POLL_S)
                 self._send(other, data)
         except OSError:
--- a/packages/standins/bergamotsaddle_standins/soak_record.py
+++ b/packages/standins/bergamotsaddle_standins/soak_record.py
@@ -8,6 +8,7 @@
 
 from bergamotsaddle_standins.soak_callers import Exchange
 from bergamotsaddle_standins.soak_dialect import ATTEMPTS_BY_PREFIX, STREAM_PREFIXES
+from bergamotsaddle_standins.soak_hush import Hush
 from bergamotsaddle_standins.soak_store import LAPSE_S
 from bergamotsaddle_standins.soak_targets import Arrival, Ledger, Run, StageCall
 
@@ -119,6 +120,7 @@
             ids.
         ends_by_instance: Times at which each instance was told to stop, or killed.
         starts_by_instance: Times at which a process of each instance started.
+        hushes: Times in which targets held back all bytes.
     """
 
     exchanges: list[Exchange]
@@ -139,6 +141,7 @@
     told_gone_at: Mapping[tuple[str, str], float] = {}
     ends_by_instance: Mapping[str, Sequence[float]] = {}
     starts_by_instance: Mapping[str, Sequence[float]] = {}
+    hushes: Sequence[Hush] = ()
 
     def count_serving(self, software: bytes, exchange: Exchange) -> int:
         """Return how many engines of a version served all the while."""
@@ -275,7 +278,11 @@
         """Return where a request was run, and how many of its runs broke off."""
         targets = [run.target for run in self.ledger.runs_by_request.get(request, ())]
         breaks = self.ledger.breaks_by_request[request]
-        return f"run at {targets}, {breaks} broke off" if targets else "not run"
+        if not targets:
+            return "not run"
+        hushed = {target for hush in self.hushes for target in hush.targets}
+        silent = sorted(hushed.intersection(targets))
+        return f"run at {targets}, {breaks} broke off, silent at times: {silent}"
 
     def is_near_stop(self, exchange: Exchange) -> bool:
         """Return whether the instance stopped, or had just started, meanwhile."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,7 @@
 from bergamotsaddle_standins.soak_audit import find_breaches
 from bergamotsaddle_standins.soak_callers import Exchange, SentRequest
 from bergamotsaddle_standins.soak_guard import AddressesInUseError, hold_addresses
+from bergamotsaddle_standins.soak_hush import Hush
 from bergamotsaddle_standins.soak_record import (
     BrittleTime,
     Cut,
@@ -26,6 +27,7 @@
 CHANGES = ("--only", "stop", "reload", "move", "key", "replace", "store")
 BRITTLE = ("--seed", "2", "--seconds", "20", "--instances", "5", "--only", "brittle")
 SILENCES = ("--seed", "3", "--seconds", "10", "--instances", "4", "--only", "silence")
+HUSHES = ("--seed", "9", "--seconds", "12", "--instances", "4", "--only", "hush")
 LEAVES = ("--seed", "5", "--seconds", "15", "--instances", "4", "--only", "leave")
 BREAKS = ("--seed", "7", "--seconds", "15", "--instances", "4", "--only", "break")
 RETURNS = ("--seed", "1", "--seconds", "15", "--instances", "4")
@@ -105,6 +107,10 @@
         """Guards against requests lost at targets that go on after a silence."""
         self.check(*SILENCES)
 
+    def test_silent_shares_of_the_targets_break_nothing(self):
+        """Guards against streams lost while many targets hold back all bytes."""
+        self.check(*HUSHES)
+
     def test_targets_that_say_that_they_leave_get_nothing_more(self):
         """Guards against requests to a target whose responses say that it leaves."""
         self.check(*LEAVES)
@@ -450,6 +456,59 @@
         found = find_breaches(make_record([exchange], ledger))
         self.assertEqual([breach.partition(":")[0] for breach in found], expected)
 
+    @parameterized.expand(
+        [
+            ("went_on", 200, True, EVENT, 1.2, []),
+            ("given_up_too_early", 200, False, EVENT, 1.0, ["lost"]),
+            ("failed_too_early", 502, True, b"", 2.0, ["failed"]),
+            ("given_up_behind_its_patience", 200, False, EVENT, 4.1, []),
+            ("failed_behind_its_patience", 502, True, b"", 4.1, []),
+            ("twice", 200, True, EVENT + EVENT, 1.2, ["order"] * 2),
+        ]
+    )
+    def test_a_stream_at_a_silent_engine(
+        self, _, status, is_complete, body, pause, expected
+    ):
+        exchange = make_exchange(
+            TALK, status, seconds=pause + 0.1, is_complete=is_complete
+        )._replace(body=body, longest_pause=pause)
+        ledger = make_ledger()
+        ledger.runs_by_request["r"].append(make_run())
+        hush = Hush({"t"}, True, SENT_AT, SENT_AT + pause)
+        record = make_record([exchange], ledger)._replace(hushes=[hush])
+        found = [breach.partition(":")[0] for breach in find_breaches(record)]
+        self.assertEqual(found, expected)
+
+    @parameterized.expand(
+        [
+            ("too_late", 4, 0, True, 2.5, ["stayed"]),
+            ("some_left", 4, 1, True, 2.5, []),
+            ("few", 3, 0, True, 2.5, []),
+            ("at_short_silences", 4, 0, True, 1.9, []),
+            ("at_all_engines", 4, 0, False, 2.5, []),
+        ]
+    )
+    def test_streams_that_wait_for_silent_engines(
+        self, _, stays, leaves, has_other, pause, expected
+    ):
+        """Streams are to leave engines that are silent for long, if others speak."""
+        ledger = Ledger()
+        exchanges = []
+        for number in range(stays + leaves):
+            talk = TALK._replace(id=f"r{number}")
+            ledger.events_by_request[talk.id] = 1
+            has_left = number >= stays
+            runs = [make_run(), make_run(target="other")][: 1 + has_left]
+            ledger.runs_by_request[talk.id] += runs
+            exchange = make_exchange(talk, 200, seconds=pause + 0.1)._replace(
+                body=EVENT, longest_pause=1.1 if has_left else pause
+            )
+            exchanges.append(exchange)
+        hush = Hush({"t"}, has_other, SENT_AT, SENT_AT + pause)
+        record = make_record(exchanges, ledger)._replace(hushes=[hush])
+        found = [breach.partition(":")[0] for breach in find_breaches(record)]
+        self.assertEqual(found, expected)
+
     def test_a_stream_that_its_caller_leaves(self):
         exchange = make_exchange(TALK, 200, is_complete=False)
         exchange = exchange._replace(body=EVENT)
