--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -210,9 +210,10 @@
             objective=context.started_at + context.route.objective - now(),
             remaining=context.first_event_by - now(),
         )
-        if context.origin is not None:
-            # The caller has a part of the stream, and ending it would waste that work.
-            # It is due only before the caller gives up.
+        if context.origin is not None or context.earlier_runs:
+            # The caller has a part of the stream, or has waited for an instance that
+            # died, and ending it would waste that. It is due only before the caller
+            # gives up.
             forecast = forecast._replace(objective=forecast.remaining)
         more_urgent = self._server.urgencies.more_urgent_fraction(context.urgency)
         is_admitted = admits(forecast, more_urgent, self._server.policy)
@@ -462,14 +463,12 @@
     def _choose_hedge(self) -> EngineChoice | None:
         """Choose an engine that is not silent itself, None if there is none."""
         server = self._server
-        pause = self._event_pause() / 2.0
+        service = self._context.service.name
+        known = server.known_silences(service, self._event_pause() / 2.0)
         exclude = self._exclude | {run.id for run in self.runs}
-        while (choice := server.choose(self._context, exclude)) is not None:
-            candidate = server.candidate(self._context, choice.engine)
-            if candidate is not None and not candidate.state.is_quiet(pause):
-                return choice
-            exclude.add(choice.engine.id)
-        return None
+        if known.responsive <= exclude:
+            return None
+        return server.choose(self._context, exclude | known.quiet)
 
     def _check_quarantine(self) -> None:
         """Raise an error if the request has been quarantined in the meantime."""
