--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -1,5 +1,6 @@
 """Runs the stages of one streaming request, then relays an engine's events."""
 
+import contextlib
 from typing import TYPE_CHECKING
 
 import eventlet
@@ -210,9 +211,10 @@
             objective=context.started_at + context.route.objective - now(),
             remaining=context.first_event_by - now(),
         )
-        if context.origin is not None:
-            # The caller has a part of the stream, and ending it would waste that work.
-            # It is due only before the caller gives up.
+        if context.origin is not None or context.earlier_runs:
+            # The caller has a part of the stream, or has waited for an instance that
+            # died, and ending it would waste that. It is due only before the caller
+            # gives up.
             forecast = forecast._replace(objective=forecast.remaining)
         more_urgent = self._server.urgencies.more_urgent_fraction(context.urgency)
         is_admitted = admits(forecast, more_urgent, self._server.policy)
@@ -318,11 +320,11 @@
             return None
         if not self._use_permit(choice):
             return None
+        self._check_quarantine()
         if self._was_offered and repeat is None:
             repeat = self._server.budget.reserve(self._context.service.name)
             if repeat is None:
                 raise self._failure_error("no repeats are left")
-        self._check_quarantine()
         return EngineRun(self._server, self._context, candidate, choice, repeat=repeat)
 
     def _start(self, run: EngineRun) -> None:
@@ -398,15 +400,16 @@
         for run in list(self.runs):
             if run is kept:
                 continue
-            if not run.is_silent:
-                # The engine may go on for a moment after it has lost its caller.
-                self._server.crashes.record_abandoned(run.target, run.work)
             reason = SILENT if run.is_silent else _OVERTAKEN
-            self._log_attempt("attempt_failed", run, reason, "unknown")
+            ran = "unknown" if run.is_sent else "no"
+            self._log_attempt("attempt_failed", run, reason, ran)
             self._close(run)
-            self._possible_runs += 1
+            self._possible_runs += run.is_sent
             if run.is_silent:
                 self._exclude.add(run.id)
+            elif run.is_sent:
+                # The engine may go on for a moment after it has lost its caller.
+                self._server.crashes.record_abandoned(run.target, run.work)
         # A hedge may have begun to run its stages.
         self._inputs.drop()
 
@@ -444,7 +447,8 @@
         repeat = self._server.budget.reserve(self._context.service.name)
         if repeat is None:
             return None, "no repeat is left"
-        try:
+        with contextlib.ExitStack() as stack:
+            stack.callback(repeat.cancel)
             choice = self._choose_hedge()
             if choice is None:
                 return None, "no other engine responds"
@@ -455,21 +459,19 @@
             if run is None:
                 return None, "the engine may not be used"
             self._start(run)
+            # The run cancels it unless it is sent.
+            stack.pop_all()
             return run, ""
-        finally:
-            repeat.cancel()
 
     def _choose_hedge(self) -> EngineChoice | None:
         """Choose an engine that is not silent itself, None if there is none."""
         server = self._server
-        pause = self._event_pause() / 2.0
+        service = self._context.service.name
+        known = server.known_silences(service, self._event_pause() / 2.0)
         exclude = self._exclude | {run.id for run in self.runs}
-        while (choice := server.choose(self._context, exclude)) is not None:
-            candidate = server.candidate(self._context, choice.engine)
-            if candidate is not None and not candidate.state.is_quiet(pause):
-                return choice
-            exclude.add(choice.engine.id)
-        return None
+        if known.responsive <= exclude:
+            return None
+        return server.choose(self._context, exclude | known.quiet)
 
     def _check_quarantine(self) -> None:
         """Raise an error if the request has been quarantined in the meantime."""
--- a/packages/standins/bergamotsaddle_standins/soak_audit.py
+++ b/packages/standins/bergamotsaddle_standins/soak_audit.py
@@ -14,6 +14,7 @@
     BOOKING_PREFIX,
     STREAM_PREFIXES,
 )
+from bergamotsaddle_standins.soak_hush import find_stays, is_impatient
 from bergamotsaddle_standins.soak_record import (
     STABLE_S,
     BrittleTime,
@@ -57,6 +58,8 @@
     yield from _check_leaving(record)
     yield from _check_told(record)
     yield from _check_rests(record)
+    runs = record.ledger.runs_by_request
+    yield from find_stays(record.exchanges, record.hushes, runs)
     for cut in record.cuts:
         yield from _check_cut(cut, record)
     for brittle in record.brittle_times:
@@ -77,6 +80,7 @@
         is_allowed = (
             not exchange.has_time_left
             or exchange.has_left
+            or is_impatient(exchange)
             or record.is_killed(exchange)
             or record.is_cut_by_stop(exchange)
             or record.is_broken_by_cut(exchange)
@@ -92,6 +96,7 @@
     elif (
         exchange.status in _FAILED_STATUSES
         and exchange.is_in_time
+        and not is_impatient(exchange)
         and not record.is_killed(exchange)
         and not record.is_broken_by_cut(exchange)
         and not record.is_broken_by_targets(exchange)
@@ -131,6 +136,8 @@
         if cut.started_at + STABLE_S <= exchange.started_at < cut.ended_at
         and not record.is_near_stop(exchange)
         and not record.was_stalled(exchange.ended_at)
+        and record.has_helper(cut, exchange)
+        and record.has_engine(exchange)
     ]
     inside = [_is_served(e) for e in tries if e.host in cut.hosts]
     outside = [_is_served(e) for e in tries if e.host not in cut.hosts]
@@ -183,7 +190,8 @@
 
 
 def _is_served(exchange: Exchange) -> bool:
-    return exchange.status == _OK and exchange.is_complete and exchange.is_in_time
+    is_whole = exchange.is_complete or exchange.has_left
+    return exchange.status == _OK and is_whole and exchange.is_in_time
 
 
 def _check_key(exchange: Exchange, record: SoakRecord) -> Iterator[str]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,7 @@
 from bergamotsaddle_standins.soak_audit import find_breaches
 from bergamotsaddle_standins.soak_callers import Exchange, SentRequest
 from bergamotsaddle_standins.soak_guard import AddressesInUseError, hold_addresses
+from bergamotsaddle_standins.soak_hush import Hush
 from bergamotsaddle_standins.soak_record import (
     BrittleTime,
     Cut,
@@ -26,6 +27,7 @@
 CHANGES = ("--only", "stop", "reload", "move", "key", "replace", "store")
 BRITTLE = ("--seed", "2", "--seconds", "20", "--instances", "5", "--only", "brittle")
 SILENCES = ("--seed", "3", "--seconds", "10", "--instances", "4", "--only", "silence")
+HUSHES = ("--seed", "9", "--seconds", "12", "--instances", "4", "--only", "hush")
 LEAVES = ("--seed", "5", "--seconds", "15", "--instances", "4", "--only", "leave")
 BREAKS = ("--seed", "7", "--seconds", "15", "--instances", "4", "--only", "break")
 RETURNS = ("--seed", "1", "--seconds", "15", "--instances", "4")
@@ -38,11 +40,13 @@
 GRACE_S = 8.0
 HOST = "127.0.0.1"
 OTHER_HOST = "127.0.0.2"
+THIRD_HOST = "127.0.0.3"
 SENT_AT = 10.0
 CHANGED_AT = 7.0
 BOOKING = SentRequest("r", "/book/r", "old", b"")
 CHAT = SentRequest("r", "/chat/r", "new", b"")
 TALK = SentRequest("r", "/talk/r", "new", b"")
+LOOK = SentRequest("r", "/look/r", "new", b"")
 EVENT = b"id: 0\ndata: x\n\n"
 NEXT_EVENT = b"id: 1\ndata: x\n\n"
 
@@ -105,6 +109,10 @@
         """Guards against requests lost at targets that go on after a silence."""
         self.check(*SILENCES)
 
+    def test_silent_shares_of_the_targets_break_nothing(self):
+        """Guards against streams lost while many targets hold back all bytes."""
+        self.check(*HUSHES)
+
     def test_targets_that_say_that_they_leave_get_nothing_more(self):
         """Guards against requests to a target whose responses say that it leaves."""
         self.check(*LEAVES)
@@ -285,6 +293,49 @@
         found = [breach.partition(":")[0] for breach in find_breaches(record)]
         self.assertEqual(found, expected)
 
+    @parameterized.expand([("left", True, []), ("cut", False, ["cut off"])])
+    def test_streams_that_callers_leave_in_a_cut(self, _, has_left, expected):
+        """Guards against a stream that its caller left counted as not served."""
+        talk = make_exchange(TALK, 200, is_complete=False)
+        talk = talk._replace(body=EVENT, has_left=has_left)
+        others = [make_exchange(CHAT, 200)._replace(host=OTHER_HOST)] * 30
+        record = make_record([*[talk] * 30, *others], make_ledger())._replace(
+            cuts=[Cut(frozenset([HOST]), 5.0, SENT_AT + 1.0)]
+        )
+        found = [breach.partition(":")[0] for breach in find_breaches(record)]
+        self.assertEqual([name for name in found if name == "cut off"], expected)
+
+    @parameterized.expand(
+        [
+            ("no_helper", {OTHER_HOST: [9.0]}, [], CHAT, []),
+            ("a_helper_that_serves", {OTHER_HOST: []}, [], CHAT, ["cut off"]),
+            ("one_of_two", {OTHER_HOST: [9.0], THIRD_HOST: []}, [], CHAT, ["cut off"]),
+            ("no_engine", {}, [ServingTime("v1", 0.0, 9.9)], CHAT, []),
+            ("an_engine_just_added", {}, [ServingTime("v1", 8.1)], CHAT, []),
+            ("an_engine", {}, [ServingTime("v1", 0.0)], CHAT, ["cut off"]),
+            (
+                "no_engine_is_needed",
+                {},
+                [ServingTime("v1", 0.0, 1.0)],
+                LOOK,
+                ["cut off"],
+            ),
+        ]
+    )
+    def test_what_nobody_can_serve_in_a_cut(
+        self, _, stops, serving_times, request, expected
+    ):
+        """Guards against a comparison of requests that no instance could serve."""
+        refused = [make_exchange(request, 503)] * 30
+        served = [make_exchange(request, 200)._replace(host=THIRD_HOST)] * 30
+        record = make_record([*refused, *served], make_ledger())._replace(
+            cuts=[Cut(frozenset([HOST]), 5.0, SENT_AT + 1.0)],
+            stops_by_host=stops,
+            serving_times=serving_times,
+        )
+        found = [breach.partition(":")[0] for breach in find_breaches(record)]
+        self.assertEqual(found, expected)
+
     @parameterized.expand([("few", 2, []), ("many", 3, ["fell"])])
     def test_brittle_targets(self, _, falls, expected):
         ledger = Ledger()
@@ -450,6 +501,59 @@
         found = find_breaches(make_record([exchange], ledger))
         self.assertEqual([breach.partition(":")[0] for breach in found], expected)
 
+    @parameterized.expand(
+        [
+            ("went_on", 200, True, EVENT, 1.2, []),
+            ("given_up_too_early", 200, False, EVENT, 1.0, ["lost"]),
+            ("failed_too_early", 502, True, b"", 2.0, ["failed"]),
+            ("given_up_behind_its_patience", 200, False, EVENT, 4.1, []),
+            ("failed_behind_its_patience", 502, True, b"", 4.1, []),
+            ("twice", 200, True, EVENT + EVENT, 1.2, ["order"] * 2),
+        ]
+    )
+    def test_a_stream_at_a_silent_engine(
+        self, _, status, is_complete, body, pause, expected
+    ):
+        exchange = make_exchange(
+            TALK, status, seconds=pause + 0.1, is_complete=is_complete
+        )._replace(body=body, longest_pause=pause)
+        ledger = make_ledger()
+        ledger.runs_by_request["r"].append(make_run())
+        hush = Hush({"t"}, True, SENT_AT, SENT_AT + pause)
+        record = make_record([exchange], ledger)._replace(hushes=[hush])
+        found = [breach.partition(":")[0] for breach in find_breaches(record)]
+        self.assertEqual(found, expected)
+
+    @parameterized.expand(
+        [
+            ("too_late", 4, 0, True, 2.5, ["stayed"]),
+            ("some_left", 4, 1, True, 2.5, []),
+            ("few", 3, 0, True, 2.5, []),
+            ("at_short_silences", 4, 0, True, 1.9, []),
+            ("at_all_engines", 4, 0, False, 2.5, []),
+        ]
+    )
+    def test_streams_that_wait_for_silent_engines(
+        self, _, stays, leaves, has_other, pause, expected
+    ):
+        """Streams are to leave engines that are silent for long, if others speak."""
+        ledger = Ledger()
+        exchanges = []
+        for number in range(stays + leaves):
+            talk = TALK._replace(id=f"r{number}")
+            ledger.events_by_request[talk.id] = 1
+            has_left = number >= stays
+            runs = [make_run(), make_run(target="other")][: 1 + has_left]
+            ledger.runs_by_request[talk.id] += runs
+            exchange = make_exchange(talk, 200, seconds=pause + 0.1)._replace(
+                body=EVENT, longest_pause=1.1 if has_left else pause
+            )
+            exchanges.append(exchange)
+        hush = Hush({"t"}, has_other, SENT_AT, SENT_AT + pause)
+        record = make_record(exchanges, ledger)._replace(hushes=[hush])
+        found = [breach.partition(":")[0] for breach in find_breaches(record)]
+        self.assertEqual(found, expected)
+
     def test_a_stream_that_its_caller_leaves(self):
         exchange = make_exchange(TALK, 200, is_complete=False)
         exchange = exchange._replace(body=EVENT)
