--- a/packages/standins/bergamotsaddle_standins/soak_audit.py
+++ b/packages/standins/bergamotsaddle_standins/soak_audit.py
@@ -131,6 +131,8 @@
         if cut.started_at + STABLE_S <= exchange.started_at < cut.ended_at
         and not record.is_near_stop(exchange)
         and not record.was_stalled(exchange.ended_at)
+        and record.has_helper(cut, exchange)
+        and record.has_engine(exchange)
     ]
     inside = [_is_served(e) for e in tries if e.host in cut.hosts]
     outside = [_is_served(e) for e in tries if e.host not in cut.hosts]
@@ -183,7 +185,8 @@
 
 
 def _is_served(exchange: Exchange) -> bool:
-    return exchange.status == _OK and exchange.is_complete and exchange.is_in_time
+    is_whole = exchange.is_complete or exchange.has_left
+    return exchange.status == _OK and is_whole and exchange.is_in_time
 
 
 def _check_key(exchange: Exchange, record: SoakRecord) -> Iterator[str]:
