--- a/tests/test_stage_owner.py
+++ b/tests/test_stage_owner.py
@@ -37,6 +37,7 @@
 from bergamotsaddle_serving.stage_plan import StagePlan
 from bergamotsaddle_serving.stage_queue import PieceKey, QueuedPiece, StageQueue
 from bergamotsaddle_serving.stage_run import StageRun
+from bergamotsaddle_serving.stream_inputs import StreamInputs
 from bergamotsaddle_serving.suspects import MAX_CRASHES, Suspects
 from bergamotsaddle_serving.target_crashes import TargetCrashes
 from bergamotsaddle_serving.view import View
@@ -257,6 +258,19 @@
         outcome = self.finish(5.5)
         self.assertEqual(isinstance(outcome, RequestError), is_late)
 
+    def test_stages_whose_request_forgets_its_inputs_end(self):
+        """Guards against a hedge that waits for canceled stages until it is too late.
+
+        They run for the hedge of a stream as its silent engine wakes and says that it
+        could not fetch its own inputs.
+        """
+        inputs = StreamInputs(mock.MagicMock(), mock.MagicMock())
+        self.start()
+        inputs._stages = self.run_
+        advance(0.05)
+        inputs.forget()
+        self.finish(1.0)
+
     def test_a_target_that_rests_gets_no_call(self):
         """Guards against stage calls to a target that has asked for rest."""
         self.calls.rest_until = now() + 1.0
