--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -296,7 +296,7 @@
         try:
             self._run_here(caller, context)
         except RequestError as error:
-            if error.ran is Ran.NO:
+            if error.ran is Ran.NO and not context.progress.is_sent:
                 repeat.cancel()
             raise
 
--- a/packages/serving/bergamotsaddle_serving/handover.py
+++ b/packages/serving/bergamotsaddle_serving/handover.py
@@ -458,15 +458,17 @@
                 is_alive = self._peers.incarnation_of(helper.id) == incarnation
                 if error.reason != SILENT or context.remaining <= 0:
                     raise
-                stays = delivery.may_leave() and not self._has_way(helper, context)
+                has_way = self._has_way(helper, context, delivery)
+                stays = delivery.may_leave() and not has_way
                 if not (is_alive or stays):
                     raise
 
-    def _has_way(self, helper: Helper, context: Context) -> bool:
-        """Return whether another instance or this one reaches a request's service."""
+    def _has_way(self, helper: Helper, context: Context, delivery: _Delivery) -> bool:
+        """Return whether another instance, or this one, can go on with a request."""
         service = context.service.name
-        is_lost = self._reach.is_lost(service)
-        return not is_lost or self._choose(service, {helper.id}) is not None
+        if delivery.is_empty and not self._reach.is_lost(service):
+            return True
+        return self._choose(service, {helper.id}) is not None
 
     def _handle_error(
         self, error: RequestError, context: Context, delivery: _Delivery
--- a/packages/serving/bergamotsaddle_serving/hedged_read.py
+++ b/packages/serving/bergamotsaddle_serving/hedged_read.py
@@ -46,8 +46,8 @@
     def read_limit(self, run: EngineRun) -> float:
         """Return after how many seconds without an event a run is silent."""
 
-    def may_forward(self, run: EngineRun) -> bool:
-        """Return whether a response that has ended is for the caller."""
+    def find_fault(self, progress: Progress) -> str:
+        """Return why the progress of a run is not for the caller, empty if it is."""
 
     def end_run(self, run: EngineRun, error: NotRunError | OutcomeUnknownError) -> None:
         """Close a run that failed."""
@@ -87,10 +87,11 @@
             except (NotRunError, OutcomeUnknownError) as error:
                 stream.end_run(run, error)
             else:
-                if events or stream.may_forward(run):
-                    return Progress(run, events)
-                status = run.response.head.status
-                stream.end_run(run, OutcomeUnknownError(f"status {status}"))
+                progress = Progress(run, events)
+                fault = stream.find_fault(progress)
+                if not fault:
+                    return progress
+                stream.end_run(run, OutcomeUnknownError(fault))
 
 
 def _start_reading(race: Race, stream: HedgedStream, run: EngineRun) -> None:
--- a/packages/serving/bergamotsaddle_serving/race.py
+++ b/packages/serving/bergamotsaddle_serving/race.py
@@ -1,5 +1,6 @@
 """Runs functions in green threads and returns their results as they finish."""
 
+import contextlib
 from collections.abc import Callable
 from typing import Generic, NamedTuple, TypeVar
 
@@ -45,8 +46,11 @@
         return self
 
     def __exit__(self, *_: object) -> None:
-        for name in list(self._thread_by_name):
-            self.stop(name)
+        # An error for the current green thread may arrive while one is ended.
+        with contextlib.ExitStack() as stack:
+            for thread in self._thread_by_name.values():
+                stack.callback(thread.kill)
+            self._thread_by_name.clear()
 
     def __contains__(self, name: str) -> bool:
         """Return whether a function was started and its end has not been returned."""
--- a/packages/serving/bergamotsaddle_serving/stream_inputs.py
+++ b/packages/serving/bergamotsaddle_serving/stream_inputs.py
@@ -105,9 +105,13 @@
         self.release()
 
     def forget(self) -> None:
-        """Release the results, of which one was lost."""
-        self.release()
-        self.handles = None
+        """Release the results, of which one was lost.
+
+        Stages that run at this moment make new ones.
+        """
+        if self.handles is not None:
+            self.release()
+            self.handles = None
 
     def release(self) -> None:
         """Release the results and pending pieces that the request still holds."""
--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -62,8 +62,14 @@
 _REPLACED = "replaced"
 _QUARANTINED = "quarantined"
 _OVERTAKEN = "overtaken"
-# Pause between attempts to prepare a hedge.
+# How long a stream that broke off waits for a repeat, which others may give back.
+_MAX_REPEAT_WAIT_S = 1.0
+_REPEAT_WAIT_FRACTION = 0.5
+_REPEAT_PAUSE_S = 0.1
+# Pause between attempts to prepare a hedge. It doubles up to the maximum, as each
+# attempt may look at all engines and run stages.
 _HEDGE_PAUSE_S = 0.2
+_MAX_HEDGE_PAUSE_S = 1.6
 # How a silence ends.
 _GOES_ON = "goes on"
 _HEDGED = "hedged"
@@ -95,15 +101,21 @@
         self._output = StreamOutput(caller, context.head.last_event_id)
         self._exclude: set[str] = set()
         self.runs: list[EngineRun] = []
-        # Why no hedge could be had in the current silence, empty if that is unknown.
-        self._lack = ""
+        # What hedges lacked in the current silence, in order of appearance.
+        self._lacks: list[str] = []
+        # Engines that could not be used for a hedge when they were asked last.
+        self._skipped: set[str] = set()
+        self._refused_hedges = 0
         # What waits for events of the open runs, None if nothing does.
         self._reader: greenlet | None = None
         # A run whose failure is forwarded unless another engine does better.
         self._failed_run: EngineRun | None = None
+        self._hedge_pause = _HEDGE_PAUSE_S
         # Id of an engine, and until when its permit is used.
         self._permit = ("", 0.0)
+        # Whether an engine was reached, so that each further run is a repeat.
         self._was_offered = False
+        # Closed runs that an engine may have begun.
         self._possible_runs = 0
         self._refusals = 0
         self._refused_connections = 0
@@ -132,14 +144,20 @@
         choice = self._choose()
         self._admit(choice)
         while not self._reserve(choice):
+            self._exclude.add(choice.engine.id)
             choice = self._choose()
             self._admit(choice)
         while True:
             self._check_quarantine()
-            if self._inputs.handles is None:
-                self._run_stages(choice)
-            if self._try(choice):
-                return
+            with contextlib.ExitStack() as stack:
+                repeat = None
+                if self._was_offered:
+                    repeat = self._reserve_repeat()
+                    stack.callback(repeat.cancel)
+                if self._inputs.handles is None:
+                    self._run_stages(choice)
+                if self._try(choice, repeat):
+                    return
             choice = self._choose()
 
     def release(self) -> None:
@@ -165,8 +183,7 @@
         that no engine may receive.
 
         Returns:
-            Whether the engine may be used. Otherwise it is excluded, and another one
-            is to be chosen.
+            Whether the engine may be used. Otherwise another one is to be chosen.
         """
         context = self._context
         candidate = self._server.candidate(context, choice.engine)
@@ -176,9 +193,25 @@
         if selector.reserve(candidate, context.head.id, context.urgency):
             self._permit = (choice.engine.id, now() + _PERMIT_LIFETIME_S)
             return True
-        self._exclude.add(choice.engine.id)
         return False
 
+    def _reserve_repeat(self) -> Repeat:
+        """Reserve a repeat of the budget, before any stage is run in vain for it.
+
+        Raises:
+            RequestError: If none is left for a while.
+        """
+        service = self._context.service.name
+        patience = self._next_event_by() - now()
+        until = now() + min(_MAX_REPEAT_WAIT_S, _REPEAT_WAIT_FRACTION * patience)
+        repeat = self._server.budget.reserve(service)
+        while repeat is None:
+            if now() >= until:
+                raise self._failure_error("no repeats are left")
+            eventlet.sleep(_REPEAT_PAUSE_S)
+            repeat = self._server.budget.reserve(service)
+        return repeat
+
     def _use_permit(self, choice: EngineChoice) -> bool:
         """Use the held permit, or acquire one if it is expired or for another engine.
 
@@ -265,15 +298,20 @@
             context.deadline_at, self._output.last_event_at + context.route.max_wait
         )
 
-    def _try(self, choice: EngineChoice) -> bool:
+    def _try(self, choice: EngineChoice, repeat: Repeat | None) -> bool:
         """Send the request to an engine and relay its response.
 
+        Args:
+            choice: How the engine was chosen.
+            repeat: Repeat that the run uses, None for a first attempt.
+
         Returns:
             Whether the response was relayed completely. Otherwise another engine may
             be tried.
         """
-        run = self._make_run(choice)
+        run = self._make_run(choice, repeat)
         if run is None:
+            self._exclude.add(choice.engine.id)
             return False
         self._start(run)
         while self.runs:
@@ -302,29 +340,23 @@
         return True
 
     def _make_run(
-        self, choice: EngineChoice, repeat: Repeat | None = None
+        self, choice: EngineChoice, repeat: Repeat | None
     ) -> EngineRun | None:
         """Return a run at an engine, None if the engine may not be used now.
 
         Args:
             choice: How the engine was chosen.
-            repeat: Repeat that is reserved for the run, None to acquire one if the
-                request needs it.
+            repeat: Repeat that the run uses, None for a first attempt.
 
         Raises:
-            RequestError: If no repeat is left, or the request is quarantined.
+            RequestError: If the request is quarantined.
         """
         candidate = self._server.candidate(self._context, choice.engine)
         if candidate is None or not self._server.selector.may_send(candidate):
-            self._exclude.add(choice.engine.id)
             return None
         if not self._use_permit(choice):
             return None
         self._check_quarantine()
-        if self._was_offered and repeat is None:
-            repeat = self._server.budget.reserve(self._context.service.name)
-            if repeat is None:
-                raise self._failure_error("no repeats are left")
         return EngineRun(self._server, self._context, candidate, choice, repeat=repeat)
 
     def _start(self, run: EngineRun) -> None:
@@ -385,12 +417,15 @@
                 request=self._context.head.id,
                 target=silent.id,
                 end=end,
-                lack=self._lack,
+                lack=", ".join(self._lacks),
                 seconds=round(now() - since, 3),
             )
 
     def _record_silence(self, run: EngineRun) -> None:
-        self._lack = ""
+        self._lacks.clear()
+        self._skipped.clear()
+        self._refused_hedges = 0
+        self._hedge_pause = _HEDGE_PAUSE_S
         crashes = self._server.crashes
         crashes.record_failure(run.target, [run.work], SILENT)
         self._log_attempt("attempt_silent", run, SILENT, "unknown")
@@ -416,7 +451,8 @@
     def may_hedge(self) -> bool:
         """Return whether all open runs are silent and another one may be added."""
         are_silent = self.runs and all(run.is_silent for run in self.runs)
-        return bool(are_silent) and self._may_run_again()
+        may_refuse = self._refused_hedges <= _MAX_REFUSALS
+        return bool(are_silent) and may_refuse and self._may_run_again()
 
     def prepare_hedge(self) -> EngineRun | None:
         """Start another run, or return None after a pause if there can't be one."""
@@ -427,12 +463,13 @@
         if run is not None:
             self._log_attempt("hedge_started", run, "", "no")
             return run
-        if lack != self._lack:
-            self._lack = lack
+        if lack not in self._lacks:
+            self._lacks.append(lack)
             self._server.logger.info(
                 "hedge_lacking", request=self._context.head.id, lack=lack
             )
-        eventlet.sleep(_HEDGE_PAUSE_S)
+        eventlet.sleep(self._hedge_pause)
+        self._hedge_pause = min(_MAX_HEDGE_PAUSE_S, 2.0 * self._hedge_pause)
         return None
 
     def _make_hedge(self) -> tuple[EngineRun | None, str]:
@@ -457,7 +494,10 @@
                 self._run_stages(choice)
             run = self._make_run(choice, repeat)
             if run is None:
+                self._skipped.add(choice.engine.id)
                 return None, "the engine may not be used"
+            if self._inputs.handles is None:
+                return None, "the inputs were released"
             self._start(run)
             # The run cancels it unless it is sent.
             stack.pop_all()
@@ -471,7 +511,12 @@
         exclude = self._exclude | {run.id for run in self.runs}
         if known.responsive <= exclude:
             return None
-        return server.choose(self._context, exclude | known.quiet)
+        exclude |= known.quiet
+        choice = server.choose(self._context, exclude | self._skipped)
+        if choice is None and self._skipped:
+            self._skipped.clear()
+            choice = server.choose(self._context, exclude)
+        return choice
 
     def _check_quarantine(self) -> None:
         """Raise an error if the request has been quarantined in the meantime."""
@@ -549,13 +594,20 @@
             raise OutcomeUnknownError(_REPLACED)
         self._context = resumptions.bind(self._context, target)
 
-    def may_forward(self, run: EngineRun) -> bool:
-        """Return whether a response that has ended is for the caller in any case."""
-        if run.response.is_success:
-            return True
+    def find_fault(self, progress: Progress) -> str:
+        """Return why the progress of a run is not for the caller, empty if it is."""
+        run, events = progress
+        is_first = run.writing_since is None
+        if events and is_first and self._server.resumptions.is_replaced(run.target):
+            return _REPLACED
+        if events or run.response.is_success or self._is_lasting_failure(run):
+            return ""
+        return f"status {run.response.head.status}"
+
+    def _is_lasting_failure(self, run: EngineRun) -> bool:
+        """Return whether any other engine would respond with a failure too."""
         status = run.response.head.status
-        is_promise = status in NOT_RUN_STATUSES
-        is_lasting = status < _SERVER_ERROR and not is_promise
+        is_lasting = status < _SERVER_ERROR and status not in NOT_RUN_STATUSES
         return is_lasting and not self._output.has_started
 
     def _forward_failure(self, run: EngineRun) -> bool:
@@ -566,7 +618,7 @@
         """
         status = run.response.head.status
         may_forward = status not in NOT_RUN_STATUSES and not self._output.has_started
-        if may_forward and (self.may_forward(run) or not self._may_run_again()):
+        if may_forward and (self._is_lasting_failure(run) or not self._may_run_again()):
             self._output.respond(run.response, run.body)
             return True
         self.end_run(run, OutcomeUnknownError(f"status {status}"))
@@ -610,6 +662,9 @@
             self._inputs.forget()
         else:
             self._exclude.add(run.id)
+        if self.runs:
+            self._refused_hedges += not error.is_connection_refused
+            return
         self._refusals += not error.is_connection_refused
         self._refused_connections += error.is_connection_refused
 
--- a/tests/test_review_findings.py
+++ b/tests/test_review_findings.py
@@ -1,6 +1,5 @@
 """Failures that a review of silent runs and their hedges found."""
 
-import contextlib
 import unittest
 from types import SimpleNamespace
 from unittest import mock
@@ -170,10 +169,24 @@
         self.server.resumptions.is_replaced.side_effect = lambda target: (
             target is hedge.target
         )
-        progress = Progress(hedge, [StreamEvent(b"id: 1\ndata: x\n\n", 1)])
-        with contextlib.suppress(OutcomeUnknownError):
-            self.run_._forward(self.read_silent(hedge, progress))
+        event = StreamEvent(b"id: 1\ndata: x\n\n", 1)
+        hedge.choice.finish_seconds = 0.1
+        hedge.read.side_effect = lambda **_: [event]
+
+        def read_later(**_):
+            eventlet.sleep(0.05)
+            return [event]
+
+        def prepare():
+            self.run_.runs.append(hedge)
+            return hedge
+
+        self.silent.read.side_effect = read_later
+        self.run_.prepare_hedge = prepare
+        progress = self.run_._read_silent(self.silent)
+        self.assertIs(progress.run, self.silent)
         self.silent.close.assert_not_called()
+        hedge.close.assert_called()
 
     def test_refused_hedges_leave_a_way_on(self):
         """Guards against a stream that ends though another engine may take it."""
