--- a/tests/test_review_findings.py
+++ b/tests/test_review_findings.py
@@ -16,9 +16,15 @@
 from bergamotsaddle_serving.stream_run import StreamRun
 from bergamotsaddle_serving.streams import KnownSilences
 from tests import test_handover
-from tests._paced_engines import EngineScript, use_scripted_stages
+from tests._paced_engines import (
+    NOT_RUN,
+    EngineScript,
+    PacedEngine,
+    SecondStages,
+    use_scripted_stages,
+)
 from tests._paused import use_paused_clock, use_running_clock
-from tests.test_silent_streams import BUSY, MIDDLE, SOUND, deploy
+from tests.test_silent_streams import BUSY, FIRST_PAUSE_S, MIDDLE, SOUND, deploy
 
 tearDownModule = use_paused_clock
 _stages = use_scripted_stages()
@@ -199,6 +205,53 @@
             self.assertLessEqual(deployment.repeats_sent, MAX_REFUSED)
 
 
+class LateConflictEngine(PacedEngine):
+    """An engine that pauses first, and then finds that its inputs are gone."""
+
+    def _write(self, sock, run, reader):
+        eventlet.sleep(FIRST_PAUSE_S)
+        run.has_ended = True
+        sock.sendall(NOT_RUN.replace(b"503 Busy", b"409 Conflict"))
+
+
+class CanceledStages(SecondStages):
+    """Stages that go on until the deadline once their inbox is closed, as real ones do.
+
+    See ``test_stage_owner.test_stages_whose_request_forgets_its_inputs_end``.
+    """
+
+    exchange = None
+
+    def run(self, request):
+        """Run the stages of a request."""
+        closed = self.exchange.close_inbox.call_count
+        outcome = super().run(request)
+        if self.exchange.close_inbox.call_count > closed:
+            eventlet.sleep(9.0)
+        return outcome
+
+
+class LateConflictTest(unittest.TestCase):
+    """A silent engine that answers 409 while the stages of a hedge run."""
+
+    def test_the_hedge_begins_the_stream(self):
+        """Guards against requests that fail as their engine comes back."""
+        _stages.start()
+        self.addCleanup(_stages.stop)
+        stages = CanceledStages(0.8)
+        engines = iter([LateConflictEngine, PacedEngine])
+        with (
+            mock.patch(
+                "tests._paced_engines.PacedEngine",
+                lambda script, **options: next(engines)(script, **options),
+            ),
+            deploy(SOUND, SOUND, stages=stages) as deployment,
+        ):
+            stages.exchange = deployment.server.exchange
+            received = deployment.call()
+        self.assertTrue(received.is_whole, received)
+
+
 class LaterRepeatTest(unittest.TestCase):
     """A stream that breaks off while no repeat is left."""
 
