--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -36,6 +36,7 @@
 from bergamotsaddle_serving.events import StreamEvent
 from bergamotsaddle_serving.hedged_read import Progress, read_hedged
 from bergamotsaddle_serving.messages import Dispatch
+from bergamotsaddle_serving.silence import KnownSilences, Silence
 from bergamotsaddle_serving.stream_inputs import StreamInputs
 from bergamotsaddle_serving.stream_output import StreamOutput
 from bergamotsaddle_serving.suspect_parts import HeldPart
@@ -66,10 +67,6 @@
 _MAX_REPEAT_WAIT_S = 1.0
 _REPEAT_WAIT_FRACTION = 0.5
 _REPEAT_PAUSE_S = 0.1
-# Pause between attempts to prepare a hedge. It doubles up to the maximum, as each
-# attempt may look at all engines and run stages.
-_HEDGE_PAUSE_S = 0.2
-_MAX_HEDGE_PAUSE_S = 1.6
 # How a silence ends.
 _GOES_ON = "goes on"
 _HEDGED = "hedged"
@@ -101,16 +98,12 @@
         self._output = StreamOutput(caller, context.head.last_event_id)
         self._exclude: set[str] = set()
         self.runs: list[EngineRun] = []
-        # What hedges lacked in the current silence, in order of appearance.
-        self._lacks: list[str] = []
-        # Engines that could not be used for a hedge when they were asked last.
-        self._skipped: set[str] = set()
-        self._refused_hedges = 0
+        # The current silence, or the last one.
+        self._silence = Silence()
         # What waits for events of the open runs, None if nothing does.
         self._reader: greenlet | None = None
         # A run whose failure is forwarded unless another engine does better.
         self._failed_run: EngineRun | None = None
-        self._hedge_pause = _HEDGE_PAUSE_S
         # Id of an engine, and until when its permit is used.
         self._permit = ("", 0.0)
         # Whether an engine was reached, so that each further run is a repeat.
@@ -417,15 +410,12 @@
                 request=self._context.head.id,
                 target=silent.id,
                 end=end,
-                lack=", ".join(self._lacks),
+                lack=", ".join(self._silence.lacks),
                 seconds=round(now() - since, 3),
             )
 
     def _record_silence(self, run: EngineRun) -> None:
-        self._lacks.clear()
-        self._skipped.clear()
-        self._refused_hedges = 0
-        self._hedge_pause = _HEDGE_PAUSE_S
+        self._silence = Silence()
         crashes = self._server.crashes
         crashes.record_failure(run.target, [run.work], SILENT)
         self._log_attempt("attempt_silent", run, SILENT, "unknown")
@@ -451,8 +441,7 @@
     def may_hedge(self) -> bool:
         """Return whether all open runs are silent and another one may be added."""
         are_silent = self.runs and all(run.is_silent for run in self.runs)
-        may_refuse = self._refused_hedges <= _MAX_REFUSALS
-        return bool(are_silent) and may_refuse and self._may_run_again()
+        return bool(are_silent) and self._silence.may_hedge and self._may_run_again()
 
     def prepare_hedge(self) -> EngineRun | None:
         """Start another run, or return None after a pause if there can't be one."""
@@ -463,13 +452,11 @@
         if run is not None:
             self._log_attempt("hedge_started", run, "", "no")
             return run
-        if lack not in self._lacks:
-            self._lacks.append(lack)
+        if self._silence.record_lack(lack):
             self._server.logger.info(
                 "hedge_lacking", request=self._context.head.id, lack=lack
             )
-        eventlet.sleep(self._hedge_pause)
-        self._hedge_pause = min(_MAX_HEDGE_PAUSE_S, 2.0 * self._hedge_pause)
+        eventlet.sleep(self._silence.next_pause())
         return None
 
     def _make_hedge(self) -> tuple[EngineRun | None, str]:
@@ -492,9 +479,11 @@
             self._check_quarantine()
             if self._inputs.handles is None:
                 self._run_stages(choice)
+            if choice.engine.id in self._known_silences().quiet:
+                return None, "the engine fell silent too"
             run = self._make_run(choice, repeat)
             if run is None:
-                self._skipped.add(choice.engine.id)
+                self._silence.skipped.add(choice.engine.id)
                 return None, "the engine may not be used"
             if self._inputs.handles is None:
                 return None, "the inputs were released"
@@ -506,18 +495,22 @@
     def _choose_hedge(self) -> EngineChoice | None:
         """Choose an engine that is not silent itself, None if there is none."""
         server = self._server
-        service = self._context.service.name
-        known = server.known_silences(service, self._event_pause() / 2.0)
+        known = self._known_silences()
         exclude = self._exclude | {run.id for run in self.runs}
         if known.responsive <= exclude:
             return None
         exclude |= known.quiet
-        choice = server.choose(self._context, exclude | self._skipped)
-        if choice is None and self._skipped:
-            self._skipped.clear()
+        skipped = self._silence.skipped
+        choice = server.choose(self._context, exclude | skipped)
+        if choice is None and skipped:
+            skipped.clear()
             choice = server.choose(self._context, exclude)
         return choice
 
+    def _known_silences(self) -> KnownSilences:
+        service = self._context.service.name
+        return self._server.known_silences(service, self._event_pause() / 2.0)
+
     def _check_quarantine(self) -> None:
         """Raise an error if the request has been quarantined in the meantime."""
         context = self._context
@@ -663,7 +656,7 @@
         else:
             self._exclude.add(run.id)
         if self.runs:
-            self._refused_hedges += not error.is_connection_refused
+            self._silence.refusals += not error.is_connection_refused
             return
         self._refusals += not error.is_connection_refused
         self._refused_connections += error.is_connection_refused
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Sequence
-from typing import Any, NamedTuple
+from typing import Any
 
 import eventlet
 
@@ -24,6 +24,7 @@
 from bergamotsaddle_serving.policy import FULL_POLICY, Policy
 from bergamotsaddle_serving.resumption import Resumptions
 from bergamotsaddle_serving.selector import Candidate, Selector
+from bergamotsaddle_serving.silence import KnownSilences
 from bergamotsaddle_serving.stage_exchange import StageExchange
 from bergamotsaddle_serving.stage_plan import StagePlan
 from bergamotsaddle_serving.stage_waits import StageWaits
@@ -41,20 +42,6 @@
 _ABORT_DELAY_S = 0.03
 
 
-class KnownSilences(NamedTuple):
-    """Which engines of a service have stopped sending.
-
-    Attributes:
-        at: When they were looked at, on the hub's clock.
-        quiet: Ids of the engines that seem to have stopped.
-        responsive: Ids of the others that may get a request.
-    """
-
-    at: float
-    quiet: frozenset[str]
-    responsive: frozenset[str]
-
-
 class StreamServer:
     """Serves requests to which engines respond with streams.
 
--- a/tests/test_review_findings.py
+++ b/tests/test_review_findings.py
@@ -92,7 +92,7 @@
         self.silent = mock.MagicMock(id="a", is_silent=True, is_repeat=False)
         self.run_.runs = [self.silent]
         self.run_._inputs.handles = ()
-        patch = mock.patch("bergamotsaddle_serving.stream_run._HEDGE_PAUSE_S", 0.0)
+        patch = mock.patch("bergamotsaddle_serving.silence._FIRST_PAUSE_S", 0.0)
         patch.start()
         self.addCleanup(patch.stop)
 
