--- a/packages/standins/bergamotsaddle_standins/soak.py
+++ b/packages/standins/bergamotsaddle_standins/soak.py
@@ -110,7 +110,7 @@
 _ENGINE_RESTART_S = 1.5
 _OK_STATUS = 200
 _RETRY_RATIO = 0.2
-_RETRY_EXTRA = 58
+RETRY_EXTRA = 58
 SETTINGS = """
 [instance]
 id = {id}
@@ -292,6 +292,7 @@
         instances: Number of daemons.
         folder: Folder for settings and logs.
         disturbances: Names of the disturbances; all of them if there are none.
+        retry_extra: Constant part of the budget of repeats.
 
     Raises:
         AddressesInUseError: If another soak runs with the same seed.
@@ -303,7 +304,10 @@
         instances: int,
         folder: Path,
         disturbances: Sequence[str] = (),
+        *,
+        retry_extra: float = RETRY_EXTRA,
     ) -> None:
+        self._retry_extra = retry_extra
         self._disturbances = [
             DISTURBANCES[name]
             for name in disturbances or DISTURBANCES
@@ -442,7 +446,7 @@
             store_port=self._store.port,
             grace=_GRACE_S,
             retry_ratio=_RETRY_RATIO,
-            retry_extra=_RETRY_EXTRA,
+            retry_extra=self._retry_extra,
         )
         return SoakInstance(instance_id, zone, hosts[number], folder, settings)
 
@@ -809,13 +813,20 @@
     parser.add_argument(
         "--only", nargs="+", default=(), choices=DISTURBANCES, help="disturbances"
     )
+    parser.add_argument("--retry-extra", type=float, default=RETRY_EXTRA)
     parser.add_argument("--logs", type=Path, help="folder that keeps settings and logs")
     arguments = parser.parse_args()
     with tempfile.TemporaryDirectory() as temporary:
         folder = arguments.logs or Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
         try:
-            soak = Soak(arguments.seed, arguments.instances, folder, arguments.only)
+            soak = Soak(
+                arguments.seed,
+                arguments.instances,
+                folder,
+                arguments.only,
+                retry_extra=arguments.retry_extra,
+            )
         except AddressesInUseError as error:
             parser.error(str(error))
         faults = soak.run(arguments.seconds)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,6 +28,7 @@
 BRITTLE = ("--seed", "2", "--seconds", "20", "--instances", "5", "--only", "brittle")
 SILENCES = ("--seed", "3", "--seconds", "10", "--instances", "4", "--only", "silence")
 HUSHES = ("--seed", "9", "--seconds", "12", "--instances", "4", "--only", "hush")
+FEW_REPEATS = ("--retry-extra", "0")
 LEAVES = ("--seed", "5", "--seconds", "15", "--instances", "4", "--only", "leave")
 BREAKS = ("--seed", "7", "--seconds", "15", "--instances", "4", "--only", "break")
 RETURNS = ("--seed", "1", "--seconds", "15", "--instances", "4")
@@ -109,7 +110,7 @@
 
     def test_silent_shares_of_the_targets_break_nothing(self):
         """Guards against streams lost while many targets hold back all bytes."""
-        self.check(*HUSHES)
+        self.check(*HUSHES, *FEW_REPEATS)
 
     def test_targets_that_say_that_they_leave_get_nothing_more(self):
         """Guards against requests to a target whose responses say that it leaves."""
