Decode how fast targets work now, hints of lengths and the memory of engines

Callers saw none of it: a load header with a fourth figure was dropped whole on deployments whose targets share their machines, so that the selector counted no waiting request of any target.

Cause: the adapter read three figures or nothing, and no length hint at all. Change: three or four figures are read; a header that is anything else is marked as unreadable. Services whose targets report their slowdown are known by name, which is what switches on decisions for uneven machines; all others are served as before. Nothing decides by it yet. A package for decisions without input and output is opened.

--- a/packages/serving/bergamotsaddle_serving/catalog.py
+++ b/packages/serving/bergamotsaddle_serving/catalog.py
@@ -130,6 +130,7 @@
         batching: How targets run pieces, None unless it is a stage service.
         engine_slots: Number of requests that an engine runs at once; 0 unless the
             targets are engines.
+        engine_memory: Tokens that an engine holds at once; 0 if unknown.
     """
 
     name: str
@@ -138,6 +139,7 @@
     cold_rate: float = 0.0
     batching: Batching | None = None
     engine_slots: int = 0
+    engine_memory: int = 0
 
 
 class CallerLimits(NamedTuple):
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about requests under load, without input and output."""
--- a/packages/serving/bergamotsaddle_serving/health.py
+++ b/packages/serving/bergamotsaddle_serving/health.py
@@ -4,6 +4,7 @@
 
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.catalog import Target
+from bergamotsaddle_serving.decisions.reporting_services import ReportingServices
 from bergamotsaddle_serving.messages import ResponseHead, TargetLoad
 
 _LATENCY_WEIGHT = 0.15
@@ -28,6 +29,7 @@
         on_limit: Called with the target and the limit that each response names.
         on_response: Called with the target, and the status and decoded headers of each
             response.
+        reporting: Services whose targets report how fast they work now.
 
     Attributes:
         target: The target.
@@ -49,8 +51,10 @@
         target: Target,
         on_limit: Callable[[Target, float | None], None],
         on_response: Callable[[Target, int, ResponseHead], None] = ignore_response,
+        reporting: ReportingServices | None = None,
     ) -> None:
         self.target = target
+        self._reporting = reporting or ReportingServices()
         self._on_response = on_response
         self._on_limit = on_limit
         self.in_flight = 0
@@ -79,9 +83,12 @@
 
     def record_load(self, load: TargetLoad | None) -> None:
         """Record the load that the target reports, if any."""
-        if load is not None:
-            self.load = load
-            self.load_at = now()
+        if load is None:
+            return
+        self.load = load
+        self.load_at = now()
+        if load.slowdown is not None:
+            self._reporting.record(self.target.service)
 
     def record_response(self, status: int, head: ResponseHead) -> None:
         """Record the status and headers of a response."""
@@ -129,6 +136,9 @@
         on_limit: Called with the target and the limit that each response names.
         on_response: Called with the target, and the status and decoded headers of each
             response.
+
+    Attributes:
+        reporting: Services whose targets report how fast they work now.
     """
 
     def __init__(
@@ -138,6 +148,7 @@
     ) -> None:
         self._on_limit = on_limit
         self._on_response = on_response
+        self.reporting = ReportingServices()
         self._state_by_incarnation: dict[tuple[str, int], TargetState] = {}
 
     def of(self, target: Target) -> TargetState:
@@ -145,7 +156,7 @@
         state = self._state_by_incarnation.get(target.incarnation)
         if state is None:
             state = self._state_by_incarnation[target.incarnation] = TargetState(
-                target, self._on_limit, self._on_response
+                target, self._on_limit, self._on_response, self.reporting
             )
         state.target = target
         return state
--- a/packages/serving/bergamotsaddle_serving/messages.py
+++ b/packages/serving/bergamotsaddle_serving/messages.py
@@ -54,6 +54,8 @@
         forwarded: Headers to forward unchanged.
         resumed_request: Id of the request that brought the first event of the stream,
             if the caller takes one up again; empty if it names none.
+        length_hint: The caller's estimate of the tokens to generate, 0 if there is
+            none. It is right in the median only.
     """
 
     id: str
@@ -70,6 +72,7 @@
     last_event_id: int | None = None
     forwarded: tuple[tuple[bytes, bytes], ...] = ()
     resumed_request: str = ""
+    length_hint: int = 0
 
     @property
     def shared_parts(self) -> tuple[str, ...]:
@@ -107,11 +110,20 @@
 
 
 class TargetLoad(NamedTuple):
-    """A target's own count of its requests, and of the ones it can run at once."""
+    """A target's own account of its load.
+
+    Attributes:
+        running: Requests that it runs.
+        waiting: Requests that wait at it.
+        slots: Requests that it can run at once.
+        slowdown: Time that work takes on its machine at this moment, as a multiple of
+            the usual time; None if the target does not report it.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 class ResponseHead(NamedTuple):
@@ -121,7 +133,7 @@
         request_id: Id of the request that it responds to, empty if not given.
         is_signed: Whether the target signed the response.
         not_run: Whether the target states that it did not run the request.
-        load: Load of the target, None if not given.
+        load: Load of the target, None if not given or unreadable.
         keep_alive_seconds: How long the target keeps an idle connection open, None if
             not given.
         is_encoded: Whether the body has a content encoding. Targets apply none, so
@@ -133,6 +145,7 @@
         is_leaving: Whether the target states that it is about to leave.
         rest_seconds: How long a target that rejects a request wants no other one from
             this instance, None if not given.
+        has_unreadable_load: Whether it has a load that can't be read.
     """
 
     request_id: str
@@ -145,6 +158,7 @@
     brittleness: float | None = None
     is_leaving: bool = False
     rest_seconds: float | None = None
+    has_unreadable_load: bool = False
 
 
 class Piece(NamedTuple):
--- a/tests/test_platform_dialect.py
+++ b/tests/test_platform_dialect.py
@@ -10,7 +10,13 @@
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_platform.dialect import PlatformDialect
 from bergamotsaddle_serving.catalog import Kind, Target, Team
-from bergamotsaddle_serving.messages import Dispatch, Piece, PromptPart, StoreEntry
+from bergamotsaddle_serving.messages import (
+    Dispatch,
+    Piece,
+    PromptPart,
+    StoreEntry,
+    TargetLoad,
+)
 
 DIALECT = PlatformDialect()
 TARGET = Target("i-1", "svc", Address("10.0.0.1", 80), "a", 4)
@@ -176,6 +182,44 @@
             (response.load.running, response.keep_alive_seconds), (3, 10.0)
         )
 
+    @parameterized.expand(
+        [
+            ("own_machine", b"3,0,8", TargetLoad(3, 0, 8), False),
+            ("usual_speed", b"3, 0, 8, 100", TargetLoad(3, 0, 8, 1.0), False),
+            ("slow", b"3,1,8,250", TargetLoad(3, 1, 8, 2.5), False),
+            ("no_time", b"3,0,8,0", None, True),
+            ("too_few", b"3,0", None, True),
+            ("too_many", b"3,0,8,100,1", None, True),
+            ("negative", b"3,0,8,-100", None, True),
+            ("fraction", b"3,0,8,0.5", None, True),
+            ("words", b"3,0,8,slow", None, True),
+            ("empty", b"", None, True),
+        ]
+    )
+    def test_loads_of_targets(self, _, value, expected, is_unreadable):
+        """Guards against loads of targets that are taken for what they are not."""
+        response = DIALECT.read_response([(b"x-server-load", value)])
+        self.assertEqual(response.load, expected)
+        self.assertEqual(response.has_unreadable_load, is_unreadable)
+
+    def test_a_target_that_reports_no_load(self):
+        response = DIALECT.read_response([])
+        found = (response.load, response.has_unreadable_load)
+        self.assertEqual(found, (None, False))
+
+    @parameterized.expand(
+        [
+            ("none", [], 0),
+            ("number", [(b"x-length-hint", b"120")], 120),
+            ("negative", [(b"x-length-hint", b"-1")], 0),
+            ("no_number", [(b"x-length-hint", b"long")], 0),
+        ]
+    )
+    def test_hints_of_lengths(self, _, headers, expected):
+        """Guards against requests that are refused for a hint that can't be read."""
+        head = DIALECT.read_head(b"POST", b"/", [(b"x-request-id", b"r1"), *headers])
+        self.assertEqual(head.length_hint, expected)
+
 
 class StoreTest(unittest.TestCase):
     """Entries of the platform's store."""
