Let requests wait for the owners of stage queues right after a start of all instances

Cause: an instance owns no queue before it has run for 0.5 s, and a queue without an owner was forecast as one without targets, which never drains. Ruled out: owning queues earlier, as each instance would own all queues then. Not measured yet.

--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -17,6 +17,7 @@
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.catalog import CallerLimits
 from bergamotsaddle_serving.client import ConnectionPool
+from bergamotsaddle_serving.decisions.fleet_start import FleetStart
 from bergamotsaddle_serving.fetching import FetchTimes
 from bergamotsaddle_serving.follower import StoreFollower
 from bergamotsaddle_serving.full_targets import FullTargets
@@ -263,6 +264,7 @@
             crashes=crashes,
             resumptions=resumptions,
             metrics=self.metrics,
+            fleet_start=FleetStart(now),
         )
         self.handler = Handler(
             self.view,
--- a/packages/serving/bergamotsaddle_serving/stage_waits.py
+++ b/packages/serving/bergamotsaddle_serving/stage_waits.py
@@ -1,9 +1,10 @@
 """Expected times of stages at each queue, and the choice of a queue for each stage."""
 
 import math
+from collections.abc import Sequence
 
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving.catalog import Stage
+from bergamotsaddle_serving.catalog import Route, Stage
 from bergamotsaddle_serving.owners import rank_owners
 from bergamotsaddle_serving.peers import Peers
 from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
@@ -60,6 +61,23 @@
         self._loads_at = float("-inf")
         self._cached_changes = 0
 
+    def lacks_owner(self, route: Route, pieces: Sequence[int]) -> bool:
+        """Return whether no instance owns any queue of a stage that has targets.
+
+        Args:
+            route: Route of the request.
+            pieces: Number of pieces of each stage.
+        """
+        services = {
+            stage.service
+            for stage, count in zip(route.stages, pieces, strict=False)
+            if count
+        }
+        return any(
+            self._view.usable(service) and not self._loads(service, 0)
+            for service in services
+        )
+
     def best_scope(self, service: str, zone: str, place: int) -> ScopeLoad:
         """Return the load at the queue of a zone, or at another one that is faster."""
         scope = self._owner.scopes.of(service, zone)
--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -134,6 +134,7 @@
 
     def _run(self) -> None:
         self._check_quarantine()
+        self._server.await_owners(self._context)
         choice = self._choose()
         self._admit(choice)
         while not self._reserve(choice):
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -11,6 +11,7 @@
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.client import ConnectionPool
 from bergamotsaddle_serving.context import Context
+from bergamotsaddle_serving.decisions.fleet_start import FleetStart
 from bergamotsaddle_serving.engine_choice import (
     EngineChoice,
     EngineView,
@@ -58,6 +59,7 @@
         crashes: Detects crashed engines and the requests that they were running.
         resumptions: Knows which engines may go on with a stream.
         metrics: Counts attempts that were given up, and streams that were cut.
+        fleet_start: How long requests wait for owners of queues after a start.
 
     Attributes:
         ongoing_runs: Requests that were sent to an engine.
@@ -78,8 +80,10 @@
         crashes: TargetCrashes,
         resumptions: Resumptions,
         metrics: Metrics | None = None,
+        fleet_start: FleetStart | None = None,
     ) -> None:
         self.metrics = metrics or Metrics()
+        self._fleet_start = fleet_start
         self.policy = policy
         self.resumptions = resumptions
         self.suspects = crashes.suspects
@@ -136,6 +140,28 @@
         finally:
             run.release()
 
+    def await_owners(self, context: Context) -> None:
+        """Wait for owners of the stage queues while the instances start.
+
+        Args:
+            context: The request.
+        """
+        start = self._fleet_start
+        if start is None:
+            return
+        since = now()
+        due_at = context.started_at + context.route.objective
+        while pause := start.pause(due_at):
+            if not self.waits.lacks_owner(context.route, context.head.pieces):
+                break
+            eventlet.sleep(pause)
+        if now() > since:
+            self.logger.info(
+                "owners_awaited",
+                request=context.head.id,
+                seconds=round(now() - since, 3),
+            )
+
     def choose(self, context: Context, exclude: set[str]) -> EngineChoice | None:
         """Choose an engine for a request.
 
