Look at each target once when candidates are selected

Seen: a request looks at all engines of its service about four times (choice, its permit, before the stages and before it is sent).

Cause: each candidate asked the clock three times, and built the list of usable targets and the totals of the peers anew; the candidate of one engine was found by a look at all of them.

Change: the view keeps the usable targets of a service until the targets, those that leave or the evacuated zones change. Clock and totals are read once for all candidates. The candidate of a known engine is looked up alone; all are looked at only if it failed recently, because it then counts only if all others have.

Tests: the usable targets change with each of their inputs.

--- a/packages/serving/bergamotsaddle_serving/health.py
+++ b/packages/serving/bergamotsaddle_serving/health.py
@@ -70,7 +70,7 @@
 
     def is_backing_off(self) -> bool:
         """Return whether the target gets no requests after recent failures."""
-        return now() < self.backoff_until
+        return self.backoff_until > 0.0 and now() < self.backoff_until
 
     def is_quiet(self, seconds: float) -> bool:
         """Return whether the target seems to have stopped.
--- a/packages/serving/bergamotsaddle_serving/selector.py
+++ b/packages/serving/bergamotsaddle_serving/selector.py
@@ -1,15 +1,17 @@
 """Selects the targets of a service that may get a request now."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from bergamotsaddle_daemon._rendezvous import rendezvous_weight
+from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.budget import ColdRateLimiter
 from bergamotsaddle_serving.catalog import Service, Target
 from bergamotsaddle_serving.health import Health, TargetState
 from bergamotsaddle_serving.peers import Peers
 from bergamotsaddle_serving.target_notices import TargetNotices
 from bergamotsaddle_serving.target_rates import TargetRates
+from bergamotsaddle_serving.target_totals import TargetTotals
 from bergamotsaddle_serving.view import KnownTarget, View
 from bergamotsaddle_serving.zone_reach import ZoneReach
 
@@ -85,6 +87,11 @@
 
     def find(self, service: str, target_id: str) -> Candidate | None:
         """Return the candidate with an id, even if no permit for it is available."""
+        named = [k for k in self._view.usable(service) if k.target.id == target_id]
+        found = self._filter(named)
+        if not found or not found[0].state.is_backing_off():
+            return found[0] if found else None
+        # It counts only if all other targets have failed recently as well.
         for candidate in _without_backoff(self._reachable(service, set())):
             if candidate.target.id == target_id:
                 return candidate
@@ -109,11 +116,17 @@
         return self._rates.reserve(candidate.target, request, urgency)
 
     def _reachable(self, service: str, exclude: set[str]) -> list[Candidate]:
-        found = [
-            self._candidate(known)
+        return self._filter(
+            known
             for known in self._view.usable(service)
             if known.target.id not in exclude
-        ]
+        )
+
+    def _filter(self, targets: Iterable[KnownTarget]) -> list[Candidate]:
+        """Return the targets that may get a request, whether they failed or not."""
+        totals = self._peers.totals()
+        at = now()
+        found = [self._candidate(known, totals, at) for known in targets]
         found = [c for c in found if not c.is_cold or self._cold.may_send(c.target.id)]
         found = [c for c in found if not self._reach.is_lost(c.target.zone)]
         return [
@@ -165,16 +178,17 @@
         if candidate.is_cold and service.cold_rate > 0:
             self._cold.record_sent(candidate.target.id, service.cold_rate)
 
-    def _candidate(self, known: KnownTarget) -> Candidate:
+    def _candidate(
+        self, known: KnownTarget, totals: TargetTotals, at: float
+    ) -> Candidate:
         target = known.target
         state = self._health.of(target)
-        totals = self._peers.totals()
         return Candidate(
             target,
             state,
-            self._view.is_cold(known),
-            totals.running[target.id],
-            state.prompt_tokens_ahead + totals.prefill_tokens[target.id],
+            self._view.is_cold(known, at=at),
+            totals.running.get(target.id, 0),
+            state.prompt_tokens_ahead + totals.prefill_tokens.get(target.id, 0),
         )
 
     def _expected(self, candidate: Candidate) -> float:
--- a/packages/serving/bergamotsaddle_serving/target_rests.py
+++ b/packages/serving/bergamotsaddle_serving/target_rests.py
@@ -45,6 +45,8 @@
 
     def wait(self, target: Target) -> float:
         """Return the remaining seconds of a target's rest, 0 if it does not rest."""
+        if not self._until_by_incarnation:
+            return 0.0
         until = self._until_by_incarnation.get(target.incarnation, 0.0)
         return max(0.0, until - now())
 
--- a/packages/serving/bergamotsaddle_serving/view.py
+++ b/packages/serving/bergamotsaddle_serving/view.py
@@ -85,6 +85,9 @@
         self.evacuated_zones: set[str] = set()
         self._cold_until_by_zone: dict[str, float] = {}
         self.targets_by_service: dict[str, list[KnownTarget]] = {}
+        # Dropped with each change of the targets, of those that leave or of the zones
+        # that are evacuated.
+        self._usable_by_service: dict[str, list[KnownTarget]] = {}
         self.target_by_address: dict[Address, Target] = {}
         self.has_snapshot = False
         self.confirmed_at = float("-inf")
@@ -199,13 +202,19 @@
         return self._table.digest_retained()
 
     def usable(self, service: str) -> list[KnownTarget]:
-        """Return the targets of a service that may get new work."""
-        return [
-            known
-            for known in self.targets_by_service.get(service, ())
-            if not self._is_leaving(known.target)
-            and known.target.zone not in self.evacuated_zones
-        ]
+        """Return the targets of a service that may get new work.
+
+        It is the same list until they change, which callers must not modify.
+        """
+        usable = self._usable_by_service.get(service)
+        if usable is None:
+            usable = self._usable_by_service[service] = [
+                known
+                for known in self.targets_by_service.get(service, ())
+                if not self._is_leaving(known.target)
+                and known.target.zone not in self.evacuated_zones
+            ]
+        return usable
 
     def mark_leaving(self, incarnation: tuple[str, int], *, is_leaving: bool) -> None:
         """Set whether an incarnation of a target has said that it leaves.
@@ -218,6 +227,7 @@
             self._leaving.add(incarnation)
         else:
             self._leaving.discard(incarnation)
+        self._usable_by_service.clear()
         for callback in self._callbacks:
             callback()
 
@@ -262,11 +272,16 @@
         targets = [known.target for known in self._known_by_id.values()]
         return {(target.service, target.software) for target in targets}
 
-    def is_cold(self, known: KnownTarget) -> bool:
-        """Return whether a target is cold and takes only a few requests."""
-        at = now()
+    def is_cold(self, known: KnownTarget, *, at: float | None = None) -> bool:
+        """Return whether a target is cold and takes only a few requests.
+
+        Args:
+            known: The target.
+            at: Current time on the hub's clock, if the caller has it.
+        """
         zone_cold_until = self._cold_until_by_zone.get(known.target.zone, 0.0)
-        return at < known.cold_until or at < zone_cold_until
+        until = max(known.cold_until, zone_cold_until)
+        return (now() if at is None else at) < until
 
     def drop_lapsed(self) -> None:
         """Drop what did not hold after the store's return.
@@ -343,6 +358,7 @@
             self._apply_deletion(entry.key)
 
     def _apply_evacuation(self, evacuation: Evacuation, entry: StoreEntry) -> None:
+        self._usable_by_service.clear()
         if entry.value is not None:
             self.evacuated_zones.add(evacuation.zone)
             return
@@ -394,6 +410,7 @@
 
     def _rebuild(self) -> None:
         self.targets_by_service = {}
+        self._usable_by_service.clear()
         self.target_by_address = {}
         for known in self._known_by_id.values():
             by_service = self.targets_by_service
--- a/tests/test_serving_view.py
+++ b/tests/test_serving_view.py
@@ -101,6 +101,33 @@
         self.assertEqual(self.usable_ids(), ["t"])
         self.assertTrue(self.view.is_cold(self.view.usable("s")[0]))
 
+    def test_usable_targets_change_with_each_of_their_inputs(self):
+        """Guards against a list of usable targets that outlives what it came from."""
+        target = ("t", 5)
+        for number, (change, usable) in enumerate(
+            (
+                (lambda n: self.apply(entry("servers/t", n, TARGET)), ["t"]),
+                (lambda n: self.apply(entry("servers/u", n, TARGET)), ["t", "u"]),
+                (lambda n: self.apply(entry("servers/u", n)), ["t"]),
+                (lambda n: self.view.mark_leaving(target, is_leaving=True), []),
+                (lambda n: self.view.mark_leaving(target, is_leaving=False), ["t"]),
+                (lambda n: self.apply(entry("op/evacuate/a", n, {})), []),
+                (lambda n: self.apply(entry("op/evacuate/a", n)), ["t"]),
+                (
+                    lambda n: self.apply(
+                        entry("servers/t", n, TARGET, state="draining")
+                    ),
+                    [],
+                ),
+                (lambda n: self.apply(entry("servers/t", n, TARGET, born=6)), ["t"]),
+                (lambda n: self.view.replace([], at(n), source="store"), []),
+            )
+        ):
+            change(number + 1)
+            with self.subTest(step=number):
+                self.assertEqual(self.usable_ids(), usable)
+                self.assertIs(self.view.usable("s"), self.view.usable("s"))
+
     def test_a_snapshot_deletes_missing_entries(self):
         self.apply(entry("servers/t", 4, TARGET))
         self.view.replace([], at(7), source="store")
