Ask for the loads of stage queues once for all zones of a request

Seen: the forecast of three stages for one zone took 0.16 ms with known loads, and 0.45 ms without (70 engines, 52 stage targets, 83 peers; processor time, micro-benchmark in process). A choice makes it for each zone that has engines.

Cause: each stage of each zone walked all targets of its service to find their queues, although the load of each queue was known.

Change: the loads at all queues of a service are kept together, and the best queue for each zone with them. They are dropped as before: after 10 ms, and with each request that this instance admits; and also once the targets change.

Tests: known loads are dropped with each of their inputs, and asked once for all zones.

--- a/packages/serving/bergamotsaddle_serving/stage_waits.py
+++ b/packages/serving/bergamotsaddle_serving/stage_waits.py
@@ -1,6 +1,7 @@
 """Expected times of stages at each queue, and the choice of a queue for each stage."""
 
 import math
+from collections.abc import Sequence
 
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.catalog import Stage
@@ -15,7 +16,7 @@
 )
 from bergamotsaddle_serving.stage_owner import StageOwner
 from bergamotsaddle_serving.stage_plan import StagePlan
-from bergamotsaddle_serving.view import View
+from bergamotsaddle_serving.view import KnownTarget, View
 
 # Expected wait at an owner that has not reported a load yet, in addition to a call.
 _UNKNOWN_QUEUE_S = 0.1
@@ -29,6 +30,25 @@
 _MEMORY_FRACTION = 0.7
 
 
+class _KnownLoads:
+    """The loads at all queues of a service, for one place in the queue.
+
+    Args:
+        targets: The targets that the queues serve.
+        load_by_scope: Load of each queue.
+
+    Attributes:
+        best_by_scope: Answers of ``StageWaits.best_scope`` by preferred queue.
+    """
+
+    def __init__(
+        self, targets: Sequence[KnownTarget], load_by_scope: dict[str, StageLoad]
+    ) -> None:
+        self.targets = targets
+        self.load_by_scope = load_by_scope
+        self.best_by_scope: dict[str, ScopeLoad] = {}
+
+
 class StageWaits:
     """Waits at the stage queues, from the loads that their owners report.
 
@@ -56,16 +76,24 @@
         self._peers = peers
         self._owner = owner
         self.pending = PendingWork()
-        self._load_by_queue: dict[tuple[str, str, int], StageLoad | None] = {}
+        self._known_by_place: dict[tuple[str, int], _KnownLoads] = {}
         self._loads_at = float("-inf")
         self._cached_changes = 0
 
     def best_scope(self, service: str, zone: str, place: int) -> ScopeLoad:
         """Return the load at the queue of a zone, or at another one that is faster."""
         scope = self._owner.scopes.of(service, zone)
-        loads = self._loads(service, place)
-        preferred = loads.pop(scope, _NO_TARGETS)
-        other = min(loads, key=lambda name: _total(loads[name]), default=None)
+        known = self._known_loads(service, place)
+        best = known.best_by_scope.get(scope)
+        if best is None:
+            best = self._choose_best(scope, known.load_by_scope)
+            known.best_by_scope[scope] = best
+        return best
+
+    def _choose_best(self, scope: str, loads: dict[str, StageLoad]) -> ScopeLoad:
+        preferred = loads.get(scope, _NO_TARGETS)
+        others = [name for name in loads if name != scope]
+        other = min(others, key=lambda name: _total(loads[name]), default=None)
         if other is None:
             return ScopeLoad(scope, preferred)
         load = loads[other]
@@ -124,10 +152,11 @@
 
     def _times(self, service: str, place: int, plan: StagePlan) -> dict[str, float]:
         """Return the expected seconds at each queue that the plan does not avoid."""
+        at = now()
         return {
             scope: _total(load)
-            for scope, load in self._loads(service, place).items()
-            if not plan.is_avoided(service, scope, now())
+            for scope, load in self._known_loads(service, place).load_by_scope.items()
+            if not plan.is_avoided(service, scope, at)
         }
 
     def _memory_in_pieces(self, service: str, scope: str, stage: Stage) -> int:
@@ -141,29 +170,35 @@
         memory = _MEMORY_FRACTION * declared.memory_bytes * max(1, targets)
         return max(1, int(memory / max(1, stage.result_bytes)))
 
-    def _loads(self, service: str, place: int) -> dict[str, StageLoad]:
-        zones = {known.target.zone for known in self._view.usable(service)}
+    def _known_loads(self, service: str, place: int) -> _KnownLoads:
+        """Return the loads at all queues of a service that have an owner."""
+        self._drop_stale_loads()
+        targets = self._view.usable(service)
+        known = self._known_by_place.get((service, place))
+        # The view makes a new list with each change of its targets.
+        if known is None or known.targets is not targets:
+            loads = self._query_loads(service, place, targets)
+            known = self._known_by_place[service, place] = _KnownLoads(targets, loads)
+        return known
+
+    def _query_loads(
+        self, service: str, place: int, targets: Sequence[KnownTarget]
+    ) -> dict[str, StageLoad]:
+        zones = {known.target.zone for known in targets}
         loads = {}
         for scope in {self._owner.scopes.of(service, zone) for zone in zones}:
-            load = self._load(service, scope, place)
+            load = self._query_load(service, scope, place)
             if load is not None:
                 loads[scope] = load
         return loads
 
-    def _load(self, service: str, scope: str, place: int) -> StageLoad | None:
-        self._drop_stale_loads()
-        queue = (service, scope, place)
-        if queue not in self._load_by_queue:
-            self._load_by_queue[queue] = self._query_load(service, scope, place)
-        return self._load_by_queue[queue]
-
     def _drop_stale_loads(self) -> None:
         # Requests that this instance admits count at once. Otherwise requests that
         # arrive together would all be admitted by the load before the first of them.
         current_time = now()
         is_old = current_time - self._loads_at > _LOAD_CACHE_S
         if is_old or self._cached_changes != self.pending.changes:
-            self._load_by_queue.clear()
+            self._known_by_place.clear()
             self._loads_at = current_time
             self._cached_changes = self.pending.changes
 
