--- a/packages/serving/bergamotsaddle_serving/peers.py
+++ b/packages/serving/bergamotsaddle_serving/peers.py
@@ -95,7 +95,11 @@
 
     def is_suspect(self) -> bool:
         """Return whether it left a message unacknowledged and sent nothing since."""
-        is_recent = now() - self.suspected_at < _MIN_SUSPECT_S
+        return self.is_suspect_at(now())
+
+    def is_suspect_at(self, at: float) -> bool:
+        """Return whether it is a suspect at a time, see ``is_suspect``."""
+        is_recent = at - self.suspected_at < _MIN_SUSPECT_S
         return is_recent or self.last_seen_at < self.suspected_at
 
 
@@ -151,6 +155,7 @@
         self._seeds = [parse_address(seed).host for seed in settings.peers.seeds]
         self._roster: Roster | None = None
         self._roster_at = float("-inf")
+        self._last_roster: Roster | None = None
         self._last_seen_at_by_zone: dict[str, float] = {}
         self._round_number = 0
         self._schedule = HeartbeatSchedule()
@@ -221,11 +226,12 @@
 
     def reaching(self, service: str) -> list[Peer]:
         """Return the live peers that accept work and reach targets of a service."""
+        at = now()
         return [
             peer
             for peer in self.alive()
             if peer.accepts_work
-            and not peer.is_suspect()
+            and not peer.is_suspect_at(at)
             and service not in peer.unreachable
             and not self.is_zone_unreachable(peer.contact.zone)
         ]
@@ -382,8 +388,8 @@
     def _next_hosts(self, *, owns_queues: bool) -> list[str]:
         alive = {peer.contact.host for peer in self.alive()}
         hosts = sorted(alive)
-        known = {peer.contact.host for peer in self.by_id.values()}
         if self._round_number % _SILENT_PEER_ROUNDS == 1 or len(alive) < 1:
+            known = {peer.contact.host for peer in self.by_id.values()}
             silent = (known | set(self._seeds)) - alive - {self.own.host}
             chosen = sorted(silent)
             random.shuffle(chosen)
@@ -434,20 +440,26 @@
         count as alive for seconds, and every message to them would have to be sent
         again.
         """
-        alive = [peer for peer in self.alive() if not peer.is_suspect()]
+        at = now()
+        alive = [peer for peer in self.alive() if not peer.is_suspect_at(at)]
+        zones = {peer.contact.zone for peer in alive}
+        reachable = {zone for zone in zones if not self.is_zone_unreachable(zone)}
         candidates = [
             (peer.contact, peer.cores)
             for peer in alive
-            if peer.accepts_work and not self.is_zone_unreachable(peer.contact.zone)
+            if peer.accepts_work and peer.contact.zone in reachable
         ]
         if self.accepts_work:
             candidates.append((self.own, self._cores))
-        return Roster(
+        roster = Roster(
             alive,
             candidates,
             min_cores_fraction=self._min_cores_fraction,
             region=self.region,
+            earlier=self._last_roster,
         )
+        self._last_roster = roster
+        return roster
 
     def _is_reachable(self, peer: Peer) -> bool:
         return peer.last_seen_at > self._alive_since()
@@ -491,8 +503,9 @@
         peer.unreachable = frozenset(heartbeat.unreachable)
         peer.last_seen_at = self._last_seen_at_by_zone[heartbeat.sender.zone] = now()
         self.on_heartbeat(heartbeat)
+        own_id = self.own.id
         for contact in heartbeat.contacts:
-            if contact.id != self.own.id and contact.id not in self.by_id:
+            if contact.id not in self.by_id and contact.id != own_id:
                 self.by_id[contact.id] = Peer(contact)
         for peer_id in heartbeat.unresponsive:
             if self.is_alive(peer_id):
@@ -504,8 +517,12 @@
         self.send_to((address[0], self._port), self._make_heartbeat())
 
     def _forget_silent(self) -> None:
-        at = now()
-        for peer_id, peer in list(self.by_id.items()):
-            if at - max(peer.last_seen_at, peer.added_at) > _FORGET_AFTER_S:
-                del self.by_id[peer_id]
-                self._logger.info("peer_forgotten", peer=peer_id)
+        since = now() - _FORGET_AFTER_S
+        silent = [
+            peer_id
+            for peer_id, peer in self.by_id.items()
+            if peer.last_seen_at < since and peer.added_at < since
+        ]
+        for peer_id in silent:
+            del self.by_id[peer_id]
+            self._logger.info("peer_forgotten", peer=peer_id)
