Send slow requests to a second target, within a share that operators set

Callers of lookups waited for several times the usual time at a target that had slowed down for a moment, while the others of its service were idle.

Cause: a repeatable request went to a second target only once the first one counted as silent, which takes 0.3 s or five times its own mean. Ruled out: a lower limit of silence, which would put targets off that are merely slow. Change: [hedging] max_share, 0 by default; after which time, to which target and how often is decided in decisions/hedge_timer.py. The repeat, permits, attempts and quarantine apply as to any repeat. Not measured on deployments yet.

--- a/packages/cli/bergamotsaddle_cli/cause.py
+++ b/packages/cli/bergamotsaddle_cli/cause.py
@@ -18,7 +18,12 @@
     end = _find_last(lines, "request")
     if end is None:
         return "It has not ended in these logs."
-    parts = [_describe_end(end), _describe_resumption(lines), _describe_reason(lines)]
+    parts = [
+        _describe_end(end),
+        _describe_hedge(lines),
+        _describe_resumption(lines),
+        _describe_reason(lines),
+    ]
     return " ".join(part for part in parts if part)
 
 
@@ -27,6 +32,18 @@
     return f"Ended as '{outcome}' after {end.get('seconds', 0.0):.2f} s."
 
 
+def _describe_hedge(lines: Sequence[LogLine]) -> str:
+    """Describe the second run of a slow request, if there was one."""
+    hedged = _find_last(lines, "request_hedged")
+    if hedged is None:
+        return ""
+    ended = _find_last(lines, "hedge_ended") or {"end": "unknown"}
+    return (
+        f"Hedged at target {hedged['hedge']} (end: {ended['end']}), as target "
+        f"{hedged['target']} had not responded for {hedged['seconds']:.2f} s."
+    )
+
+
 def _describe_resumption(lines: Sequence[LogLine]) -> str:
     """Describe the stream that a request takes up again, if it does."""
     resumed = _find_last(lines, "stream_resumed")
--- a/packages/serving/bergamotsaddle_serving/plain.py
+++ b/packages/serving/bergamotsaddle_serving/plain.py
@@ -5,7 +5,9 @@
 from bergamotsaddle_serving.budget import RetryBudget
 from bergamotsaddle_serving.client import ConnectionPool
 from bergamotsaddle_serving.context import Context
+from bergamotsaddle_serving.decisions.hedge_timer import HedgeAllowance
 from bergamotsaddle_serving.messages import Dialect
+from bergamotsaddle_serving.metrics import Metrics
 from bergamotsaddle_serving.plain_run import CompleteResponse, PlainRun
 from bergamotsaddle_serving.selector import Selector
 from bergamotsaddle_serving.target_crashes import TargetCrashes
@@ -21,6 +23,8 @@
         dialect: Makes headers.
         logger: Logs failed attempts.
         crashes: Detects crashed targets and the requests that they were running.
+        hedges: Limits the hedges of slow requests.
+        metrics: Counts hedges.
     """
 
     def __init__(
@@ -32,6 +36,8 @@
         logger: Any,
         *,
         crashes: TargetCrashes,
+        hedges: HedgeAllowance | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
         self.selector = selector
         self.pool = pool
@@ -40,6 +46,8 @@
         self.logger = logger
         self.crashes = crashes
         self.suspects = crashes.suspects
+        self.hedges = hedges or HedgeAllowance(0.0)
+        self.metrics = metrics or Metrics()
 
     def serve(self, context: Context) -> CompleteResponse:
         """Return the response to a request.
@@ -47,4 +55,6 @@
         Raises:
             RequestError: If there is none; it says whether the request may have run.
         """
+        if context.route.may_repeat:
+            self.hedges.count_request(context.service.name)
         return PlainRun(self, context).run()
--- a/packages/serving/bergamotsaddle_serving/plain_run.py
+++ b/packages/serving/bergamotsaddle_serving/plain_run.py
@@ -28,6 +28,7 @@
     end_to_end_headers,
 )
 from bergamotsaddle_serving.context import Context
+from bergamotsaddle_serving.decisions.hedge_timer import hedge_delay
 from bergamotsaddle_serving.health import TargetState
 from bergamotsaddle_serving.messages import Dispatch, RawHeaders
 from bergamotsaddle_serving.race import Finish, Race
@@ -54,6 +55,10 @@
 # The response of a target that failed is forwarded so long before the deadline.
 _FORWARD_S = 0.02
 _OVERTAKEN = "overtaken"
+# How a hedge ends.
+_WON = "won"
+_LOST = "lost"
+_LACKING = "lacking"
 
 
 class CompleteResponse(NamedTuple):
@@ -198,6 +203,10 @@
         self._pause_seconds = _FIRST_PAUSE_S
         # Seconds after which the last target that was tried is slow.
         self._limit = _MIN_TIMEOUT_S
+        # Target of the hedge, empty if there is none.
+        self._hedge = ""
+        # Target whose response ends the request.
+        self._winner = ""
 
     def run(self) -> CompleteResponse:
         """Return the response to the request.
@@ -212,6 +221,8 @@
                     response = self._advance()
             for run in self._open_by_id.values():
                 self._record_slower(run)
+            if self._hedge:
+                self._record_hedge(_WON if self._winner == self._hedge else _LOST)
             return response
         except RequestError:
             raise
@@ -333,6 +344,8 @@
         self._limit = run.limit
         is_alone = not self._open_by_id
         self._open_by_id[name] = run
+        if is_alone and self._may_hedge():
+            return self._read_hedged(run)
         if is_alone:
             try:
                 return Finish(name, run.read())
@@ -344,6 +357,79 @@
         self._race.start(name, run.read_to_end)
         return self._wait()
 
+    def _may_hedge(self) -> bool:
+        """Return whether a second target may get the request before the first is slow.
+
+        A request under which targets have ended runs at one target at a time.
+        """
+        hedges = self._server.hedges
+        fingerprint = self._context.fingerprint
+        return (
+            hedges.saved(self._context.service.name) >= 1.0
+            and self._may_repeat()
+            and not self._server.suspects.is_suspect(fingerprint)
+        )
+
+    def _read_hedged(self, run: _TargetRun) -> Finish[CompleteResponse] | None:
+        """Read a response, and send the request to a second target if it is late.
+
+        Returns:
+            The end of a run, None if all targets are slow.
+        """
+        context = self._context
+        usual = self._server.selector.usual_seconds(context.service.name)
+        due = context.started_at + context.route.objective - now()
+        delay = hedge_delay(usual, due)
+        self._race.start(run.target.id, run.read_to_end)
+        if delay >= run.limit:
+            return self._wait()
+        finish = self._race.wait(timeout=min(delay, context.remaining))
+        if finish is not None:
+            return finish
+        if not self._start_hedge(run, delay):
+            self._limit = run.limit - delay
+        return self._wait()
+
+    def _start_hedge(self, first: _TargetRun, delay: float) -> bool:
+        """Send the request to a second target that has a free slot.
+
+        Returns:
+            Whether there was one, and a hedge and a repeat for it.
+        """
+        context = self._context
+        service = context.service.name
+        hedges = self._server.hedges
+        found = self._pick_responsive(self._tried)
+        if found is None or not found.has_free_slot or not hedges.try_use(service):
+            self._record_hedge(_LACKING)
+            return False
+        candidate = self._choose()
+        if candidate is None:
+            hedges.give_back(service)
+            self._record_hedge(_LACKING)
+            return False
+        name = candidate.target.id
+        self._hedge = name
+        self._tried.add(name)
+        self._open_by_id[name] = run = _TargetRun(self._server, context, candidate)
+        self._race.start(name, run.read_to_end)
+        self._server.logger.info(
+            "request_hedged",
+            request=context.head.id,
+            target=first.target.id,
+            hedge=name,
+            seconds=round(delay, 3),
+            saved=round(hedges.saved(service), 2),
+        )
+        return True
+
+    def _record_hedge(self, end: str) -> None:
+        context = self._context
+        self._server.metrics.count_hedge(context.route.name, end)
+        self._server.logger.info(
+            "hedge_ended", request=context.head.id, target=self._hedge, end=end
+        )
+
     def _wait(self) -> Finish[CompleteResponse] | None:
         """Return the end of a run, None if all targets are slow."""
         left = self._context.remaining
@@ -371,6 +457,7 @@
             return None
         self._ended += 1
         if response.status < _SERVER_ERROR:
+            self._winner = finish.name
             return response
         self._failure = response
         return None
--- a/packages/serving/bergamotsaddle_serving/selector.py
+++ b/packages/serving/bergamotsaddle_serving/selector.py
@@ -1,5 +1,6 @@
 """Selects the targets of a service that may get a request now."""
 
+import statistics
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -34,6 +35,12 @@
     others: int
     tokens_ahead: int = 0
 
+    @property
+    def has_free_slot(self) -> bool:
+        """Whether the target runs fewer requests than it can, as far as known."""
+        requests = self.state.in_flight + self.others + self.state.waiting()
+        return requests < max(1, self.target.slots)
+
 
 class Selector:
     """Finds the targets that may get a request.
@@ -155,6 +162,18 @@
             default=None,
         )
 
+    def usual_seconds(self, service: str) -> float:
+        """Return the seconds that a response of a service usually takes.
+
+        It is the median over the service's targets, so that one slow target does not
+        raise it; 0 if there is no target.
+        """
+        found = [
+            self._health.of(known.target).latency
+            for known in self._view.usable(service)
+        ]
+        return statistics.median_high(found) if found else 0.0
+
     def may_send(self, candidate: Candidate) -> bool:
         """Return whether a chosen target may still get the request."""
         target = candidate.target
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -17,6 +17,7 @@
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.catalog import CallerLimits
 from bergamotsaddle_serving.client import ConnectionPool
+from bergamotsaddle_serving.decisions.hedge_timer import HedgeAllowance
 from bergamotsaddle_serving.fetching import FetchTimes
 from bergamotsaddle_serving.follower import StoreFollower
 from bergamotsaddle_serving.full_targets import FullTargets
@@ -249,6 +250,8 @@
             dialect,
             logger,
             crashes=crashes,
+            hedges=HedgeAllowance(settings.hedging.max_share),
+            metrics=self.metrics,
         )
         self.streams = streams = StreamServer(
             selector,
--- a/packages/serving/bergamotsaddle_serving/settings.py
+++ b/packages/serving/bergamotsaddle_serving/settings.py
@@ -155,6 +155,16 @@
     allowed_requests: frozenset[str] = frozenset()
 
 
+class HedgingSettings(NamedTuple):
+    """How often requests are sent to a second target (``[hedging]``).
+
+    Attributes:
+        max_share: Hedges allowed, as a fraction of the repeatable requests; 0 for none.
+    """
+
+    max_share: float = 0.0
+
+
 class ServingSettings(NamedTuple):
     """All settings of a serving daemon."""
 
@@ -167,6 +177,7 @@
     policy: Policy = FULL_POLICY
     capacity: CapacitySettings = CapacitySettings()
     suspects: SuspectSettings = SuspectSettings()
+    hedging: HedgingSettings = HedgingSettings()
 
 
 def _parse_number(text: str) -> float:
@@ -193,6 +204,18 @@
     return value
 
 
+def _parse_share(text: str) -> float:
+    """Parse a number from 0 to 1.
+
+    Raises:
+        ValueError: If the text is no such number.
+    """
+    value = float(text)
+    if not 0 <= value <= 1:
+        raise ValueError("expected a number from 0 to 1")
+    return value
+
+
 def _parse_milliseconds(text: str) -> float:
     """Parse a positive number of milliseconds; return seconds.
 
@@ -292,6 +315,7 @@
             frozenset(ini.get("suspects", "allowed_parts", parse_words, ())),
             frozenset(ini.get("suspects", "allowed_requests", parse_words, ())),
         ),
+        HedgingSettings(ini.get("hedging", "max_share", _parse_share, 0.0)),
     )
     ini.raise_for_faults()
     return settings
--- a/tests/test_cause.py
+++ b/tests/test_cause.py
@@ -21,6 +21,8 @@
 SILENT = line(
     "silence_ended", target="i-1", end="goes on", lack="no repeat is left", seconds=0.2
 )
+HEDGED = line("request_hedged", target="i-1", hedge="i-2", seconds=0.12)
+HEDGE_WON = line("hedge_ended", target="i-2", end="won")
 OVERLOADED = line("handed_over", helper="b2", outcome="overloaded")
 HANDED_OVER = line("handed_over", helper="c1", outcome="whole")
 SLOW_STAGE = line("stages_done", stages=[[0, "east", 0.2, 0.3], [1, "east", 0.2, 0.9]])
@@ -54,6 +56,12 @@
     @parameterized.expand(
         [
             ("unfinished", [STAGE_AGAIN], "not ended"),
+            (
+                "hedged",
+                [HEDGED, HEDGE_WON, COMPLETE],
+                "Hedged at target i-2 (end: won), as target i-1 had not responded for "
+                "0.12 s",
+            ),
             ("refused", [REJECTED, INFEASIBLE], "1.00 s of them behind other requests"),
             (
                 "again",
--- a/tests/test_serving_settings.py
+++ b/tests/test_serving_settings.py
@@ -63,6 +63,21 @@
         settings = parse_settings(TEXT, name="daemon.ini")
         self.assertEqual(settings.suspects.allowed_parts, frozenset())
 
+    @parameterized.expand([("0", 0.0), ("0.05", 0.05), ("1", 1.0)])
+    def test_share_of_hedges(self, text, expected):
+        settings = parse_settings(TEXT + f"\n[hedging]\nmax_share = {text}\n", name="f")
+        self.assertEqual(settings.hedging.max_share, expected)
+
+    @parameterized.expand(["-0.1", "1.1", "5%", "nan"])
+    def test_share_of_hedges_that_is_none(self, text):
+        """Guards against a percentage that is taken for a share of all requests."""
+        with self.assertRaises(InvalidFileError) as raised:
+            parse_settings(TEXT + f"\n[hedging]\nmax_share = {text}\n", name="f")
+        self.assertIn("[hedging] max_share", str(raised.exception))
+
+    def test_no_hedges_by_default(self):
+        self.assertEqual(parse_settings(TEXT, name="f").hedging.max_share, 0.0)
+
     def test_requests_that_operators_allow(self):
         text = TEXT + "\n[suspects]\nallowed_requests = 5c1e07a291bd3f06\n"
         settings = parse_settings(text, name="daemon.ini")
