--- a/packages/serving/bergamotsaddle_serving/stage_waits.py
+++ b/packages/serving/bergamotsaddle_serving/stage_waits.py
@@ -93,7 +93,8 @@
             if count
         }
         return any(
-            self._view.usable(service) and not self._loads(service, 0)
+            self._view.usable(service)
+            and not self._known_loads(service, 0).load_by_scope
             for service in services
         )
 
--- a/tests/test_fleet_start.py
+++ b/tests/test_fleet_start.py
@@ -90,9 +90,9 @@
         waits = StageWaits(view, mock.Mock(), mock.Mock())
 
         def find_loads(service, place):
-            return {"z": 1} if service in owned else {}
+            return mock.Mock(load_by_scope={"z": 1} if service in owned else {})
 
-        with mock.patch.object(waits, "_loads", find_loads):
+        with mock.patch.object(waits, "_known_loads", find_loads):
             self.assertEqual(waits.lacks_owner(ROUTE, pieces), expected)
 
     def test_a_service_without_targets(self):
