Let all instances share the hedges that their requests have earned

Ruled out: a minimum at each instance, which exceeds the share in large fleets. Change: one instance owns the pool of a service; the others send what they have earned with the question for a hedge. A lost message or owner leads to fewer hedges only. Not measured on deployments yet.

--- a/packages/serving/bergamotsaddle_serving/peer_messages.py
+++ b/packages/serving/bergamotsaddle_serving/peer_messages.py
@@ -164,6 +164,33 @@
     wait: float
 
 
+class HedgeRequest(Message):
+    """Asks the owner of a service's hedges for one.
+
+    Attributes:
+        number: Number of this request at its sender.
+        service: Name of the service.
+        earned: What the sender's requests have earned since its last request, in
+            hedges.
+    """
+
+    number: int
+    service: str
+    earned: float
+
+
+class HedgeResponse(Message):
+    """The owner's response to a ``HedgeRequest``.
+
+    Attributes:
+        number: Number of the request.
+        is_granted: Whether a hedge may be sent.
+    """
+
+    number: int
+    is_granted: bool
+
+
 class Submit(Message):
     """Submits pieces of one stage of a request to the owner of a stage queue.
 
@@ -280,6 +307,8 @@
     | OriginQuery
     | RateRequest
     | RateResponse
+    | HedgeRequest
+    | HedgeResponse
     | Submit
     | Accepted
     | Started
--- a/packages/serving/bergamotsaddle_serving/plain.py
+++ b/packages/serving/bergamotsaddle_serving/plain.py
@@ -5,7 +5,7 @@
 from bergamotsaddle_serving.budget import RetryBudget
 from bergamotsaddle_serving.client import ConnectionPool
 from bergamotsaddle_serving.context import Context
-from bergamotsaddle_serving.decisions.hedge_timer import HedgeAllowance
+from bergamotsaddle_serving.hedge_exchange import HedgeExchange
 from bergamotsaddle_serving.messages import Dialect
 from bergamotsaddle_serving.metrics import Metrics
 from bergamotsaddle_serving.plain_run import CompleteResponse, PlainRun
@@ -36,7 +36,7 @@
         logger: Any,
         *,
         crashes: TargetCrashes,
-        hedges: HedgeAllowance | None = None,
+        hedges: HedgeExchange | None = None,
         metrics: Metrics | None = None,
     ) -> None:
         self.selector = selector
@@ -46,7 +46,7 @@
         self.logger = logger
         self.crashes = crashes
         self.suspects = crashes.suspects
-        self.hedges = hedges or HedgeAllowance(0.0)
+        self.hedges = hedges if hedges is not None and hedges.is_enabled else None
         self.metrics = metrics or Metrics()
 
     def serve(self, context: Context) -> CompleteResponse:
@@ -55,6 +55,6 @@
         Raises:
             RequestError: If there is none; it says whether the request may have run.
         """
-        if context.route.may_repeat:
+        if self.hedges is not None and context.route.may_repeat:
             self.hedges.count_request(context.service.name)
         return PlainRun(self, context).run()
--- a/packages/serving/bergamotsaddle_serving/plain_run.py
+++ b/packages/serving/bergamotsaddle_serving/plain_run.py
@@ -58,7 +58,8 @@
 # How a hedge ends.
 _WON = "won"
 _LOST = "lost"
-_LACKING = "lacking"
+_NO_TARGET = "no target"
+_LIMITED = "limited"
 
 
 class CompleteResponse(NamedTuple):
@@ -362,10 +363,9 @@
 
         A request under which targets have ended runs at one target at a time.
         """
-        hedges = self._server.hedges
         fingerprint = self._context.fingerprint
         return (
-            hedges.saved(self._context.service.name) >= 1.0
+            self._server.hedges is not None
             and self._may_repeat()
             and not self._server.suspects.is_suspect(fingerprint)
         )
@@ -386,42 +386,46 @@
         finish = self._race.wait(timeout=min(delay, context.remaining))
         if finish is not None:
             return finish
-        if not self._start_hedge(run, delay):
-            self._limit = run.limit - delay
+        self._limit = run.limit - delay
+        if self._may_send_hedge():
+            finish = self._race.wait(timeout=0)
+            if finish is not None:
+                return finish
+            self._start_hedge(run, delay)
         return self._wait()
 
-    def _start_hedge(self, first: _TargetRun, delay: float) -> bool:
-        """Send the request to a second target that has a free slot.
-
-        Returns:
-            Whether there was one, and a hedge and a repeat for it.
-        """
-        context = self._context
-        service = context.service.name
-        hedges = self._server.hedges
+    def _may_send_hedge(self) -> bool:
+        """Return whether another target has a free slot, and a hedge is left."""
         found = self._pick_responsive(self._tried)
-        if found is None or not found.has_free_slot or not hedges.try_use(service):
-            self._record_hedge(_LACKING)
+        service = self._context.service.name
+        if found is None or not found.has_free_slot:
+            self._record_hedge(_NO_TARGET)
             return False
+        if not self._server.hedges.request(service):
+            self._record_hedge(_LIMITED)
+            return False
+        return True
+
+    def _start_hedge(self, first: _TargetRun, delay: float) -> None:
+        """Send the request to a second target, if a repeat is left."""
         candidate = self._choose()
         if candidate is None:
-            hedges.give_back(service)
-            self._record_hedge(_LACKING)
-            return False
+            self._record_hedge(_NO_TARGET)
+            return
         name = candidate.target.id
         self._hedge = name
         self._tried.add(name)
-        self._open_by_id[name] = run = _TargetRun(self._server, context, candidate)
+        run = _TargetRun(self._server, self._context, candidate)
+        self._open_by_id[name] = run
+        self._limit = run.limit
         self._race.start(name, run.read_to_end)
         self._server.logger.info(
             "request_hedged",
-            request=context.head.id,
+            request=self._context.head.id,
             target=first.target.id,
             hedge=name,
             seconds=round(delay, 3),
-            saved=round(hedges.saved(service), 2),
         )
-        return True
 
     def _record_hedge(self, end: str) -> None:
         context = self._context
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -18,7 +18,7 @@
 from bergamotsaddle_serving.catalog import CallerLimits
 from bergamotsaddle_serving.client import ConnectionPool
 from bergamotsaddle_serving.decisions.fleet_start import FleetStart
-from bergamotsaddle_serving.decisions.hedge_timer import HedgeAllowance
+from bergamotsaddle_serving.decisions.hedge_pool import HedgePool
 from bergamotsaddle_serving.fetching import FetchTimes
 from bergamotsaddle_serving.follower import StoreFollower
 from bergamotsaddle_serving.full_targets import FullTargets
@@ -27,6 +27,7 @@
 from bergamotsaddle_serving.handler import Handler
 from bergamotsaddle_serving.handover import Handover
 from bergamotsaddle_serving.health import Health
+from bergamotsaddle_serving.hedge_exchange import HedgeExchange
 from bergamotsaddle_serving.leaving_targets import LeavingTargets
 from bergamotsaddle_serving.log import BoundedOutput, make_logger
 from bergamotsaddle_serving.messages import Dialect
@@ -251,7 +252,7 @@
             dialect,
             logger,
             crashes=crashes,
-            hedges=HedgeAllowance(settings.hedging.max_share),
+            hedges=HedgeExchange(self.peers, HedgePool(settings.hedging.max_share)),
             metrics=self.metrics,
         )
         self.streams = streams = StreamServer(
