Walk the targets less often when the view changes

Seen: each change of the targets took 0.70 ms at each of 84 daemons (126 targets; processor time, micro-benchmark in process), and the listed versions of software 52 us twice a second.

Cause: a key was made for each target to forget limits where none is known; zones were turned into regions for each target; versions were collected anew.

Change: counts by zone first, limits only if there are any, and the versions are kept until the targets change.

Test: the versions of software change with the targets.

--- a/packages/serving/bergamotsaddle_serving/named_limits.py
+++ b/packages/serving/bergamotsaddle_serving/named_limits.py
@@ -74,6 +74,8 @@
 
     def keep_only(self, incarnations: set[tuple[str, int]]) -> None:
         """Forget the limits of all other target incarnations."""
+        if not self._limit_by_key:
+            return
         kept = {fact_key(incarnation) for incarnation in incarnations}
         for key in [key for key in self._limit_by_key if key not in kept]:
             self._gossip.forget(self._topic, key)
--- a/packages/serving/bergamotsaddle_serving/scopes.py
+++ b/packages/serving/bergamotsaddle_serving/scopes.py
@@ -44,8 +44,9 @@
 
     def _count(self) -> None:
         """Count the targets of each service by region."""
-        self._counts = Counter(
-            (service, self._peers.region(known.target.zone))
-            for service, group in self._view.targets_by_service.items()
-            for known in group
-        )
+        counts: Counter[tuple[str, str]] = Counter()
+        for service, group in self._view.targets_by_service.items():
+            by_zone = Counter([known.target.zone for known in group])
+            for zone, count in by_zone.items():
+                counts[service, self._peers.region(zone)] += count
+        self._counts = counts
--- a/packages/serving/bergamotsaddle_serving/view.py
+++ b/packages/serving/bergamotsaddle_serving/view.py
@@ -88,6 +88,8 @@
         # Dropped with each change of the targets, of those that leave or of the zones
         # that are evacuated.
         self._usable_by_service: dict[str, list[KnownTarget]] = {}
+        # Dropped with each change of the targets.
+        self._software_versions: set[tuple[str, str]] | None = None
         self.target_by_address: dict[Address, Target] = {}
         self.has_snapshot = False
         self.confirmed_at = float("-inf")
@@ -269,8 +271,11 @@
 
     def software_versions(self) -> set[tuple[str, str]]:
         """Return the pairs of service and software version of all listed targets."""
-        targets = [known.target for known in self._known_by_id.values()]
-        return {(target.service, target.software) for target in targets}
+        if self._software_versions is None:
+            targets = [known.target for known in self._known_by_id.values()]
+            versions = {(target.service, target.software) for target in targets}
+            self._software_versions = versions
+        return self._software_versions
 
     def is_cold(self, known: KnownTarget, *, at: float | None = None) -> bool:
         """Return whether a target is cold and takes only a few requests.
@@ -411,6 +416,7 @@
     def _rebuild(self) -> None:
         self.targets_by_service = {}
         self._usable_by_service.clear()
+        self._software_versions = None
         self.target_by_address = {}
         for known in self._known_by_id.values():
             by_service = self.targets_by_service
--- a/tests/test_serving_view.py
+++ b/tests/test_serving_view.py
@@ -128,6 +128,23 @@
                 self.assertEqual(self.usable_ids(), usable)
                 self.assertIs(self.view.usable("s"), self.view.usable("s"))
 
+    def test_software_versions_change_with_the_targets(self):
+        """Guards against versions that outlive the targets that run them."""
+        other = TARGET | {"service": "x"}
+        for number, (name, value, services) in enumerate(
+            (
+                ("t", TARGET, "s"),
+                ("u", other, "sx"),
+                ("t", None, "x"),
+                ("u", TARGET, "s"),
+                ("u", None, ""),
+            )
+        ):
+            self.apply(entry(f"servers/{name}", number + 1, value))
+            with self.subTest(step=number):
+                versions = {(service, "") for service in services}
+                self.assertEqual(self.view.software_versions(), versions)
+
     def test_a_snapshot_deletes_missing_entries(self):
         self.apply(entry("servers/t", 4, TARGET))
         self.view.replace([], at(7), source="store")
