Let the owner of a stage queue look at what has changed only

Cause: each submitted piece and each released result wakes the workers of all targets. Each worker then summed the results that each other target holds, so a wake-up cost targets times targets times results, and ordered all pieces although none fitted into its memory.

Change: the memory of a target keeps the sum of its results; results expire in the order in which they came. A worker that has room for no piece ends its look before it orders them. The load of a queue counts pieces by kind first.

Tests: free memory follows each result, compared with results counted anew; a look without a piece that fits still forgets finished stages.

--- a/packages/serving/bergamotsaddle_serving/result_memory.py
+++ b/packages/serving/bergamotsaddle_serving/result_memory.py
@@ -28,7 +28,9 @@
     def __init__(self, memory_bytes: float, ttl_seconds: float) -> None:
         self._memory_bytes = memory_bytes
         self._ttl_seconds = ttl_seconds
+        # In the order in which they expire, since all are kept for the same time.
         self._held_by_handle: dict[str, tuple[float, int]] = {}
+        self._held = 0
         self._reserved = 0
         self._full_until = 0.0
         self._refused_size = 0
@@ -81,11 +83,15 @@
 
     def _unaccounted_bytes(self, now: float) -> float:
         """Return the bytes that no known result or reservation takes."""
-        for handle, (expires_at, _) in list(self._held_by_handle.items()):
-            if expires_at <= now:
-                del self._held_by_handle[handle]
-        held = sum(size for _, size in self._held_by_handle.values())
-        return self._memory_bytes - held - self._reserved
+        held_by_handle = self._held_by_handle
+        while held_by_handle:
+            handle = next(iter(held_by_handle))
+            expires_at, size = held_by_handle[handle]
+            if expires_at > now:
+                break
+            del held_by_handle[handle]
+            self._held -= size
+        return self._memory_bytes - self._held - self._reserved
 
     def reserve(self, size: int, now: float) -> None:
         """Reserve memory for the results of a call."""
@@ -99,10 +105,16 @@
     def add(self, handle: str, size: int, now: float) -> None:
         """Add a result that the target holds."""
         self._refusals = 0
+        self._remove(handle)
         self._held_by_handle[handle] = (now + self._ttl_seconds, size)
+        self._held += size
         self._record_used(now)
 
     def release(self, handle: str) -> None:
         """Remove a result that was released."""
-        self._held_by_handle.pop(handle, None)
+        self._remove(handle)
         self._full_until = 0.0
+
+    def _remove(self, handle: str) -> None:
+        _, size = self._held_by_handle.pop(handle, (0.0, 0))
+        self._held -= size
--- a/packages/serving/bergamotsaddle_serving/stage_queue.py
+++ b/packages/serving/bergamotsaddle_serving/stage_queue.py
@@ -4,6 +4,7 @@
 """
 
 import math
+from collections import Counter
 from collections.abc import Callable, Sequence
 from functools import cache
 from itertools import accumulate
@@ -291,6 +292,10 @@
             others: The other targets that work on this queue.
             is_suspect: Returns whether a target has crashed under a fingerprint.
         """
+        if all(p.result_bytes > free_bytes for p in self.piece_by_key.values()):
+            # Workers also look when there is nothing that they could take.
+            self._drop_finished_stages()
+            return []
         expected = self.batching.seconds(1) * slowdown
         pieces = sorted(
             self.piece_by_key.values(),
@@ -420,9 +425,12 @@
             until_free: Seconds until the first of them is free.
             slowdown: Actual time of calls relative to the declared one.
         """
+        kinds = Counter(
+            [(p.urgency, p.has_started) for p in self.piece_by_key.values()]
+        )
         counts = [0] * PLACES
-        for piece in self.piece_by_key.values():
-            counts[place(piece.urgency, has_started=piece.has_started)] += 1
+        for (urgency, has_started), count in kinds.items():
+            counts[place(urgency, has_started=has_started)] += count
         rate = self.rate(targets, slowdown)
         return [until_free + ahead / rate for ahead in accumulate(counts)]
 
--- a/tests/test_result_memory.py
+++ b/tests/test_result_memory.py
@@ -1,5 +1,6 @@
 """Tests for an owner's estimate of the result memory of its targets."""
 
+import random
 import unittest
 
 from bergamotsaddle_serving.result_memory import (
@@ -21,6 +22,27 @@
         self.assertEqual(memory.free_bytes(3.9), 7e6)
         self.assertEqual(memory.free_bytes(4.1), 10e6)
 
+    def test_free_memory_follows_each_result(self):
+        """Guards against results that count although they expired or were released."""
+        rng = random.Random(1)
+        memory = ResultMemory(10e6, 4.0)
+        held: dict[str, tuple[float, int]] = {}
+        at = 0.0
+        for step in range(500):
+            at += rng.uniform(0.0, 0.4)
+            handle = f"h{rng.randrange(20)}"
+            if rng.random() < 0.6:
+                size = rng.randint(1, 100_000)
+                memory.add(handle, size, at)
+                held[handle] = (at + 4.0, size)
+            else:
+                memory.release(handle)
+                held.pop(handle, None)
+            at += rng.uniform(0.0, 0.4)
+            kept = sum(size for expires_at, size in held.values() if expires_at > at)
+            with self.subTest(step=step):
+                self.assertEqual(memory.free_bytes(at), 10e6 - kept)
+
     def test_a_rejected_size_is_not_offered_again_at_once(self):
         """Guards against retries of a result size that a target has just rejected.
 
--- a/tests/test_stage_queue.py
+++ b/tests/test_stage_queue.py
@@ -135,6 +135,18 @@
             self.assertLessEqual(len(held), 1)
         self.assertEqual(finished, set("abcdef"))
 
+    @parameterized.expand([("empty", 0), ("without_memory", LARGE)])
+    def test_a_look_without_a_piece_that_fits_forgets_finished_stages(self, _, size):
+        """Guards against stages that count as started, and hold back memory, forever."""
+        queue = StageQueue(FOUR_PER_CALL)
+        queue.add(piece("done"))
+        self.assertEqual(request_ids(queue.pop_batch(0.0, 18e6)), ["done"])
+        if size:
+            queue.add(piece("waits", result_bytes=size))
+        self.assertEqual(queue.pop_batch(0.0, size - 1.0), [])
+        self.assertEqual(queue.started_stages, set())
+        self.assertEqual(len(queue), bool(size))
+
     def test_small_results_overtake_results_without_memory(self):
         """A large stage waits for memory while small ones behind it could run.
 
