--- a/tests/test_stage_queue.py
+++ b/tests/test_stage_queue.py
@@ -137,7 +137,7 @@
 
     @parameterized.expand([("empty", 0), ("without_memory", LARGE)])
     def test_a_look_without_a_piece_that_fits_forgets_finished_stages(self, _, size):
-        """Guards against stages that count as started, and hold back memory, forever."""
+        """Guards against stages that count as started and hold back memory forever."""
         queue = StageQueue(FOUR_PER_CALL)
         queue.add(piece("done"))
         self.assertEqual(request_ids(queue.pop_batch(0.0, 18e6)), ["done"])
