Rest the garbage collector until a daemon serves

Cause: loading makes objects that nearly all live as long as the process, and the collector walks them again and again meanwhile.

Tests: off while modules load, on while the daemon serves.

--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -325,6 +325,7 @@
         # Objects loaded so far live as long as the process, so the garbage collector
         # need not visit them.
         gc.freeze()
+        gc.enable()
         self.logger.info(
             "started",
             life=self.peers.incarnation,
--- a/tests/test_daemon_start.py
+++ b/tests/test_daemon_start.py
@@ -1,12 +1,16 @@
 """The work of a daemon process between its start and its first request."""
 
+import gc
 import sys
 import unittest
 from pathlib import Path
 from tempfile import TemporaryDirectory
+from unittest import mock
 
 from eventlet.patcher import original
 
+from bergamotsaddle_serving.server import ServingServer
+
 subprocess = original("subprocess")
 
 TIMEOUT_S = 30.0
@@ -50,6 +54,15 @@
 os.kill(os.getpid(), signal.SIGHUP)
 print("alive")
 """
+# Runs the launcher with a daemon that prints whether the collector is on.
+COLLECTOR = """
+import gc, runpy, sys, types
+main = types.ModuleType("bergamotsaddle_platform.main")
+main.main = lambda: print(gc.isenabled())
+sys.modules["bergamotsaddle_platform"] = types.ModuleType("bergamotsaddle_platform")
+sys.modules["bergamotsaddle_platform.main"] = main
+runpy.run_path("platform/launch.py", run_name="__main__")
+"""
 
 
 def run(*command):
@@ -84,3 +97,29 @@
             found, *uncompiled = run_python(UNCOMPILED, root).split()
         self.assertTrue(Path(found).is_relative_to(packages))
         self.assertEqual(uncompiled, [])
+
+    def test_the_collector_rests_while_a_daemon_loads(self):
+        """Guards against a collector that walks modules while callers are refused."""
+        self.assertEqual(run_python(COLLECTOR).strip(), "False")
+
+    def test_the_collector_is_on_while_a_daemon_serves(self):
+        """Guards against a daemon that never frees what refers to itself."""
+        server = ServingServer.__new__(ServingServer)
+        server.settings = mock.Mock()
+        server.settings.listen.callers = server.settings.listen.ready = ()
+        for name in ("peers", "follower", "exchange", "reach", "service_reach"):
+            setattr(server, name, mock.Mock())
+        server.handler = server.metrics = server.logger = mock.Mock()
+        server._stop_requested = mock.Mock()
+        server._stop = mock.Mock()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        self.addCleanup(gc.unfreeze)
+        seen = []
+        server._stop_requested.wait = lambda: seen.append(gc.isenabled())
+        with (
+            mock.patch("bergamotsaddle_serving.server.eventlet"),
+            mock.patch("bergamotsaddle_serving.server.signal"),
+        ):
+            server.run()
+        self.assertEqual(seen, [True])
