Wake idle workers only when something has changed

Each daemon, owner or not, has two green threads for each stage target.

Cause: with an empty queue both woke each five seconds to see whether the target still belongs to the queue. That cost grows with the fleet times the targets.

Change: they wait without a limit, and removing a target wakes them. Pieces that go back to the queue because a target had no memory wake the workers as well, as each other change of the queue does.

Ruled out: a longer limit, since it only divides the cost.

Tests: targets without pieces cause one look at the start and none later (the bound was ten in ten seconds); green threads end with their target; pieces without memory wake idle workers.

--- a/packages/serving/bergamotsaddle_serving/_stage_worker.py
+++ b/packages/serving/bergamotsaddle_serving/_stage_worker.py
@@ -49,7 +49,8 @@
         backoff_until: Until when the target gets no calls, after a failure or since it
             asked for that.
         to_release: Handles of results that are to be released.
-        release_requested: Set when handles are added to ``to_release``.
+        release_requested: Set when handles are added to ``to_release``, and when the
+            target no longer belongs to the queue.
     """
 
     def __init__(self, target: Target, batching: Batching) -> None:
@@ -64,6 +65,11 @@
         self.to_release: list[str] = []
         self.release_requested = Event()
 
+    def wake_releases(self) -> None:
+        """Wake the green thread that releases results."""
+        if not self.release_requested.ready():
+            self.release_requested.send()
+
     def record_sharing(self) -> None:
         """Record a sign that another instance calls the target as well.
 
--- a/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
+++ b/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
@@ -29,9 +29,6 @@
 # Pause after a target refused a call because it was busy or had no permit left.
 _FULL_PAUSE_S = 0.05
 _IDLE_CHECK_S = 0.25
-# New pieces wake a worker. With an empty queue it wakes by itself only to check whether
-# its target still belongs to the queue.
-_EMPTY_CHECK_S = 5.0
 # A piece that has failed this often is not queued again after one more unsuccessful
 # call.
 _MAX_TRIES = 2
@@ -145,10 +142,12 @@
         # each worker would scan hundreds of pieces hundreds of times a second and find
         # no memory. The owner would respond late, and senders would abandon it.
         eventlet.sleep(len(queue.queue) * _SCAN_PAUSE_S)
-        wait = worker.wait_for_memory_until - now()
         if not len(queue.queue):
-            wait = _EMPTY_CHECK_S
-        elif wait <= 0:
+            # New pieces wake it, and so does the end of its target in the queue.
+            changed.wait()
+            return
+        wait = worker.wait_for_memory_until - now()
+        if wait <= 0:
             wait = _IDLE_CHECK_S
         with eventlet.Timeout(wait, False):
             changed.wait()
@@ -289,6 +288,7 @@
         at = now()
         finished: list[FinishedPiece] = []
         unneeded: list[str] = []
+        is_refilled = False
         for piece, result in zip(batch, results, strict=True):
             if result.handle:
                 worker.memory.add(result.handle, piece.result_bytes, at)
@@ -297,8 +297,11 @@
             elif result.reason == PieceFailure.NO_MEMORY:
                 worker.memory.record_full(piece.result_bytes, at)
                 queue.queue.add(piece)
+                is_refilled = True
             else:
                 finished.append((piece.key, result))
+        if is_refilled:
+            queue.wake_workers()
         self._releases.release(queue, unneeded)
         self._results.finish(queue, finished)
 
--- a/packages/serving/bergamotsaddle_serving/stage_owner.py
+++ b/packages/serving/bergamotsaddle_serving/stage_owner.py
@@ -300,13 +300,16 @@
             queue: The queue.
             incarnations: Incarnations of the targets that belong to it.
         """
-        for incarnation in [
+        removed = [
             incarnation
             for incarnation in queue.worker_by_incarnation
             if incarnation not in incarnations
-        ]:
+        ]
+        for incarnation in removed:
             # The worker's green threads exit once their running call has finished.
-            del queue.worker_by_incarnation[incarnation]
+            queue.worker_by_incarnation.pop(incarnation).wake_releases()
+        if removed:
+            queue.wake_workers()
 
     def _run_supervised(
         self,
--- a/packages/serving/bergamotsaddle_serving/stage_releases.py
+++ b/packages/serving/bergamotsaddle_serving/stage_releases.py
@@ -14,9 +14,6 @@
 from bergamotsaddle_serving.view import View
 from bergamotsaddle_serving.zone_reach import ZoneReach
 
-# How often an idle green thread checks whether its target still belongs to the queue.
-_IDLE_CHECK_S = 5.0
-
 
 class StageReleases:
     """Releases results, batching the pending ones of a target into one call.
@@ -61,8 +58,7 @@
         """Process the releases of a target for as long as it belongs to the queue."""
         while queue.worker_by_incarnation.get(worker.target.incarnation) is worker:
             if not worker.to_release:
-                with eventlet.Timeout(_IDLE_CHECK_S, False):
-                    worker.release_requested.wait()
+                worker.release_requested.wait()
                 worker.release_requested = Event()
                 continue
             handles, worker.to_release = worker.to_release, []
@@ -78,8 +74,7 @@
         for worker in workers:
             if worker.target.address == address:
                 worker.to_release += handles
-                if not worker.release_requested.ready():
-                    worker.release_requested.send()
+                worker.wake_releases()
                 return
         # The target that holds them is no longer called from here.
         eventlet.spawn_n(self._release_directly, address, handles)
--- a/tests/test_stage_owner.py
+++ b/tests/test_stage_owner.py
@@ -605,7 +605,46 @@
             queue.queue.pop_batch = pop_batch
         advance(10.0)
         self.assertEqual(len(queues), 2)
-        self.assertLessEqual(pop_batch.call_count, len(queues) * 10)
+        self.assertLessEqual(pop_batch.call_count, len(queues))
+
+    def test_green_threads_end_with_the_target_that_they_call(self):
+        """Guards against idle green threads left behind by each replaced target."""
+        running = []
+
+        def track(loop):
+            def run(queue, worker):
+                running.append(worker.target.id)
+                loop(queue, worker)
+                running.remove(worker.target.id)
+
+            return run
+
+        self.owner.dispatcher.run = track(self.owner.dispatcher.run)
+        self.owner._releases.run = track(self.owner._releases.run)
+        self.add_target("t3", "encode", 83, zone="a")
+        self.owner.open_queues()
+        self.owner.hand_over()
+        settle()
+        self.assertEqual(running.count("t3"), BATCHING["slots"] + 1)
+        deletion = StoreEntry("servers/t3", 91, None)
+        self.view.apply([deletion], StorePosition(0, 91), source="test")
+        settle()
+        self.assertEqual(running.count("t3"), 0)
+        self.assertEqual(running.count("t1"), BATCHING["slots"] + 1)
+
+    def test_pieces_without_memory_are_taken_by_an_idle_target(self):
+        """Guards against pieces that wait for a full target beside an idle one."""
+        self.add_target("t3", "encode", 83, zone="a")
+        self.owner.open_queues()
+        self.owner.hand_over()
+        settle()
+        queue = self.owner._queue_by_service["encode"]
+        woken = queue.changed
+        worker = next(iter(queue.worker_by_incarnation.values()))
+        piece = QueuedPiece(PieceKey("r", 0, 0), 0, False, 9e9, 9e9, 8_000, "k", ())
+        result = PieceResult("", PieceFailure.NO_MEMORY)
+        self.owner.dispatcher._handle_results(queue, worker, [piece], [result])
+        self.assertTrue(woken.ready())
 
     def test_a_silent_owner_is_replaced_by_the_next_one(self):
         """The owner of the queue dies just after it was sent the pieces."""
