Ask only peers that were ever suspected whether they still are

Change: a peer that never left a message unacknowledged is no suspect; the choice of backups reads the clock once.

Tests: those of rosters, origins and discovery, unchanged.

--- a/packages/serving/bergamotsaddle_serving/origin_exchange.py
+++ b/packages/serving/bergamotsaddle_serving/origin_exchange.py
@@ -162,7 +162,8 @@
             self.peers.broadcast(OriginQuery(batch))
 
     def _choose_backups(self) -> None:
-        alive = [p.contact for p in self.peers.alive() if not p.is_suspect()]
+        at = now()
+        alive = [p.contact for p in self.peers.alive() if not p.is_suspect_at(at)]
         self.backups = choose_backups(self.peers.own, alive)
 
     def _flush(self) -> None:
--- a/packages/serving/bergamotsaddle_serving/peers.py
+++ b/packages/serving/bergamotsaddle_serving/peers.py
@@ -58,6 +58,8 @@
 # old.
 _ROSTER_TTL_S = 0.02
 
+_NEVER = float("-inf")
+
 Handler = Callable[[Any, tuple[str, int]], None]
 
 
@@ -91,7 +93,7 @@
         self.was_contacted = False
         self.last_seen_at = float("-inf")
         self.added_at = now()
-        self.suspected_at = float("-inf")
+        self.suspected_at = _NEVER
 
     def is_suspect(self) -> bool:
         """Return whether it left a message unacknowledged and sent nothing since."""
@@ -441,7 +443,12 @@
         again.
         """
         at = now()
-        alive = [peer for peer in self.alive() if not peer.is_suspect_at(at)]
+        alive = [
+            peer
+            for peer in self.alive()
+            # Nearly all peers have never been suspected.
+            if peer.suspected_at == _NEVER or not peer.is_suspect_at(at)
+        ]
         zones = {peer.contact.zone for peer in alive}
         reachable = {zone for zone in zones if not self.is_zone_unreachable(zone)}
         candidates = [
