Write to callers without a timer where the kernel takes the bytes at once

Each message from a queue's owner listed the unassigned pieces of all stages of its request.

Change: bytes are given to the kernel first, and a timer starts only if it does not take them all. Whether a stage has what it needs is asked before its pieces are listed. The limit on unread responses is the same.

Tests: a response that exceeds the buffers arrives whole; a caller that reads nothing counts as gone.

--- a/packages/serving/bergamotsaddle_serving/caller.py
+++ b/packages/serving/bergamotsaddle_serving/caller.py
@@ -343,14 +343,24 @@
             self._buffered += data
 
     def _write(self, data: bytes) -> None:
-        if not data:
-            return
         try:
-            with eventlet.Timeout(_WRITE_TIMEOUT_S):
-                self._socket.sendall(data)
+            # Nearly all writes fit into the kernel's buffer and need no timer.
+            rest = data[self._send_available(data) :]
+            if rest:
+                with eventlet.Timeout(_WRITE_TIMEOUT_S):
+                    self._socket.sendall(rest)
         except (eventlet.Timeout, OSError) as error:
             raise CallerLeftError("unread") from error
 
+    def _send_available(self, data: bytes) -> int:
+        """Send what the kernel takes at once; return the number of bytes."""
+        if not data:
+            return 0
+        try:
+            return self._socket.fd.send(data)
+        except BlockingIOError:
+            return 0
+
 
 def _check_lengths(request: h11.Request, limits: CallerLimits) -> None:
     names = [name for name, _ in request.headers]
--- a/packages/serving/bergamotsaddle_serving/stage_run.py
+++ b/packages/serving/bergamotsaddle_serving/stage_run.py
@@ -237,11 +237,13 @@
         at = now()
         elapsed = self._plan.elapsed(at)
         for stage in self._plan.needed:
-            if self._stage_is_done(stage) or not self._unassigned(stage):
+            if self._stage_is_done(stage):
                 continue
             predecessors = self._plan.predecessors(stage)
             if not all(self._stage_is_done(number) for number in predecessors):
                 continue
+            if not self._unassigned(stage):
+                continue
             done = {s for s in self._plan.needed if self._stage_is_done(s)}
             if self._plan.should_wait(stage, done, elapsed):
                 continue
--- a/tests/test_serving_caller.py
+++ b/tests/test_serving_caller.py
@@ -2,6 +2,7 @@
 
 import socket
 import unittest
+from unittest import mock
 
 import eventlet
 from parameterized import parameterized
@@ -19,6 +20,8 @@
 HEAD = b"POST /p/ HTTP/1.1\r\nHost: h\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 LENGTH = b"Content-Length: 3\r\n"
+# More than the buffers of both sockets hold.
+LARGE_BODY_BYTES = 20_000_000
 
 
 def connect():
@@ -156,6 +159,32 @@
 class ResponseTest(unittest.TestCase):
     """Responses, and callers that disconnect."""
 
+    def test_a_response_that_exceeds_the_buffers_arrives_whole(self):
+        """Guards against a part that is lost or repeated where a write is continued."""
+        client, connection = connect()
+        client.sendall(HEAD + b"\r\n")
+        connection.read()
+        body = bytes(number % 251 for number in range(LARGE_BODY_BYTES))
+        writer = eventlet.spawn(connection.respond, 200, [], body)
+        eventlet.sleep(0)
+        self.assertFalse(writer.dead)
+        chunks = []
+        writer.link(lambda _: connection.close())
+        while data := receive(client, 1_000_000, 1.0):
+            chunks.append(data)
+        received = b"".join(chunks).partition(b"\r\n\r\n")[2]
+        self.assertTrue(received == body)
+
+    def test_a_caller_that_reads_nothing_counts_as_gone(self):
+        client, connection = connect()
+        client.sendall(HEAD + b"\r\n")
+        connection.read()
+        with (
+            mock.patch("bergamotsaddle_serving.caller._WRITE_TIMEOUT_S", 0.05),
+            self.assertRaises(CallerLeftError),
+        ):
+            connection.respond(200, [], bytes(LARGE_BODY_BYTES))
+
     def test_pipelined_requests_are_served_in_order(self):
         client, connection = connect()
         client.sendall((HEAD + b"Content-Length: 1\r\n\r\na") * 2)
