Give room that is short by urgency and by the shares of teams

Cause: the looser objective of the less urgent kind lets it wait for longer, so it is admitted while the queues are already too long for the more urgent kind. Forecasts made it worse: a started request was expected to wait behind all started ones, also less urgent ones that it goes ahead of. Nothing knew which team sent what.

Change: owners tell the wait of started requests by urgency; instances tell how many requests of each urgency they missed, and less urgent requests wait for less while more urgent ones are missed more often; teams over their share wait for half, and their pieces come later in the queue. Only for services whose targets report their slowdown. admission, stage_queue and urgency_distribution move to decisions/.

--- a/packages/serving/bergamotsaddle_serving/_stage_worker.py
+++ b/packages/serving/bergamotsaddle_serving/_stage_worker.py
@@ -7,14 +7,15 @@
 
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.catalog import Batching, Target
-from bergamotsaddle_serving.peer_messages import PieceOutcome
-from bergamotsaddle_serving.policy import Policy
-from bergamotsaddle_serving.result_memory import ResultMemory
-from bergamotsaddle_serving.stage_queue import (
+from bergamotsaddle_serving.decisions.stage_queue import (
     OtherTarget,
     PieceKey,
     StageQueue,
 )
+from bergamotsaddle_serving.decisions.team_shares import TeamTurns
+from bergamotsaddle_serving.peer_messages import PieceOutcome
+from bergamotsaddle_serving.policy import Policy
+from bergamotsaddle_serving.result_memory import ResultMemory
 from bergamotsaddle_serving.wait_errors import StageKey, WaitErrors
 
 # Upper bound on a single call's slowdown, and its weight in the moving average.
@@ -129,6 +130,7 @@
         changed: Event that wakes the workers; replaced each time that it is sent.
         disowned_checks: Consecutive checks that found another owner for the queue.
         wait_errors: Corrects forecasts by the errors of earlier ones.
+        turns: By how much the pieces of each team come after those of others.
     """
 
     def __init__(self, service: str, batching: Batching, policy: Policy) -> None:
@@ -142,8 +144,17 @@
         self.changed = Event()
         self.disowned_checks = 0
         self.wait_errors = WaitErrors()
+        self.turns = TeamTurns()
         self._submitted_at = float("-inf")
 
+    def knows(self, key: PieceKey) -> bool:
+        """Return whether a piece waits, runs or has an outcome."""
+        return (
+            key in self.running
+            or key in self.queue.piece_by_key
+            or key in self.outcome_by_key
+        )
+
     def record_submission(self) -> None:
         """Record that pieces were submitted.
 
--- a/packages/serving/bergamotsaddle_serving/catalog.py
+++ b/packages/serving/bergamotsaddle_serving/catalog.py
@@ -164,10 +164,12 @@
     Attributes:
         name: Name of the team, which targets receive.
         priority: Rank that takes precedence over the route's, None if there is none.
+        share: Share of the room that is short, relative to the other teams.
     """
 
     name: str
     priority: int | None = None
+    share: float = 1.0
 
 
 def _priority_key(route: Route, team: Team | None) -> tuple[int, int]:
@@ -220,6 +222,7 @@
         self.has_teams = bool(teams)
         self.services_by_name = {service.name: service for service in services}
         self.team_by_key = {key: team for team, keys in teams for key in keys}
+        self.share_by_team = {team.name: team.share for team, _ in teams}
         self._urgency_by_priority = _rank_priorities(routes, teams)
         self.routes_by_host: dict[str, list[Route]] = {}
         for route in sorted(routes, key=lambda r: len(r.prefix), reverse=True):
--- a/packages/serving/bergamotsaddle_serving/admission.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/admission.py
@@ -47,7 +47,11 @@
 
 
 def admits(
-    forecast: Forecast, more_urgent: float, policy: Policy = FULL_POLICY
+    forecast: Forecast,
+    more_urgent: float,
+    policy: Policy = FULL_POLICY,
+    *,
+    patience: float = 1.0,
 ) -> bool:
     """Return whether a request should start.
 
@@ -63,18 +67,38 @@
         forecast: Expected times of the request.
         more_urgent: Fraction of recent requests that are more urgent.
         policy: Enabled mechanisms.
+        patience: Fraction of its usual wait that it may be expected to wait.
     """
     if forecast.seconds > forecast.remaining:
         return False
     if not policy.has(Mechanism.ADMISSION):
         return True
+    return seconds_until_room(forecast, more_urgent, policy, patience=patience) <= 0
+
+
+def seconds_until_room(
+    forecast: Forecast,
+    more_urgent: float,
+    policy: Policy = FULL_POLICY,
+    *,
+    patience: float = 1.0,
+) -> float:
+    """Return the seconds until a request would be admitted if nothing else came.
+
+    Args:
+        forecast: Expected times of the request.
+        more_urgent: Fraction of recent requests that are more urgent.
+        policy: Enabled mechanisms.
+        patience: Fraction of its usual wait that it may be expected to wait.
+    """
     fraction = _MAX_OBJECTIVE_FRACTION - _URGENT_RESERVE_FRACTION * more_urgent
     slack = fraction * forecast.objective - forecast.idle_seconds
     factor = _WAIT_FACTOR
     if policy.has(Mechanism.OVERTAKING):
         factor += _OVERTAKING_FACTOR * more_urgent
     waiting = factor * (forecast.seconds - forecast.idle_seconds)
-    return waiting <= max(slack, _LARGE_REQUEST_WAIT_FRACTION * forecast.objective)
+    limit = max(slack, _LARGE_REQUEST_WAIT_FRACTION * forecast.objective)
+    return (waiting - patience * limit) / factor
 
 
 def retry_after(forecast: Forecast) -> float:
--- a/packages/serving/bergamotsaddle_serving/stage_queue.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/stage_queue.py
@@ -12,7 +12,7 @@
 from bergamotsaddle_serving.catalog import Batching
 from bergamotsaddle_serving.peer_messages import ALL_ROUNDS
 from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
-from bergamotsaddle_serving.stage_load import PLACES, place
+from bergamotsaddle_serving.stage_load import ORDERED_PLACES, URGENCIES, level, place
 
 # A call that would carry less than this fraction of its capacity waits for memory.
 _MIN_CALL_FRACTION = 0.6
@@ -74,6 +74,7 @@
         zone: Zone that holds most of the inputs or needs the result.
         zone_bytes: Number of bytes that are in that zone.
         fingerprint: Fingerprint of the request.
+        lag: Seconds by which it comes after pieces of teams that sent less.
     """
 
     key: PieceKey
@@ -89,6 +90,7 @@
     zone: str = ""
     zone_bytes: float = 0.0
     fingerprint: str = ""
+    lag: float = 0.0
 
 
 class OtherTarget(NamedTuple):
@@ -115,7 +117,8 @@
     some seconds, so a request that every later, more urgent one overtakes would end as
     wasted work. Among requests that have not started, urgent ones come first, and
     within an urgency those that can still be on time; otherwise one late request
-    would make the next one late in turn.
+    would make the next one late in turn. Within an urgency, a team that sent more than
+    its share comes after the others.
 
     Args:
         piece: The piece.
@@ -127,7 +130,8 @@
     if piece.has_started:
         due = piece.objective_at + piece.urgency * _URGENCY_S
         return (not is_open, is_late, _STARTED_FIRST, due, piece.key)
-    return (not is_open, is_late, piece.urgency, piece.objective_at, piece.key)
+    due = piece.objective_at + piece.lag
+    return (not is_open, is_late, piece.urgency, due, piece.key)
 
 
 def is_large(piece: QueuedPiece) -> bool:
@@ -413,18 +417,23 @@
     def drains(self, targets: int, until_free: float, slowdown: float) -> list[float]:
         """Return the seconds until the waiting pieces are done, by place.
 
-        The entry of a place counts its pieces and those of all places before it.
+        The entry of a place counts its pieces and those of all places before it. The
+        places within the first one count more urgent requests that have started only.
 
         Args:
             targets: Number of targets that work on this queue.
             until_free: Seconds until the first of them is free.
             slowdown: Actual time of calls relative to the declared one.
         """
-        counts = [0] * PLACES
+        counts = [0] * ORDERED_PLACES
+        started = [0] * URGENCIES
         for piece in self.piece_by_key.values():
             counts[place(piece.urgency, has_started=piece.has_started)] += 1
+            if piece.has_started:
+                started[level(piece.urgency)] += 1
         rate = self.rate(targets, slowdown)
-        return [until_free + ahead / rate for ahead in accumulate(counts)]
+        ahead = [*accumulate(counts), *accumulate(started[:-1])]
+        return [until_free + pieces / rate for pieces in ahead]
 
     def rate(self, targets: int, slowdown: float) -> float:
         """Return the pieces per second that a number of targets can do."""
--- a/packages/serving/bergamotsaddle_serving/handover.py
+++ b/packages/serving/bergamotsaddle_serving/handover.py
@@ -15,7 +15,6 @@
 )
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving.admission import add_jitter
 from bergamotsaddle_serving.budget import RetryBudget
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.catalog import Kind
@@ -28,6 +27,7 @@
     end_to_end_headers,
 )
 from bergamotsaddle_serving.context import Context
+from bergamotsaddle_serving.decisions.admission import add_jitter
 from bergamotsaddle_serving.events import EventSplitter, StreamEvent
 from bergamotsaddle_serving.helper_choice import Helper, choose_helper
 from bergamotsaddle_serving.messages import HttpCall
--- a/packages/serving/bergamotsaddle_serving/peer_messages.py
+++ b/packages/serving/bergamotsaddle_serving/peer_messages.py
@@ -29,6 +29,23 @@
     host: str
 
 
+class Demand(msgspec.Struct, array_like=True, frozen=True):
+    """Requests of one service that an instance served or rejected lately.
+
+    Attributes:
+        service: Name of the service.
+        arrived: Requests by level of urgency, without the zeros at the end.
+        missed: Those of them that were rejected or late, in the same way.
+        teams: Requests by key of the team, of the teams with most requests; empty
+            unless room is short.
+    """
+
+    service: str
+    arrived: list[int]
+    missed: list[int] = []
+    teams: dict[int, int] = {}
+
+
 class Heartbeat(Message, tag="Hello"):
     """The periodic state report of an instance.
 
@@ -52,6 +69,7 @@
         digest: Digest of the gossip facts that it holds.
         unreachable: Names of services whose targets it cannot reach.
         has_history: Whether it knows all versions of software that served lately.
+        demand: Its requests of the last seconds, by service.
     """
 
     sender: Contact
@@ -68,6 +86,7 @@
     digest: int = 0
     unreachable: list[str] = []
     has_history: bool = False
+    demand: list[Demand] = []
 
 
 class Fact(msgspec.Struct, array_like=True, frozen=True):
@@ -164,6 +183,40 @@
     wait: float
 
 
+class ReturnNotice(Message, tag="Told"):
+    """Says that a rejected caller was told when to come back.
+
+    Attributes:
+        key: Key of the request, the same for each of its tries.
+        seconds: Seconds from now until it comes back.
+    """
+
+    key: int
+    seconds: float
+
+
+class ReturnQuery(Message, tag="ToldAsk"):
+    """Asks whether a caller comes back when it was told.
+
+    Attributes:
+        key: Key of the request.
+    """
+
+    key: int
+
+
+class ReturnResponse(Message, tag="ToldAnswer"):
+    """The response to a ``ReturnQuery``.
+
+    Attributes:
+        key: Key of the request.
+        is_told: Whether the caller came back when it was told.
+    """
+
+    key: int
+    is_told: bool
+
+
 class Submit(Message):
     """Submits pieces of one stage of a request to the owner of a stage queue.
 
@@ -187,6 +240,8 @@
         round: Round of the submission, see ``StageRun``. Pieces of different rounds
             are distinct, because the inputs of an earlier round are lost or released.
         fingerprint: Fingerprint of the request.
+        team: Team of the request, empty if shares of teams don't apply.
+        by_urgency: Whether the wait of a started request was forecast by urgency.
     """
 
     request: str
@@ -204,6 +259,8 @@
     remaining: float
     round: int
     fingerprint: str = ""
+    team: str = ""
+    by_urgency: bool = False
 
 
 class Accepted(Message):
@@ -280,6 +337,9 @@
     | OriginQuery
     | RateRequest
     | RateResponse
+    | ReturnNotice
+    | ReturnQuery
+    | ReturnResponse
     | Submit
     | Accepted
     | Started
--- a/packages/serving/bergamotsaddle_serving/peers.py
+++ b/packages/serving/bergamotsaddle_serving/peers.py
@@ -20,6 +20,7 @@
 from bergamotsaddle_serving.peer_messages import (
     Contact,
     Datagram,
+    Demand,
     Heartbeat,
     HeartbeatRequest,
     Message,
@@ -75,6 +76,7 @@
         added_at: When it became known.
         suspected_at: When it last left a message unacknowledged.
         unreachable: Names of services whose targets it cannot reach.
+        demand: Its requests of the last seconds, by service.
     """
 
     def __init__(self, contact: Contact) -> None:
@@ -88,6 +90,7 @@
         self.prefill_tokens: dict[str, int] = {}
         self.cores = 0.0
         self.unreachable: frozenset[str] = frozenset()
+        self.demand: list[Demand] = []
         self.was_contacted = False
         self.last_seen_at = float("-inf")
         self.added_at = now()
@@ -137,6 +140,7 @@
         self.own_digest: Callable[[], int] = lambda: 0
         self.own_has_history: Callable[[], bool] = lambda: False
         self.own_unreachable: Callable[[], list[str]] = list
+        self.own_demand: Callable[[], list[Demand]] = list
         self.on_heartbeat: Callable[[Heartbeat], None] = lambda heartbeat: None
         self.is_zone_unreachable: Callable[[str], bool] = lambda zone: False
         self._handlers: dict[type, Handler] = {
@@ -377,6 +381,7 @@
             digest=self.own_digest(),
             unreachable=self.own_unreachable(),
             has_history=self.own_has_history(),
+            demand=self.own_demand(),
         )
 
     def _next_hosts(self, *, owns_queues: bool) -> list[str]:
@@ -489,6 +494,7 @@
         peer.prefill_tokens = heartbeat.prefill_tokens
         peer.cores = heartbeat.cores
         peer.unreachable = frozenset(heartbeat.unreachable)
+        peer.demand = heartbeat.demand
         peer.last_seen_at = self._last_seen_at_by_zone[heartbeat.sender.zone] = now()
         self.on_heartbeat(heartbeat)
         for contact in heartbeat.contacts:
--- a/packages/serving/bergamotsaddle_serving/plain_run.py
+++ b/packages/serving/bergamotsaddle_serving/plain_run.py
@@ -12,7 +12,6 @@
     RequestError,
 )
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving.admission import add_jitter
 from bergamotsaddle_serving.attempt import (
     MAX_REFUSED_CONNECTIONS,
     NOT_RUN_STATUSES,
@@ -28,6 +27,7 @@
     end_to_end_headers,
 )
 from bergamotsaddle_serving.context import Context
+from bergamotsaddle_serving.decisions.admission import add_jitter
 from bergamotsaddle_serving.health import TargetState
 from bergamotsaddle_serving.messages import Dispatch, RawHeaders
 from bergamotsaddle_serving.race import Finish, Race
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -37,6 +37,8 @@
 from bergamotsaddle_serving.probe import serve_page
 from bergamotsaddle_serving.rate_exchange import RateExchange
 from bergamotsaddle_serving.resumption import Resumptions
+from bergamotsaddle_serving.return_exchange import ReturnExchange
+from bergamotsaddle_serving.room import Room
 from bergamotsaddle_serving.selector import Selector
 from bergamotsaddle_serving.service_reach import ServiceReach
 from bergamotsaddle_serving.settings import parse_settings
@@ -250,6 +252,15 @@
             logger,
             crashes=crashes,
         )
+        self.returns = ReturnExchange(self.peers)
+        self.room = Room(
+            self.health.reporting,
+            lambda: self.peers.roster().members,
+            self._team_shares,
+            self.returns,
+            policy,
+        )
+        self.peers.own_demand = self.room.report
         self.streams = streams = StreamServer(
             selector,
             waits,
@@ -263,6 +274,7 @@
             crashes=crashes,
             resumptions=resumptions,
             metrics=self.metrics,
+            room=self.room,
         )
         self.handler = Handler(
             self.view,
@@ -335,6 +347,10 @@
         self._stop(callers, relayed)
         _ignore_signals()
 
+    def _team_shares(self) -> dict[str, float]:
+        configuration = self.view.configuration
+        return configuration.share_by_team if configuration is not None else {}
+
     def is_ready(self) -> bool:
         """Return whether the load balancer should send callers here."""
         return self.view.is_complete() and not self._is_stopping
@@ -583,4 +599,14 @@
             lambda: len(self.origins),
         )
         gauge("targets_limited", "Targets that name a limit.", lambda: len(self.limits))
+        gauge(
+            "room_pressure",
+            "How far less urgent requests make room for others, 0 to 1.",
+            self.room.max_pressure,
+        )
+        gauge(
+            "callers_told",
+            "Rejected callers whose time to come back is kept here.",
+            lambda: len(self.returns.callers),
+        )
         gauge("log_dropped", "Dropped log lines.", lambda: self._output.dropped)
--- a/packages/serving/bergamotsaddle_serving/stage_calls.py
+++ b/packages/serving/bergamotsaddle_serving/stage_calls.py
@@ -9,9 +9,9 @@
     ConnectionLostError,
     ConnectionPool,
 )
+from bergamotsaddle_serving.decisions.stage_queue import QueuedPiece
 from bergamotsaddle_serving.messages import Dialect, HttpCall, Piece, PieceResult
 from bergamotsaddle_serving.named_limits import NamedLimits
-from bergamotsaddle_serving.stage_queue import QueuedPiece
 from bergamotsaddle_serving.target_notices import TargetNotices
 from bergamotsaddle_serving.target_rates import TargetRates
 from bergamotsaddle_serving.view import View
--- a/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
+++ b/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
@@ -9,14 +9,14 @@
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving._stage_worker import ServiceQueue, Worker
 from bergamotsaddle_serving.client import UNFINISHED, ConnectionLostError
+from bergamotsaddle_serving.decisions.stage_queue import (
+    QueuedPiece,
+    is_large,
+)
 from bergamotsaddle_serving.fetching import DEFAULT_FETCH_TIMES, FetchTimes
 from bergamotsaddle_serving.messages import PieceFailure, PieceResult
 from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
 from bergamotsaddle_serving.stage_calls import StageCalls
-from bergamotsaddle_serving.stage_queue import (
-    QueuedPiece,
-    is_large,
-)
 from bergamotsaddle_serving.stage_releases import StageReleases
 from bergamotsaddle_serving.stage_results import FinishedPiece, StageResults
 from bergamotsaddle_serving.suspect_parts import Work
--- a/packages/serving/bergamotsaddle_serving/stage_load.py
+++ b/packages/serving/bergamotsaddle_serving/stage_load.py
@@ -11,20 +11,28 @@
     return min(max(0, urgency), URGENCIES - 1)
 
 
-# Number of places in a queue that are distinguished: first the requests whose earlier
+# Number of places in a queue that follow each other: first the requests whose earlier
 # stages have run, in the order in which they are due, then each urgency of those that
 # have not started.
-PLACES = 1 + URGENCIES
+ORDERED_PLACES = 1 + URGENCIES
+# Behind them stand the places within the first one: the requests of each urgency but
+# the last one whose earlier stages have run.
+PLACES = ORDERED_PLACES + URGENCIES - 1
 
 
-def place(urgency: int, *, has_started: bool) -> int:
-    """Return the place at which pieces are counted; lower ones go first.
+def place(urgency: int, *, has_started: bool, by_urgency: bool = False) -> int:
+    """Return the place at which pieces are counted.
 
     Args:
         urgency: Urgency of the request, 0 first.
         has_started: Whether earlier stages of the request have run.
+        by_urgency: Whether less urgent requests that have started are left out.
     """
-    return 0 if has_started else 1 + level(urgency)
+    if not has_started:
+        return 1 + level(urgency)
+    if not by_urgency or level(urgency) == URGENCIES - 1:
+        return 0
+    return ORDERED_PLACES + level(urgency)
 
 
 def urgency_of(queue_place: int) -> int:
@@ -32,6 +40,8 @@
 
     Started requests of all urgencies share the first place.
     """
+    if queue_place >= ORDERED_PLACES:
+        return queue_place - ORDERED_PLACES
     return queue_place - 1 if queue_place else URGENCIES - 1
 
 
--- a/packages/serving/bergamotsaddle_serving/stage_owner.py
+++ b/packages/serving/bergamotsaddle_serving/stage_owner.py
@@ -8,6 +8,10 @@
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving._stage_worker import Sender, ServiceQueue, Worker
 from bergamotsaddle_serving.catalog import Target
+from bergamotsaddle_serving.decisions.stage_queue import (
+    PieceKey,
+    QueuedPiece,
+)
 from bergamotsaddle_serving.fetching import DEFAULT_FETCH_TIMES, FetchTimes
 from bergamotsaddle_serving.messages import Dialect, PieceFailure
 from bergamotsaddle_serving.owners import rank_owners
@@ -26,10 +30,6 @@
 from bergamotsaddle_serving.stage_calls import StageCalls
 from bergamotsaddle_serving.stage_dispatcher import StageDispatcher
 from bergamotsaddle_serving.stage_load import PLACES, place
-from bergamotsaddle_serving.stage_queue import (
-    PieceKey,
-    QueuedPiece,
-)
 from bergamotsaddle_serving.stage_releases import StageReleases
 from bergamotsaddle_serving.stage_results import StageResults
 from bergamotsaddle_serving.target_crashes import TargetCrashes
@@ -120,8 +120,9 @@
         incarnation = self._peers.incarnation_of(sender)
         queue.record_sender(message.request, Sender(sender, incarnation))
         self._record_started(queue, message)
+        lag = self._lag(queue, message)
         outcomes = [
-            self._add_piece(queue, message, number) for number in message.numbers
+            self._add_piece(queue, message, number, lag) for number in message.numbers
         ]
         queue.wake_workers()
         done = [outcome for outcome in outcomes if outcome is not None]
@@ -151,7 +152,11 @@
         stage = StageKey(message.request, message.stage, message.round)
         if queue.wait_errors.has(stage):
             return
-        queue_place = place(message.urgency, has_started=message.has_started)
+        queue_place = place(
+            message.urgency,
+            has_started=message.has_started,
+            by_urgency=message.by_urgency,
+        )
         load = self._load(queue)
         expected = load[queue_place] + load[PLACES]
         pieces = len(message.numbers)
@@ -342,14 +347,32 @@
             self.dispatcher.reject_if_no_target(queue)
             queue.wake_workers()
 
+    def _lag(self, queue: ServiceQueue, message: Submit) -> float:
+        """Return by how many seconds the pieces come after those of other teams.
+
+        Pieces that are submitted once more keep what they were given.
+        """
+        key = PieceKey(
+            message.request, message.stage, message.numbers[0], message.round
+        )
+        if not message.team or message.has_started or queue.knows(key):
+            return 0.0
+        if not len(queue.queue):
+            queue.turns.clear()
+        shares = self._view.configuration.share_by_team
+        workers = queue.available_workers()
+        rate = queue.queue.rate(len(workers), min(w.slowdown for w in workers))
+        share = shares.get(message.team, 1.0)
+        return queue.turns.lag(message.team, share, len(message.numbers), rate, now())
+
     def _add_piece(
-        self, queue: ServiceQueue, message: Submit, number: int
+        self, queue: ServiceQueue, message: Submit, number: int, lag: float
     ) -> PieceOutcome | None:
         """Add a piece to its queue; return its outcome if that is known already."""
         key = PieceKey(message.request, message.stage, number, message.round)
         if key in queue.outcome_by_key:
             return queue.outcome_by_key[key]
-        if key in queue.running or key in queue.queue.piece_by_key:
+        if queue.knows(key):
             return None
         at = now()
         zone, zone_bytes = self._local_zone(message)
@@ -367,6 +390,7 @@
                 zone=zone,
                 zone_bytes=zone_bytes,
                 fingerprint=message.fingerprint,
+                lag=lag,
             )
         )
         return None
--- a/packages/serving/bergamotsaddle_serving/stage_plan.py
+++ b/packages/serving/bergamotsaddle_serving/stage_plan.py
@@ -28,8 +28,11 @@
         started_at: When the request arrived.
         finish_seconds: Expected seconds from the last stage to the first event.
         policy: Enabled mechanisms.
+        by_urgency: Whether started requests are expected to wait for more urgent ones
+            only.
 
     Attributes:
+        by_urgency: As the argument.
         zone: Zone in which the stages should run.
         pieces: Number of pieces of each stage.
         needed: Stages that have pieces.
@@ -49,8 +52,10 @@
         started_at: float,
         finish_seconds: float,
         policy: Policy = FULL_POLICY,
+        by_urgency: bool = False,
     ) -> None:
         self._policy = policy
+        self.by_urgency = by_urgency
         self._route = route
         self.zone = zone
         self._started_at = started_at
@@ -68,7 +73,7 @@
             expected = load(
                 route.stages[stage].service,
                 zone,
-                place(urgency, has_started=has_started),
+                place(urgency, has_started=has_started, by_urgency=by_urgency),
             )
             self._expect(stage, expected)
         followed = {n for stage in route.stages for n in stage.after}
--- a/packages/serving/bergamotsaddle_serving/stage_results.py
+++ b/packages/serving/bergamotsaddle_serving/stage_results.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable, Iterable
 
 from bergamotsaddle_serving._stage_worker import ServiceQueue
+from bergamotsaddle_serving.decisions.stage_queue import PieceKey, QueuedPiece
 from bergamotsaddle_serving.messages import PieceFailure, PieceResult
 from bergamotsaddle_serving.peer_messages import PieceOutcome, Results, Started
 from bergamotsaddle_serving.peers import Peers
-from bergamotsaddle_serving.stage_queue import PieceKey, QueuedPiece
 
 FinishedPiece = tuple[PieceKey, PieceResult]
 
--- a/packages/serving/bergamotsaddle_serving/stage_run.py
+++ b/packages/serving/bergamotsaddle_serving/stage_run.py
@@ -121,6 +121,7 @@
         fingerprint: Fingerprint of the request.
         has_objective: Whether the first event is still due by the objective of the
             route. Once the caller has a part of the stream, only its patience counts.
+        team: Team of the request, empty if shares of teams don't apply.
     """
 
     def __init__(
@@ -139,7 +140,9 @@
         first_round: int = 0,
         fingerprint: str = "",
         has_objective: bool = True,
+        team: str = "",
     ) -> None:
+        self._team = team
         self._fingerprint = fingerprint
         self._has_objective = has_objective
         self._head = head
@@ -331,6 +334,8 @@
             remaining=remaining,
             round=submission.round,
             fingerprint=self._fingerprint,
+            team=self._team,
+            by_urgency=self._plan.by_urgency,
         )
         submission.unacknowledged += 1
         submission.next_at = at + _ACK_LIMIT_S
--- a/packages/serving/bergamotsaddle_serving/stage_waits.py
+++ b/packages/serving/bergamotsaddle_serving/stage_waits.py
@@ -178,7 +178,7 @@
             reported = self._peers.by_id[owners[0]].loads.get(service)
         if reported is None:
             return self._unknown_load(service)
-        drain, call, rate = reported[place], reported[-2], reported[-1]
+        drain, call, rate = _drain(reported, place), reported[-2], reported[-1]
         ahead = self._pending_ahead(service, scope, place)
         return StageLoad(drain + ahead / max(rate, _MIN_RATE), call, rate)
 
@@ -200,5 +200,10 @@
         return StageLoad(_UNKNOWN_QUEUE_S, call, 1 / call)
 
 
+def _drain(reported: list[float], place: int) -> float:
+    """Return the drain of a place, of all started requests if the owner tells less."""
+    return reported[place if place < len(reported) - 2 else 0]
+
+
 def _total(load: StageLoad) -> float:
     return load.drain + load.call
--- a/packages/serving/bergamotsaddle_serving/stream_inputs.py
+++ b/packages/serving/bergamotsaddle_serving/stream_inputs.py
@@ -138,7 +138,11 @@
                 service,
                 context.route.stages[stage],
                 count,
-                place(context.urgency, has_started=bool(plan.predecessors(stage))),
+                place(
+                    context.urgency,
+                    has_started=bool(plan.predecessors(stage)),
+                    by_urgency=plan.by_urgency,
+                ),
                 plan,
             ),
             pending=server.waits.pending,
@@ -146,6 +150,7 @@
             first_round=last.next_round if last is not None else 0,
             fingerprint=context.fingerprint,
             has_objective=has_objective,
+            team=server.room.sharing_team(context),
         )
 
     def _check_fetched_after(self, delay: float, run: EngineRun) -> None:
--- a/packages/serving/bergamotsaddle_serving/stream_output.py
+++ b/packages/serving/bergamotsaddle_serving/stream_output.py
@@ -1,5 +1,7 @@
 """What the caller of a stream has received."""
 
+from collections.abc import Callable
+
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.attempt import Response
 from bergamotsaddle_serving.caller import CallerConnection
@@ -13,6 +15,7 @@
     Args:
         caller: Connection that receives the response.
         last_id: Id of the last event that the caller has from an earlier request.
+        on_start: Called when the response starts.
 
     Attributes:
         last_id: Id of the last event that the caller has, None before the first one.
@@ -22,7 +25,13 @@
             on behind it.
     """
 
-    def __init__(self, caller: CallerConnection, last_id: str | None) -> None:
+    def __init__(
+        self,
+        caller: CallerConnection,
+        last_id: str | None,
+        on_start: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._on_start = on_start
         self._caller = caller
         self.last_id = last_id
         self.last_event_at = 0.0
@@ -34,6 +43,7 @@
         if self.has_started:
             return
         self.has_started = True
+        self._on_start()
         self._caller.start(
             response.head.status, list(end_to_end_headers(response.head.headers))
         )
--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -13,12 +13,6 @@
     RequestError,
 )
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving.admission import (
-    Forecast,
-    add_jitter,
-    admits,
-    retry_after,
-)
 from bergamotsaddle_serving.attempt import (
     MAX_REFUSED_CONNECTIONS,
     NOT_RUN_STATUSES,
@@ -31,6 +25,13 @@
 from bergamotsaddle_serving.catalog import Target
 from bergamotsaddle_serving.client import SILENT
 from bergamotsaddle_serving.context import MAX_LOGGED_NAMES, Context
+from bergamotsaddle_serving.decisions.admission import (
+    Forecast,
+    add_jitter,
+    admits,
+    retry_after,
+    seconds_until_room,
+)
 from bergamotsaddle_serving.engine_choice import EngineChoice
 from bergamotsaddle_serving.engine_run import EngineRun
 from bergamotsaddle_serving.events import StreamEvent
@@ -95,7 +96,12 @@
         self._server = server
         self._context = context
         self._inputs = StreamInputs(server, context)
-        self._output = StreamOutput(caller, context.head.last_event_id)
+        self._output = StreamOutput(
+            caller, context.head.last_event_id, self._record_start
+        )
+        # Seconds until the first event if all targets were idle.
+        self._idle_seconds = 0.0
+        self._is_missed = False
         self._exclude: set[str] = set()
         self.runs: list[EngineRun] = []
         # The current silence, or the last one.
@@ -118,6 +124,8 @@
         try:
             self._run()
         except RequestError as error:
+            if not self._output.has_started:
+                self._record_missed()
             if self._output.has_started:
                 route = self._context.route.name
                 self._server.metrics.count_cut_stream(route, error.detail)
@@ -242,8 +250,25 @@
             # died, and ending it would waste that. It is due only before the caller
             # gives up.
             forecast = forecast._replace(objective=forecast.remaining)
+        self._idle_seconds = forecast.idle_seconds
         more_urgent = self._server.urgencies.more_urgent_fraction(context.urgency)
-        is_admitted = admits(forecast, more_urgent, self._server.policy)
+        room, policy = self._server.room, self._server.policy
+        patience = room.patience(context)
+        is_admitted = admits(forecast, more_urgent, policy, patience=patience.fraction)
+        came_when_told = not is_admitted and room.came_when_told(
+            context, seconds=forecast.seconds, remaining=forecast.remaining
+        )
+        told = None
+        if not is_admitted and not came_when_told:
+            self._record_missed()
+            told = room.tell_return(
+                context,
+                room_in=seconds_until_room(
+                    forecast, more_urgent, policy, patience=patience.fraction
+                ),
+                remaining=forecast.remaining,
+            )
+        is_admitted = is_admitted or came_when_told
         self._server.logger.info(
             "admit" if is_admitted else "turn_away",
             request=context.head.id,
@@ -256,15 +281,35 @@
             urgency=context.urgency,
             more_urgent=round(more_urgent, 2),
             version=context.version,
+            pressure=round(patience.pressure, 2),
+            team=context.team.name if context.team is not None else "",
+            over_share=patience.is_over_share,
+            came_when_told=came_when_told,
+            told=round(told.seconds, 3) if told is not None else None,
+            has_place=told is not None and told.has_place,
         )
         if is_admitted:
+            if came_when_told:
+                self._server.metrics.count_return(context.route.name)
             return
         raise context.rejection_error(
             ErrorKind.DEADLINE_INFEASIBLE,
             f"expected to take {choice.seconds:.2f} s",
-            retry_after=retry_after(forecast),
+            retry_after=told.seconds if told is not None else retry_after(forecast),
         )
 
+    def _record_start(self) -> None:
+        """Record whether the first event is late although there was time for it."""
+        objective = self._context.route.objective
+        if now() - self._context.started_at > objective > self._idle_seconds:
+            self._record_missed()
+
+    def _record_missed(self) -> None:
+        if self._is_missed or self._context.origin is not None:
+            return
+        self._is_missed = True
+        self._server.room.record_missed(self._context)
+
     def _run_stages(self, choice: EngineChoice) -> None:
         try:
             self._inputs.run_stages(
@@ -277,6 +322,12 @@
                 # The error says that the request has not run, but an earlier attempt
                 # may have run it.
                 raise self._failure_error(error.detail) from error
+            if error.kind is ErrorKind.DEADLINE_INFEASIBLE:
+                told = self._server.room.tell_return(
+                    self._context, room_in=0.0, remaining=self._context.remaining
+                )
+                if told is not None:
+                    error.retry_after = told.seconds
             raise
 
     def _next_event_by(self) -> float:
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -11,6 +11,8 @@
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.client import ConnectionPool
 from bergamotsaddle_serving.context import Context
+from bergamotsaddle_serving.decisions.reporting_services import ReportingServices
+from bergamotsaddle_serving.decisions.urgency_distribution import UrgencyDistribution
 from bergamotsaddle_serving.engine_choice import (
     EngineChoice,
     EngineView,
@@ -21,8 +23,9 @@
 from bergamotsaddle_serving.fetching import DEFAULT_FETCH_TIMES, FetchTimes
 from bergamotsaddle_serving.messages import Dialect
 from bergamotsaddle_serving.metrics import Metrics
-from bergamotsaddle_serving.policy import FULL_POLICY, Policy
+from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
 from bergamotsaddle_serving.resumption import Resumptions
+from bergamotsaddle_serving.room import Room
 from bergamotsaddle_serving.selector import Candidate, Selector
 from bergamotsaddle_serving.silence import KnownSilences
 from bergamotsaddle_serving.stage_exchange import StageExchange
@@ -30,7 +33,6 @@
 from bergamotsaddle_serving.stage_waits import StageWaits
 from bergamotsaddle_serving.stream_run import StreamRun
 from bergamotsaddle_serving.target_crashes import TargetCrashes
-from bergamotsaddle_serving.urgency_distribution import UrgencyDistribution
 from bergamotsaddle_serving.version_choice import prefer_replicated_versions
 
 # How long an engine is assumed to cache the shared prefix of a prompt that it read for
@@ -58,6 +60,7 @@
         crashes: Detects crashed engines and the requests that they were running.
         resumptions: Knows which engines may go on with a stream.
         metrics: Counts attempts that were given up, and streams that were cut.
+        room: Decides who gets room that is short, None to leave it to each request.
 
     Attributes:
         ongoing_runs: Requests that were sent to an engine.
@@ -78,7 +81,9 @@
         crashes: TargetCrashes,
         resumptions: Resumptions,
         metrics: Metrics | None = None,
+        room: Room | None = None,
     ) -> None:
+        self.room = room or Room(ReportingServices())
         self.metrics = metrics or Metrics()
         self.policy = policy
         self.resumptions = resumptions
@@ -130,6 +135,7 @@
             RequestError: If the request fails.
         """
         self.urgencies.record(context.urgency, now())
+        self.room.record_arrival(context)
         run = StreamRun(self, self.resumptions.resume(context), caller)
         try:
             run.run()
@@ -222,6 +228,7 @@
             started_at=context.started_at,
             finish_seconds=finish_seconds,
             policy=self.policy,
+            by_urgency=self.room.applies(context, Mechanism.URGENT_ROOM),
         )
 
     def candidate(self, context: Context, engine: EngineView) -> Candidate | None:
--- a/tests/test_admission_forecast.py
+++ b/tests/test_admission_forecast.py
@@ -4,7 +4,7 @@
 
 from parameterized import parameterized
 
-from bergamotsaddle_serving.admission import Forecast, admits, retry_after
+from bergamotsaddle_serving.decisions.admission import Forecast, admits, retry_after
 from bergamotsaddle_serving.stage_load import PendingWork, StageLoad
 
 CALM = Forecast(seconds=0.5, idle_seconds=0.4, objective=1.0, remaining=4.0)
--- a/tests/test_leaving_targets.py
+++ b/tests/test_leaving_targets.py
@@ -8,9 +8,9 @@
 
 from bergamotsaddle_serving.attempt import Attempt, NotRunError
 from bergamotsaddle_serving.client import ConnectionLostError
+from bergamotsaddle_serving.decisions.stage_queue import PieceKey
 from bergamotsaddle_serving.messages import Dispatch
 from bergamotsaddle_serving.stage_calls import StageCalls
-from bergamotsaddle_serving.stage_queue import PieceKey
 from tests._paused import advance
 from tests.test_serving_view import TARGET, at, entry, make_view
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -4,14 +4,14 @@
 
 from parameterized import parameterized
 
-from bergamotsaddle_serving.admission import Forecast, admits
-from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
-from bergamotsaddle_serving.stage_queue import (
+from bergamotsaddle_serving.decisions.admission import Forecast, admits
+from bergamotsaddle_serving.decisions.stage_queue import (
     OtherTarget,
     PieceKey,
     QueuedPiece,
     StageQueue,
 )
+from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
 from tests._stages import FOUR_PER_CALL
 
 LARGE = 3_000_000
--- a/tests/test_stage_owner.py
+++ b/tests/test_stage_owner.py
@@ -15,6 +15,11 @@
 from bergamotsaddle_serving.catalog import Kind, Route, Share, Stage
 from bergamotsaddle_serving.client import ConnectionLostError
 from bergamotsaddle_serving.crash_history import CrashedRun
+from bergamotsaddle_serving.decisions.stage_queue import (
+    PieceKey,
+    QueuedPiece,
+    StageQueue,
+)
 from bergamotsaddle_serving.gossip import Gossip
 from bergamotsaddle_serving.messages import (
     PieceFailure,
@@ -35,7 +40,6 @@
 from bergamotsaddle_serving.stage_load import PendingWork, ScopeLoad, StageLoad
 from bergamotsaddle_serving.stage_owner import StageOwner
 from bergamotsaddle_serving.stage_plan import StagePlan
-from bergamotsaddle_serving.stage_queue import PieceKey, QueuedPiece, StageQueue
 from bergamotsaddle_serving.stage_run import StageRun
 from bergamotsaddle_serving.stream_inputs import StreamInputs
 from bergamotsaddle_serving.suspects import MAX_CRASHES, Suspects
--- a/tests/test_stage_queue.py
+++ b/tests/test_stage_queue.py
@@ -4,14 +4,14 @@
 
 from parameterized import parameterized
 
-from bergamotsaddle_serving.result_memory import ResultMemory
-from bergamotsaddle_serving.stage_load import place
-from bergamotsaddle_serving.stage_queue import (
+from bergamotsaddle_serving.decisions.stage_queue import (
     OtherTarget,
     PieceKey,
     QueuedPiece,
     StageQueue,
 )
+from bergamotsaddle_serving.result_memory import ResultMemory
+from bergamotsaddle_serving.stage_load import place
 from tests._stages import FOUR_PER_CALL
 
 LARGE = 3_000_000
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -9,9 +9,9 @@
 from bergamotsaddle_platform.dialect import PlatformDialect
 from bergamotsaddle_serving.attempt import Attempt, NotRunError
 from bergamotsaddle_serving.client import RawResponseHead
+from bergamotsaddle_serving.decisions.stage_queue import PieceKey
 from bergamotsaddle_serving.health import Health
 from bergamotsaddle_serving.stage_calls import StageCalls
-from bergamotsaddle_serving.stage_queue import PieceKey
 from bergamotsaddle_serving.zone_reach import ZoneReach
 from tests._notices import make_instances
 from tests._paused import advance, use_paused_clock
--- a/tests/test_urgency.py
+++ b/tests/test_urgency.py
@@ -13,7 +13,11 @@
     Share,
     Team,
 )
-from bergamotsaddle_serving.stage_queue import PieceKey, QueuedPiece, StageQueue
+from bergamotsaddle_serving.decisions.stage_queue import (
+    PieceKey,
+    QueuedPiece,
+    StageQueue,
+)
 
 BATCHING = Batching(
     slots=1,
--- a/tests/test_urgency_distribution.py
+++ b/tests/test_urgency_distribution.py
@@ -4,8 +4,8 @@
 
 from parameterized import parameterized
 
-from bergamotsaddle_serving.admission import Forecast, admits
-from bergamotsaddle_serving.urgency_distribution import UrgencyDistribution
+from bergamotsaddle_serving.decisions.admission import Forecast, admits
+from bergamotsaddle_serving.decisions.urgency_distribution import UrgencyDistribution
 
 NEARLY_FULL = Forecast(seconds=0.9, idle_seconds=0.4, objective=1.4, remaining=5.0)
 
--- a/tests/test_wait_errors.py
+++ b/tests/test_wait_errors.py
@@ -4,7 +4,7 @@
 
 from parameterized import parameterized
 
-from bergamotsaddle_serving.admission import Forecast, admits
+from bergamotsaddle_serving.decisions.admission import Forecast, admits
 from bergamotsaddle_serving.stage_load import PLACES
 from bergamotsaddle_serving.wait_errors import StageKey, WaitErrors
 
