--- a/packages/serving/bergamotsaddle_serving/room.py
+++ b/packages/serving/bergamotsaddle_serving/room.py
@@ -250,7 +250,8 @@
             for report in member.demand:
                 by_service.setdefault(report.service, []).append(report)
         self._sums_by_service = {}
-        for service, counts in self._counts_by_service.items():
+        for service in {*by_service, *self._counts_by_service}:
+            counts = self._counts_by_service.get(service) or RoomCounts()
             own = counts.report(service, at, names_teams=True)
             totals = RoomTotals([*by_service.get(service, ()), own])
             level = fair_level(totals, self._share)
