Count what room can mend, and keep teams apart within an urgency only

Whole teams were held to half of their wait while any 0.03 of all requests were missed, also for their most urgent requests, and the rejections that this made kept it in force.

Change: a late first event counts if it had been on time without the wait in stage queues; teams are held to three quarters of the wait, and only while 0.05 of the requests of the same urgency are missed.

--- a/packages/serving/bergamotsaddle_serving/decisions/room_counts.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/room_counts.py
@@ -15,6 +15,8 @@
 # fleet, shorter than the bursts that change who is missed.
 WINDOW_S = 3.0
 _BUCKET_S = 0.5
+# With fewer recent requests of an urgency, the fraction that is missed says little.
+_MIN_ARRIVED = 8
 # Teams that a report names at most.
 _MAX_REPORTED_TEAMS = 4
 # Teams that one instance counts apart in each bucket; the requests of further ones are
@@ -30,8 +32,8 @@
 class RoomCounts:
     """Recent requests of one service at this instance.
 
-    A request is missed if it is rejected, or if its first event is late although there
-    would have been time on idle targets.
+    A request is missed if it is rejected, or if its first event is late because it had
+    to wait in stage queues.
     """
 
     def __init__(self) -> None:
@@ -120,6 +122,16 @@
         """Fraction of all requests that are missed."""
         return min(1.0, sum(self.missed) / max(1, sum(self.arrived)))
 
+    def missed_at(self, urgency: int) -> float:
+        """Return the fraction of the requests of an urgency that are missed.
+
+        With few requests it is 0, since one that is missed says little.
+        """
+        arrived = self.arrived[level(urgency)]
+        if arrived < _MIN_ARRIVED:
+            return 0.0
+        return min(1.0, self.missed[level(urgency)] / arrived)
+
     @property
     def served_per_s(self) -> float:
         """Requests per second that are neither rejected nor late."""
--- a/packages/serving/bergamotsaddle_serving/decisions/team_shares.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/team_shares.py
@@ -12,14 +12,14 @@
 
 from bergamotsaddle_serving.decisions.room_counts import WINDOW_S, RoomTotals
 
-# Teams come in the order of their shares while more than this fraction of all requests
-# is missed.
-_SHORT_MISSED_FRACTION = 0.03
+# Teams come in the order of their shares while more than this fraction of the requests
+# of their urgency is missed.
+_SHORT_MISSED_FRACTION = 0.05
 # A team without a share gets what the others leave, but is not left out for ever.
 _MIN_SHARE = 0.01
 # The fraction of the usual wait that requests of a team may be expected to wait while
 # it uses more than its share. The difference is left to the other teams.
-OVER_SHARE_PATIENCE = 0.5
+OVER_SHARE_PATIENCE = 0.75
 # By how long the pieces of such a team may come after others that arrived with them.
 _MAX_LAG_S = 2.0
 
@@ -31,18 +31,17 @@
 def fair_level(totals: RoomTotals, share: Callable[[int], float]) -> float:
     """Return the requests, relative to its share, from which on a team uses more.
 
-    The room that teams with few requests leave is divided among the others.
+    The room that teams with few requests leave is divided among the others, as far as
+    requests are missed.
 
     Args:
         totals: Recent requests of the service in the fleet.
         share: Returns the share of a team by its key.
 
     Returns:
-        Requests within the window per unit of the share; infinite unless room is
-        short.
+        Requests within the window per unit of the share; infinite if there is room for
+        all.
     """
-    if totals.missed_fraction < _SHORT_MISSED_FRACTION or not totals.teams:
-        return inf
     shares = {key: _positive(share(key)) for key in totals.teams}
     # Reports name only some of the teams, so the room is a fraction of what they name.
     room = sum(totals.teams.values()) * (1.0 - totals.missed_fraction)
@@ -58,16 +57,26 @@
 
 
 def is_over_share(
-    totals: RoomTotals, key: int, level: float, share: Callable[[int], float]
+    totals: RoomTotals,
+    urgency: int,
+    key: int,
+    level: float,
+    share: Callable[[int], float],
 ) -> bool:
-    """Return whether a team sent more than its share lately.
+    """Return whether a team uses more than its share while room is short.
+
+    Room is short for each urgency by itself: a team that sends much makes no room for
+    less urgent requests of other teams.
 
     Args:
         totals: Recent requests of the service in the fleet.
+        urgency: Urgency of the request, 0 first.
         key: Key of the team.
         level: The level of ``fair_level``.
         share: Returns the share of a team by its key.
     """
+    if totals.missed_at(urgency) < _SHORT_MISSED_FRACTION:
+        return False
     return totals.teams[key] > level * _positive(share(key))
 
 
--- a/packages/serving/bergamotsaddle_serving/decisions/urgent_room.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/urgent_room.py
@@ -11,8 +11,6 @@
 from bergamotsaddle_serving.decisions.room_counts import RoomTotals
 from bergamotsaddle_serving.stage_load import level
 
-# With fewer recent requests of an urgency in the fleet, one that is missed says little.
-_MIN_ARRIVED = 8
 # By how much more often more urgent requests may be missed without any effect, and
 # from where on the effect is full. Callers count a loss from 0.05 on.
 _TOLERATED_GAP = 0.02
@@ -34,18 +32,11 @@
         urgency: Urgency of the request, 0 first.
     """
     own = level(urgency)
-    worst = max((_missed_fraction(totals, n) for n in range(own)), default=0.0)
-    gap = worst - _missed_fraction(totals, own)
+    worst = max((totals.missed_at(n) for n in range(own)), default=0.0)
+    gap = worst - totals.missed_at(own)
     return min(1.0, max(0.0, (gap - _TOLERATED_GAP) / (_FULL_GAP - _TOLERATED_GAP)))
 
 
-def _missed_fraction(totals: RoomTotals, urgency_level: int) -> float:
-    arrived = totals.arrived[urgency_level]
-    if arrived < _MIN_ARRIVED:
-        return 0.0
-    return min(1.0, totals.missed[urgency_level] / arrived)
-
-
 def patience(pressure: float) -> float:
     """Return the fraction of its usual wait that a request may be expected to wait."""
     return max(MIN_PATIENCE, 1.0 - pressure)
--- a/packages/serving/bergamotsaddle_serving/room.py
+++ b/packages/serving/bergamotsaddle_serving/room.py
@@ -142,7 +142,9 @@
         team = self.sharing_team(context)
         if team:
             key = team_key(team)
-            is_over = is_over_share(sums.totals, key, sums.level, self._share)
+            is_over = is_over_share(
+                sums.totals, context.urgency, key, sums.level, self._share
+            )
         fraction = patience(pressed)
         if is_over:
             fraction = min(fraction, OVER_SHARE_PATIENCE)
--- a/packages/serving/bergamotsaddle_serving/stream_inputs.py
+++ b/packages/serving/bergamotsaddle_serving/stream_inputs.py
@@ -29,10 +29,12 @@
     Attributes:
         handles: Handles of the results; None before the stages have run, and once an
             engine has fetched them.
+        waited: Seconds by which the stages took longer than on idle targets.
     """
 
     def __init__(self, server: "StreamServer", context: Context) -> None:
         self.handles: tuple[str, ...] | None = None
+        self.waited = 0.0
         self._server = server
         self._context = context
         self._stages: StageRun | None = None
@@ -68,6 +70,7 @@
         self._last_stages = self._stages
         outcome = self._stages.run()
         self.handles = outcome.handles
+        self.waited = max(0.0, outcome.seconds - plan.idle_seconds())
         self._server.logger.info(
             "stages_done",
             request=context.head.id,
--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -99,8 +99,6 @@
         self._output = StreamOutput(
             caller, context.head.last_event_id, self._record_start
         )
-        # Seconds until the first event if all targets were idle.
-        self._idle_seconds = 0.0
         self._is_missed = False
         self._exclude: set[str] = set()
         self.runs: list[EngineRun] = []
@@ -250,7 +248,6 @@
             # died, and ending it would waste that. It is due only before the caller
             # gives up.
             forecast = forecast._replace(objective=forecast.remaining)
-        self._idle_seconds = forecast.idle_seconds
         more_urgent = self._server.urgencies.more_urgent_fraction(context.urgency)
         room, policy = self._server.room, self._server.policy
         patience = room.patience(context)
@@ -299,9 +296,12 @@
         )
 
     def _record_start(self) -> None:
-        """Record whether the first event is late although there was time for it."""
-        objective = self._context.route.objective
-        if now() - self._context.started_at > objective > self._idle_seconds:
+        """Record whether the first event is late because the stages had to wait.
+
+        Other requests can't leave room for one that is late at its engine.
+        """
+        seconds = now() - self._context.started_at
+        if seconds > self._context.route.objective >= seconds - self._inputs.waited:
             self._record_missed()
 
     def _record_missed(self) -> None:
