--- a/packages/serving/bergamotsaddle_serving/stream_inputs.py
+++ b/packages/serving/bergamotsaddle_serving/stream_inputs.py
@@ -29,12 +29,12 @@
     Attributes:
         handles: Handles of the results; None before the stages have run, and once an
             engine has fetched them.
-        waited: Seconds by which the stages took longer than on idle targets.
     """
 
     def __init__(self, server: "StreamServer", context: Context) -> None:
         self.handles: tuple[str, ...] | None = None
-        self.waited = 0.0
+        # The last plan, and how long its stages took.
+        self._done: tuple[StagePlan, float] | None = None
         self._server = server
         self._context = context
         self._stages: StageRun | None = None
@@ -70,7 +70,7 @@
         self._last_stages = self._stages
         outcome = self._stages.run()
         self.handles = outcome.handles
-        self.waited = max(0.0, outcome.seconds - plan.idle_seconds())
+        self._done = (plan, outcome.seconds)
         self._server.logger.info(
             "stages_done",
             request=context.head.id,
@@ -80,6 +80,13 @@
             stages=outcome.stages,
         )
 
+    def waited(self) -> float:
+        """Return by how many seconds the stages took longer than on idle targets."""
+        if self._done is None:
+            return 0.0
+        plan, seconds = self._done
+        return max(0.0, seconds - plan.idle_seconds())
+
     def release_when_fetched(self, run: EngineRun, sent_bytes: int) -> None:
         """Release the results once the engine has certainly fetched them.
 
--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -301,7 +301,8 @@
         Other requests can't leave room for one that is late at its engine.
         """
         seconds = now() - self._context.started_at
-        if seconds > self._context.route.objective >= seconds - self._inputs.waited:
+        objective = self._context.route.objective
+        if seconds > objective >= seconds - self._inputs.waited():
             self._record_missed()
 
     def _record_missed(self) -> None:
