--- a/packages/serving/bergamotsaddle_serving/metrics.py
+++ b/packages/serving/bergamotsaddle_serving/metrics.py
@@ -58,6 +58,7 @@
         self._cut_streams: Counter[tuple[str, str]] = Counter()
         self._silences: Counter[tuple[str, str]] = Counter()
         self._hedges: Counter[tuple[str, str]] = Counter()
+        self._returns: Counter[tuple[str, str]] = Counter()
         self._durations_by_route: dict[str, _Histogram] = {}
         self._gauges: list[_Gauge] = []
 
@@ -82,6 +83,10 @@
         """Count a hedge of a slow request, or the lack of one."""
         self._hedges[route, end] += 1
 
+    def count_return(self, route: str) -> None:
+        """Count a caller that was admitted because it came back when told."""
+        self._returns[route, "admitted"] += 1
+
     def add_gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Add a gauge.
 
@@ -130,6 +135,12 @@
                 "end",
                 self._hedges,
             ),
+            (
+                "returns",
+                "Callers that came back when told, by route and outcome.",
+                "outcome",
+                self._returns,
+            ),
         )
         for name, text, label, count_by_labels in counters:
             family = core.CounterMetricFamily(
--- a/packages/serving/bergamotsaddle_serving/stream_inputs.py
+++ b/packages/serving/bergamotsaddle_serving/stream_inputs.py
@@ -33,6 +33,8 @@
 
     def __init__(self, server: "StreamServer", context: Context) -> None:
         self.handles: tuple[str, ...] | None = None
+        # The last plan, and how long its stages took.
+        self._done: tuple[StagePlan, float] | None = None
         self._server = server
         self._context = context
         self._stages: StageRun | None = None
@@ -68,6 +70,7 @@
         self._last_stages = self._stages
         outcome = self._stages.run()
         self.handles = outcome.handles
+        self._done = (plan, outcome.seconds)
         self._server.logger.info(
             "stages_done",
             request=context.head.id,
@@ -77,6 +80,13 @@
             stages=outcome.stages,
         )
 
+    def waited(self) -> float:
+        """Return by how many seconds the stages took longer than on idle targets."""
+        if self._done is None:
+            return 0.0
+        plan, seconds = self._done
+        return max(0.0, seconds - plan.idle_seconds())
+
     def release_when_fetched(self, run: EngineRun, sent_bytes: int) -> None:
         """Release the results once the engine has certainly fetched them.
 
@@ -138,7 +148,11 @@
                 service,
                 context.route.stages[stage],
                 count,
-                place(context.urgency, has_started=bool(plan.predecessors(stage))),
+                place(
+                    context.urgency,
+                    has_started=bool(plan.predecessors(stage)),
+                    by_urgency=plan.by_urgency,
+                ),
                 plan,
             ),
             pending=server.waits.pending,
@@ -146,6 +160,7 @@
             first_round=last.next_round if last is not None else 0,
             fingerprint=context.fingerprint,
             has_objective=has_objective,
+            team=server.room.sharing_team(context),
         )
 
     def _check_fetched_after(self, delay: float, run: EngineRun) -> None:
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -12,6 +12,8 @@
 from bergamotsaddle_serving.client import ConnectionPool
 from bergamotsaddle_serving.context import Context
 from bergamotsaddle_serving.decisions.fleet_start import FleetStart
+from bergamotsaddle_serving.decisions.reporting_services import ReportingServices
+from bergamotsaddle_serving.decisions.urgency_distribution import UrgencyDistribution
 from bergamotsaddle_serving.engine_choice import (
     EngineChoice,
     EngineView,
@@ -22,8 +24,9 @@
 from bergamotsaddle_serving.fetching import DEFAULT_FETCH_TIMES, FetchTimes
 from bergamotsaddle_serving.messages import Dialect
 from bergamotsaddle_serving.metrics import Metrics
-from bergamotsaddle_serving.policy import FULL_POLICY, Policy
+from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
 from bergamotsaddle_serving.resumption import Resumptions
+from bergamotsaddle_serving.room import Room
 from bergamotsaddle_serving.selector import Candidate, Selector
 from bergamotsaddle_serving.silence import KnownSilences
 from bergamotsaddle_serving.stage_exchange import StageExchange
@@ -31,7 +34,6 @@
 from bergamotsaddle_serving.stage_waits import StageWaits
 from bergamotsaddle_serving.stream_run import StreamRun
 from bergamotsaddle_serving.target_crashes import TargetCrashes
-from bergamotsaddle_serving.urgency_distribution import UrgencyDistribution
 from bergamotsaddle_serving.version_choice import prefer_replicated_versions
 
 # How long an engine is assumed to cache the shared prefix of a prompt that it read for
@@ -60,6 +62,7 @@
         resumptions: Knows which engines may go on with a stream.
         metrics: Counts attempts that were given up, and streams that were cut.
         fleet_start: How long requests wait for owners of queues after a start.
+        room: Decides who gets room that is short, None to leave it to each request.
 
     Attributes:
         ongoing_runs: Requests that were sent to an engine.
@@ -81,7 +84,9 @@
         resumptions: Resumptions,
         metrics: Metrics | None = None,
         fleet_start: FleetStart | None = None,
+        room: Room | None = None,
     ) -> None:
+        self.room = room or Room(ReportingServices())
         self.metrics = metrics or Metrics()
         self._fleet_start = fleet_start
         self.policy = policy
@@ -134,6 +139,7 @@
             RequestError: If the request fails.
         """
         self.urgencies.record(context.urgency, now())
+        self.room.record_arrival(context)
         run = StreamRun(self, self.resumptions.resume(context), caller)
         try:
             run.run()
@@ -248,6 +254,7 @@
             started_at=context.started_at,
             finish_seconds=finish_seconds,
             policy=self.policy,
+            by_urgency=self.room.applies(context, Mechanism.URGENT_ROOM),
         )
 
     def candidate(self, context: Context, engine: EngineView) -> Candidate | None:
