--- a/packages/serving/bergamotsaddle_serving/engine_choice.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/engine_choice.py
@@ -3,10 +3,14 @@
 This module does no input or output.
 """
 
+import math
 from collections.abc import Callable, Sequence
+from functools import lru_cache
 from typing import NamedTuple
 
 from bergamotsaddle_daemon._rendezvous import rendezvous_weight
+from bergamotsaddle_serving.decisions.engine_speeds import USUAL_SPEED, EngineSpeed
+from bergamotsaddle_serving.decisions.stream_ends import EndForecast, StreamEnd
 from bergamotsaddle_serving.messages import PromptPart
 from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
 
@@ -21,6 +25,11 @@
 _MOVE_GAIN_S = 0.15
 # The fraction of the objective that a forecast may use; the remainder absorbs variance.
 _MAX_OBJECTIVE_FRACTION = 0.8
+# If no engine is certain to end a stream in time, another one must raise its chance by
+# this much to justify another prefill.
+_MIN_CHANCE_GAIN = 0.2
+_MAX_CACHED_DISTANCES = 16_384
+_MAX_HASH = 1 << 64
 
 
 class EngineView(NamedTuple):
@@ -35,6 +44,7 @@
         has_cached_prefix: Whether this instance recently had the engine prefill the
             shared parts.
         delay: Extra seconds to count, such as after a recent failure.
+        speed: Its speed.
     """
 
     id: str
@@ -44,6 +54,7 @@
     tokens_ahead: int
     has_cached_prefix: bool
     delay: float = 0.0
+    speed: EngineSpeed = USUAL_SPEED
 
 
 class EngineChoice(NamedTuple):
@@ -55,6 +66,7 @@
         finish_seconds: Seconds of these after the last stage.
         idle_seconds: Seconds after the last stage if the engine were idle.
         reason: Why the engine was chosen.
+        end: When the stream is going to end, None if that is unknown.
     """
 
     engine: EngineView
@@ -62,6 +74,7 @@
     finish_seconds: float
     idle_seconds: float
     reason: str
+    end: EndForecast | None = None
 
 
 def prefix_key(prompt: Sequence[PromptPart]) -> str:
@@ -106,6 +119,7 @@
     stage_seconds: Callable[[str], float],
     tokens_per_s: float = DEFAULT_PREFILL_TOKENS_PER_S,
     policy: Policy = FULL_POLICY,
+    ending: StreamEnd | None = None,
 ) -> EngineChoice | None:
     """Choose an engine for a request.
 
@@ -113,7 +127,11 @@
     fraction of the traffic. Rendezvous hashing of the shared parts gives all instances
     the same preferred engine without communication, so the parts are prefilled once
     rather than once per engine. Another engine is chosen only if the preferred one
-    would be late and the other one is faster by more than the extra prefill costs.
+    would be late and the other one is faster by more than the extra prefill costs, or
+    if the preferred one may not end the stream in time and the other one can.
+
+    Engines are weighted by their pace. If one pace changes, only parts that go to or
+    leave that engine move.
 
     Args:
         engines: The candidates.
@@ -124,6 +142,7 @@
             zone.
         tokens_per_s: Prompt tokens that an engine prefills per second.
         policy: Enabled mechanisms.
+        ending: What the end of the stream depends on, None to leave it out.
 
     Returns:
         The choice, None if there are no candidates.
@@ -131,12 +150,10 @@
     if not engines:
         return None
     key = prefix_key(prompt)
-    by_weight = sorted(
-        engines, key=lambda e: rendezvous_weight(e.id, key), reverse=True
-    )
+    by_distance = sorted(engines, key=lambda e: _distance(e.id, key) / e.speed.weight)
     own_tokens = unshared_tokens(prompt, prompt_tokens)
     choices = []
-    for rank, engine in enumerate(by_weight):
+    for rank, engine in enumerate(by_distance):
         is_preferred = rank == 0
         tokens = (
             own_tokens if is_preferred or engine.has_cached_prefix else prompt_tokens
@@ -148,13 +165,74 @@
         )
         idle = _BASE_S + tokens / tokens_per_s
         choices.append(EngineChoice(engine, total, finish, idle, reason))
+    choice = _choose_by_first_event(choices, objective, policy)
+    if ending is None:
+        return choice
+    return _choose_by_end(choices, choice, ending, objective)
+
+
+def _choose_by_first_event(
+    choices: Sequence[EngineChoice], objective: float, policy: Policy
+) -> EngineChoice:
+    """Choose the preferred engine unless its first event would be late."""
     preferred = choices[0]
     if not policy.has(Mechanism.ENGINE_HOMES):
         return min(choices, key=lambda choice: choice.seconds)
+    # The speed does not decide whether parts leave their preferred engine: a slow one
+    # would then have its parts read again at other ones with each request.
     if preferred.seconds <= _MAX_OBJECTIVE_FRACTION * objective:
         return preferred
-    best = min(choices, key=lambda choice: choice.seconds)
-    return best if best.seconds < preferred.seconds - _MOVE_GAIN_S else preferred
+    best = min(choices, key=_seconds_at_speed)
+    gain = _seconds_at_speed(preferred) - _seconds_at_speed(best)
+    return best if gain > _MOVE_GAIN_S else preferred
+
+
+def _choose_by_end(
+    choices: Sequence[EngineChoice],
+    choice: EngineChoice,
+    ending: StreamEnd,
+    objective: float,
+) -> EngineChoice:
+    """Keep a choice unless another engine ends the stream in time and it may not.
+
+    The next engine in the order of preference that can is chosen, so that all instances
+    send long streams about the same parts to the same one.
+    """
+    end = _forecast_end(choice, ending)
+    if end.is_certain:
+        return choice._replace(end=end)
+    others = [other._replace(end=_forecast_end(other, ending)) for other in choices]
+    for other in others:
+        is_late = other.seconds > max(choice.seconds, objective)
+        if other.end.is_certain and not is_late:
+            return other
+    best = max(others, key=lambda other: other.end.chance)
+    is_better = best.end.chance - end.chance >= _MIN_CHANCE_GAIN
+    return best if is_better else choice._replace(end=end)
+
+
+def _forecast_end(choice: EngineChoice, ending: StreamEnd) -> EndForecast:
+    engine = choice.engine
+    return ending.forecast(
+        engine.speed, engine.running, engine.slots, _seconds_at_speed(choice)
+    )
+
+
+def _seconds_at_speed(choice: EngineChoice) -> float:
+    """Return the seconds until the first event at the speed of the engine."""
+    reading = choice.engine.speed.reading
+    return choice.seconds + (reading - 1.0) * choice.finish_seconds
+
+
+@lru_cache(maxsize=_MAX_CACHED_DISTANCES)
+def _distance(candidate: str, key: str) -> float:
+    """Return the distance of a candidate from a key; the nearest one is preferred.
+
+    Divided by weights, distances give each candidate its share of the keys. If all
+    weights are equal, the order is that of the rendezvous weights.
+    """
+    weight = int.from_bytes(rendezvous_weight(candidate, key), "big")
+    return -math.log((weight + 1) / _MAX_HASH)
 
 
 def _finish_seconds(engine: EngineView, tokens: int, tokens_per_s: float) -> float:
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/decisions/stream_ends.py
@@ -0,0 +1,228 @@
+"""When a stream is going to end, and whether an engine can end it in time.
+
+This module does no input or output.
+"""
+
+import math
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from bergamotsaddle_serving.decisions.engine_speeds import EngineSpeed, load_factor
+from bergamotsaddle_serving.decisions.shared_figures import FigureSender, SharedFigures
+from bergamotsaddle_serving.gossip import Gossip, Topic
+from bergamotsaddle_serving.messages import RequestHead
+from bergamotsaddle_serving.peer_messages import Fact
+
+LENGTHS = Topic("stream_length", ttl_seconds=3_600.0, max_facts=2_000)
+# Range of the events that a stream has for a token of its hint or its maximum.
+_EVENTS_PER_TOKEN = (0.0001, 20.0)
+# How far hints are off before any stream has ended, as the standard deviation of a
+# natural logarithm, and the number of streams that this counts for.
+_INITIAL_SPREAD = 0.7
+_INITIAL_STREAMS = 4.0
+_MIN_SPREAD = 0.1
+# Chance of an end in time from which on a stream may stay, and below which it is
+# rejected. Lengths are uncertain, so only a stream without a prospect is.
+_CERTAIN = 0.98
+_HOPELESS = 0.1
+# Streams after which what was learnt gives way to newer ones.
+_MAX_STREAMS = 200.0
+# An engine without memory for all its requests takes at most this much longer.
+_MAX_MEMORY_FACTOR = 2.0
+_TOKENS_WEIGHT = 0.05
+
+
+class StreamLength(NamedTuple):
+    """Events that a stream may have.
+
+    Attributes:
+        usual: Half of such streams are shorter.
+        spread: Standard deviation of the natural logarithm of the length.
+    """
+
+    usual: float
+    spread: float
+
+
+class _Spread:
+    """How far the lengths of streams are off what was expected."""
+
+    def __init__(self) -> None:
+        self.streams = _INITIAL_STREAMS
+        self._squares = _INITIAL_STREAMS * _INITIAL_SPREAD**2
+
+    def add(self, deviation: float) -> None:
+        """Add the deviation of one stream, as a natural logarithm."""
+        if self.streams >= _MAX_STREAMS:
+            self.streams /= 2.0
+            self._squares /= 2.0
+        self.streams += 1.0
+        self._squares += deviation**2
+
+    @property
+    def value(self) -> float:
+        """Standard deviation."""
+        return max(_MIN_SPREAD, math.sqrt(self._squares / self.streams))
+
+
+class StreamLengths:
+    """How many events streams have for what their callers say of their lengths.
+
+    A caller names a maximum, and perhaps a hint. All instances learn together how many
+    events a kind of request has for a token of either; how far single streams are off,
+    each instance learns by itself.
+
+    Args:
+        gossip: Carries what is learnt to all instances.
+        publish: Sends new facts to the other instances.
+        instances: Returns the number of instances.
+    """
+
+    def __init__(
+        self,
+        gossip: Gossip,
+        publish: Callable[[Sequence[Fact | None]], None],
+        instances: Callable[[], int],
+    ) -> None:
+        sender = FigureSender(publish, instances)
+        lowest, highest = _EVENTS_PER_TOKEN
+        self._ratios = SharedFigures(
+            gossip, sender, LENGTHS, lowest=lowest, highest=highest
+        )
+        self._spread_by_key: dict[str, _Spread] = {}
+        self._tokens_by_service: dict[str, float] = {}
+
+    def record(self, route: str, head: RequestHead, events: int) -> None:
+        """Record the number of events of a stream that has ended."""
+        if not events:
+            return
+        for key, tokens in _bases(route, head):
+            ratio = events / tokens
+            usual = self._ratios.get(key)
+            if usual is not None:
+                spread = self._spread_by_key.setdefault(key, _Spread())
+                spread.add(math.log(ratio / usual))
+            self._ratios.record(key, ratio)
+
+    def record_cut(self, route: str, head: RequestHead, events: int) -> None:
+        """Record a stream that had more events to come as it was cut.
+
+        Only one that is longer than usual already says something of its length.
+        """
+        length = self.forecast(route, head)
+        if length is not None and events > length.usual:
+            self.record(route, head, events)
+
+    def forecast(self, route: str, head: RequestHead) -> StreamLength | None:
+        """Return the length of a stream, None if nothing is known of its kind."""
+        best = None
+        best_spread = math.inf
+        for key, tokens in _bases(route, head):
+            ratio = self._ratios.get(key)
+            if ratio is None:
+                continue
+            known = self._spread_by_key.get(key)
+            spread = known.value if known else _INITIAL_SPREAD
+            if spread < best_spread:
+                best, best_spread = ratio * tokens, spread
+        if best is None:
+            return None
+        return StreamLength(best, best_spread)
+
+    def record_tokens(self, service: str, tokens: int) -> float:
+        """Record the tokens that a request holds alone; return the usual number."""
+        usual = self._tokens_by_service.get(service, float(tokens))
+        usual += _TOKENS_WEIGHT * (tokens - usual)
+        self._tokens_by_service[service] = usual
+        return usual
+
+
+class EndForecast(NamedTuple):
+    """When a stream is going to end at an engine.
+
+    Attributes:
+        seconds: Seconds from now until its end, if its length is usual.
+        remaining: Seconds from now until its caller gives up.
+        chance: Chance that it ends before that.
+    """
+
+    seconds: float
+    remaining: float
+    chance: float
+
+    @property
+    def is_certain(self) -> bool:
+        """Whether the stream almost certainly ends in time."""
+        return self.chance >= _CERTAIN
+
+    @property
+    def is_hopeless(self) -> bool:
+        """Whether the stream almost certainly ends too late."""
+        return self.chance < _HOPELESS
+
+
+class StreamEnd(NamedTuple):
+    """What the end of one stream depends on, beside the engine.
+
+    Attributes:
+        remaining: Seconds from now until the caller gives up.
+        length: Its length.
+        event_seconds: Usual seconds of an event at an idle engine of the service.
+        memory: Tokens that an engine holds at once, 0 if unknown.
+        tokens: Tokens that the request holds.
+        other_tokens: Tokens that another request of the service usually holds alone.
+    """
+
+    remaining: float
+    length: StreamLength
+    event_seconds: float
+    memory: int = 0
+    tokens: int = 0
+    other_tokens: float = 0.0
+
+    def forecast(
+        self, speed: EngineSpeed, running: int, slots: int, first_event: float
+    ) -> EndForecast:
+        """Return when the stream ends at an engine.
+
+        This answers bursts of long streams at engines of unequal speed: a slow or
+        crowded engine would write them until their callers have left, while another
+        one could end them.
+
+        Args:
+            speed: Speed of the engine.
+            running: Requests of all instances there, as last reported.
+            slots: Requests that it runs at once.
+            first_event: Expected seconds until the first event.
+        """
+        seconds = self.event_seconds * speed.writing * load_factor(running + 1, slots)
+        if self.memory:
+            needed = self.tokens + min(running, slots) * self.other_tokens
+            seconds *= min(_MAX_MEMORY_FACTOR, max(1.0, needed / self.memory))
+        usual = self.length.usual * seconds
+        chance = _chance(self.remaining - first_event, usual, self.length.spread)
+        return EndForecast(first_event + usual, self.remaining, chance)
+
+
+def _chance(available: float, usual: float, spread: float) -> float:
+    """Return the chance that writing takes no longer than what is available.
+
+    Args:
+        available: Seconds for it.
+        usual: Seconds that it takes in half of the cases.
+        spread: Standard deviation of their natural logarithm.
+    """
+    if available <= 0.0:
+        return 0.0
+    deviation = math.log(available / usual) / spread
+    return 0.5 * (1.0 + math.erf(deviation / math.sqrt(2.0)))
+
+
+def _bases(route: str, head: RequestHead) -> list[tuple[str, int]]:
+    """Return what a caller says of a length: keys of figures and tokens."""
+    bases = []
+    if head.length_hint > 0:
+        bases.append((f"{route} hint", head.length_hint))
+    if head.output_tokens > 0:
+        bases.append((f"{route} max", head.output_tokens))
+    return bases
--- a/packages/serving/bergamotsaddle_serving/engine_run.py
+++ b/packages/serving/bergamotsaddle_serving/engine_run.py
@@ -9,7 +9,8 @@
 from bergamotsaddle_serving.budget import Repeat
 from bergamotsaddle_serving.catalog import Target
 from bergamotsaddle_serving.context import Context
-from bergamotsaddle_serving.engine_choice import EngineChoice, unshared_tokens
+from bergamotsaddle_serving.decisions.engine_choice import EngineChoice, unshared_tokens
+from bergamotsaddle_serving.decisions.engine_speeds import EventMeter
 from bergamotsaddle_serving.events import EventSplitter, StreamEvent
 from bergamotsaddle_serving.messages import Dispatch
 from bergamotsaddle_serving.selector import Candidate
@@ -40,6 +41,8 @@
         body: Body of a response that is a failure.
         started_at: When the request was sent, None before that.
         writing_since: When the first event arrived, None before it.
+        meter: Measures how fast the engine writes events.
+        is_whole: Whether the response has ended and is whole.
     """
 
     def __init__(
@@ -59,6 +62,8 @@
         self.body = b""
         self.started_at: float | None = None
         self.writing_since: float | None = None
+        self.meter = EventMeter()
+        self.is_whole = False
         self._server = server
         self._context = context
         self._candidate = candidate
@@ -168,6 +173,7 @@
         self.writing_since = now()
         self._end_prefill()
         self._candidate.state.record_success(now() - self._attempt.started_at)
+        self._record_reading()
 
     def close(self) -> None:
         """Close the connection, so that the engine drops a run that is not whole."""
@@ -175,6 +181,7 @@
             self._repeat.cancel()
         self._end_prefill()
         self._resources.close()
+        self._record_speed()
 
     def _read(self, limit: float) -> list[StreamEvent]:
         if self.response is None:
@@ -187,8 +194,10 @@
         while (data := self._attempt.read_some(limit=limit)) is not None:
             events = self._splitter.feed(data)
             if events:
+                self.meter.add(len(events))
                 return events
         self._attempt.finish_stream(is_whole=self._is_whole())
+        self.is_whole = True
         return []
 
     def _read_response(self, limit: float) -> Response:
@@ -224,6 +233,32 @@
             return False
         return is_framed or not self._server.crashes.has_ended_with_target(self.target)
 
+    def _record_reading(self) -> None:
+        """Record how long the engine took to the first event.
+
+        That tells its speed only if it is known how much of the prompt it had to read.
+        """
+        choice = self.choice
+        speeds = self._server.speeds
+        is_known = choice.engine.has_cached_prefix or choice.reason == "free"
+        if speeds is not None and is_known:
+            seconds = now() - self.started_at
+            speeds.record_reading(self.target, seconds, choice.finish_seconds)
+
+    def _record_speed(self) -> None:
+        """Record how fast the engine has written events, and how many."""
+        server = self._server
+        if server.speeds is None or not self.meter.events:
+            return
+        seconds = self.meter.event_seconds()
+        if seconds is not None:
+            running = self.choice.engine.running + 1
+            server.speeds.record_writing(self.target, seconds, running=running)
+        if self._dispatch.last_event_id is None:
+            server.record_length(
+                self._context, self.meter.events, is_cut=not self.is_whole
+            )
+
     def _end_prefill(self) -> None:
         self._candidate.state.prompt_tokens_ahead -= self._tokens_ahead
         self._tokens_ahead = 0
--- a/packages/serving/bergamotsaddle_serving/health.py
+++ b/packages/serving/bergamotsaddle_serving/health.py
@@ -4,6 +4,7 @@
 
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.catalog import Target
+from bergamotsaddle_serving.decisions.engine_speeds import EngineSpeed
 from bergamotsaddle_serving.decisions.reporting_services import ReportingServices
 from bergamotsaddle_serving.messages import ResponseHead, TargetLoad
 
@@ -44,6 +45,7 @@
         writing: Running requests of this instance whose bodies have begun to arrive.
         load: Last load that it reported, None before the first report.
         load_at: When it reported that load.
+        speed: Speed of an engine, None unless it is learnt.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         self.writing = 0
         self.load: TargetLoad | None = None
         self.load_at = 0.0
+        self.speed: EngineSpeed | None = None
 
     def is_backing_off(self) -> bool:
         """Return whether the target gets no requests after recent failures."""
--- a/packages/serving/bergamotsaddle_serving/metrics.py
+++ b/packages/serving/bergamotsaddle_serving/metrics.py
@@ -57,6 +57,7 @@
         self._failed_attempts: Counter[tuple[str, str]] = Counter()
         self._cut_streams: Counter[tuple[str, str]] = Counter()
         self._silences: Counter[tuple[str, str]] = Counter()
+        self._hopeless_streams: Counter[tuple[str, str]] = Counter()
         self._durations_by_route: dict[str, _Histogram] = {}
         self._gauges: list[_Gauge] = []
 
@@ -77,6 +78,10 @@
         """Count a run of a stream that sent nothing for longer than its limit."""
         self._silences[route, end] += 1
 
+    def count_hopeless_stream(self, route: str, end: str) -> None:
+        """Count a stream that no engine could end before its caller gives up."""
+        self._hopeless_streams[route, end] += 1
+
     def add_gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Add a gauge.
 
@@ -119,6 +124,12 @@
                 "end",
                 self._silences,
             ),
+            (
+                "hopeless_streams",
+                "Streams that no engine could end in time, by route and what became.",
+                "end",
+                self._hopeless_streams,
+            ),
         )
         for name, text, label, count_by_labels in counters:
             family = core.CounterMetricFamily(
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -17,6 +17,8 @@
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.catalog import CallerLimits
 from bergamotsaddle_serving.client import ConnectionPool
+from bergamotsaddle_serving.decisions.engine_speeds import EngineSpeeds
+from bergamotsaddle_serving.decisions.stream_ends import StreamLengths
 from bergamotsaddle_serving.fetching import FetchTimes
 from bergamotsaddle_serving.follower import StoreFollower
 from bergamotsaddle_serving.full_targets import FullTargets
@@ -230,6 +232,15 @@
             fetch_times,
             crashes=crashes,
         )
+        self.speeds = EngineSpeeds(
+            self.gossip,
+            publish,
+            logger,
+            reporting=self.health.reporting,
+            instances=self.peers.size,
+            policy=policy,
+        )
+        lengths = StreamLengths(self.gossip, publish, self.peers.size)
         cold = ColdRateLimiter(self.peers.size)
         selector = Selector(
             self.view,
@@ -263,6 +274,8 @@
             crashes=crashes,
             resumptions=resumptions,
             metrics=self.metrics,
+            speeds=self.speeds,
+            lengths=lengths,
         )
         self.handler = Handler(
             self.view,
@@ -497,6 +510,7 @@
         self.brittleness.keep_only(incarnations)
         self.rates.keep_only(incarnations)
         self.rests.keep_only(incarnations)
+        self.speeds.keep_only(incarnations)
 
     def _run_supervised(self, loop: Any) -> None:
         # An unexpected error would end the green thread, and this instance would go on
@@ -583,4 +597,10 @@
             lambda: len(self.origins),
         )
         gauge("targets_limited", "Targets that name a limit.", lambda: len(self.limits))
+        gauge(
+            "engines_measured",
+            "Engines of which it is known how fast they write.",
+            self.speeds.count_known,
+        )
+        gauge("engines_slow", "Engines that count as slow.", self.speeds.count_slow)
         gauge("log_dropped", "Dropped log lines.", lambda: self._output.dropped)
--- a/packages/serving/bergamotsaddle_serving/stream_inputs.py
+++ b/packages/serving/bergamotsaddle_serving/stream_inputs.py
@@ -6,7 +6,7 @@
 from eventlet.greenthread import GreenThread
 
 from bergamotsaddle_serving.context import Context
-from bergamotsaddle_serving.engine_choice import EngineChoice
+from bergamotsaddle_serving.decisions.engine_choice import EngineChoice
 from bergamotsaddle_serving.engine_run import EngineRun
 from bergamotsaddle_serving.stage_load import place
 from bergamotsaddle_serving.stage_plan import StagePlan
--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -31,7 +31,7 @@
 from bergamotsaddle_serving.catalog import Target
 from bergamotsaddle_serving.client import SILENT
 from bergamotsaddle_serving.context import MAX_LOGGED_NAMES, Context
-from bergamotsaddle_serving.engine_choice import EngineChoice
+from bergamotsaddle_serving.decisions.engine_choice import EngineChoice
 from bergamotsaddle_serving.engine_run import EngineRun
 from bergamotsaddle_serving.events import StreamEvent
 from bergamotsaddle_serving.hedged_read import Progress, read_hedged
@@ -229,6 +229,7 @@
         Raises:
             RequestError: If the request is rejected.
         """
+        self._check_end(choice)
         context = self._context
         plan = self._server.plan(context, choice.engine.zone, choice.finish_seconds)
         forecast = Forecast(
@@ -256,6 +257,7 @@
             urgency=context.urgency,
             more_urgent=round(more_urgent, 2),
             version=context.version,
+            **_end_fields(choice),
         )
         if is_admitted:
             return
@@ -265,6 +267,39 @@
             retry_after=retry_after(forecast),
         )
 
+    def _check_end(self, choice: EngineChoice) -> None:
+        """Reject a stream that no engine can end before its caller gives up.
+
+        Raises:
+            RequestError: If it would end too late even if it were short.
+        """
+        context = self._context
+        end = choice.end
+        is_kept = context.origin is not None or context.earlier_runs > 0
+        if end is None or not end.is_hopeless or is_kept:
+            return
+        wait = retry_after(
+            Forecast(end.seconds, choice.idle_seconds, end.remaining, end.remaining)
+        )
+        self._server.metrics.count_hopeless_stream(context.route.name, "rejected")
+        self._server.logger.info(
+            "stream_end_forecast",
+            request=context.head.id,
+            engine=choice.engine.id,
+            seconds=round(end.seconds, 2),
+            chance=round(end.chance, 2),
+            left=round(end.remaining, 2),
+            hint=context.head.length_hint,
+            most=context.head.output_tokens,
+            running=choice.engine.running,
+            writing=round(choice.engine.speed.writing, 2),
+        )
+        raise context.rejection_error(
+            ErrorKind.DEADLINE_INFEASIBLE,
+            f"expected to end after {end.seconds:.2f} s",
+            retry_after=wait,
+        )
+
     def _run_stages(self, choice: EngineChoice) -> None:
         try:
             self._inputs.run_stages(
@@ -572,6 +607,7 @@
             software=run.target.software,
             tokens=run.prompt_tokens,
             since=round(now() - self._context.started_at, 3),
+            reading=round(run.choice.engine.speed.reading, 2),
         )
         self._server.record_cached_prefix(run.id, self._context)
         self._inputs.drop()
@@ -754,3 +790,16 @@
         )
         if event == "attempt_failed":
             self._server.metrics.count_failed_attempt(context.route.name, reason)
+
+
+def _end_fields(choice: EngineChoice) -> dict[str, float]:
+    """Return what a log line says of the end of a stream, nothing if it is unknown."""
+    end = choice.end
+    if end is None:
+        return {}
+    writing = round(choice.engine.speed.writing, 2)
+    return {
+        "end": round(end.seconds, 2),
+        "chance": round(end.chance, 2),
+        "writing": writing,
+    }
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -11,17 +11,24 @@
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.client import ConnectionPool
 from bergamotsaddle_serving.context import Context
-from bergamotsaddle_serving.engine_choice import (
+from bergamotsaddle_serving.decisions.engine_choice import (
     EngineChoice,
     EngineView,
     choose_engine,
     isolate_engine,
     prefix_key,
+    unshared_tokens,
 )
+from bergamotsaddle_serving.decisions.engine_speeds import (
+    USUAL_SPEED,
+    EngineSpeed,
+    EngineSpeeds,
+)
+from bergamotsaddle_serving.decisions.stream_ends import StreamEnd, StreamLengths
 from bergamotsaddle_serving.fetching import DEFAULT_FETCH_TIMES, FetchTimes
 from bergamotsaddle_serving.messages import Dialect
 from bergamotsaddle_serving.metrics import Metrics
-from bergamotsaddle_serving.policy import FULL_POLICY, Policy
+from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
 from bergamotsaddle_serving.resumption import Resumptions
 from bergamotsaddle_serving.selector import Candidate, Selector
 from bergamotsaddle_serving.silence import KnownSilences
@@ -58,6 +65,8 @@
         crashes: Detects crashed engines and the requests that they were running.
         resumptions: Knows which engines may go on with a stream.
         metrics: Counts attempts that were given up, and streams that were cut.
+        speeds: Learns how fast engines are; None if it isn't to be known.
+        lengths: Learns how long streams are, likewise.
 
     Attributes:
         ongoing_runs: Requests that were sent to an engine.
@@ -78,7 +87,11 @@
         crashes: TargetCrashes,
         resumptions: Resumptions,
         metrics: Metrics | None = None,
+        speeds: EngineSpeeds | None = None,
+        lengths: StreamLengths | None = None,
     ) -> None:
+        self.speeds = speeds
+        self.lengths = lengths
         self.metrics = metrics or Metrics()
         self.policy = policy
         self.resumptions = resumptions
@@ -166,7 +179,10 @@
     ) -> EngineChoice | None:
         head = context.head
         key = prefix_key(head.prompt)
-        views = [self._engine_view(candidate, key) for candidate in candidates]
+        speeds = self.speeds
+        if speeds is not None and not speeds.is_learnt(context.service.name):
+            speeds = None
+        views = [self._engine_view(c, key, speeds) for c in candidates]
         if self.suspects.is_suspect(context.fingerprint):
             views = isolate_engine(views, context.fingerprint)
         seconds_by_zone = {
@@ -179,6 +195,7 @@
             objective=context.route.objective,
             stage_seconds=seconds_by_zone.__getitem__,
             policy=self.policy,
+            ending=self._ending(context) if speeds is not None else None,
         )
 
     def known_silences(self, service: str, pause: float) -> KnownSilences:
@@ -236,7 +253,53 @@
         while len(self._cached_until) > _MAX_CACHED_PREFIXES:
             self._cached_until.popitem(last=False)
 
-    def _engine_view(self, candidate: Candidate, key: str) -> EngineView:
+    def record_length(self, context: Context, events: int, *, is_cut: bool) -> None:
+        """Record how many events a stream had from its start.
+
+        Args:
+            context: The request.
+            events: Number of its events.
+            is_cut: Whether more were to come.
+        """
+        if self.lengths is None or not self._learns_ends(context):
+            return
+        record = self.lengths.record_cut if is_cut else self.lengths.record
+        record(context.route.name, context.head, events)
+
+    def _learns_ends(self, context: Context) -> bool:
+        return (
+            self.speeds is not None
+            and self.policy.has(Mechanism.STREAM_ENDS)
+            and self.speeds.is_learnt(context.service.name)
+        )
+
+    def _ending(self, context: Context) -> StreamEnd | None:
+        """Return what the end of a stream depends on, None if that is unknown."""
+        if self.lengths is None or not self._learns_ends(context):
+            return None
+        head = context.head
+        service = context.service
+        if head.is_resumption or context.origin is not None:
+            # How much of it is left is unknown.
+            return None
+        own = unshared_tokens(head.prompt, head.prompt_tokens) + head.output_tokens
+        others = self.lengths.record_tokens(service.name, own)
+        length = self.lengths.forecast(context.route.name, head)
+        event_seconds = self.speeds.event_seconds(service.name)
+        if length is None or event_seconds is None:
+            return None
+        return StreamEnd(
+            context.remaining,
+            length,
+            event_seconds,
+            service.engine_memory,
+            head.prompt_tokens + head.output_tokens,
+            others,
+        )
+
+    def _engine_view(
+        self, candidate: Candidate, key: str, speeds: EngineSpeeds | None
+    ) -> EngineView:
         target = candidate.target
         state = candidate.state
         return EngineView(
@@ -246,4 +309,12 @@
             state.in_flight + candidate.others,
             candidate.tokens_ahead,
             self._cached_until.get((target.id, key), 0.0) > now(),
+            speed=USUAL_SPEED if speeds is None else _speed_of(candidate, speeds),
         )
+
+
+def _speed_of(candidate: Candidate, speeds: EngineSpeeds) -> EngineSpeed:
+    state = candidate.state
+    if state.speed is None:
+        state.speed = speeds.of(candidate.target)
+    return state.speed
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -25,7 +25,7 @@
 )
 from bergamotsaddle_serving.client import ConnectionPool
 from bergamotsaddle_serving.context import Context, Progress
-from bergamotsaddle_serving.engine_choice import EngineChoice, EngineView
+from bergamotsaddle_serving.decisions.engine_choice import EngineChoice, EngineView
 from bergamotsaddle_serving.handler import Handler
 from bergamotsaddle_serving.health import Health
 from bergamotsaddle_serving.selector import Candidate
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -4,7 +4,11 @@
 
 from parameterized import parameterized
 
-from bergamotsaddle_serving.engine_choice import EngineView, choose_engine, prefix_key
+from bergamotsaddle_serving.decisions.engine_choice import (
+    EngineView,
+    choose_engine,
+    prefix_key,
+)
 from bergamotsaddle_serving.messages import PromptPart
 
 PROMPT = (PromptPart("shared", 13_000), PromptPart("own", 3_000))
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -7,7 +7,7 @@
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_serving.catalog import Target
 from bergamotsaddle_serving.crash_history import CrashedRun
-from bergamotsaddle_serving.engine_choice import EngineView, isolate_engine
+from bergamotsaddle_serving.decisions.engine_choice import EngineView, isolate_engine
 from bergamotsaddle_serving.gossip import Gossip
 from bergamotsaddle_serving.policy import Mechanism, Policy
 from bergamotsaddle_serving.suspects import Standing, Suspects
--- a/tests/test_target_totals.py
+++ b/tests/test_target_totals.py
@@ -3,7 +3,7 @@
 import unittest
 from typing import NamedTuple
 
-from bergamotsaddle_serving.engine_choice import EngineView, choose_engine
+from bergamotsaddle_serving.decisions.engine_choice import EngineView, choose_engine
 from bergamotsaddle_serving.messages import PromptPart
 from bergamotsaddle_serving.target_totals import TargetTotals
 
