Measure the speed of engines by the median pause between events

Callers saw streams cut at slow engines. Conclusion: the median is kept; a stream moves if its chance to end is below 0.9 instead of 0.98.

--- a/packages/serving/bergamotsaddle_serving/decisions/engine_speeds.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/engine_speeds.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Sequence
 from enum import IntEnum
 from statistics import median
-from typing import Any
+from typing import Any, NamedTuple
 
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.catalog import Target, fact_key
@@ -31,8 +31,14 @@
 # An engine with all slots in use takes this much longer for an event, as a fraction of
 # the time with one request.
 _FULL_ENGINE_FACTOR = 0.7
-# Events behind the first ones that a measurement needs.
-_MIN_EVENTS = 4
+# Pauses between events that a measurement needs, and those that it keeps.
+_MIN_PAUSES = 4
+_MAX_PAUSES = 64
+# Weight of a stream in the usual seconds of an event.
+_USUAL_WEIGHT = 0.05
+# Homes stay where they are until this fraction of a service's engines is measured: the
+# median of a few says little of the others.
+_MIN_MEASURED_FRACTION = 0.5
 _MEDIAN_PAUSE_S = 1.0
 # Homes of prompts move at most this often for one engine.
 _MIN_HOME_S = 10.0
@@ -89,31 +95,64 @@
     return 1.0 + _FULL_ENGINE_FACTOR * min(1.0, running / max(1, slots))
 
 
+class WritingTimes(NamedTuple):
+    """How long a run took to write an event.
+
+    Attributes:
+        mean: Mean of the pauses between events, in seconds.
+        median: Median of them. It leaves out the time in which the engine read prompts
+            of other requests, and thus shows how fast the engine itself is.
+    """
+
+    mean: float
+    median: float
+
+
 class EventMeter:
-    """Measures how fast one run writes events."""
+    """Measures how fast one run writes events.
+
+    Attributes:
+        events: Number of its events.
+    """
 
     def __init__(self) -> None:
         self.events = 0
         self._first_at = 0.0
         self._last_at = 0.0
         self._first_events = 0
+        self._pauses: list[float] = []
 
     def add(self, events: int) -> None:
         """Add events that have just arrived."""
-        if not events:
-            return
-        self._last_at = now()
+        at = now()
         if not self.events:
-            self._first_at = self._last_at
+            self._first_at = at
             self._first_events = events
+        elif len(self._pauses) < _MAX_PAUSES:
+            self._pauses.append((at - self._last_at) / events)
+        self._last_at = at
         self.events += events
 
-    def event_seconds(self) -> float | None:
-        """Return the seconds of an event, None if there were too few."""
-        later = self.events - self._first_events
-        if later < _MIN_EVENTS:
+    def times(self) -> WritingTimes | None:
+        """Return how long an event took, None if there were too few."""
+        if len(self._pauses) < _MIN_PAUSES:
             return None
-        return (self._last_at - self._first_at) / later
+        later = self.events - self._first_events
+        mean = (self._last_at - self._first_at) / later
+        return WritingTimes(mean, median(self._pauses))
+
+
+class _Usual:
+    """Mean of recent values, of all as long as there are few."""
+
+    def __init__(self) -> None:
+        self.value = 0.0
+        self._weight = 1.0
+
+    def add(self, value: float) -> None:
+        """Add a value."""
+        self.value += self._weight * (value - self.value)
+        self._weight = max(_USUAL_WEIGHT, self._weight / (1.0 + self._weight))
 
 
 class EngineSpeeds:
@@ -153,7 +192,8 @@
         self._speed_by_key: dict[str, EngineSpeed] = {}
         self._keys_by_service: dict[str, set[str]] = {}
         self._pace_by_key: dict[str, Pace] = {}
-        self._medians_by_service: dict[str, tuple[float, float | None]] = {}
+        self._medians_by_service: dict[str, tuple[float, float]] = {}
+        self._event_seconds_by_service: dict[str, _Usual] = {}
         self._refreshed_at: dict[str, float] = {}
         self._reading = self._make_figures(sender, READING, _READING_FACTOR)
         self._writing = self._make_figures(sender, WRITING, _EVENT_SECONDS)
@@ -175,9 +215,12 @@
         return speed
 
     def event_seconds(self, service: str) -> float | None:
-        """Return the usual seconds of an event at an idle engine of a service."""
-        self._refresh(service)
-        return self._medians_by_service.get(service, (1.0, None))[1]
+        """Return the usual seconds of an event at an engine of a service.
+
+        They are those of a usual engine beside no other request, None if unknown.
+        """
+        usual = self._event_seconds_by_service.get(service)
+        return None if usual is None else usual.value
 
     def record_reading(self, target: Target, seconds: float, expected: float) -> None:
         """Record the seconds to the first event, and what was expected."""
@@ -186,24 +229,28 @@
             self._reading.record(target.key, seconds / expected)
 
     def record_writing(
-        self, target: Target, event_seconds: float, *, running: int
+        self, target: Target, times: WritingTimes | None, *, running: int
     ) -> None:
-        """Record the seconds of an event at an engine.
+        """Record how fast an engine wrote the events of a run.
 
         Args:
             target: The engine.
-            event_seconds: Seconds of an event.
+            times: How long an event took, None if there were too few.
             running: Requests of all instances at the engine, as last reported.
         """
-        if not self.is_learnt(target.service):
+        service = target.service
+        if times is None or not self.is_learnt(service):
             return
         speed = self.of(target)
-        idle = event_seconds / load_factor(running, target.slots)
+        load = load_factor(running, target.slots)
         was_measured = self._writing.has_shared(target.key)
-        self._writing.record(target.key, idle)
-        usual = self.event_seconds(target.service)
-        if usual and was_measured:
-            self._choose_pace(target, speed, idle / usual)
+        self._writing.record(target.key, times.median / load)
+        self._refresh(service)
+        usual = self._event_seconds_by_service.setdefault(service, _Usual())
+        usual.add(min(_EVENT_SECONDS[1], times.mean) / load / speed.writing)
+        _, typical = self._medians_by_service[service]
+        if was_measured and self._is_mostly_measured(service):
+            self._choose_pace(target, speed, times.median / load / typical)
 
     def keep_only(self, incarnations: set[tuple[str, int]]) -> None:
         """Forget the speeds of all other target incarnations."""
@@ -241,6 +288,11 @@
             on_change=self._update,
         )
 
+    def _is_mostly_measured(self, service: str) -> bool:
+        keys = self._keys_by_service[service]
+        measured = sum(self._writing.get(key) is not None for key in keys)
+        return measured >= _MIN_MEASURED_FRACTION * len(keys)
+
     def _choose_pace(self, target: Target, speed: EngineSpeed, measured: float) -> None:
         """Change the pace of an engine if two measurements agree on it."""
         key = target.key
@@ -292,7 +344,7 @@
         speed = self._speed_by_key.get(key)
         if speed is None:
             return
-        reading, writing = self._medians_by_service.get(speed.service, (1.0, None))
+        reading, writing = self._medians_by_service.get(speed.service, (1.0, 0.0))
         speed.reading = _relative(self._reading.get(key), reading)
         speed.writing = _relative(self._writing.get(key), writing)
 
@@ -306,7 +358,7 @@
         writing = [f for key in keys if (f := self._writing.get(key)) is not None]
         self._medians_by_service[service] = (
             median(reading) if reading else 1.0,
-            median(writing) if writing else None,
+            median(writing) if writing else 0.0,
         )
         for key in keys:
             self._update(key)
@@ -328,7 +380,7 @@
     return Pace.USUAL
 
 
-def _relative(figure: float | None, usual: float | None) -> float:
+def _relative(figure: float | None, usual: float) -> float:
     if figure is None or not usual:
         return 1.0
     return min(_MAX_RELATIVE, max(_MIN_RELATIVE, figure / usual))
--- a/packages/serving/bergamotsaddle_serving/decisions/stream_ends.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/stream_ends.py
@@ -23,7 +23,7 @@
 _MIN_SPREAD = 0.1
 # Chance of an end in time from which on a stream may stay, and below which it is
 # rejected. Lengths are uncertain, so only a stream without a prospect is.
-_CERTAIN = 0.98
+_CERTAIN = 0.9
 _HOPELESS = 0.1
 # Streams after which what was learnt gives way to newer ones.
 _MAX_STREAMS = 200.0
--- a/packages/serving/bergamotsaddle_serving/engine_run.py
+++ b/packages/serving/bergamotsaddle_serving/engine_run.py
@@ -250,10 +250,8 @@
         server = self._server
         if server.speeds is None or not self.meter.events:
             return
-        seconds = self.meter.event_seconds()
-        if seconds is not None:
-            running = self.choice.engine.running + 1
-            server.speeds.record_writing(self.target, seconds, running=running)
+        running = self.choice.engine.running + 1
+        server.speeds.record_writing(self.target, self.meter.times(), running=running)
         if self._dispatch.last_event_id is None:
             server.record_length(
                 self._context, self.meter.events, is_cut=not self.is_whole
