Test speeds of engines and ends of streams, and change paces only as far as two measurements agree

Callers saw streams cut at slow engines. Cause: the choice knew neither speeds nor lengths. The pace is now compared with the estimate before a measurement, so one slow stream moves no homes; medians are kept fresh at each choice.

--- a/packages/serving/bergamotsaddle_serving/decisions/engine_speeds.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/engine_speeds.py
@@ -47,8 +47,8 @@
 class Pace(IntEnum):
     """How fast an engine is, in the coarse steps that homes of prompts follow."""
 
-    USUAL = 0
-    FAST = 1
+    FAST = 0
+    USUAL = 1
     SLOW = 2
     VERY_SLOW = 3
 
@@ -194,6 +194,7 @@
         self._pace_by_key: dict[str, Pace] = {}
         self._medians_by_service: dict[str, tuple[float, float]] = {}
         self._event_seconds_by_service: dict[str, _Usual] = {}
+        self._mostly_measured: set[str] = set()
         self._refreshed_at: dict[str, float] = {}
         self._reading = self._make_figures(sender, READING, _READING_FACTOR)
         self._writing = self._make_figures(sender, WRITING, _EVENT_SECONDS)
@@ -219,6 +220,7 @@
 
         They are those of a usual engine beside no other request, None if unknown.
         """
+        self._refresh(service)
         usual = self._event_seconds_by_service.get(service)
         return None if usual is None else usual.value
 
@@ -244,13 +246,15 @@
         speed = self.of(target)
         load = load_factor(running, target.slots)
         was_measured = self._writing.has_shared(target.key)
-        self._writing.record(target.key, times.median / load)
         self._refresh(service)
+        before = speed.writing
+        self._writing.record(target.key, times.median / load)
         usual = self._event_seconds_by_service.setdefault(service, _Usual())
         usual.add(min(_EVENT_SECONDS[1], times.mean) / load / speed.writing)
         _, typical = self._medians_by_service[service]
-        if was_measured and self._is_mostly_measured(service):
-            self._choose_pace(target, speed, times.median / load / typical)
+        if was_measured and service in self._mostly_measured:
+            measured = times.median / load / typical
+            self._choose_pace(target, speed, before, measured)
 
     def keep_only(self, incarnations: set[tuple[str, int]]) -> None:
         """Forget the speeds of all other target incarnations."""
@@ -272,8 +276,7 @@
 
     def count_slow(self) -> int:
         """Return the number of engines that count as slow."""
-        slow = (Pace.SLOW, Pace.VERY_SLOW)
-        return sum(pace in slow for pace in self._pace_by_key.values())
+        return sum(pace >= Pace.SLOW for pace in self._pace_by_key.values())
 
     def _make_figures(
         self, sender: FigureSender, topic: Topic, limits: tuple[float, float]
@@ -288,16 +291,21 @@
             on_change=self._update,
         )
 
-    def _is_mostly_measured(self, service: str) -> bool:
-        keys = self._keys_by_service[service]
-        measured = sum(self._writing.get(key) is not None for key in keys)
-        return measured >= _MIN_MEASURED_FRACTION * len(keys)
+    def _choose_pace(
+        self, target: Target, speed: EngineSpeed, before: float, measured: float
+    ) -> None:
+        """Change the pace of an engine as far as two measurements agree on it.
 
-    def _choose_pace(self, target: Target, speed: EngineSpeed, measured: float) -> None:
-        """Change the pace of an engine if two measurements agree on it."""
+        Args:
+            target: The engine.
+            speed: Its speed.
+            before: Time of an event relative to the median as estimated before.
+            measured: The same as measured now.
+        """
         key = target.key
-        pace = next_pace(speed.pace, speed.writing)
-        if pace is speed.pace or pace is not next_pace(speed.pace, measured):
+        paces = (next_pace(speed.pace, before), next_pace(speed.pace, measured))
+        pace = median((speed.pace, *paces))
+        if pace is speed.pace:
             self._pace_sender.drop(HOMES, key)
             return
         if self._may_change_pace(key):
@@ -360,6 +368,10 @@
             median(reading) if reading else 1.0,
             median(writing) if writing else 0.0,
         )
+        if len(writing) >= _MIN_MEASURED_FRACTION * len(keys):
+            self._mostly_measured.add(service)
+        else:
+            self._mostly_measured.discard(service)
         for key in keys:
             self._update(key)
 
@@ -373,7 +385,7 @@
     """
     if relative > _VERY_SLOW_LIMITS[pace is Pace.VERY_SLOW]:
         return Pace.VERY_SLOW
-    if relative > _SLOW_LIMITS[pace in (Pace.SLOW, Pace.VERY_SLOW)]:
+    if relative > _SLOW_LIMITS[pace >= Pace.SLOW]:
         return Pace.SLOW
     if relative < _FAST_LIMITS[pace is Pace.FAST]:
         return Pace.FAST
--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -229,7 +229,6 @@
         Raises:
             RequestError: If the request is rejected.
         """
-        self._check_end(choice)
         context = self._context
         plan = self._server.plan(context, choice.engine.zone, choice.finish_seconds)
         forecast = Forecast(
@@ -260,6 +259,7 @@
             **_end_fields(choice),
         )
         if is_admitted:
+            self._check_end(choice)
             return
         raise context.rejection_error(
             ErrorKind.DEADLINE_INFEASIBLE,
