Move a stream for its end only if that pays for the parts that are read again

Callers saw no gain from streams that were moved at a small risk, and shared parts were read again for them. Cause: a stream left its engine as soon as its chance to end in time was below a limit, however small the gain. Change: the gain must be as much of 1 as the tokens are of 60,000. Tests: tests.test_engine_speeds, test_stream_ends, test_engine_choice, test_target_totals, 82 green.

--- a/packages/serving/bergamotsaddle_serving/decisions/engine_choice.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/engine_choice.py
@@ -25,9 +25,10 @@
 _MOVE_GAIN_S = 0.15
 # The fraction of the objective that a forecast may use; the remainder absorbs variance.
 _MAX_OBJECTIVE_FRACTION = 0.8
-# If no engine is certain to end a stream in time, another one must raise its chance by
-# this much to justify another prefill.
-_MIN_CHANCE_GAIN = 0.2
+# Another engine than the preferred one must raise a stream's chance to end in time by
+# this much, and by as much of 1 as the tokens that it has to read again are of these.
+_MIN_CHANCE_GAIN = 0.05
+_TOKENS_PER_CHANCE = 60_000.0
 _MAX_CACHED_DISTANCES = 16_384
 _MAX_HASH = 1 << 64
 
@@ -168,7 +169,13 @@
     choice = _choose_by_first_event(choices, objective, policy)
     if ending is None:
         return choice
-    return _choose_by_end(choices, choice, ending, objective)
+    return _choose_by_end(
+        choices,
+        choice,
+        ending,
+        objective=objective,
+        shared_tokens=prompt_tokens - own_tokens,
+    )
 
 
 def _choose_by_first_event(
@@ -191,7 +198,9 @@
     choices: Sequence[EngineChoice],
     choice: EngineChoice,
     ending: StreamEnd,
+    *,
     objective: float,
+    shared_tokens: int,
 ) -> EngineChoice:
     """Keep a choice unless another engine ends the stream in time and it may not.
 
@@ -202,13 +211,23 @@
     if end.is_certain:
         return choice._replace(end=end)
     others = [other._replace(end=_forecast_end(other, ending)) for other in choices]
-    for other in others:
+    worthwhile = [
+        other
+        for other in others
+        if other.end.chance - end.chance >= _min_chance_gain(other, shared_tokens)
+    ]
+    for other in worthwhile:
         is_late = other.seconds > max(choice.seconds, objective)
         if other.end.is_certain and not is_late:
             return other
-    best = max(others, key=lambda other: other.end.chance)
-    is_better = best.end.chance - end.chance >= _MIN_CHANCE_GAIN
-    return best if is_better else choice._replace(end=end)
+    best = max(worthwhile, key=lambda other: other.end.chance, default=None)
+    return choice._replace(end=end) if best is None else best
+
+
+def _min_chance_gain(choice: EngineChoice, shared_tokens: int) -> float:
+    """Return how much a choice must raise a stream's chance to end in time."""
+    read_again = shared_tokens if choice.reason == "free" else 0
+    return max(_MIN_CHANCE_GAIN, read_again / _TOKENS_PER_CHANCE)
 
 
 def _forecast_end(choice: EngineChoice, ending: StreamEnd) -> EndForecast:
