Look at other engines only for requests that may leave their preferred one

Callers waited for a choice that forecast all engines for each request. Equal weights keep the order of the rendezvous weights exactly. Tests: test_engine_speeds, test_stream_ends, test_engine_choice, test_target_totals, test_suspects, 115 green.

--- a/packages/serving/bergamotsaddle_serving/decisions/engine_choice.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/engine_choice.py
@@ -151,21 +151,30 @@
     if not engines:
         return None
     key = prefix_key(prompt)
-    by_distance = sorted(engines, key=lambda e: _distance(e.id, key) / e.speed.weight)
+    nearness = _nearness(engines, key)
     own_tokens = unshared_tokens(prompt, prompt_tokens)
-    choices = []
-    for rank, engine in enumerate(by_distance):
-        is_preferred = rank == 0
-        tokens = (
-            own_tokens if is_preferred or engine.has_cached_prefix else prompt_tokens
-        )
+
+    def forecast(engine: EngineView, *, is_preferred: bool) -> EngineChoice:
+        has_prefix = is_preferred or engine.has_cached_prefix
+        tokens = own_tokens if has_prefix else prompt_tokens
         finish = _finish_seconds(engine, tokens, tokens_per_s)
         total = stage_seconds(engine.zone) + finish
-        reason = (
-            "home" if is_preferred else "known" if engine.has_cached_prefix else "free"
-        )
+        reason = "home" if is_preferred else "known" if has_prefix else "free"
         idle = _BASE_S + tokens / tokens_per_s
-        choices.append(EngineChoice(engine, total, finish, idle, reason))
+        return EngineChoice(engine, total, finish, idle, reason)
+
+    preferred = forecast(max(engines, key=nearness), is_preferred=True)
+    on_time = _MAX_OBJECTIVE_FRACTION * objective
+    if policy.has(Mechanism.ENGINE_HOMES) and preferred.seconds <= on_time:
+        # Most requests stay there, and the other engines need not be looked at.
+        if ending is None:
+            return preferred
+        end = _forecast_end(preferred, ending)
+        if end.is_certain:
+            return preferred._replace(end=end)
+    by_nearness = sorted(engines, key=nearness, reverse=True)
+    others = [forecast(engine, is_preferred=False) for engine in by_nearness[1:]]
+    choices = [preferred, *others]
     choice = _choose_by_first_event(choices, objective, policy)
     if ending is None:
         return choice
@@ -178,6 +187,15 @@
     )
 
 
+def _nearness(
+    engines: Sequence[EngineView], key: str
+) -> Callable[[EngineView], bytes | float]:
+    """Return the function by which the preferred engine of a key is the greatest."""
+    if all(engine.speed.weight == 1.0 for engine in engines):
+        return lambda engine: rendezvous_weight(engine.id, key)
+    return lambda engine: -_distance(engine.id, key) / engine.speed.weight
+
+
 def _choose_by_first_event(
     choices: Sequence[EngineChoice], objective: float, policy: Policy
 ) -> EngineChoice:
