--- a/tests/test_stream_ends.py
+++ b/tests/test_stream_ends.py
@@ -228,6 +228,8 @@
         self.assertEqual(found, status)
         logged = [call.args[0] for call in server.logger.info.mock_calls if call.args]
         self.assertEqual("stream_end_forecast" in logged, status == 503)
+        counted = b'hopeless_streams_total{end="rejected",route="r"} 1.0'
+        self.assertEqual(counted in server.metrics.page(), status == 503)
 
 
 class ReplayTest(unittest.TestCase):
