--- a/packages/serving/bergamotsaddle_serving/metrics.py
+++ b/packages/serving/bergamotsaddle_serving/metrics.py
@@ -59,6 +59,7 @@
         self._silences: Counter[tuple[str, str]] = Counter()
         self._hedges: Counter[tuple[str, str]] = Counter()
         self._returns: Counter[tuple[str, str]] = Counter()
+        self._hopeless_streams: Counter[tuple[str, str]] = Counter()
         self._durations_by_route: dict[str, _Histogram] = {}
         self._gauges: list[_Gauge] = []
 
@@ -87,6 +88,10 @@
         """Count a caller that was admitted because it came back when told."""
         self._returns[route, "admitted"] += 1
 
+    def count_hopeless_stream(self, route: str, end: str) -> None:
+        """Count a stream that no engine could end before its caller gives up."""
+        self._hopeless_streams[route, end] += 1
+
     def add_gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Add a gauge.
 
@@ -141,6 +146,12 @@
                 "outcome",
                 self._returns,
             ),
+            (
+                "hopeless_streams",
+                "Streams that no engine could end in time, by route and what became.",
+                "end",
+                self._hopeless_streams,
+            ),
         )
         for name, text, label, count_by_labels in counters:
             family = core.CounterMetricFamily(
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -17,8 +17,10 @@
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.catalog import CallerLimits
 from bergamotsaddle_serving.client import ConnectionPool
+from bergamotsaddle_serving.decisions.engine_speeds import EngineSpeeds
 from bergamotsaddle_serving.decisions.fleet_start import FleetStart
 from bergamotsaddle_serving.decisions.hedge_pool import HedgePool
+from bergamotsaddle_serving.decisions.stream_ends import StreamLengths
 from bergamotsaddle_serving.fetching import FetchTimes
 from bergamotsaddle_serving.follower import StoreFollower
 from bergamotsaddle_serving.full_targets import FullTargets
@@ -235,6 +237,15 @@
             fetch_times,
             crashes=crashes,
         )
+        self.speeds = EngineSpeeds(
+            self.gossip,
+            publish,
+            logger,
+            reporting=self.health.reporting,
+            instances=self.peers.size,
+            policy=policy,
+        )
+        lengths = StreamLengths(self.gossip, publish, self.peers.size)
         cold = ColdRateLimiter(self.peers.size)
         selector = Selector(
             self.view,
@@ -281,6 +292,8 @@
             metrics=self.metrics,
             fleet_start=FleetStart(now),
             room=self.room,
+            speeds=self.speeds,
+            lengths=lengths,
         )
         self.handler = Handler(
             self.view,
@@ -520,6 +533,7 @@
         self.brittleness.keep_only(incarnations)
         self.rates.keep_only(incarnations)
         self.rests.keep_only(incarnations)
+        self.speeds.keep_only(incarnations)
 
     def _run_supervised(self, loop: Any) -> None:
         # An unexpected error would end the green thread, and this instance would go on
@@ -616,4 +630,10 @@
             "Rejected callers whose time to come back is kept here.",
             lambda: len(self.returns.callers),
         )
+        gauge(
+            "engines_measured",
+            "Engines of which it is known how fast they write.",
+            self.speeds.count_known,
+        )
+        gauge("engines_slow", "Engines that count as slow.", self.speeds.count_slow)
         gauge("log_dropped", "Dropped log lines.", lambda: self._output.dropped)
--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -32,7 +32,7 @@
     retry_after,
     seconds_until_room,
 )
-from bergamotsaddle_serving.engine_choice import EngineChoice
+from bergamotsaddle_serving.decisions.engine_choice import EngineChoice
 from bergamotsaddle_serving.engine_run import EngineRun
 from bergamotsaddle_serving.events import StreamEvent
 from bergamotsaddle_serving.hedged_read import Progress, read_hedged
@@ -285,10 +285,12 @@
             came_when_told=came_when_told,
             told=round(told.seconds, 3) if told is not None else None,
             has_place=told is not None and told.has_place,
+            **_end_fields(choice),
         )
         if is_admitted:
             if came_when_told:
                 self._server.metrics.count_return(context.route.name)
+            self._check_end(choice)
             return
         raise context.rejection_error(
             ErrorKind.DEADLINE_INFEASIBLE,
@@ -312,6 +314,39 @@
         self._is_missed = True
         self._server.room.record_missed(self._context)
 
+    def _check_end(self, choice: EngineChoice) -> None:
+        """Reject a stream that no engine can end before its caller gives up.
+
+        Raises:
+            RequestError: If it would end too late even if it were short.
+        """
+        context = self._context
+        end = choice.end
+        is_kept = context.origin is not None or context.earlier_runs > 0
+        if end is None or not end.is_hopeless or is_kept:
+            return
+        wait = retry_after(
+            Forecast(end.seconds, choice.idle_seconds, end.remaining, end.remaining)
+        )
+        self._server.metrics.count_hopeless_stream(context.route.name, "rejected")
+        self._server.logger.info(
+            "stream_end_forecast",
+            request=context.head.id,
+            engine=choice.engine.id,
+            seconds=round(end.seconds, 2),
+            chance=round(end.chance, 2),
+            left=round(end.remaining, 2),
+            hint=context.head.length_hint,
+            most=context.head.output_tokens,
+            running=choice.engine.running,
+            writing=round(choice.engine.speed.writing, 2),
+        )
+        raise context.rejection_error(
+            ErrorKind.DEADLINE_INFEASIBLE,
+            f"expected to end after {end.seconds:.2f} s",
+            retry_after=wait,
+        )
+
     def _run_stages(self, choice: EngineChoice) -> None:
         try:
             self._inputs.run_stages(
@@ -625,6 +660,7 @@
             software=run.target.software,
             tokens=run.prompt_tokens,
             since=round(now() - self._context.started_at, 3),
+            reading=round(run.choice.engine.speed.reading, 2),
         )
         self._server.record_cached_prefix(run.id, self._context)
         self._inputs.drop()
@@ -807,3 +843,16 @@
         )
         if event == "attempt_failed":
             self._server.metrics.count_failed_attempt(context.route.name, reason)
+
+
+def _end_fields(choice: EngineChoice) -> dict[str, float]:
+    """Return what a log line says of the end of a stream, nothing if it is unknown."""
+    end = choice.end
+    if end is None:
+        return {}
+    writing = round(choice.engine.speed.writing, 2)
+    return {
+        "end": round(end.seconds, 2),
+        "chance": round(end.chance, 2),
+        "writing": writing,
+    }
