Place the requests for plain services before few targets by one owner

Callers of plain services before three targets saw a 99th percentile of several times the work time while a neighbour of a target was noisy, and all waited in a burst.

Cause: each instance chose by its own moving average and by what others reported up to 0.4 s ago. At 75 instances nobody heard of a target often enough to notice 0.6 s of noise, the fourth figure of the load was read by no decision, and a plain service had neither an order nor an admission.

Ruled out: a joint view that all share (all take the same target within its delay, 33 x 75 datagrams a second), an owner for each zone (one target each, nothing to choose), polling health paths (priced).

Change: for services whose targets report their slowdown, and are 32 or fewer, the owner by rendezvous in the region places each request (decisions/plain_queue, decisions/target_slowdowns, placement_exchange). A silent owner leaves the choice to the instance, as before. joint_placement in [policy] off turns it off. A load that can't be read is counted and logged once a target.

--- a/packages/serving/bergamotsaddle_serving/peer_messages.py
+++ b/packages/serving/bergamotsaddle_serving/peer_messages.py
@@ -3,6 +3,8 @@
 The first item of each array is the datagram's tag, then its fields follow in order.
 """
 
+from enum import IntEnum
+
 import msgspec
 
 from bergamotsaddle_serving.messages import PieceFailure, StorePosition
@@ -11,6 +13,19 @@
 ALL_ROUNDS = 2**31
 
 
+class PlaceDecision(IntEnum):
+    """What a request for a place gets."""
+
+    PLACED = 0
+    """A target."""
+    WAITS = 1
+    """A place in the order; a target or a refusal follows."""
+    REFUSED = 2
+    """Nothing; the caller may return later."""
+    LOCAL = 3
+    """Nothing; its instance chooses a target itself."""
+
+
 class Message(msgspec.Struct, tag=True, array_like=True, frozen=True):
     """Base class of all datagrams."""
 
@@ -164,6 +179,73 @@
     wait: float
 
 
+class PlaceRequest(Message, tag="PlaceAsk"):
+    """Asks the owner of a plain service's queue for a place at a target.
+
+    The sender repeats it while it waits.
+
+    Attributes:
+        number: Number of this request at its sender.
+        sender: Id of the instance that sends it.
+        zone: Availability zone of the sender.
+        service: The plain service.
+        request: Id of the caller's request.
+        urgency: Urgency of the request, 0 first.
+        team: Name of the caller's team, empty on public routes.
+        objective: Seconds until the response is late.
+        remaining: Seconds until the caller gives up.
+        excluded: Ids of targets that must not get the request.
+    """
+
+    number: int
+    sender: str
+    zone: str
+    service: str
+    request: str
+    urgency: int
+    team: str
+    objective: float
+    remaining: float
+    excluded: list[str]
+
+
+class PlaceResponse(Message, tag="PlaceAnswer"):
+    """The owner's response to a ``PlaceRequest``.
+
+    Attributes:
+        number: Number of the request.
+        decision: What the request gets.
+        target: Id of its target if it is placed, empty otherwise.
+        retry_after: Seconds after which the caller may return if it is refused.
+    """
+
+    number: int
+    decision: PlaceDecision
+    target: str = ""
+    retry_after: float = 0.0
+
+
+class PlaceDone(Message):
+    """Reports that a request has left its place, or waits for none any longer.
+
+    Attributes:
+        number: Number of the ``PlaceRequest``.
+        sender: Id of the instance that sent it.
+        service: The plain service.
+        seconds: Seconds that the run took, None if it was not completed.
+        slowdown: Multiple of the usual time that the target reported, None if it
+            reported none.
+        age: Seconds since that report.
+    """
+
+    number: int
+    sender: str
+    service: str
+    seconds: float | None = None
+    slowdown: float | None = None
+    age: float = 0.0
+
+
 class Submit(Message):
     """Submits pieces of one stage of a request to the owner of a stage queue.
 
@@ -280,6 +362,9 @@
     | OriginQuery
     | RateRequest
     | RateResponse
+    | PlaceRequest
+    | PlaceResponse
+    | PlaceDone
     | Submit
     | Accepted
     | Started
--- a/packages/serving/bergamotsaddle_serving/plain.py
+++ b/packages/serving/bergamotsaddle_serving/plain.py
@@ -6,6 +6,7 @@
 from bergamotsaddle_serving.client import ConnectionPool
 from bergamotsaddle_serving.context import Context
 from bergamotsaddle_serving.messages import Dialect
+from bergamotsaddle_serving.placement_exchange import PlacementExchange
 from bergamotsaddle_serving.plain_run import CompleteResponse, PlainRun
 from bergamotsaddle_serving.selector import Selector
 from bergamotsaddle_serving.target_crashes import TargetCrashes
@@ -21,6 +22,8 @@
         dialect: Makes headers.
         logger: Logs failed attempts.
         crashes: Detects crashed targets and the requests that they were running.
+        placement: Places requests for services before few targets, None to choose
+            targets here only.
     """
 
     def __init__(
@@ -32,6 +35,7 @@
         logger: Any,
         *,
         crashes: TargetCrashes,
+        placement: PlacementExchange | None = None,
     ) -> None:
         self.selector = selector
         self.pool = pool
@@ -40,6 +44,7 @@
         self.logger = logger
         self.crashes = crashes
         self.suspects = crashes.suspects
+        self.placement = placement
 
     def serve(self, context: Context) -> CompleteResponse:
         """Return the response to a request.
--- a/packages/serving/bergamotsaddle_serving/plain_run.py
+++ b/packages/serving/bergamotsaddle_serving/plain_run.py
@@ -30,6 +30,10 @@
 from bergamotsaddle_serving.context import Context
 from bergamotsaddle_serving.health import TargetState
 from bergamotsaddle_serving.messages import Dispatch, RawHeaders
+from bergamotsaddle_serving.placement_exchange import (
+    GrantedPlace,
+    PlacementRefusedError,
+)
 from bergamotsaddle_serving.race import Finish, Race
 from bergamotsaddle_serving.selector import Candidate
 from bergamotsaddle_serving.suspect_parts import Work
@@ -83,6 +87,7 @@
         state: State of the target as this instance observes it.
         limit: Seconds after which the target is slow.
         is_slow: Whether it has been slow.
+        place: Place that the owner of the service's queue granted, None without one.
     """
 
     def __init__(
@@ -98,6 +103,8 @@
         attempt = Attempt(context, self.state, server.pool, server.dialect)
         self._attempt = self._closing.enter_context(attempt)
         self.is_slow = False
+        self.place: GrantedPlace | None = None
+        self._seconds: float | None = None
         self._is_sent = False
         self._response: Response | None = None
 
@@ -122,7 +129,8 @@
             raise OutcomeUnknownError(f"status {response.head.status}")
         if not response.head.is_framed:
             self._check_unframed()
-        self.state.record_success(now() - self._attempt.started_at)
+        self._seconds = now() - self._attempt.started_at
+        self.state.record_success(self._seconds)
         if response.is_success:
             self._server.crashes.record_success(
                 self.target, [self.work()], is_framed=response.head.is_framed
@@ -151,6 +159,8 @@
     def close(self) -> None:
         """Close the connection unless the response was read to its end."""
         self._closing.close()
+        if self.place is not None:
+            self.place.end(self._seconds, since=self._attempt.started_at)
 
     def _read_response(self, limit: float) -> Response:
         if self._is_sent:
@@ -190,6 +200,7 @@
         self._open_by_id: dict[str, _TargetRun] = {}
         self._tried: set[str] = set()
         self._broken_at_by_id: dict[str, float] = {}
+        self._place_by_id: dict[str, GrantedPlace] = {}
         self._failure: CompleteResponse | None = None
         # Runs that have ended and may have run the request.
         self._ended = 0
@@ -284,6 +295,18 @@
         context = self._context
         selector = self._server.selector
         denied: set[str] = set()
+        try:
+            candidate = self._place()
+        except PlacementRefusedError as error:
+            if self._ended or self._refusals:
+                return None
+            raise context.rejection_error(
+                ErrorKind.DEADLINE_INFEASIBLE,
+                "the service has too many requests to respond in time",
+                retry_after=error.retry_after,
+            ) from error
+        if candidate is not None:
+            return candidate
         while True:
             candidate = self._pick(self._tried | denied)
             if candidate is None or not selector.may_send(candidate):
@@ -292,6 +315,35 @@
                 return candidate
             denied.add(candidate.target.id)
 
+    def _place(self) -> Candidate | None:
+        """Return the target that the owner of the service's queue grants, if any.
+
+        A further run beside an open one is not placed: it would keep the request from
+        the response of the open run.
+
+        Raises:
+            PlacementRefusedError: If the request would be late.
+        """
+        context = self._context
+        placement = self._server.placement
+        if placement is None or self._open_by_id:
+            return None
+        if self._server.suspects.is_suspect(context.fingerprint):
+            return None
+        exclude = self._tried | self._broken_at_by_id.keys()
+        place = placement.place(context, exclude)
+        if place is None:
+            return None
+        selector = self._server.selector
+        candidate = place.candidate
+        if selector.may_send(candidate) and selector.reserve(
+            candidate, context.head.id, context.urgency
+        ):
+            self._place_by_id[candidate.target.id] = place
+            return candidate
+        place.end()
+        return None
+
     def _pick(self, exclude: set[str]) -> Candidate | None:
         """Return a target that is not silent, or any if the request waits at none.
 
@@ -330,6 +382,7 @@
         name = candidate.target.id
         self._tried.add(name)
         run = _TargetRun(self._server, self._context, candidate)
+        run.place = self._place_by_id.pop(name, None)
         self._limit = run.limit
         is_alone = not self._open_by_id
         self._open_by_id[name] = run
--- a/packages/serving/bergamotsaddle_serving/policy.py
+++ b/packages/serving/bergamotsaddle_serving/policy.py
@@ -28,6 +28,8 @@
     """Let a call wait briefly for memory rather than run nearly empty."""
     HOME_ZONES = "home_zones"
     """Leave pieces to the zone that holds most of their inputs."""
+    JOINT_PLACEMENT = "joint_placement"
+    """Let one instance place all requests for a plain service before few targets."""
     LATE_LEAVE = "late_leave"
     """Remove late requests that have not started from long queues."""
     OVERTAKING = "overtaking"
--- a/packages/serving/bergamotsaddle_serving/selector.py
+++ b/packages/serving/bergamotsaddle_serving/selector.py
@@ -83,6 +83,10 @@
         found = [c for c in found if not self._rates.wait(c.target)]
         return _without_backoff(found)
 
+    def targets(self, service: str) -> list[Target]:
+        """Return all targets of a service, those that may get nothing now included."""
+        return [known.target for known in self._view.usable(service)]
+
     def find(self, service: str, target_id: str) -> Candidate | None:
         """Return the candidate with an id, even if no permit for it is available."""
         for candidate in _without_backoff(self._reachable(service, set())):
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -32,6 +32,7 @@
 from bergamotsaddle_serving.named_limits import BRITTLENESS, NamedLimits
 from bergamotsaddle_serving.origin_exchange import OriginExchange
 from bergamotsaddle_serving.peers import Peers
+from bergamotsaddle_serving.placement_exchange import PlacementExchange
 from bergamotsaddle_serving.plain import PlainServer
 from bergamotsaddle_serving.policy import Mechanism
 from bergamotsaddle_serving.probe import serve_page
@@ -55,6 +56,7 @@
 from bergamotsaddle_serving.target_notices import TargetNotices
 from bergamotsaddle_serving.target_rates import TargetRates
 from bergamotsaddle_serving.target_rests import TargetRests
+from bergamotsaddle_serving.unreadable_loads import UnreadableLoads
 from bergamotsaddle_serving.usage import UsageMeter
 from bergamotsaddle_serving.view import View
 from bergamotsaddle_serving.view_exchange import ViewExchange
@@ -148,7 +150,14 @@
         full = FullTargets(self.gossip, publish, self.brittleness, logger)
         self.rests = TargetRests(logger)
         leaving = LeavingTargets(self.gossip, publish, self.view, logger)
-        self.notices = TargetNotices(self.brittleness, full, leaving, self.rests)
+        self.unreadable_loads = UnreadableLoads(logger)
+        self.notices = TargetNotices(
+            self.brittleness,
+            full,
+            leaving,
+            self.rests,
+            unreadable=self.unreadable_loads,
+        )
         self.health = Health(self.limits.record, self.notices.read)
         self.reach = ZoneReach(
             self.view, self.peers, self.pool, dialect, logger, notices=self.notices
@@ -242,6 +251,9 @@
         )
         self.stage_exchange = StageExchange(self.peers, self.owner)
         waits = StageWaits(self.view, self.peers, self.owner, policy)
+        self.placement = PlacementExchange(
+            self.peers, selector, self.health.reporting, logger, policy
+        )
         plain = PlainServer(
             selector,
             self.pool,
@@ -249,6 +261,7 @@
             dialect,
             logger,
             crashes=crashes,
+            placement=self.placement,
         )
         self.streams = streams = StreamServer(
             selector,
@@ -497,6 +510,8 @@
         self.brittleness.keep_only(incarnations)
         self.rates.keep_only(incarnations)
         self.rests.keep_only(incarnations)
+        self.placement.keep_only(incarnations)
+        self.unreadable_loads.keep_only(incarnations)
 
     def _run_supervised(self, loop: Any) -> None:
         # An unexpected error would end the green thread, and this instance would go on
@@ -582,5 +597,35 @@
             "Streams whose version is known here.",
             lambda: len(self.origins),
         )
+        gauge(
+            "placements_waiting",
+            "Requests that wait here for a place at a target.",
+            lambda: self.placement.waiting,
+        )
+        gauge(
+            "placements_running",
+            "Requests that run at targets that this instance placed them at.",
+            lambda: self.placement.running,
+        )
+        gauge(
+            "placements",
+            "Requests that this instance placed as an owner.",
+            lambda: self.placement.placed,
+        )
+        gauge(
+            "placements_refused",
+            "Requests that this instance refused a place as an owner.",
+            lambda: self.placement.refused,
+        )
+        gauge(
+            "placements_unanswered",
+            "Requests for a place that no owner responded to.",
+            lambda: self.placement.unanswered,
+        )
+        gauge(
+            "loads_unreadable",
+            "Responses of targets whose load can't be read.",
+            lambda: self.unreadable_loads.count,
+        )
         gauge("targets_limited", "Targets that name a limit.", lambda: len(self.limits))
         gauge("log_dropped", "Dropped log lines.", lambda: self._output.dropped)
--- a/packages/serving/bergamotsaddle_serving/target_notices.py
+++ b/packages/serving/bergamotsaddle_serving/target_notices.py
@@ -6,6 +6,7 @@
 from bergamotsaddle_serving.messages import ResponseHead
 from bergamotsaddle_serving.named_limits import NamedLimits
 from bergamotsaddle_serving.target_rests import TargetRests
+from bergamotsaddle_serving.unreadable_loads import UnreadableLoads
 
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
@@ -23,6 +24,7 @@
         full: Brittle targets that rejected a request.
         leaving: Targets that are about to leave.
         rests: Targets that asked this instance for rest.
+        unreadable: Counts loads that can't be read, None to ignore them.
     """
 
     def __init__(
@@ -31,7 +33,10 @@
         full: FullTargets,
         leaving: LeavingTargets,
         rests: TargetRests,
+        *,
+        unreadable: UnreadableLoads | None = None,
     ) -> None:
+        self._unreadable = unreadable
         self._rests = rests
         self._brittleness = brittleness
         self._leaving = leaving
@@ -48,6 +53,8 @@
         if status == _MISDIRECTED:
             # Another target responded.
             return
+        if head.has_unreadable_load and self._unreadable is not None:
+            self._unreadable.record(target)
         if head.is_leaving:
             self._leaving.record(target)
         # Only the response to a request that has run shows that a notice has ended.
