Let targets of the soak report their load and turn noisy

The soak had no target that reports how fast it works, so nothing of the placement by owners ran beside kills, stops and changes.

Cause: the soak's dialect read no load. Ruled out: reports from the start of each soak, which would change the load of all other disturbances.

--- a/packages/standins/bergamotsaddle_standins/soak.py
+++ b/packages/standins/bergamotsaddle_standins/soak.py
@@ -96,6 +96,9 @@
 _MIN_CUT_S = 5.0
 _MAX_CUT_S = 8.0
 _MAX_PAUSE_OF_TARGET_S = 1.0
+# Reports of targets with noisy machines; the last one is false.
+_SLOWDOWNS = (2.5, 5.0, 1_000_000.0)
+_NOISE_S = 0.6
 _BRITTLE_S = 8.0
 _LEAVING_S = 6.0
 _RESTING_S = 4.0
@@ -676,6 +679,23 @@
         eventlet.sleep(REST_S)
         self._is_hushing = False
 
+    @register_disturbance("noise")
+    def _make_noise(self) -> None:
+        """Slow down the machines of some plain targets that report their load.
+
+        From the first noise on all targets of their service report it.
+        """
+        service = self._rng.choice([*BOOKINGS, LOOKUPS])
+        targets = [target for target in self._targets if target.service == service]
+        for target in targets:
+            target.slowdown = target.slowdown or 1.0
+        if self._is_over or not targets:
+            return
+        noisy = self._rng.choice(targets)
+        noisy.slowdown = self._rng.choice(_SLOWDOWNS)
+        eventlet.sleep(_NOISE_S)
+        noisy.slowdown = 1.0
+
     @register_disturbance("brittle")
     def _make_brittle(self) -> None:
         """Let targets of a service fail when they reject many requests.
--- a/packages/standins/bergamotsaddle_standins/soak_dialect.py
+++ b/packages/standins/bergamotsaddle_standins/soak_dialect.py
@@ -31,6 +31,7 @@
     ResponseHead,
     StoreEntry,
     StorePage,
+    TargetLoad,
 )
 
 HOST = "soak"
@@ -217,7 +218,7 @@
             request_id,
             is_signed=True,
             not_run=b"not-run" in by_name,
-            load=None,
+            load=_parse_load(by_name.get(b"load")),
             keep_alive_seconds=None,
             is_encoded=False,
             brittleness=_parse_number(by_name.get(b"brittle")),
@@ -328,6 +329,13 @@
     return None if value is None else int(value)
 
 
+def _parse_load(value: bytes | None) -> TargetLoad | None:
+    if value is None:
+        return None
+    running, waiting, slots, slowdown = value.split(b",")
+    return TargetLoad(int(running), int(waiting), int(slots), float(slowdown))
+
+
 def _parse_number(value: bytes | None) -> float | None:
     return None if value is None else float(value)
 
--- a/packages/standins/bergamotsaddle_standins/soak_targets.py
+++ b/packages/standins/bergamotsaddle_standins/soak_targets.py
@@ -33,6 +33,8 @@
 
 _SLOTS = 32
 _MAX_WORK_S = 0.06
+# Work never takes longer than this multiple of its usual time.
+_MAX_SLOWDOWN = 5.0
 _EVENT_PAUSE_S = 0.04
 _MAX_EVENTS = 60
 _FREE_BYTES = 1e8
@@ -189,6 +191,8 @@
         on_crash: Called when the target has crashed.
         event_pause: Seconds before each event of a stream.
         end_pause: Seconds from the last event of a stream to its end.
+        slowdown: Multiple of its usual time that it reports, None if it reports no
+            load. Its work takes as long, unless the report is false.
     """
 
     def __init__(
@@ -217,6 +221,7 @@
         self.on_crash: Callable[[RunningTarget], None] = lambda target: None
         self.event_pause = _EVENT_PAUSE_S
         self.end_pause = 0.0
+        self.slowdown: float | None = None
         self._streams: set[str] = set()
         self._has_crashed = False
         self._running = 0
@@ -283,7 +288,8 @@
             return self._reject(environ, start_response)
         headers = self._record(environ)
         environ["wsgi.input"].read()
-        seconds = self._rng.uniform(0.0, _MAX_WORK_S)
+        factor = min(self.slowdown or 1.0, _MAX_SLOWDOWN)
+        seconds = self._rng.uniform(0.0, _MAX_WORK_S) * factor
         self._running += 1
         eventlet.sleep(_BRITTLE_WORK_S if self.is_brittle else seconds)
         self._running -= 1
@@ -319,6 +325,9 @@
     def _notices(self, environ: Environ) -> tuple[tuple[str, str], ...]:
         """Return the headers with which all responses describe this target."""
         headers = []
+        if self.slowdown is not None:
+            load = f"{self._running},0,{_SLOTS},{self.slowdown}"
+            headers.append(("Load", load))
         if self.is_brittle:
             headers.append(("Brittle", str(_BRITTLENESS)))
         if self.is_leaving:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,6 +28,7 @@
 BRITTLE = ("--seed", "2", "--seconds", "20", "--instances", "5", "--only", "brittle")
 SILENCES = ("--seed", "3", "--seconds", "10", "--instances", "4", "--only", "silence")
 HUSHES = ("--seed", "9", "--seconds", "12", "--instances", "4", "--only", "hush")
+NOISES = ("--seed", "4", "--seconds", "12", "--instances", "4", "--only", "noise")
 FEW_REPEATS = ("--retry-extra", "0")
 LEAVES = ("--seed", "5", "--seconds", "15", "--instances", "4", "--only", "leave")
 BREAKS = ("--seed", "7", "--seconds", "15", "--instances", "4", "--only", "break")
@@ -110,6 +111,10 @@
         """Guards against requests lost at targets that go on after a silence."""
         self.check(*SILENCES)
 
+    def test_noisy_targets_break_nothing(self):
+        """Guards against requests lost at places that an owner grants."""
+        self.check(*NOISES)
+
     def test_silent_shares_of_the_targets_break_nothing(self):
         """Guards against streams lost while many targets hold back all bytes."""
         self.check(*HUSHES, *FEW_REPEATS)
