--- a/packages/serving/bergamotsaddle_serving/decisions/plain_queue.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/plain_queue.py
@@ -185,7 +185,7 @@
         Returns:
             Its place or refusal, None if it waits.
         """
-        usable = [p for p in places if p.id not in applicant.excluded]
+        usable = _usable(applicant, places)
         if not self._waiting_by_key:
             # An idle team gains no turns.
             self._served_by_team.clear()
@@ -225,18 +225,8 @@
             places: Targets that may get requests.
         """
         self._expire()
-        outcomes = []
-        for applicant in self._in_order():
-            usable = [p for p in places if p.id not in applicant.excluded]
-            place = self._choose(applicant, usable)
-            if place is not None:
-                del self._waiting_by_key[applicant.key]
-                outcomes.append(self._start(applicant, place))
-            elif not usable or self._shortest(usable) > applicant.deadline_at - now():
-                del self._waiting_by_key[applicant.key]
-                wait = self._wait(len(self._waiting_by_key), usable)
-                outcomes.append(self._refuse(applicant, wait, usable))
-        return outcomes
+        outcomes = self._place_waiting(places) if self._has_room(places) else []
+        return outcomes + self._refuse_late(places)
 
     def end_all_of(self, instances: Iterable[str]) -> None:
         """Forget all requests of instances that are gone."""
@@ -253,6 +243,38 @@
         """Return the number of requests that run at a target."""
         return len(self._started_at_by_place.get(target_id, ()))
 
+    def _place_waiting(self, places: Sequence[Place]) -> list[Outcome]:
+        """Place requests in their order until there is no more room."""
+        outcomes = []
+        for applicant in self._in_order():
+            place = self._choose(applicant, _usable(applicant, places))
+            if place is None:
+                continue
+            del self._waiting_by_key[applicant.key]
+            outcomes.append(self._start(applicant, place))
+            if not self._has_room(places):
+                break
+        return outcomes
+
+    def _refuse_late(self, places: Sequence[Place]) -> list[Outcome]:
+        """Refuse requests that no target would finish before their deadlines."""
+        outcomes = []
+        seconds_by_excluded: dict[frozenset[str], float] = {}
+        for applicant in list(self._waiting_by_key.values()):
+            usable = _usable(applicant, places)
+            seconds = seconds_by_excluded.get(applicant.excluded)
+            if seconds is None:
+                seconds = self._shortest(usable) if usable else math.inf
+                seconds_by_excluded[applicant.excluded] = seconds
+            if seconds > applicant.deadline_at - now():
+                del self._waiting_by_key[applicant.key]
+                wait = self._wait(len(self._waiting_by_key), usable)
+                outcomes.append(self._refuse(applicant, wait, usable))
+        return outcomes
+
+    def _has_room(self, places: Sequence[Place]) -> bool:
+        return any(self.running_at(place.id) < place.room for place in places)
+
     def _start(self, applicant: Applicant, place: Place) -> Outcome:
         at = now()
         expected = self._slowdowns.expected(place.incarnation)
@@ -389,3 +411,10 @@
         for key, lease in list(self._lease_by_key.items()):
             if lease.expires_at <= at:
                 self.end(key)
+
+
+def _usable(applicant: Applicant, places: Sequence[Place]) -> Sequence[Place]:
+    """Return the targets that may get a request."""
+    if not applicant.excluded:
+        return places
+    return [place for place in places if place.id not in applicant.excluded]
--- a/packages/serving/bergamotsaddle_serving/placement_exchange.py
+++ b/packages/serving/bergamotsaddle_serving/placement_exchange.py
@@ -344,7 +344,9 @@
             return PlaceResponse(message.number, PlaceDecision.LOCAL)
         if owned is None:
             owned = self._owned_by_service[service] = _OwnedQueue()
-        self._renew(service, owned)
+        if not len(owned.queue):
+            # Leases may have ended; a queue in which requests wait is renewed anyway.
+            self._renew(service, owned)
         at = now()
         applicant = Applicant(
             key=key,
