Tell owners the seconds of successful runs only

A target that answers each request with 500 at once would have looked the fastest one to the owner, and all callers would have been sent there.

Cause: the end of a place told the seconds of any complete response. Ruled out by reading only: refused connections and broken runs, which tell none.

Change: seconds are told for successes only; the new test fails without the change and passes with it.

Conclusion: such a target keeps its usual seconds; what else keeps requests from it is unchanged.

--- a/packages/serving/bergamotsaddle_serving/plain_run.py
+++ b/packages/serving/bergamotsaddle_serving/plain_run.py
@@ -129,9 +129,11 @@
             raise OutcomeUnknownError(f"status {response.head.status}")
         if not response.head.is_framed:
             self._check_unframed()
-        self._seconds = now() - self._attempt.started_at
-        self.state.record_success(self._seconds)
+        seconds = now() - self._attempt.started_at
+        self.state.record_success(seconds)
         if response.is_success:
+            # A target that fails at once must not look fast to the owner.
+            self._seconds = seconds
             self._server.crashes.record_success(
                 self.target, [self.work()], is_framed=response.head.is_framed
             )
--- a/tests/test_plain_places.py
+++ b/tests/test_plain_places.py
@@ -50,6 +50,7 @@
         self.selector.permit_wait.return_value = None
         self.is_suspect = False
         self.broken = set()
+        self.status = 200
 
     def acquire(self, address, *, limit):
         """Return a connection to a target."""
@@ -58,7 +59,7 @@
         connection.send.return_value = 0
         connection.read_body.return_value = b"done"
         connection.read_head.return_value = RawResponseHead(
-            200, [(b"content-length", b"4")]
+            self.status, [(b"content-length", b"4")]
         )
         if address.port in self.broken:
             connection.read_head.side_effect = ConnectionLostError("closed")
@@ -112,6 +113,12 @@
         self.place.end.assert_called_once()
         self.assertIsNotNone(self.place.end.call_args.args[0])
 
+    def test_a_failure_tells_no_seconds(self):
+        """Guards against a target that fails at once and so looks fast."""
+        self.status = 500
+        self.serve()
+        self.assertIsNone(self.place.end.call_args_list[0].args[0])
+
     def test_without_a_place_it_runs_where_the_instance_chooses(self):
         self.placement.place.return_value = None
         self.assertEqual(self.serve(), 200)
