--- a/packages/serving/bergamotsaddle_serving/plain.py
+++ b/packages/serving/bergamotsaddle_serving/plain.py
@@ -8,6 +8,7 @@
 from bergamotsaddle_serving.hedge_exchange import HedgeExchange
 from bergamotsaddle_serving.messages import Dialect
 from bergamotsaddle_serving.metrics import Metrics
+from bergamotsaddle_serving.placement_exchange import PlacementExchange
 from bergamotsaddle_serving.plain_run import CompleteResponse, PlainRun
 from bergamotsaddle_serving.selector import Selector
 from bergamotsaddle_serving.target_crashes import TargetCrashes
@@ -25,6 +26,8 @@
         crashes: Detects crashed targets and the requests that they were running.
         hedges: Limits the hedges of slow requests.
         metrics: Counts hedges.
+        placement: Places requests for services before few targets, None to choose
+            targets here only.
     """
 
     def __init__(
@@ -38,6 +41,7 @@
         crashes: TargetCrashes,
         hedges: HedgeExchange | None = None,
         metrics: Metrics | None = None,
+        placement: PlacementExchange | None = None,
     ) -> None:
         self.selector = selector
         self.pool = pool
@@ -48,6 +52,7 @@
         self.suspects = crashes.suspects
         self.hedges = hedges if hedges is not None and hedges.is_enabled else None
         self.metrics = metrics or Metrics()
+        self.placement = placement
 
     def serve(self, context: Context) -> CompleteResponse:
         """Return the response to a request.
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -37,6 +37,7 @@
 from bergamotsaddle_serving.named_limits import BRITTLENESS, NamedLimits
 from bergamotsaddle_serving.origin_exchange import OriginExchange
 from bergamotsaddle_serving.peers import Peers
+from bergamotsaddle_serving.placement_exchange import PlacementExchange
 from bergamotsaddle_serving.plain import PlainServer
 from bergamotsaddle_serving.policy import Mechanism
 from bergamotsaddle_serving.probe import serve_page
@@ -62,6 +63,7 @@
 from bergamotsaddle_serving.target_notices import TargetNotices
 from bergamotsaddle_serving.target_rates import TargetRates
 from bergamotsaddle_serving.target_rests import TargetRests
+from bergamotsaddle_serving.unreadable_loads import UnreadableLoads
 from bergamotsaddle_serving.usage import UsageMeter
 from bergamotsaddle_serving.view import View
 from bergamotsaddle_serving.view_exchange import ViewExchange
@@ -155,7 +157,14 @@
         full = FullTargets(self.gossip, publish, self.brittleness, logger)
         self.rests = TargetRests(logger)
         leaving = LeavingTargets(self.gossip, publish, self.view, logger)
-        self.notices = TargetNotices(self.brittleness, full, leaving, self.rests)
+        self.unreadable_loads = UnreadableLoads(logger)
+        self.notices = TargetNotices(
+            self.brittleness,
+            full,
+            leaving,
+            self.rests,
+            unreadable=self.unreadable_loads,
+        )
         self.health = Health(self.limits.record, self.notices.read)
         self.reach = ZoneReach(
             self.view, self.peers, self.pool, dialect, logger, notices=self.notices
@@ -258,6 +267,9 @@
         )
         self.stage_exchange = StageExchange(self.peers, self.owner)
         waits = StageWaits(self.view, self.peers, self.owner, policy)
+        self.placement = PlacementExchange(
+            self.peers, selector, self.health.reporting, logger, policy
+        )
         plain = PlainServer(
             selector,
             self.pool,
@@ -267,6 +279,7 @@
             crashes=crashes,
             hedges=HedgeExchange(self.peers, HedgePool(settings.hedging.max_share)),
             metrics=self.metrics,
+            placement=self.placement,
         )
         self.returns = ReturnExchange(self.peers)
         self.room = Room(
@@ -534,6 +547,8 @@
         self.rates.keep_only(incarnations)
         self.rests.keep_only(incarnations)
         self.speeds.keep_only(incarnations)
+        self.placement.keep_only(incarnations)
+        self.unreadable_loads.keep_only(incarnations)
 
     def _run_supervised(self, loop: Any) -> None:
         # An unexpected error would end the green thread, and this instance would go on
@@ -619,6 +634,36 @@
             "Streams whose version is known here.",
             lambda: len(self.origins),
         )
+        gauge(
+            "placements_waiting",
+            "Requests that wait here for a place at a target.",
+            lambda: self.placement.waiting,
+        )
+        gauge(
+            "placements_running",
+            "Requests that run at targets that this instance placed them at.",
+            lambda: self.placement.running,
+        )
+        gauge(
+            "placements",
+            "Requests that this instance placed as an owner.",
+            lambda: self.placement.placed,
+        )
+        gauge(
+            "placements_refused",
+            "Requests that this instance refused a place as an owner.",
+            lambda: self.placement.refused,
+        )
+        gauge(
+            "placements_unanswered",
+            "Requests for a place that no owner responded to.",
+            lambda: self.placement.unanswered,
+        )
+        gauge(
+            "loads_unreadable",
+            "Responses of targets whose load can't be read.",
+            lambda: self.unreadable_loads.count,
+        )
         gauge("targets_limited", "Targets that name a limit.", lambda: len(self.limits))
         gauge(
             "room_pressure",
