Bound what is read of responses, and let others run between its parts

What callers saw: one target that sends without end stopped a daemon for all of its callers; bodies took up to 400 MB.

Cause: nothing bounded what is read of one response before its body (interim responses restart the time of the head), of a part of an event (sought from its start with each read), or of all bodies together; and a reader whose socket is always readable never switches to the hub.

Change: a shared memory for responses, of which one may take as much as is free beside it; limits of interim responses and of framing; the head's time counts for all of it; a stated length that is too large is refused at the head; long plain bodies of a stated length are relayed as they arrive; events are sought once in each byte; readers and writers yield after a few parts. Each refusal is an event `endless` and counted; a target that is certainly at fault backs off at once.

--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/_turn.py
@@ -0,0 +1,33 @@
+"""Lets other green threads run between the steps of a long piece of work."""
+
+import eventlet
+
+
+class Turn:
+    """Counts steps, and lets other green threads run after some of them.
+
+    Reading from a green socket switches to the hub only if nothing has arrived. A peer
+    that sends faster than its bytes are read would keep a reader running forever.
+
+    Args:
+        steps: Number of steps of a turn.
+    """
+
+    def __init__(self, steps: int) -> None:
+        self._steps = steps
+        self._left = steps
+
+    def step(self) -> None:
+        """Count a step that is about to be made; at the end of a turn, wait first."""
+        if self._left <= 0:
+            self.restart()
+            eventlet.sleep(0)
+        self._left -= 1
+
+    def end(self) -> None:
+        """Let the next step begin a new turn."""
+        self._left = 0
+
+    def restart(self) -> None:
+        """Begin a new turn, as others have just run."""
+        self._left = self._steps
--- a/packages/serving/bergamotsaddle_serving/attempt.py
+++ b/packages/serving/bergamotsaddle_serving/attempt.py
@@ -1,22 +1,26 @@
 """Sends one request to one target and reads its response."""
 
 from collections.abc import Callable
-from typing import NamedTuple, TypeVar
+from typing import NamedTuple, NoReturn, TypeVar
 
 from bergamotsaddle_contracts.errors import BergamotsaddleError
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.client import (
     CONNECTION_REFUSED,
+    NO_MEMORY,
     SILENT,
+    TOO_LONG,
     UNFINISHED,
     Connection,
     ConnectionLostError,
     ConnectionPool,
+    EndlessError,
     RawResponseHead,
 )
 from bergamotsaddle_serving.context import Context
 from bergamotsaddle_serving.health import TargetState
 from bergamotsaddle_serving.messages import Dialect, Dispatch, HttpCall, ResponseHead
+from bergamotsaddle_serving.response_memory import MemoryShortError, Remainder
 
 T = TypeVar("T")
 
@@ -119,6 +123,8 @@
         self._keep_alive_seconds: float | None = None
         self._is_silent = False
         self._is_writing = False
+        # The part of an event whose rest has not arrived.
+        self._part = Remainder(context.memory)
         self.is_sent = False
         self.started_at = now()
 
@@ -131,6 +137,7 @@
         self._state.silent -= self._is_silent
         self._state.writing -= self._is_writing
         self._is_silent = self._is_writing = False
+        self._part.resize(0)
         if self._connection is not None:
             self._connection.close()
 
@@ -209,7 +216,7 @@
                 wait = last_seen_at + limit - now()
 
     def read_body(self, *, limit: float, max_bytes: int) -> bytes:
-        """Read the complete body.
+        """Read the complete body, which the request holds until it ends.
 
         Args:
             limit: Seconds after which the target counts as silent.
@@ -225,6 +232,7 @@
             lambda: connection.read_body(limit=limit, max_bytes=max_bytes)
         )
         self._return_connection()
+        self._context.memory.keep(len(body))
         return body
 
     def read_some(self, *, limit: float) -> bytes | None:
@@ -247,6 +255,31 @@
             self._state.writing += 1
         return data
 
+    def hold(self, size: int) -> None:
+        """Hold a part of an event until the rest of it arrives.
+
+        Args:
+            size: Bytes of the part, 0 if there is none.
+
+        Raises:
+            OutcomeUnknownError: If that is more than the request may hold.
+        """
+        try:
+            self._part.resize(size)
+        except MemoryShortError:
+            self._read(lambda: self._connection.refuse(NO_MEMORY, "event", size))
+
+    def refuse_body(self, size: int) -> NoReturn:
+        """Give up a body that is longer than it may be.
+
+        Args:
+            size: Its size as stated.
+
+        Raises:
+            OutcomeUnknownError: Always.
+        """
+        self._read(lambda: self._connection.refuse(TOO_LONG, "body", size))
+
     def _read(self, part: Callable[[], T]) -> T:
         """Use the connection, and record whether the target is silent.
 
@@ -258,7 +291,8 @@
             value = part()
         except ConnectionLostError as error:
             if error.reason != SILENT:
-                self._state.record_failure(is_certain=False)
+                is_certain = isinstance(error, EndlessError) and error.is_certain
+                self._state.record_failure(is_certain=is_certain)
                 raise OutcomeUnknownError(error.reason) from error
             self._record_silence()
             raise SilentError from error
--- a/packages/serving/bergamotsaddle_serving/caller.py
+++ b/packages/serving/bergamotsaddle_serving/caller.py
@@ -18,10 +18,17 @@
     RequestError,
 )
 from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving._turn import Turn
 from bergamotsaddle_serving.catalog import CallerLimits
 from bergamotsaddle_serving.messages import RawHeaders
 
 _CHUNK = 65_536
+# Bytes of a request's body beside its content: lines of chunks and trailers. The
+# content allows for more of them, as chunks may be small.
+_MAX_FRAMING_BYTES = 131_072
+_MAX_FRAMING_FACTOR = 2
+# Parts of a request or of a response after which other green threads get to run.
+_PARTS_A_TURN = 8
 _HEAD_END = b"\r\n\r\n"
 _BARE_LINE_END = re.compile(rb"(?<!\r)\n|\r(?!\n)")
 _LENGTH_LINE = re.compile(rb"\r\ncontent-length[ \t]*:", re.IGNORECASE)
@@ -97,7 +104,8 @@
         self._socket = sock
         self._limits = limits
         self._is_stopping = is_stopping
-        self._buffered = b""
+        self._buffered: bytes | bytearray = b""
+        self._turn = Turn(_PARTS_A_TURN)
         self._waiter: greenlet | None = None
         self._is_closing = False
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=_MAX_BUFFERED)
@@ -279,19 +287,19 @@
         )
 
     def _read_head(self, limits: CallerLimits) -> tuple[bytes, bytes]:
-        data = (
-            self._buffered.lstrip(b"\r\n")
-            if self._buffered[:1] in b"\r\n"
-            else self._buffered
-        )
-        while _HEAD_END not in data:
+        data = bytearray(self._buffered)
+        if data[:1] in (b"\r", b"\n"):
+            data = data.lstrip(b"\r\n")
+        searched = 0
+        while data.find(_HEAD_END, searched) < 0:
             if len(data) > limits.head_bytes:
                 raise RequestError(ErrorKind.HEAD_TOO_LARGE, "the head is too large")
             # A head whose lines end in a bare LF never has the proper end.
-            if b"\n\n" in data:
+            if data.find(b"\n\n", searched) >= 0:
                 raise RequestError(ErrorKind.BAD_REQUEST, "malformed head")
+            searched = max(0, len(data) - len(_HEAD_END) + 1)
             data += self._receive()
-        head, _, remainder = data.partition(_HEAD_END)
+        head, _, remainder = bytes(data).partition(_HEAD_END)
         if len(head) > limits.head_bytes:
             raise RequestError(ErrorKind.HEAD_TOO_LARGE, "the head is too large")
         if len(_LENGTH_LINE.findall(head)) > 1:
@@ -309,11 +317,17 @@
 
     def _read_body(self, limits: CallerLimits) -> bytes:
         chunks = []
-        size = 0
+        size = received = 0
         while True:
+            self._turn.step()
             event = self._h11.next_event()
             if event is h11.NEED_DATA:
-                self._h11.receive_data(self._receive())
+                framing = received - size
+                if framing > _MAX_FRAMING_BYTES + _MAX_FRAMING_FACTOR * size:
+                    raise RequestError(ErrorKind.BAD_REQUEST, "too many chunks")
+                data = self._receive()
+                received += len(data)
+                self._h11.receive_data(data)
             elif isinstance(event, h11.Data):
                 chunks.append(bytes(event.data))
                 size += len(event.data)
@@ -323,6 +337,7 @@
                 return b"".join(chunks)
 
     def _receive(self) -> bytes:
+        self._turn.step()
         try:
             data = self._socket.recv(_CHUNK)
         except _CONNECTION_ERRORS as error:
@@ -332,7 +347,10 @@
         return data
 
     def _watch_for_disconnect(self, worker: GreenThread) -> None:
+        turn = Turn(_PARTS_A_TURN)
+        self._buffered = bytearray(self._buffered)
         while len(self._buffered) < _MAX_BUFFERED:
+            turn.step()
             try:
                 data = self._socket.recv(_CHUNK)
             except _CONNECTION_ERRORS:
@@ -345,9 +363,10 @@
     def _write(self, data: bytes) -> None:
         if not data:
             return
+        self._turn.step()
         try:
             with eventlet.Timeout(_WRITE_TIMEOUT_S):
-                self._socket.sendall(data)
+                self._socket.sendall(memoryview(data))
         except (eventlet.Timeout, OSError) as error:
             raise CallerLeftError("unread") from error
 
--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -2,7 +2,7 @@
 
 import socket
 from collections.abc import Callable, Iterator, Sequence
-from typing import NamedTuple
+from typing import NamedTuple, NoReturn
 
 import eventlet
 import h11
@@ -12,12 +12,26 @@
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving._sockets import receive
+from bergamotsaddle_serving._turn import Turn
 from bergamotsaddle_serving.messages import HttpCall
+from bergamotsaddle_serving.response_memory import (
+    UNLIMITED,
+    MemoryShortError,
+    ResponseMemory,
+)
 
 _original_select = patcher.original("select")
 
-_CHUNK = 65_536
+_CHUNK_BYTES = 16_384
+# Also the maximum size of a chunk's line and of the trailers.
 _MAX_HEAD_BYTES = 65_536
+_MAX_INTERIM_RESPONSES = 64
+# Bytes of a response beside its body: heads, lines of chunks, trailers. The body allows
+# for more of them, as chunks may be small.
+_MAX_FRAMING_BYTES = 131_072
+_MAX_FRAMING_FACTOR = 2
+# Parts of a response after which other green threads get to run.
+_PARTS_A_TURN = 8
 # Connecting between zones takes two trips of a few ms. A target that has not accepted
 # after this time is dead, unreachable or out of connections.
 CONNECT_LIMIT_S = 0.4
@@ -45,12 +59,21 @@
 CONNECTION_REFUSED = "refused"
 # Reason of connections whose response did not arrive in time.
 SILENT = "silent"
+# Reason of responses of which more comes than any sound one has beside its body.
+ENDLESS = "endless"
+# Reason of bodies that are larger than they may be.
+TOO_LONG = "too_long"
+# Reason of bodies that are larger than this process can hold now.
+NO_MEMORY = "no_memory"
 # Reason of streams that ended inside an event or before their first one.
 UNFINISHED = "unfinished"
 # Reasons of connections that were closed before the response was complete.
 BROKEN_CONNECTION_REASONS = frozenset(("closed", "cut", "reset", "send", UNFINISHED))
 
 _SUCCESS = range(200, 300)
+# Status with which the parser reports a head, a line or trailers without end.
+_TOO_LARGE = 431
+_WITHOUT_BODY = frozenset((204, 304))
 _FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 # Headers that apply to one connection only and are not forwarded.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -81,6 +104,26 @@
         self.is_unsent = is_unsent
 
 
+class EndlessError(ConnectionLostError):
+    """More came than a response may have, so no answer is expected of it.
+
+    Args:
+        reason: One word for logs.
+        place: Part of the response that it came in.
+        size: Bytes of that part so far, or as stated.
+    """
+
+    def __init__(self, reason: str, place: str, size: int) -> None:
+        super().__init__(reason)
+        self.place = place
+        self.size = size
+
+    @property
+    def is_certain(self) -> bool:
+        """Whether a sound response never has that much."""
+        return self.reason != NO_MEMORY
+
+
 class RawResponseHead(NamedTuple):
     """Status and headers of a response, header names in lower case."""
 
@@ -100,6 +143,27 @@
         """
         return any(name in _FRAMING_HEADERS for name, _ in self.headers)
 
+    @property
+    def body_bytes(self) -> int | None:
+        """Size of the body as stated, None if it is not.
+
+        The response to a request for the head alone states it too.
+        """
+        if self.status in _WITHOUT_BODY:
+            return None
+        value_by_name = dict(self.headers)
+        if b"transfer-encoding" in value_by_name:
+            return None
+        length = value_by_name.get(b"content-length")
+        return None if length is None else int(length)
+
+
+OnEndless = Callable[[Address, EndlessError], None]
+
+
+def ignore_endless(address: Address, error: EndlessError) -> None:
+    """Ignore a response without end."""
+
 
 class Connection:
     """A client connection that carries one request after the other.
@@ -108,12 +172,30 @@
         address: Address to connect to.
         limit: Seconds for connecting.
 
+    Attributes:
+        address: Address that it is connected to.
+        memory: Memory for bodies. Unless it is replaced, only their size is limited.
+        on_endless: Called with the address and the error when more comes than a
+            response may have.
+
     Raises:
         ConnectionLostError: If the connection can't be made in time.
     """
 
     def __init__(self, address: Address, *, limit: float = CONNECT_LIMIT_S) -> None:
         self.address = address
+        self.memory = UNLIMITED
+        self.on_endless: OnEndless = ignore_endless
+        self._turn = Turn(_PARTS_A_TURN)
+        # Bytes of the current response, and those of its body among them.
+        self._received_bytes = 0
+        self._body_bytes = 0
+        self._interim_responses = 0
+        self._has_head = False
+        self._stated_bytes: int | None = None
+        self._wants_body = True
+        # Whether the memory for a body of the stated size has been taken.
+        self._has_reserved = False
         self.idle_since = now()
         self.keep_alive_seconds = _DEFAULT_KEEP_ALIVE_S
         self._h11 = h11.Connection(
@@ -123,7 +205,7 @@
         self._sender: eventlet.greenthread.GreenThread | None = None
         self._has_peer_closed = False
         # Chunks of a body that is being read.
-        self._chunks: list[bytes] = []
+        self._chunks: list[bytes | bytearray] = []
         try:
             self._socket.settimeout(max(0.001, limit))
             self._set_options()
@@ -175,6 +257,7 @@
                 method=request.method, target=request.path, headers=request.headers
             )
         )
+        self._wants_body = request.method != b"HEAD"
         data = head
         if request.body:
             data += self._h11.send(h11.Data(data=request.body))
@@ -184,34 +267,42 @@
             self._sender = eventlet.spawn(self._send_in_background, data)
             return len(data)
         try:
-            self._socket.sendall(data)
+            self._socket.sendall(memoryview(data))
         except OSError as error:
             raise ConnectionLostError("send") from error
         return len(data)
 
     def _send_in_background(self, data: bytes) -> bool:
         try:
-            self._socket.sendall(data)
+            self._socket.sendall(memoryview(data))
         except OSError:
             # Reading the response fails as well and reports the error.
             return False
         return True
 
     def read_head(self, *, limit: float) -> RawResponseHead:
-        """Read the head of the response.
+        """Read the head of the response, behind any interim responses.
 
         Args:
-            limit: Seconds for each event of the parser.
+            limit: Seconds for all of them.
 
         Raises:
+            EndlessError: If more of them come than before any sound response.
             ConnectionLostError: If no head arrives in time.
         """
+        until = now() + limit
         event = self._next_event(limit)
         while isinstance(event, h11.InformationalResponse):
-            event = self._next_event(limit)
+            self._interim_responses += 1
+            if self._interim_responses > _MAX_INTERIM_RESPONSES:
+                self.refuse(ENDLESS, "interim responses", self._received_bytes)
+            event = self._next_event(until - now())
         if not isinstance(event, h11.Response):
             raise ConnectionLostError("no_head")
-        return RawResponseHead(event.status_code, list(event.headers))
+        self._has_head = True
+        head = RawResponseHead(event.status_code, list(event.headers))
+        self._stated_bytes = head.body_bytes if self._wants_body else None
+        return head
 
     def read_body(self, *, limit: float, max_bytes: int) -> bytes:
         """Read the whole body of the response.
@@ -223,20 +314,34 @@
             max_bytes: Maximum size of the body.
 
         Raises:
-            ConnectionLostError: If the body is incomplete or too large.
+            EndlessError: If the body is too large.
+            ConnectionLostError: If it is incomplete.
         """
         until = now() + limit
+        if self._stated_bytes is not None and self._stated_bytes > max_bytes:
+            self.refuse(TOO_LONG, "body", self._stated_bytes)
+        if self._stated_bytes is not None and not self._has_reserved:
+            self._take(self._stated_bytes)
+            self._has_reserved = True
         chunks = self._chunks
         size = sum(map(len, chunks))
         while (data := self.read_some(limit=until - now())) is not None:
             chunks.append(data)
             size += len(data)
             if size > max_bytes:
-                raise ConnectionLostError("too_long")
+                self.refuse(TOO_LONG, "body", size)
+            if not self._has_reserved:
+                self._take(len(data))
         self._chunks = []
         return b"".join(chunks)
 
-    def read_some(self, *, limit: float) -> bytes | None:
+    def _take(self, size: int) -> None:
+        try:
+            self.memory.take(size)
+        except MemoryShortError as error:
+            self.refuse(NO_MEMORY, "body", error.size)
+
+    def read_some(self, *, limit: float) -> bytes | bytearray | None:
         """Read the next chunk of the body; return None at its proper end.
 
         Args:
@@ -247,7 +352,8 @@
         """
         event = self._next_event(limit)
         if isinstance(event, h11.Data):
-            return bytes(event.data)
+            self._body_bytes += len(event.data)
+            return event.data
         if isinstance(event, h11.EndOfMessage):
             return None
         raise ConnectionLostError("cut")
@@ -291,6 +397,11 @@
             return False
         self._h11.start_next_cycle()
         self._sender = None
+        self._received_bytes = self._body_bytes = self._interim_responses = 0
+        self._has_head = False
+        self._stated_bytes = None
+        self._has_reserved = False
+        self.memory.close()
         self.idle_since = now()
         return True
 
@@ -299,26 +410,56 @@
         if self._sender is not None and not self._sender.dead:
             self._sender.kill()
         self._socket.close()
+        # The error that ended the reading may refer to the parts for longer.
+        self._chunks.clear()
+        self.memory.close()
+
+    def refuse(self, reason: str, place: str, size: int) -> NoReturn:
+        """Report that more came than the response may have.
+
+        Args:
+            reason: One word for logs.
+            place: Part of the response that it came in.
+            size: Bytes of that part so far, or as stated.
+
+        Raises:
+            EndlessError: Always.
+        """
+        error = EndlessError(reason, place, size)
+        self.on_endless(self.address, error)
+        raise error
 
     def _next_event(self, limit: float) -> object:
         until = now() + limit
         while True:
+            self._turn.step()
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as error:
+                if error.error_status_hint == _TOO_LARGE:
+                    self._refuse_framing()
                 reason = "closed" if self._has_peer_closed else "no_http"
                 raise ConnectionLostError(reason) from error
             if event is not h11.NEED_DATA:
                 return event
+            framing = self._received_bytes - self._body_bytes
+            allowed = _MAX_FRAMING_BYTES + _MAX_FRAMING_FACTOR * self._body_bytes
+            if framing > allowed:
+                self._refuse_framing()
             data = self._receive(until - now())
             self._has_peer_closed = not data
+            self._received_bytes += len(data)
             self._h11.receive_data(data)
 
+    def _refuse_framing(self) -> NoReturn:
+        place = "framing" if self._has_head else "head"
+        self.refuse(ENDLESS, place, self._received_bytes - self._body_bytes)
+
     def _receive(self, limit: float) -> bytes:
         if limit <= 0:
             raise ConnectionLostError(SILENT)
         try:
-            return receive(self._socket, _CHUNK, limit)
+            return receive(self._socket, _CHUNK_BYTES, limit, turn=self._turn)
         except TimeoutError as error:
             raise ConnectionLostError(SILENT) from error
         except OSError as error:
@@ -328,6 +469,11 @@
 class ConnectionPool:
     """A pool of idle connections by address.
 
+    Args:
+        memory: Memory for the bodies of responses, None if only their size is limited.
+        on_endless: Called with the address and the error when more comes than a
+            response may have.
+
     Attributes:
         opened: Number of connections opened so far.
         last_acquired_at: When a connection was last acquired to send something.
@@ -336,7 +482,14 @@
             whether that succeeded.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        *,
+        memory: ResponseMemory | None = None,
+        on_endless: OnEndless = ignore_endless,
+    ) -> None:
+        self._memory = memory
+        self._on_endless = on_endless
         self._idle_by_address: dict[Address, list[Connection]] = {}
         self.opened = 0
         self.last_acquired_at = float("-inf")
@@ -384,13 +537,31 @@
     def _open(self, address: Address, limit: float) -> Connection:
         self.opened += 1
         try:
-            connection = Connection(address, limit=limit)
+            connection = self.connect(address, limit=limit)
         except ConnectionLostError:
             self.on_opened(address, False)
             raise
         self.on_opened(address, True)
         return connection
 
+    def connect(
+        self, address: Address, *, limit: float = CONNECT_LIMIT_S
+    ) -> Connection:
+        """Return a new connection that the pool knows nothing of.
+
+        Args:
+            address: Address to connect to.
+            limit: Seconds for connecting.
+
+        Raises:
+            ConnectionLostError: If it can't be made in time.
+        """
+        connection = Connection(address, limit=limit)
+        if self._memory is not None:
+            connection.memory = self._memory.open()
+        connection.on_endless = self._on_endless
+        return connection
+
     def release(self, connection: Connection, keep_alive_seconds: float | None) -> None:
         """Return a connection to the pool after its response was read to the end.
 
--- a/packages/serving/bergamotsaddle_serving/context.py
+++ b/packages/serving/bergamotsaddle_serving/context.py
@@ -7,6 +7,7 @@
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.catalog import Route, Service, Team
 from bergamotsaddle_serving.messages import RequestHead
+from bergamotsaddle_serving.response_memory import UNLIMITED, MemoryShare
 from bergamotsaddle_serving.stream_origins import StreamOrigin
 
 # Maximum number of names that a log line lists.
@@ -46,6 +47,7 @@
         sender: Id of the instance that handed it over, empty if a caller sent it.
         origin: What sent the first event of the stream, None before it.
         earlier_runs: How often the request may have run at instances that have died.
+        memory: What it holds of responses.
     """
 
     head: RequestHead
@@ -63,6 +65,7 @@
     sender: str = ""
     origin: StreamOrigin | None = None
     earlier_runs: int = 0
+    memory: MemoryShare = UNLIMITED
 
     @property
     def logged_parts(self) -> tuple[str, ...]:
--- a/packages/serving/bergamotsaddle_serving/engine_run.py
+++ b/packages/serving/bergamotsaddle_serving/engine_run.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from bergamotsaddle_serving.streams import StreamServer
 
+# Size of the body of a failure.
 _MAX_RESPONSE_BYTES = 1_000_000
 
 
@@ -184,10 +185,14 @@
                 limit=self._context.remaining, max_bytes=_MAX_RESPONSE_BYTES
             )
             return []
+        until = now() + limit
         while (data := self._attempt.read_some(limit=limit)) is not None:
             events = self._splitter.feed(data)
             if events:
+                self._attempt.hold(0)
                 return events
+            self._attempt.hold(self._splitter.remainder_size)
+            limit = until - now()
         self._attempt.finish_stream(is_whole=self._is_whole())
         return []
 
--- a/packages/serving/bergamotsaddle_serving/events.py
+++ b/packages/serving/bergamotsaddle_serving/events.py
@@ -8,6 +8,8 @@
 _ID_LINE = re.compile(rb"(?:^|[\r\n])id:[ ]?([0-9]{1,15})(?:[\r\n]|$)")
 _DATA_LINE = re.compile(rb"(?:^|[\r\n])data(?:[:\r\n]|$)")
 _LINE_ENDS = b"\r\n"
+# The end of an event may begin this many bytes before the bytes that complete it.
+_MAX_END_BYTES = 4
 
 
 class StreamEvent(NamedTuple):
@@ -28,10 +30,14 @@
 
 
 class EventSplitter:
-    """Splits bytes into complete events as they arrive."""
+    """Splits bytes into complete events as they arrive.
+
+    The end of an event is sought once in each byte, however small the parts are in
+    which it arrives.
+    """
 
     def __init__(self) -> None:
-        self._remainder = b""
+        self._remainder = bytearray()
         self._has_event = False
 
     def feed(self, data: bytes) -> list[StreamEvent]:
@@ -43,13 +49,18 @@
         Returns:
             The events that the bytes complete.
         """
-        self._remainder += data
+        remainder = self._remainder
+        searched = max(0, len(remainder) - _MAX_END_BYTES + 1)
+        remainder += data
         events = []
-        while match := _EVENT_END.search(self._remainder):
-            event = self._remainder[: match.end()]
-            self._remainder = self._remainder[match.end() :]
+        start = 0
+        while match := _EVENT_END.search(remainder, searched):
+            end = searched = match.end()
+            event = bytes(remainder[start:end])
+            start = end
             number = _ID_LINE.search(event)
             events.append(StreamEvent(event, int(number.group(1)) if number else None))
+        del remainder[:start]
         self._has_event |= bool(events)
         return events
 
@@ -70,4 +81,9 @@
     @property
     def remainder(self) -> bytes:
         """Bytes of an event that is not complete yet."""
-        return self._remainder
+        return bytes(self._remainder)
+
+    @property
+    def remainder_size(self) -> int:
+        """Number of these bytes."""
+        return len(self._remainder)
--- a/packages/serving/bergamotsaddle_serving/follower.py
+++ b/packages/serving/bergamotsaddle_serving/follower.py
@@ -7,7 +7,13 @@
 import eventlet
 
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving.client import SILENT, Connection, ConnectionLostError
+from bergamotsaddle_serving.client import (
+    SILENT,
+    Connection,
+    ConnectionLostError,
+    OnEndless,
+    ignore_endless,
+)
 from bergamotsaddle_serving.messages import Dialect, HttpCall, StorePage
 from bergamotsaddle_serving.settings import ServingSettings
 from bergamotsaddle_serving.view import View
@@ -88,6 +94,8 @@
         calls: Number of calls to the store so far.
         on_refused: Called when the store has failed for longer than a cut watch takes.
         on_regained: Called when the store has returned after an outage.
+        on_endless: Called with the address and the error when more comes than a
+            response may have.
     """
 
     def __init__(
@@ -112,6 +120,7 @@
         self.calls = 0
         self.on_refused: Callable[[], None] = lambda: None
         self.on_regained: Callable[[], None] = lambda: None
+        self.on_endless: OnEndless = ignore_endless
 
     def is_refused(self) -> bool:
         """Return whether the store has failed for longer than a cut watch takes."""
@@ -209,6 +218,7 @@
             if connection is not None:
                 connection.close()
             connection = Connection(self._settings.store.address)
+            connection.on_endless = self.on_endless
         self.calls += 1
         head, body = connection.exchange(
             call,
--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -41,6 +41,7 @@
     decode_request,
     encode_error,
 )
+from bergamotsaddle_serving.response_memory import ResponseMemory
 from bergamotsaddle_serving.stop_schedule import StopSchedule
 from bergamotsaddle_serving.streams import StreamServer
 from bergamotsaddle_serving.suspects import Suspects
@@ -95,6 +96,7 @@
         suspects: Requests that are suspected of crashing their targets.
         handover: Hands requests over to other instances, None to serve all of them
             here.
+        memory: Memory for the responses of targets and of other instances.
 
     Attributes:
         connections: Open connections of callers.
@@ -121,7 +123,9 @@
         *,
         suspects: Suspects,
         handover: Handover | None = None,
+        memory: ResponseMemory | None = None,
     ) -> None:
+        self._memory = memory or ResponseMemory()
         self._handover = handover
         self._policy = policy
         self._suspects = suspects
@@ -220,6 +224,9 @@
             reason = "internal error"
             unexpected = RequestError(ErrorKind.INTERNAL, reason)
             self._handle_error(caller, request_id, unexpected, context)
+        finally:
+            if context is not None:
+                context.memory.close()
         seconds = now() - started_at
         self._record_outcome(request_id, context, outcome, seconds, reason=reason)
 
@@ -304,8 +311,7 @@
         if context.route.kind is Kind.STREAM:
             self._streams.serve(context, caller)
             return
-        response = self._plain.serve(context)
-        caller.respond(response.status, response.headers, response.body)
+        self._plain.serve(context).send_to(caller)
 
     def _make_context(self, head: RequestHead, raw: RawRequest) -> Context:
         configuration = self._view.configuration
@@ -333,6 +339,7 @@
             fingerprint=fingerprint(head, team, raw.body),
             headers=raw.headers,
             sender=relayed.sender,
+            memory=self._memory.open(),
         )
         return context.after_runs(relayed.runs) if relayed.runs else context
 
--- a/packages/serving/bergamotsaddle_serving/handover.py
+++ b/packages/serving/bergamotsaddle_serving/handover.py
@@ -20,7 +20,9 @@
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.catalog import Kind
 from bergamotsaddle_serving.client import (
+    NO_MEMORY,
     SILENT,
+    TOO_LONG,
     UNFINISHED,
     Connection,
     ConnectionLostError,
@@ -37,6 +39,7 @@
     decode_error,
     encode_request,
 )
+from bergamotsaddle_serving.response_memory import MemoryShortError, Remainder
 from bergamotsaddle_serving.service_reach import ServiceReach
 
 T = TypeVar("T")
@@ -87,20 +90,6 @@
     )
 
 
-def _join(chunks: Iterator[bytes]) -> bytes:
-    """Return the whole body of a response.
-
-    Raises:
-        ConnectionLostError: If it is too large.
-    """
-    body = bytearray()
-    for chunk in chunks:
-        body += chunk
-        if len(body) > _MAX_RESPONSE_BYTES:
-            raise ConnectionLostError("too_long")
-    return bytes(body)
-
-
 class _Delivery:
     """What the caller of a request that is handed over has received.
 
@@ -168,6 +157,23 @@
             self._caller.send(remainder)
         self._caller.finish()
 
+    def relay(self, head: RawResponseHead, size: int, chunks: Iterator[bytes]) -> None:
+        """Send a complete response of a known size as it arrives.
+
+        Raises:
+            ConnectionLostError: If it breaks off, or a part of another one was sent.
+        """
+        if not self.is_empty:
+            raise ConnectionLostError("failed")
+        self.is_empty = False
+        # No other helper can go on with it.
+        self._has_unnumbered_event = True
+        headers = list(end_to_end_headers(head.headers))
+        self._caller.start(head.status, [*headers, (b"content-length", b"%d" % size)])
+        for chunk in chunks:
+            self._caller.send(chunk)
+        self._caller.finish()
+
     def respond(self, head: RawResponseHead, body: bytes) -> None:
         """Send a complete response.
 
@@ -196,6 +202,7 @@
         port: TCP port at which all instances accept such requests.
         logger: Gets a line for each request that is handed over.
         budget: Limits repeats of requests whose helper has died.
+        connect: Opens connections to other instances.
     """
 
     def __init__(
@@ -206,7 +213,9 @@
         logger: Any,
         *,
         budget: RetryBudget,
+        connect: Callable[..., Connection] = Connection,
     ) -> None:
+        self._connect = connect
         self._budget = budget
         self._reach = reach
         self._peers = peers
@@ -321,7 +330,7 @@
             return True
         address = Address(helper.host, self._port)
         try:
-            connection = Connection(address, limit=_CONNECT_LIMIT_S)
+            connection = self._connect(address, limit=_CONNECT_LIMIT_S)
             with contextlib.closing(connection):
                 connection.read_head(limit=_DYING_S)
         except ConnectionLostError as error:
@@ -356,7 +365,7 @@
         try:
             address = Address(helper.host, self._port)
             limit = min(_CONNECT_LIMIT_S, context.remaining)
-            connection = Connection(address, limit=limit)
+            connection = self._connect(address, limit=limit)
         except ConnectionLostError as error:
             self._peers.verify(helper.id)
             raise _HelperRefusedError(error.reason) from error
@@ -394,16 +403,57 @@
                 head,
                 delivery,
                 chunks,
+                connection,
+                Remainder(context.memory),
                 is_resumed=has_part or delivery.last_event is not None,
             )
             return
-        delivery.respond(head, _join(chunks))
+        self._forward_response(head, delivery, chunks, connection, context)
+
+    def _forward_response(
+        self,
+        head: RawResponseHead,
+        delivery: _Delivery,
+        chunks: Iterator[bytes],
+        connection: Connection,
+        context: Context,
+    ) -> None:
+        """Forward a complete response, as it arrives if it is too large to be held.
+
+        Raises:
+            ConnectionLostError: If it breaks off or is too large.
+        """
+        memory = context.memory
+        size = head.body_bytes if context.head.method != b"HEAD" else None
+        if size is not None and size > _MAX_RESPONSE_BYTES:
+            connection.refuse(TOO_LONG, "body", size)
+        if size is not None and not memory.may_take(size):
+            delivery.relay(head, size, chunks)
+            return
+        held = Remainder(memory)
+        body = []
+        received = 0
+        try:
+            held.resize(size or 0)
+            for chunk in chunks:
+                body.append(chunk)
+                received += len(chunk)
+                held.resize(max(received, size or 0))
+        except MemoryShortError as error:
+            connection.refuse(NO_MEMORY, "body", error.size)
+        except ConnectionLostError:
+            # Another helper may serve the request.
+            held.resize(0)
+            raise
+        delivery.respond(head, b"".join(body))
 
     def _forward_stream(
         self,
         head: RawResponseHead,
         delivery: _Delivery,
         chunks: Iterator[bytes],
+        connection: Connection,
+        remainder: Remainder,
         *,
         is_resumed: bool,
     ) -> None:
@@ -418,6 +468,10 @@
         for data in chunks:
             for event in splitter.feed(data):
                 delivery.send(head, event)
+            try:
+                remainder.resize(splitter.remainder_size)
+            except MemoryShortError as error:
+                connection.refuse(NO_MEMORY, "event", error.size)
         is_nothing_left = is_resumed and splitter.is_empty
         if not (is_nothing_left or splitter.may_end()):
             raise ConnectionLostError(UNFINISHED)
--- a/packages/serving/bergamotsaddle_serving/metrics.py
+++ b/packages/serving/bergamotsaddle_serving/metrics.py
@@ -57,6 +57,7 @@
         self._failed_attempts: Counter[tuple[str, str]] = Counter()
         self._cut_streams: Counter[tuple[str, str]] = Counter()
         self._silences: Counter[tuple[str, str]] = Counter()
+        self._endless: Counter[tuple[str, str]] = Counter()
         self._durations_by_route: dict[str, _Histogram] = {}
         self._gauges: list[_Gauge] = []
 
@@ -77,6 +78,10 @@
         """Count a run of a stream that sent nothing for longer than its limit."""
         self._silences[route, end] += 1
 
+    def count_endless(self, service: str, place: str) -> None:
+        """Count a response of which more came than a response may have."""
+        self._endless[service, place] += 1
+
     def add_gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Add a gauge.
 
@@ -127,6 +132,14 @@
             for labels, count in count_by_labels.items():
                 family.add_metric(labels, count)
             yield family
+        endless = core.CounterMetricFamily(
+            f"{_PREFIX}endless",
+            "Responses without end, by service and the part that had none.",
+            labels=("service", "place"),
+        )
+        for labels, count in self._endless.items():
+            endless.add_metric(labels, count)
+        yield endless
         seconds = core.HistogramMetricFamily(
             f"{_PREFIX}request_seconds",
             "Time from a request's first byte to its end, by route.",
--- a/packages/serving/bergamotsaddle_serving/plain.py
+++ b/packages/serving/bergamotsaddle_serving/plain.py
@@ -6,7 +6,7 @@
 from bergamotsaddle_serving.client import ConnectionPool
 from bergamotsaddle_serving.context import Context
 from bergamotsaddle_serving.messages import Dialect
-from bergamotsaddle_serving.plain_run import CompleteResponse, PlainRun
+from bergamotsaddle_serving.plain_run import CompleteResponse, LongResponse, PlainRun
 from bergamotsaddle_serving.selector import Selector
 from bergamotsaddle_serving.target_crashes import TargetCrashes
 
@@ -41,8 +41,8 @@
         self.crashes = crashes
         self.suspects = crashes.suspects
 
-    def serve(self, context: Context) -> CompleteResponse:
-        """Return the response to a request.
+    def serve(self, context: Context) -> CompleteResponse | LongResponse:
+        """Return the response to a request; a long one is to be sent at once.
 
         Raises:
             RequestError: If there is none; it says whether the request may have run.
--- a/packages/serving/bergamotsaddle_serving/plain_run.py
+++ b/packages/serving/bergamotsaddle_serving/plain_run.py
@@ -1,6 +1,7 @@
 """Runs one request for a plain service at one target or at several."""
 
 import contextlib
+from collections.abc import Iterator, Sequence
 from typing import TYPE_CHECKING, NamedTuple
 
 import eventlet
@@ -22,6 +23,7 @@
     Response,
     SilentError,
 )
+from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.client import (
     SILENT,
     UNFINISHED,
@@ -69,6 +71,55 @@
     headers: RawHeaders
     body: bytes
 
+    def send_to(self, caller: CallerConnection) -> None:
+        """Send it to a caller."""
+        caller.respond(self.status, self.headers, self.body)
+
+
+class LongResponse:
+    """A response whose body is too large to be held, but states its length.
+
+    It is relayed as it arrives. Only one with a length is: it ends, and it is complete
+    if it has that length. So no target gets the request behind it, and if it breaks
+    off, the caller gets a part that does not look complete.
+
+    Args:
+        run: The run that reads it.
+        response: Its head.
+        size: Size of its body.
+
+    Attributes:
+        run: The run that reads it.
+        status: HTTP status.
+    """
+
+    def __init__(self, run: "_TargetRun", response: Response, size: int) -> None:
+        self.run = run
+        self.status = response.head.status
+        self._head = response.head
+        self._size = size
+
+    def send_to(self, caller: CallerConnection) -> None:
+        """Relay it to a caller.
+
+        Raises:
+            RequestError: If it breaks off.
+        """
+        headers = list(end_to_end_headers(self._head.headers))
+        length = (b"content-length", b"%d" % self._size)
+        try:
+            caller.start(self.status, [*headers, length])
+            for data in self.run.read_parts():
+                caller.send(data)
+            caller.finish()
+        except OutcomeUnknownError as error:
+            self.run.record_break(error.reason)
+            raise RequestError(
+                ErrorKind.TARGET_FAILED, "the target broke off", ran=Ran.UNKNOWN
+            ) from error
+        finally:
+            self.run.close()
+
 
 class _TargetRun:
     """One run of a request at one target.
@@ -100,10 +151,14 @@
         self.is_slow = False
         self._is_sent = False
         self._response: Response | None = None
+        # Size of a body that is relayed as it arrives, None if it is held.
+        self._long_size: int | None = None
 
-    def read(self) -> CompleteResponse:
+    def read(self) -> CompleteResponse | LongResponse:
         """Send the request, unless it has been sent, and read its response.
 
+        The body of a long response is still to be read then.
+
         Raises:
             NotRunError: If the target did not run the request.
             SilentError: If it is slow. Reading may go on after that.
@@ -113,6 +168,9 @@
         try:
             if self._response is None:
                 self._response = self._read_response(limit)
+                self._long_size = self._find_long_size(self._response)
+            if self._long_size is not None:
+                return LongResponse(self, self._response, self._long_size)
             body = self._attempt.read_body(limit=limit, max_bytes=_MAX_RESPONSE_BYTES)
         except SilentError:
             self.is_slow = True
@@ -130,7 +188,70 @@
         headers = list(end_to_end_headers(response.head.headers))
         return CompleteResponse(response.head.status, headers, body)
 
-    def read_to_end(self) -> CompleteResponse:
+    def read_parts(self) -> Iterator[bytes]:
+        """Yield the parts of the body of a long response as they arrive.
+
+        Raises:
+            OutcomeUnknownError: If it breaks off.
+        """
+        attempt = self._attempt
+        while True:
+            data = attempt.read_some(limit=self._context.remaining)
+            if data is None:
+                break
+            yield data
+        attempt.finish_stream(is_whole=True)
+        self.state.record_success(now() - attempt.started_at)
+        if self._response.is_success:
+            self._server.crashes.record_success(
+                self.target, [self.work()], is_framed=True
+            )
+
+    def record_break(self, reason: str) -> None:
+        """Record that a long response broke off."""
+        self.log_failure(reason, "unknown", others=())
+        self._server.crashes.record_failure(self.target, [self.work()], reason)
+
+    def log_failure(self, reason: str, ran: str, *, others: Sequence[str]) -> None:
+        """Log that the run has failed.
+
+        Args:
+            reason: One word for logs.
+            ran: Whether the target ran the request.
+            others: Ids of targets that still run it.
+        """
+        context = self._context
+        self._server.logger.warning(
+            "attempt_failed",
+            request=context.head.id,
+            work=context.fingerprint,
+            target=self.target.id,
+            reason=reason,
+            framed=context.progress.is_framed,
+            ran=ran,
+            in_flight=self.state.in_flight,
+            open=others,
+        )
+
+    def _find_long_size(self, response: Response) -> int | None:
+        """Return the size of a body that can't be held, None if it can or has none.
+
+        Raises:
+            OutcomeUnknownError: If it is larger than any response may be, or belongs to
+                a failure, which is forwarded only if no other target responds.
+        """
+        head = response.head
+        size = head.body_bytes
+        is_short = size is None or self._context.memory.may_take(size)
+        if is_short or self._context.head.method == b"HEAD":
+            return None
+        if size > _MAX_RESPONSE_BYTES:
+            self._attempt.refuse_body(size)
+        if head.status >= _SERVER_ERROR or head.status in NOT_RUN_STATUSES:
+            raise OutcomeUnknownError(f"status {head.status}")
+        return size
+
+    def read_to_end(self) -> CompleteResponse | LongResponse:
         """Do the same for as long as the caller waits, however slow the target is."""
         while True:
             try:
@@ -186,7 +307,7 @@
     def __init__(self, server: "PlainServer", context: Context) -> None:
         self._server = server
         self._context = context
-        self._race: Race[CompleteResponse] = Race()
+        self._race: Race[CompleteResponse | LongResponse] = Race()
         self._open_by_id: dict[str, _TargetRun] = {}
         self._tried: set[str] = set()
         self._broken_at_by_id: dict[str, float] = {}
@@ -199,8 +320,8 @@
         # Seconds after which the last target that was tried is slow.
         self._limit = _MIN_TIMEOUT_S
 
-    def run(self) -> CompleteResponse:
-        """Return the response to the request.
+    def run(self) -> CompleteResponse | LongResponse:
+        """Return the response to the request; a long one is to be sent at once.
 
         Raises:
             RequestError: If there is none; it says whether the request may have run.
@@ -210,6 +331,8 @@
                 response = self._advance()
                 while response is None:
                     response = self._advance()
+            if isinstance(response, LongResponse):
+                del self._open_by_id[response.run.target.id]
             for run in self._open_by_id.values():
                 self._record_slower(run)
             return response
@@ -224,7 +347,7 @@
             for run in self._open_by_id.values():
                 run.close()
 
-    def _advance(self) -> CompleteResponse | None:
+    def _advance(self) -> CompleteResponse | LongResponse | None:
         """Start another run or wait for one; return the response if that ends it."""
         if self._failure is not None and self._context.remaining <= _FORWARD_S:
             return self._failure
@@ -321,7 +444,9 @@
             )
         return selector.pick(context.service.name, exclude)
 
-    def _start(self, candidate: Candidate) -> Finish[CompleteResponse] | None:
+    def _start(
+        self, candidate: Candidate
+    ) -> Finish[CompleteResponse | LongResponse] | None:
         """Send the request to a target.
 
         Returns:
@@ -344,15 +469,20 @@
         self._race.start(name, run.read_to_end)
         return self._wait()
 
-    def _wait(self) -> Finish[CompleteResponse] | None:
+    def _wait(self) -> Finish[CompleteResponse | LongResponse] | None:
         """Return the end of a run, None if all targets are slow."""
         left = self._context.remaining
         if self._failure is not None:
             left -= _FORWARD_S
         return self._race.wait(timeout=max(0.0, min(self._limit, left)))
 
-    def _handle(self, finish: Finish[CompleteResponse]) -> CompleteResponse | None:
+    def _handle(
+        self, finish: Finish[CompleteResponse | LongResponse]
+    ) -> CompleteResponse | LongResponse | None:
         """Handle the end of a run; return the response that ends the request."""
+        if isinstance(finish.value, LongResponse):
+            # Its run is open until the response has been sent.
+            return finish.value
         run = self._open_by_id.pop(finish.name)
         run.close()
         try:
@@ -421,18 +551,7 @@
             crashes.record_abandoned(run.target, run.work())
 
     def _log_failed_attempt(self, run: _TargetRun, reason: str, ran: str) -> None:
-        context = self._context
-        self._server.logger.warning(
-            "attempt_failed",
-            request=context.head.id,
-            work=context.fingerprint,
-            target=run.target.id,
-            reason=reason,
-            framed=context.progress.is_framed,
-            ran=ran,
-            in_flight=run.state.in_flight,
-            open=list(self._open_by_id),
-        )
+        run.log_failure(reason, ran, others=list(self._open_by_id))
 
 
 def _is_silent(state: TargetState) -> bool:
--- a/packages/serving/bergamotsaddle_serving/probe.py
+++ b/packages/serving/bergamotsaddle_serving/probe.py
@@ -6,8 +6,15 @@
 import eventlet
 import h11
 
+from bergamotsaddle_serving._turn import Turn
+
 _CHUNK = 4_096
 _IDLE_S = 10.0
+# What a request may have in all, and the seconds in which it has to arrive.
+_MAX_REQUEST_BYTES = 65_536
+_REQUEST_S = 10.0
+# Parts of a request after which other green threads get to run.
+_PARTS_A_TURN = 8
 
 Page = Callable[[], tuple[int, bytes]]
 
@@ -29,7 +36,7 @@
     try:
         while _respond(sock, page):
             continue
-    except (OSError, h11.ProtocolError):
+    except (OSError, eventlet.Timeout, h11.ProtocolError):
         # The client disconnected or violated HTTP; it sends its request again.
         return
     finally:
@@ -38,14 +45,8 @@
 
 def _respond(sock: socket.socket, page: Page) -> bool:
     connection = h11.Connection(h11.SERVER)
-    event = connection.next_event()
-    while not isinstance(event, h11.EndOfMessage):
-        if event is h11.NEED_DATA:
-            data = sock.recv(_CHUNK)
-            if not data:
-                return False
-            connection.receive_data(data)
-        event = connection.next_event()
+    if not _read_request(sock, connection):
+        return False
     status, body = page()
     headers = [(b"content-type", b"text/plain"), (b"content-length", b"%d" % len(body))]
     response = connection.send(h11.Response(status_code=status, headers=headers))
@@ -54,3 +55,26 @@
     )
     sock.sendall(response)
     return connection.our_state is h11.DONE
+
+
+def _read_request(sock: socket.socket, connection: h11.Connection) -> bool:
+    """Read a request; return whether it is complete and not too large."""
+    turn = Turn(_PARTS_A_TURN)
+    first = sock.recv(_CHUNK)
+    if not first:
+        return False
+    received = 0
+    with eventlet.Timeout(_REQUEST_S):
+        connection.receive_data(first)
+        received += len(first)
+        event = connection.next_event()
+        while not isinstance(event, h11.EndOfMessage):
+            turn.step()
+            if event is h11.NEED_DATA:
+                data = sock.recv(_CHUNK)
+                received += len(data)
+                if not data or received > _MAX_REQUEST_BYTES:
+                    return False
+                connection.receive_data(data)
+            event = connection.next_event()
+    return True
--- /dev/null
+++ b/packages/serving/bergamotsaddle_serving/response_memory.py
@@ -0,0 +1,122 @@
+"""Limits how much memory all responses that are being read take together."""
+
+from bergamotsaddle_contracts.errors import BergamotsaddleError
+
+# What a daemon holds of responses at most, whatever their senders send. A response
+# may be joined from its parts meanwhile, which takes its size once more.
+MAX_RESPONSE_MEMORY_BYTES = 6_000_000
+# What each response may take also when others have taken everything.
+MIN_SHARE_BYTES = 32_768
+
+
+class MemoryShortError(BergamotsaddleError):
+    """A response would take more memory than it may.
+
+    Args:
+        size: Bytes that it would take.
+    """
+
+    def __init__(self, size: int) -> None:
+        super().__init__(f"a response of {size} bytes")
+        self.size = size
+
+
+class ResponseMemory:
+    """The memory for all responses of a daemon.
+
+    A response may take as much as is free beside it. So a single one may take half,
+    and many that grow at the same time leave about as much free as each of them has:
+    those that do not end meet their limit, while short ones beside them go on.
+
+    Args:
+        limit: Bytes for all responses.
+
+    Attributes:
+        used: Bytes that are taken.
+    """
+
+    def __init__(self, limit: float = MAX_RESPONSE_MEMORY_BYTES) -> None:
+        self._limit = limit
+        self.used = 0
+
+    def open(self) -> "MemoryShare":
+        """Return an empty share of it."""
+        return MemoryShare(self)
+
+    def max_share(self, held: int) -> float:
+        """Return how many bytes a share may hold.
+
+        Args:
+            held: What it holds now.
+        """
+        others = self.used - held
+        return max(MIN_SHARE_BYTES, (self._limit - others) / 2.0)
+
+
+class MemoryShare:
+    """What one response, or all those to one request, take of the memory.
+
+    Args:
+        memory: Memory that it is a share of.
+
+    Attributes:
+        held: Bytes that it holds.
+    """
+
+    def __init__(self, memory: ResponseMemory) -> None:
+        self._memory = memory
+        self.held = 0
+
+    def may_take(self, size: int) -> bool:
+        """Return whether it may hold some bytes more."""
+        return self.held + size <= self._memory.max_share(self.held)
+
+    def take(self, size: int) -> None:
+        """Take bytes.
+
+        Raises:
+            MemoryShortError: If that is more than it may hold.
+        """
+        if not self.may_take(size):
+            raise MemoryShortError(self.held + size)
+        self.keep(size)
+
+    def keep(self, size: int) -> None:
+        """Count bytes that are there already."""
+        self.held += size
+        self._memory.used += size
+
+    def give_back(self, size: int) -> None:
+        """Give back bytes, at most what it holds."""
+        self.keep(-min(size, self.held))
+
+    def close(self) -> None:
+        """Give back everything."""
+        self.give_back(self.held)
+
+
+class Remainder:
+    """A part of a response whose size changes while it is read.
+
+    Args:
+        share: Share of the memory that it belongs to.
+    """
+
+    def __init__(self, share: MemoryShare) -> None:
+        self._share = share
+        self._size = 0
+
+    def resize(self, size: int) -> None:
+        """Hold some bytes instead of those that it held.
+
+        Raises:
+            MemoryShortError: If that is more than the share may hold.
+        """
+        self._share.give_back(self._size)
+        self._size = 0
+        self._share.take(size)
+        self._size = size
+
+
+# For responses of trusted senders, which are limited in size only.
+UNLIMITED = MemoryShare(ResponseMemory(float("inf")))
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -17,6 +17,7 @@
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.catalog import CallerLimits
 from bergamotsaddle_serving.client import ConnectionPool
+from bergamotsaddle_serving.endless import EndlessResponses
 from bergamotsaddle_serving.fetching import FetchTimes
 from bergamotsaddle_serving.follower import StoreFollower
 from bergamotsaddle_serving.full_targets import FullTargets
@@ -36,6 +37,7 @@
 from bergamotsaddle_serving.policy import Mechanism
 from bergamotsaddle_serving.probe import serve_page
 from bergamotsaddle_serving.rate_exchange import RateExchange
+from bergamotsaddle_serving.response_memory import ResponseMemory
 from bergamotsaddle_serving.resumption import Resumptions
 from bergamotsaddle_serving.selector import Selector
 from bergamotsaddle_serving.service_reach import ServiceReach
@@ -122,11 +124,14 @@
         dialect = self._dialect
         self.view = View(dialect, logger, entry_ttl=settings.store.entry_ttl)
         self.peers = Peers(settings, secrets.token_hex(4), logger)
-        self.pool = ConnectionPool()
         self.metrics = Metrics()
+        self.memory = ResponseMemory()
+        endless = EndlessResponses(self.view, self.metrics, logger)
+        self.pool = ConnectionPool(memory=self.memory, on_endless=endless.record)
         self.store = StoreFollower(
             settings, dialect, self.view, self.peers.size, logger
         )
+        self.store.on_endless = endless.record
         self.exchange = ViewExchange(
             settings, self.view, self.peers, logger, self.store.is_refused
         )
@@ -167,6 +172,7 @@
             settings.listen.relay_port,
             logger,
             budget=budget,
+            connect=self.pool.connect,
         )
         history = SoftwareHistory(
             self.gossip,
@@ -275,6 +281,7 @@
             policy,
             suspects=self.suspects,
             handover=handover,
+            memory=self.memory,
         )
         self.peers.own_loads = self.owner.loads
         self.peers.own_pending = waits.pending.report
@@ -582,5 +589,10 @@
             "Streams whose version is known here.",
             lambda: len(self.origins),
         )
+        gauge(
+            "response_bytes",
+            "Bytes of responses that are held here.",
+            lambda: self.memory.used,
+        )
         gauge("targets_limited", "Targets that name a limit.", lambda: len(self.limits))
         gauge("log_dropped", "Dropped log lines.", lambda: self._output.dropped)
--- a/packages/serving/bergamotsaddle_serving/view_exchange.py
+++ b/packages/serving/bergamotsaddle_serving/view_exchange.py
@@ -11,6 +11,7 @@
 
 from bergamotsaddle_contracts.errors import BergamotsaddleError
 from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving._turn import Turn
 from bergamotsaddle_serving.follower import batch_pause
 from bergamotsaddle_serving.messages import NO_POSITION, StoreEntry, StorePosition
 from bergamotsaddle_serving.peer_messages import Contact
@@ -43,6 +44,11 @@
 # Place before the first one: requests all entries.
 _BEFORE_ALL = StorePosition(0, -1)
 _MAX_FRAME_BYTES = 16_000_000
+_CHUNK_BYTES = 65_536
+# Seconds for the rest of a frame that has begun.
+_FRAME_TIMEOUT_S = 5.0
+# Parts of a frame after which other green threads get to run.
+_PARTS_A_TURN = 8
 _LENGTH_BYTES = 4
 
 
@@ -404,10 +410,18 @@
 
 
 def _read_exactly(sock: socket.socket, count: int) -> bytes:
-    data = b""
-    while len(data) < count:
-        chunk = sock.recv(count - len(data))
-        if not chunk:
-            raise OSError("connection closed in the middle of a frame")
-        data += chunk
-    return data
+    """Read some bytes.
+
+    Raises:
+        OSError: If they don't arrive in time.
+    """
+    data = bytearray()
+    turn = Turn(_PARTS_A_TURN)
+    with eventlet.Timeout(_FRAME_TIMEOUT_S, TimeoutError("frame is too slow")):
+        while len(data) < count:
+            turn.step()
+            chunk = sock.recv(min(_CHUNK_BYTES, count - len(data)))
+            if not chunk:
+                raise OSError("connection closed in the middle of a frame")
+            data += chunk
+    return bytes(data)
