--- a/packages/serving/bergamotsaddle_serving/response_memory.py
+++ b/packages/serving/bergamotsaddle_serving/response_memory.py
@@ -4,7 +4,7 @@
 
 # What a daemon holds of responses at most, whatever their senders send. A response
 # may be joined from its parts meanwhile, which takes its size once more.
-MAX_RESPONSE_MEMORY_BYTES = 6_000_000
+MAX_RESPONSE_MEMORY_BYTES = 4_000_000
 # What each response may take also when others have taken everything.
 MIN_SHARE_BYTES = 32_768
 
--- a/packages/standins/bergamotsaddle_standins/endless_target.py
+++ b/packages/standins/bergamotsaddle_standins/endless_target.py
@@ -1,4 +1,4 @@
-"""Targets whose responses never end, sent as fast as the connection takes them.
+"""Targets whose responses never end or are very long, sent as fast as possible.
 
 ``python -m bergamotsaddle_standins.endless_target`` listens on loopback once for each
 kind of response, prints the ports as JSON, and sends until its peers close. It uses
@@ -33,12 +33,19 @@
     Attributes:
         opening: Its first bytes, in which ``%(id)s`` stands for the id of the request.
         repeated: What follows, again and again.
+        size: Bytes of that after which it does end, None if it does not.
+        ending: What follows then.
     """
 
     opening: bytes
     repeated: bytes
+    size: int | None = None
+    ending: bytes = b""
 
 
+# Size of bodies that are long, but end.
+LONG_BYTES = 16_777_216
+_LONG = _OK + b"Content-Length: %d\r\n\r\n" % LONG_BYTES
 ENDLESS_BY_KIND: dict[str, Endless] = {
     "interim": Endless(b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
     "long_interim": Endless(b"", b"HTTP/1.1 102 P\r\nX: %s\r\n\r\n" % (b"x" * 4_000)),
@@ -62,6 +69,14 @@
         b"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nId: %(id)s\r\n\r\n", b"x" * 64
     ),
     "failure": Endless(b"HTTP/1.1 500 Broken\r\nId: %(id)s\r\n\r\n", b"x" * 64),
+    "long": Endless(_LONG, b"x" * 64, LONG_BYTES),
+    "long_cut": Endless(_LONG, b"x" * 64, LONG_BYTES // 2),
+    "long_chunk": Endless(
+        _OK + _CHUNKED + b"%x\r\n" % LONG_BYTES,
+        b"x" * 64,
+        LONG_BYTES,
+        b"\r\n0\r\n\r\n",
+    ),
     "behind_end": Endless(
         _OK + b'Content-Length: 6\r\n\r\n"done"', b"HTTP/1.1 200 OK\r\n\r\n"
     ),
@@ -116,8 +131,13 @@
         sock.sendall(self._endless.opening.replace(b"%(id)s", request_id))
         repeated = self._endless.repeated
         block = repeated * (_SEND_BYTES // len(repeated) + 1)
-        while True:
+        left = self._endless.size
+        while left is None:
             sock.sendall(block)
+        while left > 0:
+            sock.sendall(block[:left])
+            left -= len(block)
+        sock.sendall(self._endless.ending)
 
     def _count(self, change: int) -> None:
         with self._lock:
--- a/tests/_endless_fleet.py
+++ b/tests/_endless_fleet.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 import eventlet
+import h11
 import msgspec
 from eventlet.green import socket
 from eventlet.green import subprocess as green_subprocess
@@ -237,6 +238,35 @@
             return Answer(0, False, seconds, b"")
         return Answer(answer.status, answer.is_complete, seconds, answer.body)
 
+    def count(self, path):
+        """Send one request.
+
+        Returns:
+            The status, the size of the body, and whether the response is complete.
+        """
+        self._ids += 1
+        request = SentRequest(f"r{self._ids}", f"{path}-{self._ids}", KEY, b"")
+        parser = h11.Connection(h11.CLIENT)
+        headers = [("host", "h"), ("content-length", "0")]
+        parser.send(h11.Request(method="POST", target="/", headers=headers))
+        parser.send(h11.EndOfMessage())
+        status = size = 0
+        with socket.create_connection((self.host, 8000), timeout=8.0) as sock:
+            sock.sendall(request.encode())
+            try:
+                while True:
+                    event = parser.next_event()
+                    if event is h11.NEED_DATA:
+                        parser.receive_data(sock.recv(65_536))
+                    elif isinstance(event, h11.Response):
+                        status = event.status_code
+                    elif isinstance(event, h11.Data):
+                        size += len(event.data)
+                    elif isinstance(event, h11.EndOfMessage):
+                        return status, size, True
+            except (OSError, h11.RemoteProtocolError):
+                return status, size, False
+
     def _try_soundly(self):
         before = self.waited()
         answer = self.ask("/book/s")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -36,6 +36,7 @@
 ROLLOUTS = ("--seed", "21", "--seconds", "15", "--instances", "4")
 ROLLOUT_CHANGES = ("--only", "rollout", "break", "kill")
 RESTS = ("--seed", "6", "--seconds", "15", "--instances", "4", "--only", "rest")
+ENDLESS = ("--seed", "11", "--seconds", "12", "--instances", "4", "--only", "endless")
 CUTS = ("--seed", "1", "--seconds", "20", "--instances", "5", "--only", "cut")
 BOUND_S = 2.0
 GRACE_S = 8.0
@@ -122,6 +123,10 @@
         """Guards against requests to a target that has asked for rest."""
         self.check(*RESTS)
 
+    def test_responses_without_end_stop_nobody(self):
+        """Guards against a target that sends without end and harms other requests."""
+        self.check(*ENDLESS)
+
     def test_responses_that_break_off_never_look_complete(self):
         """Guards against parts of responses that reach callers as whole ones."""
         self.check(*BREAKS)
