Drop the parser of a connection that failed while it read

Cause: what refers to a failed read also kept the parser's buffer, up to 80 KB each; floods of several kinds one after the other grew a daemon by 17.0 MB (bound 16 MB).

Change: closing such a connection replaces its parser.

--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -75,6 +75,8 @@
 # Status with which the parser reports a head, a line or trailers without end.
 _TOO_LARGE = 431
 _WITHOUT_BODY = frozenset((204, 304))
+# States of a parser that may hold a part of a response.
+_READING_STATES = frozenset((h11.SEND_RESPONSE, h11.SEND_BODY, h11.ERROR))
 _FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 # Headers that apply to one connection only and are not forwarded.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -408,8 +410,10 @@
         if self._sender is not None and not self._sender.dead:
             self._sender.kill()
         self._socket.close()
-        # The error that ended the reading may refer to the parts for longer.
+        # The error that ended the reading may refer to what was read for longer.
         self._parts.clear()
+        if self._h11.their_state in _READING_STATES:
+            self._h11 = h11.Connection(h11.CLIENT)
         self.memory.close()
 
     def refuse(self, reason: str, place: str, size: int) -> NoReturn:
