--- a/packages/serving/bergamotsaddle_serving/engine_run.py
+++ b/packages/serving/bergamotsaddle_serving/engine_run.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from bergamotsaddle_serving.streams import StreamServer
 
+# Size of the body of a failure.
 _MAX_RESPONSE_BYTES = 1_000_000
 
 
@@ -182,6 +183,8 @@
         self._end_prefill()
         self._resources.close()
         self._record_speed()
+        # What refers to the run may last for longer.
+        self._splitter.clear()
 
     def _read(self, limit: float) -> list[StreamEvent]:
         if self.response is None:
@@ -191,11 +194,15 @@
                 limit=self._context.remaining, max_bytes=_MAX_RESPONSE_BYTES
             )
             return []
+        until = now() + limit
         while (data := self._attempt.read_some(limit=limit)) is not None:
             events = self._splitter.feed(data)
             if events:
                 self.meter.add(len(events))
+                self._attempt.hold(0)
                 return events
+            self._attempt.hold(self._splitter.remainder_size)
+            limit = until - now()
         self._attempt.finish_stream(is_whole=self._is_whole())
         self.is_whole = True
         return []
--- a/packages/serving/bergamotsaddle_serving/plain.py
+++ b/packages/serving/bergamotsaddle_serving/plain.py
@@ -9,7 +9,7 @@
 from bergamotsaddle_serving.messages import Dialect
 from bergamotsaddle_serving.metrics import Metrics
 from bergamotsaddle_serving.placement_exchange import PlacementExchange
-from bergamotsaddle_serving.plain_run import CompleteResponse, PlainRun
+from bergamotsaddle_serving.plain_run import CompleteResponse, LongResponse, PlainRun
 from bergamotsaddle_serving.selector import Selector
 from bergamotsaddle_serving.target_crashes import TargetCrashes
 
@@ -54,8 +54,8 @@
         self.metrics = metrics or Metrics()
         self.placement = placement
 
-    def serve(self, context: Context) -> CompleteResponse:
-        """Return the response to a request.
+    def serve(self, context: Context) -> CompleteResponse | LongResponse:
+        """Return the response to a request; a long one is to be sent at once.
 
         Raises:
             RequestError: If there is none; it says whether the request may have run.
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -21,6 +21,7 @@
 from bergamotsaddle_serving.decisions.fleet_start import FleetStart
 from bergamotsaddle_serving.decisions.hedge_pool import HedgePool
 from bergamotsaddle_serving.decisions.stream_ends import StreamLengths
+from bergamotsaddle_serving.endless import EndlessResponses
 from bergamotsaddle_serving.fetching import FetchTimes
 from bergamotsaddle_serving.follower import StoreFollower
 from bergamotsaddle_serving.full_targets import FullTargets
@@ -42,6 +43,7 @@
 from bergamotsaddle_serving.policy import Mechanism
 from bergamotsaddle_serving.probe import serve_page
 from bergamotsaddle_serving.rate_exchange import RateExchange
+from bergamotsaddle_serving.response_memory import ResponseMemory
 from bergamotsaddle_serving.resumption import Resumptions
 from bergamotsaddle_serving.return_exchange import ReturnExchange
 from bergamotsaddle_serving.room import Room
@@ -131,11 +133,14 @@
         dialect = self._dialect
         self.view = View(dialect, logger, entry_ttl=settings.store.entry_ttl)
         self.peers = Peers(settings, secrets.token_hex(4), logger)
-        self.pool = ConnectionPool()
         self.metrics = Metrics()
+        self.memory = ResponseMemory()
+        endless = EndlessResponses(self.view, self.metrics, logger)
+        self.pool = ConnectionPool(memory=self.memory, on_endless=endless.record)
         self.store = StoreFollower(
             settings, dialect, self.view, self.peers.size, logger
         )
+        self.store.on_endless = endless.record
         self.exchange = ViewExchange(
             settings, self.view, self.peers, logger, self.store.is_refused
         )
@@ -183,6 +188,7 @@
             settings.listen.relay_port,
             logger,
             budget=budget,
+            connect=self.pool.connect,
         )
         history = SoftwareHistory(
             self.gossip,
@@ -319,6 +325,7 @@
             policy,
             suspects=self.suspects,
             handover=handover,
+            memory=self.memory,
         )
         self.peers.own_loads = self.owner.loads
         self.peers.own_pending = waits.pending.report
@@ -664,6 +671,11 @@
             "Responses of targets whose load can't be read.",
             lambda: self.unreadable_loads.count,
         )
+        gauge(
+            "response_bytes",
+            "Bytes of responses that are held here.",
+            lambda: self.memory.used,
+        )
         gauge("targets_limited", "Targets that name a limit.", lambda: len(self.limits))
         gauge(
             "room_pressure",
