--- a/tests/_plain_loads.py
+++ b/tests/_plain_loads.py
@@ -211,7 +211,7 @@
         self._running = [{} for _ in range(size)]
         view = SimpleNamespace(
             usable=lambda service: [SimpleNamespace(target=t.target) for t in targets],
-            is_cold=lambda known: False,
+            is_cold=lambda known, **_: False,
         )
         for number in range(size):
             health = Health()
