Let operators declare that targets share their machines

Cause: the only switch was what targets report. Change: [targets] share_machines, false by default, applies them to all services.

--- a/packages/serving/bergamotsaddle_serving/health.py
+++ b/packages/serving/bergamotsaddle_serving/health.py
@@ -139,19 +139,21 @@
         on_limit: Called with the target and the limit that each response names.
         on_response: Called with the target, and the status and decoded headers of each
             response.
+        reporting: Services whose targets report how fast they work now.
 
     Attributes:
-        reporting: Services whose targets report how fast they work now.
+        reporting: The same.
     """
 
     def __init__(
         self,
         on_limit: Callable[[Target, float | None], None] = lambda target, limit: None,
         on_response: Callable[[Target, int, ResponseHead], None] = ignore_response,
+        reporting: ReportingServices | None = None,
     ) -> None:
         self._on_limit = on_limit
         self._on_response = on_response
-        self.reporting = ReportingServices()
+        self.reporting = reporting or ReportingServices()
         self._state_by_incarnation: dict[tuple[str, int], TargetState] = {}
 
     def of(self, target: Target) -> TargetState:
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -20,6 +20,7 @@
 from bergamotsaddle_serving.decisions.engine_speeds import EngineSpeeds
 from bergamotsaddle_serving.decisions.fleet_start import FleetStart
 from bergamotsaddle_serving.decisions.hedge_pool import HedgePool
+from bergamotsaddle_serving.decisions.reporting_services import ReportingServices
 from bergamotsaddle_serving.decisions.stream_ends import StreamLengths
 from bergamotsaddle_serving.endless import EndlessResponses
 from bergamotsaddle_serving.fetching import FetchTimes
@@ -170,7 +171,8 @@
             self.rests,
             unreadable=self.unreadable_loads,
         )
-        self.health = Health(self.limits.record, self.notices.read)
+        reporting = ReportingServices(includes_all=settings.targets.share_machines)
+        self.health = Health(self.limits.record, self.notices.read, reporting)
         self.reach = ZoneReach(
             self.view, self.peers, self.pool, dialect, logger, notices=self.notices
         )
--- a/packages/serving/bergamotsaddle_serving/settings.py
+++ b/packages/serving/bergamotsaddle_serving/settings.py
@@ -155,6 +155,17 @@
     allowed_requests: frozenset[str] = frozenset()
 
 
+class TargetSettings(NamedTuple):
+    """What operators know of the targets (``[targets]``).
+
+    Attributes:
+        share_machines: Whether the targets of all services share their machines with
+            others, also if they do not report how fast they work.
+    """
+
+    share_machines: bool = False
+
+
 class HedgingSettings(NamedTuple):
     """How often requests are sent to a second target (``[hedging]``).
 
@@ -178,6 +189,7 @@
     capacity: CapacitySettings = CapacitySettings()
     suspects: SuspectSettings = SuspectSettings()
     hedging: HedgingSettings = HedgingSettings()
+    targets: TargetSettings = TargetSettings()
 
 
 def _parse_number(text: str) -> float:
@@ -316,6 +328,7 @@
             frozenset(ini.get("suspects", "allowed_requests", parse_words, ())),
         ),
         HedgingSettings(ini.get("hedging", "max_share", _parse_share, 0.0)),
+        TargetSettings(ini.get("targets", "share_machines", _parse_flag, False)),
     )
     ini.raise_for_faults()
     return settings
--- a/tests/test_serving_settings.py
+++ b/tests/test_serving_settings.py
@@ -75,6 +75,12 @@
             parse_settings(TEXT + f"\n[hedging]\nmax_share = {text}\n", name="f")
         self.assertIn("[hedging] max_share", str(raised.exception))
 
+    @parameterized.expand([("", False), ("false", False), ("true", True)])
+    def test_targets_that_share_their_machines(self, text, expected):
+        section = f"\n[targets]\nshare_machines = {text}\n" if text else ""
+        settings = parse_settings(TEXT + section, name="f")
+        self.assertEqual(settings.targets.share_machines, expected)
+
     def test_no_hedges_by_default(self):
         self.assertEqual(parse_settings(TEXT, name="f").hedging.max_share, 0.0)
 
