--- a/tests/test_reporting_services.py
+++ b/tests/test_reporting_services.py
@@ -25,7 +25,7 @@
         ]
     )
     def test_targets_report(self, _, load, is_declared, expected):
-        """Guards against decisions for shared machines where machines are not shared."""
+        """Guards against decisions for shared machines where none are shared."""
         reporting = ReportingServices(includes_all=is_declared)
         Health(reporting=reporting).of(TARGET).record_load(load)
         self.assertEqual("s" in reporting, expected)
