Reset what the soak ends of responses without end

Cause: the stand-in ended its disturbance by closing the connection properly, and a body without a length that is closed properly is whole. So the check was right and the target wrong: it resets the connection now. The check is unchanged.

--- a/packages/standins/bergamotsaddle_standins/soak_endless.py
+++ b/packages/standins/bergamotsaddle_standins/soak_endless.py
@@ -9,6 +9,7 @@
 
 from bergamotsaddle_standins._web import Environ
 from bergamotsaddle_standins.endless_target import ENDLESS_BY_KIND
+from bergamotsaddle_standins.soak_breaks import reset
 
 # Kinds that bring no event and no whole response before they go on without end.
 _KINDS = (
@@ -37,7 +38,7 @@
     Args:
         environ: The request.
         kind: Kind of the response.
-        is_going_on: Returns whether to send more. The connection is closed after that.
+        is_going_on: Returns whether to send more. The connection is reset after that.
 
     Returns:
         Nothing that the server has to send.
@@ -51,5 +52,7 @@
         while is_going_on():
             sock.sendall(block)
             eventlet.sleep(0)
+    # A body without a length that is closed properly is whole.
+    reset(sock)
     wsgi.WSGI_LOCAL.already_handled = True
     return []
