Ask again what a request may do once it has waited for a place, and mend what reviews found

What callers saw or could see: nine requests at once at three cold targets (three as an instance chooses by itself); requests sent after their deadline; requests that were quarantined while they waited sent to one more target; one returning team served alone; sound responses that ended as internal errors while others took memory; hedges that were counted wrongly, and a loop that looked for a second target 60 to 1,500 times.

Cause: what holds before a wait was not asked again behind it (place, permit); a team's turns were kept while it was idle; a remainder gave back all and took it again, also when it shrank; a hedge that could not be sent left a short limit for all later waits.

--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -407,14 +407,16 @@
 
     def close(self) -> None:
         """Close the connection; the target drops a request that is still running."""
-        if self._sender is not None and not self._sender.dead:
-            self._sender.kill()
         self._socket.close()
         # The error that ended the reading may refer to what was read for longer.
         self._parts.clear()
         if self._h11.their_state in _READING_STATES:
             self._h11 = h11.Connection(h11.CLIENT)
         self.memory.close()
+        # Another error for this green thread may arrive while it waits for the end of
+        # the sender.
+        if self._sender is not None and not self._sender.dead:
+            self._sender.kill()
 
     def refuse(self, reason: str, place: str, size: int) -> NoReturn:
         """Report that more came than the response may have.
--- a/packages/serving/bergamotsaddle_serving/decisions/plain_queue.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/plain_queue.py
@@ -96,12 +96,14 @@
         target: Id of the target, empty if it was refused.
         retry_after: Seconds after which its caller may return, if it was refused.
         expected: Seconds until it was expected to end.
+        is_local: Whether the instance that asks is to choose a target itself.
     """
 
     applicant: Applicant
     target: str
     retry_after: float = 0.0
     expected: float = 0.0
+    is_local: bool = False
 
 
 class _Lease(NamedTuple):
@@ -186,11 +188,7 @@
             Its place or refusal, None if it waits.
         """
         usable = _usable(applicant, places)
-        if not self._waiting_by_key:
-            # An idle team gains no turns.
-            self._served_by_team.clear()
-        least = min(self._served_by_team.values(), default=0.0)
-        self._served_by_team.setdefault(applicant.team, least)
+        self._count_in(applicant.team)
         ahead = self._ahead(applicant)
         if not ahead:
             place = self._choose(applicant, usable)
@@ -202,6 +200,16 @@
         self._waiting_by_key[applicant.key] = applicant
         return None
 
+    def _count_in(self, team: str) -> None:
+        """Count a team that has no request waiting, which gains no turns meanwhile."""
+        served = self._served_by_team
+        if not self._waiting_by_key:
+            served.clear()
+        waiting = {applicant.team for applicant in self._waiting_by_key.values()}
+        if team not in waiting:
+            least = min((served.get(other, 0.0) for other in waiting), default=0.0)
+            served[team] = max(served.get(team, 0.0), least)
+
     def end(self, key: TicketKey) -> Place | None:
         """Forget a request that has ended, or that waits no longer.
 
@@ -257,19 +265,22 @@
         return outcomes
 
     def _refuse_late(self, places: Sequence[Place]) -> list[Outcome]:
-        """Refuse requests that no target would finish before their deadlines."""
+        """Refuse requests that no target would finish before their deadlines.
+
+        One for which there is no target here may have one in reach of the instance
+        that asks.
+        """
         outcomes = []
-        seconds_by_excluded: dict[frozenset[str], float] = {}
         for applicant in list(self._waiting_by_key.values()):
             usable = _usable(applicant, places)
-            seconds = seconds_by_excluded.get(applicant.excluded)
-            if seconds is None:
-                seconds = self._shortest(usable) if usable else math.inf
-                seconds_by_excluded[applicant.excluded] = seconds
-            if seconds > applicant.deadline_at - now():
-                del self._waiting_by_key[applicant.key]
-                wait = self._wait(len(self._waiting_by_key), usable)
-                outcomes.append(self._refuse(applicant, wait, usable))
+            if usable and self._shortest(usable) <= applicant.deadline_at - now():
+                continue
+            del self._waiting_by_key[applicant.key]
+            if not usable:
+                outcomes.append(Outcome(applicant, "", is_local=True))
+                continue
+            wait = self._wait(len(self._waiting_by_key), usable)
+            outcomes.append(self._refuse(applicant, wait, usable))
         return outcomes
 
     def _has_room(self, places: Sequence[Place]) -> bool:
@@ -348,7 +359,7 @@
         seconds_by_place = {place: self._finish_seconds(place) for place in free}
         # A target that is too slow for the deadline would only waste its work.
         best = min(seconds_by_place.values(), default=math.inf)
-        if best > left:
+        if not free or self._shortest(free) > left:
             return None
         good = [p for p, s in seconds_by_place.items() if s <= _TOLERANCE * best]
         recent = {p: self._recent_count(p) for p in good}
--- a/packages/serving/bergamotsaddle_serving/placement_exchange.py
+++ b/packages/serving/bergamotsaddle_serving/placement_exchange.py
@@ -404,6 +404,8 @@
         if outcome.target:
             self._logger.info("placed", target=outcome.target, **inputs)
             response = PlaceResponse(number, PlaceDecision.PLACED, outcome.target)
+        elif outcome.is_local:
+            response = PlaceResponse(number, PlaceDecision.LOCAL)
         else:
             retry_after = round(outcome.retry_after, 3)
             self._logger.warning("placement_refused", retry_after=retry_after, **inputs)
--- a/packages/serving/bergamotsaddle_serving/plain_run.py
+++ b/packages/serving/bergamotsaddle_serving/plain_run.py
@@ -164,6 +164,7 @@
         self._seconds: float | None = None
         self._is_sent = False
         self._response: Response | None = None
+        self._head_seconds = 0.0
         # Size of a body that is relayed as it arrives, None if it is held.
         self._long_size: int | None = None
 
@@ -181,6 +182,7 @@
         try:
             if self._response is None:
                 self._response = self._read_response(limit)
+                self._head_seconds = now() - self._attempt.started_at
                 self._long_size = self._find_long_size(self._response)
             if self._long_size is not None:
                 return LongResponse(self, self._response, self._long_size)
@@ -217,7 +219,8 @@
                 break
             yield data
         attempt.finish_stream(is_whole=True)
-        self.state.record_success(now() - attempt.started_at)
+        # The body arrives at the pace of its caller.
+        self.state.record_success(self._head_seconds)
         if self._response.is_success:
             self._server.crashes.record_success(
                 self.target, [self.work()], is_framed=True
@@ -355,11 +358,10 @@
                 while response is None:
                     response = self._advance()
             if isinstance(response, LongResponse):
-                del self._open_by_id[response.run.target.id]
+                self._winner = response.run.target.id
+                del self._open_by_id[self._winner]
             for run in self._open_by_id.values():
                 self._record_slower(run)
-            if self._hedge:
-                self._record_hedge(_WON if self._winner == self._hedge else _LOST)
             return response
         except RequestError:
             raise
@@ -371,6 +373,8 @@
         finally:
             for run in self._open_by_id.values():
                 run.close()
+            if self._hedge:
+                self._record_hedge(_WON if self._winner == self._hedge else _LOST)
 
     def _advance(self) -> CompleteResponse | LongResponse | None:
         """Start another run or wait for one; return the response if that ends it."""
@@ -400,13 +404,15 @@
             repeat = self._server.budget.reserve(self._context.service.name)
             if repeat is None:
                 return None
-        candidate = self._reserve_target()
-        if repeat is not None:
-            if candidate is None:
-                repeat.cancel()
-            else:
+        try:
+            candidate = self._reserve_target()
+            if candidate is not None and repeat is not None:
                 repeat.use()
-        return candidate
+            return candidate
+        finally:
+            # The caller may leave while the request waits for a place.
+            if repeat is not None:
+                repeat.cancel()
 
     def _may_add(self) -> bool:
         """Return whether another target may get the request."""
@@ -435,14 +441,15 @@
         try:
             candidate = self._place()
         except PlacementRefusedError as error:
-            if self._ended or self._refusals:
+            if self._ended:
                 return None
             raise context.rejection_error(
                 ErrorKind.DEADLINE_INFEASIBLE,
                 "the service has too many requests to respond in time",
                 retry_after=error.retry_after,
             ) from error
-        if candidate is not None:
+        # The request may have waited for a place.
+        if candidate is not None or context.remaining <= 0:
             return candidate
         while True:
             candidate = self._pick(self._tried | denied)
@@ -471,15 +478,44 @@
         place = placement.place(context, exclude)
         if place is None:
             return None
-        selector = self._server.selector
-        candidate = place.candidate
-        if selector.may_send(candidate) and selector.reserve(
-            candidate, context.head.id, context.urgency
-        ):
+        candidate = None
+        try:
+            candidate = self._confirm(place.candidate)
+        finally:
+            if candidate is None:
+                place.end()
+        if candidate is not None:
             self._place_by_id[candidate.target.id] = place
-            return candidate
-        place.end()
-        return None
+        return candidate
+
+    def _confirm(self, granted: Candidate) -> Candidate | None:
+        """Return a granted target as it is now, None if it may not get the request.
+
+        While the request waited for its place, the target may have turned silent or
+        used up what it takes while it is cold, and the request may have become one
+        under which targets end.
+
+        Raises:
+            RequestError: If the request is quarantined, and has not run.
+        """
+        context = self._context
+        suspects = self._server.suspects
+        if not self._ended and suspects.is_quarantined(context.fingerprint):
+            raise context.quarantine_error()
+        if suspects.is_suspect(context.fingerprint) or context.remaining <= 0:
+            return None
+        selector = self._server.selector
+        service = context.service.name
+        name = granted.target.id
+        candidate = selector.find(service, name)
+        if candidate is None or candidate.state.silent:
+            return None
+        if not selector.may_send(candidate):
+            return None
+        if not selector.reserve(candidate, context.head.id, context.urgency):
+            return None
+        # The permit may have taken a while as well.
+        return selector.find(service, name)
 
     def _pick(self, exclude: set[str]) -> Candidate | None:
         """Return a target that is not silent, or any if the request waits at none.
@@ -525,7 +561,7 @@
         self._limit = run.limit
         is_alone = not self._open_by_id
         self._open_by_id[name] = run
-        if is_alone and self._may_hedge():
+        if is_alone and not candidate.is_cold and self._may_hedge():
             return self._read_hedged(run)
         if is_alone:
             try:
@@ -563,22 +599,23 @@
         due = context.started_at + context.route.objective - now()
         delay = hedge_delay(usual, due)
         self._race.start(run.target.id, run.read_to_end)
-        if delay >= run.limit:
+        if not usual or delay >= run.limit:
             return self._wait()
         finish = self._race.wait(timeout=min(delay, context.remaining))
         if finish is not None:
             return finish
-        self._limit = run.limit - delay
-        if self._may_send_hedge():
-            finish = self._race.wait(timeout=0)
-            if finish is not None:
-                return finish
-            self._start_hedge(run, delay)
+        if not self._may_send_hedge():
+            left = min(run.limit - delay, context.remaining)
+            return self._race.wait(timeout=max(0.0, left))
+        finish = self._race.wait(timeout=0)
+        if finish is not None:
+            return finish
+        self._start_hedge(run, delay)
         return self._wait()
 
     def _may_send_hedge(self) -> bool:
         """Return whether another target has a free slot, and a hedge is left."""
-        found = self._pick_responsive(self._tried)
+        found = self._pick_responsive(self._tried | self._broken_at_by_id.keys())
         service = self._context.service.name
         if found is None or not found.has_free_slot:
             self._record_hedge(_NO_TARGET)
--- a/packages/serving/bergamotsaddle_serving/response_memory.py
+++ b/packages/serving/bergamotsaddle_serving/response_memory.py
@@ -109,12 +109,15 @@
     def resize(self, size: int) -> None:
         """Hold some bytes instead of those that it held.
 
+        What it holds already stays its own, however much others have taken since.
+
         Raises:
-            MemoryShortError: If that is more than the share may hold.
+            MemoryShortError: If it grows by more than the share may take.
         """
-        self._share.give_back(self._size)
-        self._size = 0
-        self._share.take(size)
+        if size > self._size:
+            self._share.take(size - self._size)
+        else:
+            self._share.give_back(self._size - size)
         self._size = size
 
 
--- a/packages/serving/bergamotsaddle_serving/selector.py
+++ b/packages/serving/bergamotsaddle_serving/selector.py
@@ -182,13 +182,11 @@
     def usual_seconds(self, service: str) -> float:
         """Return the seconds that a response of a service usually takes.
 
-        It is the median over the service's targets, so that one slow target does not
-        raise it; 0 if there is no target.
+        It is the median over the service's targets that have responded to this
+        instance, so that one slow target does not raise it; 0 if none has.
         """
-        found = [
-            self._health.of(known.target).latency
-            for known in self._view.usable(service)
-        ]
+        states = [self._health.of(k.target) for k in self._view.usable(service)]
+        found = [state.latency for state in states if state.last_seen_at > 0]
         return statistics.median_high(found) if found else 0.0
 
     def may_send(self, candidate: Candidate) -> bool:
--- a/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
+++ b/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
@@ -142,6 +142,8 @@
         # each worker would scan hundreds of pieces hundreds of times a second and find
         # no memory. The owner would respond late, and senders would abandon it.
         eventlet.sleep(len(queue.queue) * _SCAN_PAUSE_S)
+        if queue.worker_by_incarnation.get(worker.target.incarnation) is not worker:
+            return
         if not len(queue.queue):
             # New pieces wake it, and so does the end of its target in the queue.
             changed.wait()
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -170,11 +170,13 @@
             return
         since = now()
         due_at = context.started_at + context.route.objective
+        has_waited = False
         while pause := start.pause(due_at):
             if not self.waits.lacks_owner(context.route, context.head.pieces):
                 break
+            has_waited = True
             eventlet.sleep(pause)
-        if now() > since:
+        if has_waited:
             self.logger.info(
                 "owners_awaited",
                 request=context.head.id,
--- a/tests/test_fleet_start.py
+++ b/tests/test_fleet_start.py
@@ -65,6 +65,15 @@
         self.owned_at = now() + owned_after
         self.assertAlmostEqual(self.wait(self.make_server()), expected, delta=0.06)
 
+    @parameterized.expand([("waits", 0.3, 1), ("does_not", 0.0, 0)])
+    def test_only_a_request_that_waits_is_logged(self, _, owned_after, lines):
+        """Guards against a log line for each request, for as long as it runs."""
+        server = self.make_server()
+        server.logger.reset_mock()
+        self.owned_at = now() + owned_after
+        self.wait(server)
+        self.assertEqual(server.logger.info.call_count, lines)
+
     def test_a_queue_that_is_out_of_reach(self):
         """Guards against requests that wait for what can't be served."""
         server = self.make_server()
--- a/tests/test_plain_hedges.py
+++ b/tests/test_plain_hedges.py
@@ -16,6 +16,7 @@
 from bergamotsaddle_serving.health import Health
 from bergamotsaddle_serving.messages import RequestHead
 from bergamotsaddle_serving.plain import PlainServer
+from bergamotsaddle_serving.plain_run import PlainRun
 from bergamotsaddle_serving.selector import Candidate
 from tests._paused import advance, settle, use_paused_clock
 from tests.test_plain import (
@@ -33,6 +34,7 @@
 # Between two requests, so that those before have ended.
 GAP_S = 1.0
 SLOW = Script(SLOW_S, SLOW_S)
+CHOOSE = PlainRun._choose
 SOUND = Script(USUAL_S, USUAL_S)
 
 
@@ -210,6 +212,31 @@
         self.assertEqual(self.used, [[0]])
         self.assertAlmostEqual(self.seconds[0], SLOW_S, places=2)
 
+    def test_a_hedge_that_breaks_off_is_counted(self):
+        """Guards against figures that leave out hedges while targets fail."""
+        broken = Script(0.2, error="closed")
+        with self.assertRaises(IndexError):
+            self.serve(broken, broken)
+            self.seconds[0]
+        ends = [
+            call.kwargs["end"]
+            for call in self.logger.info.call_args_list
+            if call.args[0] == "hedge_ended"
+        ]
+        self.assertEqual(ends, ["lost"])
+
+    def test_a_request_without_a_hedge_waits_calmly(self):
+        """Guards against a target that is looked for again and again."""
+        picks = []
+        with mock.patch.object(
+            PlainRun,
+            "_choose",
+            autospec=True,
+            side_effect=lambda run: picks.append(run) or CHOOSE(run),
+        ):
+            self.serve(Script(0.9, 0.9), max_share=0.5)
+        self.assertLessEqual(len(picks), 6)
+
     def test_a_silent_target_is_tried_elsewhere_without_a_hedge(self):
         """Guards against a limit on hedges that also limits ordinary repeats."""
         silent = Script(9.0, 9.0)
