Send a hopeless stream to any engine that may end it

Callers got 503 for streams that another engine would have ended: another engine counted only if it raised the chance by as much of 1 as the shared tokens to read again are of 60,000, and the hopeless home was kept and the stream refused. With 60,000 shared tokens the gain had to be 1.

The two cases of the new test (home four times slower and 60,000 shared tokens; 1.54 times and 13,300) failed before and pass.

--- a/packages/serving/bergamotsaddle_serving/decisions/engine_choice.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/engine_choice.py
@@ -26,7 +26,8 @@
 # The fraction of the objective that a forecast may use; the remainder absorbs variance.
 _MAX_OBJECTIVE_FRACTION = 0.8
 # Another engine than the preferred one must raise a stream's chance to end in time by
-# this much, and by as much of 1 as the tokens that it has to read again are of these.
+# this much, and by as much of 1 as the tokens that it has to read again are of these,
+# unless the stream is hopeless at the preferred one.
 _MIN_CHANCE_GAIN = 0.05
 _TOKENS_PER_CHANCE = 60_000.0
 _MAX_CACHED_DISTANCES = 16_384
@@ -223,16 +224,15 @@
     """Keep a choice unless another engine ends the stream in time and it may not.
 
     The next engine in the order of preference that can is chosen, so that all instances
-    send long streams about the same parts to the same one.
+    send long streams about the same parts to the same one. A stream without a prospect
+    goes to an engine that gives it one, whatever that engine has to read again.
     """
     end = _forecast_end(choice, ending)
     if end.is_certain:
         return choice._replace(end=end)
     others = [other._replace(end=_forecast_end(other, ending)) for other in choices]
     worthwhile = [
-        other
-        for other in others
-        if other.end.chance - end.chance >= _min_chance_gain(other, shared_tokens)
+        other for other in others if _is_worthwhile(other, end, shared_tokens)
     ]
     for other in worthwhile:
         is_late = other.seconds > max(choice.seconds, objective)
@@ -242,10 +242,13 @@
     return choice._replace(end=end) if best is None else best
 
 
-def _min_chance_gain(choice: EngineChoice, shared_tokens: int) -> float:
-    """Return how much a choice must raise a stream's chance to end in time."""
+def _is_worthwhile(choice: EngineChoice, end: EndForecast, shared_tokens: int) -> bool:
+    """Return whether a choice is worth leaving an engine with another end."""
+    if end.is_hopeless and not choice.end.is_hopeless:
+        return True
     read_again = shared_tokens if choice.reason == "free" else 0
-    return max(_MIN_CHANCE_GAIN, read_again / _TOKENS_PER_CHANCE)
+    gain = max(_MIN_CHANCE_GAIN, read_again / _TOKENS_PER_CHANCE)
+    return choice.end.chance - end.chance >= gain
 
 
 def _forecast_end(choice: EngineChoice, ending: StreamEnd) -> EndForecast:
--- a/tests/test_stream_ends.py
+++ b/tests/test_stream_ends.py
@@ -180,6 +180,40 @@
         self.assertEqual(choice.engine.id, self.others[1])
         self.assertFalse(choice.end.is_hopeless)
 
+    @parameterized.expand(
+        [("many_tokens", 4.0, 4.4, 60_000), ("poor_chance", 1.54, 1.95, 13_300)]
+    )
+    def test_hopeless_stream_leaves_whatever_is_read_again(
+        self, _, writing, remaining, shared
+    ):
+        """Guards against streams that are refused though another engine may end them.
+
+        More shared tokens are read again than the gain in chance pays for.
+        """
+        equal = [EngineView(name, "a", 64, 0, 0, False) for name in ("e1", "e2")]
+        prompt = (PromptPart("shared", shared), PromptPart("own", 1_000))
+
+        def choose(engines):
+            return choose_engine(
+                engines,
+                prompt,
+                shared + 1_000,
+                objective=9.0,
+                stage_seconds=lambda zone: 0.0,
+                ending=END._replace(remaining=remaining),
+            )
+
+        home = choose(equal).engine.id
+        engines = [
+            view._replace(speed=speed_of(writing if view.id == home else 1.0))
+            for view in equal
+        ]
+        (at_home,) = [view for view in engines if view.id == home]
+        self.assertTrue(choose([at_home]).end.is_hopeless)
+        choice = choose(engines)
+        self.assertNotEqual(choice.engine.id, home)
+        self.assertFalse(choice.end.is_hopeless)
+
     def test_no_prospect_anywhere(self):
         choice = self.choose(dict.fromkeys(("e1", "e2", "e3", "e4"), 9.0), END)
         self.assertTrue(choice.end.is_hopeless)
