Look at the end of a stream in the choice of its version

Callers got 503 for streams that another engine would have ended: the choice among versions with several engines was kept if its first event was on time, without a look at its end. A suspect request may run at one engine only and was refused if that engine was slow.

The choice is kept only if its end is unknown or not hopeless, or if the streams is hopeless at all other engines too. The end of a suspect is not forecast.

--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -201,11 +201,23 @@
             by_software = resumptions.targets_by_software(context.service.name)
             replicated = prefer_replicated_versions(candidates, by_software)
             if len(replicated) < len(candidates):
-                choice = self._choose_among(replicated, context)
-                if choice is not None and choice.seconds <= context.route.objective:
-                    return choice
+                return self._prefer(replicated, candidates, context)
         return self._choose_among(candidates, context)
 
+    def _prefer(
+        self,
+        preferred: Sequence[Candidate],
+        candidates: Sequence[Candidate],
+        context: Context,
+    ) -> EngineChoice | None:
+        """Choose among some candidates unless only another one serves in time."""
+        choice = self._choose_among(preferred, context)
+        is_late = choice is None or choice.seconds > context.route.objective
+        if not is_late and not _is_hopeless(choice):
+            return choice
+        among_all = self._choose_among(candidates, context)
+        return among_all if is_late or not _is_hopeless(among_all) else choice
+
     def _choose_among(
         self, candidates: Sequence[Candidate], context: Context
     ) -> EngineChoice | None:
@@ -215,8 +227,12 @@
         if speeds is not None and not speeds.is_learnt(context.service.name):
             speeds = None
         views = [self._engine_view(c, key, speeds) for c in candidates]
+        ending = None
         if self.suspects.is_suspect(context.fingerprint):
+            # It may run at one engine only, so its end decides nothing.
             views = isolate_engine(views, context.fingerprint)
+        elif speeds is not None:
+            ending = self._ending(context)
         seconds_by_zone = {
             zone: self.stage_seconds(context, zone) for zone in {v.zone for v in views}
         }
@@ -227,7 +243,7 @@
             objective=context.route.objective,
             stage_seconds=seconds_by_zone.__getitem__,
             policy=self.policy,
-            ending=self._ending(context) if speeds is not None else None,
+            ending=ending,
         )
 
     def known_silences(self, service: str, pause: float) -> KnownSilences:
@@ -346,6 +362,10 @@
         )
 
 
+def _is_hopeless(choice: EngineChoice) -> bool:
+    return choice.end is not None and choice.end.is_hopeless
+
+
 def _speed_of(candidate: Candidate, speeds: EngineSpeeds) -> EngineSpeed:
     state = candidate.state
     if state.speed is None:
--- a/tests/test_stream_ends.py
+++ b/tests/test_stream_ends.py
@@ -2,17 +2,19 @@
 
 import random
 import unittest
+from unittest import mock
 
 from parameterized import parameterized
 
 from bergamotsaddle_serving.decisions.engine_choice import EngineView, choose_engine
-from bergamotsaddle_serving.decisions.engine_speeds import EngineSpeed
+from bergamotsaddle_serving.decisions.engine_speeds import EngineSpeed, load_factor
 from bergamotsaddle_serving.decisions.stream_ends import (
     EndForecast,
     StreamEnd,
     StreamLength,
 )
 from bergamotsaddle_serving.messages import PromptPart, RequestHead
+from bergamotsaddle_serving.stream_run import StreamRun
 from tests._paused import use_paused_clock, use_running_clock
 from tests._uneven_engines import HINTS, REVIEWS, WITHOUT, Replay, make_instances
 from tests.test_broken_streams import (
@@ -23,9 +25,12 @@
     make_server,
     read_response,
 )
+from tests.test_stream_versions import ADDRESS, make_candidates
+from tests.test_stream_versions import make_server as make_version_server
 
 PROMPT = (PromptPart("shared", 9_000), PromptPart("own", 1_000))
-END = StreamEnd(8.0, StreamLength(usual=40, spread=0.3), event_seconds=0.05)
+EVENT_S = 0.05
+END = StreamEnd(8.0, StreamLength(usual=40, spread=0.3), event_seconds=EVENT_S)
 
 
 def make_head(*, hint=0, most=0):
@@ -223,6 +228,54 @@
         self.assertEqual(self.choose({self.home: 6.0}, None).engine.id, self.home)
 
 
+def make_versions(writing_by_id, *, is_suspect=False):
+    """Return a server with engines of two versions, and a request.
+
+    Engines a and b run the first version. At a usual engine the request takes a quarter
+    of the time that its caller has.
+    """
+    candidates = make_candidates(ADDRESS, {"a": "v1", "b": "v1", "c": "v2"})
+    for candidate in candidates:
+        candidate.state.speed = speed_of(writing_by_id.get(candidate.target.id, 1.0))
+    server = make_version_server(candidates)
+    server.suspects.is_suspect = lambda fingerprint: is_suspect
+    head = RequestHead("r", b"POST", b"/", "h", "", 9.0)
+    head = head._replace(prompt=PROMPT, prompt_tokens=10_000)
+    context = make_context(head, mock.Mock(body=b""), is_resumable=True)
+    events = context.remaining / 4.0 / (EVENT_S * load_factor(1, 4))
+    server.speeds = mock.Mock(event_seconds=lambda service: EVENT_S)
+    server.lengths = mock.Mock(
+        forecast=lambda route, head: StreamLength(events, 0.3),
+        record_tokens=lambda service, tokens: 0.0,
+    )
+    return server, context
+
+
+class VersionsTest(unittest.TestCase):
+    """The engine of a stream that may go on at its version only."""
+
+    @parameterized.expand(
+        [
+            ("end_in_time", {}, ("a", "b"), False),
+            ("are_too_slow", {"a": 9.0, "b": 9.0}, ("c",), False),
+            ("are_as_slow", {"a": 9.0, "b": 9.0, "c": 9.0}, ("a", "b"), True),
+        ]
+    )
+    def test_replicated_versions(self, _, writing_by_id, expected, is_hopeless):
+        """Guards against streams that are refused as one version can't end them."""
+        server, context = make_versions(writing_by_id)
+        choice = server.choose(context, set())
+        self.assertIn(choice.engine.id, expected)
+        self.assertIs(choice.end.is_hopeless, is_hopeless)
+
+    def test_suspect_at_a_slow_engine(self):
+        """Guards against a suspect that is refused as it may go to one engine only."""
+        server, context = make_versions(dict.fromkeys("abc", 9.0), is_suspect=True)
+        StreamRun(server, context, mock.Mock())._check_end(
+            server.choose(context, set())
+        )
+
+
 class RejectionTest(unittest.TestCase):
     """What callers get whose streams no engine can end."""
 
