Let a wrong forecast of ends correct itself

Callers were refused for as long as an instance lived once the seconds that it took for an event were far too high: refused streams aren't measured, the figure was a mean that a stall of the instance raises, and it never expired.

It is now made of median pauses and unknown 30 s after the last measurement; then a new one begins. Each instance also lets one hopeless stream of a route run every 10 s (hopeless_streams_total, end "tried"), as lengths can be wrong too.

--- a/packages/serving/bergamotsaddle_serving/decisions/engine_speeds.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/engine_speeds.py
@@ -40,6 +40,9 @@
 # median of a few says little of the others.
 _MIN_MEASURED_FRACTION = 0.5
 _MEDIAN_PAUSE_S = 1.0
+# How long the usual seconds of an event count if no stream is measured. Longer ones
+# could refuse all streams, none of which would be measured then.
+_USUAL_TTL_S = 30.0
 # Homes of prompts move at most this often for one engine.
 _MIN_HOME_S = 10.0
 
@@ -148,9 +151,16 @@
     def __init__(self) -> None:
         self.value = 0.0
         self._weight = 1.0
+        self._added_at = now()
+
+    @property
+    def is_recent(self) -> bool:
+        """Whether a value was added lately."""
+        return now() - self._added_at < _USUAL_TTL_S
 
     def add(self, value: float) -> None:
         """Add a value."""
+        self._added_at = now()
         self.value += self._weight * (value - self.value)
         self._weight = max(_USUAL_WEIGHT, self._weight / (1.0 + self._weight))
 
@@ -218,11 +228,12 @@
     def event_seconds(self, service: str) -> float | None:
         """Return the usual seconds of an event at an engine of a service.
 
-        They are those of a usual engine beside no other request, None if unknown.
+        They are those of a usual engine beside no other request, None if no stream has
+        shown them lately.
         """
         self._refresh(service)
         usual = self._event_seconds_by_service.get(service)
-        return None if usual is None else usual.value
+        return usual.value if usual is not None and usual.is_recent else None
 
     def record_reading(self, target: Target, seconds: float, expected: float) -> None:
         """Record the seconds to the first event, and what was expected."""
@@ -249,8 +260,10 @@
         self._refresh(service)
         before = speed.writing
         self._writing.record(target.key, times.median / load)
-        usual = self._event_seconds_by_service.setdefault(service, _Usual())
-        usual.add(min(_EVENT_SECONDS[1], times.mean) / load / speed.writing)
+        usual = self._event_seconds_by_service.get(service)
+        if usual is None or not usual.is_recent:
+            usual = self._event_seconds_by_service[service] = _Usual()
+        usual.add(min(_EVENT_SECONDS[1], times.median) / load / speed.writing)
         _, typical = self._medians_by_service[service]
         if was_measured and service in self._mostly_measured:
             measured = times.median / load / typical
--- a/packages/serving/bergamotsaddle_serving/decisions/stream_ends.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/stream_ends.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
+from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.decisions.engine_speeds import EngineSpeed, load_factor
 from bergamotsaddle_serving.decisions.shared_figures import FigureSender, SharedFigures
 from bergamotsaddle_serving.gossip import Gossip, Topic
@@ -25,6 +26,9 @@
 # rejected. Lengths are uncertain, so only a stream without a prospect is.
 _CERTAIN = 0.9
 _HOPELESS = 0.1
+# A hopeless stream of a route is let through this often: only streams that run show
+# that a forecast is wrong.
+_TRIAL_PAUSE_S = 10.0
 # Streams after which what was learnt gives way to newer ones.
 _MAX_STREAMS = 200.0
 # An engine without memory for all its requests takes at most this much longer.
@@ -161,6 +165,24 @@
         return self.chance < _HOPELESS
 
 
+class EndTrials:
+    """Decides which hopeless streams run nonetheless, few of each route."""
+
+    def __init__(self) -> None:
+        self._last_at_by_route: dict[str, float] = {}
+
+    def take(self, route: str) -> bool:
+        """Return whether a hopeless stream of a route runs as a trial.
+
+        The first one of a route does not.
+        """
+        last_at = self._last_at_by_route.setdefault(route, now())
+        if now() - last_at < _TRIAL_PAUSE_S:
+            return False
+        self._last_at_by_route[route] = now()
+        return True
+
+
 class StreamEnd(NamedTuple):
     """What the end of one stream depends on, beside the engine.
 
--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -317,6 +317,8 @@
     def _check_end(self, choice: EngineChoice) -> None:
         """Reject a stream that no engine can end before its caller gives up.
 
+        A few run nonetheless, as they may show that the forecast is wrong.
+
         Raises:
             RequestError: If it would end too late even if it were short.
         """
@@ -325,10 +327,14 @@
         is_kept = context.origin is not None or context.earlier_runs > 0
         if end is None or not end.is_hopeless or is_kept:
             return
+        route = context.route.name
+        if self._server.end_trials.take(route):
+            self._server.metrics.count_hopeless_stream(route, "tried")
+            return
         wait = retry_after(
             Forecast(end.seconds, choice.idle_seconds, end.remaining, end.remaining)
         )
-        self._server.metrics.count_hopeless_stream(context.route.name, "rejected")
+        self._server.metrics.count_hopeless_stream(route, "rejected")
         self._server.logger.info(
             "stream_end_forecast",
             request=context.head.id,
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -26,7 +26,11 @@
 )
 from bergamotsaddle_serving.decisions.fleet_start import FleetStart
 from bergamotsaddle_serving.decisions.reporting_services import ReportingServices
-from bergamotsaddle_serving.decisions.stream_ends import StreamEnd, StreamLengths
+from bergamotsaddle_serving.decisions.stream_ends import (
+    EndTrials,
+    StreamEnd,
+    StreamLengths,
+)
 from bergamotsaddle_serving.decisions.urgency_distribution import UrgencyDistribution
 from bergamotsaddle_serving.fetching import DEFAULT_FETCH_TIMES, FetchTimes
 from bergamotsaddle_serving.messages import Dialect
@@ -75,6 +79,7 @@
 
     Attributes:
         ongoing_runs: Requests that were sent to an engine.
+        end_trials: Decides which hopeless streams run nonetheless.
     """
 
     def __init__(
@@ -100,6 +105,7 @@
         self.room = room or Room(ReportingServices())
         self.speeds = speeds
         self.lengths = lengths
+        self.end_trials = EndTrials()
         self.metrics = metrics or Metrics()
         self._fleet_start = fleet_start
         self.policy = policy
--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -189,6 +189,25 @@
             self.assertEqual(instance.speeds.count_slow(), 0)
         self.assertEqual((old.writing, old.weight), (1.0, 1.0))
 
+    def test_usual_event_is_not_that_of_a_stall(self):
+        """Guards against streams that are refused as an instance stood still once."""
+        (instance,) = make_instances(1)
+        stalled = WritingTimes(mean=2.0, median=USUAL_S)
+        instance.speeds.record_writing(self.targets[0], stalled, running=0)
+        self.assertAlmostEqual(instance.speeds.event_seconds(SERVICE), USUAL_S)
+
+    def test_usual_event_that_is_not_measured_any_more(self):
+        """Guards against streams that are refused for ever, and so never measured."""
+        (instance,) = make_instances(1)
+        measure(instance, self.targets[0], 2.0, times=9)
+        advance(25.0)
+        self.assertAlmostEqual(instance.speeds.event_seconds(SERVICE), 2.0)
+        advance(3.0)
+        self.assertIsNone(instance.speeds.event_seconds(SERVICE))
+        # This engine counts as faster than the median, at most 2.5 times.
+        measure(instance, self.targets[1], USUAL_S)
+        self.assertAlmostEqual(instance.speeds.event_seconds(SERVICE), 2.5 * USUAL_S)
+
     def test_restart_of_all_learns_anew(self):
         instances = make_instances(7)
         self.assertEqual(self.known(instances[0]), [Pace.USUAL] * 6)
--- a/tests/test_stream_ends.py
+++ b/tests/test_stream_ends.py
@@ -6,16 +6,18 @@
 
 from parameterized import parameterized
 
+from bergamotsaddle_contracts.errors import RequestError
 from bergamotsaddle_serving.decisions.engine_choice import EngineView, choose_engine
 from bergamotsaddle_serving.decisions.engine_speeds import EngineSpeed, load_factor
 from bergamotsaddle_serving.decisions.stream_ends import (
     EndForecast,
+    EndTrials,
     StreamEnd,
     StreamLength,
 )
 from bergamotsaddle_serving.messages import PromptPart, RequestHead
 from bergamotsaddle_serving.stream_run import StreamRun
-from tests._paused import use_paused_clock, use_running_clock
+from tests._paused import advance, use_paused_clock, use_running_clock
 from tests._uneven_engines import HINTS, REVIEWS, WITHOUT, Replay, make_instances
 from tests.test_broken_streams import (
     REQUEST,
@@ -319,6 +321,35 @@
         self.assertEqual(counted in server.metrics.page(), status == 503)
 
 
+class TrialTest(unittest.TestCase):
+    """Hopeless streams that run nonetheless."""
+
+    def setUp(self):
+        use_paused_clock()
+
+    def test_one_of_a_route_now_and_then(self):
+        """Guards against a wrong forecast that refuses all streams of a route."""
+        trials = EndTrials()
+        taken = []
+        for second in range(35):
+            if trials.take("r"):
+                taken.append(second)
+            advance(1.0)
+        self.assertEqual(taken, [10, 20, 30])
+        self.assertFalse(trials.take("other"))
+
+    def test_trial_is_not_refused(self):
+        """Guards against streams that are refused though their trial is due."""
+        server, context = make_versions(dict.fromkeys("abc", 9.0))
+        choice = server.choose(context, set())
+        with self.assertRaises(RequestError):
+            StreamRun(server, context, mock.Mock())._check_end(choice)
+        advance(10.0)
+        StreamRun(server, context, mock.Mock())._check_end(choice)
+        counted = b'hopeless_streams_total{end="tried",route="r"} 1.0'
+        self.assertIn(counted, server.metrics.page())
+
+
 class ReplayTest(unittest.TestCase):
     """Callers with little time, and engines that take 0.6, 1 and 1.6 of the usual."""
 
