Refuse no stream for errors of speeds or memory that counts twice

Callers were refused for a chance that was too low: measured seconds of an event contain the slowdown by short memory already, and the forecast multiplied by it again, up to 2; and only the spread of lengths was counted, not that of speeds.

The refusal now looks at a second chance, the prospect, without the factor of memory and with a spread of at least 0.3 for speeds. The choice of the engine still looks at the first one, then takes any engine with a prospect.

--- a/packages/serving/bergamotsaddle_serving/decisions/engine_choice.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/engine_choice.py
@@ -238,13 +238,17 @@
         is_late = other.seconds > max(choice.seconds, objective)
         if other.end.is_certain and not is_late:
             return other
-    best = max(worthwhile, key=lambda other: other.end.chance, default=None)
+    best = max(
+        worthwhile,
+        key=lambda other: (other.end.outlook, other.end.chance),
+        default=None,
+    )
     return choice._replace(end=end) if best is None else best
 
 
 def _is_worthwhile(choice: EngineChoice, end: EndForecast, shared_tokens: int) -> bool:
     """Return whether a choice is worth leaving an engine with another end."""
-    if end.is_hopeless and not choice.end.is_hopeless:
+    if choice.end.outlook > end.outlook:
         return True
     read_again = shared_tokens if choice.reason == "free" else 0
     gain = max(_MIN_CHANCE_GAIN, read_again / _TOKENS_PER_CHANCE)
--- a/packages/serving/bergamotsaddle_serving/decisions/stream_ends.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/stream_ends.py
@@ -5,6 +5,7 @@
 
 import math
 from collections.abc import Callable, Sequence
+from enum import IntEnum
 from typing import NamedTuple
 
 from bergamotsaddle_daemon.clock import now
@@ -23,9 +24,11 @@
 _INITIAL_STREAMS = 4.0
 _MIN_SPREAD = 0.1
 # Chance of an end in time from which on a stream may stay, and below which it is
-# rejected. Lengths are uncertain, so only a stream without a prospect is.
+# hopeless. Only a stream whose prospect is below it too is rejected.
 _CERTAIN = 0.9
 _HOPELESS = 0.1
+# How far speeds are off at least, as the standard deviation of a natural logarithm.
+_SPEED_SPREAD = 0.3
 # A hopeless stream of a route is let through this often: only streams that run show
 # that a forecast is wrong.
 _TRIAL_PAUSE_S = 10.0
@@ -141,6 +144,16 @@
         return usual
 
 
+class Outlook(IntEnum):
+    """Whether a stream has a chance worth trying to end in time."""
+
+    # Not even if the engine is faster than it seems and has memory for it.
+    NONE = 0
+    # Only if it is.
+    POOR = 1
+    FAIR = 2
+
+
 class EndForecast(NamedTuple):
     """When a stream is going to end at an engine.
 
@@ -148,11 +161,13 @@
         seconds: Seconds from now until its end, if its length is usual.
         remaining: Seconds from now until its caller gives up.
         chance: Chance that it ends before that.
+        prospect: The same if the engine has memory enough and speeds may be off.
     """
 
     seconds: float
     remaining: float
     chance: float
+    prospect: float
 
     @property
     def is_certain(self) -> bool:
@@ -164,6 +179,13 @@
         """Whether the stream almost certainly ends too late."""
         return self.chance < _HOPELESS
 
+    @property
+    def outlook(self) -> Outlook:
+        """Whether the stream has a chance worth trying."""
+        if not self.is_hopeless:
+            return Outlook.FAIR
+        return Outlook.NONE if self.prospect < _HOPELESS else Outlook.POOR
+
 
 class EndTrials:
     """Decides which hopeless streams run nonetheless, few of each route."""
@@ -218,12 +240,21 @@
             first_event: Expected seconds until the first event.
         """
         seconds = self.event_seconds * speed.writing * load_factor(running + 1, slots)
-        if self.memory:
-            needed = self.tokens + min(running, slots) * self.other_tokens
-            seconds *= min(_MAX_MEMORY_FACTOR, max(1.0, needed / self.memory))
-        usual = self.length.usual * seconds
-        chance = _chance(self.remaining - first_event, usual, self.length.spread)
-        return EndForecast(first_event + usual, self.remaining, chance)
+        quick = self.length.usual * seconds
+        usual = quick * self._memory_factor(running, slots)
+        available = self.remaining - first_event
+        spread = self.length.spread
+        chance = _chance(available, usual, spread)
+        # Measured seconds of an event contain the slowdown by short memory already.
+        prospect = _chance(available, quick, math.hypot(spread, _SPEED_SPREAD))
+        return EndForecast(first_event + usual, self.remaining, chance, prospect)
+
+    def _memory_factor(self, running: int, slots: int) -> float:
+        """Return how much longer an event takes if memory is short."""
+        if not self.memory:
+            return 1.0
+        needed = self.tokens + min(running, slots) * self.other_tokens
+        return min(_MAX_MEMORY_FACTOR, max(1.0, needed / self.memory))
 
 
 def _chance(available: float, usual: float, spread: float) -> float:
--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -33,6 +33,7 @@
     seconds_until_room,
 )
 from bergamotsaddle_serving.decisions.engine_choice import EngineChoice
+from bergamotsaddle_serving.decisions.stream_ends import Outlook
 from bergamotsaddle_serving.engine_run import EngineRun
 from bergamotsaddle_serving.events import StreamEvent
 from bergamotsaddle_serving.hedged_read import Progress, read_hedged
@@ -325,7 +326,7 @@
         context = self._context
         end = choice.end
         is_kept = context.origin is not None or context.earlier_runs > 0
-        if end is None or not end.is_hopeless or is_kept:
+        if end is None or end.outlook is not Outlook.NONE or is_kept:
             return
         route = context.route.name
         if self._server.end_trials.take(route):
@@ -341,6 +342,7 @@
             engine=choice.engine.id,
             seconds=round(end.seconds, 2),
             chance=round(end.chance, 2),
+            prospect=round(end.prospect, 2),
             left=round(end.remaining, 2),
             hint=context.head.length_hint,
             most=context.head.output_tokens,
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -28,6 +28,7 @@
 from bergamotsaddle_serving.decisions.reporting_services import ReportingServices
 from bergamotsaddle_serving.decisions.stream_ends import (
     EndTrials,
+    Outlook,
     StreamEnd,
     StreamLengths,
 )
@@ -219,10 +220,11 @@
         """Choose among some candidates unless only another one serves in time."""
         choice = self._choose_among(preferred, context)
         is_late = choice is None or choice.seconds > context.route.objective
-        if not is_late and not _is_hopeless(choice):
+        if not is_late and _outlook(choice) is Outlook.FAIR:
             return choice
         among_all = self._choose_among(candidates, context)
-        return among_all if is_late or not _is_hopeless(among_all) else choice
+        is_better = is_late or _outlook(among_all) > _outlook(choice)
+        return among_all if is_better else choice
 
     def _choose_among(
         self, candidates: Sequence[Candidate], context: Context
@@ -368,8 +370,8 @@
         )
 
 
-def _is_hopeless(choice: EngineChoice) -> bool:
-    return choice.end is not None and choice.end.is_hopeless
+def _outlook(choice: EngineChoice) -> Outlook:
+    return Outlook.FAIR if choice.end is None else choice.end.outlook
 
 
 def _speed_of(candidate: Candidate, speeds: EngineSpeeds) -> EngineSpeed:
