Don't take a service without engines for measured

The end of a stream failed with ZeroDivisionError, in a caller's way, if another instance had told the figure of an engine before this one looked at any: none of no engines counted as most of them, with a median of 0.

Without any figure no service counts as mostly measured. The new test failed with the error before; LearningTest passes.

--- a/packages/serving/bergamotsaddle_serving/decisions/engine_speeds.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/engine_speeds.py
@@ -381,7 +381,7 @@
             median(reading) if reading else 1.0,
             median(writing) if writing else 0.0,
         )
-        if len(writing) >= _MIN_MEASURED_FRACTION * len(keys):
+        if writing and len(writing) >= _MIN_MEASURED_FRACTION * len(keys):
             self._mostly_measured.add(service)
         else:
             self._mostly_measured.discard(service)
--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -235,6 +235,16 @@
         for instance in [*left, *right]:
             self.assertEqual(self.known(instance), paces)
 
+    def test_figure_that_was_told_before_any_engine_was_seen(self):
+        """Guards against a stream whose end fails as the median is unknown yet."""
+        (instance,) = make_instances(1)
+        self.assertIsNone(instance.speeds.event_seconds(SERVICE))
+        target = self.targets[0]
+        instance.gossip.merge([Fact(WRITING.name, target.key, -4.0, 0.0)])
+        times = WritingTimes(USUAL_S, USUAL_S)
+        instance.speeds.record_writing(target, times, running=0)
+        self.assertIs(instance.speeds.of(target).pace, Pace.USUAL)
+
     def test_other_services_are_not_measured(self):
         """Guards against a change for services whose targets report no slowdown."""
         sent = []
