Let no few absurd hints change the lengths that all expect

Six streams with a hint of 1 and 400 events made all callers' streams of that kind look up to a hundred times as long (1,163 events instead of 20 for a hint of 100 in the new test), at other instances with a small spread, and so hopeless.

A stream more than 8 times off now widens the local spread and doesn't move the shared ratio, unless 20 come in a row: the first stream of a kind may have been the odd one. A jump of the ratio by more than 2, such as by another instance's fact, counts into the local spread, in which earlier streams then count little.

--- a/packages/serving/bergamotsaddle_serving/decisions/stream_ends.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/stream_ends.py
@@ -23,6 +23,13 @@
 _INITIAL_SPREAD = 0.7
 _INITIAL_STREAMS = 4.0
 _MIN_SPREAD = 0.1
+# Deviation, as a natural logarithm, beyond which a stream says nothing of the length of
+# others, and number of such streams in a row from which on it does: what was expected
+# is wrong then.
+_MAX_DEVIATION = math.log(8.0)
+_STRANGE_STREAMS = 20
+# Change of what is expected, as a natural logarithm, that no usual stream makes.
+_MIN_JUMP = math.log(2.0)
 # Chance of an end in time from which on a stream may stay, and below which it is
 # hopeless. Only a stream whose prospect is below it too is rejected.
 _CERTAIN = 0.9
@@ -57,9 +64,27 @@
     def __init__(self) -> None:
         self.streams = _INITIAL_STREAMS
         self._squares = _INITIAL_STREAMS * _INITIAL_SPREAD**2
+        self._strange_streams = 0
 
-    def add(self, deviation: float) -> None:
-        """Add the deviation of one stream, as a natural logarithm."""
+    def add(self, deviation: float) -> bool:
+        """Add the deviation of one stream, as a natural logarithm.
+
+        Returns:
+            Whether the stream says something of the length of others.
+        """
+        is_strange = abs(deviation) > _MAX_DEVIATION
+        self._strange_streams = self._strange_streams + 1 if is_strange else 0
+        self._add(min(_MAX_DEVIATION, abs(deviation)))
+        return not is_strange or self._strange_streams >= _STRANGE_STREAMS
+
+    def add_jump(self, deviation: float) -> None:
+        """Add a jump of what is expected; earlier streams say little of it."""
+        if self.streams > _INITIAL_STREAMS:
+            self._squares *= _INITIAL_STREAMS / self.streams
+            self.streams = _INITIAL_STREAMS
+        self._add(deviation)
+
+    def _add(self, deviation: float) -> None:
         if self.streams >= _MAX_STREAMS:
             self.streams /= 2.0
             self._squares /= 2.0
@@ -94,8 +119,14 @@
         sender = FigureSender(publish, instances)
         lowest, highest = _EVENTS_PER_TOKEN
         self._ratios = SharedFigures(
-            gossip, sender, LENGTHS, lowest=lowest, highest=highest
+            gossip,
+            sender,
+            LENGTHS,
+            lowest=lowest,
+            highest=highest,
+            on_change=self._on_ratio,
         )
+        self._ratio_by_key: dict[str, float] = {}
         self._spread_by_key: dict[str, _Spread] = {}
         self._tokens_by_service: dict[str, float] = {}
 
@@ -106,10 +137,8 @@
         for key, tokens in _bases(route, head):
             ratio = events / tokens
             usual = self._ratios.get(key)
-            if usual is not None:
-                spread = self._spread_by_key.setdefault(key, _Spread())
-                spread.add(math.log(ratio / usual))
-            self._ratios.record(key, ratio)
+            if usual is None or self._spread(key).add(math.log(ratio / usual)):
+                self._ratios.record(key, ratio)
 
     def record_cut(self, route: str, head: RequestHead, events: int) -> None:
         """Record a stream that had more events to come as it was cut.
@@ -136,6 +165,20 @@
             return None
         return StreamLength(best, best_spread)
 
+    def _spread(self, key: str) -> _Spread:
+        return self._spread_by_key.setdefault(key, _Spread())
+
+    def _on_ratio(self, key: str) -> None:
+        """Trust a figure less that has just jumped, such as by another instance."""
+        ratio = self._ratios.get(key)
+        earlier = self._ratio_by_key.pop(key, None)
+        if ratio is None:
+            return
+        self._ratio_by_key[key] = ratio
+        jump = 0.0 if earlier is None else math.log(ratio / earlier)
+        if abs(jump) >= _MIN_JUMP:
+            self._spread(key).add_jump(jump)
+
     def record_tokens(self, service: str, tokens: int) -> float:
         """Record the tokens that a request holds alone; return the usual number."""
         usual = self._tokens_by_service.get(service, float(tokens))
--- a/tests/test_stream_ends.py
+++ b/tests/test_stream_ends.py
@@ -10,6 +10,7 @@
 from bergamotsaddle_serving.decisions.engine_choice import EngineView, choose_engine
 from bergamotsaddle_serving.decisions.engine_speeds import EngineSpeed, load_factor
 from bergamotsaddle_serving.decisions.stream_ends import (
+    LENGTHS,
     EndForecast,
     EndTrials,
     Outlook,
@@ -17,6 +18,7 @@
     StreamLength,
 )
 from bergamotsaddle_serving.messages import PromptPart, RequestHead
+from bergamotsaddle_serving.peer_messages import Fact
 from bergamotsaddle_serving.stream_run import StreamRun
 from tests._paused import advance, use_paused_clock, use_running_clock
 from tests._uneven_engines import HINTS, REVIEWS, WITHOUT, Replay, make_instances
@@ -101,6 +103,45 @@
         after = instance.lengths.forecast("r", make_head(hint=100))
         self.assertGreater(after.usual, 25.0)
 
+    @parameterized.expand([("after_few", 5), ("after_many", 60)])
+    def test_absurd_hints_do_not_change_what_others_expect(self, _, streams):
+        """Guards against streams of all callers that few absurd hints make hopeless."""
+        first, second = make_instances(2)
+        for _ in range(streams):
+            first.lengths.record("r", make_head(hint=100), 20)
+            advance(3.0)
+        before = first.lengths.forecast("r", make_head(hint=100))
+        for _ in range(6):
+            first.lengths.record("r", make_head(hint=1), 400)
+            advance(3.0)
+        for instance in (first, second):
+            length = instance.lengths.forecast("r", make_head(hint=100))
+            self.assertAlmostEqual(length.usual, 20.0, delta=1.0)
+        after = first.lengths.forecast("r", make_head(hint=100))
+        self.assertGreater(after.spread, before.spread)
+
+    def test_absurd_first_hint_is_corrected(self):
+        """Guards against a length that is wrong for ever as the first was odd."""
+        (instance,) = make_instances(1)
+        instance.lengths.record("r", make_head(hint=1), 400)
+        for _ in range(60):
+            instance.lengths.record("r", make_head(hint=100), 20)
+        length = instance.lengths.forecast("r", make_head(hint=100))
+        self.assertAlmostEqual(length.usual, 20.0, delta=4.0)
+
+    def test_jump_that_another_instance_tells_widens_the_spread(self):
+        """Guards against trust in a length that has just become another one."""
+        (instance,) = make_instances(1)
+        for _ in range(60):
+            instance.lengths.record("r", make_head(hint=100), 20)
+            advance(3.0)
+        before = instance.lengths.forecast("r", make_head(hint=100))
+        advance(1.0)
+        instance.gossip.merge([Fact(LENGTHS.name, "r hint", 4.0, 0.0)])
+        after = instance.lengths.forecast("r", make_head(hint=100))
+        self.assertGreater(after.usual, 10.0 * before.usual)
+        self.assertGreater(after.spread, 1.3 * before.spread)
+
     def test_kinds_are_told_apart(self):
         (instance,) = make_instances(1)
         instance.lengths.record("r", make_head(hint=100), 20)
