--- a/packages/serving/bergamotsaddle_serving/decisions/stream_ends.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/stream_ends.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.catalog import Service
 from bergamotsaddle_serving.decisions.engine_speeds import EngineSpeed, load_factor
 from bergamotsaddle_serving.decisions.shared_figures import FigureSender, SharedFigures
 from bergamotsaddle_serving.gossip import Gossip, Topic
@@ -179,12 +180,19 @@
         if abs(jump) >= _MIN_JUMP:
             self._spread(key).add_jump(jump)
 
-    def record_tokens(self, service: str, tokens: int) -> float:
-        """Record the tokens that a request holds alone; return the usual number."""
-        usual = self._tokens_by_service.get(service, float(tokens))
-        usual += _TOKENS_WEIGHT * (tokens - usual)
-        self._tokens_by_service[service] = usual
-        return usual
+    def record_tokens(self, service: Service, tokens: int) -> None:
+        """Record the tokens that a request of a service holds alone.
+
+        No request holds more than an engine.
+        """
+        held = float(min(tokens, service.engine_memory))
+        usual = self._tokens_by_service.get(service.name, held)
+        usual += _TOKENS_WEIGHT * (held - usual)
+        self._tokens_by_service[service.name] = usual
+
+    def usual_tokens(self, service: str) -> float:
+        """Return the tokens that a request of a service usually holds alone."""
+        return self._tokens_by_service.get(service, 0.0)
 
 
 class Outlook(IntEnum):
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -160,7 +160,9 @@
         """
         self.urgencies.record(context.urgency, now())
         self.room.record_arrival(context)
-        run = StreamRun(self, self.resumptions.resume(context), caller)
+        context = self.resumptions.resume(context)
+        self._record_tokens(context)
+        run = StreamRun(self, context, caller)
         try:
             run.run()
         finally:
@@ -323,6 +325,16 @@
         record = self.lengths.record_cut if is_cut else self.lengths.record
         record(context.route.name, context.head, events)
 
+    def _record_tokens(self, context: Context) -> None:
+        head = context.head
+        service = context.service
+        if self.lengths is None or not self._learns_ends(context):
+            return
+        if not service.engine_memory or head.is_resumption:
+            return
+        own = unshared_tokens(head.prompt, head.prompt_tokens) + head.output_tokens
+        self.lengths.record_tokens(service, own)
+
     def _learns_ends(self, context: Context) -> bool:
         return (
             self.speeds is not None
@@ -339,8 +351,6 @@
         if head.is_resumption or context.origin is not None:
             # How much of it is left is unknown.
             return None
-        own = unshared_tokens(head.prompt, head.prompt_tokens) + head.output_tokens
-        others = self.lengths.record_tokens(service.name, own)
         length = self.lengths.forecast(context.route.name, head)
         event_seconds = self.speeds.event_seconds(service.name)
         if length is None or event_seconds is None:
@@ -351,7 +361,7 @@
             event_seconds,
             service.engine_memory,
             head.prompt_tokens + head.output_tokens,
-            others,
+            self.lengths.usual_tokens(service.name),
         )
 
     def _engine_view(
--- a/tests/test_stream_ends.py
+++ b/tests/test_stream_ends.py
@@ -7,6 +7,7 @@
 from parameterized import parameterized
 
 from bergamotsaddle_contracts.errors import RequestError
+from bergamotsaddle_serving.catalog import Service
 from bergamotsaddle_serving.decisions.engine_choice import EngineView, choose_engine
 from bergamotsaddle_serving.decisions.engine_speeds import EngineSpeed, load_factor
 from bergamotsaddle_serving.decisions.stream_ends import (
@@ -142,6 +143,27 @@
         self.assertGreater(after.usual, 10.0 * before.usual)
         self.assertGreater(after.spread, 1.3 * before.spread)
 
+    def test_tokens_of_others_are_those_that_an_engine_can_hold(self):
+        """Guards against one absurd maximum that makes all engines look full."""
+        (instance,) = make_instances(1)
+        service = Service("s", 10, engine_memory=500_000)
+        for _ in range(100):
+            instance.lengths.record_tokens(service, 4_000)
+        instance.lengths.record_tokens(service, 10**15)
+        self.assertLess(instance.lengths.usual_tokens("s"), 30_000)
+
+    def test_tokens_of_a_request_are_recorded_once(self):
+        """Guards against usual tokens that follow the requests with many attempts."""
+        server, context = make_versions({})
+        service = Service("s", 10, engine_memory=500_000)
+        context = context._replace(service=service)
+        for _ in range(3):
+            server.choose(context, set())
+        server.lengths.record_tokens.assert_not_called()
+        with mock.patch.object(StreamRun, "run"):
+            server.serve(context, mock.Mock())
+        server.lengths.record_tokens.assert_called_once_with(service, 1_000)
+
     def test_kinds_are_told_apart(self):
         (instance,) = make_instances(1)
         instance.lengths.record("r", make_head(hint=100), 20)
@@ -316,7 +338,7 @@
     server.speeds = mock.Mock(event_seconds=lambda service: EVENT_S)
     server.lengths = mock.Mock(
         forecast=lambda route, head: StreamLength(events, 0.3),
-        record_tokens=lambda service, tokens: 0.0,
+        usual_tokens=lambda service: 0.0,
     )
     return server, context
 
