--- a/packages/serving/bergamotsaddle_serving/decisions/stream_ends.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/stream_ends.py
@@ -5,8 +5,11 @@
 
 import math
 from collections.abc import Callable, Sequence
+from enum import IntEnum
 from typing import NamedTuple
 
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.catalog import Service
 from bergamotsaddle_serving.decisions.engine_speeds import EngineSpeed, load_factor
 from bergamotsaddle_serving.decisions.shared_figures import FigureSender, SharedFigures
 from bergamotsaddle_serving.gossip import Gossip, Topic
@@ -21,10 +24,22 @@
 _INITIAL_SPREAD = 0.7
 _INITIAL_STREAMS = 4.0
 _MIN_SPREAD = 0.1
+# Deviation, as a natural logarithm, beyond which a stream says nothing of the length of
+# others, and number of such streams in a row from which on it does: what was expected
+# is wrong then.
+_MAX_DEVIATION = math.log(8.0)
+_STRANGE_STREAMS = 20
+# Change of what is expected, as a natural logarithm, that no usual stream makes.
+_MIN_JUMP = math.log(2.0)
 # Chance of an end in time from which on a stream may stay, and below which it is
-# rejected. Lengths are uncertain, so only a stream without a prospect is.
+# hopeless. Only a stream whose prospect is below it too is rejected.
 _CERTAIN = 0.9
 _HOPELESS = 0.1
+# How far speeds are off at least, as the standard deviation of a natural logarithm.
+_SPEED_SPREAD = 0.3
+# A hopeless stream of a route is let through this often: only streams that run show
+# that a forecast is wrong.
+_TRIAL_PAUSE_S = 10.0
 # Streams after which what was learnt gives way to newer ones.
 _MAX_STREAMS = 200.0
 # An engine without memory for all its requests takes at most this much longer.
@@ -50,9 +65,27 @@
     def __init__(self) -> None:
         self.streams = _INITIAL_STREAMS
         self._squares = _INITIAL_STREAMS * _INITIAL_SPREAD**2
+        self._strange_streams = 0
 
-    def add(self, deviation: float) -> None:
-        """Add the deviation of one stream, as a natural logarithm."""
+    def add(self, deviation: float) -> bool:
+        """Add the deviation of one stream, as a natural logarithm.
+
+        Returns:
+            Whether the stream says something of the length of others.
+        """
+        is_strange = abs(deviation) > _MAX_DEVIATION
+        self._strange_streams = self._strange_streams + 1 if is_strange else 0
+        self._add(min(_MAX_DEVIATION, abs(deviation)))
+        return not is_strange or self._strange_streams >= _STRANGE_STREAMS
+
+    def add_jump(self, deviation: float) -> None:
+        """Add a jump of what is expected; earlier streams say little of it."""
+        if self.streams > _INITIAL_STREAMS:
+            self._squares *= _INITIAL_STREAMS / self.streams
+            self.streams = _INITIAL_STREAMS
+        self._add(deviation)
+
+    def _add(self, deviation: float) -> None:
         if self.streams >= _MAX_STREAMS:
             self.streams /= 2.0
             self._squares /= 2.0
@@ -87,8 +120,14 @@
         sender = FigureSender(publish, instances)
         lowest, highest = _EVENTS_PER_TOKEN
         self._ratios = SharedFigures(
-            gossip, sender, LENGTHS, lowest=lowest, highest=highest
+            gossip,
+            sender,
+            LENGTHS,
+            lowest=lowest,
+            highest=highest,
+            on_change=self._on_ratio,
         )
+        self._ratio_by_key: dict[str, float] = {}
         self._spread_by_key: dict[str, _Spread] = {}
         self._tokens_by_service: dict[str, float] = {}
 
@@ -99,10 +138,8 @@
         for key, tokens in _bases(route, head):
             ratio = events / tokens
             usual = self._ratios.get(key)
-            if usual is not None:
-                spread = self._spread_by_key.setdefault(key, _Spread())
-                spread.add(math.log(ratio / usual))
-            self._ratios.record(key, ratio)
+            if usual is None or self._spread(key).add(math.log(ratio / usual)):
+                self._ratios.record(key, ratio)
 
     def record_cut(self, route: str, head: RequestHead, events: int) -> None:
         """Record a stream that had more events to come as it was cut.
@@ -129,12 +166,43 @@
             return None
         return StreamLength(best, best_spread)
 
-    def record_tokens(self, service: str, tokens: int) -> float:
-        """Record the tokens that a request holds alone; return the usual number."""
-        usual = self._tokens_by_service.get(service, float(tokens))
-        usual += _TOKENS_WEIGHT * (tokens - usual)
-        self._tokens_by_service[service] = usual
-        return usual
+    def _spread(self, key: str) -> _Spread:
+        return self._spread_by_key.setdefault(key, _Spread())
+
+    def _on_ratio(self, key: str) -> None:
+        """Trust a figure less that has just jumped, such as by another instance."""
+        ratio = self._ratios.get(key)
+        earlier = self._ratio_by_key.pop(key, None)
+        if ratio is None:
+            return
+        self._ratio_by_key[key] = ratio
+        jump = 0.0 if earlier is None else math.log(ratio / earlier)
+        if abs(jump) >= _MIN_JUMP:
+            self._spread(key).add_jump(jump)
+
+    def record_tokens(self, service: Service, tokens: int) -> None:
+        """Record the tokens that a request of a service holds alone.
+
+        No request holds more than an engine.
+        """
+        held = float(min(tokens, service.engine_memory))
+        usual = self._tokens_by_service.get(service.name, held)
+        usual += _TOKENS_WEIGHT * (held - usual)
+        self._tokens_by_service[service.name] = usual
+
+    def usual_tokens(self, service: str) -> float:
+        """Return the tokens that a request of a service usually holds alone."""
+        return self._tokens_by_service.get(service, 0.0)
+
+
+class Outlook(IntEnum):
+    """Whether a stream has a chance worth trying to end in time."""
+
+    # Not even if the engine is faster than it seems and has memory for it.
+    NONE = 0
+    # Only if it is.
+    POOR = 1
+    FAIR = 2
 
 
 class EndForecast(NamedTuple):
@@ -144,11 +212,13 @@
         seconds: Seconds from now until its end, if its length is usual.
         remaining: Seconds from now until its caller gives up.
         chance: Chance that it ends before that.
+        prospect: The same if the engine has memory enough and speeds may be off.
     """
 
     seconds: float
     remaining: float
     chance: float
+    prospect: float
 
     @property
     def is_certain(self) -> bool:
@@ -160,6 +230,31 @@
         """Whether the stream almost certainly ends too late."""
         return self.chance < _HOPELESS
 
+    @property
+    def outlook(self) -> Outlook:
+        """Whether the stream has a chance worth trying."""
+        if not self.is_hopeless:
+            return Outlook.FAIR
+        return Outlook.NONE if self.prospect < _HOPELESS else Outlook.POOR
+
+
+class EndTrials:
+    """Decides which hopeless streams run nonetheless, few of each route."""
+
+    def __init__(self) -> None:
+        self._last_at_by_route: dict[str, float] = {}
+
+    def take(self, route: str) -> bool:
+        """Return whether a hopeless stream of a route runs as a trial.
+
+        The first one of a route does not.
+        """
+        last_at = self._last_at_by_route.setdefault(route, now())
+        if now() - last_at < _TRIAL_PAUSE_S:
+            return False
+        self._last_at_by_route[route] = now()
+        return True
+
 
 class StreamEnd(NamedTuple):
     """What the end of one stream depends on, beside the engine.
@@ -196,12 +291,21 @@
             first_event: Expected seconds until the first event.
         """
         seconds = self.event_seconds * speed.writing * load_factor(running + 1, slots)
-        if self.memory:
-            needed = self.tokens + min(running, slots) * self.other_tokens
-            seconds *= min(_MAX_MEMORY_FACTOR, max(1.0, needed / self.memory))
-        usual = self.length.usual * seconds
-        chance = _chance(self.remaining - first_event, usual, self.length.spread)
-        return EndForecast(first_event + usual, self.remaining, chance)
+        quick = self.length.usual * seconds
+        usual = quick * self._memory_factor(running, slots)
+        available = self.remaining - first_event
+        spread = self.length.spread
+        chance = _chance(available, usual, spread)
+        # Measured seconds of an event contain the slowdown by short memory already.
+        prospect = _chance(available, quick, math.hypot(spread, _SPEED_SPREAD))
+        return EndForecast(first_event + usual, self.remaining, chance, prospect)
+
+    def _memory_factor(self, running: int, slots: int) -> float:
+        """Return how much longer an event takes if memory is short."""
+        if not self.memory:
+            return 1.0
+        needed = self.tokens + min(running, slots) * self.other_tokens
+        return min(_MAX_MEMORY_FACTOR, max(1.0, needed / self.memory))
 
 
 def _chance(available: float, usual: float, spread: float) -> float:
--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -33,6 +33,7 @@
     seconds_until_room,
 )
 from bergamotsaddle_serving.decisions.engine_choice import EngineChoice
+from bergamotsaddle_serving.decisions.stream_ends import Outlook
 from bergamotsaddle_serving.engine_run import EngineRun
 from bergamotsaddle_serving.events import StreamEvent
 from bergamotsaddle_serving.hedged_read import Progress, read_hedged
@@ -317,24 +318,31 @@
     def _check_end(self, choice: EngineChoice) -> None:
         """Reject a stream that no engine can end before its caller gives up.
 
+        A few run nonetheless, as they may show that the forecast is wrong.
+
         Raises:
             RequestError: If it would end too late even if it were short.
         """
         context = self._context
         end = choice.end
         is_kept = context.origin is not None or context.earlier_runs > 0
-        if end is None or not end.is_hopeless or is_kept:
+        if end is None or end.outlook is not Outlook.NONE or is_kept:
+            return
+        route = context.route.name
+        if self._server.end_trials.take(route):
+            self._server.metrics.count_hopeless_stream(route, "tried")
             return
         wait = retry_after(
             Forecast(end.seconds, choice.idle_seconds, end.remaining, end.remaining)
         )
-        self._server.metrics.count_hopeless_stream(context.route.name, "rejected")
+        self._server.metrics.count_hopeless_stream(route, "rejected")
         self._server.logger.info(
             "stream_end_forecast",
             request=context.head.id,
             engine=choice.engine.id,
             seconds=round(end.seconds, 2),
             chance=round(end.chance, 2),
+            prospect=round(end.prospect, 2),
             left=round(end.remaining, 2),
             hint=context.head.length_hint,
             most=context.head.output_tokens,
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -26,7 +26,12 @@
 )
 from bergamotsaddle_serving.decisions.fleet_start import FleetStart
 from bergamotsaddle_serving.decisions.reporting_services import ReportingServices
-from bergamotsaddle_serving.decisions.stream_ends import StreamEnd, StreamLengths
+from bergamotsaddle_serving.decisions.stream_ends import (
+    EndTrials,
+    Outlook,
+    StreamEnd,
+    StreamLengths,
+)
 from bergamotsaddle_serving.decisions.urgency_distribution import UrgencyDistribution
 from bergamotsaddle_serving.fetching import DEFAULT_FETCH_TIMES, FetchTimes
 from bergamotsaddle_serving.messages import Dialect
@@ -75,6 +80,7 @@
 
     Attributes:
         ongoing_runs: Requests that were sent to an engine.
+        end_trials: Decides which hopeless streams run nonetheless.
     """
 
     def __init__(
@@ -100,6 +106,7 @@
         self.room = room or Room(ReportingServices())
         self.speeds = speeds
         self.lengths = lengths
+        self.end_trials = EndTrials()
         self.metrics = metrics or Metrics()
         self._fleet_start = fleet_start
         self.policy = policy
@@ -153,7 +160,9 @@
         """
         self.urgencies.record(context.urgency, now())
         self.room.record_arrival(context)
-        run = StreamRun(self, self.resumptions.resume(context), caller)
+        context = self.resumptions.resume(context)
+        self._record_tokens(context)
+        run = StreamRun(self, context, caller)
         try:
             run.run()
         finally:
@@ -203,11 +212,24 @@
             by_software = resumptions.targets_by_software(context.service.name)
             replicated = prefer_replicated_versions(candidates, by_software)
             if len(replicated) < len(candidates):
-                choice = self._choose_among(replicated, context)
-                if choice is not None and choice.seconds <= context.route.objective:
-                    return choice
+                return self._prefer(replicated, candidates, context)
         return self._choose_among(candidates, context)
 
+    def _prefer(
+        self,
+        preferred: Sequence[Candidate],
+        candidates: Sequence[Candidate],
+        context: Context,
+    ) -> EngineChoice | None:
+        """Choose among some candidates unless only another one serves in time."""
+        choice = self._choose_among(preferred, context)
+        is_late = choice is None or choice.seconds > context.route.objective
+        if not is_late and _outlook(choice) is Outlook.FAIR:
+            return choice
+        among_all = self._choose_among(candidates, context)
+        is_better = is_late or _outlook(among_all) > _outlook(choice)
+        return among_all if is_better else choice
+
     def _choose_among(
         self, candidates: Sequence[Candidate], context: Context
     ) -> EngineChoice | None:
@@ -217,8 +239,12 @@
         if speeds is not None and not speeds.is_learnt(context.service.name):
             speeds = None
         views = [self._engine_view(c, key, speeds) for c in candidates]
+        ending = None
         if self.suspects.is_suspect(context.fingerprint):
+            # It may run at one engine only, so its end decides nothing.
             views = isolate_engine(views, context.fingerprint)
+        elif speeds is not None:
+            ending = self._ending(context)
         seconds_by_zone = {
             zone: self.stage_seconds(context, zone) for zone in {v.zone for v in views}
         }
@@ -229,7 +255,7 @@
             objective=context.route.objective,
             stage_seconds=seconds_by_zone.__getitem__,
             policy=self.policy,
-            ending=self._ending(context) if speeds is not None else None,
+            ending=ending,
         )
 
     def known_silences(self, service: str, pause: float) -> KnownSilences:
@@ -301,6 +327,16 @@
         record = self.lengths.record_cut if is_cut else self.lengths.record
         record(context.route.name, context.head, events)
 
+    def _record_tokens(self, context: Context) -> None:
+        head = context.head
+        service = context.service
+        if self.lengths is None or not self._learns_ends(context):
+            return
+        if not service.engine_memory or head.is_resumption:
+            return
+        own = unshared_tokens(head.prompt, head.prompt_tokens) + head.output_tokens
+        self.lengths.record_tokens(service, own)
+
     def _learns_ends(self, context: Context) -> bool:
         return (
             self.speeds is not None
@@ -317,8 +353,6 @@
         if head.is_resumption or context.origin is not None:
             # How much of it is left is unknown.
             return None
-        own = unshared_tokens(head.prompt, head.prompt_tokens) + head.output_tokens
-        others = self.lengths.record_tokens(service.name, own)
         length = self.lengths.forecast(context.route.name, head)
         event_seconds = self.speeds.event_seconds(service.name)
         if length is None or event_seconds is None:
@@ -329,7 +363,7 @@
             event_seconds,
             service.engine_memory,
             head.prompt_tokens + head.output_tokens,
-            others,
+            self.lengths.usual_tokens(service.name),
         )
 
     def _engine_view(
@@ -348,6 +382,10 @@
         )
 
 
+def _outlook(choice: EngineChoice) -> Outlook:
+    return Outlook.FAIR if choice.end is None else choice.end.outlook
+
+
 def _speed_of(candidate: Candidate, speeds: EngineSpeeds) -> EngineSpeed:
     state = candidate.state
     if state.speed is None:
