Fire timers of one time in the order in which they were added

The arrivals are seeded and the clock is paused, but eventlet orders timers that are due at the same time by id(), the memory address of the timer. Workers of a stage poll at the same times, so which one took a call differed between runs and processes. PYTHONHASHSEED had no part in it: two runs with seed 0 differed, and two bursts in one process differed too.

The paused hub now numbers its timers and fires those of one time in the order in which they were added. All tests, plays and experiments on the paused clock get this order. Bounds and checks are as they were.

The whole suite was not run on this order.

--- a/packages/standins/bergamotsaddle_standins/paused_hub.py
+++ b/packages/standins/bergamotsaddle_standins/paused_hub.py
@@ -1,10 +1,12 @@
 """An eventlet hub whose clock only moves when a test or experiment advances it."""
 
 from collections.abc import Callable
+from itertools import count
 
 import eventlet
 from eventlet import hubs
 from eventlet.hubs import epolls
+from eventlet.hubs.timer import Timer
 
 _MAX_STEPS = 10_000
 _MAX_SETTLE_ROUNDS = 100
@@ -12,13 +14,34 @@
 _START = 1_000.0
 
 
+class _Entry(tuple):
+    """A due time and its timer, ordered by the time, then by when it was added.
+
+    The hub orders timers that are due at the same time by their memory addresses, which
+    differ between runs.
+    """
+
+    number: int
+
+    def __lt__(self, other: "_Entry") -> bool:
+        return (self[0], self.number) < (other[0], other.number)
+
+
 class PausedHub(epolls.Hub):
     """A hub that polls sockets without sleeping and has a clock of its own."""
 
     def __init__(self) -> None:
         self.time = _START
+        self._numbers = count()
         super().__init__(clock=lambda: self.time)
 
+    def add_timer(self, timer: Timer) -> float:
+        """Add a timer behind those that are due at the same time."""
+        entry = _Entry((self.clock() + timer.seconds, timer))
+        entry.number = next(self._numbers)
+        self.next_timers.append(entry)
+        return entry[0]
+
     def wait(self, seconds: float | None = None) -> None:
         """Poll the sockets once, without waiting."""
         super().wait(0)
