Count as missed only requests that more room would have helped

Callers of less urgent requests saw them turned away for as long as more urgent ones failed for a cause that room doesn't mend: quarantined requests, no engine, no repeat, an end that no engine can reach in time. A team that sends quarantined requests could hold the pressure up for all less urgent ones. Cause: StreamRun.run counted each RequestError before the first event.

Requests are counted where they are turned away by their forecast, and where their stages are too late before any engine may have run them. A late first event behind stage queues counts as before.

--- a/packages/serving/bergamotsaddle_serving/decisions/room_counts.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/room_counts.py
@@ -32,8 +32,9 @@
 class RoomCounts:
     """Recent requests of one service at this instance.
 
-    A request is missed if it is rejected, or if its first event is late because it had
-    to wait in stage queues.
+    A request is missed if it is rejected for lack of room, or if its first event is
+    late because it had to wait in stage queues. One that fails for another cause, which
+    others can't mend by making room, is not.
     """
 
     def __init__(self) -> None:
@@ -48,7 +49,7 @@
             bucket.teams[key] += 1
 
     def record_missed(self, urgency: int, now: float) -> None:
-        """Count a request that is rejected or late."""
+        """Count a request that is rejected, or late, for lack of room."""
         self._bucket(now).missed[level(urgency)] += 1
 
     def is_empty(self, now: float) -> bool:
--- a/packages/serving/bergamotsaddle_serving/room.py
+++ b/packages/serving/bergamotsaddle_serving/room.py
@@ -127,7 +127,7 @@
             self._counts(context).record_arrival(context.urgency, team, now())
 
     def record_missed(self, context: Context) -> None:
-        """Count a request that is rejected, or late for lack of room."""
+        """Count a request that is rejected, or late, for lack of room."""
         if context.service.name in self._reporting:
             self._counts(context).record_missed(context.urgency, now())
 
--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -122,8 +122,6 @@
         try:
             self._run()
         except RequestError as error:
-            if not self._output.has_started:
-                self._record_missed()
             if self._output.has_started:
                 route = self._context.route.name
                 self._server.metrics.count_cut_stream(route, error.detail)
@@ -309,6 +307,7 @@
             self._record_missed()
 
     def _record_missed(self) -> None:
+        """Count a request that more room would have helped, once."""
         if self._is_missed or self._context.origin is not None:
             return
         self._is_missed = True
@@ -360,6 +359,7 @@
                 # may have run it.
                 raise self._failure_error(error.detail) from error
             if error.kind is ErrorKind.DEADLINE_INFEASIBLE:
+                self._record_missed()
                 told = self._server.room.tell_return(
                     self._context, room_in=0.0, remaining=self._context.remaining
                 )
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -8,7 +8,7 @@
 import msgspec
 from parameterized import parameterized
 
-from bergamotsaddle_contracts.errors import RequestError
+from bergamotsaddle_contracts.errors import ErrorKind, RequestError
 from bergamotsaddle_serving.catalog import Team
 from bergamotsaddle_serving.decisions.reporting_services import ReportingServices
 from bergamotsaddle_serving.decisions.stage_queue import PieceKey
@@ -117,19 +117,24 @@
         use_paused_clock()
         self.addCleanup(use_paused_clock)
 
-    def admit(self, room, seconds=2.5):
-        """Have an instance decide; return the error if it rejects the stream."""
+    def make_run(self, room):
+        """Return a stream of an instance with two engines."""
         candidates = test_stream_versions.make_candidates(
             test_stream_versions.ADDRESS, {"e1": "v1", "e2": "v1"}
         )
         self.server = test_stream_versions.make_server(candidates)
         self.server.room = room
+        self.server.await_owners = mock.Mock()
         head = RequestHead("r", b"POST", b"/", "h", "", 9.0)
         context = test_broken_streams.make_context(
             head, mock.Mock(body=b""), is_resumable=True
         )
         context = context._replace(fingerprint="0123456789abcdef", team=Team("crews"))
-        run = StreamRun(self.server, context, mock.Mock())
+        return StreamRun(self.server, context, mock.Mock())
+
+    def admit(self, room, seconds=2.5):
+        """Have an instance decide; return the error if it rejects the stream."""
+        run = self.make_run(room)
         try:
             run._admit(run._choose()._replace(seconds=seconds))
         except RequestError as error:
@@ -165,6 +170,55 @@
         told = mock.Mock(came_when_told=lambda key: True)
         self.assertIsNotNone(self.admit(self.make(told), seconds=8.5))
 
+    def run_changed(self, run, *, seconds=0.5, end=None):
+        """Run a stream with another forecast; return the kind of its error."""
+        choose = run._choose
+        run._choose = lambda: choose()._replace(seconds=seconds, end=end)
+        error = run._context.rejection_error(ErrorKind.DEADLINE_INFEASIBLE, "stages")
+        run._inputs.run_stages = mock.Mock(side_effect=error)
+        with self.assertRaises(RequestError) as raised:
+            run.run()
+        return raised.exception.kind
+
+    @parameterized.expand(
+        [
+            ("quarantined", 0),
+            ("no_engine", 0),
+            ("hopeless_end", 0),
+            ("no_repeat", 0),
+            ("turned_away", 1),
+            ("stages_too_late", 1),
+        ]
+    )
+    def test_missed_is_what_room_can_mend(self, name, expected):
+        """Guards against pressure that lasts as long as requests fail for other causes.
+
+        A team whose requests are quarantined would hold all less urgent ones back.
+        """
+        reporting = ReportingServices()
+        reporting.record("s")
+        room = Room(reporting)
+        run = self.make_run(room)
+        room.record_arrival(run._context)
+        changes = {}
+        if name == "quarantined":
+            self.server.suspects.is_quarantined = lambda fingerprint: True
+        elif name == "no_engine":
+            run._exclude = {"e1", "e2"}
+        elif name == "hopeless_end":
+            changes["end"] = SimpleNamespace(
+                is_hopeless=True, seconds=20.0, chance=0.0, remaining=9.0
+            )
+        elif name == "no_repeat":
+            run._reserve_repeat = mock.Mock(side_effect=run._failure_error("repeats"))
+            run._was_offered = True
+        elif name == "turned_away":
+            changes["seconds"] = 2.5
+        kind = self.run_changed(run, **changes)
+        is_late = name in ("hopeless_end", "turned_away", "stages_too_late")
+        self.assertEqual(kind is ErrorKind.DEADLINE_INFEASIBLE, is_late)
+        self.assertEqual(sum(room.report()[0].missed), expected)
+
 
 class OwnerTest(unittest.TestCase):
     """Pieces of teams at the owner of a queue."""
