Keep a caller's place when another engine is chosen

A caller that came when it was told was rejected all the same if the engine of its first look granted no permit: its keeper names a place once, so the second look took the caller for a newcomer.

A run remembers that its caller came when told and asks no second time; the next engine must still be able to serve it in time. The return is counted once, also if a later look turns the caller away.

--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -33,6 +33,7 @@
     seconds_until_room,
 )
 from bergamotsaddle_serving.decisions.engine_choice import EngineChoice
+from bergamotsaddle_serving.decisions.return_times import has_time
 from bergamotsaddle_serving.engine_run import EngineRun
 from bergamotsaddle_serving.events import StreamEvent
 from bergamotsaddle_serving.hedged_read import Progress, read_hedged
@@ -100,6 +101,8 @@
             caller, context.head.last_event_id, self._record_start
         )
         self._is_missed = False
+        # Whether the place that the caller was told of is used up for this run.
+        self._has_place = False
         self._exclude: set[str] = set()
         self.runs: list[EngineRun] = []
         # The current silence, or the last one.
@@ -251,9 +254,7 @@
         room, policy = self._server.room, self._server.policy
         patience = room.patience(context)
         is_admitted = admits(forecast, more_urgent, policy, patience=patience.fraction)
-        came_when_told = not is_admitted and room.came_when_told(
-            context, seconds=forecast.seconds, remaining=forecast.remaining
-        )
+        came_when_told = not is_admitted and self._came_when_told(forecast)
         told = None
         if not is_admitted and not came_when_told:
             self._record_missed()
@@ -286,8 +287,6 @@
             **_end_fields(choice),
         )
         if is_admitted:
-            if came_when_told:
-                self._server.metrics.count_return(context.route.name)
             self._check_end(choice)
             return
         raise context.rejection_error(
@@ -296,6 +295,20 @@
             retry_after=told.seconds if told is not None else retry_after(forecast),
         )
 
+    def _came_when_told(self, forecast: Forecast) -> bool:
+        """Return whether the caller came when told and can be served.
+
+        Its place holds for each engine that is chosen, though its keeper names it once.
+        """
+        if self._has_place:
+            return has_time(forecast.seconds, forecast.remaining)
+        self._has_place = self._server.room.came_when_told(
+            self._context, seconds=forecast.seconds, remaining=forecast.remaining
+        )
+        if self._has_place:
+            self._server.metrics.count_return(self._context.route.name)
+        return self._has_place
+
     def _record_start(self) -> None:
         """Record whether the first event is late because the stages had to wait.
 
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -180,6 +180,26 @@
             run.run()
         return raised.exception.kind
 
+    @parameterized.expand([("the_same", 0.0, True), ("too_slow", 6.0, False)])
+    def test_a_caller_that_came_when_told_may_get_the_next_engine(
+        self, _, more_seconds, expected
+    ):
+        """Guards against a rejection where the first engine grants no permit."""
+        told = mock.Mock(came_when_told=mock.Mock(side_effect=[True, False]))
+        run = self.make_run(self.make(told))
+        more = iter([0.0, more_seconds])
+        choose = run._choose
+        run._choose = lambda: choose()._replace(seconds=2.5 + next(more))
+        self.server.selector.reserve = mock.Mock(side_effect=[False, True])
+        self.server.metrics.count_return = mock.Mock()
+        error = run._context.rejection_error(ErrorKind.DEADLINE_INFEASIBLE, "stages")
+        run._inputs.run_stages = mock.Mock(side_effect=error)
+        with self.assertRaises(RequestError):
+            run.run()
+        self.assertEqual(run._inputs.run_stages.called, expected)
+        self.assertEqual(told.came_when_told.call_count, 1)
+        self.server.metrics.count_return.assert_called_once()
+
     @parameterized.expand(
         [
             ("quarantined", 0),
