Give no place for a time at which there is no room

Callers that had less time left than it took until there was room were promised a place all the same (room in 5 s, 6 s left: a place at 2.0 s; no time left: a place at 0.0 s), so they came back in vain, and those behind them in the row waited for longer. Cause: the time until there is room was cut to the longest time that callers honour.

Such callers get no place, leave the row as it is, and are spread over the second half of that time, also where nothing is known yet; before, they all came at its end.

--- a/packages/serving/bergamotsaddle_serving/decisions/return_times.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/return_times.py
@@ -92,6 +92,9 @@
             remaining: Seconds until the caller times out.
         """
         upper = max_retry(remaining)
+        if room_in > upper or upper <= 0:
+            # A place would be for a time at which there is no room.
+            return _spread(0.0, upper)
         lower = min(upper, max(_MIN_RETRY_S, room_in))
         if served_per_s <= 0:
             return ReturnTime(random.uniform(lower, upper), has_place=False)
@@ -99,12 +102,22 @@
         own = level(urgency)
         at = max(now + lower, max(self._last_by_level[: own + 1]) + gap)
         if at > now + upper:
-            from_end = max(lower, _SPREAD_FROM_FRACTION * upper)
-            return ReturnTime(random.uniform(from_end, upper), has_place=False)
+            return _spread(lower, upper)
         self._last_by_level[own] = at
         return ReturnTime(at - now, has_place=True)
 
 
+def _spread(lower: float, upper: float) -> ReturnTime:
+    """Return a time without a place, in the second half of the longest time.
+
+    Args:
+        lower: Seconds before which there is no room.
+        upper: The longest time that the caller honours.
+    """
+    from_end = max(lower, _SPREAD_FROM_FRACTION * upper)
+    return ReturnTime(random.uniform(from_end, upper), has_place=False)
+
+
 class ToldCallers:
     """Callers that were told when to come back."""
 
--- a/tests/test_return_times.py
+++ b/tests/test_return_times.py
@@ -81,6 +81,23 @@
         told = [tell(times, **changes).seconds for _ in range(50)]
         self.assertTrue(all(0.0 <= seconds <= limit + 1e-9 for seconds in told))
 
+    @parameterized.expand(
+        [
+            ("room_comes_too_late", {"room_in": 5.0, "remaining": 6.0}, (1.0, 2.0)),
+            ("no_time_is_left", {"remaining": 0.0}, (0.0, 0.0)),
+            ("the_time_has_passed", {"remaining": -1.0}, (0.0, 0.0)),
+        ]
+    )
+    def test_no_place_without_room(self, _, changes, limits):
+        """Guards against a promise for a time at which there is no room."""
+        times = ReturnTimes()
+        told = [tell(times, **changes) for _ in range(50)]
+        self.assertFalse(any(t.has_place for t in told))
+        self.assertTrue(all(limits[0] <= t.seconds <= limits[1] for t in told))
+        width = max(t.seconds for t in told) - min(t.seconds for t in told)
+        self.assertGreaterEqual(width, (limits[1] - limits[0]) / 2)
+        self.assertAlmostEqual(tell(times).seconds, 0.2)
+
     def test_callers_are_spread_by_their_time_if_nothing_is_known(self):
         """Guards against callers that return together after a loss of power."""
         times = ReturnTimes()
