Keep a place for each caller of equal requests

Two callers with the same request were told of a place each, but the first one was rejected although it came when told: a keeper had one time a key, and the later notice overwrote the earlier one. Where both asked one instance at once, one response was also lost, and its caller was rejected after 0.04 s.

A keeper holds up to 8 times a key, 4,096 in all, and gives each away once, the earliest first; times that nobody came at are dropped when the key is asked for. Each response wakes the first caller that still waits.

--- a/packages/serving/bergamotsaddle_serving/decisions/return_times.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/return_times.py
@@ -8,6 +8,7 @@
 """
 
 import random
+from bisect import insort
 from collections import OrderedDict
 from typing import NamedTuple
 
@@ -28,6 +29,9 @@
 _EARLY_S = 0.1
 _LATE_S = 2.0
 _MAX_TOLD = 4_096
+# Callers with equal requests that are remembered. With more of them, the one that is
+# due first is forgotten.
+_MAX_TOLD_EQUAL = 8
 # The fraction of the time left that a caller that came when told may be expected to
 # need. It was told of the room, so its objective does not count.
 _MAX_RETURN_FRACTION = 0.8
@@ -119,25 +123,41 @@
 
 
 class ToldCallers:
-    """Callers that were told when to come back."""
+    """Callers that were told when to come back.
+
+    Equal requests of several callers have one key, and a time each.
+    """
 
     def __init__(self) -> None:
-        self._due_by_key: OrderedDict[int, float] = OrderedDict()
+        self._due_by_key: OrderedDict[int, list[float]] = OrderedDict()
+        self._count = 0
 
     def __len__(self) -> int:
-        return len(self._due_by_key)
+        return self._count
 
     def add(self, key: int, due_at: float) -> None:
         """Record when a caller was told to come back."""
-        self._due_by_key[key] = due_at
+        due = self._due_by_key.setdefault(key, [])
         self._due_by_key.move_to_end(key)
-        while len(self._due_by_key) > _MAX_TOLD:
-            self._due_by_key.popitem(last=False)
+        insort(due, due_at)
+        self._count += 1
+        if len(due) > _MAX_TOLD_EQUAL:
+            del due[0]
+            self._count -= 1
+        while self._count > _MAX_TOLD:
+            _, oldest = self._due_by_key.popitem(last=False)
+            self._count -= len(oldest)
 
     def came_when_told(self, key: int, now: float) -> bool:
         """Return whether a caller comes when it was told, and forget its time."""
-        due_at = self._due_by_key.get(key)
-        if due_at is None or now < due_at - _EARLY_S:
-            return False
-        del self._due_by_key[key]
-        return now <= due_at + _LATE_S
+        due = self._due_by_key.get(key, ())
+        kept = [due_at for due_at in due if now <= due_at + _LATE_S]
+        came = bool(kept) and now >= kept[0] - _EARLY_S
+        if came:
+            del kept[0]
+        self._count += len(kept) - len(due)
+        if kept:
+            self._due_by_key[key] = kept
+        else:
+            self._due_by_key.pop(key, None)
+        return came
--- a/packages/serving/bergamotsaddle_serving/return_exchange.py
+++ b/packages/serving/bergamotsaddle_serving/return_exchange.py
@@ -88,7 +88,8 @@
         self._peers.send_to(address, ReturnResponse(query.key, is_told))
 
     def _wake(self, response: ReturnResponse) -> None:
-        # Two tries of one request must not both use its place.
-        for event in self._waiting_by_key.get(response.key, ())[:1]:
+        # Each query has a response of its own, so one of them wakes one caller.
+        for event in self._waiting_by_key.get(response.key, ()):
             if not event.ready():
                 event.send(response.is_told)
+                return
--- a/tests/test_return_times.py
+++ b/tests/test_return_times.py
@@ -136,12 +136,38 @@
         found = [callers.came_when_told(1, at) for at in (3.0, 5.0)]
         self.assertEqual(found, [False, True])
 
-    def test_memory_is_bounded(self):
+    def test_equal_requests_have_a_place_each(self):
+        """Guards against a caller whose place goes to an equal request of another."""
+        callers = ToldCallers()
+        for due_at in (5.0, 9.0):
+            callers.add(1, due_at)
+        found = [callers.came_when_told(1, at) for at in (5.0, 5.1, 9.0, 9.1)]
+        self.assertEqual(found, [True, False, True, False])
+        self.assertEqual(len(callers), 0)
+
+    def test_the_place_of_one_that_never_came_is_dropped(self):
+        """Guards against a late caller that takes the place of an equal request."""
+        callers = ToldCallers()
+        for due_at in (9.0, 5.0):
+            callers.add(1, due_at)
+        found = [callers.came_when_told(1, at) for at in (8.0, 9.0, 9.1)]
+        self.assertEqual(found, [False, True, False])
+
+    @parameterized.expand(
+        [("callers", 10_000, 1), ("equal_requests", 1, 10_000), ("both", 1_000, 10)]
+    )
+    def test_memory_is_bounded(self, _, keys, each):
         """Guards against a storm of rejections that fills the memory."""
         callers = ToldCallers()
-        for key in range(10_000):
-            callers.add(key, 5.0)
+        for number in range(keys * each):
+            callers.add(number % keys, 5.0)
         self.assertLessEqual(len(callers), 4_096)
+        kept = sum(
+            callers.came_when_told(key, 5.0) for key in range(keys) for _ in range(each)
+        )
+        self.assertLessEqual(kept, 8 * keys)
+        self.assertGreaterEqual(kept, min(8, each))
+        self.assertEqual(len(callers), 0)
 
 
 class ReturnExchangeTest(unittest.TestCase):
@@ -177,6 +203,18 @@
         self.assertTrue(all(is_told for is_told, _ in found))
         self.assertLess(max(seconds for _, seconds in found), 0.04)
 
+    def test_equal_requests_that_come_together(self):
+        """Guards against an answer to two equal requests that reaches only one."""
+        for seconds in (0.2, 0.25):
+            self.exchanges[0].tell(3, seconds)
+        advance(0.25)
+        asking = next(e for e in self.exchanges if e._keeper(3) != e._peers.own.id)
+        answers = []
+        for _ in range(3):
+            eventlet.spawn_n(lambda: answers.append(asking.came_when_told(3)))
+        advance(0.2)
+        self.assertEqual(sorted(answers), [False, True, True])
+
     def test_a_newcomer_is_not_known(self):
         self.assertFalse(self.ask(self.exchanges[0], 77)[0])
 
