--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -12,6 +12,7 @@
 from bergamotsaddle_serving.catalog import Team
 from bergamotsaddle_serving.decisions.reporting_services import ReportingServices
 from bergamotsaddle_serving.decisions.stage_queue import PieceKey
+from bergamotsaddle_serving.decisions.stream_ends import EndForecast
 from bergamotsaddle_serving.messages import RequestHead, StorePosition
 from bergamotsaddle_serving.peer_messages import (
     Contact,
@@ -226,9 +227,7 @@
         elif name == "no_engine":
             run._exclude = {"e1", "e2"}
         elif name == "hopeless_end":
-            changes["end"] = SimpleNamespace(
-                is_hopeless=True, seconds=20.0, chance=0.0, remaining=9.0
-            )
+            changes["end"] = EndForecast(20.0, remaining=9.0, chance=0.0, prospect=0.0)
         elif name == "no_repeat":
             run._reserve_repeat = mock.Mock(side_effect=run._failure_error("repeats"))
             run._was_offered = True
