--- a/packages/serving/bergamotsaddle_serving/_stage_worker.py
+++ b/packages/serving/bergamotsaddle_serving/_stage_worker.py
@@ -7,14 +7,15 @@
 
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.catalog import Batching, Target
-from bergamotsaddle_serving.peer_messages import PieceOutcome
-from bergamotsaddle_serving.policy import Policy
-from bergamotsaddle_serving.result_memory import ResultMemory
-from bergamotsaddle_serving.stage_queue import (
+from bergamotsaddle_serving.decisions.stage_queue import (
     OtherTarget,
     PieceKey,
     StageQueue,
 )
+from bergamotsaddle_serving.decisions.team_shares import TeamTurns
+from bergamotsaddle_serving.peer_messages import PieceOutcome
+from bergamotsaddle_serving.policy import Policy
+from bergamotsaddle_serving.result_memory import ResultMemory
 from bergamotsaddle_serving.wait_errors import StageKey, WaitErrors
 
 # Upper bound on a single call's slowdown, and its weight in the moving average.
@@ -49,7 +50,8 @@
         backoff_until: Until when the target gets no calls, after a failure or since it
             asked for that.
         to_release: Handles of results that are to be released.
-        release_requested: Set when handles are added to ``to_release``.
+        release_requested: Set when handles are added to ``to_release``, and when the
+            target no longer belongs to the queue.
     """
 
     def __init__(self, target: Target, batching: Batching) -> None:
@@ -64,6 +66,11 @@
         self.to_release: list[str] = []
         self.release_requested = Event()
 
+    def wake_releases(self) -> None:
+        """Wake the green thread that releases results."""
+        if not self.release_requested.ready():
+            self.release_requested.send()
+
     def record_sharing(self) -> None:
         """Record a sign that another instance calls the target as well.
 
@@ -129,6 +136,7 @@
         changed: Event that wakes the workers; replaced each time that it is sent.
         disowned_checks: Consecutive checks that found another owner for the queue.
         wait_errors: Corrects forecasts by the errors of earlier ones.
+        turns: By how much the pieces of each team come after those of others.
     """
 
     def __init__(self, service: str, batching: Batching, policy: Policy) -> None:
@@ -142,8 +150,17 @@
         self.changed = Event()
         self.disowned_checks = 0
         self.wait_errors = WaitErrors()
+        self.turns = TeamTurns()
         self._submitted_at = float("-inf")
 
+    def knows(self, key: PieceKey) -> bool:
+        """Return whether a piece waits, runs or has an outcome."""
+        return (
+            key in self.running
+            or key in self.queue.piece_by_key
+            or key in self.outcome_by_key
+        )
+
     def record_submission(self) -> None:
         """Record that pieces were submitted.
 
--- a/packages/serving/bergamotsaddle_serving/health.py
+++ b/packages/serving/bergamotsaddle_serving/health.py
@@ -4,6 +4,8 @@
 
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.catalog import Target
+from bergamotsaddle_serving.decisions.engine_speeds import EngineSpeed
+from bergamotsaddle_serving.decisions.reporting_services import ReportingServices
 from bergamotsaddle_serving.messages import ResponseHead, TargetLoad
 
 _LATENCY_WEIGHT = 0.15
@@ -28,6 +30,7 @@
         on_limit: Called with the target and the limit that each response names.
         on_response: Called with the target, and the status and decoded headers of each
             response.
+        reporting: Services whose targets report how fast they work now.
 
     Attributes:
         target: The target.
@@ -42,6 +45,7 @@
         writing: Running requests of this instance whose bodies have begun to arrive.
         load: Last load that it reported, None before the first report.
         load_at: When it reported that load.
+        speed: Speed of an engine, None unless it is learnt.
     """
 
     def __init__(
@@ -49,8 +53,10 @@
         target: Target,
         on_limit: Callable[[Target, float | None], None],
         on_response: Callable[[Target, int, ResponseHead], None] = ignore_response,
+        reporting: ReportingServices | None = None,
     ) -> None:
         self.target = target
+        self._reporting = reporting or ReportingServices()
         self._on_response = on_response
         self._on_limit = on_limit
         self.in_flight = 0
@@ -63,10 +69,11 @@
         self.writing = 0
         self.load: TargetLoad | None = None
         self.load_at = 0.0
+        self.speed: EngineSpeed | None = None
 
     def is_backing_off(self) -> bool:
         """Return whether the target gets no requests after recent failures."""
-        return now() < self.backoff_until
+        return self.backoff_until > 0.0 and now() < self.backoff_until
 
     def is_quiet(self, seconds: float) -> bool:
         """Return whether the target seems to have stopped.
@@ -79,9 +86,12 @@
 
     def record_load(self, load: TargetLoad | None) -> None:
         """Record the load that the target reports, if any."""
-        if load is not None:
-            self.load = load
-            self.load_at = now()
+        if load is None:
+            return
+        self.load = load
+        self.load_at = now()
+        if load.slowdown is not None:
+            self._reporting.record(self.target.service)
 
     def record_response(self, status: int, head: ResponseHead) -> None:
         """Record the status and headers of a response."""
@@ -129,15 +139,21 @@
         on_limit: Called with the target and the limit that each response names.
         on_response: Called with the target, and the status and decoded headers of each
             response.
+        reporting: Services whose targets report how fast they work now.
+
+    Attributes:
+        reporting: The same.
     """
 
     def __init__(
         self,
         on_limit: Callable[[Target, float | None], None] = lambda target, limit: None,
         on_response: Callable[[Target, int, ResponseHead], None] = ignore_response,
+        reporting: ReportingServices | None = None,
     ) -> None:
         self._on_limit = on_limit
         self._on_response = on_response
+        self.reporting = reporting or ReportingServices()
         self._state_by_incarnation: dict[tuple[str, int], TargetState] = {}
 
     def of(self, target: Target) -> TargetState:
@@ -145,7 +161,7 @@
         state = self._state_by_incarnation.get(target.incarnation)
         if state is None:
             state = self._state_by_incarnation[target.incarnation] = TargetState(
-                target, self._on_limit, self._on_response
+                target, self._on_limit, self._on_response, self.reporting
             )
         state.target = target
         return state
--- a/packages/serving/bergamotsaddle_serving/metrics.py
+++ b/packages/serving/bergamotsaddle_serving/metrics.py
@@ -57,6 +57,10 @@
         self._failed_attempts: Counter[tuple[str, str]] = Counter()
         self._cut_streams: Counter[tuple[str, str]] = Counter()
         self._silences: Counter[tuple[str, str]] = Counter()
+        self._hedges: Counter[tuple[str, str]] = Counter()
+        self._returns: Counter[tuple[str, str]] = Counter()
+        self._hopeless_streams: Counter[tuple[str, str]] = Counter()
+        self._endless: Counter[tuple[str, str]] = Counter()
         self._durations_by_route: dict[str, _Histogram] = {}
         self._gauges: list[_Gauge] = []
 
@@ -77,6 +81,22 @@
         """Count a run of a stream that sent nothing for longer than its limit."""
         self._silences[route, end] += 1
 
+    def count_hedge(self, route: str, end: str) -> None:
+        """Count a hedge of a slow request, or the lack of one."""
+        self._hedges[route, end] += 1
+
+    def count_return(self, route: str) -> None:
+        """Count a caller that was admitted because it came back when told."""
+        self._returns[route, "admitted"] += 1
+
+    def count_hopeless_stream(self, route: str, end: str) -> None:
+        """Count a stream that no engine could end before its caller gives up."""
+        self._hopeless_streams[route, end] += 1
+
+    def count_endless(self, service: str, place: str) -> None:
+        """Count a response of which more came than a response may have."""
+        self._endless[service, place] += 1
+
     def add_gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Add a gauge.
 
@@ -119,6 +139,24 @@
                 "end",
                 self._silences,
             ),
+            (
+                "hedges",
+                "Second runs of slow requests, by route and how they ended.",
+                "end",
+                self._hedges,
+            ),
+            (
+                "returns",
+                "Callers that came back when told, by route and outcome.",
+                "outcome",
+                self._returns,
+            ),
+            (
+                "hopeless_streams",
+                "Streams that no engine could end in time, by route and what became.",
+                "end",
+                self._hopeless_streams,
+            ),
         )
         for name, text, label, count_by_labels in counters:
             family = core.CounterMetricFamily(
@@ -127,6 +165,14 @@
             for labels, count in count_by_labels.items():
                 family.add_metric(labels, count)
             yield family
+        endless = core.CounterMetricFamily(
+            f"{_PREFIX}endless",
+            "Responses without end, by service and the part that had none.",
+            labels=("service", "place"),
+        )
+        for labels, count in self._endless.items():
+            endless.add_metric(labels, count)
+        yield endless
         seconds = core.HistogramMetricFamily(
             f"{_PREFIX}request_seconds",
             "Time from a request's first byte to its end, by route.",
--- a/packages/serving/bergamotsaddle_serving/peer_messages.py
+++ b/packages/serving/bergamotsaddle_serving/peer_messages.py
@@ -3,6 +3,8 @@
 The first item of each array is the datagram's tag, then its fields follow in order.
 """
 
+from enum import IntEnum
+
 import msgspec
 
 from bergamotsaddle_serving.messages import PieceFailure, StorePosition
@@ -11,6 +13,19 @@
 ALL_ROUNDS = 2**31
 
 
+class PlaceDecision(IntEnum):
+    """What a request for a place gets."""
+
+    PLACED = 0
+    """A target."""
+    WAITS = 1
+    """A place in the order; a target or a refusal follows."""
+    REFUSED = 2
+    """Nothing; the caller may return later."""
+    LOCAL = 3
+    """Nothing; its instance chooses a target itself."""
+
+
 class Message(msgspec.Struct, tag=True, array_like=True, frozen=True):
     """Base class of all datagrams."""
 
@@ -29,6 +44,23 @@
     host: str
 
 
+class Demand(msgspec.Struct, array_like=True, frozen=True):
+    """Requests of one service that an instance served or rejected lately.
+
+    Attributes:
+        service: Name of the service.
+        arrived: Requests by level of urgency, without the zeros at the end.
+        missed: Those of them that were rejected or late, in the same way.
+        teams: Requests by key of the team, of the teams with most requests; empty
+            unless room is short.
+    """
+
+    service: str
+    arrived: list[int]
+    missed: list[int] = []
+    teams: dict[int, int] = {}
+
+
 class Heartbeat(Message, tag="Hello"):
     """The periodic state report of an instance.
 
@@ -52,6 +84,7 @@
         digest: Digest of the gossip facts that it holds.
         unreachable: Names of services whose targets it cannot reach.
         has_history: Whether it knows all versions of software that served lately.
+        demand: Its requests of the last seconds, by service.
     """
 
     sender: Contact
@@ -68,6 +101,7 @@
     digest: int = 0
     unreachable: list[str] = []
     has_history: bool = False
+    demand: list[Demand] = []
 
 
 class Fact(msgspec.Struct, array_like=True, frozen=True):
@@ -164,6 +198,134 @@
     wait: float
 
 
+class HedgeRequest(Message):
+    """Asks the owner of a service's hedges for one.
+
+    Attributes:
+        number: Number of this request at its sender.
+        service: Name of the service.
+        earned: What the sender's requests have earned since its last request, in
+            hedges.
+    """
+
+    number: int
+    service: str
+    earned: float
+
+
+class HedgeResponse(Message):
+    """The owner's response to a ``HedgeRequest``.
+
+    Attributes:
+        number: Number of the request.
+        is_granted: Whether a hedge may be sent.
+    """
+
+    number: int
+    is_granted: bool
+
+
+class ReturnNotice(Message, tag="Told"):
+    """Says that a rejected caller was told when to come back.
+
+    Attributes:
+        key: Key of the request, the same for each of its tries.
+        seconds: Seconds from now until it comes back.
+    """
+
+    key: int
+    seconds: float
+
+
+class ReturnQuery(Message, tag="ToldAsk"):
+    """Asks whether a caller comes back when it was told.
+
+    Attributes:
+        key: Key of the request.
+    """
+
+    key: int
+
+
+class ReturnResponse(Message, tag="ToldAnswer"):
+    """The response to a ``ReturnQuery``.
+
+    Attributes:
+        key: Key of the request.
+        is_told: Whether the caller came back when it was told.
+    """
+
+    key: int
+    is_told: bool
+
+
+class PlaceRequest(Message, tag="PlaceAsk"):
+    """Asks the owner of a plain service's queue for a place at a target.
+
+    The sender repeats it while it waits.
+
+    Attributes:
+        number: Number of this request at its sender.
+        sender: Id of the instance that sends it.
+        zone: Availability zone of the sender.
+        service: The plain service.
+        request: Id of the caller's request.
+        urgency: Urgency of the request, 0 first.
+        team: Name of the caller's team, empty on public routes.
+        objective: Seconds until the response is late.
+        remaining: Seconds until the caller gives up.
+        excluded: Ids of targets that must not get the request.
+    """
+
+    number: int
+    sender: str
+    zone: str
+    service: str
+    request: str
+    urgency: int
+    team: str
+    objective: float
+    remaining: float
+    excluded: list[str]
+
+
+class PlaceResponse(Message, tag="PlaceAnswer"):
+    """The owner's response to a ``PlaceRequest``.
+
+    Attributes:
+        number: Number of the request.
+        decision: What the request gets.
+        target: Id of its target if it is placed, empty otherwise.
+        retry_after: Seconds after which the caller may return if it is refused.
+    """
+
+    number: int
+    decision: PlaceDecision
+    target: str = ""
+    retry_after: float = 0.0
+
+
+class PlaceDone(Message):
+    """Reports that a request has left its place, or waits for none any longer.
+
+    Attributes:
+        number: Number of the ``PlaceRequest``.
+        sender: Id of the instance that sent it.
+        service: The plain service.
+        seconds: Seconds that the run took, None if it was not completed.
+        slowdown: Multiple of the usual time that the target reported, None if it
+            reported none.
+        age: Seconds since that report.
+    """
+
+    number: int
+    sender: str
+    service: str
+    seconds: float | None = None
+    slowdown: float | None = None
+    age: float = 0.0
+
+
 class Submit(Message):
     """Submits pieces of one stage of a request to the owner of a stage queue.
 
@@ -187,6 +349,8 @@
         round: Round of the submission, see ``StageRun``. Pieces of different rounds
             are distinct, because the inputs of an earlier round are lost or released.
         fingerprint: Fingerprint of the request.
+        team: Team of the request, empty if shares of teams don't apply.
+        by_urgency: Whether the wait of a started request was forecast by urgency.
     """
 
     request: str
@@ -204,6 +368,8 @@
     remaining: float
     round: int
     fingerprint: str = ""
+    team: str = ""
+    by_urgency: bool = False
 
 
 class Accepted(Message):
@@ -280,6 +446,14 @@
     | OriginQuery
     | RateRequest
     | RateResponse
+    | HedgeRequest
+    | HedgeResponse
+    | ReturnNotice
+    | ReturnQuery
+    | ReturnResponse
+    | PlaceRequest
+    | PlaceResponse
+    | PlaceDone
     | Submit
     | Accepted
     | Started
--- a/packages/serving/bergamotsaddle_serving/plain.py
+++ b/packages/serving/bergamotsaddle_serving/plain.py
@@ -5,8 +5,11 @@
 from bergamotsaddle_serving.budget import RetryBudget
 from bergamotsaddle_serving.client import ConnectionPool
 from bergamotsaddle_serving.context import Context
+from bergamotsaddle_serving.hedge_exchange import HedgeExchange
 from bergamotsaddle_serving.messages import Dialect
-from bergamotsaddle_serving.plain_run import CompleteResponse, PlainRun
+from bergamotsaddle_serving.metrics import Metrics
+from bergamotsaddle_serving.placement_exchange import PlacementExchange
+from bergamotsaddle_serving.plain_run import CompleteResponse, LongResponse, PlainRun
 from bergamotsaddle_serving.selector import Selector
 from bergamotsaddle_serving.target_crashes import TargetCrashes
 
@@ -21,6 +24,10 @@
         dialect: Makes headers.
         logger: Logs failed attempts.
         crashes: Detects crashed targets and the requests that they were running.
+        hedges: Limits the hedges of slow requests.
+        metrics: Counts hedges.
+        placement: Places requests for services before few targets, None to choose
+            targets here only.
     """
 
     def __init__(
@@ -32,6 +39,9 @@
         logger: Any,
         *,
         crashes: TargetCrashes,
+        hedges: HedgeExchange | None = None,
+        metrics: Metrics | None = None,
+        placement: PlacementExchange | None = None,
     ) -> None:
         self.selector = selector
         self.pool = pool
@@ -40,11 +50,16 @@
         self.logger = logger
         self.crashes = crashes
         self.suspects = crashes.suspects
+        self.hedges = hedges if hedges is not None and hedges.is_enabled else None
+        self.metrics = metrics or Metrics()
+        self.placement = placement
 
-    def serve(self, context: Context) -> CompleteResponse:
-        """Return the response to a request.
+    def serve(self, context: Context) -> CompleteResponse | LongResponse:
+        """Return the response to a request; a long one is to be sent at once.
 
         Raises:
             RequestError: If there is none; it says whether the request may have run.
         """
+        if self.hedges is not None and context.route.may_repeat:
+            self.hedges.count_request(context.service.name)
         return PlainRun(self, context).run()
--- a/packages/serving/bergamotsaddle_serving/plain_run.py
+++ b/packages/serving/bergamotsaddle_serving/plain_run.py
@@ -1,6 +1,7 @@
 """Runs one request for a plain service at one target or at several."""
 
 import contextlib
+from collections.abc import Iterator, Sequence
 from typing import TYPE_CHECKING, NamedTuple
 
 import eventlet
@@ -12,7 +13,6 @@
     RequestError,
 )
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving.admission import add_jitter
 from bergamotsaddle_serving.attempt import (
     MAX_REFUSED_CONNECTIONS,
     NOT_RUN_STATUSES,
@@ -22,14 +22,21 @@
     Response,
     SilentError,
 )
+from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.client import (
     SILENT,
     UNFINISHED,
     end_to_end_headers,
 )
 from bergamotsaddle_serving.context import Context
+from bergamotsaddle_serving.decisions.admission import add_jitter
+from bergamotsaddle_serving.decisions.hedge_timer import hedge_delay
 from bergamotsaddle_serving.health import TargetState
 from bergamotsaddle_serving.messages import Dispatch, RawHeaders
+from bergamotsaddle_serving.placement_exchange import (
+    GrantedPlace,
+    PlacementRefusedError,
+)
 from bergamotsaddle_serving.race import Finish, Race
 from bergamotsaddle_serving.selector import Candidate
 from bergamotsaddle_serving.suspect_parts import Work
@@ -54,6 +61,11 @@
 # The response of a target that failed is forwarded so long before the deadline.
 _FORWARD_S = 0.02
 _OVERTAKEN = "overtaken"
+# How a hedge ends.
+_WON = "won"
+_LOST = "lost"
+_NO_TARGET = "no target"
+_LIMITED = "limited"
 
 
 class CompleteResponse(NamedTuple):
@@ -69,6 +81,55 @@
     headers: RawHeaders
     body: bytes
 
+    def send_to(self, caller: CallerConnection) -> None:
+        """Send it to a caller."""
+        caller.respond(self.status, self.headers, self.body)
+
+
+class LongResponse:
+    """A response whose body is too large to be held, but states its length.
+
+    It is relayed as it arrives. Only one with a length is: it ends, and it is complete
+    if it has that length. So no target gets the request behind it, and if it breaks
+    off, the caller gets a part that does not look complete.
+
+    Args:
+        run: The run that reads it.
+        response: Its head.
+        size: Size of its body.
+
+    Attributes:
+        run: The run that reads it.
+        status: HTTP status.
+    """
+
+    def __init__(self, run: "_TargetRun", response: Response, size: int) -> None:
+        self.run = run
+        self.status = response.head.status
+        self._head = response.head
+        self._size = size
+
+    def send_to(self, caller: CallerConnection) -> None:
+        """Relay it to a caller.
+
+        Raises:
+            RequestError: If it breaks off.
+        """
+        headers = list(end_to_end_headers(self._head.headers))
+        length = (b"content-length", b"%d" % self._size)
+        try:
+            caller.start(self.status, [*headers, length])
+            for data in self.run.read_parts():
+                caller.send(data)
+            caller.finish()
+        except OutcomeUnknownError as error:
+            self.run.record_break(error.reason)
+            raise RequestError(
+                ErrorKind.TARGET_FAILED, "the target broke off", ran=Ran.UNKNOWN
+            ) from error
+        finally:
+            self.run.close()
+
 
 class _TargetRun:
     """One run of a request at one target.
@@ -83,6 +144,7 @@
         state: State of the target as this instance observes it.
         limit: Seconds after which the target is slow.
         is_slow: Whether it has been slow.
+        place: Place that the owner of the service's queue granted, None without one.
     """
 
     def __init__(
@@ -98,12 +160,19 @@
         attempt = Attempt(context, self.state, server.pool, server.dialect)
         self._attempt = self._closing.enter_context(attempt)
         self.is_slow = False
+        self.place: GrantedPlace | None = None
+        self._seconds: float | None = None
         self._is_sent = False
         self._response: Response | None = None
+        self._head_seconds = 0.0
+        # Size of a body that is relayed as it arrives, None if it is held.
+        self._long_size: int | None = None
 
-    def read(self) -> CompleteResponse:
+    def read(self) -> CompleteResponse | LongResponse:
         """Send the request, unless it has been sent, and read its response.
 
+        The body of a long response is still to be read then.
+
         Raises:
             NotRunError: If the target did not run the request.
             SilentError: If it is slow. Reading may go on after that.
@@ -113,6 +182,10 @@
         try:
             if self._response is None:
                 self._response = self._read_response(limit)
+                self._head_seconds = now() - self._attempt.started_at
+                self._long_size = self._find_long_size(self._response)
+            if self._long_size is not None:
+                return LongResponse(self, self._response, self._long_size)
             body = self._attempt.read_body(limit=limit, max_bytes=_MAX_RESPONSE_BYTES)
         except SilentError:
             self.is_slow = True
@@ -122,15 +195,82 @@
             raise OutcomeUnknownError(f"status {response.head.status}")
         if not response.head.is_framed:
             self._check_unframed()
-        self.state.record_success(now() - self._attempt.started_at)
+        seconds = now() - self._attempt.started_at
+        self.state.record_success(seconds)
         if response.is_success:
+            # A target that fails at once must not look fast to the owner.
+            self._seconds = seconds
             self._server.crashes.record_success(
                 self.target, [self.work()], is_framed=response.head.is_framed
             )
         headers = list(end_to_end_headers(response.head.headers))
         return CompleteResponse(response.head.status, headers, body)
 
-    def read_to_end(self) -> CompleteResponse:
+    def read_parts(self) -> Iterator[bytes]:
+        """Yield the parts of the body of a long response as they arrive.
+
+        Raises:
+            OutcomeUnknownError: If it breaks off.
+        """
+        attempt = self._attempt
+        while True:
+            data = attempt.read_some(limit=self._context.remaining)
+            if data is None:
+                break
+            yield data
+        attempt.finish_stream(is_whole=True)
+        # The body arrives at the pace of its caller.
+        self.state.record_success(self._head_seconds)
+        if self._response.is_success:
+            self._server.crashes.record_success(
+                self.target, [self.work()], is_framed=True
+            )
+
+    def record_break(self, reason: str) -> None:
+        """Record that a long response broke off."""
+        self.log_failure(reason, "unknown", others=())
+        self._server.crashes.record_failure(self.target, [self.work()], reason)
+
+    def log_failure(self, reason: str, ran: str, *, others: Sequence[str]) -> None:
+        """Log that the run has failed.
+
+        Args:
+            reason: One word for logs.
+            ran: Whether the target ran the request.
+            others: Ids of targets that still run it.
+        """
+        context = self._context
+        self._server.logger.warning(
+            "attempt_failed",
+            request=context.head.id,
+            work=context.fingerprint,
+            target=self.target.id,
+            reason=reason,
+            framed=context.progress.is_framed,
+            ran=ran,
+            in_flight=self.state.in_flight,
+            open=others,
+        )
+
+    def _find_long_size(self, response: Response) -> int | None:
+        """Return the size of a body that can't be held, None if it can or has none.
+
+        Raises:
+            OutcomeUnknownError: If it is larger than any response may be, or belongs to
+                a failure, which is forwarded only if no other target responds.
+        """
+        head = response.head
+        size = head.body_bytes
+        is_short = size is None or self._context.memory.may_take(size)
+        if is_short or self._context.head.method == b"HEAD":
+            return None
+        if size > _MAX_RESPONSE_BYTES:
+            self._attempt.refuse_body(size)
+        if head.status >= _SERVER_ERROR or head.status in NOT_RUN_STATUSES:
+            raise OutcomeUnknownError(f"status {head.status}")
+        return size
+
+    def read_to_end(self) -> CompleteResponse | LongResponse:
         """Do the same for as long as the caller waits, however slow the target is."""
         while True:
             try:
@@ -151,6 +291,8 @@
     def close(self) -> None:
         """Close the connection unless the response was read to its end."""
         self._closing.close()
+        if self.place is not None:
+            self.place.end(self._seconds, since=self._attempt.started_at)
 
     def _read_response(self, limit: float) -> Response:
         if self._is_sent:
@@ -186,10 +328,11 @@
     def __init__(self, server: "PlainServer", context: Context) -> None:
         self._server = server
         self._context = context
-        self._race: Race[CompleteResponse] = Race()
+        self._race: Race[CompleteResponse | LongResponse] = Race()
         self._open_by_id: dict[str, _TargetRun] = {}
         self._tried: set[str] = set()
         self._broken_at_by_id: dict[str, float] = {}
+        self._place_by_id: dict[str, GrantedPlace] = {}
         self._failure: CompleteResponse | None = None
         # Runs that have ended and may have run the request.
         self._ended = 0
@@ -198,9 +341,13 @@
         self._pause_seconds = _FIRST_PAUSE_S
         # Seconds after which the last target that was tried is slow.
         self._limit = _MIN_TIMEOUT_S
+        # Target of the hedge, empty if there is none.
+        self._hedge = ""
+        # Target whose response ends the request.
+        self._winner = ""
 
-    def run(self) -> CompleteResponse:
-        """Return the response to the request.
+    def run(self) -> CompleteResponse | LongResponse:
+        """Return the response to the request; a long one is to be sent at once.
 
         Raises:
             RequestError: If there is none; it says whether the request may have run.
@@ -210,6 +357,9 @@
                 response = self._advance()
                 while response is None:
                     response = self._advance()
+            if isinstance(response, LongResponse):
+                self._winner = response.run.target.id
+                del self._open_by_id[self._winner]
             for run in self._open_by_id.values():
                 self._record_slower(run)
             return response
@@ -223,8 +373,10 @@
         finally:
             for run in self._open_by_id.values():
                 run.close()
+            if self._hedge:
+                self._record_hedge(_WON if self._winner == self._hedge else _LOST)
 
-    def _advance(self) -> CompleteResponse | None:
+    def _advance(self) -> CompleteResponse | LongResponse | None:
         """Start another run or wait for one; return the response if that ends it."""
         if self._failure is not None and self._context.remaining <= _FORWARD_S:
             return self._failure
@@ -252,13 +404,15 @@
             repeat = self._server.budget.reserve(self._context.service.name)
             if repeat is None:
                 return None
-        candidate = self._reserve_target()
-        if repeat is not None:
-            if candidate is None:
-                repeat.cancel()
-            else:
+        try:
+            candidate = self._reserve_target()
+            if candidate is not None and repeat is not None:
                 repeat.use()
-        return candidate
+            return candidate
+        finally:
+            # The caller may leave while the request waits for a place.
+            if repeat is not None:
+                repeat.cancel()
 
     def _may_add(self) -> bool:
         """Return whether another target may get the request."""
@@ -284,6 +438,19 @@
         context = self._context
         selector = self._server.selector
         denied: set[str] = set()
+        try:
+            candidate = self._place()
+        except PlacementRefusedError as error:
+            if self._ended:
+                return None
+            raise context.rejection_error(
+                ErrorKind.DEADLINE_INFEASIBLE,
+                "the service has too many requests to respond in time",
+                retry_after=error.retry_after,
+            ) from error
+        # The request may have waited for a place.
+        if candidate is not None or context.remaining <= 0:
+            return candidate
         while True:
             candidate = self._pick(self._tried | denied)
             if candidate is None or not selector.may_send(candidate):
@@ -292,6 +459,64 @@
                 return candidate
             denied.add(candidate.target.id)
 
+    def _place(self) -> Candidate | None:
+        """Return the target that the owner of the service's queue grants, if any.
+
+        A further run beside an open one is not placed: it would keep the request from
+        the response of the open run.
+
+        Raises:
+            PlacementRefusedError: If the request would be late.
+        """
+        context = self._context
+        placement = self._server.placement
+        if placement is None or self._open_by_id:
+            return None
+        if self._server.suspects.is_suspect(context.fingerprint):
+            return None
+        exclude = self._tried | self._broken_at_by_id.keys()
+        place = placement.place(context, exclude)
+        if place is None:
+            return None
+        candidate = None
+        try:
+            candidate = self._confirm(place.candidate)
+        finally:
+            if candidate is None:
+                place.end()
+        if candidate is not None:
+            self._place_by_id[candidate.target.id] = place
+        return candidate
+
+    def _confirm(self, granted: Candidate) -> Candidate | None:
+        """Return a granted target as it is now, None if it may not get the request.
+
+        While the request waited for its place, the target may have turned silent or
+        used up what it takes while it is cold, and the request may have become one
+        under which targets end.
+
+        Raises:
+            RequestError: If the request is quarantined, and has not run.
+        """
+        context = self._context
+        suspects = self._server.suspects
+        if not self._ended and suspects.is_quarantined(context.fingerprint):
+            raise context.quarantine_error()
+        if suspects.is_suspect(context.fingerprint) or context.remaining <= 0:
+            return None
+        selector = self._server.selector
+        service = context.service.name
+        name = granted.target.id
+        candidate = selector.find(service, name)
+        if candidate is None or candidate.state.silent:
+            return None
+        if not selector.may_send(candidate):
+            return None
+        if not selector.reserve(candidate, context.head.id, context.urgency):
+            return None
+        # The permit may have taken a while as well.
+        return selector.find(service, name)
+
     def _pick(self, exclude: set[str]) -> Candidate | None:
         """Return a target that is not silent, or any if the request waits at none.
 
@@ -321,7 +546,9 @@
             )
         return selector.pick(context.service.name, exclude)
 
-    def _start(self, candidate: Candidate) -> Finish[CompleteResponse] | None:
+    def _start(
+        self, candidate: Candidate
+    ) -> Finish[CompleteResponse | LongResponse] | None:
         """Send the request to a target.
 
         Returns:
@@ -330,9 +557,12 @@
         name = candidate.target.id
         self._tried.add(name)
         run = _TargetRun(self._server, self._context, candidate)
+        run.place = self._place_by_id.pop(name, None)
         self._limit = run.limit
         is_alone = not self._open_by_id
         self._open_by_id[name] = run
+        if is_alone and not candidate.is_cold and self._may_hedge():
+            return self._read_hedged(run)
         if is_alone:
             try:
                 return Finish(name, run.read())
@@ -344,15 +574,99 @@
         self._race.start(name, run.read_to_end)
         return self._wait()
 
-    def _wait(self) -> Finish[CompleteResponse] | None:
+    def _may_hedge(self) -> bool:
+        """Return whether a second target may get the request before the first is slow.
+
+        A request under which targets have ended runs at one target at a time.
+        """
+        fingerprint = self._context.fingerprint
+        return (
+            self._server.hedges is not None
+            and self._may_repeat()
+            and not self._server.suspects.is_suspect(fingerprint)
+        )
+
+    def _read_hedged(
+        self, run: _TargetRun
+    ) -> Finish[CompleteResponse | LongResponse] | None:
+        """Read a response, and send the request to a second target if it is late.
+
+        Returns:
+            The end of a run, None if all targets are slow.
+        """
+        context = self._context
+        usual = self._server.selector.usual_seconds(context.service.name)
+        due = context.started_at + context.route.objective - now()
+        delay = hedge_delay(usual, due)
+        self._race.start(run.target.id, run.read_to_end)
+        if not usual or delay >= run.limit:
+            return self._wait()
+        finish = self._race.wait(timeout=min(delay, context.remaining))
+        if finish is not None:
+            return finish
+        if not self._may_send_hedge():
+            left = min(run.limit - delay, context.remaining)
+            return self._race.wait(timeout=max(0.0, left))
+        finish = self._race.wait(timeout=0)
+        if finish is not None:
+            return finish
+        self._start_hedge(run, delay)
+        return self._wait()
+
+    def _may_send_hedge(self) -> bool:
+        """Return whether another target has a free slot, and a hedge is left."""
+        found = self._pick_responsive(self._tried | self._broken_at_by_id.keys())
+        service = self._context.service.name
+        if found is None or not found.has_free_slot:
+            self._record_hedge(_NO_TARGET)
+            return False
+        if not self._server.hedges.request(service):
+            self._record_hedge(_LIMITED)
+            return False
+        return True
+
+    def _start_hedge(self, first: _TargetRun, delay: float) -> None:
+        """Send the request to a second target, if a repeat is left."""
+        candidate = self._choose()
+        if candidate is None:
+            self._record_hedge(_NO_TARGET)
+            return
+        name = candidate.target.id
+        self._hedge = name
+        self._tried.add(name)
+        run = _TargetRun(self._server, self._context, candidate)
+        self._open_by_id[name] = run
+        self._limit = run.limit
+        self._race.start(name, run.read_to_end)
+        self._server.logger.info(
+            "request_hedged",
+            request=self._context.head.id,
+            target=first.target.id,
+            hedge=name,
+            seconds=round(delay, 3),
+        )
+
+    def _record_hedge(self, end: str) -> None:
+        context = self._context
+        self._server.metrics.count_hedge(context.route.name, end)
+        self._server.logger.info(
+            "hedge_ended", request=context.head.id, target=self._hedge, end=end
+        )
+
+    def _wait(self) -> Finish[CompleteResponse | LongResponse] | None:
         """Return the end of a run, None if all targets are slow."""
         left = self._context.remaining
         if self._failure is not None:
             left -= _FORWARD_S
         return self._race.wait(timeout=max(0.0, min(self._limit, left)))
 
-    def _handle(self, finish: Finish[CompleteResponse]) -> CompleteResponse | None:
+    def _handle(
+        self, finish: Finish[CompleteResponse | LongResponse]
+    ) -> CompleteResponse | LongResponse | None:
         """Handle the end of a run; return the response that ends the request."""
+        if isinstance(finish.value, LongResponse):
+            # Its run is open until the response has been sent.
+            return finish.value
         run = self._open_by_id.pop(finish.name)
         run.close()
         try:
@@ -371,6 +685,7 @@
             return None
         self._ended += 1
         if response.status < _SERVER_ERROR:
+            self._winner = finish.name
             return response
         self._failure = response
         return None
@@ -421,18 +736,7 @@
             crashes.record_abandoned(run.target, run.work())
 
     def _log_failed_attempt(self, run: _TargetRun, reason: str, ran: str) -> None:
-        context = self._context
-        self._server.logger.warning(
-            "attempt_failed",
-            request=context.head.id,
-            work=context.fingerprint,
-            target=run.target.id,
-            reason=reason,
-            framed=context.progress.is_framed,
-            ran=ran,
-            in_flight=run.state.in_flight,
-            open=list(self._open_by_id),
-        )
+        run.log_failure(reason, ran, others=list(self._open_by_id))
 
 
 def _is_silent(state: TargetState) -> bool:
--- a/packages/serving/bergamotsaddle_serving/selector.py
+++ b/packages/serving/bergamotsaddle_serving/selector.py
@@ -1,15 +1,18 @@
 """Selects the targets of a service that may get a request now."""
 
-from collections.abc import Callable
+import statistics
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from bergamotsaddle_daemon._rendezvous import rendezvous_weight
+from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.budget import ColdRateLimiter
 from bergamotsaddle_serving.catalog import Service, Target
 from bergamotsaddle_serving.health import Health, TargetState
 from bergamotsaddle_serving.peers import Peers
 from bergamotsaddle_serving.target_notices import TargetNotices
 from bergamotsaddle_serving.target_rates import TargetRates
+from bergamotsaddle_serving.target_totals import TargetTotals
 from bergamotsaddle_serving.view import KnownTarget, View
 from bergamotsaddle_serving.zone_reach import ZoneReach
 
@@ -34,6 +37,12 @@
     others: int
     tokens_ahead: int = 0
 
+    @property
+    def has_free_slot(self) -> bool:
+        """Whether the target runs fewer requests than it can, as far as known."""
+        requests = self.state.in_flight + self.others + self.state.waiting()
+        return requests < max(1, self.target.slots)
+
 
 class Selector:
     """Finds the targets that may get a request.
@@ -83,8 +92,17 @@
         found = [c for c in found if not self._rates.wait(c.target)]
         return _without_backoff(found)
 
+    def targets(self, service: str) -> list[Target]:
+        """Return all targets of a service, those that may get nothing now included."""
+        return [known.target for known in self._view.usable(service)]
+
     def find(self, service: str, target_id: str) -> Candidate | None:
         """Return the candidate with an id, even if no permit for it is available."""
+        named = [k for k in self._view.usable(service) if k.target.id == target_id]
+        found = self._filter(named)
+        if not found or not found[0].state.is_backing_off():
+            return found[0] if found else None
+        # It counts only if all other targets have failed recently as well.
         for candidate in _without_backoff(self._reachable(service, set())):
             if candidate.target.id == target_id:
                 return candidate
@@ -109,11 +127,17 @@
         return self._rates.reserve(candidate.target, request, urgency)
 
     def _reachable(self, service: str, exclude: set[str]) -> list[Candidate]:
-        found = [
-            self._candidate(known)
+        return self._filter(
+            known
             for known in self._view.usable(service)
             if known.target.id not in exclude
-        ]
+        )
+
+    def _filter(self, targets: Iterable[KnownTarget]) -> list[Candidate]:
+        """Return the targets that may get a request, whether they failed or not."""
+        totals = self._peers.totals()
+        at = now()
+        found = [self._candidate(known, totals, at) for known in targets]
         found = [c for c in found if not c.is_cold or self._cold.may_send(c.target.id)]
         found = [c for c in found if not self._reach.is_lost(c.target.zone)]
         return [
@@ -155,6 +179,16 @@
             default=None,
         )
 
+    def usual_seconds(self, service: str) -> float:
+        """Return the seconds that a response of a service usually takes.
+
+        It is the median over the service's targets that have responded to this
+        instance, so that one slow target does not raise it; 0 if none has.
+        """
+        states = [self._health.of(k.target) for k in self._view.usable(service)]
+        found = [state.latency for state in states if state.last_seen_at > 0]
+        return statistics.median_high(found) if found else 0.0
+
     def may_send(self, candidate: Candidate) -> bool:
         """Return whether a chosen target may still get the request."""
         target = candidate.target
@@ -165,16 +199,17 @@
         if candidate.is_cold and service.cold_rate > 0:
             self._cold.record_sent(candidate.target.id, service.cold_rate)
 
-    def _candidate(self, known: KnownTarget) -> Candidate:
+    def _candidate(
+        self, known: KnownTarget, totals: TargetTotals, at: float
+    ) -> Candidate:
         target = known.target
         state = self._health.of(target)
-        totals = self._peers.totals()
         return Candidate(
             target,
             state,
-            self._view.is_cold(known),
-            totals.running[target.id],
-            state.prompt_tokens_ahead + totals.prefill_tokens[target.id],
+            self._view.is_cold(known, at=at),
+            totals.running.get(target.id, 0),
+            state.prompt_tokens_ahead + totals.prefill_tokens.get(target.id, 0),
         )
 
     def _expected(self, candidate: Candidate) -> float:
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -17,6 +17,12 @@
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.catalog import CallerLimits
 from bergamotsaddle_serving.client import ConnectionPool
+from bergamotsaddle_serving.decisions.engine_speeds import EngineSpeeds
+from bergamotsaddle_serving.decisions.fleet_start import FleetStart
+from bergamotsaddle_serving.decisions.hedge_pool import HedgePool
+from bergamotsaddle_serving.decisions.reporting_services import ReportingServices
+from bergamotsaddle_serving.decisions.stream_ends import StreamLengths
+from bergamotsaddle_serving.endless import EndlessResponses
 from bergamotsaddle_serving.fetching import FetchTimes
 from bergamotsaddle_serving.follower import StoreFollower
 from bergamotsaddle_serving.full_targets import FullTargets
@@ -25,6 +31,7 @@
 from bergamotsaddle_serving.handler import Handler
 from bergamotsaddle_serving.handover import Handover
 from bergamotsaddle_serving.health import Health
+from bergamotsaddle_serving.hedge_exchange import HedgeExchange
 from bergamotsaddle_serving.leaving_targets import LeavingTargets
 from bergamotsaddle_serving.log import BoundedOutput, make_logger
 from bergamotsaddle_serving.messages import Dialect
@@ -32,11 +39,15 @@
 from bergamotsaddle_serving.named_limits import BRITTLENESS, NamedLimits
 from bergamotsaddle_serving.origin_exchange import OriginExchange
 from bergamotsaddle_serving.peers import Peers
+from bergamotsaddle_serving.placement_exchange import PlacementExchange
 from bergamotsaddle_serving.plain import PlainServer
 from bergamotsaddle_serving.policy import Mechanism
 from bergamotsaddle_serving.probe import serve_page
 from bergamotsaddle_serving.rate_exchange import RateExchange
+from bergamotsaddle_serving.response_memory import ResponseMemory
 from bergamotsaddle_serving.resumption import Resumptions
+from bergamotsaddle_serving.return_exchange import ReturnExchange
+from bergamotsaddle_serving.room import Room
 from bergamotsaddle_serving.selector import Selector
 from bergamotsaddle_serving.service_reach import ServiceReach
 from bergamotsaddle_serving.settings import parse_settings
@@ -55,6 +66,7 @@
 from bergamotsaddle_serving.target_notices import TargetNotices
 from bergamotsaddle_serving.target_rates import TargetRates
 from bergamotsaddle_serving.target_rests import TargetRests
+from bergamotsaddle_serving.unreadable_loads import UnreadableLoads
 from bergamotsaddle_serving.usage import UsageMeter
 from bergamotsaddle_serving.view import View
 from bergamotsaddle_serving.view_exchange import ViewExchange
@@ -122,11 +134,14 @@
         dialect = self._dialect
         self.view = View(dialect, logger, entry_ttl=settings.store.entry_ttl)
         self.peers = Peers(settings, secrets.token_hex(4), logger)
-        self.pool = ConnectionPool()
         self.metrics = Metrics()
+        self.memory = ResponseMemory()
+        endless = EndlessResponses(self.view, self.metrics, logger)
+        self.pool = ConnectionPool(memory=self.memory, on_endless=endless.record)
         self.store = StoreFollower(
             settings, dialect, self.view, self.peers.size, logger
         )
+        self.store.on_endless = endless.record
         self.exchange = ViewExchange(
             settings, self.view, self.peers, logger, self.store.is_refused
         )
@@ -148,8 +163,16 @@
         full = FullTargets(self.gossip, publish, self.brittleness, logger)
         self.rests = TargetRests(logger)
         leaving = LeavingTargets(self.gossip, publish, self.view, logger)
-        self.notices = TargetNotices(self.brittleness, full, leaving, self.rests)
-        self.health = Health(self.limits.record, self.notices.read)
+        self.unreadable_loads = UnreadableLoads(logger)
+        self.notices = TargetNotices(
+            self.brittleness,
+            full,
+            leaving,
+            self.rests,
+            unreadable=self.unreadable_loads,
+        )
+        reporting = ReportingServices(includes_all=settings.targets.share_machines)
+        self.health = Health(self.limits.record, self.notices.read, reporting)
         self.reach = ZoneReach(
             self.view, self.peers, self.pool, dialect, logger, notices=self.notices
         )
@@ -167,6 +190,7 @@
             settings.listen.relay_port,
             logger,
             budget=budget,
+            connect=self.pool.connect,
         )
         history = SoftwareHistory(
             self.gossip,
@@ -230,6 +254,15 @@
             fetch_times,
             crashes=crashes,
         )
+        self.speeds = EngineSpeeds(
+            self.gossip,
+            publish,
+            logger,
+            reporting=self.health.reporting,
+            instances=self.peers.size,
+            policy=policy,
+        )
+        lengths = StreamLengths(self.gossip, publish, self.peers.size)
         cold = ColdRateLimiter(self.peers.size)
         selector = Selector(
             self.view,
@@ -242,6 +275,9 @@
         )
         self.stage_exchange = StageExchange(self.peers, self.owner)
         waits = StageWaits(self.view, self.peers, self.owner, policy)
+        self.placement = PlacementExchange(
+            self.peers, selector, self.health.reporting, logger, policy
+        )
         plain = PlainServer(
             selector,
             self.pool,
@@ -249,7 +285,19 @@
             dialect,
             logger,
             crashes=crashes,
+            hedges=HedgeExchange(self.peers, HedgePool(settings.hedging.max_share)),
+            metrics=self.metrics,
+            placement=self.placement,
+        )
+        self.returns = ReturnExchange(self.peers)
+        self.room = Room(
+            self.health.reporting,
+            lambda: self.peers.roster().members,
+            self._team_shares,
+            self.returns,
+            policy,
         )
+        self.peers.own_demand = self.room.report
         self.streams = streams = StreamServer(
             selector,
             waits,
@@ -263,6 +311,10 @@
             crashes=crashes,
             resumptions=resumptions,
             metrics=self.metrics,
+            fleet_start=FleetStart(now),
+            room=self.room,
+            speeds=self.speeds,
+            lengths=lengths,
         )
         self.handler = Handler(
             self.view,
@@ -275,6 +327,7 @@
             policy,
             suspects=self.suspects,
             handover=handover,
+            memory=self.memory,
         )
         self.peers.own_loads = self.owner.loads
         self.peers.own_pending = waits.pending.report
@@ -325,6 +378,7 @@
         # Objects loaded so far live as long as the process, so the garbage collector
         # need not visit them.
         gc.freeze()
+        gc.enable()
         self.logger.info(
             "started",
             life=self.peers.incarnation,
@@ -335,6 +389,10 @@
         self._stop(callers, relayed)
         _ignore_signals()
 
+    def _team_shares(self) -> dict[str, float]:
+        configuration = self.view.configuration
+        return configuration.share_by_team if configuration is not None else {}
+
     def is_ready(self) -> bool:
         """Return whether the load balancer should send callers here."""
         return self.view.is_complete() and not self._is_stopping
@@ -497,6 +555,9 @@
         self.brittleness.keep_only(incarnations)
         self.rates.keep_only(incarnations)
         self.rests.keep_only(incarnations)
+        self.speeds.keep_only(incarnations)
+        self.placement.keep_only(incarnations)
+        self.unreadable_loads.keep_only(incarnations)
 
     def _run_supervised(self, loop: Any) -> None:
         # An unexpected error would end the green thread, and this instance would go on
@@ -582,5 +643,56 @@
             "Streams whose version is known here.",
             lambda: len(self.origins),
         )
+        gauge(
+            "placements_waiting",
+            "Requests that wait here for a place at a target.",
+            lambda: self.placement.waiting,
+        )
+        gauge(
+            "placements_running",
+            "Requests that run at targets that this instance placed them at.",
+            lambda: self.placement.running,
+        )
+        gauge(
+            "placements",
+            "Requests that this instance placed as an owner.",
+            lambda: self.placement.placed,
+        )
+        gauge(
+            "placements_refused",
+            "Requests that this instance refused a place as an owner.",
+            lambda: self.placement.refused,
+        )
+        gauge(
+            "placements_unanswered",
+            "Requests for a place that no owner responded to.",
+            lambda: self.placement.unanswered,
+        )
+        gauge(
+            "loads_unreadable",
+            "Responses of targets whose load can't be read.",
+            lambda: self.unreadable_loads.count,
+        )
+        gauge(
+            "response_bytes",
+            "Bytes of responses that are held here.",
+            lambda: self.memory.used,
+        )
         gauge("targets_limited", "Targets that name a limit.", lambda: len(self.limits))
+        gauge(
+            "room_pressure",
+            "How far less urgent requests make room for others, 0 to 1.",
+            self.room.max_pressure,
+        )
+        gauge(
+            "callers_told",
+            "Rejected callers whose time to come back is kept here.",
+            lambda: len(self.returns.callers),
+        )
+        gauge(
+            "engines_measured",
+            "Engines of which it is known how fast they write.",
+            self.speeds.count_known,
+        )
+        gauge("engines_slow", "Engines that count as slow.", self.speeds.count_slow)
         gauge("log_dropped", "Dropped log lines.", lambda: self._output.dropped)
--- a/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
+++ b/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
@@ -9,14 +9,14 @@
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving._stage_worker import ServiceQueue, Worker
 from bergamotsaddle_serving.client import UNFINISHED, ConnectionLostError
+from bergamotsaddle_serving.decisions.stage_queue import (
+    QueuedPiece,
+    is_large,
+)
 from bergamotsaddle_serving.fetching import DEFAULT_FETCH_TIMES, FetchTimes
 from bergamotsaddle_serving.messages import PieceFailure, PieceResult
 from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
 from bergamotsaddle_serving.stage_calls import StageCalls
-from bergamotsaddle_serving.stage_queue import (
-    QueuedPiece,
-    is_large,
-)
 from bergamotsaddle_serving.stage_releases import StageReleases
 from bergamotsaddle_serving.stage_results import FinishedPiece, StageResults
 from bergamotsaddle_serving.suspect_parts import Work
@@ -29,9 +29,6 @@
 # Pause after a target refused a call because it was busy or had no permit left.
 _FULL_PAUSE_S = 0.05
 _IDLE_CHECK_S = 0.25
-# New pieces wake a worker. With an empty queue it wakes by itself only to check whether
-# its target still belongs to the queue.
-_EMPTY_CHECK_S = 5.0
 # A piece that has failed this often is not queued again after one more unsuccessful
 # call.
 _MAX_TRIES = 2
@@ -145,10 +142,14 @@
         # each worker would scan hundreds of pieces hundreds of times a second and find
         # no memory. The owner would respond late, and senders would abandon it.
         eventlet.sleep(len(queue.queue) * _SCAN_PAUSE_S)
-        wait = worker.wait_for_memory_until - now()
+        if queue.worker_by_incarnation.get(worker.target.incarnation) is not worker:
+            return
         if not len(queue.queue):
-            wait = _EMPTY_CHECK_S
-        elif wait <= 0:
+            # New pieces wake it, and so does the end of its target in the queue.
+            changed.wait()
+            return
+        wait = worker.wait_for_memory_until - now()
+        if wait <= 0:
             wait = _IDLE_CHECK_S
         with eventlet.Timeout(wait, False):
             changed.wait()
@@ -289,6 +290,7 @@
         at = now()
         finished: list[FinishedPiece] = []
         unneeded: list[str] = []
+        is_refilled = False
         for piece, result in zip(batch, results, strict=True):
             if result.handle:
                 worker.memory.add(result.handle, piece.result_bytes, at)
@@ -297,8 +299,11 @@
             elif result.reason == PieceFailure.NO_MEMORY:
                 worker.memory.record_full(piece.result_bytes, at)
                 queue.queue.add(piece)
+                is_refilled = True
             else:
                 finished.append((piece.key, result))
+        if is_refilled:
+            queue.wake_workers()
         self._releases.release(queue, unneeded)
         self._results.finish(queue, finished)
 
--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -13,12 +13,6 @@
     RequestError,
 )
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving.admission import (
-    Forecast,
-    add_jitter,
-    admits,
-    retry_after,
-)
 from bergamotsaddle_serving.attempt import (
     MAX_REFUSED_CONNECTIONS,
     NOT_RUN_STATUSES,
@@ -31,7 +25,16 @@
 from bergamotsaddle_serving.catalog import Target
 from bergamotsaddle_serving.client import SILENT
 from bergamotsaddle_serving.context import MAX_LOGGED_NAMES, Context
-from bergamotsaddle_serving.engine_choice import EngineChoice
+from bergamotsaddle_serving.decisions.admission import (
+    Forecast,
+    add_jitter,
+    admits,
+    retry_after,
+    seconds_until_room,
+)
+from bergamotsaddle_serving.decisions.engine_choice import EngineChoice
+from bergamotsaddle_serving.decisions.return_times import has_time
+from bergamotsaddle_serving.decisions.stream_ends import Outlook
 from bergamotsaddle_serving.engine_run import EngineRun
 from bergamotsaddle_serving.events import StreamEvent
 from bergamotsaddle_serving.hedged_read import Progress, read_hedged
@@ -95,7 +98,12 @@
         self._server = server
         self._context = context
         self._inputs = StreamInputs(server, context)
-        self._output = StreamOutput(caller, context.head.last_event_id)
+        self._output = StreamOutput(
+            caller, context.head.last_event_id, self._record_start
+        )
+        self._is_missed = False
+        # Whether the place that the caller was told of is used up for this run.
+        self._has_place = False
         self._exclude: set[str] = set()
         self.runs: list[EngineRun] = []
         # The current silence, or the last one.
@@ -134,6 +142,7 @@
 
     def _run(self) -> None:
         self._check_quarantine()
+        self._server.await_owners(self._context)
         choice = self._choose()
         self._admit(choice)
         while not self._reserve(choice):
@@ -243,7 +252,21 @@
             # gives up.
             forecast = forecast._replace(objective=forecast.remaining)
         more_urgent = self._server.urgencies.more_urgent_fraction(context.urgency)
-        is_admitted = admits(forecast, more_urgent, self._server.policy)
+        room, policy = self._server.room, self._server.policy
+        patience = room.patience(context)
+        is_admitted = admits(forecast, more_urgent, policy, patience=patience.fraction)
+        came_when_told = not is_admitted and self._came_when_told(forecast)
+        told = None
+        if not is_admitted and not came_when_told:
+            self._record_missed()
+            told = room.tell_return(
+                context,
+                room_in=seconds_until_room(
+                    forecast, more_urgent, policy, patience=patience.fraction
+                ),
+                remaining=forecast.remaining,
+            )
+        is_admitted = is_admitted or came_when_told
         self._server.logger.info(
             "admit" if is_admitted else "turn_away",
             request=context.head.id,
@@ -256,13 +279,92 @@
             urgency=context.urgency,
             more_urgent=round(more_urgent, 2),
             version=context.version,
+            pressure=round(patience.pressure, 2),
+            team=context.team.name if context.team is not None else "",
+            over_share=patience.is_over_share,
+            came_when_told=came_when_told,
+            told=round(told.seconds, 3) if told is not None else None,
+            has_place=told is not None and told.has_place,
+            **_end_fields(choice),
         )
         if is_admitted:
+            self._check_end(choice)
             return
         raise context.rejection_error(
             ErrorKind.DEADLINE_INFEASIBLE,
             f"expected to take {choice.seconds:.2f} s",
-            retry_after=retry_after(forecast),
+            retry_after=told.seconds if told is not None else retry_after(forecast),
+        )
+
+    def _came_when_told(self, forecast: Forecast) -> bool:
+        """Return whether the caller came when told and can be served.
+
+        Its place holds for each engine that is chosen, though its keeper names it once.
+        """
+        if self._has_place:
+            return has_time(forecast.seconds, forecast.remaining)
+        self._has_place = self._server.room.came_when_told(
+            self._context, seconds=forecast.seconds, remaining=forecast.remaining
+        )
+        if self._has_place:
+            self._server.metrics.count_return(self._context.route.name)
+        return self._has_place
+
+    def _record_start(self) -> None:
+        """Record whether the first event is late because the stages had to wait.
+
+        Other requests can't leave room for one that is late at its engine.
+        """
+        seconds = now() - self._context.started_at
+        objective = self._context.route.objective
+        if seconds > objective >= seconds - self._inputs.waited():
+            self._record_missed()
+
+    def _record_missed(self) -> None:
+        """Count a request that more room would have helped, once."""
+        if self._is_missed or self._context.origin is not None:
+            return
+        self._is_missed = True
+        self._server.room.record_missed(self._context)
+
+    def _check_end(self, choice: EngineChoice) -> None:
+        """Reject a stream that no engine can end before its caller gives up.
+
+        A few run nonetheless, as they may show that the forecast is wrong.
+
+        Raises:
+            RequestError: If it would end too late even if it were short.
+        """
+        context = self._context
+        end = choice.end
+        is_kept = context.origin is not None or context.earlier_runs > 0
+        if end is None or end.outlook is not Outlook.NONE or is_kept:
+            return
+        route = context.route.name
+        if self._server.end_trials.take(route):
+            self._server.metrics.count_hopeless_stream(route, "tried")
+            return
+        wait = retry_after(
+            Forecast(end.seconds, choice.idle_seconds, end.remaining, end.remaining)
+        )
+        self._server.metrics.count_hopeless_stream(route, "rejected")
+        self._server.logger.info(
+            "stream_end_forecast",
+            request=context.head.id,
+            engine=choice.engine.id,
+            seconds=round(end.seconds, 2),
+            chance=round(end.chance, 2),
+            prospect=round(end.prospect, 2),
+            left=round(end.remaining, 2),
+            hint=context.head.length_hint,
+            most=context.head.output_tokens,
+            running=choice.engine.running,
+            writing=round(choice.engine.speed.writing, 2),
+        )
+        raise context.rejection_error(
+            ErrorKind.DEADLINE_INFEASIBLE,
+            f"expected to end after {end.seconds:.2f} s",
+            retry_after=wait,
         )
 
     def _run_stages(self, choice: EngineChoice) -> None:
@@ -277,6 +379,13 @@
                 # The error says that the request has not run, but an earlier attempt
                 # may have run it.
                 raise self._failure_error(error.detail) from error
+            if error.kind is ErrorKind.DEADLINE_INFEASIBLE:
+                self._record_missed()
+                told = self._server.room.tell_return(
+                    self._context, room_in=0.0, remaining=self._context.remaining
+                )
+                if told is not None:
+                    error.retry_after = told.seconds
             raise
 
     def _next_event_by(self) -> float:
@@ -572,6 +681,7 @@
             software=run.target.software,
             tokens=run.prompt_tokens,
             since=round(now() - self._context.started_at, 3),
+            reading=round(run.choice.engine.speed.reading, 2),
         )
         self._server.record_cached_prefix(run.id, self._context)
         self._inputs.drop()
@@ -754,3 +864,16 @@
         )
         if event == "attempt_failed":
             self._server.metrics.count_failed_attempt(context.route.name, reason)
+
+
+def _end_fields(choice: EngineChoice) -> dict[str, float]:
+    """Return what a log line says of the end of a stream, nothing if it is unknown."""
+    end = choice.end
+    if end is None:
+        return {}
+    writing = round(choice.engine.speed.writing, 2)
+    return {
+        "end": round(end.seconds, 2),
+        "chance": round(end.chance, 2),
+        "writing": writing,
+    }
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -11,18 +11,34 @@
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.client import ConnectionPool
 from bergamotsaddle_serving.context import Context
-from bergamotsaddle_serving.engine_choice import (
+from bergamotsaddle_serving.decisions.engine_choice import (
     EngineChoice,
     EngineView,
     choose_engine,
     isolate_engine,
     prefix_key,
+    unshared_tokens,
 )
+from bergamotsaddle_serving.decisions.engine_speeds import (
+    USUAL_SPEED,
+    EngineSpeed,
+    EngineSpeeds,
+)
+from bergamotsaddle_serving.decisions.fleet_start import FleetStart
+from bergamotsaddle_serving.decisions.reporting_services import ReportingServices
+from bergamotsaddle_serving.decisions.stream_ends import (
+    EndTrials,
+    Outlook,
+    StreamEnd,
+    StreamLengths,
+)
+from bergamotsaddle_serving.decisions.urgency_distribution import UrgencyDistribution
 from bergamotsaddle_serving.fetching import DEFAULT_FETCH_TIMES, FetchTimes
 from bergamotsaddle_serving.messages import Dialect
 from bergamotsaddle_serving.metrics import Metrics
-from bergamotsaddle_serving.policy import FULL_POLICY, Policy
+from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
 from bergamotsaddle_serving.resumption import Resumptions
+from bergamotsaddle_serving.room import Room
 from bergamotsaddle_serving.selector import Candidate, Selector
 from bergamotsaddle_serving.silence import KnownSilences
 from bergamotsaddle_serving.stage_exchange import StageExchange
@@ -30,7 +46,6 @@
 from bergamotsaddle_serving.stage_waits import StageWaits
 from bergamotsaddle_serving.stream_run import StreamRun
 from bergamotsaddle_serving.target_crashes import TargetCrashes
-from bergamotsaddle_serving.urgency_distribution import UrgencyDistribution
 from bergamotsaddle_serving.version_choice import prefer_replicated_versions
 
 # How long an engine is assumed to cache the shared prefix of a prompt that it read for
@@ -58,9 +73,14 @@
         crashes: Detects crashed engines and the requests that they were running.
         resumptions: Knows which engines may go on with a stream.
         metrics: Counts attempts that were given up, and streams that were cut.
+        fleet_start: How long requests wait for owners of queues after a start.
+        room: Decides who gets room that is short, None to leave it to each request.
+        speeds: Learns how fast engines are; None if it isn't to be known.
+        lengths: Learns how long streams are, likewise.
 
     Attributes:
         ongoing_runs: Requests that were sent to an engine.
+        end_trials: Decides which hopeless streams run nonetheless.
     """
 
     def __init__(
@@ -78,8 +98,17 @@
         crashes: TargetCrashes,
         resumptions: Resumptions,
         metrics: Metrics | None = None,
+        fleet_start: FleetStart | None = None,
+        room: Room | None = None,
+        speeds: EngineSpeeds | None = None,
+        lengths: StreamLengths | None = None,
     ) -> None:
+        self.room = room or Room(ReportingServices())
+        self.speeds = speeds
+        self.lengths = lengths
+        self.end_trials = EndTrials()
         self.metrics = metrics or Metrics()
+        self._fleet_start = fleet_start
         self.policy = policy
         self.resumptions = resumptions
         self.suspects = crashes.suspects
@@ -130,12 +159,39 @@
             RequestError: If the request fails.
         """
         self.urgencies.record(context.urgency, now())
-        run = StreamRun(self, self.resumptions.resume(context), caller)
+        self.room.record_arrival(context)
+        context = self.resumptions.resume(context)
+        self._record_tokens(context)
+        run = StreamRun(self, context, caller)
         try:
             run.run()
         finally:
             run.release()
 
+    def await_owners(self, context: Context) -> None:
+        """Wait for owners of the stage queues while the instances start.
+
+        Args:
+            context: The request.
+        """
+        start = self._fleet_start
+        if start is None:
+            return
+        since = now()
+        due_at = context.started_at + context.route.objective
+        has_waited = False
+        while pause := start.pause(due_at):
+            if not self.waits.lacks_owner(context.route, context.head.pieces):
+                break
+            has_waited = True
+            eventlet.sleep(pause)
+        if has_waited:
+            self.logger.info(
+                "owners_awaited",
+                request=context.head.id,
+                seconds=round(now() - since, 3),
+            )
+
     def choose(self, context: Context, exclude: set[str]) -> EngineChoice | None:
         """Choose an engine for a request.
 
@@ -156,19 +212,39 @@
             by_software = resumptions.targets_by_software(context.service.name)
             replicated = prefer_replicated_versions(candidates, by_software)
             if len(replicated) < len(candidates):
-                choice = self._choose_among(replicated, context)
-                if choice is not None and choice.seconds <= context.route.objective:
-                    return choice
+                return self._prefer(replicated, candidates, context)
         return self._choose_among(candidates, context)
 
+    def _prefer(
+        self,
+        preferred: Sequence[Candidate],
+        candidates: Sequence[Candidate],
+        context: Context,
+    ) -> EngineChoice | None:
+        """Choose among some candidates unless only another one serves in time."""
+        choice = self._choose_among(preferred, context)
+        is_late = choice is None or choice.seconds > context.route.objective
+        if not is_late and _outlook(choice) is Outlook.FAIR:
+            return choice
+        among_all = self._choose_among(candidates, context)
+        is_better = is_late or _outlook(among_all) > _outlook(choice)
+        return among_all if is_better else choice
+
     def _choose_among(
         self, candidates: Sequence[Candidate], context: Context
     ) -> EngineChoice | None:
         head = context.head
         key = prefix_key(head.prompt)
-        views = [self._engine_view(candidate, key) for candidate in candidates]
+        speeds = self.speeds
+        if speeds is not None and not speeds.is_learnt(context.service.name):
+            speeds = None
+        views = [self._engine_view(c, key, speeds) for c in candidates]
+        ending = None
         if self.suspects.is_suspect(context.fingerprint):
+            # It may run at one engine only, so its end decides nothing.
             views = isolate_engine(views, context.fingerprint)
+        elif speeds is not None:
+            ending = self._ending(context)
         seconds_by_zone = {
             zone: self.stage_seconds(context, zone) for zone in {v.zone for v in views}
         }
@@ -179,6 +255,7 @@
             objective=context.route.objective,
             stage_seconds=seconds_by_zone.__getitem__,
             policy=self.policy,
+            ending=ending,
         )
 
     def known_silences(self, service: str, pause: float) -> KnownSilences:
@@ -222,6 +299,7 @@
             started_at=context.started_at,
             finish_seconds=finish_seconds,
             policy=self.policy,
+            by_urgency=self.room.applies(context, Mechanism.URGENT_ROOM),
         )
 
     def candidate(self, context: Context, engine: EngineView) -> Candidate | None:
@@ -236,7 +314,61 @@
         while len(self._cached_until) > _MAX_CACHED_PREFIXES:
             self._cached_until.popitem(last=False)
 
-    def _engine_view(self, candidate: Candidate, key: str) -> EngineView:
+    def record_length(self, context: Context, events: int, *, is_cut: bool) -> None:
+        """Record how many events a stream had from its start.
+
+        Args:
+            context: The request.
+            events: Number of its events.
+            is_cut: Whether more were to come.
+        """
+        if self.lengths is None or not self._learns_ends(context):
+            return
+        record = self.lengths.record_cut if is_cut else self.lengths.record
+        record(context.route.name, context.head, events)
+
+    def _record_tokens(self, context: Context) -> None:
+        head = context.head
+        service = context.service
+        if self.lengths is None or not self._learns_ends(context):
+            return
+        if not service.engine_memory or head.is_resumption:
+            return
+        own = unshared_tokens(head.prompt, head.prompt_tokens) + head.output_tokens
+        self.lengths.record_tokens(service, own)
+
+    def _learns_ends(self, context: Context) -> bool:
+        return (
+            self.speeds is not None
+            and self.policy.has(Mechanism.STREAM_ENDS)
+            and self.speeds.is_learnt(context.service.name)
+        )
+
+    def _ending(self, context: Context) -> StreamEnd | None:
+        """Return what the end of a stream depends on, None if that is unknown."""
+        if self.lengths is None or not self._learns_ends(context):
+            return None
+        head = context.head
+        service = context.service
+        if head.is_resumption or context.origin is not None:
+            # How much of it is left is unknown.
+            return None
+        length = self.lengths.forecast(context.route.name, head)
+        event_seconds = self.speeds.event_seconds(service.name)
+        if length is None or event_seconds is None:
+            return None
+        return StreamEnd(
+            context.remaining,
+            length,
+            event_seconds,
+            service.engine_memory,
+            head.prompt_tokens + head.output_tokens,
+            self.lengths.usual_tokens(service.name),
+        )
+
+    def _engine_view(
+        self, candidate: Candidate, key: str, speeds: EngineSpeeds | None
+    ) -> EngineView:
         target = candidate.target
         state = candidate.state
         return EngineView(
@@ -246,4 +378,16 @@
             state.in_flight + candidate.others,
             candidate.tokens_ahead,
             self._cached_until.get((target.id, key), 0.0) > now(),
+            speed=USUAL_SPEED if speeds is None else _speed_of(candidate, speeds),
         )
+
+
+def _outlook(choice: EngineChoice) -> Outlook:
+    return Outlook.FAIR if choice.end is None else choice.end.outlook
+
+
+def _speed_of(candidate: Candidate, speeds: EngineSpeeds) -> EngineSpeed:
+    state = candidate.state
+    if state.speed is None:
+        state.speed = speeds.of(candidate.target)
+    return state.speed
--- a/packages/standins/bergamotsaddle_standins/soak.py
+++ b/packages/standins/bergamotsaddle_standins/soak.py
@@ -38,6 +38,7 @@
     TARGET_PREFIX,
     SoakConfiguration,
 )
+from bergamotsaddle_standins.soak_endless import pick_kind
 from bergamotsaddle_standins.soak_fatal import (
     PACES,
     BegunStream,
@@ -96,10 +97,14 @@
 _MIN_CUT_S = 5.0
 _MAX_CUT_S = 8.0
 _MAX_PAUSE_OF_TARGET_S = 1.0
+# Reports of targets with noisy machines; the last one is false.
+_SLOWDOWNS = (2.5, 5.0, 1_000_000.0)
+_NOISE_S = 0.6
 _BRITTLE_S = 8.0
 _LEAVING_S = 6.0
 _RESTING_S = 4.0
 _MAX_BREAKING_S = 4.0
+_MAX_ENDLESS_S = 4.0
 _MAX_COPY_AGE_S = 4.0
 _MAX_AWAY_S = 0.4
 _MAX_ROLLOUT_PAUSE_S = 0.6
@@ -676,6 +681,23 @@
         eventlet.sleep(REST_S)
         self._is_hushing = False
 
+    @register_disturbance("noise")
+    def _make_noise(self) -> None:
+        """Slow down the machines of some plain targets that report their load.
+
+        From the first noise on all targets of their service report it.
+        """
+        service = self._rng.choice([*BOOKINGS, LOOKUPS])
+        targets = [target for target in self._targets if target.service == service]
+        for target in targets:
+            target.slowdown = target.slowdown or 1.0
+        if self._is_over or not targets:
+            return
+        noisy = self._rng.choice(targets)
+        noisy.slowdown = self._rng.choice(_SLOWDOWNS)
+        eventlet.sleep(_NOISE_S)
+        noisy.slowdown = 1.0
+
     @register_disturbance("brittle")
     def _make_brittle(self) -> None:
         """Let targets of a service fail when they reject many requests.
@@ -733,6 +755,17 @@
         eventlet.sleep(self._rng.uniform(0.0, _MAX_BREAKING_S))
         target.break_mode = None
 
+    @register_disturbance("endless")
+    def _respond_without_end(self) -> None:
+        """Let a target send responses that never end."""
+        sick = {t.service for t in self._targets if t.endless_kind}
+        target = self._rng.choice(self._targets)
+        if target.service in sick or self._is_over:
+            return
+        target.endless_kind = pick_kind(self._rng)
+        eventlet.sleep(self._rng.uniform(0.0, _MAX_ENDLESS_S))
+        target.endless_kind = None
+
     @register_disturbance("fatal")
     def _send_fatal_requests(self) -> None:
         """Send requests that crash the engines which run them, for some seconds."""
--- a/packages/standins/bergamotsaddle_standins/soak_targets.py
+++ b/packages/standins/bergamotsaddle_standins/soak_targets.py
@@ -22,6 +22,7 @@
     RERANK_CALL_S,
     SoakTarget,
 )
+from bergamotsaddle_standins.soak_endless import send_endless
 from bergamotsaddle_standins.soak_fatal import (
     FATAL_PREFIX,
     FatalRun,
@@ -33,6 +34,8 @@
 
 _SLOTS = 32
 _MAX_WORK_S = 0.06
+# Work never takes longer than this multiple of its usual time.
+_MAX_SLOWDOWN = 5.0
 _EVENT_PAUSE_S = 0.04
 _MAX_EVENTS = 60
 _FREE_BYTES = 1e8
@@ -186,9 +189,12 @@
         is_resting: Whether it rejects all requests and asks for rest.
         break_mode: How its responses break off, None if they do not. They have no
             length meanwhile.
+        endless_kind: Kind of its responses without end, None if they end.
         on_crash: Called when the target has crashed.
         event_pause: Seconds before each event of a stream.
         end_pause: Seconds from the last event of a stream to its end.
+        slowdown: Multiple of its usual time that it reports, None if it reports no
+            load. Its work takes as long, unless the report is false.
     """
 
     def __init__(
@@ -214,9 +220,11 @@
         self.is_leaving = False
         self.is_resting = False
         self.break_mode: BreakMode | None = None
+        self.endless_kind: str | None = None
         self.on_crash: Callable[[RunningTarget], None] = lambda target: None
         self.event_pause = _EVENT_PAUSE_S
         self.end_pause = 0.0
+        self.slowdown: float | None = None
         self._streams: set[str] = set()
         self._has_crashed = False
         self._running = 0
@@ -252,10 +260,20 @@
                 self._record_arrival(environ)
                 if self.is_resting:
                     return self._ask_for_rest(environ, start_response)
+            if self.endless_kind is not None:
+                return self._go_on(environ, self.endless_kind)
             return work(environ, start_response)
 
         return respond
 
+    def _go_on(self, environ: Environ, kind: str) -> list[bytes]:
+        """Record a run that breaks off, and respond without end."""
+        environ["wsgi.input"].read()
+        if "HTTP_ID" in environ:
+            self._record(environ)
+            self._ledger.breaks_by_request[environ["HTTP_ID"]] += 1
+        return send_endless(environ, kind, lambda: self.endless_kind is not None)
+
     def _record_arrival(self, environ: Environ) -> None:
         at = now()
         sent_at = float(environ.get("HTTP_SENT_AT", at))
@@ -283,7 +301,8 @@
             return self._reject(environ, start_response)
         headers = self._record(environ)
         environ["wsgi.input"].read()
-        seconds = self._rng.uniform(0.0, _MAX_WORK_S)
+        factor = min(self.slowdown or 1.0, _MAX_SLOWDOWN)
+        seconds = self._rng.uniform(0.0, _MAX_WORK_S) * factor
         self._running += 1
         eventlet.sleep(_BRITTLE_WORK_S if self.is_brittle else seconds)
         self._running -= 1
@@ -319,6 +338,9 @@
     def _notices(self, environ: Environ) -> tuple[tuple[str, str], ...]:
         """Return the headers with which all responses describe this target."""
         headers = []
+        if self.slowdown is not None:
+            load = f"{self._running},0,{_SLOTS},{self.slowdown}"
+            headers.append(("Load", load))
         if self.is_brittle:
             headers.append(("Brittle", str(_BRITTLENESS)))
         if self.is_leaving:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,6 +28,7 @@
 BRITTLE = ("--seed", "2", "--seconds", "20", "--instances", "5", "--only", "brittle")
 SILENCES = ("--seed", "3", "--seconds", "10", "--instances", "4", "--only", "silence")
 HUSHES = ("--seed", "9", "--seconds", "12", "--instances", "4", "--only", "hush")
+NOISES = ("--seed", "4", "--seconds", "12", "--instances", "4", "--only", "noise")
 FEW_REPEATS = ("--retry-extra", "0")
 LEAVES = ("--seed", "5", "--seconds", "15", "--instances", "4", "--only", "leave")
 BREAKS = ("--seed", "7", "--seconds", "15", "--instances", "4", "--only", "break")
@@ -36,6 +37,7 @@
 ROLLOUTS = ("--seed", "21", "--seconds", "15", "--instances", "4")
 ROLLOUT_CHANGES = ("--only", "rollout", "break", "kill")
 RESTS = ("--seed", "6", "--seconds", "15", "--instances", "4", "--only", "rest")
+ENDLESS = ("--seed", "11", "--seconds", "12", "--instances", "4", "--only", "endless")
 CUTS = ("--seed", "1", "--seconds", "20", "--instances", "5", "--only", "cut")
 BOUND_S = 2.0
 GRACE_S = 8.0
@@ -110,6 +112,10 @@
         """Guards against requests lost at targets that go on after a silence."""
         self.check(*SILENCES)
 
+    def test_noisy_targets_break_nothing(self):
+        """Guards against requests lost at places that an owner grants."""
+        self.check(*NOISES)
+
     def test_silent_shares_of_the_targets_break_nothing(self):
         """Guards against streams lost while many targets hold back all bytes."""
         self.check(*HUSHES, *FEW_REPEATS)
@@ -122,6 +128,10 @@
         """Guards against requests to a target that has asked for rest."""
         self.check(*RESTS)
 
+    def test_responses_without_end_stop_nobody(self):
+        """Guards against a target that sends without end and harms other requests."""
+        self.check(*ENDLESS)
+
     def test_responses_that_break_off_never_look_complete(self):
         """Guards against parts of responses that reach callers as whole ones."""
         self.check(*BREAKS)
