Wait for the hub with events of native threads

Callers saw nothing: daemons leave threads native.

Cause: modules of the suite import the stand-ins, whose _green patches threading in the whole process. HubBridge.call then waited for a green event: the native thread waits on a hub of its own, and the hub's thread may not switch to it ("greenlet.error: Cannot switch to a different thread"). It passed only when the answer came before the wait began.

Ruled out: stale listeners and timers of earlier tests; the failure needs neither.

Change: the bridge waits with the original event, as it reads with the original os.

--- a/packages/daemon/bergamotsaddle_daemon/hub_bridge.py
+++ b/packages/daemon/bergamotsaddle_daemon/hub_bridge.py
@@ -1,7 +1,6 @@
 """Runs functions from native threads, such as those of gRPC, on the hub's thread."""
 
 import contextlib
-import threading
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -10,9 +9,10 @@
 from eventlet import hubs
 from eventlet.patcher import original
 
-# The green versions of read and write wait on the hub when a pipe is empty or full. A
-# native thread has no hub to wait on and would start one of its own.
+# The green versions of read, write and events wait on the hub of their thread. A native
+# thread would start one of its own, which no other thread can wake.
 os = original("os")
+threading = original("threading")
 
 _READ_BYTES = 4096
 
--- a/tests/test_hub_bridge.py
+++ b/tests/test_hub_bridge.py
@@ -2,10 +2,10 @@
 
 import unittest
 
-from eventlet.patcher import original
+from eventlet.patcher import is_monkey_patched, original
 
 from bergamotsaddle_daemon.hub_bridge import HubBridge
-from tests._paused import settle
+from tests._paused import settle, use_paused_clock
 
 threading = original("threading")
 time = original("time")
@@ -17,6 +17,8 @@
     """A bridge between native threads and the hub."""
 
     def setUp(self):
+        use_paused_clock()
+        self.addCleanup(use_paused_clock)
         self.bridge = HubBridge()
         settle()
 
@@ -39,6 +41,8 @@
         self.assertEqual(thread_ids, [threading.get_ident()])
 
     def test_result_and_error_are_returned(self):
+        """Guards against native threads that wait for an event of another hub."""
+        self.assertTrue(is_monkey_patched("thread"))
         results = []
 
         def call():
