Let tests with sockets of their own skip waits

Tests of streams failed once in a while beside load (test_broken_streams, test_hedges, test_silent_streams) and passed alone. They send between sockets of one process in real time, so what a stand-in, the product and a caller do at which time depended on when the process got a processor.

Change: a hub whose clock skips to the next timer once no socket is ready and no green thread can run. All sockets of these modules are in their process, so nothing that is under way is skipped; work takes no time on that clock, so every time between two steps is the one of the script. The correction for time for which the process was held up is gone, which makes the bounds on gaps and on late ends stricter. Modules with other processes, native threads or bounds on work (test_edge_fuzz, test_endless_targets, test_serving_stop, test_daemon_start, test_soak) keep the running clock.

--- a/packages/standins/bergamotsaddle_standins/paused_hub.py
+++ b/packages/standins/bergamotsaddle_standins/paused_hub.py
@@ -1,5 +1,6 @@
-"""An eventlet hub whose clock only moves when a test or experiment advances it."""
+"""Eventlet hubs whose clocks move as a test or experiment advances or needs them."""
 
+import os
 from collections.abc import Callable
 from itertools import count
 
@@ -47,11 +48,49 @@
         super().wait(0)
 
 
+class SkippingHub(PausedHub):
+    """A hub whose clock skips to the next timer once no green thread can run.
+
+    Green threads that share real sockets take no time of their own, so what they do
+    at which time doesn't depend on how fast the process runs.
+    """
+
+    def __init__(self) -> None:
+        self._is_idle = False
+        super().__init__()
+
+    def do_poll(self, seconds: float) -> list[tuple[int, int]]:
+        """Poll the sockets, and note whether any of them is ready."""
+        found = super().do_poll(seconds)
+        if not found:
+            # The system may deliver what was sent once this process makes room.
+            os.sched_yield()
+            found = super().do_poll(seconds)
+        self._is_idle = not found
+        return found
+
+    def wait(self, seconds: float | None = None) -> None:
+        """Poll the sockets, and skip to the next timer if none of them is ready."""
+        due_at = self.sleep_until()
+        if due_at is None:
+            epolls.Hub.wait(self, seconds)
+            return
+        self._is_idle = True
+        epolls.Hub.wait(self, 0)
+        if self._is_idle:
+            self.time = max(self.time, due_at)
+
+
 def use_paused_clock() -> None:
     """Use a new paused hub in this thread."""
     hubs.use_hub(PausedHub)
 
 
+def use_skipping_clock() -> None:
+    """Use a hub that skips waits, for tests with real sockets in one process."""
+    hubs.use_hub(SkippingHub)
+
+
 def settle() -> None:
     """Run all green threads until each of them waits."""
     hub = hubs.get_hub()
@@ -104,5 +143,5 @@
 
 
 def use_running_clock() -> None:
-    """Use an ordinary hub in this thread, for tests with real sockets."""
+    """Use an ordinary hub in this thread, for tests with other processes."""
     hubs.use_hub(epolls)
--- a/tests/_paced_engines.py
+++ b/tests/_paced_engines.py
@@ -52,8 +52,6 @@
 _BACKLOG = 200
 # A backlog of 0 holds one connection.
 _FILLERS = 3
-# Timers that fire later than this show that the process was held up.
-_MIN_STALL_S = 0.02
 # The budget of an instance alone takes its share for a fleet of this size, and uses a
 # fraction of that.
 _MIN_FLEET = 6
@@ -329,7 +327,7 @@
         is_whole: Whether it got each event once, in order, and the proper end.
         events: Numbers of the events.
         longest_gap: Most seconds between two parts of the response, counted from the
-            request, less the time for which the process was held up.
+            request.
     """
 
     status: int
@@ -355,7 +353,6 @@
         budget: Limits repeats.
         server: Serves streams.
         suspects: Knows which requests are quarantined.
-        stalled: Seconds for which the process was held up so far.
     """
 
     def __init__(
@@ -368,8 +365,6 @@
         is_spread=False,
         stages=None,
     ):
-        self.stalled = 0.0
-        self._watcher = eventlet.spawn(self._watch_stalls)
         names = [f"e{n}" for n in range(len(scripts))]
         names.sort(key=lambda name: rendezvous_weight(name, ""), reverse=True)
         self._is_numbered = is_numbered
@@ -467,12 +462,11 @@
     def call(self):
         """Send a request and return what its caller got."""
         client, sent_at = self.open()
-        # Times less the time for which the process was held up so far.
-        times = [sent_at - self.stalled]
+        times = [sent_at]
         status, body, is_complete = read_response(
-            client, 1, on_data=lambda: times.append(now() - self.stalled)
+            client, 1, on_data=lambda: times.append(now())
         )
-        times.append(now() - self.stalled)
+        times.append(now())
         client.close()
         numbers = [int(n) for n in re.findall(rb"data: (\d+)\n\n", body)]
         expected = b"".join(
@@ -504,17 +498,8 @@
         """Number of repeats that were taken from the budget and not given back."""
         return round(self._repeats - self.budget.remaining(SERVICE))
 
-    def _watch_stalls(self):
-        while True:
-            due_at = now() + _POLL_S
-            eventlet.sleep(_POLL_S)
-            late = now() - due_at
-            if late > _MIN_STALL_S:
-                self.stalled += late
-
     def close(self):
         """Close all engines."""
-        self._watcher.kill()
         for engine in self.engines:
             engine.close()
 
--- a/tests/_paused.py
+++ b/tests/_paused.py
@@ -8,6 +8,7 @@
     settle,
     use_paused_clock,
     use_running_clock,
+    use_skipping_clock,
 )
 
 __all__ = [
@@ -18,4 +19,5 @@
     "settle",
     "use_paused_clock",
     "use_running_clock",
+    "use_skipping_clock",
 ]
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -33,10 +33,10 @@
 from bergamotsaddle_serving.stream_inputs import StreamInputs
 from bergamotsaddle_serving.stream_run import StreamRun
 from bergamotsaddle_serving.streams import StreamServer
-from tests._paused import use_paused_clock, use_running_clock
+from tests._paused import use_paused_clock, use_skipping_clock
 from tests._resumptions import make_lone_resumptions
 
-setUpModule = use_running_clock
+setUpModule = use_skipping_clock
 tearDownModule = use_paused_clock
 
 HOST = "127.0.0.1"
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -25,9 +25,9 @@
     encode_error,
     encode_request,
 )
-from tests._paused import use_paused_clock, use_running_clock
+from tests._paused import use_paused_clock, use_skipping_clock
 
-setUpModule = use_running_clock
+setUpModule = use_skipping_clock
 tearDownModule = use_paused_clock
 
 HOST = "127.0.0.1"
--- a/tests/test_hedges.py
+++ b/tests/test_hedges.py
@@ -14,7 +14,7 @@
     SecondStages,
     use_scripted_stages,
 )
-from tests._paused import use_paused_clock, use_running_clock
+from tests._paused import use_paused_clock, use_skipping_clock
 from tests.test_silent_streams import (
     BUSY,
     DOWN,
@@ -39,8 +39,8 @@
 
 
 def setUpModule():  # noqa: N802
-    """Use the running clock, and stages that deployments are given."""
-    use_running_clock()
+    """Use the skipping clock, and stages that deployments are given."""
+    use_skipping_clock()
     _stages.start()
 
 
--- a/tests/test_review_findings.py
+++ b/tests/test_review_findings.py
@@ -22,7 +22,7 @@
     SecondStages,
     use_scripted_stages,
 )
-from tests._paused import use_paused_clock, use_running_clock
+from tests._paused import use_paused_clock, use_skipping_clock
 from tests.test_silent_streams import BUSY, FIRST_PAUSE_S, MIDDLE, SOUND, deploy
 
 tearDownModule = use_paused_clock
@@ -34,7 +34,7 @@
 
 def setUpModule():  # noqa: N802
     """Use the running clock."""
-    use_running_clock()
+    use_skipping_clock()
 
 
 class LeftError(Exception):
--- a/tests/test_serving_caller.py
+++ b/tests/test_serving_caller.py
@@ -11,9 +11,9 @@
 from bergamotsaddle_serving._sockets import receive
 from bergamotsaddle_serving.caller import CallerConnection, CallerLeftError
 from bergamotsaddle_serving.catalog import CallerLimits
-from tests._paused import use_paused_clock, use_running_clock
+from tests._paused import use_paused_clock, use_skipping_clock
 
-setUpModule = use_running_clock
+setUpModule = use_skipping_clock
 tearDownModule = use_paused_clock
 
 LIMITS = CallerLimits(head_bytes=500, body_bytes=50, head_seconds=0.2, idle_seconds=0.2)
--- a/tests/test_serving_client.py
+++ b/tests/test_serving_client.py
@@ -13,9 +13,9 @@
     ConnectionPool,
 )
 from bergamotsaddle_serving.messages import HttpCall
-from tests._paused import use_paused_clock, use_running_clock
+from tests._paused import use_paused_clock, use_skipping_clock
 
-setUpModule = use_running_clock
+setUpModule = use_skipping_clock
 tearDownModule = use_paused_clock
 
 SILENCE_S = 2.0
--- a/tests/test_silent_streams.py
+++ b/tests/test_silent_streams.py
@@ -18,7 +18,7 @@
     SecondStages,
     use_scripted_stages,
 )
-from tests._paused import use_paused_clock, use_running_clock
+from tests._paused import use_paused_clock, use_skipping_clock
 
 SOUND = EngineScript()
 # Longer than the time after which a silent engine may be left.
@@ -49,8 +49,8 @@
 
 
 def setUpModule():  # noqa: N802
-    """Use the running clock, and stages that deployments are given."""
-    use_running_clock()
+    """Use the skipping clock, and stages that deployments are given."""
+    use_skipping_clock()
     _stages.start()
 
 
@@ -180,9 +180,7 @@
                 received = deployment.call()
                 eventlet.sleep(MAX_LOSER_S)
                 engine = deployment.engines[0]
-                late = find_late_losers(
-                    deployment.runs, engine.silent_until, deployment.stalled
-                )
+                late = find_late_losers(deployment.runs, engine.silent_until)
                 return received, deployment.find_leaks(), late
 
         table = {
@@ -212,13 +210,12 @@
         self.check_whole(table)
 
 
-def find_late_losers(runs, resumed_at, stalled):
+def find_late_losers(runs, resumed_at):
     """Return how long runs lived on after another one had sent the next event.
 
     Args:
         runs: The runs of a request.
         resumed_at: When the silent engine went on.
-        stalled: Seconds for which the process was held up.
     """
     if len(runs) < 2:
         return []
@@ -226,8 +223,7 @@
     firsts = [at for at in (resumed_at, second.first_event_at) if at is not None]
     decided_at = min(firsts)
     closed = [run.closed_at for run in runs if run.closed_at is not None]
-    limit = MAX_LOSER_S + stalled
-    return [at - decided_at for at in closed if at > decided_at + limit]
+    return [at - decided_at for at in closed if at > decided_at + MAX_LOSER_S]
 
 
 class DeadEngineTest(unittest.TestCase):
--- a/tests/test_stream_ends.py
+++ b/tests/test_stream_ends.py
@@ -21,7 +21,7 @@
 from bergamotsaddle_serving.messages import PromptPart, RequestHead
 from bergamotsaddle_serving.peer_messages import Fact
 from bergamotsaddle_serving.stream_run import StreamRun
-from tests._paused import advance, use_paused_clock, use_running_clock
+from tests._paused import advance, use_paused_clock, use_skipping_clock
 from tests._uneven_engines import HINTS, REVIEWS, WITHOUT, Replay, make_instances
 from tests.test_broken_streams import (
     REQUEST,
@@ -372,7 +372,7 @@
     """What callers get whose streams no engine can end."""
 
     def setUp(self):
-        use_running_clock()
+        use_skipping_clock()
         self.addCleanup(use_paused_clock)
 
     def call(self, end, *, is_resumed=False):
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -20,11 +20,11 @@
 from bergamotsaddle_serving.stream_run import StreamRun
 from bergamotsaddle_serving.streams import StreamServer
 from tests import test_broken_streams
-from tests._paused import use_paused_clock, use_running_clock
+from tests._paused import use_paused_clock, use_skipping_clock
 from tests._resumptions import make_lone_resumptions
 from tests.test_broken_streams import EVENTS, WHOLE, ScriptedEngine, make_context
 
-setUpModule = use_running_clock
+setUpModule = use_skipping_clock
 tearDownModule = use_paused_clock
 
 ADDRESS = Address("127.0.0.1", 9)
--- a/tests/test_target_crashes.py
+++ b/tests/test_target_crashes.py
@@ -13,7 +13,7 @@
 from bergamotsaddle_serving.incarnations import incarnation_of
 from bergamotsaddle_serving.suspect_parts import Work
 from bergamotsaddle_serving.target_crashes import TargetCrashes
-from tests._paused import advance, use_paused_clock, use_running_clock
+from tests._paused import advance, use_paused_clock, use_skipping_clock
 
 TARGET = Target("t1", "generate", Address("10.0.0.1", 80), "a", 64)
 
@@ -258,7 +258,7 @@
     """Detection of addresses at which no process listens."""
 
     def setUp(self):
-        use_running_clock()
+        use_skipping_clock()
         self.addCleanup(use_paused_clock)
         self.listener = eventlet.listen(("127.0.0.1", 0))
         self.address = Address(*self.listener.getsockname())
