Run each module of the suite in a process of its own

A whole run took 1,311 s, and modules ran among the green threads, sockets and memory of those before them (the process of a whole run held 930 MB).

Change: make test runs a process a module.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	$(PYTHON) -m bergamotsaddle_standins.demo
 
 test: lint model
-	$(PYTHON) -m nose2 -c unittest.cfg
+	$(PYTHON) -m bergamotsaddle_standins.suite $(ARGS)
 
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check .
