Move the admission of a stream into a module of its own

Callers saw nothing. Cause: stream_run.py had grown to 879 lines and held two ideas, whether a stream starts and how its runs follow each other. StreamAdmission has the first now; stream_run.py has 724 lines. No behaviour changes: log lines, errors and counters are the same. Tests ask StreamAdmission where they asked StreamRun for the same decision. test_room, test_stream_ends, test_stream_versions, test_broken_streams, test_review_findings, test_streams: 155 passed.

--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -25,21 +25,14 @@
 from bergamotsaddle_serving.catalog import Target
 from bergamotsaddle_serving.client import SILENT
 from bergamotsaddle_serving.context import MAX_LOGGED_NAMES, Context
-from bergamotsaddle_serving.decisions.admission import (
-    Forecast,
-    add_jitter,
-    admits,
-    retry_after,
-    seconds_until_room,
-)
+from bergamotsaddle_serving.decisions.admission import add_jitter
 from bergamotsaddle_serving.decisions.engine_choice import EngineChoice
-from bergamotsaddle_serving.decisions.return_times import has_time
-from bergamotsaddle_serving.decisions.stream_ends import Outlook
 from bergamotsaddle_serving.engine_run import EngineRun
 from bergamotsaddle_serving.events import StreamEvent
 from bergamotsaddle_serving.hedged_read import Progress, read_hedged
 from bergamotsaddle_serving.messages import Dispatch
 from bergamotsaddle_serving.silence import KnownSilences, Silence
+from bergamotsaddle_serving.stream_admission import StreamAdmission
 from bergamotsaddle_serving.stream_inputs import StreamInputs
 from bergamotsaddle_serving.stream_output import StreamOutput
 from bergamotsaddle_serving.suspect_parts import HeldPart
@@ -101,9 +94,7 @@
         self._output = StreamOutput(
             caller, context.head.last_event_id, self._record_start
         )
-        self._is_missed = False
-        # Whether the place that the caller was told of is used up for this run.
-        self._has_place = False
+        self._admission = StreamAdmission(server)
         self._exclude: set[str] = set()
         self.runs: list[EngineRun] = []
         # The current silence, or the last one.
@@ -229,143 +220,10 @@
         return is_granted
 
     def _admit(self, choice: EngineChoice) -> None:
-        """Reject a request that would not be done in time, before any stage runs.
-
-        This sheds the load of bursts that exceed the capacity of the stages. Work for
-        a request that ends without a response is lost to other requests, so a request
-        is not rejected any more once its stages have started.
-
-        Raises:
-            RequestError: If the request is rejected.
-        """
-        context = self._context
-        plan = self._server.plan(context, choice.engine.zone, choice.finish_seconds)
-        forecast = Forecast(
-            seconds=choice.seconds,
-            idle_seconds=plan.idle_seconds() + choice.idle_seconds,
-            objective=context.started_at + context.route.objective - now(),
-            remaining=context.first_event_by - now(),
-        )
-        if context.origin is not None or context.earlier_runs:
-            # The caller has a part of the stream, or has waited for an instance that
-            # died, and ending it would waste that. It is due only before the caller
-            # gives up.
-            forecast = forecast._replace(objective=forecast.remaining)
-        more_urgent = self._server.urgencies.more_urgent_fraction(context.urgency)
-        room, policy = self._server.room, self._server.policy
-        patience = room.patience(context)
-        is_admitted = admits(forecast, more_urgent, policy, patience=patience.fraction)
-        came_when_told = not is_admitted and self._came_when_told(forecast)
-        told = None
-        if not is_admitted and not came_when_told:
-            self._record_missed()
-            told = room.tell_return(
-                context,
-                room_in=seconds_until_room(
-                    forecast, more_urgent, policy, patience=patience.fraction
-                ),
-                remaining=forecast.remaining,
-            )
-        is_admitted = is_admitted or came_when_told
-        self._server.logger.info(
-            "admit" if is_admitted else "turn_away",
-            request=context.head.id,
-            engine=choice.engine.id,
-            reason=choice.reason,
-            expected=round(forecast.seconds, 3),
-            idle=round(forecast.idle_seconds, 3),
-            left=round(forecast.remaining, 3),
-            objective=context.route.objective,
-            urgency=context.urgency,
-            more_urgent=round(more_urgent, 2),
-            version=context.version,
-            pressure=round(patience.pressure, 2),
-            team=context.team.name if context.team is not None else "",
-            over_share=patience.is_over_share,
-            came_when_told=came_when_told,
-            told=round(told.seconds, 3) if told is not None else None,
-            has_place=told is not None and told.has_place,
-            **_end_fields(choice),
-        )
-        if is_admitted:
-            self._check_end(choice)
-            return
-        raise context.rejection_error(
-            ErrorKind.DEADLINE_INFEASIBLE,
-            f"expected to take {choice.seconds:.2f} s",
-            retry_after=told.seconds if told is not None else retry_after(forecast),
-        )
-
-    def _came_when_told(self, forecast: Forecast) -> bool:
-        """Return whether the caller came when told and can be served.
-
-        Its place holds for each engine that is chosen, though its keeper names it once.
-        """
-        if self._has_place:
-            return has_time(forecast.seconds, forecast.remaining)
-        self._has_place = self._server.room.came_when_told(
-            self._context, seconds=forecast.seconds, remaining=forecast.remaining
-        )
-        if self._has_place:
-            self._server.metrics.count_return(self._context.route.name)
-        return self._has_place
+        self._admission.check(self._context, choice)
 
     def _record_start(self) -> None:
-        """Record whether the first event is late because the stages had to wait.
-
-        Other requests can't leave room for one that is late at its engine.
-        """
-        seconds = now() - self._context.started_at
-        objective = self._context.route.objective
-        if seconds > objective >= seconds - self._inputs.waited():
-            self._record_missed()
-
-    def _record_missed(self) -> None:
-        """Count a request that more room would have helped, once."""
-        if self._is_missed or self._context.origin is not None:
-            return
-        self._is_missed = True
-        self._server.room.record_missed(self._context)
-
-    def _check_end(self, choice: EngineChoice) -> None:
-        """Reject a stream that no engine can end before its caller gives up.
-
-        A few run nonetheless, as they may show that the forecast is wrong.
-
-        Raises:
-            RequestError: If it would end too late even if it were short.
-        """
-        context = self._context
-        end = choice.end
-        is_kept = context.origin is not None or context.earlier_runs > 0
-        if end is None or end.outlook is not Outlook.NONE or is_kept:
-            return
-        route = context.route.name
-        if self._server.end_trials.take(route):
-            self._server.metrics.count_hopeless_stream(route, "tried")
-            return
-        wait = retry_after(
-            Forecast(end.seconds, choice.idle_seconds, end.remaining, end.remaining)
-        )
-        self._server.metrics.count_hopeless_stream(route, "rejected")
-        self._server.logger.info(
-            "stream_end_forecast",
-            request=context.head.id,
-            engine=choice.engine.id,
-            seconds=round(end.seconds, 2),
-            chance=round(end.chance, 2),
-            prospect=round(end.prospect, 2),
-            left=round(end.remaining, 2),
-            hint=context.head.length_hint,
-            most=context.head.output_tokens,
-            running=choice.engine.running,
-            writing=round(choice.engine.speed.writing, 2),
-        )
-        raise context.rejection_error(
-            ErrorKind.DEADLINE_INFEASIBLE,
-            f"expected to end after {end.seconds:.2f} s",
-            retry_after=wait,
-        )
+        self._admission.record_start(self._context, waited=self._inputs.waited())
 
     def _run_stages(self, choice: EngineChoice) -> None:
         try:
@@ -380,7 +238,7 @@
                 # may have run it.
                 raise self._failure_error(error.detail) from error
             if error.kind is ErrorKind.DEADLINE_INFEASIBLE:
-                self._record_missed()
+                self._admission.record_missed(self._context)
                 told = self._server.room.tell_return(
                     self._context, room_in=0.0, remaining=self._context.remaining
                 )
@@ -864,16 +722,3 @@
         )
         if event == "attempt_failed":
             self._server.metrics.count_failed_attempt(context.route.name, reason)
-
-
-def _end_fields(choice: EngineChoice) -> dict[str, float]:
-    """Return what a log line says of the end of a stream, nothing if it is unknown."""
-    end = choice.end
-    if end is None:
-        return {}
-    writing = round(choice.engine.speed.writing, 2)
-    return {
-        "end": round(end.seconds, 2),
-        "chance": round(end.chance, 2),
-        "writing": writing,
-    }
--- a/tests/test_stream_ends.py
+++ b/tests/test_stream_ends.py
@@ -20,6 +20,7 @@
 )
 from bergamotsaddle_serving.messages import PromptPart, RequestHead
 from bergamotsaddle_serving.peer_messages import Fact
+from bergamotsaddle_serving.stream_admission import StreamAdmission
 from bergamotsaddle_serving.stream_run import StreamRun
 from tests._paused import advance, use_paused_clock, use_running_clock
 from tests._uneven_engines import HINTS, REVIEWS, WITHOUT, Replay, make_instances
@@ -363,9 +364,7 @@
     def test_suspect_at_a_slow_engine(self):
         """Guards against a suspect that is refused as it may go to one engine only."""
         server, context = make_versions(dict.fromkeys("abc", 9.0), is_suspect=True)
-        StreamRun(server, context, mock.Mock())._check_end(
-            server.choose(context, set())
-        )
+        StreamAdmission(server).check_end(context, server.choose(context, set()))
 
 
 class RejectionTest(unittest.TestCase):
@@ -433,9 +432,9 @@
         server, context = make_versions(dict.fromkeys("abc", 9.0))
         choice = server.choose(context, set())
         with self.assertRaises(RequestError):
-            StreamRun(server, context, mock.Mock())._check_end(choice)
+            StreamAdmission(server).check_end(context, choice)
         advance(10.0)
-        StreamRun(server, context, mock.Mock())._check_end(choice)
+        StreamAdmission(server).check_end(context, choice)
         counted = b'hopeless_streams_total{end="tried",route="r"} 1.0'
         self.assertIn(counted, server.metrics.page())
 
