--- a/tests/test_review_findings.py
+++ b/tests/test_review_findings.py
@@ -33,7 +33,7 @@
 
 
 def setUpModule():  # noqa: N802
-    """Use the running clock."""
+    """Use the skipping clock."""
     use_skipping_clock()
 
 
