Check a configuration before it is sent

What operators saw: check told only what can't be parsed. A route behind another one, a team without a key, an objective above its timeout or a stage that waits for itself came into force without a word, and diff didn't say what a change does to requests under way.

Cause: there were faults of single values and references, and no rules over a whole file.

Exit status 0 clean, 1 differences or warnings, 2 errors; faults and diff as before. JSON of a valid file has the fields findings, changes and outdated in addition.

Ruled out: a warning for services that no pipeline of a declaration names, since callers reach them by themselves.

Not found: a key of two teams of the platform, since the later team replaces the earlier one on reading; only the team that lost all its keys shows.

--- a/packages/cli/bergamotsaddle_cli/file_commands.py
+++ b/packages/cli/bergamotsaddle_cli/file_commands.py
@@ -2,20 +2,28 @@
 
 import sys
 from pathlib import Path
+from typing import Any
 
 import msgspec
 from cleo.commands.command import Command
-from cleo.helpers import argument, option
-
+from cleo.helpers import argument
+
+from bergamotsaddle_cli.file_check import (
+    AGAINST,
+    EXIT_DIFFERENT,
+    EXIT_INVALID,
+    JSON,
+    CheckResult,
+    FileCheckCommand,
+    explain_outdated,
+)
+from bergamotsaddle_contracts.change_effects import DECLARATION_EFFECTS
 from bergamotsaddle_contracts.declaration import Declaration, digest_key
 from bergamotsaddle_contracts.declaration_reader import parse_declaration
+from bergamotsaddle_contracts.declaration_rules import RULES
 from bergamotsaddle_contracts.diff import diff_declarations
 from bergamotsaddle_contracts.errors import Fault, InvalidFileError
 
-EXIT_DIFFERENT = 1
-EXIT_INVALID = 2
-_JSON = option("json", None, "Print JSON for programs.", flag=True)
-
 
 def read_declaration(path: Path) -> Declaration:
     """Read and validate a declaration.
@@ -31,42 +39,36 @@
     return parse_declaration(text, name=str(path))
 
 
-class CheckCommand(Command):
-    """Validates a declaration."""
+class CheckCommand(FileCheckCommand):
+    """Checks a declaration before it is published."""
 
-    name = "check"
     description = "Checks a declaration and reports every fault at once."
     arguments = [argument("file", "The declaration.")]
-    options = [_JSON]
+    options = [JSON, AGAINST]
 
-    def handle(self) -> int:
-        """Validate the file; return 0 if it is valid, else 2."""
-        path = Path(self.argument("file"))
-        try:
-            declaration = read_declaration(path)
-        except InvalidFileError as error:
-            return self._print_faults(error.faults)
+    def read(self, path: Path) -> Declaration:
+        """Read a declaration."""
+        return read_declaration(path)
+
+    def summarise(self, subject: Declaration) -> tuple[dict[str, Any], str]:
+        """Return the revision and the number of entries."""
         counts = {
-            part: len(getattr(declaration, part))
+            part: len(getattr(subject, part))
             for part in ("zones", "teams", "targets", "pipelines")
         }
-        if self.option("json"):
-            summary = {"valid": True, "revision": declaration.revision, **counts}
-            self.line(msgspec.json.encode(summary).decode())
-            return 0
-        summary_text = ", ".join(f"{count} {part}" for part, count in counts.items())
-        self.line(f"{path}: valid, revision {declaration.revision}, {summary_text}")
-        return 0
+        text = ", ".join(f"{count} {part}" for part, count in counts.items())
+        summary = {"revision": subject.revision, **counts}
+        return summary, f"valid, revision {subject.revision}, {text}"
 
-    def _print_faults(self, faults: list[Fault]) -> int:
-        if self.option("json"):
-            rows = [fault._asdict() for fault in faults]
-            result = {"valid": False, "faults": rows}
-            self.line(msgspec.json.encode(result).decode())
-            return EXIT_INVALID
-        for fault in faults:
-            self.line_error(str(fault))
-        return EXIT_INVALID
+    def find(self, subject: Declaration, in_force: Declaration | None) -> CheckResult:
+        """Check a declaration, and compare it if one is in force."""
+        findings = RULES.check(subject)
+        changes = diff_declarations(in_force, subject) if in_force else []
+        is_outdated = changes and subject.version <= in_force.version
+        outdated = (
+            explain_outdated(subject.revision, in_force.revision) if is_outdated else ""
+        )
+        return CheckResult(findings, DECLARATION_EFFECTS.explain(changes), outdated)
 
 
 class DiffCommand(Command):
@@ -75,7 +77,7 @@
     name = "diff"
     description = "Tells what changes from one declaration to another, and for whom."
     arguments = [argument("old", "The one in force."), argument("new", "The other.")]
-    options = [_JSON]
+    options = [JSON]
 
     def handle(self) -> int:
         """Compare the files.
@@ -99,10 +101,7 @@
             rows = [list(change) for change in changes]
             self.render_table(["part", "name", "change"], rows)
         if changes and new.version <= old.version:
-            self.line_error(
-                f"revision {new.revision} is not above {old.revision}:"
-                " this would never come into force"
-            )
+            self.line_error(explain_outdated(new.revision, old.revision))
             return EXIT_INVALID
         return EXIT_DIFFERENT if changes else 0
 
--- a/packages/contracts/bergamotsaddle_contracts/diff.py
+++ b/packages/contracts/bergamotsaddle_contracts/diff.py
@@ -4,6 +4,8 @@
 
 from bergamotsaddle_contracts.declaration import Declaration
 
+ADDED = "added"
+REMOVED = "removed"
 _PARTS = ("zones", "teams", "targets", "models", "pipelines")
 
 
@@ -28,15 +30,25 @@
     for part in _PARTS:
         before, after = getattr(old, part), getattr(new, part)
         for name in sorted(before.keys() | after.keys()):
-            changes += _diff_entry(part[:-1], name, before.get(name), after.get(name))
+            changes += diff_entry(part[:-1], name, before.get(name), after.get(name))
     return changes
 
 
-def _diff_entry(part: str, name: str, old: tuple | None, new: tuple | None) -> list:
+def diff_entry(
+    part: str, name: str, old: tuple | None, new: tuple | None
+) -> list[Change]:
+    """List the differences of one entry.
+
+    Args:
+        part: Kind of the entry.
+        name: Name of the entry.
+        old: The entry in force, None if there is none.
+        new: The other one, None if there is none.
+    """
     if old is None:
-        return [Change(part, name, "added")]
+        return [] if new is None else [Change(part, name, ADDED)]
     if new is None:
-        return [Change(part, name, "removed")]
+        return [Change(part, name, REMOVED)]
     return [
         Change(
             part, name, f"{field}: {_format_value(before)} -> {_format_value(after)}"
