Go on with the stages that a request began with when a version removes them

Callers whose request was under way when a version of the configuration removed one of its stage services, or declared it without pieces, got an internal error although the targets were there. Where a stage had just run, they got "the stages are too late" with time left.

Cause: StageWaits looked batching up in the newest configuration: KeyError or AttributeError in _memory_in_pieces and _unknown_load, and a time of 0 s for results in ttl_seconds, so that they had expired at once. StageOwner also refused pieces of a service that the newest version leaves out, though its queue and workers were still there.

So the view keeps how a stage service runs pieces by the newest version that says it, while the service has targets, and StageWaits and StageOwner read that. What has no targets is dropped with the next version. Without any declaration the request is refused with deadline_infeasible (503, not run) when its time is over, as its owner has no queue for it.

Ruled out, read and left as they are: all other look-ups by a name of an older version use get (handler, resumption, the shares of teams) or make the entry when it is missing (room, hedges, budget, placement, speeds of engines).

tests/_zone_waves.py names batching where the product reads it now; its loads and bounds are unchanged.

--- a/packages/serving/bergamotsaddle_serving/catalog.py
+++ b/packages/serving/bergamotsaddle_serving/catalog.py
@@ -237,6 +237,14 @@
         """
         return self._urgency_by_priority[_priority_key(route, team)]
 
+    def batching_by_service(self) -> dict[str, Batching]:
+        """Return how the targets of each stage service run pieces."""
+        return {
+            service.name: service.batching
+            for service in self.services_by_name.values()
+            if service.batching is not None
+        }
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of a host with the longest prefix that the path has."""
         for route in self.routes_by_host.get(host, ()):
--- a/packages/serving/bergamotsaddle_serving/stage_owner.py
+++ b/packages/serving/bergamotsaddle_serving/stage_owner.py
@@ -253,23 +253,18 @@
 
     def open_queues(self) -> None:
         """Open a queue for each stage service, so that its load is published."""
-        configuration = self._view.configuration
-        if configuration is None:
-            return
-        for service in configuration.services_by_name.values():
-            if service.batching is not None:
-                self._queue(service.name)
+        for service in self._view.batching_by_service:
+            self._queue(service)
 
     def _queue(self, service: str) -> ServiceQueue | None:
-        configuration = self._view.configuration
-        declared = configuration and configuration.services_by_name.get(service)
-        if not declared or declared.batching is None:
+        batching = self._view.batching_by_service.get(service)
+        if batching is None:
             return None
         queue = self._queue_by_service.get(service)
         if queue is None:
-            queue = ServiceQueue(service, declared.batching, self._policy)
+            queue = ServiceQueue(service, batching, self._policy)
             self._queue_by_service[service] = queue
-        queue.queue.batching = declared.batching
+        queue.queue.batching = batching
         return queue
 
     def _has_targets(self, queue: ServiceQueue) -> bool:
--- a/packages/serving/bergamotsaddle_serving/stage_waits.py
+++ b/packages/serving/bergamotsaddle_serving/stage_waits.py
@@ -1,6 +1,7 @@
 """Expected times of stages at each queue, and the choice of a queue for each stage."""
 
 import math
+import sys
 from collections.abc import Sequence
 
 from bergamotsaddle_daemon.clock import now
@@ -162,11 +163,9 @@
 
     def ttl_seconds(self, service: str) -> float:
         """Return how long targets of a stage service keep results."""
-        declared = self._view.configuration.services_by_name.get(service)
-        if declared is None or declared.batching is None:
-            # Removed from the configuration since the stage started.
-            return 0.0
-        return declared.batching.ttl_seconds
+        batching = self._view.batching_by_service.get(service)
+        # Without it the service and its targets are gone, and the results with them.
+        return batching.ttl_seconds if batching is not None else 0.0
 
     def _times(self, service: str, place: int, plan: StagePlan) -> dict[str, float]:
         """Return the expected seconds at each queue that the plan does not avoid."""
@@ -179,13 +178,15 @@
 
     def _memory_in_pieces(self, service: str, scope: str, stage: Stage) -> int:
         """Return the results of a stage that one request may hold at a queue."""
-        declared = self._view.configuration.services_by_name[service].batching
+        batching = self._view.batching_by_service.get(service)
+        if batching is None:
+            return sys.maxsize
         scopes = [
             self._owner.scopes.of(service, known.target.zone)
             for known in self._view.usable(service)
         ]
         targets = scopes.count(scope)
-        memory = _MEMORY_FRACTION * declared.memory_bytes * max(1, targets)
+        memory = _MEMORY_FRACTION * batching.memory_bytes * max(1, targets)
         return max(1, int(memory / max(1, stage.result_bytes)))
 
     def _known_loads(self, service: str, place: int) -> _KnownLoads:
@@ -246,7 +247,7 @@
 
     def _unknown_load(self, service: str) -> StageLoad:
         """Return the load to expect at an owner that has not reported any."""
-        batching = self._view.configuration.services_by_name[service].batching
+        batching = self._view.batching_by_service.get(service)
         if batching is None:
             return _NO_TARGETS
         call = batching.seconds(1)
--- a/packages/serving/bergamotsaddle_serving/view.py
+++ b/packages/serving/bergamotsaddle_serving/view.py
@@ -6,7 +6,7 @@
 
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving.catalog import Configuration, Target
+from bergamotsaddle_serving.catalog import Batching, Configuration, Target
 from bergamotsaddle_serving.entry_table import Changes, EntryChange, EntryTable
 from bergamotsaddle_serving.messages import (
     Dialect,
@@ -55,6 +55,9 @@
 
     Attributes:
         configuration: The operators' configuration, None until it is known.
+        batching_by_service: How targets of each stage service run pieces, by the newest
+            configuration that says it. Requests go on with the stages that they began
+            with, so a service that is left out is kept while it has targets.
         evacuated_zones: Zones whose targets get no requests.
         targets_by_service: Listed targets of each service.
         target_by_address: Listed target at each address.
@@ -82,6 +85,7 @@
         self._callbacks: list[Callable[[], None]] = []
         self.on_confirm: Callable[[], None] = lambda: None
         self.configuration: Configuration | None = None
+        self.batching_by_service: dict[str, Batching] = {}
         self.evacuated_zones: set[str] = set()
         self._cold_until_by_zone: dict[str, float] = {}
         self.targets_by_service: dict[str, list[KnownTarget]] = {}
@@ -375,6 +379,11 @@
         if known is not None and decoded.version <= known.version:
             return
         self.configuration = decoded
+        self.batching_by_service = {
+            service: batching
+            for service, batching in self.batching_by_service.items()
+            if service in self.targets_by_service
+        } | decoded.batching_by_service()
         self._logger.info("configuration", version=decoded.version, source=source)
 
     def _apply_deletion(self, key: str) -> None:
--- a/tests/_zone_waves.py
+++ b/tests/_zone_waves.py
@@ -11,7 +11,7 @@
 from eventlet.event import Event
 
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving.catalog import Batching, Kind, Route, Service, Share, Stage
+from bergamotsaddle_serving.catalog import Batching, Kind, Route, Share, Stage
 from bergamotsaddle_serving.decisions.admission import Forecast, admits
 from bergamotsaddle_serving.decisions.engine_choice import (
     EngineView,
@@ -280,11 +280,10 @@
             ]
             for service in SERVICES
         }
-        services = {s: Service(s, 0, batching=BATCHING) for s in SERVICES}
         return mock.Mock(
             targets_by_service=group_by_service,
             usable=group_by_service.__getitem__,
-            configuration=mock.Mock(services_by_name=services),
+            batching_by_service=dict.fromkeys(SERVICES, BATCHING),
         )
 
     def _make_prompts(self) -> dict[str, list[tuple[PromptPart, ...]]]:
--- a/tests/test_serving_view.py
+++ b/tests/test_serving_view.py
@@ -10,6 +10,7 @@
 from bergamotsaddle_serving.messages import StoreEntry, StorePosition
 from bergamotsaddle_serving.view import LAPSE_GRACE_S, REWRITE_GRACE_S, View
 from tests._paused import advance
+from tests._stages import BATCHING
 
 TARGET = {
     "service": "s",
@@ -82,6 +83,28 @@
         self.apply(entry("op/config", 5, CONFIG, version=8))
         self.assertEqual(self.view.configuration.version, 9)
 
+    def test_stage_services_are_known_while_they_have_targets(self):
+        """Guards against a list that keeps the services of all versions."""
+        stage = {"name": "s", "pieces": BATCHING}
+        other = {"name": "other", "pieces": BATCHING}
+        slow = {"name": "s", "pieces": BATCHING | {"callMs": 900.0}}
+        self.apply(entry("servers/t", 1, TARGET))
+        for version, services, expected in (
+            (3, [stage, other], {"s": 0.15, "other": 0.15}),
+            (4, [slow], {"s": 0.9}),
+            (5, [], {"s": 0.9}),
+            (6, [{"name": "s"}], {"s": 0.9}),
+            (7, [stage], {"s": 0.15}),
+        ):
+            self.apply(
+                entry("op/config", version, CONFIG, version=version, services=services)
+            )
+            known = self.view.batching_by_service.items()
+            self.assertEqual({s: b.call_seconds for s, b in known}, expected)
+        self.apply(entry("servers/t", 8))
+        self.apply(entry("op/config", 9, CONFIG, version=9))
+        self.assertEqual(self.view.batching_by_service, {})
+
     @parameterized.expand(
         [
             ("no_state", {"state": "odd"}),
--- a/tests/test_stage_owner.py
+++ b/tests/test_stage_owner.py
@@ -1,5 +1,6 @@
 """Tests for stages that run through an owner's queue, with failing targets."""
 
+import itertools
 import unittest
 from collections import deque
 from unittest import mock
@@ -8,7 +9,7 @@
 import msgspec
 from parameterized import parameterized
 
-from bergamotsaddle_contracts.errors import RequestError
+from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_platform.dialect import PlatformDialect
 from bergamotsaddle_serving._stage_worker import ServiceQueue
@@ -41,6 +42,7 @@
 from bergamotsaddle_serving.stage_owner import StageOwner
 from bergamotsaddle_serving.stage_plan import StagePlan
 from bergamotsaddle_serving.stage_run import StageRun
+from bergamotsaddle_serving.stage_waits import StageWaits
 from bergamotsaddle_serving.stream_inputs import StreamInputs
 from bergamotsaddle_serving.suspects import MAX_CRASHES, Suspects
 from bergamotsaddle_serving.target_crashes import TargetCrashes
@@ -194,8 +196,9 @@
         started_at=None,
         has_objective=True,
         first_round=0,
+        waits=None,
     ):
-        """Start the stages of a request."""
+        """Start the stages of a request; without waits, all queues are in zone a."""
         route = ROUTE._replace(stages=stages)
         head = RequestHead(name, b"POST", b"/", "h", "", 8.0, pieces=pieces)
         plan = StagePlan(
@@ -215,9 +218,15 @@
             mock.Mock(),
             urgency=0,
             deadline_at=now() + 6.0,
-            choose_queues=lambda service, stage, count: [("a", count)],
+            choose_queues=lambda service, stage, count: (
+                [("a", count)]
+                if waits is None
+                else waits.choose_queues(service, stages[stage], count, 0, plan)
+            ),
             pending=PendingWork(),
-            ttl_seconds=lambda service: ttl_seconds,
+            ttl_seconds=(
+                (lambda service: ttl_seconds) if waits is None else waits.ttl_seconds
+            ),
             fingerprint=fingerprint,
             has_objective=has_objective,
             first_round=first_round,
@@ -237,6 +246,71 @@
         self.assertTrue(self.thread.dead, "the stages have not ended")
         return self.thread.wait()
 
+    def make_waits(self):
+        """Return the waits of the instance, which are known from its own queues."""
+        self.peers.roster.return_value.pending_by_queue = {}
+        return StageWaits(self.view, self.peers, self.owner)
+
+    def configure(self, services):
+        """Apply a later configuration that declares some services."""
+        config = {"version": 2, "routes": [], "services": services}
+        entry = StoreEntry("op/config", 91, msgspec.json.encode(config))
+        self.view.apply([entry], StorePosition(0, 91), source="test")
+
+    @parameterized.expand(
+        itertools.product(
+            [0.05, 0.25],
+            [("encode",), ("rerank",), ("encode", "rerank")],
+            [False, True],
+        )
+    )
+    def test_a_request_goes_on_without_removed_services(self, after, removed, is_plain):
+        """Guards against internal errors for requests that a new version crosses."""
+        self.start(waits=self.make_waits())
+        advance(after)
+        kept = [s for s in CONFIG["services"] if s["name"] not in removed]
+        plain = [{"name": name} for name in removed if is_plain]
+        self.configure([*kept, *plain])
+        end = self.finish(0.6)
+        self.assertNotIsInstance(end, RequestError)
+        self.assertEqual(len(end.handles), 3)
+        self.assertEqual([target for target, _ in self.calls.calls], ["t1", "t2"])
+
+    def test_a_request_goes_on_where_the_load_of_a_removed_service_is_unknown(self):
+        """Guards against internal errors beside an owner that reports no load."""
+        self.start(waits=self.make_waits())
+        advance(0.05)
+        self.configure([])
+        with mock.patch.object(self.owner, "loads", return_value={}):
+            end = self.finish(0.6)
+        self.assertEqual(len(end.handles), 3)
+
+    def test_results_of_a_removed_service_expire_as_declared(self):
+        """Guards against calls for inputs that targets no longer hold."""
+        waits = self.make_waits()
+        self.configure([])
+        self.assertEqual(waits.ttl_seconds("encode"), FOUR_PER_CALL.ttl_seconds)
+
+    def test_a_request_whose_removed_service_has_no_targets_has_not_run(self):
+        """Guards against internal errors where the targets are gone as well."""
+        self.start(waits=self.make_waits())
+        advance(0.05)
+        gone = StoreEntry("servers/t2", 90, None)
+        self.view.apply([gone], StorePosition(0, 90), source="test")
+        self.configure([CONFIG["services"][0]])
+        end = self.finish(6.0)
+        self.assertEqual(end.kind, ErrorKind.DEADLINE_INFEASIBLE)
+        self.assertEqual(end.ran, Ran.NO)
+
+    def test_a_request_whose_service_is_unknown_has_not_run(self):
+        """Guards against internal errors where no version is left that declares it."""
+        waits = self.make_waits()
+        self.view.batching_by_service = {}
+        self.start(waits=waits)
+        end = self.finish(6.0)
+        self.assertEqual(end.kind, ErrorKind.DEADLINE_INFEASIBLE)
+        self.assertEqual(end.ran, Ran.NO)
+
     def test_stages_run_in_order_and_results_are_released(self):
         self.start()
         end = self.finish(0.6)
