Wait for the processes of tests in real time

test_soak can stand still for good, at half a processor: on the code of before it did for 17 minutes beside load, its soak long gone (the test process was ended by hand, after 114 of its tests). Its limit of 90 s didn't end it.

Cause: test_soak and test_daemon_start had no hub of their own and ran on the paused one, whose clock no one moves. They read the output of a process, then wait for its end. When the output closes before the process is gone, that wait sleeps on the hub, which never comes to the end of the sleep or of the limit. Until then each read kept a processor busy with polls, beside the soak.

Change: both run on the running clock, as do the tests of the suite's run.

--- a/tests/test_daemon_start.py
+++ b/tests/test_daemon_start.py
@@ -10,8 +10,12 @@
 from eventlet.patcher import original
 
 from bergamotsaddle_serving.server import ServingServer
+from tests._paused import use_paused_clock, use_running_clock
 
 subprocess = original("subprocess")
+# A wait for the end of a process sleeps on the hub.
+setUpModule = use_running_clock
+tearDownModule = use_paused_clock
 
 TIMEOUT_S = 30.0
 # Modules that libraries import but no daemon uses.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,8 +18,12 @@
     Versions,
 )
 from bergamotsaddle_standins.soak_targets import Arrival, Ledger, Rest, Run, Told
+from tests._paused import use_paused_clock, use_running_clock
 
 subprocess = original("subprocess")
+# A wait for the end of a process sleeps on the hub.
+setUpModule = use_running_clock
+tearDownModule = use_paused_clock
 
 TIMEOUT_S = 90.0
 SOAK = ("-m", "bergamotsaddle_standins.soak")
--- a/tests/test_suite.py
+++ b/tests/test_suite.py
@@ -14,6 +14,11 @@
     runs_in_real_time,
     summarize,
 )
+from tests._paused import use_paused_clock, use_running_clock
+
+# A wait for the end of a process sleeps on the hub.
+setUpModule = use_running_clock
+tearDownModule = use_paused_clock
 
 PASSED = "known red: a\n..\nRan 2 tests in 0.1s\n\nOK\n"
 BROKEN = "known red: a\nF\nFAIL: test_a\nRan 1 test in 0.1s\n\nFAILED\n"
@@ -86,7 +91,7 @@
         expected = sorted(f"tests.{path.stem}" for path in HERE.glob("test_*.py"))
         self.assertEqual(sorted(side_by_side + in_real_time), expected)
         self.assertIn("tests.test_soak", in_real_time)
-        self.assertIn("tests.test_paused_hub", side_by_side)
+        self.assertIn("tests.test_gossip", side_by_side)
 
     @parameterized.expand(
         [
