Begin with the modules of tests that take longest

Nothing ran beside the longest modules at the end of the first part of a run (test_view_follower alone for 35 s). They begin first now. A module that fails names its failures as it ends.

--- a/packages/standins/bergamotsaddle_standins/suite.py
+++ b/packages/standins/bergamotsaddle_standins/suite.py
@@ -21,7 +21,23 @@
 _REAL_TIME = re.compile(
     r"use_running_clock|\bsubprocess\b|original\(\"time\"\)|process_time"
 )
+# Modules that take longest begin first, so that none of them runs alone at the end.
+_LONGEST = (
+    "test_hidden_fatal_requests",
+    "test_fatal_parts",
+    "test_limited_targets",
+    "test_fatal_requests",
+    "test_paused_engines",
+    "test_crashed_targets",
+    "test_engine_speeds",
+    "test_view_follower",
+    "test_crash_storms",
+    "test_gossip",
+    "test_suspects",
+    "test_peer_discovery",
+)
 _RAN = re.compile(r"^Ran ([0-9]+) tests? in ", re.MULTILINE)
+_FAILURE = re.compile(r"^(?:FAIL|ERROR): .*$", re.MULTILINE)
 _KNOWN_RED = re.compile(r"^known red: .*\n", re.MULTILINE)
 
 
@@ -46,6 +62,11 @@
         found = _RAN.search(self.output)
         return int(found[1]) if found else 0
 
+    @property
+    def failures(self) -> list[str]:
+        """The lines that name its failures; none of a module that has passed."""
+        return [] if self.has_passed else _FAILURE.findall(self.output)
+
     @property
     def has_passed(self) -> bool:
         """Whether tests ran, and none failed that is not expected to."""
@@ -60,7 +81,9 @@
 def find_modules(folder: Path) -> tuple[list[str], list[str]]:
     """Return names of the modules on clocks of their own, and of those in real time."""
     side_by_side, in_real_time = [], []
-    for path in sorted(folder.glob("test_*.py")):
+    rank = {name: number for number, name in enumerate(_LONGEST)}
+    paths = sorted(folder.glob("test_*.py"))
+    for path in sorted(paths, key=lambda path: rank.get(path.stem, len(rank))):
         is_real = runs_in_real_time(path.read_text())
         (in_real_time if is_real else side_by_side).append(f"{folder.name}.{path.stem}")
     return side_by_side, in_real_time
@@ -109,7 +132,7 @@
     result = run_module(name)
     verdict = "ok" if result.has_passed else "FAILED"
     line = f"{verdict:6} {result.count:4} tests {result.seconds:6.1f} s {name}"
-    print(line, flush=True)
+    print("\n".join([line, *result.failures]), flush=True)
     return result
 
 
--- a/tests/test_suite.py
+++ b/tests/test_suite.py
@@ -62,6 +62,11 @@
         self.assertIn("a!", report)
         self.assertIn("b!", report)
 
+    def test_failures_are_named_as_a_module_ends(self):
+        """Guards against runs that are ended before they say what has failed."""
+        self.assertEqual(make_result("a", 1, BROKEN).failures, ["FAIL: test_a"])
+        self.assertEqual(make_result("a").failures, [])
+
     def test_no_module(self):
         """Guards against a suite that is green as it found nothing to run."""
         self.assertEqual(summarize([], 0.0)[1], 1)
