Give each fleet of test_endless_targets an address of its own

A whole run beside those of others failed in setUpClass ("KeyError: VmRSS").

Cause: every run used 127.251.1.1. A daemon that found its address in use ended, the probe was answered by the daemon of the other run, and the memory of the ended process can't be read.

Change: a fleet holds a free address with the guard of the soaks.

--- a/tests/_endless_fleet.py
+++ b/tests/_endless_fleet.py
@@ -1,5 +1,6 @@
 """A real daemon before sound targets and one that never ends its responses."""
 
+import contextlib
 import random
 import re
 import sys
@@ -25,6 +26,7 @@
     SoakConfiguration,
     SoakTarget,
 )
+from bergamotsaddle_standins.soak_guard import AddressesInUseError, hold_addresses
 from bergamotsaddle_standins.soak_store import SoakStore
 from bergamotsaddle_standins.soak_targets import Ledger, RunningTarget
 
@@ -34,6 +36,8 @@
 BOOKINGS = "bookings-1"
 SERVICES = (BOOKINGS, LOOKUPS, ENGINE, RERANK)
 START_LIMIT_S = 20.0
+# Fleets of several test runs at the same time.
+MAX_FLEETS = 100
 SETTLE_S = 0.7
 WARM_S = 1.0
 # Repeats are no bound here, so that each request may go on at a sound target.
@@ -90,19 +94,20 @@
     Args:
         service: Service of the targets without end.
         has_sound: Whether the service has a sound target too.
-        number: Part of the daemon's address.
+        number: Part of the daemon's address, whose last part is one that is free.
     """
 
     def __init__(self, service, *, has_sound=False, number=1):
         self._service = service
         self._sound = [s for s in SERVICES if s != service or has_sound]
-        self.host = f"127.251.{number}.1"
+        self._net = f"127.251.{number}"
         self._ids = 0
         self._sick = None
 
     def __enter__(self):
         self._folder = tempfile.TemporaryDirectory()
         self._processes = []
+        self.host, self._guard = _hold_host(self._net)
         try:
             self._start()
         except BaseException:
@@ -114,6 +119,7 @@
         for process in self._processes:
             process.kill()
             process.wait()
+        self._guard.close()
         self._folder.cleanup()
 
     def _start(self):
@@ -295,6 +301,15 @@
         return [t.wait() for t in threads], [t.wait() for t in tries]
 
 
+def _hold_host(net):
+    """Return an address that no other fleet uses, and what keeps others from it."""
+    for part in range(1, MAX_FLEETS):
+        host = f"{net}.{part}"
+        with contextlib.suppress(AddressesInUseError):
+            return host, hold_addresses([host])
+    raise AssertionError(f"no address of {net} is free")
+
+
 def _is_ready(host):
     try:
         with socket.create_connection((host, 8001), timeout=1.0) as probe:
