Tell the owner of hedges what requests have earned, also without a question

Cause: an instance told what it had earned only when it wanted a hedge itself, and one of 75 has earned a small part of one by then.

Change: an instance tells 0.1 hedges or more once in five seconds at most, in a datagram without a response. Nothing is spent that was not earned and told, as before. Only where [hedging] is set.

--- a/packages/serving/bergamotsaddle_serving/decisions/hedge_pool.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/hedge_pool.py
@@ -3,10 +3,16 @@
 This module does no input or output.
 """
 
+from bergamotsaddle_daemon.clock import now
+
 # Hedges of calm times that may be saved for a target that turns slow.
 _MAX_SAVED = 10.0
 # The same at an instance that has not told them yet.
 _MAX_UNTOLD = 1.0
+# What an instance tells without wanting a hedge, and how often at most: the sum of what
+# hundreds of instances have earned is then known, and each of them rarely sends.
+_MIN_TOLD = 0.1
+_TELL_INTERVAL_S = 5.0
 
 
 class HedgePool:
@@ -15,8 +21,9 @@
     This serves services all of whose targets slow down together: each request is slow
     then, and hedges would double the load of targets that are behind already. Each
     request earns the share, and each hedge costs one. One instance owns the pool of a
-    service. The others add what their requests have earned when they want a hedge, so
-    that hundreds of instances with a request in some seconds each can use them.
+    service. The others tell it what their requests have earned when they want a hedge,
+    and from time to time: of hundreds of instances with a request in some seconds each,
+    one that wants a hedge has earned a small part of it.
 
     Nothing is spent that was not earned and told before. A pool that is lost with its
     owner, a message that is lost on its way, or an instance that ends with what it has
@@ -31,6 +38,7 @@
         self._max_share = max_share
         self._earned_by_service: dict[str, float] = {}
         self._saved_by_service: dict[str, float] = {}
+        self._told_at_by_service: dict[str, float] = {}
 
     @property
     def is_enabled(self) -> bool:
@@ -44,8 +52,22 @@
 
     def take_earned(self, service: str) -> float:
         """Return what this instance has earned since the last call, in hedges."""
+        self._told_at_by_service[service] = now()
         return self._earned_by_service.pop(service, 0.0)
 
+    def take_due(self, service: str) -> float:
+        """Return the same if it is to be told without a question, 0 if it is not."""
+        told_at = self._told_at_by_service.get(service)
+        is_early = told_at is not None and now() - told_at < _TELL_INTERVAL_S
+        if is_early or self._earned_by_service.get(service, 0.0) < _MIN_TOLD:
+            return 0.0
+        return self.take_earned(service)
+
+    def add(self, service: str, earned: float) -> None:
+        """Add what an instance has earned, in hedges."""
+        saved = self._saved_by_service.get(service, 0.0) + earned
+        self._saved_by_service[service] = min(_MAX_SAVED, saved)
+
     def grant(self, service: str, earned: float) -> bool:
         """Add what an instance has earned, and use a hedge if there is one.
 
@@ -56,7 +78,7 @@
         Returns:
             Whether the instance may send a hedge.
         """
-        saved = min(_MAX_SAVED, self._saved_by_service.get(service, 0.0) + earned)
-        is_granted = saved >= 1.0
-        self._saved_by_service[service] = saved - is_granted
+        self.add(service, earned)
+        is_granted = self._saved_by_service[service] >= 1.0
+        self._saved_by_service[service] -= is_granted
         return is_granted
--- a/packages/serving/bergamotsaddle_serving/hedge_exchange.py
+++ b/packages/serving/bergamotsaddle_serving/hedge_exchange.py
@@ -7,7 +7,11 @@
 
 from bergamotsaddle_serving.decisions.hedge_pool import HedgePool
 from bergamotsaddle_serving.owners import rank_owners
-from bergamotsaddle_serving.peer_messages import HedgeRequest, HedgeResponse
+from bergamotsaddle_serving.peer_messages import (
+    HedgeEarnings,
+    HedgeRequest,
+    HedgeResponse,
+)
 from bergamotsaddle_serving.peers import Peers
 
 # Several round trips between zones. The request is late already, so an owner that has
@@ -34,6 +38,9 @@
         peers.set_handler(
             HedgeResponse, lambda message, _: self._handle_response(message)
         )
+        peers.set_handler(
+            HedgeEarnings, lambda message, _: pool.add(message.service, message.earned)
+        )
 
     @property
     def is_enabled(self) -> bool:
@@ -41,14 +48,21 @@
         return self._pool.is_enabled
 
     def count_request(self, service: str) -> None:
-        """Count a repeatable request."""
+        """Count a repeatable request, and tell what is due."""
         self._pool.count_request(service)
+        earned = self._pool.take_due(service)
+        if not earned:
+            return
+        owner = self._owner_of(service)
+        if owner == self._peers.own.id:
+            self._pool.add(service, earned)
+        else:
+            self._peers.send(owner, HedgeEarnings(service, earned))
 
     def request(self, service: str) -> bool:
         """Return whether a hedge may be sent now, which uses it."""
         earned = self._pool.take_earned(service)
-        owners = rank_owners(self._peers, f"hedges of {service}", _EVERYWHERE)
-        owner = next(iter(owners), self._peers.own.id)
+        owner = self._owner_of(service)
         if owner == self._peers.own.id:
             return self._pool.grant(service, earned)
         message = HedgeRequest(next(self._numbers), service, earned)
@@ -62,6 +76,10 @@
         self._peers.verify(owner)
         return False
 
+    def _owner_of(self, service: str) -> str:
+        owners = rank_owners(self._peers, f"hedges of {service}", _EVERYWHERE)
+        return next(iter(owners), self._peers.own.id)
+
     def _handle_request(self, message: HedgeRequest, address: tuple[str, int]) -> None:
         is_granted = self._pool.grant(message.service, message.earned)
         self._peers.send_to(address, HedgeResponse(message.number, is_granted))
--- a/packages/serving/bergamotsaddle_serving/peer_messages.py
+++ b/packages/serving/bergamotsaddle_serving/peer_messages.py
@@ -225,6 +225,19 @@
     is_granted: bool
 
 
+class HedgeEarnings(Message, tag="Earned"):
+    """Tells the owner of a service's hedges what requests have earned.
+
+    Attributes:
+        service: Name of the service.
+        earned: What the sender's requests have earned since it told any owner, in
+            hedges.
+    """
+
+    service: str
+    earned: float
+
+
 class ReturnNotice(Message, tag="Told"):
     """Says that a rejected caller was told when to come back.
 
@@ -448,6 +461,7 @@
     | RateResponse
     | HedgeRequest
     | HedgeResponse
+    | HedgeEarnings
     | ReturnNotice
     | ReturnQuery
     | ReturnResponse
--- a/tests/test_hedge_exchange.py
+++ b/tests/test_hedge_exchange.py
@@ -85,6 +85,14 @@
         self.assertFalse(self.ask("a", requests=1))
         self.assertTrue(self.ask("b", requests=1))
 
+    def test_the_owner_hears_of_those_that_want_no_hedge(self):
+        """Guards against hedges that only those who are late can make known."""
+        exchange = self.exchange_by_name["b"]
+        for _ in range(3):
+            exchange.count_request("s")
+            advance(10.0)
+        self.assertTrue(self.ask("a", requests=0))
+
     def test_an_owner_that_is_killed(self):
         """Guards against late requests that wait for an owner that is gone."""
         self.links.lost.add("a")
--- a/tests/test_hedge_timer.py
+++ b/tests/test_hedge_timer.py
@@ -1,11 +1,13 @@
 """Times and limits of hedges."""
 
+import random
 import unittest
 
 from parameterized import parameterized
 
 from bergamotsaddle_serving.decisions.hedge_pool import HedgePool
 from bergamotsaddle_serving.decisions.hedge_timer import hedge_delay
+from tests._paused import advance, use_paused_clock
 
 
 class HedgeDelayTest(unittest.TestCase):
@@ -27,6 +29,9 @@
 class HedgePoolTest(unittest.TestCase):
     """How many hedges are allowed."""
 
+    def setUp(self):
+        use_paused_clock()
+
     def _use_all(self, pools, requests, *, owner=0):
         """Return how many hedges are granted if each request wants one.
 
@@ -67,6 +72,50 @@
         granted = self._use_all(pools, 10)
         self.assertLessEqual(granted, len(pools) + earned_in_storm + 1)
 
+    @parameterized.expand([(7,), (75,), (195,), (350,)])
+    def test_requests_of_instances_that_want_no_hedge_count(self, instances):
+        """Guards against hedges that are earned but never known to the owner.
+
+        Each instance gets a request in about five seconds. In the second half a bit
+        less than what is earned then is wanted.
+        """
+        share, requests = 0.05, 20
+        rng = random.Random(instances)
+        pools = [HedgePool(share) for _ in range(instances)]
+        wanted = granted = told = 0
+        for number in range(requests * instances):
+            pool = rng.choice(pools)
+            pool.count_request("s")
+            due = pool.take_due("s")
+            if due:
+                told += 1
+                pools[0].add("s", due)
+            if number >= requests * instances // 2 and number % 21 == 0:
+                wanted += 1
+                granted += pools[0].grant("s", pool.take_earned("s"))
+            advance(5.0 / instances)
+        self.assertLessEqual(granted, share * requests * instances)
+        self.assertGreaterEqual(granted, 0.9 * wanted)
+        self.assertLessEqual(told, requests * instances // 2)
+
+    def test_an_instance_rarely_tells(self):
+        """Guards against a datagram for each request of a busy instance."""
+        pool = HedgePool(1.0)
+        told = 0
+        for _ in range(1_000):
+            pool.count_request("s")
+            told += pool.take_due("s") > 0.0
+            advance(0.02)
+        self.assertLessEqual(told, 5)
+
+    def test_what_a_question_carried_is_not_told_again(self):
+        """Guards against hedges that are granted twice."""
+        pool = HedgePool(0.5)
+        pool.count_request("s")
+        self.assertEqual(pool.take_earned("s"), 0.5)
+        advance(60.0)
+        self.assertEqual(pool.take_due("s"), 0.0)
+
     def test_a_new_owner_starts_with_nothing(self):
         """Guards against hedges that are granted twice after the end of an owner."""
         pools = [HedgePool(0.1) for _ in range(5)]
