Hedge the first requests of an instance too

Cause: without an observed usual time no hedge was sent.

Change: a quarter of the objective stands for it until a response has been observed. The tests of the timer are as before, with rows for the assumed time.

--- a/packages/serving/bergamotsaddle_serving/decisions/hedge_timer.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/hedge_timer.py
@@ -9,6 +9,22 @@
 _EARLY_FACTOR = 2.0
 # The second target is given this many times the usual time before the objective.
 _SECOND_RUN_FACTOR = 1.5
+# The usual time before the first response, as a fraction of the objective: callers ask
+# for some times what a response usually takes.
+_UNKNOWN_FRACTION = 0.25
+
+
+def usual_or_assumed(usual: float, objective: float) -> float:
+    """Return the usual seconds of a response, or what its objective lets expect.
+
+    In a large fleet an instance gets so few requests for a service that many of these
+    are its first one.
+
+    Args:
+        usual: Usual seconds as this instance observed them, 0 if it observed none.
+        objective: Seconds in which callers want the response.
+    """
+    return usual or _UNKNOWN_FRACTION * objective
 
 
 def hedge_delay(usual: float, objective: float) -> float:
--- a/packages/serving/bergamotsaddle_serving/plain_run.py
+++ b/packages/serving/bergamotsaddle_serving/plain_run.py
@@ -30,7 +30,7 @@
 )
 from bergamotsaddle_serving.context import Context
 from bergamotsaddle_serving.decisions.admission import add_jitter
-from bergamotsaddle_serving.decisions.hedge_timer import hedge_delay
+from bergamotsaddle_serving.decisions.hedge_timer import hedge_delay, usual_or_assumed
 from bergamotsaddle_serving.health import TargetState
 from bergamotsaddle_serving.messages import Dispatch, RawHeaders
 from bergamotsaddle_serving.placement_exchange import (
@@ -595,11 +595,13 @@
             The end of a run, None if all targets are slow.
         """
         context = self._context
-        usual = self._server.selector.usual_seconds(context.service.name)
-        due = context.started_at + context.route.objective - now()
+        objective = context.route.objective
+        observed = self._server.selector.usual_seconds(context.service.name)
+        usual = usual_or_assumed(observed, objective)
+        due = context.started_at + objective - now()
         delay = hedge_delay(usual, due)
         self._race.start(run.target.id, run.read_to_end)
-        if not usual or delay >= run.limit:
+        if delay >= run.limit:
             return self._wait()
         finish = self._race.wait(timeout=min(delay, context.remaining))
         if finish is not None:
--- a/tests/test_hedge_timer.py
+++ b/tests/test_hedge_timer.py
@@ -6,7 +6,7 @@
 from parameterized import parameterized
 
 from bergamotsaddle_serving.decisions.hedge_pool import HedgePool
-from bergamotsaddle_serving.decisions.hedge_timer import hedge_delay
+from bergamotsaddle_serving.decisions.hedge_timer import hedge_delay, usual_or_assumed
 from tests._paused import advance, use_paused_clock
 
 
@@ -25,6 +25,11 @@
     def test_delay(self, _, usual, objective, expected):
         self.assertAlmostEqual(hedge_delay(usual, objective), expected)
 
+    @parameterized.expand([(0.04, 0.2, 0.04), (0.0, 0.2, 0.05), (0.0, 4.0, 1.0)])
+    def test_usual_seconds_without_a_response(self, usual, objective, expected):
+        """Guards against first requests of an instance that never get a hedge."""
+        self.assertAlmostEqual(usual_or_assumed(usual, objective), expected)
+
 
 class HedgePoolTest(unittest.TestCase):
     """How many hedges are allowed."""
