Leave a repeat to requests that fail before a hedge is sent

Cause: a hedge took the last repeat of an instance, and the repeat was looked for after the hedge had been granted.

Change: a hedge is requested only while two repeats are left, so that a failed request finds one. A lost response is worse than a slow one.

Evidence: replays of requests at a slow target with two repeats (one hedge, two before) and one (none; the pool is not asked).

--- a/packages/serving/bergamotsaddle_serving/plain_run.py
+++ b/packages/serving/bergamotsaddle_serving/plain_run.py
@@ -60,6 +60,9 @@
 _BROKEN_PAUSE_S = 0.5
 # The response of a target that failed is forwarded so long before the deadline.
 _FORWARD_S = 0.02
+# A hedge leaves a repeat to requests that fail: a lost response is worse than a slow
+# one.
+_MIN_HEDGE_REPEATS = 2
 _OVERTAKEN = "overtaken"
 # How a hedge ends.
 _WON = "won"
@@ -616,10 +619,14 @@
         return self._wait()
 
     def _may_send_hedge(self) -> bool:
-        """Return whether another target has a free slot, and a hedge is left."""
+        """Return whether another target is free, and repeats and a hedge are left.
+
+        The hedge is requested last, since that uses it up.
+        """
         found = self._pick_responsive(self._tried | self._broken_at_by_id.keys())
         service = self._context.service.name
-        if found is None or not found.has_free_slot:
+        repeats = self._server.budget.remaining(service)
+        if found is None or not found.has_free_slot or repeats < _MIN_HEDGE_REPEATS:
             self._record_hedge(_NO_TARGET)
             return False
         if not self._server.hedges.request(service):
--- a/tests/test_plain_hedges.py
+++ b/tests/test_plain_hedges.py
@@ -72,6 +72,8 @@
         used_repeats=0,
         busy=0,
         is_suspect=False,
+        is_quarantined=False,
+        usual=USUAL_S,
         turns_slow_at=0.0,
         lost=(),
     ):
@@ -86,6 +88,8 @@
             used_repeats: Number of repeats that were used just before.
             busy: Requests of other instances at each target.
             is_suspect: Whether targets have ended under the requests.
+            is_quarantined: Whether they are not to be sent again.
+            usual: Usual seconds that the instance observed, 0 before it observed any.
             turns_slow_at: When targets begin to follow their scripts; they are sound
                 before.
             lost: Numbers of targets in a zone that is cut off.
@@ -118,7 +122,7 @@
             pick_least_loaded=lambda service, exclude, _: pick(service, exclude),
             may_send=lambda candidate: True,
             reserve=lambda *_: True,
-            usual_seconds=lambda service: USUAL_S,
+            usual_seconds=lambda service: usual,
         )
         selector.permit_wait.return_value = None
         budget = RetryBudget(bounds, lambda: 6)
@@ -136,7 +140,7 @@
                 has_ended_with_target=lambda target: False,
                 suspects=mock.Mock(
                     is_suspect=lambda fingerprint: is_suspect,
-                    is_quarantined=lambda fingerprint: False,
+                    is_quarantined=lambda fingerprint: is_quarantined,
                 ),
             ),
             hedges=hedges,
@@ -175,6 +179,11 @@
         self.assertEqual(self.closed, [0])
         self.assertLess(self.seconds[0], OBJECTIVE_S)
 
+    def test_the_first_request_of_an_instance(self):
+        """Guards against requests without a hedge at instances that know nothing."""
+        self.assertEqual(self.serve(SLOW, SOUND, usual=0.0), 1)
+        self.assertLess(self.seconds[0], OBJECTIVE_S)
+
     def test_the_first_target_wins(self):
         """Guards against a response that is lost to a hedge that is slower."""
         first = Script(0.16, 0.16)
@@ -202,8 +211,10 @@
             ("must_run_once", {"route": ROUTE._replace(kind=Kind.ONCE)}),
             ("one_attempt", {"route": ROUTE._replace(attempts=1)}),
             ("no_repeat_is_left", {"bounds": ONE_REPEAT, "used_repeats": 1}),
+            ("one_repeat_is_left", {"bounds": ONE_REPEAT}),
             ("others_are_full", {"busy": 4}),
             ("targets_ended_under_it", {"is_suspect": True}),
+            ("quarantined", {"is_quarantined": True}),
             ("others_are_cut_off", {"lost": (1, 2)}),
         ]
     )
@@ -239,6 +250,19 @@
             self.serve(Script(0.9, 0.9), max_share=0.5)
         self.assertLessEqual(len(looks), 6)
 
+    def test_hedges_leave_a_repeat_to_requests_that_fail(self):
+        """Guards against lost responses because slow ones used up the repeats."""
+        two = BOUNDS._replace(retry_ratio=0.0, retry_extra=20)
+        self.assertEqual(self.serve(SLOW, SOUND, SOUND, requests=3, bounds=two), 1)
+        self.assertEqual(self.used, [[0, 1], [0], [0]])
+
+    def test_a_request_without_repeats_uses_up_no_hedge(self):
+        """Guards against hedges that are granted to requests that may not use them."""
+        options = {"requests": 2, "max_share": 0.5, "bounds": ONE_REPEAT}
+        with mock.patch.object(LoneHedges, "request") as request:
+            self.serve(SLOW, SOUND, **options)
+        request.assert_not_called()
+
     def test_a_silent_target_is_tried_elsewhere_without_a_hedge(self):
         """Guards against a limit on hedges that also limits ordinary repeats."""
         silent = Script(9.0, 9.0)
