Compare the runs of a plain target with those of their own route

Cause, shown in part: the owner compares the seconds of a run with the usual seconds of its target, whatever the route.

Change: the report of a run's end names its route. A run is compared with the usual seconds of its route, and a target has a pace relative to the others. Only where requests are placed by an owner.

Evidence: a target that reports 2.5 beside quick requests counted 0.57, 2.5 now; one of two equal targets that gets the quick ones was expected to take 7 ms, the other one 50, now within a fifth.

--- a/packages/serving/bergamotsaddle_serving/decisions/target_slowdowns.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/target_slowdowns.py
@@ -18,8 +18,12 @@
 # Usual seconds of a request before the first one has ended, as for ``TargetState``.
 _INITIAL_SECONDS = 0.05
 _MIN_SECONDS = 0.001
-# Weight of each run in the usual seconds of its target.
+# Weight of each run in the pace of its target, and in the usual seconds of its route:
+# what a single target changes is mostly attributed to it.
 _RUN_WEIGHT = 0.1
+_ROUTE_WEIGHT = 0.03
+# Routes whose usual seconds are remembered.
+_MAX_ROUTES = 256
 # Reports are believed while this fraction of the latest runs took about the time that
 # they predicted.
 _MIN_TRUST = 0.5
@@ -31,12 +35,12 @@
 class _TargetSpeed:
     """What is known about the speed of one incarnation of a target.
 
-    Args:
-        usual: Usual seconds of a request, as far as other targets tell.
+    Attributes:
+        pace: Usual seconds of a request, as a multiple of those at all targets.
     """
 
-    def __init__(self, usual: float) -> None:
-        self.usual = usual
+    def __init__(self) -> None:
+        self.pace = 1.0
         self.reported = 1.0
         self.reported_at = float("-inf")
         self.measured = 1.0
@@ -61,10 +65,16 @@
     many hears of a target too rarely to notice. The owner of a service's queue hears of
     all requests; each of them brings a report, which is no better than its age.
     Reports that the seconds of runs contradict are replaced by these seconds.
+
+    The routes of a service differ in their work, so each run is compared with the usual
+    seconds of its own route. Quick ones would otherwise contradict true reports, and
+    the target that happened to get the last one would look fast.
     """
 
     def __init__(self) -> None:
-        self._has_runs = False
+        # Usual seconds at all targets, None before the first run.
+        self._mean: float | None = None
+        self._mean_by_route: dict[str, float] = {}
         self._speed_by_incarnation: dict[tuple[str, int], _TargetSpeed] = {}
 
     def __len__(self) -> int:
@@ -78,6 +88,7 @@
         seconds: float | None = None,
         slowdown: float | None = None,
         age: float = 0.0,
+        route: str = "",
     ) -> None:
         """Record the end of a run.
 
@@ -86,30 +97,37 @@
             seconds: Seconds that the run took, None if it was not completed.
             slowdown: Reported multiple of the usual time, None if there is none.
             age: Seconds since the report was sent.
+            route: Name of the route of the request.
         """
-        speed = self._speed_by_incarnation.get(incarnation)
-        if speed is None:
-            speed = _TargetSpeed(self.typical())
-            self._speed_by_incarnation[incarnation] = speed
-        is_first = not self._has_runs
+        speed = self._speed_by_incarnation.setdefault(incarnation, _TargetSpeed())
         at = now()
         if slowdown is not None and at - age >= speed.reported_at:
             speed.reported = _clamp(slowdown)
             speed.reported_at = at - max(0.0, age)
         if seconds is None:
             return
-        self._has_runs = True
-        if slowdown is not None and not is_first:
-            expected = speed.usual * _clamp(slowdown)
-            is_right = 1 / _CONTRADICTION < seconds / expected < _CONTRADICTION
-            speed.weigh_trust(is_right)
-        speed.measured = _clamp(seconds / speed.usual)
-        speed.measured_at = at
+        mean = self._mean_by_route.get(route)
+        if mean is not None:
+            usual = mean * speed.pace
+            if slowdown is not None:
+                factor = seconds / (usual * _clamp(slowdown))
+                speed.weigh_trust(1 / _CONTRADICTION < factor < _CONTRADICTION)
+            speed.measured = _clamp(seconds / usual)
+            speed.measured_at = at
         divisor = _clamp(slowdown) if slowdown and speed.is_believed else 1.0
-        usual = max(_MIN_SECONDS, seconds / divisor)
-        # The first run of all replaces a value that stands for all services.
-        weight = 1.0 if is_first else _RUN_WEIGHT
-        speed.usual += weight * (usual - speed.usual)
+        self._learn(speed, route, max(_MIN_SECONDS, seconds / divisor))
+
+    def _learn(self, speed: _TargetSpeed, route: str, seconds: float) -> None:
+        """Learn from the seconds of a run as they would usually be."""
+        at_all = seconds / speed.pace
+        mean = self._mean if self._mean is not None else at_all
+        self._mean = mean + _ROUTE_WEIGHT * (at_all - mean)
+        # One that has not been used for longest makes room.
+        route_mean = self._mean_by_route.pop(route, at_all)
+        self._mean_by_route[route] = route_mean + _ROUTE_WEIGHT * (at_all - route_mean)
+        if len(self._mean_by_route) > _MAX_ROUTES:
+            del self._mean_by_route[next(iter(self._mean_by_route))]
+        speed.pace += _RUN_WEIGHT * (seconds / route_mean - speed.pace)
 
     def slowdown(self, incarnation: tuple[str, int]) -> float:
         """Return the multiple of the usual time that work takes now."""
@@ -123,13 +141,17 @@
     def usual(self, incarnation: tuple[str, int]) -> float:
         """Return the seconds of a request when the target is as usual."""
         speed = self._speed_by_incarnation.get(incarnation)
-        return speed.usual if speed is not None else self.typical()
+        return self._usual_of(speed) if speed is not None else self.typical()
 
     def typical(self) -> float:
         """Return the usual seconds of a request at the median target."""
         if not self._speed_by_incarnation:
             return _INITIAL_SECONDS
-        return median(speed.usual for speed in self._speed_by_incarnation.values())
+        return median(map(self._usual_of, self._speed_by_incarnation.values()))
+
+    def _usual_of(self, speed: _TargetSpeed) -> float:
+        mean = self._mean if self._mean is not None else _INITIAL_SECONDS
+        return mean * speed.pace
 
     def expected(self, incarnation: tuple[str, int]) -> float:
         """Return the seconds that a request takes if it starts now."""
--- a/packages/serving/bergamotsaddle_serving/peer_messages.py
+++ b/packages/serving/bergamotsaddle_serving/peer_messages.py
@@ -329,6 +329,7 @@
         slowdown: Multiple of the usual time that the target reported, None if it
             reported none.
         age: Seconds since that report.
+        route: Name of the route of the request, empty if it was not completed.
     """
 
     number: int
@@ -337,6 +338,7 @@
     seconds: float | None = None
     slowdown: float | None = None
     age: float = 0.0
+    route: str = ""
 
 
 class Submit(Message):
--- a/packages/serving/bergamotsaddle_serving/placement_exchange.py
+++ b/packages/serving/bergamotsaddle_serving/placement_exchange.py
@@ -71,6 +71,7 @@
         candidate: The target.
         owner: Id of the instance that granted it.
         number: Number of the request for it.
+        route: Name of the route of the request.
 
     Attributes:
         candidate: The target.
@@ -83,7 +84,9 @@
         *,
         owner: str,
         number: int,
+        route: str,
     ) -> None:
+        self._route = route
         self._exchange = exchange
         self._owner = owner
         self._number = number
@@ -101,7 +104,16 @@
         if since is not None and state.load is not None and state.load_at >= since:
             slowdown, age = state.load.slowdown, now() - state.load_at
         service = self.candidate.target.service
-        self._exchange.end(self._owner, service, self._number, seconds, slowdown, age)
+        done = PlaceDone(
+            self._number,
+            self._exchange.own_id,
+            service,
+            seconds,
+            slowdown,
+            age,
+            self._route if seconds is not None else "",
+        )
+        self._exchange.end(self._owner, done)
 
 
 class _OwnedQueue:
@@ -156,6 +168,11 @@
         )
         peers.set_handler(PlaceDone, lambda message, _: self._handle_done(message))
 
+    @property
+    def own_id(self) -> str:
+        """Id of this instance."""
+        return self._peers.own.id
+
     @property
     def waiting(self) -> int:
         """Number of requests that wait in the queues of this instance."""
@@ -230,35 +247,27 @@
             if candidate is None:
                 return None
             holds_place = False
-            return GrantedPlace(self, candidate, owner=owner, number=request.number)
+            return GrantedPlace(
+                self,
+                candidate,
+                owner=owner,
+                number=request.number,
+                route=context.route.name,
+            )
         finally:
             # The caller may have left while the request waited.
             del self._inbox_by_number[request.number]
             if holds_place:
-                self.end(owner, service, request.number)
+                self.end(owner, PlaceDone(request.number, own.id, service))
 
-    def end(
-        self,
-        owner: str,
-        service: str,
-        number: int,
-        seconds: float | None = None,
-        slowdown: float | None = None,
-        age: float = 0.0,
-    ) -> None:
+    def end(self, owner: str, done: PlaceDone) -> None:
         """Tell an owner that a request has left its place, or waits no longer.
 
         Args:
             owner: Id of the owner.
-            service: The plain service.
-            number: Number of the request for the place.
-            seconds: Seconds that the run took, None if it was not completed.
-            slowdown: Multiple of the usual time that the target reported.
-            age: Seconds since that report.
+            done: What it is told.
         """
-        own = self._peers.own.id
-        done = PlaceDone(number, own, service, seconds, slowdown, age)
-        if owner == own:
+        if owner == self.own_id:
             self._handle_done(done)
         else:
             self._peers.send(owner, done)
@@ -468,5 +477,6 @@
                 seconds=message.seconds,
                 slowdown=message.slowdown,
                 age=message.age,
+                route=message.route,
             )
         self._renew(message.service, owned)
--- a/tests/_plain_loads.py
+++ b/tests/_plain_loads.py
@@ -20,6 +20,7 @@
 
 ONE_WAY_S = 0.0014
 WORK_S = 0.045
+QUICK_S = 0.006
 SLOTS = 6
 HEARTBEAT_S = 0.4
 NOISE_S = 0.6
@@ -63,13 +64,13 @@
         is_noisy = number > 0 and now() < self._noisy_from[number - 1] + NOISE_S
         return NOISE_FACTOR if is_noisy else 1.0
 
-    def run(self):
-        """Run a request; return what the response reports."""
+    def run(self, work=WORK_S):
+        """Run a request of some seconds of work; return what the response reports."""
         self.held += 1
         self.served += 1
         self.max_held = max(self.max_held, self.held)
         with self._slots:
-            left = WORK_S
+            left = work
             while left > 1e-9:
                 slowdown = self.slowdown()
                 step = min(left * slowdown, self._until_change())
@@ -97,12 +98,14 @@
         seconds: Seconds until its end.
         is_refused: Whether it was refused.
         retry_after: Seconds after which its caller may return.
+        route: Name of its route.
     """
 
     sent_at: float
     seconds: float
     is_refused: bool = False
     retry_after: float = 0.0
+    route: str = "usual"
 
 
 class JointPlacement:
@@ -114,11 +117,20 @@
         objective: Seconds within which a request is on time.
         deadline: Seconds after which its caller gives up.
         lie: Slowdown that the first target reports, None for the true one.
+        quick: Fraction of the requests that come by a route with little work.
     """
 
     def __init__(
-        self, targets, *, report_age=0.0, objective=0.274, deadline=1.318, lie=None
+        self,
+        targets,
+        *,
+        report_age=0.0,
+        objective=0.274,
+        deadline=1.318,
+        lie=None,
+        quick=0.0,
     ):
+        self._quick = quick
         self._targets = {t.target.id: t for t in targets}
         self._places = [
             Place(t.target.id, t.target.incarnation, t.target.zone, SLOTS)
@@ -136,6 +148,9 @@
     def serve(self, instance, *, urgency=0, team=""):
         """Serve one request and return how it ended."""
         sent_at = now()
+        route = "usual"
+        if self._quick and random.random() < self._quick:
+            route = "quick"
         self._number += 1
         key = (f"i{instance}", self._number)
         eventlet.sleep(ONE_WAY_S)
@@ -159,10 +174,11 @@
         target = self._targets[outcome.target]
         started_at = now()
         eventlet.sleep(ONE_WAY_S)
-        load = target.run()
+        load = target.run(QUICK_S if route == "quick" else WORK_S)
         eventlet.sleep(ONE_WAY_S)
-        reply = Reply(sent_at, now() - sent_at)
-        eventlet.spawn_after(ONE_WAY_S, self._end, key, now() - started_at, load)
+        reply = Reply(sent_at, now() - sent_at, route=route)
+        seconds = now() - started_at
+        eventlet.spawn_after(ONE_WAY_S, self._end, key, seconds, load, route)
         return reply
 
     def tick(self):
@@ -171,7 +187,7 @@
             eventlet.sleep(0.02)
             self._renew()
 
-    def _end(self, key, seconds, load):
+    def _end(self, key, seconds, load, route):
         place = self.queue.end(key)
         slowdown = load.slowdown if self._age is not None else None
         if self._lie is not None and place is self._places[0]:
@@ -180,15 +196,15 @@
         if place is None:
             return
         if not self._age:
-            self._learn(place, seconds, slowdown)
+            self._learn(place, seconds, slowdown, route)
         else:
-            eventlet.spawn_after(self._age, self._learn, place, None, slowdown)
-            self._learn(place, seconds, None)
+            eventlet.spawn_after(self._age, self._learn, place, None, slowdown, route)
+            self._learn(place, seconds, None, route)
 
-    def _learn(self, place, seconds, slowdown):
+    def _learn(self, place, seconds, slowdown, route):
         age = self._age or 0.0
         self.slowdowns.record(
-            place.incarnation, seconds=seconds, slowdown=slowdown, age=age
+            place.incarnation, seconds=seconds, slowdown=slowdown, age=age, route=route
         )
 
     def _renew(self):
--- a/tests/test_target_slowdowns.py
+++ b/tests/test_target_slowdowns.py
@@ -21,9 +21,11 @@
         self.record(OTHER, USUAL_S, 1.0)
         self.record(TARGET, USUAL_S, 1.0)
 
-    def record(self, incarnation, seconds, slowdown, age=0.0):
+    def record(self, incarnation, seconds, slowdown, age=0.0, route=""):
         """Record the end of a run."""
-        self.slowdowns.record(incarnation, seconds=seconds, slowdown=slowdown, age=age)
+        self.slowdowns.record(
+            incarnation, seconds=seconds, slowdown=slowdown, age=age, route=route
+        )
 
     @parameterized.expand([(0.0, 2.5), (0.5, 1.75), (1.0, 1.0), (9.0, 1.0)])
     def test_a_report_counts_less_with_its_age(self, age, expected):
@@ -61,6 +63,24 @@
             self.record(TARGET, 3.0 * USUAL_S, None)
         self.assertGreater(self.slowdowns.expected(TARGET), 2.5 * USUAL_S)
 
+    def test_quick_routes_do_not_contradict_reports(self):
+        """Guards against true reports that are dropped beside requests of less work."""
+        for _ in range(30):
+            self.record(TARGET, 0.1 * USUAL_S, 1.0, route="quick")
+            self.record(TARGET, USUAL_S, 1.0, route="long")
+            self.record(OTHER, USUAL_S, 1.0, route="long")
+        for _ in range(6):
+            self.record(TARGET, 0.25 * USUAL_S, 2.5, route="quick")
+        self.assertAlmostEqual(self.slowdowns.slowdown(TARGET), 2.5)
+
+    def test_a_target_of_quick_requests_does_not_look_fast(self):
+        """Guards against targets that are chosen for the route of their last runs."""
+        for _ in range(30):
+            self.record(TARGET, 0.1 * USUAL_S, None, route="quick")
+            self.record(OTHER, USUAL_S, None, route="long")
+        expected = self.slowdowns.expected
+        self.assertLess(expected(OTHER), 1.2 * expected(TARGET))
+
     def test_another_incarnation_inherits_nothing(self):
         """Guards against reports that outlive the process that sent them."""
         self.record(TARGET, None, 2.5)
