--- a/tests/test_plain_queue.py
+++ b/tests/test_plain_queue.py
@@ -67,6 +67,14 @@
         old = percentile(noisy("old", seed)[1], 0.99)
         self.assertLessEqual(old, without)
 
+    @parameterized.expand([(1,), (2,), (3,)])
+    def test_quick_requests_leave_equal_targets_equal(self, seed):
+        """Guards against targets that look fast for the route of their last runs."""
+        make = partial(JointPlacement, quick=0.6)
+        targets, _, placement = replay(make, arrivals=[(100, 3.0)], seed=seed)
+        seconds = [placement.slowdowns.usual(t.target.incarnation) for t in targets]
+        self.assertLess(max(seconds), 1.2 * min(seconds))
+
     def test_one_false_report_of_a_million_leaves_the_percentile(self):
         """Guards against a target that takes itself out by what it says."""
         before = percentile(noisy("local", 1)[1], 0.99)
