--- a/packages/serving/bergamotsaddle_serving/peer_messages.py
+++ b/packages/serving/bergamotsaddle_serving/peer_messages.py
@@ -225,6 +225,19 @@
     is_granted: bool
 
 
+class HedgeEarnings(Message, tag="Earned"):
+    """Tells the owner of a service's hedges what requests have earned.
+
+    Attributes:
+        service: Name of the service.
+        earned: What the sender's requests have earned since it told any owner, in
+            hedges.
+    """
+
+    service: str
+    earned: float
+
+
 class ReturnNotice(Message, tag="Told"):
     """Says that a rejected caller was told when to come back.
 
@@ -316,6 +329,7 @@
         slowdown: Multiple of the usual time that the target reported, None if it
             reported none.
         age: Seconds since that report.
+        route: Name of the route of the request, empty if it was not completed.
     """
 
     number: int
@@ -324,6 +338,7 @@
     seconds: float | None = None
     slowdown: float | None = None
     age: float = 0.0
+    route: str = ""
 
 
 class Submit(Message):
@@ -448,6 +463,7 @@
     | RateResponse
     | HedgeRequest
     | HedgeResponse
+    | HedgeEarnings
     | ReturnNotice
     | ReturnQuery
     | ReturnResponse
--- a/packages/serving/bergamotsaddle_serving/plain_run.py
+++ b/packages/serving/bergamotsaddle_serving/plain_run.py
@@ -30,7 +30,7 @@
 )
 from bergamotsaddle_serving.context import Context
 from bergamotsaddle_serving.decisions.admission import add_jitter
-from bergamotsaddle_serving.decisions.hedge_timer import hedge_delay
+from bergamotsaddle_serving.decisions.hedge_timer import hedge_delay, usual_or_assumed
 from bergamotsaddle_serving.health import TargetState
 from bergamotsaddle_serving.messages import Dispatch, RawHeaders
 from bergamotsaddle_serving.placement_exchange import (
@@ -60,6 +60,9 @@
 _BROKEN_PAUSE_S = 0.5
 # The response of a target that failed is forwarded so long before the deadline.
 _FORWARD_S = 0.02
+# A hedge leaves a repeat to requests that fail: a lost response is worse than a slow
+# one.
+_MIN_HEDGE_REPEATS = 2
 _OVERTAKEN = "overtaken"
 # How a hedge ends.
 _WON = "won"
@@ -595,11 +598,13 @@
             The end of a run, None if all targets are slow.
         """
         context = self._context
-        usual = self._server.selector.usual_seconds(context.service.name)
-        due = context.started_at + context.route.objective - now()
+        objective = context.route.objective
+        observed = self._server.selector.usual_seconds(context.service.name)
+        usual = usual_or_assumed(observed, objective)
+        due = context.started_at + objective - now()
         delay = hedge_delay(usual, due)
         self._race.start(run.target.id, run.read_to_end)
-        if not usual or delay >= run.limit:
+        if delay >= run.limit:
             return self._wait()
         finish = self._race.wait(timeout=min(delay, context.remaining))
         if finish is not None:
@@ -614,10 +619,14 @@
         return self._wait()
 
     def _may_send_hedge(self) -> bool:
-        """Return whether another target has a free slot, and a hedge is left."""
+        """Return whether another target is free, and repeats and a hedge are left.
+
+        The hedge is requested last, since that uses it up.
+        """
         found = self._pick_responsive(self._tried | self._broken_at_by_id.keys())
         service = self._context.service.name
-        if found is None or not found.has_free_slot:
+        repeats = self._server.budget.remaining(service)
+        if found is None or not found.has_free_slot or repeats < _MIN_HEDGE_REPEATS:
             self._record_hedge(_NO_TARGET)
             return False
         if not self._server.hedges.request(service):
