Tell estimates of an engine's speed in finer steps

Cause: each of 75 instances measures an engine about once in 45 s and starts from the shared figure. It told its estimate only if that moved by 0.3 octaves, for which one measurement must be twice or half the figure. A first figure just below a limit of a pace stayed there whatever the others measured.

Change: an estimate of the time of an event is told if it moved as far as one measurement moves it that is as far off as the two limits of a pace are apart. The rate of messages stays bounded as before.

--- a/packages/serving/bergamotsaddle_serving/decisions/engine_speeds.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/engine_speeds.py
@@ -3,6 +3,7 @@
 This module does no input or output.
 """
 
+import math
 from collections.abc import Callable, Sequence
 from enum import IntEnum
 from statistics import median
@@ -11,7 +12,12 @@
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.catalog import Target, fact_key
 from bergamotsaddle_serving.decisions.reporting_services import ReportingServices
-from bergamotsaddle_serving.decisions.shared_figures import FigureSender, SharedFigures
+from bergamotsaddle_serving.decisions.shared_figures import (
+    MEASUREMENT_WEIGHT,
+    NOTABLE_OCTAVES,
+    FigureSender,
+    SharedFigures,
+)
 from bergamotsaddle_serving.gossip import Gossip, Topic
 from bergamotsaddle_serving.peer_messages import Fact
 from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
@@ -67,6 +73,11 @@
 _FAST_LIMITS = (0.75, 0.9)
 _SLOW_LIMITS = (1.4, 1.15)
 _VERY_SLOW_LIMITS = (2.6, 2.0)
+# Difference of an estimate that is told: that which one measurement makes that is as
+# far off as the limits of a pace are from each other. Each instance measures an engine
+# rarely and starts from the shared figure, so what none of them tells is lost, and a
+# figure just below a limit would stay there whatever they measure.
+_NOTABLE_WRITING = MEASUREMENT_WEIGHT * math.log2(_FAST_LIMITS[1] / _FAST_LIMITS[0])
 
 
 class EngineSpeed:
@@ -207,7 +218,9 @@
         self._mostly_measured: set[str] = set()
         self._refreshed_at: dict[str, float] = {}
         self._reading = self._make_figures(sender, READING, _READING_FACTOR)
-        self._writing = self._make_figures(sender, WRITING, _EVENT_SECONDS)
+        self._writing = self._make_figures(
+            sender, WRITING, _EVENT_SECONDS, notable=_NOTABLE_WRITING
+        )
         gossip.subscribe(HOMES, self._on_pace, priority=lambda key: _PRIORITY)
 
     def is_learnt(self, service: str) -> bool:
@@ -292,7 +305,12 @@
         return sum(pace >= Pace.SLOW for pace in self._pace_by_key.values())
 
     def _make_figures(
-        self, sender: FigureSender, topic: Topic, limits: tuple[float, float]
+        self,
+        sender: FigureSender,
+        topic: Topic,
+        limits: tuple[float, float],
+        *,
+        notable: float = NOTABLE_OCTAVES,
     ) -> SharedFigures:
         lowest, highest = limits
         return SharedFigures(
@@ -301,6 +319,7 @@
             topic,
             lowest=lowest,
             highest=highest,
+            notable=notable,
             on_change=self._update,
         )
 
--- a/packages/serving/bergamotsaddle_serving/decisions/shared_figures.py
+++ b/packages/serving/bergamotsaddle_serving/decisions/shared_figures.py
@@ -11,9 +11,9 @@
 from bergamotsaddle_serving.peer_messages import Fact
 
 # What a new measurement counts against the earlier ones.
-_WEIGHT = 0.3
+MEASUREMENT_WEIGHT = 0.3
 # Difference from the shared figure that is worth a message, as a power of two.
-_NOTABLE_OCTAVES = 0.3
+NOTABLE_OCTAVES = 0.3
 _DECIMALS = 2
 # An instance sends what has changed together, at most once in this time.
 _MIN_PAUSE_S = 2.0
@@ -93,6 +93,7 @@
         topic: Topic of the figures.
         lowest: Lowest figure; lower ones count as this one.
         highest: Highest figure; higher ones count as this one.
+        notable: Difference from the shared figure that is told, as a power of two.
         on_change: Called with the key of a figure that has changed or was dropped.
     """
 
@@ -104,6 +105,7 @@
         *,
         lowest: float,
         highest: float,
+        notable: float = NOTABLE_OCTAVES,
         on_change: Callable[[str], None] = lambda key: None,
     ) -> None:
         self.topic = topic
@@ -111,6 +113,7 @@
         self._sender = sender
         self._lowest = math.log2(lowest)
         self._highest = math.log2(highest)
+        self._notable = notable
         self._on_change = on_change
         self._octaves_by_key: dict[str, float] = {}
         self._shared_by_key: dict[str, float] = {}
@@ -122,10 +125,12 @@
             return
         measured = self._clamp(math.log2(value))
         known = self._octaves_by_key.get(key)
-        octaves = measured if known is None else known + _WEIGHT * (measured - known)
+        octaves = measured
+        if known is not None:
+            octaves = known + MEASUREMENT_WEIGHT * (measured - known)
         self._octaves_by_key[key] = octaves
         shared = self._shared_by_key.get(key)
-        if shared is None or abs(octaves - shared) >= _NOTABLE_OCTAVES:
+        if shared is None or abs(octaves - shared) >= self._notable:
             self._sender.offer(self.topic, key, lambda: self._take(key))
         self._on_change(key)
 
--- a/tests/test_engine_speeds.py
+++ b/tests/test_engine_speeds.py
@@ -141,6 +141,28 @@
             self.assertIn(speed.pace, (Pace.SLOW, Pace.VERY_SLOW))
             self.assertLess(speed.weight, 1.0)
 
+    @parameterized.expand(
+        [
+            ("slow", 1.38, 1.8, Pace.SLOW),
+            ("fast", 0.77, 0.6, Pace.FAST),
+            ("usual", 1.3, 1.0, Pace.USUAL),
+        ]
+    )
+    def test_first_figure_that_is_off(self, _, first, relative, pace):
+        """Guards against a first figure that stays, as each instance measures once.
+
+        An engine counted as usual all day though each of its streams showed that it
+        was slow, and its callers left before their streams ended.
+        """
+        instances = make_instances(75)
+        target = self.targets.pop()
+        measure_all(instances, self.targets, {}, rounds=3)
+        measure(instances[-1], target, first * USUAL_S)
+        for instance in instances[:20]:
+            measure(instance, target, relative * USUAL_S)
+        paces = {instance.speeds.of(target).pace for instance in instances}
+        self.assertEqual(paces, {pace})
+
     @parameterized.expand(
         [
             ("huge", 1e9, 8.0),
