Let the admission of streams name what it needs of their server

Callers saw nothing. Cause: the new module referred back to streams.py, which imports it, one more edge of a circle of imports. A protocol names the parts that it needs, as hedged_read does. test_room, test_stream_ends, test_stream_versions passed.

--- a/packages/serving/bergamotsaddle_serving/stream_admission.py
+++ b/packages/serving/bergamotsaddle_serving/stream_admission.py
@@ -1,6 +1,6 @@
 """Admits one stream, or rejects it with the time at which its caller may return."""
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 from bergamotsaddle_contracts.errors import ErrorKind
 from bergamotsaddle_daemon.clock import now
@@ -13,11 +13,39 @@
 )
 from bergamotsaddle_serving.decisions.engine_choice import EngineChoice
 from bergamotsaddle_serving.decisions.return_times import ReturnTime, has_time
-from bergamotsaddle_serving.decisions.stream_ends import EndForecast, Outlook
-from bergamotsaddle_serving.room import Patience
+from bergamotsaddle_serving.decisions.stream_ends import (
+    EndForecast,
+    EndTrials,
+    Outlook,
+)
+from bergamotsaddle_serving.decisions.urgency_distribution import UrgencyDistribution
+from bergamotsaddle_serving.metrics import Metrics
+from bergamotsaddle_serving.policy import Policy
+from bergamotsaddle_serving.room import Patience, Room
+from bergamotsaddle_serving.stage_plan import StagePlan
+
+
+class AdmittingServer(Protocol):
+    """What the admission of streams needs to know of their server.
+
+    Attributes:
+        room: Decides who gets room that is short.
+        urgencies: How urgent recent requests were.
+        end_trials: Decides which hopeless streams run nonetheless.
+        policy: Enabled mechanisms.
+        metrics: Counts callers that came when told, and hopeless streams.
+        logger: Logs decisions.
+    """
+
+    room: Room
+    urgencies: UrgencyDistribution
+    end_trials: EndTrials
+    policy: Policy
+    metrics: Metrics
+    logger: Any
 
-if TYPE_CHECKING:
-    from bergamotsaddle_serving.streams import StreamServer
+    def plan(self, context: Context, zone: str, finish_seconds: float) -> StagePlan:
+        """Return the plan of a request's stages."""
 
 
 class _Assessment(NamedTuple):
@@ -43,7 +71,7 @@
         server: Server of the stream.
     """
 
-    def __init__(self, server: "StreamServer") -> None:
+    def __init__(self, server: AdmittingServer) -> None:
         self._server = server
         self._is_missed = False
         # Whether the caller came when told. Its place holds for each engine that is
