Show that streams go on at a replica that has other software by now

A replica's software is known from its entry in the store only. While the store is silent, a replica that crashes and starts again under its id with other software is used as what its last entry says, though the machine has logged that this lifetime has ended. Streams of the old version go on there, and callers get the events of both as a whole answer (ORDER).

--- a/review/common/replicas.py
+++ b/review/common/replicas.py
@@ -50,6 +50,7 @@
 
     Attributes:
         id: Its id.
+        version: Version of its software.
         runs: The requests that it has begun to work on.
         sheds: Decides whether it rejects a request although it has room.
         doubles: Decides whether an answer comes once more, where the next answer on
@@ -86,6 +87,8 @@
         self._waiting = 0
         self._free = asyncio.Semaphore(slots)
         self._born = int(time.time() * 1000)
+        self.version = "v1"
+        self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
         self._beats: asyncio.Task | None = None
 
@@ -104,7 +107,7 @@
             "service": self.service,
             "address": f"{host}:{port}",
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": self._slots,
             "state": state,
             "coldRemainingMs": 0,
@@ -116,9 +119,36 @@
     async def _beat(self) -> None:
         await asyncio.sleep(self._rng.uniform(0.0, _BEAT_S))
         while True:
-            self.register()
+            await self._register_when_heard()
             await asyncio.sleep(_BEAT_S)
 
+    async def _register_when_heard(self) -> None:
+        while self._store.is_silent:
+            await asyncio.sleep(0.05)
+        self.register()
+
+    async def restart(self, version: str, seconds: float) -> None:
+        """Stop at once, and start again under the same id with other software.
+
+        Args:
+            version: The version that it has then.
+            seconds: How long it is down.
+        """
+        self._beats.cancel()
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        self._write(f"{self.id} stops")
+        await asyncio.sleep(seconds)
+        self.version = version
+        self._born = int(time.time() * 1000)
+        self._server = await asyncio.start_server(
+            self._serve, *self.address, limit=_BUFFER
+        )
+        self._write(f"{self.id} starts again with {version}")
+        await self._register_when_heard()
+        self._beats = asyncio.create_task(self._beat())
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -305,6 +335,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         try:
             while (request := await read_message(reader)) is not None:
                 if "x-request-id" in request.headers:
@@ -316,6 +347,7 @@
         except (OSError, asyncio.IncompleteReadError):
             return
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _stream(self, request: Message, writer: asyncio.StreamWriter) -> None:
@@ -340,7 +372,7 @@
             lines = ["HTTP/1.1 200 OK", *(f"{n}: {v}" for n, v in headers.items())]
             writer.write("\r\n".join([*lines, "", ""]).encode())
             for number in range(first, self.events + 1):
-                data = f"id: {number}\ndata: part {number}\n\n".encode()
+                data = f"id: {number}\ndata: part {number} {self.version}\n\n".encode()
                 writer.write(b"%x\r\n%b\r\n" % (len(data), data))
                 await writer.drain()
                 await asyncio.sleep(self.event_seconds)
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -10,12 +10,18 @@
 # The store takes 4 ms an answer.
 _ANSWER_S = 0.004
 _PAGE_ITEMS = 500
+_POLL_S = 0.05
 
 
 class Store:
-    """The store, with one revision counter and the history of all writes."""
+    """The store, with one revision counter and the history of all writes.
+
+    Attributes:
+        is_silent: Whether it answers nobody and takes no writes of replicas.
+    """
 
     def __init__(self) -> None:
+        self.is_silent = False
         self._revision = 100
         self._item_by_key: dict[str, dict] = {}
         self._events: list[dict] = []
@@ -69,6 +75,9 @@
             while (request := await read_message(reader)) is not None:
                 status, body = await self._answer(request)
                 await asyncio.sleep(_ANSWER_S)
+                if self.is_silent:
+                    await self._wait_until_heard()
+                    return
                 headers = {"Content-Type": "application/json", "Store-Era": "1"}
                 data = json.dumps(body).encode()
                 writer.write(response_bytes(status, headers, data))
@@ -78,6 +87,11 @@
         finally:
             writer.close()
 
+    async def _wait_until_heard(self) -> None:
+        """Wait for the end of a silence; what was asked in it is never answered."""
+        while self.is_silent:
+            await asyncio.sleep(_POLL_S)
+
     async def _answer(self, request: Message) -> tuple[int, dict]:
         url = urlsplit(request.target)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
