Read whose response it is before what it promises (TWICE, REFUSED)

Cause: Attempt._check_head looked at X-Not-Executed and status 421 before it compared X-Request-Id. A late second copy of the rejection of the request before on a connection was therefore read as a rejection of the next one. Responses without an id passed everywhere.

Ruled out: a target that rejects what it has begun (the copy names A), a send behind an unknown outcome (ran is "no").

Change: response_identity decides whether a response belongs to its request, before anything in it counts: it names the request, or it names none and is the first on its connection. Otherwise the outcome is unknown and the connection is closed. Connections tell whether they have carried another request; attempt_failed names the response's id. Stand-ins for connections say that they are new.

Conclusion: the cause is mended for all that goes through Attempt; stage calls follow.

--- a/packages/serving/bergamotsaddle_serving/attempt.py
+++ b/packages/serving/bergamotsaddle_serving/attempt.py
@@ -20,6 +20,7 @@
 from bergamotsaddle_serving.context import Context
 from bergamotsaddle_serving.health import TargetState
 from bergamotsaddle_serving.messages import Dialect, Dispatch, HttpCall, ResponseHead
+from bergamotsaddle_serving.response_identity import is_own_response
 from bergamotsaddle_serving.response_memory import MemoryShortError, Remainder
 
 T = TypeVar("T")
@@ -181,6 +182,7 @@
             raise NotRunError("left")
         self.is_sent = context.progress.is_sent = True
         context.progress.is_framed = None
+        context.progress.response_id = ""
         size = self._read(lambda: connection.send(call, limit=limit))
         if on_sent is not None:
             on_sent(size)
@@ -323,9 +325,12 @@
         self._return_connection()
 
     def _check_head(self, head: RawResponseHead) -> Response:
-        self._context.progress.is_framed = head.is_framed
+        progress = self._context.progress
+        progress.is_framed = head.is_framed
         self._pool.last_response_at = now()
         decoded = self._dialect.read_response(head.headers)
+        progress.response_id = decoded.request_id
+        self._check_identity(decoded)
         self._keep_alive_seconds = decoded.keep_alive_seconds
         self._state.record_load(decoded.load)
         self._state.record_response(head.status, decoded)
@@ -334,11 +339,6 @@
         if decoded.not_run or head.status == _MISDIRECTED:
             self._drain()
             raise NotRunError("refused", head.status)
-        if decoded.request_id and decoded.request_id != self._context.head.id:
-            # A late response to an earlier request. The one to this request may still
-            # come, but the two can't be told apart any more on this connection.
-            self._state.record_failure(is_certain=False)
-            raise OutcomeUnknownError("crossed")
         if decoded.is_encoded or (head.is_success and not decoded.is_signed):
             self._state.record_failure(is_certain=False)
             raise OutcomeUnknownError("unsigned")
@@ -347,6 +347,21 @@
         self._state.record_limit(decoded.limit)
         return Response(head, decoded)
 
+    def _check_identity(self, decoded: ResponseHead) -> None:
+        """Check that a response belongs to this request before anything it says counts.
+
+        Raises:
+            OutcomeUnknownError: If it may belong to an earlier request.
+        """
+        is_own = is_own_response(
+            decoded.request_id,
+            self._context.head.id,
+            is_reused=self._connection.is_reused,
+        )
+        if not is_own:
+            self._state.record_failure(is_certain=False)
+            raise OutcomeUnknownError("crossed")
+
     def _drain(self) -> None:
         try:
             self._connection.read_body(limit=0.1, max_bytes=65_536)
--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -178,6 +178,7 @@
     Attributes:
         address: Address that it is connected to.
         memory: Memory for bodies. Unless it is replaced, only their size is limited.
+        is_reused: Whether it has carried other requests before.
         on_endless: Called with the address and the error when more comes than a
             response may have.
 
@@ -188,6 +189,7 @@
     def __init__(self, address: Address, *, limit: float = CONNECT_LIMIT_S) -> None:
         self.address = address
         self.memory = UNLIMITED
+        self.is_reused = False
         self.on_endless: OnEndless = ignore_endless
         self._turn = Turn(_PARTS_A_TURN)
         # Bytes of the current response, and those of its body among them.
@@ -396,6 +398,7 @@
         if self._h11.our_state is not h11.DONE:
             return False
         self._h11.start_next_cycle()
+        self.is_reused = True
         self._sender = None
         self._received_bytes = self._body_bytes = self._interim_responses = 0
         self._has_head = False
--- a/packages/serving/bergamotsaddle_serving/context.py
+++ b/packages/serving/bergamotsaddle_serving/context.py
@@ -21,11 +21,14 @@
         is_sent: Whether any byte of it was sent to a target that might run it.
         is_framed: Whether the last response states where its body ends, None before
             its head has arrived.
+        response_id: Id of the request that the last response names, empty if it names
+            none.
     """
 
     def __init__(self) -> None:
         self.is_sent = False
         self.is_framed: bool | None = None
+        self.response_id = ""
 
 
 class Context(NamedTuple):
--- a/packages/serving/bergamotsaddle_serving/plain_run.py
+++ b/packages/serving/bergamotsaddle_serving/plain_run.py
@@ -250,6 +250,7 @@
             target=self.target.id,
             reason=reason,
             framed=context.progress.is_framed,
+            response_id=context.progress.response_id,
             ran=ran,
             in_flight=self.state.in_flight,
             open=others,
--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -714,6 +714,7 @@
             reason=reason,
             status=status,
             framed=context.progress.is_framed,
+            response_id=context.progress.response_id,
             ran=ran,
             last_event=self._output.last_id,
             runs=self._possible_runs,
--- a/packages/standins/bergamotsaddle_standins/virtual_targets.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_targets.py
@@ -228,6 +228,7 @@
     ) -> None:
         self.is_silent = False
         self.is_whole = False
+        self.is_reused = False
         self._targets = targets
         self._target = target
         self._instance = instance
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -100,7 +100,7 @@
         """Guards against a limit that a rejection removes by not repeating it."""
         recorded = []
         state = TargetState(TARGET, lambda target, limit: recorded.append(limit))
-        connection = mock.Mock()
+        connection = mock.Mock(is_reused=False)
         connection.read_head.return_value = RawResponseHead(status, [])
         dialect = mock.Mock()
         dialect.read_response.return_value = ResponseHead(
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -75,6 +75,7 @@
     """
 
     def __init__(self, script, on_close):
+        self.is_reused = False
         self._script = script
         self._on_close = on_close
         self._sent_at = now()
--- a/tests/test_plain_places.py
+++ b/tests/test_plain_places.py
@@ -60,7 +60,7 @@
     def acquire(self, address, *, limit):
         """Return a connection to a target."""
         self.used.append(address.port)
-        connection = mock.Mock()
+        connection = mock.Mock(is_reused=False)
         connection.send.return_value = 0
         connection.read_body.return_value = b"done"
         connection.read_head.return_value = RawResponseHead(
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -30,7 +30,7 @@
 
     def connection(self, status, headers, body=b"[]"):
         """Return a connection on which one response arrives."""
-        connection = mock.Mock()
+        connection = mock.Mock(is_reused=False)
         head = RawResponseHead(status, [LEAVING, *headers])
         connection.read_head.return_value = head
         connection.exchange.return_value = head, body
