Name the request in all rejections of the soak's targets

Cause: the stand-in named the request in one rejection of three; a rejection that names none on a used connection counts as an unknown outcome now. The check is unchanged.

--- a/packages/standins/bergamotsaddle_standins/soak_targets.py
+++ b/packages/standins/bergamotsaddle_standins/soak_targets.py
@@ -254,7 +254,7 @@
                     start_response,
                     None,
                     status="421 Misdirected Request",
-                    headers=(("Not-Run", "1"),),
+                    headers=_not_run(environ),
                 )
             if environ["PATH_INFO"] not in _FREE_PATHS:
                 self._record_arrival(environ)
@@ -284,7 +284,8 @@
         environ["wsgi.input"].read()
         instance = environ["HTTP_INSTANCE"]
         self._ledger.rests.append(Rest(instance, self.id, now(), _REST_S))
-        headers = (("Not-Run", "1"), ("Rest", str(_REST_S)), *self._notices(environ))
+        rest = ("Rest", str(_REST_S))
+        headers = (*_not_run(environ), rest, *self._notices(environ))
         return respond_json(
             start_response, None, status="503 Service Unavailable", headers=headers
         )
@@ -357,11 +358,7 @@
             self._rejected_at = []
             self._ledger.falls.append(now())
             eventlet.spawn_n(self._fall)
-        headers = (
-            ("Not-Run", "1"),
-            ("Id", environ["HTTP_ID"]),
-            *self._notices(environ),
-        )
+        headers = (*_not_run(environ), *self._notices(environ))
         return respond_json(
             start_response, None, status="503 Service Unavailable", headers=headers
         )
@@ -494,3 +491,9 @@
     for part in parts:
         eventlet.sleep(pause)
         yield part
+
+
+def _not_run(environ: Environ) -> tuple[tuple[str, str], ...]:
+    """Return the headers of a rejection, which names its request if that has an id."""
+    named = (("Id", environ["HTTP_ID"]),) if "HTTP_ID" in environ else ()
+    return (("Not-Run", "1"), *named)
