Let streams go on after a loss of all instances if no other version can have begun them (LOST)

Six targets of one version served all the while.

Cause: whether the versions of the past are known was a flag that another instance set, or ten minutes of running, whatever the age of the stream. With all instances lost nobody could set it, though the store knows what served.

Evidence: resumption_refused with an empty known_by for all take-ups; new streams began. A trial on the code before: after 20 s of an up-to-date view of one version, origin_unknown. Ruled out: no room, no target listed.

Change: SoftwareHistory knows since when all versions are known. StreamAges bounds the age of a stream by the route's limit and the deadlines that callers name. Entries carry the revision of their creation; [store] history_s is what the platform promises.

Conclusion: LOST is mended for one version. Two versions at the loss stay refused, see docs/incidents/rejoined.md.

--- a/packages/serving/bergamotsaddle_serving/follower.py
+++ b/packages/serving/bergamotsaddle_serving/follower.py
@@ -14,7 +14,14 @@
     OnEndless,
     ignore_endless,
 )
-from bergamotsaddle_serving.messages import Dialect, HttpCall, StorePage
+from bergamotsaddle_serving.messages import (
+    Dialect,
+    HttpCall,
+    StoreEntry,
+    StorePage,
+    StorePosition,
+)
+from bergamotsaddle_serving.past_software import PastSoftware
 from bergamotsaddle_serving.settings import ServingSettings
 from bergamotsaddle_serving.view import View
 from bergamotsaddle_serving.view_freshness import ViewFreshness
@@ -43,6 +50,8 @@
 _OK = 200
 _GONE = 410
 _TOO_MANY = 429
+# Tries to read the history behind a snapshot.
+_MAX_HISTORY_READS = 2
 
 
 def batch_pause(fleet_size: int) -> float:
@@ -96,6 +105,7 @@
         on_regained: Called when the store has returned after an outage.
         on_endless: Called with the address and the error when more comes than a
             response may have.
+        past: Reads which versions served before a snapshot, None if nothing needs it.
     """
 
     def __init__(
@@ -121,6 +131,7 @@
         self.on_refused: Callable[[], None] = lambda: None
         self.on_regained: Callable[[], None] = lambda: None
         self.on_endless: OnEndless = ignore_endless
+        self.past: PastSoftware | None = None
 
     def is_refused(self) -> bool:
         """Return whether the store has failed for longer than a cut watch takes."""
@@ -196,7 +207,36 @@
         is_new_era = self._view.has_snapshot and position.era > self._view.position.era
         self._confirm(requested_at, is_new_era=is_new_era)
         entries = [entry for page in pages for entry in page.entries]
+        is_first = not self._view.has_snapshot
         self._view.replace(entries, position, source="store")
+        if is_first and self.past is not None:
+            self._read_past(self.past, entries, position, requested_at)
+
+    def _read_past(
+        self,
+        past: PastSoftware,
+        entries: list[StoreEntry],
+        position: StorePosition,
+        listed_at: float,
+    ) -> None:
+        """Read what the store knows of versions that served before a snapshot."""
+
+        def watch(revision: int) -> list[StoreEntry] | None:
+            call = self._dialect.watch_entries(revision, 0.0)
+            response = self._call(call, self._freshness.response_timeout)
+            if response.era != position.era:
+                raise _StoreError("the store came back from an older copy")
+            if response.status == _GONE:
+                return None
+            return self._decode_page(response).entries
+
+        for _ in range(_MAX_HISTORY_READS):
+            try:
+                past.read(entries, position.revision, watch, listed_at=listed_at)
+                return
+            except (ConnectionLostError, _StoreError, ValueError) as error:
+                # Streams of unknown origin are refused for longer without it.
+                self._logger.warning("past_software_unknown", reason=str(error))
 
     def _read_page(self, after: str) -> StorePage:
         response = self._call(
--- a/packages/serving/bergamotsaddle_serving/messages.py
+++ b/packages/serving/bergamotsaddle_serving/messages.py
@@ -227,6 +227,7 @@
         era: Era of the store in which it was read.
         deleted_value: For a deletion, the value that the entry had, None if unknown.
         earlier_revisions: Revisions of the last versions before it, as far as known.
+        created: Store revision at which the entry was created, 0 if unknown.
     """
 
     key: str
@@ -235,6 +236,7 @@
     era: int = 0
     deleted_value: bytes | None = None
     earlier_revisions: tuple[int, ...] = ()
+    created: int = 0
 
     @property
     def position(self) -> StorePosition:
--- a/packages/serving/bergamotsaddle_serving/resumption.py
+++ b/packages/serving/bergamotsaddle_serving/resumption.py
@@ -9,10 +9,8 @@
 from bergamotsaddle_serving.catalog import Service, Target
 from bergamotsaddle_serving.context import Context
 from bergamotsaddle_serving.origin_exchange import OriginExchange
-from bergamotsaddle_serving.software_history import (
-    MAX_STREAM_AGE_S,
-    SoftwareHistory,
-)
+from bergamotsaddle_serving.software_history import SoftwareHistory
+from bergamotsaddle_serving.stream_ages import MAX_STREAM_AGE_S, StreamAges
 from bergamotsaddle_serving.stream_origins import (
     CONFLICTING_ORIGIN,
     KnownStream,
@@ -68,6 +66,7 @@
         self._history = history
         self._view = view
         self._logger = logger
+        self._ages = StreamAges()
         self._begun_lately: deque[_BegunStream] = deque()
         view.subscribe(self._mark_replaced)
 
@@ -83,6 +82,7 @@
         """
         head = context.head
         if not head.is_resumption:
+            self._ages.record(context.route, head.deadline)
             return context
         started_at = now()
         origin, known_by = self._find_origin(context)
@@ -96,6 +96,7 @@
             service=origin.service if origin else context.service.name,
             software=origin.software if origin else "",
             known_by=known_by,
+            age=self._ages.limit(context.route, head.deadline),
             reason=reason,
             seconds=round(now() - started_at, 4),
         )
@@ -164,7 +165,8 @@
             if found is not None:
                 return found
         service = context.service.name
-        software = self._history.sole_version(service)
+        age = self._ages.limit(context.route, context.head.deadline)
+        software = self._history.sole_version(service, seconds=age)
         if software is None or len(context.route.shares) > 1:
             return None, ""
         return StreamOrigin(service, software), _SOLE_VERSION
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -38,6 +38,7 @@
 from bergamotsaddle_serving.metrics import Metrics
 from bergamotsaddle_serving.named_limits import BRITTLENESS, NamedLimits
 from bergamotsaddle_serving.origin_exchange import OriginExchange
+from bergamotsaddle_serving.past_software import PastSoftware
 from bergamotsaddle_serving.peers import Peers
 from bergamotsaddle_serving.placement_exchange import PlacementExchange
 from bergamotsaddle_serving.plain import PlainServer
@@ -202,6 +203,9 @@
         )
         self.software_history = history
         self.gossip_exchange.on_agreement = history.learn_from
+        self.store.past = PastSoftware(
+            history, dialect, logger, kept_seconds=settings.store.history
+        )
         self.origins = StreamOrigins()
         self.origin_exchange = OriginExchange(self.origins, self.peers)
         resumptions = Resumptions(self.origin_exchange, history, self.view, logger)
--- a/packages/serving/bergamotsaddle_serving/software_history.py
+++ b/packages/serving/bergamotsaddle_serving/software_history.py
@@ -1,15 +1,16 @@
 """Which versions of each service's software have served lately."""
 
+from math import inf
 from typing import Any
 
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.gossip import Gossip, Topic
 from bergamotsaddle_serving.peer_messages import Heartbeat
 from bergamotsaddle_serving.peers import Peers
+from bergamotsaddle_serving.software_evidence import SoftwareEvidence
+from bergamotsaddle_serving.stream_ages import MAX_STREAM_AGE_S
 from bergamotsaddle_serving.view import View
 
-# No caller waits for longer, so no stream that began earlier is resumed.
-MAX_STREAM_AGE_S = 600.0
 _VERSIONS = Topic("software", ttl_seconds=MAX_STREAM_AGE_S, max_facts=5_000)
 _SERVED = 1.0
 _PRIORITY = 50.0
@@ -17,6 +18,8 @@
 # An instance whose view was out of date learns within this time from the others which
 # versions came and went meanwhile.
 _SETTLE_S = 3.0
+# Views may list a target for this long after it has left.
+_MAX_VIEW_LAG_S = 6.0
 
 
 class SoftwareHistory:
@@ -25,7 +28,8 @@
     A stream whose origin is unknown may go on only at such a service. Each instance
     records the versions that its view lists. A version that has left the list is known
     from the instances that have seen it; one that has just started has all of them
-    once it agrees with an instance that has.
+    once it agrees with an instance that has. If none is left, the store may prove
+    which versions served before.
 
     Args:
         gossip: Carries the versions to instances that have not seen them.
@@ -51,22 +55,22 @@
         self._view = view
         self._logger = logger
         self._max_view_age = max_view_age
-        self._started_at = now()
         self._versions_by_service: dict[str, set[str]] = {}
-        self._is_complete = is_first_start
-        self._outdated_at = float("-inf")
+        # Time since which all versions that instances listed are known.
+        self._known_since = -inf if is_first_start else inf
+        self._outdated_at = -inf
         gossip.subscribe(_VERSIONS, self._on_fact, priority=lambda key: _PRIORITY)
         view.subscribe(self.refresh)
         peers.own_has_history = self.is_complete
 
     def is_complete(self) -> bool:
         """Return whether all versions of the last ten minutes are known."""
-        if not self._is_complete and now() - self._started_at > MAX_STREAM_AGE_S:
-            self._complete("age")
-        return self._is_complete
+        return self._known_since <= now() - MAX_STREAM_AGE_S
 
     def refresh(self) -> None:
         """Record that the listed versions serve, or that the view is out of date."""
+        if self._view.has_snapshot:
+            self._known_since = min(self._known_since, now())
         if self._view.age() > self._max_view_age:
             self._outdated_at = now()
         for service, software in self._view.software_versions():
@@ -74,24 +78,48 @@
 
     def learn_from(self, heartbeat: Heartbeat) -> None:
         """Learn from the heartbeat of an instance that holds the same facts."""
-        if heartbeat.has_history and not self._is_complete:
-            self._complete(heartbeat.sender.id)
+        if heartbeat.has_history and not self.is_complete():
+            self._known_since = -inf
+            self._logger.info("software_history_complete", source=heartbeat.sender.id)
 
-    def sole_version(self, service: str) -> str | None:
+    def learn_from_store(self, evidence: SoftwareEvidence, listed_at: float) -> None:
+        """Learn what the store proves about the time before this instance started.
+
+        Args:
+            evidence: What it proves.
+            listed_at: When the store was asked, on the hub's clock.
+        """
+        for service, software in evidence.versions:
+            self._gossip.record(_VERSIONS, _key(service, software), _SERVED)
+        self._known_since = min(self._known_since, listed_at - evidence.seconds)
+
+    def sole_version(
+        self, service: str, *, seconds: float = MAX_STREAM_AGE_S
+    ) -> str | None:
         """Return the only version that may have begun streams of a service.
 
+        Args:
+            service: Name of the service.
+            seconds: Age of the oldest stream that counts.
+
         Returns:
             The version, None if there were several or it is not certain.
         """
         self.refresh()
-        if not self.is_complete() or now() - self._outdated_at < _SETTLE_S:
+        if not self._is_known_for(seconds) or not self._is_current():
             return None
         versions = self._versions_by_service.get(service, ())
         return next(iter(versions)) if len(versions) == 1 else None
 
-    def _complete(self, source: str) -> None:
-        self._is_complete = True
-        self._logger.info("software_history_complete", source=source)
+    def _is_known_for(self, seconds: float) -> bool:
+        """Return whether all versions are known that streams may have begun at."""
+        if self.is_complete():
+            return True
+        return self._known_since <= now() - seconds - _MAX_VIEW_LAG_S
+
+    def _is_current(self) -> bool:
+        """Return whether no version can have come and gone behind an outdated view."""
+        return now() - self._outdated_at >= _SETTLE_S
 
     def _on_fact(self, key: str, value: float | None) -> None:
         service, _, software = key.partition(_SEPARATOR)
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -473,7 +473,7 @@
     def test_an_instance_that_has_just_started_learns_the_history(self):
         """Guards against restarts after which streams end that nobody knows."""
         self.list_targets(e1="v1")
-        self.instance.history._is_complete = False
+        self.instance.history._known_since = now()
         context = make_context("r2", last_event_id=3)
         self.assertEqual(self.resume(context), "origin_unknown")
         for _ in range(4):
@@ -485,7 +485,7 @@
         """Guards against streams of versions that nobody has seen."""
         self.list_targets(e1="v1")
         for instance in (self.instance, self.other):
-            instance.history._is_complete = False
+            instance.history._known_since = now()
         advance(4.0)
         self.instance.confirm()
         self.assertEqual(
