--- a/packages/serving/bergamotsaddle_serving/follower.py
+++ b/packages/serving/bergamotsaddle_serving/follower.py
@@ -207,9 +207,8 @@
         is_new_era = self._view.has_snapshot and position.era > self._view.position.era
         self._confirm(requested_at, is_new_era=is_new_era)
         entries = [entry for page in pages for entry in page.entries]
-        is_first = not self._view.has_snapshot
         self._view.replace(entries, position, source="store")
-        if is_first and self.past is not None:
+        if self.past is not None:
             self._read_past(self.past, entries, position, requested_at)
 
     def _read_past(
--- a/packages/serving/bergamotsaddle_serving/software_history.py
+++ b/packages/serving/bergamotsaddle_serving/software_history.py
@@ -61,7 +61,8 @@
         self._outdated_at = -inf
         gossip.subscribe(_VERSIONS, self._on_fact, priority=lambda key: _PRIORITY)
         view.subscribe(self.refresh)
-        peers.own_has_history = self.is_complete
+        view.on_gap = self._forget_past
+        peers.own_has_history = lambda: self.is_complete() and self._is_current()
 
     def is_complete(self) -> bool:
         """Return whether all versions of the last ten minutes are known."""
@@ -73,7 +74,8 @@
             self._known_since = min(self._known_since, now())
         if self._view.age() > self._max_view_age:
             self._outdated_at = now()
-        for service, software in self._view.software_versions():
+        listed = self._view.software_versions()
+        for service, software in listed | self._view.take_applied_versions():
             self._gossip.record(_VERSIONS, _key(service, software), _SERVED)
 
     def learn_from(self, heartbeat: Heartbeat) -> None:
@@ -111,6 +113,11 @@
         versions = self._versions_by_service.get(service, ())
         return next(iter(versions)) if len(versions) == 1 else None
 
+    def _forget_past(self) -> None:
+        """Record that versions may have come and gone that this instance never saw."""
+        if not self._is_current():
+            self._known_since = now()
+
     def _is_known_for(self, seconds: float) -> bool:
         """Return whether all versions are known that streams may have begun at."""
         if self.is_complete():
--- a/packages/serving/bergamotsaddle_serving/view.py
+++ b/packages/serving/bergamotsaddle_serving/view.py
@@ -64,6 +64,8 @@
         has_snapshot: Whether a snapshot of all entries has been applied.
         confirmed_at: When the store last confirmed that the view is up to date.
         on_confirm: Called after each confirmation.
+        on_gap: Called before a snapshot that replaces an earlier one. What changed and
+            changed back between the two is not known.
         store_regained_at: When the store last returned after an outage.
     """
 
@@ -84,6 +86,7 @@
         self._gone: OrderedDict[tuple[str, int], None] = OrderedDict()
         self._callbacks: list[Callable[[], None]] = []
         self.on_confirm: Callable[[], None] = lambda: None
+        self.on_gap: Callable[[], None] = lambda: None
         self.configuration: Configuration | None = None
         self.batching_by_service: dict[str, Batching] = {}
         self.evacuated_zones: set[str] = set()
@@ -94,6 +97,8 @@
         self._usable_by_service: dict[str, list[KnownTarget]] = {}
         # Dropped with each change of the targets.
         self._software_versions: set[tuple[str, str]] | None = None
+        # Of all entries that were applied since these were taken.
+        self._applied_versions: set[tuple[str, str]] = set()
         self.target_by_address: dict[Address, Target] = {}
         self.has_snapshot = False
         self.confirmed_at = float("-inf")
@@ -172,6 +177,8 @@
             return
         if position.era > self.position.era and self.has_snapshot:
             self._log_era(position, source)
+        if self.has_snapshot:
+            self.on_gap()
         listed = {entry.key for entry in entries}
         self._table.start_snapshot(position)
         missing = self._table.list_missing(position, listed)
@@ -281,6 +288,14 @@
             self._software_versions = versions
         return self._software_versions
 
+    def take_applied_versions(self) -> set[tuple[str, str]]:
+        """Return the versions of all targets whose entries were applied lately.
+
+        An entry may have been applied and deleted since the last call.
+        """
+        applied, self._applied_versions = self._applied_versions, set()
+        return applied
+
     def is_cold(self, known: KnownTarget, *, at: float | None = None) -> bool:
         """Return whether a target is cold and takes only a few requests.
 
@@ -363,6 +378,7 @@
                 self._gone.pop(decoded.incarnation, None)
             cold_until = now() + decoded.cold_seconds
             self._known_by_id[decoded.id] = KnownTarget(decoded, cold_until)
+            self._applied_versions.add((decoded.service, decoded.software))
         elif entry.value is None:
             self._apply_deletion(entry.key)
 
--- a/tests/test_streams_after_a_loss.py
+++ b/tests/test_streams_after_a_loss.py
@@ -250,3 +250,62 @@
         for deadline in deadlines:
             ages.record(route, deadline)
         self.assertEqual(ages.limit(route, left), expected)
+
+
+class SurvivorTest(unittest.TestCase):
+    """An instance that was cut off from the store, and one that has started again."""
+
+    def setUp(self):
+        use_paused_clock()
+        self.addCleanup(use_paused_clock)
+        fleet = PeerFleet(2)
+        survivor, other = fleet
+        self.survivor = OriginInstance(survivor)
+        self.other = OriginInstance(other, is_first_start=False)
+        fleet.start(within=0.3)
+        self.targets = [make_target("a", "v1"), make_target("b", "v1")]
+        self.survivor.list_targets(*self.targets)
+
+    def wait(self, seconds, *, is_cut_off):
+        """Let some time pass."""
+        for _ in range(int(4 * seconds)):
+            if is_cut_off:
+                self.survivor.history.refresh()
+            else:
+                self.survivor.confirm()
+            if self.other.view.targets_by_service:
+                self.other.confirm()
+            advance(0.25)
+
+    def is_certain(self):
+        """Return whether the other instance knows the only version of the service."""
+        return self.other.history.sole_version("s") == "v1"
+
+    def test_a_survivor_that_is_cut_off_does_not_vouch_for_the_past(self):
+        """Guards against a certainty that no instance has."""
+        self.wait(4.0, is_cut_off=True)
+        self.other.list_targets(*self.targets)
+        self.wait(4.0, is_cut_off=True)
+        self.assertFalse(self.is_certain())
+
+    def test_a_survivor_that_missed_changes_does_not_vouch_for_the_past(self):
+        """Guards against versions that came and went behind a cut."""
+        self.wait(4.0, is_cut_off=True)
+        self.other.list_targets(*self.targets)
+        self.survivor.list_targets(*self.targets)
+        self.wait(8.0, is_cut_off=False)
+        self.assertFalse(self.is_certain())
+
+    @parameterized.expand([("another_version", "v2", False), ("its_like", "v1", True)])
+    def test_a_survivor_that_reads_all_changes(self, _, software, is_certain):
+        """Guards against a target that came and went between two reads."""
+        self.wait(4.0, is_cut_off=True)
+        self.other.list_targets(*self.targets)
+        changes = [
+            StoreEntry("c", 2, b"c"),
+            StoreEntry("c", 3, None),
+        ]
+        self.survivor._target_by_key["c"] = make_target("c", software)
+        self.survivor.view.apply(changes, StorePosition(0, 3), source="watch")
+        self.wait(8.0, is_cut_off=False)
+        self.assertEqual(self.is_certain(), is_certain)
