--- a/packages/serving/bergamotsaddle_serving/attempt.py
+++ b/packages/serving/bergamotsaddle_serving/attempt.py
@@ -7,6 +7,7 @@
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.client import (
     CONNECTION_REFUSED,
+    CROSSED,
     NO_MEMORY,
     SILENT,
     TOO_LONG,
@@ -360,7 +361,7 @@
         )
         if not is_own:
             self._state.record_failure(is_certain=False)
-            raise OutcomeUnknownError("crossed")
+            raise OutcomeUnknownError(CROSSED)
 
     def _drain(self) -> None:
         try:
--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -68,6 +68,8 @@
 NO_MEMORY = "no_memory"
 # Reason of streams that ended inside an event or before their first one.
 UNFINISHED = "unfinished"
+# Reason of responses that belong to another request on the same connection.
+CROSSED = "crossed"
 # Reasons of connections that were closed before the response was complete.
 BROKEN_CONNECTION_REASONS = frozenset(("closed", "cut", "reset", "send", UNFINISHED))
 
--- a/packages/serving/bergamotsaddle_serving/messages.py
+++ b/packages/serving/bergamotsaddle_serving/messages.py
@@ -304,6 +304,9 @@
     def run_pieces(self, pieces: Sequence[Piece], target: Target) -> HttpCall:
         """Make the call that runs pieces at a stage target."""
 
+    def name_call(self, call: HttpCall, call_id: str) -> HttpCall:
+        """Return a call with an id, which its response may name."""
+
     def read_results(self, body: bytes) -> list[PieceResult]:
         """Decode the response to ``run_pieces``.
 
--- a/packages/serving/bergamotsaddle_serving/stage_calls.py
+++ b/packages/serving/bergamotsaddle_serving/stage_calls.py
@@ -1,24 +1,31 @@
 """Calls from the owner of a stage queue to its targets."""
 
+import secrets
 from collections.abc import Callable, Sequence
+from typing import TypeVar
 
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.catalog import Target
 from bergamotsaddle_serving.client import (
+    CROSSED,
     Connection,
     ConnectionLostError,
     ConnectionPool,
 )
 from bergamotsaddle_serving.decisions.stage_queue import QueuedPiece
+from bergamotsaddle_serving.given_results import GivenResults
 from bergamotsaddle_serving.messages import Dialect, HttpCall, Piece, PieceResult
 from bergamotsaddle_serving.named_limits import NamedLimits
 from bergamotsaddle_serving.target_notices import TargetNotices
 from bergamotsaddle_serving.target_rates import TargetRates
 from bergamotsaddle_serving.view import View
 
+T = TypeVar("T")
+
 _OK = 200
 _MISDIRECTED = 421
 _MAX_BODY_BYTES = 1_000_000
+_ID_BYTES = 8
 # Calls that need no slot at the target get a response within a few ms.
 _RELEASE_TIMEOUT_S = 0.5
 _QUERY_TIMEOUT_S = 0.3
@@ -50,6 +57,7 @@
         self._rates = rates
         self._limits = limits
         self._view = view
+        self._given = GivenResults()
         self._pool = pool
         self._dialect = dialect
 
@@ -101,14 +109,30 @@
             connection.close()
             return None
         on_connected()
-        status, body = self._exchange(connection, target, call, limit)
+        status, results = self._exchange(
+            connection,
+            target,
+            call,
+            limit,
+            read=lambda body: self._read_results(pieces, body),
+            is_named=True,
+        )
         if status == _MISDIRECTED:
             raise ConnectionLostError("misdirected", is_unsent=True)
-        if status != _OK:
-            return None
+        return results
+
+    def _read_results(self, pieces: list[Piece], body: bytes) -> list[PieceResult]:
+        """Decode the results of a call.
+
+        Raises:
+            ConnectionLostError: If they are those of another call.
+            ValueError: If they are invalid.
+        """
         results = self._dialect.read_results(body)
-        if len(results) != len(batch):
+        if len(results) != len(pieces):
             raise ValueError("expected a result for each piece")
+        if not self._given.add(pieces, results):
+            raise ConnectionLostError(CROSSED)
         return results
 
     def wait(self, target: Target) -> float:
@@ -124,8 +148,16 @@
         """
         call = self._dialect.query_free_memory(target)
         connection = self._pool.acquire(target.address)
-        _, body = self._exchange(connection, target, call, _QUERY_TIMEOUT_S)
-        return self._dialect.read_free_memory(body)
+        _, free = self._exchange(
+            connection,
+            target,
+            call,
+            _QUERY_TIMEOUT_S,
+            read=self._dialect.read_free_memory,
+        )
+        if free is None:
+            raise ValueError("expected a report")
+        return free
 
     def release(self, target: Target, handles: Sequence[str]) -> None:
         """Release results at a target.
@@ -135,19 +167,62 @@
         """
         call = self._dialect.release_results(handles, target)
         connection = self._pool.acquire(target.address)
-        self._exchange(connection, target, call, _RELEASE_TIMEOUT_S)
+        self._exchange(
+            connection,
+            target,
+            call,
+            _RELEASE_TIMEOUT_S,
+            read=lambda body: None,
+            is_named=True,
+        )
 
     def _check_target(self, target: Target) -> None:
         if not self._view.may_get_work(target):
             raise ConnectionLostError("left", is_unsent=True)
 
     def _exchange(
-        self, connection: Connection, target: Target, call: HttpCall, limit: float
-    ) -> tuple[int, bytes]:
+        self,
+        connection: Connection,
+        target: Target,
+        call: HttpCall,
+        limit: float,
+        *,
+        read: Callable[[bytes], T],
+        is_named: bool = False,
+    ) -> tuple[int, T | None]:
+        """Send a call and read its response.
+
+        The connection is closed unless the response is known to belong to the call.
+
+        Args:
+            connection: Connection to the target.
+            target: The target.
+            call: The call.
+            limit: Seconds after which the call counts as lost.
+            read: Decodes the body of a success.
+            is_named: Whether the call gets an id, which its response may name.
+
+        Returns:
+            The status, and what was read; None unless it is a success.
+
+        Raises:
+            ConnectionLostError: If there is no response, or one to another call.
+            ValueError: If the body is invalid.
+        """
+        call_id = secrets.token_hex(_ID_BYTES) if is_named else ""
+        if is_named:
+            call = self._dialect.name_call(call, call_id)
         head, body = connection.exchange(call, limit=limit, max_bytes=_MAX_BODY_BYTES)
         response = self._dialect.read_response(head.headers)
+        try:
+            if response.request_id not in ("", call_id):
+                raise ConnectionLostError(CROSSED)
+            value = read(body) if head.status == _OK else None
+        except (ConnectionLostError, ValueError):
+            connection.close()
+            raise
         self._notices.read(target, head.status, response)
         if response.limit is not None or head.status == _OK:
             self._limits.record(target, response.limit)
         self._pool.release(connection, response.keep_alive_seconds)
-        return head.status, body
+        return head.status, value
--- a/packages/serving/bergamotsaddle_serving/zone_reach.py
+++ b/packages/serving/bergamotsaddle_serving/zone_reach.py
@@ -160,6 +160,10 @@
             self._logger.info("probe_failed", target=target.id, reason=error.reason)
             return False
         response = self._dialect.read_response(head.headers)
+        if response.request_id:
+            # It belongs to an earlier request, but the target has sent it just now.
+            connection.close()
+            return True
         self._notices.read(target, head.status, response)
         self._pool.release(connection, None)
         return True
--- a/packages/standins/bergamotsaddle_standins/soak_dialect.py
+++ b/packages/standins/bergamotsaddle_standins/soak_dialect.py
@@ -231,6 +231,10 @@
         body = msgspec.json.encode([[p.request, p.number] for p in pieces])
         return self._post(b"/pieces", body, target)
 
+    def name_call(self, call: HttpCall, call_id: str) -> HttpCall:
+        """Return a call with an id; the soak's targets do not repeat it."""
+        return call
+
     def read_results(self, body: bytes) -> list[PieceResult]:
         """Decode the response to ``run_pieces``."""
         handles = msgspec.json.decode(body, type=list[str])
--- a/tests/test_late_responses.py
+++ b/tests/test_late_responses.py
@@ -1,5 +1,6 @@
 """Targets that send a response once more when the next one is expected."""
 
+import re
 import unittest
 from unittest import mock
 
@@ -14,17 +15,26 @@
     OutcomeUnknownError,
 )
 from bergamotsaddle_serving.catalog import Target
-from bergamotsaddle_serving.client import ConnectionPool
+from bergamotsaddle_serving.client import CROSSED, ConnectionLostError, ConnectionPool
 from bergamotsaddle_serving.context import Progress
+from bergamotsaddle_serving.decisions.stage_queue import PieceKey
+from bergamotsaddle_serving.given_results import GivenResults
 from bergamotsaddle_serving.health import Health
-from bergamotsaddle_serving.messages import Dispatch, RequestHead
+from bergamotsaddle_serving.messages import (
+    Dispatch,
+    Piece,
+    PieceResult,
+    RequestHead,
+)
 from bergamotsaddle_serving.response_memory import UNLIMITED
+from bergamotsaddle_serving.stage_calls import StageCalls
 from tests._paused import use_paused_clock, use_skipping_clock
 
 setUpModule = use_skipping_clock
 tearDownModule = use_paused_clock
 
 LIMIT_S = 1.0
+REQUEST_ID = re.compile(rb"x-request-id: (\S+)", re.IGNORECASE)
 REJECTED = (503, "X-Not-Executed: 1", "Retry-After: 9", "Server-Limit: 0.5")
 MISDIRECTED = (421, "X-Instance-Id: i-2")
 SERVED = (200, "X-Response-Seal: x")
@@ -155,3 +165,129 @@
         target = RepeatingTarget(make_response(REJECTED))
         with self.assertRaises(NotRunError):
             self.send(target, "r1")
+
+
+class StageTarget:
+    """A stage target that sends its first response once more ahead of its second.
+
+    Args:
+        names_calls: Whether its responses name the call.
+        status: Status of its first response.
+
+    Attributes:
+        address: Its address.
+        connections: Number of connections that it accepted.
+    """
+
+    def __init__(self, *, names_calls, status=200):
+        self._listener = eventlet.listen(("127.0.0.1", 0))
+        self._names_calls = names_calls
+        self._first_status = status
+        self._calls = 0
+        self.address = Address(*self._listener.getsockname())
+        self.connections = 0
+        eventlet.spawn_n(self._run)
+
+    def _run(self):
+        while True:
+            sock, _ = self._listener.accept()
+            self.connections += 1
+            eventlet.spawn_n(self._serve, sock)
+
+    def _serve(self, sock):
+        late = b""
+        while request := sock.recv(65_536):
+            self._calls += 1
+            response = self._respond(request)
+            sock.sendall(late + response)
+            late = response if self._calls == 1 else b""
+
+    def _respond(self, request):
+        status = self._first_status if self._calls == 1 else 200
+        body = b'{"freeMb": 1}'
+        if b"stage-run" in request:
+            handle = f"{self.address}/{self._calls}"
+            body = b'{"items": [{"handle": "%s"}]}' % handle.encode()
+        named = REQUEST_ID.search(request)
+        lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+        if named and self._names_calls:
+            lines.append(f"X-Request-Id: {named.group(1).decode()}")
+        return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+class LateStageResponseTest(unittest.TestCase):
+    """Calls to a stage target, one after the other."""
+
+    def make_calls(self, target):
+        """Return stage calls and the target that they go to."""
+        view = mock.Mock(may_get_work=lambda target: True)
+        notices = mock.Mock(may_send=lambda target: True)
+        rates = mock.Mock(reserve=lambda *_: True)
+        calls = StageCalls(
+            view, ConnectionPool(), PlatformDialect(), mock.Mock(), rates,
+            notices=notices,
+        )  # fmt: skip
+        return calls, Target("i-1", "s", target.address, "a", 1)
+
+    def run_piece(self, calls, known, request):
+        """Run a piece and return its handle, None if the target is full."""
+        piece = mock.Mock(
+            key=PieceKey(request, 0, 0, 0), urgency=0, input_key="k", inputs=(),
+            expires_at=9.0,
+        )  # fmt: skip
+        results = calls.run(known, [piece], LIMIT_S)
+        return results and results[0].handle
+
+    @parameterized.expand(
+        [("named", True, 200), ("unnamed", False, 200), ("rejection", True, 503)]
+    )
+    def test_a_second_copy_gives_no_results(self, _, names_calls, status):
+        """Guards against results that were made for another request."""
+        target = StageTarget(names_calls=names_calls, status=status)
+        calls, known = self.make_calls(target)
+        first = self.run_piece(calls, known, "r1")
+        self.assertEqual(first, None if status == 503 else f"{target.address}/1")
+        with self.assertRaises(ConnectionLostError) as raised:
+            self.run_piece(calls, known, "r2")
+        self.assertEqual(raised.exception.reason, CROSSED)
+        self.assertEqual(self.run_piece(calls, known, "r3"), f"{target.address}/3")
+        self.assertEqual(target.connections, 2)
+
+    @parameterized.expand(
+        [
+            ("release", lambda calls, known: calls.release(known, ["h"])),
+            ("query", lambda calls, known: calls.query_free_memory(known)),
+        ]
+    )
+    def test_a_second_copy_answers_no_other_call(self, _, call):
+        """Guards against a connection on which each response is one call late."""
+        target = StageTarget(names_calls=True)
+        calls, known = self.make_calls(target)
+        self.run_piece(calls, known, "r1")
+        with self.assertRaises(ConnectionLostError):
+            call(calls, known)
+        self.assertEqual(self.run_piece(calls, known, "r3"), f"{target.address}/3")
+
+    @parameterized.expand(
+        [
+            ("the_same_piece", ("r1", 0, 0), True),
+            ("another_piece", ("r1", 0, 1), False),
+            ("another_stage", ("r1", 1, 0), False),
+            ("another_request", ("r2", 0, 0), False),
+        ]
+    )
+    def test_a_handle_that_is_given_again(self, _, piece, is_given):
+        """Guards against pieces that get the result of another one."""
+        given = GivenResults()
+        result = [PieceResult("h:1/a")]
+        first = Piece("r1", 0, 0, "k", (), 1.0)
+        self.assertTrue(given.add([first], result))
+        again = first._replace(request=piece[0], stage=piece[1], number=piece[2])
+        self.assertEqual(given.add([again], result), is_given)
+
+    def test_pieces_that_were_not_made_have_no_handle(self):
+        """Guards against failures that are taken for a second copy."""
+        given = GivenResults()
+        for request in ("r1", "r2"):
+            piece = Piece(request, 0, 0, "k", (), 1.0)
+            self.assertTrue(given.add([piece], [PieceResult("")]))
