Begin the numbers of messages anew at random with each process

Cause: nothing tied an answer to the process that asked; numbers began at 1.

Change: make_numbers, which places of plain services had as their own code, is shared by permits and hedges.

--- a/packages/serving/bergamotsaddle_serving/hedge_exchange.py
+++ b/packages/serving/bergamotsaddle_serving/hedge_exchange.py
@@ -1,11 +1,10 @@
 """Asks the owner of a service's hedges for one, and grants them as an owner."""
 
-from itertools import count
-
 import eventlet
 from eventlet.event import Event
 
 from bergamotsaddle_serving.decisions.hedge_pool import HedgePool
+from bergamotsaddle_serving.message_numbers import make_numbers
 from bergamotsaddle_serving.owners import rank_owners
 from bergamotsaddle_serving.peer_messages import (
     HedgeEarnings,
@@ -32,7 +31,7 @@
     def __init__(self, peers: Peers, pool: HedgePool) -> None:
         self._peers = peers
         self._pool = pool
-        self._numbers = count(1)
+        self._numbers = make_numbers()
         self._pending_by_number: dict[int, Event] = {}
         peers.set_handler(HedgeRequest, self._handle_request)
         peers.set_handler(
--- a/packages/serving/bergamotsaddle_serving/placement_exchange.py
+++ b/packages/serving/bergamotsaddle_serving/placement_exchange.py
@@ -1,8 +1,6 @@
 """Requests places at targets from the owners of plain services, and grants them."""
 
-import random
 from collections import OrderedDict
-from itertools import count
 from typing import Any
 
 import eventlet
@@ -20,6 +18,7 @@
 )
 from bergamotsaddle_serving.decisions.reporting_services import ReportingServices
 from bergamotsaddle_serving.decisions.target_slowdowns import TargetSlowdowns
+from bergamotsaddle_serving.message_numbers import make_numbers
 from bergamotsaddle_serving.owners import rank_owners
 from bergamotsaddle_serving.peer_messages import (
     PlaceDecision,
@@ -48,7 +47,6 @@
 _RENEWAL_INTERVAL_S = 0.02
 # Number of responses that are kept, to be repeated for a request that arrives twice.
 _MAX_REMEMBERED = 2_048
-_FIRST_NUMBER_BITS = 31
 
 
 class PlacementRefusedError(BergamotsaddleError):
@@ -153,8 +151,7 @@
         self._reporting = reporting
         self._logger = logger
         self._is_enabled = policy.has(Mechanism.JOINT_PLACEMENT)
-        # A process that was started again must not repeat the numbers of its leases.
-        self._numbers = count(random.getrandbits(_FIRST_NUMBER_BITS))
+        self._numbers = make_numbers()
         self._inbox_by_number: dict[int, LightQueue] = {}
         self._silent_until_by_owner: dict[str, float] = {}
         self._owned_by_service: dict[str, _OwnedQueue] = {}
--- a/packages/serving/bergamotsaddle_serving/rate_exchange.py
+++ b/packages/serving/bergamotsaddle_serving/rate_exchange.py
@@ -1,11 +1,11 @@
 """Requests permits from the owners of shared rates, and serves such requests."""
 
 from collections import OrderedDict
-from itertools import count
 
 import eventlet
 from eventlet.event import Event
 
+from bergamotsaddle_serving.message_numbers import make_numbers
 from bergamotsaddle_serving.owners import rank_owners
 from bergamotsaddle_serving.peer_messages import RateRequest, RateResponse
 from bergamotsaddle_serving.peers import Peers
@@ -36,7 +36,7 @@
     def __init__(self, peers: Peers, owner: RateOwner) -> None:
         self._peers = peers
         self._owner = owner
-        self._numbers = count(1)
+        self._numbers = make_numbers()
         self._pending_by_number: dict[int, Event] = {}
         self._sent_responses: OrderedDict[tuple[str, int], RateResponse] = OrderedDict()
         peers.set_handler(RateRequest, self._handle_request)
