--- a/tests/test_rate_exchange.py
+++ b/tests/test_rate_exchange.py
@@ -56,7 +56,7 @@
         self.assertEqual([self.request(after, key) for _ in range(3)], [4, 5, 6])
 
     def test_no_exchange_begins_with_the_number_of_another_one(self):
-        """Guards against responses to an earlier process that are taken for own ones."""
+        """Guards against responses to another process that are taken for own ones."""
         pool = HedgePool(0.1)
         exchanges = [
             HedgeExchange(self.asker, pool),
