Keep entries that can't be read from holding up others (CONFIG)

Cause: the JSON reader raises RecursionError for values that are nested too deeply, and numbers of 400 digits raise OverflowError, while the view expects ValueError. It had put all entries of the page into its table by then, so those behind the one that failed counted as known and were never applied.

Ruled out: a follower that is merely late (the version never came by itself), time spent on refused entries (none was refused).

The view adds and applies entries one by one.

--- a/packages/serving/bergamotsaddle_serving/view.py
+++ b/packages/serving/bergamotsaddle_serving/view.py
@@ -148,17 +148,20 @@
         Returns:
             Whether the view changed.
         """
-        changed = [
-            entry for entry in entries if self._table.add(entry) is EntryChange.VALUE
-        ]
-        for entry in changed:
-            self._apply_entry(entry, source, is_first=is_first)
+        is_changed = False
+        try:
+            for entry in entries:
+                if self._table.add(entry) is EntryChange.VALUE:
+                    is_changed = True
+                    self._apply_entry(entry, source, is_first=is_first)
+        finally:
+            # An entry that can't be applied keeps no other one out of force.
+            if is_changed:
+                self._rebuild()
         # Only a snapshot shows what the store of a new era lacks.
         if position.era == self.position.era or not self.has_snapshot:
             self._table.advance(position)
-        if changed:
-            self._rebuild()
-        return bool(changed)
+        return is_changed
 
     def replace(
         self, entries: list[StoreEntry], position: StorePosition, *, source: str
--- a/tests/test_platform_dialect.py
+++ b/tests/test_platform_dialect.py
@@ -81,6 +81,22 @@
 }
 
 
+RAW_FIELDS = {"zone": b'"a"', "slots": b"1", "coldRemainingMs": b"0", "born": b"5"}
+
+
+def make_entry(**raw):
+    """Return the value of a target's entry, some fields of which are given as JSON."""
+    fields = b"".join(
+        b',"%s":%s' % (name.encode(), value)
+        for name, value in (RAW_FIELDS | raw).items()
+    )
+    head = b'{"service":"s","address":"10.0.0.1:80","state":"ready"'
+    return head + fields + b"}"
+
+
+CONFIGURATION = b'{"version":?,"routes":[],"services":[]}'
+
+
 def read_head(headers=HEADERS):
     """Decode a request's head."""
     return DIALECT.read_head(b"POST", b"/p/x?y", headers)
@@ -252,6 +268,44 @@
         with self.assertRaises(ValueError):
             DIALECT.decode(StoreEntry("op/config", 1, value))
 
+    @parameterized.expand(
+        [
+            (f"{name}_{place}", key, make(value))
+            for name, value in [
+                ("nested", b"[" * 2_000),
+                ("nested_and_closed", b"[" * 2_000 + b"]" * 2_000),
+                ("long_number", b"9" * 400),
+                ("infinite", b"1e999"),
+                ("huge", b"1e300"),
+            ]
+            for place, key, make in [
+                ("value", "servers/t", lambda raw: raw),
+                ("cold", "servers/t", lambda raw: make_entry(coldRemainingMs=raw)),
+                ("born", "servers/t", lambda raw: make_entry(born=raw)),
+                ("slots", "servers/t", lambda raw: make_entry(slots=raw)),
+                ("zone", "servers/t", lambda raw: make_entry(zone=raw)),
+                ("configuration", "op/config", lambda raw: raw),
+                ("version", "op/config", lambda raw: CONFIGURATION.replace(b"?", raw)),
+            ]
+        ]
+    )
+    def test_values_that_no_platform_writes(self, _, key, value):
+        """Guards against errors that end the application of all other entries."""
+        with self.assertRaises(ValueError):
+            DIALECT.decode(StoreEntry(key, 1, value))
+
+    @parameterized.expand(
+        [("line", "t\r\nx: 1"), ("space", "t 1"), ("letter", "\u20ac")]
+    )
+    def test_ids_that_no_header_can_carry(self, _, name):
+        """Guards against requests that fail as their target can't be named."""
+        with self.assertRaises(ValueError):
+            DIALECT.decode(StoreEntry(f"servers/{name}", 1, make_entry()))
+
+    def test_an_entry_of_the_platform(self):
+        target = DIALECT.decode(StoreEntry("servers/t", 1, make_entry()))
+        self.assertEqual((target.id, target.started_ms), ("t", 5))
+
     def test_pages(self):
         value = base64.b64encode(b"{}").decode()
         page = DIALECT.read_page(
@@ -329,6 +383,36 @@
             with self.assertRaises(ValueError, msg=size):
                 read(body[:size])
 
+    @parameterized.expand(
+        [
+            ("reason", b'{"items":[{"reason":[]}]}'),
+            ("handle", b'{"items":[{"handle":"x/y"}]}'),
+            ("port", b'{"items":[{"handle":"10.0.0.7:99999/h"}]}'),
+        ]
+    )
+    def test_results_that_no_sound_target_gives(self, _, body):
+        """Guards against workers that end with what a faulty target sends."""
+        (result,) = DIALECT.read_results(body)
+        self.assertEqual((result.handle, result.reason), ("", "error"))
+
+    @parameterized.expand(
+        [
+            (f"{name}_{number}", read, body)
+            for name, read in [
+                ("results", DIALECT.read_results),
+                ("memory", DIALECT.read_free_memory),
+                ("page", lambda body: DIALECT.read_page(body, 1)),
+            ]
+            for number, body in enumerate(
+                [b"[" * 2_000, b'{"freeMb":%s}' % (b"9" * 400)]
+            )
+        ]
+    )
+    def test_bodies_that_no_sound_sender_sends(self, _, read, body):
+        """Guards against green threads that end with what another one sends."""
+        with self.assertRaises(ValueError):
+            read(body)
+
     def test_free_memory(self):
         """Guards against empty targets that are avoided for 0.3 s after a refusal.
 
--- a/tests/test_serving_view.py
+++ b/tests/test_serving_view.py
@@ -11,6 +11,7 @@
 from bergamotsaddle_serving.view import LAPSE_GRACE_S, REWRITE_GRACE_S, View
 from tests._paused import advance
 from tests._stages import BATCHING
+from tests.test_platform_dialect import make_entry
 
 TARGET = {
     "service": "s",
@@ -57,6 +58,40 @@
         """Return the ids of the targets that may get work."""
         return [known.target.id for known in self.view.usable("s")]
 
+    @parameterized.expand(
+        [
+            ("nested", b"[" * 2_000),
+            ("long_number", make_entry(coldRemainingMs=b"9" * 400)),
+        ]
+    )
+    def test_entries_behind_one_that_can_not_be_read(self, _, value):
+        """Guards against changes that stay out of force beside such an entry."""
+        unreadable = StoreEntry("servers/x", 1, value)
+        self.apply(
+            unreadable, entry("op/config", 2, CONFIG), entry("servers/t", 3, TARGET)
+        )
+        self.assertEqual(self.view.configuration.version, 3)
+        self.assertEqual(self.usable_ids(), ["t"])
+
+    def test_entries_behind_one_that_can_not_be_applied(self):
+        """Guards against entries that count as known and are never in force."""
+        entries = [entry("servers/a", 1, TARGET), entry("servers/t", 2, TARGET)]
+        decode = self.view._dialect.decode
+
+        def fail(listed):
+            if listed.key == "servers/a":
+                raise RuntimeError("unexpected")
+            return decode(listed)
+
+        with mock.patch.object(
+            self.view, "_dialect", mock.Mock(wraps=decode)
+        ) as dialect:
+            dialect.decode = fail
+            with self.assertRaises(RuntimeError):
+                self.apply(*entries)
+            self.apply(*entries)
+        self.assertEqual(self.usable_ids(), ["t"])
+
     def test_older_updates_change_nothing(self):
         """A peer that was cut off sends outdated entries.
 
