--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -489,6 +489,7 @@
         last_response_at: When a part of a response was last read.
         on_opened: Called with each address to which a connection was opened, and
             whether that succeeded.
+        on_refused: Called with each address that refused a connection.
     """
 
     def __init__(
@@ -504,6 +505,7 @@
         self.last_acquired_at = float("-inf")
         self.last_response_at = float("-inf")
         self.on_opened: Callable[[Address, bool], None] = lambda address, is_open: None
+        self.on_refused: Callable[[Address], None] = lambda address: None
 
     def acquire(
         self, address: Address, *, limit: float = CONNECT_LIMIT_S
@@ -547,8 +549,10 @@
         self.opened += 1
         try:
             connection = self.connect(address, limit=limit)
-        except ConnectionLostError:
+        except ConnectionLostError as error:
             self.on_opened(address, False)
+            if error.reason == CONNECTION_REFUSED:
+                self.on_refused(address)
             raise
         self.on_opened(address, True)
         return connection
--- a/packages/serving/bergamotsaddle_serving/resumption.py
+++ b/packages/serving/bergamotsaddle_serving/resumption.py
@@ -8,6 +8,7 @@
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.catalog import Service, Target
 from bergamotsaddle_serving.context import Context
+from bergamotsaddle_serving.entry_certainty import EntryCertainty
 from bergamotsaddle_serving.origin_exchange import OriginExchange
 from bergamotsaddle_serving.software_history import SoftwareHistory
 from bergamotsaddle_serving.stream_ages import MAX_STREAM_AGE_S, StreamAges
@@ -19,12 +20,11 @@
 )
 from bergamotsaddle_serving.view import View
 
-# The entry of a target that starts again with other software under its old id may be
-# this late. What the target sent meanwhile may come from either version.
-_MAX_ENTRY_LAG_S = 3.0
 # A caller may try again for somewhat longer than it says.
 _EXPIRY_MARGIN_S = 2.0
 _SOLE_VERSION = "history"
+# Streams that an instance begins in the longest time for which it may be cut off.
+_MAX_BEGUN = 20_000
 
 
 class _BegunStream(NamedTuple):
@@ -53,6 +53,9 @@
         history: Versions that served lately.
         view: Listed targets.
         logger: Gets a line for each stream that a caller takes up again.
+
+    Attributes:
+        certainty: Which targets run the software that their entries name.
     """
 
     def __init__(
@@ -67,6 +70,7 @@
         self._view = view
         self._logger = logger
         self._ages = StreamAges()
+        self.certainty = EntryCertainty(view)
         self._begun_lately: deque[_BegunStream] = deque()
         view.subscribe(self._mark_replaced)
 
@@ -118,8 +122,11 @@
             return context._replace(origin=origin)
         expires_at = now() + min(MAX_STREAM_AGE_S, context.head.deadline)
         stream = KnownStream(_key(context), origin, expires_at + _EXPIRY_MARGIN_S)
-        self._exchange.record(stream)
-        self._remember(target, stream)
+        if self.certainty.is_certain(target):
+            self._exchange.record(stream)
+            self._remember(target, stream)
+        else:
+            self._record_uncertain(target, stream)
         return context._replace(origin=origin)
 
     def may_run(self, target: Target, origin: StreamOrigin | None) -> bool:
@@ -128,6 +135,8 @@
             return True
         if (target.service, target.software) != origin:
             return False
+        if not self.certainty.is_certain(target):
+            return False
         # Two targets that name no version may run different ones.
         is_named = bool(origin.software)
         return is_named or self._history.sole_version(origin.service) == ""
@@ -195,12 +204,13 @@
     def _remember(self, target: Target, stream: KnownStream) -> None:
         begun = self._begun_lately
         begun.append(_BegunStream(now(), target, stream))
-        while begun[0].begun_at < now() - _MAX_ENTRY_LAG_S:
+        since = self.certainty.certain_at()
+        while begun[0].begun_at < since or len(begun) > _MAX_BEGUN:
             begun.popleft()
 
     def _mark_replaced(self) -> None:
         """Mark streams whose target may have had other software when they began."""
-        since = now() - _MAX_ENTRY_LAG_S
+        since = self.certainty.certain_at()
         replaced = [
             begun
             for begun in self._begun_lately
@@ -208,14 +218,17 @@
         ]
         for begun in replaced:
             self._begun_lately.remove(begun)
-            stream = begun.stream._replace(origin=CONFLICTING_ORIGIN)
-            self._exchange.record(stream)
-            self._logger.warning(
-                "origin_uncertain",
-                target=begun.target.id,
-                service=begun.target.service,
-                software=begun.target.software,
-            )
+            self._record_uncertain(begun.target, begun.stream)
+
+    def _record_uncertain(self, target: Target, stream: KnownStream) -> None:
+        """Record that a target may have begun a stream with other software."""
+        self._exchange.record(stream._replace(origin=CONFLICTING_ORIGIN))
+        self._logger.warning(
+            "origin_uncertain",
+            target=target.id,
+            service=target.service,
+            software=target.software,
+        )
 
 
 def _key(context: Context) -> int:
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -12,6 +12,7 @@
 from eventlet.event import Event
 
 from bergamotsaddle_contracts.errors import InvalidFileError
+from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.budget import ColdRateLimiter, RetryBudget
 from bergamotsaddle_serving.caller import CallerConnection
@@ -237,6 +238,9 @@
             self.suspect_parts,
             reaches_another=self.service_reach.reaches_another,
         )
+        self._certainty = resumptions.certainty
+        self.pool.on_refused = self._record_refused_connection
+        crashes.on_end = self._certainty.record_end
         self.rates = TargetRates(self.limits, rate_exchange, logger)
         fetch_times = FetchTimes(settings.capacity.link_mbps)
         calls = StageCalls(
@@ -393,6 +397,15 @@
         self._stop(callers, relayed)
         _ignore_signals()
 
+    def _record_refused_connection(self, address: Address) -> None:
+        """Record the end of the target that has refused a connection.
+
+        Links that are cut may refuse the connections to all targets.
+        """
+        target = self.view.target_by_address.get(address)
+        if target is not None and not self.service_reach.is_lost(target.service):
+            self._certainty.record_end(target.incarnation)
+
     def _team_shares(self) -> dict[str, float]:
         configuration = self.view.configuration
         return configuration.share_by_team if configuration is not None else {}
--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -559,12 +559,19 @@
         """Return why the progress of a run is not for the caller, empty if it is."""
         run, events = progress
         is_first = run.writing_since is None
-        if events and is_first and self._server.resumptions.is_replaced(run.target):
+        if events and is_first and not self._fits(run.target):
             return _REPLACED
         if events or run.response.is_success or self._is_lasting_failure(run):
             return ""
         return f"status {run.response.head.status}"
 
+    def _fits(self, target: Target) -> bool:
+        """Return whether an engine's events may follow what the caller has."""
+        resumptions = self._server.resumptions
+        if resumptions.is_replaced(target):
+            return False
+        return resumptions.may_run(target, self._context.origin)
+
     def _is_lasting_failure(self, run: EngineRun) -> bool:
         """Return whether any other engine would respond with a failure too."""
         status = run.response.head.status
--- a/tests/test_serving_client.py
+++ b/tests/test_serving_client.py
@@ -243,6 +243,10 @@
         listener = eventlet.listen(("127.0.0.1", 0))
         address = Address(*listener.getsockname())
         listener.close()
+        pool = ConnectionPool()
+        refused = []
+        pool.on_refused = refused.append
         with self.assertRaises(ConnectionLostError) as raised:
-            ConnectionPool().acquire(address)
+            pool.acquire(address)
         self.assertTrue(raised.exception.is_unsent)
+        self.assertEqual(refused, [address])
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -423,17 +423,76 @@
         self.assertEqual(logged.args, ("resumption_refused",))
         self.assertIn("v1 of s has no target", logged.kwargs["reason"])
 
-    @parameterized.expand([("just_before", 1.0, True), ("long_before", 4.0, False)])
-    def test_a_target_returns_with_other_software(self, _, seconds, is_refused):
+    def wait(self, seconds, *, is_silent=False):
+        """Let some time pass, with views up to date unless the store is silent."""
+        for _ in range(int(4 * seconds)):
+            advance(0.25)
+            for instance in (self.instance, self.other):
+                if not is_silent:
+                    instance.confirm()
+                instance.resumptions.certainty.certain_at()
+
+    @parameterized.expand(
+        [
+            ("just_before", 1.0, False, True),
+            ("long_before", 4.0, False, False),
+            ("before_a_silence_of_the_store", 4.0, True, True),
+        ]
+    )
+    def test_a_target_returns_with_other_software(
+        self, _, seconds, is_silent, is_refused
+    ):
         """Guards against an entry that is older than the software behind it."""
         first, _ = self.list_targets(e1="v1", e2="v1")
         self.begin(first)
-        advance(seconds)
+        self.wait(seconds, is_silent=is_silent)
         self.list_targets(e1="v3", e2="v1")
         context = make_context("r2", resumes="r1", last_event_id=3)
         expected = "origin_unknown" if is_refused else "v1"
         self.assertEqual(self.resume(context), expected)
 
+    def test_a_target_that_ended_in_a_silence_of_the_store(self):
+        """Guards against streams that go on at a target that has other software."""
+        first, second = self.list_targets(e1="v1", e2="v1")
+        self.wait(1.0, is_silent=True)
+        resumptions = self.other.resumptions
+        resumptions.certainty.record_end(first.incarnation)
+        origin = StreamOrigin("s", "v1")
+        self.assertFalse(resumptions.may_run(first, origin))
+        self.assertTrue(resumptions.may_run(second, origin))
+        self.assertTrue(resumptions.may_run(first, None))
+        self.begin(first)
+        self.wait(6.0, is_silent=True)
+        self.assertFalse(resumptions.may_run(first, origin))
+        context = make_context("r2", resumes="r1", last_event_id=3)
+        self.assertEqual(self.resume(context), "origin_unknown")
+
+    @parameterized.expand([(2.0, False), (4.0, True)])
+    def test_a_target_that_only_refused_a_connection(self, seconds, is_certain):
+        """Guards against targets that are left out for good by a refused connection."""
+        first, _ = self.list_targets(e1="v1", e2="v1")
+        resumptions = self.instance.resumptions
+        resumptions.certainty.record_end(first.incarnation)
+        self.wait(seconds)
+        origin = StreamOrigin("s", "v1")
+        self.assertEqual(resumptions.may_run(first, origin), is_certain)
+
+    def test_the_entry_of_the_next_incarnation_is_certain(self):
+        """Guards against restarted targets that go on with no stream for seconds."""
+        first, _ = self.list_targets(e1="v1", e2="v1")
+        resumptions = self.instance.resumptions
+        resumptions.certainty.record_end(first.incarnation)
+        restarted = first._replace(started_ms=7)
+        self.assertTrue(resumptions.may_run(restarted, StreamOrigin("s", "v1")))
+
+    def test_a_target_ends_between_choice_and_first_event(self):
+        """Guards against a first event that fits by an entry from before."""
+        first, _ = self.list_targets(e1="v1", e2="v1")
+        resumptions = self.other.resumptions
+        resumptions.certainty.record_end(first.incarnation)
+        bound = resumptions.bind(make_context("r1"), first)
+        self.assertFalse(resumptions.is_certain(bound))
+
     def test_entries_without_a_version(self):
         """Guards against two unnamed versions that are taken for one."""
         first, second = self.list_targets(e1="", e2="")
