--- a/packages/serving/bergamotsaddle_serving/attempt.py
+++ b/packages/serving/bergamotsaddle_serving/attempt.py
@@ -5,6 +5,7 @@
 
 from bergamotsaddle_contracts.errors import BergamotsaddleError
 from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.body_memory import MemoryShortError, Remainder
 from bergamotsaddle_serving.client import (
     CONNECTION_REFUSED,
     CROSSED,
@@ -22,7 +23,6 @@
 from bergamotsaddle_serving.health import TargetState
 from bergamotsaddle_serving.messages import Dialect, Dispatch, HttpCall, ResponseHead
 from bergamotsaddle_serving.response_identity import is_own_response
-from bergamotsaddle_serving.response_memory import MemoryShortError, Remainder
 
 T = TypeVar("T")
 
--- a/packages/serving/bergamotsaddle_serving/response_memory.py
+++ b/packages/serving/bergamotsaddle_serving/body_memory.py
@@ -1,35 +1,35 @@
-"""Limits how much memory all responses that are being read take together."""
+"""Limits how much memory the bodies that a daemon holds take together."""
 
 from bergamotsaddle_contracts.errors import BergamotsaddleError
 
 # What a daemon holds of responses at most, whatever their senders send. A response
 # may be joined from its parts meanwhile, which takes its size once more.
 MAX_RESPONSE_MEMORY_BYTES = 4_000_000
-# What each response may take also when others have taken everything.
+# What each body may take also when others have taken everything.
 MIN_SHARE_BYTES = 32_768
 
 
 class MemoryShortError(BergamotsaddleError):
-    """A response would take more memory than it may.
+    """A body would take more memory than it may.
 
     Args:
         size: Bytes that it would take.
     """
 
     def __init__(self, size: int) -> None:
-        super().__init__(f"a response of {size} bytes")
+        super().__init__(f"a body of {size} bytes")
         self.size = size
 
 
-class ResponseMemory:
-    """The memory for all responses of a daemon.
+class BodyMemory:
+    """The memory for all bodies that a daemon holds of responses, or of requests.
 
-    A response may take as much as is free beside it. So a single one may take half,
+    A body may take as much as is free beside it. So a single one may take half,
     and many that grow at the same time leave about as much free as each of them has:
     those that do not end meet their limit, while short ones beside them go on.
 
     Args:
-        limit: Bytes for all responses.
+        limit: Bytes for all bodies.
 
     Attributes:
         used: Bytes that are taken.
@@ -54,7 +54,7 @@
 
 
 class MemoryShare:
-    """What one response, or all those to one request, take of the memory.
+    """What one body, or all responses to one request, take of the memory.
 
     Args:
         memory: Memory that it is a share of.
@@ -63,7 +63,7 @@
         held: Bytes that it holds.
     """
 
-    def __init__(self, memory: ResponseMemory) -> None:
+    def __init__(self, memory: BodyMemory) -> None:
         self._memory = memory
         self.held = 0
 
@@ -96,7 +96,7 @@
 
 
 class Remainder:
-    """A part of a response whose size changes while it is read.
+    """A part of a body whose size changes while it is read.
 
     Args:
         share: Share of the memory that it belongs to.
@@ -121,5 +121,5 @@
         self._size = size
 
 
-# For responses of trusted senders, which are limited in size only.
-UNLIMITED = MemoryShare(ResponseMemory(float("inf")))
+# For bodies that are limited in size only.
+UNLIMITED = MemoryShare(BodyMemory(float("inf")))
--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -14,12 +14,12 @@
 from bergamotsaddle_serving._parts import Parts
 from bergamotsaddle_serving._sockets import receive
 from bergamotsaddle_serving._turn import Turn
-from bergamotsaddle_serving.messages import HttpCall
-from bergamotsaddle_serving.response_memory import (
+from bergamotsaddle_serving.body_memory import (
     UNLIMITED,
+    BodyMemory,
     MemoryShortError,
-    ResponseMemory,
 )
+from bergamotsaddle_serving.messages import HttpCall
 
 _original_select = patcher.original("select")
 
@@ -495,7 +495,7 @@
     def __init__(
         self,
         *,
-        memory: ResponseMemory | None = None,
+        memory: BodyMemory | None = None,
         on_endless: OnEndless = ignore_endless,
     ) -> None:
         self._memory = memory
--- a/packages/serving/bergamotsaddle_serving/context.py
+++ b/packages/serving/bergamotsaddle_serving/context.py
@@ -5,9 +5,9 @@
 
 from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
 from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.body_memory import UNLIMITED, MemoryShare
 from bergamotsaddle_serving.catalog import Route, Service, Team
 from bergamotsaddle_serving.messages import RequestHead
-from bergamotsaddle_serving.response_memory import UNLIMITED, MemoryShare
 from bergamotsaddle_serving.stream_origins import StreamOrigin
 
 # Maximum number of names that a log line lists.
--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -14,6 +14,7 @@
     RequestError,
 )
 from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.body_memory import BodyMemory
 from bergamotsaddle_serving.budget import RetryBudget
 from bergamotsaddle_serving.caller import (
     CallerConnection,
@@ -41,7 +42,6 @@
     decode_request,
     encode_error,
 )
-from bergamotsaddle_serving.response_memory import ResponseMemory
 from bergamotsaddle_serving.stop_schedule import StopSchedule
 from bergamotsaddle_serving.streams import StreamServer
 from bergamotsaddle_serving.suspects import Suspects
@@ -123,9 +123,9 @@
         *,
         suspects: Suspects,
         handover: Handover | None = None,
-        memory: ResponseMemory | None = None,
+        memory: BodyMemory | None = None,
     ) -> None:
-        self._memory = memory or ResponseMemory()
+        self._memory = memory or BodyMemory()
         self._handover = handover
         self._policy = policy
         self._suspects = suspects
--- a/packages/serving/bergamotsaddle_serving/handover.py
+++ b/packages/serving/bergamotsaddle_serving/handover.py
@@ -16,6 +16,7 @@
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving._parts import Parts
+from bergamotsaddle_serving.body_memory import MemoryShortError, Remainder
 from bergamotsaddle_serving.budget import RetryBudget
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.catalog import Kind
@@ -40,7 +41,6 @@
     decode_error,
     encode_request,
 )
-from bergamotsaddle_serving.response_memory import MemoryShortError, Remainder
 from bergamotsaddle_serving.service_reach import ServiceReach
 
 T = TypeVar("T")
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -14,6 +14,7 @@
 from bergamotsaddle_contracts.errors import InvalidFileError
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.body_memory import BodyMemory
 from bergamotsaddle_serving.budget import ColdRateLimiter, RetryBudget
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.catalog import CallerLimits
@@ -46,7 +47,6 @@
 from bergamotsaddle_serving.policy import Mechanism
 from bergamotsaddle_serving.probe import serve_page
 from bergamotsaddle_serving.rate_exchange import RateExchange
-from bergamotsaddle_serving.response_memory import ResponseMemory
 from bergamotsaddle_serving.resumption import Resumptions
 from bergamotsaddle_serving.return_exchange import ReturnExchange
 from bergamotsaddle_serving.room import Room
@@ -137,7 +137,7 @@
         self.view = View(dialect, logger, entry_ttl=settings.store.entry_ttl)
         self.peers = Peers(settings, secrets.token_hex(4), logger)
         self.metrics = Metrics()
-        self.memory = ResponseMemory()
+        self.memory = BodyMemory()
         endless = EndlessResponses(self.view, self.metrics, logger)
         self.pool = ConnectionPool(memory=self.memory, on_endless=endless.record)
         self.store = StoreFollower(
--- a/tests/test_response_memory.py
+++ b/tests/test_body_memory.py
@@ -4,10 +4,10 @@
 
 from parameterized import parameterized
 
-from bergamotsaddle_serving.response_memory import (
+from bergamotsaddle_serving.body_memory import (
+    BodyMemory,
     MemoryShortError,
     Remainder,
-    ResponseMemory,
 )
 
 
@@ -15,7 +15,7 @@
     """A part of a response whose size changes, beside others that grow."""
 
     def setUp(self):
-        self.memory = ResponseMemory(1_000_000)
+        self.memory = BodyMemory(1_000_000)
         self.share = self.memory.open()
         self.part = Remainder(self.share)
         self.part.resize(400_000)
--- a/tests/test_edge_fuzz.py
+++ b/tests/test_edge_fuzz.py
@@ -11,12 +11,12 @@
 from bergamotsaddle_contracts.errors import RequestError
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.body_memory import BodyMemory
 from bergamotsaddle_serving.caller import CallerConnection, CallerLeftError
 from bergamotsaddle_serving.catalog import CallerLimits
 from bergamotsaddle_serving.client import ConnectionLostError, ConnectionPool
 from bergamotsaddle_serving.events import EventSplitter
 from bergamotsaddle_serving.messages import HttpCall
-from bergamotsaddle_serving.response_memory import ResponseMemory
 from tests._paused import use_paused_clock, use_running_clock
 
 setUpModule = use_running_clock
@@ -173,7 +173,7 @@
 
     def test_targets(self):
         """Guards against a response that hangs, grows or is not what was sent."""
-        memory = ResponseMemory()
+        memory = BodyMemory()
         connections = ConnectionPool(memory=memory)
 
         def run(seed):
--- a/tests/test_late_responses.py
+++ b/tests/test_late_responses.py
@@ -14,6 +14,7 @@
     NotRunError,
     OutcomeUnknownError,
 )
+from bergamotsaddle_serving.body_memory import UNLIMITED
 from bergamotsaddle_serving.catalog import Target
 from bergamotsaddle_serving.client import CROSSED, ConnectionLostError, ConnectionPool
 from bergamotsaddle_serving.context import Progress
@@ -26,7 +27,6 @@
     PieceResult,
     RequestHead,
 )
-from bergamotsaddle_serving.response_memory import UNLIMITED
 from bergamotsaddle_serving.stage_calls import StageCalls
 from tests._paused import use_paused_clock, use_skipping_clock
 
