--- a/packages/serving/bergamotsaddle_serving/caller.py
+++ b/packages/serving/bergamotsaddle_serving/caller.py
@@ -5,6 +5,7 @@
 import socket
 import struct
 from collections.abc import Callable
+from math import inf
 from typing import NamedTuple
 
 import eventlet
@@ -20,6 +21,7 @@
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving._parts import Parts
 from bergamotsaddle_serving._turn import Turn
+from bergamotsaddle_serving.body_memory import BodyMemory, MemoryShortError
 from bergamotsaddle_serving.catalog import CallerLimits
 from bergamotsaddle_serving.messages import RawHeaders
 
@@ -43,6 +45,8 @@
 # SO_LINGER enabled with a time of 0: closing sends a reset instead of a proper end.
 _RESET = struct.pack("ii", 1, 0)
 _NO_RESET = struct.pack("ii", 0, 0)
+# When the caller of a request that there was no memory for may try again.
+_RETRY_S = 1.0
 # When a green thread closes a green socket, another one that reads from it gets an
 # EOFError. Uncaught, the error propagates from the hub and ends the process, while a
 # stopping instance is still sending responses.
@@ -85,6 +89,8 @@
         limits: Returns the limits in force.
         is_stopping: Returns whether this instance is stopping.
         is_peer: Whether it is a connection of another instance.
+        memory: Memory for the bodies of requests. Unless it is given, only their size
+            is limited.
 
     Attributes:
         is_peer: Whether another instance hands over requests of its callers on it.
@@ -100,8 +106,13 @@
         is_stopping: Callable[[], bool],
         *,
         is_peer: bool = False,
+        memory: BodyMemory | None = None,
     ) -> None:
         self.is_peer = is_peer
+        memory = memory or BodyMemory(inf)
+        self._body_share = memory.open()
+        # For what the caller sends ahead.
+        self._ahead_share = memory.open()
         self._socket = sock
         self._limits = limits
         self._is_stopping = is_stopping
@@ -118,8 +129,11 @@
     def read(self) -> RawRequest | None:
         """Read the next request; return None if the caller sends no more.
 
+        The memory for its body is taken until ``release_body``.
+
         Raises:
-            RequestError: If the request is invalid, too large or too slow.
+            RequestError: If the request is invalid, too large or too slow, or there is
+                no memory for its body.
             CallerLeftError: If the caller disconnected in the middle of it.
         """
         self.is_idle = True
@@ -135,6 +149,27 @@
         self._buffered = bytes(self._h11.trailing_data[0])
         return request
 
+    def release_body(self) -> None:
+        """Give back the memory for the body of the current request."""
+        self._body_share.close()
+
+    def discard(self) -> None:
+        """Discard the rest of a request that has got its response.
+
+        A connection that is closed with unread data is reset, and the caller may lose
+        the response.
+        """
+        left = self._limits().body_bytes
+        # Fails if the caller has already closed the connection.
+        with (
+            contextlib.suppress(OSError, EOFError),
+            eventlet.Timeout(_BODY_TIMEOUT_S, False),
+        ):
+            self._socket.shutdown(socket.SHUT_WR)
+            while left > 0 and (data := self._socket.recv(_CHUNK)):
+                left -= len(data)
+                self._turn.step()
+
     def run_while_connected(self, work: Callable[[], None]) -> None:
         """Run the work for a request, and abort it when the caller disconnects.
 
@@ -197,6 +232,8 @@
 
         An unfinished response is reset if it could look complete.
         """
+        self._body_share.close()
+        self._ahead_share.close()
         if self._ends_with_connection():
             self.reset()
             return
@@ -264,6 +301,7 @@
 
     def _read_request(self, started_at: float) -> RawRequest:
         limits = self._limits()
+        self._ahead_share.close()
         try:
             with eventlet.Timeout(limits.head_seconds):
                 head, remainder = self._read_head(limits)
@@ -274,12 +312,13 @@
         if not isinstance(event, h11.Request):
             raise RequestError(ErrorKind.BAD_REQUEST, "expected a request")
         _check_lengths(event, limits)
+        self._take(_stated_length(event))
         self._send_continue()
         if remainder:
             self._h11.receive_data(remainder)
         try:
             with eventlet.Timeout(_BODY_TIMEOUT_S):
-                body = self._read_body(limits)
+                body = self._read_body(limits, _stated_length(event))
         except eventlet.Timeout as error:
             raise RequestError(ErrorKind.TOO_SLOW, "the body took too long") from error
         headers = list(event.headers)
@@ -316,7 +355,20 @@
             event = h11.InformationalResponse(status_code=100, headers=[])
             self._write(self._h11.send(event))
 
-    def _read_body(self, limits: CallerLimits) -> bytes:
+    def _take(self, size: int) -> None:
+        """Take memory for a body, or a part of it.
+
+        Raises:
+            RequestError: If there is none.
+        """
+        try:
+            self._body_share.take(size)
+        except MemoryShortError as error:
+            raise RequestError(
+                ErrorKind.OVERLOADED, "no memory for the body", retry_after=_RETRY_S
+            ) from error
+
+    def _read_body(self, limits: CallerLimits, stated: int) -> bytes:
         parts = Parts()
         received = 0
         while True:
@@ -333,6 +385,8 @@
                 parts.append(event.data)
                 if parts.size > limits.body_bytes:
                     raise RequestError(ErrorKind.TOO_LARGE, "the body is too large")
+                if not stated:
+                    self._take(len(event.data))
             else:
                 return parts.join()
 
@@ -349,7 +403,7 @@
     def _watch_for_disconnect(self, worker: GreenThread) -> None:
         turn = Turn(_PARTS_A_TURN)
         self._buffered = bytearray(self._buffered)
-        while len(self._buffered) < _MAX_BUFFERED:
+        while len(self._buffered) < _MAX_BUFFERED and self._ahead_share.may_take(1):
             turn.step()
             try:
                 data = self._socket.recv(_CHUNK)
@@ -359,6 +413,7 @@
                 eventlet.kill(worker, CallerLeftError("closed"))
                 return
             self._buffered += data
+            self._ahead_share.keep(len(data))
 
     def _write(self, data: bytes) -> None:
         if not data:
@@ -383,6 +438,11 @@
             return 0
 
 
+def _stated_length(request: h11.Request) -> int:
+    """Return the length that a request states for its body, 0 if it states none."""
+    return int(dict(request.headers).get(b"content-length", b"0"))
+
+
 def _check_lengths(request: h11.Request, limits: CallerLimits) -> None:
     names = [name for name, _ in request.headers]
     lengths = [v for name, v in request.headers if name == b"content-length"]
--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -265,23 +265,26 @@
             )
         )
         self._wants_body = request.method != b"HEAD"
-        data = head
+        parts = [head]
         if request.body:
-            data += self._h11.send(h11.Data(data=request.body))
-        data += self._h11.send(h11.EndOfMessage())
+            parts.append(self._h11.send(h11.Data(data=request.body)))
+        parts.append(self._h11.send(h11.EndOfMessage()))
+        size = sum(map(len, parts))
         self._socket.settimeout(max(0.001, limit))
-        if len(data) > _MAX_INLINE_SEND:
-            self._sender = eventlet.spawn(self._send_in_background, data)
-            return len(data)
+        if size > _MAX_INLINE_SEND:
+            # Joining them would copy a long body once more.
+            self._sender = eventlet.spawn(self._send_in_background, parts)
+            return size
         try:
-            self._socket.sendall(memoryview(data))
+            self._socket.sendall(memoryview(b"".join(parts)))
         except OSError as error:
             raise ConnectionLostError("send") from error
-        return len(data)
+        return size
 
-    def _send_in_background(self, data: bytes) -> bool:
+    def _send_in_background(self, parts: Sequence[bytes]) -> bool:
         try:
-            self._socket.sendall(memoryview(data))
+            for part in filter(None, parts):
+                self._socket.sendall(memoryview(part))
         except OSError:
             # Reading the response fails as well and reports the error.
             return False
--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -182,7 +182,11 @@
         try:
             raw = caller.read()
         except RequestError as error:
+            caller.release_body()
+            self._logger.warning("request_unread", kind=error.kind, reason=error.detail)
+            caller.must_close = True
             self._send_error(caller, "", error)
+            caller.discard()
             return False
         if raw is None:
             return False
@@ -194,6 +198,7 @@
         finally:
             self.active -= 1
             self.relayed -= raw.is_from_peer
+            caller.release_body()
         return caller.prepare_next()
 
     def _serve(self, caller: CallerConnection, raw: RawRequest) -> None:
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -138,6 +138,7 @@
         self.peers = Peers(settings, secrets.token_hex(4), logger)
         self.metrics = Metrics()
         self.memory = BodyMemory()
+        self.request_memory = BodyMemory(settings.capacity.request_bytes)
         endless = EndlessResponses(self.view, self.metrics, logger)
         self.pool = ConnectionPool(memory=self.memory, on_endless=endless.record)
         self.store = StoreFollower(
@@ -435,7 +436,11 @@
                 eventlet.sleep(_STOP_POLL_S)
                 continue
             caller = CallerConnection(
-                sock, limits, lambda: self._is_stopping, is_peer=is_peer
+                sock,
+                limits,
+                lambda: self._is_stopping,
+                is_peer=is_peer,
+                memory=self.request_memory,
             )
             eventlet.spawn_n(self.handler.run, caller)
 
@@ -695,6 +700,11 @@
             "Bytes of responses that are held here.",
             lambda: self.memory.used,
         )
+        gauge(
+            "request_bytes",
+            "Bytes of requests' bodies that are held here.",
+            lambda: self.request_memory.used,
+        )
         gauge("targets_limited", "Targets that name a limit.", lambda: len(self.limits))
         gauge(
             "room_pressure",
--- a/packages/serving/bergamotsaddle_serving/settings.py
+++ b/packages/serving/bergamotsaddle_serving/settings.py
@@ -8,6 +8,10 @@
 # Bandwidth in megabits per second that an owner of queues needs for each core that it
 # uses.
 _MBPS_PER_CORE = 20.0
+_BYTES_PER_MB = 1e6
+# The bodies of requests leave room for the rest of the process, and for one more copy
+# of those that are being read.
+_REQUEST_FRACTION = 0.3
 # Seconds until a change must be in force where the settings name no bound.
 _DEFAULT_CHANGE_S = 2.0
 _DEFAULT_HEARTBEAT_S = 1.0
@@ -134,17 +138,24 @@
         cpu_share: Fraction of the time of each core.
         cpus: Number of cores.
         link_mbps: Bandwidth of its link in megabits per second.
+        memory_mb: Memory in megabytes beyond which its process is killed.
     """
 
     cpu_share: float = 1.0
     cpus: float = 1.0
     link_mbps: float = 1_000.0
+    memory_mb: float = 300.0
 
     @property
     def cores(self) -> float:
         """Cores that it can spend on work for other instances."""
         return min(self.cpu_share * self.cpus, self.link_mbps / _MBPS_PER_CORE)
 
+    @property
+    def request_bytes(self) -> float:
+        """Bytes that the bodies of all requests may take together."""
+        return self.memory_mb * _BYTES_PER_MB * _REQUEST_FRACTION
+
 
 class SuspectSettings(NamedTuple):
     """What is suspected of crashing targets (``[suspects]``).
@@ -326,6 +337,7 @@
             ini.get("capacity", "cpu_share", _parse_positive, 1.0),
             ini.get("capacity", "cpus", _parse_positive, 1.0),
             ini.get("capacity", "link_mbps", _parse_positive, 1_000.0),
+            ini.get("capacity", "memory_mb", _parse_positive, 300.0),
         ),
         SuspectSettings(
             frozenset(ini.get("suspects", "allowed_parts", parse_words, ())),
