Keep no stop waiting for requests whose rest is discarded

A connection that discards what its caller still sends counted as one that is being read, for up to 10 s, which a graceful stop waits for. Noticed by reading; the line of the test fails without the change. Cause: is_idle stayed false behind a rejection.

--- a/packages/serving/bergamotsaddle_serving/caller.py
+++ b/packages/serving/bergamotsaddle_serving/caller.py
@@ -159,6 +159,7 @@
         A connection that is closed with unread data is reset, and the caller may lose
         the response.
         """
+        self.is_idle = True
         left = self._limits().body_bytes
         # Fails if the caller has already closed the connection.
         with (
--- a/tests/test_request_bodies.py
+++ b/tests/test_request_bodies.py
@@ -129,6 +129,7 @@
             client.sendall(request[start : start + CHUNK])
             eventlet.sleep(0.5)
         self.assertEqual(self.receive(client)[0], 429)
+        self.assertFalse(self.handler.is_reading(), "it keeps no stop waiting")
         client.close()
         for upload in uploads:
             upload.wait()
