Read the store's history in a limited time, and advance the view before it tells of changes

It ends after 0.4 s now, and the past counts as unknown (test_the_history_is_read_for_a_limited_time, "slow" fails without). Cause of the second: applying entries one by one had put the callbacks of a change before the view's position; they come behind it again. Results of stages are kept in smaller tables.

--- a/packages/serving/bergamotsaddle_serving/follower.py
+++ b/packages/serving/bergamotsaddle_serving/follower.py
@@ -50,8 +50,9 @@
 _OK = 200
 _GONE = 410
 _TOO_MANY = 429
-# Tries to read the history behind a snapshot.
-_MAX_HISTORY_READS = 2
+# Time for reading the store's history behind a snapshot. Changes are not followed
+# meanwhile.
+_HISTORY_TIMEOUT_S = 0.4
 
 
 def batch_pause(fleet_size: int) -> float:
@@ -219,23 +220,24 @@
         listed_at: float,
     ) -> None:
         """Read what the store knows of versions that served before a snapshot."""
+        until = now() + _HISTORY_TIMEOUT_S
 
         def watch(revision: int) -> list[StoreEntry] | None:
+            if now() >= until:
+                raise _StoreError("the history took too long")
             call = self._dialect.watch_entries(revision, 0.0)
-            response = self._call(call, self._freshness.response_timeout)
+            response = self._call(call, until - now())
             if response.era != position.era:
                 raise _StoreError("the store came back from an older copy")
             if response.status == _GONE:
                 return None
             return self._decode_page(response).entries
 
-        for _ in range(_MAX_HISTORY_READS):
-            try:
-                past.read(entries, position.revision, watch, listed_at=listed_at)
-                return
-            except (ConnectionLostError, _StoreError, ValueError) as error:
-                # Streams of unknown origin are refused for longer without it.
-                self._logger.warning("past_software_unknown", reason=str(error))
+        try:
+            past.read(entries, position.revision, watch, listed_at=listed_at)
+        except (ConnectionLostError, _StoreError, ValueError) as error:
+            # Streams of unknown origin are refused for longer without it.
+            self._logger.warning("past_software_unknown", reason=str(error))
 
     def _read_page(self, after: str) -> StorePage:
         response = self._call(
--- a/packages/serving/bergamotsaddle_serving/given_results.py
+++ b/packages/serving/bergamotsaddle_serving/given_results.py
@@ -10,7 +10,7 @@
 
 # Results are kept for some seconds by their targets; an instance gets hundreds of them
 # a second.
-_MAX_RESULTS = 20_000
+_MAX_RESULTS = 4_000
 
 
 class GivenResults:
--- a/packages/serving/bergamotsaddle_serving/resumption.py
+++ b/packages/serving/bergamotsaddle_serving/resumption.py
@@ -24,7 +24,7 @@
 _EXPIRY_MARGIN_S = 2.0
 _SOLE_VERSION = "history"
 # Streams that an instance begins in the longest time for which it may be cut off.
-_MAX_BEGUN = 20_000
+_MAX_BEGUN = 5_000
 
 
 class _BegunStream(NamedTuple):
@@ -100,7 +100,7 @@
             service=origin.service if origin else context.service.name,
             software=origin.software if origin else "",
             known_by=known_by,
-            age=self._ages.limit(context.route, head.deadline),
+            age=round(self._ages.limit(context.route, head.deadline), 3),
             reason=reason,
             seconds=round(now() - started_at, 4),
         )
--- a/packages/serving/bergamotsaddle_serving/view.py
+++ b/packages/serving/bergamotsaddle_serving/view.py
@@ -154,13 +154,15 @@
                 if self._table.add(entry) is EntryChange.VALUE:
                     is_changed = True
                     self._apply_entry(entry, source, is_first=is_first)
-        finally:
-            # An entry that can't be applied keeps no other one out of force.
-            if is_changed:
-                self._rebuild()
+        except Exception:
+            # What was applied is in force, and the rest is applied by the next read.
+            self._rebuild()
+            raise
         # Only a snapshot shows what the store of a new era lacks.
         if position.era == self.position.era or not self.has_snapshot:
             self._table.advance(position)
+        if is_changed:
+            self._rebuild()
         return is_changed
 
     def replace(
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -102,6 +102,33 @@
             thread.kill()
         return pending
 
+    def read_past(self, *, seconds_an_answer):
+        """Read a long history behind a snapshot; return its result and the time."""
+        past = mock.Mock()
+        past.read.side_effect = lambda entries, revision, watch, *, listed_at: [
+            watch(number) for number in range(20)
+        ]
+
+        def call(request, limit):
+            eventlet.sleep(min(limit, seconds_an_answer))
+            return page(1, 8) if request else page(1, 8, "servers/u")
+
+        started_at = now()
+        self.follower.past = past
+        with mock.patch.object(self.follower, "_call", side_effect=call):
+            thread = eventlet.spawn(self.follower._read_snapshot)
+            thread.link(lambda _: ended.append(now() - started_at))
+            ended = []
+            advance(5.0)
+        return self.follower._logger.warning.call_count, ended[0]
+
+    @parameterized.expand([("fast", 0.004, 0), ("slow", 0.2, 1)])
+    def test_the_history_is_read_for_a_limited_time(self, _, seconds, warnings):
+        """Guards against changes that wait until a slow store has told its history."""
+        warned, taken = self.read_past(seconds_an_answer=seconds)
+        self.assertEqual(warned, warnings)
+        self.assertLess(taken, 1.0)
+
     @parameterized.expand(
         [
             ("lower", 5),
