--- a/tests/test_late_responses.py
+++ b/tests/test_late_responses.py
@@ -48,20 +48,16 @@
     return "\r\n".join(lines).encode()
 
 
-class RepeatingTarget:
-    """A target that answers each request on a connection with scripted bytes.
-
-    Args:
-        responses: What it sends after each request.
+class ListeningTarget:
+    """A target on a socket; ``serve`` has what it does on each connection.
 
     Attributes:
         address: Its address.
         connections: Number of connections that it accepted.
     """
 
-    def __init__(self, *responses):
+    def __init__(self):
         self._listener = eventlet.listen(("127.0.0.1", 0))
-        self._responses = responses
         self.address = Address(*self._listener.getsockname())
         self.connections = 0
         eventlet.spawn_n(self._run)
@@ -70,9 +66,22 @@
         while True:
             sock, _ = self._listener.accept()
             self.connections += 1
-            eventlet.spawn_n(self._serve, sock)
+            eventlet.spawn_n(self.serve, sock)
 
-    def _serve(self, sock):
+
+class RepeatingTarget(ListeningTarget):
+    """A target that answers each request on a connection with scripted bytes.
+
+    Args:
+        responses: What it sends after each request.
+    """
+
+    def __init__(self, *responses):
+        super().__init__()
+        self._responses = responses
+
+    def serve(self, sock):
+        """Answer the requests on a connection."""
         for response in self._responses:
             if not sock.recv(65_536):
                 return
@@ -167,34 +176,22 @@
             self.send(target, "r1")
 
 
-class StageTarget:
+class StageTarget(ListeningTarget):
     """A stage target that sends its first response once more ahead of its second.
 
     Args:
         names_calls: Whether its responses name the call.
         status: Status of its first response.
-
-    Attributes:
-        address: Its address.
-        connections: Number of connections that it accepted.
     """
 
     def __init__(self, *, names_calls, status=200):
-        self._listener = eventlet.listen(("127.0.0.1", 0))
+        super().__init__()
         self._names_calls = names_calls
         self._first_status = status
         self._calls = 0
-        self.address = Address(*self._listener.getsockname())
-        self.connections = 0
-        eventlet.spawn_n(self._run)
-
-    def _run(self):
-        while True:
-            sock, _ = self._listener.accept()
-            self.connections += 1
-            eventlet.spawn_n(self._serve, sock)
 
-    def _serve(self, sock):
+    def serve(self, sock):
+        """Answer the calls on a connection."""
         late = b""
         while request := sock.recv(65_536):
             self._calls += 1
