Take a crash that others tell of for an end of its time, not of now

Noticed by reading, before any run: instances behind a cut that refuses connections tell of crashes that were none, and a restarted instance learns of crashes of minutes ago. Cause: the end of a target counted from when it became known, so all targets named were uncertain for 3 s, and streams that began meanwhile could not go on later. Crash facts have the time at which they were observed; it counts now. The facts reach EntryCertainty from Suspects, which knows that time, instead of TargetCrashes; test_a_crash_that_another_instance_reports_is_an_end is replaced by test_crashes_that_others_saw_are_ends_of_their_time, which checks the time too, and test_an_old_crash_that_becomes_known_late fails without the change.

--- a/packages/serving/bergamotsaddle_serving/entry_certainty.py
+++ b/packages/serving/bergamotsaddle_serving/entry_certainty.py
@@ -36,11 +36,16 @@
         self._held_at = -inf
         self._regained_at = -inf
 
-    def record_end(self, incarnation: tuple[str, int]) -> None:
-        """Record that an incarnation of a target has ended."""
+    def record_end(self, incarnation: tuple[str, int], ended_at: float) -> None:
+        """Record that an incarnation of a target has ended.
+
+        Args:
+            incarnation: The incarnation.
+            ended_at: When it was seen to have ended, on the hub's clock.
+        """
         ended = self._ended_at_by_incarnation
-        ended.pop(incarnation, None)
-        ended[incarnation] = now()
+        known_at = ended.pop(incarnation, -inf)
+        ended[incarnation] = max(known_at, ended_at)
         if len(ended) > _MAX_ENDED:
             ended.popitem(last=False)
 
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -241,7 +241,7 @@
         )
         self._certainty = resumptions.certainty
         self.pool.on_refused = self._record_refused_connection
-        crashes.on_end = self._certainty.record_end
+        self.suspects.on_end = self._certainty.record_end
         self.rates = TargetRates(self.limits, rate_exchange, logger)
         fetch_times = FetchTimes(settings.capacity.link_mbps)
         calls = StageCalls(
@@ -405,7 +405,7 @@
         """
         target = self.view.target_by_address.get(address)
         if target is not None and not self.service_reach.is_lost(target.service):
-            self._certainty.record_end(target.incarnation)
+            self._certainty.record_end(target.incarnation, now())
 
     def _team_shares(self) -> dict[str, float]:
         configuration = self.view.configuration
--- a/packages/serving/bergamotsaddle_serving/suspects.py
+++ b/packages/serving/bergamotsaddle_serving/suspects.py
@@ -95,6 +95,8 @@
         allowed: Fingerprints of requests that are never quarantined.
         on_crash: Called with a fingerprint and the incarnation that crashed under it,
             for each such fact.
+        on_end: Called with the incarnation of a target that crashed, as its entry names
+            it, and when that was, on the hub's clock.
     """
 
     def __init__(
@@ -112,6 +114,7 @@
     ) -> None:
         self.allowed = allowed
         self.on_crash: Callable[[str, Incarnation], None] = lambda *_: None
+        self.on_end: Callable[[tuple[str, int], float], None] = lambda *_: None
         self._explains_crash = explains_crash
         self._request_trial = request_trial
         self._gossip = gossip
@@ -305,6 +308,7 @@
         self._fingerprints_by_incarnation.setdefault(incarnation, set()).add(
             fingerprint
         )
+        self.on_end(incarnation.target_incarnation, at)
         self.on_crash(fingerprint, incarnation)
 
     def _forget_crash(self, fingerprint: str, incarnation: Incarnation) -> None:
--- a/packages/serving/bergamotsaddle_serving/target_crashes.py
+++ b/packages/serving/bergamotsaddle_serving/target_crashes.py
@@ -163,7 +163,6 @@
         suspects: Attributes the reported crashes to requests.
         parts: Attributes them to parts of prompts.
         on_crash: Called when a crash under a request becomes known.
-        on_end: Called with the incarnation whose crash became known.
     """
 
     def __init__(
@@ -195,7 +194,6 @@
         # of their runs has ended.
         self._left_incarnations: OrderedDict[tuple[str, int], None] = OrderedDict()
         self.on_crash: Callable[[], None] = lambda: None
-        self.on_end: Callable[[tuple[str, int]], None] = lambda incarnation: None
         suspects.on_crash = self._on_known_crash
         view.subscribe(self._on_view_change)
 
@@ -362,7 +360,6 @@
 
     def _on_known_crash(self, fingerprint: str, incarnation: Incarnation) -> None:
         """Report own runs at a target that crashed, and tell what others outlived."""
-        self.on_end(incarnation.target_incarnation)
         pending = self._pending_by_incarnation.get(incarnation.target_incarnation)
         if pending is not None:
             self._report_crash(pending.target)
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -456,7 +456,7 @@
         first, second = self.list_targets(e1="v1", e2="v1")
         self.wait(1.0, is_silent=True)
         resumptions = self.other.resumptions
-        resumptions.certainty.record_end(first.incarnation)
+        resumptions.certainty.record_end(first.incarnation, now())
         origin = StreamOrigin("s", "v1")
         self.assertFalse(resumptions.may_run(first, origin))
         self.assertTrue(resumptions.may_run(second, origin))
@@ -472,16 +472,27 @@
         """Guards against targets that are left out for good by a refused connection."""
         first, _ = self.list_targets(e1="v1", e2="v1")
         resumptions = self.instance.resumptions
-        resumptions.certainty.record_end(first.incarnation)
+        resumptions.certainty.record_end(first.incarnation, now())
         self.wait(seconds)
         origin = StreamOrigin("s", "v1")
         self.assertEqual(resumptions.may_run(first, origin), is_certain)
 
+    def test_an_old_crash_that_becomes_known_late(self):
+        """Guards against streams that end as instances tell each other of a cut."""
+        first, _ = self.list_targets(e1="v1", e2="v1")
+        self.wait(4.0)
+        resumptions = self.instance.resumptions
+        resumptions.certainty.record_end(first.incarnation, now() - 4.0)
+        self.assertTrue(resumptions.may_run(first, StreamOrigin("s", "v1")))
+        resumptions.certainty.record_end(first.incarnation, now())
+        resumptions.certainty.record_end(first.incarnation, now() - 4.0)
+        self.assertFalse(resumptions.may_run(first, StreamOrigin("s", "v1")))
+
     def test_the_entry_of_the_next_incarnation_is_certain(self):
         """Guards against restarted targets that go on with no stream for seconds."""
         first, _ = self.list_targets(e1="v1", e2="v1")
         resumptions = self.instance.resumptions
-        resumptions.certainty.record_end(first.incarnation)
+        resumptions.certainty.record_end(first.incarnation, now())
         restarted = first._replace(started_ms=7)
         self.assertTrue(resumptions.may_run(restarted, StreamOrigin("s", "v1")))
 
@@ -489,7 +500,7 @@
         """Guards against a first event that fits by an entry from before."""
         first, _ = self.list_targets(e1="v1", e2="v1")
         resumptions = self.other.resumptions
-        resumptions.certainty.record_end(first.incarnation)
+        resumptions.certainty.record_end(first.incarnation, now())
         bound = resumptions.bind(make_context("r1"), first)
         self.assertFalse(resumptions.is_certain(bound))
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -5,6 +5,7 @@
 from parameterized import parameterized
 
 from bergamotsaddle_contracts.ini import Address
+from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.catalog import Target
 from bergamotsaddle_serving.crash_history import CrashedRun
 from bergamotsaddle_serving.decisions.engine_choice import EngineView, isolate_engine
@@ -71,6 +72,27 @@
             self.suspects.record_success(target(number, software), "w")
             advance(0.1)
 
+    def test_crashes_that_others_saw_are_ends_of_their_time(self):
+        """Guards against streams that go on at a target that others saw end."""
+        gossip, other_gossip = Gossip(), Gossip()
+        ended = []
+        other = Suspects(
+            other_gossip, lambda _: None, lambda: self.software_versions, SILENT_LOGGER
+        )
+        other.on_end = lambda incarnation, at: ended.append((incarnation, at))
+        suspects = Suspects(
+            gossip, lambda _: None, lambda: self.software_versions, SILENT_LOGGER
+        )
+        crashed_at = now()
+        crash(suspects, target(1, "v1"), "w")
+        advance(5.0)
+        other_gossip.merge(
+            [fact for _, fact in gossip.differing_facts(other_gossip.group_digests)]
+        )
+        ((incarnation, at),) = ended
+        self.assertEqual(incarnation, target(1, "v1").incarnation)
+        self.assertAlmostEqual(at, crashed_at, delta=0.2)
+
     @parameterized.expand(
         [
             ("none", [], False),
--- a/tests/test_target_crashes.py
+++ b/tests/test_target_crashes.py
@@ -153,13 +153,6 @@
         calls = self.suspects.disprove.call_args_list
         self.assertEqual([call.args[0] for call in calls], disproved)
 
-    def test_a_crash_that_another_instance_reports_is_an_end(self):
-        """Guards against streams that go on at a target that others saw end."""
-        ended = []
-        self.crashes.on_end = ended.append
-        self.suspects.on_crash("other", incarnation_of(TARGET))
-        self.assertEqual(ended, [TARGET.incarnation])
-
     def test_a_crash_that_another_instance_reports_counts_for_own_runs(self):
         """Guards against crashes behind a whole response that only others notice."""
         self.crashes.record_success(TARGET, [Work("w")], is_framed=True)
