Hear what a stage target says of itself also if its results are broken off (DRAIN)

What callers would have seen: calls to a target that had said that it leaves. Cause: since the head of a stage's answer counted only after its body had been decoded, so a Server-Leaving, a rest or a limit in the head of an answer that was cut was lost. The new test fails without the change. The head of an answer that names another call still doesn't count.

--- a/packages/serving/bergamotsaddle_serving/stage_calls.py
+++ b/packages/serving/bergamotsaddle_serving/stage_calls.py
@@ -217,11 +217,12 @@
         try:
             if response.request_id not in ("", call_id):
                 raise ConnectionLostError(CROSSED)
+            # What the head says of the target holds whatever the body is.
+            self._notices.read(target, head.status, response)
             value = read(body) if head.status == _OK else None
         except (ConnectionLostError, ValueError):
             connection.close()
             raise
-        self._notices.read(target, head.status, response)
         if response.limit is not None or head.status == _OK:
             self._limits.record(target, response.limit)
         self._pool.release(connection, response.keep_alive_seconds)
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -90,6 +90,16 @@
         self.assertIsNone(calls.run(self.instance.target, [piece], 1.0))
         self.check_left_out()
 
+    def test_a_stage_call_whose_results_are_broken_off(self):
+        """Guards against calls to a target that says in a cut response that it leaves."""
+        calls = self.stage_calls(self.connection(200, [], b'{"items":'))
+        calls._rates.reserve.return_value = True
+        calls._dialect.read_results = PlatformDialect().read_results
+        piece = mock.MagicMock(urgency=0, key=PieceKey("r", 0, 0, 0))
+        with self.assertRaises(ValueError):
+            calls.run(self.instance.target, [piece], 1.0)
+        self.check_left_out()
+
     def test_a_probe(self):
         pool = mock.Mock(acquire=lambda address, limit: connection)
         connection = self.connection(200, [])
