--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -91,7 +91,7 @@
         self.check_left_out()
 
     def test_a_stage_call_whose_results_are_broken_off(self):
-        """Guards against calls to a target that says in a cut response that it leaves."""
+        """Guards against calls to a target whose cut response says that it leaves."""
         calls = self.stage_calls(self.connection(200, [], b'{"items":'))
         calls._rates.reserve.return_value = True
         calls._dialect.read_results = PlatformDialect().read_results
