Log whether a failed attempt used a connection that had carried other requests

Cause: attempt_failed named the response's id only, which can't tell a second copy of a rejection of the same request from a target that rejects what it has begun. The field reused tells them apart, together with an earlier line of the same request and target. No decision changes.

--- a/packages/serving/bergamotsaddle_serving/attempt.py
+++ b/packages/serving/bergamotsaddle_serving/attempt.py
@@ -184,6 +184,7 @@
         self.is_sent = context.progress.is_sent = True
         context.progress.is_framed = None
         context.progress.response_id = ""
+        context.progress.is_reused = connection.is_reused
         size = self._read(lambda: connection.send(call, limit=limit))
         if on_sent is not None:
             on_sent(size)
--- a/packages/serving/bergamotsaddle_serving/context.py
+++ b/packages/serving/bergamotsaddle_serving/context.py
@@ -23,12 +23,14 @@
             its head has arrived.
         response_id: Id of the request that the last response names, empty if it names
             none.
+        is_reused: Whether the last connection has carried other requests before.
     """
 
     def __init__(self) -> None:
         self.is_sent = False
         self.is_framed: bool | None = None
         self.response_id = ""
+        self.is_reused = False
 
 
 class Context(NamedTuple):
--- a/packages/serving/bergamotsaddle_serving/plain_run.py
+++ b/packages/serving/bergamotsaddle_serving/plain_run.py
@@ -251,6 +251,7 @@
             reason=reason,
             framed=context.progress.is_framed,
             response_id=context.progress.response_id,
+            reused=context.progress.is_reused,
             ran=ran,
             in_flight=self.state.in_flight,
             open=others,
--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -722,6 +722,7 @@
             status=status,
             framed=context.progress.is_framed,
             response_id=context.progress.response_id,
+            reused=context.progress.is_reused,
             ran=ran,
             last_event=self._output.last_id,
             runs=self._possible_runs,
