--- a/tests/_paced_engines.py
+++ b/tests/_paced_engines.py
@@ -346,6 +346,7 @@
         permits: Whether each engine grants permits, all by default.
         is_numbered: Whether events have ids.
         is_spread: Whether prompts begin differently, so that each engine gets some.
+        is_resumable: Whether another engine may resume a stream.
         stages: Stages before the stream, None if there are none.
 
     Attributes:
@@ -363,6 +364,7 @@
         permits=(),
         is_numbered=True,
         is_spread=False,
+        is_resumable=True,
         stages=None,
     ):
         names = [f"e{n}" for n in range(len(scripts))]
@@ -437,7 +439,7 @@
             0,
             (Share(SERVICE, 1.0),),
             (Stage("rerank", (), 1_000),) if stages else (),
-            is_resumable=True,
+            is_resumable=is_resumable,
             event_gap=0.3,
         )
         self._numbers = count(1)
