Send a request that comes again to its target on a new connection (TWICE, REFUSED)

A stream that may run once runs twice, or its caller gets 503 though an engine runs it, if the engine has answered 409 before and sends that answer once more.

Cause: a response is tied to its question by the id of the request and by its place on the connection. A stream whose inputs are gone runs its stages again and may go to the same engine, on the connection that carried it before. Then neither tells the second copy of the 409 from the response that is awaited.

Ruled out: plain requests that may run once (a target that refused one is never asked again), handed-over requests (each has a connection of its own).

Change: a request remembers the addresses that it was sent to. A repeat at one of them takes a new connection. Stand-ins for pools open connections too.

Conclusion: an answer on a connection that carried the request once can't be one to an earlier run of it. It costs one new connection for each 409.

--- a/packages/serving/bergamotsaddle_serving/attempt.py
+++ b/packages/serving/bergamotsaddle_serving/attempt.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple, NoReturn, TypeVar
 
 from bergamotsaddle_contracts.errors import BergamotsaddleError
+from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.body_memory import MemoryShortError, Remainder
 from bergamotsaddle_serving.client import (
@@ -174,7 +175,7 @@
         headers = self._dialect.forward(context.head, dispatch, len(body))
         call = HttpCall(context.head.method, context.head.path, headers, body)
         try:
-            connection = self._pool.acquire(dispatch.target.address, limit=limit)
+            connection = self._acquire(dispatch.target.address, limit)
         except ConnectionLostError as error:
             self._state.record_failure(is_certain=True)
             raise NotRunError(error.reason) from error
@@ -185,11 +186,22 @@
         context.progress.is_framed = None
         context.progress.response_id = ""
         context.progress.is_reused = connection.is_reused
+        context.progress.addresses.add(dispatch.target.address)
         size = self._read(lambda: connection.send(call, limit=limit))
         if on_sent is not None:
             on_sent(size)
         return self.read_response(limit=limit, max_wait=max_wait)
 
+    def _acquire(self, address: Address, limit: float) -> Connection:
+        """Return a connection that has not carried this request before.
+
+        A late second response to an earlier run at the same target names the request
+        as well, so only a new connection tells it from the response that is awaited.
+        """
+        if address in self._context.progress.addresses:
+            return self._pool.open(address, limit=limit)
+        return self._pool.acquire(address, limit=limit)
+
     def read_response(self, *, limit: float, max_wait: float | None = None) -> Response:
         """Wait for the head of the response, as ``send`` does.
 
--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -522,13 +522,26 @@
         Raises:
             ConnectionLostError: If no connection can be made in time.
         """
-        self.last_acquired_at = now()
         idle = self._idle_by_address.get(address)
         while idle:
             connection = idle.pop()
             if connection.is_usable():
+                self.last_acquired_at = now()
                 return connection
             connection.close()
+        return self.open(address, limit=limit)
+
+    def open(self, address: Address, *, limit: float = CONNECT_LIMIT_S) -> Connection:
+        """Return a new connection.
+
+        Args:
+            address: Address to connect to.
+            limit: Seconds for connecting, at most ``CONNECT_LIMIT_S``.
+
+        Raises:
+            ConnectionLostError: If it can't be made in time.
+        """
+        self.last_acquired_at = now()
         return self._open(address, min(limit, CONNECT_LIMIT_S))
 
     def probe(self, address: Address, limit: float) -> bool:
--- a/packages/serving/bergamotsaddle_serving/context.py
+++ b/packages/serving/bergamotsaddle_serving/context.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
+from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.body_memory import UNLIMITED, MemoryShare
 from bergamotsaddle_serving.catalog import Route, Service, Team
@@ -24,6 +25,7 @@
         response_id: Id of the request that the last response names, empty if it names
             none.
         is_reused: Whether the last connection has carried other requests before.
+        addresses: Addresses that it was sent to.
     """
 
     def __init__(self) -> None:
@@ -31,6 +33,7 @@
         self.is_framed: bool | None = None
         self.response_id = ""
         self.is_reused = False
+        self.addresses: set[Address] = set()
 
 
 class Context(NamedTuple):
--- a/packages/standins/bergamotsaddle_standins/virtual_targets.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_targets.py
@@ -399,6 +399,10 @@
             raise ConnectionLostError("refused", is_unsent=True)
         return VirtualConnection(self._targets, target, self._instance)
 
+    def open(self, address: Address, *, limit: float = 1.0) -> VirtualConnection:
+        """Do the same; no connection is kept that could be acquired instead."""
+        return self.acquire(address, limit=limit)
+
     def is_refused(self, address: Address) -> bool:
         """Return whether an address refuses connections."""
         eventlet.sleep(_LATENCY_S)
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -200,7 +200,7 @@
             budget.try_acquire("s")
         server = PlainServer(
             selector,
-            SimpleNamespace(acquire=acquire, release=mock.Mock()),
+            SimpleNamespace(acquire=acquire, open=acquire, release=mock.Mock()),
             budget,
             mock.Mock(read_response=lambda _: TARGET_HEAD, forward=mock.MagicMock()),
             mock.Mock(),
--- a/tests/test_plain_hedges.py
+++ b/tests/test_plain_hedges.py
@@ -132,7 +132,7 @@
         self.logger = mock.Mock()
         server = PlainServer(
             selector,
-            SimpleNamespace(acquire=acquire, release=mock.Mock()),
+            SimpleNamespace(acquire=acquire, open=acquire, release=mock.Mock()),
             budget,
             mock.Mock(read_response=lambda _: TARGET_HEAD, forward=mock.MagicMock()),
             self.logger,
--- a/tests/test_plain_places.py
+++ b/tests/test_plain_places.py
@@ -84,7 +84,9 @@
         head = ResponseHead("", True, False, LOAD, None, False)
         server = PlainServer(
             self.selector,
-            SimpleNamespace(acquire=self.acquire, release=mock.Mock()),
+            SimpleNamespace(
+                acquire=self.acquire, open=self.acquire, release=mock.Mock()
+            ),
             RetryBudget(BOUNDS, lambda: 6),
             mock.Mock(read_response=lambda _: head, forward=mock.MagicMock()),
             mock.Mock(),
