--- /dev/null
+++ b/tests/test_odd_input.py
@@ -0,0 +1,68 @@
+"""Odd values from outside, at each place where the serving daemon reads bytes."""
+
+import unittest
+
+from parameterized import parameterized
+
+from bergamotsaddle_contracts.errors import ErrorKind, RequestError
+from tests.test_platform_dialect import DIALECT
+
+LONG = b"9" * 5_000
+REQUEST_ID = (b"x-request-id", b"r1")
+
+
+class CallerHeadTest(unittest.TestCase):
+    """Heads of callers' requests."""
+
+    @parameterized.expand(
+        [
+            ("superscript", b"\xb2"),
+            ("long", LONG),
+            ("negative", b"-1"),
+            ("sign", b"+5"),
+            ("underscore", b"1_000"),
+            ("space", b"1 0"),
+            ("empty", b""),
+        ]
+    )
+    def test_parts_of_prompts_that_can_not_be_read(self, _, tokens):
+        """Guards against requests that fail for a hint that can't be read."""
+        value = b"aa:%s,bb:410" % tokens
+        head = DIALECT.read_head(b"POST", b"/", [REQUEST_ID, (b"x-prefix-hash", value)])
+        self.assertEqual([part.id for part in head.prompt], ["bb"])
+
+    @parameterized.expand(
+        [
+            (f"{name}_{header.decode()}", header, value)
+            for header in (b"x-pieces", b"x-token-usage")
+            for name, value in [
+                ("superscript", b"\xb2"),
+                ("long", LONG),
+                ("negative", b"1,-1"),
+                ("sign", b"+5"),
+                ("underscore", b"1_000"),
+            ]
+        ]
+    )
+    def test_numbers_that_can_not_be_read(self, _, header, value):
+        """Guards against numbers that fail behind the check of the head."""
+        with self.assertRaises(RequestError) as raised:
+            DIALECT.read_head(b"POST", b"/", [REQUEST_ID, (header, value)])
+        self.assertIs(raised.exception.kind, ErrorKind.BAD_REQUEST)
+
+    @parameterized.expand(
+        [
+            (f"{name}_{header.decode()}", header, value)
+            for header in (b"x-deadline-ms", b"x-length-hint")
+            for name, value in [
+                ("superscript", b"\xb2"),
+                ("long", LONG),
+                ("negative", b"-1"),
+                ("empty", b""),
+            ]
+        ]
+    )
+    def test_hints_that_can_not_be_read(self, _, header, value):
+        """Guards against requests that fail for a number that only helps."""
+        head = DIALECT.read_head(b"POST", b"/", [REQUEST_ID, (header, value)])
+        self.assertEqual((head.deadline, head.length_hint), (600.0, 0))
