--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -66,3 +66,20 @@
         """Guards against requests that fail for a number that only helps."""
         head = DIALECT.read_head(b"POST", b"/", [REQUEST_ID, (header, value)])
         self.assertEqual((head.deadline, head.length_hint), (600.0, 0))
+
+    @parameterized.expand(
+        [
+            ("one_stage", b"1," + b"9" * 15),
+            ("one_too_many", b"0,4097"),
+            ("many_stages", b",".join([b"900"] * 900)),
+        ]
+    )
+    def test_more_pieces_than_can_be_run(self, _, value):
+        """Guards against requests that take the time and memory of the instance."""
+        with self.assertRaises(RequestError) as raised:
+            DIALECT.read_head(b"POST", b"/", [REQUEST_ID, (b"x-pieces", value)])
+        self.assertIs(raised.exception.kind, ErrorKind.BAD_REQUEST)
+
+    def test_as_many_pieces_as_can_be_run(self):
+        head = DIALECT.read_head(b"POST", b"/", [REQUEST_ID, (b"x-pieces", b"4096")])
+        self.assertEqual(head.pieces, (4_096,))
