Read the numbers of handed-over requests as the digits that instances send

Cause: int and float read more than the sender writes: signs, underscores, nan, inf and numbers that have no float. A negative time since the start gave a request more time than its caller waits, a negative count of runs one more repeat.

Ruled out: sender and kind, which are texts and are compared.

Change: whole numbers are 1 to 18 digits, times 1 to 9 with a fraction, as instances write them. Any other is a malformed request (400), or an outcome that promises nothing. A time of return that has passed is sent as 0.

Conclusion: what one instance reads is what the other one writes.

--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -439,7 +439,8 @@
         if request_id:
             headers.append((b"x-request-id", request_id.encode("latin-1")))
         if error.retry_after is not None and error.ran is Ran.NO:
-            headers.append((b"retry-after", b"%.3f" % error.retry_after))
+            seconds = max(0.0, error.retry_after)
+            headers.append((b"retry-after", b"%.3f" % seconds))
         if error.kind in _CLOSING_KINDS:
             caller.must_close = True
         body = msgspec.json.encode(ErrorResponse(error.kind, error.ran, error.detail))
--- a/packages/serving/bergamotsaddle_serving/relay_headers.py
+++ b/packages/serving/bergamotsaddle_serving/relay_headers.py
@@ -1,5 +1,6 @@
 """Headers of requests that one instance hands over to another, and of the responses."""
 
+import re
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -18,6 +19,8 @@
 _RETRY_AFTER = b"retry-after"
 _EXPECT = b"expect"
 _MS_PER_S = 1_000.0
+_DIGITS = re.compile(rb"[0-9]{1,18}")
+_SECONDS = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 
 
 class RelayedRequest(NamedTuple):
@@ -79,10 +82,10 @@
     try:
         return RelayedRequest(
             by_name[_SENDER].decode("latin-1"),
-            int(by_name[_ELAPSED_MS]) / _MS_PER_S,
-            int(by_name[_VERSION]),
-            int(by_name.get(_RUNS, b"0")),
-            int(by_name[_LAST_EVENT]) if _LAST_EVENT in by_name else None,
+            _parse_number(by_name[_ELAPSED_MS]) / _MS_PER_S,
+            _parse_number(by_name[_VERSION]),
+            _parse_number(by_name.get(_RUNS, b"0")),
+            _parse_optional_number(by_name.get(_LAST_EVENT)),
         )
     except (KeyError, ValueError) as error:
         detail = "expected the headers of a handed-over request"
@@ -113,8 +116,22 @@
     return RequestError(kind, "the helper failed", ran=ran, retry_after=retry_after)
 
 
+def _parse_number(value: bytes) -> int:
+    if not _DIGITS.fullmatch(value):
+        raise ValueError("expected a number")
+    return int(value)
+
+
+def _parse_optional_number(value: bytes | None) -> int | None:
+    return None if value is None else _parse_number(value)
+
+
 def _parse_seconds(value: bytes | None) -> float | None:
-    return None if value is None else float(value)
+    if value is None:
+        return None
+    if not _SECONDS.fullmatch(value):
+        raise ValueError("expected seconds")
+    return float(value)
 
 
 def _named_by_connection(headers: Sequence[tuple[bytes, bytes]]) -> frozenset[bytes]:
