Keep hearing peers behind a datagram that can't be read or handled

What callers saw: nothing was recorded. An instance hears no peers for half a second after each such datagram, and loses those that came with it; its stages and handed-over requests are late.

Cause: the decoder raises RecursionError for a field that is nested too deeply, which isn't one of its own errors; and an error that a handler doesn't expect (a fact whose key has no number, an origin of two lengths) ended the loop that receives for all peers. Its restart takes 0.5 s.

Evidence: tests/test_odd_input.DatagramTest, two of nine failed before: RecursionError for the nested field, ValueError of the handler. Ruled out: bytes that are no text, cut or unknown messages, numbers: they are malformed for the decoder, and were logged before.

Change: a message that is nested too deeply is malformed. An unexpected error of a handler is logged with its traceback (datagram_failed, kind, sender), and the next datagram is handled.

Conclusion: what one instance sends costs that datagram only.

--- a/packages/serving/bergamotsaddle_serving/peer_messages.py
+++ b/packages/serving/bergamotsaddle_serving/peer_messages.py
@@ -491,6 +491,9 @@
     """Decode a datagram.
 
     Raises:
-        msgspec.DecodeError: If it is not a valid message.
+        ValueError: If it is not a valid message.
     """
-    return _decoder.decode(datagram)
+    try:
+        return _decoder.decode(datagram)
+    except RecursionError as error:
+        raise ValueError("nested too deeply") from error
--- a/packages/serving/bergamotsaddle_serving/peers.py
+++ b/packages/serving/bergamotsaddle_serving/peers.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import eventlet
-import msgspec
 
 from bergamotsaddle_contracts.ini import parse_address
 from bergamotsaddle_daemon.clock import now
@@ -361,10 +360,15 @@
         self.received += 1
         try:
             message = decode(data)
-        except msgspec.DecodeError as error:
+        except ValueError as error:
             self._logger.warning("datagram_malformed", reason=str(error))
             return
-        self._dispatch(message, address)
+        try:
+            self._dispatch(message, address)
+        except Exception:
+            # What one instance sends must not keep this one from hearing the others.
+            kind = type(message).__name__
+            self._logger.exception("datagram_failed", kind=kind, sender=address[0])
 
     def _dispatch(self, message: Datagram, address: tuple[str, int]) -> None:
         handler = self._handlers.get(type(message))
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -1,13 +1,23 @@
 """Odd values from outside, at each place where the serving daemon reads bytes."""
 
 import unittest
+from unittest import mock
 
+import msgspec
 from parameterized import parameterized
 
 from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
+from bergamotsaddle_serving.peer_messages import (
+    Fact,
+    GossipUpdate,
+    HeartbeatRequest,
+    encode,
+)
 from bergamotsaddle_serving.relay_headers import decode_error, decode_request
 from tests.test_platform_dialect import DIALECT
+from tests.test_scopes import make_peers
 
+DEEP = b"\x91" * 5_000 + b"\x01"
 LONG = b"9" * 5_000
 REQUEST_ID = (b"x-request-id", b"r1")
 
@@ -141,3 +151,54 @@
         error = decode_error(headers)
         found = (error.kind, error.ran)
         self.assertEqual(found, (ErrorKind.TARGET_FAILED, Ran.UNKNOWN))
+
+
+class DatagramTest(unittest.TestCase):
+    """Datagrams of peers."""
+
+    def setUp(self):
+        self.peers = make_peers()
+        self.handled = []
+        self.peers.set_handler(
+            HeartbeatRequest, lambda message, _: self.handled.append(message)
+        )
+
+    def receive(self, *datagrams):
+        """Have the peers receive datagrams until there are no more."""
+        address = ("127.0.1.1", 9)
+        end = KeyboardInterrupt()
+        with mock.patch.object(self.peers, "_socket") as socket:
+            socket.read.side_effect = [[(data, address) for data in datagrams], end]
+            with self.assertRaises(KeyboardInterrupt):
+                self.peers.receive()
+
+    @parameterized.expand(
+        [
+            ("empty", b""),
+            ("cut", encode(GossipUpdate([Fact("t", "k", 1.0, 0.0)]))[:-1]),
+            ("nested", DEEP),
+            ("nested_field", b"\x93\xa7Inquiry\x01" + DEEP),
+            ("no_text", b"\x91\xa4\xff\xff\xff\xff"),
+            ("unknown", msgspec.msgpack.encode(["Odd", 1])),
+            ("number", b"\x01"),
+            (
+                "no_utf8",
+                encode(GossipUpdate([Fact("tt", "k", 1.0, 0.0)])).replace(
+                    b"tt", b"\xff\xff"
+                ),
+            ),
+        ]
+    )
+    def test_datagrams_behind_one_that_can_not_be_read(self, _, data):
+        """Guards against an instance that hears no peers for a while."""
+        self.receive(data, encode(HeartbeatRequest()))
+        self.assertEqual(self.handled, [HeartbeatRequest()])
+
+    def test_datagrams_behind_one_that_can_not_be_handled(self):
+        """Guards against an instance that hears no peers for a while."""
+        self.peers.set_handler(GossipUpdate, mock.Mock(side_effect=ValueError("odd")))
+        self.receive(encode(GossipUpdate([])), encode(HeartbeatRequest()))
+        self.assertEqual(self.handled, [HeartbeatRequest()])
+        logged = self.peers._logger.exception.call_args
+        expected = mock.call("datagram_failed", kind="GossipUpdate", sender="127.0.1.1")
+        self.assertEqual(logged, expected)
