Take a frame of a peer that is nested too deeply for malformed

What callers saw: nothing was recorded. An instance that follows such a peer restarts its follower each half second and stays with the same peer, so changes of the configuration come late there.

Cause: the decoder raises RecursionError, which isn't one of its own errors, so the frame counted neither as malformed nor the peer as one to leave.

Evidence: tests/test_odd_input.FrameTest, two of 14 failed with RecursionError before: one response and one request with such a field behind the others. Ruled out: the values of entries in a frame, which are bytes until the view decodes them; frames of another form, which were malformed before.

Change: both kinds of frames are decoded by one function that raises ValueError only. The peer is left for a while, as for any bad frame.

Conclusion: datagrams and frames of peers have the same bounds.

--- a/packages/serving/bergamotsaddle_serving/view_exchange.py
+++ b/packages/serving/bergamotsaddle_serving/view_exchange.py
@@ -3,7 +3,7 @@
 import random
 import socket
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TypeVar
 
 import eventlet
 import msgspec
@@ -51,6 +51,8 @@
 _PARTS_A_TURN = 8
 _LENGTH_BYTES = 4
 
+_Message = TypeVar("_Message", bound=msgspec.Struct)
+
 
 class LinkError(BergamotsaddleError):
     """A peer could not be reached or did not respond to a ``ViewRequest``."""
@@ -138,8 +140,8 @@
             frame = _read_frame(self._socket)
             if frame is None:
                 raise LinkError("closed")
-            return msgspec.msgpack.decode(frame, type=ViewResponse)
-        except (OSError, msgspec.DecodeError) as error:
+            return _decode(frame, ViewResponse)
+        except (OSError, ValueError) as error:
             raise LinkError(str(error)) from error
 
     def close(self) -> None:
@@ -336,10 +338,10 @@
         sock.settimeout(_IDLE_TIMEOUT_S)
         try:
             while (frame := _read_frame(sock)) is not None:
-                request = msgspec.msgpack.decode(frame, type=ViewRequest)
+                request = _decode(frame, ViewRequest)
                 held = self._wait_for_news(request)
                 _send_frame(sock, self._make_response(request, held=held))
-        except (OSError, msgspec.DecodeError) as error:
+        except (OSError, ValueError) as error:
             self._logger.info("peer_question_failed", reason=str(error))
         finally:
             sock.close()
@@ -392,6 +394,18 @@
         changed.send()
 
 
+def _decode(frame: bytes, kind: type[_Message]) -> _Message:
+    """Decode a frame.
+
+    Raises:
+        ValueError: If it is no message of this kind.
+    """
+    try:
+        return msgspec.msgpack.decode(frame, type=kind)
+    except RecursionError as error:
+        raise ValueError("nested too deeply") from error
+
+
 def _send_frame(sock: socket.socket, message: Any) -> None:
     data = msgspec.msgpack.encode(message)
     sock.sendall(len(data).to_bytes(_LENGTH_BYTES, "big") + data)
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -7,15 +7,24 @@
 from parameterized import parameterized
 
 from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
+from bergamotsaddle_serving import view_exchange
+from bergamotsaddle_serving.messages import NO_POSITION
 from bergamotsaddle_serving.peer_messages import (
+    Contact,
     Fact,
     GossipUpdate,
     HeartbeatRequest,
     encode,
 )
 from bergamotsaddle_serving.relay_headers import decode_error, decode_request
+from bergamotsaddle_serving.view_exchange import (
+    LinkError,
+    PeerLink,
+    ViewExchange,
+    ViewRequest,
+)
 from tests.test_platform_dialect import DIALECT
-from tests.test_scopes import make_peers
+from tests.test_scopes import SETTINGS, make_peers
 
 DEEP = b"\x91" * 5_000 + b"\x01"
 LONG = b"9" * 5_000
@@ -202,3 +211,53 @@
         logged = self.peers._logger.exception.call_args
         expected = mock.call("datagram_failed", kind="GossipUpdate", sender="127.0.1.1")
         self.assertEqual(logged, expected)
+
+
+WHOLE_RESPONSE = [[], [0, 1], True, False, 0.0, 0.0, False, 0.0, []]
+FRAMES = [
+    ("nested_behind_all", b"\x9a" + msgspec.msgpack.encode(WHOLE_RESPONSE)[1:] + DEEP),
+    ("empty", b""),
+    ("nested", DEEP),
+    ("nested_field", b"\x9f" + DEEP),
+    ("nested_behind", b"\x94\x92\x00\x01\x00\x00" + DEEP),
+    ("number", b"\x01"),
+    ("no_text", b"\x9a\x91\x92\xa2\xff\xff\x01"),
+]
+
+
+class FrameTest(unittest.TestCase):
+    """Frames in which peers exchange their views."""
+
+    def open_socket(self, frame):
+        """Return a socket that a frame arrives at."""
+        data = bytearray(len(frame).to_bytes(4, "big") + frame)
+
+        def receive(size):
+            part = bytes(data[:size])
+            del data[:size]
+            return part
+
+        return mock.Mock(recv=receive)
+
+    @parameterized.expand(FRAMES)
+    def test_responses_that_can_not_be_read(self, _, frame):
+        """Guards against an instance that follows the same peer again and again."""
+        with mock.patch.object(view_exchange, "socket") as module:
+            module.socket.return_value = self.open_socket(frame)
+            link = PeerLink(Contact("i-2", "a", "127.0.0.2"), 9)
+        with self.assertRaises(LinkError):
+            link.query(ViewRequest(NO_POSITION))
+
+    @parameterized.expand(FRAMES)
+    def test_requests_that_can_not_be_read(self, _, frame):
+        """Guards against green threads that end with what a peer sends."""
+        peers = make_peers()
+        with (
+            mock.patch.object(view_exchange.eventlet, "listen"),
+            mock.patch.object(view_exchange.eventlet, "spawn_n"),
+        ):
+            exchange = ViewExchange(SETTINGS, mock.Mock(), peers, mock.Mock())
+        sock = self.open_socket(frame)
+        exchange._serve_connection(sock)
+        exchange._logger.info.assert_called_once()
+        sock.sendall.assert_not_called()
