Use no target whose entry has a name or an address that can't be used

What callers saw: a request is sent to an address that nothing can listen at (port 0, a number of six parts) and tried again elsewhere. An entry whose version is an object names a target that gets requests, though the pages say that it names none.

Cause: the decoder took any text for a name, any value for a version, and any address that parses for one to connect to.

Numbers of slots, starts and cold times did no harm, whatever their sign. Ruled out: halves of surrogates and bytes that are no text, which the JSON decoder refuses.

Ports are ASCII digits everywhere.

--- a/packages/contracts/bergamotsaddle_contracts/ini.py
+++ b/packages/contracts/bergamotsaddle_contracts/ini.py
@@ -12,6 +12,7 @@
 
 _UNIT_SECONDS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0}
 _DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s|m|h)")
+_PORT = re.compile(r"[0-9]{1,5}")
 _MAX_PORT = 65535
 
 
@@ -50,7 +51,7 @@
         ipaddress.ip_address(host)
     except ValueError:
         raise ValueError("expected an IP number, names are not looked up") from None
-    if not port.isdigit() or int(port) > _MAX_PORT:
+    if not _PORT.fullmatch(port) or int(port) > _MAX_PORT:
         raise ValueError(f"expected a port from 0 to {_MAX_PORT}")
     return Address(host, int(port))
 
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -8,7 +8,9 @@
 
 from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
 from bergamotsaddle_serving import view_exchange
-from bergamotsaddle_serving.messages import NO_POSITION
+from bergamotsaddle_serving.catalog import parse_fact_key
+from bergamotsaddle_serving.incarnations import incarnation_of
+from bergamotsaddle_serving.messages import NO_POSITION, StoreEntry
 from bergamotsaddle_serving.peer_messages import (
     Contact,
     Fact,
@@ -23,10 +25,11 @@
     ViewExchange,
     ViewRequest,
 )
-from tests.test_platform_dialect import DIALECT
+from tests.test_platform_dialect import DIALECT, make_entry
 from tests.test_scopes import SETTINGS, make_peers
 
 DEEP = b"\x91" * 5_000 + b"\x01"
+DEEP_LIST = b"[" * 2_000 + b"]" * 2_000
 LONG = b"9" * 5_000
 REQUEST_ID = (b"x-request-id", b"r1")
 
@@ -105,6 +108,77 @@
         self.assertEqual(head.pieces, (4_096,))
 
 
+class TargetEntryTest(unittest.TestCase):
+    """Entries of targets in the store."""
+
+    @parameterized.expand(
+        [
+            ("object", {"version": b'{"a":1}'}),
+            ("list", {"version": b"[1]"}),
+            ("fraction", {"version": b"1.5"}),
+            ("yes", {"version": b"true"}),
+            ("long_version", {"version": b'"' + b"v" * 4_000 + b'"'}),
+            ("separator_version", {"version": b'"v\\u001f1"'}),
+            ("long_zone", {"zone": b'"' + b"z" * 4_000 + b'"'}),
+            ("long_zone_of_few_letters", {"zone": b'"' + b"\xe2\x82\xac" * 100 + b'"'}),
+            ("line_zone", {"zone": b'"a\\nb"'}),
+            ("nul_zone", {"zone": b'"a\\u0000"'}),
+            ("surrogate_zone", {"zone": b'"\\ud800"'}),
+            ("bad_bytes", {"zone": b'"\xff"'}),
+            ("yes_slots", {"slots": b"true"}),
+        ]
+    )
+    def test_fields_that_no_target_has(self, _, fields):
+        """Guards against values that can be read and can't be sent to peers."""
+        with self.assertRaises(ValueError):
+            DIALECT.decode(StoreEntry("servers/t", 1, make_entry(**fields)))
+
+    @parameterized.expand(
+        [
+            ("no_port", "10.0.0.1:0"),
+            ("above", "10.0.0.1:65536"),
+            ("negative", "10.0.0.1:-1"),
+            ("long", "10.0.0.1:" + "9" * 5_000),
+            ("superscript", "10.0.0.1:\u00b2"),
+            ("digits", "10.0.0.1:\u0668\u0660"),
+            ("name", "t.example:80"),
+            ("without_host", ":80"),
+            ("without_port", "10.0.0.1"),
+            ("sixth_version", "::1:80"),
+            ("scope", "fe80::1%a\r\nx:80"),
+        ]
+    )
+    def test_addresses_that_no_target_has(self, _, address):
+        """Guards against targets that can never be connected to."""
+        fields = msgspec.json.decode(make_entry()) | {"address": address}
+        with self.assertRaises(ValueError):
+            DIALECT.decode(StoreEntry("servers/t", 1, msgspec.json.encode(fields)))
+
+    @parameterized.expand(
+        [("text", b'"nymu53e/v1"', "nymu53e/v1"), ("number", b"12", "12")]
+    )
+    def test_versions_of_software(self, _, raw, expected):
+        value = make_entry(version=raw)
+        target = DIALECT.decode(StoreEntry("servers/t", 1, value))
+        self.assertEqual(target.software, expected)
+
+    @parameterized.expand(
+        [
+            (f"{name}_{value.decode()}", name, value)
+            for name in ("slots", "born", "coldRemainingMs")
+            for value in (b"-1", b"0", b"-9007199254740992", b"9007199254740992")
+        ]
+    )
+    def test_numbers_that_do_no_harm(self, _, name, value):
+        """Guards against facts about a target that peers can't read."""
+        entry = StoreEntry("servers/t", 1, make_entry(**{name: value}))
+        target = DIALECT.decode(entry)
+        self.assertEqual(parse_fact_key(target.key), target.incarnation)
+        found = incarnation_of(target).target_incarnation
+        self.assertEqual(found, target.incarnation)
+        encode(GossipUpdate([Fact("t", target.key, target.cold_seconds, 0.0)]))
+
+
 class RelayTest(unittest.TestCase):
     """Headers of requests that peers hand over."""
 
