--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -179,6 +179,77 @@
         encode(GossipUpdate([Fact("t", target.key, target.cold_seconds, 0.0)]))
 
 
+class StageAnswerTest(unittest.TestCase):
+    """Answers of stage targets."""
+
+    @parameterized.expand(
+        [
+            ("line", "10.0.0.7:80/h\r\nx: 1"),
+            ("space", "10.0.0.7:80/h 1"),
+            ("two", "10.0.0.7:80/h,10.0.0.7:80/i"),
+            ("letter", "10.0.0.7:80/\u20ac"),
+            ("scope", "fe80::1%a\r\nx:80/h"),
+            ("empty", ""),
+            ("long", "10.0.0.7:80/" + "h" * 100_000),
+        ]
+    )
+    def test_handles_that_no_header_can_carry(self, _, handle):
+        """Guards against requests that fail as they can't name their inputs."""
+        body = msgspec.json.encode({"items": [{"handle": handle}]})
+        (result,) = DIALECT.read_results(body)
+        self.assertEqual((result.handle, result.reason), ("", "error"))
+
+    @parameterized.expand(
+        [
+            ("huge", b"9007199254740993"),
+            ("long", LONG),
+            ("text", b'"15"'),
+            ("yes", b"true"),
+            ("none", b"null"),
+            ("infinite", b"1e999"),
+            ("nan", b"NaN"),
+            ("missing", b'1,"freeMb":{}'),
+        ]
+    )
+    def test_free_memory_that_no_target_has(self, _, value):
+        """Guards against a target that is never asked again, or always."""
+        with self.assertRaises(ValueError):
+            DIALECT.read_free_memory(b'{"freeMb":%s}' % value)
+
+    @parameterized.expand(
+        [
+            ("nested", b'{"items":%s}' % DEEP_LIST),
+            ("item", b'{"items":[%s]}' % DEEP_LIST),
+            ("beside", b'{"items":[],"x":%s}' % DEEP_LIST),
+            ("no_text", b'{"items":[{"handle":"\xff"}]}'),
+            ("long_number", b'{"items":[%s]}' % LONG),
+            ("empty", b""),
+        ]
+    )
+    def test_answers_that_can_not_be_read(self, _, body):
+        """Guards against workers that end with what a faulty target sends."""
+        with self.assertRaises(ValueError):
+            DIALECT.read_results(body)
+
+    @parameterized.expand([("number", b"[5]"), ("text", b'["late"]')])
+    def test_items_that_are_no_objects(self, _, items):
+        """Guards against workers that end with what a faulty target sends."""
+        with self.assertRaises(ValueError):
+            DIALECT.read_results(b'{"items":%s}' % items)
+
+    @parameterized.expand(
+        [
+            ("reason", b'[{"reason":{"a":1}}]'),
+            ("handle", b'[{"handle":[1]}]'),
+            ("unknown", b'[{"reason":"odd"}]'),
+        ]
+    )
+    def test_items_that_no_target_sends(self, _, items):
+        """Guards against workers that end with what a faulty target sends."""
+        (result,) = DIALECT.read_results(b'{"items":%s}' % items)
+        self.assertEqual((result.handle, result.reason), ("", "error"))
+
+
 class RelayTest(unittest.TestCase):
     """Headers of requests that peers hand over."""
 
