Refuse a configuration whose values fail only where requests need them

What callers saw: 500 for each request of a route whose weights are all zero, or whose stages name one that doesn't exist or wait for each other; 431 for all requests where a limit is negative; a key 's' for a team whose keys are a text and not a list.

Cause: numbers and names of the configuration went on as they were, of any size, sign and type. What they broke came to light at each request.

Trials: random.choices raises ValueError for weights that are all zero, StagePlan IndexError for a stage that doesn't exist, RecursionError for stages that wait for each other or for themselves. Ruled out: lists that are empty or null or repeat their entries, unknown fields, evacuations of odd names, which change nothing for others.

Change: numbers are up to 2**53 and not below what they may be, names are texts, weights add up to something, stages can run in some order.

Conclusion: a version is in force only if all its routes can be served.

--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -10,7 +10,7 @@
 from bergamotsaddle_serving import view_exchange
 from bergamotsaddle_serving.catalog import parse_fact_key
 from bergamotsaddle_serving.incarnations import incarnation_of
-from bergamotsaddle_serving.messages import NO_POSITION, StoreEntry
+from bergamotsaddle_serving.messages import NO_POSITION, Evacuation, StoreEntry
 from bergamotsaddle_serving.peer_messages import (
     Contact,
     Fact,
@@ -25,7 +25,7 @@
     ViewExchange,
     ViewRequest,
 )
-from tests.test_platform_dialect import DIALECT, make_entry
+from tests.test_platform_dialect import CONFIG, DIALECT, make_entry
 from tests.test_scopes import SETTINGS, make_peers
 
 DEEP = b"\x91" * 5_000 + b"\x01"
@@ -179,6 +179,131 @@
         encode(GossipUpdate([Fact("t", target.key, target.cold_seconds, 0.0)]))
 
 
+def change(fields, path, value):
+    """Return a copy of nested fields in which one value is replaced."""
+    if not path:
+        return value
+    first, *rest = path
+    copy = list(fields) if isinstance(fields, list) else dict(fields)
+    copy[first] = change(fields[first] if rest else None, rest, value)
+    return copy
+
+
+class ConfigurationTest(unittest.TestCase):
+    """The operators' configuration in the store."""
+
+    def decode(self, fields):
+        """Decode a configuration."""
+        return DIALECT.decode(StoreEntry("op/config", 1, msgspec.json.encode(fields)))
+
+    @parameterized.expand(
+        [
+            (f"{number:02}_{path[-1]}", path, value)
+            for number, (path, value) in enumerate(
+                [
+                    (("version",), -1),
+                    (("version",), 2**60),
+                    (("routes",), 5),
+                    (("routes",), [[]]),
+                    (("routes", 0, "name"), 5),
+                    (("routes", 0, "host"), []),
+                    (("routes", 0, "prefix"), 5),
+                    (("routes", 0, "prefix"), None),
+                    (("routes", 0, "timeoutMs"), -1),
+                    (("routes", 0, "timeoutMs"), 1e300),
+                    (("routes", 0, "timeoutMs"), "8000"),
+                    (("routes", 0, "targetLatencyMs"), -1),
+                    (("routes", 0, "targetGapMs"), 1e300),
+                    (("routes", 0, "attempts"), -1),
+                    (("routes", 0, "attempts"), 1e300),
+                    (("routes", 0, "attempts"), "many"),
+                    (("routes", 0, "priority"), []),
+                    (("routes", 0, "priority"), 1e300),
+                    (("routes", 0, "trafficSplit", 0, "weight"), 0),
+                    (("routes", 0, "trafficSplit", 0, "weight"), -1),
+                    (("routes", 0, "trafficSplit", 0, "weight"), 1e300),
+                    (("routes", 0, "trafficSplit", 0, "weight"), "nan"),
+                    (("routes", 0, "trafficSplit", 0, "service"), 5),
+                    (("routes", 0, "stages", 0, "service"), []),
+                    (("routes", 0, "stages", 0, "after"), [0]),
+                    (("routes", 0, "stages", 0, "after"), [1]),
+                    (("routes", 0, "stages", 0, "after"), [-1]),
+                    (("routes", 0, "stages", 0, "after"), [10**15]),
+                    (("routes", 0, "stages", 0, "sizeBytes"), -1),
+                    (("routes", 1, "service"), 5),
+                    (("services", 0, "name"), []),
+                    (("services", 0, "maxConnections"), -1),
+                    (("services", 0, "coldStartS"), -1),
+                    (("services", 0, "coldPerS"), "nan"),
+                    (("services", 0, "engine"), {"slots": -1}),
+                    (("services", 0, "engine"), {"kvCapacityTokens": 1e300}),
+                    (("services", 0, "pieces", "slots"), 0),
+                    (("services", 0, "pieces", "batch"), 0),
+                    (("services", 0, "pieces", "batch"), -4),
+                    (("services", 0, "pieces", "callMs"), -1),
+                    (("services", 0, "pieces", "itemMs"), "nan"),
+                    (("services", 0, "pieces", "headroomMb"), 1e300),
+                    (("services", 0, "pieces", "handleS"), "inf"),
+                    (("tenants", 0, "name"), 5),
+                    (("tenants", 0, "apiKeys"), "secret"),
+                    (("tenants", 0, "apiKeys"), [5]),
+                    (("tenants", 0, "priority"), "high"),
+                    (("limits", "maxBodyBytes"), -1),
+                    (("limits", "maxHeaderBytes"), "big"),
+                    (("limits", "headerTimeoutMs"), 1e300),
+                    (("limits", "idleTimeoutMs"), -1),
+                ]
+            )
+        ]
+    )
+    def test_values_that_no_operator_writes(self, _, path, value):
+        """Guards against values that are found only by the requests that need them."""
+        with self.assertRaises(ValueError):
+            self.decode(change(CONFIG, path, value))
+
+    def test_stages_that_wait_for_each_other(self):
+        """Guards against requests that end by a stack that is too deep."""
+        stages = [
+            {"service": "s", "after": after, "sizeBytes": 1}
+            for after in ([2], [0], [1])
+        ]
+        with self.assertRaises(ValueError):
+            self.decode(change(CONFIG, ("routes", 0, "stages"), stages))
+
+    def test_stages_in_another_order(self):
+        stages = [
+            {"service": "s", "after": after, "sizeBytes": 1}
+            for after in ([1, 2], [2], [])
+        ]
+        found = self.decode(change(CONFIG, ("routes", 0, "stages"), stages))
+        route = found.find_route("api.example", "/p/x")
+        self.assertEqual([s.after for s in route.stages], [(1, 2), (2,), ()])
+
+    @parameterized.expand(
+        [
+            ("no_routes", {"routes": []}),
+            ("no_services", {"services": []}),
+            ("no_teams", {"tenants": []}),
+            ("null_teams", {"tenants": None}),
+            ("no_limits", {"limits": {}}),
+            ("routes_twice", {"routes": CONFIG["routes"] * 2}),
+            ("services_twice", {"services": CONFIG["services"] * 2}),
+            ("teams_twice", {"tenants": CONFIG["tenants"] * 2}),
+            ("unknown", {"odd": [[]]}),
+        ]
+    )
+    def test_lists_that_may_be_empty_or_repeat(self, _, changed):
+        """Guards against versions that stay out of force for no reason."""
+        self.assertEqual(self.decode(CONFIG | changed).version, 7)
+
+    @parameterized.expand(["", "no zone", "\u20ac", "z" * 190])
+    def test_evacuations_of_odd_zones(self, zone):
+        """Guards against an evacuation that keeps others from being followed."""
+        for value in (b"", b"{", LONG, None):
+            entry = StoreEntry(f"op/evacuate/{zone}", 1, value)
+            self.assertEqual(DIALECT.decode(entry), Evacuation(zone))
+
+
 class StageAnswerTest(unittest.TestCase):
     """Answers of stage targets."""
 
