--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -108,6 +108,91 @@
         self.assertEqual(head.pieces, (4_096,))
 
 
+class StoreResponseTest(unittest.TestCase):
+    """Responses of the store."""
+
+    @parameterized.expand(
+        [
+            ("long", LONG),
+            ("huge", b"9" * 400),
+            ("above", b"9" * 20),
+            ("negative", b"-1"),
+            ("sign", b"+5"),
+            ("underscore", b"1_0"),
+            ("superscript", b"\xb2"),
+            ("fraction", b"1.5"),
+            ("empty", b""),
+        ]
+    )
+    def test_eras_that_no_store_has(self, _, value):
+        """Guards against heartbeats that can't be sent."""
+        with self.assertRaises(ValueError):
+            DIALECT.read_era([(b"store-era", value)])
+
+    @parameterized.expand(
+        [
+            (f"{name}_{place}", place, value)
+            for place in ("at", "revision")
+            for name, value in [
+                ("long", LONG),
+                ("above", b"9" * 20),
+                ("negative", b"-1"),
+                ("text", b'"5"'),
+                ("yes", b"true"),
+                ("null", b"null"),
+                ("fraction", b"1.5"),
+                ("infinite", b"1e999"),
+            ]
+        ]
+    )
+    def test_revisions_that_no_store_has(self, _, place, value):
+        """Guards against positions that no message to a peer can carry."""
+        fields = {"at": b"5", "revision": b"5"} | {place: value}
+        item = b'{"key":"servers/t","value":"e30=","revision":%s}' % fields["revision"]
+        body = b'{"items":[%s],"at":%s}' % (item, fields["at"])
+        with self.assertRaises(ValueError):
+            DIALECT.read_page(body, 1)
+
+    @parameterized.expand(
+        [
+            ("nested", b'{"items":[],"at":5,"x":%s}' % DEEP_LIST),
+            ("nested_item", b'{"items":[%s],"at":5}' % DEEP_LIST),
+            ("no_text", b'{"items":[{"key":"\xff","revision":5}],"at":5}'),
+            ("number", b"5"),
+            ("no_list", b'{"items":{},"at":5}'),
+            ("empty", b""),
+        ]
+    )
+    def test_pages_that_can_not_be_read(self, _, body):
+        """Guards against a follower that ends with what the store sends."""
+        with self.assertRaises(ValueError):
+            DIALECT.read_page(body, 1)
+
+    @parameterized.expand([b"5", b"[]", b'"%%%"', b'"e30"', b'"\u20ac"', b"null"])
+    def test_values_that_are_no_base64(self, value):
+        """Guards against a page that is lost for one of its items."""
+        body = (
+            b'{"items":[{"key":"servers/x","value":%s,"revision":4},'
+            b'{"key":"servers/t","value":"e30=","revision":5}],"at":5}' % value
+        )
+        entries = DIALECT.read_page(body, 1).entries
+        self.assertEqual([entry.value for entry in entries], [b"", b"{}"])
+
+    @parameterized.expand([b"9" * 20, b"-1", b'"5"', b"true", b"null", b"1.5", b"[]"])
+    def test_odd_revisions_of_the_creation(self, value):
+        """Guards against positions that no message to a peer can carry."""
+        item = b'{"key":"k","value":"","revision":5,"createdAt":%s}' % value
+        (entry,) = DIALECT.read_page(b'{"items":[%s],"at":5}' % item, 1).entries
+        self.assertEqual(entry.created, 0)
+
+    def test_the_last_position(self):
+        last = 2**63 - 1
+        page = DIALECT.read_page(b'{"items":[],"at":%d}' % last, last)
+        self.assertEqual(DIALECT.read_era([(b"store-era", b"%d" % last)]), last)
+        msgspec.msgpack.encode(page.position)
+        self.assertEqual(page.position, (last, last))
+
+
 class TargetEntryTest(unittest.TestCase):
     """Entries of targets in the store."""
 
