Check loads, counts and addresses of heartbeats where they come in

What callers saw: nothing was recorded. One heartbeat with more counts than there are urgencies, or a load without its three numbers, makes each request fail that needs the roster or that queue, until the peer reports again; a contact whose host has a NUL ends the loop that sends heartbeats, again and again.

Cause: heartbeats were checked for types only. Demand beyond the known urgencies was left out, pending pieces weren't; loads were taken apart from their end; hosts were sent to as they came, and are spread to others.

Trial: sendto raises TypeError for a host with a NUL, which isn't an OSError. Ruled out: numbers that are nan, infinite, below zero or of 62 bits, long zones, demand of many urgencies: the roster and heartbeats go on.

Change: loads have three numbers or more, or the message is malformed. Pieces of unknown urgencies are left out. Contacts have IPv4 addresses; names are not looked up.

Conclusion: what a heartbeat brings can be used and sent on.

--- a/packages/serving/bergamotsaddle_serving/peer_messages.py
+++ b/packages/serving/bergamotsaddle_serving/peer_messages.py
@@ -4,6 +4,7 @@
 """
 
 from enum import IntEnum
+from typing import Annotated
 
 import msgspec
 
@@ -13,6 +14,10 @@
 ALL_ROUNDS = 2**31
 
 
+# At least one place, the seconds of a call, and the pieces per second.
+QueueLoad = Annotated[list[float], msgspec.Meta(min_length=3)]
+
+
 class PlaceDecision(IntEnum):
     """What a request for a place gets."""
 
@@ -91,7 +96,7 @@
     incarnation: str
     accepts_work: bool
     position: StorePosition
-    loads: dict[str, list[float]]
+    loads: dict[str, QueueLoad]
     pending: list[tuple[str, str, list[int]]]
     running: dict[str, int]
     prefill_tokens: dict[str, int]
@@ -404,7 +409,7 @@
     number: int
     round: int
     service: str
-    load: list[float]
+    load: QueueLoad
 
 
 class PieceOutcome(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/serving/bergamotsaddle_serving/peers.py
+++ b/packages/serving/bergamotsaddle_serving/peers.py
@@ -1,5 +1,6 @@
 """The other instances: their state from heartbeats, and datagrams to them."""
 
+import ipaddress
 import random
 from collections.abc import Callable
 from typing import Any
@@ -491,6 +492,9 @@
             return
         peer = self.by_id.get(heartbeat.sender.id)
         if peer is None or peer.contact != heartbeat.sender:
+            if not _is_host(heartbeat.sender.host):
+                self._logger.warning("datagram_malformed", reason="no IP address")
+                return
             peer = self.by_id[heartbeat.sender.id] = Peer(heartbeat.sender)
         was_alive = self._is_reachable(peer)
         was_known = bool(peer.incarnation)
@@ -522,7 +526,8 @@
         self.on_heartbeat(heartbeat)
         own_id = self.own.id
         for contact in heartbeat.contacts:
-            if contact.id not in self.by_id and contact.id != own_id:
+            is_known = contact.id in self.by_id or contact.id == own_id
+            if not is_known and _is_host(contact.host):
                 self.by_id[contact.id] = Peer(contact)
         for peer_id in heartbeat.unresponsive:
             if self.is_alive(peer_id):
@@ -543,3 +548,12 @@
         for peer_id in silent:
             del self.by_id[peer_id]
             self._logger.info("peer_forgotten", peer=peer_id)
+
+
+def _is_host(host: str) -> bool:
+    """Return whether a text is an address; names are not looked up."""
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return True
--- a/packages/serving/bergamotsaddle_serving/report_sums.py
+++ b/packages/serving/bergamotsaddle_serving/report_sums.py
@@ -87,7 +87,7 @@
         by_queue = self.pending_by_queue
         for service, scope, counts in pending:
             sums = by_queue.setdefault((service, scope), [0] * URGENCIES)
-            for urgency, count in enumerate(counts):
+            for urgency, count in enumerate(counts[:URGENCIES]):
                 sums[urgency] += sign * count
             if sign < 0 and not any(sums):
                 del by_queue[service, scope]
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -13,8 +13,10 @@
 from bergamotsaddle_serving.messages import NO_POSITION, Evacuation, StoreEntry
 from bergamotsaddle_serving.peer_messages import (
     Contact,
+    Demand,
     Fact,
     GossipUpdate,
+    Heartbeat,
     HeartbeatRequest,
     encode,
 )
@@ -568,6 +570,77 @@
         self.assertEqual(logged, expected)
 
 
+class HeartbeatTest(unittest.TestCase):
+    """Heartbeats of peers, as they are used later."""
+
+    def setUp(self):
+        self.peers = make_peers()
+
+    def receive(self, **changes):
+        """Have the peers receive a heartbeat with some odd fields."""
+        fields = {
+            "sender": Contact("i-2", "a", "127.0.1.2"),
+            "incarnation": "life",
+            "accepts_work": True,
+            "position": (0, 1),
+            "loads": {},
+            "pending": [],
+            "running": {},
+            "prefill_tokens": {},
+            "cores": 1.0,
+            "contacts": [],
+        }
+        message = Heartbeat(**(fields | changes))
+        self.peers._handle_datagram(encode(message), ("127.0.1.2", 9))
+
+    @parameterized.expand([([],), ([1.0],), ([1.0, 2.0],)])
+    def test_loads_that_no_queue_has(self, load):
+        """Guards against requests that fail for what an owner reports."""
+        self.receive(loads={"s": load})
+        self.assertEqual(self.peers.by_id, {})
+
+    @parameterized.expand([([1] * 50,), ([],), ([-1] * 6,)])
+    def test_counts_by_other_urgencies(self, counts):
+        """Guards against instances that never know who is alive."""
+        self.receive(pending=[("s", "a", counts)])
+        self.peers.invalidate_roster()
+        known = self.peers.roster().pending_by_queue["s", "a"]
+        self.assertEqual(known, [*counts[:6], *[0] * (6 - len(counts))])
+        self.receive(pending=[])
+        self.peers.invalidate_roster()
+        self.assertEqual(self.peers.roster().pending_by_queue, {})
+
+    @parameterized.expand(["", "x\0y", "no.host.example", "::1", "127.0.0.1:80"])
+    def test_hosts_that_are_no_addresses(self, host):
+        """Guards against heartbeats that end at what another one spreads."""
+        odd = Contact("i-3", "a", host)
+        self.receive(contacts=[odd, Contact("i-4", "a", "127.0.1.4")])
+        self.receive(sender=odd)
+        self.assertEqual(sorted(self.peers.by_id), ["i-2", "i-4"])
+
+    @parameterized.expand(
+        [
+            ("cores", {"cores": float("nan")}),
+            ("many_cores", {"cores": float("inf")}),
+            ("few_cores", {"cores": -1.0}),
+            ("running", {"running": {"t": -(2**62)}}),
+            ("tokens", {"prefill_tokens": {"t": 2**62}}),
+            ("digest", {"digest": 2**64 - 1}),
+            ("load", {"loads": {"s": [float("nan"), float("inf"), -1.0]}}),
+            ("demand", {"demand": [Demand("s", [1] * 50, [], {2**62: 2**62})]}),
+            ("zone", {"sender": Contact("i-2", "\u20ac" * 900, "127.0.1.2")}),
+            ("position", {"position": (2**63 - 1, 2**63 - 1)}),
+        ]
+    )
+    def test_numbers_that_do_no_harm(self, _, changes):
+        """Guards against instances that never know who is alive."""
+        self.receive(**changes)
+        self.peers.invalidate_roster()
+        self.peers.roster()
+        self.peers.send_heartbeats()
+        self.assertEqual(list(self.peers.by_id), ["i-2"])
+
+
 WHOLE_RESPONSE = [[], [0, 1], True, False, 0.0, 0.0, False, 0.0, []]
 FRAMES = [
     ("nested_behind_all", b"\x9a" + msgspec.msgpack.encode(WHOLE_RESPONSE)[1:] + DEEP),
