Name file, section and key of a setting that can't be meant

What callers saw: a daemon that ends at its start, or at a reload, with a traceback instead of the setting that is wrong.

Cause: seeds were taken as words and parsed where peers are made, outside the reader that names file, section and key. Numbers were what float reads: 1_0, digits of other scripts, and 1e300, which no timer bears.

Ruled out: nan, inf, -1, words and nothing for numbers, odd ports and addresses, whose rows passed.

Change: seeds are checked as addresses when they are read. Numbers are decimal digits, with an exponent if need be, up to 1e9.

Conclusion: each odd value ends in the list of faults.

--- a/packages/serving/bergamotsaddle_serving/settings.py
+++ b/packages/serving/bergamotsaddle_serving/settings.py
@@ -1,5 +1,6 @@
 """The settings of a serving daemon, read from an INI file and validated at startup."""
 
+import re
 from typing import NamedTuple
 
 from bergamotsaddle_contracts.ini import Address, IniFile, parse_address, parse_words
@@ -18,6 +19,9 @@
 _HEARTBEATS_TO_LAPSE = 2.0
 _HEARTBEATS_OF_ENTRY = 3.0
 _MS_PER_S = 1_000.0
+_NUMBER = re.compile(r"(?:[0-9]+\.?[0-9]*|\.[0-9]+)(?:[eE][+-]?[0-9]+)?")
+# Longer times overflow the timers of sockets.
+_MAX_NUMBER = 1e9
 
 
 class InstanceSettings(NamedTuple):
@@ -212,9 +216,11 @@
     Raises:
         ValueError: If the text is no such number.
     """
-    value = float(text)
-    if not 0 <= value < float("inf"):
+    if not _NUMBER.fullmatch(text.strip()):
         raise ValueError("expected a number from 0 on")
+    value = float(text)
+    if value > _MAX_NUMBER:
+        raise ValueError(f"expected a number up to {_MAX_NUMBER:.0f}")
     return value
 
 
@@ -236,8 +242,8 @@
     Raises:
         ValueError: If the text is no such number.
     """
-    value = float(text)
-    if not 0 <= value <= 1:
+    value = _parse_number(text)
+    if value > 1:
         raise ValueError("expected a number from 0 to 1")
     return value
 
@@ -255,6 +261,18 @@
     return parse_address(f"127.0.0.1:{text.strip()}").port
 
 
+def _parse_seeds(text: str) -> tuple[str, ...]:
+    """Parse a list of addresses, which stay texts.
+
+    Raises:
+        ValueError: If one of them is no address.
+    """
+    words = parse_words(text)
+    for word in words:
+        parse_address(word)
+    return words
+
+
 def _parse_flag(text: str) -> bool:
     """Parse a word that says yes or no.
 
@@ -314,7 +332,7 @@
             ini.get("listen", "metrics_port", _parse_port),
             ini.get("listen", "relay_port", _parse_port, (peer_port or 0) + 1),
         ),
-        PeerSettings(ini.get("peers", "seeds", parse_words, ())),
+        PeerSettings(ini.get("peers", "seeds", _parse_seeds, ())),
         ZoneSettings(ini.get("zones", "regions", _parse_pairs, {})),
         StoreSettings(
             ini.get("store", "address", parse_address),
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -1,12 +1,19 @@
 """Odd values from outside, at each place where the serving daemon reads bytes."""
 
+import configparser
+import io
 import unittest
 from unittest import mock
 
 import msgspec
 from parameterized import parameterized
 
-from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
+from bergamotsaddle_contracts.errors import (
+    ErrorKind,
+    InvalidFileError,
+    Ran,
+    RequestError,
+)
 from bergamotsaddle_serving import view_exchange
 from bergamotsaddle_serving.catalog import parse_fact_key
 from bergamotsaddle_serving.incarnations import incarnation_of
@@ -21,6 +28,7 @@
     encode,
 )
 from bergamotsaddle_serving.relay_headers import decode_error, decode_request
+from bergamotsaddle_serving.settings import parse_settings
 from bergamotsaddle_serving.view_exchange import (
     LinkError,
     PeerLink,
@@ -29,6 +37,7 @@
 )
 from tests.test_platform_dialect import CONFIG, DIALECT, make_entry
 from tests.test_scopes import SETTINGS, make_peers
+from tests.test_serving_settings import TEXT
 
 DEEP = b"\x91" * 5_000 + b"\x01"
 DEEP_LIST = b"[" * 2_000 + b"]" * 2_000
@@ -689,3 +698,92 @@
         exchange._serve_connection(sock)
         exchange._logger.info.assert_called_once()
         sock.sendall.assert_not_called()
+
+
+NUMBERS = [
+    ("store", "heartbeat_ms"),
+    ("store", "history_s"),
+    ("bounds", "grace_s"),
+    ("bounds", "retry_ratio"),
+    ("bounds", "retry_window_s"),
+    ("bounds", "retry_extra"),
+    ("bounds", "configuration_ms"),
+    ("bounds", "drain_ms"),
+    ("bounds", "evacuation_ms"),
+    ("capacity", "cpu_share"),
+    ("capacity", "cpus"),
+    ("capacity", "link_mbps"),
+    ("capacity", "memory_mb"),
+    ("hedging", "max_share"),
+]
+PORTS = [
+    ("listen", "peer_port"),
+    ("listen", "metrics_port"),
+    ("listen", "relay_port"),
+]
+ADDRESSES = [
+    ("listen", "callers"),
+    ("listen", "ready"),
+    ("store", "address"),
+    ("peers", "seeds"),
+]
+ODD_NUMBERS = {
+    "nan": "nan",
+    "infinite": "inf",
+    "negative": "-1",
+    "exponent": "1e999",
+    "large": "1e300",
+    "long": "9" * 5_000,
+    "underscore": "1_0",
+    "script": "\u0665",
+    "superscript": "\u00b2",
+    "words": "many",
+    "nothing": "",
+}
+ODD_PORTS = {
+    "above": "65536",
+    "negative": "-1",
+    "long": "9" * 5_000,
+    "script": "\u0665",
+    "superscript": "\u00b2",
+    "fraction": "80.5",
+    "nothing": "",
+}
+ODD_ADDRESSES = {f"port_{name}": f"10.0.0.1:{port}" for name, port in ODD_PORTS.items()}
+ODD_ADDRESSES |= {"name": "store.example:80", "host": ":80", "alone": "10.0.0.1"}
+
+
+def set_value(section, key, value):
+    """Return the text of settings in which one value is replaced or added."""
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.read_string(TEXT)
+    if not parser.has_section(section):
+        parser.add_section(section)
+    parser.set(section, key, value)
+    text = io.StringIO()
+    parser.write(text)
+    return text.getvalue()
+
+
+class SettingsTest(unittest.TestCase):
+    """The settings file."""
+
+    @parameterized.expand(
+        [
+            (f"{section}_{key}_{name}", section, key, value)
+            for places, odd in (
+                (NUMBERS, ODD_NUMBERS),
+                (PORTS, ODD_PORTS),
+                (ADDRESSES, ODD_ADDRESSES),
+            )
+            for section, key in places
+            for name, value in odd.items()
+        ]
+    )
+    def test_values_that_no_operator_means(self, _, section, key, value):
+        """Guards against daemons that end at a setting without naming it."""
+        parse_settings(TEXT, name="daemon.ini")
+        with self.assertRaises(InvalidFileError) as raised:
+            parse_settings(set_value(section, key, value), name="daemon.ini")
+        for word in ("daemon.ini", f"[{section}] {key}"):
+            self.assertIn(word, str(raised.exception))
