Read counts and durations of files as digits that messages and timers can carry

What callers saw: nothing was recorded. A declaration whose revision has 400 digits is taken, and none with a usable revision is ever newer.

Cause: counts were digits of any number and script, durations any number that float reads, also infinite ones.

Ruled out: declarations of 5,000 digits, other bytes, NUL, brackets, repeated sections, odd line ends and ports, which are refused and followed by the next.

Change: a count has up to 15 ASCII digits, a duration up to 1e9 s.

Conclusion: what a file may say fits into messages and timers.

--- a/packages/contracts/bergamotsaddle_contracts/ini.py
+++ b/packages/contracts/bergamotsaddle_contracts/ini.py
@@ -11,9 +11,13 @@
 Value = TypeVar("Value")
 
 _UNIT_SECONDS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0}
-_DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s|m|h)")
+_DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s|m|h)")
+# Longer ones overflow the timers of sockets.
+_MAX_DURATION_S = 1e9
 _PORT = re.compile(r"[0-9]{1,5}")
 _MAX_PORT = 65535
+# Larger ones fit into no message.
+_COUNT = re.compile(r"[0-9]{1,15}")
 
 
 class Address(NamedTuple):
@@ -30,12 +34,15 @@
     """Parse a duration such as ``250ms``, ``4s``, ``2m`` or ``1h`` into seconds.
 
     Raises:
-        ValueError: If the text lacks a number or a unit.
+        ValueError: If the text lacks a number or a unit, or is too long to wait for.
     """
     match = _DURATION.fullmatch(text.strip())
     if match is None:
         raise ValueError("expected a duration such as 250ms, 4s, 2m or 1h")
-    return float(match.group(1)) * _UNIT_SECONDS[match.group(2)]
+    seconds = float(match.group(1)) * _UNIT_SECONDS[match.group(2)]
+    if seconds > _MAX_DURATION_S:
+        raise ValueError(f"expected a duration up to {_MAX_DURATION_S:.0f}s")
+    return seconds
 
 
 def parse_address(text: str) -> Address:
@@ -79,7 +86,7 @@
     Raises:
         ValueError: If the text isn't a whole number of at least 1.
     """
-    if not text.strip().isdigit() or int(text) < 1:
+    if not _COUNT.fullmatch(text.strip()) or int(text) < 1:
         raise ValueError("expected a whole number of at least 1")
     return int(text)
 
