Follow the instance list beside an entry that can't be read or reached

Instances that were added or are leaving behind one odd entry stay unknown for as long as it is there.

Cause: the list was read as a whole, so one entry of another form made all of it malformed, each 0.5 s. An address out of range was kept until a heartbeat was sent to it, where it raises a ValueError that ends the loop; and a field that is nested too deeply raised RecursionError, which ended the watch.

Ruled out: lists that are cut or no text, versions that are no number, which were refused and asked for again.

Change: each entry is read by itself. One that can't be read, or whose address no instance can have, is left out, and the operators' page says which and why (list_error). Versions have 64 bits. A decoder of contracts raises ValueError only.

Conclusion: an odd entry names no instance; the others hold.

--- a/packages/contracts/bergamotsaddle_contracts/instances.py
+++ b/packages/contracts/bergamotsaddle_contracts/instances.py
@@ -1,9 +1,12 @@
 """The platform's list of live and leaving instances."""
 
-from typing import NamedTuple
+from typing import Annotated, Any, NamedTuple
 
 import msgspec
 
+from bergamotsaddle_contracts.decoding import decode_json
+from bergamotsaddle_contracts.ini import parse_address
+
 ENTRY_ROLE = "entry"
 LIVE = "live"
 LEAVING = "leaving"
@@ -33,10 +36,12 @@
     Attributes:
         version: Number that grows with every change.
         by_id: The instances by id.
+        malformed: Why entries were left out.
     """
 
     version: int
     by_id: dict[str, Instance]
+    malformed: tuple[str, ...] = ()
 
     def entries(self) -> list[Instance]:
         """Return all entry instances, ordered by id."""
@@ -52,23 +57,39 @@
 
 
 class _PublishedList(msgspec.Struct):
-    version: int
-    instances: list[dict[str, str]]
+    version: Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+    instances: list[Any]
 
 
 def parse_instances(payload: bytes) -> InstanceList:
     """Decode the JSON list that the platform publishes.
 
+    An entry that can't be read or reached is left out; the others hold.
+
     Raises:
-        ValueError: If the payload isn't a valid instance list.
+        ValueError: If the payload isn't an instance list.
     """
     try:
-        published = msgspec.json.decode(payload, type=_PublishedList)
-        rows = [msgspec.convert(row, _Row) for row in published.instances]
-    except msgspec.MsgspecError as error:
+        published = decode_json(payload, _PublishedList)
+    except ValueError as error:
         raise ValueError(f"instance list: {error}") from error
-    instances = [Instance(r.id, r.zone, r.role, r.state, r.peer_address) for r in rows]
-    return InstanceList(published.version, {i.id: i for i in instances})
+    by_id = {}
+    malformed = []
+    for number, row in enumerate(published.instances):
+        try:
+            instance = _read_instance(row)
+        except ValueError as error:
+            malformed.append(f"instance {number}: {error}")
+            continue
+        by_id[instance.id] = instance
+    return InstanceList(published.version, by_id, tuple(malformed))
+
+
+def _read_instance(fields: Any) -> Instance:
+    row = msgspec.convert(fields, _Row)
+    if row.peer_address:
+        parse_address(row.peer_address)
+    return Instance(row.id, row.zone, row.role, row.state, row.peer_address)
 
 
 class _Row(msgspec.Struct):
--- a/packages/daemon/bergamotsaddle_daemon/platform.py
+++ b/packages/daemon/bergamotsaddle_daemon/platform.py
@@ -152,6 +152,6 @@
                 self.instances_error = str(error)
                 eventlet.sleep(_RETRY_DELAY)
                 continue
-            self.instances_error = ""
+            self.instances_error = "; ".join(self._views.instances.malformed)
             self._views.list_read_at = queried_at
             eventlet.sleep(self._timing.watch_pause)
--- a/tests/test_odd_daemon_input.py
+++ b/tests/test_odd_daemon_input.py
@@ -3,13 +3,75 @@
 import unittest
 from unittest import mock
 
+import msgspec
 from parameterized import parameterized
 
 from bergamotsaddle_contracts.ini import parse_count, parse_duration
+from bergamotsaddle_contracts.instances import parse_instances
 from tests._fakes import FakeFleet
 from tests._paused import advance
 
+DEEP = b"[" * 2_000 + b"]" * 2_000
+DEEP_MSGPACK = b"\x91" * 5_000 + b"\x01"
 LONG = "9" * 5_000
+PEER = {"id": "a1", "zone": "a", "role": "entry", "peer_address": "10.1.0.1:7000"}
+ODD_ROWS = [
+    ("number", b"5"),
+    ("list", b"[]"),
+    ("nothing", b"{}"),
+    ("nested", DEEP[:800] + DEEP[-800:]),
+    ("null_id", b'{"id":null,"zone":"a","role":"entry"}'),
+    ("no_zone", b'{"id":"x","role":"entry"}'),
+    *(
+        (
+            f"address_{name}",
+            msgspec.json.encode(PEER | {"id": "x", "peer_address": address}),
+        )
+        for name, address in [
+            ("above", "10.0.0.1:65536"),
+            ("negative", "10.0.0.1:-1"),
+            ("long", "10.0.0.1:" + LONG),
+            ("superscript", "10.0.0.1:\u00b2"),
+            ("name", "peer.example:80"),
+            ("alone", "10.0.0.1"),
+            ("words", "odd"),
+        ]
+    ),
+]
+
+
+def make_list(version, *rows):
+    """Return an instance list whose entries are given as JSON."""
+    return b'{"version":%s,"instances":[%s]}' % (version, b",".join(rows))
+
+
+class InstanceListTest(unittest.TestCase):
+    """The platform's list of instances."""
+
+    @parameterized.expand(ODD_ROWS)
+    def test_entries_beside_one_that_can_not_be_used(self, _, row):
+        """Guards against a list that isn't followed for one of its entries."""
+        found = parse_instances(make_list(b"3", row, msgspec.json.encode(PEER)))
+        self.assertEqual((found.version, list(found.by_id)), (3, ["a1"]))
+        self.assertEqual(len(found.malformed), 1)
+
+    @parameterized.expand(
+        [
+            ("nested", b'{"version":1,"instances":[],"x":%s}' % DEEP),
+            ("nested_entry", make_list(b"1", DEEP)),
+            ("no_text", make_list(b"1", b'{"id":"\xff"}')),
+            ("huge_version", make_list(b"9" * 20)),
+            ("long_version", make_list(LONG.encode())),
+            ("negative_version", make_list(b"-1")),
+            ("infinite_version", make_list(b"1e999")),
+            ("no_list", b'{"version":1,"instances":{}}'),
+            ("empty", b""),
+        ]
+    )
+    def test_lists_that_can_not_be_read(self, _, payload):
+        """Guards against a watch that ends again and again."""
+        with self.assertRaises(ValueError):
+            parse_instances(payload)
 
 
 class FleetTest(unittest.TestCase):
@@ -30,6 +92,19 @@
             self.assertEqual(len(alive), 2)
             daemon.logger.exception.assert_not_called()
 
+    @parameterized.expand(ODD_ROWS)
+    def test_a_list_that_is_written_again_and_again(self, _, row):
+        """Guards against daemons that stop following, or end, at such an entry."""
+        for _ in range(6):
+            rows = self.fleet.publish_list()[:-2]
+            self.fleet.instance_list.payload = rows + b"," + row + b"]}"
+            advance(0.3)
+        advance(1.0)
+        versions = [d.views.instances.version for d in self.fleet.daemons.values()]
+        self.assertEqual(versions, [self.fleet.list_version] * 3)
+        self.assertIn("instance", self.daemon.platform.instances_error)
+        self.check_peers()
+
     @parameterized.expand(
         [
             ("revision", b"[declaration]\nname = x\nrevision = " + b"9" * 400),
