Take reports, bodies and events that are nested too deeply for malformed

What callers saw: 500 for a body of their own that is nested too deeply, which is a 400; and for a stream whose target sends such an event, which is the target's failure.

Cause: the decoder raises RecursionError, which isn't one of its own errors. Loads of targets could be of any size and sign besides; they go into heartbeats, whose numbers have 64 bits, and a negative age made a report newer than any that follows.

Evidence: tests/test_odd_daemon_input, six of 18 new rows failed before: RecursionError for a report, a body and an event; counts of 20 digits and below zero, and an age of -1e15 s, were taken for the target's load. Ruled out: bytes that are no text, texts for numbers, nan and 1e999, which the decoder refuses.

Change: reports, bodies, answers, events, messages and frames are read by the decoders of contracts, which raise ValueError only. Loads are from 0 to 10**9.

Conclusion: each message has one way to be malformed.

--- a/packages/contracts/bergamotsaddle_contracts/messages.py
+++ b/packages/contracts/bergamotsaddle_contracts/messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from bergamotsaddle_contracts.decoding import decode_msgpack
 from bergamotsaddle_contracts.ticket import Ticket
 
 _MAC_BYTES = 8
@@ -245,8 +246,8 @@
         ValueError: If the payload isn't a message of that type.
     """
     try:
-        return msgspec.msgpack.decode(payload, type=kind)
-    except msgspec.MsgspecError as error:
+        return decode_msgpack(payload, kind)
+    except ValueError as error:
         raise ValueError(f"{kind.__name__}: {error}") from error
 
 
--- a/packages/daemon/bergamotsaddle_daemon/pipelines.py
+++ b/packages/daemon/bergamotsaddle_daemon/pipelines.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from bergamotsaddle_contracts.declaration import Pipeline
+from bergamotsaddle_contracts.decoding import decode_json
 from bergamotsaddle_contracts.errors import ErrorKind, RequestError
 from bergamotsaddle_daemon.pools import Pools
 from bergamotsaddle_daemon.request import Request
@@ -53,8 +54,8 @@
         RequestError: If it is malformed.
     """
     try:
-        parsed = msgspec.json.decode(body, type=PipelineBody)
-    except msgspec.MsgspecError as error:
+        parsed = decode_json(body, PipelineBody)
+    except ValueError as error:
         raise RequestError(ErrorKind.BAD_REQUEST, f"body: {error}") from error
     if not 1 <= parsed.max_tokens <= _MAX_TOKENS:
         detail = f"body: max_tokens must be from 1 to {_MAX_TOKENS}"
@@ -146,7 +147,7 @@
 
 def _parse_output(kind: str, reply: bytes, request: Request) -> Any:
     try:
-        return msgspec.json.decode(reply, type=StageOutput).output
-    except msgspec.MsgspecError as error:
+        return decode_json(reply, StageOutput).output
+    except ValueError as error:
         detail = f"{kind}: answer is malformed: {error}"
         raise RequestError(ErrorKind.TARGET_FAILED, detail, ran=request.ran) from error
--- a/packages/daemon/bergamotsaddle_daemon/reports.py
+++ b/packages/daemon/bergamotsaddle_daemon/reports.py
@@ -1,11 +1,13 @@
 """Polls the load of the targets whose home is this instance."""
 
 from collections.abc import Callable
+from typing import Annotated
 
 import eventlet
 import msgspec
 import urllib3
 
+from bergamotsaddle_contracts.decoding import decode_json
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_contracts.messages import TargetReport
 from bergamotsaddle_daemon.clock import now
@@ -17,6 +19,8 @@
 _LOAD_PATH = "/v1/load"
 _POLL_TIMEOUT = 0.5
 _MAX_REPORTS_PER_HEARTBEAT = 40
+# Larger ones are no counts or times.
+_MAX_NUMBER = 10**9
 
 
 class _Load(msgspec.Struct):
@@ -32,8 +36,8 @@
 
     target: str
     cold: bool
-    in_flight: int
-    age: float = 0.0
+    in_flight: Annotated[int, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
+    age: Annotated[float, msgspec.Meta(ge=0, le=_MAX_NUMBER)] = 0.0
     models: tuple[str, ...] | None = None
 
 
@@ -107,10 +111,10 @@
         try:
             with eventlet.Timeout(_POLL_TIMEOUT):
                 payload = self._read_load(target.declared.address)
-            load = msgspec.json.decode(payload, type=_Load)
+            load = decode_json(payload, _Load)
         except (urllib3.exceptions.HTTPError, OSError, eventlet.Timeout):
             return
-        except msgspec.MsgspecError:
+        except ValueError:
             return
         if load.target != target.id:
             return
--- a/packages/daemon/bergamotsaddle_daemon/streams.py
+++ b/packages/daemon/bergamotsaddle_daemon/streams.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from bergamotsaddle_contracts.decoding import decode_json
 from bergamotsaddle_contracts.errors import (
     ErrorKind,
     PlaceLostError,
@@ -78,9 +79,6 @@
     generated: list[str]
 
 
-_EVENT_DECODER = msgspec.json.Decoder(TokenEvent)
-
-
 class TokenStream:
     """One request's token stream, assembled from one or more engine streams.
 
@@ -123,8 +121,8 @@
             TargetError: If the event does not belong to this stream.
         """
         try:
-            event = _EVENT_DECODER.decode(payload)
-        except msgspec.MsgspecError as error:
+            event = decode_json(payload, TokenEvent)
+        except ValueError as error:
             raise TargetError(f"stream: {error}", sent=True) from error
         if event.request != self.request.id:
             raise TargetError(f"stream of request {event.request}", sent=True)
--- a/packages/serving/bergamotsaddle_serving/view_exchange.py
+++ b/packages/serving/bergamotsaddle_serving/view_exchange.py
@@ -3,12 +3,13 @@
 import random
 import socket
 from collections.abc import Callable
-from typing import Any, TypeVar
+from typing import Any
 
 import eventlet
 import msgspec
 from eventlet.event import Event
 
+from bergamotsaddle_contracts.decoding import decode_msgpack
 from bergamotsaddle_contracts.errors import BergamotsaddleError
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving._turn import Turn
@@ -51,8 +52,6 @@
 _PARTS_A_TURN = 8
 _LENGTH_BYTES = 4
 
-_Message = TypeVar("_Message", bound=msgspec.Struct)
-
 
 class LinkError(BergamotsaddleError):
     """A peer could not be reached or did not respond to a ``ViewRequest``."""
@@ -140,7 +139,7 @@
             frame = _read_frame(self._socket)
             if frame is None:
                 raise LinkError("closed")
-            return _decode(frame, ViewResponse)
+            return decode_msgpack(frame, ViewResponse)
         except (OSError, ValueError) as error:
             raise LinkError(str(error)) from error
 
@@ -338,7 +337,7 @@
         sock.settimeout(_IDLE_TIMEOUT_S)
         try:
             while (frame := _read_frame(sock)) is not None:
-                request = _decode(frame, ViewRequest)
+                request = decode_msgpack(frame, ViewRequest)
                 held = self._wait_for_news(request)
                 _send_frame(sock, self._make_response(request, held=held))
         except (OSError, ValueError) as error:
@@ -394,18 +393,6 @@
         changed.send()
 
 
-def _decode(frame: bytes, kind: type[_Message]) -> _Message:
-    """Decode a frame.
-
-    Raises:
-        ValueError: If it is no message of this kind.
-    """
-    try:
-        return msgspec.msgpack.decode(frame, type=kind)
-    except RecursionError as error:
-        raise ValueError("nested too deeply") from error
-
-
 def _send_frame(sock: socket.socket, message: Any) -> None:
     data = msgspec.msgpack.encode(message)
     sock.sendall(len(data).to_bytes(_LENGTH_BYTES, "big") + data)
--- a/tests/test_odd_daemon_input.py
+++ b/tests/test_odd_daemon_input.py
@@ -6,8 +6,16 @@
 import msgspec
 from parameterized import parameterized
 
+from bergamotsaddle_contracts.errors import (
+    ErrorKind,
+    RequestError,
+    TargetError,
+)
 from bergamotsaddle_contracts.ini import parse_count, parse_duration
 from bergamotsaddle_contracts.instances import parse_instances
+from bergamotsaddle_contracts.messages import Heartbeat, decode
+from bergamotsaddle_daemon.pipelines import parse_pipeline_body
+from bergamotsaddle_daemon.streams import TokenStream
 from tests._fakes import FakeFleet
 from tests._paused import advance
 
@@ -134,6 +142,78 @@
         self.assertEqual(self.fleet.revisions(), [7, 7, 7])
         self.check_peers()
 
+    @parameterized.expand(
+        [
+            (
+                "nested",
+                b'{"target":"orders-a","cold":false,"in_flight":1,"x":%s}' % DEEP,
+            ),
+            ("no_text", b'{"target":"orders-a\xff","cold":false,"in_flight":1}'),
+            *(
+                (
+                    name,
+                    b'{"target":"orders-a","cold":false,"in_flight":%s,"age":%s}'
+                    % (count, age),
+                )
+                for name, count, age in [
+                    ("huge", b"9" * 20, b"0"),
+                    ("long", LONG.encode(), b"0"),
+                    ("negative", b"-1", b"0"),
+                    ("text", b'"1"', b"0"),
+                    ("infinite", b"1", b"1e999"),
+                    ("negative_age", b"1", b"-1e15"),
+                    ("age", b"1", b"1e300"),
+                    ("nan_age", b"1", b"NaN"),
+                ]
+            ),
+            ("empty", b""),
+        ]
+    )
+    def test_reports_that_no_target_sends(self, _, payload):
+        """Guards against reports that no heartbeat can carry to peers."""
+        target = self.daemon.targets.by_id["orders-a"]
+        known = target.report
+        advance(0.01)
+        self.daemon.reports._read_load = lambda address: payload
+        self.daemon.reports.poll(target)
+        self.assertEqual(target.report._replace(age=0), known._replace(age=0))
+        advance(3.0)
+        self.check_peers()
+
+
+class MessageTest(unittest.TestCase):
+    """Messages of instances, bodies of callers, and events of targets."""
+
+    def test_a_message_that_is_nested_too_deeply(self):
+        """Guards against an instance that hears no peers any more."""
+        fields = [None] * len(Heartbeat._fields)
+        payload = msgspec.msgpack.encode(fields)[:-1] + DEEP_MSGPACK
+        with self.assertRaises(ValueError):
+            decode(payload, Heartbeat)
+
+    @parameterized.expand(
+        [
+            ("nested", b'{"x":%s}' % DEEP),
+            ("number", b'{"max_tokens":%s}' % LONG.encode()),
+            ("no_text", b'{"input":"\xff"}'),
+            ("empty", b""),
+        ]
+    )
+    def test_bodies_that_can_not_be_read(self, _, body):
+        """Guards against an internal error where the caller's body is wrong."""
+        with self.assertRaises(RequestError) as raised:
+            parse_pipeline_body(body)
+        self.assertIs(raised.exception.kind, ErrorKind.BAD_REQUEST)
+
+    @parameterized.expand(
+        [("nested", b'{"x":%s}' % DEEP), ("index", b'{"index":%s}' % LONG.encode())]
+    )
+    def test_events_that_can_not_be_read(self, _, payload):
+        """Guards against an internal error where the target's event is wrong."""
+        stream = TokenStream.__new__(TokenStream)
+        with self.assertRaises(TargetError):
+            stream.apply_event(payload)
+
 
 class NumberTest(unittest.TestCase):
     """Numbers in declarations and settings of the daemon."""
