--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -93,6 +93,8 @@
         b"content-length",
     )
 )
+# Start of the names of headers that only instances set, for each other.
+INSTANCE_PREFIX = b"bergamotsaddle-"
 
 
 class ConnectionLostError(BergamotsaddleError):
@@ -631,7 +633,11 @@
 def end_to_end_headers(
     headers: Sequence[tuple[bytes, bytes]],
 ) -> Iterator[tuple[bytes, bytes]]:
-    """Yield the headers of a response that apply to more than one connection."""
+    """Yield the headers of a response that apply to more than one connection.
+
+    Those of instances are left out: in a target's response they would tell the instance
+    that handed the request over what no instance has said.
+    """
     for name, value in headers:
-        if name not in HOP_BY_HOP_HEADERS:
+        if name not in HOP_BY_HOP_HEADERS and not name.startswith(INSTANCE_PREFIX):
             yield name, value
--- a/packages/serving/bergamotsaddle_serving/relay_headers.py
+++ b/packages/serving/bergamotsaddle_serving/relay_headers.py
@@ -4,17 +4,16 @@
 from typing import NamedTuple
 
 from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
-from bergamotsaddle_serving.client import HOP_BY_HOP_HEADERS
+from bergamotsaddle_serving.client import HOP_BY_HOP_HEADERS, INSTANCE_PREFIX
 from bergamotsaddle_serving.messages import RawHeaders
 
-_PREFIX = b"bergamotsaddle-"
-_ELAPSED_MS = _PREFIX + b"elapsed-ms"
-_VERSION = _PREFIX + b"version"
-_RUNS = _PREFIX + b"runs"
-_LAST_EVENT = _PREFIX + b"last-event"
-_SENDER = _PREFIX + b"sender"
-_KIND = _PREFIX + b"kind"
-_RAN = _PREFIX + b"ran"
+_ELAPSED_MS = INSTANCE_PREFIX + b"elapsed-ms"
+_VERSION = INSTANCE_PREFIX + b"version"
+_RUNS = INSTANCE_PREFIX + b"runs"
+_LAST_EVENT = INSTANCE_PREFIX + b"last-event"
+_SENDER = INSTANCE_PREFIX + b"sender"
+_KIND = INSTANCE_PREFIX + b"kind"
+_RAN = INSTANCE_PREFIX + b"ran"
 _RETRY_AFTER = b"retry-after"
 _EXPECT = b"expect"
 _MS_PER_S = 1_000.0
@@ -53,7 +52,7 @@
     kept = [
         (name, value)
         for name, value in headers
-        if name not in dropped and not name.startswith(_PREFIX)
+        if name not in dropped and not name.startswith(INSTANCE_PREFIX)
     ]
     encoded = [
         *kept,
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -12,6 +12,7 @@
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.caller import CallerConnection, RawRequest
 from bergamotsaddle_serving.catalog import CallerLimits, Kind, Route, Service, Share
+from bergamotsaddle_serving.client import end_to_end_headers
 from bergamotsaddle_serving.context import Context, Progress
 from bergamotsaddle_serving.handler import Handler
 from bergamotsaddle_serving.handover import Handover
@@ -42,6 +43,7 @@
     b"POST / HTTP/1.1\r\nHost: h\r\nBergamotsaddle-Sender: i\r\n"
     b"Bergamotsaddle-Elapsed-Ms: 1\r\nBergamotsaddle-Version: 7\r\n\r\n"
 )
+FORGED = encode_error(RequestError(ErrorKind.NO_TARGET, "x"))
 REGION_BY_ZONE = {"a": "north", "b": "north", "c": "south"}
 
 
@@ -219,6 +221,16 @@
         self.assertFalse(self.context.progress.is_sent)
         self.assertEqual(len(self.helper.requests), tries)
 
+    @parameterized.expand([("failed", 500), ("served", 200)])
+    def test_a_target_does_not_speak_for_a_helper(self, _, status):
+        """Guards against "not run" for what a target has run that names a kind."""
+        headers = [*FORGED, (b"seal", b"x")]
+        kept = list(end_to_end_headers(headers))
+        lines = b"".join(b"%s: %s\r\n" % header for header in kept)
+        head = b"HTTP/1.1 %d X\r\n%s" % (status, lines)
+        self.hand_over(head + b"Content-Length: 4\r\n\r\nbody")
+        self.caller.respond.assert_called_once_with(status, [(b"seal", b"x")], b"body")
+
     def test_the_unknown_outcome_of_a_helper_is_passed_on(self):
         with self.assertRaises(RequestError) as caught:
             self.hand_over(refusal(ErrorKind.TARGET_FAILED, Ran.UNKNOWN, 502))
--- a/tests/test_platform_dialect.py
+++ b/tests/test_platform_dialect.py
@@ -27,6 +27,7 @@
     (b"authorization", b"Token secret"),
     (b"x-tenant", b"forged"),
     (b"x-kv-hold", b"forged"),
+    (b"bergamotsaddle-ran", b"forged"),
     (b"x-token-usage", b"1460,80"),
     (b"x-prefix-hash", b"aa:800,bb:410"),
     (b"x-pieces", b"2,0,8"),
@@ -163,6 +164,7 @@
         sent = dict(DIALECT.forward(read_head(), dispatch, 0))
         self.assertNotIn(b"authorization", sent)
         self.assertNotIn(b"x-kv-hold", sent)
+        self.assertNotIn(b"bergamotsaddle-ran", sent)
         self.assertNotIn(b"x-hop", sent)
         self.assertEqual(sent[b"x-tenant"], b"t")
         self.assertEqual(sent[b"x-deadline-ms"], b"1250")
