--- a/packages/serving/bergamotsaddle_serving/catalog.py
+++ b/packages/serving/bergamotsaddle_serving/catalog.py
@@ -94,6 +94,11 @@
         """Whether a request may run a second time."""
         return self.kind is Kind.IDEMPOTENT or self.is_resumable
 
+    @property
+    def max_runs(self) -> int:
+        """Maximum number of targets that may run a request."""
+        return self.attempts if self.may_repeat else 1
+
 
 class Batching(NamedTuple):
     """How one target of a stage service runs pieces.
--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -346,7 +346,7 @@
             sender=relayed.sender,
             memory=self._memory.open(),
         )
-        return context.after_runs(relayed.runs) if relayed.runs else context
+        return _within_runs(context, relayed) if relayed.sender else context
 
     def _wait_for_version(self, raw: RawRequest, head: RequestHead) -> None:
         """Wait until this instance has the configuration of a request's sender.
@@ -485,3 +485,25 @@
         last_event_id=relayed.last_event,
         resumed_request=head.resumed_request or head.id,
     )
+
+
+def _within_runs(context: Context, relayed: RelayedRequest) -> Context:
+    """Return a handed-over request that runs no more often than its sender allows.
+
+    The configuration may have changed since the sender accepted it, in which case the
+    lower number of runs counts.
+
+    Args:
+        context: The request by the configuration of this instance.
+        relayed: What its sender says.
+
+    Raises:
+        RequestError: If it may have run as often as it may.
+    """
+    runs = context.route.max_runs
+    if relayed.max_runs is not None:
+        runs = min(runs, relayed.max_runs)
+    if relayed.runs and relayed.runs >= runs:
+        raise context.rejection_error(ErrorKind.NO_TARGET, "it may not run again")
+    context = context._replace(route=context.route._replace(attempts=runs))
+    return context.after_runs(relayed.runs) if relayed.runs else context
--- a/packages/serving/bergamotsaddle_serving/handover.py
+++ b/packages/serving/bergamotsaddle_serving/handover.py
@@ -483,6 +483,7 @@
             context.version,
             delivery.runs,
             delivery.last_event,
+            context.route.max_runs,
         )
         head = context.head
         headers = encode_request(context.headers, relayed, len(context.body))
--- a/packages/serving/bergamotsaddle_serving/relay_headers.py
+++ b/packages/serving/bergamotsaddle_serving/relay_headers.py
@@ -10,6 +10,7 @@
 _ELAPSED_MS = INSTANCE_PREFIX + b"elapsed-ms"
 _VERSION = INSTANCE_PREFIX + b"version"
 _RUNS = INSTANCE_PREFIX + b"runs"
+_MAX_RUNS = INSTANCE_PREFIX + b"max-runs"
 _LAST_EVENT = INSTANCE_PREFIX + b"last-event"
 _SENDER = INSTANCE_PREFIX + b"sender"
 _KIND = INSTANCE_PREFIX + b"kind"
@@ -29,6 +30,8 @@
         runs: How often it may have run at helpers that have died.
         last_event: Last event that the caller has from one of them, None if it has
             none.
+        max_runs: How often it may run by the sender's configuration, None if the sender
+            does not say.
     """
 
     sender: str
@@ -36,6 +39,7 @@
     version: int
     runs: int = 0
     last_event: int | None = None
+    max_runs: int | None = None
 
 
 def encode_request(
@@ -65,6 +69,8 @@
         encoded.append((_RUNS, b"%d" % relayed.runs))
     if relayed.last_event is not None:
         encoded.append((_LAST_EVENT, b"%d" % relayed.last_event))
+    if relayed.max_runs is not None:
+        encoded.append((_MAX_RUNS, b"%d" % relayed.max_runs))
     return encoded
 
 
@@ -82,6 +88,7 @@
             int(by_name[_VERSION]),
             int(by_name.get(_RUNS, b"0")),
             int(by_name[_LAST_EVENT]) if _LAST_EVENT in by_name else None,
+            int(by_name[_MAX_RUNS]) if _MAX_RUNS in by_name else None,
         )
     except (KeyError, ValueError) as error:
         detail = "expected the headers of a handed-over request"
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -132,7 +132,7 @@
 class HandoverTest(unittest.TestCase):
     """One helper in the own zone, and an instance that reaches nothing."""
 
-    def hand_over(self, response, *, kind=Kind.ONCE, delay=0.0, helpers=1):
+    def hand_over(self, response, *, kind=Kind.ONCE, attempts=1, delay=0.0, helpers=1):
         """Hand one request over and return its context and the caller."""
         self.helper = ScriptedHelper(response, delay=delay)
         contacts = [Contact(f"h{n}", "a", HOST) for n in range(helpers)]
@@ -147,7 +147,9 @@
         self.handover = Handover(
             reach, peers, self.helper.port, mock.Mock(), budget=mock.Mock()
         )
-        self.context = make_context(kind)
+        context = make_context(kind)
+        route = context.route._replace(attempts=attempts)
+        self.context = context._replace(route=route)
         self.caller = mock.Mock()
         self.handover.serve(self.context, self.caller, serve_here=mock.Mock())
 
@@ -158,6 +160,12 @@
         self.assertTrue(request.startswith(b"POST /x HTTP/1.1\r\n"))
         self.assertTrue(request.endswith(b"\r\n\r\ninput"))
 
+    @parameterized.expand([(Kind.ONCE, 1), (Kind.IDEMPOTENT, 3)])
+    def test_the_helper_is_told_how_often_it_may_run(self, kind, expected):
+        """Guards against repeats that only the helper's configuration allows."""
+        self.hand_over(BODY, kind=kind, attempts=3)
+        self.assertEqual(read_relayed(self.helper.requests[0]).max_runs, expected)
+
     def test_a_stream_is_forwarded_to_its_proper_end(self):
         self.hand_over(STREAM, kind=Kind.STREAM)
         self.caller.send.assert_called_once_with(EVENT)
@@ -529,20 +537,61 @@
             return repeat, caught
         return repeat, None
 
-    def test_its_runs_and_events_are_taken_on(self):
-        """Guards against more runs than the route allows, and events sent twice."""
+    def receive(self, relayed, **route):
+        """Return the context of a handed-over request.
+
+        Args:
+            relayed: What its sender says.
+            route: Attributes of its route at the helper.
+        """
         configuration = self.handler._view.configuration
         configuration.version = 7
         configuration.has_teams = False
-        configuration.find_route.return_value = self.context.route._replace(attempts=3)
-        relayed = RelayedRequest("me", 0.0, 7, runs=1, last_event=5)
+        found = self.context.route._replace(**route)
+        configuration.find_route.return_value = found
         headers = encode_request([], relayed, 0)
         raw = RawRequest(b"POST", b"/x", headers, b"", now(), is_from_peer=True)
-        context = self.handler._make_context(self.context.head, raw)
+        return self.handler._make_context(self.context.head, raw)
+
+    def test_its_runs_and_events_are_taken_on(self):
+        """Guards against more runs than the route allows, and events sent twice."""
+        relayed = RelayedRequest("me", 0.0, 7, runs=1, last_event=5)
+        context = self.receive(relayed, kind=Kind.IDEMPOTENT, attempts=3)
         self.assertEqual(context.route.attempts, 2)
         self.assertEqual(context.head.last_event_id, 5)
         self.assertEqual(context.head.resumed_request, "r1")
 
+    @parameterized.expand(
+        [
+            ("fewer_at_the_sender", 1, 0, Kind.IDEMPOTENT, 3, 1),
+            ("fewer_here", 3, 0, Kind.IDEMPOTENT, 2, 2),
+            ("once_here", 3, 0, Kind.ONCE, 3, 1),
+            ("one_is_left", 2, 1, Kind.IDEMPOTENT, 3, 1),
+            ("not_said", None, 0, Kind.IDEMPOTENT, 3, 3),
+        ]
+    )
+    def test_it_runs_no_more_often_than(
+        self, _, max_runs, runs, kind, attempts, expected
+    ):
+        """Guards against a second run that its sender's configuration rules out."""
+        relayed = RelayedRequest("me", 0.0, 6, runs=runs, max_runs=max_runs)
+        context = self.receive(relayed, kind=kind, attempts=attempts)
+        self.assertEqual(context.route.attempts, expected)
+
+    @parameterized.expand(
+        [
+            ("by_its_sender", 1, Kind.IDEMPOTENT, 3),
+            ("here", 3, Kind.IDEMPOTENT, 1),
+            ("here_any_more", 3, Kind.ONCE, 3),
+        ]
+    )
+    def test_it_is_refused_if_it_may_not_run_again(self, _, max_runs, kind, attempts):
+        """Guards against another run behind the last one that is allowed."""
+        relayed = RelayedRequest("me", 0.0, 6, runs=1, max_runs=max_runs)
+        with self.assertRaises(RequestError) as caught:
+            self.receive(relayed, kind=kind, attempts=attempts)
+        self.assertEqual(caught.exception.ran, Ran.NO)
+
     def test_it_is_a_repeat(self):
         """Guards against repeats that no budget counts."""
         self.serve(1)
