--- a/packages/serving/bergamotsaddle_serving/catalog.py
+++ b/packages/serving/bergamotsaddle_serving/catalog.py
@@ -92,7 +92,9 @@
     @property
     def may_repeat(self) -> bool:
         """Whether a request may run a second time."""
-        return self.kind is Kind.IDEMPOTENT or self.is_resumable
+        if self.kind is Kind.STREAM:
+            return self.is_resumable
+        return self.kind is Kind.IDEMPOTENT
 
     @property
     def max_runs(self) -> int:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -446,6 +446,7 @@
     @parameterized.expand(
         [
             ("must_not_be_repeated", b"", {"kind": Kind.ONCE, "is_resumable": False}),
+            ("is_no_stream", b"", {"kind": Kind.ONCE}),
             ("can_not_resume", b"", {"is_resumable": False}),
             ("has_no_run_left", b"", {"attempts": 1}),
             ("has_an_event_without_a_number", CHUNKED + b"9\r\ndata: x\n\n\r\n", {}),
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -306,6 +306,13 @@
         self.assertEqual(self.serve(silent, SOUND, route=route), outcome)
         self.assertEqual(self.used, [0])
 
+    def test_one_that_is_no_stream_is_not_resumed(self):
+        """Guards against a second run that only streams may have."""
+        route = ROUTE._replace(kind=Kind.ONCE, is_resumable=True)
+        outcome = self.serve(DEAD, SOUND, route=route)
+        self.assertEqual(outcome, ErrorKind.TARGET_FAILED)
+        self.assertEqual(self.used, [0])
+
     def test_both_targets_lose_it_when_its_caller_leaves(self):
         """Guards against targets that go on with requests nobody waits for."""
         self.serve(DEAD, DEAD, leaves_after=0.5)
