--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -12,6 +12,7 @@
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.caller import CallerConnection, RawRequest
 from bergamotsaddle_serving.catalog import CallerLimits, Kind, Route, Service, Share
+from bergamotsaddle_serving.client import end_to_end_headers
 from bergamotsaddle_serving.context import Context, Progress
 from bergamotsaddle_serving.handler import Handler
 from bergamotsaddle_serving.handover import Handover
@@ -42,6 +43,7 @@
     b"POST / HTTP/1.1\r\nHost: h\r\nBergamotsaddle-Sender: i\r\n"
     b"Bergamotsaddle-Elapsed-Ms: 1\r\nBergamotsaddle-Version: 7\r\n\r\n"
 )
+FORGED = encode_error(RequestError(ErrorKind.NO_TARGET, "x"))
 REGION_BY_ZONE = {"a": "north", "b": "north", "c": "south"}
 
 
@@ -130,7 +132,7 @@
 class HandoverTest(unittest.TestCase):
     """One helper in the own zone, and an instance that reaches nothing."""
 
-    def hand_over(self, response, *, kind=Kind.ONCE, delay=0.0, helpers=1):
+    def hand_over(self, response, *, kind=Kind.ONCE, attempts=1, delay=0.0, helpers=1):
         """Hand one request over and return its context and the caller."""
         self.helper = ScriptedHelper(response, delay=delay)
         contacts = [Contact(f"h{n}", "a", HOST) for n in range(helpers)]
@@ -145,7 +147,9 @@
         self.handover = Handover(
             reach, peers, self.helper.port, mock.Mock(), budget=mock.Mock()
         )
-        self.context = make_context(kind)
+        context = make_context(kind)
+        route = context.route._replace(attempts=attempts)
+        self.context = context._replace(route=route)
         self.caller = mock.Mock()
         self.handover.serve(self.context, self.caller, serve_here=mock.Mock())
 
@@ -156,6 +160,12 @@
         self.assertTrue(request.startswith(b"POST /x HTTP/1.1\r\n"))
         self.assertTrue(request.endswith(b"\r\n\r\ninput"))
 
+    @parameterized.expand([(Kind.ONCE, 1), (Kind.IDEMPOTENT, 3)])
+    def test_the_helper_is_told_how_often_it_may_run(self, kind, expected):
+        """Guards against repeats that only the helper's configuration allows."""
+        self.hand_over(BODY, kind=kind, attempts=3)
+        self.assertEqual(read_relayed(self.helper.requests[0]).max_runs, expected)
+
     def test_a_stream_is_forwarded_to_its_proper_end(self):
         self.hand_over(STREAM, kind=Kind.STREAM)
         self.caller.send.assert_called_once_with(EVENT)
@@ -219,6 +229,16 @@
         self.assertFalse(self.context.progress.is_sent)
         self.assertEqual(len(self.helper.requests), tries)
 
+    @parameterized.expand([("failed", 500), ("served", 200)])
+    def test_a_target_does_not_speak_for_a_helper(self, _, status):
+        """Guards against "not run" for what a target has run that names a kind."""
+        headers = [*FORGED, (b"seal", b"x")]
+        kept = list(end_to_end_headers(headers))
+        lines = b"".join(b"%s: %s\r\n" % header for header in kept)
+        head = b"HTTP/1.1 %d X\r\n%s" % (status, lines)
+        self.hand_over(head + b"Content-Length: 4\r\n\r\nbody")
+        self.caller.respond.assert_called_once_with(status, [(b"seal", b"x")], b"body")
+
     def test_the_unknown_outcome_of_a_helper_is_passed_on(self):
         with self.assertRaises(RequestError) as caught:
             self.hand_over(refusal(ErrorKind.TARGET_FAILED, Ran.UNKNOWN, 502))
@@ -426,6 +446,7 @@
     @parameterized.expand(
         [
             ("must_not_be_repeated", b"", {"kind": Kind.ONCE, "is_resumable": False}),
+            ("is_no_stream", b"", {"kind": Kind.ONCE}),
             ("can_not_resume", b"", {"is_resumable": False}),
             ("has_no_run_left", b"", {"attempts": 1}),
             ("has_an_event_without_a_number", CHUNKED + b"9\r\ndata: x\n\n\r\n", {}),
@@ -517,20 +538,61 @@
             return repeat, caught
         return repeat, None
 
-    def test_its_runs_and_events_are_taken_on(self):
-        """Guards against more runs than the route allows, and events sent twice."""
+    def receive(self, relayed, **route):
+        """Return the context of a handed-over request.
+
+        Args:
+            relayed: What its sender says.
+            route: Attributes of its route at the helper.
+        """
         configuration = self.handler._view.configuration
         configuration.version = 7
         configuration.has_teams = False
-        configuration.find_route.return_value = self.context.route._replace(attempts=3)
-        relayed = RelayedRequest("me", 0.0, 7, runs=1, last_event=5)
+        found = self.context.route._replace(**route)
+        configuration.find_route.return_value = found
         headers = encode_request([], relayed, 0)
         raw = RawRequest(b"POST", b"/x", headers, b"", now(), is_from_peer=True)
-        context = self.handler._make_context(self.context.head, raw)
+        return self.handler._make_context(self.context.head, raw)
+
+    def test_its_runs_and_events_are_taken_on(self):
+        """Guards against more runs than the route allows, and events sent twice."""
+        relayed = RelayedRequest("me", 0.0, 7, runs=1, last_event=5)
+        context = self.receive(relayed, kind=Kind.IDEMPOTENT, attempts=3)
         self.assertEqual(context.route.attempts, 2)
         self.assertEqual(context.head.last_event_id, 5)
         self.assertEqual(context.head.resumed_request, "r1")
 
+    @parameterized.expand(
+        [
+            ("fewer_at_the_sender", 1, 0, Kind.IDEMPOTENT, 3, 1),
+            ("fewer_here", 3, 0, Kind.IDEMPOTENT, 2, 2),
+            ("once_here", 3, 0, Kind.ONCE, 3, 1),
+            ("one_is_left", 2, 1, Kind.IDEMPOTENT, 3, 1),
+            ("not_said", None, 0, Kind.IDEMPOTENT, 3, 3),
+        ]
+    )
+    def test_it_runs_no_more_often_than(
+        self, _, max_runs, runs, kind, attempts, expected
+    ):
+        """Guards against a second run that its sender's configuration rules out."""
+        relayed = RelayedRequest("me", 0.0, 6, runs=runs, max_runs=max_runs)
+        context = self.receive(relayed, kind=kind, attempts=attempts)
+        self.assertEqual(context.route.attempts, expected)
+
+    @parameterized.expand(
+        [
+            ("by_its_sender", 1, Kind.IDEMPOTENT, 3),
+            ("here", 3, Kind.IDEMPOTENT, 1),
+            ("here_any_more", 3, Kind.ONCE, 3),
+        ]
+    )
+    def test_it_is_refused_if_it_may_not_run_again(self, _, max_runs, kind, attempts):
+        """Guards against another run behind the last one that is allowed."""
+        relayed = RelayedRequest("me", 0.0, 6, runs=1, max_runs=max_runs)
+        with self.assertRaises(RequestError) as caught:
+            self.receive(relayed, kind=kind, attempts=attempts)
+        self.assertEqual(caught.exception.ran, Ran.NO)
+
     def test_it_is_a_repeat(self):
         """Guards against repeats that no budget counts."""
         self.serve(1)
