--- a/packages/daemon/bergamotsaddle_daemon/calls.py
+++ b/packages/daemon/bergamotsaddle_daemon/calls.py
@@ -5,13 +5,13 @@
 from typing import NamedTuple
 
 import eventlet
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError, ReadTimeoutError
 from urllib3.response import BaseHTTPResponse
 from urllib3.util.connection import is_connection_dropped
 
 from bergamotsaddle_contracts.errors import TargetError
 from bergamotsaddle_contracts.ini import Address
+from bergamotsaddle_contracts.whole_responses import WholeConnection
 from bergamotsaddle_daemon._reset_socket import ResetSocket
 from bergamotsaddle_daemon.clock import now
 
@@ -68,7 +68,7 @@
 
     def __init__(
         self,
-        connection: HTTPConnection,
+        connection: WholeConnection,
         sock: ResetSocket,
         response: BaseHTTPResponse,
     ) -> None:
@@ -92,11 +92,14 @@
         # own timeout starts one only if there is nothing to read yet.
         self._socket.settimeout(max(_MIN_READ_TIMEOUT, silence))
         try:
-            return self._response.read1()
+            data = self._response.read1()
         except _CONNECTION_ERRORS as error:
             timed_out = isinstance(error, (TimeoutError, ReadTimeoutError))
             detail = f"stream: {error!r}"
             raise TargetError(detail, sent=True, timed_out=timed_out) from error
+        if not data and self._response.length_remaining:
+            raise TargetError("stream: shorter than its length", sent=True)
+        return data
 
     def close(self) -> None:
         """Close the connection, which cancels the work at the target."""
@@ -108,7 +111,7 @@
     """Keep-alive connections to targets; one is never reused after an error."""
 
     def __init__(self) -> None:
-        self._idle_by_address: dict[Address, list[HTTPConnection]] = {}
+        self._idle_by_address: dict[Address, list[WholeConnection]] = {}
         self._attempt_numbers = itertools.count(1)
         self.responses_discarded = 0
 
@@ -173,7 +176,7 @@
         for connection in self._idle_by_address.pop(address, []):
             connection.close()
 
-    def _pop_idle(self, address: Address) -> HTTPConnection | None:
+    def _pop_idle(self, address: Address) -> WholeConnection | None:
         idle = self._idle_by_address.get(address, [])
         while idle:
             connection = idle.pop()
@@ -182,18 +185,18 @@
             connection.close()
         return None
 
-    def _return_idle(self, address: Address, connection: HTTPConnection) -> None:
+    def _return_idle(self, address: Address, connection: WholeConnection) -> None:
         idle = self._idle_by_address.setdefault(address, [])
         if connection.sock is None or len(idle) >= _MAX_IDLE_CONNECTIONS:
             connection.close()
             return
         idle.append(connection)
 
-    def _connect(self, address: Address, call: Call) -> HTTPConnection:
+    def _connect(self, address: Address, call: Call) -> WholeConnection:
         timeout = min(call.connect_timeout, call.deadline - now())
         if timeout <= 0:
             raise TargetError("no time left to connect", sent=False)
-        connection = HTTPConnection(address.host, address.port, timeout=timeout)
+        connection = WholeConnection(address.host, address.port, timeout=timeout)
         try:
             connection.connect()
         except _CONNECTION_ERRORS as error:
@@ -202,7 +205,7 @@
         connection.sock = ResetSocket(connection.sock)
         return connection
 
-    def _exchange(self, connection: HTTPConnection, call: Call, guard: Guard) -> Reply:
+    def _exchange(self, connection: WholeConnection, call: Call, guard: Guard) -> Reply:
         try:
             response = self._send(connection, call, guard, stream=False)
             self._check_response(response, call)
@@ -214,7 +217,7 @@
         return Reply(response.status, response.data)
 
     def _send(
-        self, connection: HTTPConnection, call: Call, guard: Guard, *, stream: bool
+        self, connection: WholeConnection, call: Call, guard: Guard, *, stream: bool
     ) -> BaseHTTPResponse:
         remaining = call.deadline - now()
         if remaining <= 0:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -5,9 +5,11 @@
 
 import eventlet
 from nose2.tools import params
+from parameterized import parameterized
 
 from bergamotsaddle_contracts.errors import ERROR_SPECS, ErrorKind
-from bergamotsaddle_daemon.calls import Reply
+from bergamotsaddle_daemon.calls import Connections, Reply
+from tests._cut_heads import CUT_RESPONSES, WHOLE_BY_LENGTH, CuttingPeer
 from tests._fakes import FakeFleet, run_green
 from tests._http import send_request
 from tests._paused import advance
@@ -225,3 +227,33 @@
         tickets = self.fleet.daemons["b1"].tickets
         issued = [tickets.issue("crews", "orders")[1] for _ in range(20)]
         self.assertEqual({ticket.witness for ticket in issued}, {"c1"})
+
+
+class CutResponseTest(CallerCase):
+    """Responses of targets that stop inside the head."""
+
+    def book(self, data):
+        """Send an unrepeatable request whose target sends some bytes and closes."""
+        peer = CuttingPeer(data)
+        self.addCleanup(peer.close)
+        connections = Connections()
+        for target in self.fleet.targets.values():
+            target.handle = lambda call: connections.post_once(
+                peer.address, call, lambda: None
+            )
+        ticket = self.send("/v1/tickets/orders").json["ticket"]
+        response = self.send("/v1/services/orders/book", {}, ticket=ticket)
+        status = self.send(f"/v1/tickets/orders/{ticket}", method="GET")
+        return response, status.json["state"], peer.served
+
+    def test_a_whole_response(self):
+        response, state, runs = self.book(WHOLE_BY_LENGTH)
+        self.assertEqual((response.status, state, runs), (200, "finished", 1))
+
+    @parameterized.expand(CUT_RESPONSES)
+    def test_a_cut_response_is_an_unknown_outcome(self, _, data):
+        """Guards against a success with a short body that the target never sent."""
+        response, state, runs = self.book(data)
+        self.assertEqual(response.status, 502, response.body)
+        self.assertEqual(response.json["ran"], "unknown")
+        self.assertEqual((state, runs), ("unknown", 1))
