Handle a head that is not HTTP as a failure of its target

What callers saw: a request whose stage's target sent a head that can't be read (no HTTP, no status, another version, a line above 64 KB, more than 100 fields) got no response before its deadline, though two other targets were there; the target did not count as failing.

Cause: http.client raises its own HTTPException for these, which is neither an OSError nor an error of urllib3, so calls didn't turn it into a TargetError. It ended the green thread of the attempt, and nobody was told.

Evidence: 28 of 330 rows of test_callers and test_cut_heads failed before: 21 calls raised BadStatusLine, UnknownProtocol, LineTooLong or HTTPException, and seven requests had no response after 1 s of 2 s, where a target that closes without a byte is answered (503, ran yes). Ruled out: unrepeatable requests, whose outcome was unknown already (seven rows passed); the configuration service, reports and pages, where the pool of urllib3 wraps these errors.

Change: HTTPException counts as an error of the connection.

Conclusion: such a head is a failure of the target after the request was sent: stages go to another target, and the target rests as others that fail.

--- a/packages/daemon/bergamotsaddle_daemon/calls.py
+++ b/packages/daemon/bergamotsaddle_daemon/calls.py
@@ -2,6 +2,7 @@
 
 import itertools
 from collections.abc import Callable
+from http.client import HTTPException
 from typing import NamedTuple
 
 import eventlet
@@ -21,7 +22,7 @@
 PRIORITY_HEADER = "X-Priority"
 _MAX_IDLE_CONNECTIONS = 64
 _MIN_READ_TIMEOUT = 0.001
-_CONNECTION_ERRORS = (HTTPError, OSError, eventlet.Timeout)
+_CONNECTION_ERRORS = (HTTPException, HTTPError, OSError, eventlet.Timeout)
 
 Guard = Callable[[], None]
 
--- a/tests/_cut_heads.py
+++ b/tests/_cut_heads.py
@@ -63,6 +63,15 @@
     ("in_trailer", WHOLE_BY_CHUNKS[:-9]),
     ("behind_trailer", WHOLE_BY_CHUNKS[:-2]),
 ]
+MALFORMED_RESPONSES = [
+    ("no_http", b"garbage\r\n\r\n"),
+    ("no_status", b"HTTP/1.1 OK\r\n\r\n"),
+    ("status_out_of_range", b"HTTP/1.1 99 OK\r\n\r\n"),
+    ("other_version", b"HTTP/2 200 OK\r\n" + _FIELDS + b"\r\n"),
+    ("long_status_line", b"HTTP/1.1 200 " + b"x" * 70_000 + b"\r\n" + _FIELDS),
+    ("long_field", _STATUS + b"X-Long: " + b"x" * 70_000 + b"\r\n\r\n"),
+    ("many_fields", _STATUS + b"X-More: 1\r\n" * 110 + _FIELDS + b"\r\n"),
+]
 ENDINGS = ("close", "reset")
 
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -9,7 +9,12 @@
 
 from bergamotsaddle_contracts.errors import ERROR_SPECS, ErrorKind
 from bergamotsaddle_daemon.calls import Connections, Reply
-from tests._cut_heads import CUT_RESPONSES, WHOLE_BY_LENGTH, CuttingPeer
+from tests._cut_heads import (
+    CUT_RESPONSES,
+    MALFORMED_RESPONSES,
+    WHOLE_BY_LENGTH,
+    CuttingPeer,
+)
 from tests._fakes import FakeFleet, run_green
 from tests._http import send_request
 from tests._paused import advance
@@ -232,8 +237,8 @@
 class CutResponseTest(CallerCase):
     """Responses of targets that stop inside the head."""
 
-    def book(self, data):
-        """Send an unrepeatable request whose target sends some bytes and closes."""
+    def serve(self, data):
+        """Let every target send some bytes and close; return their peer."""
         peer = CuttingPeer(data)
         self.addCleanup(peer.close)
         connections = Connections()
@@ -241,6 +246,11 @@
             target.handle = lambda call: connections.post_once(
                 peer.address, call, lambda: None
             )
+        return peer
+
+    def book(self, data):
+        """Send an unrepeatable request whose target sends some bytes and closes."""
+        peer = self.serve(data)
         ticket = self.send("/v1/tickets/orders").json["ticket"]
         response = self.send("/v1/services/orders/book", {}, ticket=ticket)
         status = self.send(f"/v1/tickets/orders/{ticket}", method="GET")
@@ -250,10 +260,26 @@
         response, state, runs = self.book(WHOLE_BY_LENGTH)
         self.assertEqual((response.status, state, runs), (200, "finished", 1))
 
-    @parameterized.expand(CUT_RESPONSES)
-    def test_a_cut_response_is_an_unknown_outcome(self, _, data):
-        """Guards against a success with a short body that the target never sent."""
+    def check_unknown(self, data):
         response, state, runs = self.book(data)
         self.assertEqual(response.status, 502, response.body)
         self.assertEqual(response.json["ran"], "unknown")
         self.assertEqual((state, runs), ("unknown", 1))
+
+    @parameterized.expand(CUT_RESPONSES)
+    def test_a_cut_response_is_an_unknown_outcome(self, _, data):
+        """Guards against a success with a short body that the target never sent."""
+        self.check_unknown(data)
+
+    @parameterized.expand(MALFORMED_RESPONSES)
+    def test_a_malformed_head_is_an_unknown_outcome(self, _, data):
+        """Guards against a ticket that stays open behind an error of the parser."""
+        self.check_unknown(data)
+
+    @parameterized.expand([("closed", b""), *MALFORMED_RESPONSES])
+    def test_a_stage_whose_targets_send_no_head_fails_at_once(self, _, data):
+        """Guards against an attempt that nobody hears of until the deadline."""
+        self.serve(data)
+        response = self.send("/v1/pipelines/plan", {"input": "pens"}, seconds=1.0)
+        self.assertEqual((response.status, response.json["kind"]), (503, "no_target"))
+        self.assertEqual(response.json["ran"], "yes")
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -11,6 +11,7 @@
     BODY,
     CUT_RESPONSES,
     ENDINGS,
+    MALFORMED_RESPONSES,
     WHOLE_RESPONSES,
     CuttingPeer,
 )
@@ -77,3 +78,17 @@
             self.call(method, address)
         self.assertTrue(caught.exception.sent)
         self.assertEqual(self.peer.served, 1)
+
+    @parameterized.expand(
+        [
+            (f"{method}_{name}", method, data)
+            for method in ("post", "post_once", "open_stream")
+            for name, data in MALFORMED_RESPONSES
+        ]
+    )
+    def test_a_malformed_head_is_a_failure_of_the_target(self, _, method, data):
+        """Guards against an error that ends the attempt without its bookkeeping."""
+        address = self.serve(data)
+        with self.assertRaises(TargetError) as caught:
+            self.call(method, address)
+        self.assertTrue(caught.exception.sent)
