Tie the responses that a soak's caller reads to its requests by their ids

Timers were 4 s late at all instances, the caller had given up c10-0, and its late response came ahead of that to c10-1 on the same connection.

Cause: our own test client took the next response on a connection for the one to the request that it read for. So the audit also couldn't see the response to another request.

Ruled out: the instance sent both responses in the order of the requests, as HTTP asks for; the product is not changed.

Change: CallerSocket.read is told which request it reads for and passes over late responses to requests that it has given up on this connection. Each of them may come once; any other name reaches the audit, which has a new check ("crossed"): a response names its own request or none.

--- a/packages/standins/bergamotsaddle_standins/soak.py
+++ b/packages/standins/bergamotsaddle_standins/soak.py
@@ -798,7 +798,8 @@
             connection = CallerSocket(self._pick_address())
             connection.send(request.encode())
             leaves_after = pick_leaving(self._rng)
-            connection.read(request.deadline if leaves_after is None else leaves_after)
+            limit = request.deadline if leaves_after is None else leaves_after
+            connection.read(request.id, limit)
             connection.close()
 
     def _replace_crashed(self, target: RunningTarget) -> None:
--- a/packages/standins/bergamotsaddle_standins/soak_audit.py
+++ b/packages/standins/bergamotsaddle_standins/soak_audit.py
@@ -51,6 +51,7 @@
     """Yield a line for each broken promise."""
     for exchange in record.exchanges:
         yield from _check_response(exchange, record)
+        yield from _check_identity(exchange)
         yield from _check_order(exchange, record)
         yield from _check_key(exchange, record)
     yield from find_stream_breaches(record)
@@ -105,6 +106,12 @@
         yield f"failed: {request.path} ({runs}) got {exchange.status}"
 
 
+def _check_identity(exchange: Exchange) -> Iterator[str]:
+    request = exchange.request
+    if exchange.answered not in ("", request.id):
+        yield f"crossed: {request.id} got the response to {exchange.answered}"
+
+
 def _check_order(exchange: Exchange, record: SoakRecord) -> Iterator[str]:
     """Compare what a caller received with what the targets had to send."""
     request = exchange.request
--- a/packages/standins/bergamotsaddle_standins/soak_callers.py
+++ b/packages/standins/bergamotsaddle_standins/soak_callers.py
@@ -3,7 +3,7 @@
 import random
 import re
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from itertools import count
 from typing import NamedTuple
 
@@ -40,6 +40,8 @@
 _MS = 0.001
 _TOPICS = 3
 _OK = 200
+# Targets name a request in the first one, instances in the second one.
+_ID_HEADERS = (b"id", b"x-request-id")
 _EVENT = re.compile(rb"id: ([0-9]+)\ndata: ([^\n]*)\n\n")
 
 
@@ -112,6 +114,7 @@
         is_complete: Whether the response came to its proper end.
         body: What was received of the response's body.
         longest_pause: Longest time in which nothing of the response came, in seconds.
+        answered: Id of the request that the response names, empty if it names none.
         is_behind_break: Whether an earlier response on its connection broke off.
         has_left: Whether the caller closed the connection in the middle of a stream.
     """
@@ -125,6 +128,7 @@
     is_complete: bool
     body: bytes = b""
     longest_pause: float = 0.0
+    answered: str = ""
     is_behind_break: bool = False
     has_left: bool = False
 
@@ -162,12 +166,14 @@
         is_complete: Whether the response came to its proper end.
         body: The bytes of its body.
         longest_pause: Longest time in which nothing came, in seconds.
+        answered: Id of the request that it names, empty if it names none.
     """
 
     status: int
     is_complete: bool
     body: bytes
     longest_pause: float = 0.0
+    answered: str = ""
 
 
 class CallerSocket:
@@ -184,6 +190,8 @@
         self._socket = socket.create_connection(address, timeout=_CONNECT_TIMEOUT_S)
         self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._buffered = b""
+        # Ids of requests whose responses may still come.
+        self._overdue: set[str] = set()
         self.is_open = True
 
     def send(self, data: bytes) -> None:
@@ -196,27 +204,40 @@
 
     def read(
         self,
+        request_id: str,
         limit: float,
         *,
         max_events: int | None = None,
         on_data: Callable[[], None] = lambda: None,
     ) -> ReceivedResponse:
-        """Read a response.
+        """Read the response to a request, behind late ones to earlier requests.
 
         Args:
-            limit: Seconds to wait for each part of it.
+            request_id: Id of the request.
+            limit: Seconds to wait for each part of a response.
             max_events: Number of events after which to stop, None for all.
             on_data: Called when a part of its body has arrived.
         """
-        parser = h11.Connection(h11.CLIENT)
-        headers = [("host", HOST), ("content-length", "0")]
-        parser.send(h11.Request(method="POST", target="/", headers=headers))
-        parser.send(h11.EndOfMessage())
-        if self._buffered:
-            parser.receive_data(self._buffered)
-            self._buffered = b""
+        while True:
+            response = self._read_next(limit, max_events, on_data)
+            if not response.is_complete or response.answered not in self._overdue:
+                break
+            self._overdue.discard(response.answered)
+        if not response.is_complete:
+            self._overdue.add(request_id)
+        if response.answered in self._overdue - {request_id}:
+            # A part of a late response. Nothing has come of the awaited one.
+            return ReceivedResponse(0, False, b"", response.longest_pause)
+        return response
+
+    def _read_next(
+        self, limit: float, max_events: int | None, on_data: Callable[[], None]
+    ) -> ReceivedResponse:
+        """Read the next response on the connection."""
+        parser = self._start_parser()
         self._socket.settimeout(limit)
         status = 0
+        answered = ""
         body = b""
         pause, since = 0.0, now()
         try:
@@ -227,6 +248,7 @@
                     pause, since = max(pause, now() - since), now()
                 elif isinstance(event, h11.Response):
                     status = event.status_code
+                    answered = _find_id(event.headers)
                 elif isinstance(event, h11.Data):
                     body += bytes(event.data)
                     on_data()
@@ -235,20 +257,38 @@
                 elif isinstance(event, h11.EndOfMessage):
                     self._buffered = parser.trailing_data[0]
                     self.is_open = parser.their_state is not h11.MUST_CLOSE
-                    return ReceivedResponse(status, True, body, pause)
+                    return ReceivedResponse(status, True, body, pause, answered)
                 elif isinstance(event, h11.ConnectionClosed):
                     break
         except (OSError, h11.RemoteProtocolError):
             # The instance closed or reset the connection; the audit judges that.
             status = status or 0
         self.is_open = False
-        return ReceivedResponse(status, False, body, max(pause, now() - since))
+        pause = max(pause, now() - since)
+        return ReceivedResponse(status, False, body, pause, answered)
+
+    def _start_parser(self) -> h11.Connection:
+        """Return a parser of a response, which has what was read ahead."""
+        parser = h11.Connection(h11.CLIENT)
+        headers = [("host", HOST), ("content-length", "0")]
+        parser.send(h11.Request(method="POST", target="/", headers=headers))
+        parser.send(h11.EndOfMessage())
+        if self._buffered:
+            parser.receive_data(self._buffered)
+            self._buffered = b""
+        return parser
 
     def close(self) -> None:
         """Close the connection."""
         self._socket.close()
 
 
+def _find_id(headers: Iterable[tuple[bytes, bytes]]) -> str:
+    """Return the id of the request that a response names, empty if it names none."""
+    by_name = dict(headers)
+    return next((by_name[n].decode() for n in _ID_HEADERS if n in by_name), "")
+
+
 Send = Callable[[CallerSocket, list[SentRequest], random.Random], None]
 SENDERS: dict[str, Send] = {}
 
@@ -354,7 +394,7 @@
             for request in requests:
                 max_events = self._pick_events_to_read(request)
                 limit = request.deadline + _READ_MARGIN_S
-                response = connection.read(limit, max_events=max_events)
+                response = connection.read(request.id, limit, max_events=max_events)
                 times = (started_at, sent_at, now())
                 exchange = Exchange(request, host, *times, *response, is_broken)
                 has_left = max_events is not None and exchange.is_resumable
@@ -412,7 +452,7 @@
         except OSError:
             return None
         sent_at = now()
-        response = connection.read(request.deadline + _READ_MARGIN_S)
+        response = connection.read(request.id, request.deadline + _READ_MARGIN_S)
         connection.close()
         return Exchange(request, address[0], started_at, sent_at, now(), *response)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -248,6 +248,14 @@
     def test_responses(self, _, exchange, runs, expected):
         self.assertEqual(self.find(exchange, runs), expected)
 
+    @parameterized.expand(
+        [("its_own", "r", []), ("no_name", "", []), ("other", "s", ["crossed"])]
+    )
+    def test_responses_that_name_a_request(self, _, answered, expected):
+        """Guards against the response to another request on the same connection."""
+        exchange = make_exchange(CHAT, 200)._replace(answered=answered)
+        self.assertEqual(self.find(exchange, [make_run()]), expected)
+
     @parameterized.expand(
         [
             ("in_force", [make_run()], []),
