Read no status from parts of two heads (TWICE, REFUSED, MIXED)

Cause: a head that breaks off inside a value or its reason phrase runs into the status line of the next one, and the parser takes both for one head. Its status and its promise are those of the late copy, its id is that of the response behind it, so the check of the id passes.

Cuts inside a name or behind a line end were right before (no_http).

Ruled out: the id (the last of two counts, and most cuts leave but one), and the length (a cut ahead of it leaves one).

The change: a head with a status line inside its reason phrase or a value is no HTTP. The outcome is unknown and the connection is closed. All connections to targets, the store and other instances read heads there.

--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -1,5 +1,6 @@
 """HTTP connections to targets and the store, strictly parsed, pooled and checked."""
 
+import re
 import socket
 from collections.abc import Callable, Iterator, Sequence
 from typing import NamedTuple, NoReturn
@@ -74,6 +75,8 @@
 BROKEN_CONNECTION_REASONS = frozenset(("closed", "cut", "reset", "send", UNFINISHED))
 
 _SUCCESS = range(200, 300)
+# A head that broke off inside a value runs into the next one on its connection.
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 # Status with which the parser reports a head, a line or trailers without end.
 _TOO_LARGE = 431
 _WITHOUT_BODY = frozenset((204, 304))
@@ -165,6 +168,12 @@
         return None if length is None else int(length)
 
 
+def _has_status_line(response: h11.Response) -> bool:
+    """Return whether a head holds the status line of another one."""
+    values = (value for _, value in response.headers)
+    return any(map(_STATUS_LINE.search, (bytes(response.reason), *values)))
+
+
 OnEndless = Callable[[Address, EndlessError], None]
 
 
@@ -300,7 +309,7 @@
 
         Raises:
             EndlessError: If more of them come than before any sound response.
-            ConnectionLostError: If no head arrives in time.
+            ConnectionLostError: If no head arrives in time, or parts of two of them.
         """
         until = now() + limit
         event = self._next_event(limit)
@@ -311,8 +320,10 @@
             event = self._next_event(until - now())
         if not isinstance(event, h11.Response):
             raise ConnectionLostError("no_head")
-        self._has_head = True
         head = RawResponseHead(event.status_code, list(event.headers))
+        if _has_status_line(event):
+            raise ConnectionLostError("no_http")
+        self._has_head = True
         self._stated_bytes = head.body_bytes if self._wants_body else None
         return head
 
