--- a/packages/serving/bergamotsaddle_serving/handover.py
+++ b/packages/serving/bergamotsaddle_serving/handover.py
@@ -16,6 +16,7 @@
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving._parts import Parts
+from bergamotsaddle_serving.attempt import NOT_RUN_STATUSES
 from bergamotsaddle_serving.body_memory import MemoryShortError, Remainder
 from bergamotsaddle_serving.budget import RetryBudget
 from bergamotsaddle_serving.caller import CallerConnection
@@ -394,6 +395,9 @@
         error = decode_error(head.headers)
         if error is not None:
             self._handle_error(error, context, delivery)
+        if head.status in NOT_RUN_STATUSES:
+            # An instance marks its own promises and forwards none of a target.
+            raise ConnectionLostError("unmarked")
         if not head.is_framed:
             # An instance always states it, so this is not the whole response.
             raise ConnectionLostError("cut")
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -229,6 +229,18 @@
         self.assertFalse(self.context.progress.is_sent)
         self.assertEqual(len(self.helper.requests), tries)
 
+    @parameterized.expand(
+        [(s, k) for s in (408, 421, 429, 503) for k in (Kind.ONCE, Kind.STREAM)]
+    )
+    def test_a_promise_that_no_instance_has_made_is_not_passed_on(self, status, kind):
+        """Guards against "not run" by what listens at the address of a helper."""
+        response = b"HTTP/1.1 %d X\r\nContent-Length: 4\r\n\r\nbody" % status
+        with self.assertRaises(RequestError) as caught:
+            self.hand_over(response, kind=kind)
+        found = (caught.exception.status, caught.exception.ran)
+        self.assertEqual(found, (502, Ran.UNKNOWN))
+        self.caller.respond.assert_not_called()
+
     @parameterized.expand([("failed", 500), ("served", 200)])
     def test_a_target_does_not_speak_for_a_helper(self, _, status):
         """Guards against "not run" for what a target has run that names a kind."""
