--- a/packages/serving/bergamotsaddle_serving/relay_headers.py
+++ b/packages/serving/bergamotsaddle_serving/relay_headers.py
@@ -3,7 +3,12 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
+from bergamotsaddle_contracts.errors import (
+    ERROR_SPECS,
+    ErrorKind,
+    Ran,
+    RequestError,
+)
 from bergamotsaddle_serving.client import HOP_BY_HOP_HEADERS, INSTANCE_PREFIX
 from bergamotsaddle_serving.messages import RawHeaders
 
@@ -116,6 +121,9 @@
     except ValueError:
         # A kind or an outcome that this version does not know promises nothing.
         return RequestError(ErrorKind.TARGET_FAILED, "unknown outcome", ran=Ran.UNKNOWN)
+    if ran is not Ran.NO and ERROR_SPECS[kind].ran is Ran.NO:
+        # The status of this kind would promise that nothing has run.
+        kind = ErrorKind.TARGET_FAILED
     return RequestError(kind, "the helper failed", ran=ran, retry_after=retry_after)
 
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -10,6 +10,7 @@
 
 from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
 from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.attempt import NOT_RUN_STATUSES
 from bergamotsaddle_serving.caller import CallerConnection, RawRequest
 from bergamotsaddle_serving.catalog import CallerLimits, Kind, Route, Service, Share
 from bergamotsaddle_serving.client import end_to_end_headers
@@ -709,6 +710,14 @@
         decoded = decode_error(encode_error(error))
         self.assertEqual((decoded.kind, decoded.ran), (error.kind, error.ran))
 
+    @parameterized.expand([*ErrorKind])
+    def test_an_unknown_outcome_has_no_status_that_promises(self, kind):
+        """Guards against a 503 for what a helper of another version may have run."""
+        error = RequestError(ErrorKind(kind), "x", ran=Ran.UNKNOWN)
+        decoded = decode_error(encode_error(error))
+        self.assertEqual(decoded.ran, Ran.UNKNOWN)
+        self.assertNotIn(decoded.status, NOT_RUN_STATUSES)
+
     def test_an_unknown_kind_promises_nothing(self):
         headers = [(b"bergamotsaddle-kind", b"new"), (b"bergamotsaddle-ran", b"no")]
         self.assertEqual(decode_error(headers).ran, Ran.UNKNOWN)
