--- a/packages/serving/bergamotsaddle_serving/attempt.py
+++ b/packages/serving/bergamotsaddle_serving/attempt.py
@@ -126,6 +126,9 @@
         self._keep_alive_seconds: float | None = None
         self._is_silent = False
         self._is_writing = False
+        self._is_framed: bool | None = None
+        self._response_id = ""
+        self._is_reused = False
         # The part of an event whose rest has not arrived.
         self._part = Remainder(context.memory)
         self.is_sent = False
@@ -183,9 +186,7 @@
         if not may_send():
             raise NotRunError("left")
         self.is_sent = context.progress.is_sent = True
-        context.progress.is_framed = None
-        context.progress.response_id = ""
-        context.progress.is_reused = connection.is_reused
+        self._is_reused = connection.is_reused
         context.progress.addresses.add(dispatch.target.address)
         size = self._read(lambda: connection.send(call, limit=limit))
         if on_sent is not None:
@@ -271,6 +272,20 @@
             self._state.writing += 1
         return data
 
+    def describe_response(self) -> dict[str, bool | str | None]:
+        """Return, for logs, what shows whose response was read.
+
+        Returns:
+            Whether the response states where its body ends, None before its head has
+            arrived; the id of the request that it names, empty if it names none; and
+            whether its connection has carried other requests before.
+        """
+        return {
+            "framed": self._is_framed,
+            "response_id": self._response_id,
+            "reused": self._is_reused,
+        }
+
     def hold(self, size: int) -> None:
         """Hold a part of an event until the rest of it arrives.
 
@@ -339,11 +354,10 @@
         self._return_connection()
 
     def _check_head(self, head: RawResponseHead) -> Response:
-        progress = self._context.progress
-        progress.is_framed = head.is_framed
+        self._is_framed = head.is_framed
         self._pool.last_response_at = now()
         decoded = self._dialect.read_response(head.headers)
-        progress.response_id = decoded.request_id
+        self._response_id = decoded.request_id
         self._check_identity(decoded)
         self._keep_alive_seconds = decoded.keep_alive_seconds
         self._state.record_load(decoded.load)
@@ -370,7 +384,7 @@
         is_own = is_own_response(
             decoded.request_id,
             self._context.head.id,
-            is_reused=self._connection.is_reused,
+            is_reused=self._is_reused,
         )
         if not is_own:
             self._state.record_failure(is_certain=False)
--- a/packages/serving/bergamotsaddle_serving/context.py
+++ b/packages/serving/bergamotsaddle_serving/context.py
@@ -20,19 +20,11 @@
 
     Attributes:
         is_sent: Whether any byte of it was sent to a target that might run it.
-        is_framed: Whether the last response states where its body ends, None before
-            its head has arrived.
-        response_id: Id of the request that the last response names, empty if it names
-            none.
-        is_reused: Whether the last connection has carried other requests before.
         addresses: Addresses that it was sent to.
     """
 
     def __init__(self) -> None:
         self.is_sent = False
-        self.is_framed: bool | None = None
-        self.response_id = ""
-        self.is_reused = False
         self.addresses: set[Address] = set()
 
 
--- a/packages/serving/bergamotsaddle_serving/engine_run.py
+++ b/packages/serving/bergamotsaddle_serving/engine_run.py
@@ -169,6 +169,10 @@
         self.is_silent = False
         return events
 
+    def describe_response(self) -> dict[str, bool | str | None]:
+        """Return, for logs, what shows whose response was read."""
+        return self._attempt.describe_response() if self._attempt is not None else {}
+
     def record_first_event(self) -> None:
         """Record that the engine has read the prompt and begun to write."""
         self.writing_since = now()
--- a/packages/serving/bergamotsaddle_serving/plain_run.py
+++ b/packages/serving/bergamotsaddle_serving/plain_run.py
@@ -234,13 +234,16 @@
         self.log_failure(reason, "unknown", others=())
         self._server.crashes.record_failure(self.target, [self.work()], reason)
 
-    def log_failure(self, reason: str, ran: str, *, others: Sequence[str]) -> None:
+    def log_failure(
+        self, reason: str, ran: str, *, others: Sequence[str], status: int = 0
+    ) -> None:
         """Log that the run has failed.
 
         Args:
             reason: One word for logs.
             ran: Whether the target ran the request.
             others: Ids of targets that still run it.
+            status: Status with which the target rejected it, 0 if it did not.
         """
         context = self._context
         self._server.logger.warning(
@@ -249,9 +252,8 @@
             work=context.fingerprint,
             target=self.target.id,
             reason=reason,
-            framed=context.progress.is_framed,
-            response_id=context.progress.response_id,
-            reused=context.progress.is_reused,
+            status=status,
+            **self._attempt.describe_response(),
             ran=ran,
             in_flight=self.state.in_flight,
             open=others,
@@ -683,7 +685,7 @@
         try:
             response = finish.result()
         except NotRunError as error:
-            self._log_failed_attempt(run, error.reason, "no")
+            self._log_failed_attempt(run, error.reason, "no", error.status)
             self._refusals += not error.is_connection_refused
             self._refused_connections += error.is_connection_refused
             return None
@@ -746,8 +748,10 @@
             self._log_failed_attempt(run, _OVERTAKEN, "unknown")
             crashes.record_abandoned(run.target, run.work())
 
-    def _log_failed_attempt(self, run: _TargetRun, reason: str, ran: str) -> None:
-        run.log_failure(reason, ran, others=list(self._open_by_id))
+    def _log_failed_attempt(
+        self, run: _TargetRun, reason: str, ran: str, status: int = 0
+    ) -> None:
+        run.log_failure(reason, ran, others=list(self._open_by_id), status=status)
 
 
 def _is_silent(state: TargetState) -> bool:
--- a/tests/test_plain.py
+++ b/tests/test_plain.py
@@ -64,6 +64,7 @@
 REJECTING = Script(status=421)
 BREAKING = Script(error="closed")
 FAILING = Script(status=500)
+NO_LISTENER = Script(is_refused=True)
 
 
 class ScriptedConnection:
@@ -125,6 +126,7 @@
         use_paused_clock()
         self.used = []
         self.closed = []
+        self.logger = mock.Mock()
 
     def serve(self, *scripts, **options):
         """Serve one request and return its outcome; see ``serve_all``."""
@@ -203,7 +205,7 @@
             SimpleNamespace(acquire=acquire, open=acquire, release=mock.Mock()),
             budget,
             mock.Mock(read_response=lambda _: TARGET_HEAD, forward=mock.MagicMock()),
-            mock.Mock(),
+            self.logger,
             crashes=mock.MagicMock(
                 has_ended_with_target=lambda target: False,
                 suspects=mock.Mock(
@@ -306,6 +308,23 @@
         self.assertEqual(self.serve(silent, SOUND, route=route), outcome)
         self.assertEqual(self.used, [0])
 
+    @parameterized.expand(
+        [
+            ("in_turn", (REJECTING, NO_LISTENER), [(0, 421, True), (1, 0, None)]),
+            ("at_once", (DEAD, SOUND), [(0, 0, None)]),
+        ]
+    )
+    def test_an_attempt_is_logged_with_its_own_response(self, _, scripts, expected):
+        """Guards against logs that name the response to another attempt."""
+        self.serve(*scripts)
+        lines = [
+            call.kwargs
+            for call in self.logger.warning.call_args_list
+            if call.args[0] == "attempt_failed"
+        ]
+        found = [(line["target"], line["status"], line["framed"]) for line in lines]
+        self.assertEqual(found, [(f"t{n}", *rest) for n, *rest in expected])
+
     def test_one_that_is_no_stream_is_not_resumed(self):
         """Guards against a second run that only streams may have."""
         route = ROUTE._replace(kind=Kind.ONCE, is_resumable=True)
