--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -534,7 +534,9 @@
         return self.open(address, limit=limit)
 
     def open(self, address: Address, *, limit: float = CONNECT_LIMIT_S) -> Connection:
-        """Return a new connection.
+        """Return a new connection, in place of an idle one if there is any.
+
+        A target resets connections beyond those that it accepts from all instances.
 
         Args:
             address: Address to connect to.
@@ -544,6 +546,8 @@
             ConnectionLostError: If it can't be made in time.
         """
         self.last_acquired_at = now()
+        if idle := self._idle_by_address.get(address):
+            idle.pop().close()
         return self._open(address, min(limit, CONNECT_LIMIT_S))
 
     def probe(self, address: Address, limit: float) -> bool:
--- a/tests/test_repeated_rejections.py
+++ b/tests/test_repeated_rejections.py
@@ -3,6 +3,7 @@
 import unittest
 from unittest import mock
 
+import eventlet
 from parameterized import parameterized
 
 from bergamotsaddle_platform.dialect import PlatformDialect
@@ -27,6 +28,7 @@
 tearDownModule = use_paused_clock
 
 LIMIT_S = 1.0
+SETTLE_S = 0.1
 SERVED = (200, "X-Response-Seal: x")
 REJECTIONS = [
     ("full", (503, "X-Not-Executed: 1")),
@@ -48,10 +50,16 @@
         super().__init__()
         self._rejection = make_response(rejection, "r1")
         self.runs = 0
+        self.open = 0
         self._has_rejected = False
 
     def serve(self, sock):
         """Answer the requests on a connection."""
+        self.open += 1
+        self._answer(sock)
+        self.open -= 1
+
+    def _answer(self, sock):
         late = b""
         while sock.recv(65_536):
             if not self._has_rejected:
@@ -69,7 +77,11 @@
 
     @parameterized.expand(REJECTIONS)
     def test_a_second_copy_of_its_rejection_does_not_count(self, _, rejection):
-        """Guards against "not run" for a request that its target runs."""
+        """Guards against "not run" for a request that its target runs.
+
+        It keeps no connection more for that: it resets those beyond its limit, and then
+        a request that may run once fails.
+        """
         target = RejectingTarget(rejection)
         head = RequestHead("r1", b"POST", b"/", "h", "", 9.0)
         head = head._replace(forwarded=((b"host", b"h"),))
@@ -89,6 +101,8 @@
             send()
         self.assertEqual(send(), 200)
         self.assertEqual(target.runs, 1)
+        eventlet.sleep(SETTLE_S)
+        self.assertEqual(target.open, 1, "connections that the target has to keep")
 
 
 class ConflictingEngine(PacedEngine):
