Name the request that the plays of leaning and silences read the response to

Cause: CallerSocket.read takes the id of the request first, and two callers of it were left as they were.

Evidence: tests/test_played_callers, two of two failed before ("missing a required argument: 'limit'"). The plays themselves were not run.

Change: both pass the id.

--- a/packages/standins/bergamotsaddle_standins/leaning.py
+++ b/packages/standins/bergamotsaddle_standins/leaning.py
@@ -140,7 +140,7 @@
             connection.send(request.encode())
         except OSError:
             return 0, False
-        response = connection.read(request.deadline)
+        response = connection.read(request.id, request.deadline)
         connection.close()
         is_served = response.status == _OK and response.is_complete
         return response.status, is_served
--- a/packages/standins/bergamotsaddle_standins/silence.py
+++ b/packages/standins/bergamotsaddle_standins/silence.py
@@ -315,7 +315,9 @@
         connection = CallerSocket((self._instances[0].host, _CALLERS_PORT))
         times = [now()]
         connection.send(sent.encode())
-        response = connection.read(_PATIENCE_S, on_data=lambda: times.append(now()))
+        response = connection.read(
+            sent.id, _PATIENCE_S, on_data=lambda: times.append(now())
+        )
         times.append(now())
         connection.close()
         exchange = Exchange(
