--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -10,6 +10,7 @@
 
 from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
 from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving.attempt import NOT_RUN_STATUSES
 from bergamotsaddle_serving.caller import CallerConnection, RawRequest
 from bergamotsaddle_serving.catalog import CallerLimits, Kind, Route, Service, Share
 from bergamotsaddle_serving.client import end_to_end_headers
@@ -229,6 +230,18 @@
         self.assertFalse(self.context.progress.is_sent)
         self.assertEqual(len(self.helper.requests), tries)
 
+    @parameterized.expand(
+        [(s, k) for s in (408, 421, 429, 503) for k in (Kind.ONCE, Kind.STREAM)]
+    )
+    def test_a_promise_that_no_instance_has_made_is_not_passed_on(self, status, kind):
+        """Guards against "not run" by what listens at the address of a helper."""
+        response = b"HTTP/1.1 %d X\r\nContent-Length: 4\r\n\r\nbody" % status
+        with self.assertRaises(RequestError) as caught:
+            self.hand_over(response, kind=kind)
+        found = (caught.exception.status, caught.exception.ran)
+        self.assertEqual(found, (502, Ran.UNKNOWN))
+        self.caller.respond.assert_not_called()
+
     @parameterized.expand([("failed", 500), ("served", 200)])
     def test_a_target_does_not_speak_for_a_helper(self, _, status):
         """Guards against "not run" for what a target has run that names a kind."""
@@ -697,6 +710,14 @@
         decoded = decode_error(encode_error(error))
         self.assertEqual((decoded.kind, decoded.ran), (error.kind, error.ran))
 
+    @parameterized.expand([*ErrorKind])
+    def test_an_unknown_outcome_has_no_status_that_promises(self, kind):
+        """Guards against a 503 for what a helper of another version may have run."""
+        error = RequestError(ErrorKind(kind), "x", ran=Ran.UNKNOWN)
+        decoded = decode_error(encode_error(error))
+        self.assertEqual(decoded.ran, Ran.UNKNOWN)
+        self.assertNotIn(decoded.status, NOT_RUN_STATUSES)
+
     def test_an_unknown_kind_promises_nothing(self):
         headers = [(b"bergamotsaddle-kind", b"new"), (b"bergamotsaddle-ran", b"no")]
         self.assertEqual(decode_error(headers).ran, Ran.UNKNOWN)
