Read a published value and a report only from a whole response (CONFIG)

What operators would see: the configuration service, or what stands before it, closes inside the head of its response. The daemon reports that it read the declaration just now, rejects an empty one, and doesn't read the new one until the next is published: it has its tag already.

Cause: the same as for calls: http.client takes the end of the connection for that of the line, the head, the chunk's size or the trailers. A 200 had an empty or short value with its tag, and a status line "304" alone said that nothing had changed.

Reports did no harm: an empty or cut report is no JSON and was ignored. The instance list keeps its tag only once it could be parsed. Ruled out: a wrong declaration in force, as an empty one is invalid; not shown for one that is cut inside a chunk's size and valid so far.

Change: both readers use the connections on which such a response is an error.

Conclusion: a cut value counts as unreachable, with the tag as before, and is read again.

--- a/packages/daemon/bergamotsaddle_daemon/platform.py
+++ b/packages/daemon/bergamotsaddle_daemon/platform.py
@@ -8,6 +8,7 @@
 from bergamotsaddle_contracts.errors import PlatformUnreachableError
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_contracts.instances import parse_instances
+from bergamotsaddle_contracts.whole_responses import WholeConnectionPool
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_daemon.settings import Settings
 from bergamotsaddle_daemon.views import Views
@@ -55,7 +56,7 @@
 
     def __init__(self, address: Address, path: str) -> None:
         self._path = path
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = WholeConnectionPool(
             address.host, address.port, maxsize=1, retries=False
         )
 
--- a/packages/daemon/bergamotsaddle_daemon/reports.py
+++ b/packages/daemon/bergamotsaddle_daemon/reports.py
@@ -8,6 +8,7 @@
 
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_contracts.messages import TargetReport
+from bergamotsaddle_contracts.whole_responses import make_pool_manager
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_daemon.homes import Homes
 from bergamotsaddle_daemon.permits import PermitIssuer
@@ -42,7 +43,7 @@
 
 def make_http_load_reader() -> ReadLoad:
     """Create a function that reads a target's load over HTTP."""
-    pool = urllib3.PoolManager(num_pools=256, maxsize=1, retries=False)
+    pool = make_pool_manager(num_pools=256, maxsize=1)
 
     def read(address: Address) -> bytes:
         url = f"http://{address}{_LOAD_PATH}"
--- a/tests/_cut_heads.py
+++ b/tests/_cut_heads.py
@@ -1,6 +1,7 @@
 """Responses whose sender stops inside the head, a chunk line or a trailer."""
 
 import re
+from collections.abc import Callable
 
 import eventlet
 
@@ -19,6 +20,7 @@
 _CHUNKS = _STATUS + _FIELDS + b"Transfer-Encoding: chunked\r\n\r\n"
 WHOLE_BY_LENGTH = _LENGTH + b"\r\n\r\n" + BODY
 WHOLE_BY_CHUNKS = _CHUNKS + b"0d\r\n" + BODY + b"\r\n0\r\nX-Sum: 1\r\n\r\n"
+UNCHANGED = b"HTTP/1.1 304 Not Modified\r\nContent-Length: 0\r\n\r\n"
 WHOLE_RESPONSES = [
     ("length", WHOLE_BY_LENGTH),
     ("chunks", WHOLE_BY_CHUNKS),
@@ -72,6 +74,7 @@
     ("long_field", _STATUS + b"X-Long: " + b"x" * 70_000 + b"\r\n\r\n"),
     ("many_fields", _STATUS + b"X-More: 1\r\n" * 110 + _FIELDS + b"\r\n"),
 ]
+Answer = Callable[[bytes], bytes]
 ENDINGS = ("close", "reset")
 
 
@@ -79,8 +82,8 @@
     """Reads a request on each connection, sends fixed bytes and ends the connection.
 
     Args:
-        data: The bytes to send. The request and the stage that they name are replaced
-            by those of the request.
+        data: The bytes to send, or a function that returns those for a request. The
+            request and the stage that they name are replaced by those of the request.
         ending: How the connection ends, ``close`` or ``reset``.
 
     Attributes:
@@ -88,8 +91,8 @@
         served: Number of requests read.
     """
 
-    def __init__(self, data: bytes, ending: str = "close") -> None:
-        self._data = data
+    def __init__(self, data: bytes | Answer, ending: str = "close") -> None:
+        self._answer = data if callable(data) else lambda request: data
         self._ending = ending
         self._listener = eventlet.listen(("127.0.0.1", 0))
         self.address = Address(*self._listener.getsockname())
@@ -108,7 +111,7 @@
     def _serve(self, sock) -> None:
         if request := sock.recv(65_536):
             self.served += 1
-            sock.sendall(_name_request(self._data, request))
+            sock.sendall(_name_request(self._answer(request), request))
         if self._ending == "reset":
             eventlet.sleep(0.02)
             sock.setsockopt(*_SO_LINGER, LINGER_RESET)
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -1,17 +1,25 @@
 """Responses on the own interface whose sender stops before their end."""
 
 import unittest
+from types import SimpleNamespace
+from unittest.mock import Mock
 
+import eventlet
+import urllib3
 from parameterized import parameterized
 
-from bergamotsaddle_contracts.errors import TargetError
+from bergamotsaddle_contracts.errors import PlatformUnreachableError, TargetError
 from bergamotsaddle_daemon.calls import Call, Connections
 from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_daemon.platform import HttpReader, PlatformWatch
+from bergamotsaddle_daemon.reports import make_http_load_reader
 from tests._cut_heads import (
     BODY,
     CUT_RESPONSES,
     ENDINGS,
     MALFORMED_RESPONSES,
+    UNCHANGED,
+    WHOLE_BY_LENGTH,
     WHOLE_RESPONSES,
     CuttingPeer,
 )
@@ -92,3 +100,56 @@
         with self.assertRaises(TargetError) as caught:
             self.call(method, address)
         self.assertTrue(caught.exception.sent)
+
+
+class PlatformTest(_CutTest):
+    """Values that the platform publishes and reports of targets."""
+
+    @parameterized.expand(whole_rows("value"))
+    def test_a_whole_value(self, _, place, data):
+        value = HttpReader(self.serve(data), "/v1/values/x").read("", 0.1)
+        self.assertEqual(value, ("5", BODY))
+
+    @parameterized.expand(rows("value"))
+    def test_a_cut_value_is_not_read(self, _, place, data, ending):
+        """Guards against a cut value that counts as published or as unchanged."""
+        reader = HttpReader(self.serve(data, ending), "/v1/values/x")
+        with self.assertRaises(PlatformUnreachableError):
+            reader.read("4", 0.1)
+
+    @parameterized.expand(CUT_RESPONSES)
+    def test_a_cut_declaration_is_read_again(self, _, data):
+        """Guards against a declaration that is missed as its tag is known already."""
+        answers = iter([data])
+
+        def answer(request):
+            if (cut := next(answers, None)) is not None:
+                return cut
+            return UNCHANGED if b"after=5&" in request else WHOLE_BY_LENGTH
+
+        views = Mock()
+        timing = SimpleNamespace(watch_wait=0.1, watch_pause=0.05)
+        watch = PlatformWatch(
+            SimpleNamespace(timing=timing),
+            views,
+            config=HttpReader(self.serve(answer), "/v1/values/x"),
+            instances=Mock(),
+        )
+        thread = eventlet.spawn(watch.watch_declaration)
+        eventlet.sleep(0.2)
+        views.confirm.assert_not_called()
+        eventlet.sleep(2.0)
+        thread.kill()
+        offered = [call.args[0] for call in views.offer_declaration.mock_calls]
+        self.assertEqual(offered, [BODY.decode()])
+
+    @parameterized.expand(whole_rows("report"))
+    def test_a_whole_report(self, _, place, data):
+        self.assertEqual(make_http_load_reader()(self.serve(data)), BODY)
+
+    @parameterized.expand(rows("report"))
+    def test_a_cut_report_is_not_read(self, _, place, data, ending):
+        """Guards against a cut report that counts as a target's load."""
+        address = self.serve(data, ending)
+        with self.assertRaises((urllib3.exceptions.HTTPError, OSError)):
+            make_http_load_reader()(address)
