End a command with an error when a daemon's response breaks off

What operators saw: "send" printed nothing and ended with 0, as for a success, when the daemon's head broke off before its length; with a part of the body when it broke off in a chunk's size. Commands that read pages ended with a traceback, or said that a daemon has no such page.

Cause: the same as for calls: http.client takes the end of the connection for that of a line, a head, a chunk's size or the trailers.

Change: both use the connections on which such a response is an error.

Conclusion: "send" ends with 3, and the daemon counts as unreachable for a page.

--- a/packages/cli/bergamotsaddle_cli/pages.py
+++ b/packages/cli/bergamotsaddle_cli/pages.py
@@ -7,6 +7,7 @@
 
 from bergamotsaddle_contracts.errors import BergamotsaddleError
 from bergamotsaddle_contracts.ini import parse_address
+from bergamotsaddle_contracts.whole_responses import make_pool_manager
 
 _TIMEOUT_S = 3.0
 _OK = 200
@@ -41,7 +42,7 @@
 
     def __init__(self, addresses: list[str]) -> None:
         self.addresses = [str(parse_address(address)) for address in addresses]
-        self._http = urllib3.PoolManager(retries=False)
+        self._http = make_pool_manager()
 
     def read(self, address: str, path: str) -> Page:
         """Read a page of one daemon.
--- a/packages/cli/bergamotsaddle_cli/send_command.py
+++ b/packages/cli/bergamotsaddle_cli/send_command.py
@@ -7,6 +7,7 @@
 from cleo.helpers import argument, option
 
 from bergamotsaddle_contracts.ini import parse_address
+from bergamotsaddle_contracts.whole_responses import make_pool_manager
 
 EXIT_REFUSED = 1
 EXIT_INVALID = 2
@@ -50,7 +51,7 @@
             headers["X-Deadline"] = self.option("deadline")
         url = f"http://{address}{self.argument('path')}"
         body = self.argument("body").encode()
-        http = urllib3.PoolManager(retries=False)
+        http = make_pool_manager()
         try:
             response = http.request(
                 "POST", url, body=body, headers=headers, timeout=_TIMEOUT_S
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -6,8 +6,11 @@
 
 import eventlet
 import urllib3
+from cleo.testers.command_tester import CommandTester
 from parameterized import parameterized
 
+from bergamotsaddle_cli.pages import DaemonUnreachableError, Pages
+from bergamotsaddle_cli.send_command import EXIT_UNREACHABLE, SendCommand
 from bergamotsaddle_contracts.errors import PlatformUnreachableError, TargetError
 from bergamotsaddle_daemon.calls import Call, Connections
 from bergamotsaddle_daemon.clock import now
@@ -153,3 +156,45 @@
         address = self.serve(data, ending)
         with self.assertRaises((urllib3.exceptions.HTTPError, OSError)):
             make_http_load_reader()(address)
+
+
+class CommandTest(_CutTest):
+    """Commands that read pages of daemons or send a request."""
+
+    def send(self, address):
+        tester = CommandTester(SendCommand())
+        status = tester.execute(f"/v1/x --to {address}")
+        return status, tester.io.fetch_output().strip()
+
+    @parameterized.expand(whole_rows("page"))
+    def test_a_whole_page(self, _, place, data):
+        address = str(self.serve(data))
+        self.assertEqual(Pages([address]).read(address, "x").content, {"output": 1})
+
+    @parameterized.expand(rows("page"))
+    def test_a_cut_page_is_a_failure(self, _, place, data, ending):
+        """Guards against a command that ends with a traceback or an empty page."""
+        address = str(self.serve(data, ending))
+        pages, failures = Pages([address]).read_all("x")
+        self.assertEqual((pages, len(failures)), ([], 1))
+
+    @parameterized.expand(
+        [
+            ("head", b"HTTP/1.1 404 Not Found\r\n"),
+            ("field", b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n"),
+        ]
+    )
+    def test_a_page_is_missing_only_behind_a_whole_head(self, _, data):
+        """Guards against a cut head that says that a daemon has no such page."""
+        address = str(self.serve(data))
+        with self.assertRaises(DaemonUnreachableError):
+            Pages([address]).read(address, "x")
+
+    @parameterized.expand(whole_rows("send"))
+    def test_a_whole_response(self, _, place, data):
+        self.assertEqual(self.send(self.serve(data)), (0, BODY.decode()))
+
+    @parameterized.expand(rows("send"))
+    def test_a_cut_response_is_no_success(self, _, place, data, ending):
+        """Guards against a request that seems to have succeeded without a body."""
+        self.assertEqual(self.send(self.serve(data, ending)), (EXIT_UNREACHABLE, ""))
