Show that serving takes no response for whole that breaks off (MIXED, ORDER)

Reported of other systems: a target stops inside the head of its response and closes, and the caller gets 200 with an empty or short body, framed as whole. Played here on only at plain targets: always 502. These rows hold it at each place that reads a response: the connection, new and used; plain requests that may and may not be repeated; the long body that is relayed; streams; stage calls, releases and queries of free memory; probes of a zone; lists and watches of the store; requests handed over to another instance.

38 places to stop, closed and reset. No row failed, so the product doesn't change: h11 ends a head with its blank line, and the chunks with that behind the trailers, or not at all. The first outcome is unknown (502, never "not run"); another target gets the request only if it may be repeated; nothing is recorded as a success; the store's view stays as it was and counts as lost.

--- a/tests/_cut_heads.py
+++ b/tests/_cut_heads.py
@@ -1,7 +1,7 @@
 """Responses whose sender stops inside the head, a chunk line or a trailer."""
 
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import eventlet
 
@@ -12,59 +12,92 @@
 _SO_LINGER = (1, 13)
 _STATUS = b"HTTP/1.1 200 OK\r\n"
 _FIELDS = (
-    b"X-Request-Id: r1\r\nX-Stage: encode.1\r\nETag: 5\r\nX-Backend: t1\r\n"
+    b"X-Request-Id: r1\r\nX-Stage: encode.1\r\nETag: 5\r\nX-Response-Seal: x\r\n"
     b"Content-Type: application/json\r\n"
 )
+_CHUNKED = b"Transfer-Encoding: chunked\r\n"
 _INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
-_LENGTH = _STATUS + _FIELDS + b"Content-Length: 13"
-_CHUNKS = _STATUS + _FIELDS + b"Transfer-Encoding: chunked\r\n\r\n"
-WHOLE_BY_LENGTH = _LENGTH + b"\r\n\r\n" + BODY
-WHOLE_BY_CHUNKS = _CHUNKS + b"0d\r\n" + BODY + b"\r\n0\r\nX-Sum: 1\r\n\r\n"
+_HINTS = b"HTTP/1.1 103 Early Hints\r\n"
 UNCHANGED = b"HTTP/1.1 304 Not Modified\r\nContent-Length: 0\r\n\r\n"
-WHOLE_RESPONSES = [
-    ("length", WHOLE_BY_LENGTH),
-    ("chunks", WHOLE_BY_CHUNKS),
-    ("length_behind_interim", _INTERIM + WHOLE_BY_LENGTH),
-]
-CUT_RESPONSES = [
-    ("in_version", b"HTTP/1"),
-    ("in_status", b"HTTP/1.1 20"),
-    ("behind_status", b"HTTP/1.1 200"),
-    ("in_reason", b"HTTP/1.1 200 O"),
-    ("behind_status_line", _STATUS),
-    ("behind_unchanged", b"HTTP/1.1 304 Not Modified\r\n"),
-    ("behind_no_content", b"HTTP/1.1 204 No Content\r\n" + _FIELDS),
-    ("in_name", _STATUS + _FIELDS + b"Content-Len"),
-    ("behind_name", _STATUS + _FIELDS + b"Content-Length:"),
-    ("in_value", _STATUS + _FIELDS + b"Cache-Control: no-"),
-    ("behind_field", _STATUS + _FIELDS),
-    ("in_digits", _LENGTH[:-1]),
-    ("behind_digits", _LENGTH),
-    ("behind_length_cr", _LENGTH + b"\r"),
-    ("behind_length", _LENGTH + b"\r\n"),
-    ("behind_empty_length", _STATUS + _FIELDS + b"Content-Length: 0\r\n"),
-    ("in_blank_line", _LENGTH + b"\r\n\r"),
-    ("behind_head", _LENGTH + b"\r\n\r\n"),
-    ("in_interim_status", b"HTTP/1.1 10"),
-    ("behind_interim_status", b"HTTP/1.1 100 Continue\r\n"),
-    ("in_interim_field", b"HTTP/1.1 103 Early Hints\r\nLink: "),
-    ("behind_interim_field", b"HTTP/1.1 103 Early Hints\r\n" + _FIELDS),
-    ("behind_interim", _INTERIM),
-    ("behind_field_behind_interim", _INTERIM + _STATUS + _FIELDS),
-    ("in_coding", _STATUS + _FIELDS + b"Transfer-Encoding: chun"),
-    ("behind_coding", _CHUNKS.removesuffix(b"\r\n")),
-    ("before_first_chunk", _CHUNKS),
-    ("in_chunk_line", _CHUNKS + b"0"),
-    ("behind_chunk_size", _CHUNKS + b"0d"),
-    ("behind_chunk_cr", _CHUNKS + b"0d\r"),
-    ("in_chunk", _CHUNKS + b"0d\r\n" + BODY[:5]),
-    ("behind_chunk", _CHUNKS + b"0d\r\n" + BODY + b"\r\n"),
-    ("in_second_chunk_line", _CHUNKS + b"07\r\n" + BODY[:7] + b"\r\n0"),
-    ("in_last_chunk_line", _CHUNKS + b"0d\r\n" + BODY + b"\r\n0"),
-    ("behind_last_chunk_line", _CHUNKS + b"0d\r\n" + BODY + b"\r\n0\r\n"),
-    ("in_trailer", WHOLE_BY_CHUNKS[:-9]),
-    ("behind_trailer", WHOLE_BY_CHUNKS[:-2]),
-]
+
+
+def with_length(body: bytes) -> bytes:
+    """Return a response that states the length of its body."""
+    return _STATUS + _FIELDS + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
+def with_chunks(body: bytes, size: int = 0) -> bytes:
+    """Return a response whose body is one chunk, or two of which one has a size."""
+    chunks = b"".join(
+        b"%04x\r\n%b\r\n" % (len(chunk), chunk)
+        for chunk in (body[:size], body[size:])
+        if chunk
+    )
+    return _STATUS + _FIELDS + _CHUNKED + b"\r\n" + chunks + b"0\r\nX-Sum: 1\r\n\r\n"
+
+
+def make_whole_responses(body: bytes = BODY) -> list[tuple[str, bytes]]:
+    """Return a row for each way to send a whole response."""
+    return [
+        ("length", with_length(body)),
+        ("chunk", with_chunks(body)),
+        ("chunks", with_chunks(body, 7)),
+        ("length_behind_interim", _INTERIM + with_length(body)),
+    ]
+
+
+def make_cut_responses(body: bytes = BODY) -> list[tuple[str, bytes]]:
+    """Return a row for each place at which a response may stop."""
+    line = with_length(body).removesuffix(b"\r\n\r\n" + body)
+    chunk, chunks = with_chunks(body), with_chunks(body, 7)
+    first = chunk.index(b"\r\n\r\n") + 4
+    last = chunk.rindex(b"0\r\nX-Sum")
+    second = chunks.index(body[:7]) + 9
+    return [
+        ("in_version", b"HTTP/1"),
+        ("in_status", b"HTTP/1.1 20"),
+        ("behind_status", b"HTTP/1.1 200"),
+        ("in_reason", b"HTTP/1.1 200 O"),
+        ("behind_status_line", _STATUS),
+        ("behind_unchanged", b"HTTP/1.1 304 Not Modified\r\n"),
+        ("behind_no_content", b"HTTP/1.1 204 No Content\r\n" + _FIELDS),
+        ("in_name", _STATUS + _FIELDS + b"Content-Len"),
+        ("behind_name", _STATUS + _FIELDS + b"Content-Length:"),
+        ("in_value", _STATUS + _FIELDS + b"Cache-Control: no-"),
+        ("behind_field", _STATUS + _FIELDS),
+        ("in_digits", line[:-1]),
+        ("behind_digits", line),
+        ("behind_length_cr", line + b"\r"),
+        ("behind_length", line + b"\r\n"),
+        ("behind_empty_length", _STATUS + _FIELDS + b"Content-Length: 0\r\n"),
+        ("in_blank_line", line + b"\r\n\r"),
+        ("behind_head", line + b"\r\n\r\n"),
+        ("in_body", line + b"\r\n\r\n" + body[:-1]),
+        ("in_interim_status", b"HTTP/1.1 10"),
+        ("behind_interim_status", b"HTTP/1.1 100 Continue\r\n"),
+        ("in_interim_field", _HINTS + b"Link: "),
+        ("behind_interim_field", _HINTS + _FIELDS),
+        ("behind_interim", _INTERIM),
+        ("behind_field_behind_interim", _INTERIM + _STATUS + _FIELDS),
+        ("in_coding", _STATUS + _FIELDS + b"Transfer-Encoding: chun"),
+        ("behind_coding", _STATUS + _FIELDS + _CHUNKED),
+        ("before_first_chunk", chunk[:first]),
+        ("in_chunk_line", chunk[: first + 1]),
+        ("behind_chunk_size", chunk[: first + 4]),
+        ("behind_chunk_cr", chunk[: first + 5]),
+        ("in_chunk", chunk[: first + 11]),
+        ("behind_chunk", chunk[:last]),
+        ("in_second_chunk_line", chunks[: second + 1]),
+        ("in_last_chunk_line", chunk[: last + 1]),
+        ("behind_last_chunk_line", chunk[: last + 3]),
+        ("in_trailer", chunk[: last + 6]),
+        ("behind_trailer", chunk[:-2]),
+    ]
+
+
+WHOLE_BY_LENGTH = with_length(BODY)
+WHOLE_RESPONSES = make_whole_responses()
+CUT_RESPONSES = make_cut_responses()
 MALFORMED_RESPONSES = [
     ("no_http", b"garbage\r\n\r\n"),
     ("no_status", b"HTTP/1.1 OK\r\n\r\n"),
@@ -82,16 +115,24 @@
     """Reads a request on each connection, sends fixed bytes and ends the connection.
 
     Args:
-        data: The bytes to send, or a function that returns those for a request. The
-            request and the stage that they name are replaced by those of the request.
+        data: The bytes to send, or a function that returns those for a request. They
+            name the request and the stage that the request names.
         ending: How the connection ends, ``close`` or ``reset``.
+        earlier: What it sends for earlier requests on each connection.
 
     Attributes:
         address: Where it listens.
         served: Number of requests read.
     """
 
-    def __init__(self, data: bytes | Answer, ending: str = "close") -> None:
+    def __init__(
+        self,
+        data: bytes | Answer,
+        ending: str = "close",
+        *,
+        earlier: Sequence[bytes] = (),
+    ) -> None:
+        self._earlier = earlier
         self._answer = data if callable(data) else lambda request: data
         self._ending = ending
         self._listener = eventlet.listen(("127.0.0.1", 0))
@@ -109,9 +150,11 @@
             eventlet.spawn_n(self._serve, self._listener.accept()[0])
 
     def _serve(self, sock) -> None:
-        if request := sock.recv(65_536):
-            self.served += 1
-            sock.sendall(_name_request(self._answer(request), request))
+        answers = [lambda _, data=data: data for data in self._earlier]
+        for answer in (*answers, self._answer):
+            if request := sock.recv(65_536):
+                self.served += 1
+                sock.sendall(_name_request(answer(request), request))
         if self._ending == "reset":
             eventlet.sleep(0.02)
             sock.setsockopt(*_SO_LINGER, LINGER_RESET)
@@ -120,6 +163,7 @@
 
 def _name_request(data: bytes, request: bytes) -> bytes:
     for name in (b"X-Request-Id", b"X-Stage"):
-        if named := re.search(rb"(?i)%b: [^\r]*" % name, request):
-            data = re.sub(rb"%b: [^\r]*" % name, name + named[0][len(name) :], data)
+        named = re.search(rb"(?i)\r\n%b(: [^\r]*\r\n)" % name, request)
+        line = name + named[1] if named else b""
+        data = re.sub(rb"%b: [^\r]*\r\n" % name, line, data)
     return data
