Read a published value only if its end is stated (CONFIG)

What operators would see: a configuration service that states neither a length nor chunks crashes while it sends a declaration. The part that came is read as all of it, with the new tag, so the whole one isn't read until the next is published. If the part is valid, it is in force.

Cause: a body without a stated end ends with its connection, whether all of it was sent or not. Calls to targets and handed-over requests allow for that (ResetSocket, the required framing); the reader of the platform's values didn't.

Ruled out: the instance list and reports, which are JSON.

Change: a value without a length or chunks counts as unreachable, also a whole one, since nothing tells them apart. The stand-in states a length; no other service is known here.

Conclusion: what is read is what was published. A service that states no end must state one now.

--- a/tests/_cut_heads.py
+++ b/tests/_cut_heads.py
@@ -26,6 +26,11 @@
     return _STATUS + _FIELDS + b"Content-Length: %d\r\n\r\n" % len(body) + body
 
 
+def without_end(body: bytes) -> bytes:
+    """Return a response that ends with its connection."""
+    return _STATUS + _FIELDS + b"\r\n" + body
+
+
 def with_chunks(body: bytes, size: int = 0) -> bytes:
     """Return a response whose body is one chunk, or two of which one has a size."""
     chunks = b"".join(
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -25,6 +25,7 @@
     WHOLE_BY_LENGTH,
     WHOLE_RESPONSES,
     CuttingPeer,
+    without_end,
 )
 from tests._paused import use_paused_clock, use_skipping_clock
 
@@ -120,6 +121,19 @@
         with self.assertRaises(PlatformUnreachableError):
             reader.read("4", 0.1)
 
+    @parameterized.expand(
+        [
+            (f"{size}_bytes_{ending}", size, ending)
+            for size in (0, 1, len(BODY) - 1, len(BODY))
+            for ending in ENDINGS
+        ]
+    )
+    def test_a_value_without_a_stated_end_is_not_read(self, _, size, ending):
+        """Guards against a declaration whose sections are cut off behind a line."""
+        address = self.serve(without_end(BODY)[: size - len(BODY) or None], ending)
+        with self.assertRaises(PlatformUnreachableError):
+            HttpReader(address, "/v1/values/x").read("4", 0.1)
+
     @parameterized.expand(CUT_RESPONSES)
     def test_a_cut_declaration_is_read_again(self, _, data):
         """Guards against a declaration that is missed as its tag is known already."""
