--- a/packages/contracts/bergamotsaddle_contracts/whole_responses.py
+++ b/packages/contracts/bergamotsaddle_contracts/whole_responses.py
@@ -11,6 +11,9 @@
 import urllib3
 from urllib3.connection import HTTPConnection
 
+_INTERIM = frozenset(range(100, 200)) - {http.client.SWITCHING_PROTOCOLS}
+_MAX_INTERIM_RESPONSES = 64
+
 
 class _LineReader(io.BufferedReader):
     """A reader whose lines end with a line feed."""
@@ -28,12 +31,27 @@
 
 
 class _Response(http.client.HTTPResponse):
-    """A response whose head, chunk lines and trailers must be whole."""
+    """A final response whose head, chunk lines and trailers must be whole."""
 
     def __init__(self, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
         self.fp = _LineReader(self.fp.detach())
 
+    def _read_status(self) -> tuple[str, int, str]:
+        """Read the status line behind interim responses, and skip these.
+
+        ``http.client`` itself skips only those with status 100, in any number.
+
+        Raises:
+            http.client.HTTPException: If there are too many of them.
+        """
+        for _ in range(_MAX_INTERIM_RESPONSES + 1):
+            line = super()._read_status()
+            if line[1] not in _INTERIM:
+                return line
+            http.client.parse_headers(self.fp)
+        raise http.client.HTTPException("too many interim responses")
+
 
 class WholeConnection(HTTPConnection):
     """A connection on which a response that breaks off inside a line is an error."""
--- a/tests/_cut_heads.py
+++ b/tests/_cut_heads.py
@@ -48,6 +48,8 @@
         ("chunk", with_chunks(body)),
         ("chunks", with_chunks(body, 7)),
         ("length_behind_interim", _INTERIM + with_length(body)),
+        ("length_behind_hints", _HINTS + b"Link: <x>\r\n\r\n" + with_length(body)),
+        ("chunks_behind_hints", _HINTS + _FIELDS + b"\r\n" + with_chunks(body)),
     ]
 
 
@@ -83,6 +85,7 @@
         ("in_interim_field", _HINTS + b"Link: "),
         ("behind_interim_field", _HINTS + _FIELDS),
         ("behind_interim", _INTERIM),
+        ("behind_hints", _HINTS + _FIELDS + b"\r\n"),
         ("behind_field_behind_interim", _INTERIM + _STATUS + _FIELDS),
         ("in_coding", _STATUS + _FIELDS + b"Transfer-Encoding: chun"),
         ("behind_coding", _STATUS + _FIELDS + _CHUNKED),
@@ -110,6 +113,7 @@
     ("other_version", b"HTTP/2 200 OK\r\n" + _FIELDS + b"\r\n"),
     ("long_status_line", b"HTTP/1.1 200 " + b"x" * 70_000 + b"\r\n" + _FIELDS),
     ("long_field", _STATUS + b"X-Long: " + b"x" * 70_000 + b"\r\n\r\n"),
+    ("many_interim", _INTERIM * 99 + WHOLE_BY_LENGTH),
     ("many_fields", _STATUS + b"X-More: 1\r\n" * 110 + _FIELDS + b"\r\n"),
 ]
 Answer = Callable[[bytes], bytes]
