--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -1,13 +1,37 @@
 """Odd values from outside, at each place where the serving daemon reads bytes."""
 
 import unittest
+from unittest import mock
 
+import msgspec
 from parameterized import parameterized
 
 from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
+from bergamotsaddle_serving import view_exchange
+from bergamotsaddle_serving.catalog import parse_fact_key
+from bergamotsaddle_serving.incarnations import incarnation_of
+from bergamotsaddle_serving.messages import NO_POSITION, Evacuation, StoreEntry
+from bergamotsaddle_serving.peer_messages import (
+    Contact,
+    Demand,
+    Fact,
+    GossipUpdate,
+    Heartbeat,
+    HeartbeatRequest,
+    encode,
+)
 from bergamotsaddle_serving.relay_headers import decode_error, decode_request
-from tests.test_platform_dialect import DIALECT
+from bergamotsaddle_serving.view_exchange import (
+    LinkError,
+    PeerLink,
+    ViewExchange,
+    ViewRequest,
+)
+from tests.test_platform_dialect import CONFIG, DIALECT, make_entry
+from tests.test_scopes import SETTINGS, make_peers
 
+DEEP = b"\x91" * 5_000 + b"\x01"
+DEEP_LIST = b"[" * 2_000 + b"]" * 2_000
 LONG = b"9" * 5_000
 REQUEST_ID = (b"x-request-id", b"r1")
 
@@ -86,6 +110,358 @@
         self.assertEqual(head.pieces, (4_096,))
 
 
+class StoreResponseTest(unittest.TestCase):
+    """Responses of the store."""
+
+    @parameterized.expand(
+        [
+            ("long", LONG),
+            ("huge", b"9" * 400),
+            ("above", b"9" * 20),
+            ("negative", b"-1"),
+            ("sign", b"+5"),
+            ("underscore", b"1_0"),
+            ("superscript", b"\xb2"),
+            ("fraction", b"1.5"),
+            ("empty", b""),
+        ]
+    )
+    def test_eras_that_no_store_has(self, _, value):
+        """Guards against heartbeats that can't be sent."""
+        with self.assertRaises(ValueError):
+            DIALECT.read_era([(b"store-era", value)])
+
+    @parameterized.expand(
+        [
+            (f"{name}_{place}", place, value)
+            for place in ("at", "revision")
+            for name, value in [
+                ("long", LONG),
+                ("above", b"9" * 20),
+                ("negative", b"-1"),
+                ("text", b'"5"'),
+                ("yes", b"true"),
+                ("null", b"null"),
+                ("fraction", b"1.5"),
+                ("infinite", b"1e999"),
+            ]
+        ]
+    )
+    def test_revisions_that_no_store_has(self, _, place, value):
+        """Guards against positions that no message to a peer can carry."""
+        fields = {"at": b"5", "revision": b"5"} | {place: value}
+        item = b'{"key":"servers/t","value":"e30=","revision":%s}' % fields["revision"]
+        body = b'{"items":[%s],"at":%s}' % (item, fields["at"])
+        with self.assertRaises(ValueError):
+            DIALECT.read_page(body, 1)
+
+    @parameterized.expand(
+        [
+            ("nested", b'{"items":[],"at":5,"x":%s}' % DEEP_LIST),
+            ("nested_item", b'{"items":[%s],"at":5}' % DEEP_LIST),
+            ("no_text", b'{"items":[{"key":"\xff","revision":5}],"at":5}'),
+            ("number", b"5"),
+            ("no_list", b'{"items":{},"at":5}'),
+            ("empty", b""),
+        ]
+    )
+    def test_pages_that_can_not_be_read(self, _, body):
+        """Guards against a follower that ends with what the store sends."""
+        with self.assertRaises(ValueError):
+            DIALECT.read_page(body, 1)
+
+    @parameterized.expand([b"5", b"[]", b'"%%%"', b'"e30"', b'"\u20ac"', b"null"])
+    def test_values_that_are_no_base64(self, value):
+        """Guards against a page that is lost for one of its items."""
+        body = (
+            b'{"items":[{"key":"servers/x","value":%s,"revision":4},'
+            b'{"key":"servers/t","value":"e30=","revision":5}],"at":5}' % value
+        )
+        entries = DIALECT.read_page(body, 1).entries
+        self.assertEqual([entry.value for entry in entries], [b"", b"{}"])
+
+    @parameterized.expand([b"9" * 20, b"-1", b'"5"', b"true", b"null", b"1.5", b"[]"])
+    def test_odd_revisions_of_the_creation(self, value):
+        """Guards against positions that no message to a peer can carry."""
+        item = b'{"key":"k","value":"","revision":5,"createdAt":%s}' % value
+        (entry,) = DIALECT.read_page(b'{"items":[%s],"at":5}' % item, 1).entries
+        self.assertEqual(entry.created, 0)
+
+    def test_the_last_position(self):
+        last = 2**63 - 1
+        page = DIALECT.read_page(b'{"items":[],"at":%d}' % last, last)
+        self.assertEqual(DIALECT.read_era([(b"store-era", b"%d" % last)]), last)
+        msgspec.msgpack.encode(page.position)
+        self.assertEqual(page.position, (last, last))
+
+
+class TargetEntryTest(unittest.TestCase):
+    """Entries of targets in the store."""
+
+    @parameterized.expand(
+        [
+            ("object", {"version": b'{"a":1}'}),
+            ("list", {"version": b"[1]"}),
+            ("fraction", {"version": b"1.5"}),
+            ("yes", {"version": b"true"}),
+            ("long_version", {"version": b'"' + b"v" * 4_000 + b'"'}),
+            ("separator_version", {"version": b'"v\\u001f1"'}),
+            ("long_zone", {"zone": b'"' + b"z" * 4_000 + b'"'}),
+            ("long_zone_of_few_letters", {"zone": b'"' + b"\xe2\x82\xac" * 100 + b'"'}),
+            ("line_zone", {"zone": b'"a\\nb"'}),
+            ("nul_zone", {"zone": b'"a\\u0000"'}),
+            ("surrogate_zone", {"zone": b'"\\ud800"'}),
+            ("bad_bytes", {"zone": b'"\xff"'}),
+            ("yes_slots", {"slots": b"true"}),
+        ]
+    )
+    def test_fields_that_no_target_has(self, _, fields):
+        """Guards against values that can be read and can't be sent to peers."""
+        with self.assertRaises(ValueError):
+            DIALECT.decode(StoreEntry("servers/t", 1, make_entry(**fields)))
+
+    @parameterized.expand(
+        [
+            ("no_port", "10.0.0.1:0"),
+            ("above", "10.0.0.1:65536"),
+            ("negative", "10.0.0.1:-1"),
+            ("long", "10.0.0.1:" + "9" * 5_000),
+            ("superscript", "10.0.0.1:\u00b2"),
+            ("digits", "10.0.0.1:\u0668\u0660"),
+            ("name", "t.example:80"),
+            ("without_host", ":80"),
+            ("without_port", "10.0.0.1"),
+            ("sixth_version", "::1:80"),
+            ("scope", "fe80::1%a\r\nx:80"),
+        ]
+    )
+    def test_addresses_that_no_target_has(self, _, address):
+        """Guards against targets that can never be connected to."""
+        fields = msgspec.json.decode(make_entry()) | {"address": address}
+        with self.assertRaises(ValueError):
+            DIALECT.decode(StoreEntry("servers/t", 1, msgspec.json.encode(fields)))
+
+    @parameterized.expand(
+        [("text", b'"nymu53e/v1"', "nymu53e/v1"), ("number", b"12", "12")]
+    )
+    def test_versions_of_software(self, _, raw, expected):
+        value = make_entry(version=raw)
+        target = DIALECT.decode(StoreEntry("servers/t", 1, value))
+        self.assertEqual(target.software, expected)
+
+    @parameterized.expand(
+        [
+            (f"{name}_{value.decode()}", name, value)
+            for name in ("slots", "born", "coldRemainingMs")
+            for value in (b"-1", b"0", b"-9007199254740992", b"9007199254740992")
+        ]
+    )
+    def test_numbers_that_do_no_harm(self, _, name, value):
+        """Guards against facts about a target that peers can't read."""
+        entry = StoreEntry("servers/t", 1, make_entry(**{name: value}))
+        target = DIALECT.decode(entry)
+        self.assertEqual(parse_fact_key(target.key), target.incarnation)
+        found = incarnation_of(target).target_incarnation
+        self.assertEqual(found, target.incarnation)
+        encode(GossipUpdate([Fact("t", target.key, target.cold_seconds, 0.0)]))
+
+
+def change(fields, path, value):
+    """Return a copy of nested fields in which one value is replaced."""
+    if not path:
+        return value
+    first, *rest = path
+    copy = list(fields) if isinstance(fields, list) else dict(fields)
+    copy[first] = change(fields[first] if rest else None, rest, value)
+    return copy
+
+
+class ConfigurationTest(unittest.TestCase):
+    """The operators' configuration in the store."""
+
+    def decode(self, fields):
+        """Decode a configuration."""
+        return DIALECT.decode(StoreEntry("op/config", 1, msgspec.json.encode(fields)))
+
+    @parameterized.expand(
+        [
+            (f"{number:02}_{path[-1]}", path, value)
+            for number, (path, value) in enumerate(
+                [
+                    (("version",), -1),
+                    (("version",), 2**60),
+                    (("routes",), 5),
+                    (("routes",), [[]]),
+                    (("routes", 0, "name"), 5),
+                    (("routes", 0, "host"), []),
+                    (("routes", 0, "prefix"), 5),
+                    (("routes", 0, "prefix"), None),
+                    (("routes", 0, "timeoutMs"), -1),
+                    (("routes", 0, "timeoutMs"), 1e300),
+                    (("routes", 0, "timeoutMs"), "8000"),
+                    (("routes", 0, "targetLatencyMs"), -1),
+                    (("routes", 0, "targetGapMs"), 1e300),
+                    (("routes", 0, "attempts"), -1),
+                    (("routes", 0, "attempts"), 1e300),
+                    (("routes", 0, "attempts"), "many"),
+                    (("routes", 0, "priority"), []),
+                    (("routes", 0, "priority"), 1e300),
+                    (("routes", 0, "trafficSplit", 0, "weight"), 0),
+                    (("routes", 0, "trafficSplit", 0, "weight"), -1),
+                    (("routes", 0, "trafficSplit", 0, "weight"), 1e300),
+                    (("routes", 0, "trafficSplit", 0, "weight"), "nan"),
+                    (("routes", 0, "trafficSplit", 0, "service"), 5),
+                    (("routes", 0, "stages", 0, "service"), []),
+                    (("routes", 0, "stages", 0, "after"), [0]),
+                    (("routes", 0, "stages", 0, "after"), [1]),
+                    (("routes", 0, "stages", 0, "after"), [-1]),
+                    (("routes", 0, "stages", 0, "after"), [10**15]),
+                    (("routes", 0, "stages", 0, "sizeBytes"), -1),
+                    (("routes", 1, "service"), 5),
+                    (("services", 0, "name"), []),
+                    (("services", 0, "maxConnections"), -1),
+                    (("services", 0, "coldStartS"), -1),
+                    (("services", 0, "coldPerS"), "nan"),
+                    (("services", 0, "engine"), {"slots": -1}),
+                    (("services", 0, "engine"), {"kvCapacityTokens": 1e300}),
+                    (("services", 0, "pieces", "slots"), 0),
+                    (("services", 0, "pieces", "batch"), 0),
+                    (("services", 0, "pieces", "batch"), -4),
+                    (("services", 0, "pieces", "callMs"), -1),
+                    (("services", 0, "pieces", "itemMs"), "nan"),
+                    (("services", 0, "pieces", "headroomMb"), 1e300),
+                    (("services", 0, "pieces", "handleS"), "inf"),
+                    (("tenants", 0, "name"), 5),
+                    (("tenants", 0, "apiKeys"), "secret"),
+                    (("tenants", 0, "apiKeys"), [5]),
+                    (("tenants", 0, "priority"), "high"),
+                    (("limits", "maxBodyBytes"), -1),
+                    (("limits", "maxHeaderBytes"), "big"),
+                    (("limits", "headerTimeoutMs"), 1e300),
+                    (("limits", "idleTimeoutMs"), -1),
+                ]
+            )
+        ]
+    )
+    def test_values_that_no_operator_writes(self, _, path, value):
+        """Guards against values that are found only by the requests that need them."""
+        with self.assertRaises(ValueError):
+            self.decode(change(CONFIG, path, value))
+
+    def test_stages_that_wait_for_each_other(self):
+        """Guards against requests that end by a stack that is too deep."""
+        stages = [
+            {"service": "s", "after": after, "sizeBytes": 1}
+            for after in ([2], [0], [1])
+        ]
+        with self.assertRaises(ValueError):
+            self.decode(change(CONFIG, ("routes", 0, "stages"), stages))
+
+    def test_stages_in_another_order(self):
+        stages = [
+            {"service": "s", "after": after, "sizeBytes": 1}
+            for after in ([1, 2], [2], [])
+        ]
+        found = self.decode(change(CONFIG, ("routes", 0, "stages"), stages))
+        route = found.find_route("api.example", "/p/x")
+        self.assertEqual([s.after for s in route.stages], [(1, 2), (2,), ()])
+
+    @parameterized.expand(
+        [
+            ("no_routes", {"routes": []}),
+            ("no_services", {"services": []}),
+            ("no_teams", {"tenants": []}),
+            ("null_teams", {"tenants": None}),
+            ("no_limits", {"limits": {}}),
+            ("routes_twice", {"routes": CONFIG["routes"] * 2}),
+            ("services_twice", {"services": CONFIG["services"] * 2}),
+            ("teams_twice", {"tenants": CONFIG["tenants"] * 2}),
+            ("unknown", {"odd": [[]]}),
+        ]
+    )
+    def test_lists_that_may_be_empty_or_repeat(self, _, changed):
+        """Guards against versions that stay out of force for no reason."""
+        self.assertEqual(self.decode(CONFIG | changed).version, 7)
+
+    @parameterized.expand(["", "no zone", "\u20ac", "z" * 190])
+    def test_evacuations_of_odd_zones(self, zone):
+        """Guards against an evacuation that keeps others from being followed."""
+        for value in (b"", b"{", LONG, None):
+            entry = StoreEntry(f"op/evacuate/{zone}", 1, value)
+            self.assertEqual(DIALECT.decode(entry), Evacuation(zone))
+
+
+class StageAnswerTest(unittest.TestCase):
+    """Answers of stage targets."""
+
+    @parameterized.expand(
+        [
+            ("line", "10.0.0.7:80/h\r\nx: 1"),
+            ("space", "10.0.0.7:80/h 1"),
+            ("two", "10.0.0.7:80/h,10.0.0.7:80/i"),
+            ("letter", "10.0.0.7:80/\u20ac"),
+            ("scope", "fe80::1%a\r\nx:80/h"),
+            ("empty", ""),
+            ("long", "10.0.0.7:80/" + "h" * 100_000),
+        ]
+    )
+    def test_handles_that_no_header_can_carry(self, _, handle):
+        """Guards against requests that fail as they can't name their inputs."""
+        body = msgspec.json.encode({"items": [{"handle": handle}]})
+        (result,) = DIALECT.read_results(body)
+        self.assertEqual((result.handle, result.reason), ("", "error"))
+
+    @parameterized.expand(
+        [
+            ("huge", b"9007199254740993"),
+            ("long", LONG),
+            ("text", b'"15"'),
+            ("yes", b"true"),
+            ("none", b"null"),
+            ("infinite", b"1e999"),
+            ("nan", b"NaN"),
+            ("missing", b'1,"freeMb":{}'),
+        ]
+    )
+    def test_free_memory_that_no_target_has(self, _, value):
+        """Guards against a target that is never asked again, or always."""
+        with self.assertRaises(ValueError):
+            DIALECT.read_free_memory(b'{"freeMb":%s}' % value)
+
+    @parameterized.expand(
+        [
+            ("nested", b'{"items":%s}' % DEEP_LIST),
+            ("item", b'{"items":[%s]}' % DEEP_LIST),
+            ("beside", b'{"items":[],"x":%s}' % DEEP_LIST),
+            ("no_text", b'{"items":[{"handle":"\xff"}]}'),
+            ("long_number", b'{"items":[%s]}' % LONG),
+            ("empty", b""),
+        ]
+    )
+    def test_answers_that_can_not_be_read(self, _, body):
+        """Guards against workers that end with what a faulty target sends."""
+        with self.assertRaises(ValueError):
+            DIALECT.read_results(body)
+
+    @parameterized.expand([("number", b"[5]"), ("text", b'["late"]')])
+    def test_items_that_are_no_objects(self, _, items):
+        """Guards against workers that end with what a faulty target sends."""
+        with self.assertRaises(ValueError):
+            DIALECT.read_results(b'{"items":%s}' % items)
+
+    @parameterized.expand(
+        [
+            ("reason", b'[{"reason":{"a":1}}]'),
+            ("handle", b'[{"handle":[1]}]'),
+            ("unknown", b'[{"reason":"odd"}]'),
+        ]
+    )
+    def test_items_that_no_target_sends(self, _, items):
+        """Guards against workers that end with what a faulty target sends."""
+        (result,) = DIALECT.read_results(b'{"items":%s}' % items)
+        self.assertEqual((result.handle, result.reason), ("", "error"))
+
+
 class RelayTest(unittest.TestCase):
     """Headers of requests that peers hand over."""
 
@@ -141,3 +517,175 @@
         error = decode_error(headers)
         found = (error.kind, error.ran)
         self.assertEqual(found, (ErrorKind.TARGET_FAILED, Ran.UNKNOWN))
+
+
+class DatagramTest(unittest.TestCase):
+    """Datagrams of peers."""
+
+    def setUp(self):
+        self.peers = make_peers()
+        self.handled = []
+        self.peers.set_handler(
+            HeartbeatRequest, lambda message, _: self.handled.append(message)
+        )
+
+    def receive(self, *datagrams):
+        """Have the peers receive datagrams until there are no more."""
+        address = ("127.0.1.1", 9)
+        end = KeyboardInterrupt()
+        with mock.patch.object(self.peers, "_socket") as socket:
+            socket.read.side_effect = [[(data, address) for data in datagrams], end]
+            with self.assertRaises(KeyboardInterrupt):
+                self.peers.receive()
+
+    @parameterized.expand(
+        [
+            ("empty", b""),
+            ("cut", encode(GossipUpdate([Fact("t", "k", 1.0, 0.0)]))[:-1]),
+            ("nested", DEEP),
+            ("nested_field", b"\x93\xa7Inquiry\x01" + DEEP),
+            ("no_text", b"\x91\xa4\xff\xff\xff\xff"),
+            ("unknown", msgspec.msgpack.encode(["Odd", 1])),
+            ("number", b"\x01"),
+            (
+                "no_utf8",
+                encode(GossipUpdate([Fact("tt", "k", 1.0, 0.0)])).replace(
+                    b"tt", b"\xff\xff"
+                ),
+            ),
+        ]
+    )
+    def test_datagrams_behind_one_that_can_not_be_read(self, _, data):
+        """Guards against an instance that hears no peers for a while."""
+        self.receive(data, encode(HeartbeatRequest()))
+        self.assertEqual(self.handled, [HeartbeatRequest()])
+
+    def test_datagrams_behind_one_that_can_not_be_handled(self):
+        """Guards against an instance that hears no peers for a while."""
+        self.peers.set_handler(GossipUpdate, mock.Mock(side_effect=ValueError("odd")))
+        self.receive(encode(GossipUpdate([])), encode(HeartbeatRequest()))
+        self.assertEqual(self.handled, [HeartbeatRequest()])
+        logged = self.peers._logger.exception.call_args
+        expected = mock.call("datagram_failed", kind="GossipUpdate", sender="127.0.1.1")
+        self.assertEqual(logged, expected)
+
+
+class HeartbeatTest(unittest.TestCase):
+    """Heartbeats of peers, as they are used later."""
+
+    def setUp(self):
+        self.peers = make_peers()
+
+    def receive(self, **changes):
+        """Have the peers receive a heartbeat with some odd fields."""
+        fields = {
+            "sender": Contact("i-2", "a", "127.0.1.2"),
+            "incarnation": "life",
+            "accepts_work": True,
+            "position": (0, 1),
+            "loads": {},
+            "pending": [],
+            "running": {},
+            "prefill_tokens": {},
+            "cores": 1.0,
+            "contacts": [],
+        }
+        message = Heartbeat(**(fields | changes))
+        self.peers._handle_datagram(encode(message), ("127.0.1.2", 9))
+
+    @parameterized.expand([([],), ([1.0],), ([1.0, 2.0],)])
+    def test_loads_that_no_queue_has(self, load):
+        """Guards against requests that fail for what an owner reports."""
+        self.receive(loads={"s": load})
+        self.assertEqual(self.peers.by_id, {})
+
+    @parameterized.expand([([1] * 50,), ([],), ([-1] * 6,)])
+    def test_counts_by_other_urgencies(self, counts):
+        """Guards against instances that never know who is alive."""
+        self.receive(pending=[("s", "a", counts)])
+        self.peers.invalidate_roster()
+        known = self.peers.roster().pending_by_queue["s", "a"]
+        self.assertEqual(known, [*counts[:6], *[0] * (6 - len(counts))])
+        self.receive(pending=[])
+        self.peers.invalidate_roster()
+        self.assertEqual(self.peers.roster().pending_by_queue, {})
+
+    @parameterized.expand(["", "x\0y", "no.host.example", "::1", "127.0.0.1:80"])
+    def test_hosts_that_are_no_addresses(self, host):
+        """Guards against heartbeats that end at what another one spreads."""
+        odd = Contact("i-3", "a", host)
+        self.receive(contacts=[odd, Contact("i-4", "a", "127.0.1.4")])
+        self.receive(sender=odd)
+        self.assertEqual(sorted(self.peers.by_id), ["i-2", "i-4"])
+
+    @parameterized.expand(
+        [
+            ("cores", {"cores": float("nan")}),
+            ("many_cores", {"cores": float("inf")}),
+            ("few_cores", {"cores": -1.0}),
+            ("running", {"running": {"t": -(2**62)}}),
+            ("tokens", {"prefill_tokens": {"t": 2**62}}),
+            ("digest", {"digest": 2**64 - 1}),
+            ("load", {"loads": {"s": [float("nan"), float("inf"), -1.0]}}),
+            ("demand", {"demand": [Demand("s", [1] * 50, [], {2**62: 2**62})]}),
+            ("zone", {"sender": Contact("i-2", "\u20ac" * 900, "127.0.1.2")}),
+            ("position", {"position": (2**63 - 1, 2**63 - 1)}),
+        ]
+    )
+    def test_numbers_that_do_no_harm(self, _, changes):
+        """Guards against instances that never know who is alive."""
+        self.receive(**changes)
+        self.peers.invalidate_roster()
+        self.peers.roster()
+        self.peers.send_heartbeats()
+        self.assertEqual(list(self.peers.by_id), ["i-2"])
+
+
+WHOLE_RESPONSE = [[], [0, 1], True, False, 0.0, 0.0, False, 0.0, []]
+FRAMES = [
+    ("nested_behind_all", b"\x9a" + msgspec.msgpack.encode(WHOLE_RESPONSE)[1:] + DEEP),
+    ("empty", b""),
+    ("nested", DEEP),
+    ("nested_field", b"\x9f" + DEEP),
+    ("nested_behind", b"\x94\x92\x00\x01\x00\x00" + DEEP),
+    ("number", b"\x01"),
+    ("no_text", b"\x9a\x91\x92\xa2\xff\xff\x01"),
+]
+
+
+class FrameTest(unittest.TestCase):
+    """Frames in which peers exchange their views."""
+
+    def open_socket(self, frame):
+        """Return a socket that a frame arrives at."""
+        data = bytearray(len(frame).to_bytes(4, "big") + frame)
+
+        def receive(size):
+            part = bytes(data[:size])
+            del data[:size]
+            return part
+
+        return mock.Mock(recv=receive)
+
+    @parameterized.expand(FRAMES)
+    def test_responses_that_can_not_be_read(self, _, frame):
+        """Guards against an instance that follows the same peer again and again."""
+        with mock.patch.object(view_exchange, "socket") as module:
+            module.socket.return_value = self.open_socket(frame)
+            link = PeerLink(Contact("i-2", "a", "127.0.0.2"), 9)
+        with self.assertRaises(LinkError):
+            link.query(ViewRequest(NO_POSITION))
+
+    @parameterized.expand(FRAMES)
+    def test_requests_that_can_not_be_read(self, _, frame):
+        """Guards against green threads that end with what a peer sends."""
+        peers = make_peers()
+        with (
+            mock.patch.object(view_exchange.eventlet, "listen"),
+            mock.patch.object(view_exchange.eventlet, "spawn_n"),
+        ):
+            exchange = ViewExchange(SETTINGS, mock.Mock(), peers, mock.Mock())
+        sock = self.open_socket(frame)
+        exchange._serve_connection(sock)
+        exchange._logger.info.assert_called_once()
+        sock.sendall.assert_not_called()
