Tell the test client of targets without end which response it reads

What was seen: all five classes of test_endless_targets ended in setUpClass: "CallerSocket.read() missing 1 required positional argument".

Conclusion: no other caller is left (searched by name).

--- a/tests/_endless_fleet.py
+++ b/tests/_endless_fleet.py
@@ -238,7 +238,7 @@
         try:
             connection.send(request.encode())
             with eventlet.Timeout(limit, False):
-                answer = connection.read(limit)
+                answer = connection.read(request.id, limit)
         finally:
             connection.close()
         seconds = now() - started_at
