--- a/packages/daemon/bergamotsaddle_daemon/platform.py
+++ b/packages/daemon/bergamotsaddle_daemon/platform.py
@@ -8,6 +8,7 @@
 from bergamotsaddle_contracts.errors import PlatformUnreachableError
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_contracts.instances import parse_instances
+from bergamotsaddle_contracts.whole_responses import WholeConnectionPool
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_daemon.settings import Settings
 from bergamotsaddle_daemon.views import Views
@@ -16,6 +17,7 @@
 _INSTANCES_PATH = "/v1/instances"
 _RESPONSE_MARGIN = 1.0
 _RETRY_DELAY = 0.5
+_FRAMING_HEADERS = frozenset(("content-length", "transfer-encoding"))
 _NOT_MODIFIED = 304
 _OK = 200
 
@@ -55,7 +57,7 @@
 
     def __init__(self, address: Address, path: str) -> None:
         self._path = path
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = WholeConnectionPool(
             address.host, address.port, maxsize=1, retries=False
         )
 
@@ -78,6 +80,9 @@
             return None
         if response.status != _OK:
             raise PlatformUnreachableError(f"status {response.status}")
+        if not _FRAMING_HEADERS & {name.lower() for name in response.headers}:
+            # A service that crashed inside it would end it in the same way.
+            raise PlatformUnreachableError("a value without a stated end")
         return PublishedValue(response.headers.get("ETag", ""), response.data)
 
 
--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -1,5 +1,6 @@
 """HTTP connections to targets and the store, strictly parsed, pooled and checked."""
 
+import re
 import socket
 from collections.abc import Callable, Iterator, Sequence
 from typing import NamedTuple, NoReturn
@@ -74,6 +75,8 @@
 BROKEN_CONNECTION_REASONS = frozenset(("closed", "cut", "reset", "send", UNFINISHED))
 
 _SUCCESS = range(200, 300)
+# A head that broke off inside a value runs into the next one on its connection.
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 # Status with which the parser reports a head, a line or trailers without end.
 _TOO_LARGE = 431
 _WITHOUT_BODY = frozenset((204, 304))
@@ -93,6 +96,8 @@
         b"content-length",
     )
 )
+# Start of the names of headers that only instances set, for each other.
+INSTANCE_PREFIX = b"bergamotsaddle-"
 
 
 class ConnectionLostError(BergamotsaddleError):
@@ -163,6 +168,12 @@
         return None if length is None else int(length)
 
 
+def _has_status_line(response: h11.Response) -> bool:
+    """Return whether a head holds the status line of another one."""
+    values = (value for _, value in response.headers)
+    return any(map(_STATUS_LINE.search, (bytes(response.reason), *values)))
+
+
 OnEndless = Callable[[Address, EndlessError], None]
 
 
@@ -298,7 +309,7 @@
 
         Raises:
             EndlessError: If more of them come than before any sound response.
-            ConnectionLostError: If no head arrives in time.
+            ConnectionLostError: If no head arrives in time, or parts of two of them.
         """
         until = now() + limit
         event = self._next_event(limit)
@@ -309,8 +320,10 @@
             event = self._next_event(until - now())
         if not isinstance(event, h11.Response):
             raise ConnectionLostError("no_head")
-        self._has_head = True
         head = RawResponseHead(event.status_code, list(event.headers))
+        if _has_status_line(event):
+            raise ConnectionLostError("no_http")
+        self._has_head = True
         self._stated_bytes = head.body_bytes if self._wants_body else None
         return head
 
@@ -532,7 +545,9 @@
         return self.open(address, limit=limit)
 
     def open(self, address: Address, *, limit: float = CONNECT_LIMIT_S) -> Connection:
-        """Return a new connection.
+        """Return a new connection, in place of an idle one if there is any.
+
+        A target resets connections beyond those that it accepts from all instances.
 
         Args:
             address: Address to connect to.
@@ -542,6 +557,8 @@
             ConnectionLostError: If it can't be made in time.
         """
         self.last_acquired_at = now()
+        if idle := self._idle_by_address.get(address):
+            idle.pop().close()
         return self._open(address, min(limit, CONNECT_LIMIT_S))
 
     def probe(self, address: Address, limit: float) -> bool:
@@ -631,7 +648,11 @@
 def end_to_end_headers(
     headers: Sequence[tuple[bytes, bytes]],
 ) -> Iterator[tuple[bytes, bytes]]:
-    """Yield the headers of a response that apply to more than one connection."""
+    """Yield the headers of a response that apply to more than one connection.
+
+    Those of instances are left out: in a target's response they would tell the instance
+    that handed the request over what no instance has said.
+    """
     for name, value in headers:
-        if name not in HOP_BY_HOP_HEADERS:
+        if name not in HOP_BY_HOP_HEADERS and not name.startswith(INSTANCE_PREFIX):
             yield name, value
