--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -29,13 +29,15 @@
 )
 from bergamotsaddle_serving.relay_headers import decode_error, decode_request
 from bergamotsaddle_serving.settings import parse_settings
+from bergamotsaddle_serving.shared_rate import RateOwner
+from bergamotsaddle_serving.target_rests import TargetRests
 from bergamotsaddle_serving.view_exchange import (
     LinkError,
     PeerLink,
     ViewExchange,
     ViewRequest,
 )
-from tests.test_platform_dialect import CONFIG, DIALECT, make_entry
+from tests.test_platform_dialect import CONFIG, DIALECT, TARGET, make_entry
 from tests.test_scopes import SETTINGS, make_peers
 from tests.test_serving_settings import TEXT
 
@@ -119,6 +121,85 @@
         self.assertEqual(head.pieces, (4_096,))
 
 
+class TargetHeadTest(unittest.TestCase):
+    """Heads of targets' responses."""
+
+    @parameterized.expand(
+        [
+            (f"{name}_{header.decode()}", header, value)
+            for header in (
+                b"x-server-load",
+                b"server-limit",
+                b"server-brittle",
+                b"retry-after",
+                b"keep-alive",
+                b"server-leaving",
+            )
+            for name, value in [
+                ("empty", b""),
+                ("superscript", b"\xb2,\xb2,\xb2"),
+                ("long", LONG),
+                ("negative", b"-1"),
+                ("nan", b"nan"),
+                ("infinite", b"inf"),
+                ("exponent", b"1e999"),
+                ("underscore", b"1_0,1_0,1_0"),
+                ("date", b"Fri, 31 Dec 1999 23:59:59 GMT"),
+                ("timeout", b"timeout=\xb2"),
+            ]
+        ]
+    )
+    def test_values_that_can_not_be_read(self, _, header, value):
+        """Guards against responses that are lost for a value beside them."""
+        found = DIALECT.read_response([(header, value)])
+        numbers = (
+            found.load,
+            found.keep_alive_seconds,
+            found.limit,
+            found.brittleness,
+            found.rest_seconds,
+        )
+        self.assertEqual(numbers, (None,) * 5)
+        self.assertFalse(found.is_leaving)
+
+    @parameterized.expand(
+        [
+            (f"{name}_{value}", name, value)
+            for name in ("limit", "brittleness", "rest_seconds", "keep_alive_seconds")
+            for value in (0, 999_999_999)
+        ]
+    )
+    def test_the_least_and_the_largest_values(self, _, name, value):
+        """Guards against facts that no message to a peer can carry."""
+        header = {
+            "limit": b"server-limit",
+            "brittleness": b"server-brittle",
+            "rest_seconds": b"retry-after",
+            "keep_alive_seconds": b"keep-alive",
+        }[name]
+        text = b"timeout=%d" if header == b"keep-alive" else b"%d"
+        found = getattr(DIALECT.read_response([(header, text % value)]), name)
+        self.assertEqual(found, value)
+        encode(GossipUpdate([Fact("t", "k", found, 0.0)]))
+
+    @parameterized.expand(
+        [(rate,) for rate in (0.0, 1e-9, 999_999_999.0, -1.0, float("nan"))]
+    )
+    def test_rates_that_a_target_may_name(self, rate):
+        """Guards against requests that wait for ever, or fail, for a named rate."""
+        owner = RateOwner(lambda: 1.0)
+        for urgency in (0, -1, 10**9):
+            wait = owner.request_permit("key", rate, urgency)
+            self.assertTrue(0 <= wait <= 10.0, wait)
+
+    @parameterized.expand([(0.0,), (0.5,), (999_999_999.0,)])
+    def test_rests_that_a_target_may_ask_for(self, seconds):
+        """Guards against a target that gets nothing for days."""
+        rests = TargetRests(mock.Mock())
+        rests.record(TARGET, seconds)
+        self.assertLessEqual(rests.wait(TARGET), 60.0)
+
+
 class StoreResponseTest(unittest.TestCase):
     """Responses of the store."""
 
