--- a/tests/test_odd_requests.py
+++ b/tests/test_odd_requests.py
@@ -1,4 +1,4 @@
-"""Odd heads of callers and peers at the connection of a real handler."""
+"""Odd heads of callers, peers and targets at real connections."""
 
 import unittest
 from unittest import mock
@@ -16,8 +16,11 @@
     Service,
     Share,
 )
+from bergamotsaddle_serving.client import Connection, ConnectionLostError
 from bergamotsaddle_serving.handler import Handler
+from bergamotsaddle_serving.messages import HttpCall
 from tests._paused import use_paused_clock, use_skipping_clock
+from tests.test_late_responses import RepeatingTarget
 
 setUpModule = use_skipping_clock
 tearDownModule = use_paused_clock
@@ -61,6 +64,24 @@
     b"transfer-encoding",
     b"expect",
 ]
+TARGET_HEADERS = [
+    b"content-length",
+    b"transfer-encoding",
+    b"connection",
+    b"keep-alive",
+    b"retry-after",
+    b"x-server-load",
+    b"server-limit",
+    b"server-brittle",
+    b"server-leaving",
+    b"x-cold-ms",
+    b"x-instance-id",
+    b"x-weight-versions",
+    b"content-encoding",
+    b"x-request-id",
+]
+# A response whose end isn't known is no response.
+FRAMING_HEADERS = {b"content-length", b"transfer-encoding"}
 RELAYED = {
     b"bergamotsaddle-sender": b"i-2",
     b"bergamotsaddle-elapsed-ms": b"5",
@@ -145,3 +166,41 @@
         self.assertIn(status, TRUTHFUL)
         self.assertEqual(after, 200)
         self.logger.exception.assert_not_called()
+
+
+class OddResponsesTest(unittest.TestCase):
+    """A connection to a target that sends one odd header or status line."""
+
+    def exchange(self, response):
+        """Return the status that a response is read as, None if it is lost."""
+        connection = Connection(RepeatingTarget(response).address)
+        self.addCleanup(connection.close)
+        call = HttpCall(b"GET", b"/", [(b"host", b"h")])
+        try:
+            head, _ = connection.exchange(call, limit=LIMIT_S, max_bytes=1_000)
+        except ConnectionLostError:
+            return None
+        PlatformDialect().read_response(head.headers)
+        connection.prepare_next()
+        return head.status
+
+    @parameterized.expand(
+        [
+            (f"{header.decode()}_{name}", header, value)
+            for header in TARGET_HEADERS
+            for name, value in ODD_VALUES.items()
+        ]
+    )
+    def test_odd_headers_of_targets(self, _, header, value):
+        """Guards against errors that end more than the one response."""
+        lines = {b"content-length": b"2", b"x-request-id": b"r1"} | {header: value}
+        head = b"".join(b"%s: %s\r\n" % line for line in lines.items())
+        status = self.exchange(b"HTTP/1.1 200 OK\r\n" + head + b"\r\nok")
+        may_be_lost = header in FRAMING_HEADERS
+        self.assertIn(status, {200, None} if may_be_lost else {200})
+
+    @parameterized.expand(sorted(ODD_VALUES.items()))
+    def test_odd_status_lines(self, _, value):
+        """Guards against errors that end more than the one response."""
+        head = b"HTTP/1.1 %s OK\r\ncontent-length: 0\r\n\r\n" % value
+        self.assertIsNone(self.exchange(head))
