Leave out facts of peers whose key can't be read

What callers saw: nothing was recorded. A fact with an odd key, once at one instance, reaches all others; each loses the facts that came with it, and its loop for the datagrams or for expired facts ends once more.

Cause: facts are stored and passed on before what listens to them reads their key. Keys of leaving targets and of crashes were taken apart without an answer for numbers that are none.

Ruled out: limits, full targets, survivals, cleared parts and trials; values and ages that are nan or infinite.

Change: a fact whose key names no incarnation, or no age, is left out; for leaving targets that is logged.

Conclusion: a fact that can't be read is without effect where it comes in, and where it ends.

--- a/packages/serving/bergamotsaddle_serving/incarnations.py
+++ b/packages/serving/bergamotsaddle_serving/incarnations.py
@@ -30,6 +30,16 @@
         return target_id, int(started_ms)
 
 
+def parse_incarnation(service: str, software: str, name: str) -> Incarnation | None:
+    """Return the incarnation in a fact of a peer, None if its name has no start."""
+    incarnation = Incarnation(service, software, name)
+    try:
+        _ = incarnation.target_incarnation
+    except ValueError:
+        return None
+    return incarnation
+
+
 def incarnation_of(target: Target) -> Incarnation:
     """Return the incarnation that a target's entry describes."""
     name = f"{target.id}:{target.started_ms}"
--- a/packages/serving/bergamotsaddle_serving/leaving_targets.py
+++ b/packages/serving/bergamotsaddle_serving/leaving_targets.py
@@ -50,4 +50,9 @@
         self._publish([fact])
 
     def _on_fact(self, key: str, value: float | None) -> None:
-        self._view.mark_leaving(parse_fact_key(key), is_leaving=value is not None)
+        try:
+            incarnation = parse_fact_key(key)
+        except ValueError:
+            self._logger.warning("fact_malformed", topic=_LEAVING.name, key=key)
+            return
+        self._view.mark_leaving(incarnation, is_leaving=value is not None)
--- a/packages/serving/bergamotsaddle_serving/suspect_parts.py
+++ b/packages/serving/bergamotsaddle_serving/suspect_parts.py
@@ -10,7 +10,11 @@
 from bergamotsaddle_serving.catalog import Target
 from bergamotsaddle_serving.crashed_runs import WRITING_S, CrashedRuns
 from bergamotsaddle_serving.gossip import Gossip, Topic
-from bergamotsaddle_serving.incarnations import Incarnation, incarnation_of
+from bergamotsaddle_serving.incarnations import (
+    Incarnation,
+    incarnation_of,
+    parse_incarnation,
+)
 from bergamotsaddle_serving.peer_messages import Fact
 from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
 
@@ -532,12 +536,14 @@
 
 
 def _parse_run_key(key: str) -> tuple[str, Incarnation, frozenset[str]] | None:
-    """Return fingerprint, crash and parts, None if a name contains the separator."""
+    """Return fingerprint, crash and parts, None if the key can't be read."""
     fields = key.split(_SEPARATOR)
     if len(fields) != _RUN_KEY_PARTS:
         return None
     fingerprint, service, software, name, parts = fields
-    crash = Incarnation(service, software, name)
+    crash = parse_incarnation(service, software, name)
+    if crash is None:
+        return None
     return fingerprint, crash, frozenset(parts.split(_PART_SEPARATOR))
 
 
@@ -546,9 +552,10 @@
 
 
 def _parse_clear_key(key: str) -> tuple[str, Incarnation] | None:
-    """Return part and crash, None if a name contains the separator."""
+    """Return part and crash, None if the key can't be read."""
     fields = key.split(_SEPARATOR)
     if len(fields) != _CLEAR_KEY_PARTS:
         return None
     part, service, software, name = fields
-    return part, Incarnation(service, software, name)
+    crash = parse_incarnation(service, software, name)
+    return None if crash is None else (part, crash)
--- a/packages/serving/bergamotsaddle_serving/suspects.py
+++ b/packages/serving/bergamotsaddle_serving/suspects.py
@@ -17,7 +17,11 @@
     Survival,
 )
 from bergamotsaddle_serving.gossip import Gossip, Topic
-from bergamotsaddle_serving.incarnations import Incarnation, incarnation_of
+from bergamotsaddle_serving.incarnations import (
+    Incarnation,
+    incarnation_of,
+    parse_incarnation,
+)
 from bergamotsaddle_serving.peer_messages import Fact
 from bergamotsaddle_serving.policy import FULL_POLICY, Mechanism, Policy
 
@@ -381,13 +385,19 @@
 
 
 def _parse_crash_key(key: str) -> tuple[str, Incarnation, CrashedRun] | None:
-    """Return the parts of a key, None if a name in it contains the separator."""
+    """Return the parts of a key, None if it can't be read."""
     parts = key.split(_SEPARATOR)
     if len(parts) != _CRASH_KEY_PARTS:
         return None
     fingerprint, service, software, name, age, kind, request = parts
-    run = CrashedRun(float(age), kind == _CERTAIN, request)
-    return fingerprint, Incarnation(service, software, name), run
+    incarnation = parse_incarnation(service, software, name)
+    if incarnation is None:
+        return None
+    try:
+        run = CrashedRun(float(age), kind == _CERTAIN, request)
+    except ValueError:
+        return None
+    return fingerprint, incarnation, run
 
 
 def _survival_key(fingerprint: str, target: Target, observer: str) -> str:
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -16,8 +16,12 @@
 )
 from bergamotsaddle_serving import view_exchange
 from bergamotsaddle_serving.catalog import parse_fact_key
+from bergamotsaddle_serving.full_targets import FullTargets
+from bergamotsaddle_serving.gossip import Gossip
 from bergamotsaddle_serving.incarnations import incarnation_of
+from bergamotsaddle_serving.leaving_targets import LeavingTargets
 from bergamotsaddle_serving.messages import NO_POSITION, Evacuation, StoreEntry
+from bergamotsaddle_serving.named_limits import NamedLimits
 from bergamotsaddle_serving.peer_messages import (
     Contact,
     Demand,
@@ -30,6 +34,8 @@
 from bergamotsaddle_serving.relay_headers import decode_error, decode_request
 from bergamotsaddle_serving.settings import parse_settings
 from bergamotsaddle_serving.shared_rate import RateOwner
+from bergamotsaddle_serving.suspect_parts import SuspectParts
+from bergamotsaddle_serving.suspects import Suspects
 from bergamotsaddle_serving.target_rests import TargetRests
 from bergamotsaddle_serving.view_exchange import (
     LinkError,
@@ -37,6 +43,7 @@
     ViewExchange,
     ViewRequest,
 )
+from tests._paused import advance
 from tests.test_platform_dialect import CONFIG, DIALECT, TARGET, make_entry
 from tests.test_scopes import SETTINGS, make_peers
 from tests.test_serving_settings import TEXT
@@ -731,6 +738,67 @@
         self.assertEqual(list(self.peers.by_id), ["i-2"])
 
 
+ALL_TOPICS = [
+    "leaving",
+    "limit",
+    "full",
+    "crash",
+    "survival",
+    "survival_disproved",
+    "part_crash",
+    "part_clear",
+    "part_trial",
+]
+
+
+class FactTest(unittest.TestCase):
+    """Facts that peers tell."""
+
+    def setUp(self):
+        self.gossip = Gossip()
+        send = mock.Mock()
+        logger = mock.Mock()
+        self.view = mock.Mock()
+        self.leaving = LeavingTargets(self.gossip, send, self.view, logger)
+        self.limits = NamedLimits(self.gossip, send, logger)
+        FullTargets(self.gossip, send, self.limits, logger)
+        for kind in (Suspects, SuspectParts):
+            kind(self.gossip, send, lambda: {("s", "v1")}, logger)
+
+    @parameterized.expand(
+        [
+            (f"{topic}_{number}", topic, key, value)
+            for topic in ALL_TOPICS
+            for number, (key, value) in enumerate(
+                [
+                    ("", 1.0),
+                    ("x", 1.0),
+                    ("t x", 1.0),
+                    ("t " + "9" * 5_000, 1.0),
+                    ("\t" * 3, 1.0),
+                    ("\t" * 4, 1.0),
+                    ("\t" * 6, 1.0),
+                    ("\t".join(["w", "s", "v1", "t:x", "1.0", "ran", "r"]), 1.0),
+                    ("\t".join(["w", "s", "v1", "t:5", "old", "ran", "r"]), 1.0),
+                    ("\t".join(["w", "s", "v1", "t:5", "nan", "ran", "r"]), 1.0),
+                    ("\t".join(["w", "s", "v1", "t:x", "a,b"]), 1.0),
+                    ("t 5", float("nan")),
+                    ("t 5", float("inf")),
+                    ("t 5", -1e300),
+                ]
+            )
+        ]
+    )
+    def test_facts_behind_one_that_can_not_be_read(self, _, topic, key, value):
+        """Guards against facts that end the work of each instance that hears them."""
+        odd = Fact(topic, key, value, float("nan"))
+        self.gossip.merge([odd, Fact("leaving", "t 7", 1.0, 0.0)])
+        self.view.mark_leaving.assert_called_with(("t", 7), is_leaving=True)
+        advance(2 * 86_400.0)
+        self.gossip.drop_expired()
+        self.assertEqual(self.gossip.facts(), [])
+
+
 WHOLE_RESPONSE = [[], [0, 1], True, False, 0.0, 0.0, False, 0.0, []]
 FRAMES = [
     ("nested_behind_all", b"\x9a" + msgspec.msgpack.encode(WHOLE_RESPONSE)[1:] + DEEP),
