--- a/packages/serving/bergamotsaddle_serving/stage_calls.py
+++ b/packages/serving/bergamotsaddle_serving/stage_calls.py
@@ -116,6 +116,7 @@
             limit,
             read=lambda body: self._read_results(pieces, body),
             is_named=True,
+            is_certain=_has_result,
         )
         if status == _MISDIRECTED:
             raise ConnectionLostError("misdirected", is_unsent=True)
@@ -189,6 +190,7 @@
         *,
         read: Callable[[bytes], T],
         is_named: bool = False,
+        is_certain: Callable[[T | None], bool] = lambda value: True,
     ) -> tuple[int, T | None]:
         """Send a call and read its response.
 
@@ -201,6 +203,8 @@
             limit: Seconds after which the call counts as lost.
             read: Decodes the body of a success.
             is_named: Whether the call gets an id, which its response may name.
+            is_certain: Returns whether what was read can't come from a second copy of
+                an earlier response, which leaves that to the call for the next one.
 
         Returns:
             The status, and what was read; None unless it is a success.
@@ -225,5 +229,14 @@
             raise
         if response.limit is not None or head.status == _OK:
             self._limits.record(target, response.limit)
-        self._pool.release(connection, response.keep_alive_seconds)
+        is_named_or_first = bool(response.request_id) or not connection.is_reused
+        if is_named_or_first or is_certain(value):
+            self._pool.release(connection, response.keep_alive_seconds)
+        else:
+            connection.close()
         return head.status, value
+
+
+def _has_result(results: list[PieceResult] | None) -> bool:
+    """Return whether a response brings a result, which no other response brought."""
+    return any(result.handle for result in results or ())
--- a/tests/test_late_responses.py
+++ b/tests/test_late_responses.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 import eventlet
+import msgspec
 from parameterized import parameterized
 
 from bergamotsaddle_contracts.ini import Address
@@ -34,6 +35,7 @@
 tearDownModule = use_paused_clock
 
 LIMIT_S = 1.0
+WORK_S = 0.1
 REQUEST_ID = re.compile(rb"x-request-id: (\S+)", re.IGNORECASE)
 REJECTED = (503, "X-Not-Executed: 1", "Retry-After: 9", "Server-Limit: 0.5")
 MISDIRECTED = (421, "X-Instance-Id: i-2")
@@ -182,12 +184,21 @@
     Args:
         names_calls: Whether its responses name the call.
         status: Status of its first response.
+        has_result: Whether that brings a result.
+        work: Seconds from the second copy to the second response.
+        repeats: Whether it sends a second copy. Otherwise all responses have the status
+            of the first one.
     """
 
-    def __init__(self, *, names_calls, status=200):
+    def __init__(
+        self, *, names_calls, status=200, has_result=True, work=0.0, repeats=True
+    ):
         super().__init__()
+        self._repeats = repeats
         self._names_calls = names_calls
         self._first_status = status
+        self._has_result = has_result
+        self._work = work
         self._calls = 0
 
     def serve(self, sock):
@@ -196,15 +207,22 @@
         while request := sock.recv(65_536):
             self._calls += 1
             response = self._respond(request)
+            if late and self._work:
+                sock.sendall(late)
+                eventlet.sleep(self._work)
+                late = b""
             sock.sendall(late + response)
-            late = response if self._calls == 1 else b""
+            late = response if self._calls == 1 and self._repeats else b""
 
     def _respond(self, request):
-        status = self._first_status if self._calls == 1 else 200
+        is_first = self._calls == 1 or not self._repeats
+        status = self._first_status if is_first else 200
         body = b'{"freeMb": 1}'
         if b"stage-run" in request:
             handle = f"{self.address}/{self._calls}"
-            body = b'{"items": [{"handle": "%s"}]}' % handle.encode()
+            has_result = self._has_result or self._calls > 1
+            item = {"handle": handle} if has_result else {"reason": "error"}
+            body = msgspec.json.encode({"items": [item]})
         named = REQUEST_ID.search(request)
         lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
         if named and self._names_calls:
@@ -250,6 +268,37 @@
         self.assertEqual(self.run_piece(calls, known, "r3"), f"{target.address}/3")
         self.assertEqual(target.connections, 2)
 
+    @parameterized.expand([("rejection", 503, True), ("failure", 200, False)])
+    def test_a_response_behind_an_unnamed_copy_gives_no_results(
+        self, _, status, has_result
+    ):
+        """Guards against results of a call that a second copy seemed to answer."""
+        target = StageTarget(
+            names_calls=False, status=status, has_result=has_result, work=WORK_S
+        )
+        calls, known = self.make_calls(target)
+        for request in ("r1", "r2"):
+            self.assertFalse(self.run_piece(calls, known, request))
+        self.assertEqual(self.run_piece(calls, known, "r3"), f"{target.address}/3")
+
+    @parameterized.expand(
+        [
+            ("named_rejections", True, 503, 1),
+            ("named_results", True, 200, 1),
+            ("unnamed_results", False, 200, 1),
+            ("unnamed_rejections", False, 503, 2),
+        ]
+    )
+    def test_connections_whose_responses_are_certain_are_kept(
+        self, _, names_calls, status, connections
+    ):
+        """Guards against a new connection for each call."""
+        target = StageTarget(names_calls=names_calls, status=status, repeats=False)
+        calls, known = self.make_calls(target)
+        for request in ("r1", "r2", "r3"):
+            self.run_piece(calls, known, request)
+        self.assertEqual(target.connections, connections)
+
     @parameterized.expand(
         [
             ("release", lambda calls, known: calls.release(known, ["h"])),
