Name the setting where no port is after peer_port

What callers saw: a daemon with peer_port 65535 and without relay_port ends as it listens, without naming either.

Cause: the default is the next number, which isn't checked as a port.

Evidence: tests/test_odd_input, test_the_port_after_the_last_one failed before (no fault was found). Ruled out: ports that the file names, which are checked as they are read.

Change: a relay port above 65535 is a fault of [listen] relay_port.

Conclusion: defaults that follow from other settings are checked as these are.

--- a/packages/serving/bergamotsaddle_serving/settings.py
+++ b/packages/serving/bergamotsaddle_serving/settings.py
@@ -22,6 +22,7 @@
 _NUMBER = re.compile(r"(?:[0-9]+\.?[0-9]*|\.[0-9]+)(?:[eE][+-]?[0-9]+)?")
 # Longer times overflow the timers of sockets.
 _MAX_NUMBER = 1e9
+_MAX_PORT = 65_535
 
 
 class InstanceSettings(NamedTuple):
@@ -364,5 +365,7 @@
         HedgingSettings(ini.get("hedging", "max_share", _parse_share, 0.0)),
         TargetSettings(ini.get("targets", "share_machines", _parse_flag, False)),
     )
+    if settings.listen.relay_port > _MAX_PORT:
+        ini.add_fault("listen", "relay_port", "", "missing, no port is after peer_port")
     ini.raise_for_faults()
     return settings
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -936,3 +936,12 @@
             parse_settings(set_value(section, key, value), name="daemon.ini")
         for word in ("daemon.ini", f"[{section}] {key}"):
             self.assertIn(word, str(raised.exception))
+
+    def test_the_port_after_the_last_one(self):
+        """Guards against daemons that end as they listen at a port that isn't one."""
+        text = set_value("listen", "peer_port", "65535")
+        with self.assertRaises(InvalidFileError) as raised:
+            parse_settings(text, name="daemon.ini")
+        self.assertIn("[listen] relay_port", str(raised.exception))
+        text = text.replace("peer_port", "relay_port = 7000\npeer_port")
+        self.assertEqual(parse_settings(text, name="f").listen.relay_port, 7000)
