Let the stand-in connection of test_fetching say that it is new

The attempt reads that where it sends, for its log; the stand-in had no such field, so the test failed with an AttributeError. The assertions are unchanged.

--- a/tests/test_fetching.py
+++ b/tests/test_fetching.py
@@ -20,6 +20,8 @@
 class SlowConnection:
     """A connection that takes time to open and is lost before a response."""
 
+    is_reused = False
+
     def acquire(self, address, *, limit):
         """Open the connection."""
         eventlet.sleep(CONNECT_S)
