Count what a soak's link held back from when its instance sent it

Cause: the soak's own measure. A link that is paused or cut holds bytes back and lets them through when it is restored, and the target recorded its use then. So a request that was sent before the removal counted as one behind it. A wish for rest counted too if its response went to an instance that had given the call up.

Change: a link tells its target when it received what a connection carried last, and whether the instance still holds its end. Uses, arrivals and fatal runs count at that time; wishes and notices bind an instance that waits for the response. "leaving" names request and instance, for the next trace.

--- a/packages/standins/bergamotsaddle_standins/soak_audit.py
+++ b/packages/standins/bergamotsaddle_standins/soak_audit.py
@@ -228,12 +228,14 @@
 
 
 def _check_leaving(record: SoakRecord) -> Iterator[str]:
-    for runs in record.ledger.runs_by_request.values():
+    for request, runs in record.ledger.runs_by_request.items():
         for run in runs:
             late = record.lateness(run)
             if late > 0 and not record.was_stalled(run.at):
-                yield f"leaving: {run.target} got a request {late:.3f} s too late"
+                way = f"{run.target} got {request} from {run.instance}"
+                yield f"leaving: {way} {late:.3f} s too late"
     for call in record.ledger.stage_calls:
         late = record.lateness(call)
         if late > 0 and not record.was_stalled(call.at):
-            yield f"leaving: {call.target} got a stage call {late:.3f} s too late"
+            way = f"{call.target} got a stage call from {call.instance}"
+            yield f"leaving: {way} {late:.3f} s too late"
--- a/packages/standins/bergamotsaddle_standins/soak_links.py
+++ b/packages/standins/bergamotsaddle_standins/soak_links.py
@@ -9,6 +9,7 @@
 import eventlet
 from eventlet.green import socket
 
+from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving._sockets import receive
 from bergamotsaddle_standins.soak_breaks import reset
 
@@ -58,6 +59,8 @@
     def __init__(self, destination: int) -> None:
         self._destination = destination
         self._servers: set[Any] = set()
+        self._client_by_port: dict[int, Any] = {}
+        self._received_at: dict[int, float] = {}
         self._fillers: list[Any] = []
         self._is_silent = False
         self._pauses = 0
@@ -104,6 +107,31 @@
         """End one pause."""
         self._pauses -= 1
 
+    def received_at(self, port: int) -> float:
+        """Return when what a connection carried last was sent, on the hub's clock.
+
+        Args:
+            port: Port that the target sees as that of its peer.
+        """
+        return self._received_at.get(port, now())
+
+    def is_heard(self, port: int) -> bool:
+        """Return whether the instance still holds its end of a connection.
+
+        Args:
+            port: Port that the target sees as that of its peer.
+        """
+        client = self._client_by_port.get(port)
+        if client is None:
+            return False
+        try:
+            return client.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) != b""
+        except BlockingIOError:
+            return True
+        except OSError:
+            # The instance has reset the connection.
+            return False
+
     @_register_mode(CutMode.HANG)
     def _hang(self) -> None:
         self._is_silent = True
@@ -154,6 +182,8 @@
             client.close()
             return
         self._servers.add(server)
+        port = server.getsockname()[1]
+        self._client_by_port[port] = client
         requests = eventlet.spawn(self._forward_requests, client, server)
         if self._forward(server, client):
             requests.wait()
@@ -161,19 +191,31 @@
             requests.kill()
             reset(client)
         self._servers.discard(server)
+        del self._client_by_port[port]
+        self._received_at.pop(port, None)
         client.close()
         server.close()
 
     def _forward_requests(self, client: Any, server: Any) -> None:
-        self._forward(client, server)
+        port = server.getsockname()[1]
+        self._forward(client, server, lambda at: self._received_at.update({port: at}))
         # Whichever way its caller left, the target stops its work.
         with contextlib.suppress(OSError):
             server.shutdown(socket.SHUT_RDWR)
 
-    def _forward(self, one: Any, other: Any) -> bool:
-        """Forward data in one direction; return whether it ended properly."""
+    def _forward(
+        self, one: Any, other: Any, on_data: Callable[[float], None] = lambda at: None
+    ) -> bool:
+        """Forward data in one direction; return whether it ended properly.
+
+        Args:
+            one: Where the data comes from.
+            other: Where it goes to.
+            on_data: Called with the time at which each part was received.
+        """
         try:
             while data := receive(one, _READ_BYTES):
+                on_data(now())
                 while self._is_silent or self._pauses:
                     eventlet.sleep(_POLL_S)
                 self._send(other, data)
--- a/packages/standins/bergamotsaddle_standins/soak_targets.py
+++ b/packages/standins/bergamotsaddle_standins/soak_targets.py
@@ -61,7 +61,7 @@
     """A request that reached a target.
 
     Attributes:
-        at: When it arrived, on the hub's clock.
+        at: When the link to the target received it, on the hub's clock.
         sent_at: When its caller had sent it, on the same clock.
         service: Service of the target.
         target: Id of the target.
@@ -79,7 +79,7 @@
     """A call that reached a stage target.
 
     Attributes:
-        at: When it arrived, on the hub's clock.
+        at: When the link to the target received it, on the hub's clock.
         target: Id of the target.
         instance: Id of the instance that sent it.
     """
@@ -93,7 +93,7 @@
     """A request or stage call that reached a target, whether or not it was run.
 
     Attributes:
-        at: When it arrived, on the hub's clock.
+        at: When the link to the target received it, on the hub's clock.
         sent_at: When its caller had sent it; when it arrived for a stage call.
         instance: Id of the instance that sent it.
         target: Id of the target.
@@ -106,7 +106,7 @@
 
 
 class Rest(NamedTuple):
-    """A target's wish to get nothing from an instance for a time.
+    """A target's wish to get nothing from an instance for a time, which that heard.
 
     Attributes:
         instance: Id of the instance.
@@ -248,7 +248,7 @@
         work = work_by_service.get(self.service, self._run)
 
         def respond(environ: Environ, start_response):
-            environ[_ARRIVED_AT] = now()
+            environ[_ARRIVED_AT] = self._received_at(environ)
             if environ.get("HTTP_TARGET") != self.id:
                 return respond_json(
                     start_response,
@@ -274,8 +274,17 @@
             self._ledger.breaks_by_request[environ["HTTP_ID"]] += 1
         return send_endless(environ, kind, lambda: self.endless_kind is not None)
 
+    def _received_at(self, environ: Environ) -> float:
+        link = self.link_by_instance.get(environ.get("HTTP_INSTANCE", ""))
+        return link.received_at(int(environ["REMOTE_PORT"])) if link else now()
+
+    def _is_heard(self, environ: Environ) -> bool:
+        """Return whether the instance still waits for the response."""
+        link = self.link_by_instance[environ["HTTP_INSTANCE"]]
+        return link.is_heard(int(environ["REMOTE_PORT"]))
+
     def _record_arrival(self, environ: Environ) -> None:
-        at = now()
+        at = environ[_ARRIVED_AT]
         sent_at = float(environ.get("HTTP_SENT_AT", at))
         arrival = Arrival(at, sent_at, environ["HTTP_INSTANCE"], self.id)
         self._ledger.arrivals.append(arrival)
@@ -283,7 +292,8 @@
     def _ask_for_rest(self, environ: Environ, start_response) -> list[bytes]:
         environ["wsgi.input"].read()
         instance = environ["HTTP_INSTANCE"]
-        self._ledger.rests.append(Rest(instance, self.id, now(), _REST_S))
+        if self._is_heard(environ):
+            self._ledger.rests.append(Rest(instance, self.id, now(), _REST_S))
         rest = ("Rest", str(_REST_S))
         headers = (*_not_run(environ), rest, *self._notices(environ))
         return respond_json(
@@ -293,7 +303,8 @@
     def _record(self, environ: Environ) -> tuple[tuple[str, str], ...]:
         request = environ["HTTP_ID"]
         sent_at = float(environ["HTTP_SENT_AT"])
-        run = Run(now(), sent_at, self.service, self.id, environ["HTTP_INSTANCE"])
+        at = environ[_ARRIVED_AT]
+        run = Run(at, sent_at, self.service, self.id, environ["HTTP_INSTANCE"])
         self._ledger.runs_by_request[request].append(run)
         return (("Id", request),)
 
@@ -346,9 +357,13 @@
             headers.append(("Brittle", str(_BRITTLENESS)))
         if self.is_leaving:
             headers.append(("Leaving", "1"))
+            self._record_told(environ)
+        return tuple(headers)
+
+    def _record_told(self, environ: Environ) -> None:
+        if self._is_heard(environ):
             told = Told(environ[_ARRIVED_AT], now())
             self._ledger.told_leaving[environ["HTTP_INSTANCE"], self.id].append(told)
-        return tuple(headers)
 
     def _reject(self, environ: Environ, start_response) -> list[bytes]:
         environ["wsgi.input"].read()
@@ -382,7 +397,8 @@
         parts = self._events(range(first, events))
         cause = find_cause(environ["PATH_INFO"], environ.get("HTTP_PARTS", ""))
         if cause is not None:
-            self._ledger.fatal_arrivals.append(FatalRun(now(), cause))
+            at = environ[_ARRIVED_AT]
+            self._ledger.fatal_arrivals.append(FatalRun(at, cause))
             number = self._ledger.fatal_runs[cause]
             self._ledger.fatal_runs[cause] += 1
             if not find_manner(cause).is_whole(number):
@@ -474,7 +490,7 @@
             return respond_json(
                 start_response, _FREE_BYTES, headers=self._notices(environ)
             )
-        call = StageCall(now(), self.id, environ["HTTP_INSTANCE"])
+        call = StageCall(environ[_ARRIVED_AT], self.id, environ["HTTP_INSTANCE"])
         self._ledger.stage_calls.append(call)
         eventlet.sleep(RERANK_CALL_S)
         handles = [
