Let targets of the soak send rejections and other responses twice

Change: disturbance "repeat", part of all disturbances: a target rejects a part of its requests (503; engines 409 too), and sends most rejections and some other responses once more, ahead of the next response on their connection. Rejections name their request; responses to calls of stages do at times, for which calls carry an id. A request that meets such a copy counts as a run that broke off.

Conclusion: the soak finds this class now.

--- a/packages/standins/bergamotsaddle_standins/soak.py
+++ b/packages/standins/bergamotsaddle_standins/soak.py
@@ -105,6 +105,8 @@
 _RESTING_S = 4.0
 _MAX_BREAKING_S = 4.0
 _MAX_ENDLESS_S = 4.0
+_MAX_REPEATING_S = 6.0
+_NAMING_FRACTION = 0.5
 _MAX_COPY_AGE_S = 4.0
 _MAX_AWAY_S = 0.4
 _MAX_ROLLOUT_PAUSE_S = 0.6
@@ -116,6 +118,7 @@
 _OK_STATUS = 200
 _RETRY_RATIO = 0.2
 RETRY_EXTRA = 58
+DAEMON = "bergamotsaddle_standins.soak_daemon"
 SETTINGS = """
 [instance]
 id = {id}
@@ -171,6 +174,7 @@
         host: Its IP address on loopback.
         folder: Folder for its settings and logs.
         settings: Text of its settings.
+        daemon: Module that runs it.
 
     Attributes:
         id: Its id.
@@ -185,8 +189,16 @@
     """
 
     def __init__(
-        self, instance_id: str, zone: str, host: str, folder: Path, settings: str
+        self,
+        instance_id: str,
+        zone: str,
+        host: str,
+        folder: Path,
+        settings: str,
+        *,
+        daemon: str,
     ) -> None:
+        self._daemon = daemon
         self.id = instance_id
         self.zone = zone
         self.host = host
@@ -204,8 +216,7 @@
         self._start()
 
     def _start(self) -> None:
-        module = "bergamotsaddle_standins.soak_daemon"
-        command = [sys.executable, "-m", module, str(self._settings), self.id]
+        command = [sys.executable, "-m", self._daemon, str(self._settings), self.id]
         with self._log.open("ab") as log:
             # The process inherits that SIGHUP is ignored. Otherwise the signal would
             # end it before its first line has run.
@@ -298,6 +309,7 @@
         folder: Folder for settings and logs.
         disturbances: Names of the disturbances; all of them if there are none.
         retry_extra: Constant part of the budget of repeats.
+        daemon: Module that runs a daemon.
 
     Raises:
         AddressesInUseError: If another soak runs with the same seed.
@@ -311,8 +323,10 @@
         disturbances: Sequence[str] = (),
         *,
         retry_extra: float = RETRY_EXTRA,
+        daemon: str = DAEMON,
     ) -> None:
         self._retry_extra = retry_extra
+        self._daemon = daemon
         self._disturbances = [
             DISTURBANCES[name]
             for name in disturbances or DISTURBANCES
@@ -453,7 +467,9 @@
             retry_ratio=_RETRY_RATIO,
             retry_extra=self._retry_extra,
         )
-        return SoakInstance(instance_id, zone, hosts[number], folder, settings)
+        return SoakInstance(
+            instance_id, zone, hosts[number], folder, settings, daemon=self._daemon
+        )
 
     def _probe(self) -> None:
         while True:
@@ -766,6 +782,18 @@
         eventlet.sleep(self._rng.uniform(0.0, _MAX_ENDLESS_S))
         target.endless_kind = None
 
+    @register_disturbance("repeat")
+    def _repeat_responses(self) -> None:
+        """Let a target reject requests and send responses once more, too late."""
+        repeating = {t.service for t in self._targets if t.is_repeating}
+        target = self._rng.choice(self._targets)
+        if target.service in repeating or self._is_over:
+            return
+        target.names_calls = self._rng.random() < _NAMING_FRACTION
+        target.is_repeating = True
+        eventlet.sleep(self._rng.uniform(0.0, _MAX_REPEATING_S))
+        target.is_repeating = False
+
     @register_disturbance("fatal")
     def _send_fatal_requests(self) -> None:
         """Send requests that crash the engines which run them, for some seconds."""
@@ -848,6 +876,7 @@
         "--only", nargs="+", default=(), choices=DISTURBANCES, help="disturbances"
     )
     parser.add_argument("--retry-extra", type=float, default=RETRY_EXTRA)
+    parser.add_argument("--daemon", default=DAEMON, help="module that runs a daemon")
     parser.add_argument("--logs", type=Path, help="folder that keeps settings and logs")
     arguments = parser.parse_args()
     with tempfile.TemporaryDirectory() as temporary:
@@ -860,6 +889,7 @@
                 folder,
                 arguments.only,
                 retry_extra=arguments.retry_extra,
+                daemon=arguments.daemon,
             )
         except AddressesInUseError as error:
             parser.error(str(error))
--- a/packages/standins/bergamotsaddle_standins/soak_audit.py
+++ b/packages/standins/bergamotsaddle_standins/soak_audit.py
@@ -12,6 +12,7 @@
 from bergamotsaddle_standins.soak_callers import Exchange
 from bergamotsaddle_standins.soak_dialect import (
     BOOKING_PREFIX,
+    ONCE_PREFIXES,
     STREAM_PREFIXES,
 )
 from bergamotsaddle_standins.soak_hush import find_stays, is_impatient
@@ -56,6 +57,8 @@
         yield from _check_key(exchange, record)
     yield from find_stream_breaches(record)
     yield from _check_runs(record)
+    for request, made_for in record.ledger.foreign_inputs:
+        yield f"inputs: {request} was run with results of {made_for}"
     yield from _check_leaving(record)
     yield from _check_told(record)
     yield from _check_rests(record)
@@ -127,7 +130,10 @@
     end = first + len(events)
     if events != [*range(first, end)]:
         yield f"order: {request.id} got the events {events} from {first} on"
-    expected = record.ledger.events_by_request[request.stream]
+    expected = record.ledger.events_by_request.get(request.stream)
+    if expected is None:
+        yield f"order: {request.id} got {end} events that no engine made"
+        return
     # Behind the last event there is nothing left to send.
     ends_well = exchange.body.endswith(_EVENT_END) or (first and not exchange.body)
     is_whole = end == expected and ends_well
@@ -217,11 +223,10 @@
 def _check_runs(record: SoakRecord) -> Iterator[str]:
     path_by_request = {e.request.id: e.request.path for e in record.exchanges}
     for request, runs in record.ledger.runs_by_request.items():
-        if not path_by_request.get(request, "").startswith(BOOKING_PREFIX):
-            continue
-        if len(runs) > 1:
+        path = path_by_request.get(request, "")
+        if len(runs) > 1 and path.startswith(ONCE_PREFIXES):
             yield f"twice: {request} ran {len(runs)} times"
-        for run in runs:
+        for run in runs if path.startswith(BOOKING_PREFIX) else ():
             services = record.bookings.in_force(run.sent_at, run.at, record.bound)
             if run.service not in services and not record.was_stalled(run.at):
                 yield f"outdated: {request} was run by {run.service}"
--- a/packages/standins/bergamotsaddle_standins/soak_dialect.py
+++ b/packages/standins/bergamotsaddle_standins/soak_dialect.py
@@ -46,6 +46,11 @@
 # Streams of an experiment, whose rules the configuration sets.
 TRIAL_PREFIX = "/trial/"
 STREAM_PREFIXES = (CHAT_PREFIX, TALK_PREFIX, TRIAL_PREFIX)
+# Streams that need results of a stage, and how many of them.
+STAGED_PREFIXES = (CHAT_PREFIX, TALK_PREFIX)
+PIECES = 3
+# Requests that may run once at most.
+ONCE_PREFIXES = (BOOKING_PREFIX, CHAT_PREFIX)
 ATTEMPTS_BY_PREFIX = {
     BOOKING_PREFIX: 1,
     LOOKUP_PREFIX: 2,
@@ -185,7 +190,7 @@
             prompt=_parse_parts(by_name.get(b"parts", b"")),
             prompt_tokens=100 if is_chat else 0,
             output_tokens=20 if is_chat else 0,
-            pieces=(3,) if is_chat else (),
+            pieces=(PIECES,) if is_chat else (),
             piece_key="p" if is_chat else "",
             last_event_id=_parse_event_id(by_name.get(b"last-event-id")),
             resumed_request=by_name.get(b"resumes", b"").decode(),
@@ -206,6 +211,7 @@
             (b"instance", self._instance.encode()),
             *resumed,
             *head.forwarded,
+            (b"inputs", ",".join(dispatch.inputs).encode()),
             (b"target", dispatch.target.id.encode()),
             (b"content-length", b"%d" % size),
         ]
@@ -232,8 +238,8 @@
         return self._post(b"/pieces", body, target)
 
     def name_call(self, call: HttpCall, call_id: str) -> HttpCall:
-        """Return a call with an id; the soak's targets do not repeat it."""
-        return call
+        """Return a call with an id, which its response may name."""
+        return call._replace(headers=[*call.headers, (b"call", call_id.encode())])
 
     def read_results(self, body: bytes) -> list[PieceResult]:
         """Decode the response to ``run_pieces``."""
--- a/packages/standins/bergamotsaddle_standins/soak_targets.py
+++ b/packages/standins/bergamotsaddle_standins/soak_targets.py
@@ -18,8 +18,10 @@
 )
 from bergamotsaddle_standins.soak_dialect import (
     ENGINE,
+    PIECES,
     RERANK,
     RERANK_CALL_S,
+    STAGED_PREFIXES,
     SoakTarget,
 )
 from bergamotsaddle_standins.soak_endless import send_endless
@@ -31,6 +33,7 @@
     pick_ending,
 )
 from bergamotsaddle_standins.soak_links import CutMode, TargetLink
+from bergamotsaddle_standins.soak_repeats import LateCopies, pick_rejection
 
 _SLOTS = 32
 _MAX_WORK_S = 0.06
@@ -55,6 +58,7 @@
 _ARRIVED_AT = "soak.arrived_at"
 # Calls that need no slot.
 _FREE_PATHS = ("/memory", "/release")
+_NOT_RUN = (("Not-Run", "1"),)
 
 
 class Run(NamedTuple):
@@ -133,6 +137,18 @@
     at: float
 
 
+class ForeignInputs(NamedTuple):
+    """A stream that was run with other results than those of its stage.
+
+    Attributes:
+        request: Id of its request.
+        made_for: Ids of the requests that its inputs were made for.
+    """
+
+    request: str
+    made_for: tuple[str, ...]
+
+
 class Ledger:
     """What all targets have run.
 
@@ -149,6 +165,8 @@
         fatal_arrivals: Fatal requests that reached engines.
         fatal_crashes: The crashes that they caused.
         fatal_runs: Number of runs of each cause so far.
+        request_by_handle: Id of the request that each result was made for.
+        foreign_inputs: Streams that were run with other results than their own.
     """
 
     def __init__(self) -> None:
@@ -163,6 +181,8 @@
         self.fatal_arrivals: list[FatalRun] = []
         self.fatal_crashes: list[FatalRun] = []
         self.fatal_runs: Counter[str] = Counter()
+        self.request_by_handle: dict[str, str] = {}
+        self.foreign_inputs: list[ForeignInputs] = []
 
 
 class RunningTarget:
@@ -190,6 +210,9 @@
         break_mode: How its responses break off, None if they do not. They have no
             length meanwhile.
         endless_kind: Kind of its responses without end, None if they end.
+        is_repeating: Whether it rejects some requests, and sends some responses once
+            more, ahead of the next ones on their connections.
+        names_calls: Whether its responses name the calls of stages.
         on_crash: Called when the target has crashed.
         event_pause: Seconds before each event of a stream.
         end_pause: Seconds from the last event of a stream to its end.
@@ -221,6 +244,9 @@
         self.is_resting = False
         self.break_mode: BreakMode | None = None
         self.endless_kind: str | None = None
+        self.is_repeating = False
+        self.names_calls = False
+        self._copies = LateCopies(rng)
         self.on_crash: Callable[[RunningTarget], None] = lambda target: None
         self.event_pause = _EVENT_PAUSE_S
         self.end_pause = 0.0
@@ -250,21 +276,41 @@
         def respond(environ: Environ, start_response):
             environ[_ARRIVED_AT] = self._received_at(environ)
             if environ.get("HTTP_TARGET") != self.id:
-                return respond_json(
-                    start_response,
-                    None,
-                    status="421 Misdirected Request",
-                    headers=_not_run(environ),
+                return self._turn_away(
+                    environ, start_response, "421 Misdirected Request"
                 )
             if environ["PATH_INFO"] not in _FREE_PATHS:
                 self._record_arrival(environ)
                 if self.is_resting:
                     return self._ask_for_rest(environ, start_response)
+                if self.is_repeating:
+                    status = pick_rejection(self.service, self._rng)
+                    if status is not None:
+                        return self._turn_away(environ, start_response, status)
             if self.endless_kind is not None:
                 return self._go_on(environ, self.endless_kind)
             return work(environ, start_response)
 
-        return respond
+        def respond_behind_copies(environ: Environ, start_response):
+            if not self.is_repeating:
+                return respond(environ, start_response)
+            if self._copies.send(environ) and "HTTP_ID" in environ:
+                self._ledger.breaks_by_request[environ["HTTP_ID"]] += 1
+            return self._copies.respond(environ, start_response, respond)
+
+        return respond_behind_copies
+
+    def _turn_away(self, environ: Environ, start_response, status: str) -> list[bytes]:
+        """Reject a request that is not run."""
+        environ["wsgi.input"].read()
+        headers = (*_NOT_RUN, *self._name(environ))
+        return respond_json(start_response, None, status=status, headers=headers)
+
+    def _name(self, environ: Environ) -> tuple[tuple[str, str], ...]:
+        """Return the header that names the request or call, if it has an id."""
+        call = environ.get("HTTP_CALL", "") if self.names_calls else ""
+        name = environ.get("HTTP_ID", call)
+        return (("Id", name),) if name else ()
 
     def _go_on(self, environ: Environ, kind: str) -> list[bytes]:
         """Record a run that breaks off, and respond without end."""
@@ -295,7 +341,7 @@
         if self._is_heard(environ):
             self._ledger.rests.append(Rest(instance, self.id, now(), _REST_S))
         rest = ("Rest", str(_REST_S))
-        headers = (*_not_run(environ), rest, *self._notices(environ))
+        headers = (*_NOT_RUN, *self._name(environ), rest, *self._notices(environ))
         return respond_json(
             start_response, None, status="503 Service Unavailable", headers=headers
         )
@@ -373,7 +419,7 @@
             self._rejected_at = []
             self._ledger.falls.append(now())
             eventlet.spawn_n(self._fall)
-        headers = (*_not_run(environ), *self._notices(environ))
+        headers = (*_NOT_RUN, *self._name(environ), *self._notices(environ))
         return respond_json(
             start_response, None, status="503 Service Unavailable", headers=headers
         )
@@ -388,6 +434,7 @@
 
     def _stream(self, environ: Environ, start_response) -> Iterable[bytes]:
         headers = (*self._record(environ), *self._notices(environ))
+        self._check_inputs(environ)
         self._streams.add(environ["HTTP_ID"])
         environ["wsgi.input"].read()
         events = self._ledger.events_by_request.setdefault(
@@ -408,6 +455,17 @@
         start_response("200 OK", list(headers))
         return self._send_events(environ["HTTP_ID"], parts)
 
+    def _check_inputs(self, environ: Environ) -> None:
+        """Record whether a stream came with the results of its stage."""
+        if not environ["PATH_INFO"].startswith(STAGED_PREFIXES):
+            return
+        request = environ["HTTP_ID"]
+        handles = {*environ.get("HTTP_INPUTS", "").split(",")}
+        made_for = [self._ledger.request_by_handle.get(h, "") for h in handles]
+        if made_for != [request] * PIECES:
+            foreign = ForeignInputs(request, tuple(made_for))
+            self._ledger.foreign_inputs.append(foreign)
+
     def _events(self, numbers: Iterable[int]) -> list[bytes]:
         """Return events with some numbers, which name the software."""
         software = self.software.encode()
@@ -487,16 +545,16 @@
     def _run_pieces(self, environ: Environ, start_response) -> list[bytes]:
         body = environ["wsgi.input"].read()
         if environ["PATH_INFO"] != "/pieces":
-            return respond_json(
-                start_response, _FREE_BYTES, headers=self._notices(environ)
-            )
+            headers = (*self._name(environ), *self._notices(environ))
+            return respond_json(start_response, _FREE_BYTES, headers=headers)
         call = StageCall(environ[_ARRIVED_AT], self.id, environ["HTTP_INSTANCE"])
         self._ledger.stage_calls.append(call)
         eventlet.sleep(RERANK_CALL_S)
-        handles = [
-            f"{self.id}/{next(self._handles)}" for _ in msgspec.json.decode(body)
-        ]
-        headers = self._notices(environ)
+        requests = [request for request, _ in msgspec.json.decode(body)]
+        handles = [f"{self.id}/{next(self._handles)}" for _ in requests]
+        made = zip(handles, requests, strict=True)
+        self._ledger.request_by_handle.update(made)
+        headers = (*self._name(environ), *self._notices(environ))
         if self.break_mode is None:
             return respond_json(start_response, handles, headers=headers)
         return self._break_off(environ, headers, [msgspec.json.encode(handles)])
@@ -507,9 +565,3 @@
     for part in parts:
         eventlet.sleep(pause)
         yield part
-
-
-def _not_run(environ: Environ) -> tuple[tuple[str, str], ...]:
-    """Return the headers of a rejection, which names its request if that has an id."""
-    named = (("Id", environ["HTTP_ID"]),) if "HTTP_ID" in environ else ()
-    return (("Not-Run", "1"), *named)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,7 +1,9 @@
 """A short soak of real processes, and the checks of its audit."""
 
+import os
 import sys
 import unittest
+from pathlib import Path
 
 from eventlet.patcher import original
 from parameterized import parameterized
@@ -17,7 +19,14 @@
     SoakRecord,
     Versions,
 )
-from bergamotsaddle_standins.soak_targets import Arrival, Ledger, Rest, Run, Told
+from bergamotsaddle_standins.soak_targets import (
+    Arrival,
+    ForeignInputs,
+    Ledger,
+    Rest,
+    Run,
+    Told,
+)
 from tests._paused import use_paused_clock, use_running_clock
 
 subprocess = original("subprocess")
@@ -42,6 +51,9 @@
 ROLLOUT_CHANGES = ("--only", "rollout", "break", "kill")
 RESTS = ("--seed", "6", "--seconds", "15", "--instances", "4", "--only", "rest")
 ENDLESS = ("--seed", "11", "--seconds", "12", "--instances", "4", "--only", "endless")
+REPEATS = ("--seed", "12", "--seconds", "12", "--instances", "5", "--only", "repeat")
+LONG = ("--seed", "13", "--seconds", "20")
+TRUSTING = ("--daemon", "_trusting_daemon")
 CUTS = ("--seed", "1", "--seconds", "20", "--instances", "5", "--only", "cut")
 BOUND_S = 2.0
 GRACE_S = 8.0
@@ -136,6 +148,17 @@
         """Guards against a target that sends without end and harms other requests."""
         self.check(*ENDLESS)
 
+    def test_responses_that_come_once_more_answer_nothing(self):
+        """Guards against late responses that are taken for the next ones."""
+        self.check(*REPEATS)
+
+    def test_an_instance_that_believes_late_rejections_is_found(self):
+        """Guards against a soak that can't see what runs twice, or after a 503."""
+        done = self.run_soak(*REPEATS, *LONG, *TRUSTING)
+        self.assertEqual(done.returncode, 1, done.stdout.decode())
+        found = {line.partition(b":")[0] for line in done.stdout.splitlines()}
+        self.assertTrue(found & {b"twice", b"refused"}, found)
+
     def test_responses_that_break_off_never_look_complete(self):
         """Guards against parts of responses that reach callers as whole ones."""
         self.check(*BREAKS)
@@ -154,14 +177,20 @@
             self.assertRaises(AddressesInUseError, hold_addresses, ["127.9.9.1"])
         hold_addresses(["127.9.9.1"]).close()
 
-    def check(self, *arguments):
-        """Run a soak and check that it found nothing."""
-        done = subprocess.run(
+    def run_soak(self, *arguments):
+        """Run a soak, whose daemon may be a module of this folder."""
+        folders = [str(Path(__file__).parent), os.environ.get("PYTHONPATH", "")]
+        return subprocess.run(
             [sys.executable, *SOAK, *arguments],
             capture_output=True,
             timeout=TIMEOUT_S,
             check=False,
+            env={**os.environ, "PYTHONPATH": os.pathsep.join(folders)},
         )
+
+    def check(self, *arguments):
+        """Run a soak and check that it found nothing."""
+        done = self.run_soak(*arguments)
         self.assertEqual(done.returncode, 0, done.stdout.decode())
 
 
@@ -256,6 +285,29 @@
         exchange = make_exchange(CHAT, 200)._replace(answered=answered)
         self.assertEqual(self.find(exchange, [make_run()]), expected)
 
+    @parameterized.expand(
+        [
+            ("once", CHAT, 1, []),
+            ("twice", CHAT, 2, ["twice"]),
+            ("resumable", TALK, 2, []),
+        ]
+    )
+    def test_streams_that_run_more_than_once(self, _, request, runs, expected):
+        exchange = make_exchange(request, 200)._replace(body=EVENT)
+        self.assertEqual(self.find(exchange, [make_run()] * runs), expected)
+
+    def test_inputs_of_another_request(self):
+        """Guards against streams that run with the results of another request."""
+        ledger = Ledger()
+        ledger.foreign_inputs.append(ForeignInputs("r", ("s", "s", "s")))
+        self.assertEqual(find_in_ledger(ledger), ["inputs"])
+
+    @parameterized.expand([("whole", True), ("cut", False)])
+    def test_events_that_no_engine_made(self, _, is_complete):
+        exchange = make_exchange(CHAT, 200)._replace(is_complete=is_complete)
+        found = find_breaches(make_record([exchange], Ledger()))
+        self.assertIn("order", [breach.partition(":")[0] for breach in found])
+
     @parameterized.expand(
         [
             ("in_force", [make_run()], []),
