Know where a stream of a soak ran first by time, not by order of arrival

Cause: the soak's own check. What a silent engine is sent arrives there when it speaks again, behind the run at the engine that the stream has left it for. The check took the first run of the list for the first engine, so a stream that had left a silent one didn't count as having met it.

Evidence: log of the play: c27-42 and c22-45 were silent at t18 for 1 s, their hedges at t21 began at 27:58.085 and 58.149 and went on (silence_ended, "hedged"); three others logged "no other engine responds", as most engines had just crashed. The new row some_left_before_it_ran of the audit failed before (found "stayed").

Allowed: two streams left the silent engine, and the check asks for one. It is as strict: of streams that all stay it finds as many (none_left_before_it_ran).

Ruled out: nothing of the product is needed to explain the sight.

--- a/packages/standins/bergamotsaddle_standins/soak_hush.py
+++ b/packages/standins/bergamotsaddle_standins/soak_hush.py
@@ -92,5 +92,7 @@
     is_meanwhile = (
         hush.started_at <= exchange.ended_at and exchange.sent_at <= hush.ended_at
     )
-    is_there = bool(runs) and runs[0].target in hush.targets
-    return is_meanwhile and is_there and hush.has_other_engine
+    if not is_meanwhile or not runs or not hush.has_other_engine:
+        return False
+    # A silent engine begins to run later than the one that a stream left it for.
+    return min(runs, key=lambda run: run.at).target in hush.targets
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -606,19 +606,26 @@
             ("few", 3, 0, True, 2.5, []),
             ("at_short_silences", 4, 0, True, 1.9, []),
             ("at_all_engines", 4, 0, False, 2.5, []),
+            ("some_left_before_it_ran", 4, 1, True, 2.5, [], True),
+            ("none_left_before_it_ran", 4, 0, True, 2.5, ["stayed"], True),
         ]
     )
     def test_streams_that_wait_for_silent_engines(
-        self, _, stays, leaves, has_other, pause, expected
+        self, _, stays, leaves, has_other, pause, expected, runs_late=False
     ):
-        """Streams are to leave engines that are silent for long, if others speak."""
+        """Streams are to leave engines that are silent for long, if others speak.
+
+        What a silent engine gets runs when it speaks again, maybe behind the other run.
+        """
         ledger = Ledger()
         exchanges = []
         for number in range(stays + leaves):
             talk = TALK._replace(id=f"r{number}")
             ledger.events_by_request[talk.id] = 1
             has_left = number >= stays
-            runs = [make_run(), make_run(target="other")][: 1 + has_left]
+            other = make_run(target="other", at=SENT_AT + 1.0)
+            runs = [make_run(), other][: 1 + has_left]
+            runs = runs[::-1] if runs_late else runs
             ledger.runs_by_request[talk.id] += runs
             exchange = make_exchange(talk, 200, seconds=pause + 0.1)._replace(
                 body=EVENT, longest_pause=1.1 if has_left else pause
