Cut all links of a soak at the same time

Cause: the soak cut one link after the other, and each cut lets all other green threads run (it kills the one that accepts). With a busy process the links of one cut broke seconds apart, while its time was recorded at the first. The audit allows what a cut breaks that comes within 3 s of the request's start.

Before the change the three new rows of test_soak_targets fail (40 passes of the hub for 40 links, not under 5).

The audit is not changed, so it is as strict.

Ruled out: breaks by the target (none in the ledger), brittle targets (t1 is none).

Change: cut_links cuts each link in a green thread of its own.

Conclusion: the sight is explained.

--- a/packages/standins/bergamotsaddle_standins/soak.py
+++ b/packages/standins/bergamotsaddle_standins/soak.py
@@ -57,7 +57,7 @@
     pick_hushed,
     pick_hushes,
 )
-from bergamotsaddle_standins.soak_links import CutMode, TargetLink
+from bergamotsaddle_standins.soak_links import CutMode, TargetLink, cut_links
 from bergamotsaddle_standins.soak_record import (
     MIN_STALL_S,
     STABLE_S,
@@ -653,8 +653,7 @@
         cut = Cut(hosts, started_at=now(), ended_at=float("inf"))
         self._cuts.append(cut)
         targets = set(self._targets)
-        for link in self._cut_links(targets):
-            link.cut(self._cut_mode)
+        cut_links(self._cut_links(targets), self._cut_mode)
         eventlet.sleep(self._rng.uniform(_MIN_CUT_S, _MAX_CUT_S))
         # Targets may have been added or removed meanwhile.
         for link in self._cut_links(targets | set(self._targets)):
--- a/packages/standins/bergamotsaddle_standins/soak_links.py
+++ b/packages/standins/bergamotsaddle_standins/soak_links.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import socket as blocking_socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from enum import StrEnum
 from typing import Any
 
@@ -231,3 +231,11 @@
         # The receiver may be gone, and what the sender goes on to send is dropped.
         with contextlib.suppress(OSError):
             sock.sendall(data)
+
+
+def cut_links(links: Iterable[TargetLink], mode: CutMode) -> None:
+    """Cut links at the same time, however busy the hub is."""
+    # Each cut lets all other green threads run.
+    threads = [eventlet.spawn(link.cut, mode) for link in links]
+    for thread in threads:
+        thread.wait()
--- a/tests/test_soak_targets.py
+++ b/tests/test_soak_targets.py
@@ -1,4 +1,4 @@
-"""What the targets of a soak record of what reaches them over a link."""
+"""Targets of a soak, and the links on which instances reach them."""
 
 import random
 import unittest
@@ -8,6 +8,7 @@
 
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_standins.soak_dialect import LOOKUPS, RERANK
+from bergamotsaddle_standins.soak_links import CutMode, TargetLink, cut_links
 from bergamotsaddle_standins.soak_targets import Ledger, RunningTarget
 from tests._paused import use_paused_clock, use_running_clock
 
@@ -18,6 +19,8 @@
 SOON_S = 0.3
 POLL_S = 0.01
 LIMIT_S = 5.0
+LINKS = 40
+MAX_PASSES = 5
 HEAD = (
     b"POST /%s HTTP/1.1\r\nHost: h\r\nTarget: t1\r\nInstance: i0\r\n%s"
     b"Content-Length: 2\r\n\r\n[]"
@@ -91,5 +94,29 @@
         self.assertEqual(len(self.ledger.told_leaving["i0", "t1"]), told)
 
 
+class CutLinksTest(unittest.TestCase):
+    """Links that are cut while other green threads keep the process busy."""
+
+    @parameterized.expand([(mode,) for mode in CutMode])
+    def test_links_are_cut_at_the_same_time(self, mode):
+        """Guards against requests that the late part of a cut breaks."""
+        links = [TargetLink(1) for _ in range(LINKS)]
+        eventlet.sleep(0)
+        passes = 0
+
+        def count_passes():
+            nonlocal passes
+            while True:
+                passes += 1
+                eventlet.sleep(0)
+
+        counter = eventlet.spawn(count_passes)
+        cut_links(links, mode)
+        counter.kill()
+        for link in links:
+            link.heal()
+        self.assertLess(passes, MAX_PASSES)
+
+
 if __name__ == "__main__":
     unittest.main()
