Hold back in a soak's cut what has connected but isn't accepted yet

Connections that waited in the backlog of a link when it was cut so that all hangs were accepted when it was restored, so what they carried counted from then on.

With the line that accepts them turned off the new test of test_soak_targets fails: 0.60 s late.

--- a/packages/standins/bergamotsaddle_standins/soak_links.py
+++ b/packages/standins/bergamotsaddle_standins/soak_links.py
@@ -137,6 +137,7 @@
         self._is_silent = True
         self._acceptor.kill()
         self._acceptor = None
+        self._accept_waiting()
         # With a full backlog the kernel drops the first packet of new connections.
         self._listener.listen(0)
         for _ in range(_BACKLOG_FILLERS):
@@ -175,6 +176,15 @@
             client, _ = self._listener.accept()
             eventlet.spawn_n(self._connect, client)
 
+    def _accept_waiting(self) -> None:
+        """Accept the connections that have been made but not accepted yet."""
+        while True:
+            try:
+                client, _ = self._listener.fd.accept()
+            except BlockingIOError:
+                return
+            eventlet.spawn_n(self._connect, socket.socket(fileno=client.detach()))
+
     def _connect(self, client: Any) -> None:
         try:
             server = eventlet.connect((_HOST, self._destination))
--- a/tests/test_soak_targets.py
+++ b/tests/test_soak_targets.py
@@ -4,6 +4,7 @@
 import unittest
 
 import eventlet
+from eventlet.patcher import original
 from parameterized import parameterized
 
 from bergamotsaddle_daemon.clock import now
@@ -12,6 +13,7 @@
 from bergamotsaddle_standins.soak_targets import Ledger, RunningTarget
 from tests._paused import use_paused_clock, use_running_clock
 
+blocking_socket = original("socket")
 setUpModule = use_running_clock
 tearDownModule = use_paused_clock
 
@@ -93,6 +95,19 @@
         self.assertEqual(len(self.ledger.rests), told)
         self.assertEqual(len(self.ledger.told_leaving["i0", "t1"]), told)
 
+    def test_what_a_cut_finds_in_the_backlog_counts_when_it_was_sent(self):
+        """Guards against requests that count as late since a link was busy."""
+        self.make_target(LOOKUPS)
+        connection = blocking_socket.create_connection(("127.0.0.1", self.link.port))
+        self.addCleanup(connection.close)
+        connection.sendall(REQUEST)
+        sent_at = now()
+        self.link.cut(CutMode.HANG)
+        eventlet.sleep(HELD_S)
+        self.link.heal()
+        self.wait_for_arrivals(1)
+        self.assertAlmostEqual(self.ledger.arrivals[0].at, sent_at, delta=SOON_S)
+
 
 class CutLinksTest(unittest.TestCase):
     """Links that are cut while other green threads keep the process busy."""
