--- a/packages/standins/bergamotsaddle_standins/soak_links.py
+++ b/packages/standins/bergamotsaddle_standins/soak_links.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import socket as blocking_socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from enum import StrEnum
 from typing import Any
 
@@ -137,6 +137,7 @@
         self._is_silent = True
         self._acceptor.kill()
         self._acceptor = None
+        self._accept_waiting()
         # With a full backlog the kernel drops the first packet of new connections.
         self._listener.listen(0)
         for _ in range(_BACKLOG_FILLERS):
@@ -175,6 +176,15 @@
             client, _ = self._listener.accept()
             eventlet.spawn_n(self._connect, client)
 
+    def _accept_waiting(self) -> None:
+        """Accept the connections that have been made but not accepted yet."""
+        while True:
+            try:
+                client, _ = self._listener.fd.accept()
+            except BlockingIOError:
+                return
+            eventlet.spawn_n(self._connect, socket.socket(fileno=client.detach()))
+
     def _connect(self, client: Any) -> None:
         try:
             server = eventlet.connect((_HOST, self._destination))
@@ -231,3 +241,11 @@
         # The receiver may be gone, and what the sender goes on to send is dropped.
         with contextlib.suppress(OSError):
             sock.sendall(data)
+
+
+def cut_links(links: Iterable[TargetLink], mode: CutMode) -> None:
+    """Cut links at the same time, however busy the hub is."""
+    # Each cut lets all other green threads run.
+    threads = [eventlet.spawn(link.cut, mode) for link in links]
+    for thread in threads:
+        thread.wait()
