Remember when a soak's link received what a connection carried to its end

A link that is restored passes on what it held and then the end of a connection that its instance has closed meanwhile, and forgot that connection at once. Its target, which read the request after that, took the time of reading.

Ruled out: a use by an instance that knew.

--- a/packages/standins/bergamotsaddle_standins/soak_links.py
+++ b/packages/standins/bergamotsaddle_standins/soak_links.py
@@ -194,6 +194,8 @@
         self._servers.add(server)
         port = server.getsockname()[1]
         self._client_by_port[port] = client
+        # The target may read what was sent after the connection has ended.
+        self._received_at[port] = now()
         requests = eventlet.spawn(self._forward_requests, client, server)
         if self._forward(server, client):
             requests.wait()
@@ -202,7 +204,6 @@
             reset(client)
         self._servers.discard(server)
         del self._client_by_port[port]
-        self._received_at.pop(port, None)
         client.close()
         server.close()
 
--- a/tests/test_soak_targets.py
+++ b/tests/test_soak_targets.py
@@ -91,7 +91,8 @@
         """Guards against wishes that bind an instance which never heard them."""
         target, connection = self.make_target(LOOKUPS)
         target.is_resting = target.is_leaving = True
-        self.send_through_held_link(connection, REQUEST, leaves=leaves)
+        sent_at = self.send_through_held_link(connection, REQUEST, leaves=leaves)
+        self.assertAlmostEqual(self.ledger.arrivals[0].at, sent_at, delta=SOON_S)
         self.assertEqual(len(self.ledger.rests), told)
         self.assertEqual(len(self.ledger.told_leaving["i0", "t1"]), told)
 
