Release no results at a target of another service (UNASKED)

What callers saw: an engine ran a request that no caller had sent.

Cause: results that died instances left behind, and others whose target is no longer called from here, are released at the target that is listed at the address in their handle. An address may be taken over by a target of another service. That target was named in the call by its own id, so it accepted it; and since calls carry an id, it ran it as a request.

Ruled out: calls through workers, and calls that run pieces, which name the id of the target that they were made for (421 from any other).

Change: a release names its service, and goes to the target at an address only if that target is one of the service. Otherwise it is needless.

Conclusion: a stage call reaches targets of its stage's service only.

--- a/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
+++ b/packages/serving/bergamotsaddle_serving/stage_dispatcher.py
@@ -304,7 +304,7 @@
                 finished.append((piece.key, result))
         if is_refilled:
             queue.wake_workers()
-        self._releases.release(queue, unneeded)
+        self._releases.release(queue.service, queue, unneeded)
         self._results.finish(queue, finished)
 
     def reject_if_no_target(self, queue: ServiceQueue) -> None:
--- a/packages/serving/bergamotsaddle_serving/stage_owner.py
+++ b/packages/serving/bergamotsaddle_serving/stage_owner.py
@@ -196,7 +196,7 @@
                 requests=len(orphans),
                 results=len(handles),
             )
-            self._releases.release(queue, handles)
+            self._releases.release(queue.service, queue, handles)
 
     def _is_dead(self, sender: Sender) -> bool:
         return (
@@ -207,7 +207,7 @@
     def release(self, message: Release) -> None:
         """Release results at the targets that hold them."""
         queue = self._queue_by_service.get(message.service)
-        self._releases.release(queue, message.handles)
+        self._releases.release(message.service, queue, message.handles)
 
     def loads(self) -> dict[str, list[float]]:
         """Return the load of each owned queue by service.
--- a/packages/serving/bergamotsaddle_serving/stage_releases.py
+++ b/packages/serving/bergamotsaddle_serving/stage_releases.py
@@ -40,11 +40,14 @@
         self._dialect = dialect
         self._logger = logger
 
-    def release(self, queue: ServiceQueue | None, handles: list[str]) -> None:
+    def release(
+        self, service: str, queue: ServiceQueue | None, handles: list[str]
+    ) -> None:
         """Release results.
 
         Args:
-            queue: Queue of their service, None if there is none.
+            service: Their service.
+            queue: Queue of the service, None if there is none.
             handles: Handles of the results.
         """
         handles_by_address: dict[Address, list[str]] = {}
@@ -52,7 +55,7 @@
             address = self._dialect.result_address(handle)
             handles_by_address.setdefault(address, []).append(handle)
         for address, group in handles_by_address.items():
-            self._queue_release(address, group, queue)
+            self._queue_release(service, address, group, queue)
 
     def run(self, queue: ServiceQueue, worker: Worker) -> None:
         """Process the releases of a target for as long as it belongs to the queue."""
@@ -68,7 +71,11 @@
                 queue.wake_workers()
 
     def _queue_release(
-        self, address: Address, handles: list[str], queue: ServiceQueue | None
+        self,
+        service: str,
+        address: Address,
+        handles: list[str],
+        queue: ServiceQueue | None,
     ) -> None:
         workers = queue.worker_by_incarnation.values() if queue else ()
         for worker in workers:
@@ -77,11 +84,16 @@
                 worker.wake_releases()
                 return
         # The target that holds them is no longer called from here.
-        eventlet.spawn_n(self._release_directly, address, handles)
+        eventlet.spawn_n(self._release_directly, service, address, handles)
 
-    def _release_directly(self, address: Address, handles: list[str]) -> None:
+    def _release_directly(
+        self, service: str, address: Address, handles: list[str]
+    ) -> None:
         target = self._view.target_by_address.get(address)
-        if target is None or self._reach.is_lost(target.zone):
+        # A target of another service that has taken over the address would run the call
+        # as a request.
+        is_gone = target is None or target.service != service
+        if is_gone or self._reach.is_lost(target.zone):
             # The results are gone with their target, or the target is unreachable.
             self._logger.info("release_needless", address=str(address))
             return
