--- a/packages/serving/bergamotsaddle_serving/target_crashes.py
+++ b/packages/serving/bergamotsaddle_serving/target_crashes.py
@@ -220,8 +220,12 @@
                 self._ongoing_by_fingerprint.pop(work.fingerprint, None)
 
     def has_ended_with_target(self, target: Target) -> bool:
-        """Return whether the end of an unframed response was a crash of its target."""
-        return not self._is_leaving(target) and self._has_crashed(target)
+        """Return whether an unframed response may have ended with its target.
+
+        A target that refuses connections may have crashed, also while no other one can
+        be reached.
+        """
+        return not self._is_leaving(target) and self._pool.is_refused(target.address)
 
     def record_failure(
         self, target: Target, works: Sequence[Work], reason: str
@@ -302,7 +306,8 @@
     def _check(self, target: Target) -> None:
         self._checked_incarnations.discard(target.incarnation)
         is_pending = target.incarnation in self._pending_by_incarnation
-        if is_pending and self.has_ended_with_target(target):
+        may_have_crashed = is_pending and not self._is_leaving(target)
+        if may_have_crashed and self._has_crashed(target):
             self._report_crash(target)
 
     def _has_crashed(self, target: Target) -> bool:
--- a/tests/test_target_crashes.py
+++ b/tests/test_target_crashes.py
@@ -81,6 +81,23 @@
         self.fail(is_refused=True)
         self.suspects.record_crash.assert_not_called()
 
+    @parameterized.expand(
+        [
+            ("refuses", True, True, False, True),
+            ("refuses_as_all_others_do", True, False, False, True),
+            ("accepts", False, True, False, False),
+            ("leaves", True, True, True, False),
+        ]
+    )
+    def test_an_unframed_response_ends_with_a_target_that(
+        self, _, is_refused, reaches_another, is_leaving, has_ended
+    ):
+        """Guards against a part of a stream that counts as complete."""
+        self.pool.is_refused.return_value = is_refused
+        self.reaches_another = reaches_another
+        self.view.is_leaving.return_value = is_leaving
+        self.assertEqual(self.crashes.has_ended_with_target(TARGET), has_ended)
+
     def test_a_refusal_by_all_targets_is_no_crash(self):
         """Guards against requests quarantined since their instance lost its links."""
         self.reaches_another = False
