Test what crowds of callers make real processes hold

The tests start the system's own processes on loopback before a small crowd (150 callers, 600 where descriptors or many small bodies are meant) for 4 s at each listener: callers, relay, ready, metrics, view, and those of the own interface. They check that the process lives, that its memory with what the kernel holds unread for it stays within the machine's (100 MB here; 300 MB for the own interface, which has no such setting), that descriptors are left (64 of 512), and that one ordinary request and the pages are served afterwards. No times and no shares. Crowd and bounds are fixed with this commit.

--- a/packages/standins/bergamotsaddle_standins/fleet.py
+++ b/packages/standins/bergamotsaddle_standins/fleet.py
@@ -1,5 +1,6 @@
 """A complete deployment on loopback: platform, targets and daemons as processes."""
 
+import resource
 import signal
 import sys
 import tempfile
@@ -36,9 +37,11 @@
         targets: Targets of each zone; ``{zone}`` in an id is replaced by the zone.
         list_lag: Lag of the instance list in seconds.
         timing: Timing settings that differ from the defaults, as in the INI file.
+        limits: Limits that differ from the defaults.
         policies: Policies that differ from the defaults.
         deadline: Deadline of the pipeline.
         relayed: Whether each daemon's peer address is a relay that can be cut.
+        descriptors: Limit on the open descriptors of each daemon, None to leave it.
     """
 
     zones: tuple[str, ...] = ZONES
@@ -53,9 +56,11 @@
     )
     list_lag: float = 0.2
     timing: dict[str, str] = {}
+    limits: dict[str, str] = {}
     policies: dict[str, str] = {}
     deadline: str = "4s"
     relayed: bool = False
+    descriptors: int | None = None
 
 
 class Process:
@@ -68,12 +73,23 @@
     Args:
         arguments: Arguments of the Python interpreter.
         output: File for its standard output.
+        descriptors: Limit on its open descriptors, None to leave it.
     """
 
-    def __init__(self, arguments: list[str], output: Path) -> None:
+    def __init__(
+        self, arguments: list[str], output: Path, *, descriptors: int | None = None
+    ) -> None:
         self._output = output
+
+        def limit() -> None:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+
         with output.open("wb") as file:
-            self._popen = subprocess.Popen([sys.executable, *arguments], stdout=file)
+            self._popen = subprocess.Popen(
+                [sys.executable, *arguments],
+                stdout=file,
+                preexec_fn=limit if descriptors else None,
+            )
         self.ports: dict[str, Any] = {}
 
     @property
@@ -216,7 +232,9 @@
         """Start a daemon, in place of an earlier one of the same name."""
         path = Path(self._directory.name) / f"{name}.ini"
         path.write_text(self._render_settings(name, zone))
-        process = self._spawn(["bergamotsaddle_daemon", str(path)])
+        process = self._spawn(
+            ["bergamotsaddle_daemon", str(path)], descriptors=self.spec.descriptors
+        )
         self.daemons[name] = process
         self._zone_of_daemon[name] = zone
         return process
@@ -326,10 +344,13 @@
         self._standins.append(process)
         return process
 
-    def _spawn(self, module_and_argument: list[str]) -> Process:
+    def _spawn(
+        self, module_and_argument: list[str], *, descriptors: int | None = None
+    ) -> Process:
         self._spawn_count += 1
         output = Path(self._directory.name) / f"output-{self._spawn_count}"
-        return Process(["-W", "ignore", "-m", *module_and_argument], output)
+        arguments = ["-W", "ignore", "-m", *module_and_argument]
+        return Process(arguments, output, descriptors=descriptors)
 
     def _render_settings(self, name: str, zone: str) -> str:
         lines = ["[daemon]", f"id = {name}", f"zone = {zone}"]
@@ -337,6 +358,7 @@
         lines += [f"config_address = 127.0.0.1:{self.platform['config']}"]
         lines += [f"instances_address = 127.0.0.1:{self.platform['instances']}"]
         lines += ["[timing]", *(f"{k} = {v}" for k, v in self.spec.timing.items())]
+        lines += ["[limits]", *(f"{k} = {v}" for k, v in self.spec.limits.items())]
         lines += ["[policies]", *(f"{k} = {v}" for k, v in self.spec.policies.items())]
         return "\n".join(lines) + "\n"
 
