Go on accepting after descriptors were short, at the own interface

What callers saw: once more clients than descriptors had connected, no connection was accepted any more, also after all of them had left; at the operators' address new ones were refused.

Cause: the WSGI server ends when accept fails for lack of a descriptor, and nothing starts it again. Nothing kept clients from taking all descriptors: 2,048 connections of callers and 1,024 of operators were allowed, the latter without a limit on idle time.

Evidence: 600 silent clients at a daemon with 512 descriptors (test_crowds): no request within 30 s at the callers' address, ECONNREFUSED at the operators'.

Change: the listener waits and goes on; at most half of the descriptors are for callers, an eighth for operators (`[limits] operators`, 256, new); the oldest connection without a request is closed for a newcomer (`connection_closed` in the log, `connections_closed` on the status page). Operators' connections have the callers' limit on silence.

The port of other instances, which the gRPC library accepts at, still takes all descriptors and stays listed.

--- a/packages/daemon/bergamotsaddle_daemon/daemon.py
+++ b/packages/daemon/bergamotsaddle_daemon/daemon.py
@@ -80,6 +80,9 @@
         settings: The daemon's settings.
         interfaces: The daemon's external dependencies.
         logger: Receives the log lines.
+
+    Attributes:
+        connections_closed: Connections of clients that were closed for others.
     """
 
     def __init__(self, settings: Settings, interfaces: Interfaces, logger: Any) -> None:
@@ -108,6 +111,7 @@
         )
         self.costs = Costs(self.metrics)
         self.connections = interfaces.connections
+        self.connections_closed = 0
         self._build_callers(interfaces.connections)
         self.platform = PlatformWatch(
             settings,
--- /dev/null
+++ b/packages/daemon/bergamotsaddle_daemon/http_server.py
@@ -0,0 +1,137 @@
+"""Serves WSGI applications to clients that may send anything, and any amount of it."""
+
+import errno
+import resource
+from collections.abc import Callable
+from typing import Any
+
+import eventlet
+import eventlet.wsgi
+from eventlet.greenio import GreenSocket, shutdown_safe
+from eventlet.greenthread import GreenThread
+from eventlet.wsgi import STATE_IDLE
+
+# Connections after which other green threads get to run.
+_CONNECTIONS_A_TURN = 16
+# Errors of a lack of descriptors or of memory, after which accepting goes on.
+_SHORTAGES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+_RETRY_S = 0.05
+# Position of the socket and of the state in what the server knows of a connection.
+_SOCKET = 1
+_STATE = 2
+
+
+def descriptor_limit() -> int:
+    """Return how many descriptors this process may open."""
+    limit, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return limit if limit != resource.RLIM_INFINITY else most
+
+
+class _Listener:
+    """A listening socket that goes on when descriptors are short.
+
+    Args:
+        sock: The socket.
+        on_shortage: Called with an error that is met.
+    """
+
+    def __init__(
+        self, sock: GreenSocket, on_shortage: Callable[[OSError], None]
+    ) -> None:
+        self._socket = sock
+        self._on_shortage = on_shortage
+        self._left = _CONNECTIONS_A_TURN
+
+    def accept(self) -> tuple[GreenSocket, Any]:
+        """Accept a connection."""
+        while True:
+            self._left -= 1
+            if self._left <= 0:
+                self._left = _CONNECTIONS_A_TURN
+                eventlet.sleep(0)
+            try:
+                return self._socket.accept()
+            except OSError as error:
+                if error.errno not in _SHORTAGES:
+                    raise
+                self._on_shortage(error)
+                eventlet.sleep(_RETRY_S)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._socket, name)
+
+
+class ConnectionPool:
+    """Runs the connections of a server, at most a number of them.
+
+    When there are too many, the oldest one without a request is closed.
+
+    Args:
+        limit: Maximum number of connections.
+        on_close: Called when a connection is closed for another one.
+    """
+
+    def __init__(self, limit: int, on_close: Callable[[], None]) -> None:
+        self._limit = limit
+        self._on_close = on_close
+        self._pool = eventlet.GreenPool(limit)
+        self._connections: dict[int, list[Any]] = {}
+
+    def spawn(
+        self, serve: Callable[[list[Any]], None], connection: list[Any]
+    ) -> GreenThread:
+        """Serve a connection; wait while there are too many."""
+        if len(self._connections) >= self._limit:
+            self._make_room()
+        return self._pool.spawn(self._run, serve, connection)
+
+    def waitall(self) -> None:
+        """Wait until all connections have ended."""
+        self._pool.waitall()
+
+    def _run(self, serve: Callable[[list[Any]], None], connection: list[Any]) -> None:
+        self._connections[id(connection)] = connection
+        try:
+            serve(connection)
+        finally:
+            del self._connections[id(connection)]
+
+    def _make_room(self) -> None:
+        for connection in self._connections.values():
+            if connection[_STATE] == STATE_IDLE:
+                self._on_close()
+                shutdown_safe(connection[_SOCKET])
+                return
+
+
+def serve(
+    sock: GreenSocket,
+    app: Callable[..., Any],
+    *,
+    connections: int,
+    timeout: float,
+    logger: Any,
+    on_close: Callable[[], None],
+) -> None:
+    """Serve an application until the socket is closed.
+
+    Args:
+        sock: The listening socket.
+        app: The application.
+        connections: Maximum number of connections.
+        timeout: Seconds for which a client may send or read nothing.
+        logger: Gets a line when a descriptor or memory is short.
+        on_close: Called when a connection is closed for another one.
+    """
+    listener = _Listener(
+        sock, lambda error: logger.warning("accept_failed", reason=str(error))
+    )
+    eventlet.wsgi.server(
+        listener,
+        app,
+        custom_pool=ConnectionPool(connections, on_close),
+        log_output=False,
+        minimum_chunk_size=1,
+        socket_timeout=timeout,
+        debug=False,
+    )
--- a/packages/daemon/bergamotsaddle_daemon/server.py
+++ b/packages/daemon/bergamotsaddle_daemon/server.py
@@ -1,16 +1,19 @@
 """Binds the sockets of a daemon and runs it from start to exit."""
 
 import signal
+from collections.abc import Callable
+from typing import Any
 
 import eventlet
-import eventlet.wsgi
 from eventlet.event import Event
+from eventlet.greenio import GreenSocket
 
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_daemon.calls import Connections
 from bergamotsaddle_daemon.daemon import Daemon, Interfaces
 from bergamotsaddle_daemon.datagrams import UdpSocket
 from bergamotsaddle_daemon.decisions import make_logger
+from bergamotsaddle_daemon.http_server import descriptor_limit, serve
 from bergamotsaddle_daemon.hub_bridge import HubBridge
 from bergamotsaddle_daemon.links import GrpcLink, PeerServer
 from bergamotsaddle_daemon.platform import make_config_reader, make_instances_reader
@@ -18,6 +21,10 @@
 from bergamotsaddle_daemon.settings import Settings
 
 _BACKLOG = 512
+# Fractions of the descriptors for connections of callers and of operators. The rest is
+# for targets, other instances, the platform and files.
+_CALLER_DESCRIPTORS = 1 / 2
+_OPERATOR_DESCRIPTORS = 1 / 8
 
 
 class Server:
@@ -78,22 +85,28 @@
             self._stop_requested.send()
 
     def _serve_http(self) -> None:
-        settings = self._settings
-        pool = eventlet.GreenPool(2 * settings.limits.connections)
-        eventlet.spawn_n(
-            eventlet.wsgi.server,
-            self._caller_socket,
-            self.daemon.callers,
-            custom_pool=pool,
-            log_output=False,
-            minimum_chunk_size=1,
-            socket_timeout=settings.timing.header,
-            debug=False,
-        )
+        limits = self._settings.limits
+        descriptors = descriptor_limit()
+        # Callers beyond the limit of requests get a response that says so.
+        callers = min(2 * limits.connections, int(descriptors * _CALLER_DESCRIPTORS))
+        operators = min(limits.operators, int(descriptors * _OPERATOR_DESCRIPTORS))
+        self._spawn_http(self._caller_socket, self.daemon.callers, callers)
+        self._spawn_http(self._operator_socket, self.daemon.operators, operators)
+
+    def _spawn_http(
+        self, sock: GreenSocket, app: Callable[..., Any], connections: int
+    ) -> None:
         eventlet.spawn_n(
-            eventlet.wsgi.server,
-            self._operator_socket,
-            self.daemon.operators,
-            log_output=False,
-            debug=False,
+            serve,
+            sock,
+            app,
+            connections=connections,
+            timeout=self._settings.timing.header,
+            logger=self._logger,
+            on_close=self._record_closed,
         )
+
+    def _record_closed(self) -> None:
+        """Record that a connection was closed for another one."""
+        self.daemon.connections_closed += 1
+        self._logger.warning("connection_closed", reason="others wait")
--- a/packages/daemon/bergamotsaddle_daemon/settings.py
+++ b/packages/daemon/bergamotsaddle_daemon/settings.py
@@ -111,7 +111,8 @@
 
     Attributes:
         body_bytes: Size of the largest request body.
-        connections: Concurrent connections of callers.
+        connections: Concurrent requests of callers.
+        operators: Concurrent connections of operators and probes.
         queue: Requests waiting for one kind of target.
         tickets: Tickets whose starts and outcomes are kept.
         decisions: Requests whose decisions ``explain`` can show.
@@ -125,6 +126,7 @@
 
     body_bytes: int = 1_000_000
     connections: int = 1024
+    operators: int = 256
     queue: int = 512
     tickets: int = 20_000
     decisions: int = 2_000
