Bound lines of chunks and trailers at the own interface

What callers saw: a daemon grew to 2.6 GB within 4 s and would have been killed.

Cause: the WSGI library reads the line of a chunk and each line of a trailer to its end without a limit, also for a request that is refused and whose body is only discarded.

Trailers without end passed alone and kept a daemon from serving for 30 s once beside load: a green thread whose bytes are always there never lets others run.

Change: a line may have 16 KB, all trailers too; what is discarded may have 64 KB and take a second, with other green threads between its parts. The connection is closed after that.

--- a/packages/daemon/bergamotsaddle_daemon/http_server.py
+++ b/packages/daemon/bergamotsaddle_daemon/http_server.py
@@ -9,8 +9,14 @@
 import eventlet.wsgi
 from eventlet.greenio import GreenSocket, shutdown_safe
 from eventlet.greenthread import GreenThread
-from eventlet.wsgi import STATE_IDLE
-
+from eventlet.wsgi import STATE_IDLE, ChunkReadError, HttpProtocol, Input
+
+# Bytes of the line of a chunk, and of all trailers of a body.
+_MAX_LINE_BYTES = 16_384
+# What is read of a body that nobody wants, before its connection is closed.
+_MAX_DISCARDED_BYTES = 65_536
+_DISCARD_BYTES = 1_024
+_DISCARD_S = 1.0
 # Connections after which other green threads get to run.
 _CONNECTIONS_A_TURN = 16
 # Errors of a lack of descriptors or of memory, after which accepting goes on.
@@ -27,6 +33,74 @@
     return limit if limit != resource.RLIM_INFINITY else most
 
 
+class _BoundedLines:
+    """A file whose lines are limited.
+
+    Args:
+        file: The file.
+    """
+
+    def __init__(self, file: Any) -> None:
+        self._file = file
+
+    def read(self, size: int) -> bytes:
+        """Read bytes."""
+        return self._file.read(size)
+
+    def readline(self, size: int = _MAX_LINE_BYTES) -> bytes:
+        """Read a line.
+
+        Raises:
+            ChunkReadError: If it is too long.
+        """
+        line = self._file.readline(size)
+        if len(line) >= _MAX_LINE_BYTES:
+            raise ChunkReadError("a line is too long")
+        return line
+
+
+class _BoundedInput(Input):
+    """The body of a request, whose framing is limited."""
+
+    def _discard_trailers(self, rfile: _BoundedLines) -> None:
+        size = 0
+        while (line := rfile.readline()).strip(b"\r\n"):
+            size += len(line)
+            if size > _MAX_LINE_BYTES:
+                raise ChunkReadError("the trailers are too long")
+
+    def discard(self, buffer_size: int = _DISCARD_BYTES) -> None:
+        """Discard the rest of the body.
+
+        Raises:
+            ChunkReadError: If it is long or slow.
+        """
+        with eventlet.Timeout(_DISCARD_S, ChunkReadError("the body is too slow")):
+            for _ in range(_MAX_DISCARDED_BYTES // buffer_size):
+                if not self.read(buffer_size):
+                    return
+                eventlet.sleep(0)
+        raise ChunkReadError("the body is too long")
+
+
+class _Protocol(HttpProtocol):
+    """Handles the requests of one connection."""
+
+    def get_environ(self) -> dict[str, Any]:
+        """Return the environment of a request."""
+        environ = super().get_environ()
+        body = environ["wsgi.input"]
+        environ["wsgi.input"] = environ["eventlet.input"] = _BoundedInput(
+            _BoundedLines(body.rfile),
+            body.content_length,
+            self.connection,
+            wfile=body.wfile,
+            wfile_line=body.wfile_line,
+            chunked_input=body.chunked_input,
+        )
+        return environ
+
+
 class _Listener:
     """A listening socket that goes on when descriptors are short.
 
@@ -130,6 +204,7 @@
         listener,
         app,
         custom_pool=ConnectionPool(connections, on_close),
+        protocol=_Protocol,
         log_output=False,
         minimum_chunk_size=1,
         socket_timeout=timeout,
