Bound the bodies of all requests together at the own interface

What callers saw: 300 clients that send a body of a megabyte and stop short of its end took a daemon to 371 MB, over the 300 MB of the machine.

Cause: each body is bounded (`body_bytes`), their sum was not. A body was read in one piece; in chunks of a byte that kept other green threads waiting meanwhile.

Ruled out: the lines of chunks, which have rows of their own.

Change: all bodies share `[limits] request_bytes` (90 MB), each counted as received and as decoded, until its response has ended. One that finds no room is refused with 429, "not run" and when to come back. Bodies are read in parts, between which others run. The memory of bodies moves to the package that both daemons use; it can be told how far short bodies may fill it up.

--- a/packages/serving/bergamotsaddle_serving/body_memory.py
+++ b/packages/daemon/bergamotsaddle_daemon/body_memory.py
@@ -1,11 +1,13 @@
 """Limits how much memory the bodies that a daemon holds take together."""
 
+from math import inf
+
 from bergamotsaddle_contracts.errors import BergamotsaddleError
 
 # What a daemon holds of responses at most, whatever their senders send. A response
 # may be joined from its parts meanwhile, which takes its size once more.
 MAX_RESPONSE_MEMORY_BYTES = 4_000_000
-# What each body may take also when others have taken everything.
+# What each body may take also when long ones have taken everything.
 MIN_SHARE_BYTES = 32_768
 
 
@@ -30,13 +32,17 @@
 
     Args:
         limit: Bytes for all bodies.
+        max_used: Bytes that short bodies may fill up.
 
     Attributes:
         used: Bytes that are taken.
     """
 
-    def __init__(self, limit: float = MAX_RESPONSE_MEMORY_BYTES) -> None:
+    def __init__(
+        self, limit: float = MAX_RESPONSE_MEMORY_BYTES, *, max_used: float = inf
+    ) -> None:
         self._limit = limit
+        self._max_used = max_used
         self.used = 0
 
     def open(self) -> "MemoryShare":
@@ -50,7 +56,8 @@
             held: What it holds now.
         """
         others = self.used - held
-        return max(MIN_SHARE_BYTES, (self._limit - others) / 2.0)
+        min_share = min(MIN_SHARE_BYTES, self._max_used - others)
+        return max(min_share, (self._limit - others) / 2.0)
 
 
 class MemoryShare:
@@ -122,4 +129,4 @@
 
 
 # For bodies that are limited in size only.
-UNLIMITED = MemoryShare(BodyMemory(float("inf")))
+UNLIMITED = MemoryShare(BodyMemory(inf))
--- a/packages/daemon/bergamotsaddle_daemon/callers.py
+++ b/packages/daemon/bergamotsaddle_daemon/callers.py
@@ -10,6 +10,7 @@
 from bergamotsaddle_contracts.ini import parse_duration
 from bergamotsaddle_contracts.messages import FINISHED, Outcome, ServiceRequest
 from bergamotsaddle_daemon._response_body import CallOnce, ResponseBody
+from bergamotsaddle_daemon.body_memory import BodyMemory, MemoryShare
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_daemon.costs import Costs
 from bergamotsaddle_daemon.http import (
@@ -91,6 +92,8 @@
         self._tickets = tickets
         self._costs = costs
         self._logger = logger
+        limit = settings.limits.request_bytes
+        self._memory = BodyMemory(limit, max_used=limit)
         self._teams_version: tuple[int, str] | None = None
         self._team_by_digest: dict[str, Team] = {}
         self.active = 0
@@ -100,9 +103,10 @@
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable:
         """Serve one HTTP request."""
         self.active += 1
-        finish_once = CallOnce(self._finish_request)
+        share = self._memory.open()
+        finish_once = CallOnce(lambda: self._finish_request(share))
         try:
-            body = self._serve(environ, start_response)
+            body = self._serve(environ, start_response, share)
         except RequestError as error:
             finish_once()
             return self._error_response(start_response, "", error)
@@ -111,10 +115,13 @@
             raise
         return ResponseBody(body, finish_once)
 
-    def _finish_request(self) -> None:
+    def _finish_request(self, share: MemoryShare) -> None:
         self.active -= 1
+        share.close()
 
-    def _serve(self, environ: Environ, start_response: StartResponse) -> Iterable:
+    def _serve(
+        self, environ: Environ, start_response: StartResponse, share: MemoryShare
+    ) -> Iterable:
         path = environ["PATH_INFO"].strip("/").split("/")
         if path == ["ready"]:
             return self._serve_ready(start_response)
@@ -125,9 +132,11 @@
         team = self._authenticate(environ)
         match (environ["REQUEST_METHOD"], path):
             case ("POST", ["v1", "pipelines", name]):
-                return self._serve_pipeline(environ, start_response, team, name)
+                return self._serve_pipeline(environ, start_response, team, name, share)
             case ("POST", ["v1", "services", kind, *subpath]):
-                return self._serve_service(environ, start_response, team, kind, subpath)
+                return self._serve_service(
+                    environ, start_response, team, kind, subpath, share
+                )
             case ("POST", ["v1", "tickets", kind]):
                 return self._issue_ticket(start_response, team, kind)
             case ("GET", ["v1", "tickets", kind, ticket]):
@@ -162,14 +171,19 @@
         return team
 
     def _serve_pipeline(
-        self, environ: Environ, start_response: StartResponse, team: Team, name: str
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+        team: Team,
+        name: str,
+        share: MemoryShare,
     ) -> Iterable:
         pipeline = self._views.declaration.pipelines.get(name)
         if pipeline is None:
             raise RequestError(ErrorKind.NOT_FOUND, f"no pipeline {name} is declared")
         seconds = _read_deadline(environ, pipeline.deadline)
         request = Request(team, name, seconds, pipeline.priority)
-        body = parse_pipeline_body(read_body(environ, self._settings))
+        body = parse_pipeline_body(read_body(environ, self._settings, share))
         run = PipelineRun(
             request, pipeline, body, stages=self._stages, relay=self._relay
         )
@@ -244,11 +258,12 @@
         team: Team,
         kind: str,
         subpath: list[str],
+        share: MemoryShare,
     ) -> Iterable:
         self._services.check_declared(kind)
         seconds = _read_deadline(environ, _DEFAULT_SERVICE_SECONDS)
         request = Request(team, kind, seconds, team.priority)
-        body = read_body(environ, self._settings)
+        body = read_body(environ, self._settings, share)
         path = "/".join(subpath)
         try:
             if self._views.declaration.is_repeatable(kind):
--- a/packages/daemon/bergamotsaddle_daemon/http.py
+++ b/packages/daemon/bergamotsaddle_daemon/http.py
@@ -8,11 +8,17 @@
 import msgspec
 
 from bergamotsaddle_contracts.errors import ErrorKind, RequestError
+from bergamotsaddle_daemon.body_memory import MemoryShare, MemoryShortError
 from bergamotsaddle_daemon.settings import Settings
 
 Environ = dict[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 Headers = list[tuple[str, str]]
+# Bytes of a body that are read at once. A chunk may have a single one.
+_PART_BYTES = 65_536
+_CHUNKED_PART_BYTES = 1_024
+# A body is held as received and as decoded.
+_COPIES = 2
 
 
 def send_response_head(
@@ -47,11 +53,17 @@
     return [body]
 
 
-def read_body(environ: Environ, settings: Settings) -> bytes:
+def read_body(environ: Environ, settings: Settings, share: MemoryShare) -> bytes:
     """Read a request's body.
 
+    Args:
+        environ: The request.
+        settings: Settings of the daemon.
+        share: Gets the memory that the body takes.
+
     Raises:
-        RequestError: If it is malformed, too large or sent too slowly.
+        RequestError: If it is malformed, too large or sent too slowly, or there is no
+            memory for it.
     """
     bound = settings.limits.body_bytes
     length = environ.get("CONTENT_LENGTH") or "0"
@@ -61,10 +73,12 @@
         raise RequestError(ErrorKind.TOO_LARGE, f"body above {bound} bytes")
     try:
         with eventlet.Timeout(settings.timing.header):
-            body = environ["wsgi.input"].read(bound + 1)
+            body = _read_parts(environ, bound + 1, share)
     except eventlet.Timeout as error:
         detail = f"body took longer than {settings.timing.header} s"
         raise RequestError(ErrorKind.TOO_SLOW, detail) from error
+    except MemoryShortError as error:
+        raise RequestError(ErrorKind.OVERLOADED, "no memory for the body") from error
     except (ValueError, OSError) as error:
         raise RequestError(ErrorKind.BAD_REQUEST, f"body: {error}") from error
     if len(body) > bound:
@@ -72,3 +86,22 @@
     if len(body) < int(length):
         raise RequestError(ErrorKind.BAD_REQUEST, "body ended early")
     return body
+
+
+def _read_parts(environ: Environ, limit: int, share: MemoryShare) -> bytes:
+    """Read a body in parts, between which other green threads run.
+
+    Raises:
+        MemoryShortError: If there is no memory for it.
+        ValueError: If its chunks are malformed.
+        OSError: If it ends early.
+    """
+    is_chunked = "HTTP_TRANSFER_ENCODING" in environ
+    size = _CHUNKED_PART_BYTES if is_chunked else _PART_BYTES
+    parts = []
+    while limit > 0 and (part := environ["wsgi.input"].read(min(size, limit))):
+        share.take(_COPIES * len(part))
+        parts.append(part)
+        limit -= len(part)
+        eventlet.sleep(0)
+    return b"".join(parts)
--- a/packages/daemon/bergamotsaddle_daemon/settings.py
+++ b/packages/daemon/bergamotsaddle_daemon/settings.py
@@ -111,6 +111,7 @@
 
     Attributes:
         body_bytes: Size of the largest request body.
+        request_bytes: Bytes of the bodies of all requests together.
         connections: Concurrent requests of callers.
         operators: Concurrent connections of operators and probes.
         queue: Requests waiting for one kind of target.
@@ -125,6 +126,7 @@
     """
 
     body_bytes: int = 1_000_000
+    request_bytes: int = 90_000_000
     connections: int = 1024
     operators: int = 256
     queue: int = 512
--- a/packages/serving/bergamotsaddle_serving/attempt.py
+++ b/packages/serving/bergamotsaddle_serving/attempt.py
@@ -5,8 +5,8 @@
 
 from bergamotsaddle_contracts.errors import BergamotsaddleError
 from bergamotsaddle_contracts.ini import Address
+from bergamotsaddle_daemon.body_memory import MemoryShortError, Remainder
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving.body_memory import MemoryShortError, Remainder
 from bergamotsaddle_serving.client import (
     CONNECTION_REFUSED,
     CROSSED,
--- a/packages/serving/bergamotsaddle_serving/caller.py
+++ b/packages/serving/bergamotsaddle_serving/caller.py
@@ -18,10 +18,10 @@
     ErrorKind,
     RequestError,
 )
+from bergamotsaddle_daemon.body_memory import BodyMemory, MemoryShortError
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving._parts import Parts
 from bergamotsaddle_serving._turn import Turn
-from bergamotsaddle_serving.body_memory import BodyMemory, MemoryShortError
 from bergamotsaddle_serving.catalog import CallerLimits
 from bergamotsaddle_serving.messages import RawHeaders
 
--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -11,15 +11,15 @@
 
 from bergamotsaddle_contracts.errors import BergamotsaddleError
 from bergamotsaddle_contracts.ini import Address
-from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving._parts import Parts
-from bergamotsaddle_serving._sockets import receive
-from bergamotsaddle_serving._turn import Turn
-from bergamotsaddle_serving.body_memory import (
+from bergamotsaddle_daemon.body_memory import (
     UNLIMITED,
     BodyMemory,
     MemoryShortError,
 )
+from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving._parts import Parts
+from bergamotsaddle_serving._sockets import receive
+from bergamotsaddle_serving._turn import Turn
 from bergamotsaddle_serving.messages import HttpCall
 
 _original_select = patcher.original("select")
--- a/packages/serving/bergamotsaddle_serving/context.py
+++ b/packages/serving/bergamotsaddle_serving/context.py
@@ -5,8 +5,8 @@
 
 from bergamotsaddle_contracts.errors import ErrorKind, Ran, RequestError
 from bergamotsaddle_contracts.ini import Address
+from bergamotsaddle_daemon.body_memory import UNLIMITED, MemoryShare
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving.body_memory import UNLIMITED, MemoryShare
 from bergamotsaddle_serving.catalog import Route, Service, Team
 from bergamotsaddle_serving.messages import RequestHead
 from bergamotsaddle_serving.stream_origins import StreamOrigin
--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -13,8 +13,8 @@
     Ran,
     RequestError,
 )
+from bergamotsaddle_daemon.body_memory import BodyMemory
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving.body_memory import BodyMemory
 from bergamotsaddle_serving.budget import RetryBudget
 from bergamotsaddle_serving.caller import (
     CallerConnection,
--- a/packages/serving/bergamotsaddle_serving/handover.py
+++ b/packages/serving/bergamotsaddle_serving/handover.py
@@ -14,10 +14,10 @@
     RequestError,
 )
 from bergamotsaddle_contracts.ini import Address
+from bergamotsaddle_daemon.body_memory import MemoryShortError, Remainder
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving._parts import Parts
 from bergamotsaddle_serving.attempt import NOT_RUN_STATUSES
-from bergamotsaddle_serving.body_memory import MemoryShortError, Remainder
 from bergamotsaddle_serving.budget import RetryBudget
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.catalog import Kind
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -13,8 +13,8 @@
 
 from bergamotsaddle_contracts.errors import InvalidFileError
 from bergamotsaddle_contracts.ini import Address
+from bergamotsaddle_daemon.body_memory import BodyMemory
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving.body_memory import BodyMemory
 from bergamotsaddle_serving.budget import ColdRateLimiter, RetryBudget
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.catalog import CallerLimits
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -4,7 +4,7 @@
 
 from parameterized import parameterized
 
-from bergamotsaddle_serving.body_memory import (
+from bergamotsaddle_daemon.body_memory import (
     BodyMemory,
     MemoryShortError,
     Remainder,
--- a/tests/test_cut_responses.py
+++ b/tests/test_cut_responses.py
@@ -7,9 +7,9 @@
 import eventlet
 from parameterized import parameterized
 
+from bergamotsaddle_daemon.body_memory import UNLIMITED, BodyMemory
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_platform.dialect import PlatformDialect
-from bergamotsaddle_serving.body_memory import UNLIMITED, BodyMemory
 from bergamotsaddle_serving.budget import RetryBudget
 from bergamotsaddle_serving.catalog import Kind, Route, Service, Share, Target
 from bergamotsaddle_serving.client import (
--- a/tests/test_edge_fuzz.py
+++ b/tests/test_edge_fuzz.py
@@ -10,8 +10,8 @@
 
 from bergamotsaddle_contracts.errors import RequestError
 from bergamotsaddle_contracts.ini import Address
+from bergamotsaddle_daemon.body_memory import BodyMemory
 from bergamotsaddle_daemon.clock import now
-from bergamotsaddle_serving.body_memory import BodyMemory
 from bergamotsaddle_serving.caller import CallerConnection, CallerLeftError
 from bergamotsaddle_serving.catalog import CallerLimits
 from bergamotsaddle_serving.client import ConnectionLostError, ConnectionPool
--- a/tests/test_late_responses.py
+++ b/tests/test_late_responses.py
@@ -9,13 +9,13 @@
 from parameterized import parameterized
 
 from bergamotsaddle_contracts.ini import Address
+from bergamotsaddle_daemon.body_memory import UNLIMITED
 from bergamotsaddle_platform.dialect import PlatformDialect
 from bergamotsaddle_serving.attempt import (
     Attempt,
     NotRunError,
     OutcomeUnknownError,
 )
-from bergamotsaddle_serving.body_memory import UNLIMITED
 from bergamotsaddle_serving.catalog import Target
 from bergamotsaddle_serving.client import CROSSED, ConnectionLostError, ConnectionPool
 from bergamotsaddle_serving.context import Progress
--- a/tests/test_repeated_rejections.py
+++ b/tests/test_repeated_rejections.py
@@ -6,9 +6,9 @@
 import eventlet
 from parameterized import parameterized
 
+from bergamotsaddle_daemon.body_memory import UNLIMITED
 from bergamotsaddle_platform.dialect import PlatformDialect
 from bergamotsaddle_serving.attempt import Attempt, NotRunError
-from bergamotsaddle_serving.body_memory import UNLIMITED
 from bergamotsaddle_serving.catalog import Target
 from bergamotsaddle_serving.client import ConnectionPool
 from bergamotsaddle_serving.context import Progress
--- a/tests/test_request_bodies.py
+++ b/tests/test_request_bodies.py
@@ -8,7 +8,7 @@
 import eventlet
 from parameterized import parameterized
 
-from bergamotsaddle_serving.body_memory import BodyMemory
+from bergamotsaddle_daemon.body_memory import BodyMemory
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.catalog import CallerLimits
 from bergamotsaddle_serving.client import ConnectionPool
