Count what callers send at what it costs, until it is free

What callers saw: a process that ran out of memory, and all of its connections lost, when many clients sent bodies that stop just short of their end and stayed open.

Causes, all of them bytes of callers that were held and not counted: - A refused body lived on for up to 10 s: the error's traceback kept the frames with its parts while the rest was discarded, and its memory had been given back already. - What had been read was held three times: as the first bytes of the connection, as the rest behind the head, and by the parser. Heads and parsed headers counted nowhere. - 32 KB were granted to each connection also when all memory was taken. - Bytes that are read only to be discarded took a buffer for each connection.

Evidence: rows one_chunk, chunks_of_64, chunk_extensions, chunk_line, trailers, length and length_above of test_crowds. Ruled out: a leak; memory is back when the crowd has left.

Change: a connection holds received bytes once, and counts them. A head counts twice its bytes and 256 for each line. All requests together stay within 0.35 of the memory, long ones within 0.3 as before. While memory is short, the request that has been arriving for longest, at least a second, gives way (429, not run, when to come back), so that callers who stop in the middle keep nobody out; requests that targets run never do. Requests ahead are read only as far as there is memory. Counter `unread_requests` by kind.

A check of test_request_bodies says now exactly what a head adds to a body.

--- a/packages/daemon/bergamotsaddle_daemon/body_memory.py
+++ b/packages/daemon/bergamotsaddle_daemon/body_memory.py
@@ -1,14 +1,19 @@
 """Limits how much memory the bodies that a daemon holds take together."""
 
+from collections.abc import Callable
 from math import inf
+from typing import NamedTuple
 
 from bergamotsaddle_contracts.errors import BergamotsaddleError
+from bergamotsaddle_daemon.clock import now
 
 # What a daemon holds of responses at most, whatever their senders send. A response
 # may be joined from its parts meanwhile, which takes its size once more.
 MAX_RESPONSE_MEMORY_BYTES = 4_000_000
 # What each body may take also when long ones have taken everything.
 MIN_SHARE_BYTES = 32_768
+# A body that has been received for this long gives way to others while memory is short.
+_MIN_WAY_AGE_S = 1.0
 
 
 class MemoryShortError(BergamotsaddleError):
@@ -23,6 +28,18 @@
         self.size = size
 
 
+class _UnfinishedBody(NamedTuple):
+    """A body that is being received.
+
+    Attributes:
+        since: When it began, on the hub's clock.
+        give_way: Ends it and gives back its memory.
+    """
+
+    since: float
+    give_way: Callable[[], None]
+
+
 class BodyMemory:
     """The memory for all bodies that a daemon holds of responses, or of requests.
 
@@ -43,6 +60,7 @@
     ) -> None:
         self._limit = limit
         self._max_used = max_used
+        self._unfinished: dict[MemoryShare, _UnfinishedBody] = {}
         self.used = 0
 
     def open(self) -> "MemoryShare":
@@ -59,6 +77,39 @@
         min_share = min(MIN_SHARE_BYTES, self._max_used - others)
         return max(min_share, (self._limit - others) / 2.0)
 
+    def begin(self, share: "MemoryShare", give_way: Callable[[], None]) -> None:
+        """Record that a body begins to arrive.
+
+        Args:
+            share: Its share.
+            give_way: Ends it and gives back its memory.
+        """
+        self._unfinished[share] = _UnfinishedBody(now(), give_way)
+
+    def end(self, share: "MemoryShare") -> None:
+        """Record that a body has arrived, or has been given up."""
+        self._unfinished.pop(share, None)
+
+    def reclaim(self, share: "MemoryShare") -> bool:
+        """Make the body give way that has been arriving for longest.
+
+        A caller that stops in the middle of a body would otherwise keep its memory from
+        others until its time is over.
+
+        Args:
+            share: Share of the body that lacks memory.
+
+        Returns:
+            Whether one has given way.
+        """
+        slowest = next(iter(self._unfinished), share)
+        if slowest is share:
+            return False
+        if now() - self._unfinished[slowest].since < _MIN_WAY_AGE_S:
+            return False
+        self._unfinished.pop(slowest).give_way()
+        return True
+
 
 class MemoryShare:
     """What one body, or all responses to one request, take of the memory.
@@ -93,6 +144,10 @@
         self.held += size
         self._memory.used += size
 
+    def hold(self, size: int) -> None:
+        """Count bytes instead of those that it has held."""
+        self.keep(size - self.held)
+
     def give_back(self, size: int) -> None:
         """Give back bytes, at most what it holds."""
         self.keep(-min(size, self.held))
--- a/packages/serving/bergamotsaddle_serving/caller.py
+++ b/packages/serving/bergamotsaddle_serving/caller.py
@@ -11,6 +11,7 @@
 import eventlet
 import h11
 from eventlet.greenthread import GreenThread
+from eventlet.hubs import trampoline
 from greenlet import greenlet
 
 from bergamotsaddle_contracts.errors import (
@@ -18,14 +19,19 @@
     ErrorKind,
     RequestError,
 )
-from bergamotsaddle_daemon.body_memory import BodyMemory, MemoryShortError
+from bergamotsaddle_daemon.body_memory import BodyMemory
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving._parts import Parts
 from bergamotsaddle_serving._turn import Turn
 from bergamotsaddle_serving.catalog import CallerLimits
 from bergamotsaddle_serving.messages import RawHeaders
 
-_CHUNK = 65_536
+# Bytes that are read at once, of a body and of anything else.
+_BODY_PART_BYTES = 65_536
+_PART_BYTES = 16_384
+# What a parsed header takes beside its bytes, which are held twice.
+_HEADER_BYTES = 256
+_HEAD_COPIES = 2
 # Bytes of a request's body beside its content: lines of chunks and trailers. The
 # content allows for more of them, as chunks may be small.
 _MAX_FRAMING_BYTES = 131_072
@@ -53,6 +59,10 @@
 _CONNECTION_ERRORS = (OSError, EOFError)
 
 
+# Bytes that are read only to be discarded are put here.
+_discarded = bytearray(_BODY_PART_BYTES)
+
+
 class CallerLeftError(BergamotsaddleError):
     """The caller closed its connection before its response was complete."""
 
@@ -89,8 +99,7 @@
         limits: Returns the limits in force.
         is_stopping: Returns whether this instance is stopping.
         is_peer: Whether it is a connection of another instance.
-        memory: Memory for the bodies of requests. Unless it is given, only their size
-            is limited.
+        memory: Memory for requests. Unless it is given, only their size is limited.
 
     Attributes:
         is_peer: Whether another instance hands over requests of its callers on it.
@@ -109,16 +118,18 @@
         memory: BodyMemory | None = None,
     ) -> None:
         self.is_peer = is_peer
-        memory = memory or BodyMemory(inf)
-        self._body_share = memory.open()
-        # For what the caller sends ahead.
-        self._ahead_share = memory.open()
+        self._memory = memory or BodyMemory(inf)
+        self._request_share = self._memory.open()
+        self._received_share = self._memory.open()
         self._socket = sock
         self._limits = limits
         self._is_stopping = is_stopping
-        self._buffered: bytes | bytearray = b""
+        # What has arrived and has not been parsed.
+        self._received = bytearray()
         self._turn = Turn(_PARTS_A_TURN)
         self._waiter: greenlet | None = None
+        # Reads a request.
+        self._reader: greenlet | None = None
         self._is_closing = False
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=_MAX_BUFFERED)
         self.is_idle = True
@@ -129,29 +140,37 @@
     def read(self) -> RawRequest | None:
         """Read the next request; return None if the caller sends no more.
 
-        The memory for its body is taken until ``release_body``.
+        The memory that it takes is held until ``release_request``.
 
         Raises:
             RequestError: If the request is invalid, too large or too slow, or there is
-                no memory for its body.
+                no memory for it.
             CallerLeftError: If the caller disconnected in the middle of it.
         """
         self.is_idle = True
         self.has_started = False
-        if not self._buffered and not self._wait_first_byte():
+        if not self._received and not self._wait_first_byte():
             return None
         self.is_idle = False
         started_at = now()
+        self._reader = eventlet.getcurrent()
+        self._memory.begin(self._request_share, self._give_way)
         try:
-            request = self._read_request(started_at)
+            return self._read_request(started_at)
         except h11.RemoteProtocolError as error:
             raise RequestError(ErrorKind.BAD_REQUEST, "malformed request") from error
-        self._buffered = bytes(self._h11.trailing_data[0])
-        return request
+        finally:
+            self._memory.end(self._request_share)
+            self._reader = None
+
+    def release_request(self) -> None:
+        """Give back the memory for the current request."""
+        self._request_share.close()
 
-    def release_body(self) -> None:
-        """Give back the memory for the body of the current request."""
-        self._body_share.close()
+    def drop_request(self) -> None:
+        """Drop what has arrived of a request that is refused."""
+        self._request_share.close()
+        self._drop_received()
 
     def discard(self) -> None:
         """Discard the rest of a request that has got its response.
@@ -167,10 +186,15 @@
             eventlet.Timeout(_BODY_TIMEOUT_S, False),
         ):
             self._socket.shutdown(socket.SHUT_WR)
-            while left > 0 and (data := self._socket.recv(_CHUNK)):
-                left -= len(data)
+            while left > 0 and (size := self._socket.recv_into(_discarded)):
+                left -= size
                 self._turn.step()
 
+    def _give_way(self) -> None:
+        """Refuse the request that is being read, as others need its memory."""
+        if self._reader is not None:
+            eventlet.kill(self._reader, _memory_error())
+
     def run_while_connected(self, work: Callable[[], None]) -> None:
         """Run the work for a request, and abort it when the caller disconnects.
 
@@ -193,7 +217,7 @@
     def start(self, status: int, headers: RawHeaders) -> None:
         """Send the head of a response whose body follows."""
         # A request that the caller has already sent behind this one is served as well.
-        is_last = not self._buffered
+        is_last = not self._received
         if is_last and (self._is_closing or self._is_stopping()):
             self.must_close = True
         if self.must_close:
@@ -223,8 +247,6 @@
             return False
         if self._h11.their_state is not h11.DONE:
             return False
-        # The old parser still holds bytes that were read ahead. They are parsed with
-        # the next request, so that one needs a new parser.
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=_MAX_BUFFERED)
         return True
 
@@ -233,8 +255,7 @@
 
         An unfinished response is reset if it could look complete.
         """
-        self._body_share.close()
-        self._ahead_share.close()
+        self.drop_request()
         if self._ends_with_connection():
             self.reset()
             return
@@ -273,11 +294,11 @@
 
     def _wait_first_byte(self) -> bool:
         try:
-            self._buffered = self._receive_available() or self._wait_for_data()
+            self._keep_received(self._receive_available() or self._wait_for_data())
         except _CONNECTION_ERRORS:
             # A caller that resets while idle has no request pending.
             return False
-        return bool(self._buffered)
+        return bool(self._received)
 
     def _wait_for_data(self) -> bytes:
         """Wait for data; return none if the connection is to be closed instead."""
@@ -286,40 +307,50 @@
         self._waiter = eventlet.getcurrent()
         try:
             with eventlet.Timeout(self._limits().idle_seconds):
-                return self._socket.recv(_CHUNK)
+                return self._socket.recv(_PART_BYTES)
         except (eventlet.Timeout, _StopWaitingError):
             # Data may have arrived since the hub last polled the socket.
             return self._receive_available()
         finally:
             self._waiter = None
 
-    def _receive_available(self) -> bytes:
+    def _receive_available(self, size: int = _PART_BYTES) -> bytes:
         """Return data that has already arrived, none if there is none."""
         try:
-            return self._socket.fd.recv(_CHUNK)
+            return self._socket.fd.recv(size)
         except BlockingIOError:
             return b""
 
+    def _keep_received(self, data: bytes) -> None:
+        """Keep data that has arrived until it is parsed."""
+        self._received += data
+        self._received_share.hold(len(self._received))
+
+    def _drop_received(self) -> None:
+        self._received.clear()
+        self._received_share.close()
+
+    def _take_received(self, size: int) -> bytes:
+        """Return the first bytes that have arrived, and keep the others."""
+        data = bytes(self._received[:size])
+        del self._received[:size]
+        self._received_share.hold(len(self._received))
+        return data
+
     def _read_request(self, started_at: float) -> RawRequest:
         limits = self._limits()
-        self._ahead_share.close()
         try:
             with eventlet.Timeout(limits.head_seconds):
-                head, remainder = self._read_head(limits)
+                event = self._read_head(limits)
         except eventlet.Timeout as error:
             raise RequestError(ErrorKind.TOO_SLOW, "the head took too long") from error
-        self._h11.receive_data(head)
-        event = self._h11.next_event()
-        if not isinstance(event, h11.Request):
-            raise RequestError(ErrorKind.BAD_REQUEST, "expected a request")
         _check_lengths(event, limits)
-        self._take(_stated_length(event))
+        stated = _stated_length(event)
+        self._take(stated)
         self._send_continue()
-        if remainder:
-            self._h11.receive_data(remainder)
         try:
             with eventlet.Timeout(_BODY_TIMEOUT_S):
-                body = self._read_body(limits, _stated_length(event))
+                body = self._read_body(limits, event, stated)
         except eventlet.Timeout as error:
             raise RequestError(ErrorKind.TOO_SLOW, "the body took too long") from error
         headers = list(event.headers)
@@ -327,29 +358,44 @@
             event.method, event.target, headers, body, started_at, self.is_peer
         )
 
-    def _read_head(self, limits: CallerLimits) -> tuple[bytes, bytes]:
-        data = bytearray(self._buffered)
-        if data[:1] in (b"\r", b"\n"):
-            data = data.lstrip(b"\r\n")
+    def _read_head(self, limits: CallerLimits) -> h11.Request:
+        """Read and parse a head.
+
+        Raises:
+            RequestError: If it is too large or malformed, or there is no memory for it.
+        """
+        return self._parse_head(self._read_head_bytes(limits))
+
+    def _read_head_bytes(self, limits: CallerLimits) -> bytes:
         searched = 0
-        while data.find(_HEAD_END, searched) < 0:
-            if len(data) > limits.head_bytes:
+        while True:
+            if not searched and self._received[:1] in (b"\r", b"\n"):
+                self._received = self._received.lstrip(b"\r\n")
+            size = self._received.find(_HEAD_END, searched)
+            if max(size, len(self._received) if size < 0 else 0) > limits.head_bytes:
                 raise RequestError(ErrorKind.HEAD_TOO_LARGE, "the head is too large")
+            if size >= 0:
+                return self._take_received(size + len(_HEAD_END))
             # A head whose lines end in a bare LF never has the proper end.
-            if data.find(b"\n\n", searched) >= 0:
+            if self._received.find(b"\n\n", searched) >= 0:
                 raise RequestError(ErrorKind.BAD_REQUEST, "malformed head")
-            searched = max(0, len(data) - len(_HEAD_END) + 1)
-            data += self._receive()
-        head, _, remainder = bytes(data).partition(_HEAD_END)
-        if len(head) > limits.head_bytes:
-            raise RequestError(ErrorKind.HEAD_TOO_LARGE, "the head is too large")
+            searched = max(0, len(self._received) - len(_HEAD_END) + 1)
+            self._receive_head()
+
+    def _parse_head(self, head: bytes) -> h11.Request:
+        lines = head.count(b"\n")
+        self._take(_HEAD_COPIES * len(head) + _HEADER_BYTES * lines)
         if len(_LENGTH_LINE.findall(head)) > 1:
             raise RequestError(ErrorKind.BAD_REQUEST, "two lengths")
         if _BARE_LINE_END.search(head) or _FOLDED.search(head):
             # Parsers disagree on such lines, so a second request could be smuggled in
             # what one of them parses as a header.
             raise RequestError(ErrorKind.BAD_REQUEST, "malformed head")
-        return head + _HEAD_END, remainder
+        self._h11.receive_data(head)
+        event = self._h11.next_event()
+        if not isinstance(event, h11.Request):
+            raise RequestError(ErrorKind.BAD_REQUEST, "expected a request")
+        return event
 
     def _send_continue(self) -> None:
         if self._h11.they_are_waiting_for_100_continue:
@@ -357,19 +403,31 @@
             self._write(self._h11.send(event))
 
     def _take(self, size: int) -> None:
-        """Take memory for a body, or a part of it.
+        """Take memory for a part of the request.
 
         Raises:
-            RequestError: If there is none.
+            RequestError: If there is none, and no slower request gives way.
         """
-        try:
-            self._body_share.take(size)
-        except MemoryShortError as error:
-            raise RequestError(
-                ErrorKind.OVERLOADED, "no memory for the body", retry_after=_RETRY_S
-            ) from error
-
-    def _read_body(self, limits: CallerLimits, stated: int) -> bytes:
+        while not self._request_share.may_take(size):
+            if not self._memory.reclaim(self._request_share):
+                raise _memory_error()
+        self._request_share.keep(size)
+
+    def _read_body(
+        self, limits: CallerLimits, request: h11.Request, stated: int
+    ) -> bytes:
+        if _is_chunked(request):
+            return self._read_chunks(limits)
+        parts = Parts()
+        while parts.size < stated:
+            self._fill()
+            self._h11.receive_data(self._take_received(stated - parts.size))
+            parts.append(self._h11.next_event().data)
+        if not isinstance(self._h11.next_event(), h11.EndOfMessage):
+            raise RequestError(ErrorKind.BAD_REQUEST, "expected the end of the body")
+        return parts.join()
+
+    def _read_chunks(self, limits: CallerLimits) -> bytes:
         parts = Parts()
         received = 0
         while True:
@@ -379,42 +437,91 @@
                 allowed = _MAX_FRAMING_BYTES + _MAX_FRAMING_FACTOR * parts.size
                 if received - parts.size > allowed:
                     raise RequestError(ErrorKind.BAD_REQUEST, "too many chunks")
-                data = self._receive()
-                received += len(data)
-                self._h11.receive_data(data)
+                self._fill()
+                received += len(self._received)
+                self._h11.receive_data(self._take_received(len(self._received)))
             elif isinstance(event, h11.Data):
-                parts.append(event.data)
-                if parts.size > limits.body_bytes:
+                if parts.size + len(event.data) > limits.body_bytes:
                     raise RequestError(ErrorKind.TOO_LARGE, "the body is too large")
-                if not stated:
-                    self._take(len(event.data))
+                self._take(len(event.data))
+                parts.append(event.data)
             else:
+                self._keep_received(self._h11.trailing_data[0])
                 return parts.join()
 
-    def _receive(self) -> bytes:
+    def _fill(self) -> None:
+        """Receive data unless some is there already."""
         self._turn.step()
+        while not self._received:
+            self._wait_readable()
+            self._receive_ready()
+
+    def _wait_readable(self) -> None:
+        """Wait until the connection has data, or has ended."""
+        try:
+            trampoline(self._socket.fd, read=True)
+        except _CONNECTION_ERRORS as error:
+            raise CallerLeftError("reset") from error
+
+    def _receive_head(self) -> None:
+        """Wait for a part of a head and keep it.
+
+        Raises:
+            CallerLeftError: If the caller disconnected.
+            RequestError: If there is no memory for it.
+        """
+        self._turn.step()
+        self._wait_readable()
+        self._receive_ready(_PART_BYTES)
+        while not self._received_share.may_take(0):
+            if not self._memory.reclaim(self._request_share):
+                raise _memory_error()
+
+    def _receive_ready(self, size: int = _BODY_PART_BYTES) -> None:
+        """Keep data that has arrived.
+
+        Raises:
+            CallerLeftError: If the caller disconnected.
+        """
         try:
-            data = self._socket.recv(_CHUNK)
+            data = self._socket.fd.recv(size)
+        except BlockingIOError:
+            return
         except _CONNECTION_ERRORS as error:
             raise CallerLeftError("reset") from error
         if not data:
             raise CallerLeftError("closed")
-        return data
+        self._keep_received(data)
 
     def _watch_for_disconnect(self, worker: GreenThread) -> None:
+        """Read what the caller sends ahead, until it disconnects.
+
+        As much is read as there is memory for. The disconnect of a caller that sends
+        more ahead is noticed behind the response.
+        """
         turn = Turn(_PARTS_A_TURN)
-        self._buffered = bytearray(self._buffered)
-        while len(self._buffered) < _MAX_BUFFERED and self._ahead_share.may_take(1):
+        while True:
             turn.step()
             try:
-                data = self._socket.recv(_CHUNK)
-            except _CONNECTION_ERRORS:
+                self._wait_readable()
+                room = self._ahead_room()
+                flags = 0 if room else socket.MSG_PEEK
+                data = self._socket.fd.recv(room or 1, flags)
+            except BlockingIOError:
+                continue
+            except (CallerLeftError, *_CONNECTION_ERRORS):
                 data = b""
             if not data:
                 eventlet.kill(worker, CallerLeftError("closed"))
                 return
-            self._buffered += data
-            self._ahead_share.keep(len(data))
+            if not room:
+                return
+            self._keep_received(data)
+
+    def _ahead_room(self) -> int:
+        """Return how many bytes may be read ahead now."""
+        room = min(_PART_BYTES, _MAX_BUFFERED - len(self._received))
+        return room if room > 0 and self._received_share.may_take(room) else 0
 
     def _write(self, data: bytes) -> None:
         if not data:
@@ -439,6 +546,17 @@
             return 0
 
 
+def _memory_error() -> RequestError:
+    return RequestError(
+        ErrorKind.OVERLOADED, "no memory for the request", retry_after=_RETRY_S
+    )
+
+
+def _is_chunked(request: h11.Request) -> bool:
+    """Return whether the body comes in chunks, the only encoding that is accepted."""
+    return any(name == b"transfer-encoding" for name, _ in request.headers)
+
+
 def _stated_length(request: h11.Request) -> int:
     """Return the length that a request states for its body, 0 if it states none."""
     return int(dict(request.headers).get(b"content-length", b"0"))
--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -179,14 +179,9 @@
             caller.close()
 
     def _serve_next(self, caller: CallerConnection) -> bool:
-        try:
-            raw = caller.read()
-        except RequestError as error:
-            caller.release_body()
-            self._logger.warning("request_unread", kind=error.kind, reason=error.detail)
-            caller.must_close = True
-            self._send_error(caller, "", error)
-            caller.discard()
+        raw, error = self._read(caller)
+        if error is not None:
+            self._refuse_unread(caller, error)
             return False
         if raw is None:
             return False
@@ -198,9 +193,30 @@
         finally:
             self.active -= 1
             self.relayed -= raw.is_from_peer
-            caller.release_body()
+            caller.release_request()
         return caller.prepare_next()
 
+    def _read(
+        self, caller: CallerConnection
+    ) -> tuple[RawRequest | None, RequestError | None]:
+        """Return the next request, or why it is refused; neither at the end."""
+        try:
+            return caller.read(), None
+        except RequestError as error:
+            # The frames of its traceback refer to what has been read. A copy has none.
+            return None, RequestError(
+                error.kind, error.detail, ran=error.ran, retry_after=error.retry_after
+            )
+
+    def _refuse_unread(self, caller: CallerConnection, error: RequestError) -> None:
+        """Respond to a request that has not been read to its end."""
+        caller.drop_request()
+        self._logger.warning("request_unread", kind=error.kind, reason=error.detail)
+        self._metrics.count_unread(error.kind)
+        caller.must_close = True
+        self._send_error(caller, "", error)
+        caller.discard()
+
     def _serve(self, caller: CallerConnection, raw: RawRequest) -> None:
         started_at = raw.started_at
         request_id = ""
--- a/packages/serving/bergamotsaddle_serving/metrics.py
+++ b/packages/serving/bergamotsaddle_serving/metrics.py
@@ -61,6 +61,7 @@
         self._returns: Counter[tuple[str, str]] = Counter()
         self._hopeless_streams: Counter[tuple[str, str]] = Counter()
         self._endless: Counter[tuple[str, str]] = Counter()
+        self._unread: Counter[str] = Counter()
         self._durations_by_route: dict[str, _Histogram] = {}
         self._gauges: list[_Gauge] = []
 
@@ -97,6 +98,10 @@
         """Count a response of which more came than a response may have."""
         self._endless[service, place] += 1
 
+    def count_unread(self, kind: str) -> None:
+        """Count a request that was refused before it had been read."""
+        self._unread[kind] += 1
+
     def add_gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Add a gauge.
 
@@ -173,6 +178,14 @@
         for labels, count in self._endless.items():
             endless.add_metric(labels, count)
         yield endless
+        unread = core.CounterMetricFamily(
+            f"{_PREFIX}unread_requests",
+            "Requests that were refused before they had been read, by kind of error.",
+            labels=("kind",),
+        )
+        for kind, count in self._unread.items():
+            unread.add_metric((kind,), count)
+        yield unread
         seconds = core.HistogramMetricFamily(
             f"{_PREFIX}request_seconds",
             "Time from a request's first byte to its end, by route.",
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -138,7 +138,10 @@
         self.peers = Peers(settings, secrets.token_hex(4), logger)
         self.metrics = Metrics()
         self.memory = BodyMemory()
-        self.request_memory = BodyMemory(settings.capacity.request_bytes)
+        capacity = settings.capacity
+        self.request_memory = BodyMemory(
+            capacity.request_bytes, max_used=capacity.max_request_bytes
+        )
         endless = EndlessResponses(self.view, self.metrics, logger)
         self.pool = ConnectionPool(memory=self.memory, on_endless=endless.record)
         self.store = StoreFollower(
@@ -702,7 +705,7 @@
         )
         gauge(
             "request_bytes",
-            "Bytes of requests' bodies that are held here.",
+            "Bytes of requests that are held here.",
             lambda: self.request_memory.used,
         )
         gauge("targets_limited", "Targets that name a limit.", lambda: len(self.limits))
--- a/packages/serving/bergamotsaddle_serving/settings.py
+++ b/packages/serving/bergamotsaddle_serving/settings.py
@@ -10,9 +10,10 @@
 # uses.
 _MBPS_PER_CORE = 20.0
 _BYTES_PER_MB = 1e6
-# The bodies of requests leave room for the rest of the process, and for one more copy
-# of those that are being read.
+# Requests leave room for the rest of the process, and for one more copy of those that
+# are being read. Short ones may take somewhat more than long ones.
 _REQUEST_FRACTION = 0.3
+_SHORT_REQUEST_FRACTION = 0.35
 # Seconds until a change must be in force where the settings name no bound.
 _DEFAULT_CHANGE_S = 2.0
 _DEFAULT_HEARTBEAT_S = 1.0
@@ -158,9 +159,14 @@
 
     @property
     def request_bytes(self) -> float:
-        """Bytes that the bodies of all requests may take together."""
+        """Bytes that long requests may take together."""
         return self.memory_mb * _BYTES_PER_MB * _REQUEST_FRACTION
 
+    @property
+    def max_request_bytes(self) -> float:
+        """Bytes that all requests may take together."""
+        return self.memory_mb * _BYTES_PER_MB * _SHORT_REQUEST_FRACTION
+
 
 class SuspectSettings(NamedTuple):
     """What is suspected of crashing targets (``[suspects]``).
--- a/tests/test_request_bodies.py
+++ b/tests/test_request_bodies.py
@@ -24,6 +24,8 @@
 LONG = 400_000
 SHORT = 20_000
 HELD_S = 1.0
+# What each line of a head takes beside its bytes.
+HEADER_BYTES = 256
 HEAD = b"POST /p/ HTTP/1.1\r\nHost: h\r\n"
 CHUNK = 50_000
 # A response with a body of some bytes.
@@ -155,9 +157,12 @@
     def test_callers_that_leave(self):
         """Guards against memory that is lost with the callers of long bodies."""
         client = self.connect()
-        client.sendall(self.request(LONG)[: LONG // 2])
+        request = self.request(LONG)
+        client.sendall(request[: LONG // 2])
         eventlet.sleep(0.1)
-        self.assertEqual(self.memory.used, LONG)
+        head = request[:-LONG]
+        head_memory = 2 * len(head) + HEADER_BYTES * head.count(b"\n")
+        self.assertEqual(self.memory.used, LONG + head_memory)
         client.close()
         eventlet.sleep(0.1)
         self.assertEqual(self.memory.used, 0)
