Serve bodies within the limits in chunks of any size

What callers saw: a body of 100,000 bytes in chunks of one byte got 400 ("too many chunks"), which nobody retries; one of 4,194,304 bytes in chunks of 4 got 408 after 10 s.

Cause: the parser takes some 26 us a chunk, so that small chunks were bounded in number to bound the work.

Change: chunks are decoded by a class of our own, small ones many at a time; the library goes on parsing heads and trailers. Long bodies and heads take their steps in turn, one a round of the hub, so that however many there are, the rest of the process waits for a step at a time.

--- a/packages/serving/bergamotsaddle_serving/_turn.py
+++ b/packages/serving/bergamotsaddle_serving/_turn.py
@@ -1,6 +1,7 @@
 """Lets other green threads run between the steps of a long piece of work."""
 
 import eventlet
+from eventlet.semaphore import Semaphore
 
 
 class Turn:
@@ -31,3 +32,22 @@
     def restart(self) -> None:
         """Begin a new turn, as others have just run."""
         self._left = self._steps
+
+
+class SharedTurn:
+    """Lets one green thread at a time do a step of long work.
+
+    The others wait in the order in which they have come. However many they are, the
+    rest of the process waits for one step at a time.
+    """
+
+    def __init__(self) -> None:
+        self._semaphore = Semaphore()
+
+    def __enter__(self) -> None:
+        self._semaphore.acquire()
+
+    def __exit__(self, *_: object) -> None:
+        # Wakes the next one after the other green threads have run.
+        self._semaphore.release()
+        eventlet.sleep(0)
--- a/packages/serving/bergamotsaddle_serving/caller.py
+++ b/packages/serving/bergamotsaddle_serving/caller.py
@@ -4,7 +4,7 @@
 import re
 import socket
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from math import inf
 from typing import NamedTuple
 
@@ -22,8 +22,9 @@
 from bergamotsaddle_daemon.body_memory import BodyMemory
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving._parts import Parts
-from bergamotsaddle_serving._turn import Turn
+from bergamotsaddle_serving._turn import SharedTurn, Turn
 from bergamotsaddle_serving.catalog import CallerLimits
+from bergamotsaddle_serving.chunked_body import ChunkDecoder, ChunkError
 from bergamotsaddle_serving.messages import RawHeaders
 
 # Bytes that are read at once, of a body and of anything else.
@@ -32,10 +33,9 @@
 # What a parsed header takes beside its bytes, which are held twice.
 _HEADER_BYTES = 256
 _HEAD_COPIES = 2
-# Bytes of a request's body beside its content: lines of chunks and trailers. The
-# content allows for more of them, as chunks may be small.
-_MAX_FRAMING_BYTES = 131_072
-_MAX_FRAMING_FACTOR = 2
+# Long heads and bodies wait for each other, so that others run between them.
+_SHORT_HEAD_BYTES = 2_048
+_SHORT_BODY_BYTES = 16_384
 # Parts of a request or of a response after which other green threads get to run.
 _PARTS_A_TURN = 8
 _HEAD_END = b"\r\n\r\n"
@@ -100,6 +100,7 @@
         is_stopping: Returns whether this instance is stopping.
         is_peer: Whether it is a connection of another instance.
         memory: Memory for requests. Unless it is given, only their size is limited.
+        turns: Turn of all connections for steps of long work.
 
     Attributes:
         is_peer: Whether another instance hands over requests of its callers on it.
@@ -116,6 +117,7 @@
         *,
         is_peer: bool = False,
         memory: BodyMemory | None = None,
+        turns: SharedTurn | None = None,
     ) -> None:
         self.is_peer = is_peer
         self._memory = memory or BodyMemory(inf)
@@ -124,6 +126,7 @@
         self._socket = sock
         self._limits = limits
         self._is_stopping = is_stopping
+        self._turns = turns or SharedTurn()
         # What has arrived and has not been parsed.
         self._received = bytearray()
         self._turn = Turn(_PARTS_A_TURN)
@@ -353,6 +356,8 @@
                 body = self._read_body(limits, event, stated)
         except eventlet.Timeout as error:
             raise RequestError(ErrorKind.TOO_SLOW, "the body took too long") from error
+        except ChunkError as error:
+            raise RequestError(ErrorKind.BAD_REQUEST, str(error)) from error
         headers = list(event.headers)
         return RawRequest(
             event.method, event.target, headers, body, started_at, self.is_peer
@@ -364,7 +369,11 @@
         Raises:
             RequestError: If it is too large or malformed, or there is no memory for it.
         """
-        return self._parse_head(self._read_head_bytes(limits))
+        head = self._read_head_bytes(limits)
+        if len(head) <= _SHORT_HEAD_BYTES:
+            return self._parse_head(head)
+        with self._turns:
+            return self._parse_head(head)
 
     def _read_head_bytes(self, limits: CallerLimits) -> bytes:
         searched = 0
@@ -417,44 +426,54 @@
         self, limits: CallerLimits, request: h11.Request, stated: int
     ) -> bytes:
         if _is_chunked(request):
-            return self._read_chunks(limits)
-        parts = Parts()
-        while parts.size < stated:
-            self._fill()
-            self._h11.receive_data(self._take_received(stated - parts.size))
-            parts.append(self._h11.next_event().data)
+            body = self._read_chunks(limits)
+        else:
+            body = self._read_stated(stated)
         if not isinstance(self._h11.next_event(), h11.EndOfMessage):
             raise RequestError(ErrorKind.BAD_REQUEST, "expected the end of the body")
+        return body
+
+    def _read_stated(self, size: int) -> bytes:
+        parts = Parts()
+        while parts.size < size:
+            with self._body_step(parts.size, needs_data=not self._received):
+                self._h11.receive_data(self._take_received(size - parts.size))
+                parts.append(self._h11.next_event().data)
         return parts.join()
 
     def _read_chunks(self, limits: CallerLimits) -> bytes:
+        decoder = ChunkDecoder(limits.head_bytes)
         parts = Parts()
-        received = 0
-        while True:
-            self._turn.step()
-            event = self._h11.next_event()
-            if event is h11.NEED_DATA:
-                allowed = _MAX_FRAMING_BYTES + _MAX_FRAMING_FACTOR * parts.size
-                if received - parts.size > allowed:
-                    raise RequestError(ErrorKind.BAD_REQUEST, "too many chunks")
-                self._fill()
-                received += len(self._received)
-                self._h11.receive_data(self._take_received(len(self._received)))
-            elif isinstance(event, h11.Data):
-                if parts.size + len(event.data) > limits.body_bytes:
-                    raise RequestError(ErrorKind.TOO_LARGE, "the body is too large")
-                self._take(len(event.data))
-                parts.append(event.data)
-            else:
-                self._keep_received(self._h11.trailing_data[0])
-                return parts.join()
-
-    def _fill(self) -> None:
-        """Receive data unless some is there already."""
-        self._turn.step()
-        while not self._received:
+        needs_data = not self._received
+        while not decoder.is_complete:
+            with self._body_step(decoder.size, needs_data=needs_data):
+                content = decoder.decode(self._received)
+            self._received_share.hold(len(self._received))
+            needs_data = not content
+            if parts.size + len(content) > limits.body_bytes:
+                raise RequestError(ErrorKind.TOO_LARGE, "the body is too large")
+            self._take(len(content))
+            parts.append(content)
+        # The parser of the head learns how the body has ended.
+        self._h11.receive_data(b"0\r\n" + decoder.trailers + b"\r\n")
+        return parts.join()
+
+    @contextlib.contextmanager
+    def _body_step(self, size: int, *, needs_data: bool) -> Iterator[None]:
+        """Surround a step of work on the body, and receive data for it.
+
+        Args:
+            size: Bytes of the body before the step. Long bodies wait for each other,
+                short ones do not wait for them.
+            needs_data: Whether the step needs more data than has been received.
+        """
+        if needs_data:
             self._wait_readable()
-            self._receive_ready()
+        is_long = size > _SHORT_BODY_BYTES
+        with self._turns if is_long else contextlib.nullcontext():
+            if needs_data:
+                self._receive_ready()
+            yield
 
     def _wait_readable(self) -> None:
         """Wait until the connection has data, or has ended."""
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -15,6 +15,7 @@
 from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_daemon.body_memory import BodyMemory
 from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_serving._turn import SharedTurn
 from bergamotsaddle_serving.budget import ColdRateLimiter, RetryBudget
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.catalog import CallerLimits
@@ -142,6 +143,7 @@
         self.request_memory = BodyMemory(
             capacity.request_bytes, max_used=capacity.max_request_bytes
         )
+        self._turns = SharedTurn()
         endless = EndlessResponses(self.view, self.metrics, logger)
         self.pool = ConnectionPool(memory=self.memory, on_endless=endless.record)
         self.store = StoreFollower(
@@ -444,6 +446,7 @@
                 lambda: self._is_stopping,
                 is_peer=is_peer,
                 memory=self.request_memory,
+                turns=self._turns,
             )
             eventlet.spawn_n(self.handler.run, caller)
 
