Bound the connections at each listener, and go on accepting

What callers saw: beside clients that connect and send nothing, ordinary callers waited in the backlog for 8 s and longer; the balancer's probe got no response any more.

Causes: nothing bounded connections below the descriptors of the process, and nobody's connection was given up for a newcomer's, so that none was left for targets, the store, peers, ready and metrics. An accept that failed for lack of a descriptor ended the loops at ready, metrics and the view's port for good. A loop that always finds another connection never let other green threads run.

Change: a listener and its connections are a door of their own, with a limit that follows from `[capacity] descriptors` (new; by default what the operating system allows) and `memory_mb`: half of the descriptors for callers, an eighth for instances that hand requests over, a thirty-second each for ready, metrics and view; 48 KB of memory a connection, a quarter of it in all. At 4,100 descriptors and 300 MB that is 1,562, 390 and 128. The decision stands in connection_table: discarding ones make room first, then the one that has waited longest for bytes; one whose request is served never does. So callers that send at once are served beside those who only hold connections. Line `connection_closed` and counter `closed_connections` by door and phase.

--- a/packages/serving/bergamotsaddle_serving/caller.py
+++ b/packages/serving/bergamotsaddle_serving/caller.py
@@ -25,6 +25,7 @@
 from bergamotsaddle_serving._turn import SharedTurn, Turn
 from bergamotsaddle_serving.catalog import CallerLimits
 from bergamotsaddle_serving.chunked_body import ChunkDecoder, ChunkError
+from bergamotsaddle_serving.connection_table import Phase
 from bergamotsaddle_serving.messages import RawHeaders
 
 # Bytes that are read at once, of a body and of anything else.
@@ -67,6 +68,10 @@
     """The caller closed its connection before its response was complete."""
 
 
+class MakeRoomError(BergamotsaddleError):
+    """The connection is closed to make room for another one."""
+
+
 class _StopWaitingError(BergamotsaddleError):
     """The connection is to be closed unless a request has arrived."""
 
@@ -101,6 +106,7 @@
         is_peer: Whether it is a connection of another instance.
         memory: Memory for requests. Unless it is given, only their size is limited.
         turns: Turn of all connections for steps of long work.
+        on_phase: Called when the connection enters a phase.
 
     Attributes:
         is_peer: Whether another instance hands over requests of its callers on it.
@@ -118,6 +124,7 @@
         is_peer: bool = False,
         memory: BodyMemory | None = None,
         turns: SharedTurn | None = None,
+        on_phase: Callable[["CallerConnection", Phase], None] = lambda *_: None,
     ) -> None:
         self.is_peer = is_peer
         self._memory = memory or BodyMemory(inf)
@@ -127,11 +134,12 @@
         self._limits = limits
         self._is_stopping = is_stopping
         self._turns = turns or SharedTurn()
+        self._on_phase = on_phase
         # What has arrived and has not been parsed.
         self._received = bytearray()
         self._turn = Turn(_PARTS_A_TURN)
         self._waiter: greenlet | None = None
-        # Reads a request.
+        # Reads a request, or discards the rest of one.
         self._reader: greenlet | None = None
         self._is_closing = False
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=_MAX_BUFFERED)
@@ -149,12 +157,15 @@
             RequestError: If the request is invalid, too large or too slow, or there is
                 no memory for it.
             CallerLeftError: If the caller disconnected in the middle of it.
+            MakeRoomError: If the connection has to make room for another one.
         """
         self.is_idle = True
         self.has_started = False
+        self._on_phase(self, Phase.READING)
         if not self._received and not self._wait_first_byte():
             return None
         self.is_idle = False
+        self._on_phase(self, Phase.READING)
         started_at = now()
         self._reader = eventlet.getcurrent()
         self._memory.begin(self._request_share, self._give_way)
@@ -165,6 +176,7 @@
         finally:
             self._memory.end(self._request_share)
             self._reader = None
+            self._on_phase(self, Phase.SERVING)
 
     def release_request(self) -> None:
         """Give back the memory for the current request."""
@@ -183,15 +195,25 @@
         """
         self.is_idle = True
         left = self._limits().body_bytes
+        self._reader = eventlet.getcurrent()
+        self._on_phase(self, Phase.ENDING)
         # Fails if the caller has already closed the connection.
         with (
-            contextlib.suppress(OSError, EOFError),
+            contextlib.suppress(OSError, EOFError, MakeRoomError),
             eventlet.Timeout(_BODY_TIMEOUT_S, False),
         ):
             self._socket.shutdown(socket.SHUT_WR)
             while left > 0 and (size := self._socket.recv_into(_discarded)):
                 left -= size
                 self._turn.step()
+        self._reader = None
+
+    def make_room(self) -> None:
+        """Close the connection, whose request is not being served."""
+        if self._reader is not None:
+            eventlet.kill(self._reader, MakeRoomError("others wait"))
+        else:
+            self.close_idle()
 
     def _give_way(self) -> None:
         """Refuse the request that is being read, as others need its memory."""
--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -19,6 +19,7 @@
 from bergamotsaddle_serving.caller import (
     CallerConnection,
     CallerLeftError,
+    MakeRoomError,
     RawRequest,
 )
 from bergamotsaddle_serving.catalog import (
@@ -171,8 +172,8 @@
         try:
             while self._serve_next(caller):
                 continue
-        except CallerLeftError:
-            # The caller left while it was sending a request, which has not run.
+        except (CallerLeftError, MakeRoomError):
+            # The connection ended while a request was being sent, which has not run.
             caller.must_close = True
         finally:
             self.connections.discard(caller)
--- a/packages/serving/bergamotsaddle_serving/metrics.py
+++ b/packages/serving/bergamotsaddle_serving/metrics.py
@@ -62,6 +62,7 @@
         self._hopeless_streams: Counter[tuple[str, str]] = Counter()
         self._endless: Counter[tuple[str, str]] = Counter()
         self._unread: Counter[str] = Counter()
+        self._closed_connections: Counter[tuple[str, str]] = Counter()
         self._durations_by_route: dict[str, _Histogram] = {}
         self._gauges: list[_Gauge] = []
 
@@ -102,6 +103,10 @@
         """Count a request that was refused before it had been read."""
         self._unread[kind] += 1
 
+    def count_closed_connection(self, door: str, phase: str) -> None:
+        """Count a connection that was closed to make room for another one."""
+        self._closed_connections[door, phase] += 1
+
     def add_gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Add a gauge.
 
@@ -186,6 +191,14 @@
         for kind, count in self._unread.items():
             unread.add_metric((kind,), count)
         yield unread
+        closed = core.CounterMetricFamily(
+            f"{_PREFIX}closed_connections",
+            "Connections closed to make room, by door and phase.",
+            labels=("door", "phase"),
+        )
+        for labels, count in self._closed_connections.items():
+            closed.add_metric(labels, count)
+        yield closed
         seconds = core.HistogramMetricFamily(
             f"{_PREFIX}request_seconds",
             "Time from a request's first byte to its end, by route.",
--- a/packages/serving/bergamotsaddle_serving/probe.py
+++ b/packages/serving/bergamotsaddle_serving/probe.py
@@ -5,6 +5,7 @@
 
 import eventlet
 import h11
+from greenlet import GreenletExit, greenlet
 
 from bergamotsaddle_serving._turn import Turn
 
@@ -19,28 +20,38 @@
 Page = Callable[[], tuple[int, bytes]]
 
 
-def serve_page(listener: socket.socket, page: Page) -> None:
-    """Respond to each request on a listener with a page, forever.
+class PageConnection:
+    """A connection at which a page is served.
 
     Args:
-        listener: A listening socket.
+        sock: The accepted socket.
         page: Returns the status and the body of the page.
     """
-    while True:
-        sock, _ = listener.accept()
-        eventlet.spawn_n(_serve, sock, page)
 
+    def __init__(self, sock: socket.socket, page: Page) -> None:
+        self._socket = sock
+        self._page = page
+        self._thread: greenlet | None = None
 
-def _serve(sock: socket.socket, page: Page) -> None:
-    sock.settimeout(_IDLE_S)
-    try:
-        while _respond(sock, page):
-            continue
-    except (OSError, eventlet.Timeout, h11.ProtocolError):
-        # The client disconnected or violated HTTP; it sends its request again.
-        return
-    finally:
-        sock.close()
+    def run(self) -> None:
+        """Respond to each request with the page, until the connection is closed."""
+        self._thread = eventlet.getcurrent()
+        sock = self._socket
+        sock.settimeout(_IDLE_S)
+        try:
+            while _respond(sock, self._page):
+                continue
+        except (OSError, eventlet.Timeout, h11.ProtocolError, GreenletExit):
+            # The client disconnected, violated HTTP, or made room for another one; it
+            # sends its request again.
+            return
+        finally:
+            sock.close()
+
+    def make_room(self) -> None:
+        """Close the connection."""
+        if self._thread is not None:
+            eventlet.kill(self._thread)
 
 
 def _respond(sock: socket.socket, page: Page) -> bool:
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -4,7 +4,7 @@
 import secrets
 import signal
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -20,11 +20,13 @@
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.catalog import CallerLimits
 from bergamotsaddle_serving.client import ConnectionPool
+from bergamotsaddle_serving.connection_table import ConnectionTable
 from bergamotsaddle_serving.decisions.engine_speeds import EngineSpeeds
 from bergamotsaddle_serving.decisions.fleet_start import FleetStart
 from bergamotsaddle_serving.decisions.hedge_pool import HedgePool
 from bergamotsaddle_serving.decisions.reporting_services import ReportingServices
 from bergamotsaddle_serving.decisions.stream_ends import StreamLengths
+from bergamotsaddle_serving.door import Door, Open
 from bergamotsaddle_serving.endless import EndlessResponses
 from bergamotsaddle_serving.fetching import FetchTimes
 from bergamotsaddle_serving.follower import StoreFollower
@@ -46,7 +48,7 @@
 from bergamotsaddle_serving.placement_exchange import PlacementExchange
 from bergamotsaddle_serving.plain import PlainServer
 from bergamotsaddle_serving.policy import Mechanism
-from bergamotsaddle_serving.probe import serve_page
+from bergamotsaddle_serving.probe import Page, PageConnection
 from bergamotsaddle_serving.rate_exchange import RateExchange
 from bergamotsaddle_serving.resumption import Resumptions
 from bergamotsaddle_serving.return_exchange import ReturnExchange
@@ -151,7 +153,12 @@
         )
         self.store.on_endless = endless.record
         self.exchange = ViewExchange(
-            settings, self.view, self.peers, logger, self.store.is_refused
+            settings,
+            self.view,
+            self.peers,
+            logger,
+            self.store.is_refused,
+            metrics=self.metrics,
         )
         self.follower = ViewFollower(
             self.store,
@@ -370,10 +377,27 @@
         signal.signal(signal.SIGPIPE, signal.SIG_IGN)
         listen = self.settings.listen
         host = self.settings.instance.host
-        callers = eventlet.listen(tuple(listen.callers), backlog=_BACKLOG)
-        ready = eventlet.listen(tuple(listen.ready))
-        metrics = eventlet.listen((host, listen.metrics_port))
-        relayed = eventlet.listen((host, listen.relay_port), backlog=_BACKLOG)
+        capacity = self.settings.capacity
+        callers = self._make_door(
+            "callers",
+            listen.callers,
+            capacity.caller_connections,
+            lambda sock, table: self._open_caller(sock, table, self.handler.limits),
+        )
+        relayed = self._make_door(
+            "relay",
+            (host, listen.relay_port),
+            capacity.relay_connections,
+            lambda sock, table: self._open_caller(
+                sock, table, self._relay_limits, is_peer=True
+            ),
+        )
+        ready = self._make_page_door("ready", listen.ready, self._ready_page)
+        metrics = self._make_page_door(
+            "metrics",
+            (host, listen.metrics_port),
+            lambda: (_OK, self.metrics.page()),
+        )
         for loop in (
             self.peers.receive,
             self.peers.run,
@@ -385,10 +409,8 @@
             self._tick,
         ):
             eventlet.spawn_n(self._run_supervised, loop)
-        eventlet.spawn_n(serve_page, ready, self._ready_page)
-        eventlet.spawn_n(serve_page, metrics, lambda: (_OK, self.metrics.page()))
-        eventlet.spawn_n(self._accept, callers, self.handler.limits)
-        eventlet.spawn_n(self._accept, relayed, self._relay_limits, is_peer=True)
+        for door in (ready, metrics, callers, relayed):
+            eventlet.spawn_n(door.run)
         # Objects loaded so far live as long as the process, so the garbage collector
         # need not visit them.
         gc.freeze()
@@ -423,39 +445,62 @@
     def _ready_page(self) -> tuple[int, bytes]:
         return (_OK if self.is_ready() else _UNAVAILABLE), b""
 
-    def _accept(
+    def _make_door(
+        self,
+        name: str,
+        address: Sequence[Any],
+        limit: int,
+        open_caller: Open[CallerConnection],
+    ) -> Door[CallerConnection]:
+        """Listen for requests at an address."""
+        return Door(
+            name,
+            eventlet.listen(tuple(address), backlog=_BACKLOG),
+            limit,
+            open_caller,
+            self.handler.run,
+            metrics=self.metrics,
+            logger=self.logger,
+        )
+
+    def _make_page_door(
+        self, name: str, address: Sequence[Any], page: Page
+    ) -> Door[PageConnection]:
+        """Listen for requests for a page at an address."""
+        return Door(
+            name,
+            eventlet.listen(tuple(address)),
+            self.settings.capacity.page_connections,
+            lambda sock, _: PageConnection(sock, page),
+            PageConnection.run,
+            metrics=self.metrics,
+            logger=self.logger,
+        )
+
+    def _open_caller(
         self,
-        listener: socket.socket,
+        sock: socket.socket,
+        table: ConnectionTable[CallerConnection],
         limits: Callable[[], CallerLimits],
         *,
         is_peer: bool = False,
-    ) -> None:
-        while True:
-            try:
-                sock, _ = listener.accept()
-            except OSError as error:
-                if self._is_stopping:
-                    return
-                # Most likely out of file descriptors; callers wait in the backlog.
-                self.logger.warning("accept_failed", reason=str(error))
-                eventlet.sleep(_STOP_POLL_S)
-                continue
-            caller = CallerConnection(
-                sock,
-                limits,
-                lambda: self._is_stopping,
-                is_peer=is_peer,
-                memory=self.request_memory,
-                turns=self._turns,
-            )
-            eventlet.spawn_n(self.handler.run, caller)
+    ) -> CallerConnection:
+        return CallerConnection(
+            sock,
+            limits,
+            lambda: self._is_stopping,
+            is_peer=is_peer,
+            memory=self.request_memory,
+            turns=self._turns,
+            on_phase=table.enter,
+        )
 
     def _relay_limits(self) -> CallerLimits:
         """Return the limits on handed-over requests, whose heads are longer."""
         limits = self.handler.limits()
         return limits._replace(head_bytes=limits.head_bytes + _RELAY_HEAD_BYTES)
 
-    def _stop(self, *listeners: socket.socket) -> None:
+    def _stop(self, *doors: Door[CallerConnection]) -> None:
         schedule = StopSchedule(
             now(), _STOP_NOTICE_S, self.settings.bounds.grace - _STOP_MARGIN_S
         )
@@ -464,8 +509,8 @@
         self._announce_stop()
         self.logger.info("stopping", active=self.handler.active)
         eventlet.sleep(_STOP_NOTICE_S)
-        for listener in listeners:
-            listener.close()
+        for door in doors:
+            door.close()
         while now() < schedule.aborts_at and self._is_busy():
             self._close_idle()
             eventlet.sleep(_STOP_POLL_S)
@@ -711,6 +756,11 @@
             "Bytes of requests that are held here.",
             lambda: self.request_memory.used,
         )
+        gauge(
+            "caller_connections",
+            "Open connections of callers and of instances that hand requests over.",
+            lambda: len(self.handler.connections),
+        )
         gauge("targets_limited", "Targets that name a limit.", lambda: len(self.limits))
         gauge(
             "room_pressure",
--- a/packages/serving/bergamotsaddle_serving/settings.py
+++ b/packages/serving/bergamotsaddle_serving/settings.py
@@ -1,6 +1,7 @@
 """The settings of a serving daemon, read from an INI file and validated at startup."""
 
 import re
+import resource
 from typing import NamedTuple
 
 from bergamotsaddle_contracts.ini import Address, IniFile, parse_address, parse_words
@@ -14,6 +15,17 @@
 # are being read. Short ones may take somewhat more than long ones.
 _REQUEST_FRACTION = 0.3
 _SHORT_REQUEST_FRACTION = 0.35
+# So do connections of callers. Each of them takes its parser, its green thread, and
+# what the kernel holds of its bytes.
+_CONNECTION_FRACTION = 0.25
+_CONNECTION_BYTES = 48_000.0
+# Fractions of the descriptors for connections of callers, for those of instances that
+# hand requests over, and for those at each of the other listeners. The rest is for
+# targets, the store, other instances and files.
+_CALLER_DESCRIPTORS = 1 / 2
+_RELAY_DESCRIPTORS = 1 / 8
+_PAGE_DESCRIPTORS = 1 / 32
+_MIN_DESCRIPTORS = 64.0
 # Seconds until a change must be in force where the settings name no bound.
 _DEFAULT_CHANGE_S = 2.0
 _DEFAULT_HEARTBEAT_S = 1.0
@@ -145,12 +157,14 @@
         cpus: Number of cores.
         link_mbps: Bandwidth of its link in megabits per second.
         memory_mb: Memory in megabytes beyond which its process is killed.
+        descriptors: Number of descriptors that its process may open.
     """
 
     cpu_share: float = 1.0
     cpus: float = 1.0
     link_mbps: float = 1_000.0
     memory_mb: float = 300.0
+    descriptors: float = 4_100.0
 
     @property
     def cores(self) -> float:
@@ -167,6 +181,24 @@
         """Bytes that all requests may take together."""
         return self.memory_mb * _BYTES_PER_MB * _SHORT_REQUEST_FRACTION
 
+    @property
+    def caller_connections(self) -> int:
+        """Number of connections that callers may have open."""
+        memory = self.memory_mb * _BYTES_PER_MB * _CONNECTION_FRACTION
+        by_memory = memory / _CONNECTION_BYTES
+        return int(min(by_memory, self.descriptors * _CALLER_DESCRIPTORS))
+
+    @property
+    def relay_connections(self) -> int:
+        """Number of connections that hand requests over."""
+        share = _RELAY_DESCRIPTORS / _CALLER_DESCRIPTORS
+        return int(self.caller_connections * share)
+
+    @property
+    def page_connections(self) -> int:
+        """Number of connections at each of the other listeners."""
+        return int(self.descriptors * _PAGE_DESCRIPTORS)
+
 
 class SuspectSettings(NamedTuple):
     """What is suspected of crashing targets (``[suspects]``).
@@ -243,6 +275,24 @@
     return value
 
 
+def _parse_descriptors(text: str) -> float:
+    """Parse a number of descriptors that a daemon can work with.
+
+    Raises:
+        ValueError: If the text is no such number.
+    """
+    value = _parse_number(text)
+    if value < _MIN_DESCRIPTORS:
+        raise ValueError(f"expected a number from {_MIN_DESCRIPTORS:.0f} on")
+    return value
+
+
+def _limit_of_descriptors() -> float:
+    """Return how many descriptors the operating system lets this process open."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return _MAX_NUMBER if limit == resource.RLIM_INFINITY else float(limit)
+
+
 def _parse_share(text: str) -> float:
     """Parse a number from 0 to 1.
 
@@ -363,6 +413,9 @@
             ini.get("capacity", "cpus", _parse_positive, 1.0),
             ini.get("capacity", "link_mbps", _parse_positive, 1_000.0),
             ini.get("capacity", "memory_mb", _parse_positive, 300.0),
+            ini.get(
+                "capacity", "descriptors", _parse_descriptors, _limit_of_descriptors()
+            ),
         ),
         SuspectSettings(
             frozenset(ini.get("suspects", "allowed_parts", parse_words, ())),
--- a/packages/serving/bergamotsaddle_serving/view_exchange.py
+++ b/packages/serving/bergamotsaddle_serving/view_exchange.py
@@ -8,13 +8,16 @@
 import eventlet
 import msgspec
 from eventlet.event import Event
+from greenlet import GreenletExit, greenlet
 
 from bergamotsaddle_contracts.decoding import decode_msgpack
 from bergamotsaddle_contracts.errors import BergamotsaddleError
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving._turn import Turn
+from bergamotsaddle_serving.door import Door
 from bergamotsaddle_serving.follower import batch_pause
 from bergamotsaddle_serving.messages import NO_POSITION, StoreEntry, StorePosition
+from bergamotsaddle_serving.metrics import Metrics
 from bergamotsaddle_serving.peer_messages import Contact
 from bergamotsaddle_serving.peers import Peer, Peers
 from bergamotsaddle_serving.settings import ServingSettings
@@ -44,7 +47,7 @@
 _ASK_INTERVAL_FACTOR = 2.0
 # Place before the first one: requests all entries.
 _BEFORE_ALL = StorePosition(0, -1)
-_MAX_FRAME_BYTES = 16_000_000
+_MAX_RESPONSE_BYTES = 16_000_000
 _CHUNK_BYTES = 65_536
 # Seconds for the rest of a frame that has begun.
 _FRAME_TIMEOUT_S = 5.0
@@ -136,7 +139,7 @@
         self._socket.settimeout(default if limit is None else limit)
         try:
             _send_frame(self._socket, request)
-            frame = _read_frame(self._socket)
+            frame = _read_frame(self._socket, _MAX_RESPONSE_BYTES)
             if frame is None:
                 raise LinkError("closed")
             return decode_msgpack(frame, ViewResponse)
@@ -148,6 +151,27 @@
         self._socket.close()
 
 
+class _PeerConnection:
+    """A connection at which peers ask for changes.
+
+    Args:
+        sock: The accepted socket.
+
+    Attributes:
+        socket: The socket.
+        thread: The green thread that serves it, None before it has started.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.socket = sock
+        self.thread: greenlet | None = None
+
+    def make_room(self) -> None:
+        """Close the connection."""
+        if self.thread is not None:
+            eventlet.kill(self.thread)
+
+
 class ViewExchange:
     """Requests view changes from peers that are ahead, and serves those to peers.
 
@@ -160,6 +184,7 @@
         peers: The other instances.
         logger: Logs each exchange.
         is_store_lost: Returns whether this instance fails to read the store.
+        metrics: Counts connections of peers that make room for others.
     """
 
     def __init__(
@@ -169,6 +194,8 @@
         peers: Peers,
         logger: Any,
         is_store_lost: Callable[[], bool] = lambda: False,
+        *,
+        metrics: Metrics | None = None,
     ) -> None:
         self._view = view
         self._is_store_lost = is_store_lost
@@ -179,13 +206,19 @@
         self._peers = peers
         self._logger = logger
         self._port = settings.listen.peer_port
-        self._listener = eventlet.listen(
-            (settings.instance.host, self._port), backlog=64
+        self._door = Door(
+            "view",
+            eventlet.listen((settings.instance.host, self._port), backlog=64),
+            settings.capacity.page_connections,
+            lambda sock, _: _PeerConnection(sock),
+            self._serve,
+            metrics=metrics or Metrics(),
+            logger=logger,
         )
         self._behind_since: float | None = None
         self._last_position = NO_POSITION
         self._introduced_era: int | None = None
-        eventlet.spawn_n(self._serve)
+        eventlet.spawn_n(self._door.run)
 
     def run(self) -> None:
         """Catch up with peers that are ahead, forever."""
@@ -328,19 +361,16 @@
         )
         return True
 
-    def _serve(self) -> None:
-        while True:
-            sock, _ = self._listener.accept()
-            eventlet.spawn_n(self._serve_connection, sock)
-
-    def _serve_connection(self, sock: socket.socket) -> None:
+    def _serve(self, connection: "_PeerConnection") -> None:
+        sock = connection.socket
         sock.settimeout(_IDLE_TIMEOUT_S)
+        connection.thread = eventlet.getcurrent()
         try:
-            while (frame := _read_frame(sock)) is not None:
+            while (frame := _read_frame(sock, _MAX_RESPONSE_BYTES)) is not None:
                 request = decode_msgpack(frame, ViewRequest)
                 held = self._wait_for_news(request)
                 _send_frame(sock, self._make_response(request, held=held))
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, GreenletExit) as error:
             self._logger.info("peer_question_failed", reason=str(error))
         finally:
             sock.close()
@@ -398,14 +428,18 @@
     sock.sendall(len(data).to_bytes(_LENGTH_BYTES, "big") + data)
 
 
-def _read_frame(sock: socket.socket) -> bytes | None:
-    """Read a frame; return None if the connection was closed before it started."""
+def _read_frame(sock: socket.socket, max_bytes: int) -> bytes | None:
+    """Read a frame; return None if the connection was closed before it started.
+
+    Raises:
+        OSError: If it is larger than it may be, or too slow.
+    """
     head = sock.recv(_LENGTH_BYTES)
     if not head:
         return None
     head += _read_exactly(sock, _LENGTH_BYTES - len(head))
     length = int.from_bytes(head, "big")
-    if length > _MAX_FRAME_BYTES:
+    if length > max_bytes:
         raise OSError(f"frame of {length} bytes is too large")
     return _read_exactly(sock, length)
 
--- a/tests/test_odd_input.py
+++ b/tests/test_odd_input.py
@@ -844,7 +844,7 @@
         ):
             exchange = ViewExchange(SETTINGS, mock.Mock(), peers, mock.Mock())
         sock = self.open_socket(frame)
-        exchange._serve_connection(sock)
+        exchange._serve(view_exchange._PeerConnection(sock))
         exchange._logger.info.assert_called_once()
         sock.sendall.assert_not_called()
 
--- a/tests/test_view_follower.py
+++ b/tests/test_view_follower.py
@@ -13,6 +13,7 @@
 from bergamotsaddle_serving.messages import StoreEntry, StorePage, StorePosition
 from bergamotsaddle_serving.owners import rank_owners
 from bergamotsaddle_serving.server import SETTLE_S
+from bergamotsaddle_serving.settings import CapacitySettings
 from bergamotsaddle_serving.store_readers import STORE, pick_reader
 from bergamotsaddle_serving.view import View
 from bergamotsaddle_serving.view_exchange import LinkError, ViewExchange
@@ -203,6 +204,7 @@
         settings.instance.host = peers.own.host
         settings.bounds.change = simulation.bound
         settings.store.min_outage = MIN_OUTAGE_S
+        settings.capacity = CapacitySettings()
         self.store = StoreFollower(
             settings, dialect, self.view, lambda: len(simulation.instances), STUB
         )
