Bound what the kernel holds of each connection's bytes

What callers saw: processes over the memory of their machine, which counts the bytes that have been received and not been read, though what the process held was bounded.

Cause: receive buffers were left to grow with the kernel's own limits, to megabytes for each connection that a process had stopped reading, or that waited in the backlog.

Evidence: with 150 callers at 100 MB, rows of test_crowds reached 105 to 374 MB resident and unread; 300 callers were seen with 549 to 1,056 MB, half and more of it unread.

Change: listeners set a buffer of 32 KB, which their connections inherit. A body of 4 MB takes some 0.8 s at 6 ms there and back.

--- a/packages/serving/bergamotsaddle_serving/door.py
+++ b/packages/serving/bergamotsaddle_serving/door.py
@@ -10,6 +10,9 @@
 from bergamotsaddle_serving.connection_table import ConnectionTable, Phase
 from bergamotsaddle_serving.metrics import Metrics
 
+# What the kernel holds of a connection's bytes that have not been read. It is held
+# beside the memory that the process counts.
+RECEIVE_BUFFER_BYTES = 32_768
 # Connections after which other green threads get to run.
 _CONNECTIONS_A_TURN = 16
 _RETRY_S = 0.02
@@ -62,6 +65,8 @@
         self._logger = logger
         self._is_closed = False
         self.table: ConnectionTable[ConnectionT] = ConnectionTable(limit)
+        # Accepted sockets inherit it.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
 
     def run(self) -> None:
         """Accept connections until the door is closed."""
