Bound what other instances ask at the view's port

What was seen: 150 clients that announce a frame of 4 MB and stop short of its end took a process to 688 MB.

Cause: a request and a response had the same bound, 16 MB, which only responses need.

Evidence: test_memory_19_frame_at_view failed. Change: a request may have 1,024 bytes; ours have under 100.

--- a/packages/serving/bergamotsaddle_serving/view_exchange.py
+++ b/packages/serving/bergamotsaddle_serving/view_exchange.py
@@ -48,6 +48,7 @@
 # Place before the first one: requests all entries.
 _BEFORE_ALL = StorePosition(0, -1)
 _MAX_RESPONSE_BYTES = 16_000_000
+_MAX_REQUEST_BYTES = 1_024
 _CHUNK_BYTES = 65_536
 # Seconds for the rest of a frame that has begun.
 _FRAME_TIMEOUT_S = 5.0
@@ -366,7 +367,7 @@
         sock.settimeout(_IDLE_TIMEOUT_S)
         connection.thread = eventlet.getcurrent()
         try:
-            while (frame := _read_frame(sock, _MAX_RESPONSE_BYTES)) is not None:
+            while (frame := _read_frame(sock, _MAX_REQUEST_BYTES)) is not None:
                 request = decode_msgpack(frame, ViewRequest)
                 held = self._wait_for_news(request)
                 _send_frame(sock, self._make_response(request, held=held))
