Let crowds of callers call in the soak

The manners and the crowd of the tests become a stand-in, and the soak has a disturbance more: 40 callers of one manner call at a port of an instance for up to 4 s, in series with stops, changes and cuts.

--- a/packages/standins/bergamotsaddle_standins/soak.py
+++ b/packages/standins/bergamotsaddle_standins/soak.py
@@ -23,6 +23,7 @@
 from eventlet.semaphore import Semaphore
 
 from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_standins.crowd import MANNERS, Crowd
 from bergamotsaddle_standins.soak_audit import count_statuses, find_breaches
 from bergamotsaddle_standins.soak_breaks import BreakMode
 from bergamotsaddle_standins.soak_callers import (
@@ -106,6 +107,10 @@
 _MAX_BREAKING_S = 4.0
 _MAX_ENDLESS_S = 4.0
 _MAX_REPEATING_S = 6.0
+_MAX_CROWD_S = 4.0
+_CROWD_CALLERS = 40
+# Those of callers, ready, the view, instances that hand requests over, and metrics.
+_CROWD_PORTS = (8_000, 8_000, 8_000, 8_001, 7_740, 7_741, 9_464)
 _NAMING_FRACTION = 0.5
 _MAX_COPY_AGE_S = 4.0
 _MAX_AWAY_S = 0.4
@@ -356,6 +361,7 @@
         self._software_number = 1
         self._is_rolling_out = False
         self._is_sending_fatal = False
+        self._has_crowd = False
         self._causes: list[FatalCause] = []
         self._target_number = 0
         self._targets: list[RunningTarget] = []
@@ -781,6 +787,20 @@
         eventlet.sleep(self._rng.uniform(0.0, _MAX_ENDLESS_S))
         target.endless_kind = None
 
+    @register_disturbance("crowd")
+    def _send_crowd(self) -> None:
+        """Let a crowd of callers that do not behave call at a port of an instance."""
+        if self._has_crowd or self._is_over:
+            return
+        self._has_crowd = True
+        host = self._rng.choice(self._instances).host
+        port = self._rng.choice(_CROWD_PORTS)
+        manner = MANNERS[self._rng.choice([*MANNERS])]
+        crowd = Crowd((host, port), manner, _CROWD_CALLERS)
+        eventlet.sleep(self._rng.uniform(0.0, _MAX_CROWD_S))
+        crowd.leave()
+        self._has_crowd = False
+
     @register_disturbance("repeat")
     def _repeat_responses(self) -> None:
         """Let a target reject requests and send responses once more, too late."""
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -8,9 +8,10 @@
 from parameterized import parameterized
 
 from bergamotsaddle_contracts.ini import parse_address
+from bergamotsaddle_standins.crowd import MANNERS
 from bergamotsaddle_standins.fleet import Fleet, FleetSpec, wait_for
 from bergamotsaddle_standins.targets import TargetSpec
-from tests._crowd import MANNERS, OWN_MANNERS, UsageMeter, play
+from tests._crowd import OWN_MANNERS, UsageMeter, play
 from tests._daemon_fleet import DaemonFleet
 from tests._paused import use_paused_clock, use_running_clock
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -52,6 +52,8 @@
 RESTS = ("--seed", "6", "--seconds", "15", "--instances", "4", "--only", "rest")
 ENDLESS = ("--seed", "11", "--seconds", "12", "--instances", "4", "--only", "endless")
 REPEATS = ("--seed", "12", "--seconds", "12", "--instances", "5", "--only", "repeat")
+CROWDS = ("--seed", "21", "--seconds", "12", "--instances", "4")
+CROWD_CHANGES = ("--only", "crowd", "stop", "move", "store")
 LONG = ("--seed", "13", "--seconds", "20")
 TRUSTING = ("--daemon", "_trusting_daemon")
 CUTS = ("--seed", "1", "--seconds", "20", "--instances", "5", "--only", "cut")
@@ -132,6 +134,10 @@
         """Guards against requests lost at places that an owner grants."""
         self.check(*NOISES)
 
+    def test_crowds_of_callers_break_nothing(self):
+        """Guards against requests lost beside callers that do not behave."""
+        self.check(*CROWDS, *CROWD_CHANGES)
+
     def test_silent_shares_of_the_targets_break_nothing(self):
         """Guards against streams lost while many targets hold back all bytes."""
         self.check(*HUSHES, *FEW_REPEATS)
