Bound the connections at ready, metrics and view whatever the descriptors

Cause: their limit was a thirty-second of the descriptors. Where the operating system sets no low limit and the settings name none, that is no limit on what they hold. At most 128 now, as at 4,100 descriptors. Read, not seen; rows in test_serving_settings.

--- a/packages/serving/bergamotsaddle_serving/settings.py
+++ b/packages/serving/bergamotsaddle_serving/settings.py
@@ -25,6 +25,7 @@
 _CALLER_DESCRIPTORS = 1 / 2
 _RELAY_DESCRIPTORS = 1 / 8
 _PAGE_DESCRIPTORS = 1 / 32
+_MAX_PAGE_CONNECTIONS = 128
 _MIN_DESCRIPTORS = 64.0
 # Seconds until a change must be in force where the settings name no bound.
 _DEFAULT_CHANGE_S = 2.0
@@ -197,7 +198,7 @@
     @property
     def page_connections(self) -> int:
         """Number of connections at each of the other listeners."""
-        return int(self.descriptors * _PAGE_DESCRIPTORS)
+        return min(_MAX_PAGE_CONNECTIONS, int(self.descriptors * _PAGE_DESCRIPTORS))
 
 
 class SuspectSettings(NamedTuple):
--- a/tests/test_serving_settings.py
+++ b/tests/test_serving_settings.py
@@ -63,6 +63,25 @@
         settings = parse_settings(TEXT, name="daemon.ini")
         self.assertEqual(settings.suspects.allowed_parts, frozenset())
 
+    @parameterized.expand(
+        [
+            ("of_the_users", 300, 4_100, (1_562, 390, 128)),
+            ("few_descriptors", 300, 512, (256, 64, 16)),
+            ("little_memory", 100, 4_100, (520, 130, 128)),
+            ("no_limit", 300, 1e9, (1_562, 390, 128)),
+        ]
+    )
+    def test_connections_of(self, _, memory, descriptors, expected):
+        """Guards against connections that leave no memory or descriptors."""
+        section = f"[capacity]\nmemory_mb = {memory}\ndescriptors = {descriptors}\n"
+        capacity = parse_settings(f"{TEXT}\n{section}", name="f").capacity
+        found = (
+            capacity.caller_connections,
+            capacity.relay_connections,
+            capacity.page_connections,
+        )
+        self.assertEqual(found, expected)
+
     @parameterized.expand([("0", 0.0), ("0.05", 0.05), ("1", 1.0)])
     def test_share_of_hedges(self, text, expected):
         settings = parse_settings(TEXT + f"\n[hedging]\nmax_share = {text}\n", name="f")
@@ -119,6 +138,12 @@
                 "capacity",
                 "link_mbps",
             ),
+            (
+                "[bounds]",
+                "[capacity]\ndescriptors = 63\n[bounds]",
+                "capacity",
+                "descriptors",
+            ),
         ]
     )
     def test_a_fault_names_file_section_and_key(self, old, new, section, key):
