Call the parts of accepting by the usual terms

An acceptor has a listener; connections and bodies are evicted. No change of what is done. Log line `connection_evicted` with `listener`, counter `evicted_connections`, field `connections_evicted` of the status page of the own interface.

--- a/packages/daemon/bergamotsaddle_daemon/body_memory.py
+++ b/packages/daemon/bergamotsaddle_daemon/body_memory.py
@@ -12,8 +12,8 @@
 MAX_RESPONSE_MEMORY_BYTES = 4_000_000
 # What each body may take also when long ones have taken everything.
 MIN_SHARE_BYTES = 32_768
-# A body that has been received for this long gives way to others while memory is short.
-_MIN_WAY_AGE_S = 1.0
+# A body that has been received for this long is evicted while memory is short.
+_MIN_EVICTION_AGE_S = 1.0
 
 
 class MemoryShortError(BergamotsaddleError):
@@ -33,11 +33,11 @@
 
     Attributes:
         since: When it began, on the hub's clock.
-        give_way: Ends it and gives back its memory.
+        evict: Ends it and gives back its memory.
     """
 
     since: float
-    give_way: Callable[[], None]
+    evict: Callable[[], None]
 
 
 class BodyMemory:
@@ -77,21 +77,21 @@
         min_share = min(MIN_SHARE_BYTES, self._max_used - others)
         return max(min_share, (self._limit - others) / 2.0)
 
-    def begin(self, share: "MemoryShare", give_way: Callable[[], None]) -> None:
+    def begin(self, share: "MemoryShare", evict: Callable[[], None]) -> None:
         """Record that a body begins to arrive.
 
         Args:
             share: Its share.
-            give_way: Ends it and gives back its memory.
+            evict: Ends it and gives back its memory.
         """
-        self._unfinished[share] = _UnfinishedBody(now(), give_way)
+        self._unfinished[share] = _UnfinishedBody(now(), evict)
 
     def end(self, share: "MemoryShare") -> None:
         """Record that a body has arrived, or has been given up."""
         self._unfinished.pop(share, None)
 
     def reclaim(self, share: "MemoryShare") -> bool:
-        """Make the body give way that has been arriving for longest.
+        """Evict the body that has been arriving for longest.
 
         A caller that stops in the middle of a body would otherwise keep its memory from
         others until its time is over.
@@ -100,14 +100,14 @@
             share: Share of the body that lacks memory.
 
         Returns:
-            Whether one has given way.
+            Whether one has been evicted.
         """
         slowest = next(iter(self._unfinished), share)
         if slowest is share:
             return False
-        if now() - self._unfinished[slowest].since < _MIN_WAY_AGE_S:
+        if now() - self._unfinished[slowest].since < _MIN_EVICTION_AGE_S:
             return False
-        self._unfinished.pop(slowest).give_way()
+        self._unfinished.pop(slowest).evict()
         return True
 
 
--- a/packages/daemon/bergamotsaddle_daemon/daemon.py
+++ b/packages/daemon/bergamotsaddle_daemon/daemon.py
@@ -82,7 +82,7 @@
         logger: Receives the log lines.
 
     Attributes:
-        connections_closed: Connections of clients that were closed for others.
+        connections_evicted: Connections of clients that were closed for others.
     """
 
     def __init__(self, settings: Settings, interfaces: Interfaces, logger: Any) -> None:
@@ -111,7 +111,7 @@
         )
         self.costs = Costs(self.metrics)
         self.connections = interfaces.connections
-        self.connections_closed = 0
+        self.connections_evicted = 0
         self._build_callers(interfaces.connections)
         self.platform = PlatformWatch(
             settings,
--- a/packages/daemon/bergamotsaddle_daemon/http_server.py
+++ b/packages/daemon/bergamotsaddle_daemon/http_server.py
@@ -142,12 +142,12 @@
 
     Args:
         limit: Maximum number of connections.
-        on_close: Called when a connection is closed for another one.
+        on_evict: Called when a connection is closed for another one.
     """
 
-    def __init__(self, limit: int, on_close: Callable[[], None]) -> None:
+    def __init__(self, limit: int, on_evict: Callable[[], None]) -> None:
         self._limit = limit
-        self._on_close = on_close
+        self._on_evict = on_evict
         self._pool = eventlet.GreenPool(limit)
         self._connections: dict[int, list[Any]] = {}
 
@@ -156,7 +156,7 @@
     ) -> GreenThread:
         """Serve a connection; wait while there are too many."""
         if len(self._connections) >= self._limit:
-            self._make_room()
+            self._evict_one()
         return self._pool.spawn(self._run, serve, connection)
 
     def waitall(self) -> None:
@@ -170,10 +170,10 @@
         finally:
             del self._connections[id(connection)]
 
-    def _make_room(self) -> None:
+    def _evict_one(self) -> None:
         for connection in self._connections.values():
             if connection[_STATE] == STATE_IDLE:
-                self._on_close()
+                self._on_evict()
                 shutdown_safe(connection[_SOCKET])
                 return
 
@@ -185,7 +185,7 @@
     connections: int,
     timeout: float,
     logger: Any,
-    on_close: Callable[[], None],
+    on_evict: Callable[[], None],
 ) -> None:
     """Serve an application until the socket is closed.
 
@@ -195,7 +195,7 @@
         connections: Maximum number of connections.
         timeout: Seconds for which a client may send or read nothing.
         logger: Gets a line when a descriptor or memory is short.
-        on_close: Called when a connection is closed for another one.
+        on_evict: Called when a connection is closed for another one.
     """
     listener = _Listener(
         sock, lambda error: logger.warning("accept_failed", reason=str(error))
@@ -203,7 +203,7 @@
     eventlet.wsgi.server(
         listener,
         app,
-        custom_pool=ConnectionPool(connections, on_close),
+        custom_pool=ConnectionPool(connections, on_evict),
         protocol=_Protocol,
         log_output=False,
         minimum_chunk_size=1,
--- a/packages/daemon/bergamotsaddle_daemon/operators.py
+++ b/packages/daemon/bergamotsaddle_daemon/operators.py
@@ -45,7 +45,7 @@
         "list_error": daemon.platform.instances_error,
         "requests": daemon.callers.active,
         "waiting": daemon.pools.count_waiting(),
-        "connections_closed": daemon.connections_closed,
+        "connections_evicted": daemon.connections_evicted,
         "answers_discarded": daemon.connections.responses_discarded,
         "tickets_running": daemon.tickets.count_unsettled(),
         "peers": [
--- a/packages/daemon/bergamotsaddle_daemon/server.py
+++ b/packages/daemon/bergamotsaddle_daemon/server.py
@@ -103,10 +103,10 @@
             connections=connections,
             timeout=self._settings.timing.header,
             logger=self._logger,
-            on_close=self._record_closed,
+            on_evict=self._record_eviction,
         )
 
-    def _record_closed(self) -> None:
+    def _record_eviction(self) -> None:
         """Record that a connection was closed for another one."""
-        self.daemon.connections_closed += 1
-        self._logger.warning("connection_closed", reason="others wait")
+        self.daemon.connections_evicted += 1
+        self._logger.warning("connection_evicted", reason="others wait")
--- a/packages/serving/bergamotsaddle_serving/door.py
+++ b/packages/serving/bergamotsaddle_serving/acceptor.py
@@ -21,7 +21,7 @@
 class Connection(Protocol):
     """An accepted connection."""
 
-    def make_room(self) -> None:
+    def evict(self) -> None:
         """Close the connection, which is not being served."""
 
 
@@ -29,20 +29,20 @@
 Open = Callable[[socket.socket, "ConnectionTable[ConnectionT]"], ConnectionT]
 
 
-class Door(Generic[ConnectionT]):
+class Acceptor(Generic[ConnectionT]):
     """A listener and its connections.
 
     When there are too many, the one that has waited longest for bytes of its caller
-    makes room. While all of them are being served, callers wait in the backlog.
+    is evicted. While all of them are being served, callers wait in the backlog.
 
     Args:
-        name: Name of the door, for the log and the metrics.
+        name: Name of the listener, for the log and the metrics.
         listener: The listening socket.
         limit: Maximum number of connections.
         open_connection: Makes the connection of an accepted socket, which enters its
             phases into the table.
         serve: Serves a connection until it is closed.
-        metrics: Counts connections that make room.
+        metrics: Counts connections that are evicted.
         logger: Gets a line for each of them, and for failures to accept.
     """
 
@@ -69,11 +69,11 @@
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
 
     def run(self) -> None:
-        """Accept connections until the door is closed."""
+        """Accept connections until the acceptor is closed."""
         turn = Turn(_CONNECTIONS_A_TURN)
         while not self._is_closed:
             turn.step()
-            if self.table.excess > 0 and self.table.find_expendable() is None:
+            if self.table.excess > 0 and self.table.find_evictable() is None:
                 eventlet.sleep(_RETRY_S)
                 continue
             try:
@@ -83,9 +83,9 @@
                     return
                 # Most likely out of file descriptors; callers wait in the backlog.
                 self._logger.warning(
-                    "accept_failed", door=self._name, reason=str(error)
+                    "accept_failed", listener=self._name, reason=str(error)
                 )
-                self._make_room()
+                self._evict_one()
                 eventlet.sleep(_RETRY_S)
                 continue
             self._add(sock)
@@ -100,7 +100,7 @@
         self.table.enter(connection, Phase.READING)
         eventlet.spawn_n(self._run, connection)
         if self.table.excess > 0:
-            self._make_room()
+            self._evict_one()
 
     def _run(self, connection: ConnectionT) -> None:
         try:
@@ -108,20 +108,20 @@
         finally:
             self.table.remove(connection)
 
-    def _make_room(self) -> None:
+    def _evict_one(self) -> None:
         """Close a connection, unless all of them are being served."""
-        found = self.table.find_expendable()
+        found = self.table.find_evictable()
         if found is None:
             return
         connection, phase = found
         age = self.table.age(connection)
         # It is not chosen once more while it closes.
         self.table.enter(connection, Phase.SERVING)
-        self._metrics.count_closed_connection(self._name, phase.name.lower())
+        self._metrics.count_eviction(self._name, phase.name.lower())
         self._logger.warning(
-            "connection_closed",
-            door=self._name,
+            "connection_evicted",
+            listener=self._name,
             phase=phase.name.lower(),
             seconds=round(age, 3),
         )
-        connection.make_room()
+        connection.evict()
--- a/packages/serving/bergamotsaddle_serving/caller.py
+++ b/packages/serving/bergamotsaddle_serving/caller.py
@@ -70,8 +70,8 @@
     """The caller closed its connection before its response was complete."""
 
 
-class MakeRoomError(BergamotsaddleError):
-    """The connection is closed to make room for another one."""
+class EvictedError(BergamotsaddleError):
+    """The connection is closed to admit another one."""
 
 
 class _StopWaitingError(BergamotsaddleError):
@@ -159,7 +159,7 @@
             RequestError: If the request is invalid, too large or too slow, or there is
                 no memory for it.
             CallerLeftError: If the caller disconnected in the middle of it.
-            MakeRoomError: If the connection has to make room for another one.
+            EvictedError: If the connection is closed to admit another one.
         """
         self.is_idle = True
         self.has_started = False
@@ -170,7 +170,7 @@
         self._on_phase(self, Phase.READING)
         started_at = now()
         self._reader = eventlet.getcurrent()
-        self._memory.begin(self._request_share, self._give_way)
+        self._memory.begin(self._request_share, self._refuse_reading)
         try:
             return self._read_request(started_at)
         except h11.RemoteProtocolError as error:
@@ -201,7 +201,7 @@
         self._on_phase(self, Phase.ENDING)
         # Fails if the caller has already closed the connection.
         with (
-            contextlib.suppress(OSError, EOFError, CallerLeftError, MakeRoomError),
+            contextlib.suppress(OSError, EOFError, CallerLeftError, EvictedError),
             eventlet.Timeout(_BODY_TIMEOUT_S, False),
         ):
             self._socket.shutdown(socket.SHUT_WR)
@@ -225,14 +225,14 @@
             raise CallerLeftError("closed")
         return size
 
-    def make_room(self) -> None:
+    def evict(self) -> None:
         """Close the connection, whose request is not being served."""
         if self._reader is not None:
-            eventlet.kill(self._reader, MakeRoomError("others wait"))
+            eventlet.kill(self._reader, EvictedError("others wait"))
         else:
             self.close_idle()
 
-    def _give_way(self) -> None:
+    def _refuse_reading(self) -> None:
         """Refuse the request that is being read, as others need its memory."""
         if self._reader is not None:
             eventlet.kill(self._reader, _memory_error())
@@ -454,7 +454,7 @@
         """Take memory for a part of the request.
 
         Raises:
-            RequestError: If there is none, and no slower request gives way.
+            RequestError: If there is none, and no slower request can be evicted.
         """
         while not self._request_share.may_take(size):
             if not self._memory.reclaim(self._request_share):
--- a/packages/serving/bergamotsaddle_serving/connection_table.py
+++ b/packages/serving/bergamotsaddle_serving/connection_table.py
@@ -1,4 +1,4 @@
-"""Keeps the connections of a listener, and chooses which one has to make room."""
+"""Keeps the connections of a listener, and chooses which one to evict."""
 
 from enum import IntEnum
 from typing import Generic, TypeVar
@@ -11,7 +11,7 @@
 class Phase(IntEnum):
     """What a connection does.
 
-    Those of a lower number make room first.
+    Those of a lower number are evicted first.
     """
 
     ENDING = 0
@@ -19,7 +19,7 @@
     READING = 1
     """It waits for a request, or for the rest of one."""
     SERVING = 2
-    """Its request is being served. It makes no room for others."""
+    """Its request is being served. It is never evicted."""
 
 
 class ConnectionTable(Generic[ConnectionT]):
@@ -62,8 +62,8 @@
         phase = self._phase_by_connection[connection]
         return now() - self._since_by_phase[phase][connection]
 
-    def find_expendable(self) -> tuple[ConnectionT, Phase] | None:
-        """Return the connection that has to make room, and its phase.
+    def find_evictable(self) -> tuple[ConnectionT, Phase] | None:
+        """Return the connection to evict, and its phase.
 
         It is the one that has waited longest for bytes of its caller. A new one goes
         last, so that callers which send their requests at once are served beside
--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -19,7 +19,7 @@
 from bergamotsaddle_serving.caller import (
     CallerConnection,
     CallerLeftError,
-    MakeRoomError,
+    EvictedError,
     RawRequest,
 )
 from bergamotsaddle_serving.catalog import (
@@ -172,7 +172,7 @@
         try:
             while self._serve_next(caller):
                 continue
-        except (CallerLeftError, MakeRoomError):
+        except (CallerLeftError, EvictedError):
             # The connection ended while a request was being sent, which has not run.
             caller.must_close = True
         finally:
--- a/packages/serving/bergamotsaddle_serving/metrics.py
+++ b/packages/serving/bergamotsaddle_serving/metrics.py
@@ -62,7 +62,7 @@
         self._hopeless_streams: Counter[tuple[str, str]] = Counter()
         self._endless: Counter[tuple[str, str]] = Counter()
         self._unread: Counter[str] = Counter()
-        self._closed_connections: Counter[tuple[str, str]] = Counter()
+        self._evictions: Counter[tuple[str, str]] = Counter()
         self._durations_by_route: dict[str, _Histogram] = {}
         self._gauges: list[_Gauge] = []
 
@@ -103,9 +103,9 @@
         """Count a request that was refused before it had been read."""
         self._unread[kind] += 1
 
-    def count_closed_connection(self, door: str, phase: str) -> None:
-        """Count a connection that was closed to make room for another one."""
-        self._closed_connections[door, phase] += 1
+    def count_eviction(self, listener: str, phase: str) -> None:
+        """Count a connection that was closed to admit another one."""
+        self._evictions[listener, phase] += 1
 
     def add_gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Add a gauge.
@@ -192,11 +192,11 @@
             unread.add_metric((kind,), count)
         yield unread
         closed = core.CounterMetricFamily(
-            f"{_PREFIX}closed_connections",
-            "Connections closed to make room, by door and phase.",
-            labels=("door", "phase"),
+            f"{_PREFIX}evicted_connections",
+            "Connections closed to admit others, by listener and phase.",
+            labels=("listener", "phase"),
         )
-        for labels, count in self._closed_connections.items():
+        for labels, count in self._evictions.items():
             closed.add_metric(labels, count)
         yield closed
         seconds = core.HistogramMetricFamily(
--- a/packages/serving/bergamotsaddle_serving/probe.py
+++ b/packages/serving/bergamotsaddle_serving/probe.py
@@ -48,7 +48,7 @@
         finally:
             sock.close()
 
-    def make_room(self) -> None:
+    def evict(self) -> None:
         """Close the connection."""
         if self._thread is not None:
             eventlet.kill(self._thread)
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -16,6 +16,7 @@
 from bergamotsaddle_daemon.body_memory import BodyMemory
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving._turn import SharedTurn
+from bergamotsaddle_serving.acceptor import Acceptor, Open
 from bergamotsaddle_serving.budget import ColdRateLimiter, RetryBudget
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.catalog import CallerLimits
@@ -26,7 +27,6 @@
 from bergamotsaddle_serving.decisions.hedge_pool import HedgePool
 from bergamotsaddle_serving.decisions.reporting_services import ReportingServices
 from bergamotsaddle_serving.decisions.stream_ends import StreamLengths
-from bergamotsaddle_serving.door import Door, Open
 from bergamotsaddle_serving.endless import EndlessResponses
 from bergamotsaddle_serving.fetching import FetchTimes
 from bergamotsaddle_serving.follower import StoreFollower
@@ -378,13 +378,13 @@
         listen = self.settings.listen
         host = self.settings.instance.host
         capacity = self.settings.capacity
-        callers = self._make_door(
+        callers = self._make_acceptor(
             "callers",
             listen.callers,
             capacity.caller_connections,
             lambda sock, table: self._open_caller(sock, table, self.handler.limits),
         )
-        relayed = self._make_door(
+        relayed = self._make_acceptor(
             "relay",
             (host, listen.relay_port),
             capacity.relay_connections,
@@ -392,8 +392,8 @@
                 sock, table, self._relay_limits, is_peer=True
             ),
         )
-        ready = self._make_page_door("ready", listen.ready, self._ready_page)
-        metrics = self._make_page_door(
+        ready = self._make_page_acceptor("ready", listen.ready, self._ready_page)
+        metrics = self._make_page_acceptor(
             "metrics",
             (host, listen.metrics_port),
             lambda: (_OK, self.metrics.page()),
@@ -409,8 +409,8 @@
             self._tick,
         ):
             eventlet.spawn_n(self._run_supervised, loop)
-        for door in (ready, metrics, callers, relayed):
-            eventlet.spawn_n(door.run)
+        for acceptor in (ready, metrics, callers, relayed):
+            eventlet.spawn_n(acceptor.run)
         # Objects loaded so far live as long as the process, so the garbage collector
         # need not visit them.
         gc.freeze()
@@ -445,15 +445,15 @@
     def _ready_page(self) -> tuple[int, bytes]:
         return (_OK if self.is_ready() else _UNAVAILABLE), b""
 
-    def _make_door(
+    def _make_acceptor(
         self,
         name: str,
         address: Sequence[Any],
         limit: int,
         open_caller: Open[CallerConnection],
-    ) -> Door[CallerConnection]:
+    ) -> Acceptor[CallerConnection]:
         """Listen for requests at an address."""
-        return Door(
+        return Acceptor(
             name,
             eventlet.listen(tuple(address), backlog=_BACKLOG),
             limit,
@@ -463,11 +463,11 @@
             logger=self.logger,
         )
 
-    def _make_page_door(
+    def _make_page_acceptor(
         self, name: str, address: Sequence[Any], page: Page
-    ) -> Door[PageConnection]:
+    ) -> Acceptor[PageConnection]:
         """Listen for requests for a page at an address."""
-        return Door(
+        return Acceptor(
             name,
             eventlet.listen(tuple(address)),
             self.settings.capacity.page_connections,
@@ -500,7 +500,7 @@
         limits = self.handler.limits()
         return limits._replace(head_bytes=limits.head_bytes + _RELAY_HEAD_BYTES)
 
-    def _stop(self, *doors: Door[CallerConnection]) -> None:
+    def _stop(self, *acceptors: Acceptor[CallerConnection]) -> None:
         schedule = StopSchedule(
             now(), _STOP_NOTICE_S, self.settings.bounds.grace - _STOP_MARGIN_S
         )
@@ -509,8 +509,8 @@
         self._announce_stop()
         self.logger.info("stopping", active=self.handler.active)
         eventlet.sleep(_STOP_NOTICE_S)
-        for door in doors:
-            door.close()
+        for acceptor in acceptors:
+            acceptor.close()
         while now() < schedule.aborts_at and self._is_busy():
             self._close_idle()
             eventlet.sleep(_STOP_POLL_S)
--- a/packages/serving/bergamotsaddle_serving/view_exchange.py
+++ b/packages/serving/bergamotsaddle_serving/view_exchange.py
@@ -14,7 +14,7 @@
 from bergamotsaddle_contracts.errors import BergamotsaddleError
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving._turn import Turn
-from bergamotsaddle_serving.door import Door
+from bergamotsaddle_serving.acceptor import Acceptor
 from bergamotsaddle_serving.follower import batch_pause
 from bergamotsaddle_serving.messages import NO_POSITION, StoreEntry, StorePosition
 from bergamotsaddle_serving.metrics import Metrics
@@ -167,7 +167,7 @@
         self.socket = sock
         self.thread: greenlet | None = None
 
-    def make_room(self) -> None:
+    def evict(self) -> None:
         """Close the connection."""
         if self.thread is not None:
             eventlet.kill(self.thread)
@@ -185,7 +185,7 @@
         peers: The other instances.
         logger: Logs each exchange.
         is_store_lost: Returns whether this instance fails to read the store.
-        metrics: Counts connections of peers that make room for others.
+        metrics: Counts connections of peers that are evicted for others.
     """
 
     def __init__(
@@ -207,7 +207,7 @@
         self._peers = peers
         self._logger = logger
         self._port = settings.listen.peer_port
-        self._door = Door(
+        self._door = Acceptor(
             "view",
             eventlet.listen((settings.instance.host, self._port), backlog=64),
             settings.capacity.page_connections,
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -64,11 +64,11 @@
         """Begin a body that gives way by giving back its memory."""
         share = self.memory.open()
 
-        def give_way():
+        def evict():
             self.ended.append(name)
             share.close()
 
-        self.memory.begin(share, give_way)
+        self.memory.begin(share, evict)
         share.keep(size)
         return share
 
@@ -102,7 +102,7 @@
         self.assertFalse(self.memory.reclaim(share))
         self.assertEqual(self.ended, [])
 
-    def test_a_body_that_has_arrived_does_not_give_way(self):
+    def test_a_body_that_has_arrived_does_not_refuse_reading(self):
         """Guards against requests that end while targets run them."""
         share = self.begin("a", 1_200_000)
         self.memory.end(share)
--- a/tests/test_connection_table.py
+++ b/tests/test_connection_table.py
@@ -42,7 +42,7 @@
         for connection, phase in entries:
             table.enter(connection, phase)
             advance(1.0)
-        found = table.find_expendable()
+        found = table.find_evictable()
         self.assertEqual(found[0] if found else None, expected)
 
     def test_a_crowd_that_only_holds_connections(self):
@@ -52,11 +52,11 @@
             table.enter(number, Phase.READING)
             advance(0.01)
             if table.excess > 0:
-                table.remove(table.find_expendable()[0])
+                table.remove(table.find_evictable()[0])
         self.assertEqual(len(table), LIMIT)
         table.enter("newcomer", Phase.READING)
         self.assertEqual(table.excess, 1)
-        self.assertEqual(table.find_expendable()[0], 97)
+        self.assertEqual(table.find_evictable()[0], 97)
 
     def test_age_and_removal(self):
         table = ConnectionTable(LIMIT)
@@ -65,4 +65,4 @@
         self.assertAlmostEqual(table.age("a"), 2.0, places=3)
         table.remove("a")
         table.remove("a")
-        self.assertEqual((len(table), table.find_expendable()), (0, None))
+        self.assertEqual((len(table), table.find_evictable()), (0, None))
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -27,7 +27,7 @@
 # The memory of the machine, which the process must not exceed.
 MEMORY_MB = 100
 MB = 1_000_000
-# The descriptors of the machine, and those that callers of one door must leave.
+# The descriptors of the machine, and those that callers of one listener must leave.
 DESCRIPTORS = 512
 LEFT_DESCRIPTORS = 64
 CALLERS = 150
@@ -86,7 +86,7 @@
     ("silent", "operators"),
     ("silent", "peers"),
 ]
-DOOR_BY_PORT = {
+LISTENER_BY_PORT = {
     CALLERS_PORT: "callers",
     READY_PORT: "ready",
     VIEW_PORT: "view",
@@ -96,14 +96,14 @@
 
 
 def name_row(function, number, row):
-    """Name a test by its crowd and its door."""
-    manner, door, *_ = row.args
-    door = DOOR_BY_PORT.get(door, door)
-    return f"{function.__name__}_{int(number):02}_{manner}_at_{door}"
+    """Name a test by its crowd and its listener."""
+    manner, listener, *_ = row.args
+    listener = LISTENER_BY_PORT.get(listener, listener)
+    return f"{function.__name__}_{int(number):02}_{manner}_at_{listener}"
 
 
 class CrowdTest(unittest.TestCase):
-    """A crowd at one door of a daemon, then one ordinary request."""
+    """A crowd at one listener of a daemon, then one ordinary request."""
 
     def play(self, manner, port, callers, **options):
         """Play a crowd, check that the daemon lives, and return what it held."""
@@ -153,21 +153,21 @@
 
 
 class OwnInterfaceTest(unittest.TestCase):
-    """A crowd at one door of a daemon for declarations of our own."""
+    """A crowd at one listener of a daemon for declarations of our own."""
 
-    def play(self, manner, door, callers, **options):
+    def play(self, manner, listener, callers, **options):
         """Play a crowd, check that the daemon lives, and return what it held."""
         targets = (TargetSpec("stock-{zone}", "stock"),)
         self.fleet = Fleet(FleetSpec(zones=("mid-a",), targets=targets, **options))
         self.fleet.__enter__()
         self.addCleanup(self.fleet.__exit__)
         (self.name, self.process) = next(iter(self.fleet.daemons.items()))
-        address_by_door = {
+        address_by_listener = {
             name: parse_address(self.process.ports[name])
             for name in ("callers", "operators", "peers")
         }
-        meter = UsageMeter(self.process.pid, address_by_door.values())
-        address = tuple(address_by_door[door])
+        meter = UsageMeter(self.process.pid, address_by_listener.values())
+        address = tuple(address_by_listener[listener])
         most = play(
             meter, address, OWN_MANNERS[manner], callers=callers, seconds=CROWD_S
         )
@@ -186,13 +186,13 @@
         return reply.status == 200
 
     @parameterized.expand(OWN_MEMORY_ROWS, name_func=name_row)
-    def test_memory(self, manner, door):
+    def test_memory(self, manner, listener):
         """Guards against a process that is killed for the bytes of its callers."""
-        most = self.play(manner, door, OWN_CALLERS)
+        most = self.play(manner, listener, OWN_CALLERS)
         self.assertLessEqual(most.memory, OWN_MEMORY_MB * MB)
 
     @parameterized.expand(OWN_DESCRIPTOR_ROWS, name_func=name_row)
-    def test_descriptors(self, manner, door):
+    def test_descriptors(self, manner, listener):
         """Guards against callers that leave no descriptor for the rest."""
-        most = self.play(manner, door, MANY_CALLERS, descriptors=DESCRIPTORS)
+        most = self.play(manner, listener, MANY_CALLERS, descriptors=DESCRIPTORS)
         self.assertLessEqual(most.descriptors, DESCRIPTORS - LEFT_DESCRIPTORS)
