Log on what sign the end of an unframed response is taken for its end

Change: TargetLife makes the check that TargetCrashes made, and logs unframed_end with the request, the target, the sign and the verdict. Nothing else changes: a target that leaves is now looked at as well, but its response counts as whole as before.

Tests: mocks take the id of the request; no assertion changes.

--- a/packages/serving/bergamotsaddle_serving/engine_run.py
+++ b/packages/serving/bergamotsaddle_serving/engine_run.py
@@ -242,7 +242,10 @@
             return True
         if not self._splitter.may_end():
             return False
-        return is_framed or not self._server.crashes.has_ended_with_target(self.target)
+        if is_framed:
+            return True
+        request = self._context.head.id
+        return not self._server.crashes.has_ended_with_target(self.target, request)
 
     def _record_reading(self) -> None:
         """Record how long the engine took to the first event.
--- a/packages/serving/bergamotsaddle_serving/plain_run.py
+++ b/packages/serving/bergamotsaddle_serving/plain_run.py
@@ -316,7 +316,8 @@
 
     def _check_unframed(self) -> None:
         """Raise an error if an unframed response ended as its target crashed."""
-        if self._server.crashes.has_ended_with_target(self.target):
+        request = self._context.head.id
+        if self._server.crashes.has_ended_with_target(self.target, request):
             self.state.record_failure(is_certain=False)
             raise OutcomeUnknownError(UNFINISHED)
 
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -68,6 +68,7 @@
 from bergamotsaddle_serving.suspect_parts import SuspectParts
 from bergamotsaddle_serving.suspects import Suspects
 from bergamotsaddle_serving.target_crashes import TargetCrashes
+from bergamotsaddle_serving.target_life import TargetLife
 from bergamotsaddle_serving.target_notices import TargetNotices
 from bergamotsaddle_serving.target_rates import TargetRates
 from bergamotsaddle_serving.target_rests import TargetRests
@@ -249,6 +250,7 @@
             self.view,
             self.suspects,
             self.suspect_parts,
+            TargetLife(self.pool, dialect, self.notices, logger),
             reaches_another=self.service_reach.reaches_another,
         )
         self._certainty = resumptions.certainty
--- a/packages/serving/bergamotsaddle_serving/target_crashes.py
+++ b/packages/serving/bergamotsaddle_serving/target_crashes.py
@@ -23,6 +23,7 @@
 from bergamotsaddle_serving.survival_proofs import SurvivalProofs
 from bergamotsaddle_serving.suspect_parts import SuspectParts, Work
 from bergamotsaddle_serving.suspects import Suspects
+from bergamotsaddle_serving.target_life import TargetLife
 from bergamotsaddle_serving.view import View
 
 # A target that restarts within a few ms listens again before it is checked. Its old
@@ -156,6 +157,7 @@
         view: Listed targets and their incarnations.
         suspects: Gets the reports.
         parts: Gets the reports too.
+        life: Finds out whether targets have outlived their responses.
         reaches_another: Returns whether another target than the given one accepts
             connections from here.
 
@@ -171,9 +173,11 @@
         view: View,
         suspects: Suspects,
         parts: SuspectParts,
+        life: TargetLife,
         *,
         reaches_another: Callable[[Target], bool] = lambda target: True,
     ) -> None:
+        self._life = life
         self._reaches_another = reaches_another
         self._pool = pool
         self._view = view
@@ -219,13 +223,18 @@
             if not runs:
                 self._ongoing_by_fingerprint.pop(work.fingerprint, None)
 
-    def has_ended_with_target(self, target: Target) -> bool:
+    def has_ended_with_target(self, target: Target, request: str) -> bool:
         """Return whether an unframed response may have ended with its target.
 
         A target that refuses connections may have crashed, also while no other one can
         be reached.
+
+        Args:
+            target: The target.
+            request: Id of the request that it responded to.
         """
-        return not self._is_leaving(target) and self._pool.is_refused(target.address)
+        has_outlived = self._life.has_outlived(target, request)
+        return not has_outlived and not self._is_leaving(target)
 
     def record_failure(
         self, target: Target, works: Sequence[Work], reason: str
--- a/packages/standins/bergamotsaddle_standins/virtual_fleet.py
+++ b/packages/standins/bergamotsaddle_standins/virtual_fleet.py
@@ -203,7 +203,10 @@
             explains_crash=self.parts.explains_crash,
             request_trial=rate_exchange.request_trial,
         )
-        self.crashes = TargetCrashes(pool, self.view, self.suspects, self.parts)
+        life = SimpleNamespace(
+            has_outlived=lambda target, _: not pool.is_refused(target.address)
+        )
+        self.crashes = TargetCrashes(pool, self.view, self.suspects, self.parts, life)
         crashes = self.crashes
         plain = PlainServer(
             selector, pool, budget, dialect, SILENT_LOGGER, crashes=crashes
--- a/tests/_paced_engines.py
+++ b/tests/_paced_engines.py
@@ -424,7 +424,7 @@
                 parts=mock.Mock(
                     find_held=lambda parts: None, record_sent=lambda parts: False
                 ),
-                has_ended_with_target=lambda target: False,
+                has_ended_with_target=lambda target, request: False,
             ),
             resumptions=instance.resumptions,
         )
--- a/tests/test_aborted_requests.py
+++ b/tests/test_aborted_requests.py
@@ -103,7 +103,7 @@
         PlatformDialect(),
         mock.Mock(),
         crashes=mock.MagicMock(
-            suspects=suspects, has_ended_with_target=lambda target: False
+            suspects=suspects, has_ended_with_target=lambda target, request: False
         ),
     )
 
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -141,7 +141,7 @@
     engine.crashes = mock.MagicMock(
         suspects=suspects,
         parts=mock.Mock(find_held=lambda parts: None),
-        has_ended_with_target=lambda target: engine.has_crashed,
+        has_ended_with_target=lambda target, request: engine.has_crashed,
     )
     selector = mock.Mock(find=find, permit_wait=lambda service, **_: 0.1)
     waits = SimpleNamespace(best_scope=mock.Mock(), pending=mock.Mock())
--- a/tests/test_cut_responses.py
+++ b/tests/test_cut_responses.py
@@ -170,7 +170,7 @@
         )
         selector.permit_wait.return_value = None
         self.crashes = mock.MagicMock(
-            has_ended_with_target=lambda target: False,
+            has_ended_with_target=lambda target, request: False,
             suspects=mock.Mock(
                 is_suspect=lambda fingerprint: False,
                 is_quarantined=lambda fingerprint: False,
--- a/tests/test_plain_hedges.py
+++ b/tests/test_plain_hedges.py
@@ -137,7 +137,7 @@
             mock.Mock(read_response=lambda _: TARGET_HEAD, forward=mock.MagicMock()),
             self.logger,
             crashes=mock.MagicMock(
-                has_ended_with_target=lambda target: False,
+                has_ended_with_target=lambda target, request: False,
                 suspects=mock.Mock(
                     is_suspect=lambda fingerprint: is_suspect,
                     is_quarantined=lambda fingerprint: is_quarantined,
--- a/tests/test_stage_owner.py
+++ b/tests/test_stage_owner.py
@@ -165,7 +165,9 @@
             Gossip(), lambda facts: None, self.view.software_versions, mock.Mock()
         )
         self.pool = mock.Mock(is_refused=lambda address: True)
-        self.crashes = TargetCrashes(self.pool, self.view, self.suspects, mock.Mock())
+        self.crashes = TargetCrashes(
+            self.pool, self.view, self.suspects, mock.Mock(), mock.Mock()
+        )
         self.owner = StageOwner(
             self.view,
             self.peers,
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -73,7 +73,7 @@
         crashes=mock.MagicMock(
             suspects=suspects,
             parts=mock.Mock(find_held=lambda parts: None),
-            has_ended_with_target=lambda target: False,
+            has_ended_with_target=lambda target, request: False,
         ),
         resumptions=make_lone_resumptions(*(c.target for c in candidates)),
     )
--- a/tests/test_target_crashes.py
+++ b/tests/test_target_crashes.py
@@ -13,6 +13,7 @@
 from bergamotsaddle_serving.incarnations import incarnation_of
 from bergamotsaddle_serving.suspect_parts import Work
 from bergamotsaddle_serving.target_crashes import TargetCrashes
+from bergamotsaddle_serving.target_life import TargetLife
 from tests._paused import advance, use_paused_clock, use_skipping_clock
 
 TARGET = Target("t1", "generate", Address("10.0.0.1", 80), "a", 64)
@@ -39,6 +40,7 @@
             self.view,
             self.suspects,
             self.parts,
+            TargetLife(self.pool, mock.Mock(), mock.Mock(), mock.Mock()),
             reaches_another=lambda target: self.reaches_another,
         )
         ((self.on_view_change,), _) = self.view.subscribe.call_args
@@ -96,7 +98,7 @@
         self.pool.is_refused.return_value = is_refused
         self.reaches_another = reaches_another
         self.view.is_leaving.return_value = is_leaving
-        self.assertEqual(self.crashes.has_ended_with_target(TARGET), has_ended)
+        self.assertEqual(self.crashes.has_ended_with_target(TARGET, "r1"), has_ended)
 
     def test_a_refusal_by_all_targets_is_no_crash(self):
         """Guards against requests quarantined since their instance lost its links."""
@@ -268,7 +270,7 @@
         """Guards against complete responses that end in a crash or an exit."""
         self.pool.is_refused.return_value = is_refused
         self.view.is_leaving.return_value = is_leaving
-        self.assertEqual(self.crashes.has_ended_with_target(TARGET), ended)
+        self.assertEqual(self.crashes.has_ended_with_target(TARGET, "r1"), ended)
 
 
 class RefusedTest(unittest.TestCase):
