Ask a target whether it has outlived its unframed response (ORDER, MIXED)

The chunks are ours; the engine's response had none.

Cause: a response without a length or chunks ends with its connection, in the same way if its target crashes. The end was believed if anything accepted a connection at the target's address, or if the target had given notice. A relay, a supervisor or the next incarnation accepts too, and a target that leaves may end with streams running. An idle connection that the kernel had not closed yet counted as accepted as well.

Ruled out: believing an entry (it lapses seconds later), probing the health path (it waits for a slot), relaying the response unframed (callers take such an end for complete too).

Change: the target is asked for its report, which needs no slot and names its start, on a connection behind the end.

Conclusion: what was a guess about the network is now a statement of the target. What remains: a target that states no start and is back under its id at once is believed.

--- a/packages/serving/bergamotsaddle_serving/messages.py
+++ b/packages/serving/bergamotsaddle_serving/messages.py
@@ -330,6 +330,19 @@
             ValueError: If the body is malformed.
         """
 
+    def query_start(self, target: Target) -> HttpCall:
+        """Make the call that asks a target when it started. It needs no slot."""
+
+    def read_start(self, body: bytes) -> int:
+        """Decode the response to ``query_start``.
+
+        Returns:
+            Unix time in milliseconds, 0 if the target does not say.
+
+        Raises:
+            ValueError: If the body is malformed.
+        """
+
     def result_address(self, handle: str) -> Address:
         """Return the address of the target that holds a result."""
 
--- a/packages/serving/bergamotsaddle_serving/target_crashes.py
+++ b/packages/serving/bergamotsaddle_serving/target_crashes.py
@@ -226,15 +226,13 @@
     def has_ended_with_target(self, target: Target, request: str) -> bool:
         """Return whether an unframed response may have ended with its target.
 
-        A target that refuses connections may have crashed, also while no other one can
-        be reached.
+        A target that has given notice may end while it responds, too.
 
         Args:
             target: The target.
             request: Id of the request that it responded to.
         """
-        has_outlived = self._life.has_outlived(target, request)
-        return not has_outlived and not self._is_leaving(target)
+        return not self._life.has_outlived(target, request)
 
     def record_failure(
         self, target: Target, works: Sequence[Work], reason: str
--- a/packages/standins/bergamotsaddle_standins/soak_dialect.py
+++ b/packages/standins/bergamotsaddle_standins/soak_dialect.py
@@ -258,6 +258,14 @@
         """Decode the response to ``query_free_memory``."""
         return msgspec.json.decode(body, type=float)
 
+    def query_start(self, target: Target) -> HttpCall:
+        """Make the call that asks a target when it started."""
+        return self._post(b"/start", b"", target)
+
+    def read_start(self, body: bytes) -> int:
+        """Decode the response to ``query_start``; no target says when it started."""
+        return msgspec.json.decode(body, type=int)
+
     def result_address(self, handle: str) -> Address:
         """Return the address of the target that holds a result."""
         target = handle.partition("/")[0]
--- a/packages/standins/bergamotsaddle_standins/soak_targets.py
+++ b/packages/standins/bergamotsaddle_standins/soak_targets.py
@@ -57,7 +57,8 @@
 # Key of the time at which a request arrived.
 _ARRIVED_AT = "soak.arrived_at"
 # Calls that need no slot.
-_FREE_PATHS = ("/memory", "/release")
+_START_PATH = "/start"
+_FREE_PATHS = ("/memory", "/release", _START_PATH)
 _NOT_RUN = (("Not-Run", "1"),)
 
 
@@ -279,6 +280,9 @@
                 return self._turn_away(
                     environ, start_response, "421 Misdirected Request"
                 )
+            if environ["PATH_INFO"] == _START_PATH:
+                environ["wsgi.input"].read()
+                return respond_json(start_response, 0)
             if environ["PATH_INFO"] not in _FREE_PATHS:
                 self._record_arrival(environ)
                 if self.is_resting:
