--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -221,6 +221,7 @@
         )
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sender: eventlet.greenthread.GreenThread | None = None
+        self._has_send_failed = False
         self._has_peer_closed = False
         # Parts of a body that is being read.
         self._parts = Parts()
@@ -297,7 +298,9 @@
             for part in filter(None, parts):
                 self._socket.sendall(memoryview(part))
         except OSError:
-            # Reading the response fails as well and reports the error.
+            # What has arrived may hold a whole response. A socket reports a reset only
+            # once, so the end of what has arrived looks like a proper end.
+            self._has_send_failed = True
             return False
         return True
 
@@ -484,11 +487,14 @@
         if limit <= 0:
             raise ConnectionLostError(SILENT)
         try:
-            return receive(self._socket, _CHUNK_BYTES, limit, turn=self._turn)
+            data = receive(self._socket, _CHUNK_BYTES, limit, turn=self._turn)
         except TimeoutError as error:
             raise ConnectionLostError(SILENT) from error
         except OSError as error:
             raise ConnectionLostError("reset") from error
+        if not data and self._has_send_failed:
+            raise ConnectionLostError("reset")
+        return data
 
 
 class ConnectionPool:
