--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -75,8 +75,11 @@
 BROKEN_CONNECTION_REASONS = frozenset(("closed", "cut", "reset", "send", UNFINISHED))
 
 _SUCCESS = range(200, 300)
+_MAX_STATUS = 599
+_VERSIONS = frozenset((b"1.0", b"1.1"))
 # A head that broke off inside a value runs into the next one on its connection.
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
+_CONTROLS = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 # Status with which the parser reports a head, a line or trailers without end.
 _TOO_LARGE = 431
 _WITHOUT_BODY = frozenset((204, 304))
@@ -168,10 +171,15 @@
         return None if length is None else int(length)
 
 
-def _has_status_line(response: h11.Response) -> bool:
-    """Return whether a head holds the status line of another one."""
-    values = (value for _, value in response.headers)
-    return any(map(_STATUS_LINE.search, (bytes(response.reason), *values)))
+def _is_malformed(response: h11.Response) -> bool:
+    """Return whether a head that the parser accepts is none of a response."""
+    texts = (bytes(response.reason), *(value for _, value in response.headers))
+    return (
+        response.status_code > _MAX_STATUS
+        or response.http_version not in _VERSIONS
+        or any(map(_STATUS_LINE.search, texts))
+        or any(map(_CONTROLS.search, texts))
+    )
 
 
 OnEndless = Callable[[Address, EndlessError], None]
@@ -324,7 +332,7 @@
         if not isinstance(event, h11.Response):
             raise ConnectionLostError("no_head")
         head = RawResponseHead(event.status_code, list(event.headers))
-        if _has_status_line(event):
+        if _is_malformed(event):
             raise ConnectionLostError("no_http")
         self._has_head = True
         self._stated_bytes = head.body_bytes if self._wants_body else None
--- a/tests/test_cut_responses.py
+++ b/tests/test_cut_responses.py
@@ -39,6 +39,7 @@
     make_whole_responses,
     with_length,
 )
+from tests._odd_heads import ODD_HEADS, make_odd_heads
 from tests._paused import use_paused_clock, use_skipping_clock
 from tests.test_broken_streams import (
     EVENTS,
@@ -73,6 +74,15 @@
     ]
 
 
+def odd_rows(body=BODY, rows=(("",),)):
+    """Return the rows of a place, for each head that is none of HTTP/1.1."""
+    return [
+        (f"{row[0]}_{name}", *row[1:], data)
+        for row in rows
+        for name, data in make_odd_heads(body)
+    ]
+
+
 def whole_rows(body=BODY, rows=(("",),)):
     """Return the rows of a place, for each whole response."""
     return [
@@ -142,6 +152,12 @@
                 pool.release(connections[-1], 9.0)
         self.assertIs(*connections)
 
+    @parameterized.expand(ODD_HEADS)
+    def test_an_odd_head_is_a_lost_connection(self, _, data):
+        """Guards against bytes that are no answer and count as one."""
+        with self.assertRaises(ConnectionLostError):
+            self.exchange(data)
+
     def test_a_response_cut_at_any_byte_is_a_lost_connection(self):
         """Guards against a byte of a response that nobody misses."""
         for name, data in make_whole_responses():
@@ -214,6 +230,14 @@
         self.assertNotIn(b'"no"', body)
         self.crashes.record_success.assert_not_called()
 
+    @parameterized.expand(odd_rows(rows=KINDS))
+    def test_an_odd_head_is_no_success(self, _, kind, data):
+        """Guards against an answer that callers get though it is none."""
+        status, body, _ = self.ask(self.serve(data), kind=kind)
+        self.assertEqual(status, 502, body)
+        self.assertNotIn(b'"no"', body)
+        self.crashes.record_success.assert_not_called()
+
     @parameterized.expand(cut_rows())
     def test_one_that_must_not_be_repeated_runs_once(self, _, data, ending):
         """Guards against a cut head that counts as a request that has not run."""
@@ -281,6 +305,13 @@
         self.assertTrue(EVENT.startswith(body))
         self.assertIn(EVENT, data.replace(b"\r\n0008\r\n", b""))
 
+    @parameterized.expand(odd_rows(EVENT))
+    def test_an_odd_head_begins_no_stream(self, _, data):
+        """Guards against a stream that begins with bytes that are no answer."""
+        (status, body, _), runs = self.ask(data)
+        self.assertEqual((status, runs), (502, 1), body)
+        self.assertNotIn(b'"no"', body)
+
 
 class StageTest(CutTest):
     """Calls of the owner of a stage's queue to a target."""
@@ -333,6 +364,19 @@
         self.assertEqual(self.peer.served, 1)
         self.limits.record.assert_not_called()
 
+    @parameterized.expand(
+        [
+            *odd_rows(RESULTS, [("run", "run")]),
+            *odd_rows(FREE_MEMORY, [("query", "query")]),
+            *odd_rows(rows=[("release", "release")]),
+        ]
+    )
+    def test_an_odd_head_is_a_lost_call(self, _, name, data):
+        """Guards against results behind bytes that are no answer."""
+        with self.assertRaises(ConnectionLostError):
+            self.call(name, data)
+        self.limits.record.assert_not_called()
+
 
 class ProbeTest(CutTest):
     """Probes of a zone that may be cut off."""
@@ -361,6 +405,11 @@
         self.assertFalse(self.probe(data, ending))
         self.notices.read.assert_not_called()
 
+    @parameterized.expand(odd_rows(FREE_MEMORY))
+    def test_an_odd_head_is_none(self, _, data):
+        """Guards against a zone that seems to be back behind bytes of no target."""
+        self.assertFalse(self.probe(data))
+
 
 class StoreTest(CutTest):
     """Lists and watches of the platform's store."""
@@ -397,6 +446,13 @@
         self.assertEqual(self.view.position, self.before)
         self.assertEqual(self.view.has_snapshot, is_watch)
 
+    @parameterized.expand(odd_rows(PAGE, [("list", False), ("watch", True)]))
+    def test_an_odd_head_changes_nothing(self, _, is_watch, data):
+        """Guards against a view that bytes of no store confirm."""
+        self.follow(data, is_watch=is_watch)
+        self.assertTrue(self.follower.is_lost)
+        self.assertEqual(self.view.position, self.before)
+
 
 class HandoverTest(CutTest):
     """Requests that another instance serves."""
@@ -457,3 +513,15 @@
             return
         self.assertFalse(is_whole)
         self.assertTrue(whole.startswith(body))
+
+    @parameterized.expand(
+        [
+            *odd_rows(rows=[("plain", Kind.ONCE)]),
+            *odd_rows(EVENT, [("stream", Kind.STREAM)]),
+        ]
+    )
+    def test_an_odd_head_is_no_success(self, _, kind, data):
+        """Guards against an answer that no helper sent."""
+        (status, body, _), runs = self.ask(data, kind=kind)
+        self.assertEqual((status, runs), (502, 1), body)
+        self.assertNotIn(b'"no"', body)
