--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -17,6 +17,7 @@
 )
 from tests._fakes import FakeFleet, run_green
 from tests._http import send_request
+from tests._odd_heads import ODD_HEADS
 from tests._paused import advance
 
 PIPELINE = "[pipeline plan]\nstages = encode, rerank\ndeadline = 2s\n"
@@ -271,12 +272,12 @@
         """Guards against a success with a short body that the target never sent."""
         self.check_unknown(data)
 
-    @parameterized.expand(MALFORMED_RESPONSES)
+    @parameterized.expand([*MALFORMED_RESPONSES, *ODD_HEADS])
     def test_a_malformed_head_is_an_unknown_outcome(self, _, data):
         """Guards against a ticket that stays open behind an error of the parser."""
         self.check_unknown(data)
 
-    @parameterized.expand([("closed", b""), *MALFORMED_RESPONSES])
+    @parameterized.expand([("closed", b""), *MALFORMED_RESPONSES, *ODD_HEADS])
     def test_a_stage_whose_targets_send_no_head_fails_at_once(self, _, data):
         """Guards against an attempt that nobody hears of until the deadline."""
         self.serve(data)
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -27,6 +27,7 @@
     CuttingPeer,
     without_end,
 )
+from tests._odd_heads import ODD_HEADS
 from tests._paused import use_paused_clock, use_skipping_clock
 
 setUpModule = use_skipping_clock
@@ -95,7 +96,7 @@
         [
             (f"{method}_{name}", method, data)
             for method in ("post", "post_once", "open_stream")
-            for name, data in MALFORMED_RESPONSES
+            for name, data in (*MALFORMED_RESPONSES, *ODD_HEADS)
         ]
     )
     def test_a_malformed_head_is_a_failure_of_the_target(self, _, method, data):
@@ -160,6 +161,12 @@
         offered = [call.args[0] for call in views.offer_declaration.mock_calls]
         self.assertEqual(offered, [BODY.decode()])
 
+    @parameterized.expand(ODD_HEADS)
+    def test_a_value_behind_an_odd_head_is_not_read(self, _, data):
+        """Guards against a declaration behind bytes that are no answer."""
+        with self.assertRaises(PlatformUnreachableError):
+            HttpReader(self.serve(data), "/v1/values/x").read("4", 0.1)
+
     @parameterized.expand(whole_rows("report"))
     def test_a_whole_report(self, _, place, data):
         self.assertEqual(make_http_load_reader()(self.serve(data)), BODY)
@@ -171,6 +178,12 @@
         with self.assertRaises((urllib3.exceptions.HTTPError, OSError)):
             make_http_load_reader()(address)
 
+    @parameterized.expand(ODD_HEADS)
+    def test_a_report_behind_an_odd_head_is_not_read(self, _, data):
+        """Guards against a load behind bytes that are no answer."""
+        with self.assertRaises((urllib3.exceptions.HTTPError, OSError)):
+            make_http_load_reader()(self.serve(data))
+
 
 class CommandTest(_CutTest):
     """Commands that read pages of daemons or send a request."""
@@ -204,6 +217,12 @@
         with self.assertRaises(DaemonUnreachableError):
             Pages([address]).read(address, "x")
 
+    @parameterized.expand(ODD_HEADS)
+    def test_a_page_behind_an_odd_head_is_a_failure(self, _, data):
+        """Guards against a page behind bytes that are no answer."""
+        pages, failures = Pages([str(self.serve(data))]).read_all("x")
+        self.assertEqual((pages, len(failures)), ([], 1))
+
     @parameterized.expand(whole_rows("send"))
     def test_a_whole_response(self, _, place, data):
         self.assertEqual(self.send(self.serve(data)), (0, BODY.decode()))
@@ -212,3 +231,8 @@
     def test_a_cut_response_is_no_success(self, _, place, data, ending):
         """Guards against a request that seems to have succeeded without a body."""
         self.assertEqual(self.send(self.serve(data, ending)), (EXIT_UNREACHABLE, ""))
+
+    @parameterized.expand(ODD_HEADS)
+    def test_an_odd_head_is_no_success(self, _, data):
+        """Guards against output behind bytes that are no answer."""
+        self.assertEqual(self.send(self.serve(data)), (EXIT_UNREACHABLE, ""))
