--- a/packages/contracts/bergamotsaddle_contracts/whole_responses.py
+++ b/packages/contracts/bergamotsaddle_contracts/whole_responses.py
@@ -3,7 +3,8 @@
 ``http.client`` takes the end of a connection for the end of a line, of the headers and
 of the chunks. A response that broke off there would look whole, with a short body. It
 also accepts heads that are none of HTTP/1.1, and drops the fields behind a line that it
-can't read, with the length of the body among them.
+can't read, with the length of the body among them. A response that doesn't state where
+its body ends can't be told from a part of it, so it is an error, too.
 """
 
 import http.client
@@ -16,6 +17,7 @@
 
 _INTERIM = frozenset(range(100, 200)) - {http.client.SWITCHING_PROTOCOLS}
 _FINAL = range(200, 600)
+_WITHOUT_BODY = frozenset((http.client.NO_CONTENT, http.client.NOT_MODIFIED))
 _VERSIONS = frozenset(("HTTP/1.0", "HTTP/1.1"))
 _MAX_INTERIM_RESPONSES = 64
 _TEXT = rb"[^\x00-\x08\x0a-\x1f\x7f]*\r?\n"
@@ -110,6 +112,9 @@
         is_number = all(map(_LENGTH.fullmatch, lengths))
         if len(lengths) > 1 or not is_number:
             raise http.client.HTTPException(f"expected one length, not {values}")
+        has_body = self._method != "HEAD" and self.status not in _WITHOUT_BODY
+        if has_body and not lengths and not codings:
+            raise http.client.HTTPException("expected a length or chunks")
 
 
 class WholeConnection(HTTPConnection):
--- a/packages/daemon/bergamotsaddle_daemon/platform.py
+++ b/packages/daemon/bergamotsaddle_daemon/platform.py
@@ -17,7 +17,6 @@
 _INSTANCES_PATH = "/v1/instances"
 _RESPONSE_MARGIN = 1.0
 _RETRY_DELAY = 0.5
-_FRAMING_HEADERS = frozenset(("content-length", "transfer-encoding"))
 _NOT_MODIFIED = 304
 _OK = 200
 
@@ -80,9 +79,6 @@
             return None
         if response.status != _OK:
             raise PlatformUnreachableError(f"status {response.status}")
-        if not _FRAMING_HEADERS & {name.lower() for name in response.headers}:
-            # A service that crashed inside it would end it in the same way.
-            raise PlatformUnreachableError("a value without a stated end")
         return PublishedValue(response.headers.get("ETag", ""), response.data)
 
 
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -186,14 +186,17 @@
             self.assertIsInstance(result.error, TargetError, size)
             self.assertTrue(result.error.sent)
 
-    def test_a_response_without_a_length_ends_with_its_connection(self):
+    @params("post", "post_once", "open_stream")
+    def test_a_response_that_states_no_end_is_none(self, method):
+        """Guards against a part of a body that looks like all of it."""
         call = self.call()
-        result = self.post(call)
+        result = self.post(call, method)
         self.accepted[0].recv(4096)
         self.accepted[0].sendall(response_to(call).replace(LENGTH, b""))
         self.accepted[0].close()
         settle()
-        self.assertEqual(result.value.body, BODY)
+        self.assertIsInstance(result.error, TargetError)
+        self.assertTrue(result.error.sent)
 
     def test_guard_stops_before_the_first_byte(self):
         def stop():
