--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -150,11 +150,12 @@
 
     @property
     def is_framed(self) -> bool:
-        """Whether a length or chunks state where the body ends.
+        """Whether a length, chunks or the status state where the body ends.
 
         Without them the body ends with the connection, also if the sender crashes.
         """
-        return any(name in _FRAMING_HEADERS for name, _ in self.headers)
+        has_body = self.status not in _WITHOUT_BODY
+        return not has_body or any(name in _FRAMING_HEADERS for name, _ in self.headers)
 
     @property
     def body_bytes(self) -> int | None:
--- a/packages/serving/bergamotsaddle_serving/engine_run.py
+++ b/packages/serving/bergamotsaddle_serving/engine_run.py
@@ -39,7 +39,7 @@
         is_silent: Whether nothing has arrived within the limit of the last read.
         is_trial: Whether it is the trial of a part of its prompt that is held back.
         response: Head of the response, None before it has arrived.
-        body: Body of a response that is a failure.
+        body: Body of a response that is a failure, None before all of it has arrived.
         started_at: When the request was sent, None before that.
         writing_since: When the first event arrived, None before it.
         meter: Measures how fast the engine writes events.
@@ -60,7 +60,7 @@
         self.is_silent = False
         self.is_trial = False
         self.response: Response | None = None
-        self.body = b""
+        self.body: bytes | None = None
         self.started_at: float | None = None
         self.writing_since: float | None = None
         self.meter = EventMeter()
@@ -194,9 +194,7 @@
         if self.response is None:
             self.response = self._read_response(limit)
         if not self.response.is_success:
-            self.body = self._attempt.read_body(
-                limit=self._context.remaining, max_bytes=_MAX_RESPONSE_BYTES
-            )
+            self.body = self._read_failure()
             return []
         until = now() + limit
         while (data := self._attempt.read_some(limit=limit)) is not None:
@@ -211,6 +209,14 @@
         self.is_whole = True
         return []
 
+    def _read_failure(self) -> bytes:
+        body = self._attempt.read_body(
+            limit=self._context.remaining, max_bytes=_MAX_RESPONSE_BYTES
+        )
+        if not self.response.head.is_framed and self._has_ended_with_engine():
+            self._attempt.finish_stream(is_whole=False)
+        return body
+
     def _read_response(self, limit: float) -> Response:
         remaining = self._context.remaining
         if self._attempt.is_sent:
@@ -242,10 +248,12 @@
             return True
         if not self._splitter.may_end():
             return False
-        if is_framed:
-            return True
+        return is_framed or not self._has_ended_with_engine()
+
+    def _has_ended_with_engine(self) -> bool:
+        """Return whether an unframed response may have ended with its engine."""
         request = self._context.head.id
-        return not self._server.crashes.has_ended_with_target(self.target, request)
+        return self._server.crashes.has_ended_with_target(self.target, request)
 
     def _record_reading(self) -> None:
         """Record how long the engine took to the first event.
--- a/packages/serving/bergamotsaddle_serving/plain_run.py
+++ b/packages/serving/bergamotsaddle_serving/plain_run.py
@@ -196,7 +196,7 @@
         response = self._response
         if response.head.status in NOT_RUN_STATUSES:
             raise OutcomeUnknownError(f"status {response.head.status}")
-        if not response.head.is_framed:
+        if not response.head.is_framed and self._context.head.method != b"HEAD":
             self._check_unframed()
         seconds = now() - self._attempt.started_at
         self.state.record_success(seconds)
--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -610,10 +610,8 @@
 
     def _keep_failure(self, run: EngineRun) -> None:
         """Keep an engine's own failure, which tells the caller more than ours."""
-        response = run.response
-        if response is None or response.is_success:
-            return
-        if response.head.status not in NOT_RUN_STATUSES:
+        is_whole = run.body is not None
+        if is_whole and run.response.head.status not in NOT_RUN_STATUSES:
             self._failed_run = run
 
     def _close(self, run: EngineRun) -> None:
--- a/tests/test_early_ends.py
+++ b/tests/test_early_ends.py
@@ -38,6 +38,7 @@
 
 LIMIT_S = 6.0
 BODY = b"0123456789"
+FAILURE = frame(BODY, "open").replace(b"200 OK", b"500 Failed")
 BOUNDS = BoundSettings(grace=5.0, retry_ratio=0.2, retry_window=10.0, retry_extra=60)
 STATES = [("listed", False), ("leaving", True)]
 
@@ -45,6 +46,8 @@
 class EarlyEndTest(unittest.TestCase):
     """A target that sends an unframed response, and another one that is sound."""
 
+    request = REQUEST
+
     def start(self, first, then, *, is_leaving):
         """Start a target, and make what an instance knows of crashes."""
         self.target = EndingTarget(first, then)
@@ -98,7 +101,7 @@
             lambda head, raw: self.make_context(head, raw, kind),
             budget=budget,
         )
-        client.sendall(REQUEST % 1)
+        client.sendall(self.request % 1)
         try:
             return read_response(client, 1)
         finally:
@@ -114,12 +117,11 @@
     ]
 
 
-class StreamTest(EarlyEndTest):
-    """Streams of three events, which end behind each of them."""
+class StreamCase(EarlyEndTest):
+    """A request for a stream."""
 
-    def ask_for_stream(self, events, then, kind, *, is_leaving=False):
-        """Send a request for a stream whose first response has some of its events."""
-        first = frame(b"".join(EVENTS[:events]), "open")
+    def ask_for(self, first, then, kind, is_leaving):
+        """Send the request to a target that sends some bytes first."""
         self.start(first, then, is_leaving=is_leaving)
         other = ScriptedEngine(len(WHOLE), "chunks")
         other.requests.append(b"an earlier one")
@@ -137,6 +139,15 @@
         server.selector.find = find
         return self.ask(server, kind)
 
+
+class StreamTest(StreamCase):
+    """Streams of three events, which end behind each of them."""
+
+    def ask_for_stream(self, events, then, kind, *, is_leaving=False):
+        """Send a request for a stream whose first response has some of its events."""
+        first = frame(b"".join(EVENTS[:events]), "open")
+        return self.ask_for(first, then, kind, is_leaving)
+
     @parameterized.expand(rows(ENDS))
     def test_one_that_ends_with_a_target_that(self, _, then, is_leaving):
         """Guards against a part of a stream that its caller takes for all of it."""
@@ -163,12 +174,41 @@
         self.assertEqual(len(self.target.requests), 1)
 
 
+class FailedStreamTest(StreamCase):
+    """Failures of an engine, whose body ends with its connection."""
+
+    @parameterized.expand(rows(ENDS))
+    def test_one_that_ends_with_a_target_that(self, _, then, is_leaving):
+        """Guards against a part of a failure that its caller takes for all of it."""
+        status, body, _ = self.ask_for(FAILURE, then, Kind.STREAM, is_leaving)
+        self.assertEqual(status, 502, body)
+        self.assertNotIn(BODY, body)
+        self.assertNotIn(b'"no"', body)
+
+    @parameterized.expand([("length",), ("chunks",)])
+    def test_one_that_breaks_off(self, framing):
+        """Guards against a failure without its body that looks whole."""
+        first = frame(BODY, framing).replace(b"200 OK", b"500 Failed")
+        status, body, _ = self.ask_for(first[:-8], "answers", Kind.STREAM, False)
+        self.assertEqual(status, 502, body)
+
+    @parameterized.expand(rows(LIVES))
+    def test_a_whole_one_of_a_target_that(self, _, then, is_leaving):
+        answer = self.ask_for(FAILURE, then, Kind.STREAM, is_leaving)
+        self.assertEqual(answer, (500, BODY, True))
+
+
 class PlainTest(EarlyEndTest):
     """Plain responses, which end behind half of their body or all of it."""
 
     def ask_for_body(self, size, then, kind, *, is_leaving=False):
         """Send a plain request whose first response has a part of the body."""
-        self.start(frame(BODY[:size], "open"), then, is_leaving=is_leaving)
+        first = frame(BODY[:size], "open")
+        return self.ask_for_bytes(first, then, kind, is_leaving=is_leaving)
+
+    def ask_for_bytes(self, first, then, kind, *, is_leaving=False):
+        """Send a plain request to a target that sends some bytes first."""
+        self.start(first, then, is_leaving=is_leaving)
         other = ScriptedEngine(0, "length")
         other.first = frame(BODY, "length")
         self.addCleanup(other.close)
@@ -224,6 +264,17 @@
             )
             self.assertEqual(answer, (200, BODY, True), size)
 
+    @parameterized.expand([("no_content", b"GET"), ("head_only", b"HEAD")])
+    def test_one_without_a_body_is_whole(self, name, method):
+        """Guards against targets that are asked where no body can be cut."""
+        first = frame(b"", "open")
+        if name == "no_content":
+            first = first.replace(b"200 OK", b"204 No Content")
+        self.request = REQUEST.replace(b"POST", method)
+        status, _, _ = self.ask_for_bytes(first, "refuses", Kind.ONCE)
+        self.assertEqual(status, 204 if name == "no_content" else 200)
+        self.logger.info.assert_not_called()
+
     @parameterized.expand(rows(LIVES))
     def test_a_whole_one_of_a_target_that(self, _, then, is_leaving):
         answer = self.ask_for_body(10, then, Kind.ONCE, is_leaving=is_leaving)
