--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -641,10 +641,12 @@
     def is_refused(self, address: Address) -> bool:
         """Return whether an address refuses connections.
 
-        If a connection is accepted, the pool keeps it for the next request.
+        An idle connection says nothing of that: the kernel closes those of a process
+        that has ended one after the other. If a new one is accepted, the pool keeps it
+        for the next request.
         """
         try:
-            connection = self.acquire(address, limit=_LISTENING_TIMEOUT_S)
+            connection = self.open(address, limit=_LISTENING_TIMEOUT_S)
         except ConnectionLostError as error:
             return error.reason == CONNECTION_REFUSED
         self._idle_by_address.setdefault(address, []).append(connection)
--- a/tests/test_target_crashes.py
+++ b/tests/test_target_crashes.py
@@ -279,6 +279,14 @@
         self.listener.close()
         self.assertTrue(self.pool.is_refused(self.address))
 
+    def test_no_listener_behind_an_idle_connection(self):
+        """Guards against a crash that its last open connection hides."""
+        self.assertTrue(self.pool.probe(self.address, 1.0))
+        idle, _ = self.listener.accept()
+        self.addCleanup(idle.close)
+        self.listener.close()
+        self.assertTrue(self.pool.is_refused(self.address))
+
     def test_a_listener(self):
         self.assertFalse(self.pool.is_refused(self.address))
         self.pool.acquire(self.address)
