Believe only what a target itself says of its life, and ask it once for many ends (MIXED)

What callers saw: none; found in the review of the fix. A relay in front of a target that has ended answered the question for it (502, 503, 301, 204, 404, a report without the start that the entry names, the answer to another request), and part of a stream or of a body counted as whole. 50 whole responses of a live target that accepts 8 connections ended at once: 8 were believed, as each end opened connections of its own.

Cause: any response but 421 was a sign of life, whoever sent it; each end asked by itself, and the limit held for the head and for the body.

The rows is_full and has_no_report asked for the belief itself; a bare 503 or 404 is no sign now, a rejection that the target marks is one, as before.

Ruled out: asking again after a reset (the next incarnation may answer by then).

Change: a report has to name the start of the entry, if that names one; a rejection has to be marked; a response that names a request is none. Ends share the next question that is sent behind them, which its first caller can't take along. A send that only times out takes no error from the reader, so it makes no reset.

Conclusion: a target that is at its limit of connections, or relayed by something that answers for it, loses whole unframed responses; nobody can tell them from parts.

--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -306,6 +306,8 @@
         try:
             for part in filter(None, parts):
                 self._socket.sendall(memoryview(part))
+        except TimeoutError:
+            return False
         except OSError:
             # What has arrived may hold a whole response. A socket reports a reset only
             # once, so the end of what has arrived looks like a proper end.
@@ -550,6 +552,11 @@
         Raises:
             ConnectionLostError: If no connection can be made in time.
         """
+        idle = self.take_idle(address)
+        return self.open(address, limit=limit) if idle is None else idle
+
+    def take_idle(self, address: Address) -> Connection | None:
+        """Return a usable idle connection, None if there is none."""
         idle = self._idle_by_address.get(address)
         while idle:
             connection = idle.pop()
@@ -557,7 +564,7 @@
                 self.last_acquired_at = now()
                 return connection
             connection.close()
-        return self.open(address, limit=limit)
+        return None
 
     def open(self, address: Address, *, limit: float = CONNECT_LIMIT_S) -> Connection:
         """Return a new connection, in place of an idle one if there is any.
--- a/packages/serving/bergamotsaddle_serving/target_life.py
+++ b/packages/serving/bergamotsaddle_serving/target_life.py
@@ -2,15 +2,19 @@
 
 from typing import Any
 
+import eventlet
+from eventlet.greenthread import GreenThread
+
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.catalog import Target
 from bergamotsaddle_serving.client import (
+    CROSSED,
     SILENT,
     Connection,
     ConnectionLostError,
     ConnectionPool,
 )
-from bergamotsaddle_serving.messages import Dialect
+from bergamotsaddle_serving.messages import Dialect, ResponseHead
 from bergamotsaddle_serving.target_notices import TargetNotices
 
 _OK = 200
@@ -23,6 +27,9 @@
 _RESPONDS = "responds"
 _REPLACED = "replaced"
 _MALFORMED = "malformed"
+_FOREIGN = "foreign"
+
+_Key = tuple[str, int]
 
 
 class TargetLife:
@@ -33,6 +40,9 @@
     address of the target is no sign of life: a relay does, or the next incarnation. So
     the target is asked when it started, and has to respond.
 
+    Many responses may end at once. They share the next question that is sent, as a
+    target resets connections beyond those that it accepts.
+
     Args:
         pool: Connections to targets.
         dialect: Makes and decodes the calls.
@@ -51,18 +61,23 @@
         self._dialect = dialect
         self._notices = notices
         self._logger = logger
+        # By incarnation: the question that waits to be sent, and the one before it.
+        self._next_by_incarnation: dict[_Key, GreenThread] = {}
+        self._sent_by_incarnation: dict[_Key, GreenThread] = {}
 
     def has_outlived(self, target: Target, request: str) -> bool:
         """Return whether a target has outlived its unframed response.
 
-        A target that does not say when it started is believed once it responds.
+        A target whose entry does not say when it started is believed once it responds.
 
         Args:
             target: The target.
             request: Id of the request that it responded to.
         """
         started_at = now()
-        sign = self._find_sign(target, started_at + _LIMIT_S)
+        sign = SILENT
+        with eventlet.Timeout(_LIMIT_S, False):
+            sign = self._share_question(target).wait()
         self._logger.info(
             "unframed_end",
             request=request,
@@ -73,18 +88,43 @@
         )
         return sign == _RESPONDS
 
+    def _share_question(self, target: Target) -> GreenThread:
+        """Return the next question to a target; its result is the sign."""
+        key = target.incarnation
+        question = self._next_by_incarnation.get(key)
+        if question is None:
+            earlier = self._sent_by_incarnation.get(key)
+            # In a green thread of its own: the caller that asks first may leave.
+            question = eventlet.spawn(self._run_question, target, earlier)
+            self._next_by_incarnation[key] = question
+        return question
+
+    def _run_question(self, target: Target, earlier: GreenThread | None) -> str:
+        if earlier is not None:
+            earlier.wait()
+        key = target.incarnation
+        question = self._next_by_incarnation.pop(key)
+        self._sent_by_incarnation[key] = question
+        try:
+            return self._find_sign(target, now() + _LIMIT_S)
+        finally:
+            if self._sent_by_incarnation[key] is question:
+                del self._sent_by_incarnation[key]
+
     def _find_sign(self, target: Target, until: float) -> str:
-        """Ask a target, on a new connection if an idle one has ended meanwhile."""
-        sign = SILENT
-        for connect in (self._pool.acquire, self._pool.open):
-            try:
-                connection = connect(target.address, limit=until - now())
-                return self._ask(target, connection, until)
-            except ConnectionLostError as error:
-                sign = error.reason
-            if now() >= until:
-                break
-        return sign
+        """Ask a target, on a new connection if the idle ones have ended meanwhile."""
+        try:
+            idle = self._pool.take_idle(target.address)
+            if idle is not None:
+                return self._ask(target, idle, until)
+        except ConnectionLostError as error:
+            if error.reason == SILENT:
+                return SILENT
+        try:
+            connection = self._pool.open(target.address, limit=until - now())
+            return self._ask(target, connection, until)
+        except ConnectionLostError as error:
+            return error.reason
 
     def _ask(self, target: Target, connection: Connection, until: float) -> str:
         """Ask a target when it started.
@@ -93,19 +133,31 @@
             ConnectionLostError: If it does not respond.
         """
         call = self._dialect.query_start(target)
-        head, body = connection.exchange(
-            call, limit=until - now(), max_bytes=_MAX_BODY_BYTES
-        )
-        response = self._dialect.read_response(head.headers)
+        try:
+            connection.send(call, limit=until - now())
+            head = connection.read_head(limit=until - now())
+            body = connection.read_body(limit=until - now(), max_bytes=_MAX_BODY_BYTES)
+            response = self._dialect.read_response(head.headers)
+            if response.request_id:
+                raise ConnectionLostError(CROSSED)
+        except BaseException:
+            connection.close()
+            raise
         self._notices.read(target, head.status, response)
         self._pool.release(connection, response.keep_alive_seconds)
-        if head.status == _MISDIRECTED:
+        return self._read_sign(target, head.status, response, body)
+
+    def _read_sign(
+        self, target: Target, status: int, response: ResponseHead, body: bytes
+    ) -> str:
+        if status == _MISDIRECTED:
             return _REPLACED
-        if head.status != _OK:
-            return _RESPONDS
+        if status != _OK:
+            # A target marks its rejections, a relay before it does not.
+            return _RESPONDS if response.not_run else _FOREIGN
         try:
             started_ms = self._dialect.read_start(body)
         except ValueError:
             return _MALFORMED
-        is_known = started_ms and target.started_ms
-        return _REPLACED if is_known and started_ms != target.started_ms else _RESPONDS
+        is_same = started_ms == target.started_ms or not target.started_ms
+        return _RESPONDS if is_same else _REPLACED
--- a/tests/_ending_target.py
+++ b/tests/_ending_target.py
@@ -13,9 +13,10 @@
 CLOSING_S = 0.02
 _RESET = b"\x01\x00\x00\x00\x00\x00\x00\x00"
 _OTHER_TARGET = b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
-_NO_PAGE = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
-_FULL = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
-LIVES = ("answers", "answers_without_start", "has_no_report", "is_full")
+_REJECTION = (
+    b"HTTP/1.1 400 Bad Request\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+)
+LIVES = ("answers", "states_no_start", "rejects_the_question")
 ENDS = (
     "refuses",
     "refuses_a_moment_later",
@@ -23,6 +24,13 @@
     "closes",
     "stays_silent",
     "cuts_its_report",
+    "hides_its_start",
+    "is_a_relay",
+    "is_an_overloaded_relay",
+    "is_a_redirecting_relay",
+    "is_another_server",
+    "has_no_content",
+    "answers_another_request",
     "is_another_target",
     "has_restarted",
 )
@@ -35,11 +43,24 @@
     return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
 
 
+def bare(status):
+    """Return a response without a body that no target of the platform sends."""
+    return b"HTTP/1.1 %d Bare\r\nContent-Length: 0\r\n\r\n" % status
+
+
 _ANSWERS = {
     "answers": report(STARTED_MS),
-    "answers_without_start": report(None),
-    "has_no_report": _NO_PAGE,
-    "is_full": _FULL,
+    "states_no_start": report(None),
+    "rejects_the_question": _REJECTION,
+    "hides_its_start": report(None),
+    "is_a_relay": bare(502),
+    "is_an_overloaded_relay": bare(503),
+    "is_a_redirecting_relay": bare(301),
+    "is_another_server": bare(404),
+    "has_no_content": bare(204),
+    "answers_another_request": report(STARTED_MS).replace(
+        b"\r\n", b"\r\nX-Request-Id: r0\r\n", 1
+    ),
     "is_another_target": _OTHER_TARGET,
     "has_restarted": report(STARTED_MS + 500),
     "cuts_its_report": report(STARTED_MS)[:-2],
@@ -56,6 +77,7 @@
         then: What the target, or what is left of it, does from then on.
 
     Attributes:
+        started_ms: When it started, as its entry says; 0 if that does not say.
         requests: Requests that it received, but for reports.
         address: Its address.
     """
@@ -63,6 +85,7 @@
     def __init__(self, first, then):
         self._first = first
         self._then = then
+        self.started_ms = 0 if then == "states_no_start" else STARTED_MS
         self.requests = []
         self._threads = []
         self._listener = eventlet.listen((HOST, 0))
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -48,7 +48,8 @@
 
     Args:
         response: The response.
-        ending: How the connection ends: "reset" or "close".
+        ending: How the connection ends: "reset", "close" or, with the rest of the
+            request unread, "half-close".
 
     Attributes:
         address: Its address.
@@ -67,6 +68,9 @@
             # Something may be left unread, so that a close sends a reset as well.
             sock.recv(1_000)
             sock.sendall(self._response)
+            if self._ending == "half-close":
+                sock.shutdown(socket.SHUT_WR)
+                eventlet.sleep(LIMIT_S)
             if self._ending == "reset":
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
             sock.close()
@@ -104,6 +108,17 @@
             connection.read_body(limit=LIMIT_S, max_bytes=1_000)
         self.assertIn(raised.exception.reason, BROKEN_CONNECTION_REASONS)
 
+    def test_a_proper_end_behind_a_request_that_was_not_sent_in_time(self):
+        """Guards against a whole response that a slow sender makes a part."""
+        connection = Connection(self.start(OPEN, "half-close"))
+        self.addCleanup(connection.close)
+        headers = [(b"host", b"t"), (b"content-length", b"%d" % len(UPLOAD))]
+        connection.send(HttpCall(b"POST", b"/", headers, UPLOAD), limit=0.1)
+        eventlet.sleep(0.3)
+        connection.read_head(limit=LIMIT_S)
+        body = connection.read_body(limit=LIMIT_S, max_bytes=1_000)
+        self.assertEqual(bytes(body), PART)
+
     @parameterized.expand([("length", LENGTH), ("chunks", CHUNKS)])
     def test_a_body_that_is_whole_by_its_framing(self, _, response):
         connection = self.send(response, "reset")
--- a/tests/test_early_ends.py
+++ b/tests/test_early_ends.py
@@ -7,6 +7,7 @@
 import eventlet
 from parameterized import parameterized
 
+from bergamotsaddle_contracts.ini import Address
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_platform.dialect import PlatformDialect
 from bergamotsaddle_serving.budget import RetryBudget
@@ -20,7 +21,7 @@
 from bergamotsaddle_serving.settings import BoundSettings
 from bergamotsaddle_serving.target_crashes import TargetCrashes
 from bergamotsaddle_serving.target_life import TargetLife
-from tests._ending_target import ENDS, LIVES, STARTED_MS, EndingTarget
+from tests._ending_target import ENDS, LIVES, STARTED_MS, EndingTarget, report
 from tests._paused import use_paused_clock, use_skipping_clock
 from tests.test_broken_streams import (
     EVENTS,
@@ -71,7 +72,7 @@
 
     def make_target(self, name, address):
         """Return the entry of a target."""
-        return Target(name, "s", address, "a", 4, started_ms=STARTED_MS)
+        return Target(name, "s", address, "a", 4, started_ms=self.target.started_ms)
 
     def make_context(self, head, raw, kind):
         """Return the context of a request that two targets may run."""
@@ -280,3 +281,78 @@
         answer = self.ask_for_body(10, then, Kind.ONCE, is_leaving=is_leaving)
         self.assertEqual(answer, (200, BODY, True))
         self.assertEqual(len(self.target.requests), 1)
+
+
+class ManyEndsTest(unittest.TestCase):
+    """Many responses of one target that end at once."""
+
+    def setUp(self):
+        self.questions = 0
+        self.limit = 3
+        self.open = 0
+        self.listener = eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(self.listener.close)
+        self.thread = eventlet.spawn(self.accept)
+        self.addCleanup(self.thread.kill)
+        pool = ConnectionPool()
+        self.life = TargetLife(pool, PlatformDialect(), mock.Mock(), mock.Mock())
+        address = Address(*self.listener.getsockname())
+        self.target = Target("t", "s", address, "a", 4, started_ms=STARTED_MS)
+
+    def accept(self):
+        """Reset connections beyond a limit, as a live target does."""
+        while True:
+            sock, _ = self.listener.accept()
+            if self.open == self.limit:
+                sock.close()
+                continue
+            self.open += 1
+            eventlet.spawn_n(self.serve, sock)
+
+    def serve(self, sock):
+        while sock.recv(65_536):
+            self.questions += 1
+            eventlet.sleep(0.02)
+            sock.sendall(report(STARTED_MS))
+        self.open -= 1
+
+    def test_they_share_their_questions(self):
+        """Guards against whole responses that are cut by the questions for them."""
+        asking = []
+        for number in range(50):
+            asking.append(eventlet.spawn(self.life.has_outlived, self.target, "r"))
+            if number % 10 == 0:
+                eventlet.sleep(0.004)
+        self.assertTrue(all(thread.wait() for thread in asking))
+        self.assertLessEqual(self.questions, 5)
+
+    def test_an_end_shares_no_question_that_was_sent_before_it(self):
+        """Guards against a sign of life from before the end of a response."""
+        asking = [eventlet.spawn(self.life.has_outlived, self.target, "r1")]
+        eventlet.sleep(0.01)
+        asking.append(eventlet.spawn(self.life.has_outlived, self.target, "r2"))
+        self.assertTrue(all(thread.wait() for thread in asking))
+        self.assertEqual(self.questions, 2)
+
+    def test_a_caller_that_leaves_takes_no_answer_from_others(self):
+        """Guards against ends that wait for a question that nobody asks any more."""
+        first = eventlet.spawn(self.life.has_outlived, self.target, "r1")
+        second = eventlet.spawn(self.life.has_outlived, self.target, "r2")
+        eventlet.sleep(0.005)
+        first.kill()
+        self.assertTrue(second.wait())
+
+    def test_a_slow_answer_has_one_limit(self):
+        """Guards against a caller that waits for the head and again for the body."""
+        data = report(STARTED_MS)
+
+        def serve(sock):
+            sock.recv(65_536)
+            eventlet.sleep(1.3)
+            sock.sendall(data[:-2])
+            eventlet.sleep(5.0)
+
+        self.serve = serve
+        started_at = now()
+        self.assertFalse(self.life.has_outlived(self.target, "r"))
+        self.assertLess(now() - started_at, 1.6)
