--- a/packages/contracts/bergamotsaddle_contracts/whole_responses.py
+++ b/packages/contracts/bergamotsaddle_contracts/whole_responses.py
@@ -10,6 +10,7 @@
 import http.client
 import io
 import re
+from enum import Enum
 from typing import Any
 
 import urllib3
@@ -18,47 +19,63 @@
 _INTERIM = frozenset(range(100, 200)) - {http.client.SWITCHING_PROTOCOLS}
 _FINAL = range(200, 600)
 _WITHOUT_BODY = frozenset((http.client.NO_CONTENT, http.client.NOT_MODIFIED))
-_VERSIONS = frozenset(("HTTP/1.0", "HTTP/1.1"))
 _MAX_INTERIM_RESPONSES = 64
+_LENGTH = re.compile(r"[0-9]+")
+_BLANKS = " \t"
+_BLANK_LINES = frozenset((b"\r\n", b"\n"))
 _TEXT = rb"[^\x00-\x08\x0a-\x1f\x7f]*\r?\n"
 _FIELD = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:" + _TEXT)
 _CONTINUED_VALUE = re.compile(rb"[ \t]" + _TEXT)
-_LENGTH = re.compile(r"[0-9]+")
-_CONTROLS = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
-_BLANK_LINES = frozenset((b"\r\n", b"\n"))
+_LAST_CHUNK = re.compile(rb"0+[ \t]*(?:;.*)?\r?\n")
+
+
+class _Line(Enum):
+    """What a line of a response may be. Values are patterns."""
+
+    STATUS = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: " + _TEXT + rb"|\r?\n)")
+    FIELD = re.compile(rb"(?:" + _FIELD.pattern + rb")|\r?\n")
+    FIELD_OR_VALUE = re.compile(
+        rb"(?:" + FIELD.pattern + rb")|(?:" + _CONTINUED_VALUE.pattern + rb")"
+    )
+    CHUNK = re.compile(rb"[0-9A-Fa-f]+[ \t]*(?:;" + _TEXT + rb"|\r?\n)")
 
 
 class _LineReader(io.BufferedReader):
-    """A reader whose lines end with a line feed.
+    """A reader whose lines end with a line feed and are those of a response.
 
     Attributes:
-        reads_fields: Whether the lines are fields of a head.
+        expected: What the next line may be.
     """
 
-    reads_fields = False
-    _has_field = False
+    expected = _Line.STATUS
 
     def readline(self, size: int | None = -1, /) -> bytes:
         """Read a line, or as much of it as fits.
 
         Raises:
             http.client.RemoteDisconnected: If the connection ended inside the line.
-            http.client.HTTPException: If it is no field of a head that is read.
+            http.client.HTTPException: If it is not what may come next.
         """
         line = super().readline(size)
-        if not line.endswith(b"\n") and len(line) != size:
+        if line.endswith(b"\n"):
+            self._check(line)
+        elif len(line) != size:
             raise http.client.RemoteDisconnected("response broke off inside a line")
-        if self.reads_fields and line.endswith(b"\n"):
-            self._check_field(line)
         return line
 
-    def _check_field(self, line: bytes) -> None:
-        if line in _BLANK_LINES:
-            self._has_field = False
-        elif _FIELD.fullmatch(line):
-            self._has_field = True
-        elif not (self._has_field and _CONTINUED_VALUE.fullmatch(line)):
-            raise http.client.HTTPException(f"expected a field, not {line[:80]!r}")
+    def _check(self, line: bytes) -> None:
+        if not self.expected.value.fullmatch(line):
+            name = self.expected.name.lower()
+            raise http.client.HTTPException(f"expected a {name}, not {line[:80]!r}")
+        self.expected = self._next(line)
+
+    def _next(self, line: bytes) -> _Line:
+        """Return what may follow a line. Chunks follow a head, a trailer the last."""
+        if self.expected is _Line.STATUS:
+            return _Line.FIELD
+        if self.expected is _Line.CHUNK:
+            return _Line.FIELD if _LAST_CHUNK.fullmatch(line) else _Line.CHUNK
+        return _Line.CHUNK if line in _BLANK_LINES else _Line.FIELD_OR_VALUE
 
 
 class _Response(http.client.HTTPResponse):
@@ -72,12 +89,10 @@
         """Read the head.
 
         Raises:
-            http.client.HTTPException: If it is none of HTTP/1.1.
+            http.client.HTTPException: If it is none of HTTP/1.1, or does not say where
+                the body ends.
         """
-        reader = self.fp
         super().begin()
-        # A response without a body gives its reader up.
-        reader.reads_fields = False
         self._check_framing()
 
     def _read_status(self) -> tuple[str, int, str]:
@@ -90,25 +105,25 @@
                 HTTP/1.1.
         """
         for _ in range(_MAX_INTERIM_RESPONSES + 1):
-            self.fp.reads_fields = False
-            version, status, reason = super()._read_status()
-            self.fp.reads_fields = True
-            if version not in _VERSIONS or _CONTROLS.search(reason.rstrip()):
-                raise http.client.HTTPException(f"malformed status line: {version}")
-            if status in _FINAL:
-                return version, status, reason
-            if status not in _INTERIM:
-                raise http.client.HTTPException(f"unexpected status {status}")
+            self.fp.expected = _Line.STATUS
+            line = super()._read_status()
+            if line[1] in _FINAL:
+                return line
+            if line[1] not in _INTERIM:
+                raise http.client.HTTPException(f"unexpected status {line[1]}")
             http.client.parse_headers(self.fp)
         raise http.client.HTTPException("too many interim responses")
 
     def _check_framing(self) -> None:
         """Raise an error if the head doesn't say clearly where the body ends."""
         codings = self.headers.get_all("transfer-encoding", [])
-        if codings and [coding.strip().lower() for coding in codings] != ["chunked"]:
+        if [coding.strip(_BLANKS).lower() for coding in codings] not in (
+            [],
+            ["chunked"],
+        ):
             raise http.client.HTTPException(f"unknown transfer coding {codings}")
         values = self.headers.get_all("content-length", [])
-        lengths = {length.strip() for value in values for length in value.split(",")}
+        lengths = {value.strip(_BLANKS) for value in values}
         is_number = all(map(_LENGTH.fullmatch, lengths))
         if len(lengths) > 1 or not is_number:
             raise http.client.HTTPException(f"expected one length, not {values}")
--- a/tests/_odd_heads.py
+++ b/tests/_odd_heads.py
@@ -54,3 +54,52 @@
 
 
 ODD_HEADS = make_odd_heads()
+
+
+def make_odd_framings(body: bytes = BODY) -> list[tuple[str, bytes]]:
+    """Return a row for each response that only a lenient parser can read."""
+    start = b"HTTP/1.1 200 OK\r\n" + _FIELDS
+    length = b"Content-Length: %d" % len(body)
+    chunked = start + b"Transfer-Encoding: chunked\r\n\r\n"
+    end = b"\r\n" + body + b"\r\n0\r\n"
+    lists = [
+        (f"list_of_lengths_{name}", start + length + b", %d\r\n\r\n" % len(body) + part)
+        for name, part in (("whole", body), ("cut", body[:-4]))
+    ]
+    lines = [
+        (name, line + b"\r\n" + _FIELDS + length + b"\r\n\r\n" + body)
+        for name, line in (
+            ("status_behind_a_control", b"HTTP/1.1 200\x0bOK"),
+            ("status_before_a_control", b"HTTP/1.1 \x1c200"),
+            ("status_with_a_line", b"HTTP/1.1 2_00 OK"),
+            ("status_0200", b"HTTP/1.1 0200 OK"),
+            ("status_with_plus", b"HTTP/1.1 +200 OK"),
+            ("status_line_behind_a_blank", b" HTTP/1.1 200 OK"),
+        )
+    ]
+    sizes = [
+        (f"chunk_size_{name}", chunked + size + end + b"\r\n")
+        for name, size in (
+            ("with_plus", b"+%x" % len(body)),
+            ("with_0x", b"0x%x" % len(body)),
+            ("with_a_line", b"0_%x" % len(body)),
+            ("behind_a_blank", b" %x" % len(body)),
+        )
+    ]
+    others = [
+        ("chunk_size_below_0", chunked + b"-2" + end + b"\r\n"),
+        ("last_chunk_with_minus", chunked + b"-0\r\n\r\n"),
+        (
+            "control_in_trailer",
+            chunked + b"%x" % len(body) + end + b"X-Sum: \x01\r\n\r\n",
+        ),
+        (
+            "no_field_in_trailer",
+            chunked + b"%x" % len(body) + end + b"X Sum: 1\r\n\r\n",
+        ),
+        ("length_behind_nbsp", start + length + b"\xa0\r\n\r\n" + body),
+    ]
+    return [*lists, *lines, *sizes, *others]
+
+
+ODD_FRAMINGS = make_odd_framings()
--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -27,7 +27,7 @@
     CuttingPeer,
     without_end,
 )
-from tests._odd_heads import ODD_HEADS
+from tests._odd_heads import ODD_FRAMINGS, ODD_HEADS
 from tests._paused import use_paused_clock, use_skipping_clock
 
 setUpModule = use_skipping_clock
@@ -96,7 +96,7 @@
         [
             (f"{method}_{name}", method, data)
             for method in ("post", "post_once", "open_stream")
-            for name, data in (*MALFORMED_RESPONSES, *ODD_HEADS)
+            for name, data in (*MALFORMED_RESPONSES, *ODD_HEADS, *ODD_FRAMINGS)
         ]
     )
     def test_a_malformed_head_is_a_failure_of_the_target(self, _, method, data):
@@ -161,7 +161,7 @@
         offered = [call.args[0] for call in views.offer_declaration.mock_calls]
         self.assertEqual(offered, [BODY.decode()])
 
-    @parameterized.expand(ODD_HEADS)
+    @parameterized.expand([*ODD_HEADS, *ODD_FRAMINGS])
     def test_a_value_behind_an_odd_head_is_not_read(self, _, data):
         """Guards against a declaration behind bytes that are no answer."""
         with self.assertRaises(PlatformUnreachableError):
@@ -178,7 +178,7 @@
         with self.assertRaises((urllib3.exceptions.HTTPError, OSError)):
             make_http_load_reader()(address)
 
-    @parameterized.expand(ODD_HEADS)
+    @parameterized.expand([*ODD_HEADS, *ODD_FRAMINGS])
     def test_a_report_behind_an_odd_head_is_not_read(self, _, data):
         """Guards against a load behind bytes that are no answer."""
         with self.assertRaises((urllib3.exceptions.HTTPError, OSError)):
@@ -217,7 +217,7 @@
         with self.assertRaises(DaemonUnreachableError):
             Pages([address]).read(address, "x")
 
-    @parameterized.expand(ODD_HEADS)
+    @parameterized.expand([*ODD_HEADS, *ODD_FRAMINGS])
     def test_a_page_behind_an_odd_head_is_a_failure(self, _, data):
         """Guards against a page behind bytes that are no answer."""
         pages, failures = Pages([str(self.serve(data))]).read_all("x")
@@ -232,7 +232,7 @@
         """Guards against a request that seems to have succeeded without a body."""
         self.assertEqual(self.send(self.serve(data, ending)), (EXIT_UNREACHABLE, ""))
 
-    @parameterized.expand(ODD_HEADS)
+    @parameterized.expand([*ODD_HEADS, *ODD_FRAMINGS])
     def test_an_odd_head_is_no_success(self, _, data):
         """Guards against output behind bytes that are no answer."""
         self.assertEqual(self.send(self.serve(data)), (EXIT_UNREACHABLE, ""))
