--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -150,11 +150,12 @@
 
     @property
     def is_framed(self) -> bool:
-        """Whether a length or chunks state where the body ends.
+        """Whether a length, chunks or the status state where the body ends.
 
         Without them the body ends with the connection, also if the sender crashes.
         """
-        return any(name in _FRAMING_HEADERS for name, _ in self.headers)
+        has_body = self.status not in _WITHOUT_BODY
+        return not has_body or any(name in _FRAMING_HEADERS for name, _ in self.headers)
 
     @property
     def body_bytes(self) -> int | None:
@@ -305,6 +306,8 @@
         try:
             for part in filter(None, parts):
                 self._socket.sendall(memoryview(part))
+        except TimeoutError:
+            return False
         except OSError:
             # What has arrived may hold a whole response. A socket reports a reset only
             # once, so the end of what has arrived looks like a proper end.
@@ -549,6 +552,11 @@
         Raises:
             ConnectionLostError: If no connection can be made in time.
         """
+        idle = self.take_idle(address)
+        return self.open(address, limit=limit) if idle is None else idle
+
+    def take_idle(self, address: Address) -> Connection | None:
+        """Return a usable idle connection, None if there is none."""
         idle = self._idle_by_address.get(address)
         while idle:
             connection = idle.pop()
@@ -556,7 +564,7 @@
                 self.last_acquired_at = now()
                 return connection
             connection.close()
-        return self.open(address, limit=limit)
+        return None
 
     def open(self, address: Address, *, limit: float = CONNECT_LIMIT_S) -> Connection:
         """Return a new connection, in place of an idle one if there is any.
@@ -640,10 +648,12 @@
     def is_refused(self, address: Address) -> bool:
         """Return whether an address refuses connections.
 
-        If a connection is accepted, the pool keeps it for the next request.
+        An idle connection says nothing of that: the kernel closes those of a process
+        that has ended one after the other. If a new one is accepted, the pool keeps it
+        for the next request.
         """
         try:
-            connection = self.acquire(address, limit=_LISTENING_TIMEOUT_S)
+            connection = self.open(address, limit=_LISTENING_TIMEOUT_S)
         except ConnectionLostError as error:
             return error.reason == CONNECTION_REFUSED
         self._idle_by_address.setdefault(address, []).append(connection)
