Let streams of unknown origin go on only behind a later confirmation (ORDER)

What callers saw: in a release, a stream that had begun at a replica of the new version through another machine broke, was taken up at a machine that did not list that version yet, and went on at a replica of the old one.

Cause: a stream that nobody in reach knows goes on if one version alone has served, and the view counted as complete for two seconds after its last confirmation. Others may have listed a version, and begun streams at it, in these two seconds: while this instance is cut off from the store or from all, stands still, or merely reads the change later than they do.

Versions that came and went meanwhile were known in time, but for the same window. Refusing at once was dropped: a take-up is always later than the last confirmation, so none would go on.

Change: such a stream waits for a confirmation of the view that is later than the take-up. It is refused, truly not run, once the view is overdue.

--- a/packages/serving/bergamotsaddle_serving/resumption.py
+++ b/packages/serving/bergamotsaddle_serving/resumption.py
@@ -169,16 +169,25 @@
 
     def _find_origin(self, context: Context) -> tuple[StreamOrigin | None, str]:
         """Return the origin of a stream, and what knew it."""
+        asked_at = now()
         if context.head.resumed_request:
             found = self._exchange.find(_key(context))
             if found is not None:
                 return found
-        service = context.service.name
-        age = self._ages.limit(context.route, context.head.deadline)
-        software = self._history.sole_version(service, seconds=age)
-        if software is None or len(context.route.shares) > 1:
+        software = self._sole_version(context)
+        if software is None or not self._history.await_changes(asked_at):
+            return None, ""
+        # Another version may have been listed meanwhile.
+        if self._sole_version(context) != software:
             return None, ""
-        return StreamOrigin(service, software), _SOLE_VERSION
+        return StreamOrigin(context.service.name, software), _SOLE_VERSION
+
+    def _sole_version(self, context: Context) -> str | None:
+        """Return the only version that may have begun a stream, None if unknown."""
+        if len(context.route.shares) > 1:
+            return None
+        age = self._ages.limit(context.route, context.head.deadline)
+        return self._history.sole_version(context.service.name, seconds=age)
 
     def _find_obstacle(self, context: Context, origin: StreamOrigin | None) -> str:
         """Return why a stream can't go on, empty if it can."""
--- a/packages/serving/bergamotsaddle_serving/software_history.py
+++ b/packages/serving/bergamotsaddle_serving/software_history.py
@@ -3,6 +3,8 @@
 from math import inf
 from typing import Any
 
+import eventlet
+
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving.gossip import Gossip, Topic
 from bergamotsaddle_serving.peer_messages import Heartbeat
@@ -10,6 +12,7 @@
 from bergamotsaddle_serving.software_evidence import SoftwareEvidence
 from bergamotsaddle_serving.stream_ages import MAX_STREAM_AGE_S
 from bergamotsaddle_serving.view import View
+from bergamotsaddle_serving.view_freshness import ViewFreshness
 
 _VERSIONS = Topic("software", ttl_seconds=MAX_STREAM_AGE_S, max_facts=5_000)
 _SERVED = 1.0
@@ -20,6 +23,7 @@
 _SETTLE_S = 3.0
 # Views may list a target for this long after it has left.
 _MAX_VIEW_LAG_S = 6.0
+_CONFIRMATION_POLL_S = 0.05
 
 
 class SoftwareHistory:
@@ -55,6 +59,7 @@
         self._view = view
         self._logger = logger
         self._max_view_age = max_view_age
+        self._freshness = ViewFreshness(max_view_age)
         self._versions_by_service: dict[str, set[str]] = {}
         # Time since which all versions that instances listed are known.
         self._known_since = -inf if is_first_start else inf
@@ -113,6 +118,24 @@
         versions = self._versions_by_service.get(service, ())
         return next(iter(versions)) if len(versions) == 1 else None
 
+    def await_changes(self, before: float) -> bool:
+        """Wait until this instance knows all versions that served before a time.
+
+        Other instances send streams to a version as soon as they list it, which may be
+        earlier than it is listed here.
+
+        Args:
+            before: The time, on the hub's clock.
+
+        Returns:
+            Whether it knows them. It gives up once the view is overdue.
+        """
+        while self._view.confirmed_at < before:
+            if self._freshness.is_overdue(self._view.age()):
+                return False
+            eventlet.sleep(_CONFIRMATION_POLL_S)
+        return True
+
     def _forget_past(self) -> None:
         """Record that versions may have come and gone that this instance never saw."""
         if not self._is_current():
