--- a/tests/_out_of_step.py
+++ b/tests/_out_of_step.py
@@ -13,7 +13,7 @@
 from bergamotsaddle_serving.origin_exchange import OriginExchange
 from bergamotsaddle_serving.resumption import Resumptions
 from bergamotsaddle_serving.software_history import SoftwareHistory
-from bergamotsaddle_serving.stream_origins import StreamOrigins
+from bergamotsaddle_serving.stream_origins import StreamOrigin, StreamOrigins
 from tests._paused import advance
 from tests._resumptions import make_target
 from tests.test_stream_origins import make_context
@@ -125,6 +125,12 @@
         """Return whether it may send streams to a version."""
         return software in self.resumptions.targets_by_software("s")
 
+    def targets_of(self, software):
+        """Return the ids of the targets that it lets go on with a version's streams."""
+        origin = StreamOrigin("s", software)
+        targets = [known.target for known in self.view.usable("s")]
+        return {t.id for t in targets if self.resumptions.may_run(t, origin)}
+
     def resume(self, context):
         """Return a list that gets the version at which a stream goes on, or the error.
 
--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -56,6 +56,9 @@
     (f"{way}_{seconds:.0f}_s", way, seconds) for way, seconds in product(WAYS, SECONDS)
 ]
 
+# By then an instance in step has read a change.
+READ_S = 0.2
+
 
 class OutOfStepTest(unittest.TestCase):
     """One instance is out of step while targets of a new version join."""
@@ -150,3 +153,24 @@
         """Return what came of the take-ups of the last moment."""
         last = self.outcomes[-len(TAKE_UPS) :]
         return {name: outcome[0] for (_, name), outcome in last}
+
+
+class ReturnedTargetTest(unittest.TestCase):
+    """One instance is out of step while a target returns with other software."""
+
+    def setUp(self):
+        use_paused_clock()
+        self.addCleanup(use_paused_clock)
+        self.release = Release()
+        self.addCleanup(self.release.close)
+
+    @parameterized.expand(WAYS)
+    def test_no_stream_of_the_old_version_goes_on_there(self, way):
+        """Guards against an entry that is older than the software behind it."""
+        release = self.release
+        WAYS[way](release)
+        release.write(a=NEW)
+        advance(READ_S)
+        if release.out.is_still:
+            release.end()
+        self.assertEqual(release.out.targets_of(OLD), {"b"})
