--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -503,14 +503,13 @@
         return limits._replace(head_bytes=limits.head_bytes + _RELAY_HEAD_BYTES)
 
     def _stop(self, *acceptors: Acceptor[CallerConnection]) -> None:
-        schedule = StopSchedule(
-            now(), _STOP_NOTICE_S, self.settings.bounds.grace - _STOP_MARGIN_S
-        )
+        limit = max(0.0, self.settings.bounds.grace - _STOP_MARGIN_S)
+        schedule = StopSchedule(now(), min(_STOP_NOTICE_S, limit), limit)
         self._is_stopping = True
         self.handler.stop_schedule = schedule
         self._announce_stop()
         self.logger.info("stopping", active=self.handler.active)
-        eventlet.sleep(_STOP_NOTICE_S)
+        eventlet.sleep(schedule.notice)
         for acceptor in acceptors:
             acceptor.close()
         while now() < schedule.aborts_at and self._is_busy():
--- a/tests/test_serving_stop.py
+++ b/tests/test_serving_stop.py
@@ -83,6 +83,23 @@
     return handler, caller, client
 
 
+def make_server(handler, *, grace=STOP_GRACE_S, hand_over=lambda is_final: None):
+    """Return a server that can be stopped.
+
+    Args:
+        handler: Its handler.
+        grace: Seconds from its stop until it is killed.
+        hand_over: Hands the stage queues over to other instances.
+    """
+    server = ServingServer.__new__(ServingServer)
+    server._is_stopping = False
+    server.handler, server.peers, server.logger = handler, mock.Mock(), mock.Mock()
+    server.owner = mock.Mock(is_busy=lambda: False, hand_over=hand_over)
+    server.settings = mock.Mock()
+    server.settings.bounds.grace = grace
+    return server
+
+
 def serve_slowly(context):
     """Return a response after a while, in which other green threads run."""
     eventlet.sleep(0.05)
@@ -254,11 +271,7 @@
         handler._plain = mock.Mock(serve=serve)
         handler._make_context = lambda head, raw: make_context(is_sent=True)
         handler._dialect.read_head.return_value = mock.Mock(id="r1")
-        server = ServingServer.__new__(ServingServer)
-        server.handler, server.peers, server.logger = handler, mock.Mock(), mock.Mock()
-        server.owner = mock.Mock(is_busy=lambda: False, hand_over=hand_over)
-        server.settings = mock.Mock()
-        server.settings.bounds.grace = STOP_GRACE_S
+        server = make_server(handler, hand_over=hand_over)
         listener = eventlet.listen(("127.0.0.1", 0))
         client = eventlet.connect(listener.getsockname())
         accepted, _ = listener.accept()
@@ -312,6 +325,17 @@
         )
         self.assertEqual(error.kind, kind)
 
+    def test_a_short_grace_is_kept(self):
+        """Guards against a notice that outlasts the grace, and requests cut by it."""
+        handler, _, client = serve_connection(lambda context: eventlet.sleep(5))
+        client.sendall(REQUEST)
+        eventlet.sleep(0.02)
+        server = make_server(handler)
+        at = eventlet.hubs.get_hub().clock()
+        server._stop()
+        self.assertLess(eventlet.hubs.get_hub().clock() - at, STOP_GRACE_S)
+        self.assertIn(b" 502 ", client.recv(1_000))
+
 
 class ExitTest(unittest.TestCase):
     """A process that exits after its stop."""
