--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -145,7 +145,7 @@
         self.stop_schedule: StopSchedule | None = None
         self.rejected_while_stopping = 0
         self.served = 0
-        self._workers: set[greenlet] = set()
+        self._context_by_worker: dict[greenlet, Context] = {}
 
     def is_reading(self) -> bool:
         """Return whether a caller has sent a part of a request."""
@@ -158,8 +158,11 @@
         does not know whether its request has run, and can't go on if it must not
         repeat it.
         """
-        for worker in list(self._workers):
-            eventlet.kill(worker, _StoppingError("stopping"))
+        for worker, context in list(self._context_by_worker.items()):
+            # While others are aborted, one may end, and its green thread reads the
+            # next request.
+            if self._context_by_worker.get(worker) is context:
+                eventlet.kill(worker, _StoppingError("stopping"))
 
     def limits(self) -> CallerLimits:
         """Return the current limits on callers."""
@@ -275,12 +278,18 @@
             raise context.quarantine_error()
 
     def _run(self, caller: CallerConnection, context: Context) -> None:
-        def dispatch() -> None:
-            with eventlet.Timeout(max(0.001, context.remaining), _OutOfTimeError("")):
-                self._dispatch(caller, context)
-
         worker = eventlet.getcurrent()
-        self._workers.add(worker)
+
+        def dispatch() -> None:
+            limit = max(0.001, context.remaining)
+            try:
+                with eventlet.Timeout(limit, _OutOfTimeError("")):
+                    self._dispatch(caller, context)
+            finally:
+                # An abort would reset the connection behind a complete response.
+                self._context_by_worker.pop(worker, None)
+
+        self._context_by_worker[worker] = context
         try:
             caller.run_while_connected(dispatch)
         except _OutOfTimeError as error:
@@ -290,7 +299,7 @@
         except _StoppingError as error:
             raise context.abort_error(ErrorKind.TARGET_FAILED, "stopping") from error
         finally:
-            self._workers.discard(worker)
+            self._context_by_worker.pop(worker, None)
 
     def _dispatch(self, caller: CallerConnection, context: Context) -> None:
         handover = self._handover
@@ -374,6 +383,8 @@
         version = decode_request(raw.headers).version
         until = now() + min(_MAX_VERSION_WAIT_S, head.deadline / 3.0)
         while self._known_version() < version and now() < until:
+            if self.is_closed:
+                return
             eventlet.sleep(_VERSION_CHECK_S)
 
     def _known_version(self) -> int:
--- a/tests/test_serving_stop.py
+++ b/tests/test_serving_stop.py
@@ -1,5 +1,6 @@
 """Tests for requests that are still running when an instance stops."""
 
+import socket
 import sys
 import unittest
 from unittest import mock
@@ -9,6 +10,7 @@
 from parameterized import parameterized
 
 from bergamotsaddle_contracts.errors import ErrorKind, RequestError
+from bergamotsaddle_serving import handler as handler_module
 from bergamotsaddle_serving import server as server_module
 from bergamotsaddle_serving.caller import CallerConnection
 from bergamotsaddle_serving.catalog import CallerLimits, Kind, Route, Service, Share
@@ -16,6 +18,7 @@
 from bergamotsaddle_serving.handler import Handler
 from bergamotsaddle_serving.messages import RequestHead
 from bergamotsaddle_serving.plain import CompleteResponse
+from bergamotsaddle_serving.relay_headers import RelayedRequest, encode_request
 from bergamotsaddle_serving.server import ServingServer
 from bergamotsaddle_serving.stop_schedule import StopSchedule
 from tests._paused import use_paused_clock, use_running_clock
@@ -75,12 +78,18 @@
     handler._plain = mock.Mock(serve=serve)
     handler._make_context = lambda head, raw: make_context(is_sent=True)
     handler._dialect.read_head.return_value = mock.Mock(id="r1")
+    caller, client = open_connection(handler)
+    return handler, caller, client
+
+
+def open_connection(handler):
+    """Have a stopping handler serve a connection; return it and the caller's socket."""
     listener = eventlet.listen(("127.0.0.1", 0))
     client = eventlet.connect(listener.getsockname())
     accepted, _ = listener.accept()
     caller = CallerConnection(accepted, CallerLimits, lambda: True)
     eventlet.spawn_n(handler.run, caller)
-    return handler, caller, client
+    return caller, client
 
 
 def make_server(handler, *, grace=STOP_GRACE_S, hand_over=lambda is_final: None):
@@ -336,6 +345,62 @@
         self.assertLess(eventlet.hubs.get_hub().clock() - at, STOP_GRACE_S)
         self.assertIn(b" 502 ", client.recv(1_000))
 
+    def test_an_abort_behind_a_complete_response(self):
+        """Guards against connections reset while their response is on its way."""
+        handler, caller, client = serve_connection(serve_slowly)
+
+        def watch(_):
+            try:
+                eventlet.sleep(5)
+            finally:
+                # The worker ends its watcher once its response is complete.
+                handler.abort_all()
+
+        caller._watch_for_disconnect = watch
+        client.sendall(REQUEST)
+        self.assertIn(b" 200 ", client.recv(1_000))
+        eventlet.sleep(0.05)
+        self.assertEqual(client.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR), 0)
+        logged = handler._logger.info.call_args.kwargs
+        self.assertEqual(logged["outcome"], "whole")
+
+    def test_an_abort_beside_a_request_that_ends(self):
+        """Guards against an abort that closes a connection with its next request.
+
+        Other requests may end while one is aborted.
+        """
+        handler, _, first = serve_connection(serve_slowly)
+        _, second = open_connection(handler)
+        for client in (first, second):
+            client.sendall(REQUEST + REQUEST[:20])
+        eventlet.sleep(0.02)
+
+        def kill(*args):
+            eventlet.kill(*args)
+            eventlet.sleep(0.1)
+
+        handler.is_closed = True
+        with mock.patch.object(handler_module, "eventlet", wraps=eventlet) as patched:
+            patched.kill = kill
+            handler.abort_all()
+        for client in (first, second):
+            client.sendall(REQUEST[20:])
+        eventlet.sleep(0.05)
+        received = [client.recv(4_096) for client in (first, second)]
+        self.assertEqual(sum(b" 200 " in data for data in received), 1)
+        self.assertEqual([data.count(b" 503 ") for data in received], [1, 1])
+
+    def test_a_relayed_request_that_waits_for_its_configuration(self):
+        """Guards against requests that the exit cuts before they are served."""
+        handler = make_handler()
+        handler._known_version = lambda: 0
+        handler.is_closed = True
+        at = eventlet.hubs.get_hub().clock()
+        relayed = RelayedRequest("i2", 0.0, 1)
+        raw = mock.Mock(headers=encode_request([], relayed, 0))
+        handler._wait_for_version(raw, mock.Mock(deadline=9.0))
+        self.assertLess(eventlet.hubs.get_hub().clock() - at, 0.5)
+
 
 class ExitTest(unittest.TestCase):
     """A process that exits after its stop."""
