--- a/packages/serving/bergamotsaddle_serving/context.py
+++ b/packages/serving/bergamotsaddle_serving/context.py
@@ -19,14 +19,25 @@
     """Progress of a request.
 
     Attributes:
-        is_sent: Whether any byte of it was sent to a target that might run it.
+        sent_at: When it was first sent to a target that might run it, on the hub's
+            clock, None before.
         addresses: Addresses that it was sent to.
     """
 
     def __init__(self) -> None:
-        self.is_sent = False
+        self.sent_at: float | None = None
         self.addresses: set[Address] = set()
 
+    @property
+    def is_sent(self) -> bool:
+        """Whether any byte of it was sent to a target that might run it."""
+        return self.sent_at is not None
+
+    @is_sent.setter
+    def is_sent(self, value: bool) -> None:
+        if value != self.is_sent:
+            self.sent_at = now() if value else None
+
 
 class Context(NamedTuple):
     """What is known about a request before any work is done for it.
--- a/packages/serving/bergamotsaddle_serving/handler.py
+++ b/packages/serving/bergamotsaddle_serving/handler.py
@@ -43,6 +43,7 @@
     decode_request,
     encode_error,
 )
+from bergamotsaddle_serving.request_times import RequestTimes
 from bergamotsaddle_serving.stop_schedule import StopSchedule
 from bergamotsaddle_serving.streams import StreamServer
 from bergamotsaddle_serving.suspects import Suspects
@@ -109,6 +110,7 @@
         stop_schedule: Times of the graceful stop, None until it is requested.
         rejected_while_stopping: Number of requests that were rejected for the stop.
         served: Number of requests so far.
+        times: How long requests take here.
     """
 
     def __init__(
@@ -145,6 +147,7 @@
         self.stop_schedule: StopSchedule | None = None
         self.rejected_while_stopping = 0
         self.served = 0
+        self.times = RequestTimes()
         self._context_by_worker: dict[greenlet, Context] = {}
 
     def is_reading(self) -> bool:
@@ -159,10 +162,31 @@
         repeat it.
         """
         for worker, context in list(self._context_by_worker.items()):
-            # While others are aborted, one may end, and its green thread reads the
-            # next request.
-            if self._context_by_worker.get(worker) is context:
-                eventlet.kill(worker, _StoppingError("stopping"))
+            self._abort(worker, context)
+
+    def reject_waiting(self) -> None:
+        """Reject requests that wait for a target and can't end before the exit."""
+        if self.stop_schedule is None:
+            return
+        for worker, context in list(self._context_by_worker.items()):
+            may_wait = context.progress.is_sent or self.stop_schedule.may_wait(
+                context.deadline_at,
+                at=now(),
+                shortest=self.times.shortest_run(context.route),
+            )
+            if not may_wait and self._abort(worker, context):
+                self.rejected_while_stopping += 1
+
+    def _abort(self, worker: greenlet, context: Context) -> bool:
+        """Abort a request; return False if it has ended or was aborted.
+
+        While others are aborted, it may end, and its green thread reads the next one.
+        """
+        if self._context_by_worker.get(worker) is not context:
+            return False
+        del self._context_by_worker[worker]
+        eventlet.kill(worker, _StoppingError("stopping"))
+        return True
 
     def limits(self) -> CallerLimits:
         """Return the current limits on callers."""
@@ -223,6 +247,7 @@
 
     def _serve(self, caller: CallerConnection, raw: RawRequest) -> None:
         started_at = raw.started_at
+        read_at = now()
         request_id = ""
         outcome: str = _COMPLETE
         reason = ""
@@ -233,7 +258,7 @@
             if raw.is_from_peer:
                 self._wait_for_version(raw, head)
             context = self._make_context(head, raw)
-            self._check_stop(raw.started_at, context.deadline_at)
+            self._check_stop(raw.started_at, context)
             self._check_quarantine(context)
             self._run(caller, context)
         except RequestError as error:
@@ -252,13 +277,28 @@
         finally:
             if context is not None:
                 context.memory.close()
+                self._record_time(context, outcome, now() - read_at)
         seconds = now() - started_at
         self._record_outcome(request_id, context, outcome, seconds, reason=reason)
 
-    def _check_stop(self, arrived_at: float, deadline_at: float) -> None:
+    def _record_time(self, context: Context, outcome: str, seconds: float) -> None:
+        """Record how long a request took, at least."""
+        if outcome == _COMPLETE:
+            sent_at = context.progress.sent_at
+            run = now() - sent_at if sent_at is not None else None
+            self.times.record(context.route, seconds, run)
+        elif outcome == ErrorKind.DEADLINE_PASSED:
+            self.times.record(context.route, seconds, None)
+
+    def _check_stop(self, arrived_at: float, context: Context) -> None:
         """Raise an error if the process may exit before a request has ended."""
         schedule = self.stop_schedule
-        may_serve = schedule is None or schedule.may_serve(arrived_at, deadline_at)
+        may_serve = schedule is None or schedule.may_serve(
+            arrived_at,
+            context.deadline_at,
+            at=now(),
+            usual=self.times.usual(context.route),
+        )
         if may_serve and not self.is_closed:
             return
         self.rejected_while_stopping += 1
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -509,11 +509,14 @@
         self.handler.stop_schedule = schedule
         self._announce_stop()
         self.logger.info("stopping", active=self.handler.active)
-        eventlet.sleep(schedule.notice)
+        while (left := schedule.started_at + schedule.notice - now()) > 0:
+            self.handler.reject_waiting()
+            eventlet.sleep(min(_STOP_POLL_S, left))
         for acceptor in acceptors:
             acceptor.close()
         while now() < schedule.aborts_at and self._is_busy():
             self._close_idle()
+            self.handler.reject_waiting()
             eventlet.sleep(_STOP_POLL_S)
         self.handler.is_closed = True
         self._hand_over_origins()
--- a/tests/test_serving_stop.py
+++ b/tests/test_serving_stop.py
@@ -3,6 +3,7 @@
 import socket
 import sys
 import unittest
+from collections import Counter
 from unittest import mock
 
 import eventlet
@@ -19,6 +20,7 @@
 from bergamotsaddle_serving.messages import RequestHead
 from bergamotsaddle_serving.plain import CompleteResponse
 from bergamotsaddle_serving.relay_headers import RelayedRequest, encode_request
+from bergamotsaddle_serving.request_times import RequestTimes
 from bergamotsaddle_serving.server import ServingServer
 from bergamotsaddle_serving.stop_schedule import StopSchedule
 from tests._paused import use_paused_clock, use_running_clock
@@ -59,22 +61,30 @@
     return Context(head, b"", ROUTE, service, None, now, now + deadline, 1, 0, progress)
 
 
-def make_handler():
-    """Return a handler that quarantines no request."""
+def make_handler(*, usual=0.0):
+    """Return a handler that quarantines no request.
+
+    Args:
+        usual: Seconds that its last request took, None if it has served none.
+    """
     suspects = mock.Mock(is_quarantined=lambda fingerprint: False)
-    return Handler(*(mock.MagicMock() for _ in range(7)), suspects=suspects)
+    handler = Handler(*(mock.MagicMock() for _ in range(7)), suspects=suspects)
+    if usual is not None:
+        handler.times.record(ROUTE, usual, usual)
+    return handler
 
 
-def serve_connection(serve):
+def serve_connection(serve, *, usual=0.0):
     """Serve a connection of a caller at a stopping instance.
 
     Args:
         serve: Returns the response to the context of each request.
+        usual: Seconds that the last request took, None if there was none.
 
     Returns:
         The handler, the served connection and the caller's socket.
     """
-    handler = make_handler()
+    handler = make_handler(usual=usual)
     handler._plain = mock.Mock(serve=serve)
     handler._make_context = lambda head, raw: make_context(is_sent=True)
     handler._dialect.read_head.return_value = mock.Mock(id="r1")
@@ -230,20 +240,23 @@
 
     @parameterized.expand(
         [
-            ("in_notice", 0.0, 9.0, b" 200 "),
-            ("sure_to_end", 0.3, 0.5, b" 200 "),
-            ("may_be_cut", 0.3, 9.0, b" 503 "),
+            ("in_notice", 0.0, 9.0, 0.1, b" 200 "),
+            ("in_notice_but_long", 0.0, 9.0, 0.9, b" 503 "),
+            ("in_notice_but_unknown", 0.0, 9.0, None, b" 503 "),
+            ("in_notice_and_sure_to_end", 0.0, 0.8, 0.9, b" 200 "),
+            ("sure_to_end", 0.3, 0.5, None, b" 200 "),
+            ("may_be_cut", 0.3, 9.0, 0.1, b" 503 "),
         ]
     )
     def test_a_request_on_an_open_connection_while_stopping(
-        self, _, pause, deadline, status
+        self, _, pause, deadline, usual, status
     ):
         """Guards against requests that are accepted and cut off by the exit.
 
         A caller sends its next request on a connection whose last response announced
         no close, after the instance has told the load balancer that it stops.
         """
-        handler, _, client = serve_connection(serve_slowly)
+        handler, _, client = serve_connection(serve_slowly, usual=usual)
         handler._make_context = lambda head, raw: make_context(
             is_sent=True, deadline=deadline
         )
@@ -334,6 +347,28 @@
         )
         self.assertEqual(error.kind, kind)
 
+    @parameterized.expand(
+        [("long", 0.6, 503), ("short", 0.05, 502), ("unknown", None, 502)]
+    )
+    def test_a_request_that_waits_in_a_queue(self, _, run, status):
+        """Guards against requests that wait until the exit for a run that is cut."""
+        handler, _, client = serve_connection(lambda context: eventlet.sleep(5))
+        context = make_context(is_sent=False)
+        handler._make_context = lambda head, raw: context
+        handler.times = RequestTimes()
+        if run is not None:
+            handler.times.record(ROUTE, 1.0, run)
+        client.sendall(REQUEST)
+        eventlet.sleep(0.02)
+        at = eventlet.hubs.get_hub().clock()
+        handler.stop_schedule = StopSchedule(at, notice=0.1, limit=0.5)
+        handler.reject_waiting()
+        eventlet.sleep(0.02)
+        context.progress.is_sent = True
+        handler.reject_waiting()
+        handler.abort_all()
+        self.assertIn(b" %d " % status, client.recv(1_000))
+
     def test_a_short_grace_is_kept(self):
         """Guards against a notice that outlasts the grace, and requests cut by it."""
         handler, _, client = serve_connection(lambda context: eventlet.sleep(5))
@@ -402,6 +437,124 @@
         self.assertLess(eventlet.hubs.get_hub().clock() - at, 0.5)
 
 
+class ReplayTest(unittest.TestCase):
+    """A planned stop while callers go on sending requests of several kinds."""
+
+    KINDS = tuple(
+        (seconds, kind)
+        for seconds in (0.2, 0.9, 1.6, 2.5)
+        for kind in (Kind.ONCE, Kind.IDEMPOTENT)
+    )
+    GRACE_S = 2.0
+    FIRST_AT = 0.2
+    LAST_AT = 1.0
+    INTERVAL_S = 0.1
+
+    def setUp(self):
+        self.handler = make_handler(usual=None)
+        self.handler._make_context = self.make_context
+        self.handler._dialect.read_head.side_effect = lambda method, path, headers: (
+            mock.Mock(id="r", path=path)
+        )
+        self.handler._plain = mock.Mock(serve=self.serve)
+        self.server = make_server(self.handler, grace=self.GRACE_S)
+        self.listener = eventlet.listen(("127.0.0.1", 0), backlog=128)
+        acceptor = eventlet.spawn(self.accept)
+        self.addCleanup(acceptor.kill)
+        self.counts = Counter()
+
+    def accept(self):
+        """Serve each connection of a caller."""
+        while True:
+            accepted, _ = self.listener.accept()
+            caller = CallerConnection(
+                accepted, CallerLimits, lambda: self.server._is_stopping
+            )
+            eventlet.spawn_n(self.handler.run, caller)
+
+    def make_context(self, head, raw):
+        """Return the context of a request, whose path names what it is."""
+        seconds, kind = self.KINDS[int(raw.path[1:])]
+        context = make_context(is_sent=False)
+        route = ROUTE._replace(name=raw.path.decode(), kind=kind)
+        body = str(seconds).encode()
+        return context._replace(route=route, body=body)
+
+    def serve(self, context):
+        """Run a request at a target."""
+        context.progress.is_sent = True
+        eventlet.sleep(float(context.body))
+        return CompleteResponse(200, [], b"done")
+
+    def connect(self):
+        """Open a connection of a caller."""
+        return eventlet.connect(self.listener.getsockname())
+
+    def send(self, number, client, *, pause=0.0):
+        """Send a request after a while, and count its end."""
+        eventlet.sleep(pause)
+        client = client or self.connect()
+        client.sendall(REQUEST.replace(b"/", b"/%d" % number, 1))
+        head = client.recv(1_000)
+        client.close()
+        seconds, kind = self.KINDS[number]
+        self.counts[seconds, kind, head[9:12].decode()] += 1
+
+    @parameterized.expand([("open", True), ("new", False)])
+    def test_no_request_is_taken_that_the_exit_cuts(self, _, is_open):
+        """Guards against requests cut at the end of the grace that others could run."""
+        warm_up = [
+            eventlet.spawn(self.send, number, None) for number in range(len(self.KINDS))
+        ]
+        for thread in warm_up:
+            thread.wait()
+        self.counts.clear()
+        pauses = [
+            self.FIRST_AT + self.INTERVAL_S * i
+            for i in range(round((self.LAST_AT - self.FIRST_AT) / self.INTERVAL_S))
+        ]
+        threads = [
+            eventlet.spawn(
+                self.send, number, self.connect() if is_open else None, pause=pause
+            )
+            for number in range(len(self.KINDS))
+            for pause in pauses
+        ]
+        eventlet.sleep(0.05)
+        self.server._stop(mock.Mock())
+        for thread in threads:
+            thread.wait()
+        self.assertEqual(self.counts.total(), len(self.KINDS) * len(pauses))
+        statuses = {status for _, _, status in self.counts}
+        self.assertEqual(statuses, {"200", "503"}, self.counts)
+        for kind in (Kind.ONCE, Kind.IDEMPOTENT):
+            # All but the last ones are sure to end, also beside other work.
+            self.assertGreaterEqual(self.counts[0.2, kind, "200"], 6, self.counts)
+            self.assertEqual(self.counts[2.5, kind, "200"], 0, self.counts)
+
+
+class RequestTimesTest(unittest.TestCase):
+    """What is known of how long requests take."""
+
+    @parameterized.expand(
+        [
+            ("none", Kind.ONCE, [], None),
+            ("one", Kind.IDEMPOTENT, [0.4], 0.4),
+            ("a_rare_long_one", Kind.IDEMPOTENT, [0.4] * 19 + [3.0], 0.4),
+            ("often_a_long_one", Kind.IDEMPOTENT, [0.4] * 8 + [3.0] * 2, 3.0),
+            ("not_repeatable", Kind.ONCE, [0.4] * 19 + [3.0], 3.0),
+            ("long_ago", Kind.ONCE, [3.0] + [0.4] * 32, 0.4),
+        ]
+    )
+    def test_the_usual_time(self, _, kind, seconds, expected):
+        """Guards against one rare request that keeps out all others."""
+        times = RequestTimes()
+        route = ROUTE._replace(kind=kind)
+        for taken in seconds:
+            times.record(route, taken, None)
+        self.assertEqual(times.usual(route), expected)
+
+
 class ExitTest(unittest.TestCase):
     """A process that exits after its stop."""
 
