Keep the times of fewer routes

With 5,000 routes, the times of 32 requests each could take 16 MB of the 32 MB that a daemon may use, by reckoning; with 1,000 a fifth of that.

--- a/packages/serving/bergamotsaddle_serving/request_times.py
+++ b/packages/serving/bergamotsaddle_serving/request_times.py
@@ -8,7 +8,7 @@
 
 from bergamotsaddle_serving.catalog import Route
 
-_MAX_ROUTES = 5_000
+_MAX_ROUTES = 1_000
 _MAX_REQUESTS = 32
 # Share of the requests that take no longer than usual, if a cut one may be repeated.
 _USUAL_SHARE = 0.9
