Let soaks end targets with unframed responses open, respond early and send odd heads

What the soak missed: an unframed stream that the crash of its engine ends behind a whole event, and a plain body that is a part, counted as complete. `break` leaves this place out, and the links of a crashed engine always refused. Nor did it have early responses to uploads or heads that are none.

`end`: a target responds unframed, then crashes: open responses are closed in order, something resets, closes, says nothing or refuses at its address, the entry lapses 1 s later and a new target follows. Requests open at the crash, or ended up to 1.5 s before, and those that the successor gets count as broken off. `early`: a target sends a part and resets uploads of 240 to 320 KB; links have segments and buffers of a network, since the kernel takes such uploads at once on loopback. Callers tell malformed heads from none; the audit has a line "odd", "order" finds the rest. Not disturbed so: stage targets. Links of a target that has ended stay ended behind a cut.

Ruled out: that `order` misses a part of a plain body (`b'"do'`, `b''` found).

--- a/packages/standins/bergamotsaddle_standins/soak.py
+++ b/packages/standins/bergamotsaddle_standins/soak.py
@@ -40,6 +40,7 @@
     SoakConfiguration,
 )
 from bergamotsaddle_standins.soak_endless import pick_kind
+from bergamotsaddle_standins.soak_ends import ODD_HEADS, Wake
 from bergamotsaddle_standins.soak_fatal import (
     PACES,
     BegunStream,
@@ -107,6 +108,13 @@
 _MAX_BREAKING_S = 4.0
 _MAX_ENDLESS_S = 4.0
 _MAX_REPEATING_S = 6.0
+_MAX_UNFRAMED_S = 2.0
+# So many targets of a service serve while one ends.
+_TARGETS_TO_END = 3
+_MAX_EARLY_S = 4.0
+_MAX_ODD_S = 3.0
+# Disturbance that concerns uploads.
+_EARLY = "early"
 _MAX_CROWD_S = 4.0
 _CROWD_CALLERS = 40
 # Those of callers, ready, the view, instances that hand requests over, and metrics.
@@ -376,7 +384,11 @@
         ]
         self._callers = [
             SoakCaller(
-                number, self._pick_address, self._pick_key, random.Random(seed + number)
+                number,
+                self._pick_address,
+                self._pick_key,
+                random.Random(seed + number),
+                has_uploads=not disturbances or _EARLY in disturbances,
             )
             for number in range(instances * _CALLERS_PER_INSTANCE)
         ]
@@ -787,6 +799,44 @@
         eventlet.sleep(self._rng.uniform(0.0, _MAX_ENDLESS_S))
         target.endless_kind = None
 
+    @register_disturbance("end")
+    def _end_target(self) -> None:
+        """Let an engine or a plain target crash behind parts of unframed responses."""
+        target = self._rng.choice(self._targets)
+        if target.service == RERANK or self._is_over or target.is_unframed:
+            return
+        target.is_unframed = True
+        eventlet.sleep(self._rng.uniform(0.0, _MAX_UNFRAMED_S))
+        serving = [t for t in self._targets if t.service == target.service]
+        if target in serving and len(serving) >= _TARGETS_TO_END:
+            # What runs in other green threads must not choose it meanwhile.
+            self._replace_crashed(target)
+            target.end(self._rng.choice([*Wake]))
+        else:
+            target.is_unframed = False
+
+    @register_disturbance(_EARLY)
+    def _respond_early(self) -> None:
+        """Let a target respond to uploads in part, and reset their connections."""
+        early = {t.service for t in self._targets if t.is_early}
+        target = self._rng.choice(self._targets)
+        if target.service in {*early, RERANK} or self._is_over:
+            return
+        target.is_early = True
+        eventlet.sleep(self._rng.uniform(0.0, _MAX_EARLY_S))
+        target.is_early = False
+
+    @register_disturbance("odd")
+    def _respond_oddly(self) -> None:
+        """Let a target send responses whose heads are none."""
+        odd = {t.service for t in self._targets if t.odd_head}
+        target = self._rng.choice(self._targets)
+        if target.service in {*odd, RERANK} or self._is_over:
+            return
+        target.odd_head = self._rng.choice(ODD_HEADS)
+        eventlet.sleep(self._rng.uniform(0.0, _MAX_ODD_S))
+        target.odd_head = None
+
     @register_disturbance("crowd")
     def _send_crowd(self) -> None:
         """Let a crowd of callers that do not behave call at a port of an instance."""
@@ -850,7 +900,7 @@
             connection.close()
 
     def _replace_crashed(self, target: RunningTarget) -> None:
-        """Remove the entry of an engine that has crashed, and start it again."""
+        """Remove the entry of a target that has crashed, and start it again."""
         if target not in self._targets:
             return
         self._targets.remove(target)
--- a/packages/standins/bergamotsaddle_standins/soak_audit.py
+++ b/packages/standins/bergamotsaddle_standins/soak_audit.py
@@ -29,6 +29,7 @@
 # read, whether or not a target ran it.
 _LOST_AFTER_S = 0.2
 _OK = 200
+_LAST_STATUS = 599
 _NOT_RUN_STATUSES = (429, 503)
 _UNAUTHENTICATED = 401
 _EVENT_ID = re.compile(rb"id: ([0-9]+)\n")
@@ -79,6 +80,8 @@
     request = exchange.request
     has_run = request.id in record.ledger.runs_by_request
     seconds = exchange.ended_at - exchange.sent_at
+    if exchange.status and not _OK <= exchange.status <= _LAST_STATUS:
+        yield f"odd: {request.id} got a response with the status {exchange.status}"
     if not exchange.is_complete:
         is_read = has_run or seconds > _LOST_AFTER_S
         is_allowed = (
--- a/packages/standins/bergamotsaddle_standins/soak_breaks.py
+++ b/packages/standins/bergamotsaddle_standins/soak_breaks.py
@@ -66,8 +66,8 @@
 def pick_cut(parts: Sequence[bytes], mode: BreakMode, rng: random.Random) -> int:
     """Return after how many bytes a response breaks off.
 
-    A close between two events of a stream can't be told from its end, so a crash comes
-    elsewhere.
+    A target that lives on and closes between two events of a stream can't be told from
+    one that has come to its end, so such a close comes elsewhere.
 
     Args:
         parts: The parts of the body.
@@ -85,7 +85,7 @@
     environ: Environ,
     headers: Iterable[tuple[str, str]],
     parts: Iterable[bytes],
-    mode: BreakMode,
+    mode: BreakMode | None,
     cut: int | None,
 ) -> list[bytes]:
     """Send a response without a length on the connection of a request.
@@ -94,7 +94,7 @@
         environ: The request.
         headers: Headers of the response.
         parts: Parts of its body.
-        mode: How it ends if it breaks off.
+        mode: How it ends if it breaks off, None if it does not.
         cut: Number of bytes of the body after which it breaks off, None if it ends
             properly.
 
@@ -107,7 +107,7 @@
     with contextlib.suppress(OSError):
         sock.sendall(f"HTTP/1.1 200 OK\r\n{lines}\r\n".encode())
         _send_parts(sock, parts, cut)
-        if cut is not None:
+        if cut is not None and mode is not None:
             _END_BY_MODE[mode](sock)
     wsgi.WSGI_LOCAL.already_handled = True
     return []
--- a/packages/standins/bergamotsaddle_standins/soak_callers.py
+++ b/packages/standins/bergamotsaddle_standins/soak_callers.py
@@ -25,6 +25,10 @@
 _CHUNK = 65_536
 _MAX_PAUSE_S = 0.3
 _MAX_BODY_BYTES = 20_000
+_UPLOAD_FRACTION = 0.2
+# More than the kernel takes at once.
+_MIN_UPLOAD_BYTES = 240_000
+_MAX_UPLOAD_BYTES = 320_000
 _SLOW_PARTS = 4
 _MAX_SLOW_PAUSE_S = 0.08
 _MAX_REQUESTS = 6
@@ -40,6 +44,9 @@
 _MS = 0.001
 _TOPICS = 3
 _OK = 200
+# Status of a response whose head is none.
+MALFORMED = -1
+_HEAD_END = b"\r\n\r\n"
 # Targets name a request in the first one, instances in the second one.
 _ID_HEADERS = (b"id", b"x-request-id")
 _EVENT = re.compile(rb"id: ([0-9]+)\ndata: ([^\n]*)\n\n")
@@ -110,7 +117,7 @@
         started_at: When its first byte was sent, on the hub's clock.
         sent_at: When its last byte was sent.
         ended_at: When the response or the connection ended.
-        status: HTTP status, 0 without a response.
+        status: HTTP status, 0 without a response, MALFORMED if its head is none.
         is_complete: Whether the response came to its proper end.
         body: What was received of the response's body.
         longest_pause: Longest time in which nothing of the response came, in seconds.
@@ -162,7 +169,7 @@
     """What a caller received of a response.
 
     Attributes:
-        status: HTTP status, 0 without a response.
+        status: HTTP status, 0 without a response, MALFORMED if its head is none.
         is_complete: Whether the response came to its proper end.
         body: The bytes of its body.
         longest_pause: Longest time in which nothing came, in seconds.
@@ -234,6 +241,7 @@
         self, limit: float, max_events: int | None, on_data: Callable[[], None]
     ) -> ReceivedResponse:
         """Read the next response on the connection."""
+        received = self._buffered
         parser = self._start_parser()
         self._socket.settimeout(limit)
         status = 0
@@ -244,7 +252,9 @@
             while True:
                 event = parser.next_event()
                 if event is h11.NEED_DATA:
-                    parser.receive_data(self._socket.recv(_CHUNK))
+                    data = self._socket.recv(_CHUNK)
+                    received += b"" if status else data
+                    parser.receive_data(data)
                     pause, since = max(pause, now() - since), now()
                 elif isinstance(event, h11.Response):
                     status = event.status_code
@@ -260,9 +270,13 @@
                     return ReceivedResponse(status, True, body, pause, answered)
                 elif isinstance(event, h11.ConnectionClosed):
                     break
-        except (OSError, h11.RemoteProtocolError):
+        except OSError:
             # The instance closed or reset the connection; the audit judges that.
             status = status or 0
+        except h11.RemoteProtocolError:
+            # The same, unless a whole head has come.
+            if not status and _HEAD_END in received:
+                status = MALFORMED
         self.is_open = False
         pause = max(pause, now() - since)
         return ReceivedResponse(status, False, body, pause, answered)
@@ -341,6 +355,7 @@
         pick_address: Returns the address of an instance that accepts callers.
         pick_key: Returns an API key.
         rng: Chooses requests, bodies and pauses.
+        has_uploads: Whether some of the bodies are long.
 
     Attributes:
         exchanges: Requests that were sent as a whole.
@@ -354,7 +369,10 @@
         pick_address: Callable[[], tuple[str, int]],
         pick_key: Callable[[], str],
         rng: random.Random,
+        *,
+        has_uploads: bool = False,
     ) -> None:
+        self._has_uploads = has_uploads
         self._number = number
         self._pick_address = pick_address
         self._pick_key = pick_key
@@ -462,6 +480,8 @@
             [BOOKING_PREFIX, LOOKUP_PREFIX, CHAT_PREFIX, TALK_PREFIX]
         )
         size = self._rng.randrange(_MAX_BODY_BYTES)
+        if self._has_uploads and self._rng.random() < _UPLOAD_FRACTION:
+            size = self._rng.randrange(_MIN_UPLOAD_BYTES, _MAX_UPLOAD_BYTES)
         parts = ()
         if prefix in STREAM_PREFIXES:
             parts = ("system", f"topic{self._number % _TOPICS}", request)
--- a/packages/standins/bergamotsaddle_standins/soak_links.py
+++ b/packages/standins/bergamotsaddle_standins/soak_links.py
@@ -12,6 +12,7 @@
 from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_serving._sockets import receive
 from bergamotsaddle_standins.soak_breaks import reset
+from bergamotsaddle_standins.soak_ends import Successor
 
 _HOST = "127.0.0.1"
 _BACKLOG = 512
@@ -19,6 +20,9 @@
 _POLL_S = 0.02
 # A backlog of 0 holds one connection. More are opened to be sure that it is full.
 _BACKLOG_FILLERS = 3
+# As on Ethernet. With the segments of loopback the kernel takes long requests at once.
+_SEGMENT_BYTES = 1_460
+_RECEIVE_BYTES = 8_192
 
 
 class CutMode(StrEnum):
@@ -54,6 +58,7 @@
 
     Attributes:
         port: Port at which the instance reaches the target.
+        is_slow: Whether each part of a request takes a while.
     """
 
     def __init__(self, destination: int) -> None:
@@ -65,6 +70,9 @@
         self._is_silent = False
         self._pauses = 0
         self._is_resetting = False
+        self._held: set[int] = set()
+        self.is_slow = False
+        self._successor: Successor | None = None
         self._listener: Any = None
         self._acceptor: Any = None
         self._bind(0)
@@ -88,6 +96,25 @@
         self._reset()
         self._is_resetting = is_reset
 
+    def end(self, successor: Successor) -> None:
+        """Close all connections in order, as those of a crashed process are.
+
+        Args:
+            successor: Gets what arrives from then on.
+        """
+        self._successor = successor
+        if successor.is_refusing and self._acceptor is not None:
+            self._refuse(accepts_waiting=True)
+        self._end_connections()
+
+    def hold(self, port: int) -> None:
+        """Hold back the rest of a request, and reset its connection once it ends.
+
+        Args:
+            port: Port that the target sees as that of its peer.
+        """
+        self._held.add(port)
+
     def heal(self) -> None:
         """Restore the link."""
         self._is_silent = False
@@ -97,6 +124,9 @@
         self._fillers = []
         if self._acceptor is not None:
             return
+        if self._successor is not None and self._successor.is_refusing:
+            self._close_listener()
+            return
         self._listen()
 
     def pause(self) -> None:
@@ -150,14 +180,22 @@
     def _reset(self) -> None:
         self._refuse()
         self._is_resetting = True
+        self._end_connections()
+
+    def _end_connections(self) -> None:
         for server in list(self._servers):
             with contextlib.suppress(OSError):
                 server.shutdown(socket.SHUT_RDWR)
 
     @_register_mode(CutMode.REFUSE)
-    def _refuse(self) -> None:
+    def _refuse(self, *, accepts_waiting: bool = False) -> None:
         self._acceptor.kill()
         self._acceptor = None
+        if accepts_waiting:
+            self._accept_waiting()
+        self._close_listener()
+
+    def _close_listener(self) -> None:
         self._listener.close()
         # A port that is bound but not listened on refuses connections and stays ours.
         self._bind(self.port)
@@ -165,6 +203,8 @@
     def _bind(self, port: int) -> None:
         self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BYTES)
+        self._listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, _SEGMENT_BYTES)
         self._listener.bind((_HOST, port))
 
     def _listen(self) -> None:
@@ -186,30 +226,47 @@
             eventlet.spawn_n(self._connect, socket.socket(fileno=client.detach()))
 
     def _connect(self, client: Any) -> None:
+        if self._successor is not None:
+            self._successor.serve(client)
+            return
         try:
             server = eventlet.connect((_HOST, self._destination))
         except OSError:
             client.close()
             return
+        if self._successor is not None:
+            server.close()
+            self._successor.serve(client)
+            return
         self._servers.add(server)
         port = server.getsockname()[1]
         self._client_by_port[port] = client
         # The target may read what was sent after the connection has ended.
         self._received_at[port] = now()
         requests = eventlet.spawn(self._forward_requests, client, server)
-        if self._forward(server, client):
+        is_proper = self._forward(server, client)
+        if is_proper and port not in self._held:
             requests.wait()
         else:
             requests.kill()
             reset(client)
         self._servers.discard(server)
+        self._held.discard(port)
         del self._client_by_port[port]
         client.close()
         server.close()
 
     def _forward_requests(self, client: Any, server: Any) -> None:
         port = server.getsockname()[1]
-        self._forward(client, server, lambda at: self._received_at.update({port: at}))
+
+        def receive_at(at: float) -> None:
+            self._received_at[port] = at
+            if self.is_slow:
+                eventlet.sleep(_POLL_S)
+            while port in self._held:
+                eventlet.sleep(_POLL_S)
+
+        self._forward(client, server, receive_at)
         # Whichever way its caller left, the target stops its work.
         with contextlib.suppress(OSError):
             server.shutdown(socket.SHUT_RDWR)
@@ -235,13 +292,17 @@
         if self._is_resetting:
             return False
         with contextlib.suppress(OSError):
-            other.shutdown(socket.SHUT_RDWR)
+            # What comes for a target that has ended is still counted.
+            other.shutdown(socket.SHUT_WR if self._successor else socket.SHUT_RDWR)
         return True
 
     def _send(self, sock: Any, data: bytes) -> None:
         # The receiver may be gone, and what the sender goes on to send is dropped.
-        with contextlib.suppress(OSError):
+        try:
             sock.sendall(data)
+        except OSError:
+            if self._successor is not None:
+                self._successor.lose(data)
 
 
 def cut_links(links: Iterable[TargetLink], mode: CutMode) -> None:
--- a/packages/standins/bergamotsaddle_standins/soak_targets.py
+++ b/packages/standins/bergamotsaddle_standins/soak_targets.py
@@ -25,6 +25,14 @@
     SoakTarget,
 )
 from bergamotsaddle_standins.soak_endless import send_endless
+from bergamotsaddle_standins.soak_ends import (
+    OpenResponses,
+    Successor,
+    Wake,
+    is_upload,
+    pace_early,
+    send_odd,
+)
 from bergamotsaddle_standins.soak_fatal import (
     FATAL_PREFIX,
     FatalRun,
@@ -41,6 +49,7 @@
 _MAX_SLOWDOWN = 5.0
 _EVENT_PAUSE_S = 0.04
 _MAX_EVENTS = 60
+_EARLY_EVENTS = 3
 _FREE_BYTES = 1e8
 # A brittle target has few slots and works for longer. It fails if it rejects more than
 # this many requests in a second.
@@ -52,6 +61,9 @@
 _WINDOW_S = 1.0
 _REST_S = 2.0
 _BROKEN_FRACTION = 0.5
+_PART_PAUSE_S = 0.1
+# Data of an event, and the body, of a response whose head is none.
+_ODD = "odd"
 PLAIN_RESULT = "done"
 FIRST_SOFTWARE = "v1"
 # Key of the time at which a request arrived.
@@ -210,6 +222,9 @@
         is_resting: Whether it rejects all requests and asks for rest.
         break_mode: How its responses break off, None if they do not. They have no
             length meanwhile.
+        is_unframed: Whether its responses have no length and end properly.
+        odd_head: Head of its responses, which is none, or None if they have proper
+            ones.
         endless_kind: Kind of its responses without end, None if they end.
         is_repeating: Whether it rejects some requests, and sends some responses once
             more, ahead of the next ones on their connections.
@@ -244,6 +259,9 @@
         self.is_leaving = False
         self.is_resting = False
         self.break_mode: BreakMode | None = None
+        self.is_unframed = False
+        self._is_early = False
+        self.odd_head: tuple[bytes, bytes] | None = None
         self.endless_kind: str | None = None
         self.is_repeating = False
         self.names_calls = False
@@ -253,7 +271,9 @@
         self.end_pause = 0.0
         self.slowdown: float | None = None
         self._streams: set[str] = set()
+        self._open = OpenResponses()
         self._has_crashed = False
+        self._has_ended = False
         self._running = 0
         self._rejected_at: list[float] = []
         port = serve(self._app())
@@ -270,6 +290,18 @@
             self.service, addresses, self.zone, is_draining, slots, self.software
         )
 
+    @property
+    def is_early(self) -> bool:
+        """Whether it responds to long requests before it has read them."""
+        return self._is_early
+
+    @is_early.setter
+    def is_early(self, is_early: bool) -> None:
+        self._is_early = is_early
+        for link in self.link_by_instance.values():
+            # A part of each request is still on its way.
+            link.is_slow = is_early
+
     def _app(self) -> App:
         work_by_service = {ENGINE: self._stream, RERANK: self._run_pieces}
         work = work_by_service.get(self.service, self._run)
@@ -293,6 +325,8 @@
                         return self._turn_away(environ, start_response, status)
             if self.endless_kind is not None:
                 return self._go_on(environ, self.endless_kind)
+            if "HTTP_ID" in environ:
+                return self._respond(environ, start_response, work)
             return work(environ, start_response)
 
         def respond_behind_copies(environ: Environ, start_response):
@@ -316,6 +350,59 @@
         name = environ.get("HTTP_ID", call)
         return (("Id", name),) if name else ()
 
+    def _respond(self, environ: Environ, start_response, work: App) -> Iterable[bytes]:
+        """Respond to a request in the manner of this target."""
+        if self.odd_head is not None:
+            return self._respond_oddly(environ, self.odd_head)
+        if self._is_early and is_upload(environ):
+            return self._respond_early(environ)
+        self._open.begin(environ["HTTP_ID"])
+        response = work(environ, start_response)
+        if isinstance(response, list):
+            self._open.end(environ["HTTP_ID"])
+        return response
+
+    def _respond_oddly(
+        self, environ: Environ, head: tuple[bytes, bytes]
+    ) -> list[bytes]:
+        """Record a run that breaks off, and send a response whose head is none."""
+        environ["wsgi.input"].read()
+        request = environ["HTTP_ID"]
+        self._record(environ)
+        self._ledger.breaks_by_request[request] += 1
+        body = msgspec.json.encode(_ODD)
+        if self.service == ENGINE:
+            self._plan_events(environ)
+            body = b"id: %d\ndata: %s\n\n" % (_first_event(environ), _ODD.encode())
+        return send_odd(environ, head, request, body)
+
+    def _respond_early(self, environ: Environ) -> list[bytes]:
+        """Send a part of a response, then reset the connection of a long request.
+
+        Its last byte or event is missing, so that nobody can take it for all of it.
+        """
+        headers = self._record(environ)
+        self._ledger.breaks_by_request[environ["HTTP_ID"]] += 1
+        part = msgspec.json.encode(PLAIN_RESULT)[:-1]
+        if self.service == ENGINE:
+            first = _first_event(environ)
+            parts = self._events(range(first, self._plan_events(environ) - 1))
+            part = b"".join(parts[:_EARLY_EVENTS])
+        link = self.link_by_instance[environ["HTTP_INSTANCE"]]
+        link.hold(int(environ["REMOTE_PORT"]))
+        paced = pace_early(part, self._rng)
+        # Behind all that is sent, so that the pause comes before the reset.
+        cut = len(part) + 1
+        return send_open_response(environ, headers, paced, BreakMode.RESET, cut)
+
+    def end(self, wake: Wake) -> None:
+        """End as a crashed process does; something else takes over the address."""
+        self._has_ended = True
+        self._ledger.breaks_by_request.update(self._open.find())
+        successor = Successor(wake, self._ledger.breaks_by_request)
+        for link in self.link_by_instance.values():
+            link.end(successor)
+
     def _go_on(self, environ: Environ, kind: str) -> list[bytes]:
         """Record a run that breaks off, and respond without end."""
         environ["wsgi.input"].read()
@@ -356,6 +443,8 @@
         at = environ[_ARRIVED_AT]
         run = Run(at, sent_at, self.service, self.id, environ["HTTP_INSTANCE"])
         self._ledger.runs_by_request[request].append(run)
+        if self._has_ended:
+            self._ledger.breaks_by_request[request] += 1
         return (("Id", request),)
 
     def _run(self, environ: Environ, start_response) -> list[bytes]:
@@ -369,9 +458,14 @@
         eventlet.sleep(_BRITTLE_WORK_S if self.is_brittle else seconds)
         self._running -= 1
         headers = (*headers, *self._notices(environ))
-        if self.break_mode is None:
+        if self.break_mode is None and not self.is_unframed:
             return respond_json(start_response, PLAIN_RESULT, headers=headers)
-        return self._break_off(environ, headers, [msgspec.json.encode(PLAIN_RESULT)])
+        body = msgspec.json.encode(PLAIN_RESULT)
+        if self.break_mode is not None:
+            return self._break_off(environ, headers, [body])
+        half = len(body) // 2
+        parts = [body[:half], body[half:]]
+        return self._break_off(environ, headers, parts, pause=_PART_PAUSE_S)
 
     def _break_off(
         self,
@@ -381,7 +475,7 @@
         *,
         pause: float = 0.0,
     ) -> list[bytes]:
-        """Send a response without a length, half of which break off.
+        """Send a response without a length; in a break mode half of them break off.
 
         A plain response that is closed too early can't be told from a whole one, so
         none breaks off in this way.
@@ -389,8 +483,10 @@
         mode = self.break_mode
         is_plain = self.service not in (ENGINE, RERANK)
         cut = None
-        if self._rng.random() < _BROKEN_FRACTION and not (
-            is_plain and mode is BreakMode.CRASH
+        if (
+            mode is not None
+            and self._rng.random() < _BROKEN_FRACTION
+            and not (is_plain and mode is BreakMode.CRASH)
         ):
             cut = pick_cut(parts, mode, self._rng)
             self._ledger.breaks_by_request[environ.get("HTTP_ID", "")] += 1
@@ -441,11 +537,8 @@
         self._check_inputs(environ)
         self._streams.add(environ["HTTP_ID"])
         environ["wsgi.input"].read()
-        events = self._ledger.events_by_request.setdefault(
-            environ["HTTP_STREAM"], self._rng.randint(1, _MAX_EVENTS)
-        )
-        first = int(environ.get("HTTP_LAST_EVENT_ID", -1)) + 1
-        parts = self._events(range(first, events))
+        events = self._plan_events(environ)
+        parts = self._events(range(_first_event(environ), events))
         cause = find_cause(environ["PATH_INFO"], environ.get("HTTP_PARTS", ""))
         if cause is not None:
             at = environ[_ARRIVED_AT]
@@ -454,11 +547,17 @@
             self._ledger.fatal_runs[cause] += 1
             if not find_manner(cause).is_whole(number):
                 return self._crash(environ, start_response, headers, cause, parts)
-        if self.break_mode is not None and parts:
+        if (self.break_mode is not None or self.is_unframed) and parts:
             return self._break_off(environ, headers, parts, pause=self.event_pause)
         start_response("200 OK", list(headers))
         return self._send_events(environ["HTTP_ID"], parts)
 
+    def _plan_events(self, environ: Environ) -> int:
+        """Return the number of events of a whole stream."""
+        return self._ledger.events_by_request.setdefault(
+            environ["HTTP_STREAM"], self._rng.randint(1, _MAX_EVENTS)
+        )
+
     def _check_inputs(self, environ: Environ) -> None:
         """Record whether a stream came with the results of its stage."""
         if not environ["PATH_INFO"].startswith(STAGED_PREFIXES):
@@ -481,6 +580,7 @@
             eventlet.sleep(self.end_pause)
         finally:
             self._streams.discard(request)
+            self._open.end(request)
 
     def _crash(
         self,
@@ -495,7 +595,7 @@
         ending = pick_ending(self._rng, is_request=is_request)
         if ending.is_behind_response:
             return self._crash_behind(environ, start_response, headers, cause, whole)
-        first = int(environ.get("HTTP_LAST_EVENT_ID", -1)) + 1
+        first = _first_event(environ)
         parts = self._events(range(first, first + ending.events))
         if ending.is_inside_event:
             parts.append(b"id: %d\nda" % (first + ending.events))
@@ -564,6 +664,11 @@
         return self._break_off(environ, headers, [msgspec.json.encode(handles)])
 
 
+def _first_event(environ: Environ) -> int:
+    """Return the number of the first event that a request asks for."""
+    return int(environ.get("HTTP_LAST_EVENT_ID", -1)) + 1
+
+
 def _pace(parts: Sequence[bytes], pause: float) -> Iterator[bytes]:
     """Yield each part after a pause in seconds."""
     for part in parts:
