Use an engine that failed a moment ago where it is the only one left

Callers saw: streams cut behind an event, or 502, while an engine of their version served others.

Cause: an engine that failed lately may be chosen if all others are excluded for this request, but it was then looked up among all engines, where one that had just broken this request still counted as the better way. So the choice was dropped as "may not be used", behind stages that were run for it. In the same way, engines that failed lately were left out before those of other versions were, so that a stream ended while only such engines had its version.

Change: the look-up leaves out what the choice left out (engines, hedges, granted plain targets), and engines that may not go on with a stream are excluded before those that failed lately are.

--- a/packages/serving/bergamotsaddle_serving/plain_run.py
+++ b/packages/serving/bergamotsaddle_serving/plain_run.py
@@ -488,7 +488,7 @@
             return None
         candidate = None
         try:
-            candidate = self._confirm(place.candidate)
+            candidate = self._confirm(place.candidate, exclude)
         finally:
             if candidate is None:
                 place.end()
@@ -496,13 +496,17 @@
             self._place_by_id[candidate.target.id] = place
         return candidate
 
-    def _confirm(self, granted: Candidate) -> Candidate | None:
+    def _confirm(self, granted: Candidate, exclude: set[str]) -> Candidate | None:
         """Return a granted target as it is now, None if it may not get the request.
 
         While the request waited for its place, the target may have turned silent or
         used up what it takes while it is cold, and the request may have become one
         under which targets end.
 
+        Args:
+            granted: The target as it was granted.
+            exclude: Ids of targets that were not to be granted.
+
         Raises:
             RequestError: If the request is quarantined, and has not run.
         """
@@ -515,7 +519,7 @@
         selector = self._server.selector
         service = context.service.name
         name = granted.target.id
-        candidate = selector.find(service, name)
+        candidate = selector.find(service, name, exclude)
         if candidate is None or candidate.state.silent:
             return None
         if not selector.may_send(candidate):
@@ -523,7 +527,7 @@
         if not selector.reserve(candidate, context.head.id, context.urgency):
             return None
         # The permit may have taken a while as well.
-        return selector.find(service, name)
+        return selector.find(service, name, exclude)
 
     def _pick(self, exclude: set[str]) -> Candidate | None:
         """Return a target that is not silent, or any if the request waits at none.
--- a/packages/serving/bergamotsaddle_serving/selector.py
+++ b/packages/serving/bergamotsaddle_serving/selector.py
@@ -1,7 +1,7 @@
 """Selects the targets of a service that may get a request now."""
 
 import statistics
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import NamedTuple
 
 from bergamotsaddle_daemon._rendezvous import rendezvous_weight
@@ -96,14 +96,25 @@
         """Return all targets of a service, those that may get nothing now included."""
         return [known.target for known in self._view.usable(service)]
 
-    def find(self, service: str, target_id: str) -> Candidate | None:
-        """Return the candidate with an id, even if no permit for it is available."""
+    def find(
+        self, service: str, target_id: str, exclude: Collection[str] = ()
+    ) -> Candidate | None:
+        """Return the candidate with an id, even if no permit for it is available.
+
+        Args:
+            service: The service.
+            target_id: Id of the target.
+            exclude: Ids of targets that may not be used instead of it.
+
+        Returns:
+            The candidate, None if there is none now, or if it failed recently and
+            another one may be used instead.
+        """
         named = [k for k in self._view.usable(service) if k.target.id == target_id]
         found = self._filter(named)
         if not found or not found[0].state.is_backing_off():
             return found[0] if found else None
-        # It counts only if all other targets have failed recently as well.
-        for candidate in _without_backoff(self._reachable(service, set())):
+        for candidate in _without_backoff(self._reachable(service, exclude)):
             if candidate.target.id == target_id:
                 return candidate
         return None
@@ -126,7 +137,7 @@
         """Acquire a permit for a request if the target requires one."""
         return self._rates.reserve(candidate.target, request, urgency)
 
-    def _reachable(self, service: str, exclude: set[str]) -> list[Candidate]:
+    def _reachable(self, service: str, exclude: Collection[str]) -> list[Candidate]:
         return self._filter(
             known
             for known in self._view.usable(service)
--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -1,6 +1,7 @@
 """Runs the stages of one streaming request, then relays an engine's events."""
 
 import contextlib
+from collections.abc import Collection
 from typing import TYPE_CHECKING
 
 import eventlet
@@ -136,7 +137,7 @@
         self._server.await_owners(self._context)
         choice = self._choose()
         self._admit(choice)
-        while not self._reserve(choice):
+        while not self._reserve(choice, self._exclude):
             self._exclude.add(choice.engine.id)
             choice = self._choose()
             self._admit(choice)
@@ -169,17 +170,21 @@
             return "no engine can take the request"
         return f"no engine of version {origin.software} can take the request"
 
-    def _reserve(self, choice: EngineChoice) -> bool:
+    def _reserve(self, choice: EngineChoice, exclude: Collection[str]) -> bool:
         """Acquire a permit for an engine, if it needs one.
 
         This comes before the stages are run, so that no work is done for a request
         that no engine may receive.
 
+        Args:
+            choice: How the engine was chosen.
+            exclude: Ids of engines that were left out of the choice.
+
         Returns:
             Whether the engine may be used. Otherwise another one is to be chosen.
         """
         context = self._context
-        candidate = self._server.candidate(context, choice.engine)
+        candidate = self._server.candidate(context, choice.engine, exclude)
         if candidate is None:
             return True
         selector = self._server.selector
@@ -205,9 +210,13 @@
             repeat = self._server.budget.reserve(service)
         return repeat
 
-    def _use_permit(self, choice: EngineChoice) -> bool:
+    def _use_permit(self, choice: EngineChoice, exclude: Collection[str]) -> bool:
         """Use the held permit, or acquire one if it is expired or for another engine.
 
+        Args:
+            choice: How the engine was chosen.
+            exclude: Ids of engines that were left out of the choice.
+
         Returns:
             Whether the request may be sent to the engine.
         """
@@ -215,7 +224,7 @@
         self._permit = ("", 0.0)
         if engine == choice.engine.id and now() < until:
             return True
-        is_granted = self._reserve(choice)
+        is_granted = self._reserve(choice, exclude)
         self._permit = ("", 0.0)
         return is_granted
 
@@ -269,7 +278,7 @@
             Whether the response was relayed completely. Otherwise another engine may
             be tried.
         """
-        run = self._make_run(choice, repeat)
+        run = self._make_run(choice, repeat, self._exclude)
         if run is None:
             self._exclude.add(choice.engine.id)
             return False
@@ -300,21 +309,22 @@
         return True
 
     def _make_run(
-        self, choice: EngineChoice, repeat: Repeat | None
+        self, choice: EngineChoice, repeat: Repeat | None, exclude: Collection[str]
     ) -> EngineRun | None:
         """Return a run at an engine, None if the engine may not be used now.
 
         Args:
             choice: How the engine was chosen.
             repeat: Repeat that the run uses, None for a first attempt.
+            exclude: Ids of engines that were left out of the choice.
 
         Raises:
             RequestError: If the request is quarantined.
         """
-        candidate = self._server.candidate(self._context, choice.engine)
+        candidate = self._server.candidate(self._context, choice.engine, exclude)
         if candidate is None or not self._server.selector.may_send(candidate):
             return None
-        if not self._use_permit(choice):
+        if not self._use_permit(choice, exclude):
             return None
         self._check_quarantine()
         return EngineRun(self._server, self._context, candidate, choice, repeat=repeat)
@@ -448,7 +458,7 @@
                 self._run_stages(choice)
             if choice.engine.id in self._known_silences().quiet:
                 return None, "the engine fell silent too"
-            run = self._make_run(choice, repeat)
+            run = self._make_run(choice, repeat, self._excluded_from_hedge())
             if run is None:
                 self._silence.skipped.add(choice.engine.id)
                 return None, "the engine may not be used"
@@ -462,18 +472,21 @@
     def _choose_hedge(self) -> EngineChoice | None:
         """Choose an engine that is not silent itself, None if there is none."""
         server = self._server
-        known = self._known_silences()
-        exclude = self._exclude | {run.id for run in self.runs}
-        if known.responsive <= exclude:
+        used = self._exclude | {run.id for run in self.runs}
+        if self._known_silences().responsive <= used:
             return None
-        exclude |= known.quiet
         skipped = self._silence.skipped
-        choice = server.choose(self._context, exclude | skipped)
+        choice = server.choose(self._context, self._excluded_from_hedge())
         if choice is None and skipped:
             skipped.clear()
-            choice = server.choose(self._context, exclude)
+            choice = server.choose(self._context, self._excluded_from_hedge())
         return choice
 
+    def _excluded_from_hedge(self) -> set[str]:
+        """Return the ids of the engines that are left out as a hedge is chosen."""
+        used = self._exclude | {run.id for run in self.runs}
+        return used | self._known_silences().quiet | self._silence.skipped
+
     def _known_silences(self) -> KnownSilences:
         service = self._context.service.name
         return self._server.known_silences(service, self._event_pause() / 2.0)
--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -1,7 +1,7 @@
 """Serves streaming requests and chooses engines for them."""
 
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from typing import Any
 
 import eventlet
@@ -202,14 +202,11 @@
         Returns:
             The choice, None if there is no engine.
         """
-        candidates = self.selector.candidates(context.service.name, exclude)
-        resumptions = self.resumptions
-        origin = context.origin
-        if origin is not None:
-            found = [c for c in candidates if resumptions.may_run(c.target, origin)]
-            return self._choose_among(found, context)
-        if context.route.is_resumable:
-            by_software = resumptions.targets_by_software(context.service.name)
+        service = context.service.name
+        unfit = self._find_unfit(context)
+        candidates = self.selector.candidates(service, exclude | unfit)
+        if context.origin is None and context.route.is_resumable:
+            by_software = self.resumptions.targets_by_software(service)
             replicated = prefer_replicated_versions(candidates, by_software)
             if len(replicated) < len(candidates):
                 return self._prefer(replicated, candidates, context)
@@ -302,9 +299,27 @@
             by_urgency=self.room.applies(context, Mechanism.URGENT_ROOM),
         )
 
-    def candidate(self, context: Context, engine: EngineView) -> Candidate | None:
-        """Return the candidate with an engine's id, None if there is none now."""
-        return self.selector.find(context.service.name, engine.id)
+    def candidate(
+        self, context: Context, engine: EngineView, exclude: Collection[str] = ()
+    ) -> Candidate | None:
+        """Return the candidate with an engine's id, None if there is none now.
+
+        Args:
+            context: The request.
+            engine: The engine.
+            exclude: Ids of engines that may not be used instead of it.
+        """
+        unfit = self._find_unfit(context).union(exclude)
+        return self.selector.find(context.service.name, engine.id, unfit)
+
+    def _find_unfit(self, context: Context) -> set[str]:
+        """Return the ids of the engines that may not go on with a stream."""
+        origin = context.origin
+        if origin is None:
+            return set()
+        targets = self.selector.targets(context.service.name)
+        may_run = self.resumptions.may_run
+        return {target.id for target in targets if not may_run(target, origin)}
 
     def record_cached_prefix(self, target_id: str, context: Context) -> None:
         """Record that an engine has read the shared prefix of a prompt."""
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -134,7 +134,7 @@
     suspects = mock.Mock(is_quarantined=lambda fingerprint: False)
     health = Health()
 
-    def find(_, target_id):
+    def find(_, target_id, exclude=()):
         target = Target(target_id, "s", engine.address, "a", 4)
         return Candidate(target, health.of(target), False, 0)
 
@@ -143,7 +143,9 @@
         parts=mock.Mock(find_held=lambda parts: None),
         has_ended_with_target=lambda target, request: engine.has_crashed,
     )
-    selector = mock.Mock(find=find, permit_wait=lambda service, **_: 0.1)
+    selector = mock.Mock(
+        find=find, targets=lambda service: [], permit_wait=lambda service, **_: 0.1
+    )
     waits = SimpleNamespace(best_scope=mock.Mock(), pending=mock.Mock())
     dialect = PlatformDialect()
     server = StreamServer(
--- a/tests/test_early_ends.py
+++ b/tests/test_early_ends.py
@@ -132,7 +132,7 @@
         server.crashes = self.crashes
         health = Health()
 
-        def find(_, name):
+        def find(_, name, exclude=()):
             address = self.target.address if name == "e1" else other.address
             target = self.make_target(name, address)
             return Candidate(target, health.of(target), False, 0)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -51,11 +51,14 @@
     def list_candidates(_, exclude):
         return [c for c in candidates if c.target.id not in exclude]
 
-    def find(_, target_id):
+    def find(_, target_id, exclude=()):
         return next((c for c in candidates if c.target.id == target_id), None)
 
     selector = mock.Mock(
-        candidates=list_candidates, find=find, permit_wait=lambda service, **_: 0.1
+        candidates=list_candidates,
+        targets=lambda service: [c.target for c in candidates],
+        find=find,
+        permit_wait=lambda service, **_: 0.1,
     )
     scope = mock.Mock(return_value=mock.MagicMock())
     waits = SimpleNamespace(best_scope=scope, pending=mock.Mock())
