Excuse streams in the soak that every serving engine broke off

Nobody could serve it.

A cut or failed stream is excused if each engine that served all the while is among them; one engine that isn't keeps the breach (five rows, the two of sound engines among them).

--- a/packages/standins/bergamotsaddle_standins/soak.py
+++ b/packages/standins/bergamotsaddle_standins/soak.py
@@ -569,7 +569,8 @@
         )
         if service == ENGINE:
             target.on_crash = self._replace_crashed
-            self._serving_by_engine[target_id] = ServingTime(software, now())
+            time = ServingTime(software, now(), engine=target_id)
+            self._serving_by_engine[target_id] = time
         self._targets.append(target)
         for instance in self._cut_instances:
             target.link_by_instance[instance.id].cut(self._cut_mode)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -713,6 +713,29 @@
         found = [breach.partition(":")[0] for breach in find_breaches(record)]
         self.assertEqual(found, expected)
 
+    @parameterized.expand(
+        [
+            ("one_of_two_cut_it", 200, {"e1"}, ["lost"]),
+            ("both_cut_it", 200, {"e1", "e2"}, []),
+            ("one_and_another_that_left_cut_it", 200, {"e1", "e0"}, ["lost"]),
+            ("one_of_two_failed_it", 502, {"e1"}, ["failed"]),
+            ("both_failed_it", 502, {"e1", "e2"}, []),
+        ]
+    )
+    def test_streams_that_break_off_at_engines(self, _, status, breakers, expected):
+        """Guards against streams given up while a sound engine serves, or blamed."""
+        ledger = make_ledger()
+        ledger.runs_by_request["r"].append(make_run())
+        for engine in breakers:
+            ledger.record_break("r", engine)
+        exchange = make_exchange(TALK, status, is_complete=status != 200)
+        exchange = exchange._replace(body=b"id: 0\ndata: v1\n\n")
+        record = make_record([exchange], ledger)._replace(
+            serving_times=[ServingTime("v1", 0.0, engine=e) for e in ("e1", "e2")]
+        )
+        found = [breach.partition(":")[0] for breach in find_breaches(record)]
+        self.assertEqual(found, expected)
+
     @parameterized.expand([("not_run", [], []), ("run", [make_run()], ["lost"])])
     def test_a_request_behind_a_response_that_broke_off(self, _, runs, expected):
         exchange = make_exchange(CHAT, 0, seconds=0.3, is_complete=False)
