Seek the end of an event several times faster

Found on the way: the daemon spent 1.08 s of processor time on these 60 streams, mostly in the search for two line ends: 0.24 ms for each 16 KB, as the pattern begins with alternatives. With a set of bytes first it takes 0.055 ms, and the daemon 0.58 s.

Whether that was the cause isn't shown.

--- a/packages/serving/bergamotsaddle_serving/events.py
+++ b/packages/serving/bergamotsaddle_serving/events.py
@@ -5,8 +5,9 @@
 
 from bergamotsaddle_serving._parts import Parts
 
-# Two line ends in a row, each of which is CR LF, LF or CR.
-_EVENT_END = re.compile(rb"(?>\r\n|\n|\r){2}")
+# Two line ends in a row, each of which is CR LF, LF or CR. A pattern that begins with a
+# set of bytes is sought several times faster than one that begins with alternatives.
+_EVENT_END = re.compile(rb"[\r\n](?>(?:(?<=\r)\n)?)(?>\r\n|\n|\r)")
 _ID_LINE = re.compile(rb"(?:^|[\r\n])id:[ ]?([0-9]{1,15})(?:[\r\n]|$)")
 _DATA_LINE = re.compile(rb"(?:^|[\r\n])data(?:[:\r\n]|$)")
 _LINE_ENDS = b"\r\n"
--- a/tests/test_serving_events.py
+++ b/tests/test_serving_events.py
@@ -1,6 +1,8 @@
 """Tests for splitting a stream into complete events."""
 
+import re
 import unittest
+from itertools import product
 
 from parameterized import parameterized
 
@@ -8,6 +10,7 @@
 
 ONE = b"id: 1\ndata: a\n\n"
 TWO = b"id: 2\ndata: b\n\n"
+END = re.compile(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r)")
 
 
 class EventSplitterTest(unittest.TestCase):
@@ -49,6 +52,18 @@
         splitter.feed(data)
         self.assertEqual(splitter.may_end(), expected)
 
+    @parameterized.expand([(size,) for size in range(1, 8)])
+    def test_an_event_ends_behind_two_line_ends(self, size):
+        """Guards against ends of events that are found elsewhere, or not at all."""
+        for letters in product((b"\r", b"\n", b"a"), repeat=size):
+            data = b"".join(letters)
+            found = EventSplitter().feed(data)
+            expected, start = [], 0
+            while match := END.search(data, start):
+                expected.append(data[start : match.end()])
+                start = match.end()
+            self.assertEqual([event.data for event in found], expected, data)
+
     @parameterized.expand([(b"\n",), (b"\r\n",), (b"\r",)])
     def test_events_end_with_any_line_end(self, end):
         """Guards against whole streams that are taken for broken ones."""
