Show what a slow sound request beside endless ones waited for

A failure on another machine (0.385 s, bound 0.3 s) couldn't be told apart: the daemon's own work, or a processor that the host of the machine took. The assertion prints both now. Bound and checks stay.

--- a/tests/_endless_fleet.py
+++ b/tests/_endless_fleet.py
@@ -1,5 +1,6 @@
 """A real daemon before sound targets and one that never ends its responses."""
 
+import os
 from pathlib import Path
 from typing import NamedTuple
 
@@ -34,10 +35,14 @@
         answer: Its answer.
         waited: Seconds of it in which the daemon or this process could run, but other
             processes had the processors.
+        worked: Seconds of it in which the daemon had a processor.
+        stolen: Seconds of all processors that the machine's host took meanwhile.
     """
 
     answer: Answer
     waited: float
+    worked: float
+    stolen: float
 
     @property
     def seconds(self):
@@ -128,9 +133,17 @@
                 return status, size, False
 
     def _try_soundly(self):
-        before = self.waited()
+        before = self._usage()
         answer = self.ask("/book/s")
-        return SoundTry(answer, self.waited() - before)
+        used = (b - a for a, b in zip(before, self._usage(), strict=True))
+        return SoundTry(answer, *used)
+
+    def _usage(self):
+        """Return what ``SoundTry`` holds beside the answer, as totals so far."""
+        worked = Path(f"/proc/{self.daemon.pid}/schedstat").read_text().split()[0]
+        stolen = Path("/proc/stat").read_text().split(maxsplit=9)[8]
+        ticks = os.sysconf("SC_CLK_TCK")
+        return self.waited(), int(worked) * NS, int(stolen) / ticks
 
     def waited(self):
         """Return for how long the daemon and this process have waited to run so far."""
--- a/tests/test_endless_targets.py
+++ b/tests/test_endless_targets.py
@@ -75,7 +75,8 @@
         self.assertTrue(judged)
         self.assertEqual({t.answer.status for t in judged} - {200}, set())
         self.assertTrue(all(t.answer.is_complete for t in judged))
-        self.assertLess(max(t.seconds for t in tries), MAX_SOUND_S)
+        slowest = max(tries, key=lambda t: t.seconds)
+        self.assertLess(slowest.seconds, MAX_SOUND_S, slowest)
         self.assertLess(peak - self.memory_before, MAX_GROWTH)
         longest = max(a.seconds for a in answers) - waited
         self.assertLess(longest, timeout + MARGIN_S)
