Answer requests for a head alone with heads, also where they fail

Callers saw: nothing. A HEAD whose targets failed, or that was rejected, got no response, and its connection was closed. Where a target answered, its stated length became 0.

The length was that of the body that had arrived, which is empty for a HEAD.

Change: the body of a response to HEAD is left out; its size is that of our error, or what the target states. Nothing is said where it states none. The same for requests that were handed over, and for failures of engines.

--- a/packages/serving/bergamotsaddle_serving/caller.py
+++ b/packages/serving/bergamotsaddle_serving/caller.py
@@ -42,6 +42,7 @@
 # Parts of a request or of a response after which other green threads get to run.
 _PARTS_A_TURN = 8
 _HEAD_END = b"\r\n\r\n"
+_HEAD = b"HEAD"
 _BARE_LINE_END = re.compile(rb"(?<!\r)\n|\r(?!\n)")
 _LENGTH_LINE = re.compile(rb"\r\ncontent-length[ \t]*:", re.IGNORECASE)
 _FOLDED = re.compile(rb"\r\n[ \t]")
@@ -148,6 +149,8 @@
         self.is_idle = True
         self.must_close = False
         self.has_started = False
+        # Whether the request is not for the head of its response alone.
+        self._wants_body = True
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def read(self) -> RawRequest | None:
@@ -163,6 +166,7 @@
         """
         self.is_idle = True
         self.has_started = False
+        self._wants_body = True
         self._on_phase(self, Phase.READING)
         if not self._received and not self._wait_first_byte():
             return None
@@ -249,11 +253,29 @@
         finally:
             watcher.kill()
 
-    def respond(self, status: int, headers: RawHeaders, body: bytes) -> None:
-        """Send a complete response."""
-        length = [(b"content-length", b"%d" % len(body))]
-        self.start(status, [*headers, *length])
-        self._write(self._h11.send(h11.Data(data=body)) if body else b"")
+    def respond(
+        self,
+        status: int,
+        headers: RawHeaders,
+        body: bytes,
+        *,
+        size: int | None = None,
+    ) -> None:
+        """Send a complete response.
+
+        Args:
+            status: HTTP status.
+            headers: End-to-end headers.
+            body: Complete body, of which a request for the head alone gets the size.
+            size: Size of a body that is not there, as its target states it.
+        """
+        has_size = self._wants_body or body or size is not None
+        if has_size:
+            stated = len(body) if size is None else size
+            headers = [*headers, (b"content-length", b"%d" % stated)]
+        self.start(status, headers)
+        if body and self._wants_body:
+            self._write(self._h11.send(h11.Data(data=body)))
         self.finish()
 
     def start(self, status: int, headers: RawHeaders) -> None:
@@ -386,6 +408,7 @@
                 event = self._read_head(limits)
         except eventlet.Timeout as error:
             raise RequestError(ErrorKind.TOO_SLOW, "the head took too long") from error
+        self._wants_body = event.method != _HEAD
         _check_lengths(event, limits)
         stated = _stated_length(event)
         self._take(stated)
--- a/packages/serving/bergamotsaddle_serving/handover.py
+++ b/packages/serving/bergamotsaddle_serving/handover.py
@@ -185,7 +185,7 @@
         if not self.is_empty:
             raise ConnectionLostError("failed")
         headers = list(end_to_end_headers(head.headers))
-        self._caller.respond(head.status, headers, body)
+        self._caller.respond(head.status, headers, body, size=head.body_bytes)
 
 
 class Handover:
--- a/packages/serving/bergamotsaddle_serving/plain_run.py
+++ b/packages/serving/bergamotsaddle_serving/plain_run.py
@@ -78,15 +78,17 @@
         status: HTTP status.
         headers: End-to-end headers.
         body: Complete body.
+        size: Size of the body as stated, None if it is not.
     """
 
     status: int
     headers: RawHeaders
     body: bytes
+    size: int | None = None
 
     def send_to(self, caller: CallerConnection) -> None:
         """Send it to a caller."""
-        caller.respond(self.status, self.headers, self.body)
+        caller.respond(self.status, self.headers, self.body, size=self.size)
 
 
 class LongResponse:
@@ -207,7 +209,8 @@
                 self.target, [self.work()], is_framed=response.head.is_framed
             )
         headers = list(end_to_end_headers(response.head.headers))
-        return CompleteResponse(response.head.status, headers, body)
+        size = response.head.body_bytes
+        return CompleteResponse(response.head.status, headers, body, size)
 
     def read_parts(self) -> Iterator[bytes]:
         """Yield the parts of the body of a long response as they arrive.
--- a/packages/serving/bergamotsaddle_serving/stream_output.py
+++ b/packages/serving/bergamotsaddle_serving/stream_output.py
@@ -75,4 +75,5 @@
             response.head.status,
             list(end_to_end_headers(response.head.headers)),
             body,
+            size=response.head.body_bytes,
         )
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -156,7 +156,9 @@
 
     def test_a_whole_response_is_forwarded(self):
         self.hand_over(BODY)
-        self.caller.respond.assert_called_once_with(200, [(b"seal", b"x")], b"body")
+        self.caller.respond.assert_called_once_with(
+            200, [(b"seal", b"x")], b"body", size=4
+        )
         request = self.helper.requests[0]
         self.assertTrue(request.startswith(b"POST /x HTTP/1.1\r\n"))
         self.assertTrue(request.endswith(b"\r\n\r\ninput"))
@@ -175,7 +177,9 @@
     def test_the_failure_of_a_streaming_request_is_forwarded(self):
         response = BODY.replace(b"200 OK", b"500 X")
         self.hand_over(response, kind=Kind.STREAM)
-        self.caller.respond.assert_called_once_with(500, [(b"seal", b"x")], b"body")
+        self.caller.respond.assert_called_once_with(
+            500, [(b"seal", b"x")], b"body", size=4
+        )
 
     @parameterized.expand(
         [("body", OPEN_BODY, Kind.ONCE), ("stream", OPEN_STREAM, Kind.STREAM)]
@@ -250,7 +254,9 @@
         lines = b"".join(b"%s: %s\r\n" % header for header in kept)
         head = b"HTTP/1.1 %d X\r\n%s" % (status, lines)
         self.hand_over(head + b"Content-Length: 4\r\n\r\nbody")
-        self.caller.respond.assert_called_once_with(status, [(b"seal", b"x")], b"body")
+        self.caller.respond.assert_called_once_with(
+            status, [(b"seal", b"x")], b"body", size=4
+        )
 
     def test_the_unknown_outcome_of_a_helper_is_passed_on(self):
         with self.assertRaises(RequestError) as caught:
@@ -454,7 +460,9 @@
     @parameterized.expand([("nothing", 0), ("a_part", len(BODY) - 2)])
     def test_another_helper_serves_a_repeatable_request_of_which_it_sent(self, _, size):
         self.hand_over(BODY[:size], BODY, kind=Kind.IDEMPOTENT)
-        self.caller.respond.assert_called_once_with(200, [(b"seal", b"x")], b"body")
+        self.caller.respond.assert_called_once_with(
+            200, [(b"seal", b"x")], b"body", size=4
+        )
 
     @parameterized.expand(
         [
--- /dev/null
+++ b/tests/test_head_requests.py
@@ -0,0 +1,119 @@
+"""Requests for the head of a response alone."""
+
+import unittest
+
+import eventlet
+import h11
+from parameterized import parameterized
+
+from bergamotsaddle_serving._sockets import receive
+from tests._paused import use_paused_clock, use_skipping_clock
+from tests.test_aborted_requests import (
+    HOST,
+    LIMIT_S,
+    listen,
+    make_handler,
+    make_instances,
+    make_plain_server,
+)
+from tests.test_late_responses import ListeningTarget
+
+setUpModule = use_skipping_clock
+tearDownModule = use_paused_clock
+
+BODY = b"0123456789"
+LENGTH = b"Content-Length: 10\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+CHUNKS = b"a\r\n" + BODY + b"\r\n0\r\n\r\n"
+# Status, the lines that state the size, and the body.
+SERVED = (b"200 OK", LENGTH, BODY)
+SERVED_IN_CHUNKS = (b"200 OK", CHUNKED, CHUNKS)
+NOT_FOUND = (b"404 Not Found", LENGTH, BODY)
+FAILED = (b"500 Failed", LENGTH, BODY)
+REJECTED = (b"503 Busy", b"X-Not-Executed: 1\r\n" + LENGTH, BODY)
+BROKEN = (b"", b"", b"")
+
+
+class PlainTarget(ListeningTarget):
+    """A target that sends one response, without its body where only a head is due.
+
+    Args:
+        response: Status, the lines that state the size, and the body.
+    """
+
+    def __init__(self, response):
+        super().__init__()
+        self._response = response
+
+    def serve(self, sock):
+        """Answer the requests on a connection."""
+        status, lines, body = self._response
+        while request := sock.recv(65_536):
+            if not status:
+                break
+            head = b"HTTP/1.1 %s\r\nX-Request-Id: r1\r\nX-Response-Seal: x\r\n%s\r\n"
+            sock.sendall(
+                head % (status, lines) + (b"" if request[:4] == b"HEAD" else body)
+            )
+        sock.close()
+
+
+def ask(client, parser, method):
+    """Send a request and return status, stated size and body of its response."""
+    headers = [("host", "h"), ("x-request-id", "r1"), ("content-length", "0")]
+    client.sendall(
+        parser.send(h11.Request(method=method, target="/", headers=headers))
+        + parser.send(h11.EndOfMessage())
+    )
+    status, size, body = 0, None, b""
+    while True:
+        event = parser.next_event()
+        if event is h11.NEED_DATA:
+            parser.receive_data(receive(client, 65_536, LIMIT_S))
+        elif isinstance(event, h11.Response):
+            status = event.status_code
+            size = dict(event.headers).get(b"content-length")
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        else:
+            return status, size, body
+
+
+class HeadTest(unittest.TestCase):
+    """Responses to HEAD and to GET, one after the other on one connection."""
+
+    @parameterized.expand(
+        [
+            (f"{name}_{way}", response, is_handed_over, status, size)
+            for way, is_handed_over in (("here", False), ("at_a_helper", True))
+            for name, response, status, size in (
+                ("served", SERVED, 200, b"10"),
+                ("served_in_chunks", SERVED_IN_CHUNKS, 200, None),
+                ("not_found", NOT_FOUND, 404, b"10"),
+                ("failed", FAILED, 500, b"10"),
+                ("rejected", REJECTED, 503, ...),
+                ("broken", BROKEN, 502, ...),
+            )
+        ]
+    )
+    def test_one_that_is(self, _, response, is_handed_over, status, size):
+        """Guards against heads that say something else, and against bodies of them."""
+        targets = [PlainTarget(response)]
+        if is_handed_over:
+            handler, _ = make_instances(targets)
+        else:
+            handler = make_handler(make_plain_server(targets))
+        client = eventlet.connect((HOST, listen(handler)))
+        self.addCleanup(client.close)
+        parser = h11.Connection(h11.CLIENT)
+        found = ask(client, parser, b"HEAD")
+        parser.start_next_cycle()
+        whole_status, whole_size, body = ask(client, parser, b"GET")
+        expected_size = whole_size if size is ... else size
+        self.assertEqual(found, (status, expected_size, b""))
+        self.assertEqual(whole_status, status)
+        self.assertEqual(whole_size, b"%d" % len(body))
+
+
+if __name__ == "__main__":
+    unittest.main()
