Ask an engine when it started before a stream goes on there

Cause: the entry outlives the process that it describes. Only a refused connection, seen by somebody, told of the end.

Only another start (or another target at the address) counts; reports without one, relays and silence leave the entry believed, so that no stream ends for want of an answer. Responses that end at once share their questions, as before. A report that hides its start now has the sign "unstated" (a cut for unframed ends, as before).

Weighed: asking before the request is sent would save a run in the rare case, and cost up to 1.5 s at each engine that has fallen silent.

--- a/packages/serving/bergamotsaddle_serving/engine_run.py
+++ b/packages/serving/bergamotsaddle_serving/engine_run.py
@@ -38,6 +38,7 @@
         choice: How it was chosen.
         is_silent: Whether nothing has arrived within the limit of the last read.
         is_trial: Whether it is the trial of a part of its prompt that is held back.
+        is_asked: Whether the engine was asked whether it has started again.
         response: Head of the response, None before it has arrived.
         body: Body of a response that is a failure, None before all of it has arrived.
         started_at: When the request was sent, None before that.
@@ -59,6 +60,7 @@
         self.choice = choice
         self.is_silent = False
         self.is_trial = False
+        self.is_asked = False
         self.response: Response | None = None
         self.body: bytes | None = None
         self.started_at: float | None = None
--- a/packages/serving/bergamotsaddle_serving/target_life.py
+++ b/packages/serving/bergamotsaddle_serving/target_life.py
@@ -1,4 +1,4 @@
-"""Finds out whether a target has outlived a response without a length or chunks."""
+"""Finds out whether the process behind a target's address is still the same."""
 
 from typing import Any
 
@@ -26,6 +26,7 @@
 # Signs that name no failure of a connection.
 _RESPONDS = "responds"
 _REPLACED = "replaced"
+_UNSTATED = "unstated"
 _MALFORMED = "malformed"
 _FOREIGN = "foreign"
 
@@ -33,12 +34,15 @@
 
 
 class TargetLife:
-    """Finds out whether a target has outlived a response without a length or chunks.
+    """Finds out whether the process behind a target's address is still the same.
 
-    Such a response ends with its connection, and the kernel closes the connections of a
-    process that has crashed in the same way. That something accepts connections at the
-    address of the target is no sign of life: a relay does, or the next incarnation. So
-    the target is asked when it started, and has to respond.
+    A response without a length or chunks ends with its connection, and the kernel
+    closes the connections of a process that has crashed in the same way. That something
+    accepts connections at the address of the target is no sign of life: a relay does,
+    or the next incarnation. So the target is asked when it started, and has to respond.
+
+    The next incarnation may have other software than the target's entry names, which
+    may be older.
 
     Many responses may end at once. They share the next question that is sent, as a
     target resets connections beyond those that it accepts.
@@ -75,9 +79,7 @@
             request: Id of the request that it responded to.
         """
         started_at = now()
-        sign = SILENT
-        with eventlet.Timeout(_LIMIT_S, False):
-            sign = self._share_question(target).wait()
+        sign = self._await_sign(target)
         self._logger.info(
             "unframed_end",
             request=request,
@@ -88,6 +90,32 @@
         )
         return sign == _RESPONDS
 
+    def has_restarted(self, target: Target, request: str) -> bool:
+        """Return whether a target has started again since its entry was written.
+
+        A target that can't tell is believed to be the one of its entry.
+
+        Args:
+            target: The target.
+            request: Id of the request that it runs.
+        """
+        started_at = now()
+        sign = self._await_sign(target)
+        self._logger.info(
+            "start_asked",
+            request=request,
+            target=target.id,
+            sign=sign,
+            has_restarted=sign == _REPLACED,
+            seconds=round(now() - started_at, 3),
+        )
+        return sign == _REPLACED
+
+    def _await_sign(self, target: Target) -> str:
+        with eventlet.Timeout(_LIMIT_S, False):
+            return self._share_question(target).wait()
+        return SILENT
+
     def _share_question(self, target: Target) -> GreenThread:
         """Return the next question to a target; its result is the sign."""
         key = target.incarnation
@@ -159,5 +187,6 @@
             started_ms = self._dialect.read_start(body)
         except ValueError:
             return _MALFORMED
-        is_same = started_ms == target.started_ms or not target.started_ms
-        return _RESPONDS if is_same else _REPLACED
+        if started_ms == target.started_ms or not target.started_ms:
+            return _RESPONDS
+        return _REPLACED if started_ms else _UNSTATED
--- a/tests/_out_of_step.py
+++ b/tests/_out_of_step.py
@@ -4,16 +4,20 @@
 from unittest import mock
 
 import eventlet
+import msgspec
 from eventlet.event import Event
 
 from bergamotsaddle_contracts.errors import RequestError
 from bergamotsaddle_daemon.clock import now
+from bergamotsaddle_platform.dialect import PlatformDialect
+from bergamotsaddle_serving.client import ConnectionLostError, RawResponseHead
 from bergamotsaddle_serving.gossip import Gossip
 from bergamotsaddle_serving.gossip_exchange import GossipExchange
 from bergamotsaddle_serving.origin_exchange import OriginExchange
 from bergamotsaddle_serving.resumption import Resumptions
 from bergamotsaddle_serving.software_history import SoftwareHistory
 from bergamotsaddle_serving.stream_origins import StreamOrigin, StreamOrigins
+from bergamotsaddle_serving.target_life import TargetLife
 from tests._paused import advance
 from tests._resumptions import make_target
 from tests.test_stream_origins import make_context
@@ -31,12 +35,62 @@
 DEADLINE_S = 60.0
 
 
+class TargetConnections:
+    """Connections to targets that answer when they started.
+
+    Args:
+        running_by_id: The incarnation of each target that runs.
+    """
+
+    def __init__(self, running_by_id):
+        self._running_by_id = running_by_id
+
+    def take_idle(self, address):
+        """Return no connection, as none is open."""
+
+    def open(self, address, *, limit):
+        """Return a connection."""
+        return TargetConnection(self._running_by_id)
+
+    def release(self, connection, keep_alive_seconds):
+        """Close a connection."""
+
+
+class TargetConnection:
+    """A connection to the target that a call names.
+
+    Args:
+        running_by_id: The incarnation of each target that runs.
+    """
+
+    def __init__(self, running_by_id):
+        self._running_by_id = running_by_id
+
+    def send(self, call, *, limit):
+        """Send a call."""
+        self._name = dict(call.headers)[b"x-target-instance"].decode()
+
+    def read_head(self, *, limit):
+        """Return the head of the response."""
+        if self._name not in self._running_by_id:
+            raise ConnectionLostError("refused")
+        return RawResponseHead(200, [])
+
+    def read_body(self, *, limit, max_bytes):
+        """Return the target's report."""
+        return msgspec.json.encode({"born": self._running_by_id[self._name].started_ms})
+
+    def close(self):
+        """Close the connection."""
+
+
 class ReleaseInstance:
     """What one instance of a fleet knows of streams.
 
     Args:
         follower: The parts of it that follow the store.
         target_by_value: What the entries of targets say.
+        running_by_id: The incarnation of each target that runs.
 
     Attributes:
         follower: The parts of it that follow the store.
@@ -45,7 +99,11 @@
         is_still: Whether it stands still.
     """
 
-    def __init__(self, follower, target_by_value):
+    def __init__(self, follower, target_by_value, running_by_id):
+        connections = TargetConnections(running_by_id)
+        self._life = TargetLife(
+            connections, PlatformDialect(), mock.Mock(), mock.Mock()
+        )
         self.follower = follower
         self.peers = follower.peers
         self.view = follower.view
@@ -126,10 +184,14 @@
         return software in self.resumptions.targets_by_software("s")
 
     def targets_of(self, software):
-        """Return the ids of the targets that it lets go on with a version's streams."""
+        """Return the ids of the targets that it lets go on with a version's streams.
+
+        A target that may run them is asked whether it has started again.
+        """
         origin = StreamOrigin("s", software)
         targets = [known.target for known in self.view.usable("s")]
-        return {t.id for t in targets if self.resumptions.may_run(t, origin)}
+        may_run = [t for t in targets if self.resumptions.may_run(t, origin)]
+        return {t.id for t in may_run if not self._life.has_restarted(t, "r")}
 
     def resume(self, context):
         """Return a list that gets the version at which a stream goes on, or the error.
@@ -159,10 +221,10 @@
 
     def __init__(self):
         self._target_by_value = {}
-        self._listed = set()
+        self._running_by_id = {}
         self._simulation = FleetSimulation(INSTANCES)
         self._instances = [
-            ReleaseInstance(follower, self._target_by_value)
+            ReleaseInstance(follower, self._target_by_value, self._running_by_id)
             for follower in self._simulation.instances.values()
         ]
         self.out, *self.others = self._instances
@@ -174,11 +236,12 @@
         """Have targets write entries, or remove them where there is no version."""
         for name, software in software_by_id.items():
             value = None
+            self._running_by_id.pop(name, None)
             if software:
                 value = f"{name}={software}@{now()}".encode()
                 target = make_target(name, software)
-                started_ms = int(now() * 1000)
-                self._target_by_value[value] = target._replace(started_ms=started_ms)
+                target = target._replace(started_ms=int(now() * 1000))
+                self._target_by_value[value] = self._running_by_id[name] = target
             self._simulation.store.write(name, value)
 
     def cut_peers(self):
