Ask which engines may go on with a stream only where one has failed

The look-up of a chosen engine went through all engines of its service for each stream that goes on, though only one that failed a moment ago needs the others.

--- a/packages/serving/bergamotsaddle_serving/streams.py
+++ b/packages/serving/bergamotsaddle_serving/streams.py
@@ -309,8 +309,12 @@
             engine: The engine.
             exclude: Ids of engines that may not be used instead of it.
         """
+        service = context.service.name
+        candidate = self.selector.find(service, engine.id, exclude)
+        if candidate is not None or context.origin is None:
+            return candidate
         unfit = self._find_unfit(context).union(exclude)
-        return self.selector.find(context.service.name, engine.id, unfit)
+        return self.selector.find(service, engine.id, unfit)
 
     def _find_unfit(self, context: Context) -> set[str]:
         """Return the ids of the engines that may not go on with a stream."""
