Leave out engines without a permit where a chosen engine is looked up

With e2 failed a moment ago and e3 sound without a permit, e2 was chosen and then given up, and the stream cut.

The look-up tells now by the same engines as the choice.

--- a/packages/serving/bergamotsaddle_serving/selector.py
+++ b/packages/serving/bergamotsaddle_serving/selector.py
@@ -114,10 +114,10 @@
         found = self._filter(named)
         if not found or not found[0].state.is_backing_off():
             return found[0] if found else None
-        for candidate in _without_backoff(self._reachable(service, exclude)):
-            if candidate.target.id == target_id:
-                return candidate
-        return None
+        others = self._reachable(service, {*exclude, target_id})
+        others = [c for c in others if not self._rates.wait(c.target)]
+        is_last = all(c.state.is_backing_off() for c in others)
+        return found[0] if is_last else None
 
     def permit_wait(
         self, service: str, *, may_run: Callable[[Target], bool] = lambda target: True
--- a/tests/test_backed_off_targets.py
+++ b/tests/test_backed_off_targets.py
@@ -28,8 +28,14 @@
     return Target(target_id, SERVICE, address, "a", 4, software=software)
 
 
-def make_selector(targets, failed):
-    """Return a selector of some targets, of which some failed a moment ago."""
+def make_selector(targets, failed, without_permit=()):
+    """Return a selector of targets.
+
+    Args:
+        targets: The targets.
+        failed: Ids of those that failed a moment ago.
+        without_permit: Ids of those that have to wait for a permit.
+    """
     health = Health()
     for target in targets:
         if target.id in failed:
@@ -44,7 +50,7 @@
     reach = mock.Mock()
     reach.is_lost.return_value = False
     rates = mock.Mock(reserve=lambda *_: True)
-    rates.wait.return_value = 0.0
+    rates.wait.side_effect = lambda target: float(target.id in without_permit)
     notices = mock.Mock(has_room=lambda *_: True, may_send=lambda _: True)
     return Selector(view, health, peers, mock.Mock(), reach, rates, notices=notices)
 
@@ -70,6 +76,15 @@
         picked = selector.candidates(SERVICE, {*exclude})
         self.assertEqual(name in {c.target.id for c in picked}, is_found)
 
+    @parameterized.expand([("sound", {"a"}), ("failed_too", {"a", "b"})])
+    def test_one_that_failed_while_the_other_waits_for_a_permit_and_is(self, _, failed):
+        """Guards against a target that is picked and given up for one that waits."""
+        targets = [make_target("a"), make_target("b")]
+        selector = make_selector(targets, failed, without_permit={"b"})
+        picked = selector.candidates(SERVICE, set())
+        self.assertEqual([c.target.id for c in picked], ["a"])
+        self.assertIsNotNone(selector.find(SERVICE, "a"))
+
 
 class StreamTest(unittest.TestCase):
     """A stream that breaks off at the only engine that had not failed before."""
