Let the error of a question to a target end with it

Found by the review: if a question about a target's start met an unexpected error, the next one, which waits for it, ended with the same error before it took itself off the list, so each later question did, for as long as the process ran. Unframed ends and streams that go on would all fail at that target. A lack of descriptors caused such an error: the socket is made outside of what turns errors into a lost connection.

Change: a question takes no notice of the error of the one before, and a socket that can't be made is no connection.

--- a/packages/serving/bergamotsaddle_serving/client.py
+++ b/packages/serving/bergamotsaddle_serving/client.py
@@ -228,12 +228,15 @@
         self._h11 = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sender: eventlet.greenthread.GreenThread | None = None
         self._has_send_failed = False
         self._has_peer_closed = False
         # Parts of a body that is being read.
         self._parts = Parts()
+        try:
+            self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:
+            raise ConnectionLostError("connect", is_unsent=True) from error
         try:
             self._socket.settimeout(max(0.001, limit))
             self._set_options()
--- a/packages/serving/bergamotsaddle_serving/target_life.py
+++ b/packages/serving/bergamotsaddle_serving/target_life.py
@@ -1,5 +1,6 @@
 """Finds out whether the process behind a target's address is still the same."""
 
+import contextlib
 from typing import Any
 
 import eventlet
@@ -23,6 +24,9 @@
 # A sound target may be silent for a second. A caller that waits for the end of a stream
 # leaves after two.
 _LIMIT_S = 1.5
+# A target that does not say at once whether it has restarted is believed, and nothing
+# is sent to it before that.
+_RESTART_LIMIT_S = 0.3
 # Signs that name no failure of a connection.
 _RESPONDS = "responds"
 _REPLACED = "replaced"
@@ -79,7 +83,7 @@
             request: Id of the request that it responded to.
         """
         started_at = now()
-        sign = self._await_sign(target)
+        sign = self._await_sign(target, _LIMIT_S)
         self._logger.info(
             "unframed_end",
             request=request,
@@ -97,10 +101,10 @@
 
         Args:
             target: The target.
-            request: Id of the request that it runs.
+            request: Id of the request that it is to run.
         """
         started_at = now()
-        sign = self._await_sign(target)
+        sign = self._await_sign(target, _RESTART_LIMIT_S)
         self._logger.info(
             "start_asked",
             request=request,
@@ -111,8 +115,8 @@
         )
         return sign == _REPLACED
 
-    def _await_sign(self, target: Target) -> str:
-        with eventlet.Timeout(_LIMIT_S, False):
+    def _await_sign(self, target: Target, limit: float) -> str:
+        with eventlet.Timeout(limit, False):
             return self._share_question(target).wait()
         return SILENT
 
@@ -129,7 +133,9 @@
 
     def _run_question(self, target: Target, earlier: GreenThread | None) -> str:
         if earlier is not None:
-            earlier.wait()
+            # An error is for those that share that question.
+            with contextlib.suppress(Exception):
+                earlier.wait()
         key = target.incarnation
         question = self._next_by_incarnation.pop(key)
         self._sent_by_incarnation[key] = question
--- a/tests/test_serving_client.py
+++ b/tests/test_serving_client.py
@@ -1,12 +1,15 @@
 """Tests for connections to targets: broken, late and repeated responses."""
 
+import errno
 import socket
 import unittest
+from unittest import mock
 
 import eventlet
 from parameterized import parameterized
 
 from bergamotsaddle_contracts.ini import Address
+from bergamotsaddle_serving import client
 from bergamotsaddle_serving.client import (
     Connection,
     ConnectionLostError,
@@ -239,6 +242,16 @@
         pool.release(connection, 0.5)
         self.assertIsNot(pool.acquire(target.address), connection)
 
+    def test_a_lack_of_descriptors_is_no_connection(self):
+        """Guards against an error that nobody handles."""
+        error = OSError(errno.EMFILE, "too many")
+        with (
+            mock.patch.object(client.socket, "socket", side_effect=error),
+            self.assertRaises(ConnectionLostError) as raised,
+        ):
+            Connection(Address("127.0.0.1", 9))
+        self.assertTrue(raised.exception.is_unsent)
+
     def test_a_refused_connection_is_unsent(self):
         listener = eventlet.listen(("127.0.0.1", 0))
         address = Address(*listener.getsockname())
