Ask an engine for its start before it gets a stream, not behind its first event

An engine that has restarted is left out without an attempt, and its entry is uncertain from then on, as behind a refused connection, so no further stream asks or goes on there until the view is up to date.

--- a/packages/serving/bergamotsaddle_serving/resumption.py
+++ b/packages/serving/bergamotsaddle_serving/resumption.py
@@ -1,7 +1,7 @@
 """Lets streams go on only at the version of the software that began them."""
 
 from collections import Counter, deque
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from typing import Any, NamedTuple
 
 from bergamotsaddle_contracts.errors import ErrorKind
@@ -56,6 +56,8 @@
 
     Attributes:
         certainty: Which targets run the software that their entries name.
+        has_restarted: Called with a target and the id of a request; returns whether
+            the target says that it has started again since its entry was written.
     """
 
     def __init__(
@@ -71,6 +73,9 @@
         self._logger = logger
         self._ages = StreamAges()
         self.certainty = EntryCertainty(view)
+        self.has_restarted: Callable[[Target, str], bool] = lambda target, request: (
+            False
+        )
         self._begun_lately: deque[_BegunStream] = deque()
         view.subscribe(self._mark_replaced)
 
@@ -141,6 +146,21 @@
         is_named = bool(origin.software)
         return is_named or self._history.sole_version(origin.service) == ""
 
+    def confirm(self, context: Context, target: Target) -> bool:
+        """Return whether a target that may go on with a stream is the one of its entry.
+
+        The entry may be older than the process behind it, which may run other software.
+        So the target is asked, but for a stream that has no origin yet.
+
+        Args:
+            context: The request.
+            target: The target.
+        """
+        if context.origin is None or not self.has_restarted(target, context.head.id):
+            return True
+        self.certainty.record_end(target.incarnation, now())
+        return False
+
     def is_replaced(self, target: Target) -> bool:
         """Return whether a target's entry names other software by now."""
         return self._view.is_replaced(target)
--- a/packages/serving/bergamotsaddle_serving/server.py
+++ b/packages/serving/bergamotsaddle_serving/server.py
@@ -245,12 +245,14 @@
             explains_crash=self.suspect_parts.explains_crash,
             request_trial=rate_exchange.request_trial,
         )
+        life = TargetLife(self.pool, dialect, self.notices, logger)
+        resumptions.has_restarted = life.has_restarted
         self.crashes = crashes = TargetCrashes(
             self.pool,
             self.view,
             self.suspects,
             self.suspect_parts,
-            TargetLife(self.pool, dialect, self.notices, logger),
+            life,
             reaches_another=self.service_reach.reaches_another,
         )
         self._certainty = resumptions.certainty
--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -23,6 +23,7 @@
 )
 from bergamotsaddle_serving.budget import Repeat
 from bergamotsaddle_serving.caller import CallerConnection
+from bergamotsaddle_serving.catalog import Target
 from bergamotsaddle_serving.client import SILENT
 from bergamotsaddle_serving.context import MAX_LOGGED_NAMES, Context
 from bergamotsaddle_serving.decisions.admission import add_jitter
@@ -321,7 +322,11 @@
             RequestError: If the request is quarantined.
         """
         candidate = self._server.candidate(self._context, choice.engine, exclude)
-        if candidate is None or not self._server.selector.may_send(candidate):
+        if candidate is None:
+            return None
+        if not self._server.resumptions.confirm(self._context, candidate.target):
+            return None
+        if not self._server.selector.may_send(candidate):
             return None
         if not self._use_permit(choice, exclude):
             return None
@@ -536,7 +541,7 @@
         """
         if run.writing_since is None:
             self._record_first_event(run)
-            self._bind(run)
+            self._bind(run.target)
         for event in events:
             self._output.send(run.response, event)
 
@@ -556,45 +561,33 @@
         self._server.record_cached_prefix(run.id, self._context)
         self._inputs.drop()
 
-    def _bind(self, run: EngineRun) -> None:
+    def _bind(self, target: Target) -> None:
         """Bind the stream to the software of the engine that sends its first event.
 
         Raises:
             OutcomeUnknownError: If the engine may run other software by now.
         """
         resumptions = self._server.resumptions
-        if resumptions.is_replaced(run.target) or self._has_restarted(run):
+        if resumptions.is_replaced(target):
             raise OutcomeUnknownError(_REPLACED)
-        self._context = resumptions.bind(self._context, run.target)
-
-    def _has_restarted(self, run: EngineRun) -> bool:
-        """Return whether the engine that goes on with a stream has started again.
-
-        It may run other software than its entry names, and than what began the stream.
-        """
-        if self._context.origin is None or run.is_asked:
-            return False
-        run.is_asked = True
-        request = self._context.head.id
-        return self._server.crashes.has_restarted(run.target, request)
+        self._context = resumptions.bind(self._context, target)
 
     def find_fault(self, progress: Progress) -> str:
         """Return why the progress of a run is not for the caller, empty if it is."""
         run, events = progress
         is_first = run.writing_since is None
-        if events and is_first and not self._fits(run):
+        if events and is_first and not self._fits(run.target):
             return _REPLACED
         if events or run.response.is_success or self._is_lasting_failure(run):
             return ""
         return f"status {run.response.head.status}"
 
-    def _fits(self, run: EngineRun) -> bool:
+    def _fits(self, target: Target) -> bool:
         """Return whether an engine's events may follow what the caller has."""
         resumptions = self._server.resumptions
-        if resumptions.is_replaced(run.target):
+        if resumptions.is_replaced(target):
             return False
-        may_run = resumptions.may_run(run.target, self._context.origin)
-        return may_run and not self._has_restarted(run)
+        return resumptions.may_run(target, self._context.origin)
 
     def _is_lasting_failure(self, run: EngineRun) -> bool:
         """Return whether any other engine would respond with a failure too."""
--- a/packages/serving/bergamotsaddle_serving/target_crashes.py
+++ b/packages/serving/bergamotsaddle_serving/target_crashes.py
@@ -234,15 +234,6 @@
         """
         return not self._life.has_outlived(target, request)
 
-    def has_restarted(self, target: Target, request: str) -> bool:
-        """Return whether a target has started again since its entry was written.
-
-        Args:
-            target: The target.
-            request: Id of the request that it runs.
-        """
-        return self._life.has_restarted(target, request)
-
     def record_failure(
         self, target: Target, works: Sequence[Work], reason: str
     ) -> None:
--- a/tests/_out_of_step.py
+++ b/tests/_out_of_step.py
@@ -101,9 +101,7 @@
 
     def __init__(self, follower, target_by_value, running_by_id):
         connections = TargetConnections(running_by_id)
-        self._life = TargetLife(
-            connections, PlatformDialect(), mock.Mock(), mock.Mock()
-        )
+        life = TargetLife(connections, PlatformDialect(), mock.Mock(), mock.Mock())
         self.follower = follower
         self.peers = follower.peers
         self.view = follower.view
@@ -125,6 +123,7 @@
         self.resumptions = Resumptions(
             self._origins, self._history, self.view, mock.Mock()
         )
+        self.resumptions.has_restarted = life.has_restarted
         self.is_still = False
         self._awake = Event()
         self._held = []
@@ -184,14 +183,11 @@
         return software in self.resumptions.targets_by_software("s")
 
     def targets_of(self, software):
-        """Return the ids of the targets that it lets go on with a version's streams.
-
-        A target that may run them is asked whether it has started again.
-        """
-        origin = StreamOrigin("s", software)
+        """Return the ids of the targets that it lets go on with a version's streams."""
+        context = make_context("r")._replace(origin=StreamOrigin("s", software))
         targets = [known.target for known in self.view.usable("s")]
-        may_run = [t for t in targets if self.resumptions.may_run(t, origin)]
-        return {t.id for t in may_run if not self._life.has_restarted(t, "r")}
+        may_run = [t for t in targets if self.resumptions.may_run(t, context.origin)]
+        return {t.id for t in may_run if self.resumptions.confirm(context, t)}
 
     def resume(self, context):
         """Return a list that gets the version at which a stream goes on, or the error.
--- a/tests/_paced_engines.py
+++ b/tests/_paced_engines.py
@@ -425,7 +425,6 @@
                     find_held=lambda parts: None, record_sent=lambda parts: False
                 ),
                 has_ended_with_target=lambda target, request: False,
-                has_restarted=lambda target, request: False,
             ),
             resumptions=instance.resumptions,
         )
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -142,7 +142,6 @@
         suspects=suspects,
         parts=mock.Mock(find_held=lambda parts: None),
         has_ended_with_target=lambda target, request: engine.has_crashed,
-        has_restarted=lambda target, request: False,
     )
     selector = mock.Mock(
         find=find, targets=lambda service: [], permit_wait=lambda service, **_: 0.1
--- a/tests/test_restarted_targets.py
+++ b/tests/test_restarted_targets.py
@@ -5,12 +5,15 @@
 
 from parameterized import parameterized
 
+from bergamotsaddle_daemon.clock import now
 from bergamotsaddle_platform.dialect import PlatformDialect
 from bergamotsaddle_serving.catalog import Target
 from bergamotsaddle_serving.client import ConnectionPool
 from bergamotsaddle_serving.health import Health
+from bergamotsaddle_serving.messages import RequestHead
 from bergamotsaddle_serving.selector import Candidate
 from bergamotsaddle_serving.stream_origins import StreamOrigin
+from bergamotsaddle_serving.stream_run import StreamRun
 from bergamotsaddle_serving.target_life import TargetLife
 from tests import test_broken_streams, test_stream_versions
 from tests._ending_target import EndingTarget
@@ -28,6 +31,8 @@
 tearDownModule = use_paused_clock
 
 CUT = len(EVENTS[0]) + 3
+# For how long a caller waits for the next event.
+PATIENCE_S = 2.0
 # What tells of no other incarnation.
 BELIEVED = [
     "answers",
@@ -46,7 +51,9 @@
 class RestartedTargetTest(unittest.TestCase):
     """A stream goes on at a target whose entry may be older than its process."""
 
-    def relay(self, then, *, origin=None, first=EVENTS[0][:3], rest=EVENTS[1:]):
+    def relay(
+        self, then, *, origin=None, first=EVENTS[0][:3], rest=EVENTS[1:], attempts=3
+    ):
         """Send a request; return what the caller gets.
 
         Args:
@@ -54,6 +61,7 @@
             origin: What began the stream, None if this request does.
             first: What the first target sends before it breaks off.
             rest: Events of the second target.
+            attempts: How often the request may run.
         """
         engine = ScriptedEngine(0, "open", is_reset=True)
         engine.first = frame(first, "open")
@@ -68,11 +76,15 @@
             Target(f"e{n}", "s", a, "a", 4, started_ms=started_ms, software="v1")
             for n, a in enumerate(addresses, start=1)
         ]
-        server = self.make_server(targets)
+        self.targets = targets
+        # A stream that is taken up has broken off elsewhere.
+        self.server = server = self.make_server(targets[origin is not None :])
+        self.resumptions = server.resumptions
 
         def make_taken_up(head, raw, *, is_resumable):
             context = make_context(head, raw, is_resumable=is_resumable)
-            return context._replace(origin=origin)
+            route = context.route._replace(attempts=attempts)
+            return context._replace(origin=origin, route=route)
 
         patches = {"make_server": lambda _: server, "make_context": make_taken_up}
         with mock.patch.multiple(test_broken_streams, **patches):
@@ -89,10 +101,9 @@
         candidates = [Candidate(t, health.of(t), False, 0) for t in targets]
         server = test_stream_versions.make_server(candidates)
         server.resumptions = make_lone_resumptions(*targets)
-        life = TargetLife(
-            ConnectionPool(), PlatformDialect(), mock.Mock(), server.logger
-        )
-        server.crashes.has_restarted = life.has_restarted
+        pool = ConnectionPool()
+        life = TargetLife(pool, PlatformDialect(), mock.Mock(), server.logger)
+        server.resumptions.has_restarted = life.has_restarted
         choose = server.choose
 
         def choose_in_order(context, exclude):
@@ -111,7 +122,7 @@
         """Guards against streams with events of two software versions."""
         answer = self.relay(then, first=WHOLE[:CUT])
         self.assertEqual(answer, (200, WHOLE, True))
-        self.assertEqual(len(self.restarted.requests), 1)
+        self.assertEqual(self.restarted.requests, [])
         self.assertEqual(self.count_at_last(), 1)
 
     @parameterized.expand([(then,) for then in BELIEVED])
@@ -126,8 +137,45 @@
         """Guards against the same where another instance began the stream."""
         answer = self.relay(then, origin=StreamOrigin("s", "v1"), rest=EVENTS)
         self.assertEqual(answer, (200, WHOLE, True))
+        self.assertEqual(self.restarted.requests, [])
         self.assertEqual(self.count_at_last(), 1)
 
+    @parameterized.expand([(then,) for then in REPLACED])
+    def test_it_costs_no_attempt(self, then):
+        """Guards against streams that may run twice and end at one that says so."""
+        answer = self.relay(then, first=WHOLE[:CUT], attempts=2)
+        self.assertEqual(answer, (200, WHOLE, True))
+
+    @parameterized.expand([(then,) for then in REPLACED])
+    def test_the_next_stream_asks_no_more(self, then):
+        """Guards against a run lost at each stream until the entry is written."""
+        self.relay(then, first=WHOLE[:CUT])
+        target = self.targets[1]
+        self.assertFalse(self.resumptions.certainty.is_certain(target))
+        self.assertFalse(self.resumptions.may_run(target, StreamOrigin("s", "v1")))
+
+    def test_a_stream_waits_a_moment_for_one_that_is_silent(self):
+        """Guards against callers that leave while nobody answers."""
+        started_at = now()
+        answer = self.relay("stays_silent", first=WHOLE[:CUT])
+        self.assertEqual(answer, (200, WHOLE, True))
+        self.assertEqual(self.count_at_last(), 0)
+        self.assertLess(now() - started_at, PATIENCE_S / 2.0)
+
+    @parameterized.expand([(then, then in REPLACED) for then in (*REPLACED, *BELIEVED)])
+    def test_hedges_ask_as_well(self, then, is_replaced):
+        """Guards against a silent stream that goes on at another version."""
+        self.relay(then)
+        target = self.targets[1]
+        head = RequestHead("r", b"POST", b"/", "h", "", 9.0)
+        context = make_context(head, mock.Mock(body=b""), is_resumable=True)
+        context = context._replace(origin=StreamOrigin("s", "v1"))
+        run = StreamRun(self.server, context, mock.Mock())
+        choice = self.server.choose(context, {"e1", "e3"})
+        self.assertEqual(choice.engine.id, target.id)
+        made = run._make_run(choice, None, run._excluded_from_hedge())
+        self.assertEqual(made is None, is_replaced)
+
     @parameterized.expand([(then,) for then in REPLACED])
     def test_a_new_stream_begins_at_one_that(self, then):
         """Guards against targets that get nothing until their entry is written."""
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -77,7 +77,6 @@
             suspects=suspects,
             parts=mock.Mock(find_held=lambda parts: None),
             has_ended_with_target=lambda target, request: False,
-            has_restarted=lambda target, request: False,
         ),
         resumptions=make_lone_resumptions(*(c.target for c in candidates)),
     )
@@ -250,7 +249,7 @@
         head = RequestHead("r", b"POST", b"/", "h", "", 9.0)
         context = make_context(head, mock.Mock(body=b""), is_resumable=True)
         run = StreamRun(server, context, mock.Mock())
-        run._bind(mock.Mock(target=candidates[0].target))
+        run._bind(candidates[0].target)
         run.runs.append(SimpleNamespace(id="a", is_silent=True))
         hedge = run._choose_hedge()
         self.assertEqual(hedge and hedge.engine.id, expected)
