Take the head of a stream for all of the response to HEAD

Callers saw: 502 for HEAD on a route of streams, behind up to three runs, each of which counted as a failure of its engine, so that one caller could make engines back off.

Cause: a response without an event has broken off; one to HEAD never has any.

tests/test_head_requests.py: 6 of 8 new rows failed before.

--- a/packages/serving/bergamotsaddle_serving/engine_run.py
+++ b/packages/serving/bergamotsaddle_serving/engine_run.py
@@ -38,7 +38,6 @@
         choice: How it was chosen.
         is_silent: Whether nothing has arrived within the limit of the last read.
         is_trial: Whether it is the trial of a part of its prompt that is held back.
-        is_asked: Whether the engine was asked whether it has started again.
         response: Head of the response, None before it has arrived.
         body: Body of a response that is a failure, None before all of it has arrived.
         started_at: When the request was sent, None before that.
@@ -60,7 +59,6 @@
         self.choice = choice
         self.is_silent = False
         self.is_trial = False
-        self.is_asked = False
         self.response: Response | None = None
         self.body: bytes | None = None
         self.started_at: float | None = None
@@ -243,7 +241,10 @@
 
         A stream may break off behind its last event. The engine that goes on then has
         nothing to send, and only the framing of its response shows that it is whole.
+        A response to a request for the head alone has no events.
         """
+        if self._context.head.method == b"HEAD":
+            return True
         is_framed = self.response.head.is_framed
         is_resumed = self._dispatch.last_event_id is not None
         if is_resumed and is_framed and self._splitter.is_empty:
--- a/tests/test_head_requests.py
+++ b/tests/test_head_requests.py
@@ -10,6 +10,7 @@
 from bergamotsaddle_daemon._response_body import ResponseBody
 from bergamotsaddle_daemon.http_server import serve
 from bergamotsaddle_serving._sockets import receive
+from tests import test_broken_streams
 from tests._paused import use_paused_clock, use_skipping_clock
 from tests.test_aborted_requests import (
     HOST,
@@ -42,16 +43,21 @@
 
     Args:
         response: Status, the lines that state the size, and the body.
+
+    Attributes:
+        requests: Number of requests that it has got.
     """
 
     def __init__(self, response):
         super().__init__()
         self._response = response
+        self.requests = 0
 
     def serve(self, sock):
         """Answer the requests on a connection."""
         status, lines, body = self._response
         while request := sock.recv(65_536):
+            self.requests += 1
             if not status:
                 break
             head = b"HTTP/1.1 %s\r\nX-Request-Id: r1\r\nX-Response-Seal: x\r\n%s\r\n"
@@ -118,6 +124,39 @@
         self.assertEqual(whole_size, b"%d" % len(body))
 
 
+class StreamTest(unittest.TestCase):
+    """The same where the response is a stream."""
+
+    @parameterized.expand(
+        [
+            (f"{name}_{kind}", response, is_resumable, status)
+            for kind, is_resumable in (("stream", False), ("resumable", True))
+            for name, response, status in (
+                ("served", SERVED, 200),
+                ("served_in_chunks", SERVED_IN_CHUNKS, 200),
+                ("served_without_a_size", (b"200 OK", b"", BODY), 200),
+                ("not_found", NOT_FOUND, 404),
+            )
+        ]
+    )
+    def test_one_that_is(self, _, response, is_resumable, status):
+        """Guards against engines that fail, since no event follows a head."""
+        engine = PlainTarget(response)
+        engine.has_crashed = False
+        client = test_broken_streams.connect(
+            test_broken_streams.make_server(engine),
+            lambda head, raw: test_broken_streams.make_context(
+                head, raw, is_resumable=is_resumable
+            ),
+        )
+        self.addCleanup(client.close)
+        parser = h11.Connection(h11.CLIENT)
+        found, _, body = ask(client, parser, b"HEAD")
+        self.assertEqual((found, body), (status, b""))
+        self.assertEqual(engine.requests, 1)
+        self.assertFalse(engine.crashes.record_failure.called)
+
+
 class OwnInterfaceTest(unittest.TestCase):
     """The same at the server of the own interface."""
 
