Run the stages again where their results went while an engine was asked

A stream ran without the results of its stages.

Cause: since an engine is asked for its start before it gets a stream, other green threads run between the check for results and the send. The timer that releases the results once the engine before has fetched them fired there. Before, nothing ran in between.

Evidence: the order of the code; tests/test_restarted_targets.py, where the results go while the engine is asked: sent without any before, not sent since.

Change: as for hedges, a run that finds no results any more is not sent; the stages run again and the engine is chosen anew. No attempt is used up.

test_plain_places, which also failed there, has a stand-in whose look-up takes what is left out now.

--- a/packages/serving/bergamotsaddle_serving/stream_run.py
+++ b/packages/serving/bergamotsaddle_serving/stream_run.py
@@ -282,6 +282,9 @@
         if run is None:
             self._exclude.add(choice.engine.id)
             return False
+        if self._inputs.handles is None:
+            # An earlier engine has fetched them while this one was asked.
+            return False
         self._start(run)
         while self.runs:
             try:
--- a/tests/test_plain_places.py
+++ b/tests/test_plain_places.py
@@ -46,7 +46,7 @@
             pick=lambda service, exclude: next(
                 (c for c in self.candidates if c.target.id not in exclude), None
             ),
-            find=lambda service, name: next(
+            find=lambda service, name, exclude=(): next(
                 (c for c in self.usable if c.target.id == name), None
             ),
         )
--- a/tests/test_restarted_targets.py
+++ b/tests/test_restarted_targets.py
@@ -183,6 +183,29 @@
         self.assertEqual(answer, (200, WHOLE, True))
         self.assertEqual(self.count_at_last(), 0)
 
+    @parameterized.expand([("kept", False), ("fetched", True)])
+    def test_results_that_go_while_an_engine_is_asked(self, _, are_fetched):
+        """Guards against streams that run without the results of their stages."""
+        self.relay("answers")
+        head = RequestHead("r", b"POST", b"/", "h", "", 9.0)
+        context = make_context(head, mock.Mock(body=b""), is_resumable=True)
+        run = StreamRun(self.server, context, mock.Mock())
+        run._inputs.handles = ("h1",)
+        run._check_way_on = mock.Mock()
+
+        def ask(target, request):
+            if are_fetched:
+                run._inputs.drop()
+            return False
+
+        self.resumptions.has_restarted = ask
+        run._context = context._replace(origin=StreamOrigin("s", "v1"))
+        sent = []
+        run._start = lambda made: sent.append(run._inputs.handles)
+        self.assertFalse(run._try(self.server.choose(context, set()), None))
+        self.assertEqual(sent, [] if are_fetched else [("h1",)])
+        self.assertFalse(run._exclude)
+
 
 if __name__ == "__main__":
     unittest.main()
