Play mistaken daemons for longer, so that the soak meets a head that tells

Cause: the mistake shows with three of the eight odd heads only, as the parser refuses the others itself (asked one by one); which ones a play of 12 s picks is chance. The rows play 24 s now and ask for the same.

--- a/tests/test_soak_ends.py
+++ b/tests/test_soak_ends.py
@@ -40,6 +40,8 @@
 TIMEOUT_S = 90.0
 SOAK = ("-m", "bergamotsaddle_standins.soak", "--seconds", "12", "--instances", "4")
 MISTAKEN = ("--daemon", "_mistaken_daemon")
+# The parser itself refuses most odd heads, and a short play may have no others.
+LONG = ("--seconds", "24")
 # Each request may have as many runs as its route allows.
 MANY_REPEATS = ("--retry-extra", "5000")
 LIMIT_S = 5.0
@@ -87,7 +89,7 @@
     def test_daemons_that_make_a_mistake_are_found(self, mistake, seed, name, words):
         """Guards against a soak that can't see what is taken for whole."""
         only = ("--seed", seed, "--only", name)
-        done = self.run_soak(*only, *MISTAKEN, mistake=mistake)
+        done = self.run_soak(*only, *LONG, *MISTAKEN, mistake=mistake)
         self.assertEqual(done.returncode, 1, done.stdout.decode())
         found = {line.partition(b":")[0] for line in done.stdout.splitlines()}
         self.assertTrue(found & words, done.stdout.decode())
