--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -146,6 +146,7 @@
         def run_stages(run, choice):
             suspects = run._server.suspects
             were_quarantined.append(suspects.is_quarantined(run._context.fingerprint))
+            run._inputs.handles = ()
 
         with mock.patch.object(stream_run.StreamRun, "_run_stages", run_stages):
             for number in range(4):
