Review: entries of another writer fill the memory of all daemons

Cause: the value of a removed entry is kept with its deletion, also if it names no target, and deletions are limited by number, not by size.

--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -27,6 +27,8 @@
 CALLER_PORT = 8625
 READY_PORT = 8621
 CONTROL_PORT = 8628
+# Outside the range from which the kernel takes ports for outgoing connections.
+REPLICA_PORTS = range(9000, 10000)
 PEER_PORT = 7740
 RELAY_PORT = 7755
 KEY = "9dnn2ctnfzs989anu6ws"
@@ -155,6 +157,7 @@
 
     Attributes:
         mode: How it answers: ok, silent, reset or busy.
+        most_changes: How many changes of its history it keeps.
     """
 
     def __init__(self, host):
@@ -165,6 +168,7 @@
         # The oldest revision after which all changes are known.
         self._kept_from = 0
         self.mode = "ok"
+        self.most_changes = 10_000
         self._server = Server(host, STORE_PORT, self._serve)
         self.address = f"{host}:{STORE_PORT}"
 
@@ -175,8 +179,7 @@
             self.revision += 1
             created = self._items.get(key, (None, None, self.revision))[2]
             self._items[key] = (value, self.revision, created)
-            self._events.append((self.revision, self._item(key)))
-            self._lock.notify_all()
+            self._add(self._item(key))
 
     def delete(self, key):
         """Delete an item."""
@@ -185,8 +188,13 @@
                 return
             self.revision += 1
             event = {"key": key, "revision": self.revision, "isDeleted": True}
-            self._events.append((self.revision, event))
-            self._lock.notify_all()
+            self._add(event)
+
+    def _add(self, event):
+        self._events.append((self.revision, event))
+        while len(self._events) > self.most_changes:
+            self._kept_from = self._events.pop(0)[0]
+        self._lock.notify_all()
 
     def discard_history(self):
         """Forget all changes so far, as the store may at any time."""
@@ -310,9 +318,15 @@
         self.gap_s = 0.05
         self.events = 10
         self._host = host
-        self._server = Server(host, 0, self._serve)
+        self._server = self._listen()
         self.port = self._server.address[1]
 
+    def _listen(self):
+        for _ in range(20):
+            with contextlib.suppress(OSError):
+                return Server(self._host, random.choice(REPLICA_PORTS), self._serve)
+        raise RuntimeError("no free port")
+
     def register(self, state="ready"):
         """Write its entry to the store."""
         entry = {
@@ -340,7 +354,13 @@
         """Start again at the same address under the same id."""
         self.born = int(time.time() * 1000)
         self.version = version or self.version
-        self._server = Server(self._host, self.port, self._serve)
+        for _ in range(50):
+            try:
+                self._server = Server(self._host, self.port, self._serve)
+                return
+            except OSError:
+                time.sleep(0.02)
+        raise RuntimeError("the port is taken")
 
     def _serve(self, sock):
         server = self._server
